--- /dev/null
+++ b/api/src/main/java/org/whinhead/api/message/package-info.java
@@ -0,0 +1,2 @@
+/** Texts shown to people, looked up by named key. */
+package org.whinhead.api.message;
--- /dev/null
+++ b/api/src/main/java/org/whinhead/api/model/CustomerId.java
@@ -0,0 +1,26 @@
+package org.whinhead.api.model;
+
+import org.whinhead.api.Arguments;
+
+/**
+ * Names a customer.
+ *
+ * @param value the identity as text, never blank
+ */
+public record CustomerId(String value) implements Comparable<CustomerId> {
+
+    /** Checks the text. */
+    public CustomerId {
+        Arguments.requireText(value, "customerId");
+    }
+
+    @Override
+    public int compareTo(final CustomerId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/api/src/main/java/org/whinhead/api/model/DaemonId.java
@@ -0,0 +1,26 @@
+package org.whinhead.api.model;
+
+import org.whinhead.api.Arguments;
+
+/**
+ * Names one incarnation of a daemon; a restarted daemon gets a new identity.
+ *
+ * @param value the identity as text, never blank
+ */
+public record DaemonId(String value) implements Comparable<DaemonId> {
+
+    /** Checks the text. */
+    public DaemonId {
+        Arguments.requireText(value, "daemonId");
+    }
+
+    @Override
+    public int compareTo(final DaemonId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/api/src/main/java/org/whinhead/api/model/TeamId.java
@@ -0,0 +1,26 @@
+package org.whinhead.api.model;
+
+import org.whinhead.api.Arguments;
+
+/**
+ * Names the team that owns a subtree of the settings.
+ *
+ * @param value the identity as text, never blank
+ */
+public record TeamId(String value) implements Comparable<TeamId> {
+
+    /** Checks the text. */
+    public TeamId {
+        Arguments.requireText(value, "teamId");
+    }
+
+    @Override
+    public int compareTo(final TeamId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/api/src/main/java/org/whinhead/api/request/package-info.java
@@ -0,0 +1,2 @@
+/** Identities and descriptions of requests and attempts. */
+package org.whinhead.api.request;
--- /dev/null
+++ b/cli/src/main/java/org/whinhead/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' command-line tool. */
+package org.whinhead.cli;
--- /dev/null
+++ b/demo/src/main/java/org/whinhead/demo/package-info.java
@@ -0,0 +1,2 @@
+/** One deployment in one process, with a reclaim halfway. */
+package org.whinhead.demo;
--- /dev/null
+++ b/peer/src/main/java/org/whinhead/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Messages between daemons over Netty with protobuf and mutual TLS. */
+package org.whinhead.peer;
--- /dev/null
+++ b/requests/src/main/java/org/whinhead/requests/RequestCoordinator.java
@@ -0,0 +1,76 @@
+package org.whinhead.requests;
+
+import java.time.Instant;
+import org.whinhead.api.model.EndpointId;
+import org.whinhead.api.request.RequestId;
+import org.whinhead.api.request.RequestSpec;
+
+/**
+ * Decides the life of every request of one daemon; single-threaded, without input or output, and
+ * told the time with each event.
+ */
+public interface RequestCoordinator {
+
+    /**
+     * Takes in a new request.
+     *
+     * @param spec the request
+     * @param now the time
+     */
+    void arrived(RequestSpec spec, Instant now);
+
+    /**
+     * Takes in a caller that comes back for the rest of an answer.
+     *
+     * @param spec the request, rebuilt from the caller's repeated body
+     * @param ticket where the answer was being made
+     * @param haveTokens how many tokens the caller already has
+     * @param haveText their text
+     * @param now the time
+     */
+    void returned(RequestSpec spec, Ticket ticket, long haveTokens, String haveText, Instant now);
+
+    /**
+     * The caller hung up.
+     *
+     * @param request the request
+     * @param now the time
+     */
+    void callerLeft(RequestId request, Instant now);
+
+    /**
+     * Something happened to an attempt.
+     *
+     * @param event what happened
+     * @param now the time
+     */
+    void attemptEvent(AttemptEvent event, Instant now);
+
+    /**
+     * A claim was decided.
+     *
+     * @param request the request
+     * @param outcome the decision
+     * @param now the time
+     */
+    void claimDecided(RequestId request, ClaimOutcome outcome, Instant now);
+
+    /**
+     * An endpoint was announced to leave: its streams move away while it still answers.
+     *
+     * @param endpoint the endpoint
+     * @param goneBy when it stops answering
+     * @param now the time
+     */
+    void endpointLeaving(EndpointId endpoint, Instant goneBy, Instant now);
+
+    /**
+     * Time passed; called at least every 50 ms.
+     *
+     * @param now the time
+     */
+    void tick(Instant now);
+
+    /** Returns how many requests are in progress. */
+    int inProgress();
+}
--- /dev/null
+++ b/routing/src/main/java/org/whinhead/routing/Router.java
@@ -0,0 +1,31 @@
+package org.whinhead.routing;
+
+import java.time.Instant;
+import java.util.Optional;
+import java.util.Set;
+import org.whinhead.api.model.Endpoint;
+import org.whinhead.api.model.EndpointId;
+import org.whinhead.api.request.RequestSpec;
+
+/** Chooses the endpoint for one attempt; single-threaded, without input or output. */
+public interface Router {
+
+    /**
+     * Chooses an endpoint and counts the send against it.
+     *
+     * @param spec the request
+     * @param excluded endpoints that must not be chosen, for example those already tried
+     * @param now the time
+     * @return the endpoint, or empty if none that fits is open to new work
+     */
+    Optional<Endpoint> choose(RequestSpec spec, Set<EndpointId> excluded, Instant now);
+
+    /**
+     * An attempt at an endpoint ended, however it ended.
+     *
+     * @param endpoint the endpoint
+     * @param spec the request
+     * @param now the time
+     */
+    void ended(EndpointId endpoint, RequestSpec spec, Instant now);
+}
--- /dev/null
+++ b/routing/src/main/java/org/whinhead/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Which endpoint a request goes to. */
+package org.whinhead.routing;
--- /dev/null
+++ b/settings/src/main/java/org/whinhead/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Settings of the deployment: schema, validation with the place of each error, typed values. */
+package org.whinhead.settings;
--- /dev/null
+++ b/state/src/main/java/org/whinhead/state/package-info.java
@@ -0,0 +1,2 @@
+/** Shared state as a fold of the log: records, checkpoints, settings, leases and claims. */
+package org.whinhead.state;
