--- /dev/null
+++ b/architecture/src/test/java/org/whinhead/architecture/LayersTest.java
@@ -0,0 +1,86 @@
+package org.whinhead.architecture;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
+
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.junit.AnalyzeClasses;
+import com.tngtech.archunit.junit.ArchTest;
+import com.tngtech.archunit.lang.ArchRule;
+import java.time.Clock;
+import java.time.Instant;
+import java.util.Random;
+
+@AnalyzeClasses(packages = "org.whinhead", importOptions = ImportOption.DoNotIncludeTests.class)
+class LayersTest {
+
+    private static final String[] DECISIONS = {
+        "org.whinhead.api..",
+        "org.whinhead.state..",
+        "org.whinhead.membership..",
+        "org.whinhead.routing..",
+        "org.whinhead.admission..",
+        "org.whinhead.requests..",
+        "org.whinhead.fleet..",
+    };
+
+    @ArchTest
+    static final ArchRule MODULES_HAVE_NO_CYCLES =
+            slices().matching("org.whinhead.(*)..").should().beFreeOfCycles();
+
+    // The same decision replayed under the fault matrix gives another outcome than on the daemon:
+    // it read the machine's clock or drew from an unseeded source behind the caller's back.
+    @ArchTest
+    static final ArchRule DECISIONS_READ_NO_CLOCK =
+            noClasses()
+                    .that()
+                    .resideInAnyPackage(DECISIONS)
+                    .should()
+                    .callMethod(Instant.class, "now")
+                    .orShould()
+                    .callMethod(System.class, "currentTimeMillis")
+                    .orShould()
+                    .callMethod(System.class, "nanoTime")
+                    .orShould()
+                    .callMethod(Clock.class, "systemUTC")
+                    .orShould()
+                    .callMethod(Math.class, "random")
+                    .orShould()
+                    .callConstructor(Random.class);
+
+    @ArchTest
+    static final ArchRule DECISIONS_DO_NO_INPUT_OR_OUTPUT =
+            noClasses()
+                    .that()
+                    .resideInAnyPackage(DECISIONS)
+                    .should()
+                    .dependOnClassesThat()
+                    .resideInAnyPackage(
+                            "java.net.http..",
+                            "java.nio.channels..",
+                            "java.nio.file..",
+                            "io.undertow..",
+                            "io.netty..",
+                            "org.slf4j..");
+
+    @ArchTest
+    static final ArchRule DECISIONS_START_NO_THREAD =
+            noClasses()
+                    .that()
+                    .resideInAnyPackage(DECISIONS)
+                    .should()
+                    .dependOnClassesThat()
+                    .areAssignableTo(Thread.class)
+                    .orShould()
+                    .dependOnClassesThat()
+                    .resideInAPackage("java.util.concurrent.locks..");
+
+    @ArchTest
+    static final ArchRule NOBODY_STARTS_A_PROCESS =
+            noClasses()
+                    .should()
+                    .dependOnClassesThat()
+                    .areAssignableTo(ProcessBuilder.class)
+                    .orShould()
+                    .callMethod(Runtime.class, "exec", String.class);
+}
