Add a stand-in model engine with batches, prefix cache and movable streams

Cause: the clients and the daemon need an engine to speak to. Change: a simulation driven by a passed-in time (batch steps, prefill in chunks, prefix cache with late and lossy events, lagging load, resume, cancel, KV export and import, fenced orders) behind Undertow, with kill, freeze and slow faults; a witness counts attempts and redone tokens. Conclusion: the module engine of docs/PROTOCOLS.md can be started in a JVM.

--- /dev/null
+++ b/standins/src/main/java/org/whinhead/standins/StandInContext.java
@@ -0,0 +1,24 @@
+package org.whinhead.standins;
+
+import java.time.InstantSource;
+import org.whinhead.standins.clock.Ticker;
+import org.whinhead.standins.witness.Witness;
+
+/**
+ * What all stand-ins of one process share.
+ *
+ * @param ticker the clock and the thread that drives them
+ * @param witness what they saw
+ */
+public record StandInContext(Ticker ticker, Witness witness) implements AutoCloseable {
+
+    /** Returns a context on the system's clock. */
+    public static StandInContext start() {
+        return new StandInContext(new Ticker(InstantSource.system()), new Witness());
+    }
+
+    @Override
+    public void close() {
+        ticker.close();
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/whinhead/standins/clock/Ticker.java
@@ -0,0 +1,73 @@
+package org.whinhead.standins.clock;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Calls all stand-ins of a process with the time, again and again, on one thread. */
+public final class Ticker implements AutoCloseable {
+
+    private static final Logger LOG = LoggerFactory.getLogger(Ticker.class);
+    private static final Duration PERIOD = Duration.ofMillis(2);
+
+    private final InstantSource mClock;
+    private final List<Consumer<Instant>> mDuties = new CopyOnWriteArrayList<>();
+    private final ScheduledExecutorService mThread;
+
+    /**
+     * Starts the thread.
+     *
+     * @param clock tells the time
+     */
+    public Ticker(final InstantSource clock) {
+        mClock = clock;
+        mThread =
+                Executors.newSingleThreadScheduledExecutor(
+                        task -> {
+                            final Thread thread = new Thread(task, "standins-ticker");
+                            thread.setDaemon(true);
+                            return thread;
+                        });
+        mThread.scheduleWithFixedDelay(this::tick, 0, PERIOD.toNanos(), TimeUnit.NANOSECONDS);
+    }
+
+    /** Returns the time. */
+    public Instant now() {
+        return mClock.instant();
+    }
+
+    /**
+     * Adds a duty; it must not block.
+     *
+     * @param duty gets the time at each tick
+     * @return ends the duty
+     */
+    public Runnable add(final Consumer<Instant> duty) {
+        mDuties.add(duty);
+        return () -> mDuties.remove(duty);
+    }
+
+    @Override
+    public void close() {
+        mThread.shutdownNow();
+    }
+
+    private void tick() {
+        for (final Consumer<Instant> duty : mDuties) {
+            try {
+                duty.accept(mClock.instant());
+            } catch (final RuntimeException e) {
+                // A task that throws is never scheduled again, which would stop every stand-in.
+                LOG.error("a stand-in's tick failed", e);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/whinhead/standins/engine/Batch.java
@@ -0,0 +1,153 @@
+package org.whinhead.standins.engine;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import org.whinhead.standins.witness.Witness;
+
+/** The requests that an engine works on together, and those that wait; one step at a time. */
+final class Batch {
+
+    private static final Comparator<EngineStream> BY_PRIORITY =
+            Comparator.comparingInt((EngineStream stream) -> -stream.generation().priority());
+
+    private final EngineConfig mConfig;
+    private final PrefixCache mCache;
+    private final Witness mWitness;
+    private final List<EngineStream> mRunning = new ArrayList<>();
+    private final List<EngineStream> mWaiting = new ArrayList<>();
+    private double mSlowdown = 1;
+    private Instant mStepEnd = Instant.MAX;
+
+    Batch(final EngineConfig config, final PrefixCache cache, final Witness witness) {
+        mConfig = config;
+        mCache = cache;
+        mWitness = witness;
+    }
+
+    int running() {
+        return mRunning.size();
+    }
+
+    int waiting() {
+        return mWaiting.size();
+    }
+
+    void slowdown(final double factor) {
+        mSlowdown = factor;
+    }
+
+    boolean hasRoom() {
+        return mRunning.size() < mConfig.slots() || mWaiting.size() < mConfig.maxWaiting();
+    }
+
+    void add(final EngineStream stream, final Instant now) {
+        mWaiting.add(stream);
+        mWaiting.sort(BY_PRIORITY);
+        wake(now);
+    }
+
+    /**
+     * Takes in a stream whose KV cache came along; it runs at once, beyond the slots if need be.
+     */
+    void addRunning(final EngineStream stream, final Instant now) {
+        stream.resume();
+        mRunning.add(stream);
+        wake(now);
+    }
+
+    void remove(final EngineStream stream) {
+        mRunning.remove(stream);
+        mWaiting.remove(stream);
+    }
+
+    void clear() {
+        mRunning.clear();
+        mWaiting.clear();
+        mStepEnd = Instant.MAX;
+    }
+
+    /** Drops the time that passed while the engine stood still, so that it doesn't catch up. */
+    void rebase(final Instant now) {
+        if (mStepEnd != Instant.MAX) {
+            mStepEnd = now;
+        }
+    }
+
+    /** Ends all steps that are due; returns how many tokens were generated. */
+    int advance(final Instant now) {
+        int generated = 0;
+        while (!mStepEnd.isAfter(now)) {
+            generated += step();
+        }
+        return generated;
+    }
+
+    private void wake(final Instant now) {
+        if (mStepEnd == Instant.MAX) {
+            fill();
+            mStepEnd = now.plus(stepTime(prefillPlanned()));
+        }
+    }
+
+    private int step() {
+        int budget = mConfig.speed().prefillChunk();
+        int generated = 0;
+        for (final EngineStream stream : List.copyOf(mRunning)) {
+            if (stream.prefillLeft() > 0) {
+                budget -= prefill(stream, budget);
+            } else {
+                generate(stream);
+                generated++;
+            }
+        }
+        fill();
+        mStepEnd = mRunning.isEmpty() ? Instant.MAX : mStepEnd.plus(stepTime(prefillPlanned()));
+        return generated;
+    }
+
+    private int prefill(final EngineStream stream, final int budget) {
+        final int tokens = Math.min(budget, stream.prefillLeft());
+        final int from = stream.prefilled();
+        stream.prefill(tokens);
+        mWitness.prefilled(stream.generation().requestId(), from, from + tokens);
+        if (stream.prefillLeft() == 0) {
+            mCache.store(stream.blockHashes());
+        }
+        return tokens;
+    }
+
+    private void generate(final EngineStream stream) {
+        mWitness.generated(
+                stream.generation().requestId(), stream.promptTokens() + stream.generated());
+        stream.generate();
+        if (stream.isWhole()) {
+            stream.end(EngineStream.State.FINISHED);
+            mCache.store(stream.finalBlockHashes());
+            mRunning.remove(stream);
+        }
+    }
+
+    private void fill() {
+        while (mRunning.size() < mConfig.slots() && !mWaiting.isEmpty()) {
+            final EngineStream stream = mWaiting.remove(0);
+            final int cached = mCache.lookUp(stream.blockHashes());
+            stream.admit(cached);
+            mWitness.cached(stream.generation().requestId(), cached);
+            mRunning.add(stream);
+        }
+        mRunning.sort(BY_PRIORITY);
+    }
+
+    private int prefillPlanned() {
+        final int wanted = mRunning.stream().mapToInt(EngineStream::prefillLeft).sum();
+        return Math.min(wanted, mConfig.speed().prefillChunk());
+    }
+
+    private Duration stepTime(final int prefillTokens) {
+        final Duration step = mConfig.speed().step(mRunning.size(), prefillTokens);
+        return Duration.ofNanos((long) (step.toNanos() * mSlowdown));
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/whinhead/standins/engine/EngineSimulation.java
@@ -0,0 +1,275 @@
+package org.whinhead.standins.engine;
+
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.whinhead.standins.witness.Witness;
+
+/** An engine without its HTTP side; single-threaded, and the time is passed in. */
+public final class EngineSimulation {
+
+    /**
+     * One change of the prefix cache.
+     *
+     * @param sequence its number, from 1
+     * @param at when it happened
+     * @param stored true if stored, false if evicted
+     * @param prefixHash the block's hash
+     */
+    public record CacheEvent(long sequence, Instant at, boolean stored, long prefixHash) {}
+
+    /**
+     * An engine's load at one moment.
+     *
+     * @param asOf the moment
+     * @param running requests in the batch
+     * @param waiting requests that wait
+     * @param tokensPerSecond tokens generated in the second before
+     * @param cachedBlocks blocks in the prefix cache
+     */
+    public record Load(
+            Instant asOf, int running, int waiting, double tokensPerSecond, int cachedBlocks) {}
+
+    private static final int KEPT_EVENTS = 10_000;
+    private static final long SAMPLE_MILLIS = 50;
+    private static final long RATE_MILLIS = 1000;
+
+    private final EngineConfig mConfig;
+    private final Witness mWitness;
+    private final Map<String, EngineStream> mStreams = new LinkedHashMap<>();
+    private final Deque<CacheEvent> mEvents = new ArrayDeque<>();
+    private final Deque<Load> mLoads = new ArrayDeque<>();
+    private final PrefixCache mCache;
+    private final Batch mBatch;
+    private long mEventSequence;
+    private long mNextStream;
+    private long mGenerated;
+    private long mGeneratedBefore;
+    private Instant mRateSince = Instant.MIN;
+    private double mRate;
+    private boolean mFrozen;
+    private Instant mNow = Instant.MIN;
+
+    /**
+     * Makes an idle engine.
+     *
+     * @param config its settings
+     * @param witness counts its work
+     */
+    public EngineSimulation(final EngineConfig config, final Witness witness) {
+        mConfig = config;
+        mWitness = witness;
+        mCache = new PrefixCache(config.cacheBlocks(), this::cacheChanged);
+        mBatch = new Batch(config, mCache, witness);
+    }
+
+    /**
+     * Takes a request in.
+     *
+     * @param generation the request
+     * @param now the time
+     * @return its stream, or empty if the queue is full; then it was not started
+     */
+    public Optional<EngineStream> submit(final Generation generation, final Instant now) {
+        advance(now);
+        if (!mBatch.hasRoom()) {
+            return Optional.empty();
+        }
+        final EngineStream stream = new EngineStream(nextId(), generation, now);
+        mStreams.put(stream.id(), stream);
+        mWitness.attempt(generation.requestId());
+        mBatch.add(stream, now);
+        return Optional.of(stream);
+    }
+
+    /**
+     * Lets time pass.
+     *
+     * @param now the time
+     */
+    public void advance(final Instant now) {
+        mNow = now;
+        if (mFrozen) {
+            return;
+        }
+        mGenerated += mBatch.advance(now);
+        dropAbandoned(now);
+        sampleLoad(now);
+    }
+
+    /**
+     * Finds a stream.
+     *
+     * @param id its name
+     * @return the stream, if the engine still has it
+     */
+    public Optional<EngineStream> find(final String id) {
+        return Optional.ofNullable(mStreams.get(id));
+    }
+
+    /**
+     * Stops a stream; nothing happens if it is unknown.
+     *
+     * @param id its name
+     */
+    public void cancel(final String id) {
+        find(id).ifPresent(this::stop);
+    }
+
+    /**
+     * Stops a stream and hands out its KV cache.
+     *
+     * @param id its name
+     * @return the cache, or empty if the stream is unknown
+     */
+    public Optional<KvCache> export(final String id) {
+        final Optional<EngineStream> stream = find(id);
+        stream.ifPresent(this::stop);
+        return stream.map(EngineStream::kvCache);
+    }
+
+    /**
+     * Takes in a KV cache; the stream runs on at once.
+     *
+     * @param cache what another engine exported
+     * @param now the time
+     * @return the stream here
+     */
+    public EngineStream importCache(final KvCache cache, final Instant now) {
+        advance(now);
+        final EngineStream stream = new EngineStream(nextId(), cache, now);
+        mStreams.put(stream.id(), stream);
+        if (stream.isWhole()) {
+            stream.end(EngineStream.State.FINISHED);
+        } else {
+            mBatch.addRunning(stream, now);
+        }
+        return stream;
+    }
+
+    /**
+     * Returns the load as it was a lag ago.
+     *
+     * @param now the time
+     * @return the load report
+     */
+    public Load load(final Instant now) {
+        final Instant asOf = now.minus(mConfig.loadLag());
+        Load latest = new Load(asOf, 0, 0, 0, 0);
+        for (final Load sample : mLoads) {
+            if (!sample.asOf().isAfter(asOf)) {
+                latest = sample;
+            }
+        }
+        return latest;
+    }
+
+    /**
+     * Returns cache events, late and with gaps.
+     *
+     * @param after the last sequence number seen
+     * @param max the most events
+     * @param now the time
+     * @return events in order
+     */
+    public List<CacheEvent> cacheEvents(final long after, final int max, final Instant now) {
+        final Instant limit = now.minus(mConfig.cacheEventLag());
+        final List<CacheEvent> found = new ArrayList<>();
+        for (final CacheEvent event : mEvents) {
+            final boolean ripe = !event.at().isAfter(limit);
+            if (ripe && event.sequence() > after && found.size() < max) {
+                found.add(event);
+            }
+        }
+        return found;
+    }
+
+    /**
+     * Freezes the engine, or lets it go on where it stood.
+     *
+     * @param frozen whether it stands still
+     * @param now the time
+     */
+    public void freeze(final boolean frozen, final Instant now) {
+        advance(now);
+        mFrozen = frozen;
+        mBatch.rebase(now);
+    }
+
+    /**
+     * Makes every step longer by a factor.
+     *
+     * @param factor the factor; 1 for none
+     */
+    public void slow(final double factor) {
+        mBatch.slowdown(factor);
+    }
+
+    /** Loses all streams and the cache, as the end of the process would. */
+    public void kill() {
+        mStreams.values().forEach(stream -> stream.end(EngineStream.State.STOPPED));
+        mStreams.clear();
+        mBatch.clear();
+        mCache.clear();
+        mEvents.clear();
+        mLoads.clear();
+    }
+
+    private void stop(final EngineStream stream) {
+        stream.end(EngineStream.State.STOPPED);
+        mBatch.remove(stream);
+        mStreams.remove(stream.id());
+    }
+
+    private void dropAbandoned(final Instant now) {
+        final Instant limit = now.minus(mConfig.readerGrace());
+        for (final EngineStream stream : List.copyOf(mStreams.values())) {
+            if (stream.abandonedBefore(limit)) {
+                stop(stream);
+            }
+        }
+    }
+
+    private void sampleLoad(final Instant now) {
+        if (mRateSince == Instant.MIN) {
+            mRateSince = now;
+        }
+        final long elapsed = now.toEpochMilli() - mRateSince.toEpochMilli();
+        if (elapsed >= RATE_MILLIS) {
+            mRate = (mGenerated - mGeneratedBefore) * (double) RATE_MILLIS / elapsed;
+            mGeneratedBefore = mGenerated;
+            mRateSince = now;
+        }
+        final boolean due =
+                mLoads.isEmpty() || !mLoads.getLast().asOf().plusMillis(SAMPLE_MILLIS).isAfter(now);
+        if (due) {
+            mLoads.add(new Load(now, mBatch.running(), mBatch.waiting(), mRate, mCache.size()));
+            final Instant limit = now.minus(mConfig.loadLag()).minusMillis(RATE_MILLIS);
+            while (mLoads.getFirst().asOf().isBefore(limit)) {
+                mLoads.removeFirst();
+            }
+        }
+    }
+
+    private void cacheChanged(final boolean stored, final long prefixHash) {
+        mEventSequence++;
+        final int gap = mConfig.cacheEventGap();
+        if (gap > 0 && mEventSequence % gap == 0) {
+            return;
+        }
+        mEvents.add(new CacheEvent(mEventSequence, mNow, stored, prefixHash));
+        if (mEvents.size() > KEPT_EVENTS) {
+            mEvents.removeFirst();
+        }
+    }
+
+    private String nextId() {
+        mNextStream++;
+        return mConfig.name() + "-" + mNextStream;
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/whinhead/standins/engine/EngineStandIn.java
@@ -0,0 +1,241 @@
+package org.whinhead.standins.engine;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.net.URI;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.UUID;
+import org.whinhead.standins.StandInContext;
+import org.whinhead.standins.http.Call;
+import org.whinhead.standins.http.StandInServer;
+
+/** A model engine that listens: an {@link EngineSimulation} behind the engines' protocol. */
+public final class EngineStandIn implements AutoCloseable {
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final String RETRY_AFTER = "Retry-After";
+    private static final String STREAM_ID = "X-Stream-Id";
+    private static final int DEFAULT_MAX_EVENTS = 1000;
+
+    private final EngineConfig mConfig;
+    private final StandInContext mContext;
+    private final StandInServer mServer;
+    private final EngineSimulation mSimulation;
+    private final OrderDesk mOrders;
+    private final List<StreamReader> mReaders = new ArrayList<>();
+    private final Runnable mEndTicks;
+
+    private EngineStandIn(final EngineConfig config, final StandInContext context) {
+        mConfig = config;
+        mContext = context;
+        mServer = new StandInServer(config.host(), config.port());
+        mSimulation = new EngineSimulation(config, context.witness());
+        mOrders = new OrderDesk(config);
+        routes();
+        mEndTicks = context.ticker().add(this::tick);
+    }
+
+    /**
+     * Starts an engine.
+     *
+     * @param config its settings
+     * @param context what the stand-ins of the process share
+     * @return the engine, which listens
+     */
+    public static EngineStandIn start(final EngineConfig config, final StandInContext context) {
+        final EngineStandIn engine = new EngineStandIn(config, context);
+        engine.mServer.start();
+        return engine;
+    }
+
+    /** Returns the base address. */
+    public URI uri() {
+        return mServer.uri();
+    }
+
+    /** Returns the engine's settings. */
+    public EngineConfig config() {
+        return mConfig;
+    }
+
+    /** Fault: all connections are cut, new ones refused, and all streams are lost. */
+    public void kill() {
+        mServer.kill();
+        synchronized (this) {
+            mSimulation.kill();
+            mReaders.clear();
+        }
+    }
+
+    /** Ends {@link #kill}: listens again at the same address, empty. */
+    public void revive() {
+        mServer.start();
+    }
+
+    /**
+     * Fault: connections are accepted, but nothing is answered and no token is generated.
+     *
+     * @param frozen whether it stands still
+     */
+    public void freeze(final boolean frozen) {
+        mServer.freeze(frozen);
+        synchronized (this) {
+            mSimulation.freeze(frozen, mContext.ticker().now());
+        }
+    }
+
+    /**
+     * Fault: every step takes longer.
+     *
+     * @param factor how many times as long; 1 ends the fault
+     */
+    public synchronized void slow(final double factor) {
+        mSimulation.slow(factor);
+    }
+
+    @Override
+    public void close() {
+        mEndTicks.run();
+        mServer.close();
+    }
+
+    private void routes() {
+        mServer.route("POST", "/v1/chat/completions", this::chat)
+                .route("GET", "/v1/streams/{id}", this::resume)
+                .route("DELETE", "/v1/streams/{id}", this::cancel)
+                .route("POST", "/v1/streams/{id}/export", this::export)
+                .route("POST", "/v1/streams/import", this::importCache)
+                .route("GET", "/v1/load", this::load)
+                .route("GET", "/v1/cache/events", this::cacheEvents)
+                .route("GET", "/v1/models", mOrders::models)
+                .route("POST", "/v1/orders", mOrders::order)
+                .route("POST", "/faults", this::fault)
+                .route("GET", "/witness", this::witness);
+    }
+
+    private synchronized void tick(final Instant now) {
+        mSimulation.advance(now);
+        mReaders.removeIf(reader -> !reader.pump(now));
+    }
+
+    private void chat(final Call call) throws IOException {
+        final JsonNode body = call.json();
+        final String request =
+                call.header("X-Request-Id").orElseGet(() -> UUID.randomUUID().toString());
+        final Generation generation = ChatBody.parse(request, body);
+        if (!mOrders.serves(generation.model())) {
+            call.fail(400, "model not loaded: " + generation.model());
+            return;
+        }
+        final Optional<EngineStream> stream = submit(generation);
+        if (stream.isEmpty()) {
+            call.with(RETRY_AFTER, "1").fail(503, "the queue is full");
+        } else if (body.path("stream").asBoolean()) {
+            openEvents(call, stream.get(), 0);
+        } else {
+            addReader(StreamReader.whole(stream.get(), call));
+        }
+    }
+
+    private synchronized Optional<EngineStream> submit(final Generation generation) {
+        return mSimulation.submit(generation, mContext.ticker().now());
+    }
+
+    private synchronized void addReader(final StreamReader reader) {
+        mReaders.add(reader);
+    }
+
+    private void openEvents(final Call call, final EngineStream stream, final long next)
+            throws IOException {
+        call.with(STREAM_ID, stream.id()).stream(
+                connection -> addReader(StreamReader.events(stream, connection, next)));
+    }
+
+    private void resume(final Call call) throws IOException {
+        final Optional<EngineStream> stream = find(call);
+        if (stream.isEmpty()) {
+            call.fail(404, "no such stream");
+            return;
+        }
+        final long last = call.header("Last-Event-ID").map(Long::parseLong).orElse(-1L);
+        openEvents(call, stream.get(), last + 1);
+    }
+
+    private synchronized Optional<EngineStream> find(final Call call) {
+        return mSimulation.find(call.parameter("id").orElse(""));
+    }
+
+    private synchronized void cancel(final Call call) {
+        mSimulation.cancel(call.parameter("id").orElse(""));
+        call.reply(204);
+    }
+
+    private synchronized void export(final Call call) throws IOException {
+        final Optional<KvCache> cache = mSimulation.export(call.parameter("id").orElse(""));
+        if (cache.isEmpty()) {
+            call.fail(404, "no such stream");
+        } else {
+            call.reply(MAPPER.writeValueAsBytes(cache.get()));
+        }
+    }
+
+    private synchronized void importCache(final Call call) throws IOException {
+        final KvCache cache = MAPPER.readValue(call.body(), KvCache.class);
+        final EngineStream stream = mSimulation.importCache(cache, mContext.ticker().now());
+        call.reply(200, Call.object().put("stream_id", stream.id()));
+    }
+
+    private synchronized void load(final Call call) {
+        final EngineSimulation.Load load = mSimulation.load(mContext.ticker().now());
+        call.reply(
+                200,
+                Call.object()
+                        .put("asOf", load.asOf().toString())
+                        .put("running", load.running())
+                        .put("waiting", load.waiting())
+                        .put("tokensPerSecond", load.tokensPerSecond())
+                        .put("cachedBlocks", load.cachedBlocks()));
+    }
+
+    private synchronized void cacheEvents(final Call call) throws IOException {
+        final long after = call.number("after", 0);
+        final int max = (int) call.number("max", DEFAULT_MAX_EVENTS);
+        final ObjectNode root = Call.object();
+        final ArrayNode events = root.putArray("events");
+        long next = after;
+        for (final EngineSimulation.CacheEvent event :
+                mSimulation.cacheEvents(after, max, mContext.ticker().now())) {
+            events.addObject()
+                    .put("sequence", event.sequence())
+                    .put("kind", event.stored() ? "stored" : "evicted")
+                    .put("prefixHash", event.prefixHash());
+            next = event.sequence();
+        }
+        call.reply(200, root.put("next", next));
+    }
+
+    private void fault(final Call call) throws IOException {
+        final JsonNode body = call.json();
+        switch (body.path("kind").asText()) {
+            case "kill" -> call.afterwards(this::kill);
+            case "freeze" -> freeze(true);
+            case "unfreeze" -> freeze(false);
+            case "slow" -> slow(body.path("factor").asDouble(1));
+            case "delay" -> mServer.slow(Duration.ofMillis(body.path("delayMillis").asLong()));
+            default -> throw new IOException("kind is none of kill, freeze, unfreeze, slow, delay");
+        }
+        call.reply(204);
+    }
+
+    private void witness(final Call call) {
+        final ObjectNode root = mContext.witness().toJson();
+        call.reply(200, root.put("staleOrders", mOrders.staleOrders()));
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/whinhead/standins/engine/EngineStream.java
@@ -0,0 +1,175 @@
+package org.whinhead.standins.engine;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import org.whinhead.standins.answer.ExpectedAnswer;
+
+/** One generation in an engine: how far it is, and who reads it. */
+public final class EngineStream {
+
+    /** The life of a stream. */
+    public enum State {
+        /** Waits for a place in the batch. */
+        WAITING(false),
+        /** In the batch. */
+        RUNNING(false),
+        /** All tokens are generated. */
+        FINISHED(true),
+        /** Cancelled, moved away or lost: no token will follow. */
+        STOPPED(true);
+
+        private final boolean mEnded;
+
+        State(final boolean ended) {
+            mEnded = ended;
+        }
+
+        /** Tells whether no token will follow. */
+        public boolean ended() {
+            return mEnded;
+        }
+    }
+
+    private final String mId;
+    private final Generation mGeneration;
+    private final List<String> mWords;
+    private final List<String> mTokens = new ArrayList<>();
+    private State mState = State.WAITING;
+    private int mCached;
+    private int mPrefilled;
+    private int mReaders;
+    private Instant mReaderless;
+
+    EngineStream(final String id, final Generation generation, final Instant now) {
+        mId = id;
+        mGeneration = generation;
+        mWords = new ArrayList<>(PrefixCache.words(generation.prompt()));
+        mWords.addAll(PrefixCache.words(generation.delivered()));
+        mReaderless = now;
+    }
+
+    EngineStream(final String id, final KvCache cache, final Instant now) {
+        this(id, cache.generation(), now);
+        mCached = cache.cachedTokens();
+        mPrefilled = cache.prefilled();
+        mTokens.addAll(cache.tokens());
+    }
+
+    /** Returns the stream's name. */
+    public String id() {
+        return mId;
+    }
+
+    /** Returns what was asked. */
+    public Generation generation() {
+        return mGeneration;
+    }
+
+    /** Returns the stream's state. */
+    public State state() {
+        return mState;
+    }
+
+    /** Returns how many tokens are generated here or came along from another engine. */
+    public int generated() {
+        return mTokens.size();
+    }
+
+    /** Returns the length of the prompt, with delivered text. */
+    public int promptTokens() {
+        return mWords.size();
+    }
+
+    /** Returns how many prompt tokens were found in the cache. */
+    public int cachedTokens() {
+        return mCached;
+    }
+
+    /** Returns the tokens generated so far. */
+    public List<String> tokens() {
+        return List.copyOf(mTokens);
+    }
+
+    /**
+     * Returns a token.
+     *
+     * @param index its index in the whole answer
+     * @return its text
+     */
+    public String token(final long index) {
+        return mTokens.get((int) (index - mGeneration.startIndex()));
+    }
+
+    /** Returns the index after the last generated token, in the whole answer. */
+    public long end() {
+        return mGeneration.startIndex() + mTokens.size();
+    }
+
+    /** Counts a reader in. */
+    public void attach() {
+        mReaders++;
+    }
+
+    /**
+     * Counts a reader out.
+     *
+     * @param now the time
+     */
+    public void detach(final Instant now) {
+        mReaders--;
+        mReaderless = now;
+    }
+
+    boolean abandonedBefore(final Instant limit) {
+        return mReaders == 0 && mReaderless.isBefore(limit);
+    }
+
+    void admit(final int cached) {
+        mState = State.RUNNING;
+        mCached = cached;
+        mPrefilled = cached;
+    }
+
+    void resume() {
+        mState = State.RUNNING;
+    }
+
+    void end(final State state) {
+        mState = state;
+    }
+
+    int prefillLeft() {
+        return mWords.size() - mPrefilled;
+    }
+
+    int prefilled() {
+        return mPrefilled;
+    }
+
+    void prefill(final int tokens) {
+        mPrefilled += tokens;
+    }
+
+    boolean isWhole() {
+        return mTokens.size() >= mGeneration.maxTokens();
+    }
+
+    void generate() {
+        mTokens.add(ExpectedAnswer.token(mGeneration.prompt(), end()));
+    }
+
+    List<Long> blockHashes() {
+        return PrefixCache.hashes(mGeneration.model(), mWords);
+    }
+
+    List<Long> finalBlockHashes() {
+        final List<String> all = new ArrayList<>(mWords);
+        mTokens.forEach(token -> all.add(token.strip()));
+        return PrefixCache.hashes(mGeneration.model(), all);
+    }
+
+    KvCache kvCache() {
+        return new KvCache(mGeneration, mCached, mPrefilled, mTokens);
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/whinhead/standins/witness/Witness.java
@@ -0,0 +1,155 @@
+package org.whinhead.standins.witness;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.BitSet;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** Counts what all engines and services of one process did; safe for use by several threads. */
+public final class Witness {
+
+    private final Map<String, Seen> mByRequest = new TreeMap<>();
+    private final Map<String, Integer> mExecutionsByKey = new TreeMap<>();
+
+    /**
+     * An engine took an attempt in.
+     *
+     * @param request the request's identity
+     */
+    public synchronized void attempt(final String request) {
+        seen(request).mAttempts++;
+    }
+
+    /**
+     * An engine found leading tokens in its cache.
+     *
+     * @param request the request's identity
+     * @param tokens how many
+     */
+    public synchronized void cached(final String request, final int tokens) {
+        seen(request).mCached += tokens;
+    }
+
+    /**
+     * An engine computed prompt tokens.
+     *
+     * @param request the request's identity
+     * @param from the first position
+     * @param to the position after the last
+     */
+    public synchronized void prefilled(final String request, final int from, final int to) {
+        final Seen seen = seen(request);
+        seen.mPrefilled += to - from;
+        seen.mPositions.set(from, to);
+    }
+
+    /**
+     * An engine generated a token.
+     *
+     * @param request the request's identity
+     * @param position its position after the prompt's tokens
+     */
+    public synchronized void generated(final String request, final int position) {
+        final Seen seen = seen(request);
+        seen.mGenerated++;
+        seen.mPositions.set(position);
+    }
+
+    /**
+     * A plain service ran a call.
+     *
+     * @param request the request's identity
+     * @param idempotencyKey the call's key
+     */
+    public synchronized void executed(final String request, final String idempotencyKey) {
+        seen(request).mExecutions++;
+        mExecutionsByKey.merge(idempotencyKey, 1, Integer::sum);
+    }
+
+    /**
+     * Returns how often a plain service ran the calls of a key.
+     *
+     * @param idempotencyKey the key
+     * @return the number of executions
+     */
+    public synchronized int executions(final String idempotencyKey) {
+        return mExecutionsByKey.getOrDefault(idempotencyKey, 0);
+    }
+
+    /**
+     * Returns how often an engine took in an attempt of a request.
+     *
+     * @param request the request's identity
+     * @return the number of attempts
+     */
+    public synchronized int attempts(final String request) {
+        return mByRequest.containsKey(request) ? seen(request).mAttempts : 0;
+    }
+
+    /** Returns how many tokens the engines generated. */
+    public synchronized long generatedTokens() {
+        return mByRequest.values().stream().mapToLong(seen -> seen.mGenerated).sum();
+    }
+
+    /** Returns how many prompt tokens the engines computed. */
+    public synchronized long promptTokensComputed() {
+        return mByRequest.values().stream().mapToLong(seen -> seen.mPrefilled).sum();
+    }
+
+    /** Returns how many tokens were computed again for the same request and position. */
+    public synchronized long recomputedTokens() {
+        return mByRequest.values().stream().mapToLong(Seen::recomputed).sum();
+    }
+
+    /**
+     * Returns how many tokens of one request were computed again.
+     *
+     * @param request the request's identity
+     * @return tokens computed beyond the first computation of each position
+     */
+    public synchronized long recomputedTokens(final String request) {
+        return mByRequest.containsKey(request) ? seen(request).recomputed() : 0;
+    }
+
+    /** Returns all counts as JSON. */
+    public synchronized ObjectNode toJson() {
+        final ObjectNode root = JsonNodeFactory.instance.objectNode();
+        root.put("generatedTokens", generatedTokens());
+        root.put("promptTokensComputed", promptTokensComputed());
+        root.put("recomputedTokens", recomputedTokens());
+        final ObjectNode requests = root.putObject("requests");
+        mByRequest.forEach((id, seen) -> requests.set(id, seen.toJson()));
+        final ObjectNode keys = root.putObject("executionsByKey");
+        mExecutionsByKey.forEach(keys::put);
+        return root;
+    }
+
+    private Seen seen(final String request) {
+        return mByRequest.computeIfAbsent(request, id -> new Seen());
+    }
+
+    private static final class Seen {
+        private final BitSet mPositions = new BitSet();
+        private int mAttempts;
+        private int mExecutions;
+        private int mCached;
+        private int mPrefilled;
+        private int mGenerated;
+
+        private long recomputed() {
+            return (long) mPrefilled + mGenerated - mPositions.cardinality();
+        }
+
+        private ObjectNode toJson() {
+            return JsonNodeFactory.instance
+                    .objectNode()
+                    .put("attempts", mAttempts)
+                    .put("executions", mExecutions)
+                    .put("cachedTokens", mCached)
+                    .put("prefillTokens", mPrefilled)
+                    .put("generatedTokens", mGenerated)
+                    .put("recomputedTokens", recomputed());
+        }
+    }
+}
