Add a stand-in log service with a cap, retention, outage and lost answers

Cause: claims, settings and leases go through the platform's log, whose failures the system must survive. Change: streams with offsets of their own under one cap and one outage, long-polling reads, expired records, slow calls, appends whose request or answer is lost; fault commands of all stand-ins go through one class. Conclusion: the log of docs/PROTOCOLS.md can be started in a JVM.

--- a/standins/src/main/java/org/whinhead/standins/engine/EngineStandIn.java
+++ b/standins/src/main/java/org/whinhead/standins/engine/EngineStandIn.java
@@ -6,13 +6,13 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.net.URI;
-import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.UUID;
 import org.whinhead.standins.StandInContext;
+import org.whinhead.standins.fault.FaultDesk;
 import org.whinhead.standins.http.Call;
 import org.whinhead.standins.http.StandInServer;
 
@@ -116,7 +116,7 @@
                 .route("GET", "/v1/cache/events", this::cacheEvents)
                 .route("GET", "/v1/models", mOrders::models)
                 .route("POST", "/v1/orders", mOrders::order)
-                .route("POST", "/faults", this::fault)
+                .route("POST", "/faults", faults())
                 .route("GET", "/witness", this::witness);
     }
 
@@ -221,17 +221,12 @@
         call.reply(200, root.put("next", next));
     }
 
-    private void fault(final Call call) throws IOException {
-        final JsonNode body = call.json();
-        switch (body.path("kind").asText()) {
-            case "kill" -> call.afterwards(this::kill);
-            case "freeze" -> freeze(true);
-            case "unfreeze" -> freeze(false);
-            case "slow" -> slow(body.path("factor").asDouble(1));
-            case "delay" -> mServer.slow(Duration.ofMillis(body.path("delayMillis").asLong()));
-            default -> throw new IOException("kind is none of kill, freeze, unfreeze, slow, delay");
-        }
-        call.reply(204);
+    private FaultDesk faults() {
+        return new FaultDesk(mServer)
+                .onceAnswered("kill", this::kill)
+                .on("freeze", body -> freeze(true))
+                .on("unfreeze", body -> freeze(false))
+                .on("slow", body -> slow(body.path("factor").asDouble(1)));
     }
 
     private void witness(final Call call) {
--- /dev/null
+++ b/standins/src/main/java/org/whinhead/standins/log/LogStandIn.java
@@ -0,0 +1,205 @@
+package org.whinhead.standins.log;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.net.URI;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import org.whinhead.standins.StandInContext;
+import org.whinhead.standins.fault.FaultDesk;
+import org.whinhead.standins.http.Call;
+import org.whinhead.standins.http.StandInServer;
+
+/** A log service that listens: a {@link LogSimulation} behind the log's protocol. */
+public final class LogStandIn implements AutoCloseable {
+
+    private static final int DEFAULT_MAX = 1000;
+
+    private final StandInContext mContext;
+    private final StandInServer mServer;
+    private final LogSimulation mSimulation;
+    private final List<Waiting> mWaiting = new ArrayList<>();
+    private final Runnable mEndTicks;
+    private int mLoseAnswers;
+    private int mLoseRequests;
+
+    private LogStandIn(final LogConfig config, final StandInContext context) {
+        mContext = context;
+        mServer = new StandInServer(config.host(), config.port());
+        mSimulation = new LogSimulation(config);
+        mServer.route("POST", "/log/{stream}/append", this::append)
+                .route("GET", "/log/{stream}/records", this::read)
+                .route("POST", "/faults", faults())
+                .route("GET", "/witness", this::witness);
+        mEndTicks = context.ticker().add(this::tick);
+    }
+
+    /**
+     * Starts a log service.
+     *
+     * @param config its settings
+     * @param context what the stand-ins of the process share
+     * @return the service, which listens
+     */
+    public static LogStandIn start(final LogConfig config, final StandInContext context) {
+        final LogStandIn log = new LogStandIn(config, context);
+        log.mServer.start();
+        return log;
+    }
+
+    /** Returns the base address. */
+    public URI uri() {
+        return mServer.uri();
+    }
+
+    /**
+     * Fault: neither appends nor reads are served; waiting reads end.
+     *
+     * @param out whether the service is down
+     */
+    public synchronized void outage(final boolean out) {
+        mSimulation.outage(out);
+        tick(mContext.ticker().now());
+    }
+
+    /**
+     * Fault: every call waits before it is served.
+     *
+     * @param delay how long; zero ends the fault
+     */
+    public void slow(final Duration delay) {
+        mServer.slow(delay);
+    }
+
+    /**
+     * Fault: the next appends take effect, but their connections are cut before the answer.
+     *
+     * @param count how many
+     */
+    public synchronized void loseAnswers(final int count) {
+        mLoseAnswers = count;
+    }
+
+    /**
+     * Fault: the connections of the next appends are cut before they take effect.
+     *
+     * @param count how many
+     */
+    public synchronized void loseRequests(final int count) {
+        mLoseRequests = count;
+    }
+
+    /** Returns how many appends took effect. */
+    public synchronized long appends() {
+        return mSimulation.appends();
+    }
+
+    @Override
+    public void close() {
+        mEndTicks.run();
+        mServer.close();
+    }
+
+    private FaultDesk faults() {
+        return new FaultDesk(mServer)
+                .on("outage", body -> outage(true))
+                .on("recover", body -> outage(false))
+                .on("lose-answers", body -> loseAnswers(body.path("count").asInt(1)))
+                .on("lose-requests", body -> loseRequests(body.path("count").asInt(1)));
+    }
+
+    private synchronized void append(final Call call) throws IOException {
+        final List<String> records = records(call.json());
+        if (mLoseRequests > 0) {
+            mLoseRequests--;
+            call.cut();
+            return;
+        }
+        final Instant now = mContext.ticker().now();
+        final LogSimulation.Appended appended =
+                mSimulation.append(call.parameter("stream").orElseThrow(), records, now);
+        if (appended.status() != LogSimulation.Status.OK) {
+            call.fail(appended.status().code(), appended.status().name());
+        } else if (mLoseAnswers > 0) {
+            mLoseAnswers--;
+            call.cut();
+        } else {
+            call.reply(200, Call.object().put("firstOffset", appended.firstOffset()));
+        }
+        tick(now);
+    }
+
+    private static List<String> records(final JsonNode body) throws IOException {
+        final List<String> records = new ArrayList<>();
+        for (final JsonNode record : body.path("records")) {
+            Base64.getDecoder().decode(record.asText());
+            records.add(record.asText());
+        }
+        if (records.isEmpty()) {
+            throw new IOException("records is missing");
+        }
+        return records;
+    }
+
+    private synchronized void read(final Call call) throws IOException {
+        final Instant now = mContext.ticker().now();
+        final Duration wait = Duration.ofMillis(call.number("waitMillis", 0));
+        final Waiting waiting =
+                new Waiting(
+                        call,
+                        call.parameter("stream").orElseThrow(),
+                        call.number("from", 0),
+                        (int) call.number("max", DEFAULT_MAX),
+                        now.plus(wait));
+        if (!answer(waiting, now)) {
+            mWaiting.add(waiting);
+        }
+    }
+
+    private synchronized void tick(final Instant now) {
+        mWaiting.removeIf(waiting -> answer(waiting, now));
+    }
+
+    private boolean answer(final Waiting waiting, final Instant now) {
+        final LogSimulation.Found found =
+                mSimulation.read(waiting.stream(), waiting.from(), waiting.max(), now);
+        final boolean empty =
+                found.status() == LogSimulation.Status.OK && found.records().isEmpty();
+        if (empty && waiting.until().isAfter(now)) {
+            return false;
+        }
+        waiting.call().reply(found.status().code(), json(found));
+        return true;
+    }
+
+    private static ObjectNode json(final LogSimulation.Found found) {
+        final ObjectNode root = Call.object().put("oldest", found.oldest());
+        if (found.status() != LogSimulation.Status.OK) {
+            return root;
+        }
+        root.put("next", found.next());
+        final ArrayNode records = root.putArray("records");
+        for (final LogSimulation.Entry entry : found.records()) {
+            records.addObject()
+                    .put("offset", entry.offset())
+                    .put("data", entry.data())
+                    .put("at", entry.at().toString());
+        }
+        return root;
+    }
+
+    private synchronized void witness(final Call call) {
+        call.reply(
+                200,
+                Call.object()
+                        .put("appends", mSimulation.appends())
+                        .put("overCap", mSimulation.overCap()));
+    }
+
+    private record Waiting(Call call, String stream, long from, int max, Instant until) {}
+}
