Add a stand-in plain service that counts what ran

Cause: some calls may run at most once, which only the service can witness. Change: a service that answers after a set latency and counts executions by idempotency key; it refuses before running, or runs and then cuts the connection or answers 500. Conclusion: a doubled call shows in the witness.

--- /dev/null
+++ b/standins/src/main/java/org/whinhead/standins/service/ServiceStandIn.java
@@ -0,0 +1,134 @@
+package org.whinhead.standins.service;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import org.whinhead.standins.StandInContext;
+import org.whinhead.standins.fault.FaultDesk;
+import org.whinhead.standins.http.Call;
+import org.whinhead.standins.http.StandInServer;
+
+/** A plain service that listens; its answer repeats the call, so that a caller knows its own. */
+public final class ServiceStandIn implements AutoCloseable {
+
+    private final ServiceConfig mConfig;
+    private final StandInContext mContext;
+    private final StandInServer mServer;
+    private final ServiceSimulation mSimulation;
+
+    private ServiceStandIn(final ServiceConfig config, final StandInContext context) {
+        mConfig = config;
+        mContext = context;
+        mServer = new StandInServer(config.host(), config.port());
+        mSimulation = new ServiceSimulation(config, context.witness());
+        mServer.route("POST", "/faults", faults())
+                .route("GET", "/witness", call -> call.reply(200, context.witness().toJson()))
+                .route("POST", "/*", this::run);
+    }
+
+    /**
+     * Starts a service.
+     *
+     * @param config its settings
+     * @param context what the stand-ins of the process share
+     * @return the service, which listens
+     */
+    public static ServiceStandIn start(final ServiceConfig config, final StandInContext context) {
+        final ServiceStandIn service = new ServiceStandIn(config, context);
+        service.mServer.start();
+        return service;
+    }
+
+    /** Returns the base address. */
+    public URI uri() {
+        return mServer.uri();
+    }
+
+    /** Returns the service's settings. */
+    public ServiceConfig config() {
+        return mConfig;
+    }
+
+    /**
+     * Plans a fault for the next calls.
+     *
+     * @param fault the fault
+     * @param count how many calls
+     */
+    public synchronized void plan(final ServiceFault fault, final int count) {
+        mSimulation.plan(fault, count);
+    }
+
+    /** Fault: all connections are cut and new ones refused; calls in progress did run. */
+    public void kill() {
+        mServer.kill();
+    }
+
+    /** Ends {@link #kill}. */
+    public void revive() {
+        mServer.start();
+    }
+
+    /**
+     * Fault: connections are accepted, but no new call is answered.
+     *
+     * @param frozen whether it stands still
+     */
+    public void freeze(final boolean frozen) {
+        mServer.freeze(frozen);
+    }
+
+    @Override
+    public void close() {
+        mServer.close();
+    }
+
+    private FaultDesk faults() {
+        final FaultDesk desk =
+                new FaultDesk(mServer)
+                        .onceAnswered("kill", this::kill)
+                        .on("freeze", body -> freeze(true))
+                        .on("unfreeze", body -> freeze(false));
+        for (final ServiceFault fault : ServiceFault.values()) {
+            desk.on(fault.wireName(), body -> plan(fault, body.path("count").asInt(1)));
+        }
+        return desk;
+    }
+
+    private void run(final Call call) throws IOException {
+        final String key =
+                call.header("Idempotency-Key")
+                        .orElseThrow(() -> new IOException("Idempotency-Key is missing"));
+        final String request = call.header("X-Request-Id").orElse(key);
+        final ServiceFault fault = begin(request, key);
+        switch (fault) {
+            case REFUSE -> call.with("Retry-After", "1").fail(503, "busy");
+            case CUT_BEFORE_RUN -> call.cut();
+            default -> call.after(mConfig.latency(), () -> end(call, fault, answer(call, key)));
+        }
+    }
+
+    private synchronized ServiceFault begin(final String request, final String key) {
+        return mSimulation.begin(request, key);
+    }
+
+    private ObjectNode answer(final Call call, final String key) {
+        return Call.object()
+                .put("service", mConfig.name())
+                .put("path", call.path())
+                .put("idempotencyKey", key)
+                .put("execution", mContext.witness().executions(key))
+                .put("received", new String(call.body(), StandardCharsets.UTF_8));
+    }
+
+    private synchronized void end(
+            final Call call, final ServiceFault fault, final ObjectNode answer) {
+        mSimulation.end();
+        switch (fault) {
+            case CUT_AFTER_RUN -> call.cut();
+            case ERROR_AFTER_RUN -> call.fail(500, "failed after it ran");
+            default -> call.reply(200, answer);
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/whinhead/standins/service/package-info.java
@@ -0,0 +1,2 @@
+/** A stand-in plain service, whose calls may not be repeated. */
+package org.whinhead.standins.service;
