--- /dev/null
+++ b/fleet/src/main/java/org/whinhead/fleet/Pool.java
@@ -0,0 +1,28 @@
+package org.whinhead.fleet;
+
+import java.util.List;
+import java.util.Objects;
+import org.whinhead.api.Arguments;
+import org.whinhead.api.model.ModelRef;
+
+/**
+ * What the settings want of a pool.
+ *
+ * @param name the pool's name
+ * @param model the model, version and adapter that each of its engines serves
+ * @param modelBytes the size of the model's weights
+ * @param needed VMs that must remain after the largest domain is lost
+ * @param supplies what may be bought for it
+ */
+public record Pool(
+        PoolName name, ModelRef model, long modelBytes, int needed, List<Supply> supplies) {
+
+    /** Checks every part and copies the list. */
+    public Pool {
+        Objects.requireNonNull(name, "name");
+        Objects.requireNonNull(model, "model");
+        Arguments.requireAtLeast(modelBytes, 0, "modelBytes");
+        Arguments.requireAtLeast(needed, 0, "needed");
+        supplies = List.copyOf(supplies);
+    }
+}
