Read and check the daemon's own settings file

Cause: a daemon learns its addresses, failure domain, platform and operator keys from a file, and a wrong file must say everything that is wrong with it. Change: typed immutable DaemonSettings with a builder, a JSON Schema and rules beside it, strict reading that lists every duplicate key, and a checked SettingsException whose problems name file, JSON path and cause. Conclusion: the daemon can be started from SettingsReader.read.

--- /dev/null
+++ b/settings/src/main/java/org/whinhead/settings/SettingsProblem.java
@@ -0,0 +1,50 @@
+package org.whinhead.settings;
+
+import java.util.Comparator;
+import java.util.Objects;
+
+/**
+ * One thing that is wrong with a document.
+ *
+ * @param path the place in the document as a JSON path, for example {@code $.limits.ringSize}
+ * @param messageKey the key of the text, stable for scripts
+ * @param message the text for people
+ */
+public record SettingsProblem(String path, String messageKey, String message)
+        implements Comparable<SettingsProblem> {
+
+    private static final Comparator<SettingsProblem> ORDER =
+            Comparator.comparing(SettingsProblem::path)
+                    .thenComparing(SettingsProblem::messageKey)
+                    .thenComparing(SettingsProblem::message);
+
+    /** Checks every part. */
+    public SettingsProblem {
+        Objects.requireNonNull(path, "path");
+        Objects.requireNonNull(messageKey, "messageKey");
+        Objects.requireNonNull(message, "message");
+    }
+
+    /**
+     * Makes a problem whose text is looked up by its key.
+     *
+     * @param path the place in the document
+     * @param messageKey the key of the text
+     * @param arguments the values for the text's places
+     * @return the problem
+     */
+    public static SettingsProblem of(
+            final String path, final String messageKey, final Object... arguments) {
+        return new SettingsProblem(path, messageKey, SettingsMessages.text(messageKey, arguments));
+    }
+
+    @Override
+    public int compareTo(final SettingsProblem other) {
+        return ORDER.compare(this, other);
+    }
+
+    @Override
+    public String toString() {
+        return path + ": " + message;
+    }
+}
--- /dev/null
+++ b/settings/src/main/java/org/whinhead/settings/daemon/SettingsReader.java
@@ -0,0 +1,66 @@
+package org.whinhead.settings.daemon;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.whinhead.settings.SettingsException;
+import org.whinhead.settings.SettingsProblem;
+import org.whinhead.settings.json.DocumentSchema;
+import org.whinhead.settings.json.JsonPaths;
+import org.whinhead.settings.json.JsonText;
+
+/** Reads a daemon's settings file and reports everything that is wrong with it at once. */
+public final class SettingsReader {
+
+    private static final DocumentSchema SCHEMA = DocumentSchema.load("daemon-1.json");
+
+    private SettingsReader() {}
+
+    /**
+     * Reads a file.
+     *
+     * @param file the file
+     * @return the settings
+     * @throws SettingsException if the file cannot be read or breaks a rule
+     */
+    public static DaemonSettings read(final Path file) throws SettingsException {
+        return parse(file.toString(), readText(file));
+    }
+
+    /**
+     * Parses a text.
+     *
+     * @param source what the text is called in errors
+     * @param text the text
+     * @return the settings
+     * @throws SettingsException if the text breaks a rule
+     */
+    public static DaemonSettings parse(final String source, final String text)
+            throws SettingsException {
+        final JsonNode document = JsonText.parseLeniently(source, text);
+        final List<SettingsProblem> problems = new ArrayList<>(JsonText.duplicateKeys(text));
+        problems.addAll(SCHEMA.check(document));
+        problems.addAll(DaemonSettingsRules.check(document));
+        if (!problems.isEmpty()) {
+            throw new SettingsException(source, problems);
+        }
+        return DaemonSettingsDecoder.decode(document);
+    }
+
+    private static String readText(final Path file) throws SettingsException {
+        try {
+            return Files.readString(file);
+        } catch (IOException e) {
+            throw new SettingsException(
+                    file.toString(),
+                    List.of(
+                            SettingsProblem.of(
+                                    JsonPaths.ROOT,
+                                    "settings.unreadable",
+                                    e.getClass().getSimpleName())));
+        }
+    }
+}
--- /dev/null
+++ b/settings/src/main/java/org/whinhead/settings/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** The settings of one daemon process, read from its file at the start. */
+package org.whinhead.settings.daemon;
--- a/settings/src/main/java/org/whinhead/settings/package-info.java
+++ b/settings/src/main/java/org/whinhead/settings/package-info.java
@@ -1,2 +1,2 @@
-/** Settings of the deployment: schema, validation with the place of each error, typed values. */
+/** Reading and checking of settings: what is wrong with a document, where, and why. */
 package org.whinhead.settings;
