--- /dev/null
+++ b/state/src/main/java/org/whinhead/state/record/LogRecordCodec.java
@@ -0,0 +1,77 @@
+package org.whinhead.state.record;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.util.Optional;
+
+/** Turns records into the bytes that stand on the log, and back. */
+public final class LogRecordCodec {
+
+    private static final String KIND = "kind";
+    private static final String ID = "id";
+
+    private final ObjectMapper mMapper = JsonMapping.mapper();
+
+    /**
+     * Writes a record.
+     *
+     * @param record the record
+     * @return its bytes
+     */
+    public byte[] encode(final LogRecord record) {
+        try {
+            return mMapper.writeValueAsBytes(tree(record));
+        } catch (final JsonProcessingException e) {
+            throw new IllegalArgumentException("record cannot be written: " + record.id(), e);
+        }
+    }
+
+    private ObjectNode tree(final LogRecord record) throws JsonProcessingException {
+        final ObjectNode tree;
+        if (record instanceof LogRecord.Unknown unknown) {
+            tree = (ObjectNode) mMapper.readTree(unknown.body());
+            tree.put(KIND, unknown.kind());
+            tree.set(ID, mMapper.valueToTree(unknown.id()));
+        } else {
+            tree = mMapper.valueToTree(record);
+            tree.put(KIND, RecordKind.of(record).label());
+        }
+        return tree;
+    }
+
+    /**
+     * Reads a record; one of a kind that is not known comes back whole as {@link
+     * LogRecord.Unknown}, because a newer version of the program may be writing beside this one.
+     *
+     * @param bytes the bytes
+     * @return the record
+     * @throws RecordFormatException if they are no record of this system
+     */
+    public LogRecord decode(final byte[] bytes) throws RecordFormatException {
+        try {
+            final JsonNode tree = mMapper.readTree(bytes);
+            if (!(tree instanceof ObjectNode node) || !node.path(KIND).isTextual()) {
+                throw new RecordFormatException("no kind", null);
+            }
+            final String label = node.remove(KIND).textValue();
+            final Optional<RecordKind> kind = RecordKind.ofLabel(label);
+            return kind.isPresent()
+                    ? mMapper.treeToValue(node, kind.get().type())
+                    : unknown(label, node);
+        } catch (final IOException e) {
+            throw new RecordFormatException(e.getMessage(), e);
+        }
+    }
+
+    private LogRecord unknown(final String label, final ObjectNode node)
+            throws IOException, RecordFormatException {
+        final RecordId id = mMapper.treeToValue(node.remove(ID), RecordId.class);
+        if (id == null) {
+            throw new RecordFormatException("no id in a record of kind " + label, null);
+        }
+        return new LogRecord.Unknown(id, label, mMapper.writeValueAsString(node));
+    }
+}
--- /dev/null
+++ b/state/src/main/java/org/whinhead/state/record/RecordSink.java
@@ -0,0 +1,19 @@
+package org.whinhead.state.record;
+
+import java.time.Instant;
+import java.util.Optional;
+import java.util.function.Function;
+
+/** Takes records that are to be appended to one stream. */
+@FunctionalInterface
+public interface RecordSink {
+
+    /**
+     * Gives a record its identity and queues it.
+     *
+     * @param record makes the record for the identity it gets
+     * @param now the time
+     * @return the identity, or empty if the queue is full and nothing will be written
+     */
+    Optional<RecordId> offer(Function<RecordId, LogRecord> record, Instant now);
+}
