--- a/membership/src/main/java/org/whinhead/membership/package-info.java
+++ b/membership/src/main/java/org/whinhead/membership/package-info.java
@@ -1,2 +1,2 @@
-/** Who is live, suspect, leaving or gone, decided from lagging lists, notices and heartbeats. */
+/** Which VMs are live, suspect, leaving or gone, and how daemons tell each other. */
 package org.whinhead.membership;
