Let the router hear how attempts went

Cause: endpoint health needs outcomes, and the contract told only that an attempt ended. Change: two default methods, succeeded and failed, told before ended. Conclusion: additive; an implementation without health ignores them.

--- a/routing/src/main/java/org/whinhead/routing/Router.java
+++ b/routing/src/main/java/org/whinhead/routing/Router.java
@@ -28,4 +28,22 @@
      * @param now the time
      */
     void ended(EndpointId endpoint, RequestSpec spec, Instant now);
+
+    /**
+     * An attempt at an endpoint brought its answer; told before {@link #ended}.
+     *
+     * @param endpoint the endpoint
+     * @param spec the request
+     * @param now the time
+     */
+    default void succeeded(final EndpointId endpoint, final RequestSpec spec, final Instant now) {}
+
+    /**
+     * An attempt failed in a way that counts against its endpoint; told before {@link #ended}.
+     *
+     * @param endpoint the endpoint
+     * @param spec the request
+     * @param now the time
+     */
+    default void failed(final EndpointId endpoint, final RequestSpec spec, final Instant now) {}
 }
