Add the affinity router with endpoint health and a bounded simple admission

Cause: the daemon needs a router and an admission that are real to be wired to. Measurement: not measured yet.

--- /dev/null
+++ b/admission/src/main/java/org/whinhead/admission/SimpleAdmission.java
@@ -0,0 +1,78 @@
+package org.whinhead.admission;
+
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.whinhead.api.Arguments;
+import org.whinhead.api.request.RequestId;
+import org.whinhead.api.request.RequestSpec;
+import org.whinhead.api.verdict.ErrorCode;
+import org.whinhead.api.verdict.Refusal;
+
+/** First come, first served, with a bound on running and on waiting requests; no tiers. */
+public final class SimpleAdmission implements Admission {
+
+    private final int mMaxRunning;
+    private final int mMaxWaiting;
+    private final Deque<RequestSpec> mWaiting = new ArrayDeque<>();
+    private final Set<RequestId> mRunning = new HashSet<>();
+
+    /**
+     * Makes an empty queue.
+     *
+     * @param maxRunning the most requests admitted at once
+     * @param maxWaiting the most requests that wait
+     */
+    public SimpleAdmission(final int maxRunning, final int maxWaiting) {
+        Arguments.requireAtLeast(maxRunning, 1, "maxRunning");
+        Arguments.requireAtLeast(maxWaiting, 1, "maxWaiting");
+        mMaxRunning = maxRunning;
+        mMaxWaiting = maxWaiting;
+    }
+
+    @Override
+    public Optional<Refusal> offer(final RequestSpec spec, final Instant now) {
+        if (mWaiting.size() >= mMaxWaiting) {
+            return Optional.of(Refusal.notRun(ErrorCode.OVERLOADED, "queue full"));
+        }
+        mWaiting.add(spec);
+        return Optional.empty();
+    }
+
+    @Override
+    public List<RequestSpec> admitted(final Instant now) {
+        final List<RequestSpec> admitted = new ArrayList<>();
+        while (mRunning.size() < mMaxRunning && !mWaiting.isEmpty()) {
+            final RequestSpec spec = mWaiting.remove();
+            mRunning.add(spec.id());
+            admitted.add(spec);
+        }
+        return admitted;
+    }
+
+    @Override
+    public List<Shed> shed(final Instant now) {
+        final List<Shed> shed = new ArrayList<>();
+        for (final Iterator<RequestSpec> all = mWaiting.iterator(); all.hasNext(); ) {
+            final RequestSpec spec = all.next();
+            if (!now.isBefore(spec.deadline())) {
+                all.remove();
+                shed.add(new Shed(spec, Refusal.notRun(ErrorCode.DEADLINE_PASSED, "in queue")));
+            }
+        }
+        return shed;
+    }
+
+    @Override
+    public void ended(final RequestId request, final long generatedTokens, final Instant now) {
+        if (!mRunning.remove(request)) {
+            mWaiting.removeIf(spec -> spec.id().equals(request));
+        }
+    }
+}
--- /dev/null
+++ b/routing/src/main/java/org/whinhead/routing/AffinityPicker.java
@@ -0,0 +1,145 @@
+package org.whinhead.routing;
+
+import java.util.List;
+import java.util.random.RandomGenerator;
+
+/**
+ * Compares a handful of candidates by expected time to the first token: known holders of the
+ * longest prefix, the owners of the prompt's anchor by rendezvous hashing, and a few at random.
+ *
+ * <p>Works on arrays that it keeps, so a choice allocates nothing.
+ */
+final class AffinityPicker implements Picker {
+
+    private static final int OWNERS = 3;
+    private static final int SAMPLES = 2;
+    private static final int HOLDERS = 4;
+    private static final int ANCHOR_BLOCKS = 4;
+    private static final double ASSUMED_OWNER_SHARE = 0.5;
+    private static final double OWNED_SLOT_SHARE = 0.5;
+    private static final double MICROS_PER_MILLI = 1000.0;
+
+    private final RoutingSettings.Costs mCosts;
+    private final RandomGenerator mRandom;
+    private final PrefixIndex mPrefixes;
+    private final ScanPicker mFallback;
+    private final int[] mOwners = new int[OWNERS];
+    private final long[] mScores = new long[OWNERS];
+    private final EndpointState[] mHolders = new EndpointState[HOLDERS];
+    private final double[] mShares = new double[HOLDERS];
+    private int mHolderCount;
+    private EndpointState mBest;
+    private double mBestCost;
+
+    AffinityPicker(
+            final RoutingSettings.Costs costs,
+            final RandomGenerator random,
+            final PrefixIndex prefixes) {
+        mCosts = costs;
+        mRandom = random;
+        mPrefixes = prefixes;
+        mFallback = new ScanPicker(random::nextInt, state -> queueMillis(state));
+    }
+
+    @Override
+    public EndpointState pick(final Pool pool, final RouteQuery query) {
+        mBest = null;
+        mBestCost = Double.POSITIVE_INFINITY;
+        findHolders(query.spec().prefixHashes());
+        for (int i = 0; i < mHolderCount; i++) {
+            considerBounded(mHolders[i], mShares[i], pool, query);
+        }
+        considerOwners(pool, query);
+        for (int i = 0; i < SAMPLES; i++) {
+            final EndpointState sample = pool.get(mRandom.nextInt(pool.size()));
+            consider(sample, knownShare(sample), query);
+        }
+        return mBest != null ? mBest : mFallback.pick(pool, query);
+    }
+
+    private void findHolders(final List<Long> prefixes) {
+        mHolderCount = 0;
+        for (int depth = prefixes.size(); depth > 0 && mHolderCount < HOLDERS; depth--) {
+            final PrefixIndex.Holders holders = mPrefixes.holders(prefixes.get(depth - 1));
+            if (holders != null) {
+                addHolders(holders, (double) depth / prefixes.size());
+            }
+        }
+    }
+
+    private void addHolders(final PrefixIndex.Holders holders, final double share) {
+        for (int i = 0; i < holders.most() && mHolderCount < HOLDERS; i++) {
+            final EndpointState state = holders.get(i);
+            if (state != null && knownShare(state) == 0) {
+                mHolders[mHolderCount] = state;
+                mShares[mHolderCount] = share;
+                mHolderCount++;
+            }
+        }
+    }
+
+    private double knownShare(final EndpointState state) {
+        for (int i = 0; i < mHolderCount; i++) {
+            if (mHolders[i] == state) {
+                return mShares[i];
+            }
+        }
+        return 0;
+    }
+
+    /**
+     * The first owner probably holds what other daemons sent it under the same anchor, so a share
+     * of the prompt is assumed to be cached there even if this daemon knows nothing of it.
+     */
+    private void considerOwners(final Pool pool, final RouteQuery query) {
+        final List<Long> prefixes = query.spec().prefixHashes();
+        if (prefixes.isEmpty()) {
+            return;
+        }
+        final long anchor = prefixes.get(Math.min(ANCHOR_BLOCKS, prefixes.size()) - 1);
+        final int count = pool.highest(anchor, mOwners, mScores);
+        for (int rank = 0; rank < count; rank++) {
+            final EndpointState owner = pool.get(mOwners[rank]);
+            final double known = knownShare(owner);
+            final double assumed = ASSUMED_OWNER_SHARE / (rank + 1);
+            considerBounded(owner, Math.max(known, assumed), pool, query);
+        }
+    }
+
+    /**
+     * Guards against a hot prefix that drowns its owner while others idle: affinity fills an
+     * endpoint only up to a factor of the pool's mean load, or half its slots if that is more.
+     */
+    private void considerBounded(
+            final EndpointState state,
+            final double share,
+            final Pool pool,
+            final RouteQuery query) {
+        final double bound =
+                Math.max(
+                        mCosts.loadFactor() * pool.meanLoad(),
+                        OWNED_SLOT_SHARE * state.endpoint().slots());
+        if (state.load().requests() < bound) {
+            consider(state, share, query);
+        }
+    }
+
+    private void consider(final EndpointState state, final double share, final RouteQuery query) {
+        final double uncached = (1 - share) * query.spec().promptTokens();
+        final double cost =
+                queueMillis(state) + uncached * mCosts.prefillMicrosPerToken() / MICROS_PER_MILLI;
+        if (cost < mBestCost && query.allows(state)) {
+            mBest = state;
+            mBestCost = cost;
+        }
+    }
+
+    private double queueMillis(final EndpointState state) {
+        final int slots = state.endpoint().slots();
+        final int requests = state.load().requests();
+        final double batch = mCosts.fullBatchMillis() * Math.min(requests, slots) / slots;
+        return batch
+                + mCosts.queuedMillis() * Math.max(0, requests - slots + 1)
+                + state.placeMillis();
+    }
+}
--- /dev/null
+++ b/routing/src/main/java/org/whinhead/routing/EndpointTable.java
@@ -0,0 +1,137 @@
+package org.whinhead.routing;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Function;
+import org.whinhead.api.model.Endpoint;
+import org.whinhead.api.model.EndpointId;
+import org.whinhead.api.model.EndpointKind;
+import org.whinhead.api.model.ModelRef;
+import org.whinhead.api.request.RequestSpec;
+
+/** The endpoints that a router knows, and for each model and service the pool that serves it. */
+final class EndpointTable {
+
+    private static final int MAX_LEFT = 8192;
+
+    private final Function<Endpoint, EndpointState> mNewState;
+    private final Function<Endpoint, Double> mPlaceMillis;
+    private final Map<EndpointId, EndpointState> mStates = new HashMap<>();
+    private final Map<ModelRef, Pool> mModelPools = new HashMap<>();
+    private final Map<String, Pool> mServicePools = new HashMap<>();
+    private final Set<EndpointId> mLeft = new LinkedHashSet<>();
+    private boolean mStale;
+
+    EndpointTable(
+            final Function<Endpoint, EndpointState> newState,
+            final Function<Endpoint, Double> placeMillis) {
+        mNewState = newState;
+        mPlaceMillis = placeMillis;
+    }
+
+    void replaceAll(final List<Endpoint> endpoints) {
+        final Set<EndpointId> kept = new HashSet<>();
+        for (final Endpoint endpoint : endpoints) {
+            kept.add(endpoint.id());
+            put(endpoint);
+        }
+        for (final EndpointId id : List.copyOf(mStates.keySet())) {
+            if (!kept.contains(id)) {
+                remove(id);
+            }
+        }
+    }
+
+    void put(final Endpoint endpoint) {
+        EndpointState state = mStates.get(endpoint.id());
+        if (state != null && state.endpoint().equals(endpoint)) {
+            return;
+        }
+        if (state == null) {
+            state = mNewState.apply(endpoint);
+            mStates.put(endpoint.id(), state);
+        }
+        state.update(endpoint, mPlaceMillis.apply(endpoint));
+        if (mLeft.contains(endpoint.id())) {
+            state.close();
+        }
+        mStale = true;
+    }
+
+    void remove(final EndpointId id) {
+        final EndpointState state = mStates.remove(id);
+        if (state != null) {
+            state.close();
+            mStale = true;
+        }
+    }
+
+    /**
+     * Shuts an endpoint out for good.
+     *
+     * <p>Guards against the lagging VM list, which names a leaving endpoint as live for a while
+     * after its notice and would bring it back: the identity is remembered, and a replacement has
+     * another one.
+     */
+    void leaving(final EndpointId id) {
+        mLeft.add(id);
+        if (mLeft.size() > MAX_LEFT) {
+            mLeft.remove(mLeft.iterator().next());
+        }
+        final EndpointState state = mStates.get(id);
+        if (state != null) {
+            state.close();
+            mStale = true;
+        }
+    }
+
+    /** Returns what is known of an endpoint, or null. */
+    EndpointState state(final EndpointId id) {
+        return mStates.get(id);
+    }
+
+    /** Returns the pool that fits a request, or null. */
+    Pool pool(final RequestSpec spec) {
+        if (mStale) {
+            rebuild();
+        }
+        if (spec.kind() == EndpointKind.PLAIN_SERVICE) {
+            return mServicePools.get(spec.service());
+        }
+        return spec.model().isPresent() ? mModelPools.get(spec.model().get()) : null;
+    }
+
+    private void rebuild() {
+        final Map<ModelRef, List<EndpointState>> byModel = new HashMap<>();
+        final Map<String, List<EndpointState>> byService = new HashMap<>();
+        for (final EndpointState state : mStates.values()) {
+            state.leavePools();
+            if (state.acceptsNewWork()) {
+                group(state, byModel, byService);
+            }
+        }
+        mModelPools.clear();
+        mServicePools.clear();
+        byModel.forEach((model, members) -> mModelPools.put(model, new Pool(members)));
+        byService.forEach((service, members) -> mServicePools.put(service, new Pool(members)));
+        mStale = false;
+    }
+
+    private static void group(
+            final EndpointState state,
+            final Map<ModelRef, List<EndpointState>> byModel,
+            final Map<String, List<EndpointState>> byService) {
+        final Endpoint endpoint = state.endpoint();
+        if (endpoint.kind() == EndpointKind.PLAIN_SERVICE) {
+            byService.computeIfAbsent(endpoint.service(), key -> new ArrayList<>()).add(state);
+        }
+        for (final ModelRef model : endpoint.models()) {
+            byModel.computeIfAbsent(model, key -> new ArrayList<>()).add(state);
+        }
+    }
+}
--- /dev/null
+++ b/routing/src/main/java/org/whinhead/routing/Picker.java
@@ -0,0 +1,8 @@
+package org.whinhead.routing;
+
+/** Chooses among the endpoints of one pool. */
+interface Picker {
+
+    /** Returns the chosen endpoint, or null if none is open; null spares an allocation. */
+    EndpointState pick(Pool pool, RouteQuery query);
+}
--- /dev/null
+++ b/routing/src/main/java/org/whinhead/routing/Rendezvous.java
@@ -0,0 +1,27 @@
+package org.whinhead.routing;
+
+import net.openhft.hashing.LongHashFunction;
+
+/**
+ * Rendezvous hashing: each pair of a member and a key has a score, and the members of highest score
+ * own the key. All daemons agree without talking, and a member that goes moves only its own keys.
+ */
+final class Rendezvous {
+
+    private static final LongHashFunction TEXT_HASH = LongHashFunction.xx3();
+    private static final long FIRST_FACTOR = 0xbf58476d1ce4e5b9L;
+    private static final long SECOND_FACTOR = 0x94d049bb133111ebL;
+    private static final int FIRST_SHIFT = 30;
+    private static final int SECOND_SHIFT = 27;
+
+    private Rendezvous() {}
+
+    static long hash(final String text) {
+        return TEXT_HASH.hashChars(text);
+    }
+
+    static long score(final long member, final long key) {
+        final long mixed = (member ^ key ^ ((member ^ key) >>> FIRST_SHIFT)) * FIRST_FACTOR;
+        return (mixed ^ (mixed >>> SECOND_SHIFT)) * SECOND_FACTOR;
+    }
+}
--- /dev/null
+++ b/routing/src/main/java/org/whinhead/routing/ScanPicker.java
@@ -0,0 +1,43 @@
+package org.whinhead.routing;
+
+import java.util.function.IntUnaryOperator;
+import java.util.function.ToDoubleFunction;
+
+/** Looks at every endpoint of a pool, from a starting place, and takes the first of least cost. */
+final class ScanPicker implements Picker {
+
+    private final IntUnaryOperator mStart;
+    private final ToDoubleFunction<EndpointState> mCost;
+
+    ScanPicker(final IntUnaryOperator start, final ToDoubleFunction<EndpointState> cost) {
+        mStart = start;
+        mCost = cost;
+    }
+
+    @Override
+    public EndpointState pick(final Pool pool, final RouteQuery query) {
+        final EndpointState healthy = scan(pool, query, false);
+        return healthy != null ? healthy : scan(pool, query, true);
+    }
+
+    private EndpointState scan(final Pool pool, final RouteQuery query, final boolean asProbe) {
+        final int size = pool.size();
+        final int start = mStart.applyAsInt(size);
+        EndpointState best = null;
+        double bestCost = Double.POSITIVE_INFINITY;
+        for (int i = 0; i < size; i++) {
+            final EndpointState state = pool.get((start + i) % size);
+            final double cost = mCost.applyAsDouble(state);
+            if (cost < bestCost && isAllowed(state, query, asProbe)) {
+                best = state;
+                bestCost = cost;
+            }
+        }
+        return best;
+    }
+
+    private static boolean isAllowed(
+            final EndpointState state, final RouteQuery query, final boolean asProbe) {
+        return asProbe ? query.allowsAsProbe(state) : query.allows(state);
+    }
+}
