Report service-level burn, cost and recomputed tokens

Cause: operators must see which promise burns, for whom, and what was not collected. Conclusion: next the daemons record samples and bin/whinhead collects them.

--- /dev/null
+++ b/report/src/main/java/org/whinhead/report/DaemonReport.java
@@ -0,0 +1,42 @@
+package org.whinhead.report;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.Objects;
+import org.whinhead.api.model.DaemonId;
+
+/**
+ * What one daemon counted.
+ *
+ * @param daemon the daemon
+ * @param since when it began to count
+ * @param asOf when the report was made
+ * @param series the counts by customer and tier
+ * @param leftOut requests that were not counted for lack of room
+ */
+public record DaemonReport(
+        DaemonId daemon, Instant since, Instant asOf, List<Series> series, long leftOut) {
+
+    /** Copies the list. */
+    public DaemonReport {
+        Objects.requireNonNull(daemon, "daemon");
+        Objects.requireNonNull(since, "since");
+        Objects.requireNonNull(asOf, "asOf");
+        series = List.copyOf(series);
+    }
+
+    /**
+     * The counts of one customer in one tier.
+     *
+     * @param key whose
+     * @param minutes the minutes that had a request, oldest first
+     */
+    public record Series(SeriesKey key, List<Minute> minutes) {
+
+        /** Copies the list. */
+        public Series {
+            Objects.requireNonNull(key, "key");
+            minutes = List.copyOf(minutes);
+        }
+    }
+}
--- /dev/null
+++ b/report/src/main/java/org/whinhead/report/JsonReport.java
@@ -0,0 +1,63 @@
+package org.whinhead.report;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Locale;
+
+/** Writes a report as one JSON object for scripts. */
+public final class JsonReport {
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private JsonReport() {}
+
+    /**
+     * Writes the report.
+     *
+     * @param report the report
+     * @return the JSON text, on several lines
+     */
+    public static String write(final FleetReport report) {
+        final ObjectNode root = MAPPER.createObjectNode();
+        root.put("asOf", report.asOf().toString());
+        final ArrayNode lines = root.putArray("lines");
+        report.lines().forEach(line -> lines.add(line(line)));
+        final ObjectNode tokens = root.putObject("tokens");
+        for (final Window window : Window.values()) {
+            final Counts sum = report.total(window);
+            final ObjectNode node = tokens.putObject(name(window));
+            node.put("generated", sum.generatedTokens());
+            node.put("recomputed", sum.recomputedTokens());
+        }
+        report.pricePerThousand(Window.MIDDLE)
+                .ifPresent(price -> root.put("costPerThousandCompleted", price));
+        report.collected().forEach(root.putArray("collected")::add);
+        report.missing().forEach(root.putArray("missing")::add);
+        report.notes().forEach(root.putArray("notes")::add);
+        return root.toPrettyString();
+    }
+
+    private static ObjectNode line(final FleetReport.Line line) {
+        final ObjectNode node = MAPPER.createObjectNode();
+        node.put("customer", line.key().customer().value());
+        node.put("tier", line.key().tier());
+        for (final Window window : Window.values()) {
+            final Counts counts = line.windows().getOrDefault(window, Counts.NONE);
+            final ObjectNode sums = node.putObject(name(window));
+            sums.put("requests", counts.counted());
+            sums.put("good", counts.good());
+            sums.put("notRun", counts.notRun());
+            sums.put("mayHaveRun", counts.mayHaveRun());
+            final ObjectNode burn = sums.putObject("burn");
+            for (final ServiceLevel level : ServiceLevel.values()) {
+                burn.put(level.name().toLowerCase(Locale.ROOT), line.burn(level, window));
+            }
+        }
+        return node;
+    }
+
+    private static String name(final Window window) {
+        return window.name().toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/report/src/main/java/org/whinhead/report/SeriesKey.java
@@ -0,0 +1,26 @@
+package org.whinhead.report;
+
+import java.util.Objects;
+import org.whinhead.api.Arguments;
+import org.whinhead.api.model.CustomerId;
+
+/**
+ * Whose requests a series counts.
+ *
+ * @param customer the customer
+ * @param tier the tier's name
+ */
+public record SeriesKey(CustomerId customer, String tier) implements Comparable<SeriesKey> {
+
+    /** Checks both parts. */
+    public SeriesKey {
+        Objects.requireNonNull(customer, "customer");
+        Arguments.requireText(tier, "tier");
+    }
+
+    @Override
+    public int compareTo(final SeriesKey other) {
+        final int byCustomer = customer.compareTo(other.customer);
+        return byCustomer != 0 ? byCustomer : tier.compareTo(other.tier);
+    }
+}
--- /dev/null
+++ b/report/src/main/java/org/whinhead/report/ServiceLevel.java
@@ -0,0 +1,89 @@
+package org.whinhead.report;
+
+/** The three promises whose burn is reported. */
+public enum ServiceLevel {
+    /** Requests get what they asked for. */
+    AVAILABILITY("availability") {
+        @Override
+        long total(final Counts counts) {
+            return counts.counted();
+        }
+
+        @Override
+        long good(final Counts counts) {
+            return counts.good();
+        }
+
+        @Override
+        double promised(final Objective objective) {
+            return objective.availability();
+        }
+    },
+    /** First tokens come in time. */
+    FIRST_TOKEN("first token") {
+        @Override
+        long total(final Counts counts) {
+            return counts.firstTokens();
+        }
+
+        @Override
+        long good(final Counts counts) {
+            return counts.firstTokensInTime();
+        }
+
+        @Override
+        double promised(final Objective objective) {
+            return objective.latencyShare();
+        }
+    },
+    /** Later tokens come in time. */
+    BETWEEN_TOKENS("between tokens") {
+        @Override
+        long total(final Counts counts) {
+            return counts.streams();
+        }
+
+        @Override
+        long good(final Counts counts) {
+            return counts.streamsInTime();
+        }
+
+        @Override
+        double promised(final Objective objective) {
+            return objective.latencyShare();
+        }
+    };
+
+    private final String mTitle;
+
+    ServiceLevel(final String title) {
+        mTitle = title;
+    }
+
+    /** Returns the name for people. */
+    public String title() {
+        return mTitle;
+    }
+
+    abstract long total(Counts counts);
+
+    abstract long good(Counts counts);
+
+    abstract double promised(Objective objective);
+
+    /**
+     * Returns how fast the allowance for misses is used up: 1 uses exactly all of it.
+     *
+     * @param counts the requests of a window
+     * @param objective what was promised
+     * @return the burn rate; 0 when nothing was counted
+     */
+    public double burn(final Counts counts, final Objective objective) {
+        final long total = total(counts);
+        if (total == 0) {
+            return 0;
+        }
+        final double missed = (double) (total - good(counts)) / total;
+        return missed / (1 - promised(objective));
+    }
+}
