--- a/routing/src/main/java/org/whinhead/routing/AffinityRouter.java
+++ b/routing/src/main/java/org/whinhead/routing/AffinityRouter.java
@@ -30,7 +30,7 @@
     private final EndpointTable mTable;
     private final Picker mEnginePicker;
     private final Picker mServicePicker;
-    private final Map<Dispatch, Long> mDispatches = new HashMap<>();
+    private final Map<Dispatch, InFlight> mInFlight = new HashMap<>();
 
     /**
      * Makes a router that knows no endpoint yet.
@@ -140,39 +140,56 @@
 
     @Override
     public void succeeded(final EndpointId endpoint, final RequestSpec spec, final Instant now) {
-        final EndpointState state = mTable.state(endpoint);
-        final Long revision = mDispatches.get(new Dispatch(spec.id(), endpoint));
-        if (state != null && revision != null) {
-            state.health().succeeded(revision);
+        final InFlight attempt = mInFlight.get(new Dispatch(spec.id(), endpoint));
+        if (attempt != null) {
+            attempt.state().health().succeeded(attempt.revision());
         }
     }
 
     @Override
     public void failed(final EndpointId endpoint, final RequestSpec spec, final Instant now) {
-        final EndpointState state = mTable.state(endpoint);
-        final Long revision = mDispatches.get(new Dispatch(spec.id(), endpoint));
-        if (state != null && revision != null) {
-            state.health().failed(revision, now);
+        final InFlight attempt = mInFlight.get(new Dispatch(spec.id(), endpoint));
+        if (attempt != null) {
+            attempt.state().health().failed(attempt.revision(), now);
         }
     }
 
+    /**
+     * Counts the end of an attempt, once.
+     *
+     * <p>Guards against an end that is told twice, or that belongs to an earlier life of an
+     * endpoint which fell out of the list and came back: either would make an endpoint look emptier
+     * than it is. The attempt keeps the state that it was counted against and is forgotten here.
+     */
     @Override
     public void ended(final EndpointId endpoint, final RequestSpec spec, final Instant now) {
-        final Long revision = mDispatches.remove(new Dispatch(spec.id(), endpoint));
-        final EndpointState state = mTable.state(endpoint);
-        if (revision != null && state != null) {
-            state.load().ended(now);
-            state.loadChanged();
+        final InFlight attempt = mInFlight.remove(new Dispatch(spec.id(), endpoint));
+        if (attempt != null) {
+            attempt.state().load().ended(now);
+            attempt.state().loadChanged();
         }
     }
 
+    /**
+     * Returns how many attempts of this daemon are in progress at an endpoint.
+     *
+     * @param endpoint the endpoint
+     * @return the number; 0 if the endpoint is not known
+     */
+    public int inProgressAt(final EndpointId endpoint) {
+        final EndpointState state = mTable.state(endpoint);
+        return state == null ? 0 : state.load().ownInFlight();
+    }
+
     private void dispatch(final EndpointState state, final RequestSpec spec, final Instant now) {
-        final EndpointId id = state.endpoint().id();
+        final Dispatch dispatch = new Dispatch(spec.id(), state.endpoint().id());
         final long revision = state.health().dispatched(now);
-        mDispatches.put(new Dispatch(spec.id(), id), revision);
         mPrefixes.sent(spec.prefixHashes(), state);
-        state.load().sent(now);
-        state.loadChanged();
+        final InFlight before = mInFlight.put(dispatch, new InFlight(state, revision));
+        if (before == null) {
+            state.load().sent(now);
+            state.loadChanged();
+        }
     }
 
     private EndpointState newState(final Endpoint endpoint) {
@@ -197,4 +214,7 @@
 
     /** One request at one endpoint. */
     private record Dispatch(RequestId request, EndpointId endpoint) {}
+
+    /** What an attempt in progress was counted against. */
+    private record InFlight(EndpointState state, long revision) {}
 }
--- /dev/null
+++ b/routing/src/main/java/org/whinhead/routing/DaemonPlace.java
@@ -0,0 +1,20 @@
+package org.whinhead.routing;
+
+import java.util.Objects;
+import org.whinhead.api.model.DaemonId;
+import org.whinhead.api.model.FailureDomain;
+
+/**
+ * Where a daemon stands.
+ *
+ * @param id the daemon
+ * @param domain its failure domain
+ */
+public record DaemonPlace(DaemonId id, FailureDomain domain) {
+
+    /** Checks both parts. */
+    public DaemonPlace {
+        Objects.requireNonNull(id, "id");
+        Objects.requireNonNull(domain, "domain");
+    }
+}
