Admit by tier, weight and due time, and refuse early

Cause: under overload answers come late for everybody unless late ones are refused before they run. Change: a lane for each model or service with bounded queues: strict between tiers, fair between customers by weighted virtual time, early refusal from measured service times, eviction from the lowest tier or the largest backlog. Measurement: not measured yet. Conclusion: tests hold the bounds and give each request exactly one fate.

--- /dev/null
+++ b/admission/src/test/java/org/whinhead/admission/TieredAdmissionTest.java
@@ -0,0 +1,149 @@
+package org.whinhead.admission;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.whinhead.admission.Requests.BATCH;
+import static org.whinhead.admission.Requests.START;
+import static org.whinhead.admission.Requests.URGENT;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+import org.whinhead.api.model.Customer;
+import org.whinhead.api.model.CustomerId;
+import org.whinhead.api.model.TeamId;
+import org.whinhead.api.model.Tier;
+import org.whinhead.api.request.RequestSpec;
+import org.whinhead.api.verdict.ErrorCode;
+import org.whinhead.api.verdict.Refusal;
+import org.whinhead.api.verdict.Verdict;
+
+class TieredAdmissionTest {
+
+    private static final Target TARGET = Target.of(Requests.of("c", BATCH, START));
+
+    private final TieredAdmission mAdmission = admission(4);
+
+    // Evening peak: batch work fills the queue, then urgent requests come. The urgent ones must get
+    // in and the batch ones be told "not run", not the other way round.
+    @Test
+    void fullQueueShedsLowestTierFirst() {
+        for (int i = 0; i < 4; i++) {
+            assertThat(mAdmission.offer(Requests.of("batch", BATCH, START), START)).isEmpty();
+        }
+        assertThat(mAdmission.offer(Requests.of("batch", BATCH, START), START)).isPresent();
+        final RequestSpec urgent = Requests.of("clerk", URGENT, START);
+        assertThat(mAdmission.offer(urgent, START)).isEmpty();
+        final List<Admission.Shed> shed = mAdmission.shed(START);
+        assertThat(shed).hasSize(1);
+        assertThat(shed.get(0).spec().tier()).isEqualTo(BATCH);
+        assertThat(shed.get(0).refusal().verdict()).isEqualTo(Verdict.NOT_RUN);
+        assertThat(shed.get(0).refusal().retryAfter()).isPresent();
+        assertThat(mAdmission.admitted(START).get(0)).isEqualTo(urgent);
+    }
+
+    // One customer's job posts two hundred requests at once. A clerk of another customer asks once
+    // and must be served next, not after the two hundred.
+    @Test
+    void heavyCustomerDoesNotStarveLightOne() {
+        final TieredAdmission admission = admission(500);
+        admission.capacityChanged(TARGET, 1);
+        for (int i = 0; i < 200; i++) {
+            admission.offer(Requests.of("heavy", BATCH, START), START);
+        }
+        final RequestSpec running = admission.admitted(START).get(0);
+        final RequestSpec light = Requests.of("light", BATCH, START);
+        assertThat(admission.offer(light, START)).isEmpty();
+        admission.ended(running.id(), 10, START.plusMillis(5));
+        assertThat(admission.admitted(START.plusMillis(5))).containsExactly(light);
+    }
+
+    @Test
+    void weightDecidesTheShareOfTwoBusyCustomers() {
+        final TieredAdmission admission = admission(500);
+        admission.customersChanged(List.of(customer("big", 3), customer("small", 1)));
+        for (int i = 0; i < 100; i++) {
+            admission.offer(Requests.of("big", BATCH, START), START);
+            admission.offer(Requests.of("small", BATCH, START), START);
+        }
+        admission.capacityChanged(TARGET, 40);
+        assertThat(admission.admitted(START))
+                .filteredOn(spec -> spec.customer().value().equals("big"))
+                .hasSize(30);
+    }
+
+    // Requests take a second on the only slot and the target is two. The fourth in line can not be
+    // served in time: it is told so at once, with a time to come back, instead of timing out.
+    @Test
+    void refusesEarlyWhatCanNotMeetItsTarget() {
+        final TieredAdmission admission = admission(500);
+        admission.capacityChanged(TARGET, 1);
+        final RequestSpec sample = Requests.of("c", BATCH, START);
+        admission.offer(sample, START);
+        admission.admitted(START);
+        final Instant now = START.plusSeconds(1);
+        admission.ended(sample.id(), 100, now);
+        final List<Refusal> refusals = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            admission.offer(Requests.of("c", BATCH, now), now).ifPresent(refusals::add);
+            admission.admitted(now);
+        }
+        assertThat(refusals).hasSize(2);
+        assertThat(refusals.get(0).code()).isEqualTo(ErrorCode.OVERLOADED);
+        assertThat(refusals.get(0).verdict()).isEqualTo(Verdict.NOT_RUN);
+        assertThat(refusals.get(0).retryAfter().orElseThrow()).isGreaterThan(Duration.ofSeconds(1));
+    }
+
+    @Property(seed = "21", tries = 200)
+    void eachRequestGetsExactlyOneFateAndBoundsHold(
+            @ForAll @Size(max = 80) final List<@IntRange(max = 5) Integer> steps) {
+        final TieredAdmission admission = admission(6);
+        final List<RequestSpec> running = new ArrayList<>();
+        Instant now = START;
+        int offered = 0;
+        int refused = 0;
+        int shed = 0;
+        int admitted = 0;
+        for (final int step : steps) {
+            now = now.plusMillis(150);
+            if (step < 4) {
+                final Tier tier = step % 2 == 0 ? BATCH : URGENT;
+                offered++;
+                refused +=
+                        admission.offer(Requests.of("c" + step, tier, now), now).isPresent()
+                                ? 1
+                                : 0;
+            } else if (step == 4 && !running.isEmpty()) {
+                admission.ended(running.remove(0).id(), 50, now);
+            }
+            final List<RequestSpec> taken = admission.admitted(now);
+            admitted += taken.size();
+            running.addAll(taken);
+            shed += admission.shed(now).size();
+            assertThat(running).hasSizeLessThanOrEqualTo(2);
+            assertThat(admission.waiting()).isLessThanOrEqualTo(6);
+            assertThat(offered).isEqualTo(refused + shed + admitted + admission.waiting());
+        }
+    }
+
+    private static TieredAdmission admission(final int maxWaiting) {
+        final AdmissionSettings settings =
+                new AdmissionSettings(
+                        maxWaiting,
+                        2,
+                        Duration.ofMillis(200),
+                        Duration.ofMillis(500),
+                        Duration.ofSeconds(30));
+        return new TieredAdmission(settings, Budget.UNLIMITED);
+    }
+
+    private static Customer customer(final String name, final int weight) {
+        return new Customer(
+                new CustomerId(name), new TeamId("team"), BATCH, List.of(), weight, 1000);
+    }
+}
