Add stand-ins for the VM list, the cloud and the weight store

Cause: membership and fleet orders follow a lagging list, reclaim notices and a store with a limited rate; none of them existed to test against. Change: a VM list that lags or stands still, a cloud with notices, refused starts and actions for who runs the servers of a VM, and a weight store that loads one model after the other; engines take a request for no more tokens, as a daemon sends it when all text is delivered.

--- /dev/null
+++ b/standins/src/main/java/org/whinhead/standins/cloud/CloudSimulation.java
@@ -0,0 +1,171 @@
+package org.whinhead.standins.cloud;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.whinhead.api.model.FailureDomain;
+
+/** A cloud without its HTTP side; single-threaded, and the time is passed in. */
+public final class CloudSimulation {
+
+    /**
+     * A reclaim notice.
+     *
+     * @param sequence its number, from 1
+     * @param vm the VM
+     * @param goneBy when it is gone
+     */
+    public record Notice(long sequence, String vm, Instant goneBy) {}
+
+    private final Duration mBoot;
+    private final CloudActions mActions;
+    private final Map<String, Machine> mMachines = new TreeMap<>();
+    private final Map<String, String> mVmsByOrder = new HashMap<>();
+    private final List<Notice> mNotices = new ArrayList<>();
+    private boolean mRefuses;
+    private int mStarted;
+
+    /**
+     * Makes a cloud without VMs.
+     *
+     * @param boot how long a VM takes to start
+     * @param actions told what happens to VMs
+     */
+    public CloudSimulation(final Duration boot, final CloudActions actions) {
+        mBoot = boot;
+        mActions = actions;
+    }
+
+    /**
+     * Takes in a VM that runs already.
+     *
+     * @param vm its identity
+     * @param order what it is
+     */
+    public void adopt(final String vm, final VmOrder order) {
+        mMachines.put(vm, new Machine(order, Instant.MIN, true));
+    }
+
+    /**
+     * Orders a VM.
+     *
+     * @param order the order
+     * @param now the time
+     * @return the VM's identity, or empty if there is no capacity
+     */
+    public Optional<String> start(final VmOrder order, final Instant now) {
+        if (mVmsByOrder.containsKey(order.orderId())) {
+            return Optional.of(mVmsByOrder.get(order.orderId()));
+        }
+        if (mRefuses) {
+            return Optional.empty();
+        }
+        mStarted++;
+        final String vm = "vm-started-" + mStarted;
+        mVmsByOrder.put(order.orderId(), vm);
+        mMachines.put(vm, new Machine(order, now.plus(mBoot), false));
+        return Optional.of(vm);
+    }
+
+    /**
+     * Stops a VM; nothing happens if it is unknown.
+     *
+     * @param vm its identity
+     */
+    public void stop(final String vm) {
+        if (mMachines.remove(vm) != null) {
+            mActions.onGone(vm);
+        }
+    }
+
+    /**
+     * Announces that a VM is taken back; one that is billed on demand, or was announced, is not.
+     *
+     * @param vm its identity
+     * @param notice how long it has left
+     * @param now the time
+     */
+    public void reclaim(final String vm, final Duration notice, final Instant now) {
+        final Machine machine = mMachines.get(vm);
+        if (machine == null
+                || machine.mGoneBy != null
+                || !machine.mOrder.billing().mayBeReclaimed()) {
+            return;
+        }
+        machine.mGoneBy = now.plus(notice);
+        mNotices.add(new Notice(mNotices.size() + 1L, vm, machine.mGoneBy));
+        mActions.onNotice(vm, machine.mGoneBy);
+    }
+
+    /**
+     * Announces that all reclaimable VMs of a failure domain are taken back.
+     *
+     * @param domain the failure domain
+     * @param notice how long they have left
+     * @param now the time
+     */
+    public void reclaim(final FailureDomain domain, final Duration notice, final Instant now) {
+        mMachines.forEach(
+                (vm, machine) -> {
+                    if (machine.mOrder.domain().equals(domain)) {
+                        reclaim(vm, notice, now);
+                    }
+                });
+    }
+
+    /**
+     * Lets time pass: VMs start, and those announced go.
+     *
+     * @param now the time
+     */
+    public void advance(final Instant now) {
+        for (final String vm : List.copyOf(mMachines.keySet())) {
+            final Machine machine = mMachines.get(vm);
+            if (!machine.mUp && !machine.mUpAt.isAfter(now)) {
+                machine.mUp = true;
+                mActions.onStarted(vm, machine.mOrder);
+            }
+            if (machine.mGoneBy != null && !machine.mGoneBy.isAfter(now)) {
+                stop(vm);
+            }
+        }
+    }
+
+    /**
+     * Returns notices.
+     *
+     * @param after the last sequence number seen
+     * @return the later ones, in order
+     */
+    public List<Notice> notices(final long after) {
+        final int start = (int) Math.min(Math.max(after, 0), mNotices.size());
+        return List.copyOf(mNotices.subList(start, mNotices.size()));
+    }
+
+    /**
+     * Fault: no VM is started.
+     *
+     * @param refuses whether starts are refused
+     */
+    public void refuseStarts(final boolean refuses) {
+        mRefuses = refuses;
+    }
+
+    private static final class Machine {
+        private final VmOrder mOrder;
+        private final Instant mUpAt;
+        private boolean mUp;
+        private Instant mGoneBy;
+
+        private Machine(final VmOrder order, final Instant upAt, final boolean up) {
+            mOrder = order;
+            mUpAt = upAt;
+            mUp = up;
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/whinhead/standins/cloud/CloudStandIn.java
@@ -0,0 +1,241 @@
+package org.whinhead.standins.cloud;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.net.URI;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import org.whinhead.api.model.Billing;
+import org.whinhead.api.model.FailureDomain;
+import org.whinhead.standins.StandInContext;
+import org.whinhead.standins.fault.FaultDesk;
+import org.whinhead.standins.http.Call;
+import org.whinhead.standins.http.StandInServer;
+import org.whinhead.standins.vms.VmEntry;
+
+/** A cloud that listens: a {@link CloudSimulation} behind the cloud's protocol. */
+public final class CloudStandIn implements AutoCloseable {
+
+    private static final long DEFAULT_NOTICE_MILLIS = 10_000;
+
+    private final StandInContext mContext;
+    private final StandInServer mServer;
+    private final List<Price> mPrices;
+    private final ExecutorService mActionsThread =
+            Executors.newSingleThreadExecutor(
+                    task -> {
+                        final Thread thread = new Thread(task, "standins-cloud");
+                        thread.setDaemon(true);
+                        return thread;
+                    });
+    private final CloudSimulation mSimulation;
+    private final List<Waiting> mWaiting = new ArrayList<>();
+    private final Runnable mEndTicks;
+
+    private CloudStandIn(
+            final StandInServer server,
+            final Duration boot,
+            final List<Price> prices,
+            final CloudActions actions,
+            final StandInContext context) {
+        mContext = context;
+        mServer = server;
+        mPrices = List.copyOf(prices);
+        mSimulation = new CloudSimulation(boot, apart(actions));
+        server.route("POST", "/cloud/vms", this::startVm)
+                .route("DELETE", "/cloud/vms/{id}", this::stopVm)
+                .route("GET", "/cloud/prices", this::prices)
+                .route("GET", "/cloud/notices", this::notices)
+                .route("POST", "/faults", faults());
+        mEndTicks = context.ticker().add(this::tick);
+    }
+
+    /**
+     * Starts a cloud.
+     *
+     * @param port the port, or 0 for a free one
+     * @param boot how long a VM takes to start
+     * @param prices what VMs cost
+     * @param actions told what happens to VMs
+     * @param context what the stand-ins of the process share
+     * @return the cloud, which listens
+     */
+    public static CloudStandIn start(
+            final int port,
+            final Duration boot,
+            final List<Price> prices,
+            final CloudActions actions,
+            final StandInContext context) {
+        final StandInServer server = new StandInServer("127.0.0.1", port);
+        final CloudStandIn cloud = new CloudStandIn(server, boot, prices, actions, context);
+        server.start();
+        return cloud;
+    }
+
+    /** Returns the base address. */
+    public URI uri() {
+        return mServer.uri();
+    }
+
+    /**
+     * Takes in a VM that runs already.
+     *
+     * @param vm its identity
+     * @param order what it is
+     */
+    public synchronized void adopt(final String vm, final VmOrder order) {
+        mSimulation.adopt(vm, order);
+    }
+
+    /**
+     * Fault: takes back one VM.
+     *
+     * @param vm its identity
+     * @param notice how long it has left
+     */
+    public synchronized void reclaim(final String vm, final Duration notice) {
+        mSimulation.reclaim(vm, notice, mContext.ticker().now());
+    }
+
+    /**
+     * Fault: takes back all reclaimable VMs of a failure domain.
+     *
+     * @param domain the failure domain
+     * @param notice how long they have left
+     */
+    public synchronized void reclaim(final FailureDomain domain, final Duration notice) {
+        mSimulation.reclaim(domain, notice, mContext.ticker().now());
+    }
+
+    /**
+     * Fault: no VM is started.
+     *
+     * @param refuses whether starts are refused
+     */
+    public synchronized void refuseStarts(final boolean refuses) {
+        mSimulation.refuseStarts(refuses);
+    }
+
+    @Override
+    public void close() {
+        mEndTicks.run();
+        mServer.close();
+        mActionsThread.shutdownNow();
+    }
+
+    /** Hands actions to a thread of their own, as starting and killing servers takes a while. */
+    private CloudActions apart(final CloudActions actions) {
+        return new CloudActions() {
+            @Override
+            public void onStarted(final String vm, final VmOrder order) {
+                mActionsThread.execute(() -> actions.onStarted(vm, order));
+            }
+
+            @Override
+            public void onNotice(final String vm, final Instant goneBy) {
+                mActionsThread.execute(() -> actions.onNotice(vm, goneBy));
+            }
+
+            @Override
+            public void onGone(final String vm) {
+                mActionsThread.execute(() -> actions.onGone(vm));
+            }
+        };
+    }
+
+    private FaultDesk faults() {
+        return new FaultDesk(mServer)
+                .on("refuse-starts", body -> refuseStarts(true))
+                .on("allow-starts", body -> refuseStarts(false))
+                .on("reclaim-vm", body -> reclaim(body.path("vm").asText(), noticeTime(body)))
+                .on("reclaim-domain", body -> reclaim(domain(body), noticeTime(body)));
+    }
+
+    private static Duration noticeTime(final JsonNode body) {
+        return Duration.ofMillis(body.path("noticeMillis").asLong(DEFAULT_NOTICE_MILLIS));
+    }
+
+    private static FailureDomain domain(final JsonNode body) {
+        return new FailureDomain(body.path("region").asText(), body.path("domain").asText());
+    }
+
+    private synchronized void tick(final Instant now) {
+        mSimulation.advance(now);
+        mWaiting.removeIf(waiting -> answer(waiting, now));
+    }
+
+    private synchronized void startVm(final Call call) throws IOException {
+        final JsonNode body = call.json();
+        final String billing = body.path("billing").asText().replace('-', '_');
+        final VmOrder order =
+                new VmOrder(
+                        body.path("orderId").asText(),
+                        domain(body),
+                        body.path("machineClass").asText(),
+                        Billing.valueOf(billing.toUpperCase(Locale.ROOT)),
+                        VmEntry.Role.parse(body.path("role").asText()));
+        final Optional<String> vm = mSimulation.start(order, mContext.ticker().now());
+        if (vm.isPresent()) {
+            call.reply(200, Call.object().put("id", vm.get()));
+        } else {
+            call.reply(409, Call.object().put("reason", "capacity"));
+        }
+    }
+
+    private synchronized void stopVm(final Call call) {
+        mSimulation.stop(call.parameter("id").orElse(""));
+        call.reply(204);
+    }
+
+    private void prices(final Call call) {
+        final ObjectNode root = Call.object();
+        final ArrayNode prices = root.putArray("prices");
+        for (final Price price : mPrices) {
+            prices.addObject()
+                    .put("region", price.domain().region())
+                    .put("domain", price.domain().name())
+                    .put("machineClass", price.machineClass())
+                    .put("billing", VmEntry.wireName(price.billing()))
+                    .put("perHour", price.perHour());
+        }
+        call.reply(200, root);
+    }
+
+    private synchronized void notices(final Call call) throws IOException {
+        final Instant now = mContext.ticker().now();
+        final Instant until = now.plusMillis(call.number("waitMillis", 0));
+        final Waiting waiting = new Waiting(call, call.number("after", 0), until);
+        if (!answer(waiting, now)) {
+            mWaiting.add(waiting);
+        }
+    }
+
+    private boolean answer(final Waiting waiting, final Instant now) {
+        final List<CloudSimulation.Notice> found = mSimulation.notices(waiting.after());
+        if (found.isEmpty() && waiting.until().isAfter(now)) {
+            return false;
+        }
+        final ObjectNode root = Call.object();
+        final ArrayNode notices = root.putArray("notices");
+        long next = waiting.after();
+        for (final CloudSimulation.Notice notice : found) {
+            notices.addObject()
+                    .put("sequence", notice.sequence())
+                    .put("vm", notice.vm())
+                    .put("goneBy", notice.goneBy().toString());
+            next = notice.sequence();
+        }
+        waiting.call().reply(200, root.put("next", next));
+        return true;
+    }
+
+    private record Waiting(Call call, long after, Instant until) {}
+}
--- a/standins/src/main/java/org/whinhead/standins/engine/EngineSimulation.java
+++ b/standins/src/main/java/org/whinhead/standins/engine/EngineSimulation.java
@@ -83,7 +83,11 @@
         final EngineStream stream = new EngineStream(nextId(), generation, now);
         mStreams.put(stream.id(), stream);
         mWitness.attempt(generation.requestId());
-        mBatch.add(stream, now);
+        if (stream.isWhole()) {
+            stream.end(EngineStream.State.FINISHED);
+        } else {
+            mBatch.add(stream, now);
+        }
         return Optional.of(stream);
     }
 
--- /dev/null
+++ b/standins/src/main/java/org/whinhead/standins/vms/VmListStandIn.java
@@ -0,0 +1,108 @@
+package org.whinhead.standins.vms;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.net.URI;
+import java.time.Duration;
+import java.util.List;
+import org.whinhead.standins.StandInContext;
+import org.whinhead.standins.fault.FaultDesk;
+import org.whinhead.standins.http.Call;
+import org.whinhead.standins.http.StandInServer;
+
+/** A VM list that listens: a {@link VmListSimulation} behind the list's protocol. */
+public final class VmListStandIn implements AutoCloseable {
+
+    private final StandInContext mContext;
+    private final StandInServer mServer;
+    private final VmListSimulation mSimulation;
+
+    private VmListStandIn(
+            final StandInServer server,
+            final VmListSimulation simulation,
+            final StandInContext context) {
+        mContext = context;
+        mServer = server;
+        mSimulation = simulation;
+        final FaultDesk faults =
+                new FaultDesk(server)
+                        .on("freeze", body -> freeze(true))
+                        .on("unfreeze", body -> freeze(false));
+        server.route("GET", "/vms", this::list).route("POST", "/faults", faults);
+    }
+
+    /**
+     * Starts a VM list.
+     *
+     * @param port the port, or 0 for a free one
+     * @param lag how old what it shows is
+     * @param initial the VMs that it shows from the start
+     * @param context what the stand-ins of the process share
+     * @return the list, which listens
+     */
+    public static VmListStandIn start(
+            final int port,
+            final Duration lag,
+            final List<VmEntry> initial,
+            final StandInContext context) {
+        final StandInServer server = new StandInServer("127.0.0.1", port);
+        final VmListStandIn list =
+                new VmListStandIn(server, new VmListSimulation(lag, initial), context);
+        server.start();
+        return list;
+    }
+
+    /** Returns the base address. */
+    public URI uri() {
+        return mServer.uri();
+    }
+
+    /**
+     * A VM started, or changed.
+     *
+     * @param vm the VM
+     */
+    public synchronized void put(final VmEntry vm) {
+        mSimulation.put(vm, mContext.ticker().now());
+    }
+
+    /**
+     * A VM was announced to stop.
+     *
+     * @param id the VM's identity
+     */
+    public synchronized void leaving(final String id) {
+        mSimulation.leaving(id, mContext.ticker().now());
+    }
+
+    /**
+     * A VM stopped.
+     *
+     * @param id the VM's identity
+     */
+    public synchronized void remove(final String id) {
+        mSimulation.remove(id, mContext.ticker().now());
+    }
+
+    /**
+     * Fault: what the list shows stays as it is.
+     *
+     * @param frozen whether it stands still
+     */
+    public synchronized void freeze(final boolean frozen) {
+        mSimulation.freeze(frozen, mContext.ticker().now());
+    }
+
+    @Override
+    public void close() {
+        mServer.close();
+    }
+
+    private synchronized void list(final Call call) {
+        final VmListSimulation.Snapshot shown = mSimulation.list(mContext.ticker().now());
+        final ObjectNode root = Call.object().put("asOf", shown.asOf().toString());
+        final ArrayNode vms = root.putArray("vms");
+        shown.vms().forEach(vm -> vms.add(vm.toJson()));
+        call.reply(200, root);
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/whinhead/standins/weights/WeightStoreStandIn.java
@@ -0,0 +1,67 @@
+package org.whinhead.standins.weights;
+
+import java.net.URI;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+import org.whinhead.standins.StandInContext;
+import org.whinhead.standins.fault.FaultDesk;
+import org.whinhead.standins.http.Call;
+import org.whinhead.standins.http.StandInServer;
+
+/** A weight store that listens: a {@link WeightStoreSimulation} behind the store's protocol. */
+public final class WeightStoreStandIn implements AutoCloseable {
+
+    private final StandInContext mContext;
+    private final StandInServer mServer;
+    private final WeightStoreSimulation mSimulation;
+
+    private WeightStoreStandIn(
+            final StandInServer server,
+            final WeightStoreSimulation simulation,
+            final StandInContext context) {
+        mContext = context;
+        mServer = server;
+        mSimulation = simulation;
+        server.route("GET", "/weights/{name}/{version}", this::load)
+                .route("POST", "/faults", new FaultDesk(server));
+    }
+
+    /**
+     * Starts a weight store.
+     *
+     * @param port the port, or 0 for a free one
+     * @param simulation the store's rate and queue
+     * @param context what the stand-ins of the process share
+     * @return the store, which listens
+     */
+    public static WeightStoreStandIn start(
+            final int port, final WeightStoreSimulation simulation, final StandInContext context) {
+        final StandInServer server = new StandInServer("127.0.0.1", port);
+        final WeightStoreStandIn store = new WeightStoreStandIn(server, simulation, context);
+        server.start();
+        return store;
+    }
+
+    /** Returns the base address. */
+    public URI uri() {
+        return mServer.uri();
+    }
+
+    @Override
+    public void close() {
+        mServer.close();
+    }
+
+    private synchronized void load(final Call call) {
+        final Instant now = mContext.ticker().now();
+        final Optional<Instant> done = mSimulation.load(now);
+        if (done.isEmpty()) {
+            call.with("Retry-After", "1").fail(429, "too many loads wait");
+            return;
+        }
+        call.after(
+                Duration.between(now, done.get()),
+                () -> call.reply(200, Call.object().put("bytes", mSimulation.bytes())));
+    }
+}
