--- /dev/null
+++ b/standins/src/main/java/org/whinhead/standins/deployment/DeploymentPlan.java
@@ -0,0 +1,92 @@
+package org.whinhead.standins.deployment;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import org.whinhead.api.model.Billing;
+import org.whinhead.api.model.FailureDomain;
+import org.whinhead.standins.cloud.Price;
+
+/** What stands where in the two deployments of today. */
+public enum DeploymentPlan {
+    /** Small-claims filing in Kigali. */
+    INKIKO("kigali", "claims@1", "filings", "kg-gasabo", "kg-kicukiro", "kg-nyarugenge"),
+    /** Food costs in Nairobi. */
+    MEZANI("nairobi", "costs@1", "outlets", "upperhill", "westlands", "industrial-area");
+
+    /** The machine class of model engines. */
+    public static final String ENGINE_CLASS = "engine-small";
+
+    /** The machine class of plain services. */
+    public static final String SERVICE_CLASS = "service-small";
+
+    /** The machine class of the system's own VMs. */
+    public static final String ENTRY_CLASS = "entry-small";
+
+    /** How many engines stand in a failure domain. */
+    public static final int ENGINES_PER_DOMAIN = 2;
+
+    private static final double[] DOMAIN_FACTORS = {1.0, 0.9, 1.15};
+    private static final double ENGINE_PRICE = 0.60;
+    private static final double SERVICE_PRICE = 0.05;
+    private static final double ENTRY_PRICE = 0.03;
+    private static final double ON_DEMAND_FACTOR = 3;
+
+    private final List<FailureDomain> mDomains = new ArrayList<>();
+    private final String mModel;
+    private final String mService;
+
+    DeploymentPlan(
+            final String region,
+            final String model,
+            final String service,
+            final String... domains) {
+        for (final String domain : domains) {
+            mDomains.add(new FailureDomain(region, domain));
+        }
+        mModel = model;
+        mService = service;
+    }
+
+    /** Returns the failure domains. */
+    public List<FailureDomain> domains() {
+        return List.copyOf(mDomains);
+    }
+
+    /** Returns the model that the engines have loaded at the start. */
+    public String model() {
+        return mModel;
+    }
+
+    /** Returns the plain service's name. */
+    public String service() {
+        return mService;
+    }
+
+    /** Returns the name used on command lines. */
+    public String wireName() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+
+    /** Returns what VMs cost. */
+    public List<Price> prices() {
+        final List<Price> prices = new ArrayList<>();
+        for (int index = 0; index < mDomains.size(); index++) {
+            add(prices, index, ENGINE_CLASS, ENGINE_PRICE);
+            add(prices, index, SERVICE_CLASS, SERVICE_PRICE);
+            add(prices, index, ENTRY_CLASS, ENTRY_PRICE);
+        }
+        return prices;
+    }
+
+    private void add(
+            final List<Price> prices,
+            final int index,
+            final String machineClass,
+            final double price) {
+        final FailureDomain domain = mDomains.get(index);
+        final double here = price * DOMAIN_FACTORS[index];
+        prices.add(new Price(domain, machineClass, Billing.RECLAIMABLE, here));
+        prices.add(new Price(domain, machineClass, Billing.ON_DEMAND, here * ON_DEMAND_FACTOR));
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/whinhead/standins/deployment/DeploymentStandIns.java
@@ -0,0 +1,269 @@
+package org.whinhead.standins.deployment;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.net.URI;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.whinhead.api.model.Billing;
+import org.whinhead.api.model.FailureDomain;
+import org.whinhead.standins.StandInContext;
+import org.whinhead.standins.cloud.CloudActions;
+import org.whinhead.standins.cloud.CloudStandIn;
+import org.whinhead.standins.cloud.VmOrder;
+import org.whinhead.standins.engine.EngineStandIn;
+import org.whinhead.standins.fault.FaultDesk;
+import org.whinhead.standins.http.Call;
+import org.whinhead.standins.http.StandInServer;
+import org.whinhead.standins.log.LogConfig;
+import org.whinhead.standins.log.LogStandIn;
+import org.whinhead.standins.service.ServiceStandIn;
+import org.whinhead.standins.vms.VmEntry;
+import org.whinhead.standins.vms.VmListStandIn;
+import org.whinhead.standins.weights.WeightStoreSimulation;
+import org.whinhead.standins.weights.WeightStoreStandIn;
+
+/** The platform, the engines and the services of one deployment, all in this process. */
+public final class DeploymentStandIns implements AutoCloseable {
+
+    private static final String HOST = "127.0.0.1";
+    private static final Duration BOOT = Duration.ofSeconds(30);
+    private static final long MODEL_BYTES = 16_000_000_000L;
+    private static final long WEIGHT_RATE = 2_000_000_000L;
+    private static final int MAX_LOADS = 8;
+    private static final int FIRST_ENGINE_PORT = 10;
+    private static final int FIRST_SERVICE_PORT = 30;
+    private static final int CONTROL_PORT = 4;
+
+    private final DeploymentConfig mConfig;
+    private final StandInContext mContext;
+    private final LogStandIn mLog;
+    private final VmListStandIn mVms;
+    private final WeightStoreStandIn mWeights;
+    private final Machines mMachines;
+    private final CloudStandIn mCloud;
+    private final StandInServer mControl;
+
+    private DeploymentStandIns(
+            final DeploymentConfig config,
+            final StandInContext context,
+            final CloudActions entries) {
+        mConfig = config;
+        mContext = context;
+        final int log = config.port(0);
+        mLog =
+                LogStandIn.start(
+                        new LogConfig(
+                                HOST,
+                                log,
+                                LogConfig.DEFAULT.appendsPerSecond(),
+                                LogConfig.DEFAULT.retention()),
+                        context);
+        mVms = VmListStandIn.start(config.port(1), config.vmLag(), context);
+        mWeights = WeightStoreStandIn.start(config.port(3), weights(config), context);
+        mMachines = new Machines(config, context, mVms, mWeights.uri(), entries);
+        mCloud =
+                CloudStandIn.start(
+                        config.port(2),
+                        scaled(BOOT, config.speedUp()),
+                        config.plan().prices(),
+                        mMachines,
+                        context);
+        mControl = new StandInServer(HOST, config.port(CONTROL_PORT));
+        mControl.route("GET", "/witness", call -> call.reply(200, context.witness().toJson()))
+                .route("GET", "/addresses", call -> call.reply(200, addresses()))
+                .route("POST", "/faults", faults());
+    }
+
+    /**
+     * Starts a deployment whose daemons are looked after by someone else.
+     *
+     * @param config how it is run
+     * @return the stand-ins, which listen
+     */
+    public static DeploymentStandIns start(final DeploymentConfig config) {
+        return start(config, new Unattended());
+    }
+
+    /**
+     * Starts a deployment.
+     *
+     * @param config how it is run
+     * @param entries told what happens to the VMs of the system's daemons
+     * @return the stand-ins, which listen
+     */
+    public static DeploymentStandIns start(
+            final DeploymentConfig config, final CloudActions entries) {
+        final DeploymentStandIns all =
+                new DeploymentStandIns(config, StandInContext.start(), entries);
+        all.startMachines();
+        all.mControl.start();
+        return all;
+    }
+
+    /** Returns what the stand-ins share, with the witness. */
+    public StandInContext context() {
+        return mContext;
+    }
+
+    /** Returns the log service. */
+    public LogStandIn log() {
+        return mLog;
+    }
+
+    /** Returns the VM list. */
+    public VmListStandIn vms() {
+        return mVms;
+    }
+
+    /** Returns the cloud. */
+    public CloudStandIn cloud() {
+        return mCloud;
+    }
+
+    /** Returns the weight store. */
+    public WeightStoreStandIn weights() {
+        return mWeights;
+    }
+
+    /** Returns the engines that run, by VM. */
+    public Map<String, EngineStandIn> engines() {
+        return Map.copyOf(mMachines.engines());
+    }
+
+    /** Returns the plain services that run, by VM. */
+    public Map<String, ServiceStandIn> services() {
+        return Map.copyOf(mMachines.services());
+    }
+
+    /**
+     * Shows a daemon's VM on the VM list and in the cloud.
+     *
+     * @param vm the VM's identity
+     * @param domain its failure domain
+     * @param uri the daemon's address for callers
+     */
+    public void addEntry(final String vm, final FailureDomain domain, final URI uri) {
+        final VmOrder order = order(vm, domain, DeploymentPlan.ENTRY_CLASS, VmEntry.Role.ENTRY);
+        mCloud.adopt(vm, order);
+        mMachines.show(vm, order, uri, "", true, 1);
+    }
+
+    /** Returns all addresses as JSON. */
+    public ObjectNode addresses() {
+        final ObjectNode root = Call.object().put("deployment", mConfig.plan().wireName());
+        root.put("log", mLog.uri().toString())
+                .put("vms", mVms.uri().toString())
+                .put("cloud", mCloud.uri().toString())
+                .put("weights", mWeights.uri().toString())
+                .put("control", mControl.uri().toString());
+        final ObjectNode engines = root.putObject("engines");
+        mMachines.engines().forEach((vm, server) -> engines.put(vm, server.uri().toString()));
+        final ObjectNode services = root.putObject("services");
+        mMachines.services().forEach((vm, server) -> services.put(vm, server.uri().toString()));
+        return root;
+    }
+
+    @Override
+    public void close() {
+        mControl.close();
+        mCloud.close();
+        mMachines.close();
+        mWeights.close();
+        mVms.close();
+        mLog.close();
+        mContext.close();
+    }
+
+    private void startMachines() {
+        final List<FailureDomain> domains = mConfig.plan().domains();
+        final int engines = domains.size() * DeploymentPlan.ENGINES_PER_DOMAIN;
+        for (int index = 0; index < engines; index++) {
+            startMachine(
+                    "vm-engine-" + (index + 1),
+                    domains.get(index % domains.size()),
+                    VmEntry.Role.ENGINE,
+                    mConfig.port(FIRST_ENGINE_PORT + index));
+        }
+        for (int index = 0; index < domains.size(); index++) {
+            startMachine(
+                    "vm-service-" + (index + 1),
+                    domains.get(index),
+                    VmEntry.Role.SERVICE,
+                    mConfig.port(FIRST_SERVICE_PORT + index));
+        }
+        for (int index = 0; index < mConfig.entries().size(); index++) {
+            final URI uri = mConfig.entries().get(index);
+            addEntry("vm-entry-" + (index + 1), domains.get(index % domains.size()), uri);
+        }
+        mMachines.initialStarted();
+    }
+
+    private void startMachine(
+            final String vm, final FailureDomain domain, final VmEntry.Role role, final int port) {
+        final String machineClass =
+                role == VmEntry.Role.ENGINE
+                        ? DeploymentPlan.ENGINE_CLASS
+                        : DeploymentPlan.SERVICE_CLASS;
+        final VmOrder order = order(vm, domain, machineClass, role);
+        mCloud.adopt(vm, order);
+        mMachines.start(vm, order, port, Set.of(mConfig.plan().model()));
+    }
+
+    private static VmOrder order(
+            final String vm,
+            final FailureDomain domain,
+            final String machineClass,
+            final VmEntry.Role role) {
+        return new VmOrder("initial-" + vm, domain, machineClass, Billing.RECLAIMABLE, role);
+    }
+
+    private FaultDesk faults() {
+        return new FaultDesk(mControl)
+                .on("kill", body -> onServer(body, EngineStandIn::kill, ServiceStandIn::kill))
+                .on(
+                        "revive",
+                        body -> onServer(body, EngineStandIn::revive, ServiceStandIn::revive));
+    }
+
+    private void onServer(
+            final JsonNode body,
+            final Consumer<EngineStandIn> engine,
+            final Consumer<ServiceStandIn> service) {
+        final String vm = body.path("vm").asText();
+        Optional.ofNullable(mMachines.engines().get(vm)).ifPresent(engine);
+        Optional.ofNullable(mMachines.services().get(vm)).ifPresent(service);
+    }
+
+    private static WeightStoreSimulation weights(final DeploymentConfig config) {
+        final long rate = (long) (WEIGHT_RATE * config.speedUp());
+        return new WeightStoreSimulation(MODEL_BYTES, rate, MAX_LOADS);
+    }
+
+    private static Duration scaled(final Duration duration, final double speedUp) {
+        return Duration.ofNanos((long) (duration.toNanos() / speedUp));
+    }
+
+    /** Leaves the daemons of reclaimed VMs alone. */
+    private static final class Unattended implements CloudActions {
+        @Override
+        public void onStarted(final String vm, final VmOrder order) {
+            // Nobody starts daemons here.
+        }
+
+        @Override
+        public void onNotice(final String vm, final Instant goneBy) {
+            // The daemon learns it from the cloud.
+        }
+
+        @Override
+        public void onGone(final String vm) {
+            // Nobody ends daemons here.
+        }
+    }
+}
--- a/standins/src/main/java/org/whinhead/standins/vms/VmListSimulation.java
+++ b/standins/src/main/java/org/whinhead/standins/vms/VmListSimulation.java
@@ -25,14 +25,23 @@
     private Instant mFrozenAt;
 
     /**
-     * Makes a list.
+     * Makes an empty list.
      *
      * @param lag how old what it shows is
-     * @param initial the VMs that it shows from the start
      */
-    public VmListSimulation(final Duration lag, final List<VmEntry> initial) {
+    public VmListSimulation(final Duration lag) {
         mLag = lag;
-        initial.forEach(vm -> mVms.put(vm.id(), vm));
+        remember(Instant.MIN);
+    }
+
+    /**
+     * Shows a VM as if it had always been there.
+     *
+     * @param vm the VM
+     */
+    public void seed(final VmEntry vm) {
+        mVms.put(vm.id(), vm);
+        mHistory.clear();
         remember(Instant.MIN);
     }
 
--- a/standins/src/main/java/org/whinhead/standins/vms/VmListStandIn.java
+++ b/standins/src/main/java/org/whinhead/standins/vms/VmListStandIn.java
@@ -4,7 +4,6 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.net.URI;
 import java.time.Duration;
-import java.util.List;
 import org.whinhead.standins.StandInContext;
 import org.whinhead.standins.fault.FaultDesk;
 import org.whinhead.standins.http.Call;
@@ -36,18 +35,13 @@
      *
      * @param port the port, or 0 for a free one
      * @param lag how old what it shows is
-     * @param initial the VMs that it shows from the start
      * @param context what the stand-ins of the process share
      * @return the list, which listens
      */
     public static VmListStandIn start(
-            final int port,
-            final Duration lag,
-            final List<VmEntry> initial,
-            final StandInContext context) {
+            final int port, final Duration lag, final StandInContext context) {
         final StandInServer server = new StandInServer("127.0.0.1", port);
-        final VmListStandIn list =
-                new VmListStandIn(server, new VmListSimulation(lag, initial), context);
+        final VmListStandIn list = new VmListStandIn(server, new VmListSimulation(lag), context);
         server.start();
         return list;
     }
@@ -57,6 +51,15 @@
         return mServer.uri();
     }
 
+    /**
+     * Shows a VM at once, as if it had always been there.
+     *
+     * @param vm the VM
+     */
+    public synchronized void seed(final VmEntry vm) {
+        mSimulation.seed(vm);
+    }
+
     /**
      * A VM started, or changed.
      *
--- a/standins/src/test/java/org/whinhead/standins/vms/VmListSimulationTest.java
+++ b/standins/src/test/java/org/whinhead/standins/vms/VmListSimulationTest.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.whinhead.api.model.Billing;
 import org.whinhead.api.model.FailureDomain;
@@ -26,7 +27,12 @@
                     true,
                     8);
 
-    private final VmListSimulation mList = new VmListSimulation(Duration.ofSeconds(3), List.of(VM));
+    private final VmListSimulation mList = new VmListSimulation(Duration.ofSeconds(3));
+
+    @BeforeEach
+    void seed() {
+        mList.seed(VM);
+    }
 
     @Test
     void showsChangesAfterTheLag() {
