--- a/standins/src/main/java/org/whinhead/standins/http/StandInServer.java
+++ b/standins/src/main/java/org/whinhead/standins/http/StandInServer.java
@@ -73,16 +73,17 @@
     }
 
     /** Cuts every connection and refuses new ones. */
-    public synchronized void kill() {
-        if (mUndertow == null) {
+    public void kill() {
+        final Undertow stopping = takeOut();
+        if (stopping == null) {
             return;
         }
         mConnections.forEach(IoUtils::safeClose);
-        mUndertow.stop();
+        // Stopping waits for the server's threads, which may wait for this object's lock to admit a
+        // call: with the lock held both would wait for ever.
+        stopping.stop();
         mConnections.forEach(IoUtils::safeClose);
         mConnections.clear();
-        mParked.clear();
-        mUndertow = null;
     }
 
     /**
@@ -130,15 +131,30 @@
                                         () -> admit(new Call(ready, body), handler)));
     }
 
-    private synchronized void admit(final Call call, final CallHandler handler) {
+    private synchronized Undertow takeOut() {
+        final Undertow running = mUndertow;
+        mUndertow = null;
+        mParked.clear();
+        return running;
+    }
+
+    private void admit(final Call call, final CallHandler handler) {
         if (CONTROL_PATHS.contains(call.path())) {
             run(call, handler);
-        } else if (mFrozen) {
-            mParked.add(() -> call.after(Duration.ZERO, () -> run(call, handler)));
-        } else if (mDelay.isZero()) {
+            return;
+        }
+        final Duration delay;
+        synchronized (this) {
+            if (mFrozen) {
+                mParked.add(() -> call.after(Duration.ZERO, () -> run(call, handler)));
+                return;
+            }
+            delay = mDelay;
+        }
+        if (delay.isZero()) {
             run(call, handler);
         } else {
-            call.after(mDelay, () -> run(call, handler));
+            call.after(delay, () -> run(call, handler));
         }
     }
 
--- a/standins/src/main/java/org/whinhead/standins/service/ServiceSimulation.java
+++ b/standins/src/main/java/org/whinhead/standins/service/ServiceSimulation.java
@@ -54,6 +54,11 @@
         mRunning--;
     }
 
+    /** Forgets the calls in progress, as the end of the process would. */
+    public void kill() {
+        mRunning = 0;
+    }
+
     private ServiceFault next() {
         for (final Map.Entry<ServiceFault, Integer> planned : mPlanned.entrySet()) {
             if (planned.getValue() > 0) {
--- a/standins/src/main/java/org/whinhead/standins/service/ServiceStandIn.java
+++ b/standins/src/main/java/org/whinhead/standins/service/ServiceStandIn.java
@@ -63,6 +63,9 @@
     /** Fault: all connections are cut and new ones refused; calls in progress did run. */
     public void kill() {
         mServer.kill();
+        synchronized (this) {
+            mSimulation.kill();
+        }
     }
 
     /** Ends {@link #kill}. */
