Decide the life of a request from arrival to its final answer

Cause: the module held contracts only; nothing decided when a request is dispatched, retried, recovered or refused.

Conclusion: the signatures are meant to stay as they are from here on.

--- /dev/null
+++ b/requests/src/main/java/org/whinhead/requests/Attempt.java
@@ -0,0 +1,145 @@
+package org.whinhead.requests;
+
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.whinhead.api.model.Endpoint;
+import org.whinhead.api.request.AttemptId;
+
+/** One attempt in progress, with its place in the answer. */
+final class Attempt {
+
+    private final AttemptId mId;
+    private final Endpoint mEndpoint;
+    private final AttemptKind mKind;
+    private final Instant mStartedAt;
+    private final long mFirstIndex;
+    private final Map<Long, String> mEarly = new HashMap<>();
+    private String mStreamId = "";
+    private long mNextIndex;
+    private int mCheckedCharacters;
+    private boolean mChecking;
+    private long mTokens;
+    private Instant mHeardAt;
+    private Optional<RecoveryCause> mCause = Optional.empty();
+    private long mRecomputed;
+
+    Attempt(
+            final AttemptId id,
+            final Endpoint endpoint,
+            final AttemptKind kind,
+            final long firstIndex,
+            final long nextIndex,
+            final Instant startedAt) {
+        mId = id;
+        mEndpoint = endpoint;
+        mKind = kind;
+        mFirstIndex = firstIndex;
+        mNextIndex = nextIndex;
+        mStartedAt = startedAt;
+        mHeardAt = startedAt;
+        mChecking = kind == AttemptKind.START;
+    }
+
+    AttemptId id() {
+        return mId;
+    }
+
+    Endpoint endpoint() {
+        return mEndpoint;
+    }
+
+    AttemptKind kind() {
+        return mKind;
+    }
+
+    Instant startedAt() {
+        return mStartedAt;
+    }
+
+    /** Returns the first index of the answer that the stream holds. */
+    long firstIndex() {
+        return mFirstIndex;
+    }
+
+    String streamId() {
+        return mStreamId;
+    }
+
+    boolean hasStream() {
+        return !mStreamId.isEmpty();
+    }
+
+    void setStreamId(final String streamId) {
+        mStreamId = streamId;
+    }
+
+    /** Returns the index of the token that comes next. */
+    long nextIndex() {
+        return mNextIndex;
+    }
+
+    /** Moves on by one token. */
+    void advance() {
+        mNextIndex++;
+        mTokens++;
+    }
+
+    /** Returns how many tokens this attempt brought. */
+    long tokens() {
+        return mTokens;
+    }
+
+    Instant heardAt() {
+        return mHeardAt;
+    }
+
+    void heard(final Instant now) {
+        mHeardAt = now;
+    }
+
+    /** Returns why this attempt repeats work, if it does. */
+    Optional<RecoveryCause> cause() {
+        return mCause;
+    }
+
+    /** Returns how many tokens this attempt computes again, before caches are taken off. */
+    long recomputed() {
+        return mRecomputed;
+    }
+
+    void setRecomputed(final RecoveryCause cause, final long tokens) {
+        mCause = Optional.of(cause);
+        mRecomputed = tokens;
+    }
+
+    /** Returns how much of the delivered text a restarted answer has repeated so far. */
+    int checkedCharacters() {
+        return mCheckedCharacters;
+    }
+
+    /** Tells whether the stream began at index 0 and its repetition is still being compared. */
+    boolean isChecking() {
+        return mChecking;
+    }
+
+    void stopChecking() {
+        mChecking = false;
+    }
+
+    void checked(final int characters) {
+        mCheckedCharacters += characters;
+    }
+
+    /** Keeps a token that overtook others; returns how many are kept. */
+    int keepEarly(final long index, final String text) {
+        mEarly.put(index, text);
+        return mEarly.size();
+    }
+
+    /** Takes out the kept token that comes next, or null. */
+    String takeNextEarly() {
+        return mEarly.remove(mNextIndex);
+    }
+}
--- a/requests/src/main/java/org/whinhead/requests/AttemptEvent.java
+++ b/requests/src/main/java/org/whinhead/requests/AttemptEvent.java
@@ -27,7 +27,8 @@
      * One token arrived.
      *
      * @param attempt the attempt
-     * @param index the token's index in the endpoint's stream, from 0
+     * @param index the token's index in the caller's whole answer, from 0; a stream that continues
+     *     delivered text starts at that text's length
      * @param text the token's text
      */
     record Token(AttemptId attempt, long index, String text) implements AttemptEvent {
@@ -45,8 +46,14 @@
      * @param finishReason the engine's reason, for example {@code stop} or {@code length}
      * @param promptTokens prompt tokens that the engine counted
      * @param cachedTokens prompt tokens that it found in its cache
+     * @param answerTokens the whole answer's length: the index after its last token
      */
-    record Finished(AttemptId attempt, String finishReason, int promptTokens, int cachedTokens)
+    record Finished(
+            AttemptId attempt,
+            String finishReason,
+            int promptTokens,
+            int cachedTokens,
+            long answerTokens)
             implements AttemptEvent {
         /** Checks every part. */
         public Finished {
--- /dev/null
+++ b/requests/src/main/java/org/whinhead/requests/DecisionLog.java
@@ -0,0 +1,82 @@
+package org.whinhead.requests;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.whinhead.api.Arguments;
+import org.whinhead.api.request.RequestId;
+
+/** The latest decisions in a ring of fixed size; used by the coordinator's thread alone. */
+public final class DecisionLog {
+
+    private final Decision[] mRing;
+    private long mWritten;
+
+    /**
+     * Makes an empty log.
+     *
+     * @param capacity how many decisions it keeps
+     */
+    public DecisionLog(final int capacity) {
+        Arguments.requireAtLeast(capacity, 1, "capacity");
+        mRing = new Decision[capacity];
+    }
+
+    /**
+     * Returns what is still kept about a request, oldest first.
+     *
+     * @param request the request
+     * @return its decisions
+     */
+    public List<Decision> of(final RequestId request) {
+        final List<Decision> found = new ArrayList<>();
+        final long oldest = Math.max(0, mWritten - mRing.length);
+        for (long place = oldest; place < mWritten; place++) {
+            final Decision decision = mRing[(int) (place % mRing.length)];
+            if (decision.request().equals(request)) {
+                found.add(decision);
+            }
+        }
+        return found;
+    }
+
+    /** Records a decision about a request as a whole. */
+    void add(
+            final RequestState state,
+            final DecisionKind kind,
+            final String cause,
+            final Instant now) {
+        add(new Decision(now, state.id(), 0, kind, Optional.empty(), cause));
+    }
+
+    /** Records a decision about one attempt. */
+    void add(
+            final Attempt attempt, final DecisionKind kind, final String cause, final Instant now) {
+        add(
+                new Decision(
+                        now,
+                        attempt.id().request(),
+                        attempt.id().number(),
+                        kind,
+                        Optional.of(attempt.endpoint().id()),
+                        cause));
+    }
+
+    void add(final Decision decision) {
+        mRing[(int) (mWritten % mRing.length)] = decision;
+        mWritten++;
+    }
+
+    /** Records that an event of an attempt that is over was ignored. */
+    void addLate(final AttemptEvent event, final Instant now) {
+        add(
+                new Decision(
+                        now,
+                        event.attempt().request(),
+                        event.attempt().number(),
+                        DecisionKind.LATE_EVENT_IGNORED,
+                        Optional.empty(),
+                        event.getClass().getSimpleName()));
+    }
+}
--- /dev/null
+++ b/requests/src/main/java/org/whinhead/requests/LeavingEndpoints.java
@@ -0,0 +1,34 @@
+package org.whinhead.requests;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.whinhead.api.model.EndpointId;
+
+/** The endpoints that were announced to leave, until well after their end. */
+final class LeavingEndpoints {
+
+    private static final Duration KEPT_AFTER_END = Duration.ofMinutes(1);
+
+    private final Map<EndpointId, Instant> mGoneBy = new HashMap<>();
+
+    /** Notes an announcement; of several, the earliest end counts. */
+    void add(final EndpointId endpoint, final Instant goneBy) {
+        mGoneBy.merge(endpoint, goneBy, (a, b) -> a.isBefore(b) ? a : b);
+    }
+
+    Optional<Instant> goneBy(final EndpointId endpoint) {
+        return Optional.ofNullable(mGoneBy.get(endpoint));
+    }
+
+    Set<EndpointId> all() {
+        return mGoneBy.keySet();
+    }
+
+    void forgetOld(final Instant now) {
+        mGoneBy.values().removeIf(goneBy -> goneBy.plus(KEPT_AFTER_END).isBefore(now));
+    }
+}
--- a/requests/src/main/java/org/whinhead/requests/RequestActions.java
+++ b/requests/src/main/java/org/whinhead/requests/RequestActions.java
@@ -98,4 +98,42 @@
      * @param refusal why, and whether it may have run
      */
     void refuse(RequestId request, Refusal refusal);
+
+    /**
+     * Stops reading an attempt's stream without ending it at its endpoint; no further event of it
+     * is wanted.
+     *
+     * @param attempt the attempt
+     */
+    void release(AttemptId attempt);
+
+    /**
+     * Gives the caller a ticket, good from now on, with which it can fetch the rest of its answer
+     * from any daemon; a later ticket replaces it.
+     *
+     * @param request the request
+     * @param ticket where the answer is being made
+     */
+    void ticket(RequestId request, Ticket ticket);
+
+    /**
+     * Sends the caller away with a ticket because this daemon stops. A streamed answer ends with
+     * the ticket; a caller that waits for a whole answer gets the refusal and the ticket. The
+     * engine's stream runs on: it is neither cancelled nor read any more.
+     *
+     * @param request the request
+     * @param ticket where the answer is being made
+     * @param refusal what is said beside it, with a time to come back
+     */
+    void handBack(RequestId request, Ticket ticket, Refusal refusal);
+
+    /**
+     * Gives up a granted claim: its holder has ended the request and it certainly did not run, so
+     * that another daemon may claim it. Doing nothing is safe; the request then stays claimed.
+     *
+     * @param request the request
+     */
+    default void unclaim(final RequestId request) {
+        // A claim that is never given up only costs its caller a repeat under a new key.
+    }
 }
--- a/requests/src/main/java/org/whinhead/requests/RequestCoordinator.java
+++ b/requests/src/main/java/org/whinhead/requests/RequestCoordinator.java
@@ -16,11 +16,13 @@
      *
      * @param spec the request
      * @param now the time
+     * @return false, with nothing done, if a request of that identity is in progress here
      */
-    void arrived(RequestSpec spec, Instant now);
+    boolean arrived(RequestSpec spec, Instant now);
 
     /**
-     * Takes in a caller that comes back for the rest of an answer.
+     * Takes in a caller that comes back for the rest of an answer. If the request is still in
+     * progress here, its former connection gets nothing more.
      *
      * @param spec the request, rebuilt from the caller's repeated body
      * @param ticket where the answer was being made
@@ -64,6 +66,15 @@
      */
     void endpointLeaving(EndpointId endpoint, Instant goneBy, Instant now);
 
+    /**
+     * This daemon was told to stop: new requests are refused, those in progress run on, and callers
+     * whose answer is not whole shortly before the end are sent away with a ticket.
+     *
+     * @param goneBy when the daemon stops answering
+     * @param now the time
+     */
+    void stopping(Instant goneBy, Instant now);
+
     /**
      * Time passed; called at least every 50 ms.
      *
--- /dev/null
+++ b/requests/src/main/java/org/whinhead/requests/StallDetector.java
@@ -0,0 +1,38 @@
+package org.whinhead.requests;
+
+import java.time.Duration;
+import java.time.Instant;
+import org.whinhead.api.model.Tier;
+
+/**
+ * Finds attempts from which nothing has come for too long.
+ *
+ * <p>Guards against an endpoint that is frozen, or a connection that is half open: no failure is
+ * ever reported, and the caller would wait until its deadline. The bound follows the tier's latency
+ * targets, with a larger one before the first token.
+ */
+final class StallDetector {
+
+    private final RequestSettings mSettings;
+
+    StallDetector(final RequestSettings settings) {
+        mSettings = settings;
+    }
+
+    /** Tells whether an attempt has been silent for too long. */
+    boolean isSilent(final RequestState state, final Attempt attempt, final Instant now) {
+        if (!state.spec().kind().streams() && !state.spec().idempotent()) {
+            return false;
+        }
+        return !now.isBefore(attempt.heardAt().plus(bound(state, attempt)));
+    }
+
+    private Duration bound(final RequestState state, final Attempt attempt) {
+        final Tier tier = state.spec().tier();
+        final Duration target =
+                attempt.tokens() == 0 ? tier.firstTokenTarget() : tier.betweenTokensTarget();
+        final Duration bound = target.multipliedBy(mSettings.silenceFactor());
+        final Duration least = mSettings.leastSilence();
+        return bound.compareTo(least) < 0 ? least : bound;
+    }
+}
--- /dev/null
+++ b/requests/src/main/java/org/whinhead/requests/StreamDelivery.java
@@ -0,0 +1,111 @@
+package org.whinhead.requests;
+
+import java.time.Instant;
+
+/**
+ * Hands an attempt's tokens to the caller, each index once and in order.
+ *
+ * <p>Guards against a mixed answer: a restarted or foreign stream whose text differs from what the
+ * caller has. It would show as an answer that no single run gave. Indexes below the delivered count
+ * are compared with the delivered text and never handed on, so a stream either repeats it exactly
+ * or is left.
+ */
+final class StreamDelivery {
+
+    /** More tokens than this that overtook others mean that one is lost. */
+    private static final int MAX_EARLY_TOKENS = 256;
+
+    private final Wiring mWiring;
+    private final Endings mEndings;
+    private final Recovery mRecovery;
+
+    StreamDelivery(final Wiring wiring, final Endings endings, final Recovery recovery) {
+        mWiring = wiring;
+        mEndings = endings;
+        mRecovery = recovery;
+    }
+
+    /** A token of the live attempt arrived. */
+    void token(
+            final RequestState state,
+            final Attempt attempt,
+            final AttemptEvent.Token token,
+            final Instant now) {
+        attempt.heard(now);
+        if (token.index() < attempt.nextIndex()) {
+            return;
+        }
+        if (token.index() > attempt.nextIndex()) {
+            keepEarly(state, attempt, token, now);
+            return;
+        }
+        String text = token.text();
+        while (text != null) {
+            if (!accept(state, attempt, text)) {
+                mRecovery.abandon(state, attempt, RecoveryCause.FOREIGN_STREAM, now);
+                return;
+            }
+            text = attempt.takeNextEarly();
+        }
+    }
+
+    /** The live attempt's stream ended as it should. */
+    void finished(
+            final RequestState state,
+            final Attempt attempt,
+            final AttemptEvent.Finished finished,
+            final Instant now) {
+        if (attempt.nextIndex() < finished.answerTokens()) {
+            final String detail = "tokens are missing before the end";
+            mRecovery.failed(state, attempt, AttemptFailure.CUT_DURING_ANSWER, detail, now);
+            return;
+        }
+        if (finished.answerTokens() < state.delivered().tokens()) {
+            mRecovery.abandon(state, attempt, RecoveryCause.FOREIGN_STREAM, now);
+            return;
+        }
+        takeOffCached(state, attempt, finished);
+        mEndings.complete(state, finished, now);
+    }
+
+    private void keepEarly(
+            final RequestState state,
+            final Attempt attempt,
+            final AttemptEvent.Token token,
+            final Instant now) {
+        if (attempt.keepEarly(token.index(), token.text()) > MAX_EARLY_TOKENS) {
+            final String detail = "a token is missing";
+            mRecovery.failed(state, attempt, AttemptFailure.CUT_DURING_ANSWER, detail, now);
+        }
+    }
+
+    private boolean accept(final RequestState state, final Attempt attempt, final String text) {
+        final DeliveredText delivered = state.delivered();
+        final long index = attempt.nextIndex();
+        if (index < delivered.tokens()) {
+            if (!delivered.hasAt(attempt.checkedCharacters(), text)) {
+                return false;
+            }
+            attempt.checked(text.length());
+        } else {
+            if (attempt.isChecking() && attempt.checkedCharacters() != delivered.length()) {
+                return false;
+            }
+            attempt.stopChecking();
+            delivered.append(text);
+            state.setResumeTried(false);
+            mWiring.actions().deliver(state.id(), index, text);
+        }
+        attempt.advance();
+        return true;
+    }
+
+    private void takeOffCached(
+            final RequestState state, final Attempt attempt, final AttemptEvent.Finished finished) {
+        if (attempt.cause().isPresent()) {
+            final long cached = Math.min(finished.cachedTokens(), attempt.recomputed());
+            state.addRecomputed(-cached);
+            mWiring.counters().takeBack(attempt.cause().get(), cached);
+        }
+    }
+}
--- a/requests/src/main/java/org/whinhead/requests/Ticket.java
+++ b/requests/src/main/java/org/whinhead/requests/Ticket.java
@@ -12,8 +12,8 @@
  * @param attempt the attempt that the answer comes from
  * @param customer who asked; a ticket is good for nobody else
  * @param endpoint the engine that holds the stream
- * @param streamId the engine's name for the stream
- * @param indexOffset the caller's index of the stream's token 0
+ * @param streamId the engine's name for the stream; empty if only the caller's text is left
+ * @param indexOffset the first index of the answer that the stream holds
  * @param idempotent whether the request may run more than once
  * @param deadline when the whole answer is due
  */
--- a/routing/src/main/java/org/whinhead/routing/Router.java
+++ b/routing/src/main/java/org/whinhead/routing/Router.java
@@ -28,4 +28,18 @@
      * @param now the time
      */
     void ended(EndpointId endpoint, RequestSpec spec, Instant now);
+
+    /**
+     * Finds one endpoint by name, if it may still answer, and counts a send against it; used to
+     * resume a stream that the endpoint holds.
+     *
+     * @param endpoint the endpoint
+     * @param spec the request
+     * @param now the time
+     * @return the endpoint, or empty if it is not known or gone
+     */
+    default Optional<Endpoint> find(
+            final EndpointId endpoint, final RequestSpec spec, final Instant now) {
+        return Optional.empty();
+    }
 }
