--- a/requests/src/main/java/org/whinhead/requests/DefaultRequestCoordinator.java
+++ b/requests/src/main/java/org/whinhead/requests/DefaultRequestCoordinator.java
@@ -22,8 +22,8 @@
     private final AttemptLauncher mLauncher;
     private final ClaimGate mClaimGate;
     private final Recovery mRecovery;
-    private final StreamDelivery mDelivery;
     private final Tickets mTickets;
+    private final AttemptEventHandler mEvents;
     private final Departures mDepartures;
     private final Shutdown mShutdown;
     private final StallDetector mStalls;
@@ -35,9 +35,9 @@
         mLauncher = new AttemptLauncher(wiring, mEndings, mLeaving);
         mClaimGate = new ClaimGate(wiring, mEndings, mLauncher);
         mRecovery = new Recovery(wiring, mEndings, mLauncher, mLeaving);
-        mDelivery = new StreamDelivery(wiring, mEndings, mRecovery);
         mTickets = new Tickets(wiring, mEndings, mLauncher, mRecovery);
         mDepartures = new Departures(wiring, mEndings, mLauncher, mRecovery, mTickets, mLeaving);
+        mEvents = new AttemptEventHandler(wiring, mEndings, mRecovery, mTickets, mDepartures);
         mShutdown = new Shutdown(wiring, mEndings);
         mStalls = new StallDetector(wiring.settings());
     }
@@ -96,15 +96,7 @@
     @Override
     public void attemptEvent(final AttemptEvent event, final Instant now) {
         final Optional<RequestState> state = mEndings.find(event.attempt().request());
-        final Optional<Attempt> live = state.flatMap(s -> current(s.live(), event));
-        final Optional<Attempt> move = state.flatMap(s -> current(s.move(), event));
-        if (live.isPresent()) {
-            liveEvent(state.get(), live.get(), event, now);
-        } else if (move.isPresent()) {
-            moveEvent(state.get(), move.get(), event, now);
-        } else {
-            lateEvent(event, now);
-        }
+        mEvents.happened(state, event, now);
         if (state.isPresent() && !mEndings.isOpen(state.get())) {
             admit(now);
         }
@@ -176,87 +168,6 @@
                 .filter(state -> state.phase() == RequestState.Phase.WAITING);
     }
 
-    private static Optional<Attempt> current(
-            final Optional<Attempt> attempt, final AttemptEvent event) {
-        return attempt.filter(known -> known.id().equals(event.attempt()));
-    }
-
-    private void liveEvent(
-            final RequestState state,
-            final Attempt attempt,
-            final AttemptEvent event,
-            final Instant now) {
-        if (event instanceof AttemptEvent.Opened opened) {
-            opened(state, attempt, opened, now);
-        } else if (event instanceof AttemptEvent.Token token) {
-            mDelivery.token(state, attempt, token, now);
-        } else if (event instanceof AttemptEvent.Finished finished) {
-            mDelivery.finished(state, attempt, finished, now);
-        } else if (event instanceof AttemptEvent.Answered answered) {
-            mEndings.answer(state, answered.answer(), now);
-        } else if (event instanceof AttemptEvent.Failed failed) {
-            failed(state, attempt, failed, now);
-        }
-    }
-
-    private void opened(
-            final RequestState state,
-            final Attempt attempt,
-            final AttemptEvent.Opened opened,
-            final Instant now) {
-        attempt.heard(now);
-        final boolean named = !opened.streamId().isEmpty();
-        if (named && (attempt.kind().isDispatch() || attempt.kind() == AttemptKind.RESUME)) {
-            attempt.setStreamId(opened.streamId());
-            mTickets.issue(state, attempt);
-            mDepartures.look(state, now);
-        }
-    }
-
-    private void failed(
-            final RequestState state,
-            final Attempt attempt,
-            final AttemptEvent.Failed failed,
-            final Instant now) {
-        if (state.move().isPresent()) {
-            mDepartures.sourceFailed(state, attempt, now);
-        } else {
-            mRecovery.failed(state, attempt, failed.failure(), failed.detail(), now);
-        }
-    }
-
-    private void moveEvent(
-            final RequestState state,
-            final Attempt move,
-            final AttemptEvent event,
-            final Instant now) {
-        if (event instanceof AttemptEvent.Moved moved) {
-            mDepartures.moved(state, move, moved.streamId(), now);
-        } else if (event instanceof AttemptEvent.Failed failed) {
-            mDepartures.giveUpMove(state, move, failed.detail(), now);
-        }
-    }
-
-    /** An attempt that is over opened a stream after all: nobody reads it, so it is cancelled. */
-    private void lateEvent(final AttemptEvent event, final Instant now) {
-        final String streamId = streamOf(event);
-        if (!streamId.isEmpty()) {
-            mEndings.abandoned()
-                    .take(event.attempt())
-                    .ifPresent(
-                            endpoint ->
-                                    mWiring.actions().cancel(event.attempt(), endpoint, streamId));
-        }
-        mWiring.log().addLate(event, now);
-    }
-
-    private static String streamOf(final AttemptEvent event) {
-        if (event instanceof AttemptEvent.Opened opened) {
-            return opened.streamId();
-        }
-        return event instanceof AttemptEvent.Moved moved ? moved.streamId() : "";
-    }
-
     private void look(final RequestState state, final Instant now) {
         if (!mEndings.isOpen(state)) {
             return;
@@ -292,7 +203,6 @@
         private Router mRouter;
         private Admission mAdmission;
         private RequestActions mActions;
-        private AttemptOutcomes mOutcomes = AttemptOutcomes.NONE;
         private RequestSettings mSettings = RequestSettings.builder().build();
         private RandomGenerator mRandom;
         private int mDecisions = DEFAULT_DECISIONS;
@@ -317,12 +227,6 @@
             return this;
         }
 
-        /** Sets what learns how attempts ended; nothing by default. */
-        public Builder outcomes(final AttemptOutcomes outcomes) {
-            mOutcomes = outcomes;
-            return this;
-        }
-
         /** Sets patience and limits. */
         public Builder settings(final RequestSettings settings) {
             mSettings = settings;
@@ -351,7 +255,6 @@
                             mRouter,
                             mAdmission,
                             mActions,
-                            mOutcomes,
                             mSettings,
                             mRandom,
                             new DecisionLog(mDecisions),
--- a/requests/src/main/java/org/whinhead/requests/Endings.java
+++ b/requests/src/main/java/org/whinhead/requests/Endings.java
@@ -138,7 +138,7 @@
 
     private void succeeded(final RequestState state, final Instant now) {
         final Attempt attempt = state.live().orElseThrow();
-        mWiring.outcomes().succeeded(attempt.endpoint().id(), attempt.startedAt(), now);
+        mWiring.router().succeeded(attempt.endpoint().id(), state.spec(), now);
         mWiring.log().add(attempt, DecisionKind.COMPLETED, "", now);
         ended(state, attempt, now);
         cancelAttempts(state, now);
--- a/requests/src/main/java/org/whinhead/requests/Recovery.java
+++ b/requests/src/main/java/org/whinhead/requests/Recovery.java
@@ -44,7 +44,9 @@
             final String detail,
             final Instant now) {
         mWiring.log().add(attempt, DecisionKind.ATTEMPT_FAILED, failure + " " + detail, now);
-        reportHealth(attempt, failure, now);
+        if (failure.countsAgainstEndpoint()) {
+            mWiring.router().failed(attempt.endpoint().id(), state.spec(), now);
+        }
         addVerdict(state, attempt, failure);
         final RecoveryPlanner.Step step = mPlanner.plan(state, attempt, failure);
         if (step == RecoveryPlanner.Step.RESUME) {
@@ -93,14 +95,6 @@
         }
     }
 
-    private void reportHealth(
-            final Attempt attempt, final AttemptFailure failure, final Instant now) {
-        if (failure.countsAgainstEndpoint()) {
-            final Instant startedAt = attempt.startedAt();
-            mWiring.outcomes().failed(attempt.endpoint().id(), failure, startedAt, now);
-        }
-    }
-
     /**
      * Adds what the failure says of the whole request. Only a dispatch can say that nothing ran or
      * that the request itself was rejected: a failed resumption says nothing about the run whose
--- a/requests/src/main/java/org/whinhead/requests/Wiring.java
+++ b/requests/src/main/java/org/whinhead/requests/Wiring.java
@@ -8,10 +8,9 @@
 /**
  * What the parts of one coordinator share.
  *
- * @param router chooses endpoints
+ * @param router chooses endpoints and learns how attempts ended
  * @param admission decides when a request runs
  * @param actions the outside
- * @param outcomes learns how attempts ended
  * @param settings patience and limits
  * @param random jitter
  * @param log the decision records
@@ -22,7 +21,6 @@
         Router router,
         Admission admission,
         RequestActions actions,
-        AttemptOutcomes outcomes,
         RequestSettings settings,
         RandomGenerator random,
         DecisionLog log,
@@ -33,7 +31,6 @@
         Objects.requireNonNull(router, "router");
         Objects.requireNonNull(admission, "admission");
         Objects.requireNonNull(actions, "actions");
-        Objects.requireNonNull(outcomes, "outcomes");
         Objects.requireNonNull(settings, "settings");
         Objects.requireNonNull(random, "random");
         Objects.requireNonNull(log, "log");
