Let the router find the engine that holds a stream

Cause: a caller that comes back names its engine, and the router could only choose freely. Change: AffinityRouter.find gives a known endpoint that may still answer, also a leaving one, and counts the send. Conclusion: the sends of resumptions are in the load estimate.

--- a/routing/src/main/java/org/whinhead/routing/AffinityRouter.java
+++ b/routing/src/main/java/org/whinhead/routing/AffinityRouter.java
@@ -166,6 +166,17 @@
         }
     }
 
+    @Override
+    public Optional<Endpoint> find(
+            final EndpointId endpoint, final RequestSpec spec, final Instant now) {
+        final EndpointState state = mTable.state(endpoint);
+        if (state == null || !state.endpoint().vm().state().mayStillAnswer()) {
+            return Optional.empty();
+        }
+        dispatch(state, spec, now);
+        return state.chosen();
+    }
+
     private void dispatch(final EndpointState state, final RequestSpec spec, final Instant now) {
         final EndpointId id = state.endpoint().id();
         final long revision = state.health().dispatched(now);
