--- /dev/null
+++ b/standins/src/main/java/org/whinhead/standins/load/LoadRun.java
@@ -0,0 +1,191 @@
+package org.whinhead.standins.load;
+
+import java.time.Duration;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.LongSupplier;
+import org.whinhead.api.Arguments;
+import org.whinhead.standins.load.caller.CallerConfig;
+import org.whinhead.standins.load.caller.Callers;
+import org.whinhead.standins.load.mix.Mix;
+import org.whinhead.standins.load.mix.PlannedRequest;
+import org.whinhead.standins.load.mix.RequestPlanner;
+import org.whinhead.standins.load.result.LoadResult;
+import org.whinhead.standins.load.result.Outcome;
+import org.whinhead.standins.load.result.RequestResult;
+
+/**
+ * One run of callers against daemons, in an open loop (a rate, whatever the answers take) or in a
+ * closed one (a number of callers, each with one request at a time).
+ */
+public final class LoadRun {
+
+    private static final Duration PAUSE_AFTER_FAILURE = Duration.ofMillis(100);
+
+    private final Mix mMix;
+    private final Duration mDuration;
+    private final int mClosedCallers;
+    private final LongSupplier mNanos;
+    private final RequestPlanner mPlanner;
+    private final ArrivalTimes mArrivals;
+    private final LoadRecorder mRecorder = new LoadRecorder();
+    private final Callers mCallers;
+    private final ScheduledExecutorService mStarts = Executors.newSingleThreadScheduledExecutor();
+    private final AtomicInteger mInProgress = new AtomicInteger(1); // the run itself, until stopped
+    private final CompletableFuture<LoadResult> mResult = new CompletableFuture<>();
+    private volatile boolean mStopped;
+    private volatile long mStartedAt;
+
+    private LoadRun(final Builder builder) {
+        mMix = builder.mMix;
+        mDuration = builder.mDuration;
+        mClosedCallers = builder.mClosedCallers;
+        mNanos = builder.mNanos;
+        mPlanner = new RequestPlanner(mMix, builder.mSeed);
+        mArrivals = new ArrivalTimes(builder.mPerSecond, builder.mSeed);
+        mCallers = new Callers(builder.mConfig, mRecorder, mNanos, builder.mSeed);
+    }
+
+    /**
+     * Starts a builder.
+     *
+     * @param mix who calls and what they ask for
+     * @param config how callers behave
+     * @return the builder
+     */
+    public static Builder builder(final Mix mix, final CallerConfig config) {
+        return new Builder(mix, config);
+    }
+
+    /**
+     * Starts the run; it may be started once.
+     *
+     * @return completes when the time is over and every request has ended
+     */
+    public CompletableFuture<LoadResult> start() {
+        mStartedAt = mNanos.getAsLong();
+        mStarts.schedule(this::stop, mDuration.toNanos(), TimeUnit.NANOSECONDS);
+        if (mClosedCallers > 0) {
+            for (int caller = 0; caller < mClosedCallers; caller++) {
+                mStarts.execute(this::startClosed);
+            }
+        } else {
+            scheduleArrival();
+        }
+        return mResult;
+    }
+
+    /** Starts no further request; those in progress go on to their end. */
+    public synchronized void stop() {
+        if (!mStopped) {
+            mStopped = true;
+            ended();
+        }
+    }
+
+    /** Returns what the callers saw so far. */
+    public LoadResult soFar() {
+        return mRecorder.result(mMix.name(), Duration.ofNanos(mNanos.getAsLong() - mStartedAt));
+    }
+
+    private void scheduleArrival() {
+        final long due = mStartedAt + mArrivals.next();
+        mStarts.schedule(() -> arrive(due), due - mNanos.getAsLong(), TimeUnit.NANOSECONDS);
+    }
+
+    private synchronized void arrive(final long due) {
+        if (!mStopped) {
+            startOne(due);
+            scheduleArrival();
+        }
+    }
+
+    private synchronized void startClosed() {
+        if (!mStopped) {
+            startOne(mNanos.getAsLong()).thenAccept(this::continueClosed);
+        }
+    }
+
+    private void continueClosed(final RequestResult result) {
+        final boolean failed = result.outcome() != Outcome.COMPLETED;
+        // A refusal comes back at once; without a pause its caller would ask in a tight loop.
+        final Duration pause = failed ? PAUSE_AFTER_FAILURE : Duration.ZERO;
+        mStarts.schedule(this::startClosed, pause.toNanos(), TimeUnit.NANOSECONDS);
+    }
+
+    private CompletableFuture<RequestResult> startOne(final long startedAt) {
+        mInProgress.incrementAndGet();
+        final PlannedRequest request = mPlanner.next();
+        final CompletableFuture<RequestResult> result = mCallers.call(request, startedAt);
+        result.thenRun(this::ended);
+        return result;
+    }
+
+    private void ended() {
+        if (mInProgress.decrementAndGet() == 0) {
+            mResult.complete(soFar());
+            mStarts.shutdownNow();
+            mCallers.close();
+        }
+    }
+
+    /** Builds a {@link LoadRun}. */
+    public static final class Builder {
+        private static final int DEFAULT_PER_SECOND = 50;
+        private static final Duration DEFAULT_DURATION = Duration.ofSeconds(30);
+
+        private final Mix mMix;
+        private final CallerConfig mConfig;
+        private Duration mDuration = DEFAULT_DURATION;
+        private int mPerSecond = DEFAULT_PER_SECOND;
+        private int mClosedCallers;
+        private long mSeed = 1;
+        private LongSupplier mNanos = System::nanoTime;
+
+        private Builder(final Mix mix, final CallerConfig config) {
+            mMix = Objects.requireNonNull(mix, "mix");
+            mConfig = Objects.requireNonNull(config, "config");
+        }
+
+        /** Sets how long requests are started; 30 s by default. */
+        public Builder duration(final Duration duration) {
+            mDuration = Arguments.requirePositive(duration, "duration");
+            return this;
+        }
+
+        /** Runs an open loop at a mean rate; 50 a second by default. */
+        public Builder perSecond(final int perSecond) {
+            Arguments.requireAtLeast(perSecond, 1, "perSecond");
+            mPerSecond = perSecond;
+            return this;
+        }
+
+        /** Runs a closed loop with so many callers; 0, the default, runs the open loop. */
+        public Builder closedCallers(final int callers) {
+            Arguments.requireAtLeast(callers, 0, "callers");
+            mClosedCallers = callers;
+            return this;
+        }
+
+        /** Sets the seed of requests, arrivals and choices among daemons; 1 by default. */
+        public Builder seed(final long seed) {
+            mSeed = seed;
+            return this;
+        }
+
+        /** Sets the clock, in nanoseconds from any origin; the JVM's by default. */
+        public Builder nanos(final LongSupplier nanos) {
+            mNanos = Objects.requireNonNull(nanos, "nanos");
+            return this;
+        }
+
+        /** Builds the run and starts its threads; {@link LoadRun#start} must follow. */
+        public LoadRun build() {
+            return new LoadRun(this);
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/whinhead/standins/load/caller/Call.java
@@ -0,0 +1,338 @@
+package org.whinhead.standins.load.caller;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import java.net.ConnectException;
+import java.net.URI;
+import java.net.http.HttpConnectTimeoutException;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Future;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import org.whinhead.api.verdict.Verdict;
+import org.whinhead.standins.load.mix.PlannedRequest;
+import org.whinhead.standins.load.result.AnswerFault;
+import org.whinhead.standins.load.result.Outcome;
+import org.whinhead.standins.load.result.RequestResult;
+
+/**
+ * One request from its first try to its end. A lost daemon is replaced by another one, which gets
+ * the same body and identity; a refused request comes back when it was told to.
+ */
+final class Call implements Attempt.Listener {
+
+    private static final String ERROR_EVENT = "error";
+    private static final int FIRST_ERROR_STATUS = 300;
+
+    private final CallTools mTools;
+    private final PlannedRequest mRequest;
+    private final RequestWriter mWriter;
+    private final DaemonChoice mChoice;
+    private final CallProgress mProgress;
+    private final long mDeadline;
+    private final CompletableFuture<RequestResult> mResult = new CompletableFuture<>();
+
+    private Attempt mAttempt;
+    private boolean mEnded;
+    private boolean mTokensInAttempt;
+    private long mLastLineAt;
+    private long mSilenceBound;
+    private ScheduledFuture<?> mDeadlineTimer;
+    private Future<?> mSilenceTimer = CompletableFuture.completedFuture(null);
+
+    /**
+     * Makes a call that has not begun.
+     *
+     * @param tools what all calls share
+     * @param book the customer's addresses
+     * @param request the request
+     * @param startedAt when it was meant to start, in nanoseconds
+     */
+    Call(
+            final CallTools tools,
+            final AddressBook book,
+            final PlannedRequest request,
+            final long startedAt) {
+        mTools = tools;
+        mRequest = request;
+        mWriter = new RequestWriter(tools.mapper(), request);
+        mChoice = new DaemonChoice(book, request.id().value().hashCode());
+        mProgress = new CallProgress(request, startedAt);
+        mDeadline = startedAt + tools.config().deadline().toNanos();
+    }
+
+    /** Begins; the future completes with what became of the request, never with an error. */
+    synchronized CompletableFuture<RequestResult> begin() {
+        mDeadlineTimer = schedule(this::deadlinePassed, mDeadline - now());
+        tryNext();
+        return mResult;
+    }
+
+    @Override
+    public synchronized void began(final Attempt attempt) {
+        if (isCurrent(attempt)) {
+            mProgress.accepted();
+            if (mRequest.kind().style().streamed()) {
+                watchSilence(attempt, mTools.config().streamSilence());
+            }
+        }
+    }
+
+    @Override
+    public synchronized void ticket(final Attempt attempt, final String ticket) {
+        if (isCurrent(attempt)) {
+            mProgress.ticket(ticket);
+        }
+    }
+
+    @Override
+    public synchronized void alive(final Attempt attempt) {
+        mLastLineAt = now();
+    }
+
+    @Override
+    public synchronized void event(final Attempt attempt, final SseEvent event) {
+        if (!isCurrent(attempt)) {
+            return;
+        }
+        if (event.data().equals(TokenEvent.DONE)) {
+            endAnswer(mProgress.check().end());
+            return;
+        }
+        try {
+            final JsonNode data = mTools.mapper().readTree(event.data());
+            if (event.name().equals(ERROR_EVENT)) {
+                streamFailed(DaemonError.of(data));
+            } else {
+                token(event, TokenEvent.token(data));
+            }
+        } catch (final JsonProcessingException e) {
+            endAnswer(Optional.of(AnswerFault.FOREIGN));
+        }
+    }
+
+    @Override
+    public synchronized void over(final Attempt attempt, final HttpResponse<String> response) {
+        if (!isCurrent(attempt)) {
+            return;
+        }
+        if (response.statusCode() >= FIRST_ERROR_STATUS) {
+            refused(DaemonError.of(response, mTools.mapper()));
+        } else if (mRequest.kind().style().streamed()) {
+            daemonLost(); // the stream ended cleanly, but before its last event
+        } else {
+            answered(response.body());
+        }
+    }
+
+    @Override
+    public synchronized void broken(final Attempt attempt, final Throwable cause) {
+        if (!isCurrent(attempt)) {
+            return;
+        }
+        if (neverConnected(cause)) {
+            mChoice.lost();
+            tryLater(mChoice.pause());
+        } else {
+            daemonLost();
+        }
+    }
+
+    private void tryNext() {
+        mAttempt = null;
+        mChoice.next()
+                .whenComplete(
+                        (daemon, error) -> {
+                            if (error != null) {
+                                tryLater(mTools.config().connectTimeout());
+                            } else {
+                                send(daemon);
+                            }
+                        });
+    }
+
+    private synchronized void send(final Optional<URI> daemon) {
+        if (mEnded) {
+            return;
+        }
+        if (daemon.isEmpty()) {
+            tryLater(mTools.config().connectTimeout());
+            return;
+        }
+        mProgress.sent();
+        mTokensInAttempt = false;
+        mAttempt = new Attempt(this);
+        watchSilence(mAttempt, mTools.config().answerSilence());
+        mAttempt.send(
+                mTools.client(),
+                mWriter.to(daemon.get(), mProgress.ticket(), mProgress.check().received()));
+    }
+
+    private synchronized void tryLater(final Duration pause) {
+        mAttempt = null;
+        if (!mEnded) {
+            schedule(this::tryNextUnlessEnded, pause.toNanos());
+        }
+    }
+
+    private synchronized void tryNextUnlessEnded() {
+        if (!mEnded) {
+            tryNext();
+        }
+    }
+
+    private void token(final SseEvent event, final String text) {
+        if (text.isEmpty()) {
+            return; // the last event may carry only the reason and the usage
+        }
+        final AnswerCheck check = mProgress.check();
+        final Optional<AnswerFault> fault = check.token(event.id().orElse(check.received()), text);
+        if (fault.isPresent()) {
+            endAnswer(fault);
+            return;
+        }
+        mTokensInAttempt = true;
+        mProgress.token(now()).ifPresent(mTools.observer()::betweenTokens);
+    }
+
+    private void answered(final String body) {
+        mProgress.accepted();
+        if (mRequest.kind().style().plain()) {
+            end(Outcome.COMPLETED);
+            return;
+        }
+        try {
+            final String content = TokenEvent.content(mTools.mapper().readTree(body));
+            endAnswer(mProgress.check().whole(content));
+        } catch (final JsonProcessingException e) {
+            endAnswer(Optional.of(AnswerFault.FOREIGN));
+        }
+    }
+
+    private void endAnswer(final Optional<AnswerFault> fault) {
+        fault.ifPresent(mProgress::wrong);
+        end(fault.isPresent() ? Outcome.WRONG : Outcome.COMPLETED);
+    }
+
+    /** A failure after the answer began: a daemon that took the request owes its whole answer. */
+    private void streamFailed(final DaemonError error) {
+        final boolean falseVerdict = mTokensInAttempt && error.verdict() == Verdict.NOT_RUN;
+        if (falseVerdict && !error.stopping()) {
+            endAnswer(Optional.of(AnswerFault.FALSE_VERDICT));
+        } else if (error.verdict() == Verdict.MAY_HAVE_RUN && !error.stopping()) {
+            mProgress.refused(error);
+            end(mRequest.kind().style().idempotent() ? Outcome.LOST : Outcome.FAILED_MAY_HAVE_RUN);
+        } else {
+            refused(error);
+        }
+    }
+
+    private void refused(final DaemonError error) {
+        mProgress.refused(error);
+        if (error.stopping()) {
+            mChoice.lost();
+            tryLater(mChoice.pause());
+            return;
+        }
+        switch (error.verdict()) {
+            case NOT_RUN -> comeBack(error);
+            case MAY_HAVE_RUN -> end(Outcome.FAILED_MAY_HAVE_RUN);
+            case RAN -> {
+                mProgress.accepted();
+                end(Outcome.FAILED_RAN);
+            }
+            default -> throw new IllegalStateException("unknown verdict " + error.verdict());
+        }
+    }
+
+    private void comeBack(final DaemonError error) {
+        final Optional<Duration> pause = error.retryAfter();
+        if (pause.isPresent() && now() + pause.get().toNanos() < mDeadline) {
+            tryLater(pause.get());
+        } else {
+            end(mProgress.outcomeIfNotRun());
+        }
+    }
+
+    /**
+     * The connection broke after the request may have left. The same body with the same identity
+     * goes to another daemon: the ticket, the identity or the idempotency key tells that daemon
+     * that it is not a new request, so nothing runs twice.
+     */
+    private void daemonLost() {
+        mProgress.cut();
+        mChoice.lost();
+        tryLater(mChoice.pause());
+    }
+
+    /**
+     * Guards against a daemon that stops without closing its connections, for example on a paused
+     * VM: the connection stays open and silent. Without this the caller would wait until its
+     * deadline; with it another daemon is asked, as after a broken connection.
+     */
+    private void watchSilence(final Attempt attempt, final Duration bound) {
+        mLastLineAt = now();
+        mSilenceBound = bound.toNanos();
+        scheduleSilenceCheck(attempt, mSilenceBound);
+    }
+
+    private void scheduleSilenceCheck(final Attempt attempt, final long nanos) {
+        mSilenceTimer.cancel(false);
+        mSilenceTimer = schedule(() -> checkSilence(attempt), nanos);
+    }
+
+    private synchronized void checkSilence(final Attempt attempt) {
+        if (!isCurrent(attempt)) {
+            return;
+        }
+        final long rest = mLastLineAt + mSilenceBound - now();
+        if (rest > 0) {
+            scheduleSilenceCheck(attempt, rest);
+            return;
+        }
+        attempt.close();
+        daemonLost();
+    }
+
+    private synchronized void deadlinePassed() {
+        if (!mEnded) {
+            end(mProgress.outcomeAtDeadline(mAttempt != null));
+        }
+    }
+
+    private void end(final Outcome outcome) {
+        mEnded = true;
+        mDeadlineTimer.cancel(false);
+        mSilenceTimer.cancel(false);
+        if (mAttempt != null && outcome != Outcome.COMPLETED) {
+            mAttempt.close();
+        }
+        final RequestResult result = mProgress.result(outcome, now());
+        mTools.observer().ended(result);
+        mResult.complete(result);
+    }
+
+    private boolean isCurrent(final Attempt attempt) {
+        return !mEnded && attempt == mAttempt;
+    }
+
+    private static boolean neverConnected(final Throwable cause) {
+        for (Throwable one = cause; one != null; one = one.getCause()) {
+            if (one instanceof ConnectException || one instanceof HttpConnectTimeoutException) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private ScheduledFuture<?> schedule(final Runnable task, final long nanos) {
+        return mTools.timers().schedule(task, Math.max(0, nanos), TimeUnit.NANOSECONDS);
+    }
+
+    private long now() {
+        return mTools.nanos().getAsLong();
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/whinhead/standins/load/caller/TokenEvent.java
@@ -0,0 +1,22 @@
+package org.whinhead.standins.load.caller;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/** Reads the JSON of a model's answer. */
+final class TokenEvent {
+
+    /** The data of the event that ends a stream. */
+    static final String DONE = "[DONE]";
+
+    private TokenEvent() {}
+
+    /** Returns the token in a stream's event; empty if the event carries none. */
+    static String token(final JsonNode data) {
+        return data.path("choices").path(0).path("delta").path("content").asText("");
+    }
+
+    /** Returns the text of an answer that came in one piece. */
+    static String content(final JsonNode body) {
+        return body.path("choices").path(0).path("message").path("content").asText("");
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/whinhead/standins/load/mix/RequestPlanner.java
@@ -0,0 +1,76 @@
+package org.whinhead.standins.load.mix;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.SplittableRandom;
+import java.util.UUID;
+import java.util.function.ToIntFunction;
+import org.whinhead.api.request.RequestId;
+
+/** Draws requests from a mix; the same seed gives the same requests. Single-threaded. */
+public final class RequestPlanner {
+
+    private static final int WORD_SPACE = 1 << 18;
+    private static final int RADIX = 36;
+    private static final long PREFIX_SEED_STEP = 7919;
+
+    private final Mix mMix;
+    private final SplittableRandom mRandom;
+
+    /**
+     * Makes a planner.
+     *
+     * @param mix who calls and what they ask for
+     * @param seed the seed of every choice
+     */
+    public RequestPlanner(final Mix mix, final long seed) {
+        mMix = Objects.requireNonNull(mix, "mix");
+        mRandom = new SplittableRandom(seed);
+    }
+
+    /** Draws the next request. */
+    public PlannedRequest next() {
+        final LoadCustomer customer = draw(mMix.customers(), LoadCustomer::weight);
+        final RequestKind kind = draw(mMix.kinds(), RequestKind::weight);
+        final RequestId id =
+                new RequestId(new UUID(mRandom.nextLong(), mRandom.nextLong()).toString());
+        final List<String> messages = messages(customer, kind);
+        final int tokens = mRandom.nextInt(kind.minTokens(), kind.maxTokens() + 1);
+        return new PlannedRequest(id, customer, kind, messages, tokens);
+    }
+
+    private List<String> messages(final LoadCustomer customer, final RequestKind kind) {
+        final List<String> messages = new ArrayList<>();
+        if (kind.sharedPrefixes() > 0) {
+            messages.add(prefix(customer, kind, mRandom.nextInt(kind.sharedPrefixes())));
+        }
+        messages.add(words(mRandom, kind.promptWords()));
+        return messages;
+    }
+
+    private static String prefix(
+            final LoadCustomer customer, final RequestKind kind, final int number) {
+        final long seed = (customer.name() + kind.name()).hashCode() + number * PREFIX_SEED_STEP;
+        return words(new SplittableRandom(seed), kind.prefixWords());
+    }
+
+    private static String words(final SplittableRandom random, final int count) {
+        final StringBuilder text = new StringBuilder();
+        for (int word = 0; word < count; word++) {
+            text.append(Integer.toString(random.nextInt(WORD_SPACE), RADIX)).append(' ');
+        }
+        return text.toString().trim();
+    }
+
+    private <T> T draw(final List<T> choices, final ToIntFunction<T> weight) {
+        int rest = mRandom.nextInt(choices.stream().mapToInt(weight).sum());
+        for (final T choice : choices) {
+            rest -= weight.applyAsInt(choice);
+            if (rest < 0) {
+                return choice;
+            }
+        }
+        throw new IllegalStateException("the weights do not add up");
+    }
+}
--- /dev/null
+++ b/standins/src/test/java/org/whinhead/standins/load/FakeDaemon.java
@@ -0,0 +1,175 @@
+package org.whinhead.standins.load;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.undertow.Undertow;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.handlers.BlockingHandler;
+import io.undertow.util.HttpString;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.stream.Collectors;
+import org.whinhead.standins.answer.ExpectedAnswer;
+
+/** A daemon whose answers a test writes; each call takes the next script, the last one stays. */
+public final class FakeDaemon implements AutoCloseable {
+
+    /** What the daemon does with one call. */
+    public interface Script {
+        void answer(Call call) throws IOException;
+    }
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private final Undertow mServer;
+    private final ConcurrentLinkedQueue<Script> mScripts = new ConcurrentLinkedQueue<>();
+    private final List<Call> mCalls = new CopyOnWriteArrayList<>();
+    private volatile List<FakeDaemon> mAddresses = List.of(this);
+
+    public FakeDaemon(final Script... scripts) {
+        mScripts.addAll(List.of(scripts));
+        mServer =
+                Undertow.builder()
+                        .addHttpListener(0, "127.0.0.1")
+                        .setIoThreads(1)
+                        .setWorkerThreads(8)
+                        .setHandler(new BlockingHandler(this::handle))
+                        .build();
+        mServer.start();
+    }
+
+    /** Tells callers these addresses, and this one's own no more unless it is among them. */
+    public FakeDaemon withAddresses(final FakeDaemon... daemons) {
+        mAddresses = List.of(daemons);
+        return this;
+    }
+
+    public URI uri() {
+        final InetSocketAddress address =
+                (InetSocketAddress) mServer.getListenerInfo().get(0).getAddress();
+        return URI.create("http://127.0.0.1:" + address.getPort());
+    }
+
+    public List<Call> calls() {
+        return mCalls;
+    }
+
+    @Override
+    public void close() {
+        mServer.stop();
+    }
+
+    private void handle(final HttpServerExchange exchange) throws IOException {
+        if (exchange.getRequestPath().equals("/v1/addresses")) {
+            exchange.getResponseSender().send(addresses());
+            return;
+        }
+        final Call call = new Call(exchange, exchange.getInputStream().readAllBytes());
+        mCalls.add(call);
+        final Script script = mScripts.size() > 1 ? mScripts.poll() : mScripts.peek();
+        script.answer(call);
+    }
+
+    private String addresses() {
+        return mAddresses.stream()
+                .map(one -> "{\"uri\":\"" + one.uri() + "\",\"domain\":\"d\"}")
+                .collect(Collectors.joining(",", "{\"keepMillis\":60000,\"addresses\":[", "]}"));
+    }
+
+    /** One call that arrived. */
+    public static final class Call {
+        private final HttpServerExchange mExchange;
+        private final JsonNode mBody;
+
+        private Call(final HttpServerExchange exchange, final byte[] body) throws IOException {
+            mExchange = exchange;
+            mBody = MAPPER.readTree(body);
+        }
+
+        public String header(final String name) {
+            return Optional.ofNullable(mExchange.getRequestHeaders().getFirst(name)).orElse("");
+        }
+
+        public JsonNode body() {
+            return mBody;
+        }
+
+        public int maxTokens() {
+            return mBody.path("max_tokens").asInt();
+        }
+
+        private String prompt() {
+            final List<String> contents = new ArrayList<>();
+            mBody.path("messages").forEach(one -> contents.add(one.path("content").asText()));
+            return String.join("\n", contents);
+        }
+
+        public Call respond(final String header, final String value) {
+            mExchange.getResponseHeaders().put(new HttpString(header), value);
+            return this;
+        }
+
+        public void refuse(final int status, final String verdict, final String code)
+                throws IOException {
+            mExchange.setStatusCode(status);
+            respond("X-Whinhead-Verdict", verdict);
+            write(errorJson(code, verdict));
+        }
+
+        /** Sends the right tokens from one index to before another. */
+        public Call tokens(final int from, final int end) throws IOException {
+            respond("Content-Type", "text/event-stream");
+            for (int index = from; index < end; index++) {
+                token(index, ExpectedAnswer.token(prompt(), index));
+            }
+            return this;
+        }
+
+        public Call token(final int index, final String text) throws IOException {
+            final String data = "{\"choices\":[{\"delta\":{\"content\":\"" + text + "\"}}]}";
+            return write("id: " + index + "\ndata: " + data + "\n\n");
+        }
+
+        public Call error(final String code, final String verdict) throws IOException {
+            return write("event: error\ndata: " + errorJson(code, verdict) + "\n\n");
+        }
+
+        public Call done() throws IOException {
+            write("data: {\"choices\":[{\"delta\":{},\"finish_reason\":\"stop\"}]}\n\n");
+            return write("data: [DONE]\n\n");
+        }
+
+        public void whole() throws IOException {
+            final String content = String.join("", ExpectedAnswer.tokens(prompt(), maxTokens()));
+            write("{\"choices\":[{\"message\":{\"content\":\"" + content + "\"}}]}");
+        }
+
+        public Call write(final String text) throws IOException {
+            final OutputStream out = mExchange.getOutputStream();
+            out.write(text.getBytes(StandardCharsets.UTF_8));
+            out.flush();
+            return this;
+        }
+
+        /** Breaks the connection, as the death of the daemon does. */
+        public void cut() throws IOException {
+            mExchange.getConnection().close();
+        }
+
+        private static String errorJson(final String code, final String verdict) {
+            return "{\"error\":{\"code\":\""
+                    + code
+                    + "\",\"verdict\":\""
+                    + verdict
+                    + "\",\"message\":\"\",\"retryAfterMillis\":20}}";
+        }
+    }
+}
