--- /dev/null
+++ b/state/src/main/java/org/whinhead/state/lease/LeaseTerms.java
@@ -0,0 +1,29 @@
+package org.whinhead.state.lease;
+
+import java.time.Duration;
+import org.whinhead.api.Arguments;
+
+/**
+ * The times of a lease.
+ *
+ * <p>The margin stands for how far the clocks of holder and claimant may drift apart over one
+ * duration; it is taken off on the holder's side and added on the claimant's.
+ *
+ * @param duration how long a lease lasts after it was taken or renewed
+ * @param margin how much earlier its holder stops, and how much later others claim
+ * @param renewEvery how long a holder waits between renewals
+ * @param spread the longest random wait of a claimant, so that few claim at once
+ */
+public record LeaseTerms(Duration duration, Duration margin, Duration renewEvery, Duration spread) {
+
+    /** Checks every part. */
+    public LeaseTerms {
+        Arguments.requirePositive(duration, "duration");
+        Arguments.requirePositive(margin, "margin");
+        Arguments.requirePositive(renewEvery, "renewEvery");
+        Arguments.requirePositive(spread, "spread");
+        if (renewEvery.plus(margin).compareTo(duration) >= 0) {
+            throw new IllegalArgumentException("no renewal fits into the duration");
+        }
+    }
+}
--- a/state/src/main/java/org/whinhead/state/record/RecordSink.java
+++ b/state/src/main/java/org/whinhead/state/record/RecordSink.java
@@ -5,7 +5,6 @@
 import java.util.function.Function;
 
 /** Takes records that are to be appended to one stream. */
-@FunctionalInterface
 public interface RecordSink {
 
     /**
@@ -16,4 +15,7 @@
      * @return the identity, or empty if the queue is full and nothing will be written
      */
     Optional<RecordId> offer(Function<RecordId, LogRecord> record, Instant now);
+
+    /** Tells whether a record that is offered now would be sent at once. */
+    boolean idle();
 }
--- /dev/null
+++ b/state/src/main/java/org/whinhead/state/settings/SettingsAuthority.java
@@ -0,0 +1,19 @@
+package org.whinhead.state.settings;
+
+/**
+ * Decides who may change a path; a pure function of the documents in force, since every daemon must
+ * come to the same answer.
+ */
+@FunctionalInterface
+public interface SettingsAuthority {
+
+    /**
+     * Tells whether an operator may change a path.
+     *
+     * @param author the operator's name
+     * @param path the path
+     * @param current the documents in force
+     * @return whether the change is within the operator's subtree
+     */
+    boolean mayChange(String author, String path, SettingsState current);
+}
