Hold the deployment's settings as typed documents with rules for two versions

Cause: operators drive the deployment by documents under paths, and daemons of two program versions must agree on which changes take effect. Change: DeploymentSettings folds documents to typed values; DocumentRules checks the envelope and links, which no schema number changes, apart from the schema of the document's own number; examples of both deployments. Conclusion: the fold can use DocumentRules.validate(...).takesEffect().

--- a/settings/src/main/java/org/whinhead/settings/daemon/DaemonSettingsDecoder.java
+++ b/settings/src/main/java/org/whinhead/settings/daemon/DaemonSettingsDecoder.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import org.whinhead.api.model.FailureDomain;
 import org.whinhead.api.model.VmId;
+import org.whinhead.settings.KeyHashes;
 
 /** Builds typed settings from a document that has passed every check. */
 final class DaemonSettingsDecoder {
@@ -94,7 +95,7 @@
                         operators.add(
                                 new OperatorKey(
                                         text(operator, "name"),
-                                        text(operator, "keyHash"),
+                                        KeyHashes.hex(text(operator, "keyHash")),
                                         text(operator, "subtree"))));
         return operators;
     }
--- a/settings/src/main/java/org/whinhead/settings/daemon/OperatorKey.java
+++ b/settings/src/main/java/org/whinhead/settings/daemon/OperatorKey.java
@@ -2,9 +2,8 @@
 
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
-import java.util.HexFormat;
 import org.whinhead.api.Arguments;
+import org.whinhead.settings.KeyHashes;
 
 /**
  * An operator's key, known by its hash, and the settings that it may change.
@@ -16,7 +15,6 @@
 public record OperatorKey(String name, String keyHash, String subtree) {
 
     private static final String EVERYTHING = "/";
-    private static final String HASH_ALGORITHM = "SHA-256";
 
     /** Checks every part. */
     public OperatorKey {
@@ -25,21 +23,6 @@
         Arguments.requireText(subtree, "subtree");
     }
 
-    /**
-     * Hashes a key.
-     *
-     * @param key the key as the operator sends it
-     * @return the hash in lower-case hex
-     */
-    public static String hash(final String key) {
-        try {
-            final MessageDigest digest = MessageDigest.getInstance(HASH_ALGORITHM);
-            return HexFormat.of().formatHex(digest.digest(key.getBytes(StandardCharsets.UTF_8)));
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException("every Java platform has " + HASH_ALGORITHM, e);
-        }
-    }
-
     /**
      * Tells whether a key is this one, in a time that does not depend on where they differ.
      *
@@ -48,7 +31,7 @@
      */
     public boolean matches(final String key) {
         return MessageDigest.isEqual(
-                hash(key).getBytes(StandardCharsets.US_ASCII),
+                KeyHashes.hash(key).getBytes(StandardCharsets.US_ASCII),
                 keyHash.getBytes(StandardCharsets.US_ASCII));
     }
 
--- /dev/null
+++ b/settings/src/main/java/org/whinhead/settings/deployment/DocumentKind.java
@@ -0,0 +1,86 @@
+package org.whinhead.settings.deployment;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.BiFunction;
+import org.whinhead.settings.SettingsProblem;
+import org.whinhead.settings.json.DocumentSchema;
+
+/** What a document is about, told by its path. */
+public enum DocumentKind {
+    /** A team's spending: {@code /teams/{team}/budget}. */
+    BUDGET("/teams/*/budget", "budget", DocumentDecoder::budget),
+    /** A customer of a team: {@code /teams/{team}/customers/{customer}}. */
+    CUSTOMER("/teams/*/customers/*", "customer", DocumentDecoder::customer),
+    /** A service tier: {@code /tiers/{name}}. */
+    TIER("/tiers/*", "tier", DocumentDecoder::tier),
+    /** A version of a model: {@code /models/{name}/{version}}. */
+    MODEL("/models/*/*", "model", DocumentDecoder::model),
+    /** A plain service: {@code /services/{name}}. */
+    SERVICE("/services/*", "service", DocumentDecoder::service),
+    /** A failure domain that VMs may stand in: {@code /fleet/domains/{region}/{name}}. */
+    DOMAIN("/fleet/domains/*/*", "domain", DocumentDecoder::domain),
+    /** A machine class that may be bought: {@code /fleet/classes/{name}}. */
+    MACHINE_CLASS("/fleet/classes/*", "machine-class", DocumentDecoder::machineClass),
+    /** A pool of like engines: {@code /fleet/pools/{name}}. */
+    POOL("/fleet/pools/*", "pool", DocumentDecoder::pool),
+    /** How fast the fleet may change: {@code /fleet/pace}. */
+    PACE("/fleet/pace", "pace", DocumentDecoder::pace),
+    /** Tunables of routing: {@code /routing}. */
+    ROUTING("/routing", "routing", DocumentDecoder::routing),
+    /** Tunables of retries: {@code /retries}. */
+    RETRIES("/retries", "retries", DocumentDecoder::retries);
+
+    /** The only schema number that this program knows. */
+    public static final int NEWEST_SCHEMA = 1;
+
+    private static final String ANY = "*";
+
+    private final List<String> mPattern;
+    private final DocumentSchema mSchema;
+    private final BiFunction<DocumentPath, JsonNode, DocumentValue> mDecoder;
+
+    DocumentKind(
+            final String pattern,
+            final String schema,
+            final BiFunction<DocumentPath, JsonNode, DocumentValue> decoder) {
+        mPattern = List.of(pattern.substring(1).split("/"));
+        mSchema = DocumentSchema.load(schema + "-" + NEWEST_SCHEMA + ".json");
+        mDecoder = decoder;
+    }
+
+    /**
+     * Finds the kind of a path.
+     *
+     * @param path the path
+     * @return the kind, or empty if this program knows none for the path
+     */
+    public static Optional<DocumentKind> of(final DocumentPath path) {
+        return Arrays.stream(values()).filter(kind -> kind.fits(path)).findFirst();
+    }
+
+    private boolean fits(final DocumentPath path) {
+        final List<String> segments = path.segments();
+        if (segments.size() != mPattern.size()) {
+            return false;
+        }
+        for (int i = 0; i < segments.size(); i++) {
+            if (!mPattern.get(i).equals(ANY) && !mPattern.get(i).equals(segments.get(i))) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Checks a document of a known schema number against this kind's schema. */
+    List<SettingsProblem> check(final JsonNode document) {
+        return mSchema.check(document);
+    }
+
+    /** Decodes a document that has passed {@link #check}. */
+    DocumentValue decode(final DocumentPath path, final JsonNode document) {
+        return mDecoder.apply(path, document);
+    }
+}
--- /dev/null
+++ b/settings/src/main/java/org/whinhead/settings/deployment/DocumentPath.java
@@ -0,0 +1,70 @@
+package org.whinhead.settings.deployment;
+
+import java.util.List;
+import java.util.regex.Pattern;
+
+/**
+ * The place of a document, for example {@code /teams/filing/customers/kigali-aid}.
+ *
+ * @param text the path as text
+ */
+public record DocumentPath(String text) implements Comparable<DocumentPath> {
+
+    private static final String SEPARATOR = "/";
+    private static final String SEGMENT = "/[A-Za-z0-9][A-Za-z0-9._-]{0,62}";
+    private static final Pattern FORM = Pattern.compile("(" + SEGMENT + "){1,6}");
+
+    /** Checks the form. */
+    public DocumentPath {
+        if (!isWellFormed(text)) {
+            throw new IllegalArgumentException("not a path of a document: " + text);
+        }
+    }
+
+    /**
+     * Parses a path.
+     *
+     * @param text the text
+     * @return the path
+     * @throws IllegalArgumentException if the text is not a path
+     */
+    public static DocumentPath parse(final String text) {
+        return new DocumentPath(text);
+    }
+
+    /**
+     * Tells whether a text is a path: one to six segments, each after a slash, of letters, digits,
+     * dots, dashes and underscores, the first a letter or digit.
+     *
+     * @param text the text
+     * @return true if it can be parsed
+     */
+    public static boolean isWellFormed(final String text) {
+        return FORM.matcher(text).matches();
+    }
+
+    /** Returns the names between the slashes. */
+    public List<String> segments() {
+        return List.of(text.substring(1).split(SEPARATOR));
+    }
+
+    /** Returns one of the names between the slashes, counted from 0. */
+    public String segment(final int index) {
+        return segments().get(index);
+    }
+
+    /** Returns the last name. */
+    public String name() {
+        return text.substring(text.lastIndexOf(SEPARATOR) + 1);
+    }
+
+    @Override
+    public int compareTo(final DocumentPath other) {
+        return text.compareTo(other.text);
+    }
+
+    @Override
+    public String toString() {
+        return text;
+    }
+}
--- a/settings/src/main/java/org/whinhead/settings/json/DocumentSchema.java
+++ b/settings/src/main/java/org/whinhead/settings/json/DocumentSchema.java
@@ -13,6 +13,9 @@
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.whinhead.settings.SettingsProblem;
 
 /** One JSON Schema from the program's own files, whose findings are the project's messages. */
@@ -53,7 +56,14 @@
      * @return every problem, in a fixed order; empty if the document fits
      */
     public List<SettingsProblem> check(final JsonNode document) {
-        return mSchema.validate(document).stream().map(this::problem).sorted().distinct().toList();
+        final List<SettingsProblem> numbers = NumberRange.check(document);
+        final Set<String> places =
+                numbers.stream().map(SettingsProblem::path).collect(Collectors.toSet());
+        final Stream<SettingsProblem> others =
+                mSchema.validate(document).stream()
+                        .map(this::problem)
+                        .filter(problem -> !places.contains(problem.path()));
+        return Stream.concat(numbers.stream(), others).sorted().distinct().toList();
     }
 
     private SettingsProblem problem(final Error error) {
--- a/settings/src/main/java/org/whinhead/settings/json/SchemaKeyword.java
+++ b/settings/src/main/java/org/whinhead/settings/json/SchemaKeyword.java
@@ -50,6 +50,13 @@
     MIN_LENGTH("minLength", "settings.too-short"),
     /** A text that is too long. */
     MAX_LENGTH("maxLength", "settings.too-long"),
+    /** A field of a map whose name lacks the wanted form. */
+    PROPERTY_NAMES("propertyNames", "settings.wrong-field-name") {
+        @Override
+        Object[] arguments(final Error error, final String title) {
+            return new Object[] {error.getProperty(), error.getSchemaNode().path("title").asText()};
+        }
+    },
     /** Any other keyword, named in the message. */
     OTHER("", "settings.other") {
         @Override
--- /dev/null
+++ b/settings/src/test/java/org/whinhead/settings/deployment/DocumentRulesTest.java
@@ -0,0 +1,100 @@
+package org.whinhead.settings.deployment;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Optional;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import org.whinhead.settings.KeyHashes;
+import org.whinhead.settings.SettingsProblem;
+
+final class DocumentRulesTest {
+
+    private static final String TIER =
+            """
+            {"schema": 1, "priority": 1, "firstTokenMillis": 400, "betweenTokensMillis": 40,
+             "requestTimeoutMillis": 60000,
+             "objectives": {"latencyShare": 0.99, "availabilityShare": 0.999, "windowHours": 24}}
+            """;
+    private static final String CUSTOMER =
+            """
+            {"schema": 1, "tier": "/tiers/urgent", "weight": 1, "tokensPerSecond": 1,
+             "keyHashes": ["sha256:%s"]}
+            """
+                    .formatted(KeyHashes.hash("secret"));
+    private static final DeploymentSettings CURRENT =
+            DeploymentSettings.EMPTY
+                    .with(stored("/tiers/urgent", TIER))
+                    .with(stored("/teams/filing/customers/aid", CUSTOMER));
+
+    // Calls of a customer are refused as unknown: its tier was deleted while it was in use.
+    @Test
+    void aTierInUseCannotBeDeleted() {
+        final Validation inUse = delete("/tiers/urgent", CURRENT);
+        assertThat(inUse.problems())
+                .extracting(SettingsProblem::message)
+                .containsExactly("/tiers/urgent is in use by /teams/filing/customers/aid");
+        final DeploymentSettings without =
+                CURRENT.without(DocumentPath.parse("/teams/filing/customers/aid"));
+        assertThat(delete("/tiers/urgent", without).mayBePublished()).isTrue();
+        assertThat(delete("/tiers/other", CURRENT).takesEffect()).isFalse();
+        assertThat(delete("tiers/urgent", CURRENT).takesEffect()).isFalse();
+    }
+
+    // Half of the daemons serve by a new setting, half by the old one, for ever: an older program
+    // called a document of a newer schema invalid and dropped it, a newer program took it.
+    @Test
+    void documentOfLaterSchemaTakesEffectButIsNotPublishedHere() {
+        final String later = "{\"schema\": 2, \"floor\": \"/tiers/urgent\"}";
+        final Validation validation = put("/tiers/later", later, CURRENT);
+        assertThat(validation.takesEffect()).isTrue();
+        assertThat(validation.known()).isFalse();
+        assertThat(validation.mayBePublished()).isFalse();
+
+        final DeploymentSettings next = CURRENT.with(stored("/tiers/later", later));
+        assertThat(next.notUsable()).containsExactly(DocumentPath.parse("/tiers/later"));
+        assertThat(next.documents()).extracting(StoredDocument::text).contains(later);
+        assertThat(next.tiers()).hasSize(1);
+        final DeploymentSettings freed =
+                next.without(DocumentPath.parse("/teams/filing/customers/aid"));
+        assertThat(delete("/tiers/urgent", freed).takesEffect()).isFalse();
+    }
+
+    // The log holds a document that breaks its schema, put there by a faulty program. A program
+    // that knows the schema and one that does not must still agree on what is in force.
+    @Test
+    void onlyLinksAndEnvelopeDecideInTheFold() {
+        final Validation wrong = put("/tiers/urgent", "{\"schema\": 1, \"priority\": 2}", CURRENT);
+        assertThat(wrong.takesEffect()).isTrue();
+        assertThat(wrong.mayBePublished()).isFalse();
+        assertThat(put("/tiers/a", "{\"schema\": 1, \"schema\": 2}", CURRENT).takesEffect())
+                .isFalse();
+        assertThat(put("/tiers/a", "{\"priority\": 2}", CURRENT).takesEffect()).isFalse();
+        assertThat(put("/tiers/a", "[]", CURRENT).takesEffect()).isFalse();
+        assertThat(put("/tiers/a", "", CURRENT).takesEffect()).isFalse();
+    }
+
+    @Property(seed = "20260411", tries = 300)
+    void anyTextGetsTheSameAnswerTwice(
+            @ForAll final String path, @ForAll final String text, @ForAll final int schema) {
+        for (final String place : new String[] {path, "/tiers/a", "/new/kind"}) {
+            final String document = "{\"schema\": " + schema + ", \"x\": [\"/" + text + "\"]}";
+            assertThat(put(place, document, CURRENT)).isEqualTo(put(place, document, CURRENT));
+            assertThat(put(place, text, CURRENT)).isEqualTo(put(place, text, CURRENT));
+        }
+    }
+
+    private static StoredDocument stored(final String path, final String text) {
+        return new StoredDocument(DocumentPath.parse(path), text, 1);
+    }
+
+    private static Validation put(
+            final String path, final String text, final DeploymentSettings current) {
+        return DocumentRules.validate(path, Optional.of(text), current);
+    }
+
+    private static Validation delete(final String path, final DeploymentSettings current) {
+        return DocumentRules.validate(path, Optional.empty(), current);
+    }
+}
