--- /dev/null
+++ b/state/src/main/java/org/whinhead/state/checkpoint/CheckpointAssembler.java
@@ -0,0 +1,97 @@
+package org.whinhead.state.checkpoint;
+
+import java.io.ByteArrayOutputStream;
+import java.util.Base64;
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.whinhead.state.fold.FoldState;
+import org.whinhead.state.record.LogRecord;
+
+/**
+ * Puts checkpoints together from their parts and keeps the one as of the highest offset.
+ *
+ * <p>Guards against a writer that dies between two parts, writes a part twice or publishes an old
+ * checkpoint late: only a complete one whose digest fits counts, and only if it is newer.
+ */
+public final class CheckpointAssembler {
+
+    private static final int MAX_INCOMPLETE = 4;
+
+    private final CheckpointCodec mCodec = new CheckpointCodec();
+    private final NavigableMap<Key, Map<Integer, String>> mIncomplete = new TreeMap<>();
+    private Optional<FoldState> mNewest = Optional.empty();
+
+    /** Returns the complete checkpoint as of the highest offset. */
+    public Optional<FoldState> newest() {
+        return mNewest;
+    }
+
+    /**
+     * Takes in a part; each may come more than once and in any order.
+     *
+     * @param record the part
+     * @return the checkpoint that it completes, if that is newer than all before
+     */
+    public Optional<FoldState> add(final LogRecord.Checkpoint record) {
+        if (mNewest.isPresent() && record.asOf() <= mNewest.get().asOf()) {
+            return Optional.empty();
+        }
+        final Key key = new Key(record.asOf(), record.checkpointId(), record.digest());
+        final Map<Integer, String> parts =
+                mIncomplete.computeIfAbsent(key, name -> new TreeMap<>());
+        parts.put(record.part(), record.data());
+        if (parts.size() < record.parts()) {
+            dropOldest();
+            return Optional.empty();
+        }
+        mIncomplete.remove(key);
+        return complete(parts, record);
+    }
+
+    private void dropOldest() {
+        if (mIncomplete.size() > MAX_INCOMPLETE) {
+            mIncomplete.pollFirstEntry();
+        }
+    }
+
+    private Optional<FoldState> complete(
+            final Map<Integer, String> parts, final LogRecord.Checkpoint record) {
+        try {
+            final FoldState state = mCodec.decode(join(parts, record.digest()));
+            if (state.asOf() != record.asOf()) {
+                return Optional.empty();
+            }
+            mNewest = Optional.of(state);
+            mIncomplete.headMap(new Key(state.asOf() + 1, "", "")).clear();
+            return mNewest;
+        } catch (final CheckpointException | IllegalArgumentException e) {
+            return Optional.empty();
+        }
+    }
+
+    private static byte[] join(final Map<Integer, String> parts, final String digest)
+            throws CheckpointException {
+        final ByteArrayOutputStream all = new ByteArrayOutputStream();
+        for (final String part : parts.values()) {
+            all.writeBytes(Base64.getDecoder().decode(part));
+        }
+        if (!CheckpointCodec.digest(all.toByteArray()).equals(digest)) {
+            throw new CheckpointException("digest differs", null);
+        }
+        return all.toByteArray();
+    }
+
+    private record Key(long asOf, String checkpointId, String digest) implements Comparable<Key> {
+        @Override
+        public int compareTo(final Key other) {
+            final int byOffset = Long.compare(asOf, other.asOf);
+            if (byOffset != 0) {
+                return byOffset;
+            }
+            final int byName = checkpointId.compareTo(other.checkpointId);
+            return byName != 0 ? byName : digest.compareTo(other.digest);
+        }
+    }
+}
--- /dev/null
+++ b/state/src/main/java/org/whinhead/state/checkpoint/CheckpointCodec.java
@@ -0,0 +1,58 @@
+package org.whinhead.state.checkpoint;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+import java.util.zip.GZIPInputStream;
+import java.util.zip.GZIPOutputStream;
+import org.whinhead.state.fold.FoldState;
+import org.whinhead.state.record.JsonMapping;
+
+/** Turns the state of a fold into compressed bytes and back; peers send each other the same. */
+public final class CheckpointCodec {
+
+    private final ObjectMapper mMapper = JsonMapping.mapper();
+
+    /**
+     * Writes a state.
+     *
+     * @param state the state
+     * @return its bytes
+     */
+    public byte[] encode(final FoldState state) {
+        final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try (GZIPOutputStream zipped = new GZIPOutputStream(bytes)) {
+            mMapper.writeValue(zipped, state);
+        } catch (final IOException e) {
+            throw new IllegalArgumentException("state cannot be written", e);
+        }
+        return bytes.toByteArray();
+    }
+
+    /**
+     * Reads a state.
+     *
+     * @param bytes what {@link #encode} gave
+     * @return the state
+     * @throws CheckpointException if they are not such bytes
+     */
+    public FoldState decode(final byte[] bytes) throws CheckpointException {
+        try (GZIPInputStream zipped = new GZIPInputStream(new ByteArrayInputStream(bytes))) {
+            return mMapper.readValue(zipped, FoldState.class);
+        } catch (final IOException e) {
+            throw new CheckpointException("not a checkpoint: " + e.getMessage(), e);
+        }
+    }
+
+    static String digest(final byte[] bytes) {
+        try {
+            return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(bytes));
+        } catch (final NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every platform has SHA-256", e);
+        }
+    }
+}
--- a/state/src/main/java/org/whinhead/state/lease/LeaseKeeper.java
+++ b/state/src/main/java/org/whinhead/state/lease/LeaseKeeper.java
@@ -120,6 +120,7 @@
 
     private void take(final Instant now) {
         final long seen = newest(mLease);
+        mReleasing = false;
         mSink.offer(id -> new LogRecord.LeaseTaken(id, mDuty, mSelf, mTerms.duration(), seen), now)
                 .ifPresent(id -> mSentAt = Optional.of(now));
     }
--- /dev/null
+++ b/state/src/test/java/org/whinhead/state/claim/ClaimDeskTest.java
@@ -0,0 +1,152 @@
+package org.whinhead.state.claim;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.function.ObjIntConsumer;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.state.Action;
+import net.jqwik.api.state.ActionChain;
+import net.jqwik.api.state.Transformer;
+import org.whinhead.state.StreamPort.Fate;
+
+class ClaimDeskTest {
+
+    private static final Arbitrary<Integer> MEMBER = Arbitraries.integers().between(0, 2);
+
+    // A caller whose connection broke tries the same payment at another daemon. Appends are
+    // refused,
+    // lost before, after or long after their effect, daemons are paused, crash and start again, and
+    // records expire. The payment must not be dispatched twice within the window.
+    @Property(seed = "20261", tries = 1500)
+    void noKeyIsGrantedTwiceWithinTheWindow(@ForAll("moves") final ActionChain<ClaimFleet> moves) {
+        final ClaimFleet fleet =
+                moves.withInvariant("one grant", ClaimDeskTest::grantsAreWindowsApart).run();
+        fleet.settle();
+        grantsAreWindowsApart(fleet);
+        for (int key = 0; key < 3; key++) {
+            keyOfAttemptsThatNeverRanIsFree(fleet, key);
+        }
+    }
+
+    private static void grantsAreWindowsApart(final ClaimFleet fleet) {
+        for (final List<Instant> grants : fleet.grants().values()) {
+            for (int next = 1; next < grants.size(); next++) {
+                assertThat(Duration.between(grants.get(next - 1), grants.get(next)))
+                        .isGreaterThan(ClaimFleet.WINDOW.minus(Duration.ofSeconds(2)));
+            }
+        }
+    }
+
+    // After the faults a key that nobody ran must be free again, unless a claimant crashed before
+    // it could withdraw.
+    private static void keyOfAttemptsThatNeverRanIsFree(final ClaimFleet fleet, final int key) {
+        if (fleet.crashed() || fleet.grants().containsKey(ClaimFleet.key(key))) {
+            return;
+        }
+        final long attempt = fleet.claim(0, key);
+        fleet.settle();
+        assertThat(fleet.decided().get(attempt)).isEqualTo(ClaimResult.GRANTED);
+    }
+
+    // A daemon sends a claim, the answer is lost and the log does not answer until the deadline.
+    // The
+    // caller is told "not run" and tries again; only then does the first record land, late. The
+    // second try must be granted, for the first one never ran.
+    @Example
+    void lateClaimOfWithdrawnAttemptBlocksNobody() {
+        final ClaimFleet fleet = new ClaimFleet();
+        final long first = fleet.claim(0, 0);
+        fleet.pass(Duration.ofMillis(20));
+        fleet.write(0, Fate.LOST_AND_DELAYED);
+        fleet.pass(Duration.ofSeconds(2));
+        fleet.write(0, Fate.DONE);
+        assertThat(fleet.decided()).containsEntry(first, ClaimResult.UNAVAILABLE);
+        fleet.settle();
+        final long second = fleet.claim(1, 0);
+        fleet.settle();
+        assertThat(fleet.decided()).containsEntry(second, ClaimResult.GRANTED);
+        final long third = fleet.claim(2, 0);
+        fleet.settle();
+        assertThat(fleet.decided()).containsEntry(third, ClaimResult.HELD_ELSEWHERE);
+    }
+
+    // The log is out. A claim that was never sent ends as unavailable and leaves no record behind.
+    @Example
+    void claimThatWasNeverSentLeavesNoRecord() {
+        final ClaimFleet fleet = new ClaimFleet();
+        fleet.log().down(true);
+        fleet.claim(0, 0);
+        fleet.pass(Duration.ofMillis(20));
+        fleet.write(0, Fate.DONE);
+        final long unsent = fleet.claim(0, 1);
+        fleet.pass(Duration.ofSeconds(3));
+        fleet.write(0, Fate.DONE);
+        assertThat(fleet.decided()).containsEntry(unsent, ClaimResult.UNAVAILABLE);
+        fleet.settle();
+        assertThat(fleet.log().all()).hasSize(2);
+    }
+
+    @Provide
+    Arbitrary<ActionChain<ClaimFleet>> moves() {
+        return ActionChain.startWith(ClaimFleet::new)
+                .withAction(6, claim())
+                .withAction(10, write())
+                .withAction(10, onMember("read", ClaimFleet::read))
+                .withAction(2, onMember("crash", ClaimFleet::crash))
+                .withAction(4, pass(1, 200))
+                .withAction(2, pass(1_000, 30_000))
+                .withAction(1, pass(60_000, 900_000))
+                .withAction(2, onMember("land", (fleet, index) -> fleet.log().landDelayed(index)))
+                .withAction(1, onMember("outage", (fleet, x) -> fleet.log().down(x == 0)))
+                .withMaxTransformations(80);
+    }
+
+    private static Action.Independent<ClaimFleet> claim() {
+        return () ->
+                Combinators.combine(MEMBER, MEMBER)
+                        .as(
+                                (member, key) ->
+                                        Transformer.mutate(
+                                                "claim " + key + " at " + member,
+                                                fleet -> fleet.claim(member, key)));
+    }
+
+    private static Action.Independent<ClaimFleet> write() {
+        return () ->
+                Combinators.combine(MEMBER, Arbitraries.of(Fate.class))
+                        .as(
+                                (member, fate) ->
+                                        Transformer.mutate(
+                                                "write " + fate + " at " + member,
+                                                fleet -> fleet.write(member, fate)));
+    }
+
+    private static Action.Independent<ClaimFleet> pass(final int least, final int most) {
+        return () ->
+                Arbitraries.integers()
+                        .between(least, most)
+                        .map(
+                                millis ->
+                                        Transformer.mutate(
+                                                "pass " + millis,
+                                                fleet -> fleet.pass(Duration.ofMillis(millis))));
+    }
+
+    private static Action.Independent<ClaimFleet> onMember(
+            final String name, final ObjIntConsumer<ClaimFleet> move) {
+        return () ->
+                MEMBER.map(
+                        member ->
+                                Transformer.mutate(
+                                        name + " " + member, fleet -> move.accept(fleet, member)));
+    }
+}
