--- /dev/null
+++ b/membership/src/main/java/org/whinhead/membership/Arrivals.java
@@ -0,0 +1,62 @@
+package org.whinhead.membership;
+
+import java.time.Duration;
+import java.time.Instant;
+
+/** When heartbeats of one peer arrive, and how long a silence is usual for it. */
+final class Arrivals {
+
+    private static final double MEAN_GAIN = 0.125;
+    private static final double DEVIATION_GAIN = 0.25;
+    private static final int DEVIATIONS = 4;
+
+    private final MembershipSettings mSettings;
+    private Instant mLastSign;
+    private Instant mLastHeartbeat;
+    private double mMeanMillis;
+    private double mDeviationMillis;
+
+    Arrivals(final MembershipSettings settings, final Instant now) {
+        mSettings = settings;
+        mLastSign = now;
+        mMeanMillis = settings.heartbeatInterval().toMillis();
+    }
+
+    /** Any sign of life, also one that another daemon passed on. */
+    void sign(final Instant now) {
+        mLastSign = now;
+    }
+
+    /** A heartbeat arrived; the gap before it widens or narrows the timeout. */
+    void heartbeat(final Instant now) {
+        if (mLastHeartbeat != null) {
+            // A gap as long as a partition says nothing of the peer's pace.
+            final long longest = mSettings.maximumTimeout().toMillis();
+            final long gap = Math.min(longest, Duration.between(mLastHeartbeat, now).toMillis());
+            mDeviationMillis += DEVIATION_GAIN * (Math.abs(gap - mMeanMillis) - mDeviationMillis);
+            mMeanMillis += MEAN_GAIN * (gap - mMeanMillis);
+        }
+        mLastHeartbeat = now;
+        mLastSign = now;
+    }
+
+    /** The own daemon was paused: silence during the pause is not the peer's. */
+    void forgive(final Instant now) {
+        mLastSign = now;
+        mLastHeartbeat = null;
+    }
+
+    boolean isSilent(final Instant now) {
+        return Duration.between(mLastSign, now).compareTo(timeout()) > 0;
+    }
+
+    /**
+     * Guards against a slow VM taken for a dead one: its own pace sets how long it may be silent.
+     */
+    Duration timeout() {
+        final long expected = (long) (2 * mMeanMillis + DEVIATIONS * mDeviationMillis);
+        final long least = mSettings.minimumTimeout().toMillis();
+        final long most = mSettings.maximumTimeout().toMillis();
+        return Duration.ofMillis(Math.max(least, Math.min(most, expected)));
+    }
+}
--- /dev/null
+++ b/membership/src/main/java/org/whinhead/membership/Dissemination.java
@@ -0,0 +1,241 @@
+package org.whinhead.membership;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.whinhead.api.model.VmId;
+
+/**
+ * Passes facts on: announcements at once, rumors in portions, and all of them again to a peer whose
+ * heartbeat shows that it lacks some.
+ */
+final class Dissemination {
+
+    private static final int HEARTBEATS_BETWEEN_MEMBER = 8;
+
+    private final MembershipSettings mSettings;
+    private final DaemonMember mSelf;
+    private final VmRegistry mRegistry;
+    private final GossipLinks mLinks;
+    private final MembershipActions mActions;
+    private final RumorQueue mQueue = new RumorQueue();
+    private final Map<VmId, Integer> mHeartbeatsSent = new HashMap<>();
+    private Instant mNextHeartbeat;
+    private Instant mNextGossip;
+    private Instant mDigestSince;
+    private Instant mLastWhole = Instant.MIN;
+    private long mLastDigest;
+    private long mIncarnation;
+
+    Dissemination(
+            final MembershipSettings settings,
+            final DaemonMember self,
+            final long incarnation,
+            final VmRegistry registry,
+            final GossipLinks links,
+            final MembershipActions actions) {
+        mSettings = settings;
+        mSelf = self;
+        mIncarnation = incarnation;
+        mRegistry = registry;
+        mLinks = links;
+        mActions = actions;
+    }
+
+    /** Spreads daemons that start together over the interval. */
+    void scheduleFirst(final Instant now, final RandomGenerator random) {
+        final long spread = mSettings.heartbeatInterval().toMillis();
+        mNextHeartbeat = now.plusMillis(random.nextLong(spread));
+        mNextGossip = now.plusMillis(random.nextLong(mSettings.gossipInterval().toMillis()));
+        mDigestSince = now;
+    }
+
+    long incarnation() {
+        return mIncarnation;
+    }
+
+    void tick(final Instant now) {
+        if (mRegistry.digest() != mLastDigest) {
+            mLastDigest = mRegistry.digest();
+            mDigestSince = now;
+        }
+        if (!now.isBefore(mNextHeartbeat)) {
+            mNextHeartbeat = now.plus(mSettings.heartbeatInterval());
+            sendHeartbeats();
+        }
+        if (!now.isBefore(mNextGossip)) {
+            mNextGossip = now.plus(mSettings.gossipInterval());
+            sendRumors();
+        }
+    }
+
+    private void sendHeartbeats() {
+        final List<DaemonMember> links = mLinks.links();
+        final Set<VmId> linked = new HashSet<>();
+        links.forEach(link -> linked.add(link.id()));
+        mHeartbeatsSent.keySet().retainAll(linked);
+        for (final DaemonMember link : links) {
+            final int sent = mHeartbeatsSent.merge(link.id(), 1, Integer::sum);
+            final boolean withMember = sent % HEARTBEATS_BETWEEN_MEMBER == 1;
+            final Optional<DaemonMember> member =
+                    withMember ? Optional.of(mSelf) : Optional.empty();
+            final long digest = mRegistry.digest();
+            mActions.send(
+                    link.address(), new MembershipMessage.Heartbeat(mIncarnation, digest, member));
+        }
+    }
+
+    private void sendRumors() {
+        final List<Rumor> rumors = mQueue.takeSome();
+        if (rumors.isEmpty()) {
+            return;
+        }
+        final MembershipMessage gossip = new MembershipMessage.Gossip(rumors, false);
+        for (final DaemonMember link : mLinks.links()) {
+            mActions.send(link.address(), gossip);
+        }
+    }
+
+    /** Takes in an announcement and passes on, at once, what was news. */
+    void leaving(final LeavingNotice notice, final Optional<VmId> from, final Instant now) {
+        final Set<VmId> news = mRegistry.announced(notice, now);
+        if (news.isEmpty()) {
+            return;
+        }
+        final MembershipMessage message =
+                new MembershipMessage.Leaving(new LeavingNotice(news, notice.goneBy()));
+        for (final DaemonMember link : mLinks.links()) {
+            if (from.isEmpty() || !from.get().equals(link.id())) {
+                mActions.send(link.address(), message);
+            }
+        }
+    }
+
+    void suspect(final VmId vm) {
+        final long incarnation = mRegistry.facts(vm).incarnation();
+        if (mRegistry.suspected(vm, incarnation)) {
+            mQueue.add(new Rumor.Suspected(vm, incarnation));
+        }
+    }
+
+    void alive(final VmId vm, final long incarnation) {
+        final VmFacts facts = mRegistry.facts(vm);
+        final boolean endsSuspicion = facts != null && facts.isSuspected();
+        if (mRegistry.alive(vm, incarnation) && endsSuspicion) {
+            mQueue.add(new Rumor.Alive(vm, incarnation));
+        }
+    }
+
+    void heartbeat(
+            final VmId from, final MembershipMessage.Heartbeat heartbeat, final Instant now) {
+        if (heartbeat.member().isPresent()) {
+            join(heartbeat.member().get(), heartbeat.incarnation(), now);
+        }
+        alive(from, heartbeat.incarnation());
+        final VmFacts facts = mRegistry.facts(from);
+        if (facts != null && facts.isSuspected()) {
+            // Only the peer itself may end the suspicion, so it must hear of it.
+            final Rumor rumor = new Rumor.Suspected(from, facts.suspectedIncarnation());
+            send(from, new MembershipMessage.Gossip(List.of(rumor), false));
+        } else if (heartbeat.digest() != mRegistry.digest()) {
+            sendWhole(from, now);
+        }
+    }
+
+    /**
+     * Repairs what loss has torn, but not while news still travels, and only so often: after a
+     * partition the digests of all neighbours differ at once.
+     */
+    private void sendWhole(final VmId to, final Instant now) {
+        final Duration interval = mSettings.heartbeatInterval();
+        final boolean settled = !now.isBefore(mDigestSince.plus(interval));
+        if (settled
+                && (mLastWhole.equals(Instant.MIN) || !now.isBefore(mLastWhole.plus(interval)))) {
+            mLastWhole = now;
+            send(to, new MembershipMessage.Gossip(mRegistry.rumors(), true));
+        }
+    }
+
+    void gossip(final VmId from, final MembershipMessage.Gossip gossip, final Instant now) {
+        final Map<Instant, Set<VmId>> leaving = new HashMap<>();
+        for (final Rumor rumor : gossip.rumors()) {
+            if (rumor instanceof Rumor.Leaving one) {
+                leaving.computeIfAbsent(one.goneBy(), goneBy -> new HashSet<>()).add(one.vm());
+            } else {
+                hear(rumor, now);
+            }
+        }
+        leaving.forEach(
+                (goneBy, vms) -> leaving(new LeavingNotice(vms, goneBy), Optional.of(from), now));
+        if (gossip.whole()) {
+            answerWhole(from, gossip.rumors());
+        }
+    }
+
+    private void hear(final Rumor rumor, final Instant now) {
+        if (rumor instanceof Rumor.Suspected suspected) {
+            hearSuspected(suspected);
+        } else if (rumor instanceof Rumor.Alive alive) {
+            // Passed on also by those that missed the suspicion: others behind them may hold it.
+            if (mRegistry.alive(alive.vm(), alive.incarnation())) {
+                mQueue.add(alive);
+            }
+        } else if (rumor instanceof Rumor.Joined joined) {
+            join(joined.member(), joined.incarnation(), now);
+        }
+    }
+
+    private void hearSuspected(final Rumor.Suspected suspected) {
+        if (suspected.vm().equals(mSelf.id())) {
+            if (suspected.incarnation() >= mIncarnation) {
+                mIncarnation = suspected.incarnation() + 1;
+                mQueue.add(new Rumor.Alive(mSelf.id(), mIncarnation));
+            }
+        } else if (mRegistry.suspected(suspected.vm(), suspected.incarnation())) {
+            mQueue.add(suspected);
+        }
+    }
+
+    private void join(final DaemonMember member, final long incarnation, final Instant now) {
+        if (mRegistry.join(member, now)) {
+            mQueue.add(new Rumor.Joined(member, incarnation));
+        }
+        alive(member.id(), incarnation);
+    }
+
+    /** Sends what the peer's whole list of rumors lacks. */
+    private void answerWhole(final VmId to, final List<Rumor> theirs) {
+        final Set<Rumor> known = new HashSet<>(theirs);
+        final List<Rumor> missing = new ArrayList<>();
+        for (final Rumor rumor : mRegistry.rumors()) {
+            if (!known.contains(rumor)) {
+                missing.add(rumor);
+            }
+        }
+        for (final Rumor rumor : theirs) {
+            final VmFacts facts = mRegistry.facts(rumor.vm());
+            if (rumor instanceof Rumor.Suspected suspected
+                    && facts != null
+                    && facts.incarnation() > suspected.incarnation()) {
+                missing.add(new Rumor.Alive(rumor.vm(), facts.incarnation()));
+            }
+        }
+        if (!missing.isEmpty()) {
+            send(to, new MembershipMessage.Gossip(missing, false));
+        }
+    }
+
+    private void send(final VmId to, final MembershipMessage message) {
+        final DaemonMember member = mRegistry.daemons().get(to);
+        if (member != null) {
+            mActions.send(member.address(), message);
+        }
+    }
+}
--- /dev/null
+++ b/membership/src/main/java/org/whinhead/membership/GossipLinks.java
@@ -0,0 +1,87 @@
+package org.whinhead.membership;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.whinhead.api.model.VmId;
+import org.whinhead.api.model.VmState;
+
+/** Whom a daemon talks to: its neighbours in the overlay, and those that took it as one. */
+final class GossipLinks {
+
+    private static final int FOLLOWER_HEARTBEATS = 5;
+
+    private final MembershipSettings mSettings;
+    private final DaemonMember mSelf;
+    private final VmRegistry mRegistry;
+    private final Map<VmId, Instant> mFollowers = new HashMap<>();
+    private Set<VmId> mNeighbours = Set.of();
+    private Set<VmId> mKnown = Set.of();
+    private Set<VmId> mLive = Set.of();
+
+    GossipLinks(
+            final MembershipSettings settings, final DaemonMember self, final VmRegistry registry) {
+        mSettings = settings;
+        mSelf = self;
+        mRegistry = registry;
+    }
+
+    /**
+     * Chooses the neighbours anew if the members changed; tells whether it did.
+     *
+     * <p>The overlay of all members keeps links across a cut, so that its end is noticed; the
+     * overlay of live members alone has no holes on the own side.
+     */
+    boolean refresh(final Instant now) {
+        final Duration patience = mSettings.heartbeatInterval().multipliedBy(FOLLOWER_HEARTBEATS);
+        mFollowers.values().removeIf(heard -> heard.plus(patience).isBefore(now));
+        final Set<VmId> known = new HashSet<>();
+        final Set<VmId> live = new HashSet<>();
+        for (final VmId vm : mRegistry.daemons().keySet()) {
+            final VmState state = mRegistry.state(vm);
+            if (state != VmState.GONE) {
+                known.add(vm);
+            }
+            if (state == VmState.LIVE) {
+                live.add(vm);
+            }
+        }
+        if (known.equals(mKnown) && live.equals(mLive)) {
+            return false;
+        }
+        mKnown = known;
+        mLive = live;
+        mNeighbours = Overlay.neighbours(mSelf.id(), known, mSettings.rings());
+        if (live.size() < known.size()) {
+            mNeighbours.addAll(Overlay.neighbours(mSelf.id(), live, mSettings.rings()));
+        }
+        return true;
+    }
+
+    Set<VmId> neighbours() {
+        return mNeighbours;
+    }
+
+    void heartbeatFrom(final VmId vm, final Instant now) {
+        mFollowers.put(vm, now);
+    }
+
+    /** Returns all links; a daemon that was not heard of yet has no address and is left out. */
+    List<DaemonMember> links() {
+        final Set<VmId> ids = new HashSet<>(mNeighbours);
+        ids.addAll(mFollowers.keySet());
+        final List<DaemonMember> links = new ArrayList<>(ids.size());
+        for (final VmId vm : ids) {
+            final DaemonMember member = mRegistry.daemons().get(vm);
+            if (member != null && mRegistry.state(vm) != VmState.GONE) {
+                links.add(member);
+            }
+        }
+        return links;
+    }
+}
--- /dev/null
+++ b/membership/src/main/java/org/whinhead/membership/Membership.java
@@ -0,0 +1,236 @@
+package org.whinhead.membership;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.whinhead.api.model.VmId;
+import org.whinhead.api.model.VmState;
+
+/**
+ * Decides which VMs are live, suspect, leaving or gone. Single-threaded: lists, notices, peers'
+ * messages and ticks go in with the time, messages and views go out through the actions.
+ */
+public final class Membership {
+
+    private static final int PROBE_HELPERS = 3;
+    private static final int LONGEST_TICK_GAP_DIVISOR = 2;
+
+    private final MembershipSettings mSettings;
+    private final DaemonMember mSelf;
+    private final RandomGenerator mRandom;
+    private final MembershipActions mActions;
+    private final VmRegistry mRegistry;
+    private final FailureDetector mDetector;
+    private final ProbeRelay mRelay = new ProbeRelay();
+    private final ViewBuilder mViewBuilder;
+    private final GossipLinks mLinks;
+    private final Dissemination mDissemination;
+    private MembershipView mView;
+    private Instant mLastTick;
+
+    /**
+     * Starts the membership of one daemon.
+     *
+     * @param settings how often to talk and how long to wait
+     * @param self the own daemon
+     * @param incarnation a number above that of any earlier daemon on the same VM
+     * @param random the source of chance
+     * @param actions the way out
+     * @param now the time
+     */
+    public Membership(
+            final MembershipSettings settings,
+            final DaemonMember self,
+            final long incarnation,
+            final RandomGenerator random,
+            final MembershipActions actions,
+            final Instant now) {
+        mSettings = Objects.requireNonNull(settings, "settings");
+        mSelf = Objects.requireNonNull(self, "self");
+        mRandom = Objects.requireNonNull(random, "random");
+        mActions = Objects.requireNonNull(actions, "actions");
+        mRegistry = new VmRegistry(self, now);
+        mDetector = new FailureDetector(settings);
+        mViewBuilder = new ViewBuilder(self, mRegistry, settings.maximumTimeout());
+        mLinks = new GossipLinks(settings, self, mRegistry);
+        mDissemination = new Dissemination(settings, self, incarnation, mRegistry, mLinks, actions);
+        mDissemination.scheduleFirst(now, mRandom);
+        mLastTick = now;
+        mView = mViewBuilder.build(now);
+    }
+
+    /** Returns the newest view. */
+    public MembershipView view() {
+        return mView;
+    }
+
+    /**
+     * The platform's VM list was read.
+     *
+     * @param list the list; one that is not newer than the newest changes nothing
+     * @param now the time
+     */
+    public void listReceived(final VmListSnapshot list, final Instant now) {
+        mRegistry.list(list, now);
+        publish(now);
+    }
+
+    /**
+     * The cloud said that VMs are taken back; the other daemons are told at once.
+     *
+     * @param notice the VMs
+     * @param now the time
+     */
+    public void noticeReceived(final LeavingNotice notice, final Instant now) {
+        mDissemination.leaving(notice, Optional.empty(), now);
+        publish(now);
+    }
+
+    /**
+     * The own daemon begins its graceful shutdown.
+     *
+     * @param goneBy when it is stopped at the latest
+     * @param now the time
+     */
+    public void stopping(final Instant goneBy, final Instant now) {
+        noticeReceived(new LeavingNotice(Set.of(mSelf.id()), goneBy), now);
+    }
+
+    /**
+     * A peer's message arrived.
+     *
+     * @param from the sender's VM, as its certificate names it
+     * @param message the message
+     * @param now the time
+     */
+    public void received(final VmId from, final MembershipMessage message, final Instant now) {
+        if (message instanceof MembershipMessage.Heartbeat heartbeat) {
+            heartbeat(from, heartbeat, now);
+        } else if (message instanceof MembershipMessage.Leaving leaving) {
+            mDissemination.leaving(leaving.notice(), Optional.of(from), now);
+        } else if (message instanceof MembershipMessage.Gossip gossip) {
+            mDissemination.gossip(from, gossip, now);
+        } else if (message instanceof MembershipMessage.Probe probe) {
+            probe(from, probe, now);
+        } else if (message instanceof MembershipMessage.ProbeReply reply) {
+            mDetector.answered(reply.target(), reply.nonce(), now);
+            mDissemination.alive(reply.target(), reply.incarnation());
+        }
+        heardFrom(from, now);
+        publish(now);
+    }
+
+    /**
+     * Time passed; to be called a few times in each gossip interval.
+     *
+     * @param now the time
+     */
+    public void tick(final Instant now) {
+        final Duration gap = Duration.between(mLastTick, now);
+        final Duration longest = mSettings.minimumTimeout().dividedBy(LONGEST_TICK_GAP_DIVISOR);
+        mLastTick = now;
+        if (gap.compareTo(longest) > 0) {
+            mDetector.forgiveAll(now);
+        }
+        mRegistry.expire(now);
+        mRelay.expire(now);
+        if (mLinks.refresh(now)) {
+            mDetector.watch(mLinks.neighbours(), now);
+        }
+        mDissemination.tick(now);
+        suspectUnanswered(now);
+        probeSilent(now);
+        publish(now);
+    }
+
+    private void heartbeat(
+            final VmId from, final MembershipMessage.Heartbeat heartbeat, final Instant now) {
+        mDetector.heartbeat(from, now);
+        mLinks.heartbeatFrom(from, now);
+        mDissemination.heartbeat(from, heartbeat, now);
+    }
+
+    private void heardFrom(final VmId from, final Instant now) {
+        mRegistry.heard(from, now);
+        mDetector.sign(from, now);
+        for (final ProbeRelay.Relayed relayed : mRelay.takeFor(from)) {
+            reply(relayed.requester(), from, relayed.nonce());
+        }
+    }
+
+    private void probe(final VmId from, final MembershipMessage.Probe probe, final Instant now) {
+        final VmId target = probe.target();
+        if (target.equals(mSelf.id())) {
+            send(
+                    from,
+                    new MembershipMessage.ProbeReply(
+                            target, probe.nonce(), mDissemination.incarnation()));
+        } else if (mDetector.isHeard(target, now)) {
+            reply(from, target, probe.nonce());
+        } else if (mRelay.add(from, target, probe.nonce(), now.plus(mSettings.probeTimeout()))) {
+            send(target, new MembershipMessage.Probe(target, probe.nonce()));
+        }
+    }
+
+    private void reply(final VmId requester, final VmId target, final long nonce) {
+        final VmFacts facts = mRegistry.facts(target);
+        final long incarnation = facts == null ? 0 : facts.incarnation();
+        send(requester, new MembershipMessage.ProbeReply(target, nonce, incarnation));
+    }
+
+    private void suspectUnanswered(final Instant now) {
+        for (final VmId vm : mDetector.takeUnanswered(now)) {
+            if (mRegistry.state(vm) == VmState.LIVE) {
+                mDissemination.suspect(vm);
+            }
+        }
+    }
+
+    private void probeSilent(final Instant now) {
+        for (final FailureDetector.Probe started : mDetector.startProbes(now)) {
+            final VmId silent = started.target();
+            if (mRegistry.state(silent) != VmState.LIVE) {
+                continue;
+            }
+            final MembershipMessage probe = new MembershipMessage.Probe(silent, started.nonce());
+            send(silent, probe);
+            for (final VmId helper : helpersFor(silent)) {
+                send(helper, probe);
+            }
+        }
+    }
+
+    private Set<VmId> helpersFor(final VmId silent) {
+        final List<DaemonMember> live =
+                mRegistry.daemons().values().stream()
+                        .filter(member -> mRegistry.state(member.id()) == VmState.LIVE)
+                        .filter(member -> !member.id().equals(mSelf.id()))
+                        .filter(member -> !member.id().equals(silent))
+                        .toList();
+        final Set<VmId> helpers = new HashSet<>();
+        final int wanted = Math.min(PROBE_HELPERS, live.size());
+        while (helpers.size() < wanted) {
+            helpers.add(live.get(mRandom.nextInt(live.size())).id());
+        }
+        return helpers;
+    }
+
+    private void send(final VmId to, final MembershipMessage message) {
+        final DaemonMember member = mRegistry.daemons().get(to);
+        if (member != null) {
+            mActions.send(member.address(), message);
+        }
+    }
+
+    private void publish(final Instant now) {
+        if (mRegistry.takeChanged()) {
+            mView = mViewBuilder.build(now);
+            mActions.viewChanged(mView);
+        }
+    }
+}
--- /dev/null
+++ b/membership/src/main/java/org/whinhead/membership/ViewBuilder.java
@@ -0,0 +1,91 @@
+package org.whinhead.membership;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.whinhead.api.model.Endpoint;
+import org.whinhead.api.model.EndpointId;
+import org.whinhead.api.model.VmId;
+import org.whinhead.api.model.VmState;
+
+/** Makes views from the registry. */
+final class ViewBuilder {
+
+    /** A region counts as cut off when this share of its daemons is suspect. */
+    private static final double CUT_SHARE = 0.75;
+
+    private static final int CUT_LEAST_SUSPECTS = 2;
+
+    private final DaemonMember mSelf;
+    private final VmRegistry mRegistry;
+    private final Duration mRecentlyHeard;
+    private long mVersion;
+
+    ViewBuilder(final DaemonMember self, final VmRegistry registry, final Duration recentlyHeard) {
+        mSelf = self;
+        mRegistry = registry;
+        mRecentlyHeard = recentlyHeard;
+    }
+
+    MembershipView build(final Instant now) {
+        mVersion++;
+        final Set<String> cutOff = regionsCutOff();
+        final Map<VmId, DaemonMember> daemons = new HashMap<>();
+        for (final DaemonMember member : mRegistry.daemons().values()) {
+            daemons.put(member.id(), member.withState(stateInView(member, cutOff, now)));
+        }
+        final Map<EndpointId, Endpoint> endpoints = new HashMap<>();
+        for (final Endpoint endpoint : mRegistry.endpoints().values()) {
+            final VmState state = mRegistry.state(endpoint.vm().id());
+            final boolean same = endpoint.vm().state() == state;
+            endpoints.put(endpoint.id(), same ? endpoint : endpoint.withVmState(state));
+        }
+        return new MembershipView(mVersion, mSelf.vm().domain(), daemons, endpoints);
+    }
+
+    /**
+     * Guards against a daemon beyond a cut that is observed only from its own side: nobody here
+     * would suspect it, and callers would be sent there. Where nearly all daemons of another region
+     * are suspect, the rest count as suspect too, but for those that were heard just now.
+     */
+    private VmState stateInView(
+            final DaemonMember member, final Set<String> cutOff, final Instant now) {
+        final VmFacts facts = mRegistry.facts(member.id());
+        final VmState state = facts.state();
+        final boolean inferred =
+                state == VmState.LIVE
+                        && cutOff.contains(member.vm().domain().region())
+                        && !facts.heardSince(now.minus(mRecentlyHeard));
+        return inferred ? VmState.SUSPECT : state;
+    }
+
+    private Set<String> regionsCutOff() {
+        final Map<String, Integer> live = new HashMap<>();
+        final Map<String, Integer> suspect = new HashMap<>();
+        final String ownRegion = mSelf.vm().domain().region();
+        for (final DaemonMember member : mRegistry.daemons().values()) {
+            final String region = member.vm().domain().region();
+            final VmState state = mRegistry.state(member.id());
+            if (region.equals(ownRegion)) {
+                continue;
+            }
+            if (state == VmState.LIVE) {
+                live.merge(region, 1, Integer::sum);
+            } else if (state == VmState.SUSPECT) {
+                suspect.merge(region, 1, Integer::sum);
+            }
+        }
+        final Set<String> cutOff = new HashSet<>();
+        suspect.forEach(
+                (region, count) -> {
+                    final int all = count + live.getOrDefault(region, 0);
+                    if (count >= CUT_LEAST_SUSPECTS && count >= CUT_SHARE * all) {
+                        cutOff.add(region);
+                    }
+                });
+        return cutOff;
+    }
+}
--- /dev/null
+++ b/membership/src/test/java/org/whinhead/membership/FakeCluster.java
@@ -0,0 +1,147 @@
+package org.whinhead.membership;
+
+import java.net.URI;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import java.util.function.BiFunction;
+import org.whinhead.api.model.Billing;
+import org.whinhead.api.model.FailureDomain;
+import org.whinhead.api.model.Vm;
+import org.whinhead.api.model.VmId;
+import org.whinhead.api.model.VmState;
+
+/** Several memberships and the messages between them, with a clock of their own. */
+final class FakeCluster {
+
+    static final Instant START = Instant.parse("2030-01-01T00:00:00Z");
+
+    private static final Duration TICK = Duration.ofMillis(100);
+    private static final Duration DELAY = Duration.ofMillis(2);
+
+    private final Map<VmId, Membership> mRunning = new LinkedHashMap<>();
+    private final List<DaemonMember> mMembers = new ArrayList<>();
+    private final PriorityQueue<Flight> mFlights =
+            new PriorityQueue<>(
+                    Comparator.comparing(Flight::arrives).thenComparing(Flight::number));
+    private BiFunction<VmId, VmId, Optional<Duration>> mNetwork = (a, b) -> Optional.of(DELAY);
+    private Instant mNow = START;
+    private long mSent;
+
+    /** Starts daemons, each with a list of all: odd ones in region east, even ones in west. */
+    FakeCluster(final int size) {
+        for (int i = 0; i < size; i++) {
+            mMembers.add(member("vm-" + i, i % 2 == 0 ? "west" : "east"));
+        }
+        for (final DaemonMember member : mMembers) {
+            start(member);
+        }
+        list(mNow);
+    }
+
+    static DaemonMember member(final String id, final String region) {
+        final VmId vmId = new VmId(id);
+        final FailureDomain domain = new FailureDomain(region, region + "-1");
+        final Vm vm = new Vm(vmId, "10.0.0.1", domain, "s", Billing.RECLAIMABLE, VmState.LIVE);
+        final URI uri = URI.create("http://10.0.0.1/" + id);
+        return new DaemonMember(vm, new DaemonAddress(vmId, "10.0.0.1", 1), uri);
+    }
+
+    private void start(final DaemonMember member) {
+        final MembershipActions actions =
+                new MembershipActions() {
+                    @Override
+                    public void send(final DaemonAddress to, final MembershipMessage message) {
+                        post(member.id(), to.vm(), message);
+                    }
+
+                    @Override
+                    public void viewChanged(final MembershipView view) {
+                        // The tests read the newest view from the membership.
+                    }
+                };
+        final SplittableRandom random = new SplittableRandom(mRunning.size());
+        mRunning.put(
+                member.id(),
+                new Membership(MembershipSettings.defaults(), member, 1, random, actions, mNow));
+    }
+
+    private void post(final VmId from, final VmId to, final MembershipMessage message) {
+        mSent++;
+        final Optional<Duration> delay = mNetwork.apply(from, to);
+        delay.ifPresent(d -> mFlights.add(new Flight(mNow.plus(d), mSent, from, to, message)));
+    }
+
+    void network(final BiFunction<VmId, VmId, Optional<Duration>> network) {
+        mNetwork = network;
+    }
+
+    void heal() {
+        mNetwork = (a, b) -> Optional.of(DELAY);
+    }
+
+    void kill(final VmId vm) {
+        mRunning.remove(vm);
+    }
+
+    void list(final Instant asOf) {
+        final VmListSnapshot list = new VmListSnapshot(asOf, mMembers, List.of());
+        mRunning.values().forEach(membership -> membership.listReceived(list, mNow));
+    }
+
+    void run(final Duration time) {
+        final Instant end = mNow.plus(time);
+        while (mNow.isBefore(end)) {
+            mNow = mNow.plus(TICK);
+            while (!mFlights.isEmpty() && !mFlights.peek().arrives().isAfter(mNow)) {
+                final Flight flight = mFlights.poll();
+                final Membership receiver = mRunning.get(flight.to());
+                if (receiver != null) {
+                    receiver.received(flight.from(), flight.message(), mNow);
+                }
+            }
+            List.copyOf(mRunning.values()).forEach(membership -> membership.tick(mNow));
+        }
+    }
+
+    Instant now() {
+        return mNow;
+    }
+
+    long sent() {
+        return mSent;
+    }
+
+    Membership at(final int index) {
+        return mRunning.get(id(index));
+    }
+
+    VmId id(final int index) {
+        return mMembers.get(index).id();
+    }
+
+    /** Counts the pairs of running daemons in which the first sees the second in the state. */
+    long seen(final VmState state) {
+        return mRunning.values().stream()
+                .flatMap(membership -> membership.view().daemons().stream())
+                .filter(member -> mRunning.containsKey(member.id()))
+                .filter(member -> member.vm().state() == state)
+                .count();
+    }
+
+    /** Tells whether all running daemons see the VM in the state. */
+    boolean allSee(final VmId vm, final VmState state) {
+        return mRunning.values().stream()
+                .allMatch(m -> m.view().daemon(vm).orElseThrow().vm().state() == state);
+    }
+
+    private record Flight(
+            Instant arrives, long number, VmId from, VmId to, MembershipMessage message) {}
+}
--- /dev/null
+++ b/membership/src/test/java/org/whinhead/membership/MembershipTest.java
@@ -0,0 +1,165 @@
+package org.whinhead.membership;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.URI;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.whinhead.api.model.VmId;
+import org.whinhead.api.model.VmState;
+
+class MembershipTest {
+
+    private static final Duration MOMENT = Duration.ofSeconds(3);
+    private static final Duration MINUTE = Duration.ofMinutes(1);
+
+    // A caller is sent to a daemon that stops in seconds. The notice came first, then the lagging
+    // list, read before and after the notice, still said "live". What is announced must stay.
+    @Test
+    void olderListDoesNotReviveLeavingVm() {
+        final FakeCluster cluster = new FakeCluster(9);
+        cluster.run(MOMENT);
+        final VmId leaving = cluster.id(4);
+        final Instant goneBy = cluster.now().plusSeconds(30);
+        cluster.at(0).noticeReceived(new LeavingNotice(Set.of(leaving), goneBy), cluster.now());
+        cluster.run(MOMENT);
+        cluster.list(cluster.now());
+        assertThat(cluster.allSee(leaving, VmState.LEAVING)).isTrue();
+        cluster.run(MINUTE);
+        cluster.list(cluster.now());
+        assertThat(cluster.allSee(leaving, VmState.GONE)).isTrue();
+    }
+
+    // A domain is taken back and every daemon there dies. The daemon that read the notice sends
+    // one announcement for all of them to each neighbour; one for each VM would flood the links.
+    @Test
+    void wholeDomainLeavesInOneAnnouncement() {
+        final FakeCluster cluster = new FakeCluster(30);
+        cluster.run(MOMENT);
+        final Set<VmId> east =
+                Set.copyOf(
+                        cluster.at(0).view().daemons().stream()
+                                .filter(m -> m.vm().domain().region().equals("east"))
+                                .map(DaemonMember::id)
+                                .toList());
+        final long before = cluster.sent();
+        final Instant goneBy = cluster.now().plusSeconds(30);
+        cluster.at(0).noticeReceived(new LeavingNotice(east, goneBy), cluster.now());
+        assertThat(cluster.sent() - before).isBetween(1L, 8L);
+        cluster.run(MOMENT);
+        assertThat(east).allMatch(vm -> cluster.allSee(vm, VmState.LEAVING));
+    }
+
+    // A daemon dies without a notice. Callers must not be sent there, but work on it is not given
+    // up while only its silence speaks: two newer lists without it are needed for that.
+    @Test
+    void silentVmIsSuspectUntilListsLackIt() {
+        final FakeCluster cluster = new FakeCluster(9);
+        cluster.run(MOMENT);
+        final VmId dead = cluster.id(8);
+        cluster.kill(dead);
+        cluster.run(MINUTE);
+        assertThat(cluster.allSee(dead, VmState.SUSPECT)).isTrue();
+        assertThat(cluster.seen(VmState.LIVE)).isEqualTo(8 * 8);
+        final List<DaemonMember> others =
+                cluster.at(0).view().daemons().stream().filter(m -> !m.id().equals(dead)).toList();
+        cluster.at(0)
+                .listReceived(new VmListSnapshot(cluster.now(), others, List.of()), cluster.now());
+        assertThat(stateAt(cluster, 0, dead)).isEqualTo(VmState.SUSPECT);
+        cluster.at(0)
+                .listReceived(
+                        new VmListSnapshot(cluster.now().plusMillis(1), others, List.of()),
+                        cluster.now());
+        assertThat(stateAt(cluster, 0, dead)).isEqualTo(VmState.GONE);
+    }
+
+    // Two regions lose each other for an hour. Callers here must get addresses here, nobody may be
+    // given up, and when the link is back all must be live again without a burst of messages.
+    @Test
+    void partitionMakesSuspectsAndHealsWithoutStorm() {
+        final FakeCluster cluster = new FakeCluster(30);
+        cluster.run(MINUTE);
+        final long quiet = sentIn(cluster, MINUTE);
+        cluster.network(
+                (from, to) ->
+                        isEast(from) == isEast(to)
+                                ? Optional.of(Duration.ofMillis(2))
+                                : Optional.empty());
+        cluster.run(Duration.ofHours(1));
+        assertThat(cluster.seen(VmState.GONE)).isZero();
+        assertThat(cluster.seen(VmState.SUSPECT)).isEqualTo(2 * 15 * 15);
+        assertThat(cluster.at(0).view().callerAddresses()).hasSize(15);
+        cluster.heal();
+        final long healing = sentIn(cluster, MINUTE);
+        assertThat(cluster.seen(VmState.LIVE)).isEqualTo(30 * 30);
+        assertThat(healing).isLessThan(2 * quiet);
+        final List<URI> addresses = cluster.at(0).view().callerAddresses();
+        assertThat(addresses.subList(0, 15))
+                .allMatch(uri -> !isEast(new VmId(uri.getPath().substring(1))));
+    }
+
+    // A VM with a starved CPU answers seconds late, in bursts. Taken for dead, it would lose its
+    // callers for nothing and its work would be done twice.
+    @Test
+    void slowDaemonIsNotSuspected() {
+        final FakeCluster cluster = new FakeCluster(9);
+        cluster.run(MOMENT);
+        final VmId slow = cluster.id(3);
+        final long[] turn = {0};
+        cluster.network(
+                (from, to) ->
+                        Optional.of(
+                                from.equals(slow)
+                                        ? Duration.ofMillis(500 + 400 * (turn[0]++ % 7))
+                                        : Duration.ofMillis(2)));
+        for (int i = 0; i < 120; i++) {
+            cluster.run(Duration.ofSeconds(1));
+            assertThat(cluster.seen(VmState.LIVE)).isEqualTo(9 * 9);
+        }
+    }
+
+    // One link is broken, both ends are well. The daemon at its end hears nothing and must ask
+    // others before it tells all that the peer is silent.
+    @Test
+    void brokenLinkIsAskedRound() {
+        final FakeCluster cluster = new FakeCluster(9);
+        cluster.run(MOMENT);
+        cluster.network(
+                (from, to) ->
+                        from.equals(cluster.id(1)) && to.equals(cluster.id(2))
+                                ? Optional.empty()
+                                : Optional.of(Duration.ofMillis(2)));
+        cluster.run(MINUTE);
+        assertThat(cluster.seen(VmState.LIVE)).isEqualTo(9 * 9);
+    }
+
+    // The own process was paused for a minute. On waking every peer looks silent at once, and a
+    // view without any live peer would follow.
+    @Test
+    void ownPauseAccusesNobody() {
+        final FakeCluster cluster = new FakeCluster(9);
+        cluster.run(MOMENT);
+        final Membership paused = cluster.at(0);
+        paused.tick(cluster.now().plus(MINUTE));
+        paused.tick(cluster.now().plus(MINUTE).plusMillis(100));
+        assertThat(paused.view().callerAddresses()).hasSize(9);
+    }
+
+    private static VmState stateAt(final FakeCluster cluster, final int index, final VmId vm) {
+        return cluster.at(index).view().daemon(vm).orElseThrow().vm().state();
+    }
+
+    private static boolean isEast(final VmId vm) {
+        return Integer.parseInt(vm.value().substring("vm-".length())) % 2 == 1;
+    }
+
+    private static long sentIn(final FakeCluster cluster, final Duration time) {
+        final long before = cluster.sent();
+        cluster.run(time);
+        return cluster.sent() - before;
+    }
+}
