--- /dev/null
+++ b/standins/src/main/java/org/whinhead/standins/load/LoadMain.java
@@ -0,0 +1,72 @@
+package org.whinhead.standins.load;
+
+import java.io.PrintStream;
+import java.util.concurrent.ExecutionException;
+import org.apache.commons.cli.ParseException;
+import org.whinhead.standins.load.result.LoadResult;
+
+/** The command {@code bin/load}. */
+public final class LoadMain {
+
+    /** Every answer was right. */
+    static final int EXIT_KEPT = 0;
+
+    /** A request was lost or wrong, or none was completed. */
+    static final int EXIT_BROKEN = 1;
+
+    /** The options are wrong. */
+    static final int EXIT_USAGE = 2;
+
+    private LoadMain() {}
+
+    /**
+     * Runs the command and exits with its status.
+     *
+     * @param arguments the command line
+     * @throws InterruptedException if the run is interrupted
+     * @throws ExecutionException if the run fails by a fault of this program
+     */
+    public static void main(final String[] arguments)
+            throws InterruptedException, ExecutionException {
+        System.exit(run(System.out, System.err, arguments));
+    }
+
+    /**
+     * Runs the command.
+     *
+     * @param out where results go
+     * @param errors where complaints go
+     * @param arguments the command line
+     * @return the exit status
+     */
+    static int run(final PrintStream out, final PrintStream errors, final String... arguments)
+            throws InterruptedException, ExecutionException {
+        if (LoadOptions.wantsHelp(arguments)) {
+            out.print(LoadOptions.help());
+            return EXIT_KEPT;
+        }
+        final LoadOptions options;
+        try {
+            options = LoadOptions.parse(arguments);
+        } catch (final ParseException e) {
+            errors.println(e.getMessage());
+            return EXIT_USAGE;
+        }
+        final LoadResult result = runOf(options).start().get();
+        final LoadReport report = new LoadReport(result);
+        out.println(report.table());
+        if (options.json()) {
+            out.println(report.json());
+        }
+        return result.promiseKept() ? EXIT_KEPT : EXIT_BROKEN;
+    }
+
+    private static LoadRun runOf(final LoadOptions options) {
+        return LoadRun.builder(options.deployment().mix(), options.config())
+                .duration(options.duration())
+                .perSecond(options.perSecond())
+                .closedCallers(options.closedCallers())
+                .seed(options.seed())
+                .build();
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/whinhead/standins/load/LoadOptions.java
@@ -0,0 +1,165 @@
+package org.whinhead.standins.load;
+
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.net.URI;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.HelpFormatter;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import org.whinhead.standins.load.caller.CallerConfig;
+import org.whinhead.standins.load.mix.Deployment;
+
+/**
+ * The command line of the load program.
+ *
+ * @param deployment whose callers are played
+ * @param config how callers behave
+ * @param perSecond the rate of the open loop
+ * @param closedCallers the callers of the closed loop; 0 for the open loop
+ * @param duration how long requests are started
+ * @param seed the seed of every choice
+ * @param json whether a JSON object is wanted
+ */
+record LoadOptions(
+        Deployment deployment,
+        CallerConfig config,
+        int perSecond,
+        int closedCallers,
+        Duration duration,
+        long seed,
+        boolean json) {
+
+    private static final String TARGET = "target";
+    private static final String DEPLOYMENT = "deployment";
+    private static final String RATE = "rate";
+    private static final String CLOSED = "closed";
+    private static final String SECONDS = "seconds";
+    private static final String DEADLINE = "deadline-millis";
+    private static final String SEED = "seed";
+    private static final String JSON = "json";
+    private static final String HELP = "help";
+    private static final int HELP_WIDTH = 100;
+    private static final int HELP_INDENT = 2;
+    private static final int DEFAULT_RATE = 50;
+    private static final int DEFAULT_SECONDS = 30;
+    private static final int DEFAULT_DEADLINE_MILLIS = 30_000;
+
+    /**
+     * Tells whether the help text is asked for, whatever else is given.
+     *
+     * @param arguments the command line
+     */
+    static boolean wantsHelp(final String... arguments) {
+        return List.of(arguments).contains("--" + HELP);
+    }
+
+    /**
+     * Parses a command line.
+     *
+     * @param arguments the command line
+     * @return the options
+     * @throws ParseException if it is wrong; the message tells where
+     */
+    static LoadOptions parse(final String... arguments) throws ParseException {
+        final CommandLine line = new DefaultParser().parse(options(), arguments);
+        if (!line.getArgList().isEmpty()) {
+            throw new ParseException(LoadMessages.text("error.stray", line.getArgList().get(0)));
+        }
+        final Duration deadline =
+                Duration.ofMillis(number(line, DEADLINE, 1, DEFAULT_DEADLINE_MILLIS));
+        return new LoadOptions(
+                deployment(line),
+                CallerConfig.of(targets(line)).withDeadline(deadline),
+                number(line, RATE, 1, DEFAULT_RATE),
+                number(line, CLOSED, 0, 0),
+                Duration.ofSeconds(number(line, SECONDS, 1, DEFAULT_SECONDS)),
+                number(line, SEED, Integer.MIN_VALUE, 1),
+                line.hasOption(JSON));
+    }
+
+    /** Returns the help text. */
+    static String help() {
+        final StringWriter text = new StringWriter();
+        new HelpFormatter()
+                .printHelp(
+                        new PrintWriter(text),
+                        HELP_WIDTH,
+                        LoadMessages.text("usage"),
+                        LoadMessages.text("header"),
+                        options(),
+                        HELP_INDENT,
+                        HELP_INDENT,
+                        LoadMessages.text("footer"));
+        return text.toString();
+    }
+
+    private static Options options() {
+        final Options options = new Options();
+        options.addOption(withValue(TARGET).required().build());
+        for (final String name : List.of(DEPLOYMENT, RATE, CLOSED, SECONDS, DEADLINE, SEED)) {
+            options.addOption(withValue(name).build());
+        }
+        for (final String name : List.of(JSON, HELP)) {
+            options.addOption(option(name).build());
+        }
+        return options;
+    }
+
+    private static Option.Builder withValue(final String name) {
+        return option(name).hasArg();
+    }
+
+    private static Option.Builder option(final String name) {
+        return Option.builder().longOpt(name).desc(LoadMessages.text("option." + name));
+    }
+
+    private static List<URI> targets(final CommandLine line) throws ParseException {
+        final List<URI> targets = new ArrayList<>();
+        for (final String text : line.getOptionValues(TARGET)) {
+            targets.add(target(text));
+        }
+        return targets;
+    }
+
+    private static URI target(final String text) throws ParseException {
+        try {
+            final URI uri = URI.create(text);
+            if (uri.getHost() != null && uri.getScheme().startsWith("http")) {
+                return uri;
+            }
+        } catch (final IllegalArgumentException e) {
+            // Not an address at all; said below, as for an address of another kind.
+        }
+        throw new ParseException(LoadMessages.text("error.target", text));
+    }
+
+    private static Deployment deployment(final CommandLine line) throws ParseException {
+        final String name = line.getOptionValue(DEPLOYMENT, Deployment.INKIKO.mix().name());
+        try {
+            return Deployment.named(name);
+        } catch (final IllegalArgumentException e) {
+            throw new ParseException(LoadMessages.text("error.deployment", name));
+        }
+    }
+
+    private static int number(
+            final CommandLine line, final String name, final int least, final int otherwise)
+            throws ParseException {
+        final String text = line.getOptionValue(name, Integer.toString(otherwise));
+        try {
+            final int number = Integer.parseInt(text);
+            if (number >= least) {
+                return number;
+            }
+        } catch (final NumberFormatException e) {
+            // Not a number at all; said below, as for a number that is too small.
+        }
+        throw new ParseException(LoadMessages.text("error.number", name, least, text));
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/whinhead/standins/load/LoadReport.java
@@ -0,0 +1,190 @@
+package org.whinhead.standins.load;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import org.whinhead.standins.load.result.LatencyDistribution;
+import org.whinhead.standins.load.result.LoadResult;
+import org.whinhead.standins.load.result.Outcome;
+import org.whinhead.standins.load.result.RequestResult;
+
+/** Writes a run's result as a table for people or as JSON for scripts. */
+final class LoadReport {
+
+    private static final double NANOS_IN_MILLI = 1_000_000.0;
+    private static final double MILLIS_IN_SECOND = 1000.0;
+    private static final double HALF = 50;
+    private static final double MOST = 95;
+    private static final double NEARLY_ALL = 99;
+
+    private static final String NOT_MEASURED = "-";
+
+    private final LoadResult mResult;
+
+    /**
+     * Takes a result.
+     *
+     * @param result the result
+     */
+    LoadReport(final LoadResult result) {
+        mResult = result;
+    }
+
+    /** Returns the table. */
+    String table() {
+        final List<String> lines = new ArrayList<>();
+        lines.add(title());
+        lines.add("");
+        lines.addAll(new TextTable(outcomeRows()).lines());
+        lines.add("");
+        lines.addAll(new TextTable(latencyRows()).lines());
+        lines.add("");
+        addCounts(lines, "report.completed-by-tier", mResult.completedByTier());
+        addCounts(lines, "report.faults", mResult.faults());
+        addCounts(lines, "report.error-codes", mResult.errorCodes());
+        return String.join(System.lineSeparator(), lines);
+    }
+
+    /** Returns the JSON object on one line. */
+    String json() {
+        final ObjectMapper mapper = new ObjectMapper();
+        final ObjectNode root = mapper.createObjectNode();
+        root.put("deployment", mResult.deployment());
+        root.put("elapsedMillis", mResult.elapsed().toMillis());
+        root.put("requests", mResult.requests().size());
+        root.put("accepted", mResult.accepted());
+        for (final Outcome outcome : Outcome.values()) {
+            root.put(outcome.jsonName(), mResult.count(outcome));
+        }
+        root.put("resumes", mResult.resumes());
+        root.put("tokens", mResult.tokens());
+        root.put("promiseKept", mResult.promiseKept());
+        root.set("completedByTier", mapper.valueToTree(mResult.completedByTier()));
+        root.set("faults", mapper.valueToTree(mResult.faults()));
+        root.set("errorCodes", mapper.valueToTree(mResult.errorCodes()));
+        put(root.putObject("firstToken"), mResult.firstToken());
+        put(root.putObject("betweenTokens"), mResult.betweenTokens());
+        final ObjectNode kinds = root.putObject("latencyByKind");
+        latencyByKind().forEach((kind, latency) -> put(kinds.putObject(kind), latency));
+        try {
+            return mapper.writeValueAsString(root);
+        } catch (final JsonProcessingException e) {
+            throw new IllegalStateException("a tree of texts and numbers has no JSON", e);
+        }
+    }
+
+    private String title() {
+        return LoadMessages.text(
+                "report.title",
+                mResult.deployment(),
+                mResult.requests().size(),
+                oneDecimal(mResult.elapsed().toMillis() / MILLIS_IN_SECOND),
+                mResult.accepted(),
+                mResult.resumes(),
+                mResult.tokens());
+    }
+
+    private List<List<String>> outcomeRows() {
+        final List<List<String>> rows = new ArrayList<>();
+        final List<String> header = new ArrayList<>();
+        header.add(LoadMessages.text("report.kind"));
+        header.add(LoadMessages.text("report.requests"));
+        for (final Outcome outcome : Outcome.values()) {
+            header.add(outcome.jsonName());
+        }
+        rows.add(header);
+        byKind().forEach((kind, results) -> rows.add(outcomeRow(kind, results)));
+        return rows;
+    }
+
+    private Map<String, List<RequestResult>> byKind() {
+        return mResult.requests().stream()
+                .collect(
+                        Collectors.groupingBy(
+                                result -> result.request().kind().name(),
+                                TreeMap::new,
+                                Collectors.toList()));
+    }
+
+    private static List<String> outcomeRow(final String kind, final List<RequestResult> results) {
+        final List<String> row = new ArrayList<>();
+        row.add(kind);
+        row.add(Integer.toString(results.size()));
+        for (final Outcome outcome : Outcome.values()) {
+            final long count = results.stream().filter(r -> r.outcome() == outcome).count();
+            row.add(Long.toString(count));
+        }
+        return row;
+    }
+
+    private List<List<String>> latencyRows() {
+        final List<List<String>> rows = new ArrayList<>();
+        rows.add(
+                List.of(
+                        "",
+                        LoadMessages.text("report.p50"),
+                        LoadMessages.text("report.p95"),
+                        LoadMessages.text("report.p99"),
+                        LoadMessages.text("report.max")));
+        rows.add(latencyRow(LoadMessages.text("report.first-token"), mResult.firstToken()));
+        rows.add(latencyRow(LoadMessages.text("report.between-tokens"), mResult.betweenTokens()));
+        latencyByKind()
+                .forEach(
+                        (kind, latency) ->
+                                rows.add(
+                                        latencyRow(
+                                                LoadMessages.text("report.latency", kind),
+                                                latency)));
+        return rows;
+    }
+
+    private Map<String, LatencyDistribution> latencyByKind() {
+        return new TreeMap<>(mResult.latencyByKind());
+    }
+
+    private static List<String> latencyRow(final String name, final LatencyDistribution times) {
+        return List.of(
+                name,
+                cell(times, times.percentile(HALF)),
+                cell(times, times.percentile(MOST)),
+                cell(times, times.percentile(NEARLY_ALL)),
+                cell(times, times.max()));
+    }
+
+    private static String cell(final LatencyDistribution times, final Duration time) {
+        return times.count() == 0 ? NOT_MEASURED : oneDecimal(millis(time));
+    }
+
+    private static void addCounts(
+            final List<String> lines, final String key, final Map<String, Long> counts) {
+        if (!counts.isEmpty()) {
+            lines.add(LoadMessages.text(key, counts.toString()));
+        }
+    }
+
+    private static void put(final ObjectNode node, final LatencyDistribution times) {
+        node.put("count", times.count());
+        if (times.count() == 0) {
+            return;
+        }
+        node.put("p50Millis", millis(times.percentile(HALF)));
+        node.put("p95Millis", millis(times.percentile(MOST)));
+        node.put("p99Millis", millis(times.percentile(NEARLY_ALL)));
+        node.put("maxMillis", millis(times.max()));
+    }
+
+    private static double millis(final Duration time) {
+        return time.toNanos() / NANOS_IN_MILLI;
+    }
+
+    private static String oneDecimal(final double value) {
+        return String.format(Locale.ROOT, "%.1f", value);
+    }
+}
--- a/standins/src/main/java/org/whinhead/standins/load/caller/Call.java
+++ b/standins/src/main/java/org/whinhead/standins/load/caller/Call.java
@@ -25,6 +25,7 @@
 final class Call implements Attempt.Listener {
 
     private static final String ERROR_EVENT = "error";
+    private static final Duration VERDICT_GRACE = Duration.ofSeconds(1);
     private static final int FIRST_ERROR_STATUS = 300;
 
     private final CallTools mTools;
@@ -37,6 +38,7 @@
 
     private Attempt mAttempt;
     private boolean mEnded;
+    private boolean mLate;
     private boolean mTokensInAttempt;
     private long mLastLineAt;
     private long mSilenceBound;
@@ -73,11 +75,14 @@
 
     @Override
     public synchronized void began(final Attempt attempt) {
-        if (isCurrent(attempt)) {
-            mProgress.accepted();
-            if (mRequest.kind().style().streamed()) {
-                watchSilence(attempt, mTools.config().streamSilence());
-            }
+        if (!isCurrent(attempt)) {
+            return;
+        }
+        mProgress.accepted();
+        if (mLate) {
+            end(Outcome.LOST);
+        } else if (mRequest.kind().style().streamed()) {
+            watchSilence(attempt, mTools.config().streamSilence());
         }
     }
 
@@ -173,7 +178,9 @@
 
     private synchronized void tryLater(final Duration pause) {
         mAttempt = null;
-        if (!mEnded) {
+        if (mLate) {
+            end(mProgress.outcomeAtDeadline(false));
+        } else if (!mEnded) {
             schedule(this::tryNextUnlessEnded, pause.toNanos());
         }
     }
@@ -297,9 +304,25 @@
         daemonLost();
     }
 
+    /**
+     * Nothing is sent any more. A try that no daemon has taken yet gets a short while to hear its
+     * verdict: without that, a refusal on its way would make the request look lost.
+     */
     private synchronized void deadlinePassed() {
-        if (!mEnded) {
+        if (mEnded) {
+            return;
+        }
+        if (mAttempt == null || mProgress.isAccepted()) {
             end(mProgress.outcomeAtDeadline(mAttempt != null));
+            return;
+        }
+        mLate = true;
+        mDeadlineTimer = schedule(this::verdictMissing, VERDICT_GRACE.toNanos());
+    }
+
+    private synchronized void verdictMissing() {
+        if (!mEnded) {
+            end(mProgress.outcomeAtDeadline(true));
         }
     }
 
--- a/standins/src/main/java/org/whinhead/standins/load/caller/CallProgress.java
+++ b/standins/src/main/java/org/whinhead/standins/load/caller/CallProgress.java
@@ -65,6 +65,11 @@
         mAccepted = true;
     }
 
+    /** Tells whether a daemon took the request. */
+    boolean isAccepted() {
+        return mAccepted;
+    }
+
     /** Notes a ticket. */
     void ticket(final String ticket) {
         mTicket = Optional.of(ticket);
