--- a/routing/src/main/java/org/whinhead/routing/AffinityRouter.java
+++ b/routing/src/main/java/org/whinhead/routing/AffinityRouter.java
@@ -181,6 +181,17 @@
         return state == null ? 0 : state.load().ownInFlight();
     }
 
+    @Override
+    public Optional<Endpoint> find(
+            final EndpointId endpoint, final RequestSpec spec, final Instant now) {
+        final EndpointState state = mTable.state(endpoint);
+        if (state == null || !state.endpoint().vm().state().mayStillAnswer()) {
+            return Optional.empty();
+        }
+        dispatch(state, spec, now);
+        return state.chosen();
+    }
+
     private void dispatch(final EndpointState state, final RequestSpec spec, final Instant now) {
         final Dispatch dispatch = new Dispatch(spec.id(), state.endpoint().id());
         final long revision = state.health().dispatched(now);
