Move the guard against silent daemons into a class of its own

Change: SilenceWatch; the newer formatter of the same library. Conclusion: the call reads as the protocol only.

--- a/standins/src/main/java/org/whinhead/standins/load/LoadOptions.java
+++ b/standins/src/main/java/org/whinhead/standins/load/LoadOptions.java
@@ -1,17 +1,18 @@
 package org.whinhead.standins.load;
 
-import java.io.PrintWriter;
-import java.io.StringWriter;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.URI;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
-import org.apache.commons.cli.HelpFormatter;
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
+import org.apache.commons.cli.help.HelpFormatter;
+import org.apache.commons.cli.help.TextHelpAppendable;
 import org.whinhead.standins.load.caller.CallerConfig;
 import org.whinhead.standins.load.mix.Deployment;
 
@@ -45,7 +46,6 @@
     private static final String JSON = "json";
     private static final String HELP = "help";
     private static final int HELP_WIDTH = 100;
-    private static final int HELP_INDENT = 2;
     private static final int DEFAULT_RATE = 50;
     private static final int DEFAULT_SECONDS = 30;
     private static final int DEFAULT_DEADLINE_MILLIS = 30_000;
@@ -85,28 +85,34 @@
 
     /** Returns the help text. */
     static String help() {
-        final StringWriter text = new StringWriter();
-        new HelpFormatter()
-                .printHelp(
-                        new PrintWriter(text),
-                        HELP_WIDTH,
-                        LoadMessages.text("usage"),
-                        LoadMessages.text("header"),
-                        options(),
-                        HELP_INDENT,
-                        HELP_INDENT,
-                        LoadMessages.text("footer"));
+        final StringBuilder text = new StringBuilder();
+        final TextHelpAppendable target = new TextHelpAppendable(text);
+        target.setMaxWidth(HELP_WIDTH);
+        try {
+            HelpFormatter.builder()
+                    .setHelpAppendable(target)
+                    .setShowSince(false)
+                    .get()
+                    .printHelp(
+                            LoadMessages.text("usage"),
+                            LoadMessages.text("header"),
+                            options(),
+                            LoadMessages.text("footer"),
+                            false);
+        } catch (final IOException e) {
+            throw new UncheckedIOException("a text in memory cannot fail", e);
+        }
         return text.toString();
     }
 
     private static Options options() {
         final Options options = new Options();
-        options.addOption(withValue(TARGET).required().build());
+        options.addOption(withValue(TARGET).required().get());
         for (final String name : List.of(DEPLOYMENT, RATE, CLOSED, SECONDS, DEADLINE, SEED)) {
-            options.addOption(withValue(name).build());
+            options.addOption(withValue(name).get());
         }
         for (final String name : List.of(JSON, HELP)) {
-            options.addOption(option(name).build());
+            options.addOption(option(name).get());
         }
         return options;
     }
--- a/standins/src/main/java/org/whinhead/standins/load/caller/Call.java
+++ b/standins/src/main/java/org/whinhead/standins/load/caller/Call.java
@@ -9,7 +9,6 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import org.whinhead.api.verdict.Verdict;
@@ -34,16 +33,14 @@
     private final DaemonChoice mChoice;
     private final CallProgress mProgress;
     private final long mDeadline;
+    private final SilenceWatch mSilence;
     private final CompletableFuture<RequestResult> mResult = new CompletableFuture<>();
 
     private Attempt mAttempt;
     private boolean mEnded;
     private boolean mLate;
     private boolean mTokensInAttempt;
-    private long mLastLineAt;
-    private long mSilenceBound;
     private ScheduledFuture<?> mDeadlineTimer;
-    private Future<?> mSilenceTimer = CompletableFuture.completedFuture(null);
 
     /**
      * Makes a call that has not begun.
@@ -63,6 +60,7 @@
         mWriter = new RequestWriter(tools.mapper(), request);
         mChoice = new DaemonChoice(book, request.id().value().hashCode());
         mProgress = new CallProgress(request, startedAt);
+        mSilence = new SilenceWatch(tools.timers(), tools.nanos());
         mDeadline = startedAt + tools.config().deadline().toNanos();
     }
 
@@ -82,7 +80,7 @@
         if (mLate) {
             end(Outcome.LOST);
         } else if (mRequest.kind().style().streamed()) {
-            watchSilence(attempt, mTools.config().streamSilence());
+            mSilence.begin(mTools.config().streamSilence(), () -> silent(attempt));
         }
     }
 
@@ -94,8 +92,8 @@
     }
 
     @Override
-    public synchronized void alive(final Attempt attempt) {
-        mLastLineAt = now();
+    public void alive(final Attempt attempt) {
+        mSilence.alive();
     }
 
     @Override
@@ -169,9 +167,10 @@
         }
         mProgress.sent();
         mTokensInAttempt = false;
-        mAttempt = new Attempt(this);
-        watchSilence(mAttempt, mTools.config().answerSilence());
-        mAttempt.send(
+        final Attempt attempt = new Attempt(this);
+        mAttempt = attempt;
+        mSilence.begin(mTools.config().answerSilence(), () -> silent(attempt));
+        attempt.send(
                 mTools.client(),
                 mWriter.to(daemon.get(), mProgress.ticket(), mProgress.check().received()));
     }
@@ -275,33 +274,11 @@
         tryLater(mChoice.pause());
     }
 
-    /**
-     * Guards against a daemon that stops without closing its connections, for example on a paused
-     * VM: the connection stays open and silent. Without this the caller would wait until its
-     * deadline; with it another daemon is asked, as after a broken connection.
-     */
-    private void watchSilence(final Attempt attempt, final Duration bound) {
-        mLastLineAt = now();
-        mSilenceBound = bound.toNanos();
-        scheduleSilenceCheck(attempt, mSilenceBound);
-    }
-
-    private void scheduleSilenceCheck(final Attempt attempt, final long nanos) {
-        mSilenceTimer.cancel(false);
-        mSilenceTimer = schedule(() -> checkSilence(attempt), nanos);
-    }
-
-    private synchronized void checkSilence(final Attempt attempt) {
-        if (!isCurrent(attempt)) {
-            return;
-        }
-        final long rest = mLastLineAt + mSilenceBound - now();
-        if (rest > 0) {
-            scheduleSilenceCheck(attempt, rest);
-            return;
+    private synchronized void silent(final Attempt attempt) {
+        if (isCurrent(attempt)) {
+            attempt.close();
+            daemonLost();
         }
-        attempt.close();
-        daemonLost();
     }
 
     /**
@@ -329,7 +306,7 @@
     private void end(final Outcome outcome) {
         mEnded = true;
         mDeadlineTimer.cancel(false);
-        mSilenceTimer.cancel(false);
+        mSilence.end();
         if (mAttempt != null && outcome != Outcome.COMPLETED) {
             mAttempt.close();
         }
--- /dev/null
+++ b/standins/src/main/java/org/whinhead/standins/load/caller/SilenceWatch.java
@@ -0,0 +1,79 @@
+package org.whinhead.standins.load.caller;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Future;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+/**
+ * Guards against a daemon that stops without closing its connections, for example on a paused VM:
+ * the connection stays open and silent, and without this the caller would wait until its deadline.
+ * With it the silence ends the try, and another daemon is asked as after a broken connection.
+ */
+final class SilenceWatch {
+
+    private final ScheduledExecutorService mTimers;
+    private final LongSupplier mNanos;
+    private Future<?> mTimer = CompletableFuture.completedFuture(null);
+    private long mLastLineAt;
+    private long mBound;
+    private Runnable mOnSilence;
+
+    /**
+     * Makes a watch that watches nothing yet.
+     *
+     * @param timers runs the checks
+     * @param nanos the time in nanoseconds
+     */
+    SilenceWatch(final ScheduledExecutorService timers, final LongSupplier nanos) {
+        mTimers = timers;
+        mNanos = nanos;
+    }
+
+    /**
+     * Watches from now on, in place of what was watched before.
+     *
+     * @param bound the longest silence
+     * @param onSilence runs on the timers' thread when it is exceeded
+     */
+    synchronized void begin(final Duration bound, final Runnable onSilence) {
+        mLastLineAt = mNanos.getAsLong();
+        mBound = bound.toNanos();
+        mOnSilence = onSilence;
+        schedule(mBound);
+    }
+
+    /** Notes that something came. */
+    synchronized void alive() {
+        mLastLineAt = mNanos.getAsLong();
+    }
+
+    /** Watches no more. */
+    synchronized void end() {
+        mTimer.cancel(false);
+        mOnSilence = null;
+    }
+
+    private void schedule(final long nanos) {
+        mTimer.cancel(false);
+        mTimer = mTimers.schedule(this::check, nanos, TimeUnit.NANOSECONDS);
+    }
+
+    private void check() {
+        final Runnable onSilence = silence();
+        if (onSilence != null) {
+            onSilence.run(); // outside the lock, because it takes the call's
+        }
+    }
+
+    private synchronized Runnable silence() {
+        final long rest = mLastLineAt + mBound - mNanos.getAsLong();
+        if (mOnSilence != null && rest > 0) {
+            schedule(rest);
+            return null;
+        }
+        return mOnSilence;
+    }
+}
