Test whole runs, the plan of requests and the deadline

Cause: runs, the command and the deadline's last word had no test, and two tests of refusals hung on a deadline in real time; one of them failed once in four runs on a busy machine. Change: timers and clock that the test moves; final refusals in place of short deadlines; runs in the process and by the command line. Conclusion: no test of the load program depends on how fast the machine is, but for the 5 s and 1 min bounds that only a failure reaches.

--- a/standins/src/main/java/org/whinhead/standins/load/caller/Callers.java
+++ b/standins/src/main/java/org/whinhead/standins/load/caller/Callers.java
@@ -39,9 +39,24 @@
             final CallObserver observer,
             final LongSupplier nanos,
             final long seed) {
+        this(
+                config,
+                observer,
+                nanos,
+                seed,
+                Executors.newSingleThreadScheduledExecutor(named("load-timers")));
+    }
+
+    /** Takes the timers too, so that a test can move the time. */
+    Callers(
+            final CallerConfig config,
+            final CallObserver observer,
+            final LongSupplier nanos,
+            final long seed,
+            final ScheduledExecutorService timers) {
         Objects.requireNonNull(config, "config");
         mClientThreads = Executors.newFixedThreadPool(CLIENT_THREADS, named("load-client"));
-        mTimers = Executors.newSingleThreadScheduledExecutor(named("load-timers"));
+        mTimers = timers;
         final HttpClient client =
                 HttpClient.newBuilder()
                         .version(HttpClient.Version.HTTP_1_1)
--- a/standins/src/test/java/org/whinhead/standins/load/FakeDaemon.java
+++ b/standins/src/test/java/org/whinhead/standins/load/FakeDaemon.java
@@ -144,7 +144,15 @@
                 throws IOException {
             mExchange.setStatusCode(status);
             respond("X-Whinhead-Verdict", verdict);
-            write(errorJson(code, verdict));
+            write(errorJson(code, verdict, ",\"retryAfterMillis\":20"));
+        }
+
+        /** Refuses without a time to come back. */
+        public void refuseForGood(final int status, final String verdict, final String code)
+                throws IOException {
+            mExchange.setStatusCode(status);
+            respond("X-Whinhead-Verdict", verdict);
+            write(errorJson(code, verdict, ""));
         }
 
         /** Sends the right tokens from one index to before another. */
@@ -162,7 +170,7 @@
         }
 
         public Call error(final String code, final String verdict) throws IOException {
-            return write("event: error\ndata: " + errorJson(code, verdict) + "\n\n");
+            return write("event: error\ndata: " + errorJson(code, verdict, "") + "\n\n");
         }
 
         public Call done() throws IOException {
@@ -187,12 +195,15 @@
             mExchange.getConnection().close();
         }
 
-        private static String errorJson(final String code, final String verdict) {
+        private static String errorJson(
+                final String code, final String verdict, final String more) {
             return "{\"error\":{\"code\":\""
                     + code
                     + "\",\"verdict\":\""
                     + verdict
-                    + "\",\"message\":\"\",\"retryAfterMillis\":20}}";
+                    + "\",\"message\":\"\""
+                    + more
+                    + "}}";
         }
     }
 }
--- /dev/null
+++ b/standins/src/test/java/org/whinhead/standins/load/LoadRunTest.java
@@ -0,0 +1,141 @@
+package org.whinhead.standins.load;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.whinhead.standins.load.caller.CallerConfig;
+import org.whinhead.standins.load.mix.Deployment;
+import org.whinhead.standins.load.result.LoadResult;
+import org.whinhead.standins.load.result.Outcome;
+import org.whinhead.standins.load.result.RequestResult;
+
+/** Whole runs, in the process and by the command line. */
+final class LoadRunTest {
+
+    private static final int STARTED = 40;
+
+    /** The demo stops a run early, and needs every request and key accounted for. */
+    @Test
+    void aStoppedRunAccountsForEachRequest() throws Exception {
+        final CountDownLatch started = new CountDownLatch(STARTED);
+        final FakeDaemon.Script counted =
+                call -> {
+                    started.countDown();
+                    answer(call);
+                };
+        try (FakeDaemon daemon = new FakeDaemon(counted)) {
+            final LoadRun run =
+                    LoadRun.builder(Deployment.MEZANI.mix(), CallerConfig.of(List.of(daemon.uri())))
+                            .duration(Duration.ofHours(1))
+                            .closedCallers(4)
+                            .build();
+            final CompletableFuture<LoadResult> future = run.start();
+            started.await(1, TimeUnit.MINUTES);
+            run.stop();
+            final LoadResult result = future.get(1, TimeUnit.MINUTES);
+            assertThat(result.requests()).hasSameSizeAs(daemon.calls());
+            assertThat(result.count(Outcome.COMPLETED)).isEqualTo(result.requests().size());
+            assertThat(result.nonIdempotent())
+                    .isNotEmpty()
+                    .extracting(RequestResult::idempotencyKey)
+                    .doesNotHaveDuplicates();
+            assertThat(result.promiseKept()).isTrue();
+        }
+    }
+
+    @Test
+    void theCommandEndsWithAnObjectForScripts() throws Exception {
+        try (FakeDaemon daemon = new FakeDaemon(LoadRunTest::answer)) {
+            final Command command = new Command("--target", daemon.uri().toString(), "--json");
+            assertThat(command.status()).isEqualTo(LoadMain.EXIT_KEPT);
+            final JsonNode json = command.json();
+            assertThat(json.path("requests").asInt()).isEqualTo(daemon.calls().size());
+            assertThat(json.path("completed").asInt()).isEqualTo(json.path("requests").asInt());
+            assertThat(json.path("accepted").asInt()).isEqualTo(json.path("requests").asInt());
+            assertThat(json.path("lost").asInt()).isZero();
+            assertThat(json.path("firstToken").path("p95Millis").asDouble()).isPositive();
+        }
+    }
+
+    /**
+     * An operator's script relies on the exit status: a wrong answer must not look like success.
+     */
+    @Test
+    void theCommandFailsIfAnAnswerIsWrong() throws Exception {
+        final FakeDaemon.Script endsEarly =
+                call -> {
+                    if (call.body().path("stream").asBoolean()) {
+                        call.tokens(0, call.maxTokens() - 1).done();
+                    } else {
+                        answer(call);
+                    }
+                };
+        try (FakeDaemon daemon = new FakeDaemon(endsEarly)) {
+            final Command command = new Command("--target", daemon.uri().toString(), "--json");
+            assertThat(command.status()).isEqualTo(LoadMain.EXIT_BROKEN);
+            assertThat(command.json().path("faults").path("MISSING").asInt())
+                    .isPositive()
+                    .isEqualTo(command.json().path("wrong").asInt());
+        }
+    }
+
+    @Test
+    void wrongOptionsAreNamed() throws Exception {
+        final String target = "http://127.0.0.1:1";
+        assertThat(new Command("--target", target, "--rate", "0").errors())
+                .isEqualTo("--rate needs an integer of at least 1, but is \"0\"");
+        assertThat(new Command("--target", "ftp").errors())
+                .isEqualTo("--target must be an http address, but is \"ftp\"");
+        assertThat(new Command("--target", target, "--deployment", "x").errors())
+                .isEqualTo("--deployment must be inkiko or mezani, but is \"x\"");
+        assertThat(new Command("--help").status()).isEqualTo(LoadMain.EXIT_KEPT);
+    }
+
+    private static void answer(final FakeDaemon.Call call) throws IOException {
+        if (call.path().startsWith("/v1/services/")) {
+            call.write("{}");
+        } else if (call.body().path("stream").asBoolean()) {
+            call.tokens(0, call.maxTokens()).done();
+        } else {
+            call.whole();
+        }
+    }
+
+    /** One call of the command, of one second. */
+    private static final class Command {
+        private final ByteArrayOutputStream mOut = new ByteArrayOutputStream();
+        private final ByteArrayOutputStream mErrors = new ByteArrayOutputStream();
+        private final int mStatus;
+
+        Command(final String... arguments) throws Exception {
+            final String[] all = new String[arguments.length + 2];
+            System.arraycopy(arguments, 0, all, 2, arguments.length);
+            all[0] = "--seconds";
+            all[1] = "1";
+            mStatus = LoadMain.run(new PrintStream(mOut), new PrintStream(mErrors), all);
+        }
+
+        int status() {
+            return mStatus;
+        }
+
+        String errors() {
+            return mErrors.toString().trim();
+        }
+
+        JsonNode json() throws IOException {
+            final List<String> lines = mOut.toString().lines().toList();
+            return new ObjectMapper().readTree(lines.get(lines.size() - 1));
+        }
+    }
+}
--- a/standins/src/test/java/org/whinhead/standins/load/caller/CallersTest.java
+++ b/standins/src/test/java/org/whinhead/standins/load/caller/CallersTest.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -29,6 +30,8 @@
             call -> call.respond("X-Whinhead-Ticket", "first").tokens(0, HALF).cut();
     private static final FakeDaemon.Script OVERLOADED =
             call -> call.refuse(503, "not-run", "overloaded");
+    private static final FakeDaemon.Script REFUSED_FOR_GOOD =
+            call -> call.refuseForGood(503, "not-run", "overloaded");
 
     @Test
     void streamedAndWholeAnswersAreCompared() throws Exception {
@@ -110,9 +113,10 @@
             assertThat(result.outcome()).isEqualTo(Outcome.COMPLETED);
             assertThat(result.attempts()).isEqualTo(3);
         }
-        try (FakeDaemon daemon = new FakeDaemon(OVERLOADED)) {
-            final RequestResult result = callBriefly(daemon, CallStyle.WHOLE);
+        try (FakeDaemon daemon = new FakeDaemon(OVERLOADED, REFUSED_FOR_GOOD)) {
+            final RequestResult result = call(daemon, CallStyle.WHOLE);
             assertThat(result.outcome()).isEqualTo(Outcome.REFUSED_NOT_RUN);
+            assertThat(result.attempts()).isEqualTo(2);
             assertThat(result.errorCode()).isEqualTo("overloaded");
             assertThat(result.accepted()).isFalse();
         }
@@ -147,8 +151,8 @@
      */
     @Test
     void notRunAfterCutStaysUncertain() throws Exception {
-        try (FakeDaemon daemon = new FakeDaemon(FakeDaemon.Call::cut, OVERLOADED)) {
-            assertThat(callBriefly(daemon, CallStyle.PLAIN_ONCE).outcome())
+        try (FakeDaemon daemon = new FakeDaemon(FakeDaemon.Call::cut, REFUSED_FOR_GOOD)) {
+            assertThat(call(daemon, CallStyle.PLAIN_ONCE).outcome())
                     .isEqualTo(Outcome.FAILED_MAY_HAVE_RUN);
         }
     }
@@ -164,11 +168,49 @@
         try (FakeDaemon daemon = new FakeDaemon(failed)) {
             assertThat(call(daemon, CallStyle.STREAMED).outcome()).isEqualTo(Outcome.LOST);
         }
-        try (FakeDaemon daemon = new FakeDaemon(CUT_HALFWAY, OVERLOADED)) {
-            assertThat(callBriefly(daemon, CallStyle.STREAMED).outcome()).isEqualTo(Outcome.LOST);
+        try (FakeDaemon daemon = new FakeDaemon(CUT_HALFWAY, REFUSED_FOR_GOOD)) {
+            assertThat(call(daemon, CallStyle.STREAMED).outcome()).isEqualTo(Outcome.LOST);
         }
-        try (FakeDaemon daemon = new FakeDaemon(FakeDaemon.Call::cut)) {
-            assertThat(callBriefly(daemon, CallStyle.PLAIN).outcome()).isEqualTo(Outcome.LOST);
+    }
+
+    /**
+     * The clerk's cut-off passes while a daemon has the request. If its refusal is on its way, the
+     * request counts as refused; if nothing but broken connections come, it is lost.
+     */
+    @Test
+    void theDeadlineDecidesByTheLastWord() throws Exception {
+        final CountDownLatch late = new CountDownLatch(1);
+        final FakeDaemon.Script refusedLate =
+                call -> {
+                    awaitQuietly(late);
+                    OVERLOADED.answer(call);
+                };
+        assertThat(callPastDeadline(refusedLate, late).outcome())
+                .isEqualTo(Outcome.REFUSED_NOT_RUN);
+        assertThat(callPastDeadline(FakeDaemon.Call::cut, late).outcome()).isEqualTo(Outcome.LOST);
+    }
+
+    private static RequestResult callPastDeadline(
+            final FakeDaemon.Script script, final CountDownLatch late) throws Exception {
+        final CountDownLatch arrived = new CountDownLatch(1);
+        final FakeDaemon.Script watched =
+                call -> {
+                    arrived.countDown();
+                    script.answer(call);
+                };
+        final ManualTimers timers = new ManualTimers();
+        try (FakeDaemon daemon = new FakeDaemon(watched)) {
+            final Duration patience = Duration.ofHours(1);
+            final CallerConfig config =
+                    CallerConfig.of(List.of(daemon.uri())).withSilence(patience, patience);
+            try (Callers callers = new Callers(config, new LoadNothing(), timers, 1, timers)) {
+                final CompletableFuture<RequestResult> result =
+                        callers.call(request(CallStyle.PLAIN), timers.getAsLong());
+                arrived.await(1, TimeUnit.MINUTES);
+                timers.advance(config.deadline());
+                late.countDown();
+                return result.get(1, TimeUnit.MINUTES);
+            }
         }
     }
 
@@ -203,11 +245,27 @@
     void anAddressWithoutDaemonIsUnreached() throws Exception {
         final FakeDaemon gone = new FakeDaemon(REST);
         final CallerConfig config =
-                CallerConfig.of(List.of(gone.uri())).withDeadline(Duration.ofMillis(300));
+                CallerConfig.of(List.of(gone.uri())).withDeadline(Duration.ofMillis(100));
         gone.close();
         assertThat(call(config, CallStyle.PLAIN_ONCE).outcome()).isEqualTo(Outcome.UNREACHED);
     }
 
+    /**
+     * The load program itself was held up, so a request left after the time it was due. A caller
+     * would have waited all that time; leaving it out would hide it.
+     */
+    @Test
+    void latencyCountsFromTheIntendedStart() throws Exception {
+        final Duration heldUp = Duration.ofSeconds(5);
+        try (FakeDaemon daemon = new FakeDaemon(REST)) {
+            final CallerConfig config = CallerConfig.of(List.of(daemon.uri()));
+            final long due = System.nanoTime() - heldUp.toNanos();
+            final RequestResult result = call(config, CallStyle.STREAMED, due);
+            assertThat(result.latency()).isGreaterThanOrEqualTo(heldUp);
+            assertThat(result.firstToken().orElseThrow()).isGreaterThanOrEqualTo(heldUp);
+        }
+    }
+
     private static Optional<AnswerFault> faultOf(final FakeDaemon.Script script) throws Exception {
         try (FakeDaemon daemon = new FakeDaemon(script)) {
             final RequestResult result = call(daemon, CallStyle.STREAMED);
@@ -234,28 +292,30 @@
         return call(CallerConfig.of(List.of(target.uri())), style);
     }
 
-    private static RequestResult callBriefly(final FakeDaemon target, final CallStyle style)
+    private static RequestResult call(final CallerConfig config, final CallStyle style)
             throws Exception {
-        final CallerConfig config = CallerConfig.of(List.of(target.uri()));
-        return call(config.withDeadline(Duration.ofMillis(600)), style);
+        return call(config, style, System.nanoTime());
     }
 
-    private static RequestResult call(final CallerConfig config, final CallStyle style)
+    private static RequestResult call(
+            final CallerConfig config, final CallStyle style, final long startedAt)
             throws Exception {
-        final RequestKind kind =
-                RequestKind.builder("kind", style).target("service/path").tokens(8, 8).build();
-        final PlannedRequest request =
-                new PlannedRequest(
-                        new RequestId("request-1"),
-                        new LoadCustomer("customer", "key", "tier", 1),
-                        kind,
-                        List.of("a shared prefix", "a question"),
-                        style.plain() ? 0 : TOKENS);
         try (Callers callers = new Callers(config, new LoadNothing(), System::nanoTime, 1)) {
-            return callers.call(request, System.nanoTime()).get(1, TimeUnit.MINUTES);
+            return callers.call(request(style), startedAt).get(1, TimeUnit.MINUTES);
         }
     }
 
+    private static PlannedRequest request(final CallStyle style) {
+        final RequestKind kind =
+                RequestKind.builder("kind", style).target("service/path").tokens(8, 8).build();
+        return new PlannedRequest(
+                new RequestId("request-1"),
+                new LoadCustomer("customer", "key", "tier", 1),
+                kind,
+                List.of("a shared prefix", "a question"),
+                style.plain() ? 0 : TOKENS);
+    }
+
     /** Ignores what callers see. */
     private static final class LoadNothing implements CallObserver {
         @Override
--- /dev/null
+++ b/standins/src/test/java/org/whinhead/standins/load/mix/RequestPlannerTest.java
@@ -0,0 +1,52 @@
+package org.whinhead.standins.load.mix;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.withinPercentage;
+
+import java.util.List;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** The plan of requests is a function of its seed and keeps to the shares of its mix. */
+final class RequestPlannerTest {
+
+    private static final int REQUESTS = 5000;
+
+    @Test
+    void theSameSeedGivesTheSameRequests() {
+        final Mix mix = Deployment.INKIKO.mix();
+        assertThat(plan(mix, 7)).isEqualTo(plan(mix, 7)).isNotEqualTo(plan(mix, 8));
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    void sharesAndPrefixesAreThoseOfTheMix(final Deployment deployment) {
+        final Mix mix = deployment.mix();
+        final List<PlannedRequest> plan = plan(mix, 1);
+        assertThat(plan).extracting(PlannedRequest::id).doesNotHaveDuplicates();
+        final int weights = mix.customers().stream().mapToInt(LoadCustomer::weight).sum();
+        for (final LoadCustomer customer : mix.customers()) {
+            final long count = plan.stream().filter(r -> r.customer().equals(customer)).count();
+            final double share = (double) customer.weight() / weights;
+            assertThat((double) count).isCloseTo(REQUESTS * share, withinPercentage(20));
+        }
+        for (final RequestKind kind : mix.kinds()) {
+            final long first =
+                    plan.stream()
+                            .filter(r -> r.kind().equals(kind) && r.messages().size() > 1)
+                            .map(r -> r.messages().get(0))
+                            .distinct()
+                            .count();
+            final int most = kind.sharedPrefixes() * mix.customers().size();
+            assertThat(first).isEqualTo(most);
+        }
+    }
+
+    private static List<PlannedRequest> plan(final Mix mix, final long seed) {
+        final RequestPlanner planner = new RequestPlanner(mix, seed);
+        return Stream.generate(planner::next).limit(REQUESTS).collect(Collectors.toList());
+    }
+}
