Carry messages between daemons over mutual TLS

Cause: daemons had no way to speak to each other, and nothing kept strangers out. Change: a Netty transport with bounded queues that drop the oldest gossip first, requests with timeouts, reconnects with back-off, certificates that must name the VM and are taken in anew without a restart, limits on connections that have not proved who they are. Conclusion: the daemon can be wired to its peers; the cost at 330 daemons is not measured yet.

--- /dev/null
+++ b/peer/src/main/java/org/whinhead/peer/IncomingMessage.java
@@ -0,0 +1,51 @@
+package org.whinhead.peer;
+
+import java.util.Objects;
+import java.util.function.Consumer;
+import org.whinhead.api.model.DaemonId;
+import org.whinhead.api.model.VmId;
+import org.whinhead.peer.generated.PeerProto.Envelope;
+
+/** A message with its sender, whose VM the certificate has named. */
+public final class IncomingMessage {
+
+    private final VmId mFrom;
+    private final DaemonId mDaemon;
+    private final Envelope mEnvelope;
+    private final Consumer<Envelope> mReply;
+
+    IncomingMessage(
+            final VmId from,
+            final DaemonId daemon,
+            final Envelope envelope,
+            final Consumer<Envelope> reply) {
+        mFrom = Objects.requireNonNull(from, "from");
+        mDaemon = Objects.requireNonNull(daemon, "daemon");
+        mEnvelope = Objects.requireNonNull(envelope, "envelope");
+        mReply = Objects.requireNonNull(reply, "reply");
+    }
+
+    /** Returns the sender's VM. */
+    public VmId from() {
+        return mFrom;
+    }
+
+    /** Returns the sender's incarnation. */
+    public DaemonId daemon() {
+        return mDaemon;
+    }
+
+    /** Returns the message. */
+    public Envelope envelope() {
+        return mEnvelope;
+    }
+
+    /**
+     * Answers a request on the connection that it came on; any thread may call it, once.
+     *
+     * @param reply the reply; sender, sequence and correlation are filled in
+     */
+    public void reply(final Envelope reply) {
+        mReply.accept(reply);
+    }
+}
--- /dev/null
+++ b/peer/src/main/java/org/whinhead/peer/NettyPeerTransport.java
@@ -0,0 +1,277 @@
+package org.whinhead.peer;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.ssl.SslContext;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.whinhead.api.model.VmId;
+import org.whinhead.membership.DaemonAddress;
+import org.whinhead.peer.generated.PeerProto.Envelope;
+
+/** A {@link PeerTransport} over TCP with one event loop; with mutual TLS but on loopback. */
+public final class NettyPeerTransport implements PeerTransport {
+
+    private static final int LOW_WATER_MARK = 32 * 1024;
+    private static final int HIGH_WATER_MARK = 128 * 1024;
+
+    private final PeerSettings mSettings;
+    private final PeerIdentity mSelf;
+    private final RandomGenerator mRandom;
+    private final PeerCounters mCounters;
+    private final Optional<TlsSource> mTls;
+    private final PendingReplies mReplies = new PendingReplies();
+    private final MultiThreadIoEventLoopGroup mGroup;
+    private final EventLoop mLoop;
+    private final ConnectionTable mTable;
+    private final LinkTable mLinks;
+    private Channel mServer;
+
+    /**
+     * Makes a transport that can send; {@link #listen} lets it receive.
+     *
+     * @param settings its bounds
+     * @param self who the own daemon is
+     * @param tlsFiles the files for mutual TLS; without them only loopback addresses are served
+     * @param clock the clock for expired certificates and for the log's pace
+     * @param random the source of chance for waits between attempts to connect
+     * @param listener takes the messages
+     * @throws PeerException if the TLS files cannot be used
+     */
+    public NettyPeerTransport(
+            final PeerSettings settings,
+            final PeerIdentity self,
+            final Optional<PeerTlsFiles> tlsFiles,
+            final InstantSource clock,
+            final RandomGenerator random,
+            final PeerListener listener)
+            throws PeerException {
+        mSettings = Objects.requireNonNull(settings, "settings");
+        mSelf = Objects.requireNonNull(self, "self");
+        mRandom = Objects.requireNonNull(random, "random");
+        mCounters = new PeerCounters(clock);
+        mTls =
+                tlsFiles.isPresent()
+                        ? Optional.of(new TlsSource(tlsFiles.get(), mCounters))
+                        : Optional.empty();
+        mGroup =
+                new MultiThreadIoEventLoopGroup(
+                        1, new DefaultThreadFactory("peer", true), NioIoHandler.newFactory());
+        mLoop = mGroup.next();
+        mLinks = new LinkTable(settings, mCounters);
+        mTable = new ConnectionTable(settings, clock, mReplies, mLinks, this::reply, listener);
+    }
+
+    /**
+     * Starts to listen.
+     *
+     * @param address the address; port 0 takes any free one
+     * @return the address with its port
+     * @throws PeerException if the address cannot be taken, or is open to others without TLS
+     */
+    public InetSocketAddress listen(final InetSocketAddress address) throws PeerException {
+        if (mTls.isEmpty() && !isLoopback(address)) {
+            throw new PeerException("peers need TLS on an address that is not loopback");
+        }
+        final PeerPipeline pipeline =
+                new PeerPipeline(
+                        mSettings,
+                        () -> mTls.map(tls -> tls.material().server()),
+                        () -> connection(Optional.empty()));
+        final ChannelFuture bound =
+                new ServerBootstrap()
+                        .group(mGroup)
+                        .channel(NioServerSocketChannel.class)
+                        .option(ChannelOption.SO_REUSEADDR, true)
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, waterMark())
+                        .childHandler(pipeline)
+                        .bind(address)
+                        .awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            throw new PeerException("the peer address cannot be taken: " + address, bound.cause());
+        }
+        mServer = bound.channel();
+        return (InetSocketAddress) mServer.localAddress();
+    }
+
+    private PeerConnection connection(final Optional<VmId> dialed) {
+        return new PeerConnection(mTable, mCounters, mSelf, dialed);
+    }
+
+    private static boolean isLoopback(final InetSocketAddress address) {
+        return !address.isUnresolved() && address.getAddress().isLoopbackAddress();
+    }
+
+    private static WriteBufferWaterMark waterMark() {
+        return new WriteBufferWaterMark(LOW_WATER_MARK, HIGH_WATER_MARK);
+    }
+
+    @Override
+    public void send(final DaemonAddress to, final Envelope message) {
+        enqueue(mLinks.at(to), message);
+    }
+
+    private void reply(final VmId to, final Envelope reply) {
+        enqueue(mLinks.of(to), reply);
+    }
+
+    private void enqueue(final PeerLink link, final Envelope message) {
+        final int dropped = link.queue().add(message);
+        if (dropped < 0) {
+            onLoop(() -> cut(link));
+            return;
+        }
+        mCounters.dropped(dropped);
+        if (link.takePumpTurn()) {
+            onLoop(() -> pump(link));
+        }
+    }
+
+    /** Replies are never dropped one by one: a peer that does not read them is cut off. */
+    private void cut(final PeerLink link) {
+        mLinks.dropReplies(link);
+        mTable.to(link.vm()).ifPresent(c -> c.refuse(PeerRefusal.NOT_READING, "replies pile up"));
+    }
+
+    @Override
+    public CompletableFuture<Envelope> request(
+            final DaemonAddress to, final Envelope message, final Duration timeout) {
+        final CompletableFuture<Envelope> reply = new CompletableFuture<>();
+        final long correlation = mReplies.add(to.vm(), reply);
+        final Runnable expire = () -> mReplies.fail(correlation, "no reply from " + to);
+        if (!onLoop(() -> schedule(expire, timeout))) {
+            mReplies.fail(correlation, "the transport is closed");
+        }
+        send(to, message.toBuilder().setCorrelation(correlation).build());
+        return reply;
+    }
+
+    private void schedule(final Runnable task, final Duration delay) {
+        mLoop.schedule(task, delay.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    private boolean onLoop(final Runnable task) {
+        try {
+            mLoop.execute(task);
+            return true;
+        } catch (final RejectedExecutionException e) {
+            // The transport is closed, and what is sent then is lost like any other message.
+            return false;
+        }
+    }
+
+    private void pump(final PeerLink link) {
+        final Optional<PeerConnection> connection = mTable.to(link.vm());
+        if (connection.isPresent()) {
+            link.pump(connection.get());
+            return;
+        }
+        link.pumpWithoutConnection();
+        final Optional<DaemonAddress> address = link.address();
+        if (address.isPresent() && !link.queue().isEmpty() && link.startConnecting()) {
+            connect(link, address.get());
+        }
+    }
+
+    private void connect(final PeerLink link, final DaemonAddress address) {
+        final InetSocketAddress target = new InetSocketAddress(address.host(), address.port());
+        if (mTls.isEmpty() && !isLoopback(target)) {
+            mCounters.connectFailed();
+            waitAndPump(link);
+            return;
+        }
+        final PeerPipeline pipeline =
+                new PeerPipeline(
+                        mSettings,
+                        () -> mTls.map(tls -> clientOf(tls)),
+                        () -> connection(Optional.of(address.vm())));
+        final int timeout = (int) mSettings.handshakeTimeout().toMillis();
+        new Bootstrap()
+                .group(mLoop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeout)
+                .option(ChannelOption.WRITE_BUFFER_WATER_MARK, waterMark())
+                .handler(pipeline)
+                .connect(target)
+                .addListener(connected -> connectEnded(link, (ChannelFuture) connected));
+    }
+
+    private static SslContext clientOf(final TlsSource tls) {
+        return tls.material().client();
+    }
+
+    private void connectEnded(final PeerLink link, final ChannelFuture connected) {
+        if (!connected.isSuccess()) {
+            mCounters.connectFailed();
+            waitAndPump(link);
+            return;
+        }
+        mCounters.connected();
+        connected.channel().closeFuture().addListener(closed -> waitAndPump(link));
+    }
+
+    private void waitAndPump(final PeerLink link) {
+        final Runnable again =
+                () -> {
+                    link.waited();
+                    pump(link);
+                };
+        try {
+            schedule(again, link.failed(mRandom));
+        } catch (final RejectedExecutionException e) {
+            // The transport is closing and needs no further connection.
+            return;
+        }
+    }
+
+    @Override
+    public void tick() {
+        mTls.ifPresent(TlsSource::reload);
+        onLoop(mTable::closeExpired);
+    }
+
+    /**
+     * Forgets a VM that is gone, with what waits for it.
+     *
+     * @param vm the VM
+     */
+    public void forget(final VmId vm) {
+        mLinks.forget(vm);
+        onLoop(() -> mTable.to(vm).ifPresent(PeerConnection::close));
+    }
+
+    @Override
+    public PeerCounters counters() {
+        return mCounters;
+    }
+
+    @Override
+    public void close() {
+        if (mServer != null) {
+            mServer.close();
+        }
+        onLoop(mTable::closeAll);
+        mReplies.failAll("the transport is closed");
+        mGroup.shutdownGracefully(
+                0, mSettings.handshakeTimeout().toMillis(), TimeUnit.MILLISECONDS);
+    }
+}
--- /dev/null
+++ b/peer/src/main/java/org/whinhead/peer/PeerConnection.java
@@ -0,0 +1,244 @@
+package org.whinhead.peer;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.ssl.SslHandler;
+import io.netty.handler.ssl.SslHandshakeCompletionEvent;
+import io.netty.handler.timeout.IdleStateEvent;
+import java.io.IOException;
+import java.security.cert.X509Certificate;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import javax.net.ssl.SSLPeerUnverifiedException;
+import org.whinhead.api.model.DaemonId;
+import org.whinhead.api.model.VmId;
+import org.whinhead.peer.generated.PeerProto.Envelope;
+
+/** One connection; all its methods run on the transport's event loop. */
+final class PeerConnection extends SimpleChannelInboundHandler<Envelope> {
+
+    private final ConnectionOwner mOwner;
+    private final PeerCounters mCounters;
+    private final PeerIdentity mSelf;
+    private final Optional<VmId> mDialed;
+    private Channel mChannel;
+    private X509Certificate mCertificate;
+    private VmId mPeer;
+    private DaemonId mPeerDaemon;
+    private long mSequence;
+    private boolean mReady;
+    private boolean mRefused;
+
+    /** Makes the handler; the dialed VM is empty for a connection that a peer made. */
+    PeerConnection(
+            final ConnectionOwner owner,
+            final PeerCounters counters,
+            final PeerIdentity self,
+            final Optional<VmId> dialed) {
+        mOwner = owner;
+        mCounters = counters;
+        mSelf = self;
+        mDialed = dialed;
+    }
+
+    @Override
+    public void handlerAdded(final ChannelHandlerContext context) {
+        mChannel = context.channel();
+    }
+
+    @Override
+    public void channelActive(final ChannelHandlerContext context) {
+        mOwner.started(this);
+        if (!mRefused && context.pipeline().get(SslHandler.class) == null) {
+            ready();
+        }
+        context.fireChannelActive();
+    }
+
+    @Override
+    public void userEventTriggered(final ChannelHandlerContext context, final Object event) {
+        if (event instanceof SslHandshakeCompletionEvent handshake) {
+            handshakeEnded(context, handshake);
+        } else if (event instanceof IdleStateEvent) {
+            context.close();
+        }
+    }
+
+    private void handshakeEnded(
+            final ChannelHandlerContext context, final SslHandshakeCompletionEvent handshake) {
+        if (!handshake.isSuccess()) {
+            refuse(PeerRefusal.HANDSHAKE, String.valueOf(handshake.cause().getMessage()));
+            return;
+        }
+        try {
+            final SslHandler handler = context.pipeline().get(SslHandler.class);
+            mCertificate = (X509Certificate) handler.engine().getSession().getPeerCertificates()[0];
+        } catch (final SSLPeerUnverifiedException e) {
+            refuse(PeerRefusal.HANDSHAKE, "no certificate");
+            return;
+        }
+        if (mDialed.isPresent() && !CertificateNames.names(mCertificate, mDialed.get())) {
+            refuse(PeerRefusal.IDENTITY, "the certificate does not name " + mDialed.get());
+            return;
+        }
+        ready();
+    }
+
+    private void ready() {
+        mReady = true;
+        if (mDialed.isPresent()) {
+            mPeer = mDialed.get();
+            mOwner.opened(this);
+        }
+    }
+
+    @Override
+    protected void channelRead0(final ChannelHandlerContext context, final Envelope envelope) {
+        if (mRefused || !identify(envelope)) {
+            return;
+        }
+        mCounters.received(envelope.getSerializedSize());
+        mOwner.received(this, envelope);
+    }
+
+    /** The first message names the sender; later ones may leave the name out. */
+    private boolean identify(final Envelope envelope) {
+        if (!envelope.getFromVm().isEmpty()) {
+            return introduce(envelope.getFromVm(), envelope.getFromDaemon());
+        }
+        if (mPeerDaemon == null) {
+            refuse(PeerRefusal.IDENTITY, "the first message names no sender");
+            return false;
+        }
+        return true;
+    }
+
+    private boolean introduce(final String vm, final String daemon) {
+        if (vm.isBlank() || daemon.isBlank()) {
+            refuse(PeerRefusal.IDENTITY, "a blank sender");
+            return false;
+        }
+        final VmId claimed = new VmId(vm);
+        final boolean changed = mPeer != null && !mPeer.equals(claimed);
+        final boolean unproved =
+                mCertificate != null && !CertificateNames.names(mCertificate, claimed);
+        if (changed || unproved) {
+            refuse(PeerRefusal.IDENTITY, "the sender is not " + claimed);
+            return false;
+        }
+        final boolean first = mPeer == null;
+        mPeer = claimed;
+        mPeerDaemon = new DaemonId(daemon);
+        if (first) {
+            mOwner.opened(this);
+        }
+        return true;
+    }
+
+    /** Sends at once; the caller asks {@link #isWritable} before. */
+    void write(final Envelope message) {
+        final Envelope.Builder envelope = message.toBuilder().setSequence(++mSequence);
+        if (mSequence == 1) {
+            envelope.setFromVm(mSelf.vm().value()).setFromDaemon(mSelf.daemon().value());
+        }
+        final Envelope built = envelope.build();
+        mCounters.sent(built.getSerializedSize());
+        mChannel.writeAndFlush(built, mChannel.voidPromise());
+    }
+
+    boolean isWritable() {
+        return mReady && mChannel.isActive() && mChannel.isWritable();
+    }
+
+    @Override
+    public void channelWritabilityChanged(final ChannelHandlerContext context) {
+        if (mPeer != null && context.channel().isWritable()) {
+            mOwner.writable(this);
+        }
+    }
+
+    @Override
+    public void channelInactive(final ChannelHandlerContext context) {
+        mOwner.closed(this);
+    }
+
+    @Override
+    public void exceptionCaught(final ChannelHandlerContext context, final Throwable cause) {
+        final Throwable root = cause.getCause() == null ? cause : cause.getCause();
+        if (root instanceof TooLongFrameException) {
+            refuse(PeerRefusal.OVERSIZED, root.getMessage());
+        } else if (root instanceof InvalidProtocolBufferException) {
+            refuse(PeerRefusal.MALFORMED, root.getMessage());
+        } else if (!mReady && context.pipeline().get(SslHandler.class) != null) {
+            refuse(PeerRefusal.HANDSHAKE, String.valueOf(root.getMessage()));
+        } else if (!(root instanceof IOException)) {
+            refuse(PeerRefusal.MALFORMED, String.valueOf(root.getMessage()));
+        } else {
+            context.close();
+        }
+    }
+
+    /** Counts the refusal once, however many errors follow from it, and closes. */
+    void refuse(final PeerRefusal refusal, final String detail) {
+        if (!mRefused) {
+            mRefused = true;
+            mCounters.refused(refusal, mChannel.remoteAddress(), detail);
+        }
+        mChannel.close();
+    }
+
+    void refuseUnlessIdentifiedWithin(final Duration timeout) {
+        final Runnable check =
+                () -> {
+                    if (mPeer == null && mChannel.isActive()) {
+                        refuse(PeerRefusal.SILENT, "no message within " + timeout);
+                    }
+                };
+        mChannel.eventLoop().schedule(check, timeout.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    void close() {
+        mChannel.close();
+    }
+
+    boolean isDialed() {
+        return mDialed.isPresent();
+    }
+
+    boolean isExpired(final Instant now) {
+        return mCertificate != null && mCertificate.getNotAfter().toInstant().isBefore(now);
+    }
+
+    /** Returns the peer's VM; null until the peer has proved it. */
+    VmId peer() {
+        return mPeer;
+    }
+
+    DaemonId peerDaemon() {
+        return mPeerDaemon;
+    }
+
+    /** Who holds the connection. */
+    interface ConnectionOwner {
+
+        /** The connection was made; nothing is known of the peer yet. */
+        void started(PeerConnection connection);
+
+        /** The peer is known, and messages may be sent. */
+        void opened(PeerConnection connection);
+
+        /** A message arrived. */
+        void received(PeerConnection connection, Envelope envelope);
+
+        /** More may be written. */
+        void writable(PeerConnection connection);
+
+        /** The connection ended, also one that was never opened. */
+        void closed(PeerConnection connection);
+    }
+}
--- /dev/null
+++ b/peer/src/main/java/org/whinhead/peer/PeerLink.java
@@ -0,0 +1,101 @@
+package org.whinhead.peer;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.random.RandomGenerator;
+import org.whinhead.api.model.VmId;
+import org.whinhead.membership.DaemonAddress;
+import org.whinhead.peer.generated.PeerProto.Envelope;
+
+/** What one peer has yet to be sent, and when to call it again. */
+final class PeerLink {
+
+    private static final int MOST_DOUBLINGS = 20;
+
+    private final PeerSettings mSettings;
+    private final OutboundQueue mQueue;
+    private final AtomicBoolean mPumpDue = new AtomicBoolean();
+    private final VmId mVm;
+    private volatile DaemonAddress mAddress;
+    private boolean mConnecting;
+    private int mFailures;
+
+    PeerLink(final PeerSettings settings, final VmId vm) {
+        mSettings = settings;
+        mVm = vm;
+        final PeerSettings.QueueBounds bounds = settings.queue();
+        mQueue = new OutboundQueue(bounds.messages(), bounds.gossip(), bounds.bytes());
+    }
+
+    VmId vm() {
+        return mVm;
+    }
+
+    /** Returns where the peer listens; empty for one that only called so far. */
+    Optional<DaemonAddress> address() {
+        return Optional.ofNullable(mAddress);
+    }
+
+    void address(final DaemonAddress address) {
+        mAddress = address;
+    }
+
+    OutboundQueue queue() {
+        return mQueue;
+    }
+
+    /** Tells whether the caller must schedule a pump; false if one is due already. */
+    boolean takePumpTurn() {
+        return mPumpDue.compareAndSet(false, true);
+    }
+
+    /** Sends what the connection takes. */
+    void pump(final PeerConnection connection) {
+        mPumpDue.set(false);
+        while (connection.isWritable()) {
+            final Envelope next = mQueue.poll();
+            if (next == null) {
+                return;
+            }
+            connection.write(next);
+        }
+    }
+
+    void pumpWithoutConnection() {
+        mPumpDue.set(false);
+    }
+
+    /** Tells whether to connect now; false while an attempt or the wait after one goes on. */
+    boolean startConnecting() {
+        if (mConnecting) {
+            return false;
+        }
+        mConnecting = true;
+        return true;
+    }
+
+    /**
+     * The peer spoke. Guards against a peer that takes the connection and then closes it, as one
+     * does that refuses the own certificate: a mere connection does not shorten the wait.
+     */
+    void proved() {
+        mFailures = 0;
+    }
+
+    /**
+     * Returns how long to wait before the next attempt. Guards against all daemons calling a peer
+     * at the same moment when it, or the network, is back: the wait is chance, and its bound grows.
+     */
+    Duration failed(final RandomGenerator random) {
+        final long first = mSettings.firstBackoff().toMillis();
+        final long bound = first << Math.min(mFailures, MOST_DOUBLINGS);
+        mFailures++;
+        final long longest = Math.min(bound, mSettings.longestBackoff().toMillis());
+        return Duration.ofMillis(longest / 2 + random.nextLong(longest / 2 + 1));
+    }
+
+    void waited() {
+        mConnecting = false;
+    }
+}
--- a/peer/src/main/java/org/whinhead/peer/package-info.java
+++ b/peer/src/main/java/org/whinhead/peer/package-info.java
@@ -1,2 +1,2 @@
-/** Messages between daemons over Netty with protobuf and mutual TLS. */
+/** Messages between daemons over Netty, protobuf and mutual TLS. */
 package org.whinhead.peer;
--- /dev/null
+++ b/peer/src/test/java/org/whinhead/peer/NettyPeerTransportTest.java
@@ -0,0 +1,201 @@
+package org.whinhead.peer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.ExecutionException;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.whinhead.api.model.VmId;
+
+class NettyPeerTransportTest {
+
+    private static final Duration SHORT = Duration.ofMillis(300);
+
+    @TempDir private Path mFolder;
+
+    @Test
+    void messagesAndRepliesShareOneConnection() throws Exception {
+        final TestAuthority authority = new TestAuthority();
+        try (TestPeer a = new TestPeer("vm-a", Optional.of(authority.issue(mFolder, "vm-a")));
+                TestPeer b = new TestPeer("vm-b", Optional.of(authority.issue(mFolder, "vm-b")))) {
+            a.tell(b, 7);
+            final IncomingMessage message = b.take();
+            assertThat(message.from()).isEqualTo(new VmId("vm-a"));
+            assertThat(message.envelope().getSettingsInForce().getRevision()).isEqualTo(7);
+            assertThat(a.ask(b, "why", TestPeer.PATIENCE)).isEqualTo("why");
+            assertThat(b.ask(a, "back", TestPeer.PATIENCE)).isEqualTo("back");
+            assertThat(a.counters().connects() + b.counters().connects()).isEqualTo(1);
+        }
+    }
+
+    // Somebody in the same network runs a daemon with certificates of an own authority. It must
+    // neither be heard nor learn anything.
+    @Test
+    void strangerIsRefused() throws Exception {
+        final TestAuthority other = new TestAuthority();
+        refusedAsHandshake(other.issue(mFolder, "vm-a"));
+    }
+
+    // A daemon's certificate ran out and nobody replaced it. It is no longer a proof.
+    @Test
+    void expiredCertificateIsRefused() throws Exception {
+        final TestAuthority authority = new TestAuthority();
+        final PeerTlsFiles own = authority.issue(mFolder, "vm-b");
+        refusedAsHandshake(authority.issueExpired(mFolder, "vm-a"), own);
+    }
+
+    private void refusedAsHandshake(final PeerTlsFiles theirs) throws Exception {
+        refusedAsHandshake(theirs, new TestAuthority().issue(mFolder, "vm-b"));
+    }
+
+    private static void refusedAsHandshake(final PeerTlsFiles theirs, final PeerTlsFiles own)
+            throws Exception {
+        try (TestPeer bad = new TestPeer("vm-a", Optional.of(theirs));
+                TestPeer good = new TestPeer("vm-b", Optional.of(own))) {
+            bad.tell(good, 7);
+            TestPeer.await(() -> good.counters().refusals(PeerRefusal.HANDSHAKE) > 0);
+            assertThat(good.waiting()).isZero();
+            good.tell(bad, 7);
+            TestPeer.await(() -> good.counters().refusals(PeerRefusal.HANDSHAKE) > 1);
+            assertThat(bad.waiting()).isZero();
+        }
+    }
+
+    // A daemon with a good certificate of its own says that it is another VM, which would let it
+    // announce that one's end or answer in its name.
+    @Test
+    void nameMustBeTheCertificates() throws Exception {
+        final TestAuthority authority = new TestAuthority();
+        try (TestPeer liar = new TestPeer("vm-c", Optional.of(authority.issue(mFolder, "vm-a")));
+                TestPeer b = new TestPeer("vm-b", Optional.of(authority.issue(mFolder, "vm-b")))) {
+            liar.tell(b, 7);
+            TestPeer.await(() -> b.counters().refusals(PeerRefusal.IDENTITY) > 0);
+            b.tell(liar, 7);
+            TestPeer.await(() -> b.counters().refusals(PeerRefusal.IDENTITY) > 1);
+            assertThat(b.waiting() + liar.waiting()).isZero();
+        }
+    }
+
+    // A scanner sends HTTP to the peer port, with TLS and without. Each must end the connection
+    // at once, and a frame's announced length must not take memory.
+    @Test
+    void garbageEndsTheConnection() throws Exception {
+        final byte[] http = "GET / HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
+        final TestAuthority authority = new TestAuthority();
+        try (TestPeer secure = new TestPeer("vm-a", Optional.of(authority.issue(mFolder, "vm-a")));
+                TestPeer plain = new TestPeer("vm-b", Optional.empty())) {
+            assertEnds(secure, http);
+            assertThat(secure.counters().refusals(PeerRefusal.HANDSHAKE)).isEqualTo(1);
+            assertEnds(plain, http);
+            assertThat(plain.counters().refusals(PeerRefusal.OVERSIZED)).isEqualTo(1);
+            assertEnds(plain, new byte[] {0, 0, 0, 2, -1, -1});
+            assertThat(plain.counters().refusals(PeerRefusal.MALFORMED)).isEqualTo(1);
+            assertEnds(plain, new byte[] {0, 0, 0, 0});
+            assertThat(plain.counters().refusals(PeerRefusal.IDENTITY)).isEqualTo(1);
+        }
+    }
+
+    private static void assertEnds(final TestPeer peer, final byte[] bytes) throws IOException {
+        try (Socket socket = socketTo(peer)) {
+            new DataOutputStream(socket.getOutputStream()).write(bytes);
+            assertEnded(socket);
+        }
+    }
+
+    private static Socket socketTo(final TestPeer peer) throws IOException {
+        final Socket socket = new Socket(peer.address().host(), peer.address().port());
+        socket.setSoTimeout((int) TestPeer.PATIENCE.toMillis());
+        return socket;
+    }
+
+    /** Reads to the end; an alert of TLS may come before it. */
+    private static void assertEnded(final Socket socket) throws IOException {
+        try {
+            socket.getInputStream().readAllBytes();
+        } catch (final java.net.SocketException e) {
+            assertThat(e).hasMessageContaining("reset");
+        }
+    }
+
+    // Connections are opened and nothing is said. Only so many may wait, each only for so long.
+    @Test
+    void silentConnectionsAreBounded() throws Exception {
+        final PeerSettings settings =
+                PeerSettings.builder().mostUnauthenticated(2).handshakeTimeout(SHORT).build();
+        try (TestPeer peer = new TestPeer("vm-a", Optional.empty(), settings);
+                Socket first = socketTo(peer);
+                Socket second = socketTo(peer);
+                Socket third = socketTo(peer)) {
+            assertEnded(third);
+            assertEnded(first);
+            assertEnded(second);
+            final PeerCounters counters = peer.counters();
+            final long refused =
+                    counters.refusals(PeerRefusal.TOO_MANY) + counters.refusals(PeerRefusal.SILENT);
+            assertThat(refused).isEqualTo(3);
+            assertThat(counters.refusals(PeerRefusal.TOO_MANY)).isPositive();
+        }
+    }
+
+    // Operators replace the authority on all daemons while they run. A pair that is half replaced
+    // changes nothing; the whole one serves new peers, and nobody restarts.
+    @Test
+    void replacedFilesAreTakenInWithoutRestart() throws Exception {
+        final PeerTlsFiles own = new TestAuthority().issue(mFolder, "vm-a");
+        final TestAuthority next = new TestAuthority();
+        final Path folder = Files.createDirectory(mFolder.resolve("next"));
+        final PeerTlsFiles replacement = next.issue(folder, "vm-a");
+        try (TestPeer a = new TestPeer("vm-a", Optional.of(own));
+                TestPeer b = new TestPeer("vm-b", Optional.of(next.issue(folder, "vm-b")))) {
+            replace(replacement.certificate(), own.certificate());
+            a.transport().tick();
+            assertThat(a.counters().reloadFailures()).isEqualTo(1);
+            replace(replacement.key(), own.key());
+            replace(replacement.trust(), own.trust());
+            a.transport().tick();
+            assertThat(a.counters().reloads()).isEqualTo(1);
+            assertThat(b.ask(a, "new", TestPeer.PATIENCE)).isEqualTo("new");
+        }
+    }
+
+    private static void replace(final Path from, final Path to) throws IOException {
+        Files.copy(from, to, StandardCopyOption.REPLACE_EXISTING);
+    }
+
+    // A daemon without certificates is started on an open address: anybody could speak as a peer.
+    @Test
+    void plainPeersStayOnLoopback() throws Exception {
+        try (TestPeer peer = new TestPeer("vm-a", Optional.empty())) {
+            assertThatThrownBy(() -> peer.transport().listen(new InetSocketAddress("0.0.0.0", 0)))
+                    .isInstanceOf(PeerException.class)
+                    .hasMessage("peers need TLS on an address that is not loopback");
+        }
+    }
+
+    // The asked daemon is gone. The one that asks must learn it, not wait for ever; when a daemon
+    // is back on the address, the connection is made again by itself.
+    @Test
+    void absentPeerMeansTimeoutAndReconnect() throws Exception {
+        try (TestPeer a = new TestPeer("vm-a", Optional.empty());
+                TestPeer gone = new TestPeer("vm-b", Optional.empty())) {
+            gone.close();
+            assertThatThrownBy(() -> a.ask(gone, "why", SHORT))
+                    .isInstanceOf(ExecutionException.class)
+                    .hasCauseInstanceOf(PeerException.class);
+            try (TestPeer back = new TestPeer("vm-b", Optional.empty())) {
+                assertThat(a.ask(back, "why", TestPeer.PATIENCE)).isEqualTo("why");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/peer/src/test/java/org/whinhead/peer/OutboundQueueTest.java
@@ -0,0 +1,59 @@
+package org.whinhead.peer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+import org.whinhead.peer.generated.PeerProto.Envelope;
+import org.whinhead.peer.generated.PeerProto.ExplainReply;
+import org.whinhead.peer.generated.PeerProto.LeavingNotice;
+import org.whinhead.peer.generated.PeerProto.SettingsInForce;
+
+class OutboundQueueTest {
+
+    // A peer stops reading. What waits for it must not grow, news that comes again must go first,
+    // and an answer that somebody waits for must not vanish while its connection lives.
+    @Test
+    void oldestGossipGoesFirstAndRepliesStay() {
+        final OutboundQueue queue = new OutboundQueue(4, 3, 1000);
+        assertThat(queue.add(gossip(1))).isZero();
+        assertThat(queue.add(reply("a"))).isZero();
+        assertThat(queue.add(gossip(2))).isZero();
+        assertThat(queue.add(notice())).isZero();
+        assertThat(queue.add(gossip(3))).isEqualTo(1);
+        assertThat(queue.add(reply("b"))).isEqualTo(1);
+        assertThat(queue.add(reply("c"))).isEqualTo(1);
+        assertThat(queue.add(reply("d"))).isEqualTo(1);
+        assertThat(queue.size()).isEqualTo(4);
+        assertThat(queue.poll()).isEqualTo(reply("a"));
+        assertThat(queue.add(reply("e"))).isZero();
+        assertThat(queue.add(reply("f"))).isEqualTo(-1);
+    }
+
+    @Test
+    void gossipAndBytesHaveBoundsOfTheirOwn() {
+        final OutboundQueue queue = new OutboundQueue(100, 2, 50);
+        for (int i = 1; i <= 5; i++) {
+            queue.add(gossip(i));
+        }
+        assertThat(queue.poll()).isEqualTo(gossip(4));
+        assertThat(queue.add(reply("x".repeat(60)))).isEqualTo(-1);
+        assertThat(queue.dropReplies()).isEqualTo(1);
+        assertThat(queue.isEmpty()).isTrue();
+    }
+
+    private static Envelope gossip(final long revision) {
+        return Envelope.newBuilder()
+                .setSettingsInForce(SettingsInForce.newBuilder().setRevision(revision))
+                .build();
+    }
+
+    private static Envelope notice() {
+        return Envelope.newBuilder().setLeavingNotice(LeavingNotice.newBuilder()).build();
+    }
+
+    private static Envelope reply(final String record) {
+        return Envelope.newBuilder()
+                .setExplainReply(ExplainReply.newBuilder().addRecords(record))
+                .build();
+    }
+}
