Fuzz the coordinator in a world of fakes and give a ticket before any token

Cause: the fuzz lost the event that names a stream, let tokens through and killed the daemon: the caller had part of its answer and no ticket, and a repeat mixed a second start into it.

Change: a fake world in one thread (engines, services, claims, daemons, callers that come back) with an oracle, driven by jqwik action chains. A ticket, if only for the text, is now given before the first token.

Conclusion: the oracle stays in the module's tests.

--- a/requests/src/main/java/org/whinhead/requests/AttemptEventHandler.java
+++ b/requests/src/main/java/org/whinhead/requests/AttemptEventHandler.java
@@ -30,7 +30,7 @@
         mRecovery = recovery;
         mTickets = tickets;
         mDepartures = departures;
-        mDelivery = new StreamDelivery(wiring, endings, recovery);
+        mDelivery = new StreamDelivery(wiring, endings, recovery, tickets);
     }
 
     /** Something happened to an attempt of a request that may have ended. */
--- a/requests/src/main/java/org/whinhead/requests/StreamDelivery.java
+++ b/requests/src/main/java/org/whinhead/requests/StreamDelivery.java
@@ -18,11 +18,17 @@
     private final Wiring mWiring;
     private final Endings mEndings;
     private final Recovery mRecovery;
+    private final Tickets mTickets;
 
-    StreamDelivery(final Wiring wiring, final Endings endings, final Recovery recovery) {
+    StreamDelivery(
+            final Wiring wiring,
+            final Endings endings,
+            final Recovery recovery,
+            final Tickets tickets) {
         mWiring = wiring;
         mEndings = endings;
         mRecovery = recovery;
+        mTickets = tickets;
     }
 
     /** A token of the live attempt arrived. */
@@ -92,6 +98,7 @@
                 return false;
             }
             attempt.stopChecking();
+            mTickets.issueBeforeFirstToken(state, attempt);
             delivered.append(text);
             state.setResumeTried(false);
             mWiring.actions().deliver(state.id(), index, text);
--- a/requests/src/main/java/org/whinhead/requests/Tickets.java
+++ b/requests/src/main/java/org/whinhead/requests/Tickets.java
@@ -36,6 +36,17 @@
         mWiring.actions().ticket(state.id(), ticket);
     }
 
+    /**
+     * Guards against a caller that has part of an answer and nothing to ask for the rest with: the
+     * event that names the stream was lost or is late, tokens are delivered, and the daemon dies.
+     * So a ticket, if only for the text, goes out before the first token.
+     */
+    void issueBeforeFirstToken(final RequestState state, final Attempt attempt) {
+        if (state.lastTicket().isEmpty()) {
+            issue(state, attempt);
+        }
+    }
+
     /** Returns a ticket for what there is: the live stream, or only the caller's text. */
     static Optional<Ticket> current(final RequestState state) {
         final Optional<Attempt> live = state.live().filter(Attempt::hasStream);
--- /dev/null
+++ b/requests/src/test/java/org/whinhead/requests/fake/FakeBackend.java
@@ -0,0 +1,195 @@
+package org.whinhead.requests.fake;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.whinhead.api.model.Endpoint;
+import org.whinhead.api.request.RequestId;
+import org.whinhead.requests.AttemptEvent;
+import org.whinhead.requests.AttemptFailure;
+import org.whinhead.requests.PlainAnswer;
+
+/** A fake engine or plain service, and the witness of what ran there. */
+public final class FakeBackend {
+
+    /** How it behaves towards new connections. */
+    public enum Mode {
+        UP,
+        REFUSING,
+        FROZEN,
+        DEAD
+    }
+
+    private static final int TOKEN_MILLIS = 20;
+    private static final int MAX_WORK_MILLIS = 200;
+    private static final int FAULT_PERCENT = 5;
+    private static final int OK = 200;
+
+    private final FakeWorld mWorld;
+    private final Endpoint mEndpoint;
+    private final Map<String, FakeStream> mStreams = new LinkedHashMap<>();
+    private final List<FakeLink> mCalls = new ArrayList<>();
+    private final List<Waiting> mWaiting = new ArrayList<>();
+    private Mode mMode = Mode.UP;
+    private Instant mDeadSince = Instant.MAX;
+    private int mNextStream;
+
+    FakeBackend(final FakeWorld world, final Endpoint endpoint) {
+        mWorld = world;
+        mEndpoint = endpoint;
+        world.time().after(TOKEN_MILLIS, this::step);
+    }
+
+    public Endpoint endpoint() {
+        return mEndpoint;
+    }
+
+    public Mode mode() {
+        return mMode;
+    }
+
+    /** Tells whether lagging views still list it. */
+    boolean isListed(final Instant now) {
+        return mMode != Mode.DEAD || now.isBefore(mDeadSince.plusMillis(500));
+    }
+
+    public void setMode(final Mode mode) {
+        if (mMode == Mode.DEAD) {
+            return;
+        }
+        mMode = mode;
+        if (mode == Mode.DEAD) {
+            die();
+        } else if (mode == Mode.UP) {
+            final List<Waiting> waiting = List.copyOf(mWaiting);
+            mWaiting.clear();
+            waiting.forEach(each -> each.work().run());
+        }
+    }
+
+    /** Breaks every connection; what runs goes on. */
+    public void cutConnections() {
+        mStreams.values().stream()
+                .filter(stream -> stream.reader() != null)
+                .forEach(stream -> stream.reader().fail(AttemptFailure.CUT_DURING_ANSWER));
+        mCalls.forEach(link -> link.fail(AttemptFailure.CUT_BEFORE_ANSWER));
+        mCalls.clear();
+    }
+
+    void generate(final FakeLink link, final long from) {
+        connect(link, false, () -> startStream(link, from));
+    }
+
+    void call(final FakeLink link) {
+        connect(link, false, () -> startCall(link));
+    }
+
+    void resume(final FakeLink link, final String streamId, final long from) {
+        connect(
+                link,
+                true,
+                () -> {
+                    if (mStreams.containsKey(streamId)) {
+                        mStreams.get(streamId).read(link, from);
+                    } else {
+                        link.fail(AttemptFailure.STREAM_UNKNOWN);
+                    }
+                });
+    }
+
+    /** Gives a stream's KV cache away and stops the stream. */
+    Optional<FakeStream> export(final String streamId) {
+        final Optional<FakeStream> stream =
+                mMode == Mode.DEAD || mMode == Mode.FROZEN
+                        ? Optional.empty()
+                        : Optional.ofNullable(mStreams.remove(streamId));
+        stream.map(FakeStream::reader)
+                .filter(reader -> mWorld.random().nextBoolean())
+                .ifPresent(reader -> reader.fail(AttemptFailure.CUT_DURING_ANSWER));
+        return stream;
+    }
+
+    void importStream(final FakeLink link, final FakeStream source) {
+        connect(
+                link,
+                false,
+                () -> {
+                    final FakeStream copy = source.movedTo(newStreamId());
+                    mStreams.put(copy.id(), copy);
+                    link.send(new AttemptEvent.Moved(link.attempt(), copy.id()), true);
+                });
+    }
+
+    void cancel(final FakeLink link, final String streamId) {
+        if (streamId.isEmpty()) {
+            mStreams.values().removeIf(stream -> stream.reader() == link);
+        } else {
+            mStreams.remove(streamId);
+        }
+    }
+
+    private void connect(final FakeLink link, final boolean always, final Runnable work) {
+        if (mMode == Mode.DEAD) {
+            link.fail(AttemptFailure.CONNECT_FAILED);
+        } else if (mMode == Mode.FROZEN) {
+            mWaiting.add(new Waiting(link, work));
+        } else if (mMode == Mode.REFUSING && !always) {
+            link.fail(AttemptFailure.REFUSED_BY_ENDPOINT);
+        } else {
+            work.run();
+        }
+    }
+
+    private void startStream(final FakeLink link, final long from) {
+        final RequestId request = link.attempt().request();
+        mWorld.ran(request);
+        final FakeStream stream = new FakeStream(mWorld, newStreamId(), request, from, from);
+        mStreams.put(stream.id(), stream);
+        stream.read(link, from);
+    }
+
+    private void startCall(final FakeLink link) {
+        mWorld.ran(link.attempt().request());
+        mCalls.add(link);
+        final int work = 1 + mWorld.random().nextInt(MAX_WORK_MILLIS);
+        mWorld.time().after(work, () -> endCall(link));
+    }
+
+    private void endCall(final FakeLink link) {
+        if (mCalls.remove(link)) {
+            if (mWorld.lossPercent() > 0 && mWorld.chance(FAULT_PERCENT)) {
+                link.fail(AttemptFailure.FAULTED);
+                return;
+            }
+            final PlainAnswer answer = new PlainAnswer(OK, "text/plain", new byte[0]);
+            link.send(new AttemptEvent.Answered(link.attempt(), answer), true);
+        }
+    }
+
+    private void die() {
+        mDeadSince = mWorld.time().now();
+        cutConnections();
+        mStreams.clear();
+        mWaiting.forEach(each -> each.link().fail(AttemptFailure.CUT_BEFORE_ANSWER));
+        mWaiting.clear();
+    }
+
+    private void step() {
+        if (mMode != Mode.FROZEN) {
+            List.copyOf(mStreams.values()).forEach(FakeStream::step);
+        }
+        if (mMode != Mode.DEAD) {
+            mWorld.time().after(TOKEN_MILLIS, this::step);
+        }
+    }
+
+    private String newStreamId() {
+        mNextStream++;
+        return mEndpoint.id() + "-s" + mNextStream;
+    }
+
+    private record Waiting(FakeLink link, Runnable work) {}
+}
--- /dev/null
+++ b/requests/src/test/java/org/whinhead/requests/fake/FakeDaemon.java
@@ -0,0 +1,310 @@
+package org.whinhead.requests.fake;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import org.whinhead.admission.SimpleAdmission;
+import org.whinhead.api.model.Endpoint;
+import org.whinhead.api.model.EndpointId;
+import org.whinhead.api.request.AttemptId;
+import org.whinhead.api.request.RequestId;
+import org.whinhead.api.verdict.Refusal;
+import org.whinhead.requests.AttemptEvent;
+import org.whinhead.requests.AttemptFailure;
+import org.whinhead.requests.ClaimOutcome;
+import org.whinhead.requests.Completion;
+import org.whinhead.requests.DefaultRequestCoordinator;
+import org.whinhead.requests.PlainAnswer;
+import org.whinhead.requests.RequestActions;
+import org.whinhead.requests.Ticket;
+
+/** A daemon around a real coordinator; it may pause, stop or die. */
+public final class FakeDaemon implements RequestActions {
+
+    private static final int TICK_MILLIS = 50;
+    private static final int MAX_DELAY_MILLIS = 5;
+
+    private final FakeWorld mWorld;
+    private final FakeRouter mRouter;
+    private final DefaultRequestCoordinator mCoordinator;
+    private final Map<AttemptId, FakeLink> mLinks = new HashMap<>();
+    private final Map<RequestId, FakeConnection> mConnections = new HashMap<>();
+    private final Deque<Consumer<Instant>> mInbox = new ArrayDeque<>();
+    private Instant mPausedUntil = Instant.MIN;
+    private boolean mAlive = true;
+    private boolean mStopping;
+
+    FakeDaemon(final FakeWorld world, final long seed) {
+        mWorld = world;
+        mRouter = new FakeRouter(world);
+        mCoordinator =
+                DefaultRequestCoordinator.builder()
+                        .router(mRouter)
+                        .admission(new SimpleAdmission(40, 10))
+                        .actions(this)
+                        .settings(world.settings())
+                        .random(new SplittableRandom(seed))
+                        .build();
+        tick();
+    }
+
+    public DefaultRequestCoordinator coordinator() {
+        return mCoordinator;
+    }
+
+    public boolean isAlive() {
+        return mAlive;
+    }
+
+    boolean isOpen() {
+        return mAlive && !mStopping;
+    }
+
+    /** Returns what is left over once all requests have ended. */
+    String leftovers() {
+        return mCoordinator.inProgress() == 0 && mRouter.open().isEmpty() && mLinks.isEmpty()
+                ? ""
+                : mCoordinator.inProgress() + " requests, " + mRouter.open() + mLinks.keySet();
+    }
+
+    void arrived(final FakeCaller caller) {
+        later(
+                now -> {
+                    if (mConnections.containsKey(caller.id())) {
+                        caller.connectLater();
+                        return;
+                    }
+                    mConnections.put(caller.id(), new FakeConnection(caller, this, 0));
+                    mCoordinator.arrived(caller.spec(), now);
+                });
+    }
+
+    void returned(
+            final FakeCaller caller, final Ticket ticket, final long have, final String text) {
+        later(
+                now -> {
+                    mConnections.put(caller.id(), new FakeConnection(caller, this, have));
+                    mCoordinator.returned(caller.spec(), ticket, have, text, now);
+                });
+    }
+
+    void callerLeft(final RequestId request) {
+        later(
+                now -> {
+                    mConnections.remove(request);
+                    mCoordinator.callerLeft(request, now);
+                });
+    }
+
+    void endpointLeaving(final EndpointId endpoint, final Instant goneBy) {
+        later(now -> mCoordinator.endpointLeaving(endpoint, goneBy, now));
+    }
+
+    void claimDecided(final RequestId request, final ClaimOutcome outcome) {
+        later(now -> mCoordinator.claimDecided(request, outcome, now));
+    }
+
+    void handle(final AttemptEvent event) {
+        final boolean last =
+                event instanceof AttemptEvent.Failed
+                        || event instanceof AttemptEvent.Finished
+                        || event instanceof AttemptEvent.Answered;
+        if (last) {
+            mLinks.remove(event.attempt());
+        }
+        later(now -> mCoordinator.attemptEvent(event, now));
+    }
+
+    public void pause(final Duration time) {
+        mPausedUntil = mWorld.time().now().plus(time);
+    }
+
+    /** Shuts down as planned; at the end nothing may be in progress. */
+    public void stop(final Duration notice) {
+        mStopping = true;
+        final Instant goneBy = mWorld.time().now().plus(notice);
+        later(now -> mCoordinator.stopping(goneBy, now));
+        mWorld.time().after(notice.toMillis(), () -> endOfStop(goneBy));
+    }
+
+    public void die() {
+        mAlive = false;
+        mLinks.clear();
+        mWorld.callers().stream().filter(c -> c.wants(this)).forEach(FakeCaller::cutOff);
+        mConnections.clear();
+    }
+
+    @Override
+    public void generate(
+            final AttemptId attempt,
+            final Endpoint endpoint,
+            final String deliveredText,
+            final long deliveredTokens) {
+        connect(attempt, endpoint, (link, to) -> to.generate(link, deliveredTokens));
+    }
+
+    @Override
+    public void resume(
+            final AttemptId attempt,
+            final Endpoint endpoint,
+            final String streamId,
+            final long fromIndex) {
+        connect(attempt, endpoint, (link, to) -> to.resume(link, streamId, fromIndex));
+    }
+
+    @Override
+    public void move(
+            final AttemptId attempt,
+            final Endpoint from,
+            final String streamId,
+            final Endpoint to) {
+        connect(attempt, from, (link, source) -> export(link, source, streamId, to));
+    }
+
+    @Override
+    public void call(final AttemptId attempt, final Endpoint endpoint) {
+        connect(attempt, endpoint, (link, to) -> to.call(link));
+    }
+
+    @Override
+    public void cancel(final AttemptId attempt, final Endpoint endpoint, final String streamId) {
+        final Optional<FakeLink> link = Optional.ofNullable(mLinks.remove(attempt));
+        link.ifPresent(FakeLink::close);
+        final FakeBackend backend = mWorld.backend(endpoint.id());
+        later(delay(), () -> backend.cancel(link.orElse(null), streamId));
+    }
+
+    @Override
+    public void release(final AttemptId attempt) {
+        Optional.ofNullable(mLinks.remove(attempt)).ifPresent(FakeLink::close);
+    }
+
+    @Override
+    public void claim(final RequestId request) {
+        mWorld.claims().claim(this, request);
+    }
+
+    @Override
+    public void unclaim(final RequestId request) {
+        mWorld.claims().unclaim(this, request);
+    }
+
+    @Override
+    public void deliver(final RequestId request, final long index, final String text) {
+        mConnections.get(request).token(index, text);
+    }
+
+    @Override
+    public void complete(final RequestId request, final Completion completion) {
+        mConnections.remove(request).complete();
+    }
+
+    @Override
+    public void answer(final RequestId request, final PlainAnswer answer) {
+        mConnections.remove(request).complete();
+    }
+
+    @Override
+    public void refuse(final RequestId request, final Refusal refusal) {
+        final FakeConnection connection = mConnections.remove(request);
+        if (connection.isCurrent()) {
+            connection.caller().refused(refusal);
+        }
+    }
+
+    @Override
+    public void ticket(final RequestId request, final Ticket ticket) {
+        final FakeConnection connection = mConnections.get(request);
+        if (connection.isCurrent()) {
+            connection.caller().takeTicket(ticket);
+        }
+    }
+
+    @Override
+    public void handBack(final RequestId request, final Ticket ticket, final Refusal refusal) {
+        final FakeConnection connection = mConnections.remove(request);
+        if (connection.isCurrent()) {
+            connection.caller().sentAway(ticket, refusal.retryAfter().orElseThrow());
+        }
+    }
+
+    private void export(
+            final FakeLink link,
+            final FakeBackend source,
+            final String streamId,
+            final Endpoint to) {
+        final Optional<FakeStream> cache = source.export(streamId);
+        if (cache.isEmpty()) {
+            link.fail(AttemptFailure.STREAM_UNKNOWN);
+            return;
+        }
+        final FakeBackend target = mWorld.backend(to.id());
+        later(delay(), () -> target.importStream(link, cache.get()));
+    }
+
+    private void connect(final AttemptId attempt, final Endpoint endpoint, final Work work) {
+        final FakeLink link = new FakeLink(mWorld, this, attempt);
+        mLinks.put(attempt, link);
+        later(
+                delay(),
+                () -> {
+                    if (link.isOpen()) {
+                        work.accept(link, mWorld.backend(endpoint.id()));
+                    }
+                });
+    }
+
+    private int delay() {
+        return 1 + mWorld.random().nextInt(MAX_DELAY_MILLIS);
+    }
+
+    private void later(final int delay, final Runnable work) {
+        mWorld.time()
+                .after(
+                        delay,
+                        () -> {
+                            if (mAlive) {
+                                work.run();
+                            }
+                        });
+    }
+
+    /** Runs now, or after a pause, in order and with the time of then. */
+    private void later(final Consumer<Instant> work) {
+        mInbox.add(work);
+        drain();
+    }
+
+    private void drain() {
+        final Instant now = mWorld.time().now();
+        while (mAlive && !now.isBefore(mPausedUntil) && !mInbox.isEmpty()) {
+            mInbox.remove().accept(now);
+        }
+    }
+
+    private void tick() {
+        later(mCoordinator::tick);
+        if (mAlive) {
+            mWorld.time().after(TICK_MILLIS, this::tick);
+        }
+    }
+
+    private void endOfStop(final Instant goneBy) {
+        final boolean wasPaused = goneBy.minusMillis(TICK_MILLIS).isBefore(mPausedUntil);
+        if (mAlive && !wasPaused && mCoordinator.inProgress() > 0) {
+            throw new AssertionError("a planned stop cut requests: " + leftovers());
+        }
+        die();
+    }
+
+    /** What a connection is made for. */
+    private interface Work {
+        void accept(FakeLink link, FakeBackend backend);
+    }
+}
--- /dev/null
+++ b/requests/src/test/java/org/whinhead/requests/fake/FakeTime.java
@@ -0,0 +1,35 @@
+package org.whinhead.requests.fake;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Comparator;
+import java.util.PriorityQueue;
+
+/** The world's clock and what is going to happen, in order of time. */
+public final class FakeTime {
+
+    private final PriorityQueue<Event> mEvents =
+            new PriorityQueue<>(Comparator.comparing(Event::at).thenComparing(Event::sequence));
+    private Instant mNow = Instant.parse("2026-01-01T00:00:00Z");
+    private long mSequence;
+
+    public Instant now() {
+        return mNow;
+    }
+
+    public void after(final long millis, final Runnable work) {
+        mEvents.add(new Event(mNow.plusMillis(millis), mSequence++, work));
+    }
+
+    public void run(final Duration time) {
+        final Instant end = mNow.plus(time);
+        while (!mEvents.isEmpty() && !mEvents.peek().at().isAfter(end)) {
+            final Event event = mEvents.remove();
+            mNow = event.at();
+            event.work().run();
+        }
+        mNow = end;
+    }
+
+    private record Event(Instant at, long sequence, Runnable work) {}
+}
