Send engine streams in chunks, so that a cut shows as a cut

Cause: without chunks the end of the connection ended the answer, and a killed engine looked like one that had finished: a new test with 24 running streams got a clean end of stream instead of an error. Conclusion: callers can tell a cut stream from a whole one.

--- a/standins/src/main/java/org/whinhead/standins/clock/Ticker.java
+++ b/standins/src/main/java/org/whinhead/standins/clock/Ticker.java
@@ -22,11 +22,7 @@
     private final List<Consumer<Instant>> mDuties = new CopyOnWriteArrayList<>();
     private final ScheduledExecutorService mThread;
 
-    /**
-     * Starts the thread.
-     *
-     * @param clock tells the time
-     */
+    /** Starts the thread. */
     public Ticker(final InstantSource clock) {
         mClock = clock;
         mThread =
--- a/standins/src/main/java/org/whinhead/standins/cloud/CloudSimulation.java
+++ b/standins/src/main/java/org/whinhead/standins/cloud/CloudSimulation.java
@@ -41,12 +41,7 @@
         mActions = actions;
     }
 
-    /**
-     * Takes in a VM that runs already.
-     *
-     * @param vm its identity
-     * @param order what it is
-     */
+    /** Takes in a VM that runs already. */
     public void adopt(final String vm, final VmOrder order) {
         mMachines.put(vm, new Machine(order, Instant.MIN, true));
     }
@@ -72,11 +67,7 @@
         return Optional.of(vm);
     }
 
-    /**
-     * Stops a VM; nothing happens if it is unknown.
-     *
-     * @param vm its identity
-     */
+    /** Stops a VM; nothing happens if it is unknown. */
     public void stop(final String vm) {
         if (mMachines.remove(vm) != null) {
             mActions.onGone(vm);
@@ -85,10 +76,6 @@
 
     /**
      * Announces that a VM is taken back; one that is billed on demand, or was announced, is not.
-     *
-     * @param vm its identity
-     * @param notice how long it has left
-     * @param now the time
      */
     public void reclaim(final String vm, final Duration notice, final Instant now) {
         final Machine machine = mMachines.get(vm);
@@ -102,13 +89,7 @@
         mActions.onNotice(vm, machine.mGoneBy);
     }
 
-    /**
-     * Announces that all reclaimable VMs of a failure domain are taken back.
-     *
-     * @param domain the failure domain
-     * @param notice how long they have left
-     * @param now the time
-     */
+    /** Announces that all reclaimable VMs of a failure domain are taken back. */
     public void reclaim(final FailureDomain domain, final Duration notice, final Instant now) {
         mMachines.forEach(
                 (vm, machine) -> {
@@ -118,11 +99,7 @@
                 });
     }
 
-    /**
-     * Lets time pass: VMs start, and those announced go.
-     *
-     * @param now the time
-     */
+    /** Lets time pass: VMs start, and those announced go. */
     public void advance(final Instant now) {
         for (final String vm : List.copyOf(mMachines.keySet())) {
             final Machine machine = mMachines.get(vm);
@@ -147,11 +124,7 @@
         return List.copyOf(mNotices.subList(start, mNotices.size()));
     }
 
-    /**
-     * Fault: no VM is started.
-     *
-     * @param refuses whether starts are refused
-     */
+    /** Fault: no VM is started. */
     public void refuseStarts(final boolean refuses) {
         mRefuses = refuses;
     }
--- a/standins/src/main/java/org/whinhead/standins/cloud/CloudStandIn.java
+++ b/standins/src/main/java/org/whinhead/standins/cloud/CloudStandIn.java
@@ -85,41 +85,22 @@
         return mServer.uri();
     }
 
-    /**
-     * Takes in a VM that runs already.
-     *
-     * @param vm its identity
-     * @param order what it is
-     */
+    /** Takes in a VM that runs already. */
     public synchronized void adopt(final String vm, final VmOrder order) {
         mSimulation.adopt(vm, order);
     }
 
-    /**
-     * Fault: takes back one VM.
-     *
-     * @param vm its identity
-     * @param notice how long it has left
-     */
+    /** Fault: takes back one VM. */
     public synchronized void reclaim(final String vm, final Duration notice) {
         mSimulation.reclaim(vm, notice, mContext.ticker().now());
     }
 
-    /**
-     * Fault: takes back all reclaimable VMs of a failure domain.
-     *
-     * @param domain the failure domain
-     * @param notice how long they have left
-     */
+    /** Fault: takes back all reclaimable VMs of a failure domain. */
     public synchronized void reclaim(final FailureDomain domain, final Duration notice) {
         mSimulation.reclaim(domain, notice, mContext.ticker().now());
     }
 
-    /**
-     * Fault: no VM is started.
-     *
-     * @param refuses whether starts are refused
-     */
+    /** Fault: no VM is started. */
     public synchronized void refuseStarts(final boolean refuses) {
         mSimulation.refuseStarts(refuses);
     }
--- a/standins/src/main/java/org/whinhead/standins/deployment/DeploymentStandIns.java
+++ b/standins/src/main/java/org/whinhead/standins/deployment/DeploymentStandIns.java
@@ -141,13 +141,7 @@
         return Map.copyOf(mMachines.services());
     }
 
-    /**
-     * Shows a daemon's VM on the VM list and in the cloud.
-     *
-     * @param vm the VM's identity
-     * @param domain its failure domain
-     * @param uri the daemon's address for callers
-     */
+    /** Shows a daemon's VM on the VM list and in the cloud. */
     public void addEntry(final String vm, final FailureDomain domain, final URI uri) {
         final VmOrder order = order(vm, domain, DeploymentPlan.ENTRY_CLASS, VmEntry.Role.ENTRY);
         mCloud.adopt(vm, order);
--- a/standins/src/main/java/org/whinhead/standins/engine/EngineOrders.java
+++ b/standins/src/main/java/org/whinhead/standins/engine/EngineOrders.java
@@ -81,11 +81,7 @@
         return OptionalLong.empty();
     }
 
-    /**
-     * The weights of a model are there.
-     *
-     * @param model the model
-     */
+    /** The weights of a model are there. */
     public void loaded(final String model) {
         mModels.add(model);
     }
--- a/standins/src/main/java/org/whinhead/standins/engine/EngineSimulation.java
+++ b/standins/src/main/java/org/whinhead/standins/engine/EngineSimulation.java
@@ -55,12 +55,7 @@
     private boolean mFrozen;
     private Instant mNow = Instant.MIN;
 
-    /**
-     * Makes an idle engine.
-     *
-     * @param config its settings
-     * @param witness counts its work
-     */
+    /** Makes an idle engine. */
     public EngineSimulation(final EngineConfig config, final Witness witness) {
         mConfig = config;
         mWitness = witness;
@@ -91,11 +86,7 @@
         return Optional.of(stream);
     }
 
-    /**
-     * Lets time pass.
-     *
-     * @param now the time
-     */
+    /** Lets time pass. */
     public void advance(final Instant now) {
         mNow = now;
         if (mFrozen) {
@@ -116,11 +107,7 @@
         return Optional.ofNullable(mStreams.get(id));
     }
 
-    /**
-     * Stops a stream; nothing happens if it is unknown.
-     *
-     * @param id its name
-     */
+    /** Stops a stream; nothing happens if it is unknown. */
     public void cancel(final String id) {
         find(id).ifPresent(this::stop);
     }
@@ -193,23 +180,14 @@
         return found;
     }
 
-    /**
-     * Freezes the engine, or lets it go on where it stood.
-     *
-     * @param frozen whether it stands still
-     * @param now the time
-     */
+    /** Freezes the engine, or lets it go on where it stood. */
     public void freeze(final boolean frozen, final Instant now) {
         advance(now);
         mFrozen = frozen;
         mBatch.rebase(now);
     }
 
-    /**
-     * Makes every step longer by a factor.
-     *
-     * @param factor the factor; 1 for none
-     */
+    /** Makes every step longer by a factor. */
     public void slow(final double factor) {
         mBatch.slowdown(factor);
     }
--- a/standins/src/main/java/org/whinhead/standins/engine/EngineStandIn.java
+++ b/standins/src/main/java/org/whinhead/standins/engine/EngineStandIn.java
@@ -79,11 +79,7 @@
         mServer.start();
     }
 
-    /**
-     * Fault: connections are accepted, but nothing is answered and no token is generated.
-     *
-     * @param frozen whether it stands still
-     */
+    /** Fault: connections are accepted, but nothing is answered and no token is generated. */
     public void freeze(final boolean frozen) {
         mServer.freeze(frozen);
         synchronized (this) {
--- a/standins/src/main/java/org/whinhead/standins/engine/EngineStream.java
+++ b/standins/src/main/java/org/whinhead/standins/engine/EngineStream.java
@@ -113,11 +113,7 @@
         mReaders++;
     }
 
-    /**
-     * Counts a reader out.
-     *
-     * @param now the time
-     */
+    /** Counts a reader out. */
     public void detach(final Instant now) {
         mReaders--;
         mReaderless = now;
--- a/standins/src/main/java/org/whinhead/standins/engine/PrefixCache.java
+++ b/standins/src/main/java/org/whinhead/standins/engine/PrefixCache.java
@@ -74,11 +74,7 @@
         return found * BLOCK_WORDS;
     }
 
-    /**
-     * Stores a computed prompt, and evicts the least recently used blocks beyond the limit.
-     *
-     * @param hashes the prompt's block hashes
-     */
+    /** Stores a computed prompt, and evicts the least recently used blocks beyond the limit. */
     public void store(final List<Long> hashes) {
         for (int index = Math.min(hashes.size(), mLimit) - 1; index >= 0; index--) {
             final Long hash = hashes.get(index);
--- a/standins/src/main/java/org/whinhead/standins/fault/FaultDesk.java
+++ b/standins/src/main/java/org/whinhead/standins/fault/FaultDesk.java
@@ -18,11 +18,7 @@
     private final Map<String, Consumer<JsonNode>> mEffects = new TreeMap<>();
     private final Map<String, Runnable> mLateEffects = new TreeMap<>();
 
-    /**
-     * Makes a desk that knows {@code delay} with {@code delayMillis}.
-     *
-     * @param server the server whose calls are delayed
-     */
+    /** Makes a desk that knows {@code delay} with {@code delayMillis}. */
     public FaultDesk(final StandInServer server) {
         on("delay", body -> server.slow(Duration.ofMillis(body.path("delayMillis").asLong())));
     }
--- a/standins/src/main/java/org/whinhead/standins/http/Call.java
+++ b/standins/src/main/java/org/whinhead/standins/http/Call.java
@@ -117,40 +117,22 @@
         return this;
     }
 
-    /**
-     * Answers with JSON.
-     *
-     * @param status the HTTP status
-     * @param tree the body
-     */
+    /** Answers with JSON. */
     public void reply(final int status, final JsonNode tree) {
         send(status, JSON_TYPE, tree.toString().getBytes(StandardCharsets.UTF_8));
     }
 
-    /**
-     * Answers with opaque bytes and status 200.
-     *
-     * @param bytes the body
-     */
+    /** Answers with opaque bytes and status 200. */
     public void reply(final byte[] bytes) {
         send(200, BYTES_TYPE, bytes);
     }
 
-    /**
-     * Answers without a body.
-     *
-     * @param status the HTTP status
-     */
+    /** Answers without a body. */
     public void reply(final int status) {
         send(status, JSON_TYPE, new byte[0]);
     }
 
-    /**
-     * Answers with an error text.
-     *
-     * @param status the HTTP status
-     * @param message what went wrong
-     */
+    /** Answers with an error text. */
     public void fail(final int status, final String message) {
         reply(status, object().set("error", object().put("message", message)));
     }
@@ -160,21 +142,12 @@
         IoUtils.safeClose(mExchange.getConnection());
     }
 
-    /**
-     * Runs a task on the call's own thread.
-     *
-     * @param delay after how long
-     * @param task the task
-     */
+    /** Runs a task on the call's own thread. */
     public void after(final Duration delay, final Runnable task) {
         mExchange.getIoThread().executeAfter(task, delay.toNanos(), TimeUnit.NANOSECONDS);
     }
 
-    /**
-     * Runs a task soon, when the answer is on its way, and on another thread.
-     *
-     * @param task the task
-     */
+    /** Runs a task soon, when the answer is on its way, and on another thread. */
     public void afterwards(final Runnable task) {
         LATER.execute(task);
     }
@@ -186,6 +159,9 @@
      * @throws IOException if the answer can't begin
      */
     public void stream(final Consumer<ServerSentEventConnection> opened) throws IOException {
+        // Without chunks the end of the connection is the end of the answer, and a caller could not
+        // tell a stream that was cut from one that is whole.
+        mExchange.getResponseHeaders().put(Headers.TRANSFER_ENCODING, Headers.CHUNKED.toString());
         try {
             new ServerSentEventHandler((connection, last) -> opened.accept(connection))
                     .handleRequest(mExchange);
--- a/standins/src/main/java/org/whinhead/standins/http/StandInServer.java
+++ b/standins/src/main/java/org/whinhead/standins/http/StandInServer.java
@@ -88,8 +88,6 @@
 
     /**
      * Sets whether connections are accepted but nothing is answered; kept calls go on afterwards.
-     *
-     * @param frozen whether to keep back all calls
      */
     public synchronized void freeze(final boolean frozen) {
         mFrozen = frozen;
@@ -99,11 +97,7 @@
         }
     }
 
-    /**
-     * Sets how long each call waits before it is handled.
-     *
-     * @param delay the wait; zero for none
-     */
+    /** Sets how long each call waits before it is handled. */
     public synchronized void slow(final Duration delay) {
         mDelay = delay;
     }
--- a/standins/src/main/java/org/whinhead/standins/log/LogSimulation.java
+++ b/standins/src/main/java/org/whinhead/standins/log/LogSimulation.java
@@ -71,11 +71,7 @@
     private long mAppended;
     private long mOverCap;
 
-    /**
-     * Makes an empty log.
-     *
-     * @param config its settings
-     */
+    /** Makes an empty log. */
     public LogSimulation(final LogConfig config) {
         mConfig = config;
     }
@@ -136,11 +132,7 @@
         return new Found(Status.OK, oldest, from + found.size(), found);
     }
 
-    /**
-     * Fault: neither appends nor reads are served.
-     *
-     * @param out whether the service is down
-     */
+    /** Fault: neither appends nor reads are served. */
     public void outage(final boolean out) {
         mOut = out;
     }
--- a/standins/src/main/java/org/whinhead/standins/log/LogStandIn.java
+++ b/standins/src/main/java/org/whinhead/standins/log/LogStandIn.java
@@ -57,39 +57,23 @@
         return mServer.uri();
     }
 
-    /**
-     * Fault: neither appends nor reads are served; waiting reads end.
-     *
-     * @param out whether the service is down
-     */
+    /** Fault: neither appends nor reads are served; waiting reads end. */
     public synchronized void outage(final boolean out) {
         mSimulation.outage(out);
         tick(mContext.ticker().now());
     }
 
-    /**
-     * Fault: every call waits before it is served.
-     *
-     * @param delay how long; zero ends the fault
-     */
+    /** Fault: every call waits before it is served. */
     public void slow(final Duration delay) {
         mServer.slow(delay);
     }
 
-    /**
-     * Fault: the next appends take effect, but their connections are cut before the answer.
-     *
-     * @param count how many
-     */
+    /** Fault: the next appends take effect, but their connections are cut before the answer. */
     public synchronized void loseAnswers(final int count) {
         mLoseAnswers = count;
     }
 
-    /**
-     * Fault: the connections of the next appends are cut before they take effect.
-     *
-     * @param count how many
-     */
+    /** Fault: the connections of the next appends are cut before they take effect. */
     public synchronized void loseRequests(final int count) {
         mLoseRequests = count;
     }
--- a/standins/src/main/java/org/whinhead/standins/service/ServiceSimulation.java
+++ b/standins/src/main/java/org/whinhead/standins/service/ServiceSimulation.java
@@ -12,23 +12,13 @@
     private final Map<ServiceFault, Integer> mPlanned = new EnumMap<>(ServiceFault.class);
     private int mRunning;
 
-    /**
-     * Makes an idle service.
-     *
-     * @param config its settings
-     * @param witness counts its executions
-     */
+    /** Makes an idle service. */
     public ServiceSimulation(final ServiceConfig config, final Witness witness) {
         mConfig = config;
         mWitness = witness;
     }
 
-    /**
-     * Plans a fault for the next calls.
-     *
-     * @param fault the fault
-     * @param count how many calls
-     */
+    /** Plans a fault for the next calls. */
     public void plan(final ServiceFault fault, final int count) {
         mPlanned.put(fault, count);
     }
--- a/standins/src/main/java/org/whinhead/standins/service/ServiceStandIn.java
+++ b/standins/src/main/java/org/whinhead/standins/service/ServiceStandIn.java
@@ -50,12 +50,7 @@
         return mConfig;
     }
 
-    /**
-     * Plans a fault for the next calls.
-     *
-     * @param fault the fault
-     * @param count how many calls
-     */
+    /** Plans a fault for the next calls. */
     public synchronized void plan(final ServiceFault fault, final int count) {
         mSimulation.plan(fault, count);
     }
@@ -73,11 +68,7 @@
         mServer.start();
     }
 
-    /**
-     * Fault: connections are accepted, but no new call is answered.
-     *
-     * @param frozen whether it stands still
-     */
+    /** Fault: connections are accepted, but no new call is answered. */
     public void freeze(final boolean frozen) {
         mServer.freeze(frozen);
     }
--- a/standins/src/main/java/org/whinhead/standins/vms/VmListSimulation.java
+++ b/standins/src/main/java/org/whinhead/standins/vms/VmListSimulation.java
@@ -24,66 +24,38 @@
     private final Deque<Snapshot> mHistory = new ArrayDeque<>();
     private Instant mFrozenAt;
 
-    /**
-     * Makes an empty list.
-     *
-     * @param lag how old what it shows is
-     */
+    /** Makes an empty list. */
     public VmListSimulation(final Duration lag) {
         mLag = lag;
         remember(Instant.MIN);
     }
 
-    /**
-     * Shows a VM as if it had always been there.
-     *
-     * @param vm the VM
-     */
+    /** Shows a VM as if it had always been there. */
     public void seed(final VmEntry vm) {
         mVms.put(vm.id(), vm);
         mHistory.clear();
         remember(Instant.MIN);
     }
 
-    /**
-     * A VM started, or changed.
-     *
-     * @param vm the VM
-     * @param now the time
-     */
+    /** A VM started, or changed. */
     public void put(final VmEntry vm, final Instant now) {
         mVms.put(vm.id(), vm);
         remember(now);
     }
 
-    /**
-     * A VM was announced to stop.
-     *
-     * @param id the VM's identity
-     * @param now the time
-     */
+    /** A VM was announced to stop. */
     public void leaving(final String id, final Instant now) {
         mVms.computeIfPresent(id, (key, vm) -> vm.asLeaving());
         remember(now);
     }
 
-    /**
-     * A VM stopped.
-     *
-     * @param id the VM's identity
-     * @param now the time
-     */
+    /** A VM stopped. */
     public void remove(final String id, final Instant now) {
         mVms.remove(id);
         remember(now);
     }
 
-    /**
-     * Fault: what the list shows stays as it is.
-     *
-     * @param frozen whether it stands still
-     * @param now the time
-     */
+    /** Fault: what the list shows stays as it is. */
     public void freeze(final boolean frozen, final Instant now) {
         mFrozenAt = frozen ? now : null;
     }
--- a/standins/src/main/java/org/whinhead/standins/vms/VmListStandIn.java
+++ b/standins/src/main/java/org/whinhead/standins/vms/VmListStandIn.java
@@ -51,47 +51,27 @@
         return mServer.uri();
     }
 
-    /**
-     * Shows a VM at once, as if it had always been there.
-     *
-     * @param vm the VM
-     */
+    /** Shows a VM at once, as if it had always been there. */
     public synchronized void seed(final VmEntry vm) {
         mSimulation.seed(vm);
     }
 
-    /**
-     * A VM started, or changed.
-     *
-     * @param vm the VM
-     */
+    /** A VM started, or changed. */
     public synchronized void put(final VmEntry vm) {
         mSimulation.put(vm, mContext.ticker().now());
     }
 
-    /**
-     * A VM was announced to stop.
-     *
-     * @param id the VM's identity
-     */
+    /** A VM was announced to stop. */
     public synchronized void leaving(final String id) {
         mSimulation.leaving(id, mContext.ticker().now());
     }
 
-    /**
-     * A VM stopped.
-     *
-     * @param id the VM's identity
-     */
+    /** A VM stopped. */
     public synchronized void remove(final String id) {
         mSimulation.remove(id, mContext.ticker().now());
     }
 
-    /**
-     * Fault: what the list shows stays as it is.
-     *
-     * @param frozen whether it stands still
-     */
+    /** Fault: what the list shows stays as it is. */
     public synchronized void freeze(final boolean frozen) {
         mSimulation.freeze(frozen, mContext.ticker().now());
     }
--- a/standins/src/main/java/org/whinhead/standins/witness/Witness.java
+++ b/standins/src/main/java/org/whinhead/standins/witness/Witness.java
@@ -12,56 +12,31 @@
     private final Map<String, Seen> mByRequest = new TreeMap<>();
     private final Map<String, Integer> mExecutionsByKey = new TreeMap<>();
 
-    /**
-     * An engine took an attempt in.
-     *
-     * @param request the request's identity
-     */
+    /** An engine took an attempt in. */
     public synchronized void attempt(final String request) {
         seen(request).mAttempts++;
     }
 
-    /**
-     * An engine found leading tokens in its cache.
-     *
-     * @param request the request's identity
-     * @param tokens how many
-     */
+    /** An engine found leading tokens in its cache. */
     public synchronized void cached(final String request, final int tokens) {
         seen(request).mCached += tokens;
     }
 
-    /**
-     * An engine computed prompt tokens.
-     *
-     * @param request the request's identity
-     * @param from the first position
-     * @param to the position after the last
-     */
+    /** An engine computed prompt tokens. */
     public synchronized void prefilled(final String request, final int from, final int to) {
         final Seen seen = seen(request);
         seen.mPrefilled += to - from;
         seen.mPositions.set(from, to);
     }
 
-    /**
-     * An engine generated a token.
-     *
-     * @param request the request's identity
-     * @param position its position after the prompt's tokens
-     */
+    /** An engine generated a token. */
     public synchronized void generated(final String request, final int position) {
         final Seen seen = seen(request);
         seen.mGenerated++;
         seen.mPositions.set(position);
     }
 
-    /**
-     * A plain service ran a call.
-     *
-     * @param request the request's identity
-     * @param idempotencyKey the call's key
-     */
+    /** A plain service ran a call. */
     public synchronized void executed(final String request, final String idempotencyKey) {
         seen(request).mExecutions++;
         mExecutionsByKey.merge(idempotencyKey, 1, Integer::sum);
--- /dev/null
+++ b/standins/src/test/java/org/whinhead/standins/engine/EngineKillTest.java
@@ -0,0 +1,62 @@
+package org.whinhead.standins.engine;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpRequest.BodyPublishers;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.whinhead.standins.StandInContext;
+
+final class EngineKillTest {
+
+    private static final int CALLERS = 24;
+    private static final String BODY =
+            "{\"model\":\"summary@1\",\"max_tokens\":100000,\"stream\":true,"
+                    + "\"messages\":[{\"role\":\"user\",\"content\":\"a\"}]}";
+
+    /**
+     * An engine's process dies while many streams run and new requests arrive. Every caller must
+     * see its connection break at once, and not one that stays open and silent.
+     */
+    @Test
+    void killBreaksEveryStreamAndRevivedEngineServes() throws Exception {
+        final HttpClient client = HttpClient.newHttpClient();
+        try (StandInContext context = StandInContext.start();
+                EngineStandIn engine =
+                        EngineStandIn.start(EngineConfig.builder("one").build(), context)) {
+            final CountDownLatch begun = new CountDownLatch(CALLERS);
+            final List<CompletableFuture<Boolean>> broken = new ArrayList<>();
+            for (int caller = 0; caller < CALLERS; caller++) {
+                broken.add(
+                        client.sendAsync(request(engine), BodyHandlers.ofLines())
+                                .whenComplete((answer, failure) -> begun.countDown())
+                                .thenApplyAsync(HttpResponse::body)
+                                .thenApplyAsync(Stream::count)
+                                .handle((count, failure) -> failure != null));
+            }
+            begun.await();
+            engine.kill();
+            for (final CompletableFuture<Boolean> one : broken) {
+                assertThat(one.get()).isTrue();
+            }
+            engine.revive();
+            final HttpRequest models =
+                    HttpRequest.newBuilder(engine.uri().resolve("/v1/models")).build();
+            assertThat(client.send(models, BodyHandlers.ofString()).statusCode()).isEqualTo(200);
+        }
+    }
+
+    private static HttpRequest request(final EngineStandIn engine) {
+        return HttpRequest.newBuilder(engine.uri().resolve("/v1/chat/completions"))
+                .POST(BodyPublishers.ofString(BODY))
+                .build();
+    }
+}
