Add the operators' command-line tool

Cause: operators and auditors drive the deployment through settings alone and need a tool whose exit codes scripts can go by. Change: bin/whinhead with status, addresses, explain and settings get, put, load, history, check; docs/OPERATOR-API.md says what daemons answer. A change keeps one name over all tries, and a lost answer is never taken for a refusal.

--- /dev/null
+++ b/cli/src/main/java/org/whinhead/cli/Invocation.java
@@ -0,0 +1,141 @@
+package org.whinhead.cli;
+
+import java.io.IOException;
+import java.net.URI;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.apache.commons.cli.CommandLine;
+import org.whinhead.cli.http.DaemonClient;
+import org.whinhead.cli.http.HttpExchange;
+
+/** One parsed command line with the environment around it. */
+public final class Invocation {
+
+    private static final String DAEMON_VARIABLE = "WHINHEAD_DAEMON";
+    private static final String SCHEME = "http";
+
+    private final CommandLine mLine;
+    private final Map<String, String> mEnvironment;
+
+    /**
+     * Wraps a parsed command line.
+     *
+     * @param line the options and the positional arguments
+     * @param environment the environment's variables
+     */
+    Invocation(final CommandLine line, final Map<String, String> environment) {
+        mLine = line;
+        mEnvironment = environment;
+    }
+
+    /** Returns the positional arguments. */
+    public List<String> arguments() {
+        return mLine.getArgList();
+    }
+
+    /**
+     * Tells whether an option is given.
+     *
+     * @param option the option
+     * @return true if it stands on the command line
+     */
+    public boolean has(final CliOption option) {
+        return mLine.hasOption(option.optionName());
+    }
+
+    /**
+     * Returns an option's text.
+     *
+     * @param option the option
+     * @return the text, or empty if the option is not given
+     */
+    public Optional<String> text(final CliOption option) {
+        return Optional.ofNullable(mLine.getOptionValue(option.optionName()));
+    }
+
+    /**
+     * Returns an option's number.
+     *
+     * @param option the option
+     * @return the number, or empty if the option is not given
+     * @throws CliException if the text is not a number
+     */
+    public Optional<Long> number(final CliOption option) throws CliException {
+        final Optional<String> text = text(option);
+        try {
+            return text.map(Long::parseLong);
+        } catch (NumberFormatException e) {
+            throw new CliException(
+                    ExitCode.USAGE, "usage.not-number", option.optionName(), text.orElse(""));
+        }
+    }
+
+    /**
+     * Returns an option's number or its default.
+     *
+     * @param option an option whose default is a number
+     * @return the number
+     * @throws CliException if the text is not a number
+     */
+    public long numberOrDefault(final CliOption option) throws CliException {
+        return number(option).orElse(Long.parseLong(option.defaultText()));
+    }
+
+    /**
+     * Makes a client of the daemons that the command line or the environment names.
+     *
+     * @return the client, to be closed
+     * @throws CliException if no daemon is named or the key cannot be read
+     */
+    public DaemonClient client() throws CliException {
+        final Duration timeout = Duration.ofSeconds(numberOrDefault(CliOption.TIMEOUT));
+        return new DaemonClient(daemons(), key(), new HttpExchange(timeout));
+    }
+
+    private List<URI> daemons() throws CliException {
+        final List<String> texts = new ArrayList<>();
+        if (has(CliOption.DAEMON)) {
+            texts.addAll(List.of(mLine.getOptionValues(CliOption.DAEMON.optionName())));
+        } else {
+            final String variable = mEnvironment.getOrDefault(DAEMON_VARIABLE, "");
+            texts.addAll(variable.isBlank() ? List.of() : List.of(variable.trim().split("[, ]+")));
+        }
+        if (texts.isEmpty()) {
+            throw new CliException(ExitCode.USAGE, "usage.no-daemon");
+        }
+        final List<URI> daemons = new ArrayList<>();
+        for (final String text : texts) {
+            daemons.add(daemon(text));
+        }
+        return daemons;
+    }
+
+    private static URI daemon(final String text) throws CliException {
+        try {
+            final URI uri = URI.create(text);
+            if (SCHEME.equals(uri.getScheme()) && uri.getHost() != null && uri.getPort() > 0) {
+                return uri;
+            }
+        } catch (IllegalArgumentException e) {
+            throw new CliException(ExitCode.USAGE, "usage.bad-daemon", text);
+        }
+        throw new CliException(ExitCode.USAGE, "usage.bad-daemon", text);
+    }
+
+    private Optional<String> key() throws CliException {
+        final Optional<String> file = text(CliOption.KEY_FILE);
+        if (file.isEmpty()) {
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(Files.readString(Path.of(file.get())).strip());
+        } catch (IOException e) {
+            throw new CliException(ExitCode.USAGE, "usage.unreadable", file.get());
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/whinhead/cli/command/Answers.java
@@ -0,0 +1,73 @@
+package org.whinhead.cli.command;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.whinhead.cli.CliException;
+import org.whinhead.cli.CliMessages;
+import org.whinhead.cli.ExitCode;
+import org.whinhead.cli.http.HttpAnswer;
+
+/** Turns daemons' answers into bodies or into exits of the command. */
+final class Answers {
+
+    private static final int CONFLICT = 409;
+    private static final int UNPROCESSABLE = 422;
+
+    private Answers() {}
+
+    /**
+     * Returns the body of a good answer.
+     *
+     * @throws CliException with the exit code that fits the status, if the answer is not good
+     */
+    static JsonNode body(final HttpAnswer answer) throws CliException {
+        if (answer.isOk()) {
+            return answer.body();
+        }
+        final JsonNode body = answer.body();
+        switch (answer.status()) {
+            case CONFLICT:
+                throw new CliException(
+                        ExitCode.CONFLICT,
+                        "answer.conflict",
+                        body.path("winningRevision").asText(),
+                        body.path("author").asText());
+            case UNPROCESSABLE:
+                throw new CliException(
+                        ExitCode.INVALID, "answer.invalid", problems(body.path("problems")));
+            default:
+                throw new CliException(
+                        ExitCode.REFUSED, "answer.refused", answer.status(), detail(body));
+        }
+    }
+
+    private static String problems(final JsonNode problems) {
+        final List<String> lines = new ArrayList<>();
+        for (final JsonNode problem : problems) {
+            if (problem.isTextual()) {
+                lines.add(problem.textValue());
+            } else {
+                lines.add(problem.path("path").asText() + ": " + problem.path("message").asText());
+            }
+        }
+        return String.join("\n", lines);
+    }
+
+    private static String detail(final JsonNode body) {
+        final String message =
+                body.path("message").asText(body.path("error").path("message").asText());
+        final String verdict = body.path("verdict").asText();
+        if (verdict.isEmpty()) {
+            return message;
+        }
+        return CliMessages.text("answer.verdict", message, verdict);
+    }
+
+    /** Encodes a value for a query. */
+    static String query(final String value) {
+        return URLEncoder.encode(value, StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/whinhead/cli/command/SettingsChange.java
@@ -0,0 +1,70 @@
+package org.whinhead.cli.command;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Optional;
+import java.util.UUID;
+import org.whinhead.cli.CliException;
+import org.whinhead.cli.CliOption;
+import org.whinhead.cli.ExitCode;
+import org.whinhead.cli.Invocation;
+import org.whinhead.cli.http.DaemonClient;
+import org.whinhead.cli.http.HttpAnswer;
+
+/**
+ * One change as it is sent to daemons.
+ *
+ * @param changeId the change's name, the same in each try
+ * @param path the document's path
+ * @param baseRevision the revision that it replaces
+ * @param document the new document; empty to delete it
+ */
+record SettingsChange(
+        String changeId, String path, long baseRevision, Optional<JsonNode> document) {
+
+    private static final long NO_REVISION = -1;
+    private static final int NOT_FOUND = 404;
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    /** Names a change: by the option, so that a lost one can be repeated, or anew. */
+    static String nameOf(final Invocation invocation) {
+        return invocation.text(CliOption.CHANGE_ID).orElseGet(() -> UUID.randomUUID().toString());
+    }
+
+    /** Returns what stands at a path: revision and document, or empty. */
+    static Optional<JsonNode> inForce(final DaemonClient client, final String path)
+            throws CliException {
+        final HttpAnswer answer = client.get("/operator/settings?path=" + Answers.query(path));
+        if (answer.status() == NOT_FOUND) {
+            return Optional.empty();
+        }
+        return Optional.of(Answers.body(answer));
+    }
+
+    /** Returns the number to name as the base of a change. */
+    static long revisionOf(final Optional<JsonNode> inForce) {
+        return inForce.map(body -> body.path("revision").asLong(NO_REVISION)).orElse(NO_REVISION);
+    }
+
+    /** Sends the change and returns the daemon's answer. */
+    JsonNode send(final DaemonClient client, final Invocation invocation) throws CliException {
+        final String reason =
+                invocation
+                        .text(CliOption.REASON)
+                        .orElseThrow(() -> new CliException(ExitCode.USAGE, "usage.no-reason"));
+        final ObjectNode body = MAPPER.createObjectNode();
+        body.put("changeId", changeId);
+        body.put("path", path);
+        body.put("baseRevision", baseRevision);
+        body.set("document", document.orElse(MAPPER.nullNode()));
+        body.put("author", invocation.text(CliOption.AUTHOR).orElse(systemUser()));
+        body.put("reason", reason);
+        body.put("dryRun", invocation.has(CliOption.DRY_RUN));
+        return Answers.body(client.post("/operator/settings", body));
+    }
+
+    private static String systemUser() {
+        return System.getProperty("user.name");
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/whinhead/cli/command/SettingsHistoryCommand.java
@@ -0,0 +1,35 @@
+package org.whinhead.cli.command;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.List;
+import org.whinhead.cli.CliException;
+import org.whinhead.cli.CliOption;
+import org.whinhead.cli.Command;
+import org.whinhead.cli.Console;
+import org.whinhead.cli.ExitCode;
+import org.whinhead.cli.Invocation;
+import org.whinhead.cli.http.DaemonClient;
+
+/** Shows who changed a path, when and why, newest first. */
+public final class SettingsHistoryCommand implements Command {
+
+    private static final List<String> COLUMNS =
+            List.of("revision", "at", "author", "reason", "document");
+
+    @Override
+    public ExitCode run(final Invocation invocation, final Console console) throws CliException {
+        final String path = invocation.arguments().get(0);
+        final long max = invocation.numberOrDefault(CliOption.MAX);
+        try (DaemonClient client = invocation.client()) {
+            final String target =
+                    "/operator/settings/history?path=" + Answers.query(path) + "&max=" + max;
+            final JsonNode body = Answers.body(client.get(target));
+            if (console.isJson()) {
+                console.json(body);
+            } else {
+                console.table(JsonRows.columns(body.path("revisions"), COLUMNS));
+            }
+            return ExitCode.OK;
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/whinhead/cli/command/SettingsLoadCommand.java
@@ -0,0 +1,81 @@
+package org.whinhead.cli.command;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+import org.whinhead.cli.CliException;
+import org.whinhead.cli.Command;
+import org.whinhead.cli.Console;
+import org.whinhead.cli.ExitCode;
+import org.whinhead.cli.Invocation;
+import org.whinhead.cli.http.DaemonClient;
+import org.whinhead.settings.SettingsException;
+import org.whinhead.settings.deployment.DocumentList;
+import org.whinhead.settings.json.JsonText;
+
+/**
+ * Puts each document of a list in force, in the order of the list, and passes over those that are
+ * in force as they stand. It stops at the first failure and can then be run again.
+ */
+public final class SettingsLoadCommand implements Command {
+
+    @Override
+    public ExitCode run(final Invocation invocation, final Console console) throws CliException {
+        final String file = invocation.arguments().get(0);
+        final List<DocumentList.Entry> entries = entries(file);
+        final String changeId = SettingsChange.nameOf(invocation);
+        console.line("put.change", changeId);
+        int put = 0;
+        try (DaemonClient client = invocation.client()) {
+            for (final DocumentList.Entry entry : entries) {
+                put += load(client, invocation, console, changeId, entry) ? 1 : 0;
+            }
+        }
+        console.line("load.done", put, entries.size() - put);
+        return ExitCode.OK;
+    }
+
+    private static boolean load(
+            final DaemonClient client,
+            final Invocation invocation,
+            final Console console,
+            final String changeId,
+            final DocumentList.Entry entry)
+            throws CliException {
+        final String path = entry.path().text();
+        final Optional<JsonNode> inForce = SettingsChange.inForce(client, path);
+        final JsonNode document = document(path, entry.text());
+        if (inForce.isPresent()
+                && document(path, inForce.get().path("document").toString()).equals(document)) {
+            return false;
+        }
+        final String name = changeId + path;
+        final long base = SettingsChange.revisionOf(inForce);
+        final JsonNode answer =
+                new SettingsChange(name, path, base, Optional.of(document))
+                        .send(client, invocation);
+        console.line("put.done", path, answer.path("revision").asText());
+        return true;
+    }
+
+    private static List<DocumentList.Entry> entries(final String file) throws CliException {
+        try {
+            return DocumentList.parse(file, Files.readString(Path.of(file)));
+        } catch (IOException e) {
+            throw new CliException(ExitCode.USAGE, "usage.unreadable", file);
+        } catch (SettingsException e) {
+            throw new CliException(ExitCode.INVALID, "answer.invalid", e.getMessage());
+        }
+    }
+
+    private static JsonNode document(final String path, final String text) throws CliException {
+        try {
+            return JsonText.parse(path, text);
+        } catch (SettingsException e) {
+            throw new CliException(ExitCode.INVALID, "answer.invalid", e.getMessage());
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/whinhead/cli/command/package-info.java
@@ -0,0 +1,2 @@
+/** The sub-commands, one class each. */
+package org.whinhead.cli.command;
--- /dev/null
+++ b/cli/src/test/java/org/whinhead/cli/FakeDaemon.java
@@ -0,0 +1,84 @@
+package org.whinhead.cli;
+
+import io.undertow.Undertow;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.handlers.BlockingHandler;
+import io.undertow.util.Headers;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Queue;
+import org.xnio.IoUtils;
+
+/** Answers operator calls with prepared answers, in order, and remembers what it was asked. */
+final class FakeDaemon implements AutoCloseable {
+
+    private record Answer(int status, String body) {}
+
+    private static final int CUT = 0;
+
+    private final Undertow mServer;
+    private final Queue<Answer> mAnswers = new ArrayDeque<>();
+    private final List<String> mAsked = Collections.synchronizedList(new ArrayList<>());
+
+    FakeDaemon() {
+        mServer =
+                Undertow.builder()
+                        .addHttpListener(0, "127.0.0.1")
+                        .setIoThreads(1)
+                        .setWorkerThreads(1)
+                        .setHandler(new BlockingHandler(this::handle))
+                        .build();
+        mServer.start();
+    }
+
+    FakeDaemon answers(final int status, final String body) {
+        mAnswers.add(new Answer(status, body));
+        return this;
+    }
+
+    FakeDaemon cuts() {
+        return answers(CUT, "");
+    }
+
+    String uri() {
+        final InetSocketAddress address =
+                (InetSocketAddress) mServer.getListenerInfo().get(0).getAddress();
+        return "http://127.0.0.1:" + address.getPort();
+    }
+
+    /** Returns each call as method, target, key and body. */
+    List<String> asked() {
+        return mAsked;
+    }
+
+    private void handle(final HttpServerExchange exchange) throws IOException {
+        final String body =
+                new String(exchange.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        final String query = exchange.getQueryString();
+        mAsked.add(
+                exchange.getRequestMethod()
+                        + " "
+                        + exchange.getRequestPath()
+                        + (query.isEmpty() ? "" : "?" + query)
+                        + " "
+                        + exchange.getRequestHeaders().getFirst(Headers.AUTHORIZATION)
+                        + (body.isEmpty() ? "" : " " + body));
+        final Answer answer = mAnswers.remove();
+        if (answer.status() == CUT) {
+            IoUtils.safeClose(exchange.getConnection());
+            return;
+        }
+        exchange.setStatusCode(answer.status());
+        exchange.getResponseSender().send(answer.body());
+    }
+
+    @Override
+    public void close() {
+        mServer.stop();
+    }
+}
--- a/settings/src/test/java/org/whinhead/settings/deployment/DocumentRulesTest.java
+++ b/settings/src/test/java/org/whinhead/settings/deployment/DocumentRulesTest.java
@@ -75,6 +75,16 @@
         assertThat(put("/tiers/a", "", CURRENT).takesEffect()).isFalse();
     }
 
+    // A customer's tier has priority 5 where the document says 18446744073709551621.0: the schema
+    // check narrowed the number before it compared, and so did the reader.
+    @Test
+    void numberThatWouldBeNarrowedIsRefused() {
+        final String text = TIER.replace("\"priority\": 1", "\"priority\": 18446744073709551621.0");
+        assertThat(put("/tiers/urgent", text, CURRENT).problems())
+                .extracting(SettingsProblem::path)
+                .containsExactly("$.priority");
+    }
+
     @Property(seed = "20260411", tries = 300)
     void anyTextGetsTheSameAnswerTwice(
             @ForAll final String path, @ForAll final String text, @ForAll final int schema) {
