Name a deletion's revision as the base of a new document; reuse parsed documents

Cause: a path whose document was deleted has the deletion's revision, so a put with base -1 would lose for ever; and a replay parsed every document anew for each change. Change: settings put and load read the revision from a 404 as well; DeploymentSettings.refreshed takes over documents of an unchanged revision. Conclusion: documents can be made again after a deletion.

--- a/cli/src/main/java/org/whinhead/cli/command/SettingsChange.java
+++ b/cli/src/main/java/org/whinhead/cli/command/SettingsChange.java
@@ -32,20 +32,25 @@
         return invocation.text(CliOption.CHANGE_ID).orElseGet(() -> UUID.randomUUID().toString());
     }
 
-    /** Returns what stands at a path: revision and document, or empty. */
-    static Optional<JsonNode> inForce(final DaemonClient client, final String path)
-            throws CliException {
+    /**
+     * Asks what stands at a path. A path whose document was deleted has a revision too, the
+     * deletion's, and a change that makes the document anew replaces that one.
+     */
+    static Standing standing(final DaemonClient client, final String path) throws CliException {
         final HttpAnswer answer = client.get("/operator/settings?path=" + Answers.query(path));
-        if (answer.status() == NOT_FOUND) {
-            return Optional.empty();
-        }
-        return Optional.of(Answers.body(answer));
+        final JsonNode body = answer.status() == NOT_FOUND ? answer.body() : Answers.body(answer);
+        final Optional<JsonNode> document =
+                Optional.of(body.path("document")).filter(JsonNode::isObject);
+        return new Standing(body.path("revision").asLong(NO_REVISION), document);
     }
 
-    /** Returns the number to name as the base of a change. */
-    static long revisionOf(final Optional<JsonNode> inForce) {
-        return inForce.map(body -> body.path("revision").asLong(NO_REVISION)).orElse(NO_REVISION);
-    }
+    /**
+     * What stands at a path.
+     *
+     * @param revision the number that a change must name as its base
+     * @param document the document in force
+     */
+    record Standing(long revision, Optional<JsonNode> document) {}
 
     /** Sends the change and returns the daemon's answer. */
     JsonNode send(final DaemonClient client, final Invocation invocation) throws CliException {
--- a/cli/src/main/java/org/whinhead/cli/command/SettingsLoadCommand.java
+++ b/cli/src/main/java/org/whinhead/cli/command/SettingsLoadCommand.java
@@ -46,17 +46,16 @@
             final DocumentList.Entry entry)
             throws CliException {
         final String path = entry.path().text();
-        final Optional<JsonNode> inForce = SettingsChange.inForce(client, path);
+        final SettingsChange.Standing standing = SettingsChange.standing(client, path);
         final JsonNode document = document(path, entry.text());
-        if (inForce.isPresent()
-                && document(path, inForce.get().path("document").toString()).equals(document)) {
+        if (standing.document().isPresent()
+                && document(path, standing.document().get().toString()).equals(document)) {
             return false;
         }
-        final String name = changeId + path;
-        final long base = SettingsChange.revisionOf(inForce);
-        final JsonNode answer =
-                new SettingsChange(name, path, base, Optional.of(document))
-                        .send(client, invocation);
+        final SettingsChange change =
+                new SettingsChange(
+                        changeId + path, path, standing.revision(), Optional.of(document));
+        final JsonNode answer = change.send(client, invocation);
         console.line("put.done", path, answer.path("revision").asText());
         return true;
     }
--- a/cli/src/main/java/org/whinhead/cli/command/SettingsPutCommand.java
+++ b/cli/src/main/java/org/whinhead/cli/command/SettingsPutCommand.java
@@ -69,7 +69,7 @@
         if (given.isPresent()) {
             return given.get();
         }
-        return SettingsChange.revisionOf(SettingsChange.inForce(client, path));
+        return SettingsChange.standing(client, path).revision();
     }
 
     private static ExitCode await(
--- a/cli/src/test/java/org/whinhead/cli/MainTest.java
+++ b/cli/src/test/java/org/whinhead/cli/MainTest.java
@@ -118,7 +118,7 @@
     @Test
     void loadPassesOverWhatIsInForce() throws IOException {
         mFirst.answers(200, "{\"revision\": 3, \"document\": {\"schema\": 1, \"priority\": 2}}")
-                .answers(200, "{\"revision\": 4, \"document\": {\"schema\": 1, \"priority\": 9}}")
+                .answers(404, "{\"message\": \"deleted\", \"revision\": 4}")
                 .answers(200, "{\"revision\": 5}");
         final String list = FOLDER.resolve("two-tiers.json").toString();
         assertThat(run("settings", "load", list, "--reason", "first")).isEqualTo(0);
--- a/settings/src/main/java/org/whinhead/settings/deployment/DeploymentSettings.java
+++ b/settings/src/main/java/org/whinhead/settings/deployment/DeploymentSettings.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.function.ToLongFunction;
 import org.whinhead.api.model.Customer;
 import org.whinhead.api.model.ModelRef;
 import org.whinhead.api.model.TeamId;
@@ -42,6 +43,27 @@
         return new DeploymentSettings(byPath);
     }
 
+    /**
+     * Returns settings of other documents, taking over what was parsed before.
+     *
+     * @param texts the JSON texts in force by path
+     * @param revisions the revision of each path
+     * @return the settings; documents whose revision is unchanged are not parsed again
+     */
+    public DeploymentSettings refreshed(
+            final Map<String, String> texts, final ToLongFunction<String> revisions) {
+        final TreeMap<DocumentPath, StoredDocument> documents = new TreeMap<>();
+        for (final Map.Entry<String, String> entry : texts.entrySet()) {
+            final DocumentPath path = DocumentPath.parse(entry.getKey());
+            final long revision = revisions.applyAsLong(entry.getKey());
+            final StoredDocument known = mDocuments.get(path);
+            final boolean same = known != null && known.revision() == revision;
+            documents.put(
+                    path, same ? known : new StoredDocument(path, entry.getValue(), revision));
+        }
+        return new DeploymentSettings(documents);
+    }
+
     /**
      * Returns these settings with one document set; the caller has validated the change.
      *
--- a/settings/src/test/java/org/whinhead/settings/deployment/DocumentRulesTest.java
+++ b/settings/src/test/java/org/whinhead/settings/deployment/DocumentRulesTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.Map;
 import java.util.Optional;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -85,6 +86,20 @@
                 .containsExactly("$.priority");
     }
 
+    @Test
+    void refreshKeepsWhatIsUnchanged() {
+        final StoredDocument tier = stored("/tiers/urgent", TIER);
+        final Map<String, String> texts =
+                Map.of("/tiers/urgent", TIER, "/teams/filing/customers/aid", CUSTOMER);
+        final DeploymentSettings refreshed =
+                DeploymentSettings.EMPTY
+                        .with(tier)
+                        .refreshed(texts, path -> path.equals("/tiers/urgent") ? 1 : 2);
+        assertThat(refreshed.document(tier.path())).containsSame(tier);
+        assertThat(refreshed.customerByKeyHash(KeyHashes.hash("secret"))).isPresent();
+        assertThat(refreshed.refreshed(Map.of(), path -> 0).customers()).isEmpty();
+    }
+
     @Property(seed = "20260411", tries = 300)
     void anyTextGetsTheSameAnswerTwice(
             @ForAll final String path, @ForAll final String text, @ForAll final int schema) {
