--- a/settings/src/main/java/org/whinhead/settings/deployment/DocumentLinks.java
+++ b/settings/src/main/java/org/whinhead/settings/deployment/DocumentLinks.java
@@ -18,18 +18,24 @@
  *
  * @param references each reference
  * @param uniqueTexts each text that no other document may hold
+ * @param targets the texts of the references
+ * @param unique the texts that no other document may hold
  */
-record DocumentLinks(List<Link> references, List<Link> uniqueTexts) {
+record DocumentLinks(
+        List<Link> references, List<Link> uniqueTexts, Set<String> targets, Set<String> unique) {
 
     private static final String REFERENCE_START = "/";
 
     /** A document without links. */
-    static final DocumentLinks NONE = new DocumentLinks(List.of(), List.of());
+    static final DocumentLinks NONE = of(List.of(), List.of());
 
-    /** Copies the lists. */
-    DocumentLinks {
-        references = List.copyOf(references);
-        uniqueTexts = List.copyOf(uniqueTexts);
+    private static DocumentLinks of(final List<Link> references, final List<Link> uniqueTexts) {
+        return new DocumentLinks(
+                references, uniqueTexts, textsOf(references), textsOf(uniqueTexts));
+    }
+
+    private static Set<String> textsOf(final List<Link> links) {
+        return links.stream().map(Link::text).collect(Collectors.toUnmodifiableSet());
     }
 
     /**
@@ -44,7 +50,7 @@
     static DocumentLinks of(final JsonNode document) {
         final List<Link> texts = new ArrayList<>();
         collect(document, JsonPaths.ROOT, texts);
-        return new DocumentLinks(
+        return of(
                 texts.stream().filter(link -> link.text().startsWith(REFERENCE_START)).toList(),
                 texts.stream().filter(link -> link.text().startsWith(KeyHashes.PREFIX)).toList());
     }
@@ -60,14 +66,4 @@
             collect(node.get(i), JsonPaths.element(place, i), texts);
         }
     }
-
-    /** Tells whether the document refers to a path. */
-    boolean refersTo(final String path) {
-        return references.stream().anyMatch(link -> link.text().equals(path));
-    }
-
-    /** Returns the texts that no other document may hold. */
-    Set<String> unique() {
-        return uniqueTexts.stream().map(Link::text).collect(Collectors.toUnmodifiableSet());
-    }
 }
--- a/settings/src/main/java/org/whinhead/settings/deployment/DocumentRules.java
+++ b/settings/src/main/java/org/whinhead/settings/deployment/DocumentRules.java
@@ -1,6 +1,7 @@
 package org.whinhead.settings.deployment;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -52,7 +53,7 @@
         }
         return current.documents().stream()
                 .filter(other -> !other.path().equals(path))
-                .filter(other -> other.links().refersTo(path.text()))
+                .filter(other -> other.links().targets().contains(path.text()))
                 .map(
                         other ->
                                 SettingsProblem.of(
@@ -80,7 +81,8 @@
         }
         final List<SettingsProblem> problems = new ArrayList<>();
         for (final StoredDocument other : current.documents()) {
-            if (!other.path().equals(parsed.path())) {
+            if (!other.path().equals(parsed.path())
+                    && !Collections.disjoint(other.links().unique(), texts)) {
                 parsed.links().uniqueTexts().stream()
                         .filter(link -> other.links().unique().contains(link.text()))
                         .map(
