--- a/standins/src/test/java/org/whinhead/standins/load/FakeDaemon.java
+++ b/standins/src/test/java/org/whinhead/standins/load/FakeDaemon.java
@@ -30,12 +30,25 @@
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
     private final Undertow mServer;
-    private final ConcurrentLinkedQueue<Script> mScripts = new ConcurrentLinkedQueue<>();
-    private final List<Call> mCalls = new CopyOnWriteArrayList<>();
-    private volatile List<FakeDaemon> mAddresses = List.of(this);
+    private final ConcurrentLinkedQueue<Script> mScripts;
+    private final List<Call> mCalls;
+    private final List<FakeDaemon> mAddresses;
 
     public FakeDaemon(final Script... scripts) {
-        mScripts.addAll(List.of(scripts));
+        this(
+                new ConcurrentLinkedQueue<>(List.of(scripts)),
+                new CopyOnWriteArrayList<>(),
+                new CopyOnWriteArrayList<>());
+    }
+
+    private FakeDaemon(
+            final ConcurrentLinkedQueue<Script> scripts,
+            final List<Call> calls,
+            final List<FakeDaemon> addresses) {
+        mScripts = scripts;
+        mCalls = calls;
+        mAddresses = addresses;
+        mAddresses.add(this);
         mServer =
                 Undertow.builder()
                         .addHttpListener(0, "127.0.0.1")
@@ -46,10 +59,9 @@
         mServer.start();
     }
 
-    /** Tells callers these addresses, and this one's own no more unless it is among them. */
-    public FakeDaemon withAddresses(final FakeDaemon... daemons) {
-        mAddresses = List.of(daemons);
-        return this;
+    /** Starts another daemon with the same scripts, calls and addresses. */
+    public FakeDaemon another() {
+        return new FakeDaemon(mScripts, mCalls, mAddresses);
     }
 
     public URI uri() {
@@ -72,7 +84,7 @@
             exchange.getResponseSender().send(addresses());
             return;
         }
-        final Call call = new Call(exchange, exchange.getInputStream().readAllBytes());
+        final Call call = new Call(uri(), exchange, exchange.getInputStream().readAllBytes());
         mCalls.add(call);
         final Script script = mScripts.size() > 1 ? mScripts.poll() : mScripts.peek();
         script.answer(call);
@@ -86,14 +98,25 @@
 
     /** One call that arrived. */
     public static final class Call {
+        private final URI mDaemon;
         private final HttpServerExchange mExchange;
         private final JsonNode mBody;
 
-        private Call(final HttpServerExchange exchange, final byte[] body) throws IOException {
+        private Call(final URI daemon, final HttpServerExchange exchange, final byte[] body)
+                throws IOException {
+            mDaemon = daemon;
             mExchange = exchange;
             mBody = MAPPER.readTree(body);
         }
 
+        public URI daemon() {
+            return mDaemon;
+        }
+
+        public String path() {
+            return mExchange.getRequestPath();
+        }
+
         public String header(final String name) {
             return Optional.ofNullable(mExchange.getRequestHeaders().getFirst(name)).orElse("");
         }
@@ -121,7 +144,15 @@
                 throws IOException {
             mExchange.setStatusCode(status);
             respond("X-Whinhead-Verdict", verdict);
-            write(errorJson(code, verdict));
+            write(errorJson(code, verdict, ",\"retryAfterMillis\":20"));
+        }
+
+        /** Refuses without a time to come back. */
+        public void refuseForGood(final int status, final String verdict, final String code)
+                throws IOException {
+            mExchange.setStatusCode(status);
+            respond("X-Whinhead-Verdict", verdict);
+            write(errorJson(code, verdict, ""));
         }
 
         /** Sends the right tokens from one index to before another. */
@@ -139,7 +170,7 @@
         }
 
         public Call error(final String code, final String verdict) throws IOException {
-            return write("event: error\ndata: " + errorJson(code, verdict) + "\n\n");
+            return write("event: error\ndata: " + errorJson(code, verdict, "") + "\n\n");
         }
 
         public Call done() throws IOException {
@@ -164,12 +195,15 @@
             mExchange.getConnection().close();
         }
 
-        private static String errorJson(final String code, final String verdict) {
+        private static String errorJson(
+                final String code, final String verdict, final String more) {
             return "{\"error\":{\"code\":\""
                     + code
                     + "\",\"verdict\":\""
                     + verdict
-                    + "\",\"message\":\"\",\"retryAfterMillis\":20}}";
+                    + "\",\"message\":\"\""
+                    + more
+                    + "}}";
         }
     }
 }
