--- a/standins/src/test/java/org/whinhead/standins/engine/EngineKillTest.java
+++ b/standins/src/test/java/org/whinhead/standins/engine/EngineFaultsTest.java
@@ -15,7 +15,7 @@
 import org.junit.jupiter.api.Test;
 import org.whinhead.standins.StandInContext;
 
-final class EngineKillTest {
+final class EngineFaultsTest {
 
     private static final int CALLERS = 24;
     private static final String BODY =
@@ -48,12 +48,37 @@
                 assertThat(one.get()).isTrue();
             }
             engine.revive();
-            final HttpRequest models =
-                    HttpRequest.newBuilder(engine.uri().resolve("/v1/models")).build();
-            assertThat(client.send(models, BodyHandlers.ofString()).statusCode()).isEqualTo(200);
+            assertThat(client.send(get(engine, "/v1/models"), BodyHandlers.ofString()).statusCode())
+                    .isEqualTo(200);
         }
     }
 
+    /**
+     * An engine's VM is paused: connections open, requests go in, and nothing comes back. Once it
+     * wakes it goes on, and answers requests that their senders may have given up long ago.
+     */
+    @Test
+    void frozenEngineKeepsCallsUntilItWakes() throws Exception {
+        final HttpClient client = HttpClient.newHttpClient();
+        try (StandInContext context = StandInContext.start();
+                EngineStandIn engine =
+                        EngineStandIn.start(EngineConfig.builder("one").build(), context)) {
+            engine.freeze(true);
+            final CompletableFuture<HttpResponse<String>> late =
+                    client.sendAsync(get(engine, "/v1/models"), BodyHandlers.ofString());
+            final HttpResponse<String> control =
+                    client.send(get(engine, "/witness"), BodyHandlers.ofString());
+            assertThat(control.statusCode()).isEqualTo(200);
+            assertThat(late).isNotDone();
+            engine.freeze(false);
+            assertThat(late.get().statusCode()).isEqualTo(200);
+        }
+    }
+
+    private static HttpRequest get(final EngineStandIn engine, final String path) {
+        return HttpRequest.newBuilder(engine.uri().resolve(path)).build();
+    }
+
     private static HttpRequest request(final EngineStandIn engine) {
         return HttpRequest.newBuilder(engine.uri().resolve("/v1/chat/completions"))
                 .POST(BodyPublishers.ofString(BODY))
