--- a/standins/src/main/java/org/whinhead/standins/load/caller/AnswerCheck.java
+++ b/standins/src/main/java/org/whinhead/standins/load/caller/AnswerCheck.java
@@ -1,5 +1,6 @@
 package org.whinhead.standins.load.caller;
 
+import java.util.List;
 import java.util.Optional;
 import org.whinhead.standins.answer.ExpectedAnswer;
 import org.whinhead.standins.load.mix.PlannedRequest;
@@ -75,6 +76,11 @@
         return mReceived;
     }
 
+    /** Returns the right tokens that came so far. */
+    List<String> receivedTokens() {
+        return ExpectedAnswer.tokens(mPrompt, mReceived);
+    }
+
     private AnswerFault faultOf(final String text) {
         if (mReceived > 0 && ExpectedAnswer.token(mPrompt, mReceived - 1).equals(text)) {
             return AnswerFault.DOUBLED;
--- a/standins/src/main/java/org/whinhead/standins/load/caller/Attempt.java
+++ b/standins/src/main/java/org/whinhead/standins/load/caller/Attempt.java
@@ -93,20 +93,16 @@
     private BodyHandler<String> bodyHandler() {
         return info -> {
             if (info.statusCode() == OK) {
-                begin(info);
+                mListener.began(this);
             }
+            final Optional<String> ticket = info.headers().firstValue(TICKET_HEADER);
+            ticket.ifPresent(value -> mListener.ticket(this, value)); // a refusal may carry one
             return isStream(info)
                     ? streamSubscriber()
                     : BodySubscribers.ofString(StandardCharsets.UTF_8);
         };
     }
 
-    private void begin(final ResponseInfo info) {
-        mListener.began(this);
-        final Optional<String> ticket = info.headers().firstValue(TICKET_HEADER);
-        ticket.ifPresent(value -> mListener.ticket(this, value));
-    }
-
     private static boolean isStream(final ResponseInfo info) {
         return info.headers()
                 .firstValue("Content-Type")
--- a/standins/src/main/java/org/whinhead/standins/load/caller/Call.java
+++ b/standins/src/main/java/org/whinhead/standins/load/caller/Call.java
@@ -172,7 +172,7 @@
         mSilence.begin(mTools.config().answerSilence(), () -> silent(attempt));
         attempt.send(
                 mTools.client(),
-                mWriter.to(daemon.get(), mProgress.ticket(), mProgress.check().received()));
+                mWriter.to(daemon.get(), mProgress.ticket(), mProgress.check().receivedTokens()));
     }
 
     private synchronized void tryLater(final Duration pause) {
@@ -206,13 +206,12 @@
 
     private void answered(final String body) {
         mProgress.accepted();
-        if (mRequest.kind().style().plain()) {
-            end(Outcome.COMPLETED);
-            return;
-        }
         try {
-            final String content = TokenEvent.content(mTools.mapper().readTree(body));
-            endAnswer(mProgress.check().whole(content));
+            final JsonNode answer = mTools.mapper().readTree(body);
+            endAnswer(
+                    mRequest.kind().style().plain()
+                            ? mWriter.faultOf(answer)
+                            : mProgress.check().whole(TokenEvent.content(answer)));
         } catch (final JsonProcessingException e) {
             endAnswer(Optional.of(AnswerFault.FOREIGN));
         }
@@ -223,14 +222,10 @@
         end(fault.isPresent() ? Outcome.WRONG : Outcome.COMPLETED);
     }
 
-    /** A failure after the answer began: a daemon that took the request owes its whole answer. */
+    /** A failure after the answer began; "not run" is false once a token came. */
     private void streamFailed(final DaemonError error) {
-        final boolean falseVerdict = mTokensInAttempt && error.verdict() == Verdict.NOT_RUN;
-        if (falseVerdict && !error.stopping()) {
+        if (mTokensInAttempt && error.verdict() == Verdict.NOT_RUN) {
             endAnswer(Optional.of(AnswerFault.FALSE_VERDICT));
-        } else if (error.verdict() == Verdict.MAY_HAVE_RUN && !error.stopping()) {
-            mProgress.refused(error);
-            end(mRequest.kind().style().idempotent() ? Outcome.LOST : Outcome.FAILED_MAY_HAVE_RUN);
         } else {
             refused(error);
         }
@@ -245,7 +240,7 @@
         }
         switch (error.verdict()) {
             case NOT_RUN -> comeBack(error);
-            case MAY_HAVE_RUN -> end(Outcome.FAILED_MAY_HAVE_RUN);
+            case MAY_HAVE_RUN -> end(mProgress.outcomeIfRefused());
             case RAN -> {
                 mProgress.accepted();
                 end(Outcome.FAILED_RAN);
@@ -259,7 +254,7 @@
         if (pause.isPresent() && now() + pause.get().toNanos() < mDeadline) {
             tryLater(pause.get());
         } else {
-            end(mProgress.outcomeIfNotRun());
+            end(mProgress.outcomeIfRefused());
         }
     }
 
--- a/standins/src/main/java/org/whinhead/standins/load/caller/CallProgress.java
+++ b/standins/src/main/java/org/whinhead/standins/load/caller/CallProgress.java
@@ -109,8 +109,11 @@
         return gap;
     }
 
-    /** Returns the outcome if the last word of the daemons is that the request did not run. */
-    Outcome outcomeIfNotRun() {
+    /**
+     * Returns the outcome if a daemon refuses the request for good. An answer that had begun was
+     * owed whole if the request could be made again; "not run" counts only if no try contradicts.
+     */
+    Outcome outcomeIfRefused() {
         if (!mMayHaveRun) {
             return Outcome.REFUSED_NOT_RUN;
         }
@@ -128,7 +131,7 @@
         if (pending || (mMayHaveRun && !mRefused)) {
             return Outcome.LOST;
         }
-        return mRefused ? outcomeIfNotRun() : Outcome.UNREACHED;
+        return mRefused ? outcomeIfRefused() : Outcome.UNREACHED;
     }
 
     /**
--- a/standins/src/main/java/org/whinhead/standins/load/caller/RequestWriter.java
+++ b/standins/src/main/java/org/whinhead/standins/load/caller/RequestWriter.java
@@ -1,16 +1,19 @@
 package org.whinhead.standins.load.caller;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.net.URI;
 import java.net.http.HttpRequest;
 import java.net.http.HttpRequest.BodyPublishers;
+import java.util.List;
 import java.util.Optional;
 import org.whinhead.standins.load.mix.PlannedRequest;
+import org.whinhead.standins.load.result.AnswerFault;
 
-/** Writes a planned request as HTTP; the body is the same on every try. */
+/** Writes a planned request as HTTP; its parts are the same on every try. */
 final class RequestWriter {
 
     private static final String CHAT_PATH = "/v1/chat/completions";
@@ -18,7 +21,7 @@
 
     private final ObjectMapper mMapper;
     private final PlannedRequest mRequest;
-    private final String mBody;
+    private final ObjectNode mBody;
 
     /**
      * Writes the body.
@@ -37,38 +40,64 @@
      *
      * @param daemon the daemon's address
      * @param ticket where the answer is being made, if a daemon said so
-     * @param received how many tokens the caller has
+     * @param received the tokens that the caller has
      * @return the request to send
      */
-    HttpRequest to(final URI daemon, final Optional<String> ticket, final int received) {
+    HttpRequest to(final URI daemon, final Optional<String> ticket, final List<String> received) {
         final HttpRequest.Builder builder =
                 HttpRequest.newBuilder(daemon.resolve(path()))
                         .header("Authorization", "Bearer " + mRequest.customer().key())
                         .header("Content-Type", "application/json")
                         .header("X-Request-Id", mRequest.id().value())
-                        .POST(BodyPublishers.ofString(mBody));
+                        .POST(BodyPublishers.ofString(body(received)));
         if (!mRequest.kind().style().idempotent()) {
             builder.header("Idempotency-Key", mRequest.id().value());
             builder.header("X-Idempotent", "false");
         }
         ticket.ifPresent(value -> builder.header("X-Whinhead-Ticket", value));
-        if (received > 0) {
-            builder.header("Last-Event-ID", Integer.toString(received - 1));
+        if (!received.isEmpty()) {
+            builder.header("Last-Event-ID", Integer.toString(received.size() - 1));
         }
         return builder.build();
     }
 
+    /**
+     * Compares a plain service's answer with the request, as far as it tells what it answers.
+     *
+     * @param answer the answer
+     * @return what is wrong with it, if anything
+     */
+    Optional<AnswerFault> faultOf(final JsonNode answer) {
+        final String key = answer.path("idempotencyKey").asText(mRequest.id().value());
+        final String received = answer.path("received").asText(text(mBody));
+        if (!key.equals(mRequest.id().value()) || !received.equals(text(mBody))) {
+            return Optional.of(AnswerFault.FOREIGN);
+        }
+        final boolean again = answer.path("execution").asInt(1) > 1;
+        return again && !mRequest.kind().style().idempotent()
+                ? Optional.of(AnswerFault.DOUBLED)
+                : Optional.empty();
+    }
+
+    /** The daemon needs the text that came so far, to go on from it if the engine is lost. */
+    private String body(final List<String> received) {
+        if (received.isEmpty()) {
+            return text(mBody);
+        }
+        return text(mBody.deepCopy().put("delivered_text", String.join("", received)));
+    }
+
     private String path() {
         return mRequest.kind().style().plain()
                 ? SERVICE_PATH + mRequest.kind().target()
                 : CHAT_PATH;
     }
 
-    private String plainBody() {
-        return text(mMapper.createObjectNode().put("note", mRequest.prompt()));
+    private ObjectNode plainBody() {
+        return mMapper.createObjectNode().put("note", mRequest.prompt());
     }
 
-    private String chatBody() {
+    private ObjectNode chatBody() {
         final ObjectNode body = mMapper.createObjectNode();
         body.put("model", mRequest.kind().target());
         final ArrayNode messages = body.putArray("messages");
@@ -79,7 +108,7 @@
         }
         body.put("max_tokens", mRequest.tokens());
         body.put("stream", mRequest.kind().style().streamed());
-        return text(body);
+        return body;
     }
 
     private String text(final ObjectNode body) {
--- a/standins/src/main/java/org/whinhead/standins/load/result/AnswerFault.java
+++ b/standins/src/main/java/org/whinhead/standins/load/result/AnswerFault.java
@@ -4,9 +4,9 @@
 public enum AnswerFault {
     /** A token never came. */
     MISSING,
-    /** A token came twice. */
+    /** A token came twice, or a call that must not be repeated ran twice. */
     DOUBLED,
-    /** A token belongs to no place, or to another place, of this answer. */
+    /** A token or an answer belongs to another request, or to no place of this answer. */
     FOREIGN,
     /** Tokens came, and then the daemon said that the request did not run. */
     FALSE_VERDICT
--- a/standins/src/test/java/org/whinhead/standins/load/FakeDaemon.java
+++ b/standins/src/test/java/org/whinhead/standins/load/FakeDaemon.java
@@ -129,7 +129,7 @@
             return mBody.path("max_tokens").asInt();
         }
 
-        private String prompt() {
+        public String prompt() {
             final List<String> contents = new ArrayList<>();
             mBody.path("messages").forEach(one -> contents.add(one.path("content").asText()));
             return String.join("\n", contents);
--- a/standins/src/test/java/org/whinhead/standins/load/caller/CallersTest.java
+++ b/standins/src/test/java/org/whinhead/standins/load/caller/CallersTest.java
@@ -2,6 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
@@ -10,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.whinhead.api.request.RequestId;
+import org.whinhead.standins.answer.ExpectedAnswer;
 import org.whinhead.standins.load.FakeDaemon;
 import org.whinhead.standins.load.mix.CallStyle;
 import org.whinhead.standins.load.mix.LoadCustomer;
@@ -61,7 +64,9 @@
             final FakeDaemon.Call after = first.calls().get(1);
             assertThat(List.of(before.daemon(), after.daemon()))
                     .containsExactlyInAnyOrder(first.uri(), second.uri());
-            assertThat(after.body()).isEqualTo(before.body());
+            assertThat(after.body().path("delivered_text").asText())
+                    .isEqualTo(String.join("", ExpectedAnswer.tokens(before.prompt(), HALF)));
+            assertThat(withoutDelivered(after.body())).isEqualTo(before.body());
             assertThat(after.header("X-Request-Id")).isEqualTo("request-1");
             assertThat(after.header("X-Whinhead-Ticket")).isEqualTo("first");
             assertThat(after.header("Last-Event-ID")).isEqualTo("3");
@@ -266,6 +271,32 @@
         }
     }
 
+    /**
+     * A daemon that stops hands a whole answer's ticket back with its refusal; and a filing's
+     * answer tells that it ran twice, or that it is another caller's.
+     */
+    @Test
+    void refusalsCarryTicketsAndPlainAnswersAreCompared() throws Exception {
+        final FakeDaemon.Script handedBack =
+                call ->
+                        call.respond("X-Whinhead-Ticket", "back")
+                                .refuse(503, "may-have-run", "stopping");
+        try (FakeDaemon daemon = new FakeDaemon(handedBack, FakeDaemon.Call::whole)) {
+            assertThat(call(daemon, CallStyle.WHOLE).outcome()).isEqualTo(Outcome.COMPLETED);
+            assertThat(daemon.calls().get(1).header("X-Whinhead-Ticket")).isEqualTo("back");
+        }
+        final FakeDaemon.Script twice = call -> call.write("{\"execution\":2}");
+        final FakeDaemon.Script foreign = call -> call.write("{\"idempotencyKey\":\"other\"}");
+        try (FakeDaemon daemon = new FakeDaemon(twice, foreign)) {
+            assertThat(call(daemon, CallStyle.PLAIN_ONCE).fault()).contains(AnswerFault.DOUBLED);
+            assertThat(call(daemon, CallStyle.PLAIN_ONCE).fault()).contains(AnswerFault.FOREIGN);
+        }
+    }
+
+    private static JsonNode withoutDelivered(final JsonNode body) {
+        return body.<ObjectNode>deepCopy().without("delivered_text");
+    }
+
     private static Optional<AnswerFault> faultOf(final FakeDaemon.Script script) throws Exception {
         try (FakeDaemon daemon = new FakeDaemon(script)) {
             final RequestResult result = call(daemon, CallStyle.STREAMED);
--- a/standins/src/test/java/org/whinhead/standins/load/mix/RequestPlannerTest.java
+++ b/standins/src/test/java/org/whinhead/standins/load/mix/RequestPlannerTest.java
@@ -3,7 +3,15 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.withinPercentage;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.security.MessageDigest;
+import java.util.HashMap;
+import java.util.HexFormat;
 import java.util.List;
+import java.util.Map;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
@@ -45,6 +53,41 @@
         }
     }
 
+    /**
+     * Whoever starts the examples and plays callers against them gets "unknown key" or "unknown
+     * target" if a name differs.
+     */
+    @ParameterizedTest
+    @EnumSource
+    void namesAndKeysAreThoseOfTheExamples(final Deployment deployment) throws Exception {
+        final Mix mix = deployment.mix();
+        final Path file = Path.of("..", "examples", mix.name(), "documents.json");
+        final JsonNode documents = new ObjectMapper().readTree(file.toFile());
+        final Map<String, JsonNode> byPath = new HashMap<>();
+        documents.forEach(one -> byPath.put(one.path("path").asText(), one.path("document")));
+        for (final LoadCustomer customer : mix.customers()) {
+            final JsonNode document =
+                    byPath.entrySet().stream()
+                            .filter(one -> one.getKey().endsWith("/customers/" + customer.name()))
+                            .findAny()
+                            .orElseThrow()
+                            .getValue();
+            assertThat(document.path("tier").asText()).isEqualTo("/tiers/" + customer.tier());
+            assertThat(document.path("keyHashes").path(0).asText())
+                    .isEqualTo("sha256:" + sha256(customer.key()));
+        }
+        assertThat(byPath.keySet())
+                .containsAll(
+                        mix.models().stream().map(m -> "/models/" + m.replace('@', '/')).toList())
+                .containsAll(mix.services().stream().map(s -> "/services/" + s).toList());
+    }
+
+    private static String sha256(final String text) throws Exception {
+        final byte[] hash =
+                MessageDigest.getInstance("SHA-256").digest(text.getBytes(StandardCharsets.UTF_8));
+        return HexFormat.of().formatHex(hash);
+    }
+
     private static List<PlannedRequest> plan(final Mix mix, final long seed) {
         final RequestPlanner planner = new RequestPlanner(mix, seed);
         return Stream.generate(planner::next).limit(REQUESTS).collect(Collectors.toList());
