--- a/standins/src/main/java/org/whinhead/standins/load/LoadReport.java
+++ b/standins/src/main/java/org/whinhead/standins/load/LoadReport.java
@@ -73,6 +73,8 @@
         put(root.putObject("betweenTokens"), mResult.betweenTokens());
         final ObjectNode kinds = root.putObject("latencyByKind");
         latencyByKind().forEach((kind, latency) -> put(kinds.putObject(kind), latency));
+        final ObjectNode keys = root.putObject("outcomeByIdempotencyKey");
+        mResult.nonIdempotent().forEach(result -> putKey(keys, result));
         try {
             return mapper.writeValueAsString(root);
         } catch (final JsonProcessingException e) {
@@ -80,6 +82,10 @@
         }
     }
 
+    private static void putKey(final ObjectNode keys, final RequestResult result) {
+        result.idempotencyKey().ifPresent(key -> keys.put(key, result.outcome().jsonName()));
+    }
+
     private String title() {
         return LoadMessages.text(
                 "report.title",
--- a/standins/src/test/java/org/whinhead/standins/load/LoadRunTest.java
+++ b/standins/src/test/java/org/whinhead/standins/load/LoadRunTest.java
@@ -63,6 +63,12 @@
             assertThat(json.path("completed").asInt()).isEqualTo(json.path("requests").asInt());
             assertThat(json.path("accepted").asInt()).isEqualTo(json.path("requests").asInt());
             assertThat(json.path("lost").asInt()).isZero();
+            final List<String> keys =
+                    daemon.calls().stream()
+                            .map(call -> call.header("Idempotency-Key"))
+                            .filter(key -> !key.isEmpty())
+                            .toList();
+            assertThat(keys).isNotEmpty().allMatch(key -> outcome(json, key).equals("completed"));
             assertThat(json.path("firstToken").path("p95Millis").asDouble()).isPositive();
         }
     }
@@ -101,6 +107,10 @@
         assertThat(new Command("--help").status()).isEqualTo(LoadMain.EXIT_KEPT);
     }
 
+    private static String outcome(final JsonNode json, final String key) {
+        return json.path("outcomeByIdempotencyKey").path(key).asText();
+    }
+
     private static void answer(final FakeDaemon.Call call) throws IOException {
         if (call.path().startsWith("/v1/services/")) {
             call.write("{}");
