--- a/standins/src/test/java/org/whinhead/standins/load/FakeDaemon.java
+++ b/standins/src/test/java/org/whinhead/standins/load/FakeDaemon.java
@@ -32,7 +32,7 @@
     private final Undertow mServer;
     private final ConcurrentLinkedQueue<Script> mScripts;
     private final List<Call> mCalls;
-    private final List<FakeDaemon> mAddresses;
+    private final List<URI> mAddresses;
 
     public FakeDaemon(final Script... scripts) {
         this(
@@ -44,11 +44,10 @@
     private FakeDaemon(
             final ConcurrentLinkedQueue<Script> scripts,
             final List<Call> calls,
-            final List<FakeDaemon> addresses) {
+            final List<URI> addresses) {
         mScripts = scripts;
         mCalls = calls;
         mAddresses = addresses;
-        mAddresses.add(this);
         mServer =
                 Undertow.builder()
                         .addHttpListener(0, "127.0.0.1")
@@ -57,6 +56,14 @@
                         .setHandler(new BlockingHandler(this::handle))
                         .build();
         mServer.start();
+        mAddresses.add(uri());
+    }
+
+    /** Starts a daemon that only names another address. */
+    public static FakeDaemon pointingTo(final URI address) {
+        final FakeDaemon daemon = new FakeDaemon();
+        daemon.mAddresses.set(0, address);
+        return daemon;
     }
 
     /** Starts another daemon with the same scripts, calls and addresses. */
@@ -92,7 +99,7 @@
 
     private String addresses() {
         return mAddresses.stream()
-                .map(one -> "{\"uri\":\"" + one.uri() + "\",\"domain\":\"d\"}")
+                .map(one -> "{\"uri\":\"" + one + "\",\"domain\":\"d\"}")
                 .collect(Collectors.joining(",", "{\"keepMillis\":60000,\"addresses\":[", "]}"));
     }
 
