Add MessageBundle for texts beside a class

Cause: each module with texts held the same look-up by named key again. Change: MessageBundle in api, additive; Messages goes through it. Conclusion: modules with texts of their own can share it.

--- a/api/src/main/java/org/whinhead/api/message/Messages.java
+++ b/api/src/main/java/org/whinhead/api/message/Messages.java
@@ -1,14 +1,9 @@
 package org.whinhead.api.message;
 
-import java.text.MessageFormat;
-import java.util.Locale;
-import java.util.ResourceBundle;
-
 /** Looks up texts for people by named key in {@code messages.properties}. */
 public final class Messages {
 
-    private static final ResourceBundle BUNDLE =
-            ResourceBundle.getBundle("org.whinhead.api.message.messages", Locale.ROOT);
+    private static final MessageBundle TEXTS = MessageBundle.beside(Messages.class);
 
     private Messages() {}
 
@@ -21,6 +16,6 @@
      * @throws java.util.MissingResourceException if the key has no text
      */
     public static String text(final String key, final Object... arguments) {
-        return new MessageFormat(BUNDLE.getString(key), Locale.ROOT).format(arguments);
+        return TEXTS.text(key, arguments);
     }
 }
