Look up texts of settings and command line through MessageBundle

Cause: the look-up stood in three places. Change: SettingsMessages and CliMessages go through MessageBundle. Conclusion: one place formats texts of these modules.

--- a/cli/src/main/java/org/whinhead/cli/CliMessages.java
+++ b/cli/src/main/java/org/whinhead/cli/CliMessages.java
@@ -1,14 +1,11 @@
 package org.whinhead.cli;
 
-import java.text.MessageFormat;
-import java.util.Locale;
-import java.util.ResourceBundle;
+import org.whinhead.api.message.MessageBundle;
 
 /** Looks up the texts of the command line by named key in {@code messages.properties}. */
 public final class CliMessages {
 
-    private static final ResourceBundle BUNDLE =
-            ResourceBundle.getBundle("org.whinhead.cli.messages", Locale.ROOT);
+    private static final MessageBundle TEXTS = MessageBundle.beside(CliMessages.class);
 
     private CliMessages() {}
 
@@ -20,10 +17,6 @@
      * @return the text
      */
     public static String text(final String key, final Object... arguments) {
-        final Object[] texts = new Object[arguments.length];
-        for (int i = 0; i < arguments.length; i++) {
-            texts[i] = String.valueOf(arguments[i]);
-        }
-        return new MessageFormat(BUNDLE.getString(key), Locale.ROOT).format(texts);
+        return TEXTS.text(key, arguments);
     }
 }
--- a/settings/src/main/java/org/whinhead/settings/SettingsMessages.java
+++ b/settings/src/main/java/org/whinhead/settings/SettingsMessages.java
@@ -1,14 +1,11 @@
 package org.whinhead.settings;
 
-import java.text.MessageFormat;
-import java.util.Locale;
-import java.util.ResourceBundle;
+import org.whinhead.api.message.MessageBundle;
 
 /** Looks up the texts about settings by named key in {@code messages.properties}. */
 final class SettingsMessages {
 
-    private static final ResourceBundle BUNDLE =
-            ResourceBundle.getBundle("org.whinhead.settings.messages", Locale.ROOT);
+    private static final MessageBundle TEXTS = MessageBundle.beside(SettingsMessages.class);
 
     private SettingsMessages() {}
 
@@ -20,10 +17,6 @@
      * @return the text
      */
     static String text(final String key, final Object... arguments) {
-        final Object[] texts = new Object[arguments.length];
-        for (int i = 0; i < arguments.length; i++) {
-            texts[i] = String.valueOf(arguments[i]);
-        }
-        return new MessageFormat(BUNDLE.getString(key), Locale.ROOT).format(texts);
+        return TEXTS.text(key, arguments);
     }
 }
