Refuse times of a document that contradict each other

Cause: a tier whose first token may come later than the whole answer, or a first wait longer than the longest one, fits the schema and serves nobody. Change: FieldOrder rules for tiers and retries. Conclusion: such a document is refused with the field named.

--- a/settings/src/main/java/org/whinhead/settings/deployment/DocumentKind.java
+++ b/settings/src/main/java/org/whinhead/settings/deployment/DocumentKind.java
@@ -1,6 +1,7 @@
 package org.whinhead.settings.deployment;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
@@ -15,7 +16,12 @@
     /** A customer of a team: {@code /teams/{team}/customers/{customer}}. */
     CUSTOMER("/teams/*/customers/*", "customer", DocumentDecoder::customer),
     /** A service tier: {@code /tiers/{name}}. */
-    TIER("/tiers/*", "tier", DocumentDecoder::tier),
+    TIER(
+            "/tiers/*",
+            "tier",
+            DocumentDecoder::tier,
+            new FieldOrder("firstTokenMillis", "requestTimeoutMillis"),
+            new FieldOrder("betweenTokensMillis", "requestTimeoutMillis")),
     /** A version of a model: {@code /models/{name}/{version}}. */
     MODEL("/models/*/*", "model", DocumentDecoder::model),
     /** A plain service: {@code /services/{name}}. */
@@ -31,7 +37,11 @@
     /** Tunables of routing: {@code /routing}. */
     ROUTING("/routing", "routing", DocumentDecoder::routing),
     /** Tunables of retries: {@code /retries}. */
-    RETRIES("/retries", "retries", DocumentDecoder::retries);
+    RETRIES(
+            "/retries",
+            "retries",
+            DocumentDecoder::retries,
+            new FieldOrder("firstBackoffMillis", "maxBackoffMillis"));
 
     /** The only schema number that this program knows. */
     public static final int NEWEST_SCHEMA = 1;
@@ -41,14 +51,17 @@
     private final List<String> mPattern;
     private final DocumentSchema mSchema;
     private final BiFunction<DocumentPath, JsonNode, DocumentValue> mDecoder;
+    private final List<FieldOrder> mOrders;
 
     DocumentKind(
             final String pattern,
             final String schema,
-            final BiFunction<DocumentPath, JsonNode, DocumentValue> decoder) {
+            final BiFunction<DocumentPath, JsonNode, DocumentValue> decoder,
+            final FieldOrder... orders) {
         mPattern = List.of(pattern.substring(1).split("/"));
         mSchema = DocumentSchema.load(schema + "-" + NEWEST_SCHEMA + ".json");
         mDecoder = decoder;
+        mOrders = List.of(orders);
     }
 
     /**
@@ -74,9 +87,11 @@
         return true;
     }
 
-    /** Checks a document of a known schema number against this kind's schema. */
+    /** Checks a document of a known schema number against this kind's schema and rules. */
     List<SettingsProblem> check(final JsonNode document) {
-        return mSchema.check(document);
+        final List<SettingsProblem> problems = new ArrayList<>(mSchema.check(document));
+        mOrders.forEach(order -> problems.addAll(order.check(document)));
+        return problems;
     }
 
     /** Decodes a document that has passed {@link #check}. */
