Print a change's name before it is sent, also for scripts

Change: the name goes to standard error just before the change is sent. Conclusion: a lost change can be repeated from a script too.

--- a/cli/src/main/java/org/whinhead/cli/Console.java
+++ b/cli/src/main/java/org/whinhead/cli/Console.java
@@ -11,16 +11,19 @@
     private static final String GAP = "  ";
 
     private final PrintStream mOut;
+    private final PrintStream mErr;
     private final boolean mJson;
 
     /**
      * Makes a console.
      *
      * @param out the standard output
+     * @param err the standard error
      * @param json whether answers are printed as JSON
      */
-    public Console(final PrintStream out, final boolean json) {
+    public Console(final PrintStream out, final PrintStream err, final boolean json) {
         mOut = out;
+        mErr = err;
         mJson = json;
     }
 
@@ -50,6 +53,16 @@
         }
     }
 
+    /**
+     * Prints a line beside the answer, also in JSON mode.
+     *
+     * @param messageKey the key of the text
+     * @param arguments the values for its places
+     */
+    public void note(final String messageKey, final Object... arguments) {
+        mErr.println(CliMessages.text(messageKey, arguments));
+    }
+
     /**
      * Prints a table.
      *
--- a/cli/src/main/java/org/whinhead/cli/Main.java
+++ b/cli/src/main/java/org/whinhead/cli/Main.java
@@ -56,7 +56,7 @@
         try {
             final int skipped = name.get().wordCount();
             final String[] rest = Arrays.copyOfRange(arguments, skipped, arguments.length);
-            return run(name.get(), rest, environment, out).number();
+            return run(name.get(), rest, environment, out, err).number();
         } catch (CliException e) {
             err.println(e.getMessage());
             return e.exitCode().number();
@@ -67,7 +67,8 @@
             final CommandName name,
             final String[] rest,
             final Map<String, String> environment,
-            final PrintStream out)
+            final PrintStream out,
+            final PrintStream err)
             throws CliException {
         final Invocation invocation = new Invocation(parse(name, rest), environment);
         if (invocation.has(CliOption.HELP)) {
@@ -77,7 +78,7 @@
         if (!name.takes(invocation.arguments().size())) {
             throw new CliException(ExitCode.USAGE, "usage.arguments", name.usage());
         }
-        final Console console = new Console(out, invocation.has(CliOption.JSON));
+        final Console console = new Console(out, err, invocation.has(CliOption.JSON));
         return name.create().run(invocation, console);
     }
 
--- a/cli/src/main/java/org/whinhead/cli/command/SettingsChange.java
+++ b/cli/src/main/java/org/whinhead/cli/command/SettingsChange.java
@@ -32,6 +32,14 @@
         return invocation.text(CliOption.CHANGE_ID).orElseGet(() -> UUID.randomUUID().toString());
     }
 
+    /** Returns why the change is made, which an auditor will ask. */
+    static String requireReason(final Invocation invocation) throws CliException {
+        return invocation
+                .text(CliOption.REASON)
+                .filter(reason -> !reason.isBlank())
+                .orElseThrow(() -> new CliException(ExitCode.USAGE, "usage.no-reason"));
+    }
+
     /**
      * Asks what stands at a path. A path whose document was deleted has a revision too, the
      * deletion's, and a change that makes the document anew replaces that one.
@@ -54,17 +62,13 @@
 
     /** Sends the change and returns the daemon's answer. */
     JsonNode send(final DaemonClient client, final Invocation invocation) throws CliException {
-        final String reason =
-                invocation
-                        .text(CliOption.REASON)
-                        .orElseThrow(() -> new CliException(ExitCode.USAGE, "usage.no-reason"));
         final ObjectNode body = MAPPER.createObjectNode();
         body.put("changeId", changeId);
         body.put("path", path);
         body.put("baseRevision", baseRevision);
         body.set("document", document.orElse(MAPPER.nullNode()));
         body.put("author", invocation.text(CliOption.AUTHOR).orElse(systemUser()));
-        body.put("reason", reason);
+        body.put("reason", requireReason(invocation));
         body.put("dryRun", invocation.has(CliOption.DRY_RUN));
         return Answers.body(client.post("/operator/settings", body));
     }
--- a/cli/src/main/java/org/whinhead/cli/command/SettingsLoadCommand.java
+++ b/cli/src/main/java/org/whinhead/cli/command/SettingsLoadCommand.java
@@ -26,8 +26,9 @@
     public ExitCode run(final Invocation invocation, final Console console) throws CliException {
         final String file = invocation.arguments().get(0);
         final List<DocumentList.Entry> entries = entries(file);
+        SettingsChange.requireReason(invocation);
         final String changeId = SettingsChange.nameOf(invocation);
-        console.line("put.change", changeId);
+        console.note("put.change", changeId);
         int put = 0;
         try (DaemonClient client = invocation.client()) {
             for (final DocumentList.Entry entry : entries) {
--- a/cli/src/main/java/org/whinhead/cli/command/SettingsPutCommand.java
+++ b/cli/src/main/java/org/whinhead/cli/command/SettingsPutCommand.java
@@ -25,11 +25,12 @@
         final String path = invocation.arguments().get(0);
         final Optional<JsonNode> document = document(invocation);
         final long wait = invocation.numberOrDefault(CliOption.WAIT);
+        SettingsChange.requireReason(invocation);
         final String changeId = SettingsChange.nameOf(invocation);
-        console.line("put.change", changeId);
         try (DaemonClient client = invocation.client()) {
             final SettingsChange change =
                     new SettingsChange(changeId, path, base(client, invocation, path), document);
+            console.note("put.change", changeId);
             final JsonNode answer = change.send(client, invocation);
             if (console.isJson()) {
                 console.json(answer);
--- a/cli/src/test/java/org/whinhead/cli/MainTest.java
+++ b/cli/src/test/java/org/whinhead/cli/MainTest.java
@@ -66,7 +66,7 @@
         assertThat(mSecond.asked().get(0))
                 .contains("{\"changeId\":\"a\"")
                 .contains("\"baseRevision\":7,\"document\":null");
-        assertThat(err()).startsWith("The answer was lost; the change may be in force.");
+        assertThat(err()).startsWith("Change a\nThe answer was lost; the change may be in force.");
     }
 
     @Test
@@ -100,8 +100,9 @@
             throws IOException {
         mFirst.answers(status, body.replace('\'', '"'));
         mSecond.answers(status, body.replace('\'', '"'));
-        assertThat(run(delete("--base", "7"))).isEqualTo(exit);
-        assertThat(err()).isEqualTo(message.replace('~', '\n') + "\n");
+        assertThat(run(delete("--base", "7", "--json", "--change-id", "a"))).isEqualTo(exit);
+        assertThat(out()).isEmpty();
+        assertThat(err()).isEqualTo("Change a\n" + message.replace('~', '\n') + "\n");
     }
 
     @Test
