Decide changes of settings without copying all outcomes

Cause: each change copied the 20,000 kept outcomes, though no decision reads them. Change: the ledger keeps a view without outcomes for the validator and the authority.

--- a/state/src/main/java/org/whinhead/state/settings/SettingsLedger.java
+++ b/state/src/main/java/org/whinhead/state/settings/SettingsLedger.java
@@ -24,6 +24,7 @@
     private final Map<String, ChangeOutcome> mOutcomes = new LinkedHashMap<>();
     private int mRules = SettingsState.EMPTY.rules();
     private SettingsState mView = SettingsState.EMPTY;
+    private SettingsState mInForce = SettingsState.EMPTY;
 
     /**
      * Makes an empty ledger.
@@ -61,6 +62,7 @@
         state.outcomes().forEach(outcome -> mOutcomes.put(outcome.changeId(), outcome));
         mRules = state.rules();
         mView = state;
+        mInForce = null;
     }
 
     /**
@@ -82,6 +84,7 @@
         if (record.version() > mRules) {
             mRules = record.version();
             mView = null;
+            mInForce = null;
         }
     }
 
@@ -108,8 +111,16 @@
         mView = null;
     }
 
+    /** The settings without outcomes, which no decision depends on and which are many to copy. */
+    private SettingsState inForce() {
+        if (mInForce == null) {
+            mInForce = new SettingsState(mRules, mHistory, List.of());
+        }
+        return mInForce;
+    }
+
     private ChangeOutcome decide(final LogRecord.SettingChanged record, final long offset) {
-        final SettingsState current = state();
+        final SettingsState current = inForce();
         final String path = record.path();
         if (!mAuthority.mayChange(record.author(), path, current)) {
             return outcome(record, ChangeOutcome.Result.NOT_AUTHORISED, offset, List.of());
@@ -130,7 +141,7 @@
             final ChangeOutcome.Result result,
             final long offset,
             final List<String> problems) {
-        final long inForce = state().revision(record.path());
+        final long inForce = inForce().revision(record.path());
         return new ChangeOutcome(
                 record.changeId(), record.path(), result, inForce, offset, problems);
     }
@@ -150,6 +161,7 @@
             revisions.remove(0);
         }
         mHistory.put(record.path(), List.copyOf(revisions));
+        mInForce = null;
     }
 
     /**
