--- /dev/null
+++ b/bench/src/main/java/org/whinhead/bench/membership/SimulatedDaemon.java
@@ -0,0 +1,96 @@
+package org.whinhead.bench.membership;
+
+import java.time.Instant;
+import java.util.SplittableRandom;
+import org.whinhead.api.model.VmId;
+import org.whinhead.api.model.VmState;
+import org.whinhead.membership.DaemonAddress;
+import org.whinhead.membership.DaemonMember;
+import org.whinhead.membership.Membership;
+import org.whinhead.membership.MembershipActions;
+import org.whinhead.membership.MembershipMessage;
+import org.whinhead.membership.MembershipSettings;
+import org.whinhead.membership.MembershipView;
+import org.whinhead.peer.MembershipCodec;
+
+/** One daemon of the simulation and what it has sent. */
+final class SimulatedDaemon implements MembershipActions {
+
+    private static final int TICK_MILLIS = 100;
+    private static final int SLOWEST_TICK_MILLIS = 4_000;
+
+    private final DaemonMember mMember;
+    private final MembershipSimulation mSimulation;
+    private final SplittableRandom mRandom;
+    private final boolean mSlow;
+    private final Membership mMembership;
+    private Instant mNextTick;
+    private VmId mAwaited;
+    private Instant mAwaitedSeenAt;
+
+    SimulatedDaemon(
+            final DaemonMember member,
+            final MembershipSimulation simulation,
+            final MembershipSettings settings,
+            final boolean slow,
+            final Instant now) {
+        mMember = member;
+        mSimulation = simulation;
+        mRandom = new SplittableRandom(member.id().value().hashCode());
+        mSlow = slow;
+        mMembership = new Membership(settings, member, 1, mRandom, this, now);
+        mNextTick = now.plusMillis(mRandom.nextInt(TICK_MILLIS));
+    }
+
+    @Override
+    public void send(final DaemonAddress to, final MembershipMessage message) {
+        mSimulation.post(this, to.vm(), MembershipCodec.encode(message));
+    }
+
+    @Override
+    public void viewChanged(final MembershipView view) {
+        if (mAwaited != null && mAwaitedSeenAt == null) {
+            final boolean leaving =
+                    view.daemon(mAwaited)
+                            .filter(member -> member.vm().state() == VmState.LEAVING)
+                            .isPresent();
+            mAwaitedSeenAt = leaving ? mSimulation.now() : null;
+        }
+    }
+
+    void await(final VmId vm) {
+        mAwaited = vm;
+        mAwaitedSeenAt = null;
+    }
+
+    /** Returns when the awaited VM was first seen leaving; null if not yet. */
+    Instant awaitedSeenAt() {
+        return mAwaitedSeenAt;
+    }
+
+    DaemonMember member() {
+        return mMember;
+    }
+
+    Membership membership() {
+        return mMembership;
+    }
+
+    Instant nextTick() {
+        return mNextTick;
+    }
+
+    void tick(final Instant now) {
+        mMembership.tick(now);
+        final int pause =
+                mSlow
+                        ? TICK_MILLIS + mRandom.nextInt(SLOWEST_TICK_MILLIS - TICK_MILLIS)
+                        : TICK_MILLIS;
+        mNextTick = now.plusMillis(pause);
+    }
+
+    /** Returns when a message that arrives now is read: a slow daemon reads when it next runs. */
+    Instant readsAt(final Instant arrival) {
+        return mSlow && arrival.isBefore(mNextTick) ? mNextTick : arrival;
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/whinhead/bench/membership/package-info.java
@@ -0,0 +1,2 @@
+/** What membership costs and how fast news travels, with many daemons in one process. */
+package org.whinhead.bench.membership;
