--- a/standins/src/main/java/org/whinhead/standins/deployment/DeploymentPlan.java
+++ b/standins/src/main/java/org/whinhead/standins/deployment/DeploymentPlan.java
@@ -10,9 +10,23 @@
 /** What stands where in the two deployments of today. */
 public enum DeploymentPlan {
     /** Small-claims filing in Kigali. */
-    INKIKO(9000, "kigali", "filing-drafts@2026.1", "filing", "kg-gasabo", "kg-kicukiro", "kg-nyarugenge"),
+    INKIKO(
+            9000,
+            "kigali",
+            "filing-drafts@2026.1",
+            "filing",
+            "kg-gasabo",
+            "kg-kicukiro",
+            "kg-nyarugenge"),
     /** Food costs in Nairobi. */
-    MEZANI(9100, "nairobi", "cost-desk@2026.1", "outlet", "upperhill", "westlands", "industrial-area");
+    MEZANI(
+            9100,
+            "nairobi",
+            "cost-desk@2026.1",
+            "outlet",
+            "upperhill",
+            "westlands",
+            "industrial-area");
 
     /** The machine class of model engines. */
     public static final String ENGINE_CLASS = "engine-small";
