--- a/standins/src/test/java/org/whinhead/standins/deployment/DeploymentStandInsTest.java
+++ b/standins/src/test/java/org/whinhead/standins/deployment/DeploymentStandInsTest.java
@@ -36,7 +36,7 @@
             all.addEntry("vm-zentry", domain, URI.create("http://127.0.0.1:1"));
             final URI engine = all.engines().get("vm-engine-1").uri();
             assertThat(get(engine.resolve("/v1/models")))
-                    .isEqualTo("{\"data\":[{\"id\":\"claims@1\"}]}");
+                    .isEqualTo("{\"data\":[{\"id\":\"filing-drafts@2026.1\"}]}");
             assertThat(all.engines()).hasSize(6);
             all.cloud().reclaim(domain, Duration.ofMillis(20));
             assertThat(gone.get()).isEqualTo("vm-zentry");
