Serve a request from caller to engine and back

Cause: no daemon stood; the whole path is the first thing that users ask for. Change: Undertow server for callers, engine client, one decision thread behind a bounded ring, graceful refusal when it is full; platform HTTP client; whole-path tests. Conclusion: thin path first, duties next.

--- a/api/src/main/java/org/whinhead/api/request/PrefixHashes.java
+++ b/api/src/main/java/org/whinhead/api/request/PrefixHashes.java
@@ -24,13 +24,18 @@
     /**
      * Hashes a prompt.
      *
+     * @param model the model as engines name it, which every hash covers
      * @param prompt the contents of all messages, joined by line feeds
      * @return one hash for each whole block, in order
      */
-    public static List<Long> of(final String prompt) {
+    public static List<Long> of(final String model, final String prompt) {
         Objects.requireNonNull(prompt, "prompt");
         final List<Long> hashes = new ArrayList<>();
         long hash = OFFSET_BASIS;
+        for (int index = 0; index < model.length(); index++) {
+            hash = step(hash, model.charAt(index));
+        }
+        hash = step(hash, WORD_END);
         int words = 0;
         boolean inWord = false;
         for (int index = 0; index <= prompt.length(); index++) {
--- a/api/src/test/java/org/whinhead/api/request/PrefixHashesTest.java
+++ b/api/src/test/java/org/whinhead/api/request/PrefixHashesTest.java
@@ -17,11 +17,12 @@
     @Test
     void sharedBlocksShareHashesAndLaterChangesLeaveEarlierOnes() {
         final String shared = words(0, 32);
-        assertThat(PrefixHashes.of(shared + " tail")).isEqualTo(PrefixHashes.of(shared));
-        assertThat(PrefixHashes.of(shared)).hasSize(2);
-        assertThat(PrefixHashes.of(words(0, 16) + "\n" + words(50, 66)).get(0))
-                .isEqualTo(PrefixHashes.of(shared).get(0));
-        assertThat(PrefixHashes.of(words(1, 17) + " " + words(16, 32)).get(1))
-                .isNotEqualTo(PrefixHashes.of(shared).get(1));
+        assertThat(PrefixHashes.of("m@1", shared + " tail"))
+                .isEqualTo(PrefixHashes.of("m@1", shared));
+        assertThat(PrefixHashes.of("m@1", shared)).hasSize(2);
+        assertThat(PrefixHashes.of("m@1", words(0, 16) + "\n" + words(50, 66)).get(0))
+                .isEqualTo(PrefixHashes.of("m@1", shared).get(0));
+        assertThat(PrefixHashes.of("m@1", words(1, 17) + " " + words(16, 32)).get(1))
+                .isNotEqualTo(PrefixHashes.of("m@1", shared).get(1));
     }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/whinhead/daemon/DaemonOptions.java
@@ -0,0 +1,67 @@
+package org.whinhead.daemon;
+
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Objects;
+import org.whinhead.api.Arguments;
+import org.whinhead.requests.TicketCodec;
+import org.whinhead.requests.TicketKey;
+import org.xnio.XnioWorker;
+
+/**
+ * What a daemon is given beside its settings.
+ *
+ * @param worker the IO threads, which may be shared and are not closed with the daemon
+ * @param clock tells the time
+ * @param tickets reads and writes tickets, with the keys that all daemons of a deployment share
+ * @param bodyTimeout how long a caller's body may take to arrive
+ */
+public record DaemonOptions(
+        XnioWorker worker, InstantSource clock, TicketCodec tickets, Duration bodyTimeout) {
+
+    private static final Duration DEFAULT_BODY_TIMEOUT = Duration.ofSeconds(10);
+    private static final int SECRET_BYTES = 32;
+
+    /** Checks every part. */
+    public DaemonOptions {
+        Objects.requireNonNull(worker, "worker");
+        Objects.requireNonNull(clock, "clock");
+        Objects.requireNonNull(tickets, "tickets");
+        Arguments.requirePositive(bodyTimeout, "bodyTimeout");
+    }
+
+    /**
+     * Returns the options of a process in use, with a ticket key that no other process has.
+     *
+     * @param worker the IO threads
+     * @return the options
+     */
+    public static DaemonOptions on(final XnioWorker worker) {
+        final byte[] secret = new byte[SECRET_BYTES];
+        new SecureRandom().nextBytes(secret);
+        final TicketCodec tickets = new TicketCodec(List.of(new TicketKey("own", secret)));
+        return new DaemonOptions(worker, InstantSource.system(), tickets, DEFAULT_BODY_TIMEOUT);
+    }
+
+    /**
+     * Returns these options with another bound on bodies.
+     *
+     * @param timeout how long a caller's body may take to arrive
+     * @return a copy
+     */
+    public DaemonOptions withBodyTimeout(final Duration timeout) {
+        return new DaemonOptions(worker, clock, tickets, timeout);
+    }
+
+    /**
+     * Returns these options with the deployment's ticket keys.
+     *
+     * @param codec reads and writes tickets
+     * @return a copy
+     */
+    public DaemonOptions withTickets(final TicketCodec codec) {
+        return new DaemonOptions(worker, clock, codec, bodyTimeout);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/whinhead/daemon/caller/CallerHeaders.java
@@ -0,0 +1,16 @@
+package org.whinhead.daemon.caller;
+
+import io.undertow.util.HttpString;
+
+/** Headers of the callers' interface. */
+final class CallerHeaders {
+
+    static final HttpString REQUEST_ID = new HttpString("X-Request-Id");
+    static final HttpString VERDICT = new HttpString("X-Whinhead-Verdict");
+    static final HttpString TICKET = new HttpString("X-Whinhead-Ticket");
+    static final HttpString LAST_EVENT_ID = new HttpString("Last-Event-ID");
+    static final HttpString IDEMPOTENCY_KEY = new HttpString("Idempotency-Key");
+    static final HttpString IDEMPOTENT = new HttpString("X-Idempotent");
+
+    private CallerHeaders() {}
+}
--- /dev/null
+++ b/daemon/src/main/java/org/whinhead/daemon/caller/Comeback.java
@@ -0,0 +1,80 @@
+package org.whinhead.daemon.caller;
+
+import io.undertow.server.HttpServerExchange;
+import java.time.Instant;
+import java.util.Optional;
+import org.whinhead.api.model.Customer;
+import org.whinhead.api.request.RequestId;
+import org.whinhead.api.verdict.ErrorCode;
+import org.whinhead.api.verdict.Refusal;
+import org.whinhead.api.verdict.RequestException;
+import org.whinhead.api.verdict.Verdict;
+import org.whinhead.daemon.decision.DecisionEvent;
+import org.whinhead.daemon.request.LiveRequest;
+import org.whinhead.requests.Ticket;
+import org.whinhead.requests.TicketCodec;
+
+/**
+ * What a caller that comes back for the rest of an answer brings along.
+ *
+ * @param ticket where the answer was being made
+ * @param haveTokens how many tokens the caller already has
+ * @param haveText their text
+ */
+record Comeback(Ticket ticket, long haveTokens, String haveText) {
+
+    /** Reads a ticket and what goes with it; empty if the request brings none. */
+    static Optional<Comeback> read(
+            final HttpServerExchange exchange,
+            final TicketCodec tickets,
+            final Customer customer,
+            final ChatRequest request,
+            final Instant now)
+            throws RequestException {
+        final String text = exchange.getRequestHeaders().getFirst(CallerHeaders.TICKET);
+        if (text == null) {
+            return Optional.empty();
+        }
+        final long tokens = haveTokens(exchange);
+        if (request.deliveredText().isEmpty() != (tokens == 0)) {
+            throw refused(ChatFields.DELIVERED_TEXT + ": does not go with Last-Event-ID");
+        }
+        final Ticket ticket = tickets.read(text, customer.id(), now);
+        return Optional.of(new Comeback(ticket, tokens, request.deliveredText()));
+    }
+
+    /** Returns the identity that the request has had from the beginning. */
+    RequestId request() {
+        return ticket.attempt().request();
+    }
+
+    DecisionEvent event(final LiveRequest live) {
+        return new DecisionEvent.Returned(live, ticket, haveTokens, haveText);
+    }
+
+    private static long haveTokens(final HttpServerExchange exchange) throws RequestException {
+        final String last = exchange.getRequestHeaders().getFirst(CallerHeaders.LAST_EVENT_ID);
+        if (last == null) {
+            return 0;
+        }
+        try {
+            final long index = Long.parseLong(last);
+            if (index >= 0) {
+                return index + 1;
+            }
+        } catch (final NumberFormatException e) {
+            // Refused below, as a negative number is.
+        }
+        throw refused("header " + CallerHeaders.LAST_EVENT_ID + ": expected a whole number");
+    }
+
+    /** The request has run before, whatever is wrong with what the caller brings. */
+    private static RequestException refused(final String detail) {
+        return new RequestException(
+                new Refusal(
+                        ErrorCode.MALFORMED_REQUEST,
+                        Verdict.MAY_HAVE_RUN,
+                        detail,
+                        Optional.empty()));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/whinhead/daemon/caller/ExchangeWriter.java
@@ -0,0 +1,129 @@
+package org.whinhead.daemon.caller;
+
+import io.undertow.server.HttpServerExchange;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import org.xnio.IoUtils;
+import org.xnio.channels.StreamSinkChannel;
+
+/**
+ * Writes a response as fast as the caller takes it; used on the connection's IO thread only.
+ *
+ * <p>Guards against a caller that reads slowly or not at all: what it has not taken yet would fill
+ * the daemon's memory. The bytes that wait are counted, and past the bound the connection is closed
+ * and the request cancelled as if the caller had hung up.
+ */
+final class ExchangeWriter {
+
+    private final HttpServerExchange mExchange;
+    private final int mMaxWaitingBytes;
+    private final Runnable mCallerLeft;
+    private final Deque<ByteBuffer> mWaiting = new ArrayDeque<>();
+    private StreamSinkChannel mChannel;
+    private int mWaitingBytes;
+    private boolean mEnding;
+    private boolean mShutDown;
+    private boolean mClosed;
+
+    ExchangeWriter(
+            final HttpServerExchange exchange,
+            final int maxWaitingBytes,
+            final Runnable callerLeft) {
+        mExchange = exchange;
+        mMaxWaitingBytes = maxWaitingBytes;
+        mCallerLeft = callerLeft;
+    }
+
+    HttpServerExchange exchange() {
+        return mExchange;
+    }
+
+    /** Tells whether a byte of the response may have been sent. */
+    boolean hasBegun() {
+        return mChannel != null;
+    }
+
+    boolean isClosed() {
+        return mClosed;
+    }
+
+    void write(final byte[] bytes) {
+        if (mClosed || mEnding || bytes.length == 0) {
+            return;
+        }
+        mWaiting.add(ByteBuffer.wrap(bytes));
+        mWaitingBytes += bytes.length;
+        pump();
+        if (!mClosed && mWaitingBytes > mMaxWaitingBytes) {
+            callerLeft();
+        }
+    }
+
+    /** Ends the response once everything has been written. */
+    void end() {
+        if (!mClosed && !mEnding) {
+            mEnding = true;
+            pump();
+        }
+    }
+
+    /** Closes the connection; the request is cancelled unless its response was ending. */
+    void callerLeft() {
+        if (mClosed) {
+            return;
+        }
+        mClosed = true;
+        mWaiting.clear();
+        IoUtils.safeClose(mExchange.getConnection());
+        if (!mEnding) {
+            mCallerLeft.run();
+        }
+    }
+
+    private void pump() {
+        try {
+            if (mChannel == null) {
+                mChannel = mExchange.getResponseChannel();
+                mChannel.getWriteSetter().set(ignored -> pump());
+            }
+            if (writeAll() && (mEnding ? shutDown() : mChannel.flush())) {
+                mChannel.suspendWrites();
+                finishIfEnding();
+            } else {
+                mChannel.resumeWrites();
+            }
+        } catch (final IOException e) {
+            callerLeft();
+        }
+    }
+
+    private boolean writeAll() throws IOException {
+        while (!mWaiting.isEmpty()) {
+            final ByteBuffer head = mWaiting.peek();
+            final int written = mChannel.write(head);
+            mWaitingBytes -= written;
+            if (head.hasRemaining()) {
+                return false;
+            }
+            mWaiting.remove();
+        }
+        return true;
+    }
+
+    private boolean shutDown() throws IOException {
+        if (!mShutDown) {
+            mChannel.shutdownWrites();
+            mShutDown = true;
+        }
+        return mChannel.flush();
+    }
+
+    private void finishIfEnding() {
+        if (mEnding && !mClosed) {
+            mClosed = true;
+            mExchange.endExchange();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/whinhead/daemon/caller/Intake.java
@@ -0,0 +1,95 @@
+package org.whinhead.daemon.caller;
+
+import io.undertow.server.HttpServerExchange;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.BooleanSupplier;
+import java.util.function.Function;
+import org.whinhead.api.request.RequestId;
+import org.whinhead.api.request.RequestSpec;
+import org.whinhead.api.verdict.ErrorCode;
+import org.whinhead.api.verdict.Refusal;
+import org.whinhead.api.verdict.RequestException;
+import org.whinhead.daemon.decision.DecisionEvent;
+import org.whinhead.daemon.decision.DecisionLoop;
+import org.whinhead.daemon.request.LiveRequest;
+import org.whinhead.daemon.request.LiveRequests;
+import org.whinhead.daemon.request.RequestBody;
+import org.xnio.XnioIoThread;
+
+/** Takes checked requests in: from here on the decision thread answers for them. */
+final class Intake {
+
+    private static final Duration COME_BACK = Duration.ofSeconds(1);
+    private static final long RETRY_MILLIS = 5;
+
+    private final LiveRequests mRequests;
+    private final DecisionLoop mLoop;
+    private final BooleanSupplier mStopping;
+    private final int mMaxInProgress;
+    private final int mMaxWaitingBytes;
+
+    Intake(
+            final LiveRequests requests,
+            final DecisionLoop loop,
+            final BooleanSupplier stopping,
+            final int maxInProgress,
+            final int maxWaitingBytes) {
+        mRequests = requests;
+        mLoop = loop;
+        mStopping = stopping;
+        mMaxInProgress = maxInProgress;
+        mMaxWaitingBytes = maxWaitingBytes;
+    }
+
+    /** Refuses while the daemon stops or has its hands full. */
+    void checkOpen() throws RequestException {
+        if (mStopping.getAsBoolean()) {
+            throw refused(ErrorCode.STOPPING, "ask for another address");
+        }
+        if (mRequests.count() >= mMaxInProgress) {
+            throw refused(ErrorCode.OVERLOADED, "too many requests in progress");
+        }
+    }
+
+    /** Tells whether a request of this identity is in progress here. */
+    boolean isInProgress(final RequestId id) {
+        return mRequests.find(id).isPresent();
+    }
+
+    /** Takes a request in; on its connection's IO thread. */
+    void takeIn(
+            final HttpServerExchange exchange,
+            final RequestSpec spec,
+            final RequestBody body,
+            final AnswerFormat format,
+            final Function<LiveRequest, DecisionEvent> event)
+            throws RequestException {
+        final AtomicReference<LiveRequest> live = new AtomicReference<>();
+        final ExchangeWriter writer =
+                new ExchangeWriter(exchange, mMaxWaitingBytes, () -> callerLeft(live.get()));
+        final XnioIoThread thread = exchange.getIoThread();
+        final QueuedReply reply = new QueuedReply(thread, format, writer);
+        live.set(new LiveRequest(spec, body, reply, thread));
+        if (!mLoop.offerNew(event.apply(live.get()))) {
+            throw refused(ErrorCode.OVERLOADED, "the decision ring is full");
+        }
+        HangUpWatch.start(exchange, writer::callerLeft);
+    }
+
+    private static RequestException refused(final ErrorCode code, final String detail) {
+        return new RequestException(Refusal.notRun(code, detail).comeBackAfter(COME_BACK));
+    }
+
+    /**
+     * Tells the decision thread that a caller left. Guards against a full ring: the news must not
+     * be lost, or the engine would go on for nobody, so it is offered again until there is room.
+     */
+    private void callerLeft(final LiveRequest request) {
+        if (!mLoop.offer(new DecisionEvent.CallerLeft(request))) {
+            request.thread()
+                    .executeAfter(() -> callerLeft(request), RETRY_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/whinhead/daemon/caller/ListingHandler.java
@@ -0,0 +1,58 @@
+package org.whinhead.daemon.caller;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import java.time.Duration;
+import java.util.List;
+import java.util.function.Supplier;
+import org.whinhead.daemon.view.DeploymentView;
+import org.whinhead.daemon.view.EntryAddress;
+
+/** Lists models and the system's addresses. */
+final class ListingHandler {
+
+    private final Supplier<DeploymentView> mView;
+    private final Supplier<List<EntryAddress>> mAddresses;
+    private final Duration mKeep;
+
+    ListingHandler(
+            final Supplier<DeploymentView> view,
+            final Supplier<List<EntryAddress>> addresses,
+            final Duration keep) {
+        mView = view;
+        mAddresses = addresses;
+        mKeep = keep;
+    }
+
+    /** Answers with the models: {@code GET /v1/models}. */
+    void models(final HttpServerExchange exchange) {
+        final ObjectNode root = JsonNodeFactory.instance.objectNode().put("object", "list");
+        final ArrayNode data = root.putArray("data");
+        mView.get().models().keySet().stream()
+                .sorted()
+                .forEach(name -> data.addObject().put("id", name).put("object", "model"));
+        send(exchange, root);
+    }
+
+    /** Answers with the addresses that callers may use: {@code GET /v1/addresses}. */
+    void addresses(final HttpServerExchange exchange) {
+        final ObjectNode root = JsonNodeFactory.instance.objectNode();
+        final ArrayNode addresses = root.putArray("addresses");
+        for (final EntryAddress address : mAddresses.get()) {
+            addresses
+                    .addObject()
+                    .put("uri", address.uri().toString())
+                    .put("domain", address.domain().toString());
+        }
+        root.put("keepMillis", mKeep.toMillis());
+        send(exchange, root);
+    }
+
+    private static void send(final HttpServerExchange exchange, final ObjectNode root) {
+        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+        exchange.getResponseSender().send(root.toString());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/whinhead/daemon/caller/QueuedReply.java
@@ -0,0 +1,83 @@
+package org.whinhead.daemon.caller;
+
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.whinhead.api.verdict.Refusal;
+import org.whinhead.daemon.request.CallerReply;
+import org.whinhead.requests.Completion;
+import org.whinhead.requests.PlainAnswer;
+import org.xnio.XnioIoThread;
+
+/** Carries an answer's steps to the caller's IO thread, several at a time when they come fast. */
+final class QueuedReply implements CallerReply {
+
+    private final Queue<ReplyPart> mParts = new ConcurrentLinkedQueue<>();
+    private final AtomicBoolean mScheduled = new AtomicBoolean();
+    private final XnioIoThread mThread;
+    private final AnswerFormat mFormat;
+    private final ExchangeWriter mWriter;
+
+    QueuedReply(final XnioIoThread thread, final AnswerFormat format, final ExchangeWriter writer) {
+        mThread = thread;
+        mFormat = format;
+        mWriter = writer;
+    }
+
+    @Override
+    public void token(final long index, final String text) {
+        enqueue(new ReplyPart.Token(index, text));
+    }
+
+    @Override
+    public void ticket(final String ticket) {
+        enqueue(new ReplyPart.NewTicket(ticket));
+    }
+
+    @Override
+    public void complete(final Completion completion) {
+        enqueue(new ReplyPart.Completed(completion));
+    }
+
+    @Override
+    public void answer(final PlainAnswer answer) {
+        enqueue(new ReplyPart.Answered(answer));
+    }
+
+    @Override
+    public void refuse(final Refusal refusal) {
+        enqueue(new ReplyPart.Refused(refusal));
+    }
+
+    @Override
+    public void handBack(final String ticket, final Refusal refusal) {
+        enqueue(new ReplyPart.HandedBack(ticket, refusal));
+    }
+
+    @Override
+    public void supersede() {
+        mThread.execute(mWriter::callerLeft);
+    }
+
+    private void enqueue(final ReplyPart part) {
+        mParts.add(part);
+        if (mScheduled.compareAndSet(false, true)) {
+            mThread.execute(this::drain);
+        }
+    }
+
+    private void drain() {
+        // Cleared before the queue is read: a part added later schedules a drain of its own.
+        mScheduled.set(false);
+        ReplyPart part = mParts.poll();
+        while (part != null) {
+            if (!mWriter.isClosed()) {
+                mFormat.take(part, mWriter);
+            }
+            part = mParts.poll();
+        }
+        if (!mWriter.isClosed()) {
+            mFormat.endOfBatch(mWriter);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/whinhead/daemon/caller/Refusals.java
@@ -0,0 +1,61 @@
+package org.whinhead.daemon.caller;
+
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import java.nio.ByteBuffer;
+import java.util.concurrent.TimeUnit;
+import org.whinhead.api.verdict.Refusal;
+import org.xnio.IoUtils;
+
+/** Writes refusals as whole responses. */
+final class Refusals {
+
+    private static final String JSON = "application/json";
+    private static final long LINGER_MILLIS = 2000;
+
+    private Refusals() {}
+
+    /** Sets the status and the headers of a refusal. */
+    static void head(final HttpServerExchange exchange, final Refusal refusal) {
+        final HeaderMap headers = exchange.getResponseHeaders();
+        exchange.setStatusCode(refusal.code().status());
+        headers.put(Headers.CONTENT_TYPE, JSON);
+        headers.put(CallerHeaders.VERDICT, refusal.verdict().wireName());
+        refusal.retryAfter()
+                .ifPresent(wait -> headers.put(Headers.RETRY_AFTER, RefusalBody.seconds(wait)));
+    }
+
+    /** Refuses a request that was read whole and has a writer. */
+    static void write(final ExchangeWriter writer, final Refusal refusal) {
+        final byte[] body = RefusalBody.of(refusal);
+        head(writer.exchange(), refusal);
+        writer.exchange().getResponseHeaders().put(Headers.CONTENT_LENGTH, body.length);
+        writer.write(body);
+        writer.end();
+    }
+
+    /**
+     * Refuses a request before it was taken in; on the connection's IO thread.
+     *
+     * <p>Guards against a caller that never ends its body: the response goes out at once, and if
+     * the rest has not come within a short while, the connection is closed. Closing at once would
+     * make the kernel reset the connection, and the caller might never see the refusal.
+     */
+    static void send(final HttpServerExchange exchange, final Refusal refusal) {
+        head(exchange, refusal);
+        if (!exchange.isRequestComplete()) {
+            exchange.setPersistent(false);
+            exchange.getIoThread()
+                    .executeAfter(
+                            () -> closeIfOpen(exchange), LINGER_MILLIS, TimeUnit.MILLISECONDS);
+        }
+        exchange.getResponseSender().send(ByteBuffer.wrap(RefusalBody.of(refusal)));
+    }
+
+    private static void closeIfOpen(final HttpServerExchange exchange) {
+        if (!exchange.isComplete()) {
+            IoUtils.safeClose(exchange.getConnection());
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/whinhead/daemon/caller/ServiceHandler.java
@@ -0,0 +1,115 @@
+package org.whinhead.daemon.caller;
+
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.function.Supplier;
+import org.whinhead.api.model.Customer;
+import org.whinhead.api.request.RequestId;
+import org.whinhead.api.request.RequestSpec;
+import org.whinhead.api.verdict.ErrorCode;
+import org.whinhead.api.verdict.Refusal;
+import org.whinhead.api.verdict.RequestException;
+import org.whinhead.daemon.decision.DecisionEvent;
+import org.whinhead.daemon.request.RequestBody;
+import org.whinhead.daemon.view.DeploymentView;
+import org.whinhead.daemon.view.ServiceRules;
+
+/** Takes calls of plain services: {@code /v1/services/{service}/{path}}. */
+final class ServiceHandler {
+
+    static final String PREFIX = "/v1/services/";
+
+    private static final String NOT_IDEMPOTENT = "false";
+
+    private final Supplier<DeploymentView> mView;
+    private final Intake mIntake;
+    private final BodyReceiver mBodies;
+    private final RequestNames mNames;
+    private final InstantSource mClock;
+
+    ServiceHandler(
+            final Supplier<DeploymentView> view,
+            final Intake intake,
+            final BodyReceiver bodies,
+            final RequestNames names,
+            final InstantSource clock) {
+        mView = view;
+        mIntake = intake;
+        mBodies = bodies;
+        mNames = names;
+        mClock = clock;
+    }
+
+    void handle(final HttpServerExchange exchange, final Customer customer, final String name)
+            throws RequestException {
+        mIntake.checkOpen();
+        final String rest = exchange.getRequestPath().substring(PREFIX.length());
+        final int slash = rest.indexOf('/');
+        final String service = slash < 0 ? rest : rest.substring(0, slash);
+        final String path = slash < 0 ? "/" : rest.substring(slash);
+        final ServiceRules rules =
+                mView.get()
+                        .service(service)
+                        .orElseThrow(
+                                () ->
+                                        new RequestException(
+                                                Refusal.notRun(
+                                                        ErrorCode.UNKNOWN_TARGET,
+                                                        "service " + service)));
+        final boolean idempotent = rules.mayRepeat(path) && !saysNotIdempotent(exchange);
+        final String given = RequestNames.header(exchange, CallerHeaders.IDEMPOTENCY_KEY);
+        final String key = given.isEmpty() ? name : given;
+        final RequestSpec spec = spec(customer, key, service, idempotent);
+        mBodies.receive(
+                exchange,
+                body ->
+                        mIntake.takeIn(
+                                exchange,
+                                spec,
+                                plain(exchange, path, key, body),
+                                new PlainFormat(),
+                                DecisionEvent.Arrived::new));
+    }
+
+    private static boolean saysNotIdempotent(final HttpServerExchange exchange)
+            throws RequestException {
+        return NOT_IDEMPOTENT.equals(RequestNames.header(exchange, CallerHeaders.IDEMPOTENT));
+    }
+
+    private RequestSpec spec(
+            final Customer customer,
+            final String key,
+            final String service,
+            final boolean idempotent) {
+        final RequestId asked = mNames.identity(customer, service + "/" + key);
+        // A second call under the same key may run beside the first only if it may be repeated.
+        final boolean renamed = idempotent && mIntake.isInProgress(asked);
+        final RequestId id = renamed ? mNames.identity(customer, mNames.fresh()) : asked;
+        final Instant now = mClock.instant();
+        return RequestSpec.builder(id)
+                .customer(customer.id())
+                .tier(customer.tier())
+                .service(service)
+                .idempotent(idempotent)
+                .arrived(now)
+                .deadline(now.plus(customer.tier().requestTimeout()))
+                .build();
+    }
+
+    private static RequestBody plain(
+            final HttpServerExchange exchange,
+            final String path,
+            final String key,
+            final byte[] body) {
+        final String query = exchange.getQueryString();
+        final String contentType = exchange.getRequestHeaders().getFirst(Headers.CONTENT_TYPE);
+        return new RequestBody.Plain(
+                exchange.getRequestMethod().toString(),
+                query.isEmpty() ? path : path + "?" + query,
+                contentType == null ? "application/octet-stream" : contentType,
+                key,
+                body);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/whinhead/daemon/caller/StreamedFormat.java
@@ -0,0 +1,96 @@
+package org.whinhead.daemon.caller;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import java.nio.charset.StandardCharsets;
+import org.whinhead.api.verdict.Refusal;
+import org.whinhead.requests.Completion;
+
+/** Sends tokens as server-sent events as they come. */
+final class StreamedFormat implements AnswerFormat {
+
+    private static final String EVENT_STREAM = "text/event-stream";
+    private static final String DONE = "data: [DONE]\n\n";
+
+    private final ChatChunks mChunks;
+    private final StringBuilder mBatch = new StringBuilder();
+    private String mTicket = "";
+
+    StreamedFormat(final ChatChunks chunks) {
+        mChunks = chunks;
+    }
+
+    @Override
+    public void take(final ReplyPart part, final ExchangeWriter writer) {
+        if (part instanceof ReplyPart.Token token) {
+            begin(writer);
+            mBatch.append("id: ").append(token.index()).append('\n');
+            data(mChunks.token(token.text()));
+        } else if (part instanceof ReplyPart.NewTicket ticket) {
+            ticket(ticket.ticket(), writer);
+        } else if (part instanceof ReplyPart.Completed completed) {
+            complete(completed.completion(), writer);
+        } else if (part instanceof ReplyPart.Refused refused) {
+            refuse(refused.refusal(), writer);
+        } else if (part instanceof ReplyPart.HandedBack back) {
+            ticket(back.ticket(), writer);
+            refuse(back.refusal(), writer);
+        }
+    }
+
+    @Override
+    public void endOfBatch(final ExchangeWriter writer) {
+        if (mBatch.length() > 0) {
+            writer.write(mBatch.toString().getBytes(StandardCharsets.UTF_8));
+            mBatch.setLength(0);
+        }
+    }
+
+    private void begin(final ExchangeWriter writer) {
+        if (writer.hasBegun() || mBatch.length() > 0) {
+            return;
+        }
+        final HeaderMap headers = writer.exchange().getResponseHeaders();
+        headers.put(Headers.CONTENT_TYPE, EVENT_STREAM);
+        headers.put(Headers.CACHE_CONTROL, "no-store");
+        if (!mTicket.isEmpty()) {
+            headers.put(CallerHeaders.TICKET, mTicket);
+        }
+    }
+
+    private void ticket(final String ticket, final ExchangeWriter writer) {
+        final boolean begun = writer.hasBegun() || mBatch.length() > 0;
+        mTicket = ticket;
+        if (begun) {
+            mBatch.append(": ticket ").append(ticket).append("\n\n");
+        }
+    }
+
+    private void complete(final Completion completion, final ExchangeWriter writer) {
+        begin(writer);
+        data(mChunks.end(completion));
+        mBatch.append(DONE);
+        endOfBatch(writer);
+        writer.end();
+    }
+
+    private void refuse(final Refusal refusal, final ExchangeWriter writer) {
+        if (!writer.hasBegun() && mBatch.length() == 0) {
+            if (!mTicket.isEmpty()) {
+                writer.exchange().getResponseHeaders().put(CallerHeaders.TICKET, mTicket);
+            }
+            Refusals.write(writer, refusal);
+            return;
+        }
+        mBatch.append("event: error\ndata: ")
+                .append(new String(RefusalBody.of(refusal), StandardCharsets.UTF_8))
+                .append("\n\n");
+        endOfBatch(writer);
+        writer.end();
+    }
+
+    private void data(final ObjectNode chunk) {
+        mBatch.append("data: ").append(chunk).append("\n\n");
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/whinhead/daemon/caller/WholeFormat.java
@@ -0,0 +1,43 @@
+package org.whinhead.daemon.caller;
+
+import io.undertow.util.Headers;
+import java.nio.charset.StandardCharsets;
+
+/** Gathers the tokens and sends one JSON answer. */
+final class WholeFormat implements AnswerFormat {
+
+    private final ChatChunks mChunks;
+    private final StringBuilder mText = new StringBuilder();
+
+    /**
+     * Makes a format.
+     *
+     * @param chunks makes the JSON
+     * @param deliveredText the beginning of the answer that the caller sent along
+     */
+    WholeFormat(final ChatChunks chunks, final String deliveredText) {
+        mChunks = chunks;
+        mText.append(deliveredText);
+    }
+
+    @Override
+    public void take(final ReplyPart part, final ExchangeWriter writer) {
+        if (part instanceof ReplyPart.Token token) {
+            mText.append(token.text());
+        } else if (part instanceof ReplyPart.NewTicket ticket) {
+            writer.exchange().getResponseHeaders().put(CallerHeaders.TICKET, ticket.ticket());
+        } else if (part instanceof ReplyPart.Completed completed) {
+            final String json = mChunks.whole(mText.toString(), completed.completion()).toString();
+            final byte[] body = json.getBytes(StandardCharsets.UTF_8);
+            writer.exchange().getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+            writer.exchange().getResponseHeaders().put(Headers.CONTENT_LENGTH, body.length);
+            writer.write(body);
+            writer.end();
+        } else if (part instanceof ReplyPart.Refused refused) {
+            Refusals.write(writer, refused.refusal());
+        } else if (part instanceof ReplyPart.HandedBack back) {
+            writer.exchange().getResponseHeaders().put(CallerHeaders.TICKET, back.ticket());
+            Refusals.write(writer, back.refusal());
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/whinhead/daemon/caller/package-info.java
@@ -0,0 +1,2 @@
+/** The callers' HTTP interface: checks, answers, refusals and back pressure. */
+package org.whinhead.daemon.caller;
--- /dev/null
+++ b/daemon/src/main/java/org/whinhead/daemon/engine/AttemptEvents.java
@@ -0,0 +1,86 @@
+package org.whinhead.daemon.engine;
+
+import java.util.ArrayDeque;
+import java.util.Queue;
+import java.util.concurrent.TimeUnit;
+import org.whinhead.api.request.AttemptId;
+import org.whinhead.daemon.decision.DecisionEvent;
+import org.whinhead.daemon.decision.DecisionLoop;
+import org.whinhead.platform.http.HttpCall;
+import org.whinhead.requests.AttemptEvent;
+import org.whinhead.requests.AttemptFailure;
+
+/**
+ * Hands one attempt's events to the decision thread in order; on one IO thread.
+ *
+ * <p>Guards against a full ring: a lost token event would leave a hole in the answer. Events that
+ * find no place wait here, and the endpoint's connection is not read on until they are through.
+ */
+final class AttemptEvents {
+
+    private static final long RETRY_MILLIS = 1;
+
+    private final AttemptId mAttempt;
+    private final DecisionLoop mLoop;
+    private final Runnable mEnded;
+    private final Queue<AttemptEvent> mWaiting = new ArrayDeque<>();
+    private HttpCall mCall;
+
+    AttemptEvents(final AttemptId attempt, final DecisionLoop loop, final Runnable ended) {
+        mAttempt = attempt;
+        mLoop = loop;
+        mEnded = ended;
+    }
+
+    AttemptId attempt() {
+        return mAttempt;
+    }
+
+    void starting(final HttpCall call) {
+        mCall = call;
+    }
+
+    void opened(final String streamId) {
+        publish(new AttemptEvent.Opened(mAttempt, streamId));
+    }
+
+    void token(final long index, final String text) {
+        publish(new AttemptEvent.Token(mAttempt, index, text));
+    }
+
+    /** Publishes the attempt's last event. */
+    void last(final AttemptEvent event) {
+        mEnded.run();
+        publish(event);
+    }
+
+    void failed(final AttemptFailure failure, final String detail) {
+        last(new AttemptEvent.Failed(mAttempt, failure, detail));
+    }
+
+    private void publish(final AttemptEvent event) {
+        if (mWaiting.isEmpty() && mLoop.offer(new DecisionEvent.Attempted(event))) {
+            return;
+        }
+        if (mWaiting.isEmpty()) {
+            mCall.pause();
+            retryLater();
+        }
+        mWaiting.add(event);
+    }
+
+    private void retryLater() {
+        mCall.thread().executeAfter(this::retry, RETRY_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void retry() {
+        while (!mWaiting.isEmpty()) {
+            if (!mLoop.offer(new DecisionEvent.Attempted(mWaiting.peek()))) {
+                retryLater();
+                return;
+            }
+            mWaiting.remove();
+        }
+        mCall.resume();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/whinhead/daemon/engine/AttemptTransport.java
@@ -0,0 +1,233 @@
+package org.whinhead.daemon.engine;
+
+import io.undertow.util.HttpString;
+import io.undertow.util.Methods;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.whinhead.api.model.Endpoint;
+import org.whinhead.api.request.AttemptId;
+import org.whinhead.daemon.decision.DecisionLoop;
+import org.whinhead.daemon.request.LiveRequest;
+import org.whinhead.daemon.request.RequestBody;
+import org.whinhead.platform.http.HttpCall;
+import org.whinhead.platform.http.HttpCaller;
+import org.whinhead.platform.http.OutgoingRequest;
+import org.whinhead.platform.http.ResponseListener;
+import org.xnio.XnioIoThread;
+
+/** Starts and cancels attempts at endpoints; called on the decision thread, never blocks. */
+public final class AttemptTransport {
+
+    private static final String JSON = "application/json";
+    private static final String CHAT_PATH = "/v1/chat/completions";
+    private static final String STREAMS_PATH = "/v1/streams/";
+    private static final String EXPORT_SUFFIX = "/export";
+    private static final String IMPORT_PATH = "/v1/streams/import";
+    private static final String REQUEST_HEADER = "X-Request-Id";
+    private static final String ATTEMPT_HEADER = "X-Attempt";
+    private static final String LAST_EVENT_HEADER = "Last-Event-ID";
+    private static final String IDEMPOTENCY_HEADER = "Idempotency-Key";
+
+    private final HttpCaller mCaller;
+    private final DecisionLoop mLoop;
+    private final Duration mConnectTimeout;
+    private final Duration mSilenceTimeout;
+    private final Map<AttemptId, HttpCall> mCalls = new ConcurrentHashMap<>();
+
+    /**
+     * Makes a transport.
+     *
+     * @param caller makes the calls
+     * @param loop told what becomes of attempts
+     * @param connectTimeout how long connecting may take
+     * @param silenceTimeout how long an endpoint may send nothing
+     */
+    public AttemptTransport(
+            final HttpCaller caller,
+            final DecisionLoop loop,
+            final Duration connectTimeout,
+            final Duration silenceTimeout) {
+        mCaller = caller;
+        mLoop = loop;
+        mConnectTimeout = connectTimeout;
+        mSilenceTimeout = silenceTimeout;
+    }
+
+    /**
+     * Sends a chat request.
+     *
+     * @param request the request
+     * @param attempt the attempt
+     * @param endpoint the engine
+     * @param deliveredText text that the caller already has; empty to start over
+     * @param deliveredTokens how many tokens that text has
+     */
+    public void generate(
+            final LiveRequest request,
+            final AttemptId attempt,
+            final Endpoint endpoint,
+            final String deliveredText,
+            final long deliveredTokens) {
+        if (!(request.body() instanceof RequestBody.Chat chat)) {
+            throw new IllegalStateException(attempt + " generates for a plain service");
+        }
+        final OutgoingRequest outgoing =
+                named(endpoint.uri(), CHAT_PATH, attempt)
+                        .method(Methods.POST)
+                        .body(chat.encoder().encode(deliveredText, deliveredTokens), JSON)
+                        .build();
+        start(attempt, outgoing, request.thread(), EngineStream.opening(events(attempt)));
+    }
+
+    /**
+     * Resumes a stream.
+     *
+     * @param request the request
+     * @param attempt the attempt
+     * @param endpoint the engine
+     * @param streamId the engine's name for the stream
+     * @param fromIndex the first token wanted
+     */
+    public void resume(
+            final LiveRequest request,
+            final AttemptId attempt,
+            final Endpoint endpoint,
+            final String streamId,
+            final long fromIndex) {
+        final OutgoingRequest.Builder builder =
+                named(endpoint.uri(), STREAMS_PATH + streamId, attempt);
+        if (fromIndex > 0) {
+            builder.header(LAST_EVENT_HEADER, Long.toString(fromIndex - 1));
+        }
+        start(
+                attempt,
+                builder.build(),
+                request.thread(),
+                EngineStream.resuming(events(attempt), streamId));
+    }
+
+    /**
+     * Moves a stream's KV cache.
+     *
+     * @param request the request
+     * @param attempt the new attempt, at the receiving engine
+     * @param from the leaving engine
+     * @param streamId the leaving engine's name for the stream
+     * @param to the receiving engine
+     */
+    public void move(
+            final LiveRequest request,
+            final AttemptId attempt,
+            final Endpoint from,
+            final String streamId,
+            final Endpoint to) {
+        final OutgoingRequest export =
+                named(from.uri(), STREAMS_PATH + streamId + EXPORT_SUFFIX, attempt)
+                        .method(Methods.POST)
+                        .build();
+        final AttemptEvents events = events(attempt);
+        final CacheMove move =
+                new CacheMove(
+                        events,
+                        cache ->
+                                start(
+                                        attempt,
+                                        importing(attempt, to, cache),
+                                        request.thread(),
+                                        new CacheImport(events)));
+        start(attempt, export, request.thread(), move);
+    }
+
+    private OutgoingRequest importing(
+            final AttemptId attempt, final Endpoint to, final byte[] cache) {
+        return named(to.uri(), IMPORT_PATH, attempt)
+                .method(Methods.POST)
+                .body(cache, "application/octet-stream")
+                .build();
+    }
+
+    /**
+     * Calls a plain service.
+     *
+     * @param request the request
+     * @param attempt the attempt
+     * @param endpoint the service
+     */
+    public void call(final LiveRequest request, final AttemptId attempt, final Endpoint endpoint) {
+        if (!(request.body() instanceof RequestBody.Plain plain)) {
+            throw new IllegalStateException(attempt + " calls with a chat request");
+        }
+        final OutgoingRequest outgoing =
+                named(endpoint.uri(), plain.path(), attempt)
+                        .method(new HttpString(plain.method()))
+                        .header(IDEMPOTENCY_HEADER, plain.idempotencyKey())
+                        .body(plain.body(), plain.contentType())
+                        .build();
+        start(attempt, outgoing, request.thread(), new ServiceCall(events(attempt)));
+    }
+
+    /**
+     * Ends an attempt.
+     *
+     * @param attempt the attempt
+     * @param endpoint where it runs
+     * @param streamId the endpoint's name for the stream; empty if not known yet
+     */
+    public void cancel(final AttemptId attempt, final Endpoint endpoint, final String streamId) {
+        release(attempt);
+        if (!streamId.isEmpty()) {
+            final OutgoingRequest delete =
+                    named(endpoint.uri(), STREAMS_PATH + streamId, attempt)
+                            .method(Methods.DELETE)
+                            .build();
+            mCaller.start(delete, new IgnoredResponse());
+        }
+    }
+
+    /**
+     * Stops reading an attempt's answer and leaves it running at its endpoint.
+     *
+     * @param attempt the attempt
+     */
+    public void release(final AttemptId attempt) {
+        final HttpCall call = mCalls.remove(attempt);
+        if (call != null) {
+            call.cancel();
+        }
+    }
+
+    /** Returns how many calls are under way, for metrics. */
+    public int underWay() {
+        return mCalls.size();
+    }
+
+    private AttemptEvents events(final AttemptId attempt) {
+        return new AttemptEvents(attempt, mLoop, () -> mCalls.remove(attempt));
+    }
+
+    private void start(
+            final AttemptId attempt,
+            final OutgoingRequest outgoing,
+            final XnioIoThread thread,
+            final ResponseListener listener) {
+        final HttpCall call = mCaller.prepare(outgoing, thread, listener);
+        mCalls.put(attempt, call);
+        call.begin();
+    }
+
+    private OutgoingRequest.Builder named(
+            final URI base, final String path, final AttemptId attempt) {
+        return OutgoingRequest.to(base, path)
+                .header(REQUEST_HEADER, asHeader(attempt.request().value()))
+                .header(ATTEMPT_HEADER, Integer.toString(attempt.number()))
+                .connectTimeout(mConnectTimeout)
+                .silenceTimeout(mSilenceTimeout);
+    }
+
+    private static String asHeader(final String value) {
+        return new String(value.getBytes(StandardCharsets.US_ASCII), StandardCharsets.US_ASCII);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/whinhead/daemon/engine/ServiceCall.java
@@ -0,0 +1,35 @@
+package org.whinhead.daemon.engine;
+
+import io.undertow.util.StatusCodes;
+import org.whinhead.requests.AttemptEvent;
+import org.whinhead.requests.AttemptFailure;
+import org.whinhead.requests.PlainAnswer;
+
+/** Turns a plain service's response into attempt events. */
+final class ServiceCall extends WholeResponse {
+
+    private static final int MAX_ANSWER_BYTES = 4 * 1024 * 1024;
+
+    ServiceCall(final AttemptEvents events) {
+        super(events, MAX_ANSWER_BYTES);
+    }
+
+    /**
+     * Guards against a refusal or fault passed off as an answer: 429, 503 and other 5xx are
+     * failures that may be tried elsewhere; every other status is the service's own answer, also a
+     * 4xx, whose body the caller needs.
+     */
+    @Override
+    void whole(final int status, final String contentType, final byte[] body) {
+        if (status < StatusCodes.INTERNAL_SERVER_ERROR && status != StatusCodes.TOO_MANY_REQUESTS) {
+            events().opened("");
+            events().last(
+                            new AttemptEvent.Answered(
+                                    events().attempt(),
+                                    new PlainAnswer(status, contentType, body)));
+            return;
+        }
+        final AttemptFailure failure = Failures.ofStatus(status);
+        events().failed(failure, "the service answered with status " + status);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/whinhead/daemon/view/EntryAddress.java
@@ -0,0 +1,20 @@
+package org.whinhead.daemon.view;
+
+import java.net.URI;
+import java.util.Objects;
+import org.whinhead.api.model.FailureDomain;
+
+/**
+ * An address that callers may use.
+ *
+ * @param uri the address
+ * @param domain the failure domain that it stands in
+ */
+public record EntryAddress(URI uri, FailureDomain domain) {
+
+    /** Checks both parts. */
+    public EntryAddress {
+        Objects.requireNonNull(uri, "uri");
+        Objects.requireNonNull(domain, "domain");
+    }
+}
--- /dev/null
+++ b/demo/src/test/java/org/whinhead/demo/WholePathTest.java
@@ -0,0 +1,173 @@
+package org.whinhead.demo;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.OutputStream;
+import java.net.Socket;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.whinhead.standins.answer.ExpectedAnswer;
+
+@Timeout(60)
+class WholePathTest {
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final String PROMPT = "summarise the bundle of case 12";
+    private static final int TOKENS = 20;
+
+    private WholePath mPath;
+
+    @BeforeEach
+    void start() throws Exception {
+        mPath = new WholePath(20);
+    }
+
+    @AfterEach
+    void stop() {
+        mPath.close();
+    }
+
+    private static String body(final boolean stream, final int maxTokens) {
+        return "{\"model\":\"summary\",\"max_tokens\":"
+                + maxTokens
+                + ",\"stream\":"
+                + stream
+                + ",\"messages\":[{\"role\":\"user\",\"content\":\""
+                + PROMPT
+                + "\"}]}";
+    }
+
+    private static List<String> streamedTokens(final String sse) throws Exception {
+        final List<String> tokens = new ArrayList<>();
+        for (final String event : sse.split("\n\n")) {
+            if (event.startsWith("id: ")) {
+                assertThat(event).startsWith("id: " + tokens.size() + "\n");
+                final JsonNode data = MAPPER.readTree(event.substring(event.indexOf("data: ") + 6));
+                tokens.add(data.at("/choices/0/delta/content").asText());
+            }
+        }
+        return tokens;
+    }
+
+    private static void assertRefused(
+            final HttpResponse<String> response, final int status, final String code)
+            throws Exception {
+        final JsonNode error = MAPPER.readTree(response.body()).path("error");
+        assertThat(response.statusCode()).isEqualTo(status);
+        assertThat(error.path("code").asText()).isEqualTo(code);
+        assertThat(error.path("verdict").asText()).isEqualTo("not-run");
+        assertThat(response.headers().firstValue("X-Whinhead-Verdict")).contains("not-run");
+    }
+
+    @Test
+    void streamedAnswerHasEachTokenOnceInOrder() throws Exception {
+        for (int round = 0; round < 3; round++) {
+            final HttpResponse<String> response = mPath.chat(body(true, TOKENS));
+            assertThat(response.statusCode()).isEqualTo(200);
+            assertThat(streamedTokens(response.body()))
+                    .isEqualTo(ExpectedAnswer.tokens(PROMPT, TOKENS));
+            assertThat(response.body()).endsWith("data: [DONE]\n\n");
+        }
+    }
+
+    @Test
+    void wholeAnswerIsTheSameText() throws Exception {
+        final HttpResponse<String> response = mPath.chat(body(false, TOKENS));
+        final JsonNode answer = MAPPER.readTree(response.body());
+        assertThat(answer.at("/choices/0/message/content").asText())
+                .isEqualTo(String.join("", ExpectedAnswer.tokens(PROMPT, TOKENS)));
+        assertThat(answer.at("/usage/completion_tokens").asInt()).isEqualTo(TOKENS);
+        assertThat(response.headers().firstValue("X-Request-Id")).isPresent();
+    }
+
+    @Test
+    void badRequestsAreRefusedWithTheirPlaceAndNeverReachTheEngine() throws Exception {
+        final HttpResponse<String> broken = mPath.chat("{\"model\": \"summary\",\n \"messages\" [");
+        assertRefused(broken, 400, "malformed-request");
+        assertThat(broken.body()).contains("line 2, column 13: no valid JSON");
+        final HttpResponse<String> role =
+                mPath.chat(body(true, 1).replace("\"user\"", "\"clerk\""));
+        assertRefused(role, 400, "malformed-request");
+        assertThat(role.body()).contains("messages[0].role: expected system");
+        assertRefused(mPath.chat(body(true, 1).replace("summary", "other")), 404, "unknown-target");
+        assertRefused(
+                mPath.chat(" ".repeat(WholePath.MAX_BODY_BYTES) + body(true, 1)),
+                413,
+                "body-too-large");
+        final HttpRequest wrongKey =
+                HttpRequest.newBuilder(mPath.uri().resolve("/v1/models"))
+                        .header("Authorization", "Bearer stolen")
+                        .build();
+        assertRefused(mPath.send(wrongKey), 401, "unknown-key");
+        assertRefused(mPath.send(mPath.request("/v2/chat").build()), 404, "unknown-path");
+        assertThat(mPath.standIns().witness().generatedTokens()).isZero();
+    }
+
+    /**
+     * A caller's link dies in the middle of its body: the daemon gets half a request and then
+     * nothing. Without a bound on time the connection would wait for ever.
+     */
+    @Test
+    void halfSentRequestIsRefusedInTime() throws Exception {
+        try (Socket socket = new Socket(mPath.uri().getHost(), mPath.uri().getPort())) {
+            final OutputStream out = socket.getOutputStream();
+            final String head =
+                    "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "
+                            + WholePath.KEY
+                            + "\r\nContent-Length: 100\r\n\r\n{\"model\"";
+            out.write(head.getBytes(StandardCharsets.US_ASCII));
+            out.flush();
+            final String response =
+                    new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+            assertThat(response)
+                    .startsWith("HTTP/1.1 400")
+                    .contains("X-Whinhead-Verdict: not-run")
+                    .contains("the body did not arrive within 300 ms");
+        }
+    }
+
+    /**
+     * A clerk closes the page after the first words of a long answer. The caller's connection
+     * closes, and the engine must stop, or it would go on generating for nobody.
+     */
+    @Test
+    void hangUpCancelsAtTheEngine() throws Exception {
+        final int longAnswer = 1_000_000;
+        final String body = body(true, longAnswer);
+        try (Socket socket = new Socket(mPath.uri().getHost(), mPath.uri().getPort())) {
+            final String request =
+                    "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "
+                            + WholePath.KEY
+                            + "\r\nContent-Length: "
+                            + body.length()
+                            + "\r\n\r\n"
+                            + body;
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+            assertThat(socket.getInputStream().read()).isEqualTo('H');
+        }
+        int running = 1;
+        while (running > 0) {
+            running =
+                    MAPPER.readTree(
+                                    mPath.send(
+                                                    HttpRequest.newBuilder(
+                                                                    mPath.engine()
+                                                                            .uri()
+                                                                            .resolve("/v1/load"))
+                                                            .build())
+                                            .body())
+                            .path("running")
+                            .asInt();
+        }
+        assertThat(mPath.standIns().witness().generatedTokens()).isLessThan(longAnswer);
+    }
+}
