--- a/state/src/test/java/org/whinhead/state/claim/ClaimDeskTest.java
+++ b/state/src/test/java/org/whinhead/state/claim/ClaimDeskTest.java
@@ -79,6 +79,21 @@
         assertThat(fleet.decided()).containsEntry(third, ClaimResult.HELD_ELSEWHERE);
     }
 
+    // A granted request found no endpoint and was refused as not run. Its caller tries again at
+    // another daemon and must be served, since the first attempt was withdrawn.
+    @Example
+    void withdrawnGrantLeavesTheKeyFree() {
+        final ClaimFleet fleet = new ClaimFleet();
+        final long first = fleet.claim(0, 0);
+        fleet.settle();
+        assertThat(fleet.decided()).containsEntry(first, ClaimResult.GRANTED);
+        fleet.withdraw(0, 0, first);
+        fleet.settle();
+        final long second = fleet.claim(1, 0);
+        fleet.settle();
+        assertThat(fleet.decided()).containsEntry(second, ClaimResult.GRANTED);
+    }
+
     // The log is out. A claim that was never sent ends as unavailable and leaves no record behind.
     @Example
     void claimThatWasNeverSentLeavesNoRecord() {
--- a/state/src/test/java/org/whinhead/state/claim/ClaimFleet.java
+++ b/state/src/test/java/org/whinhead/state/claim/ClaimFleet.java
@@ -61,6 +61,10 @@
         return attempt;
     }
 
+    void withdraw(final int member, final int key, final long attempt) {
+        mMembers.get(member).mDesk.withdraw(key(key), attempt, mLog.now());
+    }
+
     void write(final int member, final StreamPort.Fate fate) {
         mMembers.get(member).mDesk.tick(mLog.now());
         mMembers.get(member).mPort.write(fate, mLog.now());
