Void grants made under a lease that was taken over

Cause: a grant by a paused holder could land behind its successor's and add to it; a reader that met a gap could not go back to the fold's position. Change: the fold checks a grant's fencing number against the budget lease; LogReader.moveTo sets the position exactly. Conclusion: overspend after a take-over is bounded by the grants before it in the log.

--- a/state/src/main/java/org/whinhead/state/fold/LogFold.java
+++ b/state/src/main/java/org/whinhead/state/fold/LogFold.java
@@ -112,7 +112,9 @@
         } else if (record instanceof LogRecord.VmLeaving leaving) {
             mLeaving.merge(leaving.vm().value(), leaving.goneBy(), LogFold::earlier);
         } else if (record instanceof LogRecord.BudgetGrant grant) {
-            mGrants.add(grant);
+            if (mLeases.inForce(LogRecord.BudgetGrant.DUTY, grant.fencing())) {
+                mGrants.add(grant);
+            }
         } else if (record instanceof LogRecord.Unknown unknown) {
             keep(entry, unknown);
         }
--- a/state/src/main/java/org/whinhead/state/lease/LeaseTable.java
+++ b/state/src/main/java/org/whinhead/state/lease/LeaseTable.java
@@ -96,6 +96,21 @@
                                                 true)));
     }
 
+    /**
+     * Tells whether a fencing number is the one in force.
+     *
+     * <p>Guards against a holder that was paused past its lease: what it wrote after another one
+     * took over stands behind that claim in the log and has no effect.
+     *
+     * @param duty the duty
+     * @param fencing the fencing number that a record was made under
+     * @return whether the record counts
+     */
+    public boolean inForce(final String duty, final long fencing) {
+        final LeaseState lease = mLeases.get(duty);
+        return lease != null && lease.fencing() == fencing && !lease.released();
+    }
+
     private Optional<LeaseState> held(
             final String duty, final DaemonId holder, final long fencing) {
         return Optional.ofNullable(mLeases.get(duty))
--- a/state/src/main/java/org/whinhead/state/record/LogRecord.java
+++ b/state/src/main/java/org/whinhead/state/record/LogRecord.java
@@ -164,6 +164,10 @@
             long fencing,
             Instant until)
             implements LogRecord {
+
+        /** The duty whose holder grants; a grant under an older lease has no effect. */
+        public static final String DUTY = "budget";
+
         /** Checks every part. */
         public BudgetGrant {
             Objects.requireNonNull(id, "id");
--- a/state/src/main/java/org/whinhead/state/writer/LogReader.java
+++ b/state/src/main/java/org/whinhead/state/writer/LogReader.java
@@ -100,12 +100,11 @@
     }
 
     /**
-     * Goes on from a later offset, after a checkpoint or a peer's state was taken; an earlier one
-     * changes nothing.
+     * Goes on from the fold's position, after the fold took a state or met a gap.
      *
-     * @param position the first offset that the state does not cover
+     * @param position the first offset that was not applied
      */
     public void moveTo(final long position) {
-        mPosition = Math.max(mPosition, position);
+        mPosition = Arguments.requireAtLeast(position, 0, "position");
     }
 }
--- a/state/src/test/java/org/whinhead/state/fold/LogFoldTest.java
+++ b/state/src/test/java/org/whinhead/state/fold/LogFoldTest.java
@@ -65,16 +65,40 @@
     @Example
     void lateSecondCopyOfGrantIsDropped() {
         final LogFold fold = Member.newFold();
-        final LogRecord grant =
-                new LogRecord.BudgetGrant(
-                        id(1), new CustomerId("c"), new DaemonId("d"), 5, 0, Instant.MAX);
-        fold.apply(entry(0, grant));
-        fold.apply(entry(1, new LogRecord.VmLeaving(id(2), new VmId("v"), Instant.MAX)));
-        assertThat(fold.apply(entry(2, grant))).isEqualTo(LogFold.Applied.SECOND_COPY);
-        assertThat(fold.apply(entry(1, grant))).isEqualTo(LogFold.Applied.ALREADY);
+        fold.apply(entry(0, budgetLease(1, "w", LogRecord.NONE)));
+        fold.apply(entry(1, grant(2)));
+        fold.apply(entry(2, new LogRecord.VmLeaving(id(3), new VmId("v"), Instant.MAX)));
+        assertThat(fold.apply(entry(3, grant(2)))).isEqualTo(LogFold.Applied.SECOND_COPY);
+        assertThat(fold.apply(entry(2, grant(4)))).isEqualTo(LogFold.Applied.ALREADY);
         assertThat(fold.view().state().grants()).hasSize(1);
     }
 
+    // The holder of the budget duty is paused while it writes a grant; another one takes the duty
+    // over and grants anew. The first grant lands behind that and must not add to the second.
+    @Example
+    void grantOfHolderThatWasOvertakenHasNoEffect() {
+        final LogFold fold = Member.newFold();
+        fold.apply(entry(0, budgetLease(1, "w", LogRecord.NONE)));
+        fold.apply(entry(1, budgetLease(2, "next", 0)));
+        assertThat(fold.apply(entry(2, grant(3)))).isEqualTo(LogFold.Applied.NEW);
+        assertThat(fold.view().state().grants()).isEmpty();
+    }
+
+    private static LogRecord budgetLease(
+            final long sequence, final String holder, final long seen) {
+        return new LogRecord.LeaseTaken(
+                id(sequence),
+                LogRecord.BudgetGrant.DUTY,
+                new DaemonId(holder),
+                Duration.ofSeconds(10),
+                seen);
+    }
+
+    private static LogRecord grant(final long sequence) {
+        return new LogRecord.BudgetGrant(
+                id(sequence), new CustomerId("c"), new DaemonId("d"), 5, 0, Instant.MAX);
+    }
+
     // An older version writes the checkpoint, and the records of a newer kind expire. The newer
     // version that starts from it must still find them.
     @Example
