Let the holder of a duty leave notes for its successors

Cause: the fleet's open orders have to be on the log before they are sent, and no record kind held them. Change: DutyNoted puts or removes a named note under the duty's fencing number; FoldState.notes. Conclusion: an order noted by an overtaken holder has no effect.

--- a/state/src/main/java/org/whinhead/state/fold/FoldState.java
+++ b/state/src/main/java/org/whinhead/state/fold/FoldState.java
@@ -18,6 +18,7 @@
  * @param newest the newest record of each incarnation
  * @param settings the settings
  * @param leases the leases by duty
+ * @param notes the notes of each duty's holders by name, in log order
  * @param leaving when each leaving VM will be gone, by its id
  * @param grants the grants that have not ended, oldest first
  * @param unknown records of kinds that the folding version did not know, oldest first
@@ -28,6 +29,7 @@
         List<RecordId> newest,
         SettingsState settings,
         Map<String, LeaseState> leases,
+        Map<String, Map<String, String>> notes,
         Map<String, Instant> leaving,
         List<LogRecord.BudgetGrant> grants,
         List<KeptRecord> unknown,
@@ -41,6 +43,7 @@
                     SettingsState.EMPTY,
                     Map.of(),
                     Map.of(),
+                    Map.of(),
                     List.of(),
                     List.of(),
                     false);
@@ -51,6 +54,7 @@
         newest = List.copyOf(newest);
         Objects.requireNonNull(settings, "settings");
         leases = Map.copyOf(leases);
+        notes = DutyNotes.copy(notes);
         leaving = Map.copyOf(leaving);
         grants = List.copyOf(grants);
         unknown = List.copyOf(unknown);
--- a/state/src/main/java/org/whinhead/state/fold/LogFold.java
+++ b/state/src/main/java/org/whinhead/state/fold/LogFold.java
@@ -32,6 +32,7 @@
     private final SettingsLedger mSettings;
     private final SequenceLedger mSequences;
     private final LeaseTable mLeases = new LeaseTable();
+    private final DutyNotes mNotes = new DutyNotes();
     private final Map<String, Instant> mLeaving = new TreeMap<>();
     private final Deque<LogRecord.BudgetGrant> mGrants = new ArrayDeque<>();
     private final Deque<FoldState.KeptRecord> mUnknown = new ArrayDeque<>();
@@ -115,6 +116,10 @@
             if (mLeases.inForce(LogRecord.BudgetGrant.DUTY, grant.fencing())) {
                 mGrants.add(grant);
             }
+        } else if (record instanceof LogRecord.DutyNoted note) {
+            if (mLeases.inForce(note.duty(), note.fencing())) {
+                mNotes.apply(note);
+            }
         } else if (record instanceof LogRecord.Unknown unknown) {
             keep(entry, unknown);
         }
@@ -173,6 +178,7 @@
         mSequences.install(state.newest());
         mSettings.install(state.settings());
         mLeases.install(state.leases());
+        mNotes.install(state.notes());
         mLeaving.clear();
         mLeaving.putAll(state.leaving());
         mGrants.clear();
@@ -212,6 +218,7 @@
                 mSequences.state(),
                 mSettings.state(),
                 mLeases.state(),
+                mNotes.state(),
                 mLeaving,
                 new ArrayList<>(mGrants),
                 new ArrayList<>(mUnknown),
--- a/state/src/main/java/org/whinhead/state/record/LogRecord.java
+++ b/state/src/main/java/org/whinhead/state/record/LogRecord.java
@@ -179,6 +179,28 @@
         }
     }
 
+    /**
+     * The holder of a duty notes something for itself and its successors, for example an open
+     * order; it has no effect if the duty was taken over before it in the log.
+     *
+     * @param id the record's identity
+     * @param duty the duty
+     * @param fencing the offset of the lease that the note was made under
+     * @param name names the note within the duty
+     * @param body the note as JSON text, or empty to remove it
+     */
+    record DutyNoted(RecordId id, String duty, long fencing, String name, Optional<String> body)
+            implements LogRecord {
+        /** Checks every part. */
+        public DutyNoted {
+            Objects.requireNonNull(id, "id");
+            Arguments.requireText(duty, "duty");
+            Arguments.requireAtLeast(fencing, 0, "fencing");
+            Arguments.requireText(name, "name");
+            Objects.requireNonNull(body, "body");
+        }
+    }
+
     /**
      * One part of a checkpoint; a checkpoint counts only when all its parts were read.
      *
--- a/state/src/main/java/org/whinhead/state/record/RecordKind.java
+++ b/state/src/main/java/org/whinhead/state/record/RecordKind.java
@@ -11,6 +11,7 @@
     LEASE_RELEASED("lease-released", LogRecord.LeaseReleased.class),
     VM_LEAVING("vm-leaving", LogRecord.VmLeaving.class),
     BUDGET_GRANT("budget-grant", LogRecord.BudgetGrant.class),
+    DUTY_NOTED("duty-noted", LogRecord.DutyNoted.class),
     CHECKPOINT("checkpoint", LogRecord.Checkpoint.class),
     CLAIM_BATCH("claim-batch", LogRecord.ClaimBatch.class);
 
--- a/state/src/test/java/org/whinhead/state/checkpoint/CheckpointTest.java
+++ b/state/src/test/java/org/whinhead/state/checkpoint/CheckpointTest.java
@@ -48,6 +48,7 @@
                         state(5).settings(),
                         Map.of(),
                         Map.of(),
+                        Map.of(),
                         List.of(),
                         List.of(),
                         true);
@@ -60,6 +61,7 @@
                 List.of(new RecordId(new DaemonId("daemon"), asOf)),
                 FoldState.EMPTY.settings(),
                 Map.of(),
+                Map.of("fleet", Map.of("order", "{}")),
                 Map.of("vm", Instant.EPOCH),
                 List.of(),
                 List.of(),
--- a/state/src/test/java/org/whinhead/state/fold/LogFoldTest.java
+++ b/state/src/test/java/org/whinhead/state/fold/LogFoldTest.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.ObjIntConsumer;
 import net.jqwik.api.Arbitraries;
@@ -84,6 +85,30 @@
         assertThat(fold.view().state().grants()).isEmpty();
     }
 
+    // The holder of the duty notes an order before it sends it. Its successor must find the order
+    // open, close it, and not be handed one that the old holder noted too late.
+    @Example
+    void successorFindsTheNotesOfTheLeasesBefore() {
+        final LogFold fold = Member.newFold();
+        fold.apply(entry(0, budgetLease(1, "w", LogRecord.NONE)));
+        fold.apply(entry(1, note(2, 0, "one", Optional.of("1"))));
+        fold.apply(entry(2, note(3, 0, "two", Optional.of("2"))));
+        fold.apply(entry(3, budgetLease(4, "next", 0)));
+        fold.apply(entry(4, note(5, 0, "late", Optional.of("3"))));
+        fold.apply(entry(5, note(6, 3, "one", Optional.empty())));
+        assertThat(fold.view().state().notes().get(LogRecord.BudgetGrant.DUTY))
+                .containsExactly(Map.entry("two", "2"));
+    }
+
+    private static LogRecord note(
+            final long sequence,
+            final long fencing,
+            final String name,
+            final Optional<String> body) {
+        return new LogRecord.DutyNoted(
+                id(sequence), LogRecord.BudgetGrant.DUTY, fencing, name, body);
+    }
+
     private static LogRecord budgetLease(
             final long sequence, final String holder, final long seen) {
         return new LogRecord.LeaseTaken(
--- a/state/src/test/java/org/whinhead/state/record/LogRecordCodecTest.java
+++ b/state/src/test/java/org/whinhead/state/record/LogRecordCodecTest.java
@@ -36,6 +36,7 @@
                         new LogRecord.LeaseReleased(ID, "fleet", DAEMON, 5),
                         new LogRecord.VmLeaving(ID, new VmId("v"), AT),
                         new LogRecord.BudgetGrant(ID, new CustomerId("k"), DAEMON, 10, 3, AT),
+                        new LogRecord.DutyNoted(ID, "fleet", 3, "order", Optional.empty()),
                         new LogRecord.Checkpoint(ID, "cp", 8, 0, 2, "ff", "AA=="),
                         new LogRecord.ClaimBatch(ID, List.of(claim)),
                         new LogRecord.Unknown(ID, "later", "{\"y\":[1,2]}"));
