Bound what waits for all peers together and measure a silent death

Cause: each peer's queue was bounded, but 330 of them could hold 660 MiB when a region is away, against 256 MB for all control. Change: one budget of 32 MiB over all queues; the bench gets a daemon that dies silently. Conclusion: queues are an eighth of the memory at most.

--- a/bench/src/main/java/org/whinhead/bench/membership/MembershipBench.java
+++ b/bench/src/main/java/org/whinhead/bench/membership/MembershipBench.java
@@ -14,6 +14,7 @@
 import org.whinhead.api.model.Endpoint;
 import org.whinhead.api.model.FailureDomain;
 import org.whinhead.api.model.VmId;
+import org.whinhead.api.model.VmState;
 import org.whinhead.membership.LeavingNotice;
 
 /** Prints what membership costs a daemon, and how fast and how rightly news travels. */
@@ -23,6 +24,7 @@
     private static final long SEED = 20300101;
     private static final Duration WARM = Duration.ofSeconds(20);
     private static final Duration SECOND = Duration.ofSeconds(1);
+    private static final Duration SILENCE = Duration.ofSeconds(20);
     private static final Duration NOTICE = Duration.ofHours(1);
     private static final double NANOS_IN_PERCENT_OF_SECOND = 1e7;
 
@@ -56,6 +58,9 @@
 
     private void run() {
         steady(SIZES[1], false);
+        for (final int size : SIZES) {
+            silence(size);
+        }
         for (final int size : SIZES) {
             steady(size, true);
         }
@@ -108,7 +113,9 @@
         for (int trial = 0; trial < trials; trial++) {
             final SimulatedDaemon leaver = simulation.daemons().get(size - 1 - trial);
             final Instant start = simulation.now();
-            simulation.daemons().forEach(daemon -> daemon.await(leaver.member().id()));
+            simulation
+                    .daemons()
+                    .forEach(daemon -> daemon.await(leaver.member().id(), VmState.LEAVING));
             leaver.membership().stopping(start.plus(NOTICE), start);
             for (int second = 0; second < 10; second++) {
                 simulation.run(SECOND);
@@ -137,6 +144,40 @@
                 100 * suspicions / pairs);
     }
 
+    /** Daemons die without a word, one at a time; measures until each other suspects them. */
+    private void silence(final int size) {
+        final MembershipSimulation simulation =
+                new MembershipSimulation(size, 0, new SimulatedNetwork(SEED, 0));
+        simulation.run(WARM);
+        final Histogram millis = new Histogram(3);
+        long unaware = 0;
+        final int trials = Math.min(mTrials, size / 3);
+        for (int trial = 0; trial < trials; trial++) {
+            final SimulatedDaemon dead = simulation.daemons().get(size - 1 - trial);
+            final Instant start = simulation.now();
+            simulation.kill(dead);
+            simulation
+                    .daemons()
+                    .forEach(daemon -> daemon.await(dead.member().id(), VmState.SUSPECT));
+            simulation.run(SILENCE);
+            for (final SimulatedDaemon daemon : simulation.daemons()) {
+                if (daemon.awaitedSeenAt() == null) {
+                    unaware++;
+                } else {
+                    millis.recordValue(Duration.between(start, daemon.awaitedSeenAt()).toMillis());
+                }
+            }
+        }
+        System.out.printf(
+                "silence n=%d: suspect after p50=%d ms p99=%d ms max=%d ms; unaware after %s=%d%n",
+                size,
+                millis.getValueAtPercentile(50),
+                millis.getValueAtPercentile(99),
+                millis.getMaxValue(),
+                SILENCE,
+                unaware);
+    }
+
     /** A whole domain, daemons and endpoints, is taken back; one daemon reads the notice. */
     private void wave(final int size) {
         final MembershipSimulation simulation =
@@ -147,7 +188,7 @@
         final FailureDomain domain = last.member().vm().domain();
         final Set<VmId> vms = new HashSet<>();
         for (final SimulatedDaemon daemon : simulation.daemons()) {
-            daemon.await(last.member().id());
+            daemon.await(last.member().id(), VmState.LEAVING);
             if (daemon.member().vm().domain().equals(domain)) {
                 vms.add(daemon.member().id());
             }
--- a/bench/src/main/java/org/whinhead/bench/membership/MembershipSimulation.java
+++ b/bench/src/main/java/org/whinhead/bench/membership/MembershipSimulation.java
@@ -140,6 +140,13 @@
         }
     }
 
+    /** Ends a daemon without a word; the list goes on to name it. */
+    void kill(final SimulatedDaemon daemon) {
+        mDaemons.remove(daemon);
+        mTicks.remove(daemon);
+        daemon.end();
+    }
+
     private void list() {
         mNextList = mNow.plus(LIST_INTERVAL);
         final VmListSnapshot list = new VmListSnapshot(mNow, mMembers, mEndpoints);
@@ -147,6 +154,9 @@
     }
 
     private void arrive(final Flight flight) {
+        if (flight.to().isEnded()) {
+            return;
+        }
         try {
             final Envelope envelope = Envelope.parseFrom(flight.bytes());
             MembershipCodec.decode(envelope)
--- a/bench/src/main/java/org/whinhead/bench/membership/SimulatedDaemon.java
+++ b/bench/src/main/java/org/whinhead/bench/membership/SimulatedDaemon.java
@@ -27,6 +27,8 @@
     private Instant mNextTick;
     private VmId mAwaited;
     private Instant mAwaitedSeenAt;
+    private VmState mAwaitedState;
+    private boolean mEnded;
 
     SimulatedDaemon(
             final DaemonMember member,
@@ -50,20 +52,29 @@
     @Override
     public void viewChanged(final MembershipView view) {
         if (mAwaited != null && mAwaitedSeenAt == null) {
-            final boolean leaving =
+            final boolean seen =
                     view.daemon(mAwaited)
-                            .filter(member -> member.vm().state() == VmState.LEAVING)
+                            .filter(member -> member.vm().state() == mAwaitedState)
                             .isPresent();
-            mAwaitedSeenAt = leaving ? mSimulation.now() : null;
+            mAwaitedSeenAt = seen ? mSimulation.now() : null;
         }
     }
 
-    void await(final VmId vm) {
+    void await(final VmId vm, final VmState state) {
         mAwaited = vm;
+        mAwaitedState = state;
         mAwaitedSeenAt = null;
     }
 
-    /** Returns when the awaited VM was first seen leaving; null if not yet. */
+    void end() {
+        mEnded = true;
+    }
+
+    boolean isEnded() {
+        return mEnded;
+    }
+
+    /** Returns when the awaited VM was first seen in the awaited state; null if not yet. */
     Instant awaitedSeenAt() {
         return mAwaitedSeenAt;
     }
--- a/peer/src/main/java/org/whinhead/peer/LinkTable.java
+++ b/peer/src/main/java/org/whinhead/peer/LinkTable.java
@@ -11,11 +11,13 @@
 
     private final PeerSettings mSettings;
     private final PeerCounters mCounters;
+    private final QueueBudget mBudget;
     private final Map<VmId, PeerLink> mLinks = new ConcurrentHashMap<>();
 
     LinkTable(final PeerSettings settings, final PeerCounters counters) {
         mSettings = settings;
         mCounters = counters;
+        mBudget = new QueueBudget(settings.queue().bytesOfAll());
     }
 
     /** Returns the link to a peer whose address is known. */
@@ -27,7 +29,7 @@
 
     /** Returns the link to a peer that called, so that no address is needed to answer it. */
     PeerLink of(final VmId vm) {
-        return mLinks.computeIfAbsent(vm, id -> new PeerLink(mSettings, id));
+        return mLinks.computeIfAbsent(vm, id -> new PeerLink(mSettings, id, mBudget));
     }
 
     Optional<PeerLink> find(final VmId vm) {
@@ -35,7 +37,10 @@
     }
 
     void forget(final VmId vm) {
-        mLinks.remove(vm);
+        final PeerLink link = mLinks.remove(vm);
+        if (link != null) {
+            link.queue().clear();
+        }
     }
 
     /** Drops replies whose connection ended; those who asked see a timeout. */
--- a/peer/src/main/java/org/whinhead/peer/OutboundQueue.java
+++ b/peer/src/main/java/org/whinhead/peer/OutboundQueue.java
@@ -16,14 +16,16 @@
     private final int mMostMessages;
     private final int mMostGossip;
     private final long mMostBytes;
+    private final QueueBudget mBudget;
     private final ArrayDeque<Waiting> mWaiting = new ArrayDeque<>();
     private long mBytes;
     private int mGossip;
 
-    OutboundQueue(final int mostMessages, final int mostGossip, final long mostBytes) {
-        mMostMessages = mostMessages;
-        mMostGossip = mostGossip;
-        mMostBytes = mostBytes;
+    OutboundQueue(final PeerSettings.QueueBounds bounds, final QueueBudget budget) {
+        mMostMessages = bounds.messages();
+        mMostGossip = bounds.gossip();
+        mMostBytes = bounds.bytes();
+        mBudget = budget;
     }
 
     /**
@@ -68,6 +70,12 @@
         return dropped;
     }
 
+    synchronized void clear() {
+        while (!mWaiting.isEmpty()) {
+            poll();
+        }
+    }
+
     synchronized boolean isEmpty() {
         return mWaiting.isEmpty();
     }
@@ -77,7 +85,7 @@
     }
 
     private boolean isOver() {
-        return mWaiting.size() > mMostMessages || mBytes > mMostBytes;
+        return mWaiting.size() > mMostMessages || mBytes > mMostBytes || mBudget.isOver();
     }
 
     private boolean dropOldest(final MessageClass messageClass) {
@@ -94,7 +102,9 @@
     }
 
     private void count(final Waiting waiting, final int sign) {
-        mBytes += (long) sign * waiting.bytes();
+        final long bytes = (long) sign * waiting.bytes();
+        mBytes += bytes;
+        mBudget.add(bytes);
         if (waiting.messageClass() == MessageClass.GOSSIP) {
             mGossip += sign;
         }
--- a/peer/src/main/java/org/whinhead/peer/PeerLink.java
+++ b/peer/src/main/java/org/whinhead/peer/PeerLink.java
@@ -21,11 +21,10 @@
     private boolean mConnecting;
     private int mFailures;
 
-    PeerLink(final PeerSettings settings, final VmId vm) {
+    PeerLink(final PeerSettings settings, final VmId vm, final QueueBudget budget) {
         mSettings = settings;
         mVm = vm;
-        final PeerSettings.QueueBounds bounds = settings.queue();
-        mQueue = new OutboundQueue(bounds.messages(), bounds.gossip(), bounds.bytes());
+        mQueue = new OutboundQueue(settings.queue(), budget);
     }
 
     VmId vm() {
--- a/peer/src/main/java/org/whinhead/peer/PeerSettings.java
+++ b/peer/src/main/java/org/whinhead/peer/PeerSettings.java
@@ -49,13 +49,15 @@
      * @param messages how many in all
      * @param gossip how many of gossip
      * @param bytes how many bytes in all
+     * @param bytesOfAll how many bytes for all peers together
      */
-    public record QueueBounds(int messages, int gossip, long bytes) {
+    public record QueueBounds(int messages, int gossip, long bytes, long bytesOfAll) {
         /** Checks every part. */
         public QueueBounds {
             Arguments.requireAtLeast(messages, 1, "messages");
             Arguments.requireAtLeast(gossip, 1, "gossip");
             Arguments.requireAtLeast(bytes, 1, "bytes");
+            Arguments.requireAtLeast(bytesOfAll, 1, "bytesOfAll");
         }
     }
 
@@ -67,7 +69,7 @@
         private Duration mIdleTimeout = Duration.ofMinutes(1);
         private Duration mFirstBackoff = Duration.ofMillis(200);
         private Duration mLongestBackoff = Duration.ofSeconds(30);
-        private QueueBounds mQueue = new QueueBounds(256, 16, 2L << 20);
+        private QueueBounds mQueue = new QueueBounds(256, 16, 2L << 20, 32L << 20);
 
         private Builder() {}
 
--- a/peer/src/test/java/org/whinhead/peer/OutboundQueueTest.java
+++ b/peer/src/test/java/org/whinhead/peer/OutboundQueueTest.java
@@ -14,7 +14,7 @@
     // and an answer that somebody waits for must not vanish while its connection lives.
     @Test
     void oldestGossipGoesFirstAndRepliesStay() {
-        final OutboundQueue queue = new OutboundQueue(4, 3, 1000);
+        final OutboundQueue queue = queue(4, 3, 1000, new QueueBudget(1000));
         assertThat(queue.add(gossip(1))).isZero();
         assertThat(queue.add(reply("a"))).isZero();
         assertThat(queue.add(gossip(2))).isZero();
@@ -31,7 +31,7 @@
 
     @Test
     void gossipAndBytesHaveBoundsOfTheirOwn() {
-        final OutboundQueue queue = new OutboundQueue(100, 2, 50);
+        final OutboundQueue queue = queue(100, 2, 50, new QueueBudget(1000));
         for (int i = 1; i <= 5; i++) {
             queue.add(gossip(i));
         }
@@ -41,6 +41,26 @@
         assertThat(queue.isEmpty()).isTrue();
     }
 
+    // A region is cut off and all its peers are away at once. Each queue is within its bound; all
+    // together must be too, and what is dropped or forgotten must make room again.
+    @Test
+    void allQueuesShareOneBudget() {
+        final QueueBudget budget = new QueueBudget(30);
+        final OutboundQueue first = queue(100, 100, 1000, budget);
+        final OutboundQueue second = queue(100, 100, 1000, budget);
+        assertThat(first.add(reply("x".repeat(20)))).isZero();
+        assertThat(second.add(gossip(1))).isZero();
+        assertThat(second.add(gossip(2))).isEqualTo(1);
+        first.clear();
+        assertThat(second.add(gossip(3))).isZero();
+        assertThat(second.size()).isEqualTo(2);
+    }
+
+    private static OutboundQueue queue(
+            final int messages, final int gossip, final long bytes, final QueueBudget budget) {
+        return new OutboundQueue(new PeerSettings.QueueBounds(messages, gossip, bytes, 1), budget);
+    }
+
     private static Envelope gossip(final long revision) {
         return Envelope.newBuilder()
                 .setSettingsInForce(SettingsInForce.newBuilder().setRevision(revision))
