--- a/standins/src/main/java/org/whinhead/standins/service/ServiceSimulation.java
+++ b/standins/src/main/java/org/whinhead/standins/service/ServiceSimulation.java
@@ -12,23 +12,13 @@
     private final Map<ServiceFault, Integer> mPlanned = new EnumMap<>(ServiceFault.class);
     private int mRunning;
 
-    /**
-     * Makes an idle service.
-     *
-     * @param config its settings
-     * @param witness counts its executions
-     */
+    /** Makes an idle service. */
     public ServiceSimulation(final ServiceConfig config, final Witness witness) {
         mConfig = config;
         mWitness = witness;
     }
 
-    /**
-     * Plans a fault for the next calls.
-     *
-     * @param fault the fault
-     * @param count how many calls
-     */
+    /** Plans a fault for the next calls. */
     public void plan(final ServiceFault fault, final int count) {
         mPlanned.put(fault, count);
     }
@@ -54,6 +44,11 @@
         mRunning--;
     }
 
+    /** Forgets the calls in progress, as the end of the process would. */
+    public void kill() {
+        mRunning = 0;
+    }
+
     private ServiceFault next() {
         for (final Map.Entry<ServiceFault, Integer> planned : mPlanned.entrySet()) {
             if (planned.getValue() > 0) {
