--- a/routing/src/main/java/org/whinhead/routing/RoutingSettings.java
+++ b/routing/src/main/java/org/whinhead/routing/RoutingSettings.java
@@ -70,5 +70,13 @@
         /** Costs for a region whose domains are a millisecond apart. */
         public static final Costs DEFAULT =
                 new Costs(2, 80, 5, 60, 200, 150, 1.25, Duration.ofMillis(5));
+
+        /** Checks what a decision divides by or subtracts. */
+        public Costs {
+            Objects.requireNonNull(transit, "transit");
+            if (!(loadFactor >= 1)) {
+                throw new IllegalArgumentException("loadFactor is " + loadFactor + ", below 1");
+            }
+        }
     }
 }
--- a/routing/src/test/java/org/whinhead/routing/AffinityRouterTest.java
+++ b/routing/src/test/java/org/whinhead/routing/AffinityRouterTest.java
@@ -155,10 +155,13 @@
         router.endpointsChanged(List.of());
         assertThat(router.choose(request(), Set.of(), START)).isEmpty();
         router.endpointsChanged(engines(1));
-        router.choose(request(), Set.of(), START);
-        router.ended(id(0), early, START);
+        final RequestSpec late = request();
+        router.choose(late, Set.of(), START);
         router.ended(id(0), early, START);
         assertThat(router.inProgressAt(id(0))).isEqualTo(1);
+        router.ended(id(0), late, START);
+        router.ended(id(0), late, START);
+        assertThat(router.inProgressAt(id(0))).isZero();
     }
 
     @Test
