Say what becomes of a customer that admission does not know

Cause: settings reach admission and the check of keys one after the other. Change: documented; no measurement applies. Conclusion: no change of behaviour.

--- a/admission/src/main/java/org/whinhead/admission/TieredAdmission.java
+++ b/admission/src/main/java/org/whinhead/admission/TieredAdmission.java
@@ -48,6 +48,9 @@
     /**
      * Takes the customers of the settings, with their weights and teams.
      *
+     * <p>A request of a customer that is not among them has weight 1 and no budget to keep; whoever
+     * offers requests has checked their keys against the same settings.
+     *
      * @param customers every customer
      */
     public void customersChanged(final Collection<Customer> customers) {
