Run the overspend properties, which the test run had passed over

Cause: the class's name ended in Properties, which the test run does not look for, so the bound had never been checked; run by name it failed, since all tries share one instance and added up their reservations. Change: the class is named OverspendTest and starts each try afresh; the bound is unchanged.

--- a/admission/src/test/java/org/whinhead/admission/budget/OverspendProperties.java
+++ b/admission/src/test/java/org/whinhead/admission/budget/OverspendTest.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Random;
 import net.jqwik.api.ForAll;
@@ -19,7 +20,7 @@
  * The stated overspend bound while holders die, wake up again and race, and questions and answers
  * are lost, doubled and late.
  */
-class OverspendProperties {
+class OverspendTest {
 
     private static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
     private static final TeamId TEAM = new TeamId("clinics");
@@ -51,6 +52,7 @@
     }
 
     private void run(final long seed, final BudgetSettings settings) {
+        reset();
         mRandom = new Random(seed);
         for (int i = 0; i < DAEMONS; i++) {
             final List<TeamRate> rates = List.of(new TeamRate(TEAM, RATE));
@@ -65,6 +67,16 @@
         }
     }
 
+    /** All tries of a property share one instance. */
+    private void reset() {
+        mHolders.clear();
+        mLedgers.clear();
+        mOnTheWay.clear();
+        Arrays.fill(mReserved, 0);
+        mHolder = 0;
+        mChanges = 0;
+    }
+
     private void tick(final int tick, final Instant now) {
         if (mRandom.nextInt(60) == 0) {
             mHolder = mRandom.nextInt(DAEMONS);
