Count refusals against patience and not against the runs of a request

Cause: four quick refusals, about 150 ms apart in all, ended an answer that its caller had half read; engines that are left after a reclaim refuse for longer.

Late tokens no longer fill the ring of decision records.

--- a/requests/src/main/java/org/whinhead/requests/AttemptEventHandler.java
+++ b/requests/src/main/java/org/whinhead/requests/AttemptEventHandler.java
@@ -75,6 +75,7 @@
             final AttemptEvent.Opened opened,
             final Instant now) {
         attempt.heard(now);
+        state.setBlockedSince(Optional.empty());
         final boolean named = !opened.streamId().isEmpty();
         if (named && (attempt.kind().isDispatch() || attempt.kind() == AttemptKind.RESUME)) {
             attempt.setStreamId(opened.streamId());
--- a/requests/src/main/java/org/whinhead/requests/AttemptLauncher.java
+++ b/requests/src/main/java/org/whinhead/requests/AttemptLauncher.java
@@ -99,7 +99,6 @@
         }
         state.countDispatch();
         state.setDispatchFree(false);
-        state.setBlockedSince(Optional.empty());
         state.setResumeTried(false);
         state.setMoveTried(false);
         if (state.spec().kind().streams()) {
@@ -150,7 +149,13 @@
         return attempt.kind() + attempt.cause().map(cause -> " after " + cause).orElse("");
     }
 
-    private void block(final RequestState state, final ErrorCode code, final Instant now) {
+    /**
+     * Lets a request wait that nothing takes now, with its patience counted from the first time.
+     *
+     * <p>Guards against giving up answers in a reclaim wave: the engines that are left refuse for a
+     * second or two, and a few quick refusals would end a request that half its caller has read.
+     */
+    void block(final RequestState state, final ErrorCode code, final Instant now) {
         final Instant since = state.blockedSince().orElse(now);
         state.setBlockedSince(Optional.of(since));
         if (now.isBefore(since.plus(mWiring.settings().patience()))) {
--- a/requests/src/main/java/org/whinhead/requests/DecisionLog.java
+++ b/requests/src/main/java/org/whinhead/requests/DecisionLog.java
@@ -68,8 +68,11 @@
         mWritten++;
     }
 
-    /** Records that an event of an attempt that is over was ignored. */
+    /** Records that an event of an attempt that is over was ignored; tokens would fill the ring. */
     void addLate(final AttemptEvent event, final Instant now) {
+        if (event instanceof AttemptEvent.Token) {
+            return;
+        }
         add(
                 new Decision(
                         now,
--- a/requests/src/main/java/org/whinhead/requests/Recovery.java
+++ b/requests/src/main/java/org/whinhead/requests/Recovery.java
@@ -60,7 +60,7 @@
                 state.setStartOver();
                 mLauncher.retryLater(state, ErrorCode.ENDPOINT_LOST, now);
             }
-            case REDISPATCH -> redispatch(state, attempt, now);
+            case REDISPATCH -> redispatch(state, attempt, failure, now);
             case ANSWER_ERROR -> mEndings.giveUp(state, ErrorCode.ENDPOINT_ERROR, detail, now);
             case SPENT -> mEndings.giveUp(state, ErrorCode.RETRIES_SPENT, detail, now);
             default -> mEndings.giveUp(state, ErrorCode.ENDPOINT_LOST, detail, now);
@@ -88,7 +88,7 @@
     void carryOn(final RequestState state, final String detail, final Instant now) {
         if (!state.verdict().allowsAnotherAttempt(state.spec().idempotent())) {
             mEndings.giveUp(state, ErrorCode.ENDPOINT_LOST, detail, now);
-        } else if (state.dispatches() >= mWiring.settings().maxDispatches()) {
+        } else if (state.possibleRuns() >= mWiring.settings().maxDispatches()) {
             mEndings.giveUp(state, ErrorCode.RETRIES_SPENT, detail, now);
         } else {
             mLauncher.dispatch(state, now);
@@ -102,6 +102,9 @@
      */
     private static void addVerdict(
             final RequestState state, final Attempt attempt, final AttemptFailure failure) {
+        if (didNotRun(attempt, failure)) {
+            state.withdrawRun();
+        }
         if (attempt.kind() == AttemptKind.START) {
             state.addVerdict(failure.verdict());
         } else if (failure.verdict() != Verdict.NOT_RUN || !attempt.kind().isDispatch()) {
@@ -134,7 +137,7 @@
      */
     private void noteCause(
             final RequestState state, final Attempt attempt, final AttemptFailure failure) {
-        if (failure.verdict() == Verdict.NOT_RUN && attempt.kind().isDispatch()) {
+        if (didNotRun(attempt, failure)) {
             attempt.cause().ifPresent(cause -> takeBack(state, attempt, cause));
             return;
         }
@@ -161,7 +164,19 @@
                 : RecoveryCause.ENGINE_FAILED;
     }
 
-    private void redispatch(final RequestState state, final Attempt attempt, final Instant now) {
+    private static boolean didNotRun(final Attempt attempt, final AttemptFailure failure) {
+        return failure.verdict() == Verdict.NOT_RUN && attempt.kind().isDispatch();
+    }
+
+    private void redispatch(
+            final RequestState state,
+            final Attempt attempt,
+            final AttemptFailure failure,
+            final Instant now) {
+        if (didNotRun(attempt, failure)) {
+            mLauncher.block(state, ErrorCode.RETRIES_SPENT, now);
+            return;
+        }
         if (mLeaving.goneBy(attempt.endpoint().id()).isPresent()) {
             state.setDispatchFree(true);
             mLauncher.dispatch(state, now);
--- a/requests/src/main/java/org/whinhead/requests/RecoveryPlanner.java
+++ b/requests/src/main/java/org/whinhead/requests/RecoveryPlanner.java
@@ -50,7 +50,7 @@
         if (!state.verdict().allowsAnotherAttempt(state.spec().idempotent())) {
             return Step.MUST_NOT_REPEAT;
         }
-        return state.dispatches() >= mMaxDispatches ? Step.SPENT : step;
+        return state.possibleRuns() >= mMaxDispatches ? Step.SPENT : step;
     }
 
     /**
--- a/requests/src/main/java/org/whinhead/requests/RequestSettings.java
+++ b/requests/src/main/java/org/whinhead/requests/RequestSettings.java
@@ -6,12 +6,13 @@
 /**
  * How patient the coordinator is and how often it tries.
  *
- * @param maxDispatches the most times that one request is sent out; resumptions do not count
+ * @param maxDispatches the most dispatches of one request that may have run; resumptions and those
+ *     that certainly did not run do not count
  * @param firstBackoff the wait before the first retry, before jitter
  * @param maxBackoff the longest wait between two tries
  * @param retryShare retries allowed for each first dispatch, as a share
  * @param retryBurst retries that may be saved up
- * @param patience how long a request waits for an endpoint or for the retry budget
+ * @param patience how long a request waits for an endpoint that takes it, or for the retry budget
  * @param silenceFactor how many times a tier's latency target an engine may be silent
  * @param leastSilence the shortest silence that counts as a failure
  * @param moveTime how long a move of KV cache may take
@@ -69,7 +70,7 @@
 
         private Builder() {}
 
-        /** Sets the most times that one request is sent out. */
+        /** Sets the most dispatches of one request that may have run. */
         public Builder maxDispatches(final int maxDispatches) {
             mMaxDispatches = maxDispatches;
             return this;
--- a/requests/src/main/java/org/whinhead/requests/RequestState.java
+++ b/requests/src/main/java/org/whinhead/requests/RequestState.java
@@ -40,6 +40,7 @@
     private int mLastNumber;
     private int mAttempts;
     private int mDispatches;
+    private int mPossibleRuns;
     private long mRecomputedTokens;
     private boolean mOffered;
     private boolean mClaimHeld;
@@ -171,8 +172,19 @@
         return mDispatches;
     }
 
+    /** Counts a dispatch as a possible run, until it turns out not to have run. */
     void countDispatch() {
         mDispatches++;
+        mPossibleRuns++;
+    }
+
+    /** Returns how many dispatches may have run. */
+    int possibleRuns() {
+        return mPossibleRuns;
+    }
+
+    void withdrawRun() {
+        mPossibleRuns--;
     }
 
     long recomputedTokens() {
--- a/requests/src/test/java/org/whinhead/requests/RecoveryTest.java
+++ b/requests/src/test/java/org/whinhead/requests/RecoveryTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
+import java.util.function.Predicate;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.whinhead.api.model.EndpointId;
@@ -15,6 +16,8 @@
 
     private static final Duration SECOND = Duration.ofSeconds(1);
 
+    private static final Predicate<String> REFUSED = action -> action.startsWith("refuse");
+
     private final Recorder mWorld = new Recorder("ab");
 
     /**
@@ -90,6 +93,22 @@
                         "cancel r#2 b s2");
     }
 
+    /**
+     * Engines that are left after a reclaim refuse for some seconds. Were quick refusals counted
+     * like failures, a half-read answer would be given up within a fraction of a second.
+     */
+    @Test
+    void refusalsUseUpPatienceAndNotTheCountOfRuns() {
+        mWorld.chat(true).opened(1, "s1").token(1, 0, "x ");
+        mWorld.failed(1, AttemptFailure.FAULTED).pass(SECOND).tick();
+        for (int attempt = 2; attempt < 6; attempt++) {
+            mWorld.failed(attempt, AttemptFailure.REFUSED_BY_ENDPOINT).pass(SECOND).tick();
+        }
+        assertThat(mWorld.actions()).endsWith("generate r#6 a x  1").noneMatch(REFUSED);
+        mWorld.pass(SECOND).failed(6, AttemptFailure.REFUSED_BY_ENDPOINT);
+        assertThat(mWorld.actions()).containsExactly("refuse r RETRIES_SPENT MAY_HAVE_RUN PT1S");
+    }
+
     /**
      * All endpoints refuse. Without a cap each request would be sent four times and the load would
      * grow fourfold just when there is too little room.
