Resume for a caller that comes back to the daemon it was at

Cause: a caller whose connection dropped unseen came back to the same daemon. The former request was forgotten before its stream was looked up, so the answer was continued from text and the prompt computed again, though the engine still held the stream.

Change: the ticket for the live stream is taken first.

--- a/requests/src/main/java/org/whinhead/requests/Tickets.java
+++ b/requests/src/main/java/org/whinhead/requests/Tickets.java
@@ -62,8 +62,8 @@
             final Ticket ticket,
             final Optional<RequestState> former,
             final Instant now) {
-        former.ifPresent(old -> mEndings.replace(old, now));
         final Ticket latest = former.flatMap(Tickets::current).orElse(ticket);
+        former.ifPresent(old -> mEndings.replace(old, now));
         state.addVerdict(Verdict.MAY_HAVE_RUN);
         state.numberAfter(ticket.attempt().number());
         former.ifPresent(old -> state.numberAfter(old.lastNumber()));
--- a/requests/src/test/java/org/whinhead/requests/Recorder.java
+++ b/requests/src/test/java/org/whinhead/requests/Recorder.java
@@ -126,6 +126,17 @@
         return this;
     }
 
+    /** The caller comes back with a ticket for stream s1 of attempt 1 at endpoint a. */
+    Recorder returned(final boolean idempotent, final long haveTokens, final String haveText) {
+        final RequestSpec spec = chatSpec(idempotent);
+        final AttemptId first = new AttemptId(ID, 1);
+        final EndpointId holder = new EndpointId("a");
+        final Ticket ticket =
+                new Ticket(first, spec.customer(), holder, "s1", 0, idempotent, spec.deadline());
+        mCoordinator.returned(spec, ticket, haveTokens, haveText, mNow);
+        return this;
+    }
+
     static RequestSpec chatSpec(final boolean idempotent) {
         final ModelRef model = ModelRef.of("draft", "1");
         return spec(ID).model(model).promptTokens(10).idempotent(idempotent).build();
@@ -170,6 +181,12 @@
                     .map(id -> endpoint(id, spec));
         }
 
+        @Override
+        public Optional<Endpoint> find(
+                final EndpointId endpoint, final RequestSpec spec, final Instant now) {
+            return Optional.of(endpoint(endpoint, spec));
+        }
+
         @Override
         public void ended(final EndpointId endpoint, final RequestSpec spec, final Instant now) {}
 
--- a/requests/src/test/java/org/whinhead/requests/RecoveryTest.java
+++ b/requests/src/test/java/org/whinhead/requests/RecoveryTest.java
@@ -63,6 +63,25 @@
                         "generate r#4 a  0");
     }
 
+    /**
+     * A caller's connection drops unseen and it comes back to the same daemon. It must get what it
+     * missed from its own index on, and the former attempt must not deliver beside the new one.
+     */
+    @Test
+    void callerThatComesBackToItsDaemonGetsEachTokenOnce() {
+        mWorld.chat(true).opened(1, "s1").token(1, 0, "x ").token(1, 1, "y ");
+        mWorld.returned(true, 1, "x ").token(1, 2, "z ").token(2, 1, "y ").token(2, 2, "z ");
+        assertThat(mWorld.actions())
+                .containsExactly(
+                        "generate r#1 a  0",
+                        "deliver r 0 x ",
+                        "deliver r 1 y ",
+                        "release r#1",
+                        "resume r#2 a s1 1",
+                        "deliver r 1 y ",
+                        "deliver r 2 z ");
+    }
+
     /** A frozen engine answers nothing and breaks no connection; the caller would wait for good. */
     @Test
     void silentEngineIsLeftAfterTheBoundOfItsTier() {
