--- a/state/src/test/java/org/whinhead/state/fold/LogFoldTest.java
+++ b/state/src/test/java/org/whinhead/state/fold/LogFoldTest.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.ObjIntConsumer;
 import net.jqwik.api.Arbitraries;
@@ -65,16 +66,64 @@
     @Example
     void lateSecondCopyOfGrantIsDropped() {
         final LogFold fold = Member.newFold();
-        final LogRecord grant =
-                new LogRecord.BudgetGrant(
-                        id(1), new CustomerId("c"), new DaemonId("d"), 5, 0, Instant.MAX);
-        fold.apply(entry(0, grant));
-        fold.apply(entry(1, new LogRecord.VmLeaving(id(2), new VmId("v"), Instant.MAX)));
-        assertThat(fold.apply(entry(2, grant))).isEqualTo(LogFold.Applied.SECOND_COPY);
-        assertThat(fold.apply(entry(1, grant))).isEqualTo(LogFold.Applied.ALREADY);
+        fold.apply(entry(0, budgetLease(1, "w", LogRecord.NONE)));
+        fold.apply(entry(1, grant(2)));
+        fold.apply(entry(2, new LogRecord.VmLeaving(id(3), new VmId("v"), Instant.MAX)));
+        assertThat(fold.apply(entry(3, grant(2)))).isEqualTo(LogFold.Applied.SECOND_COPY);
+        assertThat(fold.apply(entry(2, grant(4)))).isEqualTo(LogFold.Applied.ALREADY);
         assertThat(fold.view().state().grants()).hasSize(1);
     }
 
+    // The holder of the budget duty is paused while it writes a grant; another one takes the duty
+    // over and grants anew. The first grant lands behind that and must not add to the second.
+    @Example
+    void grantOfHolderThatWasOvertakenHasNoEffect() {
+        final LogFold fold = Member.newFold();
+        fold.apply(entry(0, budgetLease(1, "w", LogRecord.NONE)));
+        fold.apply(entry(1, budgetLease(2, "next", 0)));
+        assertThat(fold.apply(entry(2, grant(3)))).isEqualTo(LogFold.Applied.NEW);
+        assertThat(fold.view().state().grants()).isEmpty();
+    }
+
+    // The holder of the duty notes an order before it sends it. Its successor must find the order
+    // open, close it, and not be handed one that the old holder noted too late.
+    @Example
+    void successorFindsTheNotesOfTheLeasesBefore() {
+        final LogFold fold = Member.newFold();
+        fold.apply(entry(0, budgetLease(1, "w", LogRecord.NONE)));
+        fold.apply(entry(1, note(2, 0, "one", Optional.of("1"))));
+        fold.apply(entry(2, note(3, 0, "two", Optional.of("2"))));
+        fold.apply(entry(3, budgetLease(4, "next", 0)));
+        fold.apply(entry(4, note(5, 0, "late", Optional.of("3"))));
+        fold.apply(entry(5, note(6, 3, "one", Optional.empty())));
+        assertThat(fold.view().state().notes().get(LogRecord.BudgetGrant.DUTY))
+                .containsExactly(Map.entry("two", "2"));
+    }
+
+    private static LogRecord note(
+            final long sequence,
+            final long fencing,
+            final String name,
+            final Optional<String> body) {
+        return new LogRecord.DutyNoted(
+                id(sequence), LogRecord.BudgetGrant.DUTY, fencing, name, body);
+    }
+
+    private static LogRecord budgetLease(
+            final long sequence, final String holder, final long seen) {
+        return new LogRecord.LeaseTaken(
+                id(sequence),
+                LogRecord.BudgetGrant.DUTY,
+                new DaemonId(holder),
+                Duration.ofSeconds(10),
+                seen);
+    }
+
+    private static LogRecord grant(final long sequence) {
+        return new LogRecord.BudgetGrant(
+                id(sequence), new CustomerId("c"), new DaemonId("d"), 5, 0, Instant.MAX);
+    }
+
     // An older version writes the checkpoint, and the records of a newer kind expire. The newer
     // version that starts from it must still find them.
     @Example
