Let a daemon describe only itself in its heartbeats

Cause: a heartbeat's description of another VM was taken in, so a peer could move another one's addresses. Change: the description must name the sender's VM; a test shows both cases. Conclusion: descriptions that others pass on in rumors are still taken on trust.

--- a/membership/src/main/java/org/whinhead/membership/Dissemination.java
+++ b/membership/src/main/java/org/whinhead/membership/Dissemination.java
@@ -143,9 +143,12 @@
 
     void heartbeat(
             final VmId from, final MembershipMessage.Heartbeat heartbeat, final Instant now) {
-        if (heartbeat.member().isPresent()) {
-            join(heartbeat.member().get(), heartbeat.incarnation(), now);
-        }
+        // Guards against a daemon that describes another one in its own name: callers and peers
+        // would be sent to the wrong address.
+        heartbeat
+                .member()
+                .filter(member -> member.id().equals(from))
+                .ifPresent(member -> join(member, heartbeat.incarnation(), now));
         alive(from, heartbeat.incarnation());
         final VmFacts facts = mRegistry.facts(from);
         if (facts != null && facts.isSuspected()) {
--- a/membership/src/test/java/org/whinhead/membership/MembershipTest.java
+++ b/membership/src/test/java/org/whinhead/membership/MembershipTest.java
@@ -152,6 +152,22 @@
         assertThat(paused.view().callerAddresses()).hasSize(9);
     }
 
+    // A daemon with a good certificate describes another one with an address of its own choice.
+    // Callers of that one would be sent to it.
+    @Test
+    void daemonDescribesOnlyItself() {
+        final FakeCluster cluster = new FakeCluster(9);
+        final DaemonMember known = cluster.at(0).view().daemon(cluster.id(1)).orElseThrow();
+        final DaemonMember moved =
+                new DaemonMember(known.vm(), known.address(), URI.create("http://10.9.9.9/"));
+        final MembershipMessage heartbeat =
+                new MembershipMessage.Heartbeat(1, 0, Optional.of(moved));
+        cluster.at(0).received(cluster.id(2), heartbeat, cluster.now());
+        assertThat(cluster.at(0).view().daemon(cluster.id(1))).contains(known);
+        cluster.at(0).received(cluster.id(1), heartbeat, cluster.now());
+        assertThat(cluster.at(0).view().daemon(cluster.id(1))).contains(moved);
+    }
+
     private static VmState stateAt(final FakeCluster cluster, final int index, final VmId vm) {
         return cluster.at(index).view().daemon(vm).orElseThrow().vm().state();
     }
