Run a daemon as a process: platform polling, operator address and graceful stop

Cause: the thin path was fed by hand and could not be run or stopped as a process. Overhead is not measured yet.

--- a/daemon/src/main/java/org/whinhead/daemon/Daemon.java
+++ b/daemon/src/main/java/org/whinhead/daemon/Daemon.java
@@ -1,61 +1,78 @@
 package org.whinhead.daemon;
 
 import io.undertow.Undertow;
+import io.undertow.server.HttpHandler;
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
-import java.util.UUID;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicReference;
 import java.util.random.RandomGenerator;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.whinhead.admission.SimpleAdmission;
 import org.whinhead.api.model.DaemonId;
 import org.whinhead.api.model.Endpoint;
+import org.whinhead.api.model.EndpointId;
 import org.whinhead.api.request.RequestId;
 import org.whinhead.daemon.caller.CallerServer;
 import org.whinhead.daemon.decision.DecisionEvent;
 import org.whinhead.daemon.decision.DecisionLoop;
+import org.whinhead.daemon.duty.EndpointWatch;
+import org.whinhead.daemon.duty.NoticeWatch;
 import org.whinhead.daemon.engine.ActionDispatcher;
 import org.whinhead.daemon.engine.AttemptTransport;
+import org.whinhead.daemon.operator.Meters;
+import org.whinhead.daemon.operator.OperatorHandler;
 import org.whinhead.daemon.request.LiveRequests;
-import org.whinhead.daemon.view.DeploymentView;
 import org.whinhead.daemon.view.EntryAddress;
+import org.whinhead.platform.cloud.NoticeClient;
+import org.whinhead.platform.cloud.ReclaimNotice;
 import org.whinhead.platform.http.HttpCaller;
+import org.whinhead.platform.vms.VmListClient;
 import org.whinhead.requests.ClaimOutcome;
 import org.whinhead.requests.DefaultRequestCoordinator;
 import org.whinhead.routing.AffinityRouter;
+import org.whinhead.routing.LoadReport;
 import org.whinhead.routing.RoutingSettings;
 import org.whinhead.settings.daemon.DaemonSettings;
 import org.whinhead.settings.daemon.HostPort;
+import org.whinhead.settings.deployment.DeploymentSettings;
 import org.xnio.XnioExecutor;
 import org.xnio.XnioWorker;
 
 /** One daemon: its servers, its duties and their wiring. Many may run in one process. */
 public final class Daemon implements AutoCloseable {
 
+    private static final Logger LOGGER = LoggerFactory.getLogger(Daemon.class);
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
     private static final Duration SILENCE_TIMEOUT = Duration.ofSeconds(30);
     private static final long TICK_MILLIS = 20;
     private static final String RANDOM = "L64X128MixRandom";
     private static final int MAX_RUNNING = 1024;
     private static final int MAX_WAITING = 1024;
+    private static final int CALLERS = 0;
+    private static final int OPERATORS = 1;
 
     private final DaemonSettings mSettings;
-    private final DaemonId mId;
-    private final AtomicReference<DeploymentView> mView =
-            new AtomicReference<>(DeploymentView.EMPTY);
+    private final DaemonOptions mOptions;
     private final LiveRequests mRequests = new LiveRequests();
+    private final Standing mStanding;
     private final DecisionLoop mLoop;
     private final AffinityRouter mRouter;
     private final HttpCaller mCaller;
+    private final EndpointWatch mWatch;
+    private final NoticeWatch mNotices;
+    private final OpenConnections mConnections;
     private final Undertow mServer;
     private final XnioExecutor.Key mTicks;
-    private volatile boolean mStopping;
 
     private Daemon(final DaemonSettings settings, final DaemonOptions options) {
         mSettings = settings;
-        mId = new DaemonId(settings.name() + "-" + UUID.randomUUID());
+        mOptions = options;
+        mStanding = new Standing(settings, mRequests);
         mLoop =
                 new DecisionLoop(
                         settings.name() + "-decisions",
@@ -65,19 +82,22 @@
         final RandomGenerator random = RandomGenerator.of(RANDOM);
         mRouter = new AffinityRouter(RoutingSettings.of(settings.domain()), random);
         mCaller = new HttpCaller(options.worker());
-        final AttemptTransport transport =
-                new AttemptTransport(mCaller, mLoop, CONNECT_TIMEOUT, SILENCE_TIMEOUT);
-        final ActionDispatcher actions =
-                new ActionDispatcher(mRequests, transport, options.tickets(), this::claim);
-        mLoop.start(
-                DefaultRequestCoordinator.builder()
-                        .router(mRouter)
-                        .admission(new SimpleAdmission(MAX_RUNNING, MAX_WAITING))
-                        .actions(actions)
-                        .random(random)
-                        .build());
-        mServer = server(options);
+        startDecisions(random);
+        mConnections = new OpenConnections(mStanding::isStopping);
+        mServer = server();
+        mServer.start();
         mTicks = ticks(options.worker());
+        mWatch =
+                new EndpointWatch(
+                        settings.name() + "-platform",
+                        mCaller,
+                        new VmListClient(mCaller, settings.platform().vms()),
+                        new Watched());
+        mNotices =
+                new NoticeWatch(
+                        new NoticeClient(mCaller, settings.platform().cloud()),
+                        mCaller.anyThread(),
+                        this::noticed);
     }
 
     /**
@@ -89,79 +109,151 @@
      */
     public static Daemon start(final DaemonSettings settings, final DaemonOptions options) {
         final Daemon daemon = new Daemon(settings, options);
-        daemon.mServer.start();
+        LOGGER.atInfo()
+                .addKeyValue("daemon", daemon.id())
+                .addKeyValue("callers", daemon.callerUri())
+                .addKeyValue("operators", daemon.operatorUri())
+                .log("the daemon listens");
         return daemon;
     }
 
     /** Returns the address that callers connect to. */
     public URI callerUri() {
-        final InetSocketAddress address =
-                (InetSocketAddress) mServer.getListenerInfo().get(0).getAddress();
-        return URI.create("http://" + new HostPort(address.getHostString(), address.getPort()));
+        return listening(CALLERS);
+    }
+
+    /** Returns the address that operators connect to. */
+    public URI operatorUri() {
+        return listening(OPERATORS);
     }
 
     /** Returns this incarnation's identity. */
     public DaemonId id() {
-        return mId;
+        return mStanding.id();
     }
 
     /**
      * Puts settings in force.
      *
-     * @param view what requests are checked against from now on
+     * @param settings what holds from now on
+     * @param revision the log offset of the last change
      */
-    public void viewChanged(final DeploymentView view) {
-        mView.set(view);
+    public void settingsChanged(final DeploymentSettings settings, final long revision) {
+        mStanding.settingsChanged(settings, revision);
     }
 
     /**
-     * Takes in which endpoints there are.
+     * Stops gracefully: new requests are refused and callers are told other addresses, requests in
+     * progress go on within the settings' bound, and then the daemon closes.
      *
-     * @param endpoints all endpoints
+     * @throws InterruptedException if the thread is interrupted while it waits
      */
-    public void endpointsChanged(final List<Endpoint> endpoints) {
-        mLoop.offer(new DecisionEvent.Update(() -> mRouter.endpointsChanged(endpoints)));
+    public void stop() throws InterruptedException {
+        mStanding.beginStop();
+        final Duration bound = mSettings.gracefulStop();
+        final Instant goneBy = mOptions.clock().instant().plus(bound);
+        LOGGER.atInfo().addKeyValue("inProgress", mRequests.count()).log("the daemon stops");
+        final CountDownLatch idle = new CountDownLatch(1);
+        final XnioExecutor.Key look =
+                mCaller.anyThread()
+                        .executeAtInterval(
+                                () -> {
+                                    if (mRequests.isIdle()) {
+                                        idle.countDown();
+                                    }
+                                },
+                                TICK_MILLIS,
+                                TimeUnit.MILLISECONDS);
+        mLoop.offer(new DecisionEvent.Stopping(goneBy));
+        final boolean finished = idle.await(bound.toMillis(), TimeUnit.MILLISECONDS);
+        look.remove();
+        LOGGER.atInfo().addKeyValue("finished", finished).log("the daemon has stopped");
+        close();
     }
 
     @Override
     public void close() {
-        mStopping = true;
+        mStanding.beginStop();
+        mNotices.close();
+        mWatch.close();
         mTicks.remove();
         mServer.stop();
+        mConnections.close();
         mCaller.close();
         mLoop.close();
     }
 
-    private Undertow server(final DaemonOptions options) {
+    private void startDecisions(final RandomGenerator random) {
+        final AttemptTransport transport =
+                new AttemptTransport(mCaller, mLoop, CONNECT_TIMEOUT, SILENCE_TIMEOUT);
+        final ActionDispatcher actions =
+                new ActionDispatcher(mRequests, transport, mOptions.tickets(), this::claim);
+        mLoop.start(
+                DefaultRequestCoordinator.builder()
+                        .router(mRouter)
+                        .admission(new SimpleAdmission(MAX_RUNNING, MAX_WAITING))
+                        .actions(actions)
+                        .random(random)
+                        .build());
+    }
+
+    private Undertow server() {
+        final HostPort callers = mSettings.listen().callers();
+        final HostPort operators = mSettings.listen().operators();
         return Undertow.builder()
-                .setWorker(options.worker())
+                .setWorker(mOptions.worker())
+                .addHttpListener(
+                        callers.port(), callers.host(), mConnections.tracking(callerHandler()))
                 .addHttpListener(
-                        mSettings.listen().callers().port(),
-                        mSettings.listen().callers().host(),
-                        CallerServer.builder(mId)
-                                .view(mView::get)
-                                .addresses(this::addresses)
-                                .decisions(mRequests, mLoop)
-                                .tickets(options.tickets())
-                                .stopping(() -> mStopping)
-                                .clock(options.clock())
-                                .limits(
-                                        mSettings.limits().maxBodyBytes(),
-                                        mSettings.limits().maxInProgress())
-                                .bodyTimeout(options.bodyTimeout())
-                                .build())
+                        operators.port(),
+                        operators.host(),
+                        mConnections.tracking(new OperatorHandler(mSettings, mStanding, meters())))
+                .build();
+    }
+
+    private HttpHandler callerHandler() {
+        return CallerServer.builder(id())
+                .view(mStanding::view)
+                .addresses(mStanding::addresses)
+                .decisions(mRequests, mLoop)
+                .tickets(mOptions.tickets())
+                .stopping(mStanding::isStopping)
+                .clock(mOptions.clock())
+                .limits(mSettings.limits().maxBodyBytes(), mSettings.limits().maxInProgress())
+                .bodyTimeout(mOptions.bodyTimeout())
                 .build();
     }
 
-    /** Without a log there is no claim, and what may run once only does not run. */
+    private Meters meters() {
+        final Meters meters = new Meters();
+        meters.gauge(
+                "whinhead.requests.in.progress",
+                "requests",
+                "Requests that were taken in and have no final answer yet.",
+                mRequests::count);
+        meters.gauge(
+                "whinhead.decisions.waiting",
+                "events",
+                "Events that wait in the decision ring.",
+                mLoop::waiting);
+        return meters;
+    }
+
+    private URI listening(final int listener) {
+        final InetSocketAddress address =
+                (InetSocketAddress) mServer.getListenerInfo().get(listener).getAddress();
+        return URI.create("http://" + new HostPort(address.getHostString(), address.getPort()));
+    }
+
+    /** Without a log there is no claim, and what may run at most once does not run. */
     private void claim(final RequestId request) {
         mLoop.offer(new DecisionEvent.Claimed(request, ClaimOutcome.UNAVAILABLE));
     }
 
-    private List<EntryAddress> addresses() {
-        return mStopping
-                ? List.of()
-                : List.of(new EntryAddress(mSettings.publicUri(), mSettings.domain()));
+    private void noticed(final ReclaimNotice notice) {
+        final EndpointId endpoint = new EndpointId(notice.vm().value());
+        mLoop.offer(new DecisionEvent.Update(() -> mRouter.leaving(endpoint)));
+        mLoop.offer(new DecisionEvent.EndpointLeaving(endpoint, notice.goneBy()));
     }
 
     private XnioExecutor.Key ticks(final XnioWorker worker) {
@@ -171,4 +263,25 @@
                         TICK_MILLIS,
                         TimeUnit.MILLISECONDS);
     }
+
+    /** Passes what the platform duty finds on to the decisions. */
+    private final class Watched implements EndpointWatch.Listener {
+        @Override
+        public void endpoints(final List<Endpoint> endpoints) {
+            mLoop.offer(new DecisionEvent.Update(() -> mRouter.endpointsChanged(endpoints)));
+            mStanding.endpointsKnown();
+        }
+
+        @Override
+        public void load(final LoadReport report) {
+            mLoop.offer(
+                    new DecisionEvent.Update(
+                            () -> mRouter.loadReported(report, mOptions.clock().instant())));
+        }
+
+        @Override
+        public void addresses(final List<EntryAddress> addresses) {
+            mStanding.addressesListed(addresses);
+        }
+    }
 }
--- a/daemon/src/main/java/org/whinhead/daemon/caller/ExchangeWriter.java
+++ b/daemon/src/main/java/org/whinhead/daemon/caller/ExchangeWriter.java
@@ -20,6 +20,7 @@
     private final HttpServerExchange mExchange;
     private final int mMaxWaitingBytes;
     private final Runnable mCallerLeft;
+    private final Runnable mEnded;
     private final Deque<ByteBuffer> mWaiting = new ArrayDeque<>();
     private StreamSinkChannel mChannel;
     private int mWaitingBytes;
@@ -30,10 +31,12 @@
     ExchangeWriter(
             final HttpServerExchange exchange,
             final int maxWaitingBytes,
-            final Runnable callerLeft) {
+            final Runnable callerLeft,
+            final Runnable ended) {
         mExchange = exchange;
         mMaxWaitingBytes = maxWaitingBytes;
         mCallerLeft = callerLeft;
+        mEnded = ended;
     }
 
     HttpServerExchange exchange() {
@@ -77,6 +80,7 @@
         mClosed = true;
         mWaiting.clear();
         IoUtils.safeClose(mExchange.getConnection());
+        mEnded.run();
         if (!mEnding) {
             mCallerLeft.run();
         }
@@ -124,6 +128,7 @@
         if (mEnding && !mClosed) {
             mClosed = true;
             mExchange.endExchange();
+            mEnded.run();
         }
     }
 }
--- a/daemon/src/main/java/org/whinhead/daemon/caller/Intake.java
+++ b/daemon/src/main/java/org/whinhead/daemon/caller/Intake.java
@@ -68,13 +68,18 @@
             throws RequestException {
         final AtomicReference<LiveRequest> live = new AtomicReference<>();
         final ExchangeWriter writer =
-                new ExchangeWriter(exchange, mMaxWaitingBytes, () -> callerLeft(live.get()));
+                new ExchangeWriter(
+                        exchange,
+                        mMaxWaitingBytes,
+                        () -> callerLeft(live.get()),
+                        mRequests::answerEnded);
         final XnioIoThread thread = exchange.getIoThread();
         final QueuedReply reply = new QueuedReply(thread, format, writer);
         live.set(new LiveRequest(spec, body, reply, thread));
         if (!mLoop.offerNew(event.apply(live.get()))) {
             throw refused(ErrorCode.OVERLOADED, "the decision ring is full");
         }
+        mRequests.answerOwed();
         HangUpWatch.start(exchange, writer::callerLeft);
     }
 
--- a/daemon/src/main/java/org/whinhead/daemon/caller/ServiceHandler.java
+++ b/daemon/src/main/java/org/whinhead/daemon/caller/ServiceHandler.java
@@ -14,7 +14,7 @@
 import org.whinhead.daemon.decision.DecisionEvent;
 import org.whinhead.daemon.request.RequestBody;
 import org.whinhead.daemon.view.DeploymentView;
-import org.whinhead.daemon.view.ServiceRules;
+import org.whinhead.settings.deployment.DocumentValue.ServiceEntry;
 
 /** Takes calls of plain services: {@code /v1/services/{service}/{path}}. */
 final class ServiceHandler {
@@ -49,7 +49,7 @@
         final int slash = rest.indexOf('/');
         final String service = slash < 0 ? rest : rest.substring(0, slash);
         final String path = slash < 0 ? "/" : rest.substring(slash);
-        final ServiceRules rules =
+        final ServiceEntry rules =
                 mView.get()
                         .service(service)
                         .orElseThrow(
@@ -58,7 +58,7 @@
                                                 Refusal.notRun(
                                                         ErrorCode.UNKNOWN_TARGET,
                                                         "service " + service)));
-        final boolean idempotent = rules.mayRepeat(path) && !saysNotIdempotent(exchange);
+        final boolean idempotent = rules.isIdempotent(path) && !saysNotIdempotent(exchange);
         final String given = RequestNames.header(exchange, CallerHeaders.IDEMPOTENCY_KEY);
         final String key = given.isEmpty() ? name : given;
         final RequestSpec spec = spec(customer, key, service, idempotent);
--- /dev/null
+++ b/daemon/src/main/java/org/whinhead/daemon/duty/EndpointWatch.java
@@ -0,0 +1,166 @@
+package org.whinhead.daemon.duty;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.whinhead.api.model.Endpoint;
+import org.whinhead.api.model.EndpointId;
+import org.whinhead.api.model.ModelRef;
+import org.whinhead.api.model.VmId;
+import org.whinhead.daemon.view.EntryAddress;
+import org.whinhead.platform.engine.EngineClient;
+import org.whinhead.platform.http.HttpCaller;
+import org.whinhead.platform.vms.ListedVm;
+import org.whinhead.platform.vms.VmListClient;
+import org.whinhead.platform.vms.VmListing;
+import org.whinhead.platform.vms.VmRole;
+import org.whinhead.routing.LoadReport;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
+
+/** The platform duty: polls the VM list, and the models and the load of the engines on it. */
+public final class EndpointWatch implements AutoCloseable {
+
+    private static final Logger LOGGER = LoggerFactory.getLogger(EndpointWatch.class);
+    private static final Duration PERIOD = Duration.ofMillis(500);
+    private static final int RING_SLOTS = 1024;
+
+    private final DutyLoop mLoop;
+    private final VmListClient mVmList;
+    private final EngineClient mEngines;
+    private final Listener mListener;
+    private final Map<VmId, Set<ModelRef>> mModels = new HashMap<>();
+    private final XnioExecutor.Key mTimer;
+    private List<ListedVm> mVms = List.of();
+    private List<Endpoint> mTold = List.of();
+    private boolean mListed;
+
+    /** Told of changes, on the duty's thread. */
+    public interface Listener {
+        /**
+         * The endpoints changed.
+         *
+         * @param endpoints all endpoints
+         */
+        void endpoints(List<Endpoint> endpoints);
+
+        /**
+         * A load report arrived.
+         *
+         * @param report the report
+         */
+        void load(LoadReport report);
+
+        /**
+         * The addresses of this system's live daemons were read.
+         *
+         * @param addresses the addresses
+         */
+        void addresses(List<EntryAddress> addresses);
+    }
+
+    /**
+     * Starts the duty.
+     *
+     * @param name the thread's name
+     * @param caller makes the calls
+     * @param vmList the client of the VM list
+     * @param listener told of changes
+     */
+    public EndpointWatch(
+            final String name,
+            final HttpCaller caller,
+            final VmListClient vmList,
+            final Listener listener) {
+        mLoop = new DutyLoop(name, RING_SLOTS);
+        mVmList = vmList;
+        mEngines = new EngineClient(caller);
+        mListener = listener;
+        final XnioIoThread timers = caller.anyThread();
+        timers.execute(this::poll);
+        mTimer = timers.executeAtInterval(this::poll, PERIOD.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void close() {
+        mTimer.remove();
+        mLoop.close();
+    }
+
+    private void poll() {
+        mLoop.offer(
+                () -> {
+                    run(mVmList.read(), this::listed, "the VM list can not be read");
+                    mVms.stream().filter(vm -> vm.role() == VmRole.ENGINE).forEach(this::ask);
+                });
+    }
+
+    private void ask(final ListedVm vm) {
+        final String problem = "engine " + vm.vm().id() + " does not answer";
+        run(mEngines.models(vm.uri()), models -> loaded(vm, models), problem);
+        run(
+                mEngines.load(vm.uri()),
+                load ->
+                        mListener.load(
+                                new LoadReport(
+                                        new EndpointId(vm.vm().id().value()),
+                                        load.asOf(),
+                                        load.running(),
+                                        load.waiting(),
+                                        load.tokensPerSecond())),
+                problem);
+    }
+
+    private <T> void run(
+            final CompletionStage<T> stage, final Consumer<T> taken, final String problem) {
+        stage.whenComplete(
+                (result, fault) -> {
+                    if (fault == null) {
+                        mLoop.offer(() -> taken.accept(result));
+                    } else {
+                        LOGGER.atDebug().addKeyValue("cause", fault.getMessage()).log(problem);
+                    }
+                });
+    }
+
+    private void listed(final VmListing listing) {
+        final boolean first = !mListed;
+        mListed = true;
+        mVms = listing.vms();
+        mModels.keySet().retainAll(mVms.stream().map(vm -> vm.vm().id()).toList());
+        mListener.addresses(
+                mVms.stream()
+                        .filter(vm -> vm.role() == VmRole.ENTRY)
+                        .filter(vm -> vm.vm().state().acceptsNewWork())
+                        .map(vm -> new EntryAddress(vm.uri(), vm.vm().domain()))
+                        .toList());
+        tell();
+        if (first) {
+            mVms.stream().filter(vm -> vm.role() == VmRole.ENGINE).forEach(this::ask);
+        }
+    }
+
+    private void loaded(final ListedVm vm, final Set<ModelRef> models) {
+        mModels.put(vm.vm().id(), models);
+        tell();
+    }
+
+    private void tell() {
+        final List<Endpoint> endpoints =
+                mVms.stream()
+                        .filter(vm -> vm.role() != VmRole.ENTRY)
+                        .map(vm -> vm.endpoint(mModels.getOrDefault(vm.vm().id(), Set.of())))
+                        .toList();
+        if (!endpoints.equals(mTold)) {
+            mTold = endpoints;
+            mListener.endpoints(endpoints);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/whinhead/daemon/duty/NoticeWatch.java
@@ -0,0 +1,60 @@
+package org.whinhead.daemon.duty;
+
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.whinhead.platform.cloud.NoticeClient;
+import org.whinhead.platform.cloud.NoticePage;
+import org.whinhead.platform.cloud.ReclaimNotice;
+import org.xnio.XnioIoThread;
+
+/** Waits for reclaim notices and passes each on, on an IO thread. */
+public final class NoticeWatch implements AutoCloseable {
+
+    private static final Logger LOGGER = LoggerFactory.getLogger(NoticeWatch.class);
+    private static final long RETRY_MILLIS = 500;
+
+    private final NoticeClient mClient;
+    private final XnioIoThread mTimers;
+    private final Consumer<ReclaimNotice> mTaken;
+    private volatile boolean mClosed;
+
+    /**
+     * Starts to wait.
+     *
+     * @param client reads notices
+     * @param timers where a failed read is tried again
+     * @param taken takes each notice
+     */
+    public NoticeWatch(
+            final NoticeClient client,
+            final XnioIoThread timers,
+            final Consumer<ReclaimNotice> taken) {
+        mClient = client;
+        mTimers = timers;
+        mTaken = taken;
+        read(0);
+    }
+
+    @Override
+    public void close() {
+        mClosed = true;
+    }
+
+    private void read(final long after) {
+        if (!mClosed) {
+            mClient.read(after).whenComplete((page, fault) -> ended(after, page, fault));
+        }
+    }
+
+    private void ended(final long after, final NoticePage page, final Throwable fault) {
+        if (fault != null) {
+            LOGGER.atDebug().addKeyValue("cause", fault.getMessage()).log("no notices to be had");
+            mTimers.executeAfter(() -> read(after), RETRY_MILLIS, TimeUnit.MILLISECONDS);
+            return;
+        }
+        page.notices().forEach(mTaken);
+        read(page.next());
+    }
+}
--- a/daemon/src/main/java/org/whinhead/daemon/request/LiveRequests.java
+++ b/daemon/src/main/java/org/whinhead/daemon/request/LiveRequests.java
@@ -3,12 +3,14 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.whinhead.api.request.RequestId;
 
 /** All requests in progress of one daemon; changed on the decision thread, read on any. */
 public final class LiveRequests {
 
     private final Map<RequestId, LiveRequest> mRequests = new ConcurrentHashMap<>();
+    private final AtomicInteger mOwed = new AtomicInteger();
 
     /**
      * Adds a request.
@@ -62,6 +64,21 @@
         return mRequests.remove(request.spec().id(), request);
     }
 
+    /** An answer is owed to a caller from now on. */
+    public void answerOwed() {
+        mOwed.incrementAndGet();
+    }
+
+    /** An answer was written whole, or its caller left. */
+    public void answerEnded() {
+        mOwed.decrementAndGet();
+    }
+
+    /** Tells whether no caller waits for any byte of an answer. */
+    public boolean isIdle() {
+        return mOwed.get() == 0;
+    }
+
     /** Returns how many are in progress. */
     public int count() {
         return mRequests.size();
--- a/daemon/src/main/java/org/whinhead/daemon/view/DeploymentView.java
+++ b/daemon/src/main/java/org/whinhead/daemon/view/DeploymentView.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import org.whinhead.api.model.Customer;
 import org.whinhead.api.model.ModelRef;
+import org.whinhead.settings.deployment.DocumentValue.ServiceEntry;
 
 /**
  * What the settings in force say that callers' requests are checked against.
@@ -17,7 +18,7 @@
 public record DeploymentView(
         List<Customer> customers,
         Map<String, ModelRef> models,
-        Map<String, ServiceRules> services) {
+        Map<String, ServiceEntry> services) {
 
     /** A view before any settings are known. */
     public static final DeploymentView EMPTY = new DeploymentView(List.of(), Map.of(), Map.of());
@@ -45,7 +46,7 @@
      * @param name the service's name
      * @return its rules, or empty if none is configured
      */
-    public Optional<ServiceRules> service(final String name) {
+    public Optional<ServiceEntry> service(final String name) {
         return Optional.ofNullable(services.get(Objects.requireNonNull(name, "name")));
     }
 }
--- a/demo/src/test/java/org/whinhead/demo/WholePathTest.java
+++ b/demo/src/test/java/org/whinhead/demo/WholePathTest.java
@@ -11,6 +11,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -170,4 +172,66 @@
         }
         assertThat(mPath.standIns().witness().generatedTokens()).isLessThan(longAnswer);
     }
+
+    @Test
+    void plainServiceAnswersAndWhatMayRunOnceIsNotRunWithoutClaims() throws Exception {
+        final HttpResponse<String> answer = service("status", "key-1");
+        assertThat(answer.statusCode()).isEqualTo(200);
+        assertThat(mPath.standIns().witness().executions("key-1")).isEqualTo(1);
+        assertRefused(service("payments", "key-2"), 503, "claim-unavailable");
+        assertThat(mPath.standIns().witness().executions("key-2")).isZero();
+    }
+
+    private HttpResponse<String> service(final String path, final String key) throws Exception {
+        return mPath.send(
+                mPath.request("/v1/services/fees/" + path)
+                        .header("Idempotency-Key", key)
+                        .POST(HttpRequest.BodyPublishers.ofString("{}"))
+                        .build());
+    }
+
+    /**
+     * An operator stops a daemon while a clerk waits for an answer. The clerk gets it whole; a
+     * request that arrives meanwhile is refused at once as not run, and nobody is told this address
+     * any more.
+     */
+    @Test
+    void gracefulStopCutsNothingAndTakesNothingNew() throws Exception {
+        final int tokens = 400;
+        final CompletableFuture<HttpResponse<String>> running =
+                CompletableFuture.supplyAsync(() -> quietly(() -> mPath.chat(body(true, tokens))));
+        while (!mPath.get(mPath.daemon().operatorUri().resolve("/operator/status"))
+                .body()
+                .contains("\"inProgress\":1")) {
+            Thread.onSpinWait();
+        }
+        final CompletableFuture<String> stop =
+                CompletableFuture.supplyAsync(
+                        () ->
+                                quietly(
+                                        () -> {
+                                            mPath.daemon().stop();
+                                            return "stopped";
+                                        }));
+        while (mPath.get(mPath.daemon().operatorUri().resolve("/health/ready")).statusCode()
+                == 200) {
+            Thread.onSpinWait();
+        }
+        final HttpResponse<String> refused = mPath.chat(body(true, 1));
+        assertRefused(refused, 503, "stopping");
+        assertThat(refused.headers().firstValue("Retry-After")).contains("1");
+        assertThat(mPath.send(mPath.request("/v1/addresses").build()).body())
+                .startsWith("{\"addresses\":[]");
+        assertThat(streamedTokens(running.get().body()))
+                .isEqualTo(ExpectedAnswer.tokens(PROMPT, tokens));
+        assertThat(stop.get()).isEqualTo("stopped");
+    }
+
+    private static <T> T quietly(final Callable<T> call) {
+        try {
+            return call.call();
+        } catch (final Exception e) {
+            throw new IllegalStateException(e);
+        }
+    }
 }
