Measure what each role costs by its size

Change: benchmarks capacity-requests, -routing, -watch, -peers, -claims, -settings, -fleet and -report drive the decision objects at several sizes; three repetitions, median and spread, a linear fit.

--- a/bench/src/main/java/org/whinhead/bench/BenchmarkCatalog.java
+++ b/bench/src/main/java/org/whinhead/bench/BenchmarkCatalog.java
@@ -3,6 +3,14 @@
 import java.util.Arrays;
 import java.util.Optional;
 import java.util.function.Supplier;
+import org.whinhead.bench.capacity.ClaimsCost;
+import org.whinhead.bench.capacity.FleetCost;
+import org.whinhead.bench.capacity.PeersCost;
+import org.whinhead.bench.capacity.ReportCost;
+import org.whinhead.bench.capacity.RequestsCost;
+import org.whinhead.bench.capacity.RoutingCost;
+import org.whinhead.bench.capacity.SettingsCost;
+import org.whinhead.bench.capacity.WatchCost;
 import org.whinhead.bench.goodput.GoodputBenchmark;
 import org.whinhead.bench.routing.RoutingBenchmark;
 
@@ -11,7 +19,23 @@
     /** Routing strategies under the same traffic. */
     ROUTING(RoutingBenchmark::new),
     /** Admission under overload. */
-    GOODPUT(GoodputBenchmark::new);
+    GOODPUT(GoodputBenchmark::new),
+    /** What the role costs by its size. */
+    CAPACITY_REQUESTS(RequestsCost::new),
+    /** What the role costs by its size. */
+    CAPACITY_ROUTING(RoutingCost::new),
+    /** What the role costs by its size. */
+    CAPACITY_WATCH(WatchCost::new),
+    /** What the role costs by its size. */
+    CAPACITY_PEERS(PeersCost::new),
+    /** What the role costs by its size. */
+    CAPACITY_CLAIMS(ClaimsCost::new),
+    /** What the role costs by its size. */
+    CAPACITY_SETTINGS(SettingsCost::new),
+    /** What the role costs by its size. */
+    CAPACITY_FLEET(FleetCost::new),
+    /** What the role costs by its size. */
+    CAPACITY_REPORT(ReportCost::new);
 
     private final Supplier<Benchmark> mMaker;
 
--- /dev/null
+++ b/bench/src/main/java/org/whinhead/bench/capacity/ClaimsCost.java
@@ -0,0 +1,160 @@
+package org.whinhead.bench.capacity;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import org.whinhead.api.model.CustomerId;
+import org.whinhead.api.model.DaemonId;
+import org.whinhead.state.claim.ClaimDesk;
+import org.whinhead.state.claim.ClaimKey;
+import org.whinhead.state.claim.ClaimTable;
+import org.whinhead.state.claim.ClaimTerms;
+import org.whinhead.state.record.ClaimEntry;
+import org.whinhead.state.record.LogEntry;
+import org.whinhead.state.record.LogRecord;
+import org.whinhead.state.record.LogRecordCodec;
+import org.whinhead.state.record.RecordFormatException;
+import org.whinhead.state.record.RecordId;
+
+/** A claim at the daemon that writes it, at one that only reads it, and in a table. */
+public final class ClaimsCost extends RoleCost {
+
+    private static final int[] BATCHES = {1, 8, 32, 128, 512};
+    private static final int[] KEYS = {10_000, 50_000, 100_000, 200_000};
+    private static final Duration WINDOW = Duration.ofMinutes(10);
+    private static final Duration LINGER = Duration.ofMillis(20);
+    private static final Duration GRANT = Duration.ofMinutes(1);
+    private static final int MAX_KEYS = 10_000_000;
+    private static final int INCARNATIONS = 1_000;
+    private static final int RECORDS = 64;
+
+    private long mNext;
+
+    @Override
+    public String name() {
+        return "capacity-claims";
+    }
+
+    @Override
+    public String description() {
+        return "CPU, bytes and memory of claims by batch";
+    }
+
+    @Override
+    void measure(final Meter meter, final long seed, final Sheet out) {
+        final Series written =
+                new Series("written and read back", "claims a record", "ns a record");
+        final Series read = new Series("decoded and applied", "claims a record", "ns a record");
+        final Series bytes = new Series("record", "claims a record", "bytes");
+        for (final int batch : BATCHES) {
+            final Writer writer = new Writer(batch);
+            written.add(batch, meter.nanos(writer::record));
+            bytes.add(batch, Spread.exact(encoded(batch, 1_000).length));
+            final Reader reader = new Reader(batch);
+            read.add(batch, meter.nanos(reader::records));
+        }
+        out.add(written, read, bytes);
+        final Series memory = new Series("table", "keys", "bytes");
+        for (final int keys : KEYS) {
+            memory.add(keys, meter.retained(() -> table(keys)));
+        }
+        out.add(memory);
+    }
+
+    private ClaimEntry entry() {
+        final long number = mNext++;
+        final ClaimKey key = ClaimKey.of(new CustomerId("customer"), "key-" + number);
+        final long attempt = ClaimKey.attempt(new DaemonId("entry-17"), number);
+        return new ClaimEntry(ClaimEntry.Action.CLAIM, key.high(), key.low(), attempt);
+    }
+
+    private LogRecord.ClaimBatch record(final int batch, final long sequence) {
+        final List<ClaimEntry> entries = new ArrayList<>();
+        for (int i = 0; i < batch; i++) {
+            entries.add(entry());
+        }
+        return new LogRecord.ClaimBatch(
+                new RecordId(new DaemonId("entry-17-1785000000000"), sequence), entries);
+    }
+
+    private byte[] encoded(final int batch, final long sequence) {
+        return new LogRecordCodec().encode(record(batch, sequence));
+    }
+
+    private ClaimTable table(final int keys) {
+        final ClaimTable table = new ClaimTable(WINDOW, INCARNATIONS);
+        final int batch = 100;
+        for (int i = 0; i < keys / batch; i++) {
+            final Instant at = Fixtures.START.plus(WINDOW.multipliedBy(i).dividedBy(keys / batch));
+            table.apply(new LogEntry(i, at, record(batch, i + 1)), (key, attempt, holder) -> {});
+        }
+        return table;
+    }
+
+    /**
+     * The daemon that takes claims and writes them, with a minute of the stream's time a record.
+     */
+    private final class Writer {
+        private final int mBatch;
+        private final LoopLog mLog = new LoopLog();
+        private final ClaimTable mTable = new ClaimTable(WINDOW, INCARNATIONS);
+        private final ClaimDesk mDesk;
+        private Instant mNow = Fixtures.START;
+        private long mDecided;
+
+        Writer(final int batch) {
+            mBatch = batch;
+            mDesk =
+                    new ClaimDesk(
+                            mTable,
+                            mLog.writer(),
+                            new ClaimTerms(GRANT, LINGER, batch, MAX_KEYS, MAX_KEYS),
+                            (key, attempt, result, dispatchBy) -> mDecided++);
+        }
+
+        long record() {
+            mNow = mNow.plusSeconds(1);
+            for (int i = 0; i < mBatch; i++) {
+                final ClaimEntry entry = entry();
+                final ClaimKey key = new ClaimKey(entry.keyHigh(), entry.keyLow());
+                mDesk.claim(key, entry.attempt(), mNow.plusSeconds(2), mNow);
+            }
+            mDesk.tick(mNow);
+            mLog.flush(mNow).forEach(entry -> mDesk.read(entry, mNow));
+            return 1;
+        }
+    }
+
+    /** A daemon that only keeps the table. */
+    private final class Reader {
+        private final LogRecordCodec mCodec = new LogRecordCodec();
+        private final ClaimTable mTable = new ClaimTable(WINDOW, INCARNATIONS);
+        private final List<byte[]> mRecords = new ArrayList<>();
+        private long mOffset;
+
+        Reader(final int batch) {
+            for (int i = 0; i < RECORDS; i++) {
+                mRecords.add(encoded(batch, i + 1));
+            }
+        }
+
+        long records() {
+            mTable.reset();
+            for (final byte[] bytes : mRecords) {
+                mTable.apply(
+                        new LogEntry(mOffset++, Fixtures.START, decode(bytes)),
+                        (key, attempt, holder) -> {});
+            }
+            return mRecords.size();
+        }
+
+        private LogRecord decode(final byte[] bytes) {
+            try {
+                return mCodec.decode(bytes);
+            } catch (final RecordFormatException e) {
+                throw new IllegalStateException("a record that was just written", e);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/whinhead/bench/capacity/Series.java
@@ -0,0 +1,80 @@
+package org.whinhead.bench.capacity;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+
+/** One cost at several sizes, and the line through it. */
+final class Series {
+
+    private final String mWhat;
+    private final String mSize;
+    private final String mUnit;
+    private final List<LinearFit.Point> mPoints = new ArrayList<>();
+    private final List<Spread> mSpreads = new ArrayList<>();
+
+    /**
+     * Makes an empty series.
+     *
+     * @param what what is measured
+     * @param size what the size counts
+     * @param unit the figure's unit
+     */
+    Series(final String what, final String size, final String unit) {
+        mWhat = what;
+        mSize = size;
+        mUnit = unit;
+    }
+
+    void add(final double size, final Spread spread) {
+        mPoints.add(new LinearFit.Point(size, spread.median()));
+        mSpreads.add(spread);
+    }
+
+    String toText() {
+        final StringBuilder text = new StringBuilder();
+        text.append(String.format("%s, %s by %s%n", mWhat, mUnit, mSize));
+        for (int i = 0; i < mSpreads.size(); i++) {
+            text.append(row(mPoints.get(i).size(), mSpreads.get(i)));
+        }
+        final LinearFit fit = LinearFit.of(mPoints);
+        return text.append(
+                        String.format(
+                                Locale.ROOT,
+                                "  fit: %.3f + %.5f a unit, r2 %.3f%n",
+                                fit.fixed(),
+                                fit.slope(),
+                                fit.determination()))
+                .toString();
+    }
+
+    private static String row(final double size, final Spread spread) {
+        return String.format(
+                Locale.ROOT,
+                "  %10.0f  %14.2f  (%.2f to %.2f)%n",
+                size,
+                spread.median(),
+                spread.least(),
+                spread.greatest());
+    }
+
+    ObjectNode toJson() {
+        final ObjectNode node = new ObjectMapper().createObjectNode();
+        node.put("what", mWhat).put("size", mSize).put("unit", mUnit);
+        final ArrayNode rows = node.putArray("rows");
+        for (int i = 0; i < mSpreads.size(); i++) {
+            final Spread spread = mSpreads.get(i);
+            rows.addObject()
+                    .put("size", mPoints.get(i).size())
+                    .put("least", spread.least())
+                    .put("median", spread.median())
+                    .put("greatest", spread.greatest());
+        }
+        final LinearFit fit = LinearFit.of(mPoints);
+        node.put("fixed", fit.fixed()).put("slope", fit.slope());
+        return node.put("determination", fit.determination());
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/whinhead/bench/capacity/WatchCost.java
@@ -0,0 +1,115 @@
+package org.whinhead.bench.capacity;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.whinhead.api.model.DaemonId;
+import org.whinhead.api.model.Endpoint;
+import org.whinhead.api.model.EndpointId;
+import org.whinhead.peer.generated.PeerProto;
+import org.whinhead.routing.DaemonPlace;
+import org.whinhead.routing.WatchPlan;
+
+/** Which endpoints a daemon polls, whom it tells, and the bytes of what it tells. */
+public final class WatchCost extends RoleCost {
+
+    private static final int[] DAEMONS = {9, 32, 36, 55, 110, 165, 330};
+    private static final int ENDPOINTS_AT_FULL_SIZE = 1_800;
+    private static final int DAEMONS_AT_FULL_SIZE = 330;
+    private static final int[] REPORTS = {1, 14, 40, 256};
+
+    @Override
+    public String name() {
+        return "capacity-watch";
+    }
+
+    @Override
+    public String description() {
+        return "who polls whom, and the bytes of load digests";
+    }
+
+    @Override
+    void measure(final Meter meter, final long seed, final Sheet out) {
+        final Series plan = new Series("watch plan made", "daemons", "ns a plan");
+        final Series watched = new Series("endpoints watched", "daemons", "endpoints");
+        final Series polled = new Series("endpoints polled, mean", "daemons", "endpoints");
+        final Series most = new Series("endpoints polled, most", "daemons", "endpoints");
+        final Series peers = new Series("peers told", "daemons", "peers");
+        for (final int size : DAEMONS) {
+            final List<DaemonPlace> daemons = daemons(size);
+            final List<Endpoint> endpoints =
+                    Fixtures.endpoints(size * ENDPOINTS_AT_FULL_SIZE / DAEMONS_AT_FULL_SIZE);
+            plan.add(size, meter.nanos(() -> plan(daemons.get(0), daemons, endpoints)));
+            int sum = 0;
+            int highest = 0;
+            for (final DaemonPlace daemon : daemons) {
+                final WatchPlan made =
+                        WatchPlan.of(daemon, daemons, endpoints, WatchPlan.Limits.DEFAULT);
+                sum += made.polled().size();
+                highest = Math.max(highest, made.polled().size());
+            }
+            final WatchPlan first =
+                    WatchPlan.of(daemons.get(0), daemons, endpoints, WatchPlan.Limits.DEFAULT);
+            watched.add(size, Spread.exact(first.watched().size()));
+            peers.add(size, Spread.exact(first.peers().size()));
+            polled.add(size, Spread.exact((double) sum / size));
+            most.add(size, Spread.exact(highest));
+        }
+        out.add(plan, watched, polled, most, peers);
+        digests(meter, out);
+    }
+
+    private static void digests(final Meter meter, final Sheet out) {
+        final Series bytes = new Series("load digest", "reports", "bytes a message");
+        final Series nanos = new Series("load digest written and read", "reports", "ns a message");
+        for (final int size : REPORTS) {
+            final List<Endpoint> endpoints = Fixtures.endpoints(size);
+            bytes.add(size, Spread.exact(digest(endpoints).length));
+            nanos.add(size, meter.nanos(() -> writeAndRead(endpoints)));
+        }
+        out.add(bytes);
+        out.add(nanos);
+    }
+
+    private static long plan(
+            final DaemonPlace own, final List<DaemonPlace> daemons, final List<Endpoint> all) {
+        return WatchPlan.of(own, daemons, all, WatchPlan.Limits.DEFAULT).watched().isEmpty()
+                ? 0
+                : 1;
+    }
+
+    private static long writeAndRead(final List<Endpoint> endpoints) {
+        try {
+            return PeerProto.Envelope.parseFrom(digest(endpoints)).getSequence();
+        } catch (final IOException e) {
+            throw new IllegalStateException("a message that was just written", e);
+        }
+    }
+
+    private static byte[] digest(final List<Endpoint> endpoints) {
+        final PeerProto.LoadDigest.Builder digest = PeerProto.LoadDigest.newBuilder();
+        for (final Endpoint endpoint : endpoints) {
+            final EndpointId id = endpoint.id();
+            digest.addReports(
+                    PeerProto.EndpointLoad.newBuilder()
+                            .setEndpoint(id.value())
+                            .setAsOfMillis(Fixtures.START.toEpochMilli())
+                            .setRunning(12)
+                            .setWaiting(1)
+                            .setTokensPerSecond(1_000));
+        }
+        return PeerProto.Envelope.newBuilder()
+                .setSequence(1)
+                .setLoadDigest(digest)
+                .build()
+                .toByteArray();
+    }
+
+    private static List<DaemonPlace> daemons(final int count) {
+        final List<DaemonPlace> daemons = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            daemons.add(new DaemonPlace(new DaemonId("entry-" + i), Fixtures.domain(i)));
+        }
+        return daemons;
+    }
+}
