Follow and write the log on a thread of its own

Cause: the fold, the writer, the claim desk and the checkpoints had nothing to drive them. Change: LogDuty with a bounded ring owns them all; settings are put in force once the head of the log was reached, changes are answered by the fold's outcome, claims are decided within a bound; its clock goes on through a suspension of the VM. Result: not measured yet; not reached by a process test yet. Conclusion: the daemon can be wired to it.

--- /dev/null
+++ b/daemon/src/main/java/org/whinhead/daemon/log/ClaimStream.java
@@ -0,0 +1,104 @@
+package org.whinhead.daemon.log;
+
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.whinhead.api.model.DaemonId;
+import org.whinhead.api.request.RequestId;
+import org.whinhead.requests.ClaimOutcome;
+import org.whinhead.state.claim.ClaimDesk;
+import org.whinhead.state.claim.ClaimKey;
+import org.whinhead.state.claim.ClaimResult;
+import org.whinhead.state.claim.ClaimTable;
+import org.whinhead.state.fold.SequenceLedger;
+import org.whinhead.state.record.LogEntry;
+
+/** Claims requests' keys through the claim stream; on the duty's thread. */
+final class ClaimStream implements StreamHandler {
+
+    private final StreamPump mPump;
+    private final DaemonId mSelf;
+    private final LogTerms mTerms;
+    private final LogListener mListener;
+    private final ClaimTable mTable;
+    private final ClaimDesk mDesk;
+    private final Map<Long, RequestId> mAsked = new HashMap<>();
+    private final Map<RequestId, Granted> mGranted = new LinkedHashMap<>();
+    private long mAttempts;
+
+    ClaimStream(
+            final StreamPump pump,
+            final DaemonId self,
+            final LogTerms terms,
+            final LogListener listener) {
+        mPump = pump;
+        mSelf = self;
+        mTerms = terms;
+        mListener = listener;
+        mTable = new ClaimTable(terms.claimWindow(), SequenceLedger.DEFAULT_INCARNATIONS);
+        mDesk = new ClaimDesk(mTable, pump.writer(), terms.claims(), this::decided);
+        pump.handler(this);
+    }
+
+    void claim(final RequestId request, final ClaimKey key, final Instant now) {
+        mAttempts++;
+        final long attempt = ClaimKey.attempt(mSelf, mAttempts);
+        mAsked.put(attempt, request);
+        mDesk.claim(key, attempt, now.plus(mTerms.claimTimeout()), now);
+    }
+
+    /** Frees the key of a request that was granted and certainly did not run. */
+    void withdraw(final RequestId request, final Instant now) {
+        final Granted granted = mGranted.remove(request);
+        if (granted != null) {
+            mDesk.withdraw(granted.key(), granted.attempt(), now);
+        }
+    }
+
+    void run(final Instant now) {
+        final Iterator<Granted> granted = mGranted.values().iterator();
+        // Oldest first; a grant that can no longer be dispatched need not be kept for withdrawal.
+        while (granted.hasNext() && granted.next().dispatchBy().isBefore(now)) {
+            granted.remove();
+        }
+        mDesk.tick(now);
+        mPump.run(true, now);
+    }
+
+    private void decided(
+            final ClaimKey key,
+            final long attempt,
+            final ClaimResult result,
+            final Instant dispatchBy) {
+        final RequestId request = mAsked.remove(attempt);
+        if (result == ClaimResult.GRANTED) {
+            mGranted.remove(request);
+            mGranted.put(request, new Granted(key, attempt, dispatchBy));
+        }
+        mListener.claimDecided(request, outcome(result), dispatchBy);
+    }
+
+    private static ClaimOutcome outcome(final ClaimResult result) {
+        return switch (result) {
+            case GRANTED -> ClaimOutcome.GRANTED;
+            case HELD_ELSEWHERE -> ClaimOutcome.HELD_ELSEWHERE;
+            case UNAVAILABLE -> ClaimOutcome.UNAVAILABLE;
+        };
+    }
+
+    @Override
+    public void read(final List<LogEntry> entries, final boolean atHead, final Instant now) {
+        entries.forEach(entry -> mDesk.read(entry, now));
+    }
+
+    @Override
+    public void expired(final long oldest, final Instant now) {
+        mTable.reset();
+        mPump.reader().moveTo(oldest);
+    }
+
+    private record Granted(ClaimKey key, long attempt, Instant dispatchBy) {}
+}
--- /dev/null
+++ b/daemon/src/main/java/org/whinhead/daemon/log/FleetStream.java
@@ -0,0 +1,107 @@
+package org.whinhead.daemon.log;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.whinhead.api.model.DaemonId;
+import org.whinhead.state.checkpoint.CheckpointPublisher;
+import org.whinhead.state.fold.FoldState;
+import org.whinhead.state.fold.FoldView;
+import org.whinhead.state.fold.LogFold;
+import org.whinhead.state.fold.SequenceLedger;
+import org.whinhead.state.lease.LeaseKeeper;
+import org.whinhead.state.record.LogEntry;
+import org.whinhead.state.settings.SettingsLedger;
+
+/** Folds the fleet stream and keeps the checkpoint duty's lease; on the duty's thread. */
+final class FleetStream implements StreamHandler {
+
+    private final StreamPump mPump;
+    private final LogFold mFold =
+            new LogFold(
+                    // Who may change which path is checked against the daemon's own settings file
+                    // before a change is published, so the fold takes any author.
+                    new SettingsLedger(
+                            new FoldRules(),
+                            (author, path, current) -> true,
+                            SettingsLedger.Limits.DEFAULT),
+                    SequenceLedger.DEFAULT_INCARNATIONS);
+    private final LeaseKeeper mCheckpointLease;
+
+    FleetStream(
+            final StreamPump pump,
+            final DaemonId self,
+            final LogTerms terms,
+            final RandomGenerator random) {
+        mPump = pump;
+        mCheckpointLease =
+                new LeaseKeeper(
+                        CheckpointPublisher.DUTY, self, terms.leases(), pump.writer(), random);
+        pump.handler(this);
+    }
+
+    FoldView view() {
+        return mFold.view();
+    }
+
+    StreamPump pump() {
+        return mPump;
+    }
+
+    boolean needsCheckpoint() {
+        return mPump.reader().needsCheckpoint();
+    }
+
+    boolean writesCheckpoints(final Instant now) {
+        return mCheckpointLease.mayAct(now);
+    }
+
+    void run(final boolean reading, final Instant now) {
+        final FoldView view = mFold.view();
+        // A daemon that does not know the head cannot tell whether a lease is free.
+        mCheckpointLease.tick(view.caughtUp() && !view.blocked(), now);
+        mPump.run(reading, now);
+    }
+
+    /** Gives the duty up, so that another daemon need not wait for the lease's end. */
+    void release(final Instant now) {
+        mCheckpointLease.release(now);
+        mPump.run(false, now);
+    }
+
+    @Override
+    public void read(final List<LogEntry> entries, final boolean atHead, final Instant now) {
+        boolean whole = true;
+        for (final LogEntry entry : entries) {
+            final LogFold.Applied applied = mFold.apply(entry);
+            whole &= applied != LogFold.Applied.GAP && applied != LogFold.Applied.BLOCKED;
+        }
+        if (!whole) {
+            mPump.reader().moveTo(mFold.position());
+        } else if (atHead) {
+            mFold.reachedHead();
+        }
+        observeLease(now);
+    }
+
+    @Override
+    public void expired(final long oldest, final Instant now) {
+        // Nothing to do: the reader now asks for a checkpoint.
+    }
+
+    /** Goes on from a state as of a higher offset. */
+    void install(final FoldState state, final FoldView.Source source, final Instant now) {
+        if (mFold.install(state, source)) {
+            mPump.reader().moveTo(state.asOf());
+            state.newest().forEach(mPump.writer()::observed);
+            observeLease(now);
+        }
+    }
+
+    private void observeLease(final Instant now) {
+        mCheckpointLease.observed(
+                Optional.ofNullable(mFold.view().state().leases().get(CheckpointPublisher.DUTY)),
+                now);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/whinhead/daemon/log/LogDuty.java
@@ -0,0 +1,211 @@
+package org.whinhead.daemon.log;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.random.RandomGenerator;
+import org.whinhead.api.model.DaemonId;
+import org.whinhead.api.request.RequestId;
+import org.whinhead.platform.log.LogClient;
+import org.whinhead.requests.ClaimOutcome;
+import org.whinhead.settings.deployment.DeploymentSettings;
+import org.whinhead.state.claim.ClaimKey;
+import org.whinhead.state.fold.FoldState;
+import org.whinhead.state.fold.FoldView;
+import org.whinhead.state.writer.Backoff;
+import org.whinhead.state.writer.LogReader;
+import org.whinhead.state.writer.LogWriter;
+import org.whinhead.state.writer.WriterLimits;
+import org.xnio.XnioIoThread;
+
+/**
+ * Follows and writes the log on a thread of its own: the shared state with its checkpoints, the
+ * changes of settings, and the claims.
+ */
+public final class LogDuty implements AutoCloseable {
+
+    private static final String FLEET = "fleet";
+    private static final String CHECKPOINTS = "checkpoints";
+    private static final String CLAIMS = "claims-0";
+    private static final Duration TICK = Duration.ofMillis(10);
+    private static final Duration FIRST_BACKOFF = Duration.ofMillis(50);
+    private static final Duration LONGEST_BACKOFF = Duration.ofSeconds(1);
+    private static final int RING = 4_096;
+    private static final int READ = 500;
+    private static final int READ_CHECKPOINTS = 16;
+    private static final WriterLimits FLEET_LIMITS = new WriterLimits(1_024, 64);
+    private static final WriterLimits CHECKPOINT_LIMITS = new WriterLimits(256, 1);
+    private static final WriterLimits CLAIM_LIMITS = new WriterLimits(4, 1);
+    private static final LogStanding NOTHING =
+            new LogStanding(
+                    new FoldView(FoldState.EMPTY, FoldView.Source.NONE, false, false),
+                    DeploymentSettings.EMPTY,
+                    -1);
+
+    private final DaemonId mSelf;
+    private final LogClient mClient;
+    private final LogTerms mTerms;
+    private final LogListener mListener;
+    private final RandomGenerator mRandom;
+    private final DutyRing mRing;
+    private final FleetStream mFleet;
+    private final CheckpointStream mCheckpoints;
+    private final ClaimStream mClaims;
+    private final ChangeDesk mChanges;
+    private volatile LogStanding mStanding = NOTHING;
+    private volatile boolean mAnswering;
+    private boolean mTold;
+
+    /**
+     * Makes a duty that is not started yet.
+     *
+     * @param self this incarnation of the daemon
+     * @param client the log
+     * @param timer the IO thread that ticks
+     * @param clock the time, which goes on through a suspension and is never set back
+     * @param terms the bounds
+     * @param listener told what comes of it
+     */
+    public LogDuty(
+            final DaemonId self,
+            final LogClient client,
+            final XnioIoThread timer,
+            final InstantSource clock,
+            final LogTerms terms,
+            final LogListener listener) {
+        mSelf = Objects.requireNonNull(self, "self");
+        mClient = Objects.requireNonNull(client, "client");
+        mTerms = Objects.requireNonNull(terms, "terms");
+        mListener = Objects.requireNonNull(listener, "listener");
+        mRandom = RandomGenerator.of("L64X128MixRandom");
+        mRing = new DutyRing(self + "-log", RING, timer, clock, this::afterBatch);
+        mFleet = new FleetStream(pump(FLEET, READ, FLEET_LIMITS), self, terms, mRandom);
+        mCheckpoints =
+                new CheckpointStream(
+                        pump(CHECKPOINTS, READ_CHECKPOINTS, CHECKPOINT_LIMITS),
+                        terms,
+                        state -> mFleet.install(state, FoldView.Source.LOG, clock.instant()));
+        mClaims = new ClaimStream(pump(CLAIMS, READ, CLAIM_LIMITS), self, terms, listener);
+        mChanges = new ChangeDesk(mFleet.pump().writer(), terms.changeTimeout());
+    }
+
+    private StreamPump pump(final String stream, final int read, final WriterLimits limits) {
+        return new StreamPump(
+                stream,
+                mClient,
+                mRing,
+                new LogReader(read, mTerms.readWait(), backoff()),
+                new LogWriter(mSelf, limits, backoff()));
+    }
+
+    private Backoff backoff() {
+        return new Backoff(FIRST_BACKOFF, LONGEST_BACKOFF, mRandom);
+    }
+
+    /** Starts the thread. */
+    public void start() {
+        mRing.start(TICK);
+    }
+
+    /** Returns what is known from the log; from any thread. */
+    public LogStanding standing() {
+        return mStanding;
+    }
+
+    /** Tells whether the log's last answer was not a failure; from any thread. */
+    public boolean isLogAnswering() {
+        return mAnswering;
+    }
+
+    /**
+     * Asks for a change of settings; from any thread.
+     *
+     * @param change the change
+     * @return the answer, within the terms' bound
+     */
+    public CompletionStage<ChangeAnswer> change(final SettingsChange change) {
+        final CompletableFuture<ChangeAnswer> answer = new CompletableFuture<>();
+        final boolean taken =
+                mRing.offerNew(
+                        now ->
+                                mChanges.ask(
+                                        change,
+                                        answer,
+                                        mStanding,
+                                        mFleet.pump().isAnswering(),
+                                        now));
+        if (!taken) {
+            answer.complete(ChangeDesk.notRun("too many events wait"));
+        }
+        return answer;
+    }
+
+    /**
+     * Asks for the claim of a request; one decision follows within the terms' bound.
+     *
+     * @param request the request
+     * @param key its key
+     */
+    public void claim(final RequestId request, final ClaimKey key) {
+        if (!mRing.offerNew(now -> mClaims.claim(request, key, now))) {
+            mListener.claimDecided(request, ClaimOutcome.UNAVAILABLE, Instant.MIN);
+        }
+    }
+
+    /**
+     * Gives up the claim of a request that was granted and certainly did not run.
+     *
+     * @param request the request
+     */
+    public void withdraw(final RequestId request) {
+        // If the ring is full the key stays claimed, which only costs the caller a new key.
+        mRing.offerNew(now -> mClaims.withdraw(request, now));
+    }
+
+    /**
+     * Takes a state from a peer, for a start while the log is out.
+     *
+     * @param state the state
+     */
+    public void install(final FoldState state) {
+        mRing.offerNew(now -> mFleet.install(state, FoldView.Source.PEER, now));
+    }
+
+    private void afterBatch(final Instant now) {
+        mChanges.tick(now);
+        mCheckpoints.run(
+                mFleet.needsCheckpoint(), mFleet.writesCheckpoints(now), mFleet.view(), now);
+        // A checkpoint first, so that a stream of many records need not be read from its start.
+        mFleet.run(mCheckpoints.isStarted(), now);
+        mClaims.run(now);
+        mAnswering = mFleet.pump().isAnswering();
+        publish();
+    }
+
+    private void publish() {
+        final LogStanding former = mStanding;
+        final FoldView view = mFleet.view();
+        if (view == former.fold()) {
+            return;
+        }
+        final LogStanding standing = LogStanding.of(view, former);
+        mStanding = standing;
+        final boolean changed = standing.settings() != former.settings();
+        // Guards against serving by settings that newer records on the log have replaced: nothing
+        // is put in force before the head was reached once. After that an outage changes nothing.
+        if (view.caughtUp() && (changed || !mTold)) {
+            mTold = true;
+            mListener.settingsChanged(standing);
+        }
+        mChanges.folded(view.state().settings());
+    }
+
+    @Override
+    public void close() {
+        mRing.offerNew(mFleet::release);
+        mRing.close();
+    }
+}
