Let the stand-ins tell the cost of VMs and who ran at all

The cloud now adds up VM time by its own price list, the witness tells whether any work was done for a request (for refusals that say not run), and latency distributions can be subtracted, so that a run can be cut into parts.

--- a/standins/src/main/java/org/whinhead/standins/cloud/CloudStandIn.java
+++ b/standins/src/main/java/org/whinhead/standins/cloud/CloudStandIn.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -29,6 +30,7 @@
     private final StandInContext mContext;
     private final StandInServer mServer;
     private final List<Price> mPrices;
+    private final VmMeter mMeter;
     private final ExecutorService mActionsThread =
             Executors.newSingleThreadExecutor(
                     task -> {
@@ -49,6 +51,7 @@
         mContext = context;
         mServer = server;
         mPrices = List.copyOf(prices);
+        mMeter = new VmMeter(mPrices);
         mSimulation = new CloudSimulation(boot, apart(actions));
         server.route("POST", "/cloud/vms", this::startVm)
                 .route("DELETE", "/cloud/vms/{id}", this::stopVm)
@@ -88,6 +91,12 @@
     /** Takes in a VM that runs already. */
     public synchronized void adopt(final String vm, final VmOrder order) {
         mSimulation.adopt(vm, order);
+        mMeter.started(vm, order, mContext.ticker().now());
+    }
+
+    /** Returns what the VMs of each role have cost so far, by the list of prices. */
+    public Map<VmEntry.Role, Double> cost() {
+        return mMeter.cost(mContext.ticker().now());
     }
 
     /** Fault: takes back one VM. */
@@ -117,6 +126,7 @@
         return new CloudActions() {
             @Override
             public void onStarted(final String vm, final VmOrder order) {
+                mMeter.started(vm, order, mContext.ticker().now());
                 mActionsThread.execute(() -> actions.onStarted(vm, order));
             }
 
@@ -127,6 +137,7 @@
 
             @Override
             public void onGone(final String vm) {
+                mMeter.stopped(vm, mContext.ticker().now());
                 mActionsThread.execute(() -> actions.onGone(vm));
             }
         };
--- /dev/null
+++ b/standins/src/main/java/org/whinhead/standins/cloud/VmMeter.java
@@ -0,0 +1,60 @@
+package org.whinhead.standins.cloud;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.whinhead.standins.vms.VmEntry;
+
+/** Adds up how long VMs ran and what that cost; the time is passed in. */
+final class VmMeter {
+
+    private static final double MILLIS_IN_HOUR = Duration.ofHours(1).toMillis();
+
+    private final List<Price> mPrices;
+    private final Map<String, Running> mRunning = new HashMap<>();
+    private final Map<VmEntry.Role, Double> mEnded = new TreeMap<>();
+
+    VmMeter(final List<Price> prices) {
+        mPrices = List.copyOf(prices);
+    }
+
+    synchronized void started(final String vm, final VmOrder order, final Instant now) {
+        mRunning.put(vm, new Running(order, now));
+    }
+
+    synchronized void stopped(final String vm, final Instant now) {
+        final Running running = mRunning.remove(vm);
+        if (running != null) {
+            mEnded.merge(running.order().role(), cost(running, now), Double::sum);
+        }
+    }
+
+    /** Returns what the VMs of each role have cost until now. */
+    synchronized Map<VmEntry.Role, Double> cost(final Instant now) {
+        final Map<VmEntry.Role, Double> cost = new TreeMap<>(mEnded);
+        for (final Running running : mRunning.values()) {
+            cost.merge(running.order().role(), cost(running, now), Double::sum);
+        }
+        return cost;
+    }
+
+    private double cost(final Running running, final Instant now) {
+        final double hours = Duration.between(running.since(), now).toMillis() / MILLIS_IN_HOUR;
+        return hours * perHour(running.order());
+    }
+
+    private double perHour(final VmOrder order) {
+        return mPrices.stream()
+                .filter(price -> price.domain().equals(order.domain()))
+                .filter(price -> price.machineClass().equals(order.machineClass()))
+                .filter(price -> price.billing() == order.billing())
+                .mapToDouble(Price::perHour)
+                .findFirst()
+                .orElse(0);
+    }
+
+    private record Running(VmOrder order, Instant since) {}
+}
--- a/standins/src/main/java/org/whinhead/standins/load/TextTable.java
+++ b/standins/src/main/java/org/whinhead/standins/load/TextTable.java
@@ -7,17 +7,17 @@
  *
  * @param rows the rows, each with the same number of cells
  */
-record TextTable(List<List<String>> rows) {
+public record TextTable(List<List<String>> rows) {
 
     private static final String GAP = "  ";
 
     /** Copies the rows. */
-    TextTable {
+    public TextTable {
         rows = rows.stream().map(List::copyOf).toList();
     }
 
     /** Returns the lines. */
-    List<String> lines() {
+    public List<String> lines() {
         return rows.stream().map(this::line).toList();
     }
 
--- a/standins/src/main/java/org/whinhead/standins/load/result/LatencyDistribution.java
+++ b/standins/src/main/java/org/whinhead/standins/load/result/LatencyDistribution.java
@@ -20,6 +20,18 @@
         mMicros.add(micros);
     }
 
+    /**
+     * Returns what was recorded after an earlier copy of the same histogram was made.
+     *
+     * @param earlier the earlier copy
+     * @return the difference
+     */
+    public LatencyDistribution since(final LatencyDistribution earlier) {
+        final Histogram difference = mMicros.copy();
+        difference.subtract(earlier.mMicros);
+        return new LatencyDistribution(difference);
+    }
+
     /** Returns how many times were recorded. */
     public long count() {
         return mMicros.getTotalCount();
--- a/standins/src/main/java/org/whinhead/standins/witness/Witness.java
+++ b/standins/src/main/java/org/whinhead/standins/witness/Witness.java
@@ -62,6 +62,16 @@
         return mByRequest.containsKey(request) ? seen(request).mAttempts : 0;
     }
 
+    /**
+     * Tells whether an engine computed anything for a request, or a service ran it.
+     *
+     * @param request the request's identity
+     * @return true if any work was done for it
+     */
+    public synchronized boolean ran(final String request) {
+        return mByRequest.containsKey(request) && seen(request).ran();
+    }
+
     /** Returns how many tokens the engines generated. */
     public synchronized long generatedTokens() {
         return mByRequest.values().stream().mapToLong(seen -> seen.mGenerated).sum();
@@ -116,6 +126,10 @@
             return (long) mPrefilled + mGenerated - mPositions.cardinality();
         }
 
+        private boolean ran() {
+            return mExecutions + mPrefilled + mGenerated > 0;
+        }
+
         private ObjectNode toJson() {
             return JsonNodeFactory.instance
                     .objectNode()
