Run a deployment with a reclaim halfway as bin/demo

There was no run of the whole system. bin/demo starts the stand-ins, eight daemons over three failure domains and the callers of a deployment in one JVM, reclaims one failure domain halfway and judges the run by the callers and the witness. Settings and endpoints are still pushed by one small class, until the daemons find them out themselves.

Calls that must not be repeated are all refused as not run (claim-unavailable), since no log is read yet.

--- /dev/null
+++ b/demo/src/main/java/org/whinhead/demo/DemoConfig.java
@@ -0,0 +1,133 @@
+package org.whinhead.demo;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Objects;
+import org.whinhead.api.Arguments;
+import org.whinhead.api.model.FailureDomain;
+import org.whinhead.standins.deployment.DeploymentPlan;
+import org.whinhead.standins.load.mix.Deployment;
+
+/**
+ * What one run of a deployment is made of.
+ *
+ * @param deployment whose callers are played and whose settings are in force
+ * @param perSecond requests a second of the open loop
+ * @param duration how long requests are started
+ * @param notice how long before their end the reclaimed VMs are announced
+ * @param seed the seed of requests and of which failure domain is reclaimed
+ * @param speedUp how many times as fast as real engines
+ * @param callerDeadline how long a caller waits for its whole answer
+ */
+public record DemoConfig(
+        Deployment deployment,
+        int perSecond,
+        Duration duration,
+        Duration notice,
+        long seed,
+        double speedUp,
+        Duration callerDeadline) {
+
+    /** Checks every part. */
+    public DemoConfig {
+        Objects.requireNonNull(deployment, "deployment");
+        Arguments.requireAtLeast(perSecond, 1, "perSecond");
+        Arguments.requirePositive(duration, "duration");
+        Objects.requireNonNull(notice, "notice");
+        Arguments.requirePositive(callerDeadline, "callerDeadline");
+    }
+
+    /** Returns what stands where. */
+    public DeploymentPlan plan() {
+        return DeploymentPlan.valueOf(deployment.name());
+    }
+
+    /** Returns when the cloud announces the reclaim, counted from the first request. */
+    public Duration reclaimAfter() {
+        return duration.dividedBy(2);
+    }
+
+    /** Returns the failure domain that is reclaimed. */
+    public FailureDomain reclaimed() {
+        final List<FailureDomain> domains = plan().domains();
+        return domains.get((int) Math.floorMod(seed, (long) domains.size()));
+    }
+
+    /**
+     * Makes the usual run of a deployment.
+     *
+     * @param deployment the deployment
+     * @return the configuration
+     */
+    public static DemoConfig of(final Deployment deployment) {
+        return new Builder(deployment).build();
+    }
+
+    /** Returns a builder that holds these parts. */
+    public Builder toBuilder() {
+        return new Builder(deployment)
+                .perSecond(perSecond)
+                .duration(duration)
+                .notice(notice)
+                .seed(seed)
+                .speedUp(speedUp)
+                .callerDeadline(callerDeadline);
+    }
+
+    /** Builds a {@link DemoConfig}. */
+    public static final class Builder {
+        private final Deployment mDeployment;
+        private int mPerSecond = 16;
+        private Duration mDuration = Duration.ofSeconds(22);
+        private Duration mNotice = Duration.ofSeconds(4);
+        private long mSeed = 1;
+        private double mSpeedUp = 1;
+        private Duration mCallerDeadline = Duration.ofSeconds(15);
+
+        private Builder(final Deployment deployment) {
+            mDeployment = deployment;
+        }
+
+        /** Sets the requests a second; 16 by default. */
+        public Builder perSecond(final int perSecond) {
+            mPerSecond = perSecond;
+            return this;
+        }
+
+        /** Sets how long requests are started; 22 s by default. */
+        public Builder duration(final Duration duration) {
+            mDuration = duration;
+            return this;
+        }
+
+        /** Sets the time from the notice to the end of the VMs; 4 s by default. */
+        public Builder notice(final Duration notice) {
+            mNotice = notice;
+            return this;
+        }
+
+        /** Sets the seed; 1 by default. */
+        public Builder seed(final long seed) {
+            mSeed = seed;
+            return this;
+        }
+
+        /** Sets how many times as fast as real engines; 1 by default. */
+        public Builder speedUp(final double speedUp) {
+            mSpeedUp = speedUp;
+            return this;
+        }
+
+        /** Sets how long a caller waits for its whole answer; 15 s by default. */
+        public Builder callerDeadline(final Duration callerDeadline) {
+            mCallerDeadline = callerDeadline;
+            return this;
+        }
+
+        /** Builds the configuration. */
+        public DemoConfig build() {
+            return new DemoConfig(
+                    mDeployment, mPerSecond, mDuration, mNotice, mSeed, mSpeedUp, mCallerDeadline);
+        }
+    }
+}
--- /dev/null
+++ b/demo/src/main/java/org/whinhead/demo/DemoMain.java
@@ -0,0 +1,66 @@
+package org.whinhead.demo;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.util.concurrent.ExecutionException;
+import org.apache.commons.cli.ParseException;
+import org.whinhead.settings.SettingsException;
+
+/** The command {@code bin/demo}. */
+public final class DemoMain {
+
+    /** Nothing was lost, doubled or wrong. */
+    static final int EXIT_KEPT = 0;
+
+    /** Something was lost, doubled or wrong, or nothing was completed. */
+    static final int EXIT_BROKEN = 1;
+
+    /** The options are wrong. */
+    static final int EXIT_USAGE = 2;
+
+    private DemoMain() {}
+
+    /**
+     * Runs the command and exits with its status.
+     *
+     * @param arguments the command line
+     * @throws IOException if a server can not be started
+     * @throws SettingsException if the example settings are wrong
+     * @throws InterruptedException if the run is interrupted
+     * @throws ExecutionException if the run fails by a fault of this program
+     */
+    public static void main(final String[] arguments)
+            throws IOException, SettingsException, InterruptedException, ExecutionException {
+        System.exit(run(System.out, System.err, arguments));
+    }
+
+    /**
+     * Runs the command.
+     *
+     * @param out where results go
+     * @param errors where complaints go
+     * @param arguments the command line
+     * @return the exit status
+     */
+    static int run(final PrintStream out, final PrintStream errors, final String... arguments)
+            throws IOException, SettingsException, InterruptedException, ExecutionException {
+        if (DemoOptions.wantsHelp(arguments)) {
+            out.print(DemoOptions.help());
+            return EXIT_KEPT;
+        }
+        final DemoOptions options;
+        try {
+            options = DemoOptions.parse(arguments);
+        } catch (final ParseException e) {
+            errors.println(e.getMessage());
+            return EXIT_USAGE;
+        }
+        final DemoResult result = DemoRun.run(options.config());
+        final DemoReport report = new DemoReport(result);
+        out.println(report.table());
+        if (options.json()) {
+            out.println(report.json());
+        }
+        return result.promiseKept() ? EXIT_KEPT : EXIT_BROKEN;
+    }
+}
--- /dev/null
+++ b/demo/src/main/java/org/whinhead/demo/DemoRun.java
@@ -0,0 +1,117 @@
+package org.whinhead.demo;
+
+import java.io.IOException;
+import java.net.URI;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.whinhead.settings.SettingsException;
+import org.whinhead.settings.daemon.DaemonSettings;
+import org.whinhead.settings.daemon.PlatformUris;
+import org.whinhead.standins.deployment.DeploymentConfig;
+import org.whinhead.standins.deployment.DeploymentStandIns;
+import org.whinhead.standins.load.LoadRun;
+import org.whinhead.standins.load.caller.CallerConfig;
+import org.whinhead.standins.load.result.LoadResult;
+
+/** Runs one deployment with a reclaim halfway. */
+public final class DemoRun implements AutoCloseable {
+
+    private static final Duration WAVE_SETTLES = Duration.ofSeconds(3);
+
+    private final DemoConfig mConfig;
+    private final EntryVms mEntries;
+    private final DeploymentStandIns mStandIns;
+    private final PushedFacts mFacts;
+    private final List<URI> mTargets = new ArrayList<>();
+    private final ScheduledExecutorService mTimers = Executors.newSingleThreadScheduledExecutor();
+
+    private DemoRun(final DemoConfig config) throws IOException {
+        mConfig = config;
+        mEntries = new EntryVms();
+        mStandIns =
+                DeploymentStandIns.start(
+                        DeploymentConfig.of(config.plan()).withSpeedUp(config.speedUp()), mEntries);
+        mFacts = new PushedFacts(config.plan(), mStandIns, mEntries::running);
+    }
+
+    /**
+     * Runs a deployment to its end.
+     *
+     * @param config what is run
+     * @return what came of it
+     * @throws IOException if a server can not be started
+     * @throws SettingsException if the example settings are wrong
+     * @throws InterruptedException if the run is interrupted
+     * @throws ExecutionException if the run fails by a fault of this program
+     */
+    public static DemoResult run(final DemoConfig config)
+            throws IOException, SettingsException, InterruptedException, ExecutionException {
+        try (DemoRun run = new DemoRun(config)) {
+            run.startDaemons();
+            return run.load();
+        }
+    }
+
+    @Override
+    public void close() {
+        mTimers.shutdownNow();
+        mEntries.close();
+        mStandIns.close();
+    }
+
+    private void startDaemons() throws IOException, SettingsException {
+        final ExampleSettings settings = new ExampleSettings(mConfig.deployment());
+        final PlatformUris platform =
+                new PlatformUris(
+                        mStandIns.log().uri(),
+                        mStandIns.vms().uri(),
+                        mStandIns.cloud().uri(),
+                        mStandIns.weights().uri());
+        for (final DaemonSettings daemon : settings.daemons()) {
+            final URI uri = mEntries.start(daemon, platform);
+            mStandIns.addEntry(daemon.vm().value(), daemon.domain(), uri);
+            mTargets.add(uri);
+        }
+        mFacts.settings(settings.inForce());
+        mFacts.endpoints(Set.of());
+    }
+
+    private DemoResult load() throws InterruptedException, ExecutionException {
+        final LoadRun load =
+                LoadRun.builder(
+                                mConfig.deployment().mix(),
+                                CallerConfig.of(mTargets).withDeadline(mConfig.callerDeadline()))
+                        .duration(mConfig.duration())
+                        .perSecond(mConfig.perSecond())
+                        .seed(mConfig.seed())
+                        .build();
+        final CompletableFuture<LoadResult> whole = load.start();
+        final CompletableFuture<LoadResult> before = new CompletableFuture<>();
+        final CompletableFuture<LoadResult> settled = new CompletableFuture<>();
+        final Duration reclaim = mConfig.reclaimAfter();
+        final Duration gone = reclaim.plus(mConfig.notice());
+        after(reclaim, () -> reclaim(before, load));
+        after(gone, () -> mFacts.endpoints(Set.of(mConfig.reclaimed())));
+        after(gone.plus(WAVE_SETTLES), () -> settled.complete(load.soFar()));
+        final LoadResult end = whole.get();
+        final LoadPhases phases = new LoadPhases(before.get(), settled.get(), end);
+        return DemoResult.of(mConfig, phases, mStandIns);
+    }
+
+    private void reclaim(final CompletableFuture<LoadResult> before, final LoadRun load) {
+        before.complete(load.soFar());
+        mStandIns.cloud().reclaim(mConfig.reclaimed(), mConfig.notice());
+        mFacts.endpoints(Set.of(mConfig.reclaimed()));
+    }
+
+    private void after(final Duration delay, final Runnable task) {
+        mTimers.schedule(task, delay.toNanos(), TimeUnit.NANOSECONDS);
+    }
+}
--- /dev/null
+++ b/demo/src/main/java/org/whinhead/demo/ExampleSettings.java
@@ -0,0 +1,65 @@
+package org.whinhead.demo;
+
+import java.io.FileNotFoundException;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.whinhead.settings.SettingsException;
+import org.whinhead.settings.daemon.DaemonSettings;
+import org.whinhead.settings.daemon.SettingsReader;
+import org.whinhead.settings.deployment.DeploymentSettings;
+import org.whinhead.settings.deployment.DocumentList;
+import org.whinhead.settings.deployment.StoredDocument;
+import org.whinhead.standins.load.mix.Deployment;
+
+/** Reads the settings of the example deployments, which are built into this program. */
+final class ExampleSettings {
+
+    private static final int ENTRIES = 8;
+
+    private final String mRoot;
+
+    /**
+     * Names the settings.
+     *
+     * @param deployment whose settings are read
+     */
+    ExampleSettings(final Deployment deployment) {
+        mRoot = "/examples/" + deployment.mix().name() + '/';
+    }
+
+    /** Returns the settings of each daemon, with the addresses of the example. */
+    List<DaemonSettings> daemons() throws IOException, SettingsException {
+        final List<DaemonSettings> daemons = new ArrayList<>();
+        for (int number = 1; number <= ENTRIES; number++) {
+            final String name = mRoot + "daemons/entry-" + number + ".json";
+            daemons.add(SettingsReader.parse(name, text(name)));
+        }
+        return daemons;
+    }
+
+    /** Returns the documents, in an order in which they can be put one by one. */
+    List<DocumentList.Entry> documents() throws IOException, SettingsException {
+        final String name = mRoot + "documents.json";
+        return DocumentList.parse(name, text(name));
+    }
+
+    /** Returns the documents as if they were in force. */
+    DeploymentSettings inForce() throws IOException, SettingsException {
+        return DeploymentSettings.of(
+                documents().stream()
+                        .map(entry -> new StoredDocument(entry.path(), entry.text(), 1))
+                        .toList());
+    }
+
+    private static String text(final String name) throws IOException {
+        try (InputStream file = ExampleSettings.class.getResourceAsStream(name)) {
+            if (file == null) {
+                throw new FileNotFoundException(name);
+            }
+            return new String(file.readAllBytes(), StandardCharsets.UTF_8);
+        }
+    }
+}
--- /dev/null
+++ b/demo/src/test/java/org/whinhead/demo/DemoRunTest.java
@@ -0,0 +1,52 @@
+package org.whinhead.demo;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.whinhead.standins.load.mix.Deployment;
+import org.whinhead.standins.load.result.Outcome;
+
+@Timeout(90)
+class DemoRunTest {
+
+    /**
+     * Callers see an answer break off, come twice or belong to someone else after their zone is
+     * taken back: daemons and engines of one failure domain vanish together, a second after the
+     * notice, while answers are being made there.
+     */
+    @ParameterizedTest
+    @EnumSource(Deployment.class)
+    void nothingIsLostDoubledOrWrongInReclaim(final Deployment deployment) throws Exception {
+        final DemoConfig config =
+                DemoConfig.of(deployment).toBuilder()
+                        .duration(Duration.ofSeconds(4))
+                        .notice(Duration.ofSeconds(1))
+                        .perSecond(10)
+                        .callerDeadline(Duration.ofSeconds(8))
+                        .build();
+        final DemoResult result = DemoRun.run(config);
+        assertThat(result.load().count(Outcome.COMPLETED)).isPositive();
+        assertThat(result.lost()).isZero();
+        assertThat(result.doubled()).isZero();
+        assertThat(result.wrongAnswers()).isZero();
+        assertThat(result.notRunButRan()).isZero();
+        assertThat(result.promiseKept()).isTrue();
+    }
+
+    @Test
+    void wrongOptionsAreNamed() throws Exception {
+        final ByteArrayOutputStream errors = new ByteArrayOutputStream();
+        final int status =
+                DemoMain.run(System.out, new PrintStream(errors), "--deployment", "other");
+        assertThat(status).isEqualTo(DemoMain.EXIT_USAGE);
+        assertThat(errors.toString(StandardCharsets.UTF_8).trim())
+                .isEqualTo("--deployment must be inkiko or mezani, but is \"other\"");
+    }
+}
