Add up daemons' burn reports one at a time and show alerts

The report held every daemon's minutes in memory at once, took its objectives from the caller, drew minutes without requests as gaps, and left it to the reader which burn asks for a person. A promise of 1, which the settings allow, no longer fails.

--- a/report/src/main/java/org/whinhead/report/BurnRecorder.java
+++ b/report/src/main/java/org/whinhead/report/BurnRecorder.java
@@ -1,13 +1,16 @@
 package org.whinhead.report;
 
+import java.net.URI;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Deque;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.SortedMap;
 import java.util.TreeMap;
 import org.whinhead.api.model.DaemonId;
 
@@ -15,7 +18,8 @@
  * Counts ended requests of one daemon by customer, tier and minute; single-threaded.
  *
  * <p>Memory is bounded: {@value #MOST_SERIES} series of at most {@link #MINUTES} minutes that had a
- * request. Requests of further series are counted as left out, and the report says so.
+ * request. Requests of further series are counted as left out, and the report says so. A series
+ * that had no request within the longest window makes room for another one.
  */
 public final class BurnRecorder {
 
@@ -28,29 +32,44 @@
     private static final long SECONDS_PER_MINUTE = Duration.ofMinutes(1).toSeconds();
 
     private final DaemonId mDaemon;
+    private final URI mAddress;
     private final Instant mSince;
     private final Map<SeriesKey, Deque<Minute>> mSeries = new TreeMap<>();
-    private Map<String, Objective> mObjectives = Map.of();
+    private SortedMap<String, Objective> mObjectives = new TreeMap<>();
     private long mLeftOut;
+    private long mLastSweep;
 
     /**
      * Makes an empty recorder.
      *
      * @param daemon whose requests are counted
+     * @param address the address that callers are told
      * @param since when counting began
      */
-    public BurnRecorder(final DaemonId daemon, final Instant since) {
+    public BurnRecorder(final DaemonId daemon, final URI address, final Instant since) {
         mDaemon = Objects.requireNonNull(daemon, "daemon");
+        mAddress = Objects.requireNonNull(address, "address");
         mSince = Objects.requireNonNull(since, "since");
     }
 
     /**
      * Sets what the tiers promise; later requests are judged by it.
      *
-     * @param objectives the promises by tier
+     * @param objectives the promises, one for each tier
      */
-    public void objectives(final Map<String, Objective> objectives) {
-        mObjectives = Map.copyOf(objectives);
+    public void objectives(final Collection<Objective> objectives) {
+        final SortedMap<String, Objective> byTier = new TreeMap<>();
+        objectives.forEach(objective -> byTier.put(objective.tier(), objective));
+        mObjectives = byTier;
+    }
+
+    /**
+     * Counts requests that ended without a sample, for example for lack of room.
+     *
+     * @param requests how many
+     */
+    public void leftOut(final long requests) {
+        mLeftOut += requests;
     }
 
     /**
@@ -59,16 +78,16 @@
      * @param sample the request
      */
     public void record(final RequestSample sample) {
+        final long number = minuteOf(sample.at());
         Deque<Minute> minutes = mSeries.get(sample.key());
         if (minutes == null) {
-            if (mSeries.size() == MOST_SERIES) {
+            if (!hasRoom(number)) {
                 mLeftOut++;
                 return;
             }
             minutes = new ArrayDeque<>();
             mSeries.put(sample.key(), minutes);
         }
-        final long number = minuteOf(sample.at());
         final Counts counts = countsOf(sample);
         final Minute last = minutes.peekLast();
         if (last != null && last.number() >= number) {
@@ -94,7 +113,24 @@
                     dropOld(minutes, number);
                     series.add(new DaemonReport.Series(key, List.copyOf(minutes)));
                 });
-        return new DaemonReport(mDaemon, mSince, now, series, mLeftOut);
+        return new DaemonReport(
+                mDaemon,
+                mAddress,
+                mSince,
+                now,
+                List.copyOf(mObjectives.values()),
+                series,
+                mLeftOut);
+    }
+
+    /** Drops what is too old when the bound is reached, at most once a minute. */
+    private boolean hasRoom(final long number) {
+        if (mSeries.size() == MOST_SERIES && mLastSweep != number) {
+            mLastSweep = number;
+            mSeries.values().forEach(minutes -> dropOld(minutes, number));
+            mSeries.values().removeIf(Deque::isEmpty);
+        }
+        return mSeries.size() < MOST_SERIES;
     }
 
     private Counts countsOf(final RequestSample sample) {
--- a/report/src/main/java/org/whinhead/report/DaemonReport.java
+++ b/report/src/main/java/org/whinhead/report/DaemonReport.java
@@ -1,5 +1,6 @@
 package org.whinhead.report;
 
+import java.net.URI;
 import java.time.Instant;
 import java.util.List;
 import java.util.Objects;
@@ -9,19 +10,29 @@
  * What one daemon counted.
  *
  * @param daemon the daemon
+ * @param address the address that callers are told
  * @param since when it began to count
  * @param asOf when the report was made
+ * @param objectives what its tiers promise, sorted by tier
  * @param series the counts by customer and tier
  * @param leftOut requests that were not counted for lack of room
  */
 public record DaemonReport(
-        DaemonId daemon, Instant since, Instant asOf, List<Series> series, long leftOut) {
+        DaemonId daemon,
+        URI address,
+        Instant since,
+        Instant asOf,
+        List<Objective> objectives,
+        List<Series> series,
+        long leftOut) {
 
-    /** Copies the list. */
+    /** Checks every part and copies the lists. */
     public DaemonReport {
         Objects.requireNonNull(daemon, "daemon");
+        Objects.requireNonNull(address, "address");
         Objects.requireNonNull(since, "since");
         Objects.requireNonNull(asOf, "asOf");
+        objectives = List.copyOf(objectives);
         series = List.copyOf(series);
     }
 
--- /dev/null
+++ b/report/src/main/java/org/whinhead/report/FleetMerge.java
@@ -0,0 +1,142 @@
+package org.whinhead.report;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalDouble;
+import java.util.SortedMap;
+import java.util.SortedSet;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/**
+ * Adds up daemons' reports one at a time, so that not all of them need room at once;
+ * single-threaded.
+ */
+public final class FleetMerge {
+
+    private static final long SECONDS_PER_MINUTE = Duration.ofMinutes(1).toSeconds();
+
+    private final Instant mNow;
+    private final SortedMap<SeriesKey, SortedMap<Long, Counts>> mSums = new TreeMap<>();
+    private final SortedMap<String, Objective> mObjectives = new TreeMap<>();
+    private final SortedSet<String> mCollected = new TreeSet<>();
+    private final List<String> mMissing = new ArrayList<>();
+    private final SortedSet<String> mNotes = new TreeSet<>();
+    private OptionalDouble mPricePerHour = OptionalDouble.empty();
+    private Instant mNewest = Instant.MIN;
+
+    /**
+     * Starts with nothing.
+     *
+     * @param now the time, at which all windows end
+     */
+    public FleetMerge(final Instant now) {
+        mNow = now;
+    }
+
+    /**
+     * Sets the price of the fleet.
+     *
+     * @param pricePerHour what all VMs cost an hour, if it is known
+     */
+    public void price(final OptionalDouble pricePerHour) {
+        mPricePerHour = pricePerHour;
+    }
+
+    /**
+     * Adds what one daemon counted; a daemon that was added before is passed over, because it may
+     * be reached by two addresses.
+     *
+     * @param report its report
+     */
+    public void add(final DaemonReport report) {
+        if (!mCollected.add(report.daemon().value())) {
+            return;
+        }
+        noteGaps(report);
+        addObjectives(report);
+        for (final DaemonReport.Series series : report.series()) {
+            final SortedMap<Long, Counts> minutes =
+                    mSums.computeIfAbsent(series.key(), key -> new TreeMap<>());
+            for (final Minute minute : series.minutes()) {
+                minutes.merge(minute.number(), minute.counts(), Counts::plus);
+            }
+        }
+    }
+
+    /**
+     * Notes a daemon that could not be asked or did not answer.
+     *
+     * @param daemon its name or address, and the cause
+     */
+    public void addMissing(final String daemon) {
+        mMissing.add(daemon);
+    }
+
+    /** Returns the sum of what was added. */
+    public FleetReport report() {
+        final List<FleetReport.Line> lines = new ArrayList<>();
+        mSums.forEach(
+                (key, minutes) -> {
+                    final Objective objective = mObjectives.get(key.tier());
+                    if (objective == null) {
+                        mNotes.add("tier " + key.tier() + " has no objective in force");
+                    } else {
+                        lines.add(line(key, objective, minutes));
+                    }
+                });
+        if (mPricePerHour.isPresent() && !mMissing.isEmpty()) {
+            mNotes.add("the cost is too high: what missing daemons completed is not counted");
+        }
+        Collections.sort(mMissing);
+        return new FleetReport(
+                mNow, mPricePerHour, lines, List.copyOf(mCollected), mMissing, List.copyOf(mNotes));
+    }
+
+    /** The objectives of the newest report hold for all, so that each line is judged by one. */
+    private void addObjectives(final DaemonReport report) {
+        final boolean newer = report.asOf().isAfter(mNewest);
+        if (newer) {
+            mNewest = report.asOf();
+        }
+        for (final Objective objective : report.objectives()) {
+            final Objective other = mObjectives.get(objective.tier());
+            if (other != null && !other.equals(objective)) {
+                mNotes.add("daemons differ in the objectives of tier " + objective.tier());
+            }
+            if (other == null || newer) {
+                mObjectives.put(objective.tier(), objective);
+            }
+        }
+    }
+
+    private void noteGaps(final DaemonReport report) {
+        final Duration age = Duration.between(report.since(), mNow);
+        if (age.compareTo(Window.LONG.length()) < 0) {
+            mNotes.add(report.daemon() + " counts only since " + report.since());
+        }
+        if (report.leftOut() > 0) {
+            mNotes.add(report.daemon() + " left out " + report.leftOut() + " requests");
+        }
+    }
+
+    private FleetReport.Line line(
+            final SeriesKey key, final Objective objective, final SortedMap<Long, Counts> minutes) {
+        final Map<Window, Counts> windows = new EnumMap<>(Window.class);
+        final long thisMinute = Math.floorDiv(mNow.getEpochSecond(), SECONDS_PER_MINUTE);
+        for (final Window window : Window.values()) {
+            final long first = thisMinute - window.length().toMinutes() + 1;
+            final Counts sum =
+                    minutes.tailMap(first).values().stream().reduce(Counts.NONE, Counts::plus);
+            windows.put(window, sum);
+        }
+        final List<Minute> list = new ArrayList<>();
+        minutes.forEach((number, counts) -> list.add(new Minute(number, counts)));
+        return new FleetReport.Line(key, objective, windows, list);
+    }
+}
--- a/report/src/main/java/org/whinhead/report/FleetReport.java
+++ b/report/src/main/java/org/whinhead/report/FleetReport.java
@@ -1,14 +1,9 @@
 package org.whinhead.report;
 
-import java.time.Duration;
 import java.time.Instant;
-import java.util.ArrayList;
-import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalDouble;
-import java.util.SortedMap;
-import java.util.TreeMap;
 
 /**
  * Service-level burn over all daemons that answered.
@@ -64,52 +59,42 @@
          * @return the burn rate
          */
         public double burn(final ServiceLevel level, final Window window) {
-            return level.burn(windows.getOrDefault(window, Counts.NONE), objective);
+            return level.burn(counts(window), objective);
+        }
+
+        /**
+         * Returns the sums over a window.
+         *
+         * @param window over which span
+         * @return the sums; zeros if nothing was counted
+         */
+        public Counts counts(final Window window) {
+            return windows.getOrDefault(window, Counts.NONE);
         }
     }
 
+    /** Tells whether every daemon answered. */
+    public boolean isComplete() {
+        return missing.isEmpty();
+    }
+
+    /** Returns the names of the tiers, sorted. */
+    public List<String> tiers() {
+        return lines.stream().map(line -> line.key().tier()).distinct().sorted().toList();
+    }
+
     /**
-     * Adds up what the daemons counted.
+     * Adds up all customers of a tier.
      *
-     * @param reports the daemons' reports
-     * @param missing daemons that did not answer, with the cause
-     * @param objectives the promises by tier
-     * @param pricePerHour what all VMs cost an hour, if the cloud told
-     * @param now the time
-     * @return the whole report
+     * @param tier the tier's name
+     * @param window over which span
+     * @return the sums
      */
-    public static FleetReport merge(
-            final List<DaemonReport> reports,
-            final List<String> missing,
-            final Map<String, Objective> objectives,
-            final OptionalDouble pricePerHour,
-            final Instant now) {
-        final List<String> notes = new ArrayList<>();
-        final SortedMap<SeriesKey, SortedMap<Long, Counts>> sums = new TreeMap<>();
-        for (final DaemonReport report : reports) {
-            noteGaps(report, now, notes);
-            for (final DaemonReport.Series series : report.series()) {
-                final SortedMap<Long, Counts> minutes =
-                        sums.computeIfAbsent(series.key(), key -> new TreeMap<>());
-                for (final Minute minute : series.minutes()) {
-                    minutes.merge(minute.number(), minute.counts(), Counts::plus);
-                }
-            }
-        }
-        final List<Line> lines = new ArrayList<>();
-        sums.forEach(
-                (key, minutes) -> {
-                    final Objective objective = objectives.get(key.tier());
-                    if (objective == null) {
-                        notes.add("tier " + key.tier() + " has no objective in force");
-                    } else {
-                        lines.add(line(key, objective, minutes, now));
-                    }
-                });
-        final List<String> collected =
-                reports.stream().map(report -> report.daemon().value()).sorted().toList();
-        return new FleetReport(
-                now, pricePerHour, lines, collected, missing, notes.stream().distinct().toList());
+    public Counts total(final String tier, final Window window) {
+        return lines.stream()
+                .filter(line -> line.key().tier().equals(tier))
+                .map(line -> line.counts(window))
+                .reduce(Counts.NONE, Counts::plus);
     }
 
     /**
@@ -119,9 +104,7 @@
      * @return the sums
      */
     public Counts total(final Window window) {
-        return lines.stream()
-                .map(line -> line.windows().getOrDefault(window, Counts.NONE))
-                .reduce(Counts.NONE, Counts::plus);
+        return lines.stream().map(line -> line.counts(window)).reduce(Counts.NONE, Counts::plus);
     }
 
     /**
@@ -138,33 +121,4 @@
         final double hours = window.length().toMinutes() / (double) MINUTES_PER_HOUR;
         return OptionalDouble.of(pricePerHour.getAsDouble() * hours * THOUSAND / completed);
     }
-
-    private static void noteGaps(
-            final DaemonReport report, final Instant now, final List<String> notes) {
-        final Duration age = Duration.between(report.since(), now);
-        if (age.compareTo(Window.LONG.length()) < 0) {
-            notes.add(report.daemon() + " counts only since " + report.since());
-        }
-        if (report.leftOut() > 0) {
-            notes.add(report.daemon() + " left out " + report.leftOut() + " requests");
-        }
-    }
-
-    private static Line line(
-            final SeriesKey key,
-            final Objective objective,
-            final SortedMap<Long, Counts> minutes,
-            final Instant now) {
-        final Map<Window, Counts> windows = new EnumMap<>(Window.class);
-        final long thisMinute = now.getEpochSecond() / Duration.ofMinutes(1).toSeconds();
-        for (final Window window : Window.values()) {
-            final long first = thisMinute - window.length().toMinutes() + 1;
-            final Counts sum =
-                    minutes.tailMap(first).values().stream().reduce(Counts.NONE, Counts::plus);
-            windows.put(window, sum);
-        }
-        final List<Minute> list = new ArrayList<>();
-        minutes.forEach((number, counts) -> list.add(new Minute(number, counts)));
-        return new Line(key, objective, windows, list);
-    }
 }
--- a/report/src/main/java/org/whinhead/report/JsonReport.java
+++ b/report/src/main/java/org/whinhead/report/JsonReport.java
@@ -27,11 +27,21 @@
         for (final Window window : Window.values()) {
             final Counts sum = report.total(window);
             final ObjectNode node = tokens.putObject(name(window));
+            node.put("completed", sum.good());
+            node.put("generated", sum.generatedTokens());
+            node.put("recomputed", sum.recomputedTokens());
+        }
+        final ObjectNode tiers = root.putObject("tiers");
+        for (final String tier : report.tiers()) {
+            final Counts sum = report.total(tier, Window.MIDDLE);
+            final ObjectNode node = tiers.putObject(tier);
+            node.put("completed", sum.good());
             node.put("generated", sum.generatedTokens());
             node.put("recomputed", sum.recomputedTokens());
         }
         report.pricePerThousand(Window.MIDDLE)
                 .ifPresent(price -> root.put("costPerThousandCompleted", price));
+        root.put("complete", report.isComplete());
         report.collected().forEach(root.putArray("collected")::add);
         report.missing().forEach(root.putArray("missing")::add);
         report.notes().forEach(root.putArray("notes")::add);
@@ -43,7 +53,7 @@
         node.put("customer", line.key().customer().value());
         node.put("tier", line.key().tier());
         for (final Window window : Window.values()) {
-            final Counts counts = line.windows().getOrDefault(window, Counts.NONE);
+            final Counts counts = line.counts(window);
             final ObjectNode sums = node.putObject(name(window));
             sums.put("requests", counts.counted());
             sums.put("good", counts.good());
@@ -51,13 +61,17 @@
             sums.put("mayHaveRun", counts.mayHaveRun());
             final ObjectNode burn = sums.putObject("burn");
             for (final ServiceLevel level : ServiceLevel.values()) {
-                burn.put(level.name().toLowerCase(Locale.ROOT), line.burn(level, window));
+                burn.put(name(level), line.burn(level, window));
             }
         }
+        final ObjectNode alerts = node.putObject("alerts");
+        for (final ServiceLevel level : ServiceLevel.values()) {
+            alerts.put(name(level), name(Alert.of(line, level)));
+        }
         return node;
     }
 
-    private static String name(final Window window) {
-        return window.name().toLowerCase(Locale.ROOT);
+    private static String name(final Enum<?> constant) {
+        return constant.name().toLowerCase(Locale.ROOT);
     }
 }
--- a/report/src/main/java/org/whinhead/report/Objective.java
+++ b/report/src/main/java/org/whinhead/report/Objective.java
@@ -29,8 +29,8 @@
     }
 
     private static void requireShare(final double share, final String name) {
-        if (!(share > 0 && share < 1)) {
-            throw new IllegalArgumentException(name + " is not between 0 and 1: " + share);
+        if (!(share > 0 && share <= 1)) {
+            throw new IllegalArgumentException(name + " is not above 0 and at most 1: " + share);
         }
     }
 }
--- a/report/src/main/java/org/whinhead/report/Outcome.java
+++ b/report/src/main/java/org/whinhead/report/Outcome.java
@@ -11,7 +11,9 @@
     /** The request was at fault: malformed, unknown, not allowed or over its own budget. */
     CALLER_FAULT(false, false),
     /** The caller hung up before the end. */
-    CALLER_LEFT(false, false);
+    CALLER_LEFT(false, false),
+    /** The caller went on with a ticket; whoever ends the request counts it. */
+    HANDED_OVER(false, false);
 
     private final boolean mCounts;
     private final boolean mGood;
--- a/report/src/main/java/org/whinhead/report/ServiceLevel.java
+++ b/report/src/main/java/org/whinhead/report/ServiceLevel.java
@@ -54,6 +54,9 @@
         }
     };
 
+    /** The allowance of a promise without one, so that a single miss shows as a huge burn. */
+    private static final double SMALLEST_ALLOWANCE = 1e-6;
+
     private final String mTitle;
 
     ServiceLevel(final String title) {
@@ -84,6 +87,6 @@
             return 0;
         }
         final double missed = (double) (total - good(counts)) / total;
-        return missed / (1 - promised(objective));
+        return missed / Math.max(1 - promised(objective), SMALLEST_ALLOWANCE);
     }
 }
--- a/report/src/main/java/org/whinhead/report/TextReport.java
+++ b/report/src/main/java/org/whinhead/report/TextReport.java
@@ -6,8 +6,9 @@
 /** Writes a report as tables for a terminal. */
 public final class TextReport {
 
-    private static final String ROW = "%-16s %-12s %-15s %8s %8s %8s %10s%n";
+    private static final String ROW = "%-16s %-12s %-15s %8s %8s %8s %10s  %s%n";
     private static final String BURN = "%.2f";
+    private static final String NOTHING_COUNTED = "-";
 
     private TextReport() {}
 
@@ -32,13 +33,15 @@
                         Window.SHORT.title(),
                         Window.MIDDLE.title(),
                         Window.LONG.title(),
-                        "requests"));
+                        "requests",
+                        "alert"));
         for (final FleetReport.Line line : report.lines()) {
             for (final ServiceLevel level : ServiceLevel.values()) {
                 out.append(row(line, level));
             }
         }
         out.append('\n');
+        tiers(report, out);
         tokens(report, out);
         price(report, out);
         out.append("collected from: ").append(String.join(", ", report.collected())).append('\n');
@@ -48,7 +51,6 @@
     }
 
     private static String row(final FleetReport.Line line, final ServiceLevel level) {
-        final Counts counts = line.windows().getOrDefault(Window.LONG, Counts.NONE);
         return String.format(
                 Locale.ROOT,
                 ROW,
@@ -58,14 +60,33 @@
                 burn(line, level, Window.SHORT),
                 burn(line, level, Window.MIDDLE),
                 burn(line, level, Window.LONG),
-                level.total(counts));
+                level.total(line.counts(Window.LONG)),
+                Alert.of(line, level).title());
     }
 
     private static String burn(
             final FleetReport.Line line, final ServiceLevel level, final Window window) {
+        if (level.total(line.counts(window)) == 0) {
+            return NOTHING_COUNTED;
+        }
         return String.format(Locale.ROOT, BURN, line.burn(level, window));
     }
 
+    private static void tiers(final FleetReport report, final StringBuilder out) {
+        for (final String tier : report.tiers()) {
+            final Counts sum = report.total(tier, Window.MIDDLE);
+            out.append(
+                    String.format(
+                            Locale.ROOT,
+                            "%-6s tier %s: completed %d, generated %d tokens, recomputed %d%n",
+                            Window.MIDDLE.title(),
+                            tier,
+                            sum.good(),
+                            sum.generatedTokens(),
+                            sum.recomputedTokens()));
+        }
+    }
+
     private static void tokens(final FleetReport report, final StringBuilder out) {
         for (final Window window : Window.values()) {
             final Counts sum = report.total(window);
--- a/report/src/test/java/org/whinhead/report/FleetReportTest.java
+++ b/report/src/test/java/org/whinhead/report/FleetReportTest.java
@@ -4,10 +4,10 @@
 import static org.assertj.core.api.Assertions.within;
 
 import java.io.IOException;
+import java.net.URI;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import org.junit.jupiter.api.Test;
@@ -115,8 +115,11 @@
 
     private static BurnRecorder recorder(final String daemon) {
         final BurnRecorder recorder =
-                new BurnRecorder(new DaemonId(daemon), NOW.minus(Duration.ofMinutes(30)));
-        recorder.objectives(Map.of(COURT.tier(), COURT));
+                new BurnRecorder(
+                        new DaemonId(daemon),
+                        URI.create("http://127.0.0.1:7001"),
+                        NOW.minus(Duration.ofMinutes(30)));
+        recorder.objectives(List.of(COURT));
         return recorder;
     }
 
@@ -133,11 +136,10 @@
     }
 
     private static FleetReport merge(final DaemonReport... reports) {
-        return FleetReport.merge(
-                List.of(reports),
-                List.of("d3: timed out"),
-                Map.of(COURT.tier(), COURT),
-                OptionalDouble.of(12),
-                NOW);
+        final FleetMerge merge = new FleetMerge(NOW);
+        List.of(reports).forEach(merge::add);
+        merge.addMissing("d3: timed out");
+        merge.price(OptionalDouble.of(12));
+        return merge.report();
     }
 }
