Give the burn page one legend and one colour for a line

Looked at as a picture, the charts cut off their legends, gave a line another colour in each chart and drew empty charts. The page now has the legend, the eight lines with the highest burn keep their colour, and a promise without a miss says so. A test writes a page of a reclaimed domain into target.

--- a/report/src/main/java/org/whinhead/report/HtmlReport.java
+++ b/report/src/main/java/org/whinhead/report/HtmlReport.java
@@ -26,6 +26,9 @@
             .fire{background:#ffb3ad;font-weight:600}
             .none{color:#6e7781}.gap{color:#9a3412}
             img{max-width:100%;height:auto}
+            .legend span{display:inline-block;margin-right:1.2rem}
+            .legend i{display:inline-block;width:1rem;height:.35rem;margin-right:.4rem;
+            vertical-align:middle}
             """;
 
     private HtmlReport() {}
@@ -112,6 +115,12 @@
                 .append(escape(line.key().tier()))
                 .append(": ")
                 .append(level.title())
+                .append(
+                        String.format(
+                                Locale.ROOT,
+                                ", burn %.1f over %s",
+                                line.burn(level, Window.MIDDLE),
+                                Window.MIDDLE.title()))
                 .append("</li>");
     }
 
@@ -139,7 +148,9 @@
                 burnCell(line, level, window, page);
             }
             page.append("<td class=\"n\">")
-                    .append(level.total(line.counts(Window.LONG)))
+                    .append(
+                            String.format(
+                                    Locale.ROOT, "%,d", level.total(line.counts(Window.LONG))))
                     .append("</td></tr>");
             first = false;
         }
@@ -175,15 +186,47 @@
     private static void plots(final FleetReport report, final StringBuilder page)
             throws IOException {
         final BurnPlot plot = new BurnPlot(report);
-        final int lines = report.lines().size();
-        final String which =
-                lines <= BurnPlot.MOST_LINES
-                        ? ""
-                        : " (the " + BurnPlot.MOST_LINES + " highest of " + lines + ")";
+        page.append("<h2>Course over ").append(Window.LONG.title()).append(" (UTC)</h2>");
+        legend(report, plot, page);
         for (final ServiceLevel level : ServiceLevel.values()) {
-            picture(page, "Burn of " + level.title() + which, plot.burn(level));
+            final String title = "Burn: " + level.title();
+            if (plot.hasBurn(level)) {
+                picture(page, title, plot.burn(level));
+            } else {
+                page.append("<h3>").append(title).append("</h3><p>No miss.</p>");
+            }
+        }
+        picture(page, "Tokens a minute", plot.tokens());
+        page.append("<p class=\"legend\">");
+        swatch(page, BurnPlot.colour(0), "generated");
+        swatch(page, BurnPlot.colour(1), "recomputed");
+        page.append("</p>");
+    }
+
+    private static void legend(
+            final FleetReport report, final BurnPlot plot, final StringBuilder page) {
+        page.append("<p class=\"legend\">");
+        for (int index = 0; index < plot.shown().size(); index++) {
+            final SeriesKey key = plot.shown().get(index).key();
+            swatch(page, BurnPlot.colour(index), key.customer() + ", " + key.tier());
         }
-        picture(page, "Generated and recomputed tokens", plot.tokens());
+        swatch(page, "#808080", "allowance");
+        page.append("</p>");
+        if (plot.shown().size() < report.lines().size()) {
+            page.append("<p>The ")
+                    .append(plot.shown().size())
+                    .append(" lines with the highest burn, of ")
+                    .append(report.lines().size())
+                    .append(".</p>");
+        }
+    }
+
+    private static void swatch(final StringBuilder page, final String colour, final String name) {
+        page.append("<span><i style=\"background:")
+                .append(colour)
+                .append("\"></i>")
+                .append(escape(name))
+                .append("</span>");
     }
 
     private static void tokenTables(final FleetReport report, final StringBuilder page) {
@@ -235,9 +278,9 @@
     }
 
     private static void picture(final StringBuilder page, final String title, final byte[] image) {
-        page.append("<h2>")
+        page.append("<h3>")
                 .append(title)
-                .append("</h2><img alt=\"")
+                .append("</h3><img alt=\"")
                 .append(title)
                 .append("\" src=\"data:image/png;base64,")
                 .append(Base64.getEncoder().encodeToString(image))
--- /dev/null
+++ b/report/src/test/java/org/whinhead/report/SamplePageTest.java
@@ -0,0 +1,108 @@
+package org.whinhead.report;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.URI;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.whinhead.api.model.CustomerId;
+import org.whinhead.api.model.DaemonId;
+
+/** Writes a page of a deployment like today's into {@code target}, to be looked at. */
+class SamplePageTest {
+
+    private static final Instant NOW = Instant.parse("2026-12-02T16:30:20Z");
+    private static final Path PAGE = Path.of("target/sample-report.html");
+    private static final List<String> CUSTOMERS =
+            List.of(
+                    "legal-aid-clinics",
+                    "cooperatives",
+                    "bailiff-gasabo",
+                    "bailiff-kicukiro",
+                    "bailiff-nyarugenge",
+                    "outlet-managers-and-area-auditors-of-upperhill",
+                    "outlet-managers-and-area-auditors-of-westlands",
+                    "invoice-desk",
+                    "audit <night>");
+    private static final List<Objective> TIERS =
+            List.of(objective("urgent", 0.999, 400), objective("batch", 0.99, 5000));
+
+    /**
+     * A failure domain is taken back and the page of the hour after is what the person on call
+     * looks at: two hours of good service, ten minutes of refusals and recomputed prompts, then
+     * slow first tokens.
+     */
+    @Test
+    void pageOfReclaimedDomainRaisesAlerts() throws Exception {
+        final FleetMerge merge = new FleetMerge(NOW);
+        merge.price(OptionalDouble.of(14.2));
+        for (int daemon = 1; daemon <= 8; daemon++) {
+            merge.add(DaemonReportJson.read(DaemonReportJson.write(reportOf(daemon))));
+        }
+        merge.addMissing("http://10.20.1.19:7002: no answer within PT10S");
+
+        final String page = HtmlReport.write(merge.report());
+
+        Files.writeString(PAGE, page);
+        assertThat(page)
+                .contains("<span class=\"fire\">PAGE</span> bailiff-gasabo, urgent: availability")
+                .contains("daemon-4 counts only since 2026-12-02T15:00:00Z")
+                .contains("The 8 lines with the highest burn, of 9");
+    }
+
+    private static DaemonReport reportOf(final int daemon) {
+        final Random random = new Random(daemon);
+        final Instant since = NOW.minus(Duration.ofHours(12));
+        final BurnRecorder recorder =
+                new BurnRecorder(
+                        new DaemonId("daemon-" + daemon),
+                        URI.create("http://10.20.1." + daemon + ":7001"),
+                        daemon == 4 ? Instant.parse("2026-12-02T15:00:00Z") : since);
+        recorder.objectives(TIERS);
+        for (int minute = 359; minute >= 0; minute--) {
+            final Instant at = NOW.minus(Duration.ofMinutes(minute));
+            for (int index = 0; index < CUSTOMERS.size(); index++) {
+                final int requests = random.nextInt(index < 2 ? 12 : 4);
+                for (int request = 0; request < requests; request++) {
+                    recorder.record(sample(random, index, minute, at));
+                }
+            }
+        }
+        return recorder.report(NOW);
+    }
+
+    private static RequestSample sample(
+            final Random random, final int customer, final int minute, final Instant at) {
+        final boolean wave = minute <= 12;
+        final boolean lost = random.nextInt(1000) < (wave && customer < 5 ? 120 : 1);
+        final boolean urgent = customer < 5;
+        final long firstToken = (long) (180 + 90 * random.nextGaussian() + (wave ? 160 : 0));
+        final int tokens = 40 + random.nextInt(300);
+        return new RequestSample(
+                new SeriesKey(
+                        new CustomerId(CUSTOMERS.get(customer)), TIERS.get(urgent ? 0 : 1).tier()),
+                lost ? Outcome.REFUSED_NOT_RUN : Outcome.COMPLETED,
+                lost ? Optional.empty() : Optional.of(Duration.ofMillis(Math.max(20, firstToken))),
+                lost ? Optional.empty() : Optional.of(Duration.ofMillis(22 + random.nextInt(12))),
+                lost ? 0 : tokens,
+                wave && random.nextInt(4) == 0 ? 200 : 0,
+                at);
+    }
+
+    private static Objective objective(
+            final String tier, final double availability, final long firstTokenMillis) {
+        return new Objective(
+                tier,
+                availability,
+                0.95,
+                Duration.ofMillis(firstTokenMillis),
+                Duration.ofMillis(40));
+    }
+}
