Count each ended request once and serve the counts to operators

Nothing took samples of ended requests, so the report on burn had no data. A MeasuredReply stands before the caller's connection on the decision thread; the connection says whether the response was written to its end, and only then does an answer count as completed. Requests that are refused before they are taken in count too, unless their key is unknown. Samples wait in a bounded queue without a lock and are counted each second on the decision thread; GET /operator/burn gives them out.

--- a/daemon/src/main/java/org/whinhead/daemon/Daemon.java
+++ b/daemon/src/main/java/org/whinhead/daemon/Daemon.java
@@ -6,6 +6,7 @@
 import java.net.URI;
 import java.time.Duration;
 import java.time.Instant;
+import java.time.InstantSource;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -17,6 +18,8 @@
 import org.whinhead.api.model.Endpoint;
 import org.whinhead.api.model.EndpointId;
 import org.whinhead.api.request.RequestId;
+import org.whinhead.daemon.burn.BurnCollector;
+import org.whinhead.daemon.burn.BurnHandler;
 import org.whinhead.daemon.caller.CallerServer;
 import org.whinhead.daemon.decision.DecisionEvent;
 import org.whinhead.daemon.decision.DecisionLoop;
@@ -32,6 +35,7 @@
 import org.whinhead.platform.cloud.ReclaimNotice;
 import org.whinhead.platform.http.HttpCaller;
 import org.whinhead.platform.vms.VmListClient;
+import org.whinhead.report.BurnRecorder;
 import org.whinhead.requests.ClaimOutcome;
 import org.whinhead.requests.DefaultRequestCoordinator;
 import org.whinhead.routing.AffinityRouter;
@@ -41,7 +45,6 @@
 import org.whinhead.settings.daemon.HostPort;
 import org.whinhead.settings.deployment.DeploymentSettings;
 import org.xnio.XnioExecutor;
-import org.xnio.XnioWorker;
 
 /** One daemon: its servers, its duties and their wiring. Many may run in one process. */
 public final class Daemon implements AutoCloseable {
@@ -50,6 +53,7 @@
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
     private static final Duration SILENCE_TIMEOUT = Duration.ofSeconds(30);
     private static final long TICK_MILLIS = 20;
+    private static final long COUNT_MILLIS = 1_000;
     private static final String RANDOM = "L64X128MixRandom";
     private static final int MAX_RUNNING = 1024;
     private static final int MAX_WAITING = 1024;
@@ -60,6 +64,7 @@
     private final DaemonOptions mOptions;
     private final LiveRequests mRequests = new LiveRequests();
     private final Standing mStanding;
+    private final BurnCollector mBurn;
     private final DecisionLoop mLoop;
     private final AffinityRouter mRouter;
     private final HttpCaller mCaller;
@@ -68,11 +73,13 @@
     private final OpenConnections mConnections;
     private final Undertow mServer;
     private final XnioExecutor.Key mTicks;
+    private final XnioExecutor.Key mCounting;
 
     private Daemon(final DaemonSettings settings, final DaemonOptions options) {
         mSettings = settings;
         mOptions = options;
         mStanding = new Standing(settings, mRequests);
+        mBurn = burn();
         mLoop =
                 new DecisionLoop(
                         settings.name() + "-decisions",
@@ -86,7 +93,8 @@
         mConnections = new OpenConnections(mStanding::isStopping);
         mServer = server();
         mServer.start();
-        mTicks = ticks(options.worker());
+        mTicks = every(TICK_MILLIS, new DecisionEvent.Tick());
+        mCounting = every(COUNT_MILLIS, new DecisionEvent.Update(mBurn::count));
         mWatch =
                 new EndpointWatch(
                         settings.name() + "-platform",
@@ -177,6 +185,7 @@
         mNotices.close();
         mWatch.close();
         mTicks.remove();
+        mCounting.remove();
         mServer.stop();
         mConnections.close();
         mCaller.close();
@@ -207,15 +216,27 @@
                 .addHttpListener(
                         operators.port(),
                         operators.host(),
-                        mConnections.tracking(new OperatorHandler(mSettings, mStanding, meters())))
+                        mConnections.tracking(operatorHandler()))
                 .build();
     }
 
+    private BurnCollector burn() {
+        final InstantSource clock = mOptions.clock();
+        final BurnRecorder recorder =
+                new BurnRecorder(id(), mSettings.publicUri(), clock.instant());
+        return new BurnCollector(recorder, clock, mStanding::settings);
+    }
+
+    private HttpHandler operatorHandler() {
+        return new OperatorHandler(mSettings, mStanding, meters(), new BurnHandler(mBurn, mLoop));
+    }
+
     private HttpHandler callerHandler() {
         return CallerServer.builder(id())
                 .view(mStanding::view)
                 .addresses(mStanding::addresses)
                 .decisions(mRequests, mLoop)
+                .burn(mBurn)
                 .tickets(mOptions.tickets())
                 .stopping(mStanding::isStopping)
                 .clock(mOptions.clock())
@@ -256,12 +277,10 @@
         mLoop.offer(new DecisionEvent.EndpointLeaving(endpoint, notice.goneBy()));
     }
 
-    private XnioExecutor.Key ticks(final XnioWorker worker) {
-        return worker.getIoThread()
-                .executeAtInterval(
-                        () -> mLoop.offer(new DecisionEvent.Tick()),
-                        TICK_MILLIS,
-                        TimeUnit.MILLISECONDS);
+    private XnioExecutor.Key every(final long millis, final DecisionEvent event) {
+        return mOptions.worker()
+                .getIoThread()
+                .executeAtInterval(() -> mLoop.offer(event), millis, TimeUnit.MILLISECONDS);
     }
 
     /** Passes what the platform duty finds on to the decisions. */
--- /dev/null
+++ b/daemon/src/main/java/org/whinhead/daemon/burn/MeasuredReply.java
@@ -0,0 +1,124 @@
+package org.whinhead.daemon.burn;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.Optional;
+import org.whinhead.api.request.RequestSpec;
+import org.whinhead.api.verdict.Refusal;
+import org.whinhead.daemon.request.CallerReply;
+import org.whinhead.report.Outcome;
+import org.whinhead.report.RequestSample;
+import org.whinhead.report.SeriesKey;
+import org.whinhead.requests.Completion;
+import org.whinhead.requests.PlainAnswer;
+
+/** Takes a request's measure while its answer passes; used on the decision thread only. */
+public final class MeasuredReply implements CallerReply {
+
+    private final RequestSpec mSpec;
+    private final CallerReply mReply;
+    private final InstantSource mClock;
+    private long mTokens;
+    private long mFirstIndex;
+    private long mRecomputedTokens;
+    private Instant mFirstToken;
+    private Instant mEnd;
+    private Outcome mOutcome = Outcome.CALLER_LEFT;
+
+    MeasuredReply(final RequestSpec spec, final CallerReply reply, final InstantSource clock) {
+        mSpec = spec;
+        mReply = reply;
+        mClock = clock;
+    }
+
+    @Override
+    public void token(final long index, final String text) {
+        if (mTokens == 0) {
+            mFirstIndex = index;
+            mFirstToken = mClock.instant();
+        }
+        mTokens++;
+        mReply.token(index, text);
+    }
+
+    @Override
+    public void ticket(final String ticket) {
+        mReply.ticket(ticket);
+    }
+
+    @Override
+    public void complete(final Completion completion) {
+        mRecomputedTokens = completion.recomputedTokens();
+        end(Outcome.COMPLETED);
+        mReply.complete(completion);
+    }
+
+    @Override
+    public void answer(final PlainAnswer answer) {
+        end(Outcomes.of(answer));
+        mReply.answer(answer);
+    }
+
+    @Override
+    public void refuse(final Refusal refusal) {
+        end(Outcomes.of(refusal));
+        mReply.refuse(refusal);
+    }
+
+    @Override
+    public void handBack(final String ticket, final Refusal refusal) {
+        end(Outcome.HANDED_OVER);
+        mReply.handBack(ticket, refusal);
+    }
+
+    @Override
+    public void supersede() {
+        end(Outcome.HANDED_OVER);
+        mReply.supersede();
+    }
+
+    /**
+     * Returns the sample of the ended request.
+     *
+     * @param whole whether the response was written to its end
+     * @param at when it ended
+     */
+    RequestSample sample(final boolean whole, final Instant at) {
+        return new RequestSample(
+                new SeriesKey(mSpec.customer(), mSpec.tier().name()),
+                outcome(whole),
+                firstToken(),
+                betweenTokens(),
+                mTokens,
+                mRecomputedTokens,
+                at);
+    }
+
+    private void end(final Outcome outcome) {
+        mOutcome = outcome;
+        mEnd = mClock.instant();
+    }
+
+    /**
+     * Guards against an answer that counts as completed although its caller hung up while the last
+     * bytes waited: cost would be divided by answers that nobody got.
+     */
+    private Outcome outcome(final boolean whole) {
+        return mOutcome == Outcome.COMPLETED && !whole ? Outcome.CALLER_LEFT : mOutcome;
+    }
+
+    /** A caller that came back had its first token before. */
+    private Optional<Duration> firstToken() {
+        return mTokens > 0 && mFirstIndex == 0
+                ? Optional.of(Duration.between(mSpec.arrived(), mFirstToken))
+                : Optional.empty();
+    }
+
+    /** How long a caller that left had waited for its next token is not known. */
+    private Optional<Duration> betweenTokens() {
+        return mTokens > 1 && mEnd != null
+                ? Optional.of(Duration.between(mFirstToken, mEnd).dividedBy(mTokens - 1))
+                : Optional.empty();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/whinhead/daemon/burn/package-info.java
@@ -0,0 +1,2 @@
+/** Counts ended requests for the report on service-level burn. */
+package org.whinhead.daemon.burn;
--- a/daemon/src/main/java/org/whinhead/daemon/caller/CallerHandler.java
+++ b/daemon/src/main/java/org/whinhead/daemon/caller/CallerHandler.java
@@ -10,6 +10,7 @@
 import org.whinhead.api.verdict.ErrorCode;
 import org.whinhead.api.verdict.Refusal;
 import org.whinhead.api.verdict.RequestException;
+import org.whinhead.daemon.burn.BurnCollector;
 import org.whinhead.daemon.view.DeploymentView;
 
 /** Finds out who asks for what, and passes the request on. */
@@ -21,6 +22,7 @@
 
     private final Supplier<DeploymentView> mView;
     private final RequestNames mNames;
+    private final BurnCollector mBurn;
     private final ChatHandler mChat;
     private final ServiceHandler mServices;
     private final ListingHandler mListings;
@@ -28,11 +30,13 @@
     CallerHandler(
             final Supplier<DeploymentView> view,
             final RequestNames names,
+            final BurnCollector burn,
             final ChatHandler chat,
             final ServiceHandler services,
             final ListingHandler listings) {
         mView = view;
         mNames = names;
+        mBurn = burn;
         mChat = chat;
         mServices = services;
         mListings = listings;
@@ -55,9 +59,9 @@
         final boolean get = method.equals(Methods.GET);
         final boolean post = method.equals(Methods.POST);
         if (post && path.equals(CHAT)) {
-            mChat.handle(exchange, customer(exchange), name);
+            mChat.handle(exchange, counted(exchange), name);
         } else if ((get || post) && path.startsWith(ServiceHandler.PREFIX)) {
-            mServices.handle(exchange, customer(exchange), name);
+            mServices.handle(exchange, counted(exchange), name);
         } else if (get && path.equals(MODELS)) {
             customer(exchange);
             mListings.models(exchange);
@@ -68,6 +72,13 @@
         }
     }
 
+    /** Finds the customer, against whose tier a refusal from now on counts. */
+    private Customer counted(final HttpServerExchange exchange) throws RequestException {
+        final Customer customer = customer(exchange);
+        Refusals.listen(exchange, refusal -> mBurn.refused(customer, refusal));
+        return customer;
+    }
+
     private Customer customer(final HttpServerExchange exchange) throws RequestException {
         return KeyCheck.customer(
                 exchange.getRequestHeaders().getFirst(Headers.AUTHORIZATION),
--- a/daemon/src/main/java/org/whinhead/daemon/caller/CallerServer.java
+++ b/daemon/src/main/java/org/whinhead/daemon/caller/CallerServer.java
@@ -6,6 +6,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.whinhead.api.model.DaemonId;
+import org.whinhead.daemon.burn.BurnCollector;
 import org.whinhead.daemon.decision.DecisionLoop;
 import org.whinhead.daemon.request.LiveRequests;
 import org.whinhead.daemon.view.DeploymentView;
@@ -38,6 +39,7 @@
         private Supplier<List<EntryAddress>> mAddresses = List::of;
         private LiveRequests mRequests;
         private DecisionLoop mLoop;
+        private BurnCollector mBurn;
         private TicketCodec mTickets;
         private BooleanSupplier mStopping = () -> false;
         private InstantSource mClock = InstantSource.system();
@@ -69,6 +71,12 @@
             return this;
         }
 
+        /** Sets what counts ended requests; required. */
+        public Builder burn(final BurnCollector burn) {
+            mBurn = burn;
+            return this;
+        }
+
         /** Sets what reads tickets; required. */
         public Builder tickets(final TicketCodec tickets) {
             mTickets = tickets;
@@ -109,12 +117,14 @@
         /** Builds the handler. */
         public CallerHandler build() {
             final Intake intake =
-                    new Intake(mRequests, mLoop, mStopping, mMaxInProgress, mMaxWaitingBytes);
+                    new Intake(
+                            mRequests, mLoop, mBurn, mStopping, mMaxInProgress, mMaxWaitingBytes);
             final BodyReceiver bodies = new BodyReceiver(mMaxBodyBytes, mBodyTimeout);
             final RequestNames names = new RequestNames(mDaemon);
             return new CallerHandler(
                     mView,
                     names,
+                    mBurn,
                     new ChatHandler(mView, intake, bodies, names, mTickets, mClock),
                     new ServiceHandler(mView, intake, bodies, names, mClock),
                     new ListingHandler(mView, mAddresses, KEEP));
--- a/daemon/src/main/java/org/whinhead/daemon/caller/ExchangeWriter.java
+++ b/daemon/src/main/java/org/whinhead/daemon/caller/ExchangeWriter.java
@@ -20,7 +20,7 @@
     private final HttpServerExchange mExchange;
     private final int mMaxWaitingBytes;
     private final Runnable mCallerLeft;
-    private final Runnable mEnded;
+    private final EndListener mEnded;
     private final Deque<ByteBuffer> mWaiting = new ArrayDeque<>();
     private StreamSinkChannel mChannel;
     private int mWaitingBytes;
@@ -28,11 +28,18 @@
     private boolean mShutDown;
     private boolean mClosed;
 
+    /** Is told once how a response ended. */
+    @FunctionalInterface
+    interface EndListener {
+        /** The response was written to its end and given to the kernel, or was cut before. */
+        void ended(boolean whole);
+    }
+
     ExchangeWriter(
             final HttpServerExchange exchange,
             final int maxWaitingBytes,
             final Runnable callerLeft,
-            final Runnable ended) {
+            final EndListener ended) {
         mExchange = exchange;
         mMaxWaitingBytes = maxWaitingBytes;
         mCallerLeft = callerLeft;
@@ -80,7 +87,7 @@
         mClosed = true;
         mWaiting.clear();
         IoUtils.safeClose(mExchange.getConnection());
-        mEnded.run();
+        mEnded.ended(false);
         if (!mEnding) {
             mCallerLeft.run();
         }
@@ -128,7 +135,7 @@
         if (mEnding && !mClosed) {
             mClosed = true;
             mExchange.endExchange();
-            mEnded.run();
+            mEnded.ended(true);
         }
     }
 }
--- a/daemon/src/main/java/org/whinhead/daemon/caller/Intake.java
+++ b/daemon/src/main/java/org/whinhead/daemon/caller/Intake.java
@@ -11,6 +11,8 @@
 import org.whinhead.api.verdict.ErrorCode;
 import org.whinhead.api.verdict.Refusal;
 import org.whinhead.api.verdict.RequestException;
+import org.whinhead.daemon.burn.BurnCollector;
+import org.whinhead.daemon.burn.MeasuredReply;
 import org.whinhead.daemon.decision.DecisionEvent;
 import org.whinhead.daemon.decision.DecisionLoop;
 import org.whinhead.daemon.request.LiveRequest;
@@ -26,6 +28,7 @@
 
     private final LiveRequests mRequests;
     private final DecisionLoop mLoop;
+    private final BurnCollector mBurn;
     private final BooleanSupplier mStopping;
     private final int mMaxInProgress;
     private final int mMaxWaitingBytes;
@@ -33,11 +36,13 @@
     Intake(
             final LiveRequests requests,
             final DecisionLoop loop,
+            final BurnCollector burn,
             final BooleanSupplier stopping,
             final int maxInProgress,
             final int maxWaitingBytes) {
         mRequests = requests;
         mLoop = loop;
+        mBurn = burn;
         mStopping = stopping;
         mMaxInProgress = maxInProgress;
         mMaxWaitingBytes = maxWaitingBytes;
@@ -67,15 +72,16 @@
             final Function<LiveRequest, DecisionEvent> event)
             throws RequestException {
         final AtomicReference<LiveRequest> live = new AtomicReference<>();
+        final AtomicReference<MeasuredReply> measured = new AtomicReference<>();
         final ExchangeWriter writer =
                 new ExchangeWriter(
                         exchange,
                         mMaxWaitingBytes,
                         () -> callerLeft(live.get()),
-                        mRequests::answerEnded);
+                        whole -> ended(measured.get(), whole));
         final XnioIoThread thread = exchange.getIoThread();
-        final QueuedReply reply = new QueuedReply(thread, format, writer);
-        live.set(new LiveRequest(spec, body, reply, thread));
+        measured.set(mBurn.measure(spec, new QueuedReply(thread, format, writer)));
+        live.set(new LiveRequest(spec, body, measured.get(), thread));
         if (!mLoop.offerNew(event.apply(live.get()))) {
             throw refused(ErrorCode.OVERLOADED, "the decision ring is full");
         }
@@ -83,6 +89,11 @@
         HangUpWatch.start(exchange, writer::callerLeft);
     }
 
+    private void ended(final MeasuredReply reply, final boolean whole) {
+        mRequests.answerEnded();
+        mBurn.ended(reply, whole);
+    }
+
     private static RequestException refused(final ErrorCode code, final String detail) {
         return new RequestException(Refusal.notRun(code, detail).comeBackAfter(COME_BACK));
     }
--- a/daemon/src/main/java/org/whinhead/daemon/caller/Refusals.java
+++ b/daemon/src/main/java/org/whinhead/daemon/caller/Refusals.java
@@ -1,10 +1,12 @@
 package org.whinhead.daemon.caller;
 
 import io.undertow.server.HttpServerExchange;
+import io.undertow.util.AttachmentKey;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
 import java.nio.ByteBuffer;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.whinhead.api.verdict.Refusal;
 import org.xnio.IoUtils;
 
@@ -14,8 +16,16 @@
     private static final String JSON = "application/json";
     private static final long LINGER_MILLIS = 2000;
 
+    private static final AttachmentKey<Consumer<Refusal>> LISTENER =
+            AttachmentKey.create(Consumer.class);
+
     private Refusals() {}
 
+    /** Sets who is told if a request is refused before it was taken in. */
+    static void listen(final HttpServerExchange exchange, final Consumer<Refusal> listener) {
+        exchange.putAttachment(LISTENER, listener);
+    }
+
     /** Sets the status and the headers of a refusal. */
     static void head(final HttpServerExchange exchange, final Refusal refusal) {
         final HeaderMap headers = exchange.getResponseHeaders();
@@ -44,6 +54,10 @@
      */
     static void send(final HttpServerExchange exchange, final Refusal refusal) {
         head(exchange, refusal);
+        final Consumer<Refusal> listener = exchange.getAttachment(LISTENER);
+        if (listener != null) {
+            listener.accept(refusal);
+        }
         if (!exchange.isRequestComplete()) {
             exchange.setPersistent(false);
             exchange.getIoThread()
--- a/daemon/src/main/java/org/whinhead/daemon/operator/OperatorHandler.java
+++ b/daemon/src/main/java/org/whinhead/daemon/operator/OperatorHandler.java
@@ -8,6 +8,7 @@
 import io.undertow.util.Headers;
 import io.undertow.util.Methods;
 import io.undertow.util.StatusCodes;
+import org.whinhead.daemon.burn.BurnHandler;
 import org.whinhead.daemon.view.EntryAddress;
 import org.whinhead.settings.daemon.DaemonSettings;
 
@@ -20,6 +21,7 @@
     private final DaemonSettings mSettings;
     private final DaemonStatus mStatus;
     private final Meters mMeters;
+    private final BurnHandler mBurn;
 
     /**
      * Makes a handler.
@@ -27,12 +29,17 @@
      * @param settings whose operators may ask
      * @param status what the daemon knows of itself
      * @param meters the metrics
+     * @param burn what was counted of ended requests
      */
     public OperatorHandler(
-            final DaemonSettings settings, final DaemonStatus status, final Meters meters) {
+            final DaemonSettings settings,
+            final DaemonStatus status,
+            final Meters meters,
+            final BurnHandler burn) {
         mSettings = settings;
         mStatus = status;
         mMeters = meters;
+        mBurn = burn;
     }
 
     @Override
@@ -47,6 +54,7 @@
             case "/metrics" -> text(exchange, StatusCodes.OK, mMeters.text());
             case "/operator/status" -> asOperator(exchange, () -> status(exchange));
             case "/operator/addresses" -> asOperator(exchange, () -> addresses(exchange));
+            case "/operator/burn" -> asOperator(exchange, () -> mBurn.handleRequest(exchange));
             default ->
                     fail(
                             exchange,
--- /dev/null
+++ b/daemon/src/test/java/org/whinhead/daemon/burn/BurnCollectorTest.java
@@ -0,0 +1,201 @@
+package org.whinhead.daemon.burn;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.URI;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.whinhead.api.model.Customer;
+import org.whinhead.api.model.CustomerId;
+import org.whinhead.api.model.DaemonId;
+import org.whinhead.api.model.ModelRef;
+import org.whinhead.api.model.TeamId;
+import org.whinhead.api.model.Tier;
+import org.whinhead.api.request.RequestId;
+import org.whinhead.api.request.RequestSpec;
+import org.whinhead.api.verdict.ErrorCode;
+import org.whinhead.api.verdict.Refusal;
+import org.whinhead.api.verdict.Verdict;
+import org.whinhead.daemon.request.CallerReply;
+import org.whinhead.report.BurnRecorder;
+import org.whinhead.report.Counts;
+import org.whinhead.report.DaemonReport;
+import org.whinhead.requests.Completion;
+import org.whinhead.requests.PlainAnswer;
+import org.whinhead.settings.deployment.DeploymentSettings;
+import org.whinhead.settings.deployment.DocumentPath;
+import org.whinhead.settings.deployment.StoredDocument;
+
+class BurnCollectorTest {
+
+    private static final Instant START = Instant.parse("2026-12-02T16:30:00Z");
+    private static final Tier TIER =
+            new Tier(
+                    "court",
+                    5,
+                    Duration.ofMillis(400),
+                    Duration.ofMillis(40),
+                    Duration.ofMinutes(1));
+    private static final Customer CUSTOMER =
+            new Customer(
+                    new CustomerId("clinic"), new TeamId("filing"), TIER, List.of("00"), 1, 1000);
+    private static final String DOCUMENT =
+            "{\"schema\":1,\"priority\":5,\"firstTokenMillis\":400,\"betweenTokensMillis\":40,"
+                    + "\"requestTimeoutMillis\":60000,\"objectives\":{\"latencyShare\":0.95,"
+                    + "\"availabilityShare\":0.99,\"windowHours\":720}}";
+    private static final DeploymentSettings SETTINGS =
+            DeploymentSettings.of(
+                    List.of(new StoredDocument(DocumentPath.parse("/tiers/court"), DOCUMENT, 0)));
+    private static final Completion COMPLETION = new Completion("stop", 10, 0, 3, 7, 2);
+
+    private Instant mNow = START;
+    private final BurnCollector mCollector =
+            new BurnCollector(
+                    new BurnRecorder(
+                            new DaemonId("d1"), URI.create("http://127.0.0.1:7001"), START),
+                    () -> mNow,
+                    () -> SETTINGS);
+
+    /**
+     * A clerk gets three words: the first after 300 ms, the others 50 ms apart. The first is in
+     * time and the pace is not, and work for another attempt shows as recomputed.
+     */
+    @Test
+    void answerIsMeasuredAsItsCallerGotIt() {
+        final MeasuredReply reply = begin();
+        answer(reply, 0);
+        mCollector.ended(reply, true);
+
+        assertThat(counts()).isEqualTo(new Counts(1, 1, 0, 0, 1, 1, 1, 0, 3, 7));
+    }
+
+    /**
+     * A clerk closes the page while the last bytes of the answer wait for a slow link. The daemon
+     * is done with the request, but nobody got the answer: counted as completed, it would make the
+     * cost of a completed request look lower than it is.
+     */
+    @Test
+    void answerThatWasCutIsNotCompleted() {
+        final MeasuredReply reply = begin();
+        answer(reply, 0);
+        mCollector.ended(reply, false);
+
+        assertThat(counts()).isEqualTo(new Counts(0, 0, 0, 0, 1, 1, 1, 0, 3, 7));
+    }
+
+    /**
+     * A clerk's link breaks and the clerk comes back over another connection, before the daemon
+     * notices. One request has two connections; it must count once, and its later first token is
+     * not a first token.
+     */
+    @Test
+    void requestOverTwoConnectionsCountsOnce() {
+        final MeasuredReply former = begin();
+        former.token(0, "a");
+        former.supersede();
+        mCollector.ended(former, false);
+        final MeasuredReply later = begin();
+        mNow = mNow.plusSeconds(5);
+        answer(later, 1);
+        mCollector.ended(later, true);
+
+        assertThat(counts()).isEqualTo(new Counts(1, 1, 0, 0, 1, 1, 1, 0, 4, 7));
+    }
+
+    @Test
+    void eachEndCountsByItsCause() {
+        final MeasuredReply left = begin();
+        mCollector.ended(left, false);
+        final MeasuredReply lost = begin();
+        lost.refuse(refusal(ErrorCode.ENDPOINT_LOST, Verdict.MAY_HAVE_RUN));
+        mCollector.ended(lost, true);
+        final MeasuredReply handed = begin();
+        handed.handBack("ticket", refusal(ErrorCode.STOPPING, Verdict.MAY_HAVE_RUN));
+        mCollector.ended(handed, true);
+        final MeasuredReply broken = begin();
+        broken.answer(new PlainAnswer(500, "text/plain", new byte[0]));
+        mCollector.ended(broken, true);
+        mCollector.refused(CUSTOMER, Refusal.notRun(ErrorCode.OVERLOADED, "full"));
+        mCollector.refused(CUSTOMER, Refusal.notRun(ErrorCode.BUDGET_SPENT, "spent"));
+
+        assertThat(counts()).isEqualTo(new Counts(3, 0, 1, 2, 0, 0, 0, 0, 0, 0));
+    }
+
+    /**
+     * Callers hammer a daemon that is full, while its decision thread is busy. What cannot be
+     * counted must not fill the memory, and the report must not look whole.
+     */
+    @Test
+    void floodIsBoundedAndSaidSo() {
+        final Refusal refusal = Refusal.notRun(ErrorCode.OVERLOADED, "full");
+        for (int index = 0; index < BurnCollector.MOST_WAITING + 5; index++) {
+            mCollector.refused(CUSTOMER, refusal);
+        }
+
+        final DaemonReport report = mCollector.report();
+
+        assertThat(report.leftOut()).isEqualTo(5);
+        assertThat(report.series().get(0).minutes().get(0).counts().notRun())
+                .isEqualTo(BurnCollector.MOST_WAITING);
+        assertThat(mCollector.report().leftOut()).isEqualTo(5);
+    }
+
+    private MeasuredReply begin() {
+        final RequestSpec spec =
+                RequestSpec.builder(new RequestId("r"))
+                        .customer(CUSTOMER.id())
+                        .tier(TIER)
+                        .model(ModelRef.parse("summary@1"))
+                        .arrived(mNow)
+                        .deadline(mNow.plusSeconds(60))
+                        .build();
+        return mCollector.measure(spec, new IgnoredReply());
+    }
+
+    private void answer(final MeasuredReply reply, final long firstIndex) {
+        mNow = mNow.plusMillis(300);
+        for (long index = firstIndex; index < firstIndex + 3; index++) {
+            reply.token(index, "word ");
+        }
+        mNow = mNow.plusMillis(100);
+        reply.complete(COMPLETION);
+    }
+
+    private Counts counts() {
+        final DaemonReport report = mCollector.report();
+        assertThat(report.objectives()).hasSize(1);
+        return report.series().get(0).minutes().stream()
+                .map(minute -> minute.counts())
+                .reduce(Counts.NONE, Counts::plus);
+    }
+
+    private static Refusal refusal(final ErrorCode code, final Verdict verdict) {
+        return new Refusal(code, verdict, "detail", Optional.empty());
+    }
+
+    private static final class IgnoredReply implements CallerReply {
+        @Override
+        public void token(final long index, final String text) {}
+
+        @Override
+        public void ticket(final String ticket) {}
+
+        @Override
+        public void complete(final Completion completion) {}
+
+        @Override
+        public void answer(final PlainAnswer answer) {}
+
+        @Override
+        public void refuse(final Refusal refusal) {}
+
+        @Override
+        public void handBack(final String ticket, final Refusal refusal) {}
+
+        @Override
+        public void supersede() {}
+    }
+}
--- /dev/null
+++ b/demo/src/test/java/org/whinhead/demo/BurnPathTest.java
@@ -0,0 +1,88 @@
+package org.whinhead.demo;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.net.Socket;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.whinhead.report.Counts;
+import org.whinhead.report.DaemonReport;
+import org.whinhead.report.DaemonReportJson;
+
+@Timeout(60)
+class BurnPathTest {
+
+    private static final int TOKENS = 20;
+    private static final int LONG_ANSWER = 1_000_000;
+
+    /**
+     * One clerk gets an answer, one names a model that is not there, one closes the page after the
+     * first bytes. The report has the answer, and neither the typing error nor the closed page
+     * counts against the tier.
+     */
+    @Test
+    void operatorsSeeEachEndedRequestOnce() throws Exception {
+        try (WholePath path = new WholePath(20)) {
+            assertThat(path.chat(body("summary", TOKENS)).statusCode()).isEqualTo(200);
+            assertThat(path.chat(body("other", TOKENS)).statusCode()).isEqualTo(404);
+            hangUp(path);
+            Counts counts = Counts.NONE;
+            while (counts.firstTokens() < 2) {
+                counts = counts(path);
+            }
+            assertThat(counts.counted()).isEqualTo(1);
+            assertThat(counts.good()).isEqualTo(1);
+            assertThat(counts.generatedTokens()).isBetween((long) TOKENS, (long) LONG_ANSWER);
+        }
+    }
+
+    private static Counts counts(final WholePath path) throws Exception {
+        final HttpResponse<String> response =
+                path.get(path.daemon().operatorUri().resolve("/operator/burn"));
+        assertThat(response.statusCode()).isEqualTo(200);
+        final DaemonReport report =
+                DaemonReportJson.read(new ObjectMapper().readTree(response.body()));
+        assertThat(report.objectives()).hasSize(1);
+        return report.series().stream()
+                .flatMap(series -> series.minutes().stream())
+                .map(minute -> minute.counts())
+                .reduce(Counts.NONE, Counts::plus);
+    }
+
+    @Test
+    void burnNeedsAnOperatorsKey() throws Exception {
+        try (WholePath path = new WholePath(20)) {
+            final HttpRequest request =
+                    HttpRequest.newBuilder(path.daemon().operatorUri().resolve("/operator/burn"))
+                            .build();
+            assertThat(path.send(request).statusCode()).isEqualTo(401);
+        }
+    }
+
+    private static void hangUp(final WholePath path) throws Exception {
+        final String body = body("summary", LONG_ANSWER);
+        try (Socket socket = new Socket(path.uri().getHost(), path.uri().getPort())) {
+            final String request =
+                    "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "
+                            + WholePath.KEY
+                            + "\r\nContent-Length: "
+                            + body.length()
+                            + "\r\n\r\n"
+                            + body;
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+            assertThat(socket.getInputStream().read()).isEqualTo('H');
+        }
+    }
+
+    private static String body(final String model, final int maxTokens) {
+        return "{\"model\":\""
+                + model
+                + "\",\"max_tokens\":"
+                + maxTokens
+                + ",\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":\"case 12\"}]}";
+    }
+}
