Move the fake world into a module of its own

Cause: the fault matrix and the fuzz command need the fake world, which stood among the tests of requests. Conclusion: the world can grow a log, settings and orders without touching requests.

--- a/requests/src/test/java/org/whinhead/requests/fake/FakeBackend.java
+++ b/faults/src/main/java/org/whinhead/faults/world/FakeBackend.java
@@ -1,4 +1,4 @@
-package org.whinhead.requests.fake;
+package org.whinhead.faults.world;
 
 import java.time.Instant;
 import java.util.ArrayList;
@@ -56,6 +56,7 @@
         return mMode != Mode.DEAD || now.isBefore(mDeadSince.plusMillis(500));
     }
 
+    /** Changes how it behaves; what is dead stays dead. */
     public void setMode(final Mode mode) {
         if (mMode == Mode.DEAD) {
             return;
--- a/requests/src/test/java/org/whinhead/requests/fake/FakeCaller.java
+++ b/faults/src/main/java/org/whinhead/faults/world/FakeCaller.java
@@ -1,4 +1,4 @@
-package org.whinhead.requests.fake;
+package org.whinhead.faults.world;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -108,6 +108,7 @@
         mWorld.time().after(RECONNECT_MILLIS, this::connect);
     }
 
+    /** Hangs up for good. */
     public void leave() {
         if (mEnd == End.OPEN) {
             mEnd = End.LEFT;
--- a/requests/src/test/java/org/whinhead/requests/fake/FakeClaims.java
+++ b/faults/src/main/java/org/whinhead/faults/world/FakeClaims.java
@@ -1,4 +1,4 @@
-package org.whinhead.requests.fake;
+package org.whinhead.faults.world;
 
 import java.util.HashMap;
 import java.util.Map;
--- a/requests/src/test/java/org/whinhead/requests/fake/FakeConnection.java
+++ b/faults/src/main/java/org/whinhead/faults/world/FakeConnection.java
@@ -1,4 +1,4 @@
-package org.whinhead.requests.fake;
+package org.whinhead.faults.world;
 
 import java.util.ArrayList;
 import java.util.List;
--- a/requests/src/test/java/org/whinhead/requests/fake/FakeDaemon.java
+++ b/faults/src/main/java/org/whinhead/faults/world/FakeDaemon.java
@@ -1,4 +1,4 @@
-package org.whinhead.requests.fake;
+package org.whinhead.faults.world;
 
 import java.time.Instant;
 import java.util.ArrayDeque;
@@ -125,6 +125,7 @@
         later(now -> mCoordinator.attemptEvent(event, now));
     }
 
+    /** Stops handling events for a while; what arrives waits. */
     public void pause(final long millis) {
         mPausedUntil = mWorld.time().now().plusMillis(millis);
     }
@@ -137,6 +138,7 @@
         mWorld.time().after(noticeMillis, () -> endOfStop(goneBy));
     }
 
+    /** Ends the process at once; its callers are cut off. */
     public void die() {
         mAlive = false;
         mLinks.clear();
--- a/requests/src/test/java/org/whinhead/requests/fake/FakeLink.java
+++ b/faults/src/main/java/org/whinhead/faults/world/FakeLink.java
@@ -1,4 +1,4 @@
-package org.whinhead.requests.fake;
+package org.whinhead.faults.world;
 
 import org.whinhead.api.request.AttemptId;
 import org.whinhead.requests.AttemptEvent;
--- a/requests/src/test/java/org/whinhead/requests/fake/FakeRouter.java
+++ b/faults/src/main/java/org/whinhead/faults/world/FakeRouter.java
@@ -1,4 +1,4 @@
-package org.whinhead.requests.fake;
+package org.whinhead.faults.world;
 
 import java.time.Instant;
 import java.util.ArrayList;
--- a/requests/src/test/java/org/whinhead/requests/fake/FakeTime.java
+++ b/faults/src/main/java/org/whinhead/faults/world/FakeTime.java
@@ -1,4 +1,4 @@
-package org.whinhead.requests.fake;
+package org.whinhead.faults.world;
 
 import java.time.Duration;
 import java.time.Instant;
@@ -17,10 +17,12 @@
         return mNow;
     }
 
+    /** Plans work for a time from now. */
     public void after(final long millis, final Runnable work) {
         mEvents.add(new Event(mNow.plusMillis(millis), mSequence++, work));
     }
 
+    /** Lets a time pass, with all that happens in it. */
     public void run(final Duration time) {
         final Instant end = mNow.plus(time);
         while (!mEvents.isEmpty() && !mEvents.peek().at().isAfter(end)) {
--- a/requests/src/test/java/org/whinhead/requests/fake/FakeWorld.java
+++ b/faults/src/main/java/org/whinhead/faults/world/FakeWorld.java
@@ -1,4 +1,4 @@
-package org.whinhead.requests.fake;
+package org.whinhead.faults.world;
 
 import java.net.URI;
 import java.time.Duration;
@@ -50,6 +50,7 @@
     private final FakeClaims mClaims = new FakeClaims(this);
     private int mLossPercent;
 
+    /** Makes a world of so many of each. */
     public FakeWorld(final long seed, final int daemons, final int engines, final int services) {
         mRandom = new SplittableRandom(seed);
         for (int count = 0; count < daemons; count++) {
@@ -97,6 +98,7 @@
         mLossPercent = percent;
     }
 
+    /** Makes claims unavailable, or available again. */
     public void setClaimsOut(final boolean out) {
         mClaims.setOut(out);
     }
@@ -109,6 +111,7 @@
                 : add(Endpoint.plainService(id, SERVICE), id);
     }
 
+    /** Starts a daemon. */
     public FakeDaemon addDaemon() {
         final FakeDaemon daemon = new FakeDaemon(this, mRandom.nextLong());
         mDaemons.add(daemon);
@@ -125,12 +128,14 @@
         mTime.after(noticeMillis, () -> backend.setMode(FakeBackend.Mode.DEAD));
     }
 
+    /** Submits a request to an engine. */
     public FakeCaller chat(final int length, final boolean streamed, final boolean idempotent) {
         final RequestSpec.Builder spec =
                 spec().model(MODEL).maxTokens(length).promptTokens(10).streamed(streamed);
         return submit(spec.idempotent(idempotent).build(), length);
     }
 
+    /** Submits a call of a plain service. */
     public FakeCaller call(final boolean idempotent) {
         return submit(spec().service(SERVICE).idempotent(idempotent).build(), 0);
     }
--- a/requests/src/test/java/org/whinhead/requests/fake/package-info.java
+++ b/faults/src/main/java/org/whinhead/faults/world/package-info.java
@@ -1,2 +1,2 @@
 /** A small world in one thread: fake back ends, daemons and callers around real coordinators. */
-package org.whinhead.requests.fake;
+package org.whinhead.faults.world;
--- a/requests/src/test/java/org/whinhead/requests/CoordinatorFuzzTest.java
+++ b/faults/src/test/java/org/whinhead/faults/CoordinatorFuzzTest.java
@@ -1,4 +1,4 @@
-package org.whinhead.requests;
+package org.whinhead.faults;
 
 import java.util.List;
 import java.util.function.ObjIntConsumer;
@@ -11,9 +11,9 @@
 import net.jqwik.api.state.Action;
 import net.jqwik.api.state.ActionChain;
 import net.jqwik.api.state.Transformer;
-import org.whinhead.requests.fake.FakeBackend;
-import org.whinhead.requests.fake.FakeCaller;
-import org.whinhead.requests.fake.FakeWorld;
+import org.whinhead.faults.world.FakeBackend;
+import org.whinhead.faults.world.FakeCaller;
+import org.whinhead.faults.world.FakeWorld;
 
 /**
  * Any faults in any order, against the oracle of {@link FakeWorld#settleAndCheck}: every caller
