Decide the world's claims by the real claim desk

Cause: the fake claims granted at once and knew only up and out, so late, lost and doubled records were never met by a request. Change: a fake log (outage, slow, cap, retention, answers lost after the effect, appends that land late) with the real writer, reader, claim desk and claim table of each daemon; pauses hold back what is sent. Conclusion: faults of the log are now decisions of the code that the daemon will run.

--- a/faults/src/main/java/org/whinhead/faults/world/FakeDaemon.java
+++ b/faults/src/main/java/org/whinhead/faults/world/FakeDaemon.java
@@ -1,14 +1,12 @@
 package org.whinhead.faults.world;
 
 import java.time.Instant;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
-import java.util.function.Consumer;
 import org.whinhead.admission.SimpleAdmission;
+import org.whinhead.api.model.DaemonId;
 import org.whinhead.api.model.Endpoint;
 import org.whinhead.api.model.EndpointId;
 import org.whinhead.api.request.AttemptId;
@@ -27,6 +25,7 @@
 public final class FakeDaemon implements RequestActions {
 
     private static final int TICK_MILLIS = 50;
+    private static final int LOG_MILLIS = 10;
     private static final int MAX_DELAY_MILLIS = 5;
 
     private final FakeWorld mWorld;
@@ -34,13 +33,16 @@
     private final DefaultRequestCoordinator mCoordinator;
     private final Map<AttemptId, FakeLink> mLinks = new HashMap<>();
     private final Map<RequestId, FakeConnection> mConnections = new HashMap<>();
-    private final Deque<Consumer<Instant>> mInbox = new ArrayDeque<>();
-    private Instant mPausedUntil = Instant.MIN;
-    private boolean mAlive = true;
+    private final DaemonId mId;
+    private final FakeProcess mProcess;
+    private final DaemonClaims mClaims;
     private boolean mStopping;
 
-    FakeDaemon(final FakeWorld world, final long seed) {
+    FakeDaemon(final FakeWorld world, final DaemonId id, final long seed) {
         mWorld = world;
+        mId = id;
+        mProcess = new FakeProcess(world.time());
+        mClaims = new DaemonClaims(world.log(), this, mProcess);
         mRouter = new FakeRouter(world);
         mCoordinator =
                 DefaultRequestCoordinator.builder()
@@ -50,7 +52,13 @@
                         .settings(world.settings())
                         .random(new SplittableRandom(seed))
                         .build();
-        tick();
+        mProcess.every(TICK_MILLIS, mCoordinator::tick);
+        mProcess.every(LOG_MILLIS, mClaims::tick);
+    }
+
+    /** Returns its identity, which no later daemon shares. */
+    public DaemonId id() {
+        return mId;
     }
 
     public DefaultRequestCoordinator coordinator() {
@@ -58,11 +66,11 @@
     }
 
     public boolean isAlive() {
-        return mAlive;
+        return mProcess.isAlive();
     }
 
     boolean isOpen() {
-        return mAlive && !mStopping;
+        return isAlive() && !mStopping;
     }
 
     /** Returns what is left over once all requests have ended. */
@@ -73,7 +81,7 @@
     }
 
     void arrived(final FakeCaller caller) {
-        later(
+        mProcess.post(
                 now -> {
                     if (!caller.wants(this)) {
                         return;
@@ -89,7 +97,7 @@
 
     void returned(
             final FakeCaller caller, final Ticket ticket, final long have, final String text) {
-        later(
+        mProcess.post(
                 now -> {
                     if (caller.wants(this)) {
                         mConnections.put(caller.id(), new FakeConnection(caller, have));
@@ -99,7 +107,7 @@
     }
 
     void callerLeft(final RequestId request) {
-        later(
+        mProcess.post(
                 now -> {
                     mConnections.remove(request);
                     mCoordinator.callerLeft(request, now);
@@ -107,11 +115,11 @@
     }
 
     void endpointLeaving(final EndpointId endpoint, final Instant goneBy) {
-        later(now -> mCoordinator.endpointLeaving(endpoint, goneBy, now));
+        mProcess.post(now -> mCoordinator.endpointLeaving(endpoint, goneBy, now));
     }
 
     void claimDecided(final RequestId request, final ClaimOutcome outcome) {
-        later(now -> mCoordinator.claimDecided(request, outcome, now));
+        mProcess.post(now -> mCoordinator.claimDecided(request, outcome, now));
     }
 
     void handle(final AttemptEvent event) {
@@ -122,25 +130,25 @@
         if (last) {
             mLinks.remove(event.attempt());
         }
-        later(now -> mCoordinator.attemptEvent(event, now));
+        mProcess.post(now -> mCoordinator.attemptEvent(event, now));
     }
 
     /** Stops handling events for a while; what arrives waits. */
     public void pause(final long millis) {
-        mPausedUntil = mWorld.time().now().plusMillis(millis);
+        mProcess.pause(millis);
     }
 
     /** Shuts down as planned; at the end nothing may be in progress. */
     public void stop(final long noticeMillis) {
         mStopping = true;
         final Instant goneBy = mWorld.time().now().plusMillis(noticeMillis);
-        later(now -> mCoordinator.stopping(goneBy, now));
+        mProcess.post(now -> mCoordinator.stopping(goneBy, now));
         mWorld.time().after(noticeMillis, () -> endOfStop(goneBy));
     }
 
     /** Ends the process at once; its callers are cut off. */
     public void die() {
-        mAlive = false;
+        mProcess.die();
         mLinks.clear();
         mWorld.callers().stream().filter(c -> c.wants(this)).forEach(FakeCaller::cutOff);
         mConnections.clear();
@@ -183,7 +191,7 @@
         final Optional<FakeLink> link = Optional.ofNullable(mLinks.remove(attempt));
         link.ifPresent(FakeLink::close);
         final FakeBackend backend = mWorld.backend(endpoint.id());
-        later(delay(), () -> backend.cancel(link.orElse(null), streamId));
+        mProcess.send(delay(), () -> backend.cancel(link.orElse(null), streamId));
     }
 
     @Override
@@ -193,12 +201,12 @@
 
     @Override
     public void claim(final RequestId request) {
-        mWorld.claims().claim(this, request);
+        mClaims.claim(mWorld.caller(request).spec(), mWorld.time().now());
     }
 
     @Override
     public void unclaim(final RequestId request) {
-        mWorld.claims().unclaim(this, request);
+        mClaims.unclaim(request, mWorld.time().now());
     }
 
     @Override
@@ -251,13 +259,13 @@
             return;
         }
         final FakeBackend target = mWorld.backend(to.id());
-        later(delay(), () -> target.importStream(link, cache.get()));
+        mProcess.send(delay(), () -> target.importStream(link, cache.get()));
     }
 
     private void connect(final AttemptId attempt, final Endpoint endpoint, final Work work) {
         final FakeLink link = new FakeLink(mWorld, this, attempt);
         mLinks.put(attempt, link);
-        later(
+        mProcess.send(
                 delay(),
                 () -> {
                     if (link.isOpen()) {
@@ -270,40 +278,9 @@
         return 1 + mWorld.random().nextInt(MAX_DELAY_MILLIS);
     }
 
-    private void later(final int delay, final Runnable work) {
-        mWorld.time()
-                .after(
-                        delay,
-                        () -> {
-                            if (mAlive) {
-                                work.run();
-                            }
-                        });
-    }
-
-    /** Runs now, or after a pause, in order and with the time of then. */
-    private void later(final Consumer<Instant> work) {
-        mInbox.add(work);
-        drain();
-    }
-
-    private void drain() {
-        final Instant now = mWorld.time().now();
-        while (mAlive && !now.isBefore(mPausedUntil) && !mInbox.isEmpty()) {
-            mInbox.remove().accept(now);
-        }
-    }
-
-    private void tick() {
-        later(mCoordinator::tick);
-        if (mAlive) {
-            mWorld.time().after(TICK_MILLIS, this::tick);
-        }
-    }
-
     private void endOfStop(final Instant goneBy) {
-        final boolean wasPaused = goneBy.minusMillis(TICK_MILLIS).isBefore(mPausedUntil);
-        if (mAlive && !wasPaused && mCoordinator.inProgress() > 0) {
+        final boolean wasPaused = goneBy.minusMillis(TICK_MILLIS).isBefore(mProcess.pausedUntil());
+        if (isAlive() && !wasPaused && mCoordinator.inProgress() > 0) {
             throw new AssertionError("a planned stop cut requests: " + leftovers());
         }
         die();
--- a/faults/src/main/java/org/whinhead/faults/world/FakeWorld.java
+++ b/faults/src/main/java/org/whinhead/faults/world/FakeWorld.java
@@ -13,6 +13,7 @@
 import java.util.SplittableRandom;
 import org.whinhead.api.model.Billing;
 import org.whinhead.api.model.CustomerId;
+import org.whinhead.api.model.DaemonId;
 import org.whinhead.api.model.Endpoint;
 import org.whinhead.api.model.EndpointId;
 import org.whinhead.api.model.FailureDomain;
@@ -47,7 +48,7 @@
     private final List<FakeDaemon> mDaemons = new ArrayList<>();
     private final Map<RequestId, FakeCaller> mCallers = new LinkedHashMap<>();
     private final Map<RequestId, Integer> mRuns = new HashMap<>();
-    private final FakeClaims mClaims = new FakeClaims(this);
+    private final FakeLog mLog = new FakeLog(this);
     private int mLossPercent;
 
     /** Makes a world of so many of each. */
@@ -100,7 +101,7 @@
 
     /** Makes claims unavailable, or available again. */
     public void setClaimsOut(final boolean out) {
-        mClaims.setOut(out);
+        mLog.setOut(out);
     }
 
     /** Adds an engine, or else a plain service. */
@@ -113,7 +114,8 @@
 
     /** Starts a daemon. */
     public FakeDaemon addDaemon() {
-        final FakeDaemon daemon = new FakeDaemon(this, mRandom.nextLong());
+        final FakeDaemon daemon =
+                new FakeDaemon(this, new DaemonId("daemon-" + mDaemons.size()), mRandom.nextLong());
         mDaemons.add(daemon);
         return daemon;
     }
@@ -143,7 +145,7 @@
     /** Ends all faults, lets every request end, and checks the promises. */
     public void settleAndCheck() {
         mLossPercent = 0;
-        mClaims.setOut(false);
+        mLog.heal();
         backends().forEach(backend -> backend.setMode(FakeBackend.Mode.UP));
         addBackend(true);
         addBackend(false);
@@ -179,8 +181,9 @@
         return mLossPercent;
     }
 
-    FakeClaims claims() {
-        return mClaims;
+    /** Returns the platform's log. */
+    public FakeLog log() {
+        return mLog;
     }
 
     FakeBackend backend(final EndpointId id) {
