Put settings, checkpoints and a lease into the fake world

Cause: settings and leases were tested apart from requests, without pauses and slow answers of the log. Change: each fake daemon has a real fold, checkpoints and lease; operators repeat changes at other daemons; an oracle replays all records and checks that nothing is set back and that one daemon may act.

--- a/faults/src/main/java/org/whinhead/faults/world/FakeDaemon.java
+++ b/faults/src/main/java/org/whinhead/faults/world/FakeDaemon.java
@@ -36,6 +36,7 @@
     private final DaemonId mId;
     private final FakeProcess mProcess;
     private final DaemonClaims mClaims;
+    private final DaemonState mState;
     private boolean mStopping;
 
     FakeDaemon(final FakeWorld world, final DaemonId id, final long seed) {
@@ -43,6 +44,7 @@
         mId = id;
         mProcess = new FakeProcess(world.time());
         mClaims = new DaemonClaims(world.log(), this, mProcess);
+        mState = new DaemonState(world.log(), id, mProcess, seed);
         mRouter = new FakeRouter(world);
         mCoordinator =
                 DefaultRequestCoordinator.builder()
@@ -53,7 +55,7 @@
                         .random(new SplittableRandom(seed))
                         .build();
         mProcess.every(TICK_MILLIS, mCoordinator::tick);
-        mProcess.every(LOG_MILLIS, mClaims::tick);
+        mProcess.every(LOG_MILLIS, this::tickLog);
     }
 
     /** Returns its identity, which no later daemon shares. */
@@ -65,6 +67,14 @@
         return mCoordinator;
     }
 
+    DaemonState state() {
+        return mState;
+    }
+
+    void changeSetting(final FakeOperator.Change change) {
+        mProcess.post(now -> change.offer(mState.log(), now));
+    }
+
     public boolean isAlive() {
         return mProcess.isAlive();
     }
@@ -274,6 +284,12 @@
                 });
     }
 
+    private void tickLog(final Instant now) {
+        mClaims.tick(now);
+        mState.tick(now);
+        mWorld.stateOracle().check(this, now);
+    }
+
     private int delay() {
         return 1 + mWorld.random().nextInt(MAX_DELAY_MILLIS);
     }
--- a/faults/src/main/java/org/whinhead/faults/world/FakeLog.java
+++ b/faults/src/main/java/org/whinhead/faults/world/FakeLog.java
@@ -45,6 +45,10 @@
         mOut = out;
     }
 
+    boolean isOut() {
+        return mOut;
+    }
+
     /** Makes each call take so much longer. */
     public void setSlow(final int millis) {
         mSlowMillis = millis;
--- /dev/null
+++ b/faults/src/main/java/org/whinhead/faults/world/FakeOperator.java
@@ -0,0 +1,126 @@
+package org.whinhead.faults.world;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.whinhead.state.record.LogRecord;
+import org.whinhead.state.settings.ChangeOutcome;
+
+/** Operators that change settings through any daemon and repeat a change that got no outcome. */
+public final class FakeOperator {
+
+    private static final int ASK_MILLIS = 100;
+    private static final int PATIENCE_MILLIS = 3_000;
+
+    private final FakeWorld mWorld;
+    private final List<Change> mChanges = new ArrayList<>();
+
+    FakeOperator(final FakeWorld world) {
+        mWorld = world;
+    }
+
+    /** Asks for a change, on top of the revision that the asked daemon shows. */
+    public void change(final String author, final String path, final String text) {
+        final Optional<FakeDaemon> daemon = mWorld.openDaemon();
+        if (daemon.isEmpty()) {
+            return;
+        }
+        final long base = daemon.get().state().view().state().settings().revision(path);
+        final String name = "change-" + mChanges.size();
+        final Change change = new Change(name, author, path, base, text, mWorld.time().now());
+        mChanges.add(change);
+        submit(change, daemon.get());
+    }
+
+    /** Returns the changes that were asked for. */
+    public List<Change> changes() {
+        return List.copyOf(mChanges);
+    }
+
+    private void submit(final Change change, final FakeDaemon daemon) {
+        daemon.changeSetting(change);
+        final Instant until = mWorld.time().now().plusMillis(PATIENCE_MILLIS);
+        mWorld.time().after(ASK_MILLIS, () -> ask(change, daemon, until));
+    }
+
+    private void ask(final Change change, final FakeDaemon daemon, final Instant until) {
+        if (daemon.isAlive()) {
+            final Optional<ChangeOutcome> outcome =
+                    daemon.state().view().state().settings().outcome(change.name());
+            if (outcome.isPresent()) {
+                change.tell(outcome.get());
+                return;
+            }
+        }
+        if (daemon.isAlive() && mWorld.time().now().isBefore(until)) {
+            mWorld.time().after(ASK_MILLIS, () -> ask(change, daemon, until));
+        } else {
+            mWorld.openDaemon()
+                    .ifPresentOrElse(
+                            next -> submit(change, next),
+                            () ->
+                                    mWorld.time()
+                                            .after(ASK_MILLIS, () -> ask(change, daemon, until)));
+        }
+    }
+
+    /** One change and what its operator was told. */
+    public static final class Change {
+
+        private final String mName;
+        private final String mAuthor;
+        private final String mPath;
+        private final long mBase;
+        private final String mText;
+        private final Instant mAt;
+        private Optional<ChangeOutcome> mOutcome = Optional.empty();
+
+        Change(
+                final String name,
+                final String author,
+                final String path,
+                final long base,
+                final String text,
+                final Instant at) {
+            mName = name;
+            mAuthor = author;
+            mPath = path;
+            mBase = base;
+            mText = text;
+            mAt = at;
+        }
+
+        public String name() {
+            return mName;
+        }
+
+        public String path() {
+            return mPath;
+        }
+
+        public Optional<ChangeOutcome> outcome() {
+            return mOutcome;
+        }
+
+        void tell(final ChangeOutcome outcome) {
+            mOutcome = Optional.of(outcome);
+        }
+
+        void offer(final LogClient log, final Instant now) {
+            log.writer()
+                    .offer(
+                            id ->
+                                    new LogRecord.SettingChanged(
+                                            id,
+                                            mName,
+                                            mPath,
+                                            mBase,
+                                            Optional.of(mText),
+                                            mAuthor,
+                                            "fake",
+                                            mAt),
+                            now);
+        }
+    }
+}
--- a/faults/src/main/java/org/whinhead/faults/world/FakeWorld.java
+++ b/faults/src/main/java/org/whinhead/faults/world/FakeWorld.java
@@ -4,7 +4,6 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -24,7 +23,6 @@
 import org.whinhead.api.model.VmState;
 import org.whinhead.api.request.RequestId;
 import org.whinhead.api.request.RequestSpec;
-import org.whinhead.api.verdict.Verdict;
 import org.whinhead.requests.RequestSettings;
 
 /** Daemons, back ends and callers under one clock and one seed, with the oracle over all. */
@@ -47,7 +45,9 @@
     private final Map<EndpointId, FakeBackend> mBackends = new LinkedHashMap<>();
     private final List<FakeDaemon> mDaemons = new ArrayList<>();
     private final Map<RequestId, FakeCaller> mCallers = new LinkedHashMap<>();
-    private final Map<RequestId, Integer> mRuns = new HashMap<>();
+    private final RequestOracle mRequests = new RequestOracle(this);
+    private final StateOracle mState = new StateOracle(this);
+    private final FakeOperator mOperator = new FakeOperator(this);
     private final FakeLog mLog = new FakeLog(this);
     private int mLossPercent;
 
@@ -87,7 +87,7 @@
     }
 
     public int runs(final RequestId request) {
-        return mRuns.getOrDefault(request, 0);
+        return mRequests.runs(request);
     }
 
     public void run(final long millis) {
@@ -116,6 +116,11 @@
     public FakeDaemon addDaemon() {
         final FakeDaemon daemon =
                 new FakeDaemon(this, new DaemonId("daemon-" + mDaemons.size()), mRandom.nextLong());
+        mDaemons.stream()
+                .filter(FakeDaemon::isAlive)
+                .findFirst()
+                .filter(peer -> mLog.isOut())
+                .ifPresent(peer -> daemon.state().startFrom(peer.state().view(), mTime.now()));
         mDaemons.add(daemon);
         return daemon;
     }
@@ -151,7 +156,8 @@
         addBackend(false);
         addDaemon();
         mTime.run(SETTLE);
-        mCallers.values().forEach(this::check);
+        mCallers.values().forEach(mRequests::check);
+        mState.checkSettled();
         for (final FakeDaemon daemon : mDaemons) {
             if (daemon.isAlive() && !daemon.leftovers().isEmpty()) {
                 throw new AssertionError("left over: " + daemon.leftovers());
@@ -159,6 +165,20 @@
         }
     }
 
+    /** Returns the operators of settings. */
+    public FakeOperator operator() {
+        return mOperator;
+    }
+
+    StateOracle stateOracle() {
+        return mState;
+    }
+
+    /** Tells all that the daemons decided about a request. */
+    String describe(final RequestId request) {
+        return mRequests.describe(request);
+    }
+
     RequestSettings settings() {
         return RequestSettings.builder()
                 .patience(Duration.ofSeconds(3))
@@ -202,46 +222,7 @@
     }
 
     void ran(final RequestId request) {
-        mRuns.merge(request, 1, Integer::sum);
-    }
-
-    private void check(final FakeCaller caller) {
-        final RequestId id = caller.id();
-        require(caller.end() != FakeCaller.End.OPEN, "never ended", id);
-        final boolean whole = caller.end() == FakeCaller.End.WHOLE;
-        require(!whole || caller.tokens().size() == caller.length(), "not whole", id);
-        for (int index = 0; index < caller.tokens().size(); index++) {
-            require(caller.tokens().get(index).equals(token(id, index)), "foreign token", id);
-        }
-        require(caller.spec().idempotent() || runs(id) <= 1, "ran twice", id);
-        require(!whole || runs(id) > 0, "answered without a run", id);
-        final boolean saidNotRun =
-                caller.end() == FakeCaller.End.REFUSED
-                        && caller.refusal().get().verdict() == Verdict.NOT_RUN
-                        && !caller.wasCutOff();
-        require(!saidNotRun || runs(id) == 0, "ran after not-run", id);
-    }
-
-    private void require(final boolean holds, final String what, final RequestId request) {
-        if (!holds) {
-            throw new AssertionError(what + ": " + describe(request));
-        }
-    }
-
-    /** Tells all that the daemons decided about a request. */
-    String describe(final RequestId request) {
-        final StringBuilder text = new StringBuilder();
-        final FakeCaller caller = caller(request);
-        text.append(caller.spec()).append(' ').append(caller.end()).append(caller.refusal());
-        text.append(" ran ").append(runs(request)).append(" has ").append(caller.tokens());
-        for (final FakeDaemon daemon : mDaemons) {
-            text.append("\n daemon ").append(mDaemons.indexOf(daemon));
-            daemon.coordinator()
-                    .decisions()
-                    .of(request)
-                    .forEach(decision -> text.append("\n  ").append(decision));
-        }
-        return text.toString();
+        mRequests.ran(request);
     }
 
     private RequestSpec.Builder spec() {
