Give the world a fleet, orders with fencing numbers and a real router

Cause: orders, lagging lists and reports were not met by requests in the fake world. Change: the holder of the lease runs the real reconciler; orders are noted on the log, then sent to a fake cloud and to engines of which every second checks the fencing number. Requests go through the real router behind a lagging list. The oracle adds: no new work at a leaving endpoint after two seconds, a stop by order cuts nothing, and after the faults the plan is met and the wanted version loaded.

--- a/faults/src/main/java/org/whinhead/faults/world/FakeBackend.java
+++ b/faults/src/main/java/org/whinhead/faults/world/FakeBackend.java
@@ -1,12 +1,17 @@
 package org.whinhead.faults.world;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.whinhead.api.model.Endpoint;
+import org.whinhead.api.model.ModelRef;
+import org.whinhead.api.model.VmState;
 import org.whinhead.api.request.RequestId;
 import org.whinhead.requests.AttemptEvent;
 import org.whinhead.requests.AttemptFailure;
@@ -23,13 +28,15 @@
         DEAD
     }
 
+    private static final Duration NEW_WORK_LIMIT = Duration.ofSeconds(2);
     private static final int TOKEN_MILLIS = 20;
     private static final int MAX_WORK_MILLIS = 200;
     private static final int FAULT_PERCENT = 5;
     private static final int OK = 200;
 
     private final FakeWorld mWorld;
-    private final Endpoint mEndpoint;
+    private Endpoint mEndpoint;
+    private Instant mLeavingSince = Instant.MAX;
     private final Map<String, FakeStream> mStreams = new LinkedHashMap<>();
     private final List<FakeLink> mCalls = new ArrayList<>();
     private final List<Waiting> mWaiting = new ArrayList<>();
@@ -71,6 +78,43 @@
         }
     }
 
+    /** Takes a model's weights in; false if it can't. */
+    boolean load(final ModelRef model) {
+        if (mMode == Mode.DEAD) {
+            return false;
+        }
+        final Set<ModelRef> models = new HashSet<>(mEndpoint.models());
+        models.add(model);
+        mEndpoint = mEndpoint.toBuilder().models(models).build();
+        return true;
+    }
+
+    /** Its VM was announced to leave. */
+    void leaving() {
+        if (mLeavingSince == Instant.MAX) {
+            mLeavingSince = mWorld.time().now();
+            mEndpoint = mEndpoint.toBuilder().vm(mEndpoint.vm().withState(VmState.LEAVING)).build();
+        }
+    }
+
+    /** The cloud stops the VM by order, which must not cut a request. */
+    void stopAsPlanned() {
+        if (mMode != Mode.DEAD && running() > 0) {
+            throw new AssertionError("a planned stop cut requests at " + mEndpoint.id());
+        }
+        setMode(Mode.DEAD);
+    }
+
+    boolean isServingEngine() {
+        return mMode == Mode.UP && mEndpoint.kind().streams() && mLeavingSince == Instant.MAX;
+    }
+
+    /** Returns how many requests it works on. */
+    int running() {
+        return (int) mStreams.values().stream().filter(stream -> !stream.isDone()).count()
+                + mCalls.size();
+    }
+
     /** Breaks every connection; what runs goes on. */
     public void cutConnections() {
         mStreams.values().stream()
@@ -133,6 +177,9 @@
     }
 
     private void connect(final FakeLink link, final boolean always, final Runnable work) {
+        if (!always) {
+            checkNewWork(link);
+        }
         if (mMode == Mode.DEAD) {
             link.fail(AttemptFailure.CONNECT_FAILED);
         } else if (mMode == Mode.FROZEN) {
@@ -144,6 +191,15 @@
         }
     }
 
+    /** A daemon that was not paused must know of the notice by now. */
+    private void checkNewWork(final FakeLink link) {
+        final Instant limit =
+                mLeavingSince == Instant.MAX ? Instant.MAX : mLeavingSince.plus(NEW_WORK_LIMIT);
+        if (mWorld.time().now().isAfter(limit) && !link.daemon().wasPausedSince(mLeavingSince)) {
+            throw new AssertionError("new work at leaving " + mEndpoint.id());
+        }
+    }
+
     private void startStream(final FakeLink link, final long from) {
         final RequestId request = link.attempt().request();
         mWorld.ran(request);
--- a/faults/src/main/java/org/whinhead/faults/world/FakeDaemon.java
+++ b/faults/src/main/java/org/whinhead/faults/world/FakeDaemon.java
@@ -26,6 +26,7 @@
 
     private static final int TICK_MILLIS = 50;
     private static final int LOG_MILLIS = 10;
+    private static final int ROUND_MILLIS = 250;
     private static final int MAX_DELAY_MILLIS = 5;
 
     private final FakeWorld mWorld;
@@ -37,6 +38,7 @@
     private final FakeProcess mProcess;
     private final DaemonClaims mClaims;
     private final DaemonState mState;
+    private final FleetDuty mDuty;
     private boolean mStopping;
 
     FakeDaemon(final FakeWorld world, final DaemonId id, final long seed) {
@@ -45,7 +47,8 @@
         mProcess = new FakeProcess(world.time());
         mClaims = new DaemonClaims(world.log(), this, mProcess);
         mState = new DaemonState(world.log(), id, mProcess, seed);
-        mRouter = new FakeRouter(world);
+        mDuty = new FleetDuty(world, mState, mProcess);
+        mRouter = new FakeRouter(world, seed);
         mCoordinator =
                 DefaultRequestCoordinator.builder()
                         .router(mRouter)
@@ -55,6 +58,7 @@
                         .random(new SplittableRandom(seed))
                         .build();
         mProcess.every(TICK_MILLIS, mCoordinator::tick);
+        mProcess.every(ROUND_MILLIS, this::round);
         mProcess.every(LOG_MILLIS, this::tickLog);
     }
 
@@ -67,6 +71,15 @@
         return mCoordinator;
     }
 
+    int inProgressAt(final EndpointId endpoint) {
+        return mRouter.inProgressAt(endpoint);
+    }
+
+    /** Tells whether it was paused at or after a time. */
+    boolean wasPausedSince(final Instant time) {
+        return !mProcess.pausedUntil().isBefore(time);
+    }
+
     DaemonState state() {
         return mState;
     }
@@ -125,7 +138,11 @@
     }
 
     void endpointLeaving(final EndpointId endpoint, final Instant goneBy) {
-        mProcess.post(now -> mCoordinator.endpointLeaving(endpoint, goneBy, now));
+        mProcess.post(
+                now -> {
+                    mRouter.leaving(endpoint);
+                    mCoordinator.endpointLeaving(endpoint, goneBy, now);
+                });
     }
 
     void claimDecided(final RequestId request, final ClaimOutcome outcome) {
@@ -200,7 +217,7 @@
     public void cancel(final AttemptId attempt, final Endpoint endpoint, final String streamId) {
         final Optional<FakeLink> link = Optional.ofNullable(mLinks.remove(attempt));
         link.ifPresent(FakeLink::close);
-        final FakeBackend backend = mWorld.backend(endpoint.id());
+        final FakeBackend backend = mWorld.fleet().backend(endpoint.id());
         mProcess.send(delay(), () -> backend.cancel(link.orElse(null), streamId));
     }
 
@@ -268,7 +285,7 @@
             link.fail(AttemptFailure.STREAM_UNKNOWN);
             return;
         }
-        final FakeBackend target = mWorld.backend(to.id());
+        final FakeBackend target = mWorld.fleet().backend(to.id());
         mProcess.send(delay(), () -> target.importStream(link, cache.get()));
     }
 
@@ -279,11 +296,16 @@
                 delay(),
                 () -> {
                     if (link.isOpen()) {
-                        work.accept(link, mWorld.backend(endpoint.id()));
+                        work.accept(link, mWorld.fleet().backend(endpoint.id()));
                     }
                 });
     }
 
+    private void round(final Instant now) {
+        mRouter.refresh(now);
+        mDuty.tick(now);
+    }
+
     private void tickLog(final Instant now) {
         mClaims.tick(now);
         mState.tick(now);
--- a/faults/src/main/java/org/whinhead/faults/world/FakeRouter.java
+++ b/faults/src/main/java/org/whinhead/faults/world/FakeRouter.java
@@ -5,47 +5,72 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.SplittableRandom;
 import org.whinhead.api.model.Endpoint;
 import org.whinhead.api.model.EndpointId;
 import org.whinhead.api.request.RequestId;
 import org.whinhead.api.request.RequestSpec;
+import org.whinhead.routing.AffinityRouter;
+import org.whinhead.routing.LoadReport;
 import org.whinhead.routing.Router;
+import org.whinhead.routing.RoutingSettings;
 
-/** Chooses at random from a lagging list and insists that each send is ended once. */
+/** A real router behind lagging lists and reports; insists that each send is ended once. */
 final class FakeRouter implements Router {
 
     private final FakeWorld mWorld;
+    private final AffinityRouter mRouter;
     private final List<Send> mSends = new ArrayList<>();
 
-    FakeRouter(final FakeWorld world) {
+    FakeRouter(final FakeWorld world, final long seed) {
         mWorld = world;
+        mRouter =
+                new AffinityRouter(
+                        RoutingSettings.of(FakeFleet.domains().get(0)), new SplittableRandom(seed));
+        mRouter.endpointsChanged(world.fleet().vmList().shown());
+    }
+
+    /** Takes in the list and the load as of now, both of which lag. */
+    void refresh(final Instant now) {
+        mRouter.endpointsChanged(mWorld.fleet().vmList().shown());
+        for (final FakeBackend backend : mWorld.fleet().backends()) {
+            if (backend.mode() == FakeBackend.Mode.UP && !mWorld.fleet().areReportsFrozen()) {
+                final EndpointId id = backend.endpoint().id();
+                final LoadReport report =
+                        new LoadReport(id, now.minusMillis(300), backend.running(), 0, 50);
+                mRouter.loadReported(report, now);
+            }
+        }
+    }
+
+    void leaving(final EndpointId endpoint) {
+        mRouter.leaving(endpoint);
+    }
+
+    int inProgressAt(final EndpointId endpoint) {
+        return mRouter.inProgressAt(endpoint);
     }
 
     @Override
     public Optional<Endpoint> choose(
             final RequestSpec spec, final Set<EndpointId> excluded, final Instant now) {
-        final List<Endpoint> open =
-                mWorld.backends().stream()
-                        .filter(backend -> backend.isListed(now))
-                        .map(FakeBackend::endpoint)
-                        .filter(endpoint -> endpoint.kind() == spec.kind())
-                        .filter(endpoint -> !excluded.contains(endpoint.id()))
-                        .toList();
-        if (open.isEmpty()) {
-            return Optional.empty();
-        }
-        return send(open.get(mWorld.random().nextInt(open.size())), spec);
+        return noted(mRouter.choose(spec, excluded, now), spec);
     }
 
     @Override
     public Optional<Endpoint> find(
             final EndpointId endpoint, final RequestSpec spec, final Instant now) {
-        return mWorld.backends().stream()
-                .filter(backend -> backend.isListed(now))
-                .map(FakeBackend::endpoint)
-                .filter(known -> known.id().equals(endpoint))
-                .findFirst()
-                .flatMap(known -> send(known, spec));
+        return noted(mRouter.find(endpoint, spec, now), spec);
+    }
+
+    @Override
+    public void succeeded(final EndpointId endpoint, final RequestSpec spec, final Instant now) {
+        mRouter.succeeded(endpoint, spec, now);
+    }
+
+    @Override
+    public void failed(final EndpointId endpoint, final RequestSpec spec, final Instant now) {
+        mRouter.failed(endpoint, spec, now);
     }
 
     @Override
@@ -53,6 +78,7 @@
         if (!mSends.remove(new Send(spec.id(), endpoint))) {
             throw new AssertionError("ended without a send: " + spec.id() + " at " + endpoint);
         }
+        mRouter.ended(endpoint, spec, now);
     }
 
     /** Returns the sends that were never ended. */
@@ -60,9 +86,9 @@
         return mSends.stream().map(Send::toString).toList();
     }
 
-    private Optional<Endpoint> send(final Endpoint endpoint, final RequestSpec spec) {
-        mSends.add(new Send(spec.id(), endpoint.id()));
-        return Optional.of(endpoint);
+    private Optional<Endpoint> noted(final Optional<Endpoint> chosen, final RequestSpec spec) {
+        chosen.ifPresent(endpoint -> mSends.add(new Send(spec.id(), endpoint.id())));
+        return chosen;
     }
 
     private record Send(RequestId request, EndpointId endpoint) {}
--- a/faults/src/main/java/org/whinhead/faults/world/FakeWorld.java
+++ b/faults/src/main/java/org/whinhead/faults/world/FakeWorld.java
@@ -1,26 +1,15 @@
 package org.whinhead.faults.world;
 
-import java.net.URI;
 import java.time.Duration;
-import java.time.Instant;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.SplittableRandom;
-import org.whinhead.api.model.Billing;
 import org.whinhead.api.model.CustomerId;
 import org.whinhead.api.model.DaemonId;
-import org.whinhead.api.model.Endpoint;
-import org.whinhead.api.model.EndpointId;
-import org.whinhead.api.model.FailureDomain;
-import org.whinhead.api.model.ModelRef;
 import org.whinhead.api.model.Tier;
-import org.whinhead.api.model.Vm;
-import org.whinhead.api.model.VmId;
-import org.whinhead.api.model.VmState;
 import org.whinhead.api.request.RequestId;
 import org.whinhead.api.request.RequestSpec;
 import org.whinhead.requests.RequestSettings;
@@ -28,8 +17,6 @@
 /** Daemons, back ends and callers under one clock and one seed, with the oracle over all. */
 public final class FakeWorld {
 
-    private static final ModelRef MODEL = ModelRef.of("draft", "1");
-    private static final String SERVICE = "filing";
     private static final int PERCENT = 100;
     private static final Duration SETTLE = Duration.ofSeconds(90);
     private static final Tier TIER =
@@ -42,7 +29,7 @@
 
     private final FakeTime mTime = new FakeTime();
     private final SplittableRandom mRandom;
-    private final Map<EndpointId, FakeBackend> mBackends = new LinkedHashMap<>();
+    private final FakeFleet mFleet = new FakeFleet(this);
     private final List<FakeDaemon> mDaemons = new ArrayList<>();
     private final Map<RequestId, FakeCaller> mCallers = new LinkedHashMap<>();
     private final RequestOracle mRequests = new RequestOracle(this);
@@ -54,15 +41,10 @@
     /** Makes a world of so many of each. */
     public FakeWorld(final long seed, final int daemons, final int engines, final int services) {
         mRandom = new SplittableRandom(seed);
+        mFleet.start(engines, services);
         for (int count = 0; count < daemons; count++) {
             addDaemon();
         }
-        for (int count = 0; count < engines; count++) {
-            addBackend(true);
-        }
-        for (int count = 0; count < services; count++) {
-            addBackend(false);
-        }
     }
 
     /** Returns the one right token of a request's answer. */
@@ -75,7 +57,7 @@
     }
 
     public List<FakeBackend> backends() {
-        return List.copyOf(mBackends.values());
+        return mFleet.backends();
     }
 
     public List<FakeDaemon> daemons() {
@@ -106,10 +88,8 @@
 
     /** Adds an engine, or else a plain service. */
     public FakeBackend addBackend(final boolean engine) {
-        final EndpointId id = new EndpointId((engine ? "engine-" : "service-") + mBackends.size());
-        return engine
-                ? add(Endpoint.engine(id).models(Set.of(MODEL)), id)
-                : add(Endpoint.plainService(id, SERVICE), id);
+        final int domain = mRandom.nextInt(FakeFleet.domains().size());
+        return engine ? mFleet.addEngine(FakeFleet.domains().get(domain)) : mFleet.addService();
     }
 
     /** Starts a daemon. */
@@ -122,42 +102,43 @@
                 .filter(peer -> mLog.isOut())
                 .ifPresent(peer -> daemon.state().startFrom(peer.state().view(), mTime.now()));
         mDaemons.add(daemon);
+        mFleet.tellNotices(daemon);
         return daemon;
     }
 
     /** Announces that a back end leaves; daemons hear of it one after the other. */
     public void leave(final FakeBackend backend, final long noticeMillis) {
-        final Instant goneBy = mTime.now().plusMillis(noticeMillis);
-        for (final FakeDaemon daemon : mDaemons) {
-            final int heard = mRandom.nextInt(100);
-            mTime.after(heard, () -> daemon.endpointLeaving(backend.endpoint().id(), goneBy));
-        }
+        mFleet.announce(backend, noticeMillis);
         mTime.after(noticeMillis, () -> backend.setMode(FakeBackend.Mode.DEAD));
     }
 
     /** Submits a request to an engine. */
     public FakeCaller chat(final int length, final boolean streamed, final boolean idempotent) {
         final RequestSpec.Builder spec =
-                spec().model(MODEL).maxTokens(length).promptTokens(10).streamed(streamed);
+                spec().model(FakeFleet.model("1"))
+                        .maxTokens(length)
+                        .promptTokens(10)
+                        .streamed(streamed);
         return submit(spec.idempotent(idempotent).build(), length);
     }
 
     /** Submits a call of a plain service. */
     public FakeCaller call(final boolean idempotent) {
-        return submit(spec().service(SERVICE).idempotent(idempotent).build(), 0);
+        return submit(spec().service(FakeFleet.SERVICE).idempotent(idempotent).build(), 0);
     }
 
     /** Ends all faults, lets every request end, and checks the promises. */
     public void settleAndCheck() {
         mLossPercent = 0;
         mLog.heal();
-        backends().forEach(backend -> backend.setMode(FakeBackend.Mode.UP));
+        mFleet.heal();
         addBackend(true);
         addBackend(false);
         addDaemon();
         mTime.run(SETTLE);
         mCallers.values().forEach(mRequests::check);
         mState.checkSettled();
+        mFleet.checkSettled(mState.inForce(FakeFleet.POOL_PATH).orElse("1"));
         for (final FakeDaemon daemon : mDaemons) {
             if (daemon.isAlive() && !daemon.leftovers().isEmpty()) {
                 throw new AssertionError("left over: " + daemon.leftovers());
@@ -206,8 +187,9 @@
         return mLog;
     }
 
-    FakeBackend backend(final EndpointId id) {
-        return mBackends.get(id);
+    /** Returns the VMs behind the daemons. */
+    public FakeFleet fleet() {
+        return mFleet;
     }
 
     FakeCaller caller(final RequestId request) {
@@ -239,19 +221,4 @@
         caller.connect();
         return caller;
     }
-
-    private FakeBackend add(final Endpoint.Builder builder, final EndpointId id) {
-        final Vm vm =
-                new Vm(
-                        new VmId("vm-" + id),
-                        "127.0.0.1",
-                        new FailureDomain("kigali", "kg-gasabo"),
-                        "small",
-                        Billing.RECLAIMABLE,
-                        VmState.LIVE);
-        final Endpoint endpoint = builder.vm(vm).uri(URI.create("http://127.0.0.1")).build();
-        final FakeBackend backend = new FakeBackend(this, endpoint);
-        mBackends.put(id, backend);
-        return backend;
-    }
 }
--- /dev/null
+++ b/faults/src/main/java/org/whinhead/faults/world/FleetDuty.java
@@ -0,0 +1,142 @@
+package org.whinhead.faults.world;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.whinhead.api.model.Endpoint;
+import org.whinhead.fleet.FleetOrder;
+import org.whinhead.fleet.FleetReconciler;
+import org.whinhead.fleet.FleetSettings;
+import org.whinhead.fleet.FleetView;
+import org.whinhead.fleet.Member;
+import org.whinhead.fleet.OrderId;
+import org.whinhead.fleet.Pool;
+import org.whinhead.state.fold.FoldState;
+import org.whinhead.state.record.LogRecord;
+
+/** The fleet's duty on one daemon: real decisions, noted on the log before they are sent. */
+final class FleetDuty {
+
+    private static final FleetSettings SETTINGS =
+            new FleetSettings(Duration.ofMillis(200), 1_000_000, 2, 4);
+    private static final long MODEL_BYTES = 1_000;
+    private static final Duration REPEAT = Duration.ofSeconds(2);
+    private static final Duration LISTED_WITHIN = Duration.ofSeconds(3);
+
+    private final FakeWorld mWorld;
+    private final DaemonState mState;
+    private final FakeProcess mProcess;
+    private final FleetReconciler mReconciler = new FleetReconciler(SETTINGS);
+    private final Map<OrderId, Instant> mSent = new HashMap<>();
+    private final Map<OrderId, Instant> mAnswered = new HashMap<>();
+
+    FleetDuty(final FakeWorld world, final DaemonState state, final FakeProcess process) {
+        mWorld = world;
+        mState = state;
+        mProcess = process;
+    }
+
+    void tick(final Instant now) {
+        if (!mState.keeper().mayAct(now) || !mState.view().caughtUp()) {
+            return;
+        }
+        final FoldState state = mState.view().state();
+        final List<FleetOrder> open =
+                OrderNotes.open(state.notes().getOrDefault(DaemonState.DUTY, Map.of()));
+        for (final FleetOrder order : open) {
+            if (isDone(order, now)) {
+                note(order, Optional.empty(), now);
+            } else {
+                sendUnlessSent(order, now);
+            }
+        }
+        if (mState.log().writer().pending() == 0) {
+            final FleetView view =
+                    new FleetView(List.of(pool(state)), members(), open, state.asOf());
+            mReconciler
+                    .reconcile(view, now)
+                    .forEach(order -> note(order, Optional.of(OrderNotes.body(order)), now));
+        }
+    }
+
+    /** A started VM counts as an open order until the lagging list shows it. */
+    private boolean isDone(final FleetOrder order, final Instant now) {
+        final Instant answered = mAnswered.get(order.id());
+        return answered != null
+                && (!(order instanceof FleetOrder.StartVm)
+                        || now.isAfter(answered.plus(LISTED_WITHIN)));
+    }
+
+    private Pool pool(final FoldState state) {
+        final String version = state.settings().document(FakeFleet.POOL_PATH).orElse("1");
+        return new Pool(
+                OrderNotes.POOL,
+                FakeFleet.model(version),
+                MODEL_BYTES,
+                mWorld.fleet().enginesNeeded(),
+                FakeFleet.domains().stream().map(OrderNotes::supply).toList());
+    }
+
+    private List<Member> members() {
+        return mWorld.fleet().vmList().shown().stream()
+                .filter(endpoint -> endpoint.kind().streams())
+                .map(this::member)
+                .toList();
+    }
+
+    private Member member(final Endpoint endpoint) {
+        return new Member(
+                OrderNotes.POOL,
+                endpoint,
+                OrderNotes.supply(endpoint.vm().domain()),
+                mWorld.fleet().inProgressAt(endpoint.id()));
+    }
+
+    private void note(final FleetOrder order, final Optional<String> body, final Instant now) {
+        final OptionalLong fencing = mState.keeper().fencing();
+        if (fencing.isPresent()) {
+            mState.log()
+                    .writer()
+                    .offer(
+                            id ->
+                                    new LogRecord.DutyNoted(
+                                            id,
+                                            DaemonState.DUTY,
+                                            fencing.getAsLong(),
+                                            order.id().value(),
+                                            body),
+                            now);
+        }
+    }
+
+    private void sendUnlessSent(final FleetOrder order, final Instant now) {
+        final Instant sent = mSent.get(order.id());
+        if (sent == null || now.isAfter(sent.plus(REPEAT))) {
+            mSent.put(order.id(), now);
+            final long fencing = mState.keeper().fencing().orElseThrow();
+            mProcess.send(mWorld.fleet().orderDelay(), () -> arrive(order, fencing));
+        }
+    }
+
+    private void arrive(final FleetOrder order, final long fencing) {
+        mWorld.fleet().orders().arrived(order, fencing);
+        final boolean refused = !mWorld.fleet().orders().carryOut(order, fencing);
+        if (mWorld.chance(mWorld.lossPercent())) {
+            return;
+        }
+        mWorld.time().after(1, () -> mProcess.post(now -> answered(order, refused, now)));
+    }
+
+    private void answered(final FleetOrder order, final boolean refused, final Instant now) {
+        if (order instanceof FleetOrder.StartVm start && refused) {
+            mReconciler.startRefused(start.supply(), now);
+            mAnswered.put(order.id(), Instant.MIN);
+        } else {
+            mAnswered.put(order.id(), now);
+        }
+    }
+}
--- a/faults/src/main/java/org/whinhead/faults/world/StateOracle.java
+++ b/faults/src/main/java/org/whinhead/faults/world/StateOracle.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import org.whinhead.api.model.DaemonId;
@@ -41,6 +42,15 @@
         require(holders <= 1, "daemons that may act: " + holders);
     }
 
+    /** Returns the document that stands in force after all records. */
+    Optional<String> inForce(final String path) {
+        final Map<String, Long> inForce = new TreeMap<>();
+        replay(inForce, new HashMap<>());
+        return Optional.ofNullable(inForce.get(path))
+                .map(offset -> mWorld.log().all(FakeLog.FLEET).get(offset.intValue()).record())
+                .flatMap(record -> ((LogRecord.SettingChanged) record).document());
+    }
+
     /** Checks after all faults: every change has its one outcome, in force on every daemon. */
     void checkSettled() {
         final Map<String, Long> inForce = new TreeMap<>();
