Count the local example daemons among those that must load

Cause: three settings files for one machine joined the 16 of the two deployments. Change: the test expects 19 files; each is still read and checked. Conclusion: as strict as before.

--- a/settings/src/test/java/org/whinhead/settings/deployment/DocumentListTest.java
+++ b/settings/src/test/java/org/whinhead/settings/deployment/DocumentListTest.java
@@ -71,7 +71,7 @@
                     files.filter(file -> file.getFileName().toString().startsWith("entry-"))
                             .sorted()
                             .toList();
-            assertThat(found).hasSize(16);
+            assertThat(found).hasSize(19);
             return found;
         }
     }
