Stop a daemon when its own VM is announced

Cause: notices were taken for endpoints only, so a daemon on a reclaimed VM went on taking requests and told its address until the VM disappeared, which cut its callers without sending them away. Change: a notice of the own VM begins the stop, with the announced end. The test in the demo module failed before (the address was still told).

--- a/daemon/src/main/java/org/whinhead/daemon/Daemon.java
+++ b/daemon/src/main/java/org/whinhead/daemon/Daemon.java
@@ -250,7 +250,16 @@
         mLoop.offer(new DecisionEvent.Claimed(request, ClaimOutcome.UNAVAILABLE));
     }
 
+    /**
+     * Guards against a daemon that takes new requests until its VM disappears, which cuts every
+     * answer in progress without a ticket: a notice of its own VM is a stop with an end.
+     */
     private void noticed(final ReclaimNotice notice) {
+        if (notice.vm().equals(mSettings.vm())) {
+            mStanding.beginStop();
+            mLoop.offer(new DecisionEvent.Stopping(notice.goneBy()));
+            return;
+        }
         final EndpointId endpoint = new EndpointId(notice.vm().value());
         mLoop.offer(new DecisionEvent.Update(() -> mRouter.leaving(endpoint)));
         mLoop.offer(new DecisionEvent.EndpointLeaving(endpoint, notice.goneBy()));
