Let measurements switch the reuse of work off

The benchmark of reclaim waves needs a baseline that starts every answer over. RequestSettings gets a recovery mode: the default keeps work as before, START_OVER neither resumes, moves nor continues. No measurement applies; the default's behaviour is unchanged.

--- a/requests/src/main/java/org/whinhead/requests/AttemptLauncher.java
+++ b/requests/src/main/java/org/whinhead/requests/AttemptLauncher.java
@@ -110,7 +110,10 @@
 
     private void generate(final RequestState state, final Endpoint endpoint, final Instant now) {
         final DeliveredText delivered = state.delivered();
-        final boolean goOn = delivered.tokens() > 0 && !state.isStartOver();
+        final boolean goOn =
+                delivered.tokens() > 0
+                        && !state.isStartOver()
+                        && mWiring.settings().recovery().keepsWork();
         final long from = goOn ? delivered.tokens() : 0;
         final AttemptKind kind = goOn ? AttemptKind.CONTINUE : AttemptKind.START;
         final Attempt attempt = new Attempt(state.newAttempt(), endpoint, kind, from, from, now);
--- a/requests/src/main/java/org/whinhead/requests/Departures.java
+++ b/requests/src/main/java/org/whinhead/requests/Departures.java
@@ -49,6 +49,9 @@
 
     /** Looks at one request: a move that takes too long, or a live attempt that must leave. */
     void look(final RequestState state, final Instant now) {
+        if (!mWiring.settings().recovery().keepsWork()) {
+            return;
+        }
         if (state.move().isPresent()) {
             final Attempt move = state.move().get();
             if (!now.isBefore(move.startedAt().plus(mWiring.settings().moveTime()))) {
--- a/requests/src/main/java/org/whinhead/requests/Recovery.java
+++ b/requests/src/main/java/org/whinhead/requests/Recovery.java
@@ -33,7 +33,7 @@
         mEndings = endings;
         mLauncher = launcher;
         mLeaving = leaving;
-        mPlanner = new RecoveryPlanner(wiring.settings().maxDispatches(), leaving);
+        mPlanner = new RecoveryPlanner(wiring.settings(), leaving);
     }
 
     /** The live attempt failed. */
--- a/requests/src/main/java/org/whinhead/requests/RecoveryPlanner.java
+++ b/requests/src/main/java/org/whinhead/requests/RecoveryPlanner.java
@@ -26,10 +26,12 @@
             EnumSet.of(AttemptFailure.CUT_BEFORE_ANSWER, AttemptFailure.CUT_DURING_ANSWER);
 
     private final int mMaxDispatches;
+    private final boolean mKeepsWork;
     private final LeavingEndpoints mLeaving;
 
-    RecoveryPlanner(final int maxDispatches, final LeavingEndpoints leaving) {
-        mMaxDispatches = maxDispatches;
+    RecoveryPlanner(final RequestSettings settings, final LeavingEndpoints leaving) {
+        mMaxDispatches = settings.maxDispatches();
+        mKeepsWork = settings.recovery().keepsWork();
         mLeaving = leaving;
     }
 
@@ -64,6 +66,7 @@
                 CONNECTION_ALONE.contains(failure)
                         || (failure == AttemptFailure.SILENT && !state.spec().idempotent());
         return worthwhile
+                && mKeepsWork
                 && attempt.hasStream()
                 && !repeatsText(state, attempt)
                 && !state.isResumeTried()
--- a/requests/src/main/java/org/whinhead/requests/RequestSettings.java
+++ b/requests/src/main/java/org/whinhead/requests/RequestSettings.java
@@ -1,6 +1,7 @@
 package org.whinhead.requests;
 
 import java.time.Duration;
+import java.util.Objects;
 import org.whinhead.api.Arguments;
 
 /**
@@ -18,6 +19,7 @@
  * @param moveTime how long a move of KV cache may take
  * @param stopMargin how long before a daemon's end its callers are sent away
  * @param comeBackAfter the wait told to callers that are refused
+ * @param recovery what is made of the work of failed and leaving engines
  */
 public record RequestSettings(
         int maxDispatches,
@@ -30,7 +32,8 @@
         Duration leastSilence,
         Duration moveTime,
         Duration stopMargin,
-        Duration comeBackAfter) {
+        Duration comeBackAfter,
+        RecoveryMode recovery) {
 
     /** Checks every part. */
     public RequestSettings {
@@ -44,6 +47,7 @@
         Arguments.requirePositive(moveTime, "moveTime");
         Arguments.requirePositive(stopMargin, "stopMargin");
         Arguments.requirePositive(comeBackAfter, "comeBackAfter");
+        Objects.requireNonNull(recovery, "recovery");
         if (!(retryShare >= 0 && retryShare <= 1)) {
             throw new IllegalArgumentException("retryShare is not a share: " + retryShare);
         }
@@ -67,6 +71,7 @@
         private Duration mMoveTime = Duration.ofSeconds(2);
         private Duration mStopMargin = Duration.ofSeconds(1);
         private Duration mComeBackAfter = Duration.ofSeconds(1);
+        private RecoveryMode mRecovery = RecoveryMode.KEEP_WORK;
 
         private Builder() {}
 
@@ -121,6 +126,12 @@
             return this;
         }
 
+        /** Sets what is made of the work of failed and leaving engines. */
+        public Builder recovery(final RecoveryMode recovery) {
+            mRecovery = recovery;
+            return this;
+        }
+
         /** Builds the settings. */
         public RequestSettings build() {
             return new RequestSettings(
@@ -134,7 +145,8 @@
                     mLeastSilence,
                     mMoveTime,
                     mStopMargin,
-                    mComeBackAfter);
+                    mComeBackAfter,
+                    mRecovery);
         }
     }
 }
--- a/requests/src/main/java/org/whinhead/requests/Tickets.java
+++ b/requests/src/main/java/org/whinhead/requests/Tickets.java
@@ -96,7 +96,9 @@
 
     private void goOn(final RequestState state, final Ticket ticket, final Instant now) {
         final boolean holdsRest =
-                !ticket.streamId().isEmpty() && state.delivered().tokens() >= ticket.indexOffset();
+                mWiring.settings().recovery().keepsWork()
+                        && !ticket.streamId().isEmpty()
+                        && state.delivered().tokens() >= ticket.indexOffset();
         final Optional<Endpoint> holder =
                 holdsRest
                         ? mWiring.router().find(ticket.endpoint(), state.spec(), now)
--- a/requests/src/test/java/org/whinhead/requests/RecoveryTest.java
+++ b/requests/src/test/java/org/whinhead/requests/RecoveryTest.java
@@ -43,6 +43,21 @@
                 .isEqualTo(11);
     }
 
+    /** The baseline that measurements compare with: nothing of a failed engine's work is used. */
+    @Test
+    void startingOverGeneratesFromTheStartAndDeliversOnlyTheRest() {
+        final RequestSettings settings =
+                RequestSettings.builder().recovery(RecoveryMode.START_OVER).build();
+        final Recorder world = new Recorder(settings, "ab");
+        world.chat(true).opened(1, "s1").token(1, 0, "x ");
+        world.coordinator().endpointLeaving(new EndpointId("a"), world.now(), world.now());
+        world.failed(1, AttemptFailure.CUT_DURING_ANSWER).pass(SECOND).tick();
+        world.opened(2, "s2").token(2, 0, "x ").token(2, 1, "y ");
+        assertThat(world.actions())
+                .containsSubsequence("deliver r 0 x ", "generate r#2 b  0", "deliver r 1 y ")
+                .noneMatch(action -> action.startsWith("resume") || action.startsWith("move"));
+    }
+
     /**
      * An engine can't continue text, so the request starts over, and the new run differs from what
      * the caller has. Mixed, it would read as an answer that no run gave.
