Share the prefix hash and tell first tokens by tier and partial results

The engine stand-in had its own copy of the prefix hash; it now uses the api's. Load results hold first-token times for each tier, and bin/load prints what it has when a signal ends it early.

--- a/standins/src/main/java/org/whinhead/standins/engine/EngineStream.java
+++ b/standins/src/main/java/org/whinhead/standins/engine/EngineStream.java
@@ -158,12 +158,12 @@
     }
 
     List<Long> blockHashes() {
-        return PrefixCache.hashes(mGeneration.model(), mText);
+        return PrefixHashes.of(mGeneration.model(), mText);
     }
 
     List<Long> finalBlockHashes() {
         final String whole = mText + " " + String.join("", mTokens);
-        return PrefixCache.hashes(mGeneration.model(), whole);
+        return PrefixHashes.of(mGeneration.model(), whole);
     }
 
     KvCache kvCache() {
--- a/standins/src/main/java/org/whinhead/standins/engine/PrefixCache.java
+++ b/standins/src/main/java/org/whinhead/standins/engine/PrefixCache.java
@@ -1,25 +1,19 @@
 package org.whinhead.standins.engine;
 
-import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.function.BiConsumer;
+import org.whinhead.api.request.PrefixHashes;
 
 /**
  * Remembers which prompt prefixes an engine has computed, in limited memory.
  *
- * <p>A prompt is cut into blocks of {@value #BLOCK_WORDS} words; a block's hash covers the model
- * and all words up to the block's end, so a hit says that the whole prefix is cached.
+ * <p>A prompt is cut into blocks of {@value PrefixHashes#WORDS_PER_BLOCK} words; a block's hash
+ * covers the model and all words up to the block's end, so a hit says that the whole prefix is
+ * cached.
  */
 public final class PrefixCache {
 
-    /** How many words one block has. */
-    public static final int BLOCK_WORDS = 16;
-
-    private static final long FNV_OFFSET = 0xcbf29ce484222325L;
-    private static final long FNV_PRIME = 0x100000001b3L;
-
     private final int mLimit;
     private final BiConsumer<Boolean, Long> mChanged;
     private final LinkedHashSet<Long> mBlocks = new LinkedHashSet<>();
@@ -35,26 +29,6 @@
         mChanged = changed;
     }
 
-    /**
-     * Hashes the leading whole blocks.
-     *
-     * @param model the model
-     * @param text the text
-     * @return a hash for each block, each covering all before it
-     */
-    public static List<Long> hashes(final String model, final String text) {
-        final List<Long> hashes = new ArrayList<>();
-        final List<String> words = Arrays.asList(text.strip().split("\\s+"));
-        long hash = mix(FNV_OFFSET, model);
-        for (int index = 0; index < words.size(); index++) {
-            hash = mix(hash, words.get(index));
-            if ((index + 1) % BLOCK_WORDS == 0) {
-                hashes.add(hash);
-            }
-        }
-        return hashes;
-    }
-
     /**
      * Looks up a prompt and marks what it finds as used.
      *
@@ -71,7 +45,7 @@
             mBlocks.remove(hashes.get(index));
             mBlocks.add(hashes.get(index));
         }
-        return found * BLOCK_WORDS;
+        return found * PrefixHashes.WORDS_PER_BLOCK;
     }
 
     /** Stores a computed prompt, and evicts the least recently used blocks beyond the limit. */
@@ -100,12 +74,4 @@
     public int size() {
         return mBlocks.size();
     }
-
-    private static long mix(final long start, final String word) {
-        long hash = start;
-        for (int index = 0; index < word.length(); index++) {
-            hash = (hash ^ word.charAt(index)) * FNV_PRIME;
-        }
-        return (hash ^ ' ') * FNV_PRIME;
-    }
 }
--- a/standins/src/main/java/org/whinhead/standins/load/LoadMain.java
+++ b/standins/src/main/java/org/whinhead/standins/load/LoadMain.java
@@ -52,13 +52,22 @@
             errors.println(e.getMessage());
             return EXIT_USAGE;
         }
-        final LoadResult result = runOf(options).start().get();
-        final LoadReport report = new LoadReport(result);
+        final LoadRun load = runOf(options);
+        final Thread partial =
+                new Thread(() -> print(new LoadReport(load.soFar(), true), options, out));
+        Runtime.getRuntime().addShutdownHook(partial);
+        final LoadResult result = load.start().get();
+        Runtime.getRuntime().removeShutdownHook(partial);
+        print(new LoadReport(result), options, out);
+        return result.promiseKept() ? EXIT_KEPT : EXIT_BROKEN;
+    }
+
+    private static void print(
+            final LoadReport report, final LoadOptions options, final PrintStream out) {
         out.println(report.table());
         if (options.json()) {
             out.println(report.json());
         }
-        return result.promiseKept() ? EXIT_KEPT : EXIT_BROKEN;
     }
 
     private static LoadRun runOf(final LoadOptions options) {
--- a/standins/src/main/java/org/whinhead/standins/load/LoadRecorder.java
+++ b/standins/src/main/java/org/whinhead/standins/load/LoadRecorder.java
@@ -24,6 +24,7 @@
     private final Queue<RequestResult> mResults = new ConcurrentLinkedQueue<>();
     private final ConcurrentHistogram mFirstToken = newHistogram();
     private final ConcurrentHistogram mBetweenTokens = newHistogram();
+    private final Map<String, ConcurrentHistogram> mFirstTokenByTier = new ConcurrentHashMap<>();
     private final Map<String, ConcurrentHistogram> mLatencyByKind = new ConcurrentHashMap<>();
 
     @Override
@@ -34,13 +35,18 @@
     @Override
     public void ended(final RequestResult result) {
         mResults.add(result);
-        result.firstToken().ifPresent(time -> record(mFirstToken, time));
+        result.firstToken().ifPresent(time -> firstToken(result.request().customer().tier(), time));
         if (result.outcome() == Outcome.COMPLETED) {
             final String kind = result.request().kind().name();
-            record(mLatencyByKind.computeIfAbsent(kind, name -> newHistogram()), result.latency());
+            record(named(mLatencyByKind, kind), result.latency());
         }
     }
 
+    private void firstToken(final String tier, final Duration time) {
+        record(mFirstToken, time);
+        record(named(mFirstTokenByTier, tier), time);
+    }
+
     /**
      * Copies what was seen so far.
      *
@@ -49,19 +55,28 @@
      * @return the copy
      */
     LoadResult result(final String deployment, final Duration elapsed) {
-        final Map<String, LatencyDistribution> latencies =
-                mLatencyByKind.entrySet().stream()
-                        .collect(
-                                Collectors.toMap(
-                                        Map.Entry::getKey,
-                                        kind -> new LatencyDistribution(kind.getValue())));
         return new LoadResult(
                 deployment,
                 elapsed,
                 List.copyOf(mResults),
                 new LatencyDistribution(mFirstToken),
                 new LatencyDistribution(mBetweenTokens),
-                latencies);
+                copy(mFirstTokenByTier),
+                copy(mLatencyByKind));
+    }
+
+    private static ConcurrentHistogram named(
+            final Map<String, ConcurrentHistogram> histograms, final String name) {
+        return histograms.computeIfAbsent(name, missing -> newHistogram());
+    }
+
+    private static Map<String, LatencyDistribution> copy(
+            final Map<String, ConcurrentHistogram> histograms) {
+        return histograms.entrySet().stream()
+                .collect(
+                        Collectors.toMap(
+                                Map.Entry::getKey,
+                                entry -> new LatencyDistribution(entry.getValue())));
     }
 
     private static ConcurrentHistogram newHistogram() {
--- a/standins/src/main/java/org/whinhead/standins/load/LoadReport.java
+++ b/standins/src/main/java/org/whinhead/standins/load/LoadReport.java
@@ -27,20 +27,35 @@
     private static final String NOT_MEASURED = "-";
 
     private final LoadResult mResult;
+    private final boolean mPartial;
 
     /**
-     * Takes a result.
+     * Takes the result of a whole run.
      *
      * @param result the result
      */
     LoadReport(final LoadResult result) {
+        this(result, false);
+    }
+
+    /**
+     * Takes a result.
+     *
+     * @param result the result
+     * @param partial whether requests were still in progress
+     */
+    LoadReport(final LoadResult result, final boolean partial) {
         mResult = result;
+        mPartial = partial;
     }
 
     /** Returns the table. */
     String table() {
         final List<String> lines = new ArrayList<>();
         lines.add(title());
+        if (mPartial) {
+            lines.add(LoadMessages.text("report.partial"));
+        }
         lines.add("");
         lines.addAll(new TextTable(outcomeRows()).lines());
         lines.add("");
@@ -57,6 +72,7 @@
         final ObjectMapper mapper = new ObjectMapper();
         final ObjectNode root = mapper.createObjectNode();
         root.put("deployment", mResult.deployment());
+        root.put("partial", mPartial);
         root.put("elapsedMillis", mResult.elapsed().toMillis());
         root.put("requests", mResult.requests().size());
         root.put("accepted", mResult.accepted());
@@ -71,6 +87,8 @@
         root.set("errorCodes", mapper.valueToTree(mResult.errorCodes()));
         put(root.putObject("firstToken"), mResult.firstToken());
         put(root.putObject("betweenTokens"), mResult.betweenTokens());
+        final ObjectNode tiers = root.putObject("firstTokenByTier");
+        firstTokenByTier().forEach((tier, times) -> put(tiers.putObject(tier), times));
         final ObjectNode kinds = root.putObject("latencyByKind");
         latencyByKind().forEach((kind, latency) -> put(kinds.putObject(kind), latency));
         final ObjectNode keys = root.putObject("outcomeByIdempotencyKey");
@@ -140,6 +158,14 @@
                         LoadMessages.text("report.p99"),
                         LoadMessages.text("report.max")));
         rows.add(latencyRow(LoadMessages.text("report.first-token"), mResult.firstToken()));
+        firstTokenByTier()
+                .forEach(
+                        (tier, times) ->
+                                rows.add(
+                                        latencyRow(
+                                                LoadMessages.text(
+                                                        "report.first-token-of-tier", tier),
+                                                times)));
         rows.add(latencyRow(LoadMessages.text("report.between-tokens"), mResult.betweenTokens()));
         latencyByKind()
                 .forEach(
@@ -151,6 +177,10 @@
         return rows;
     }
 
+    private Map<String, LatencyDistribution> firstTokenByTier() {
+        return new TreeMap<>(mResult.firstTokenByTier());
+    }
+
     private Map<String, LatencyDistribution> latencyByKind() {
         return new TreeMap<>(mResult.latencyByKind());
     }
--- a/standins/src/main/java/org/whinhead/standins/load/result/LoadResult.java
+++ b/standins/src/main/java/org/whinhead/standins/load/result/LoadResult.java
@@ -17,6 +17,7 @@
  * @param requests one result for each request, in the order in which they ended
  * @param firstToken times from the intended start to the first token
  * @param betweenTokens times between two tokens of one answer
+ * @param firstTokenByTier times from the intended start to the first token, for each tier
  * @param latencyByKind times from the intended start to a whole answer, for each kind of request
  */
 public record LoadResult(
@@ -25,6 +26,7 @@
         List<RequestResult> requests,
         LatencyDistribution firstToken,
         LatencyDistribution betweenTokens,
+        Map<String, LatencyDistribution> firstTokenByTier,
         Map<String, LatencyDistribution> latencyByKind) {
 
     /** Checks every part and copies the collections. */
@@ -34,6 +36,7 @@
         requests = List.copyOf(requests);
         Objects.requireNonNull(firstToken, "firstToken");
         Objects.requireNonNull(betweenTokens, "betweenTokens");
+        firstTokenByTier = Map.copyOf(firstTokenByTier);
         latencyByKind = Map.copyOf(latencyByKind);
     }
 
--- a/standins/src/test/java/org/whinhead/standins/engine/EngineSimulationTest.java
+++ b/standins/src/test/java/org/whinhead/standins/engine/EngineSimulationTest.java
@@ -13,6 +13,7 @@
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
 import org.junit.jupiter.api.Test;
+import org.whinhead.api.request.PrefixHashes;
 import org.whinhead.standins.engine.EngineOrders.Kind;
 import org.whinhead.standins.engine.EngineOrders.Order;
 import org.whinhead.standins.engine.EngineStream.State;
@@ -127,7 +128,7 @@
             @ForAll @Size(max = 40) final List<@IntRange(min = 0, max = 6) Integer> lengths) {
         final PrefixCache cache = new PrefixCache(5, (stored, hash) -> {});
         for (final int length : lengths) {
-            final List<Long> hashes = PrefixCache.hashes("m@1", words(length * 16));
+            final List<Long> hashes = PrefixHashes.of("m@1", words(length * 16));
             cache.lookUp(hashes);
             cache.store(hashes);
             assertThat(cache.size()).isLessThanOrEqualTo(5);
--- a/standins/src/test/java/org/whinhead/standins/load/LoadRunTest.java
+++ b/standins/src/test/java/org/whinhead/standins/load/LoadRunTest.java
@@ -41,6 +41,10 @@
                             .build();
             final CompletableFuture<LoadResult> future = run.start();
             started.await(1, TimeUnit.MINUTES);
+            final JsonNode soFar =
+                    new ObjectMapper().readTree(new LoadReport(run.soFar(), true).json());
+            assertThat(soFar.path("partial").asBoolean()).isTrue();
+            assertThat(soFar.path("completed").asInt()).isPositive();
             run.stop();
             final LoadResult result = future.get(1, TimeUnit.MINUTES);
             assertThat(result.requests()).hasSameSizeAs(daemon.calls());
@@ -69,7 +73,10 @@
                             .filter(key -> !key.isEmpty())
                             .toList();
             assertThat(keys).isNotEmpty().allMatch(key -> outcome(json, key).equals("completed"));
+            assertThat(json.path("partial").asBoolean()).isFalse();
             assertThat(json.path("firstToken").path("p95Millis").asDouble()).isPositive();
+            assertThat(json.path("firstTokenByTier").path("court-deadline").path("count").asInt())
+                    .isPositive();
         }
     }
 
