Let the demo's daemons find endpoints and notices out themselves

The class that pushed endpoints is gone, as the daemons read the VM list and the cloud's notices. Settings are still handed over once. Logs go to standard error, as the JSON object must come last.

--- a/demo/src/main/java/org/whinhead/demo/DemoMain.java
+++ b/demo/src/main/java/org/whinhead/demo/DemoMain.java
@@ -18,6 +18,9 @@
     /** The options are wrong. */
     static final int EXIT_USAGE = 2;
 
+    private static final String LOG_PROPERTY = "logback.configurationFile";
+    private static final String LOG_SETTINGS = "org/whinhead/demo/logback.xml";
+
     private DemoMain() {}
 
     /**
@@ -31,6 +34,9 @@
      */
     public static void main(final String[] arguments)
             throws IOException, SettingsException, InterruptedException, ExecutionException {
+        if (System.getProperty(LOG_PROPERTY) == null) {
+            System.setProperty(LOG_PROPERTY, LOG_SETTINGS);
+        }
         System.exit(run(System.out, System.err, arguments));
     }
 
--- a/demo/src/main/java/org/whinhead/demo/DemoRun.java
+++ b/demo/src/main/java/org/whinhead/demo/DemoRun.java
@@ -5,7 +5,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Executors;
@@ -28,7 +27,6 @@
     private final DemoConfig mConfig;
     private final EntryVms mEntries;
     private final DeploymentStandIns mStandIns;
-    private final PushedFacts mFacts;
     private final List<URI> mTargets = new ArrayList<>();
     private final ScheduledExecutorService mTimers = Executors.newSingleThreadScheduledExecutor();
 
@@ -38,7 +36,6 @@
         mStandIns =
                 DeploymentStandIns.start(
                         DeploymentConfig.of(config.plan()).withSpeedUp(config.speedUp()), mEntries);
-        mFacts = new PushedFacts(config.plan(), mStandIns, mEntries::running);
     }
 
     /**
@@ -66,21 +63,25 @@
         mStandIns.close();
     }
 
-    private void startDaemons() throws IOException, SettingsException {
+    private void startDaemons() throws IOException, SettingsException, InterruptedException {
         final ExampleSettings settings = new ExampleSettings(mConfig.deployment());
-        final PlatformUris platform =
-                new PlatformUris(
-                        mStandIns.log().uri(),
-                        mStandIns.vms().uri(),
-                        mStandIns.cloud().uri(),
-                        mStandIns.weights().uri());
+        final PlatformUris platform = platform(mStandIns);
         for (final DaemonSettings daemon : settings.daemons()) {
             final URI uri = mEntries.start(daemon, platform);
             mStandIns.addEntry(daemon.vm().value(), daemon.domain(), uri);
             mTargets.add(uri);
         }
-        mFacts.settings(settings.inForce());
-        mFacts.endpoints(Set.of());
+        mEntries.settingsChanged(settings.inForce());
+        mEntries.awaitReady();
+    }
+
+    /** Returns where the platform's services are. */
+    static PlatformUris platform(final DeploymentStandIns standIns) {
+        return new PlatformUris(
+                standIns.log().uri(),
+                standIns.vms().uri(),
+                standIns.cloud().uri(),
+                standIns.weights().uri());
     }
 
     private DemoResult load() throws InterruptedException, ExecutionException {
@@ -98,7 +99,6 @@
         final Duration reclaim = mConfig.reclaimAfter();
         final Duration gone = reclaim.plus(mConfig.notice());
         after(reclaim, () -> reclaim(before, load));
-        after(gone, () -> mFacts.endpoints(Set.of(mConfig.reclaimed())));
         after(gone.plus(WAVE_SETTLES), () -> settled.complete(load.soFar()));
         final LoadResult end = whole.get();
         final LoadPhases phases = new LoadPhases(before.get(), settled.get(), end);
@@ -108,7 +108,6 @@
     private void reclaim(final CompletableFuture<LoadResult> before, final LoadRun load) {
         before.complete(load.soFar());
         mStandIns.cloud().reclaim(mConfig.reclaimed(), mConfig.notice());
-        mFacts.endpoints(Set.of(mConfig.reclaimed()));
     }
 
     private void after(final Duration delay, final Runnable task) {
--- a/demo/src/main/java/org/whinhead/demo/EntryVms.java
+++ b/demo/src/main/java/org/whinhead/demo/EntryVms.java
@@ -4,12 +4,18 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse.BodyHandlers;
 import java.security.SecureRandom;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentSkipListMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import org.whinhead.daemon.Daemon;
 import org.whinhead.daemon.DaemonOptions;
 import org.whinhead.daemon.WorkerPool;
@@ -19,6 +25,7 @@
 import org.whinhead.settings.daemon.HostPort;
 import org.whinhead.settings.daemon.ListenAddresses;
 import org.whinhead.settings.daemon.PlatformUris;
+import org.whinhead.settings.deployment.DeploymentSettings;
 import org.whinhead.standins.cloud.CloudActions;
 import org.whinhead.standins.cloud.VmOrder;
 import org.xnio.XnioWorker;
@@ -30,8 +37,12 @@
     private static final int IO_THREADS = 4;
     private static final int SECRET_BYTES = 32;
     private static final int PORTS = 3;
+    private static final int OK = 200;
+    private static final Duration START_BOUND = Duration.ofSeconds(20);
+    private static final long LOOK_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
 
     private final Map<String, Daemon> mDaemons = new ConcurrentSkipListMap<>();
+    private final HttpClient mClient = HttpClient.newHttpClient();
     private final XnioWorker mWorker;
     private final DaemonOptions mOptions;
 
@@ -62,15 +73,39 @@
                         .publicUri(uri)
                         .platform(platform)
                         .limits(example.limits())
+                        .gracefulStop(example.gracefulStop())
                         .operators(example.operators())
                         .build();
         mDaemons.put(example.vm().value(), Daemon.start(settings, mOptions));
         return uri;
     }
 
-    /** Returns the daemons that run. */
-    List<Daemon> running() {
-        return List.copyOf(mDaemons.values());
+    /** Puts settings in force on every daemon. */
+    void settingsChanged(final DeploymentSettings settings) {
+        mDaemons.values().forEach(daemon -> daemon.settingsChanged(settings, 0));
+    }
+
+    /** Waits until every daemon can serve. */
+    void awaitReady() throws InterruptedException {
+        final long end = System.nanoTime() + START_BOUND.toNanos();
+        for (final Daemon daemon : mDaemons.values()) {
+            while (!isReady(daemon)) {
+                if (System.nanoTime() > end) {
+                    throw new IllegalStateException(daemon.id() + " is not ready in time");
+                }
+                LockSupport.parkNanos(LOOK_NANOS);
+            }
+        }
+    }
+
+    private boolean isReady(final Daemon daemon) throws InterruptedException {
+        final HttpRequest question =
+                HttpRequest.newBuilder(daemon.operatorUri().resolve("/health/ready")).build();
+        try {
+            return mClient.send(question, BodyHandlers.discarding()).statusCode() == OK;
+        } catch (final IOException e) {
+            return false;
+        }
     }
 
     @Override
@@ -93,7 +128,7 @@
 
     @Override
     public void close() {
-        running().forEach(Daemon::close);
+        mDaemons.values().forEach(Daemon::close);
         mWorker.shutdown();
     }
 
