Count serving VMs once in a round of retiring

Change: the counts by supply are kept through the round and changed with each VM that is drained. Conclusion: the round grows in proportion to its members; the orders are the same, by the module's tests.

--- a/fleet/src/main/java/org/whinhead/fleet/FleetReconciler.java
+++ b/fleet/src/main/java/org/whinhead/fleet/FleetReconciler.java
@@ -127,7 +127,7 @@
             final Pool pool, final Plan plan, final FleetView view, final List<FleetOrder> orders) {
         final Map<Supply, Integer> surplus = new HashMap<>(present(pool, view));
         plan.counts().forEach((supply, count) -> surplus.merge(supply, -count, Integer::sum));
-        final List<Member> serving = new ArrayList<>(serving(pool, view));
+        final TreeMap<Supply, Integer> serving = serving(pool, view);
         final List<Member> emptiestFirst =
                 view.membersOf(pool.name()).stream()
                         .filter(Member::counts)
@@ -138,7 +138,9 @@
         for (final Member member : emptiestFirst) {
             final boolean isSurplus = surplus.getOrDefault(member.supply(), 0) > 0;
             if (isSurplus && sufficesWithout(member, serving, pool)) {
-                serving.remove(member);
+                if (serves(member, pool)) {
+                    serving.merge(member.supply(), -1, Integer::sum);
+                }
                 surplus.merge(member.supply(), -1, Integer::sum);
                 final OrderId id = orderId(view, pool, "drain", orders.size());
                 orders.add(
@@ -147,22 +149,27 @@
         }
     }
 
-    private static List<Member> serving(final Pool pool, final FleetView view) {
-        return view.membersOf(pool.name()).stream()
-                .filter(Member::counts)
-                .filter(member -> member.endpoint().models().contains(pool.model()))
-                .toList();
+    private static TreeMap<Supply, Integer> serving(final Pool pool, final FleetView view) {
+        final TreeMap<Supply, Integer> serving = new TreeMap<>();
+        for (final Member member : view.membersOf(pool.name())) {
+            if (serves(member, pool)) {
+                serving.merge(member.supply(), 1, Integer::sum);
+            }
+        }
+        return serving;
+    }
+
+    private static boolean serves(final Member member, final Pool pool) {
+        return member.counts() && member.endpoint().models().contains(pool.model());
     }
 
     private static boolean sufficesWithout(
-            final Member leaving, final List<Member> serving, final Pool pool) {
-        final TreeMap<Supply, Integer> counts = new TreeMap<>();
-        for (final Member member : serving) {
-            if (!member.equals(leaving)) {
-                counts.merge(member.supply(), 1, Integer::sum);
-            }
+            final Member leaving, final TreeMap<Supply, Integer> serving, final Pool pool) {
+        final TreeMap<Supply, Integer> left = new TreeMap<>(serving);
+        if (serves(leaving, pool)) {
+            left.merge(leaving.supply(), -1, Integer::sum);
         }
-        return new Plan(counts, pool.needed()).shortfall() == 0;
+        return new Plan(left, pool.needed()).shortfall() == 0;
     }
 
     /** Stops drained VMs once no request is in progress on them, so that the stop cuts none. */
