--- a/admission/src/test/java/org/whinhead/admission/budget/OverspendProperties.java
+++ b/admission/src/test/java/org/whinhead/admission/budget/OverspendTest.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Random;
 import net.jqwik.api.ForAll;
@@ -19,7 +20,7 @@
  * The stated overspend bound while holders die, wake up again and race, and questions and answers
  * are lost, doubled and late.
  */
-class OverspendProperties {
+class OverspendTest {
 
     private static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
     private static final TeamId TEAM = new TeamId("clinics");
@@ -27,7 +28,7 @@
     private static final int DAEMONS = 3;
     private static final int TICKS = 400;
     private static final Duration TICK = Duration.ofMillis(100);
-    private static final long LARGEST = 300;
+    private static final long LARGEST = 60;
 
     private final List<GrantHolder> mHolders = new ArrayList<>();
     private final List<BudgetLedger> mLedgers = new ArrayList<>();
@@ -51,6 +52,7 @@
     }
 
     private void run(final long seed, final BudgetSettings settings) {
+        reset();
         mRandom = new Random(seed);
         for (int i = 0; i < DAEMONS; i++) {
             final List<TeamRate> rates = List.of(new TeamRate(TEAM, RATE));
@@ -65,8 +67,18 @@
         }
     }
 
+    /** All tries of a property share one instance. */
+    private void reset() {
+        mHolders.clear();
+        mLedgers.clear();
+        mOnTheWay.clear();
+        Arrays.fill(mReserved, 0);
+        mHolder = 0;
+        mChanges = 0;
+    }
+
     private void tick(final int tick, final Instant now) {
-        if (mRandom.nextInt(60) == 0) {
+        if (mRandom.nextInt(25) == 0) {
             mHolder = mRandom.nextInt(DAEMONS);
             mChanges++;
         }
@@ -81,7 +93,7 @@
             }
         }
         deliver(now, tick);
-        for (int i = 0; i < 6; i++) {
+        for (int i = 0; i < 12; i++) {
             final long tokens = 1 + mRandom.nextInt((int) LARGEST);
             final RequestId request = new RequestId(tick + "-" + i);
             final BudgetLedger ledger = mLedgers.get(mRandom.nextInt(DAEMONS));
@@ -105,7 +117,8 @@
 
     private void send(final int daemon, final Portion portion, final int tick) {
         for (int copy = 0; copy < mRandom.nextInt(3); copy++) {
-            mOnTheWay.add(new Answer(daemon, portion, tick + mRandom.nextInt(20)));
+            final int delay = mRandom.nextInt(mRandom.nextInt(8) == 0 ? 20 : 2);
+            mOnTheWay.add(new Answer(daemon, portion, tick + delay));
         }
     }
 
@@ -136,7 +149,8 @@
             }
             total = Math.max(total, sum);
         }
-        assertThat(total).as("something was spent at all").isGreaterThan(RATE);
+        final double income = RATE * TICKS * TICK.toMillis() / 1000.0;
+        assertThat(total / income).as("share of the income that was spent").isGreaterThan(0.25);
     }
 
     private static BudgetSettings settings(final double evenShare) {
--- /dev/null
+++ b/daemon/src/main/java/org/whinhead/daemon/Daemon.java
@@ -0,0 +1,306 @@
+package org.whinhead.daemon;
+
+import io.undertow.Undertow;
+import io.undertow.server.HttpHandler;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.whinhead.admission.SimpleAdmission;
+import org.whinhead.api.model.DaemonId;
+import org.whinhead.api.model.Endpoint;
+import org.whinhead.api.model.EndpointId;
+import org.whinhead.api.request.RequestId;
+import org.whinhead.daemon.burn.BurnCollector;
+import org.whinhead.daemon.burn.BurnHandler;
+import org.whinhead.daemon.caller.CallerServer;
+import org.whinhead.daemon.decision.DecisionEvent;
+import org.whinhead.daemon.decision.DecisionLoop;
+import org.whinhead.daemon.duty.EndpointWatch;
+import org.whinhead.daemon.duty.NoticeWatch;
+import org.whinhead.daemon.engine.ActionDispatcher;
+import org.whinhead.daemon.engine.AttemptTransport;
+import org.whinhead.daemon.operator.Meters;
+import org.whinhead.daemon.operator.OperatorHandler;
+import org.whinhead.daemon.request.LiveRequests;
+import org.whinhead.daemon.view.EntryAddress;
+import org.whinhead.platform.cloud.NoticeClient;
+import org.whinhead.platform.cloud.ReclaimNotice;
+import org.whinhead.platform.http.HttpCaller;
+import org.whinhead.platform.vms.VmListClient;
+import org.whinhead.report.BurnRecorder;
+import org.whinhead.requests.ClaimOutcome;
+import org.whinhead.requests.DefaultRequestCoordinator;
+import org.whinhead.routing.AffinityRouter;
+import org.whinhead.routing.LoadReport;
+import org.whinhead.routing.RoutingSettings;
+import org.whinhead.settings.daemon.DaemonSettings;
+import org.whinhead.settings.daemon.HostPort;
+import org.whinhead.settings.deployment.DeploymentSettings;
+import org.xnio.XnioExecutor;
+
+/** One daemon: its servers, its duties and their wiring. Many may run in one process. */
+public final class Daemon implements AutoCloseable {
+
+    private static final Logger LOGGER = LoggerFactory.getLogger(Daemon.class);
+    private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+    private static final Duration SILENCE_TIMEOUT = Duration.ofSeconds(30);
+    private static final long TICK_MILLIS = 20;
+    private static final long COUNT_MILLIS = 1_000;
+    private static final String RANDOM = "L64X128MixRandom";
+    private static final int MAX_RUNNING = 1024;
+    private static final int MAX_WAITING = 1024;
+    private static final int CALLERS = 0;
+    private static final int OPERATORS = 1;
+
+    private final DaemonSettings mSettings;
+    private final DaemonOptions mOptions;
+    private final LiveRequests mRequests = new LiveRequests();
+    private final Standing mStanding;
+    private final BurnCollector mBurn;
+    private final DecisionLoop mLoop;
+    private final AffinityRouter mRouter;
+    private final HttpCaller mCaller;
+    private final EndpointWatch mWatch;
+    private final NoticeWatch mNotices;
+    private final OpenConnections mConnections;
+    private final Undertow mServer;
+    private final XnioExecutor.Key mTicks;
+    private final XnioExecutor.Key mCounting;
+
+    private Daemon(final DaemonSettings settings, final DaemonOptions options) {
+        mSettings = settings;
+        mOptions = options;
+        mStanding = new Standing(settings, mRequests);
+        mBurn = burn();
+        mLoop =
+                new DecisionLoop(
+                        settings.name() + "-decisions",
+                        settings.limits().ringSize(),
+                        mRequests,
+                        options.clock());
+        final RandomGenerator random = RandomGenerator.of(RANDOM);
+        mRouter = new AffinityRouter(RoutingSettings.of(settings.domain()), random);
+        mCaller = new HttpCaller(options.worker());
+        startDecisions(random);
+        mConnections = new OpenConnections(mStanding::isStopping);
+        mServer = server();
+        mServer.start();
+        mTicks = every(TICK_MILLIS, new DecisionEvent.Tick());
+        mCounting = every(COUNT_MILLIS, new DecisionEvent.Update(mBurn::count));
+        mWatch =
+                new EndpointWatch(
+                        settings.name() + "-platform",
+                        mCaller,
+                        new VmListClient(mCaller, settings.platform().vms()),
+                        new Watched());
+        mNotices =
+                new NoticeWatch(
+                        new NoticeClient(mCaller, settings.platform().cloud()),
+                        mCaller.anyThread(),
+                        this::noticed);
+    }
+
+    /**
+     * Starts a daemon.
+     *
+     * @param settings its settings
+     * @param options what it shares with others of the process
+     * @return the daemon, which listens
+     */
+    public static Daemon start(final DaemonSettings settings, final DaemonOptions options) {
+        final Daemon daemon = new Daemon(settings, options);
+        LOGGER.atInfo()
+                .addKeyValue("daemon", daemon.id())
+                .addKeyValue("callers", daemon.callerUri())
+                .addKeyValue("operators", daemon.operatorUri())
+                .log("the daemon listens");
+        return daemon;
+    }
+
+    /** Returns the address that callers connect to. */
+    public URI callerUri() {
+        return listening(CALLERS);
+    }
+
+    /** Returns the address that operators connect to. */
+    public URI operatorUri() {
+        return listening(OPERATORS);
+    }
+
+    /** Returns this incarnation's identity. */
+    public DaemonId id() {
+        return mStanding.id();
+    }
+
+    /**
+     * Puts settings in force.
+     *
+     * @param settings what holds from now on
+     * @param revision the log offset of the last change
+     */
+    public void settingsChanged(final DeploymentSettings settings, final long revision) {
+        mStanding.settingsChanged(settings, revision);
+    }
+
+    /**
+     * Stops gracefully: new requests are refused and callers are told other addresses, requests in
+     * progress go on within the settings' bound, and then the daemon closes.
+     *
+     * @throws InterruptedException if the thread is interrupted while it waits
+     */
+    public void stop() throws InterruptedException {
+        mStanding.beginStop();
+        final Duration bound = mSettings.gracefulStop();
+        final Instant goneBy = mOptions.clock().instant().plus(bound);
+        LOGGER.atInfo().addKeyValue("inProgress", mRequests.count()).log("the daemon stops");
+        final CountDownLatch idle = new CountDownLatch(1);
+        final XnioExecutor.Key look =
+                mCaller.anyThread()
+                        .executeAtInterval(
+                                () -> {
+                                    if (mRequests.isIdle()) {
+                                        idle.countDown();
+                                    }
+                                },
+                                TICK_MILLIS,
+                                TimeUnit.MILLISECONDS);
+        mLoop.offer(new DecisionEvent.Stopping(goneBy));
+        final boolean finished = idle.await(bound.toMillis(), TimeUnit.MILLISECONDS);
+        look.remove();
+        LOGGER.atInfo().addKeyValue("finished", finished).log("the daemon has stopped");
+        close();
+    }
+
+    @Override
+    public void close() {
+        mStanding.beginStop();
+        mNotices.close();
+        mWatch.close();
+        mTicks.remove();
+        mCounting.remove();
+        mServer.stop();
+        mConnections.close();
+        mCaller.close();
+        mLoop.close();
+    }
+
+    private void startDecisions(final RandomGenerator random) {
+        final AttemptTransport transport =
+                new AttemptTransport(mCaller, mLoop, CONNECT_TIMEOUT, SILENCE_TIMEOUT);
+        final ActionDispatcher actions =
+                new ActionDispatcher(mRequests, transport, mOptions.tickets(), this::claim);
+        mLoop.start(
+                DefaultRequestCoordinator.builder()
+                        .router(mRouter)
+                        .admission(new SimpleAdmission(MAX_RUNNING, MAX_WAITING))
+                        .actions(actions)
+                        .random(random)
+                        .build());
+    }
+
+    private Undertow server() {
+        final HostPort callers = mSettings.listen().callers();
+        final HostPort operators = mSettings.listen().operators();
+        return Undertow.builder()
+                .setWorker(mOptions.worker())
+                .addHttpListener(
+                        callers.port(), callers.host(), mConnections.tracking(callerHandler()))
+                .addHttpListener(
+                        operators.port(),
+                        operators.host(),
+                        mConnections.tracking(operatorHandler()))
+                .build();
+    }
+
+    private BurnCollector burn() {
+        final InstantSource clock = mOptions.clock();
+        final BurnRecorder recorder =
+                new BurnRecorder(id(), mSettings.publicUri(), clock.instant());
+        return new BurnCollector(recorder, clock, mStanding::settings);
+    }
+
+    private HttpHandler operatorHandler() {
+        return new OperatorHandler(mSettings, mStanding, meters(), new BurnHandler(mBurn, mLoop));
+    }
+
+    private HttpHandler callerHandler() {
+        return CallerServer.builder(id())
+                .view(mStanding::view)
+                .addresses(mStanding::addresses)
+                .decisions(mRequests, mLoop)
+                .burn(mBurn)
+                .tickets(mOptions.tickets())
+                .stopping(mStanding::isStopping)
+                .clock(mOptions.clock())
+                .limits(mSettings.limits().maxBodyBytes(), mSettings.limits().maxInProgress())
+                .bodyTimeout(mOptions.bodyTimeout())
+                .build();
+    }
+
+    private Meters meters() {
+        final Meters meters = new Meters();
+        meters.gauge(
+                "whinhead.requests.in.progress",
+                "requests",
+                "Requests that were taken in and have no final answer yet.",
+                mRequests::count);
+        meters.gauge(
+                "whinhead.decisions.waiting",
+                "events",
+                "Events that wait in the decision ring.",
+                mLoop::waiting);
+        return meters;
+    }
+
+    private URI listening(final int listener) {
+        final InetSocketAddress address =
+                (InetSocketAddress) mServer.getListenerInfo().get(listener).getAddress();
+        return URI.create("http://" + new HostPort(address.getHostString(), address.getPort()));
+    }
+
+    /** Without a log there is no claim, and what may run at most once does not run. */
+    private void claim(final RequestId request) {
+        mLoop.offer(new DecisionEvent.Claimed(request, ClaimOutcome.UNAVAILABLE));
+    }
+
+    private void noticed(final ReclaimNotice notice) {
+        final EndpointId endpoint = new EndpointId(notice.vm().value());
+        mLoop.offer(new DecisionEvent.Update(() -> mRouter.leaving(endpoint)));
+        mLoop.offer(new DecisionEvent.EndpointLeaving(endpoint, notice.goneBy()));
+    }
+
+    private XnioExecutor.Key every(final long millis, final DecisionEvent event) {
+        return mOptions.worker()
+                .getIoThread()
+                .executeAtInterval(() -> mLoop.offer(event), millis, TimeUnit.MILLISECONDS);
+    }
+
+    /** Passes what the platform duty finds on to the decisions. */
+    private final class Watched implements EndpointWatch.Listener {
+        @Override
+        public void endpoints(final List<Endpoint> endpoints) {
+            mLoop.offer(new DecisionEvent.Update(() -> mRouter.endpointsChanged(endpoints)));
+            mStanding.endpointsKnown();
+        }
+
+        @Override
+        public void load(final LoadReport report) {
+            mLoop.offer(
+                    new DecisionEvent.Update(
+                            () -> mRouter.loadReported(report, mOptions.clock().instant())));
+        }
+
+        @Override
+        public void addresses(final List<EntryAddress> addresses) {
+            mStanding.addressesListed(addresses);
+        }
+    }
+}
--- a/requests/src/test/java/org/whinhead/requests/fake/FakeWorld.java
+++ b/faults/src/main/java/org/whinhead/faults/world/FakeWorld.java
@@ -1,36 +1,22 @@
-package org.whinhead.requests.fake;
+package org.whinhead.faults.world;
 
-import java.net.URI;
 import java.time.Duration;
-import java.time.Instant;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.SplittableRandom;
-import org.whinhead.api.model.Billing;
 import org.whinhead.api.model.CustomerId;
-import org.whinhead.api.model.Endpoint;
-import org.whinhead.api.model.EndpointId;
-import org.whinhead.api.model.FailureDomain;
-import org.whinhead.api.model.ModelRef;
+import org.whinhead.api.model.DaemonId;
 import org.whinhead.api.model.Tier;
-import org.whinhead.api.model.Vm;
-import org.whinhead.api.model.VmId;
-import org.whinhead.api.model.VmState;
 import org.whinhead.api.request.RequestId;
 import org.whinhead.api.request.RequestSpec;
-import org.whinhead.api.verdict.Verdict;
 import org.whinhead.requests.RequestSettings;
 
 /** Daemons, back ends and callers under one clock and one seed, with the oracle over all. */
 public final class FakeWorld {
 
-    private static final ModelRef MODEL = ModelRef.of("draft", "1");
-    private static final String SERVICE = "filing";
     private static final int PERCENT = 100;
     private static final Duration SETTLE = Duration.ofSeconds(90);
     private static final Tier TIER =
@@ -43,24 +29,22 @@
 
     private final FakeTime mTime = new FakeTime();
     private final SplittableRandom mRandom;
-    private final Map<EndpointId, FakeBackend> mBackends = new LinkedHashMap<>();
+    private final FakeFleet mFleet = new FakeFleet(this);
     private final List<FakeDaemon> mDaemons = new ArrayList<>();
     private final Map<RequestId, FakeCaller> mCallers = new LinkedHashMap<>();
-    private final Map<RequestId, Integer> mRuns = new HashMap<>();
-    private final FakeClaims mClaims = new FakeClaims(this);
+    private final RequestOracle mRequests = new RequestOracle(this);
+    private final StateOracle mState = new StateOracle(this);
+    private final FakeOperator mOperator = new FakeOperator(this);
+    private final FakeLog mLog = new FakeLog(this);
     private int mLossPercent;
 
+    /** Makes a world of so many of each. */
     public FakeWorld(final long seed, final int daemons, final int engines, final int services) {
         mRandom = new SplittableRandom(seed);
+        mFleet.start(engines, services);
         for (int count = 0; count < daemons; count++) {
             addDaemon();
         }
-        for (int count = 0; count < engines; count++) {
-            addBackend(true);
-        }
-        for (int count = 0; count < services; count++) {
-            addBackend(false);
-        }
     }
 
     /** Returns the one right token of a request's answer. */
@@ -73,7 +57,7 @@
     }
 
     public List<FakeBackend> backends() {
-        return List.copyOf(mBackends.values());
+        return mFleet.backends();
     }
 
     public List<FakeDaemon> daemons() {
@@ -85,7 +69,7 @@
     }
 
     public int runs(final RequestId request) {
-        return mRuns.getOrDefault(request, 0);
+        return mRequests.runs(request);
     }
 
     public void run(final long millis) {
@@ -97,54 +81,64 @@
         mLossPercent = percent;
     }
 
+    /** Makes claims unavailable, or available again. */
     public void setClaimsOut(final boolean out) {
-        mClaims.setOut(out);
+        mLog.setOut(out);
     }
 
     /** Adds an engine, or else a plain service. */
     public FakeBackend addBackend(final boolean engine) {
-        final EndpointId id = new EndpointId((engine ? "engine-" : "service-") + mBackends.size());
-        return engine
-                ? add(Endpoint.engine(id).models(Set.of(MODEL)), id)
-                : add(Endpoint.plainService(id, SERVICE), id);
+        final int domain = mRandom.nextInt(FakeFleet.domains().size());
+        return engine ? mFleet.addEngine(FakeFleet.domains().get(domain)) : mFleet.addService();
     }
 
+    /** Starts a daemon. */
     public FakeDaemon addDaemon() {
-        final FakeDaemon daemon = new FakeDaemon(this, mRandom.nextLong());
+        final FakeDaemon daemon =
+                new FakeDaemon(this, new DaemonId("daemon-" + mDaemons.size()), mRandom.nextLong());
+        mDaemons.stream()
+                .filter(FakeDaemon::isAlive)
+                .findFirst()
+                .filter(peer -> mLog.isOut())
+                .ifPresent(peer -> daemon.state().startFrom(peer.state().view(), mTime.now()));
         mDaemons.add(daemon);
+        mFleet.tellNotices(daemon);
         return daemon;
     }
 
     /** Announces that a back end leaves; daemons hear of it one after the other. */
     public void leave(final FakeBackend backend, final long noticeMillis) {
-        final Instant goneBy = mTime.now().plusMillis(noticeMillis);
-        for (final FakeDaemon daemon : mDaemons) {
-            final int heard = mRandom.nextInt(100);
-            mTime.after(heard, () -> daemon.endpointLeaving(backend.endpoint().id(), goneBy));
-        }
+        mFleet.announce(backend, noticeMillis);
         mTime.after(noticeMillis, () -> backend.setMode(FakeBackend.Mode.DEAD));
     }
 
+    /** Submits a request to an engine. */
     public FakeCaller chat(final int length, final boolean streamed, final boolean idempotent) {
         final RequestSpec.Builder spec =
-                spec().model(MODEL).maxTokens(length).promptTokens(10).streamed(streamed);
+                spec().model(FakeFleet.model("1"))
+                        .maxTokens(length)
+                        .promptTokens(10)
+                        .streamed(streamed);
         return submit(spec.idempotent(idempotent).build(), length);
     }
 
+    /** Submits a call of a plain service. */
     public FakeCaller call(final boolean idempotent) {
-        return submit(spec().service(SERVICE).idempotent(idempotent).build(), 0);
+        return submit(spec().service(FakeFleet.SERVICE).idempotent(idempotent).build(), 0);
     }
 
     /** Ends all faults, lets every request end, and checks the promises. */
     public void settleAndCheck() {
         mLossPercent = 0;
-        mClaims.setOut(false);
-        backends().forEach(backend -> backend.setMode(FakeBackend.Mode.UP));
+        mLog.heal();
+        mFleet.heal();
         addBackend(true);
         addBackend(false);
         addDaemon();
         mTime.run(SETTLE);
-        mCallers.values().forEach(this::check);
+        mCallers.values().forEach(mRequests::check);
+        mState.checkSettled();
+        mFleet.checkSettled(mState.inForce(FakeFleet.POOL_PATH).orElse("1"));
         for (final FakeDaemon daemon : mDaemons) {
             if (daemon.isAlive() && !daemon.leftovers().isEmpty()) {
                 throw new AssertionError("left over: " + daemon.leftovers());
@@ -152,6 +146,20 @@
         }
     }
 
+    /** Returns the operators of settings. */
+    public FakeOperator operator() {
+        return mOperator;
+    }
+
+    StateOracle stateOracle() {
+        return mState;
+    }
+
+    /** Tells all that the daemons decided about a request. */
+    String describe(final RequestId request) {
+        return mRequests.describe(request);
+    }
+
     RequestSettings settings() {
         return RequestSettings.builder()
                 .patience(Duration.ofSeconds(3))
@@ -174,12 +182,14 @@
         return mLossPercent;
     }
 
-    FakeClaims claims() {
-        return mClaims;
+    /** Returns the platform's log. */
+    public FakeLog log() {
+        return mLog;
     }
 
-    FakeBackend backend(final EndpointId id) {
-        return mBackends.get(id);
+    /** Returns the VMs behind the daemons. */
+    public FakeFleet fleet() {
+        return mFleet;
     }
 
     FakeCaller caller(final RequestId request) {
@@ -194,46 +204,7 @@
     }
 
     void ran(final RequestId request) {
-        mRuns.merge(request, 1, Integer::sum);
-    }
-
-    private void check(final FakeCaller caller) {
-        final RequestId id = caller.id();
-        require(caller.end() != FakeCaller.End.OPEN, "never ended", id);
-        final boolean whole = caller.end() == FakeCaller.End.WHOLE;
-        require(!whole || caller.tokens().size() == caller.length(), "not whole", id);
-        for (int index = 0; index < caller.tokens().size(); index++) {
-            require(caller.tokens().get(index).equals(token(id, index)), "foreign token", id);
-        }
-        require(caller.spec().idempotent() || runs(id) <= 1, "ran twice", id);
-        require(!whole || runs(id) > 0, "answered without a run", id);
-        final boolean saidNotRun =
-                caller.end() == FakeCaller.End.REFUSED
-                        && caller.refusal().get().verdict() == Verdict.NOT_RUN
-                        && !caller.wasCutOff();
-        require(!saidNotRun || runs(id) == 0, "ran after not-run", id);
-    }
-
-    private void require(final boolean holds, final String what, final RequestId request) {
-        if (!holds) {
-            throw new AssertionError(what + ": " + describe(request));
-        }
-    }
-
-    /** Tells all that the daemons decided about a request. */
-    String describe(final RequestId request) {
-        final StringBuilder text = new StringBuilder();
-        final FakeCaller caller = caller(request);
-        text.append(caller.spec()).append(' ').append(caller.end()).append(caller.refusal());
-        text.append(" ran ").append(runs(request)).append(" has ").append(caller.tokens());
-        for (final FakeDaemon daemon : mDaemons) {
-            text.append("\n daemon ").append(mDaemons.indexOf(daemon));
-            daemon.coordinator()
-                    .decisions()
-                    .of(request)
-                    .forEach(decision -> text.append("\n  ").append(decision));
-        }
-        return text.toString();
+        mRequests.ran(request);
     }
 
     private RequestSpec.Builder spec() {
@@ -250,19 +221,4 @@
         caller.connect();
         return caller;
     }
-
-    private FakeBackend add(final Endpoint.Builder builder, final EndpointId id) {
-        final Vm vm =
-                new Vm(
-                        new VmId("vm-" + id),
-                        "127.0.0.1",
-                        new FailureDomain("kigali", "kg-gasabo"),
-                        "small",
-                        Billing.RECLAIMABLE,
-                        VmState.LIVE);
-        final Endpoint endpoint = builder.vm(vm).uri(URI.create("http://127.0.0.1")).build();
-        final FakeBackend backend = new FakeBackend(this, endpoint);
-        mBackends.put(id, backend);
-        return backend;
-    }
 }
--- a/requests/src/test/java/org/whinhead/requests/RecoveryTest.java
+++ b/requests/src/test/java/org/whinhead/requests/RecoveryTest.java
@@ -3,18 +3,19 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
+import java.util.function.Predicate;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.whinhead.api.model.EndpointId;
 import org.whinhead.api.request.AttemptId;
 import org.whinhead.api.request.RequestId;
-import org.whinhead.requests.fake.FakeCaller;
-import org.whinhead.requests.fake.FakeWorld;
 
 class RecoveryTest {
 
     private static final Duration SECOND = Duration.ofSeconds(1);
 
+    private static final Predicate<String> REFUSED = action -> action.startsWith("refuse");
+
     private final Recorder mWorld = new Recorder("ab");
 
     /**
@@ -60,6 +61,25 @@
                         "generate r#4 a  0");
     }
 
+    /**
+     * A caller's connection drops unseen and it comes back to the same daemon. It must get what it
+     * missed from its own index on, and the former attempt must not deliver beside the new one.
+     */
+    @Test
+    void callerThatComesBackToItsDaemonGetsEachTokenOnce() {
+        mWorld.chat(true).opened(1, "s1").token(1, 0, "x ").token(1, 1, "y ");
+        mWorld.returned(true, 1, "x ").token(1, 2, "z ").token(2, 1, "y ").token(2, 2, "z ");
+        assertThat(mWorld.actions())
+                .containsExactly(
+                        "generate r#1 a  0",
+                        "deliver r 0 x ",
+                        "deliver r 1 y ",
+                        "release r#1",
+                        "resume r#2 a s1 1",
+                        "deliver r 1 y ",
+                        "deliver r 2 z ");
+    }
+
     /** A frozen engine answers nothing and breaks no connection; the caller would wait for good. */
     @Test
     void silentEngineIsLeftAfterTheBoundOfItsTier() {
@@ -90,6 +110,22 @@
                         "cancel r#2 b s2");
     }
 
+    /**
+     * Engines that are left after a reclaim refuse for some seconds. Were quick refusals counted
+     * like failures, a half-read answer would be given up within a fraction of a second.
+     */
+    @Test
+    void refusalsUseUpPatienceAndNotTheCountOfRuns() {
+        mWorld.chat(true).opened(1, "s1").token(1, 0, "x ");
+        mWorld.failed(1, AttemptFailure.FAULTED).pass(SECOND).tick();
+        for (int attempt = 2; attempt < 6; attempt++) {
+            mWorld.failed(attempt, AttemptFailure.REFUSED_BY_ENDPOINT).pass(SECOND).tick();
+        }
+        assertThat(mWorld.actions()).endsWith("generate r#6 a x  1").noneMatch(REFUSED);
+        mWorld.pass(SECOND).failed(6, AttemptFailure.REFUSED_BY_ENDPOINT);
+        assertThat(mWorld.actions()).containsExactly("refuse r RETRIES_SPENT MAY_HAVE_RUN PT1S");
+    }
+
     /**
      * All endpoints refuse. Without a cap each request would be sent four times and the load would
      * grow fourfold just when there is too little room.
@@ -113,37 +149,6 @@
         assertThat(world.coordinator().inProgress()).isEqualTo(sent - requests);
     }
 
-    /**
-     * A whole failure domain is reclaimed with notice while its engines generate. Every answer must
-     * come whole, also those that may not run twice, and no token is computed again.
-     */
-    @Test
-    void announcedReclaimLosesNothingAndRecomputesNothing() {
-        final FakeWorld world = new FakeWorld(1, 2, 6, 0);
-        for (int number = 0; number < 40; number++) {
-            world.chat(100, number % 2 == 0, number % 3 != 0);
-        }
-        world.run(500);
-        world.backends().subList(0, 2).forEach(backend -> world.leave(backend, 1500));
-        world.settleAndCheck();
-        assertThat(world.callers()).allMatch(caller -> caller.end() == FakeCaller.End.WHOLE);
-        assertThat(world.callers()).allMatch(caller -> world.runs(caller.id()) == 1);
-    }
-
-    /** A daemon stops as planned; its callers go on elsewhere with what they have. */
-    @Test
-    void plannedStopHandsEveryStreamOver() {
-        final FakeWorld world = new FakeWorld(2, 2, 3, 0);
-        for (int number = 0; number < 30; number++) {
-            world.chat(100, number % 2 == 0, number % 3 != 0);
-        }
-        world.run(500);
-        world.daemons().get(0).stop(1000);
-        world.settleAndCheck();
-        assertThat(world.callers()).allMatch(caller -> caller.end() == FakeCaller.End.WHOLE);
-        assertThat(world.callers()).allMatch(caller -> world.runs(caller.id()) == 1);
-    }
-
     private static AttemptEvent failure(final RequestId request, final int attempt) {
         return new AttemptEvent.Failed(
                 new AttemptId(request, attempt), AttemptFailure.REFUSED_BY_ENDPOINT, "full");
