Collect the burn report and the decisions of all daemons

No command collected what the daemons counted, and explain asked only the first daemon, so a request that had moved was explained by half. The report takes its time from the newest answer, so that the clock of the operator's machine does not matter. No measurement applies.

--- a/cli/src/main/java/org/whinhead/cli/CliOption.java
+++ b/cli/src/main/java/org/whinhead/cli/CliOption.java
@@ -30,7 +30,15 @@
     /** How long to wait until a change is in force on all daemons. */
     WAIT("wait-seconds", "NUMBER", "0", "--wait-seconds 10"),
     /** The most revisions shown. */
-    MAX("max", "NUMBER", "20", "--max 100");
+    MAX("max", "NUMBER", "20", "--max 100"),
+    /** The form of a report. */
+    FORMAT("format", "text|json|html", "text", "--format html"),
+    /** Where a report is written. */
+    OUT("out", "FILE", "the standard output", "--out burn.html"),
+    /** What the fleet costs. */
+    PRICE("price-per-hour", "NUMBER", "", "--price-per-hour 14.2"),
+    /** How long asking all daemons may take. */
+    TOTAL("total-seconds", "NUMBER", "30", "--total-seconds 60");
 
     private final String mName;
     private final String mType;
--- a/cli/src/main/java/org/whinhead/cli/CommandName.java
+++ b/cli/src/main/java/org/whinhead/cli/CommandName.java
@@ -9,6 +9,7 @@
 import org.apache.commons.cli.Options;
 import org.whinhead.cli.command.AddressesCommand;
 import org.whinhead.cli.command.ExplainCommand;
+import org.whinhead.cli.command.ReportCommand;
 import org.whinhead.cli.command.SettingsCheckCommand;
 import org.whinhead.cli.command.SettingsGetCommand;
 import org.whinhead.cli.command.SettingsHistoryCommand;
@@ -23,7 +24,19 @@
     /** Which addresses callers are told. */
     ADDRESSES("addresses", "", 0, 0, true, AddressesCommand::new),
     /** Why a request or an order went as it did. */
-    EXPLAIN("explain", "ID", 1, 1, true, ExplainCommand::new),
+    EXPLAIN("explain", "ID", 1, 1, true, ExplainCommand::new, CliOption.TOTAL),
+    /** How fast the tiers' allowances are used up. */
+    REPORT(
+            "report",
+            "",
+            0,
+            0,
+            true,
+            ReportCommand::new,
+            CliOption.FORMAT,
+            CliOption.OUT,
+            CliOption.PRICE,
+            CliOption.TOTAL),
     /** What stands at a path. */
     SETTINGS_GET("settings get", "PATH", 1, 1, true, SettingsGetCommand::new),
     /** Puts a document in force. */
--- a/cli/src/main/java/org/whinhead/cli/Console.java
+++ b/cli/src/main/java/org/whinhead/cli/Console.java
@@ -41,6 +41,16 @@
         mOut.println(node.toPrettyString());
     }
 
+    /**
+     * Prints a text as it is.
+     *
+     * @param text the text, which ends its last line itself
+     */
+    public void text(final String text) {
+        mOut.print(text);
+        mOut.flush();
+    }
+
     /**
      * Prints a line for people; nothing in JSON mode.
      *
--- a/cli/src/main/java/org/whinhead/cli/Invocation.java
+++ b/cli/src/main/java/org/whinhead/cli/Invocation.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import org.apache.commons.cli.CommandLine;
 import org.whinhead.cli.http.DaemonClient;
+import org.whinhead.cli.http.FleetClient;
 import org.whinhead.cli.http.HttpExchange;
 
 /** One parsed command line with the environment around it. */
@@ -97,6 +98,18 @@
         return new DaemonClient(daemons(), key(), new HttpExchange(timeout));
     }
 
+    /**
+     * Makes a client of all daemons of the fleet.
+     *
+     * @return the client, to be closed
+     * @throws CliException if no daemon is named or the key cannot be read
+     */
+    public FleetClient fleet() throws CliException {
+        final Duration timeout = Duration.ofSeconds(numberOrDefault(CliOption.TIMEOUT));
+        final Duration bound = Duration.ofSeconds(numberOrDefault(CliOption.TOTAL));
+        return new FleetClient(daemons(), key(), new HttpExchange(timeout), bound);
+    }
+
     private List<URI> daemons() throws CliException {
         final List<String> texts = new ArrayList<>();
         if (has(CliOption.DAEMON)) {
--- a/cli/src/main/java/org/whinhead/cli/command/ExplainCommand.java
+++ b/cli/src/main/java/org/whinhead/cli/command/ExplainCommand.java
@@ -1,28 +1,74 @@
 package org.whinhead.cli.command;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.List;
 import org.whinhead.cli.CliException;
+import org.whinhead.cli.CliMessages;
 import org.whinhead.cli.Command;
 import org.whinhead.cli.Console;
 import org.whinhead.cli.ExitCode;
 import org.whinhead.cli.Invocation;
-import org.whinhead.cli.http.DaemonClient;
+import org.whinhead.cli.http.FleetAnswer;
+import org.whinhead.cli.http.FleetClient;
+import org.whinhead.cli.http.FleetPlan;
 
-/** Shows the decisions that were made about a request or an order. */
+/**
+ * Shows the decisions about a request or an order of all daemons that took part, in order of time;
+ * a request that moved has some on each.
+ */
 public final class ExplainCommand implements Command {
 
+    private static final int NOT_FOUND = 404;
+    private static final List<String> COLUMNS =
+            List.of("at", "daemon", "attempt", "kind", "endpoint", "cause");
+
+    private final List<ObjectNode> mDecisions = new ArrayList<>();
+    private final List<String> mMissing = new ArrayList<>();
+
     @Override
     public ExitCode run(final Invocation invocation, final Console console) throws CliException {
         final String id = invocation.arguments().get(0);
-        try (DaemonClient client = invocation.client()) {
-            final String target = "/operator/explain?id=" + Answers.query(id);
-            final JsonNode body = Answers.body(client.get(target));
-            if (console.isJson()) {
-                console.json(body);
-            } else {
-                console.table(JsonRows.pairs(body));
+        try (FleetClient client = invocation.fleet()) {
+            final FleetPlan plan = new FleetPlan(client.named(), Answers.body(client.addresses()));
+            client.get(plan.toAsk(), "/operator/explain?id=" + Answers.query(id), this::take);
+            plan.hostsNotWhole()
+                    .forEach(host -> mMissing.add(CliMessages.text("explain.not-known", host)));
+        }
+        mDecisions.sort(Comparator.comparing(decision -> decision.path("at").asText()));
+        Collections.sort(mMissing);
+        mMissing.forEach(missing -> console.note("report.missing", missing));
+        if (mDecisions.isEmpty()) {
+            throw new CliException(ExitCode.REFUSED, "explain.nothing", id);
+        }
+        show(id, console);
+        return mMissing.isEmpty() ? ExitCode.OK : ExitCode.REFUSED;
+    }
+
+    private void take(final FleetAnswer answer) {
+        if (answer.answer().isPresent() && answer.answer().get().isOk()) {
+            for (final JsonNode decision : answer.answer().get().body().path("decisions")) {
+                final ObjectNode copy = decision.deepCopy();
+                mDecisions.add(copy.put("daemon", answer.daemon().toString()));
             }
-            return ExitCode.OK;
+        } else if (answer.answer().isEmpty() || answer.answer().get().status() != NOT_FOUND) {
+            mMissing.add(answer.problem());
+        }
+    }
+
+    private void show(final String id, final Console console) {
+        final ObjectNode root = JsonNodeFactory.instance.objectNode().put("id", id);
+        final ArrayNode decisions = root.putArray("decisions").addAll(mDecisions);
+        if (console.isJson()) {
+            mMissing.forEach(root.putArray("missing")::add);
+            console.json(root);
+        } else {
+            console.table(JsonRows.columns(decisions, COLUMNS));
         }
     }
 }
--- /dev/null
+++ b/cli/src/main/java/org/whinhead/cli/command/ReportCommand.java
@@ -0,0 +1,150 @@
+package org.whinhead.cli.command;
+
+import java.io.IOException;
+import java.net.URI;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.Set;
+import org.whinhead.cli.CliException;
+import org.whinhead.cli.CliMessages;
+import org.whinhead.cli.CliOption;
+import org.whinhead.cli.Command;
+import org.whinhead.cli.Console;
+import org.whinhead.cli.ExitCode;
+import org.whinhead.cli.Invocation;
+import org.whinhead.cli.http.FleetAnswer;
+import org.whinhead.cli.http.FleetClient;
+import org.whinhead.cli.http.FleetPlan;
+import org.whinhead.report.DaemonReport;
+import org.whinhead.report.DaemonReportJson;
+import org.whinhead.report.FleetMerge;
+import org.whinhead.report.FleetReport;
+import org.whinhead.report.ReportFormatException;
+
+/** Collects the counts of all daemons and writes the report on service-level burn. */
+public final class ReportCommand implements Command {
+
+    private static final String TARGET = "/operator/burn";
+
+    @Override
+    public ExitCode run(final Invocation invocation, final Console console) throws CliException {
+        final ReportFormat format = format(invocation, console);
+        final OptionalDouble price = price(invocation);
+        final FleetReport report = collect(invocation, price);
+        write(invocation, console, format, report);
+        return report.isComplete() ? ExitCode.OK : ExitCode.REFUSED;
+    }
+
+    private static FleetReport collect(final Invocation invocation, final OptionalDouble price)
+            throws CliException {
+        try (FleetClient client = invocation.fleet()) {
+            final FleetPlan plan = new FleetPlan(client.named(), Answers.body(client.addresses()));
+            final Collection collection = new Collection();
+            client.get(plan.toAsk(), TARGET, collection::take);
+            return collection.report(plan, price);
+        }
+    }
+
+    private static ReportFormat format(final Invocation invocation, final Console console)
+            throws CliException {
+        final Optional<String> name = invocation.text(CliOption.FORMAT);
+        if (name.isEmpty()) {
+            return console.isJson() ? ReportFormat.JSON : ReportFormat.TEXT;
+        }
+        return ReportFormat.find(name.get())
+                .orElseThrow(
+                        () -> new CliException(ExitCode.USAGE, "usage.bad-format", name.get()));
+    }
+
+    private static OptionalDouble price(final Invocation invocation) throws CliException {
+        final Optional<String> text = invocation.text(CliOption.PRICE);
+        if (text.isEmpty()) {
+            return OptionalDouble.empty();
+        }
+        try {
+            final double price = Double.parseDouble(text.get());
+            if (Double.isFinite(price) && price >= 0) {
+                return OptionalDouble.of(price);
+            }
+        } catch (NumberFormatException e) {
+            throw new CliException(ExitCode.USAGE, "usage.bad-price", text.get());
+        }
+        throw new CliException(ExitCode.USAGE, "usage.bad-price", text.get());
+    }
+
+    private static void write(
+            final Invocation invocation,
+            final Console console,
+            final ReportFormat format,
+            final FleetReport report)
+            throws CliException {
+        final Optional<String> file = invocation.text(CliOption.OUT);
+        try {
+            final String text = format.write(report);
+            if (file.isEmpty()) {
+                console.text(text);
+                return;
+            }
+            Files.writeString(Path.of(file.get()), text);
+        } catch (IOException e) {
+            throw new CliException(ExitCode.USAGE, "usage.unwritable", file.orElse("-"));
+        }
+        console.note("report.written", file.get());
+        report.missing().forEach(missing -> console.note("report.missing", missing));
+    }
+
+    /** What came of asking each daemon. */
+    private static final class Collection {
+        private final FleetMerge mMerge = new FleetMerge();
+        private final Set<URI> mCollected = new HashSet<>();
+        private final Map<URI, String> mFailures = new HashMap<>();
+
+        private void take(final FleetAnswer answer) {
+            if (answer.answer().isEmpty() || !answer.answer().get().isOk()) {
+                mFailures.put(answer.daemon(), answer.problem());
+                return;
+            }
+            try {
+                final DaemonReport report = DaemonReportJson.read(answer.answer().get().body());
+                mMerge.add(report);
+                mCollected.add(report.address());
+            } catch (ReportFormatException e) {
+                mFailures.put(answer.daemon(), answer.daemon() + ": " + e.getMessage());
+            }
+        }
+
+        /** Each daemon misses once: by the address that callers are told, if it is listed. */
+        private FleetReport report(final FleetPlan plan, final OptionalDouble price)
+                throws CliException {
+            if (mMerge.isEmpty()) {
+                throw new CliException(
+                        ExitCode.UNREACHABLE,
+                        "daemon.unreachable",
+                        String.join("; ", mFailures.values()));
+            }
+            plan.operatorByCaller()
+                    .forEach(
+                            (caller, operator) -> {
+                                if (!mCollected.contains(caller)) {
+                                    mMerge.addMissing(missing(caller, operator));
+                                }
+                            });
+            plan.operatorByCaller().values().forEach(mFailures::remove);
+            mFailures.values().forEach(mMerge::addMissing);
+            mMerge.price(price);
+            return mMerge.report();
+        }
+
+        private String missing(final URI caller, final URI operator) {
+            final String failure = mFailures.get(operator);
+            return failure == null
+                    ? CliMessages.text("report.not-known", caller)
+                    : CliMessages.text("report.not-answered", caller, failure);
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/whinhead/cli/command/ReportFormat.java
@@ -0,0 +1,45 @@
+package org.whinhead.cli.command;
+
+import java.io.IOException;
+import java.util.Arrays;
+import java.util.Locale;
+import java.util.Optional;
+import org.whinhead.report.FleetReport;
+import org.whinhead.report.HtmlReport;
+import org.whinhead.report.JsonReport;
+import org.whinhead.report.TextReport;
+
+/** The forms in which a report is written. */
+enum ReportFormat {
+    /** Tables for a terminal. */
+    TEXT {
+        @Override
+        String write(final FleetReport report) {
+            return TextReport.write(report);
+        }
+    },
+    /** One object for scripts. */
+    JSON {
+        @Override
+        String write(final FleetReport report) {
+            return JsonReport.write(report) + "\n";
+        }
+    },
+    /** A page that needs no other file. */
+    HTML {
+        @Override
+        String write(final FleetReport report) throws IOException {
+            return HtmlReport.write(report);
+        }
+    };
+
+    /** Writes a report. */
+    abstract String write(FleetReport report) throws IOException;
+
+    /** Finds the format of a name. */
+    static Optional<ReportFormat> find(final String name) {
+        return Arrays.stream(values())
+                .filter(format -> format.name().toLowerCase(Locale.ROOT).equals(name))
+                .findFirst();
+    }
+}
--- a/report/src/main/java/org/whinhead/report/FleetMerge.java
+++ b/report/src/main/java/org/whinhead/report/FleetMerge.java
@@ -15,29 +15,22 @@
 
 /**
  * Adds up daemons' reports one at a time, so that not all of them need room at once;
- * single-threaded.
+ * single-threaded. Its time is that of the newest report, so that the clock of the operator's
+ * machine does not matter.
  */
 public final class FleetMerge {
 
     private static final long SECONDS_PER_MINUTE = Duration.ofMinutes(1).toSeconds();
 
-    private final Instant mNow;
+    private static final Duration MOST_LAG = Duration.ofMinutes(2);
+
     private final SortedMap<SeriesKey, SortedMap<Long, Counts>> mSums = new TreeMap<>();
     private final SortedMap<String, Objective> mObjectives = new TreeMap<>();
-    private final SortedSet<String> mCollected = new TreeSet<>();
+    private final SortedMap<String, Instant> mCollected = new TreeMap<>();
     private final List<String> mMissing = new ArrayList<>();
     private final SortedSet<String> mNotes = new TreeSet<>();
     private OptionalDouble mPricePerHour = OptionalDouble.empty();
-    private Instant mNewest = Instant.MIN;
-
-    /**
-     * Starts with nothing.
-     *
-     * @param now the time, at which all windows end
-     */
-    public FleetMerge(final Instant now) {
-        mNow = now;
-    }
+    private Instant mNewest = Instant.EPOCH;
 
     /**
      * Sets the price of the fleet.
@@ -55,7 +48,7 @@
      * @param report its report
      */
     public void add(final DaemonReport report) {
-        if (!mCollected.add(report.daemon().value())) {
+        if (mCollected.putIfAbsent(report.daemon().value(), report.asOf()) != null) {
             return;
         }
         noteGaps(report);
@@ -78,6 +71,11 @@
         mMissing.add(daemon);
     }
 
+    /** Tells whether no report was added yet. */
+    public boolean isEmpty() {
+        return mCollected.isEmpty();
+    }
+
     /** Returns the sum of what was added. */
     public FleetReport report() {
         final List<FleetReport.Line> lines = new ArrayList<>();
@@ -93,9 +91,15 @@
         if (mPricePerHour.isPresent() && !mMissing.isEmpty()) {
             mNotes.add("the cost is too high: what missing daemons completed is not counted");
         }
+        mCollected.forEach(this::noteLag);
         Collections.sort(mMissing);
         return new FleetReport(
-                mNow, mPricePerHour, lines, List.copyOf(mCollected), mMissing, List.copyOf(mNotes));
+                mNewest,
+                mPricePerHour,
+                lines,
+                List.copyOf(mCollected.keySet()),
+                mMissing,
+                List.copyOf(mNotes));
     }
 
     /** The objectives of the newest report hold for all, so that each line is judged by one. */
@@ -115,8 +119,15 @@
         }
     }
 
+    /** A clock that lags moves a daemon's requests into the wrong minutes. */
+    private void noteLag(final String daemon, final Instant asOf) {
+        if (Duration.between(asOf, mNewest).compareTo(MOST_LAG) > 0) {
+            mNotes.add("the clock of " + daemon + " is behind: " + asOf);
+        }
+    }
+
     private void noteGaps(final DaemonReport report) {
-        final Duration age = Duration.between(report.since(), mNow);
+        final Duration age = Duration.between(report.since(), report.asOf());
         if (age.compareTo(Window.LONG.length()) < 0) {
             mNotes.add(report.daemon() + " counts only since " + report.since());
         }
@@ -128,7 +139,7 @@
     private FleetReport.Line line(
             final SeriesKey key, final Objective objective, final SortedMap<Long, Counts> minutes) {
         final Map<Window, Counts> windows = new EnumMap<>(Window.class);
-        final long thisMinute = Math.floorDiv(mNow.getEpochSecond(), SECONDS_PER_MINUTE);
+        final long thisMinute = Math.floorDiv(mNewest.getEpochSecond(), SECONDS_PER_MINUTE);
         for (final Window window : Window.values()) {
             final long first = thisMinute - window.length().toMinutes() + 1;
             final Counts sum =
--- a/report/src/test/java/org/whinhead/report/FleetReportTest.java
+++ b/report/src/test/java/org/whinhead/report/FleetReportTest.java
@@ -136,7 +136,7 @@
     }
 
     private static FleetReport merge(final DaemonReport... reports) {
-        final FleetMerge merge = new FleetMerge(NOW);
+        final FleetMerge merge = new FleetMerge();
         List.of(reports).forEach(merge::add);
         merge.addMissing("d3: timed out");
         merge.price(OptionalDouble.of(12));
--- a/report/src/test/java/org/whinhead/report/SamplePageTest.java
+++ b/report/src/test/java/org/whinhead/report/SamplePageTest.java
@@ -41,7 +41,7 @@
      */
     @Test
     void pageOfReclaimedDomainRaisesAlerts() throws Exception {
-        final FleetMerge merge = new FleetMerge(NOW);
+        final FleetMerge merge = new FleetMerge();
         merge.price(OptionalDouble.of(14.2));
         for (int daemon = 1; daemon <= 8; daemon++) {
             merge.add(DaemonReportJson.read(DaemonReportJson.write(reportOf(daemon))));
