Find the decisions about a request by the end of its name

Cause: an operator knows the name that the caller used, not the customer and service before it. Change: DecisionLog.endingWith.

--- a/requests/src/main/java/org/whinhead/requests/DecisionLog.java
+++ b/requests/src/main/java/org/whinhead/requests/DecisionLog.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Predicate;
 import org.whinhead.api.Arguments;
 import org.whinhead.api.request.RequestId;
 
@@ -30,11 +31,25 @@
      * @return its decisions
      */
     public List<Decision> of(final RequestId request) {
+        return matching(request::equals);
+    }
+
+    /**
+     * Returns what is still kept about the requests of a name, oldest first.
+     *
+     * @param name an identity, or its end after a slash
+     * @return their decisions
+     */
+    public List<Decision> endingWith(final String name) {
+        return matching(id -> id.value().equals(name) || id.value().endsWith("/" + name));
+    }
+
+    private List<Decision> matching(final Predicate<RequestId> wanted) {
         final List<Decision> found = new ArrayList<>();
         final long oldest = Math.max(0, mWritten - mRing.length);
         for (long place = oldest; place < mWritten; place++) {
             final Decision decision = mRing[(int) (place % mRing.length)];
-            if (decision.request().equals(request)) {
+            if (wanted.test(decision.request())) {
                 found.add(decision);
             }
         }
