Serve by the log: settings in force, claims and the operators' calls

Cause: a daemon had no settings but those of a file, refused each non-idempotent request and served operators its status alone. Change: the daemon runs the log duty; settings of the fold are put in force, claims are decided by the claim stream and given up when a request certainly did not run; operators get, put and list settings with their history, ask where they are in force, and have decisions explained. The daemon's clock is never set back and goes on through a suspension. A grant whose time is over is none.

--- a/daemon/src/main/java/org/whinhead/daemon/Daemon.java
+++ b/daemon/src/main/java/org/whinhead/daemon/Daemon.java
@@ -7,6 +7,8 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
@@ -16,7 +18,6 @@
 import org.whinhead.api.model.DaemonId;
 import org.whinhead.api.model.Endpoint;
 import org.whinhead.api.model.EndpointId;
-import org.whinhead.api.request.RequestId;
 import org.whinhead.daemon.caller.CallerServer;
 import org.whinhead.daemon.decision.DecisionEvent;
 import org.whinhead.daemon.decision.DecisionLoop;
@@ -25,6 +26,7 @@
 import org.whinhead.daemon.engine.ActionDispatcher;
 import org.whinhead.daemon.engine.AttemptTransport;
 import org.whinhead.daemon.operator.Meters;
+import org.whinhead.daemon.operator.OperatorCalls;
 import org.whinhead.daemon.operator.OperatorHandler;
 import org.whinhead.daemon.request.LiveRequests;
 import org.whinhead.daemon.view.EntryAddress;
@@ -32,7 +34,7 @@
 import org.whinhead.platform.cloud.ReclaimNotice;
 import org.whinhead.platform.http.HttpCaller;
 import org.whinhead.platform.vms.VmListClient;
-import org.whinhead.requests.ClaimOutcome;
+import org.whinhead.requests.Decision;
 import org.whinhead.requests.DefaultRequestCoordinator;
 import org.whinhead.routing.AffinityRouter;
 import org.whinhead.routing.LoadReport;
@@ -63,6 +65,8 @@
     private final DecisionLoop mLoop;
     private final AffinityRouter mRouter;
     private final HttpCaller mCaller;
+    private final LogWiring mLog;
+    private final DefaultRequestCoordinator mCoordinator;
     private final EndpointWatch mWatch;
     private final NoticeWatch mNotices;
     private final OpenConnections mConnections;
@@ -82,10 +86,13 @@
         final RandomGenerator random = RandomGenerator.of(RANDOM);
         mRouter = new AffinityRouter(RoutingSettings.of(settings.domain()), random);
         mCaller = new HttpCaller(options.worker());
-        startDecisions(random);
+        mLog = new LogWiring(settings, options, mCaller, mStanding, mRequests, mLoop);
+        mCoordinator = coordinator(random);
+        mLoop.start(mCoordinator);
         mConnections = new OpenConnections(mStanding::isStopping);
         mServer = server();
         mServer.start();
+        mLog.start();
         mTicks = ticks(options.worker());
         mWatch =
                 new EndpointWatch(
@@ -179,22 +186,22 @@
         mTicks.remove();
         mServer.stop();
         mConnections.close();
+        mLog.close();
         mCaller.close();
         mLoop.close();
     }
 
-    private void startDecisions(final RandomGenerator random) {
+    private DefaultRequestCoordinator coordinator(final RandomGenerator random) {
         final AttemptTransport transport =
                 new AttemptTransport(mCaller, mLoop, CONNECT_TIMEOUT, SILENCE_TIMEOUT);
         final ActionDispatcher actions =
-                new ActionDispatcher(mRequests, transport, mOptions.tickets(), this::claim);
-        mLoop.start(
-                DefaultRequestCoordinator.builder()
-                        .router(mRouter)
-                        .admission(new SimpleAdmission(MAX_RUNNING, MAX_WAITING))
-                        .actions(actions)
-                        .random(random)
-                        .build());
+                new ActionDispatcher(mRequests, transport, mOptions.tickets(), mLog);
+        return DefaultRequestCoordinator.builder()
+                .router(mRouter)
+                .admission(new SimpleAdmission(MAX_RUNNING, MAX_WAITING))
+                .actions(actions)
+                .random(random)
+                .build();
     }
 
     private Undertow server() {
@@ -207,7 +214,7 @@
                 .addHttpListener(
                         operators.port(),
                         operators.host(),
-                        mConnections.tracking(new OperatorHandler(mSettings, mStanding, meters())))
+                        mConnections.tracking(operatorHandler()))
                 .build();
     }
 
@@ -224,6 +231,24 @@
                 .build();
     }
 
+    private HttpHandler operatorHandler() {
+        return new OperatorHandler(
+                mSettings,
+                mStanding,
+                meters(),
+                new OperatorCalls(
+                        mSettings.name(), mLog.duty(), mStanding::cannotBeAsked, this::decisions));
+    }
+
+    private CompletionStage<List<Decision>> decisions(final String id) {
+        final CompletableFuture<List<Decision>> found = new CompletableFuture<>();
+        final Runnable look = () -> found.complete(mCoordinator.decisions().endingWith(id));
+        if (!mLoop.offerNew(new DecisionEvent.Update(look))) {
+            found.completeExceptionally(new IllegalStateException("the decision ring is full"));
+        }
+        return found;
+    }
+
     private Meters meters() {
         final Meters meters = new Meters();
         meters.gauge(
@@ -245,11 +270,6 @@
         return URI.create("http://" + new HostPort(address.getHostString(), address.getPort()));
     }
 
-    /** Without a log there is no claim, and what may run at most once does not run. */
-    private void claim(final RequestId request) {
-        mLoop.offer(new DecisionEvent.Claimed(request, ClaimOutcome.UNAVAILABLE));
-    }
-
     private void noticed(final ReclaimNotice notice) {
         final EndpointId endpoint = new EndpointId(notice.vm().value());
         mLoop.offer(new DecisionEvent.Update(() -> mRouter.leaving(endpoint)));
--- a/daemon/src/main/java/org/whinhead/daemon/DaemonOptions.java
+++ b/daemon/src/main/java/org/whinhead/daemon/DaemonOptions.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.Objects;
 import org.whinhead.api.Arguments;
+import org.whinhead.daemon.log.AdvancingClock;
+import org.whinhead.daemon.log.LogTerms;
 import org.whinhead.requests.TicketCodec;
 import org.whinhead.requests.TicketKey;
 import org.xnio.XnioWorker;
@@ -14,12 +16,17 @@
  * What a daemon is given beside its settings.
  *
  * @param worker the IO threads, which may be shared and are not closed with the daemon
- * @param clock tells the time
+ * @param clock tells the time; it is never set back and goes on while the VM is suspended
  * @param tickets reads and writes tickets, with the keys that all daemons of a deployment share
  * @param bodyTimeout how long a caller's body may take to arrive
+ * @param log the bounds of the log duty
  */
 public record DaemonOptions(
-        XnioWorker worker, InstantSource clock, TicketCodec tickets, Duration bodyTimeout) {
+        XnioWorker worker,
+        InstantSource clock,
+        TicketCodec tickets,
+        Duration bodyTimeout,
+        LogTerms log) {
 
     private static final Duration DEFAULT_BODY_TIMEOUT = Duration.ofSeconds(10);
     private static final int SECRET_BYTES = 32;
@@ -30,6 +37,7 @@
         Objects.requireNonNull(clock, "clock");
         Objects.requireNonNull(tickets, "tickets");
         Arguments.requirePositive(bodyTimeout, "bodyTimeout");
+        Objects.requireNonNull(log, "log");
     }
 
     /**
@@ -42,7 +50,8 @@
         final byte[] secret = new byte[SECRET_BYTES];
         new SecureRandom().nextBytes(secret);
         final TicketCodec tickets = new TicketCodec(List.of(new TicketKey("own", secret)));
-        return new DaemonOptions(worker, InstantSource.system(), tickets, DEFAULT_BODY_TIMEOUT);
+        final InstantSource clock = new AdvancingClock(InstantSource.system(), System::nanoTime);
+        return new DaemonOptions(worker, clock, tickets, DEFAULT_BODY_TIMEOUT, LogTerms.DEFAULT);
     }
 
     /**
@@ -52,7 +61,7 @@
      * @return a copy
      */
     public DaemonOptions withBodyTimeout(final Duration timeout) {
-        return new DaemonOptions(worker, clock, tickets, timeout);
+        return new DaemonOptions(worker, clock, tickets, timeout, log);
     }
 
     /**
@@ -62,6 +71,16 @@
      * @return a copy
      */
     public DaemonOptions withTickets(final TicketCodec codec) {
-        return new DaemonOptions(worker, clock, codec, bodyTimeout);
+        return new DaemonOptions(worker, clock, codec, bodyTimeout, log);
+    }
+
+    /**
+     * Returns these options with other bounds of the log duty.
+     *
+     * @param terms the bounds
+     * @return a copy
+     */
+    public DaemonOptions withLog(final LogTerms terms) {
+        return new DaemonOptions(worker, clock, tickets, bodyTimeout, terms);
     }
 }
--- a/daemon/src/main/java/org/whinhead/daemon/Standing.java
+++ b/daemon/src/main/java/org/whinhead/daemon/Standing.java
@@ -3,9 +3,12 @@
 import java.net.URI;
 import java.util.List;
 import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import java.util.stream.Stream;
 import org.whinhead.api.model.DaemonId;
 import org.whinhead.daemon.operator.DaemonStatus;
+import org.whinhead.daemon.operator.PeersInForce;
 import org.whinhead.daemon.request.LiveRequests;
 import org.whinhead.daemon.view.DeploymentView;
 import org.whinhead.daemon.view.EntryAddress;
@@ -95,6 +98,17 @@
         return Stream.concat(mListed.stream(), Stream.of(mOwn)).toList();
     }
 
+    /** Until daemons speak to each other, no other one can be asked: all that are listed miss. */
+    CompletionStage<PeersInForce.Report> cannotBeAsked(final long revision) {
+        final List<String> others =
+                mListed.stream()
+                        .map(EntryAddress::uri)
+                        .filter(uri -> !uri.equals(mOwn.uri()))
+                        .map(URI::toString)
+                        .toList();
+        return CompletableFuture.completedStage(new PeersInForce.Report(List.of(), others));
+    }
+
     /** The settings in force with what follows from them. */
     private record InForce(DeploymentSettings settings, DeploymentView view, long revision) {}
 }
--- a/daemon/src/main/java/org/whinhead/daemon/decision/DecisionEvent.java
+++ b/daemon/src/main/java/org/whinhead/daemon/decision/DecisionEvent.java
@@ -124,14 +124,19 @@
      *
      * @param request the request
      * @param outcome the decision
+     * @param dispatchBy until when a granted request may be dispatched
      */
-    record Claimed(RequestId request, ClaimOutcome outcome) implements DecisionEvent {
+    record Claimed(RequestId request, ClaimOutcome outcome, Instant dispatchBy)
+            implements DecisionEvent {
         @Override
         public void applyTo(
                 final RequestCoordinator coordinator,
                 final LiveRequests requests,
                 final Instant now) {
-            coordinator.claimDecided(request, outcome, now);
+            // Guards against a pause between the decision and this event, after which the key may
+            // have been given anew: a grant that is over is none, and the request does not run.
+            final boolean over = outcome == ClaimOutcome.GRANTED && !now.isBefore(dispatchBy);
+            coordinator.claimDecided(request, over ? ClaimOutcome.UNAVAILABLE : outcome, now);
         }
     }
 
--- a/daemon/src/main/java/org/whinhead/daemon/engine/ActionDispatcher.java
+++ b/daemon/src/main/java/org/whinhead/daemon/engine/ActionDispatcher.java
@@ -1,6 +1,5 @@
 package org.whinhead.daemon.engine;
 
-import java.util.function.Consumer;
 import org.whinhead.api.model.Endpoint;
 import org.whinhead.api.request.AttemptId;
 import org.whinhead.api.request.RequestId;
@@ -18,7 +17,7 @@
     private final LiveRequests mRequests;
     private final AttemptTransport mTransport;
     private final TicketCodec mTickets;
-    private final Consumer<RequestId> mClaims;
+    private final Claims mClaims;
 
     /**
      * Makes a dispatcher.
@@ -26,13 +25,13 @@
      * @param requests the requests in progress
      * @param transport the way to the endpoints
      * @param tickets writes tickets
-     * @param claims takes the requests that need a claim
+     * @param claims takes the claims
      */
     public ActionDispatcher(
             final LiveRequests requests,
             final AttemptTransport transport,
             final TicketCodec tickets,
-            final Consumer<RequestId> claims) {
+            final Claims claims) {
         mRequests = requests;
         mTransport = transport;
         mTickets = tickets;
@@ -100,7 +99,12 @@
 
     @Override
     public void claim(final RequestId request) {
-        mClaims.accept(request);
+        mClaims.claim(request);
+    }
+
+    @Override
+    public void unclaim(final RequestId request) {
+        mClaims.withdraw(request);
     }
 
     @Override
--- /dev/null
+++ b/daemon/src/main/java/org/whinhead/daemon/operator/ExplainHandler.java
@@ -0,0 +1,49 @@
+package org.whinhead.daemon.operator;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.StatusCodes;
+import java.util.List;
+import org.whinhead.requests.Decision;
+
+/** Tells an operator what was decided about a request, and why. */
+final class ExplainHandler {
+
+    private final DecisionSource mDecisions;
+
+    ExplainHandler(final DecisionSource decisions) {
+        mDecisions = decisions;
+    }
+
+    void explain(final HttpServerExchange exchange) {
+        final String id = Parameters.text(exchange, "id");
+        if (id.isEmpty()) {
+            OperatorReplies.fail(
+                    exchange, StatusCodes.BAD_REQUEST, "operator.bad-parameter", "id", id);
+            return;
+        }
+        OperatorReplies.later(
+                exchange, mDecisions.about(id), decisions -> answer(exchange, id, decisions));
+    }
+
+    private static void answer(
+            final HttpServerExchange exchange, final String id, final List<Decision> decisions) {
+        if (decisions.isEmpty()) {
+            OperatorReplies.fail(exchange, StatusCodes.NOT_FOUND, "operator.no-decisions", id);
+            return;
+        }
+        final ObjectNode root = OperatorReplies.object().put("id", id);
+        final ArrayNode array = root.putArray("decisions");
+        for (final Decision decision : decisions) {
+            final ObjectNode node = array.addObject();
+            node.put("at", decision.at().toString());
+            node.put("request", decision.request().value());
+            node.put("attempt", decision.attempt());
+            node.put("kind", decision.kind().name().toLowerCase().replace('_', '-'));
+            decision.endpoint().ifPresent(endpoint -> node.put("endpoint", endpoint.value()));
+            node.put("cause", decision.cause());
+        }
+        OperatorReplies.json(exchange, StatusCodes.OK, root);
+    }
+}
--- a/daemon/src/main/java/org/whinhead/daemon/operator/OperatorHandler.java
+++ b/daemon/src/main/java/org/whinhead/daemon/operator/OperatorHandler.java
@@ -1,25 +1,27 @@
 package org.whinhead.daemon.operator;
 
 import com.fasterxml.jackson.databind.node.ArrayNode;
-import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
 import io.undertow.util.Methods;
 import io.undertow.util.StatusCodes;
+import java.util.Optional;
+import java.util.function.Consumer;
 import org.whinhead.daemon.view.EntryAddress;
 import org.whinhead.settings.daemon.DaemonSettings;
+import org.whinhead.settings.daemon.OperatorKey;
 
 /** Answers operators and the probes of health. */
 public final class OperatorHandler implements HttpHandler {
 
     private static final String SCHEME = "Bearer ";
-    private static final String JSON = "application/json";
 
     private final DaemonSettings mSettings;
     private final DaemonStatus mStatus;
     private final Meters mMeters;
+    private final OperatorCalls mCalls;
 
     /**
      * Makes a handler.
@@ -27,31 +29,32 @@
      * @param settings whose operators may ask
      * @param status what the daemon knows of itself
      * @param meters the metrics
+     * @param calls the calls about the log and the decisions
      */
     public OperatorHandler(
-            final DaemonSettings settings, final DaemonStatus status, final Meters meters) {
+            final DaemonSettings settings,
+            final DaemonStatus status,
+            final Meters meters,
+            final OperatorCalls calls) {
         mSettings = settings;
         mStatus = status;
         mMeters = meters;
+        mCalls = calls;
     }
 
     @Override
     public void handleRequest(final HttpServerExchange exchange) {
         if (!exchange.getRequestMethod().equals(Methods.GET)) {
-            fail(exchange, StatusCodes.NOT_FOUND, "only GET is served here yet");
+            asOperator(exchange, key -> mCalls.handle(exchange, key));
             return;
         }
         switch (exchange.getRequestPath()) {
             case "/health/live" -> text(exchange, StatusCodes.OK, "live\n");
             case "/health/ready" -> ready(exchange);
             case "/metrics" -> text(exchange, StatusCodes.OK, mMeters.text());
-            case "/operator/status" -> asOperator(exchange, () -> status(exchange));
-            case "/operator/addresses" -> asOperator(exchange, () -> addresses(exchange));
-            default ->
-                    fail(
-                            exchange,
-                            StatusCodes.NOT_FOUND,
-                            "nothing at " + exchange.getRequestPath());
+            case "/operator/status" -> asOperator(exchange, key -> status(exchange));
+            case "/operator/addresses" -> asOperator(exchange, key -> addresses(exchange));
+            default -> asOperator(exchange, key -> mCalls.handle(exchange, key));
         }
     }
 
@@ -63,33 +66,40 @@
         }
     }
 
-    private void asOperator(final HttpServerExchange exchange, final Runnable answer) {
+    private void asOperator(final HttpServerExchange exchange, final Consumer<OperatorKey> answer) {
         final String header = exchange.getRequestHeaders().getFirst(Headers.AUTHORIZATION);
-        if (header == null
-                || !header.startsWith(SCHEME)
-                || mSettings.operator(header.substring(SCHEME.length()).strip()).isEmpty()) {
-            fail(exchange, StatusCodes.UNAUTHORIZED, "the key is not known");
-            return;
+        final Optional<OperatorKey> key =
+                Optional.ofNullable(header)
+                        .filter(text -> text.startsWith(SCHEME))
+                        .flatMap(
+                                text ->
+                                        mSettings.operator(
+                                                text.substring(SCHEME.length()).strip()));
+        if (key.isPresent()) {
+            answer.accept(key.get());
+        } else {
+            OperatorReplies.fail(exchange, StatusCodes.UNAUTHORIZED, "operator.unknown-key");
         }
-        answer.run();
     }
 
     private void status(final HttpServerExchange exchange) {
-        final ObjectNode root = JsonNodeFactory.instance.objectNode();
+        final ObjectNode root = OperatorReplies.object();
         root.put("daemon", mSettings.name());
         root.put("incarnation", mStatus.id().value());
         root.put("domain", mSettings.domain().toString());
-        root.put("able", mStatus.isReady() && mStatus.settings().notUsable().isEmpty());
+        final boolean usable = mStatus.settings().notUsable().isEmpty();
+        root.put("able", mStatus.isReady() && usable && mCalls.isAble());
         final ArrayNode notUsable = root.putArray("notUsable");
         mStatus.settings().notUsable().forEach(path -> notUsable.add(path.text()));
         root.put("settingsRevision", mStatus.settingsRevision());
         root.put("inProgress", mStatus.inProgress());
         root.put("stopping", mStatus.isStopping());
-        json(exchange, StatusCodes.OK, root);
+        mCalls.describe(root.putObject("log"));
+        OperatorReplies.json(exchange, StatusCodes.OK, root);
     }
 
     private void addresses(final HttpServerExchange exchange) {
-        final ObjectNode root = JsonNodeFactory.instance.objectNode();
+        final ObjectNode root = OperatorReplies.object();
         final ArrayNode addresses = root.putArray("addresses");
         for (final EntryAddress address : mStatus.addresses()) {
             addresses
@@ -98,19 +108,7 @@
                     .put("domain", address.domain().toString())
                     .put("state", "live");
         }
-        json(exchange, StatusCodes.OK, root);
-    }
-
-    private static void fail(
-            final HttpServerExchange exchange, final int status, final String message) {
-        json(exchange, status, JsonNodeFactory.instance.objectNode().put("message", message));
-    }
-
-    private static void json(
-            final HttpServerExchange exchange, final int status, final ObjectNode root) {
-        exchange.setStatusCode(status);
-        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, JSON);
-        exchange.getResponseSender().send(root.toString());
+        OperatorReplies.json(exchange, StatusCodes.OK, root);
     }
 
     private static void text(
--- /dev/null
+++ b/daemon/src/main/java/org/whinhead/daemon/operator/OperatorMessages.java
@@ -0,0 +1,15 @@
+package org.whinhead.daemon.operator;
+
+import org.whinhead.api.message.MessageBundle;
+
+/** The texts that operators are told. */
+final class OperatorMessages {
+
+    private static final MessageBundle TEXTS = MessageBundle.beside(OperatorMessages.class);
+
+    private OperatorMessages() {}
+
+    static String text(final String key, final Object... arguments) {
+        return TEXTS.text(key, arguments);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/whinhead/daemon/operator/OperatorReplies.java
@@ -0,0 +1,67 @@
+package org.whinhead.daemon.operator;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.SameThreadExecutor;
+import io.undertow.util.StatusCodes;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Consumer;
+
+/** Sends operators their answers. */
+final class OperatorReplies {
+
+    private static final String JSON = "application/json";
+
+    private OperatorReplies() {}
+
+    static ObjectNode object() {
+        return JsonNodeFactory.instance.objectNode();
+    }
+
+    static void json(final HttpServerExchange exchange, final int status, final JsonNode body) {
+        exchange.setStatusCode(status);
+        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, JSON);
+        exchange.getResponseSender().send(body.toString());
+    }
+
+    static void fail(
+            final HttpServerExchange exchange,
+            final int status,
+            final String key,
+            final Object... arguments) {
+        json(exchange, status, object().put("message", OperatorMessages.text(key, arguments)));
+    }
+
+    /** Answers on the exchange's IO thread once the stage has ended. */
+    static <T> void later(
+            final HttpServerExchange exchange,
+            final CompletionStage<T> stage,
+            final Consumer<T> answer) {
+        exchange.dispatch(
+                SameThreadExecutor.INSTANCE,
+                () ->
+                        stage.whenComplete(
+                                (value, fault) ->
+                                        exchange.getIoThread()
+                                                .execute(
+                                                        () ->
+                                                                end(
+                                                                        exchange, value, fault,
+                                                                        answer))));
+    }
+
+    private static <T> void end(
+            final HttpServerExchange exchange,
+            final T value,
+            final Throwable fault,
+            final Consumer<T> answer) {
+        if (fault == null) {
+            answer.accept(value);
+        } else {
+            fail(exchange, StatusCodes.INTERNAL_SERVER_ERROR, "operator.fault", fault.getMessage());
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/whinhead/daemon/operator/Parameters.java
@@ -0,0 +1,26 @@
+package org.whinhead.daemon.operator;
+
+import io.undertow.server.HttpServerExchange;
+import java.util.Deque;
+import java.util.OptionalLong;
+
+/** Reads the parameters of an operator's call. */
+final class Parameters {
+
+    private Parameters() {}
+
+    /** Returns a parameter's first value; empty if it was not sent. */
+    static String text(final HttpServerExchange exchange, final String name) {
+        final Deque<String> values = exchange.getQueryParameters().get(name);
+        return values == null || values.isEmpty() ? "" : values.getFirst();
+    }
+
+    /** Returns a parameter as a number; empty if it is none. */
+    static OptionalLong number(final HttpServerExchange exchange, final String name) {
+        try {
+            return OptionalLong.of(Long.parseLong(text(exchange, name)));
+        } catch (final NumberFormatException e) {
+            return OptionalLong.empty();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/whinhead/daemon/operator/SettingsHandler.java
@@ -0,0 +1,137 @@
+package org.whinhead.daemon.operator;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.StatusCodes;
+import java.io.IOException;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.whinhead.daemon.log.LogDuty;
+import org.whinhead.daemon.log.LogStanding;
+import org.whinhead.state.settings.SettingRevision;
+import org.whinhead.state.settings.SettingsState;
+
+/** Shows operators the settings in force, their history and where they are in force. */
+final class SettingsHandler {
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final String BELOW = "/";
+    private static final long DEFAULT_MAX = 20;
+
+    private final LogDuty mDuty;
+    private final String mSelf;
+    private final PeersInForce mPeers;
+
+    SettingsHandler(final LogDuty duty, final String self, final PeersInForce peers) {
+        mDuty = duty;
+        mSelf = self;
+        mPeers = peers;
+    }
+
+    void get(final HttpServerExchange exchange) {
+        final String path = Parameters.text(exchange, "path");
+        final SettingsState state = state();
+        if (path.endsWith(BELOW)) {
+            final ArrayNode list = JsonNodeFactory.instance.arrayNode();
+            state.documents().tailMap(path, false).keySet().stream()
+                    .takeWhile(below -> below.startsWith(path))
+                    .forEach(below -> list.add(inForce(below, state.inForce(below).orElseThrow())));
+            OperatorReplies.json(exchange, StatusCodes.OK, list);
+            return;
+        }
+        final Optional<SettingRevision> revision = state.inForce(path);
+        if (revision.isPresent() && revision.get().document().isPresent()) {
+            OperatorReplies.json(exchange, StatusCodes.OK, inForce(path, revision.get()));
+        } else {
+            nothingThere(exchange, path, revision);
+        }
+    }
+
+    private SettingsState state() {
+        return mDuty.standing().fold().state().settings();
+    }
+
+    private static void nothingThere(
+            final HttpServerExchange exchange,
+            final String path,
+            final Optional<SettingRevision> deletion) {
+        final ObjectNode root = OperatorReplies.object();
+        root.put("message", OperatorMessages.text("operator.nothing-there", path));
+        deletion.ifPresent(revision -> root.put("revision", revision.revision()));
+        OperatorReplies.json(exchange, StatusCodes.NOT_FOUND, root);
+    }
+
+    private static ObjectNode inForce(final String path, final SettingRevision revision) {
+        return describe(OperatorReplies.object().put("path", path), revision);
+    }
+
+    private static ObjectNode describe(final ObjectNode root, final SettingRevision revision) {
+        root.put("revision", revision.revision());
+        root.set("document", document(revision));
+        root.put("author", revision.author());
+        root.put("reason", revision.reason());
+        root.put("at", revision.at().toString());
+        return root;
+    }
+
+    private static JsonNode document(final SettingRevision revision) {
+        try {
+            return revision.document().isPresent()
+                    ? MAPPER.readTree(revision.document().get())
+                    : JsonNodeFactory.instance.nullNode();
+        } catch (final IOException e) {
+            // The fold takes only JSON; if it ever took more, the operator sees the text.
+            return JsonNodeFactory.instance.textNode(revision.document().get());
+        }
+    }
+
+    void history(final HttpServerExchange exchange) {
+        final String path = Parameters.text(exchange, "path");
+        final List<SettingRevision> kept = state().history().getOrDefault(path, List.of());
+        if (kept.isEmpty()) {
+            nothingThere(exchange, path, Optional.empty());
+            return;
+        }
+        final long max = Parameters.number(exchange, "max").orElse(DEFAULT_MAX);
+        final ObjectNode root = OperatorReplies.object();
+        final ArrayNode array = root.putArray("revisions");
+        for (int i = kept.size() - 1; i >= 0 && array.size() < max; i--) {
+            describe(array.addObject(), kept.get(i)).put("changeId", kept.get(i).changeId());
+        }
+        OperatorReplies.json(exchange, StatusCodes.OK, root);
+    }
+
+    void inForce(final HttpServerExchange exchange) {
+        final OptionalLong revision = Parameters.number(exchange, "revision");
+        if (revision.isEmpty()) {
+            OperatorReplies.fail(
+                    exchange,
+                    StatusCodes.BAD_REQUEST,
+                    "operator.bad-parameter",
+                    "revision",
+                    Parameters.text(exchange, "revision"));
+            return;
+        }
+        final long wanted = revision.getAsLong();
+        OperatorReplies.later(
+                exchange,
+                mPeers.upTo(wanted),
+                report -> OperatorReplies.json(exchange, StatusCodes.OK, report(wanted, report)));
+    }
+
+    private ObjectNode report(final long wanted, final PeersInForce.Report peers) {
+        final ObjectNode root = OperatorReplies.object();
+        final ArrayNode inForce = root.putArray("inForce");
+        final ArrayNode missing = root.putArray("missing");
+        final LogStanding standing = mDuty.standing();
+        (standing.holds(wanted) ? inForce : missing).add(mSelf);
+        peers.inForce().forEach(inForce::add);
+        peers.missing().forEach(missing::add);
+        return root;
+    }
+}
