Test the shared state through whole daemons

Cause: lost answers, outages, races and expired records only meet in a whole deployment. Change: a deployment in one process, and five stories on it. Conclusion: claims run once, settings reach all daemons and never revert in these stories.

--- /dev/null
+++ b/demo/src/main/java/org/whinhead/demo/LocalDeployment.java
@@ -0,0 +1,275 @@
+package org.whinhead.demo;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.net.URI;
+import java.net.URLEncoder;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.whinhead.api.model.Billing;
+import org.whinhead.api.model.FailureDomain;
+import org.whinhead.api.model.VmId;
+import org.whinhead.daemon.Daemon;
+import org.whinhead.daemon.DaemonOptions;
+import org.whinhead.daemon.WorkerPool;
+import org.whinhead.daemon.log.LogTerms;
+import org.whinhead.settings.KeyHashes;
+import org.whinhead.settings.daemon.DaemonSettings;
+import org.whinhead.settings.daemon.HostPort;
+import org.whinhead.settings.daemon.ListenAddresses;
+import org.whinhead.settings.daemon.OperatorKey;
+import org.whinhead.settings.daemon.PlatformUris;
+import org.whinhead.standins.StandInContext;
+import org.whinhead.standins.log.LogConfig;
+import org.whinhead.standins.log.LogStandIn;
+import org.whinhead.standins.service.ServiceConfig;
+import org.whinhead.standins.service.ServiceStandIn;
+import org.whinhead.standins.vms.VmEntry;
+import org.whinhead.standins.vms.VmListStandIn;
+import org.xnio.XnioWorker;
+
+/** Some daemons, a log, a VM list and a plain service in one process, and clients of them. */
+public final class LocalDeployment implements AutoCloseable {
+
+    /** The customer's and the operator's key. */
+    public static final String KEY = "key-of-the-clinic";
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final FailureDomain DOMAIN = new FailureDomain("kigali", "kg-gasabo");
+    private static final Duration BOUND = Duration.ofSeconds(30);
+    private static final int IO_THREADS = 4;
+    private static final long NO_REVISION = -1;
+    private static final String TIER =
+            "{'schema':1,'priority':5,'firstTokenMillis':1000,'betweenTokensMillis':1000,"
+                    + "'requestTimeoutMillis':30000,'objectives':{'latencyShare':0.99,"
+                    + "'availabilityShare':0.99,'windowHours':24}}";
+    private static final String SERVICE =
+            "{'schema':1,'timeoutMillis':10000,'nonIdempotentPaths':['claims']}";
+    private static final String CUSTOMER =
+            "{'schema':1,'tier':'/tiers/standard','keyHashes':['sha256:%s'],'weight':1,"
+                    + "'tokensPerSecond':1000}";
+
+    private final StandInContext mStandIns = StandInContext.start();
+    private final LogStandIn mLog;
+    private final ServiceStandIn mService;
+    private final VmListStandIn mVms;
+    private final XnioWorker mWorker;
+    private final DaemonOptions mOptions;
+    private final List<Daemon> mDaemons = new ArrayList<>();
+    private final HttpClient mClient = HttpClient.newHttpClient();
+
+    /**
+     * Starts a deployment without daemons.
+     *
+     * @param log the log's settings
+     * @param terms the bounds of the daemons' log duty
+     * @throws IOException if the IO threads cannot be started
+     */
+    public LocalDeployment(final LogConfig log, final LogTerms terms) throws IOException {
+        mLog = LogStandIn.start(log, mStandIns);
+        mService =
+                ServiceStandIn.start(ServiceConfig.of("filing", Duration.ofMillis(1)), mStandIns);
+        mVms = VmListStandIn.start(0, Duration.ZERO, mStandIns);
+        mVms.seed(
+                new VmEntry(
+                        "vm-filing",
+                        "127.0.0.1",
+                        DOMAIN,
+                        "small",
+                        Billing.RECLAIMABLE,
+                        false,
+                        VmEntry.Role.SERVICE,
+                        mService.uri().toString(),
+                        "filing",
+                        true,
+                        64));
+        mWorker = WorkerPool.start("local", IO_THREADS);
+        mOptions = DaemonOptions.on(mWorker).withLog(terms);
+    }
+
+    /**
+     * Starts one more daemon.
+     *
+     * @return its number, from 0
+     */
+    public int startDaemon() {
+        final int number = mDaemons.size();
+        final HostPort free = new HostPort("127.0.0.1", 0);
+        final URI none = URI.create("http://127.0.0.1:1");
+        mDaemons.add(
+                Daemon.start(
+                        DaemonSettings.builder("daemon-" + number)
+                                .vm(new VmId("vm-" + number))
+                                .domain(DOMAIN)
+                                .listen(new ListenAddresses(free, free, free))
+                                .publicUri(URI.create("http://127.0.0.1:2/" + number))
+                                .platform(new PlatformUris(mLog.uri(), mVms.uri(), none, none))
+                                .operators(
+                                        List.of(
+                                                new OperatorKey(
+                                                        "on-call", KeyHashes.hash(KEY), "/")))
+                                .build(),
+                        mOptions));
+        return number;
+    }
+
+    /**
+     * Puts the documents that serving needs, and waits until every daemon can serve.
+     *
+     * @throws Exception if that fails
+     */
+    public void load() throws Exception {
+        awaitLog(0);
+        putNew("/tiers/standard", TIER);
+        putNew("/services/filing", SERVICE);
+        putNew("/teams/clinics/customers/clinic", customer(KEY));
+        for (int i = 0; i < mDaemons.size(); i++) {
+            awaitReady(i);
+        }
+    }
+
+    /**
+     * Returns the document of a customer.
+     *
+     * @param key its key
+     * @return the document
+     */
+    public static String customer(final String key) {
+        return String.format(CUSTOMER, KeyHashes.hash(key));
+    }
+
+    private void putNew(final String path, final String document) throws Exception {
+        final HttpResponse<String> answer = put(0, "load " + path, path, NO_REVISION, document);
+        if (answer.statusCode() != 200) {
+            throw new IllegalStateException(path + ": " + answer.body());
+        }
+    }
+
+    /** Waits until a daemon follows the log. */
+    public void awaitLog(final int daemon) throws Exception {
+        Await.until(
+                "daemon " + daemon + " follows the log",
+                BOUND,
+                () ->
+                        status(daemon).at("/log/caughtUp").asBoolean()
+                                && status(daemon).at("/log/answering").asBoolean());
+    }
+
+    /** Waits until a daemon can serve. */
+    public void awaitReady(final int daemon) throws Exception {
+        Await.until(
+                "daemon " + daemon + " is ready",
+                BOUND,
+                () -> operatorGet(daemon, "/health/ready").statusCode() == 200);
+    }
+
+    /** Waits until a daemon goes by a revision. */
+    public void awaitRevision(final int daemon, final long revision) throws Exception {
+        Await.until(
+                "daemon " + daemon + " goes by " + revision,
+                BOUND,
+                () -> status(daemon).path("settingsRevision").asLong() >= revision);
+    }
+
+    /** Returns a daemon's status as it tells its operators. */
+    public JsonNode status(final int daemon) throws Exception {
+        return MAPPER.readTree(operatorGet(daemon, "/operator/status").body());
+    }
+
+    /** Asks a daemon's operator address. */
+    public HttpResponse<String> operatorGet(final int daemon, final String path) throws Exception {
+        return send(HttpRequest.newBuilder(mDaemons.get(daemon).operatorUri().resolve(path)));
+    }
+
+    /** Asks a daemon for the document at a path. */
+    public JsonNode settings(final int daemon, final String path) throws Exception {
+        final String query = URLEncoder.encode(path, StandardCharsets.UTF_8);
+        return MAPPER.readTree(operatorGet(daemon, "/operator/settings?path=" + query).body());
+    }
+
+    /**
+     * Asks a daemon for a change.
+     *
+     * @param daemon the daemon
+     * @param changeId the change's name
+     * @param path the path
+     * @param base the revision that it replaces
+     * @param document the new document; apostrophes stand for quotation marks
+     * @return the answer
+     * @throws Exception if there is none
+     */
+    public HttpResponse<String> put(
+            final int daemon,
+            final String changeId,
+            final String path,
+            final long base,
+            final String document)
+            throws Exception {
+        final ObjectNode body = MAPPER.createObjectNode();
+        body.put("changeId", changeId).put("path", path).put("baseRevision", base);
+        body.set("document", MAPPER.readTree(document.replace('\'', '"')));
+        body.put("author", "amina").put("reason", "test").put("dryRun", false);
+        return send(
+                HttpRequest.newBuilder(
+                                mDaemons.get(daemon).operatorUri().resolve("/operator/settings"))
+                        .POST(HttpRequest.BodyPublishers.ofString(body.toString())));
+    }
+
+    /**
+     * Calls the plain service through a daemon; what is below {@code claims} may run once only.
+     *
+     * @param daemon the daemon
+     * @param path the path
+     * @param key the idempotency key
+     * @return the answer
+     * @throws Exception if there is none
+     */
+    public HttpResponse<String> call(final int daemon, final String path, final String key)
+            throws Exception {
+        return send(
+                HttpRequest.newBuilder(
+                                mDaemons.get(daemon)
+                                        .callerUri()
+                                        .resolve("/v1/services/filing/" + path))
+                        .header("Idempotency-Key", key)
+                        .POST(HttpRequest.BodyPublishers.ofString("{}")));
+    }
+
+    private HttpResponse<String> send(final HttpRequest.Builder request) throws Exception {
+        return mClient.send(
+                request.timeout(BOUND).header("Authorization", "Bearer " + KEY).build(),
+                HttpResponse.BodyHandlers.ofString());
+    }
+
+    /** Asks the log itself and returns the answer's status. */
+    public int logStatus(final String path) throws Exception {
+        return send(HttpRequest.newBuilder(mLog.uri().resolve(path))).statusCode();
+    }
+
+    /** Returns the log. */
+    public LogStandIn log() {
+        return mLog;
+    }
+
+    /** Returns how often the plain service ran the calls of a key. */
+    public int executions(final String key) {
+        return mStandIns.witness().executions(key);
+    }
+
+    @Override
+    public void close() {
+        mDaemons.forEach(Daemon::close);
+        mLog.close();
+        mService.close();
+        mVms.close();
+        mStandIns.close();
+        mWorker.shutdown();
+    }
+}
--- /dev/null
+++ b/demo/src/test/java/org/whinhead/demo/SharedStateTest.java
@@ -0,0 +1,189 @@
+package org.whinhead.demo;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.whinhead.daemon.log.LogTerms;
+import org.whinhead.standins.log.LogConfig;
+
+@Timeout(120)
+class SharedStateTest {
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final String CUSTOMER = "/teams/clinics/customers/clinic";
+    private static final int MANY = 1_000_000;
+
+    private LocalDeployment mDeployment;
+
+    private void start(final LogConfig log, final LogTerms terms) throws Exception {
+        mDeployment = new LocalDeployment(log, terms);
+        mDeployment.startDaemon();
+        mDeployment.startDaemon();
+        mDeployment.load();
+    }
+
+    private void start() throws Exception {
+        start(LogConfig.DEFAULT, LogTerms.DEFAULT);
+    }
+
+    @AfterEach
+    void stop() {
+        mDeployment.close();
+    }
+
+    private static <T> CompletableFuture<T> beside(final Callable<T> call) {
+        return CompletableFuture.supplyAsync(
+                () -> {
+                    try {
+                        return call.call();
+                    } catch (final Exception e) {
+                        throw new IllegalStateException(e);
+                    }
+                });
+    }
+
+    private static JsonNode json(final HttpResponse<String> response) throws Exception {
+        return MAPPER.readTree(response.body());
+    }
+
+    private static String verdict(final HttpResponse<String> response) {
+        return response.headers().firstValue("X-Whinhead-Verdict").orElse("");
+    }
+
+    /**
+     * A clerk files a claim, sees nothing and files it again through another daemon, while the log
+     * takes every append but loses its answers. The docket must hold the claim once, and the try
+     * that came second must not be told that it did not run.
+     */
+    @Test
+    void filingRunsOnceThoughTheLogsAnswersAreLost() throws Exception {
+        start();
+        mDeployment.log().loseAnswers(MANY);
+        final var first = beside(() -> mDeployment.call(0, "claims", "case-7"));
+        final var second = beside(() -> mDeployment.call(1, "claims", "case-7"));
+        final List<HttpResponse<String>> answers = List.of(first.get(), second.get());
+        assertThat(answers).filteredOn(answer -> answer.statusCode() == 200).hasSize(1);
+        assertThat(answers)
+                .filteredOn(answer -> answer.statusCode() != 200)
+                .allSatisfy(answer -> assertThat(verdict(answer)).isEqualTo("may-have-run"));
+        mDeployment.log().loseAnswers(0);
+        final HttpResponse<String> third = mDeployment.call(1, "claims", "case-7");
+        assertThat(json(third).at("/error/code").asText()).isEqualTo("already-claimed");
+        assertThat(mDeployment.executions("case-7")).isEqualTo(1);
+    }
+
+    /**
+     * The log is out when a clerk files. The clerk is told "not run", and that stays true after the
+     * log is back, when the daemon's records reach it; a new try with the same key then runs.
+     */
+    @Test
+    void filingIsNotRunWhileTheLogIsOut() throws Exception {
+        start();
+        mDeployment.log().outage(true);
+        final HttpResponse<String> refused = mDeployment.call(0, "claims", "case-8");
+        assertThat(json(refused).at("/error/code").asText()).isEqualTo("claim-unavailable");
+        assertThat(verdict(refused)).isEqualTo("not-run");
+        assertThat(mDeployment.call(0, "status", "look-1").statusCode()).isEqualTo(200);
+        mDeployment.log().outage(false);
+        mDeployment.awaitLog(0);
+        assertThat(mDeployment.call(1, "claims", "case-9").statusCode()).isEqualTo(200);
+        assertThat(mDeployment.executions("case-8")).isZero();
+        assertThat(mDeployment.call(0, "claims", "case-8").statusCode()).isEqualTo(200);
+        assertThat(mDeployment.executions("case-8")).isEqualTo(1);
+    }
+
+    /**
+     * Two operators change one customer at the same time through two daemons. One change wins; the
+     * other operator is told which one. Asked again through the other daemon under its name, as
+     * after a lost answer, the winning change is told that it won.
+     */
+    @Test
+    void racingChangesHaveOneWinnerThatIsInForceEverywhere() throws Exception {
+        start();
+        final long base = mDeployment.settings(1, CUSTOMER).path("revision").asLong();
+        final String document = LocalDeployment.customer(LocalDeployment.KEY);
+        final String heavier = document.replace("'weight':1", "'weight':2");
+        final var first = beside(() -> mDeployment.put(0, "a", CUSTOMER, base, document));
+        final var second = beside(() -> mDeployment.put(1, "b", CUSTOMER, base, heavier));
+        final boolean firstWon = first.get().statusCode() == 200;
+        final HttpResponse<String> winner = firstWon ? first.get() : second.get();
+        final HttpResponse<String> loser = firstWon ? second.get() : first.get();
+        final long won = json(winner).path("revision").asLong();
+        assertThat(winner.statusCode()).isEqualTo(200);
+        assertThat(loser.statusCode()).isEqualTo(409);
+        assertThat(json(loser).path("winningRevision").asLong()).isEqualTo(won);
+        assertThat(json(loser).path("author").asText()).isEqualTo("on-call/amina");
+        mDeployment.awaitRevision(0, won);
+        mDeployment.awaitRevision(1, won);
+        for (int daemon = 0; daemon < 2; daemon++) {
+            assertThat(mDeployment.settings(daemon, CUSTOMER).at("/document/weight").asInt())
+                    .isEqualTo(firstWon ? 1 : 2);
+        }
+        final HttpResponse<String> again =
+                firstWon
+                        ? mDeployment.put(1, "a", CUSTOMER, base, document)
+                        : mDeployment.put(0, "b", CUSTOMER, base, heavier);
+        assertThat(again.statusCode()).isEqualTo(200);
+        assertThat(json(again).path("revision").asLong()).isEqualTo(won);
+    }
+
+    /**
+     * The log is out for a while. Callers are served by the last settings, and an operator's change
+     * is refused as not run; after the outage nothing was reverted and changes are taken again.
+     */
+    @Test
+    void outageNeitherRevertsNorStopsWhatIsInForce() throws Exception {
+        start();
+        final long base = mDeployment.settings(0, CUSTOMER).path("revision").asLong();
+        final String document = LocalDeployment.customer(LocalDeployment.KEY);
+        mDeployment.log().outage(true);
+        Await.until(
+                "the daemon notices",
+                Duration.ofSeconds(20),
+                () -> !mDeployment.status(0).at("/log/answering").asBoolean());
+        final HttpResponse<String> refused = mDeployment.put(0, "c", CUSTOMER, base, document);
+        assertThat(refused.statusCode()).isEqualTo(503);
+        assertThat(json(refused).path("verdict").asText()).isEqualTo("not-run");
+        assertThat(mDeployment.call(0, "status", "look-2").statusCode()).isEqualTo(200);
+        assertThat(mDeployment.status(0).path("settingsRevision").asLong()).isEqualTo(base);
+        mDeployment.log().outage(false);
+        mDeployment.awaitLog(0);
+        assertThat(mDeployment.status(0).path("settingsRevision").asLong()).isEqualTo(base);
+        final HttpResponse<String> taken = mDeployment.put(0, "c", CUSTOMER, base, document);
+        assertThat(taken.statusCode()).isEqualTo(200);
+    }
+
+    /**
+     * A VM is replaced long after the settings were put, when their records have expired from the
+     * log. The new daemon must serve by them, and by the change that was made a moment ago.
+     */
+    @Test
+    void newDaemonCatchesUpFromCheckpointAndTail() throws Exception {
+        start(
+                new LogConfig("127.0.0.1", 0, 300, Duration.ofSeconds(3)),
+                LogTerms.DEFAULT.withCheckpointEvery(Duration.ofMillis(300)));
+        Await.until(
+                "the first records expire",
+                Duration.ofSeconds(60),
+                () -> mDeployment.logStatus("/log/fleet/records?from=2") == 410);
+        final long base = mDeployment.settings(0, CUSTOMER).path("revision").asLong();
+        final String document = LocalDeployment.customer("another key");
+        final HttpResponse<String> put = mDeployment.put(0, "d", CUSTOMER, base, document);
+        final int replaced = mDeployment.startDaemon();
+        mDeployment.awaitReady(replaced);
+        mDeployment.awaitRevision(replaced, json(put).path("revision").asLong());
+        assertThat(mDeployment.settings(replaced, "/"))
+                .isEqualTo(mDeployment.settings(0, "/"))
+                .hasSize(3);
+        assertThat(mDeployment.call(replaced, "status", "look-3").statusCode()).isEqualTo(401);
+    }
+}
