--- a/daemon/src/main/java/org/whinhead/daemon/Daemon.java
+++ b/daemon/src/main/java/org/whinhead/daemon/Daemon.java
@@ -8,6 +8,8 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
@@ -17,7 +19,6 @@
 import org.whinhead.api.model.DaemonId;
 import org.whinhead.api.model.Endpoint;
 import org.whinhead.api.model.EndpointId;
-import org.whinhead.api.request.RequestId;
 import org.whinhead.daemon.burn.BurnCollector;
 import org.whinhead.daemon.burn.BurnHandler;
 import org.whinhead.daemon.caller.CallerServer;
@@ -28,6 +29,7 @@
 import org.whinhead.daemon.engine.ActionDispatcher;
 import org.whinhead.daemon.engine.AttemptTransport;
 import org.whinhead.daemon.operator.Meters;
+import org.whinhead.daemon.operator.OperatorCalls;
 import org.whinhead.daemon.operator.OperatorHandler;
 import org.whinhead.daemon.request.LiveRequests;
 import org.whinhead.daemon.view.EntryAddress;
@@ -36,7 +38,7 @@
 import org.whinhead.platform.http.HttpCaller;
 import org.whinhead.platform.vms.VmListClient;
 import org.whinhead.report.BurnRecorder;
-import org.whinhead.requests.ClaimOutcome;
+import org.whinhead.requests.Decision;
 import org.whinhead.requests.DefaultRequestCoordinator;
 import org.whinhead.routing.AffinityRouter;
 import org.whinhead.routing.LoadReport;
@@ -68,6 +70,8 @@
     private final DecisionLoop mLoop;
     private final AffinityRouter mRouter;
     private final HttpCaller mCaller;
+    private final LogWiring mLog;
+    private final DefaultRequestCoordinator mCoordinator;
     private final EndpointWatch mWatch;
     private final NoticeWatch mNotices;
     private final OpenConnections mConnections;
@@ -89,10 +93,13 @@
         final RandomGenerator random = RandomGenerator.of(RANDOM);
         mRouter = new AffinityRouter(RoutingSettings.of(settings.domain()), random);
         mCaller = new HttpCaller(options.worker());
-        startDecisions(random);
+        mLog = new LogWiring(settings, options, mCaller, mStanding, mRequests, mLoop);
+        mCoordinator = coordinator(random);
+        mLoop.start(mCoordinator);
         mConnections = new OpenConnections(mStanding::isStopping);
         mServer = server();
         mServer.start();
+        mLog.start();
         mTicks = every(TICK_MILLIS, new DecisionEvent.Tick());
         mCounting = every(COUNT_MILLIS, new DecisionEvent.Update(mBurn::count));
         mWatch =
@@ -188,22 +195,22 @@
         mCounting.remove();
         mServer.stop();
         mConnections.close();
+        mLog.close();
         mCaller.close();
         mLoop.close();
     }
 
-    private void startDecisions(final RandomGenerator random) {
+    private DefaultRequestCoordinator coordinator(final RandomGenerator random) {
         final AttemptTransport transport =
                 new AttemptTransport(mCaller, mLoop, CONNECT_TIMEOUT, SILENCE_TIMEOUT);
         final ActionDispatcher actions =
-                new ActionDispatcher(mRequests, transport, mOptions.tickets(), this::claim);
-        mLoop.start(
-                DefaultRequestCoordinator.builder()
-                        .router(mRouter)
-                        .admission(new SimpleAdmission(MAX_RUNNING, MAX_WAITING))
-                        .actions(actions)
-                        .random(random)
-                        .build());
+                new ActionDispatcher(mRequests, transport, mOptions.tickets(), mLog);
+        return DefaultRequestCoordinator.builder()
+                .router(mRouter)
+                .admission(new SimpleAdmission(MAX_RUNNING, MAX_WAITING))
+                .actions(actions)
+                .random(random)
+                .build();
     }
 
     private Undertow server() {
@@ -227,10 +234,6 @@
         return new BurnCollector(recorder, clock, mStanding::settings);
     }
 
-    private HttpHandler operatorHandler() {
-        return new OperatorHandler(mSettings, mStanding, meters(), new BurnHandler(mBurn, mLoop));
-    }
-
     private HttpHandler callerHandler() {
         return CallerServer.builder(id())
                 .view(mStanding::view)
@@ -245,6 +248,25 @@
                 .build();
     }
 
+    private HttpHandler operatorHandler() {
+        return new OperatorHandler(
+                mSettings,
+                mStanding,
+                meters(),
+                new OperatorCalls(
+                        mSettings.name(), mLog.duty(), mStanding::cannotBeAsked, this::decisions),
+                new BurnHandler(mBurn, mLoop));
+    }
+
+    private CompletionStage<List<Decision>> decisions(final String id) {
+        final CompletableFuture<List<Decision>> found = new CompletableFuture<>();
+        final Runnable look = () -> found.complete(mCoordinator.decisions().endingWith(id));
+        if (!mLoop.offerNew(new DecisionEvent.Update(look))) {
+            found.completeExceptionally(new IllegalStateException("the decision ring is full"));
+        }
+        return found;
+    }
+
     private Meters meters() {
         final Meters meters = new Meters();
         meters.gauge(
@@ -257,6 +279,11 @@
                 "events",
                 "Events that wait in the decision ring.",
                 mLoop::waiting);
+        meters.gauge(
+                "whinhead.burn.waiting",
+                "samples",
+                "Ended requests that wait to be counted for the report on burn.",
+                mBurn::waiting);
         return meters;
     }
 
@@ -266,11 +293,6 @@
         return URI.create("http://" + new HostPort(address.getHostString(), address.getPort()));
     }
 
-    /** Without a log there is no claim, and what may run at most once does not run. */
-    private void claim(final RequestId request) {
-        mLoop.offer(new DecisionEvent.Claimed(request, ClaimOutcome.UNAVAILABLE));
-    }
-
     private void noticed(final ReclaimNotice notice) {
         final EndpointId endpoint = new EndpointId(notice.vm().value());
         mLoop.offer(new DecisionEvent.Update(() -> mRouter.leaving(endpoint)));
