--- a/bench/src/main/java/org/whinhead/bench/capacity/ReportCost.java
+++ b/bench/src/main/java/org/whinhead/bench/capacity/ReportCost.java
@@ -4,19 +4,19 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import org.whinhead.api.model.CustomerId;
 import org.whinhead.api.model.DaemonId;
 import org.whinhead.report.BurnRecorder;
 import org.whinhead.report.Counts;
 import org.whinhead.report.DaemonReport;
+import org.whinhead.report.FleetMerge;
 import org.whinhead.report.FleetReport;
 import org.whinhead.report.Minute;
 import org.whinhead.report.Objective;
@@ -29,6 +29,7 @@
 
     private static final int[] SERIES = {25, 100, 250, 500};
     private static final int[] DAEMONS = {1, 4, 16};
+    private static final URI OPERATORS = URI.create("http://127.0.0.1:8081");
     private static final Objective OBJECTIVE =
             new Objective("clerk", 0.999, 0.95, Duration.ofMillis(1400), Duration.ofMillis(72));
 
@@ -61,21 +62,34 @@
         for (final int size : DAEMONS) {
             final List<DaemonReport> reports = new ArrayList<>();
             for (int i = 0; i < size; i++) {
-                reports.add(one);
+                reports.add(copyOf(one, i));
             }
             merged.add(size, meter.nanos(() -> merge(reports)));
         }
         out.add(merged);
     }
 
+    /** The same counts under another daemon's name, since one daemon's counts are added once. */
+    private static DaemonReport copyOf(final DaemonReport report, final int number) {
+        return new DaemonReport(
+                new DaemonId("entry-" + number),
+                report.address(),
+                report.since(),
+                report.asOf(),
+                report.objectives(),
+                report.series(),
+                report.leftOut());
+    }
+
     private static Instant end() {
         return Fixtures.START.plus(Duration.ofMinutes(BurnRecorder.MINUTES - 1));
     }
 
     /** A recorder whose customers each had a request in every minute that it keeps. */
     private static BurnRecorder full(final int customers) {
-        final BurnRecorder recorder = new BurnRecorder(new DaemonId("entry-17"), Fixtures.START);
-        recorder.objectives(Map.of(OBJECTIVE.tier(), OBJECTIVE));
+        final BurnRecorder recorder =
+                new BurnRecorder(new DaemonId("entry-17"), OPERATORS, Fixtures.START);
+        recorder.objectives(List.of(OBJECTIVE));
         for (int minute = 0; minute < BurnRecorder.MINUTES; minute++) {
             count(recorder, customers, Fixtures.START.plus(Duration.ofMinutes(minute)));
         }
@@ -98,13 +112,9 @@
     }
 
     private static long merge(final List<DaemonReport> reports) {
-        final FleetReport report =
-                FleetReport.merge(
-                        reports,
-                        List.of(),
-                        Map.of(OBJECTIVE.tier(), OBJECTIVE),
-                        OptionalDouble.empty(),
-                        end());
+        final FleetMerge merge = new FleetMerge();
+        reports.forEach(merge::add);
+        final FleetReport report = merge.report();
         return report.lines().isEmpty() ? 0 : 1;
     }
 
--- a/daemon/src/main/java/org/whinhead/daemon/burn/BurnCollector.java
+++ b/daemon/src/main/java/org/whinhead/daemon/burn/BurnCollector.java
@@ -99,6 +99,11 @@
         offer(() -> sample);
     }
 
+    /** Returns how many samples wait to be counted, for metrics. */
+    public int waiting() {
+        return mWaitingCount.get();
+    }
+
     /** Counts the samples that wait; on the decision thread. */
     public void count() {
         adoptObjectives();
