Measure the report that daemons answer with

Cause: the benchmark of reports met the changed recorder and merge of module report and no longer compiled. Change: it uses their new shape, and the bytes are those of GET /operator/burn instead of a form of its own.

--- a/bench/src/main/java/org/whinhead/bench/capacity/ReportCost.java
+++ b/bench/src/main/java/org/whinhead/bench/capacity/ReportCost.java
@@ -1,24 +1,18 @@
 package org.whinhead.bench.capacity;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.node.ArrayNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import org.whinhead.api.model.CustomerId;
 import org.whinhead.api.model.DaemonId;
 import org.whinhead.report.BurnRecorder;
-import org.whinhead.report.Counts;
 import org.whinhead.report.DaemonReport;
-import org.whinhead.report.FleetReport;
-import org.whinhead.report.Minute;
+import org.whinhead.report.DaemonReportJson;
+import org.whinhead.report.FleetMerge;
 import org.whinhead.report.Objective;
 import org.whinhead.report.Outcome;
 import org.whinhead.report.RequestSample;
@@ -29,6 +23,8 @@
 
     private static final int[] SERIES = {25, 100, 250, 500};
     private static final int[] DAEMONS = {1, 4, 16};
+    private static final int MERGED = 100;
+    private static final URI ADDRESS = URI.create("http://10.0.0.17:8080");
     private static final Objective OBJECTIVE =
             new Objective("clerk", 0.999, 0.95, Duration.ofMillis(1400), Duration.ofMillis(72));
 
@@ -47,21 +43,20 @@
         final Series record = new Series("request counted", "customers", "ns a request");
         final Series made = new Series("report made", "customers", "ns a report");
         final Series memory = new Series("recorder after a whole window", "customers", "bytes");
-        final Series bytes = new Series("report as arrays of JSON", "customers", "bytes");
+        final Series bytes = new Series("report as JSON", "customers", "bytes");
         for (final int size : SERIES) {
-            final BurnRecorder recorder = full(size);
+            final BurnRecorder recorder = full(size, "entry-17");
             record.add(size, meter.nanos(() -> count(recorder, size, end())));
             made.add(size, meter.nanos(() -> recorder.report(end()).series().isEmpty() ? 0 : 1));
             bytes.add(size, Spread.exact(json(recorder.report(end())).length));
-            memory.add(size, meter.retained(() -> full(size)));
+            memory.add(size, meter.retained(() -> full(size, "entry-17")));
         }
         out.add(record, made, memory, bytes);
         final Series merged = new Series("reports of 100 customers merged", "daemons", "ns");
-        final DaemonReport one = full(100).report(end());
         for (final int size : DAEMONS) {
             final List<DaemonReport> reports = new ArrayList<>();
             for (int i = 0; i < size; i++) {
-                reports.add(one);
+                reports.add(full(MERGED, "entry-" + i).report(end()));
             }
             merged.add(size, meter.nanos(() -> merge(reports)));
         }
@@ -73,9 +68,10 @@
     }
 
     /** A recorder whose customers each had a request in every minute that it keeps. */
-    private static BurnRecorder full(final int customers) {
-        final BurnRecorder recorder = new BurnRecorder(new DaemonId("entry-17"), Fixtures.START);
-        recorder.objectives(Map.of(OBJECTIVE.tier(), OBJECTIVE));
+    private static BurnRecorder full(final int customers, final String daemon) {
+        final BurnRecorder recorder =
+                new BurnRecorder(new DaemonId(daemon), ADDRESS, Fixtures.START);
+        recorder.objectives(List.of(OBJECTIVE));
         for (int minute = 0; minute < BurnRecorder.MINUTES; minute++) {
             count(recorder, customers, Fixtures.START.plus(Duration.ofMinutes(minute)));
         }
@@ -98,42 +94,12 @@
     }
 
     private static long merge(final List<DaemonReport> reports) {
-        final FleetReport report =
-                FleetReport.merge(
-                        reports,
-                        List.of(),
-                        Map.of(OBJECTIVE.tier(), OBJECTIVE),
-                        OptionalDouble.empty(),
-                        end());
-        return report.lines().isEmpty() ? 0 : 1;
+        final FleetMerge merge = new FleetMerge(end());
+        reports.forEach(merge::add);
+        return merge.report().lines().isEmpty() ? 0 : 1;
     }
 
-    /** The smallest plain form: a series is its key and one array of numbers for each minute. */
     private static byte[] json(final DaemonReport report) {
-        final ObjectNode root = new ObjectMapper().createObjectNode();
-        final ArrayNode all = root.put("daemon", report.daemon().value()).putArray("series");
-        for (final DaemonReport.Series series : report.series()) {
-            final ObjectNode node = all.addObject();
-            node.put("customer", series.key().customer().value()).put("tier", series.key().tier());
-            final ArrayNode minutes = node.putArray("minutes");
-            series.minutes().forEach(minute -> add(minutes.addArray(), minute));
-        }
-        try {
-            return new ObjectMapper().writeValueAsString(root).getBytes(StandardCharsets.UTF_8);
-        } catch (final JsonProcessingException e) {
-            throw new IllegalStateException("plain numbers", e);
-        }
-    }
-
-    private static void add(final ArrayNode array, final Minute minute) {
-        final Counts counts = minute.counts();
-        array.add(minute.number());
-        array.add(counts.counted())
-                .add(counts.good())
-                .add(counts.notRun())
-                .add(counts.mayHaveRun());
-        array.add(counts.firstTokens()).add(counts.firstTokensInTime());
-        array.add(counts.streams()).add(counts.streamsInTime());
-        array.add(counts.generatedTokens()).add(counts.recomputedTokens());
+        return DaemonReportJson.write(report).toString().getBytes(StandardCharsets.UTF_8);
     }
 }
