Play every fault at every step

Cause: faults were tested where somebody had thought of them. Change: faults and steps are enums, their cells are generated, each is driven to its step, struck once or twice, settled and checked by the oracle; a cell that can't occur says why.

--- /dev/null
+++ b/faults/src/main/java/org/whinhead/faults/matrix/Scene.java
@@ -0,0 +1,85 @@
+package org.whinhead.faults.matrix;
+
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import org.whinhead.faults.world.FakeBackend;
+import org.whinhead.faults.world.FakeCaller;
+import org.whinhead.faults.world.FakeDaemon;
+import org.whinhead.faults.world.FakeFleet;
+import org.whinhead.faults.world.FakeWorld;
+
+/** A world at work, with the one request, call or change that a cell is about. */
+public final class Scene {
+
+    private static final int DAEMONS = 3;
+    private static final int ENGINES = 6;
+    private static final int SERVICES = 3;
+    private static final int WARM_UP_MILLIS = 2_500;
+    private static final int OTHERS = 6;
+    private static final int LONGEST_MILLIS = 12_000;
+
+    private final FakeWorld mWorld;
+    private Optional<FakeCaller> mCaller = Optional.empty();
+    private int mVersion = 1;
+
+    /** Makes a world with a holder of the duty, settings in force and requests on their way. */
+    Scene(final long seed) {
+        mWorld = new FakeWorld(seed, DAEMONS, ENGINES, SERVICES);
+        mWorld.operator().change("team", "/team/budget", "100");
+        mWorld.run(WARM_UP_MILLIS);
+        for (int number = 0; number < OTHERS; number++) {
+            mWorld.chat(20 + 10 * number, number % 2 == 0, number % 3 != 0);
+            mWorld.call(number % 2 == 0);
+        }
+    }
+
+    FakeWorld world() {
+        return mWorld;
+    }
+
+    void about(final FakeCaller caller) {
+        mCaller = Optional.of(caller);
+    }
+
+    FakeCaller caller() {
+        return mCaller.orElseThrow();
+    }
+
+    /** Lets time pass until the step is reached. */
+    void runUntil(final BooleanSupplier reached) {
+        for (int millis = 0; millis < LONGEST_MILLIS; millis++) {
+            if (reached.getAsBoolean()) {
+                return;
+            }
+            mWorld.run(1);
+        }
+        throw new IllegalStateException("the step was not reached");
+    }
+
+    /** Asks for the next version of the model. */
+    void changeVersion() {
+        mVersion++;
+        mWorld.operator().change("ops", FakeFleet.POOL_PATH, Integer.toString(mVersion));
+    }
+
+    /** Returns the VM that works for the request, or else any that is there. */
+    FakeBackend backend() {
+        return mCaller.flatMap(caller -> mWorld.fleet().workerOf(caller.id()))
+                .or(() -> mWorld.backends().stream().filter(FakeBackend::isServing).findFirst())
+                .orElseThrow();
+    }
+
+    /** Returns the daemon that serves the request, or else the holder, or else any. */
+    FakeDaemon daemon() {
+        return mCaller.flatMap(FakeCaller::daemon)
+                .filter(FakeDaemon::isAlive)
+                .orElseGet(this::holder);
+    }
+
+    /** Returns the daemon that may act for the fleet, or else any. */
+    FakeDaemon holder() {
+        return mWorld.holder()
+                .or(() -> mWorld.daemons().stream().filter(FakeDaemon::isAlive).findFirst())
+                .orElseGet(mWorld::addDaemon);
+    }
+}
--- a/faults/src/main/java/org/whinhead/faults/world/FakeFleet.java
+++ b/faults/src/main/java/org/whinhead/faults/world/FakeFleet.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Stream;
 import org.whinhead.api.model.Billing;
@@ -15,6 +16,7 @@
 import org.whinhead.api.model.Vm;
 import org.whinhead.api.model.VmId;
 import org.whinhead.api.model.VmState;
+import org.whinhead.api.request.RequestId;
 
 /**
  * The VMs of engines and services in three failure domains, with the cloud and its lagging list.
@@ -142,6 +144,16 @@
         mNotices.forEach(daemon::endpointLeaving);
     }
 
+    /** Returns the VM that works on a request. */
+    public Optional<FakeBackend> workerOf(final RequestId request) {
+        return mBackends.values().stream().filter(backend -> backend.worksOn(request)).findFirst();
+    }
+
+    /** Tells whether some engine has made a request's whole answer. */
+    public boolean hasMadeAll(final RequestId request) {
+        return mBackends.values().stream().anyMatch(backend -> backend.hasMadeAll(request));
+    }
+
     int inProgressAt(final EndpointId endpoint) {
         final int sends =
                 mWorld.daemons().stream()
@@ -160,6 +172,13 @@
         backends().forEach(backend -> backend.setMode(FakeBackend.Mode.UP));
     }
 
+    boolean isSettled(final String version) {
+        final List<FakeBackend> serving =
+                backends().stream().filter(FakeBackend::isServingEngine).toList();
+        return serving.size() >= mEnginesNeeded
+                && serving.stream().allMatch(e -> e.endpoint().models().contains(model(version)));
+    }
+
     /** Checks after all faults that the plan is met and the wanted version is loaded. */
     void checkSettled(final String version) {
         final List<FakeBackend> serving =
--- a/faults/src/main/java/org/whinhead/faults/world/FakeLog.java
+++ b/faults/src/main/java/org/whinhead/faults/world/FakeLog.java
@@ -22,7 +22,9 @@
     /** The stream of checkpoints. */
     public static final String CHECKPOINTS = "checkpoints";
 
-    static final Duration RETENTION = Duration.ofSeconds(60);
+    /** How long records are kept. */
+    public static final Duration RETENTION = Duration.ofSeconds(60);
+
     private static final int MAX_DELAY_MILLIS = 5;
     private static final int LATE_MILLIS = 4_000;
 
--- a/faults/src/main/java/org/whinhead/faults/world/FakeOperator.java
+++ b/faults/src/main/java/org/whinhead/faults/world/FakeOperator.java
@@ -38,6 +38,10 @@
         return List.copyOf(mChanges);
     }
 
+    boolean isIdle() {
+        return mChanges.stream().allMatch(change -> change.outcome().isPresent());
+    }
+
     private void submit(final Change change, final FakeDaemon daemon) {
         daemon.changeSetting(change);
         final Instant until = mWorld.time().now().plusMillis(PATIENCE_MILLIS);
--- a/faults/src/main/java/org/whinhead/faults/world/FakeStream.java
+++ b/faults/src/main/java/org/whinhead/faults/world/FakeStream.java
@@ -36,6 +36,10 @@
         return mReader;
     }
 
+    boolean isFor(final RequestId request) {
+        return mRequest.equals(request);
+    }
+
     boolean isDone() {
         return mMade >= mLength;
     }
--- a/faults/src/main/java/org/whinhead/faults/world/FakeWorld.java
+++ b/faults/src/main/java/org/whinhead/faults/world/FakeWorld.java
@@ -1,6 +1,7 @@
 package org.whinhead.faults.world;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -12,6 +13,7 @@
 import org.whinhead.api.model.Tier;
 import org.whinhead.api.request.RequestId;
 import org.whinhead.api.request.RequestSpec;
+import org.whinhead.requests.DecisionKind;
 import org.whinhead.requests.RequestSettings;
 
 /** Daemons, back ends and callers under one clock and one seed, with the oracle over all. */
@@ -19,6 +21,7 @@
 
     private static final int PERCENT = 100;
     private static final Duration SETTLE = Duration.ofSeconds(90);
+    private static final Duration SETTLE_AT_LEAST = Duration.ofSeconds(15);
     private static final Tier TIER =
             new Tier(
                     "clerk",
@@ -135,7 +138,11 @@
         addBackend(true);
         addBackend(false);
         addDaemon();
-        mTime.run(SETTLE);
+        final Instant latest = mTime.now().plus(SETTLE);
+        mTime.run(SETTLE_AT_LEAST);
+        while (mTime.now().isBefore(latest) && !isQuiet()) {
+            mTime.run(Duration.ofSeconds(1));
+        }
         mCallers.values().forEach(mRequests::check);
         mState.checkSettled();
         mFleet.checkSettled(mState.inForce(FakeFleet.POOL_PATH).orElse("1"));
@@ -146,11 +153,42 @@
         }
     }
 
+    private boolean isQuiet() {
+        final Instant now = mTime.now();
+        return mCallers.values().stream().noneMatch(c -> c.end() == FakeCaller.End.OPEN)
+                && mOperator.isIdle()
+                && mDaemons.stream()
+                        .filter(FakeDaemon::isAlive)
+                        .allMatch(d -> !d.wasPausedSince(now) && d.leftovers().isEmpty())
+                && mState.isSettled()
+                && mFleet.isSettled(mState.inForce(FakeFleet.POOL_PATH).orElse("1"));
+    }
+
     /** Returns the operators of settings. */
     public FakeOperator operator() {
         return mOperator;
     }
 
+    /** Returns the daemon that may act for the fleet. */
+    public Optional<FakeDaemon> holder() {
+        return mDaemons.stream()
+                .filter(FakeDaemon::isAlive)
+                .filter(daemon -> daemon.state().keeper().mayAct(mTime.now()))
+                .findFirst();
+    }
+
+    /** Returns how many daemons have the settings of the newest record. */
+    public int daemonsWithNewestSettings() {
+        return mState.daemonsWithNewest();
+    }
+
+    /** Tells whether a daemon decided something about a caller's request. */
+    public boolean wasDecided(final FakeCaller caller, final DecisionKind kind) {
+        return mDaemons.stream()
+                .flatMap(daemon -> daemon.coordinator().decisions().of(caller.id()).stream())
+                .anyMatch(decision -> decision.kind() == kind);
+    }
+
     StateOracle stateOracle() {
         return mState;
     }
--- /dev/null
+++ b/faults/src/test/java/org/whinhead/faults/matrix/FaultMatrixTest.java
@@ -0,0 +1,25 @@
+package org.whinhead.faults.matrix;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.stream.Stream;
+import org.junit.jupiter.api.DynamicTest;
+import org.junit.jupiter.api.TestFactory;
+
+class FaultMatrixTest {
+
+    /** Any fault at any step, once and twice: no invariant of the oracle may break. */
+    @TestFactory
+    Stream<DynamicTest> everyFaultAtEveryStep() {
+        return Cell.all().stream()
+                .map(cell -> DynamicTest.dynamicTest(cell.toString(), () -> check(cell)));
+    }
+
+    private static void check(final Cell cell) {
+        if (cell.impossible().isPresent()) {
+            assertThat(cell.impossible().get()).isNotBlank();
+        } else {
+            assertThat(cell.play(Matrix.SEED).whole()).isPositive();
+        }
+    }
+}
