--- /dev/null
+++ b/faults/src/main/java/org/whinhead/faults/fuzz/package-info.java
@@ -0,0 +1,2 @@
+/** Random chains of faults and work, with the same oracle as the matrix. */
+package org.whinhead.faults.fuzz;
