Let the VM list lag by seconds

Cause: the fake list showed a leaving VM within a quarter of a second, which hid whether notices are heeded. Change: the list shows what was there 2.5 seconds ago.

--- a/faults/src/main/java/org/whinhead/faults/world/FakeBackend.java
+++ b/faults/src/main/java/org/whinhead/faults/world/FakeBackend.java
@@ -41,7 +41,6 @@
     private final List<FakeLink> mCalls = new ArrayList<>();
     private final List<Waiting> mWaiting = new ArrayList<>();
     private Mode mMode = Mode.UP;
-    private Instant mDeadSince = Instant.MAX;
     private int mNextStream;
 
     FakeBackend(final FakeWorld world, final Endpoint endpoint) {
@@ -58,11 +57,6 @@
         return mMode;
     }
 
-    /** Tells whether lagging views still list it. */
-    boolean isListed(final Instant now) {
-        return mMode != Mode.DEAD || now.isBefore(mDeadSince.plusMillis(500));
-    }
-
     /** Changes how it behaves; what is dead stays dead. */
     public void setMode(final Mode mode) {
         if (mMode == Mode.DEAD) {
@@ -241,7 +235,6 @@
     }
 
     private void die() {
-        mDeadSince = mWorld.time().now();
         cutConnections();
         mStreams.clear();
         mWaiting.forEach(each -> each.link().fail(AttemptFailure.CUT_BEFORE_ANSWER));
--- a/faults/src/main/java/org/whinhead/faults/world/FakeVmList.java
+++ b/faults/src/main/java/org/whinhead/faults/world/FakeVmList.java
@@ -7,6 +7,7 @@
 public final class FakeVmList {
 
     private static final int EVERY_MILLIS = 250;
+    private static final int LAG_MILLIS = 2_500;
 
     private final FakeWorld mWorld;
     private List<Endpoint> mShown = List.of();
@@ -25,15 +26,28 @@
         return mShown;
     }
 
-    /** Shows the present state and goes on doing so. */
+    /** Shows the present state at once, and from then on an old one. */
     void start() {
+        mShown = present();
+        refresh();
+    }
+
+    private void refresh() {
+        final List<Endpoint> present = present();
+        mWorld.time().after(LAG_MILLIS, () -> show(present));
+        mWorld.time().after(EVERY_MILLIS, this::refresh);
+    }
+
+    private void show(final List<Endpoint> old) {
         if (!mFrozen) {
-            mShown =
-                    mWorld.backends().stream()
-                            .filter(backend -> backend.isListed(mWorld.time().now()))
-                            .map(FakeBackend::endpoint)
-                            .toList();
+            mShown = old;
         }
-        mWorld.time().after(EVERY_MILLIS, this::start);
+    }
+
+    private List<Endpoint> present() {
+        return mWorld.backends().stream()
+                .filter(backend -> backend.mode() != FakeBackend.Mode.DEAD)
+                .map(FakeBackend::endpoint)
+                .toList();
     }
 }
--- a/faults/src/main/java/org/whinhead/faults/world/FleetDuty.java
+++ b/faults/src/main/java/org/whinhead/faults/world/FleetDuty.java
@@ -25,7 +25,7 @@
             new FleetSettings(Duration.ofMillis(200), 1_000_000, 2, 4);
     private static final long MODEL_BYTES = 1_000;
     private static final Duration REPEAT = Duration.ofSeconds(2);
-    private static final Duration LISTED_WITHIN = Duration.ofSeconds(3);
+    private static final Duration LISTED_WITHIN = Duration.ofSeconds(5);
 
     private final FakeWorld mWorld;
     private final DaemonState mState;
