--- a/daemon/src/main/java/org/whinhead/daemon/Daemon.java
+++ b/daemon/src/main/java/org/whinhead/daemon/Daemon.java
@@ -28,6 +28,7 @@
 import org.whinhead.daemon.duty.NoticeWatch;
 import org.whinhead.daemon.engine.ActionDispatcher;
 import org.whinhead.daemon.engine.AttemptTransport;
+import org.whinhead.daemon.log.LogStanding;
 import org.whinhead.daemon.operator.Meters;
 import org.whinhead.daemon.operator.OperatorCalls;
 import org.whinhead.daemon.operator.OperatorHandler;
@@ -147,6 +148,11 @@
         return mStanding.id();
     }
 
+    /** Returns what this daemon knows from the log. */
+    public LogStanding logStanding() {
+        return mLog.duty().standing();
+    }
+
     /**
      * Puts settings in force.
      *
@@ -293,7 +299,16 @@
         return URI.create("http://" + new HostPort(address.getHostString(), address.getPort()));
     }
 
+    /**
+     * Guards against a daemon that takes new requests until its VM disappears, which cuts every
+     * answer in progress without a ticket: a notice of its own VM is a stop with an end.
+     */
     private void noticed(final ReclaimNotice notice) {
+        if (notice.vm().equals(mSettings.vm())) {
+            mStanding.beginStop();
+            mLoop.offer(new DecisionEvent.Stopping(notice.goneBy()));
+            return;
+        }
         final EndpointId endpoint = new EndpointId(notice.vm().value());
         mLoop.offer(new DecisionEvent.Update(() -> mRouter.leaving(endpoint)));
         mLoop.offer(new DecisionEvent.EndpointLeaving(endpoint, notice.goneBy()));
