Start, stop and crash single daemons of the local deployment

Cause: the measurements need the take-over of a crashed holder's duty. Change: each daemon has IO threads of its own, which can be ended at once. Conclusion: a crash and a stop can be told apart.

--- a/demo/src/main/java/org/whinhead/demo/LocalDeployment.java
+++ b/demo/src/main/java/org/whinhead/demo/LocalDeployment.java
@@ -12,7 +12,9 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import org.whinhead.api.model.Billing;
 import org.whinhead.api.model.FailureDomain;
 import org.whinhead.api.model.VmId;
@@ -44,7 +46,7 @@
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final FailureDomain DOMAIN = new FailureDomain("kigali", "kg-gasabo");
     private static final Duration BOUND = Duration.ofSeconds(30);
-    private static final int IO_THREADS = 4;
+    private static final int IO_THREADS = 2;
     private static final long NO_REVISION = -1;
     private static final String TIER =
             "{'schema':1,'priority':5,'firstTokenMillis':1000,'betweenTokensMillis':1000,"
@@ -60,8 +62,9 @@
     private final LogStandIn mLog;
     private final ServiceStandIn mService;
     private final VmListStandIn mVms;
-    private final XnioWorker mWorker;
-    private final DaemonOptions mOptions;
+    private final LogTerms mTerms;
+    private final List<XnioWorker> mWorkers = new ArrayList<>();
+    private final Set<Integer> mStopped = new HashSet<>();
     private final List<Daemon> mDaemons = new ArrayList<>();
     private final HttpClient mClient = HttpClient.newHttpClient();
 
@@ -70,9 +73,8 @@
      *
      * @param log the log's settings
      * @param terms the bounds of the daemons' log duty
-     * @throws IOException if the IO threads cannot be started
      */
-    public LocalDeployment(final LogConfig log, final LogTerms terms) throws IOException {
+    public LocalDeployment(final LogConfig log, final LogTerms terms) {
         mLog = LogStandIn.start(log, mStandIns);
         mService =
                 ServiceStandIn.start(ServiceConfig.of("filing", Duration.ofMillis(1)), mStandIns);
@@ -90,17 +92,19 @@
                         "filing",
                         true,
                         64));
-        mWorker = WorkerPool.start("local", IO_THREADS);
-        mOptions = DaemonOptions.on(mWorker).withLog(terms);
+        mTerms = terms;
     }
 
     /**
      * Starts one more daemon.
      *
      * @return its number, from 0
+     * @throws IOException if its IO threads cannot be started
      */
-    public int startDaemon() {
+    public int startDaemon() throws IOException {
         final int number = mDaemons.size();
+        final XnioWorker worker = WorkerPool.start("daemon-" + number, IO_THREADS);
+        mWorkers.add(worker);
         final HostPort free = new HostPort("127.0.0.1", 0);
         final URI none = URI.create("http://127.0.0.1:1");
         mDaemons.add(
@@ -116,10 +120,31 @@
                                                 new OperatorKey(
                                                         "on-call", KeyHashes.hash(KEY), "/")))
                                 .build(),
-                        mOptions));
+                        DaemonOptions.on(worker).withLog(mTerms)));
         return number;
     }
 
+    /** Ends a daemon's input and output at once, as when its VM is gone. */
+    public void crash(final int daemon) {
+        mWorkers.get(daemon).shutdownNow();
+    }
+
+    /** Stops a daemon at once, with its duties given up. */
+    public void stop(final int daemon) {
+        mDaemons.get(daemon).close();
+        mStopped.add(daemon);
+    }
+
+    /** Returns how many daemons were started. */
+    public int size() {
+        return mDaemons.size();
+    }
+
+    /** Returns a daemon. */
+    public Daemon daemon(final int daemon) {
+        return mDaemons.get(daemon);
+    }
+
     /**
      * Puts the documents that serving needs, and waits until every daemon can serve.
      *
@@ -265,11 +290,15 @@
 
     @Override
     public void close() {
-        mDaemons.forEach(Daemon::close);
+        for (int i = 0; i < mDaemons.size(); i++) {
+            if (!mStopped.contains(i)) {
+                mDaemons.get(i).close();
+            }
+        }
         mLog.close();
         mService.close();
         mVms.close();
         mStandIns.close();
-        mWorker.shutdown();
+        mWorkers.forEach(XnioWorker::shutdown);
     }
 }
