--- a/daemon/src/main/java/org/whinhead/daemon/Daemon.java
+++ b/daemon/src/main/java/org/whinhead/daemon/Daemon.java
@@ -28,6 +28,7 @@
 import org.whinhead.daemon.duty.NoticeWatch;
 import org.whinhead.daemon.engine.ActionDispatcher;
 import org.whinhead.daemon.engine.AttemptTransport;
+import org.whinhead.daemon.log.LogStanding;
 import org.whinhead.daemon.operator.Meters;
 import org.whinhead.daemon.operator.OperatorCalls;
 import org.whinhead.daemon.operator.OperatorHandler;
@@ -147,6 +148,11 @@
         return mStanding.id();
     }
 
+    /** Returns what this daemon knows from the log. */
+    public LogStanding logStanding() {
+        return mLog.duty().standing();
+    }
+
     /**
      * Puts settings in force.
      *
