Price only the time that was counted and fit the table to its names

Run against two daemons as processes with 93 requests, the report of a fleet of 20 s priced a whole hour, and long names shifted the columns of the text.

--- a/report/src/main/java/org/whinhead/report/FleetMerge.java
+++ b/report/src/main/java/org/whinhead/report/FleetMerge.java
@@ -31,6 +31,7 @@
     private final SortedSet<String> mNotes = new TreeSet<>();
     private OptionalDouble mPricePerHour = OptionalDouble.empty();
     private Instant mNewest = Instant.EPOCH;
+    private Instant mSince = Instant.MAX;
 
     /**
      * Sets the price of the fleet.
@@ -51,6 +52,7 @@
         if (mCollected.putIfAbsent(report.daemon().value(), report.asOf()) != null) {
             return;
         }
+        mSince = report.since().isBefore(mSince) ? report.since() : mSince;
         noteGaps(report);
         addObjectives(report);
         for (final DaemonReport.Series series : report.series()) {
@@ -95,6 +97,7 @@
         Collections.sort(mMissing);
         return new FleetReport(
                 mNewest,
+                mSince.isBefore(mNewest) ? mSince : mNewest,
                 mPricePerHour,
                 lines,
                 List.copyOf(mCollected.keySet()),
--- a/report/src/main/java/org/whinhead/report/FleetReport.java
+++ b/report/src/main/java/org/whinhead/report/FleetReport.java
@@ -1,5 +1,6 @@
 package org.whinhead.report;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
 import java.util.Map;
@@ -9,6 +10,7 @@
  * Service-level burn over all daemons that answered.
  *
  * @param asOf when it was collected
+ * @param since when the first of the daemons that answered began to count
  * @param pricePerHour what all VMs cost an hour, if the cloud told
  * @param lines one line for each customer and tier
  * @param collected daemons that answered
@@ -17,13 +19,14 @@
  */
 public record FleetReport(
         Instant asOf,
+        Instant since,
         OptionalDouble pricePerHour,
         List<Line> lines,
         List<String> collected,
         List<String> missing,
         List<String> notes) {
 
-    private static final int MINUTES_PER_HOUR = 60;
+    private static final double SECONDS_PER_HOUR = Duration.ofHours(1).toSeconds();
     private static final double THOUSAND = 1_000;
 
     /** Copies the lists. */
@@ -108,7 +111,8 @@
     }
 
     /**
-     * Returns the price of a thousand completed requests over a window, at the present price.
+     * Returns the price of a thousand completed requests over a window, or over the part of it in
+     * which any daemon counted, at the present price.
      *
      * @param window over which span
      * @return the price, or empty if it is not known or nothing was completed
@@ -118,7 +122,9 @@
         if (pricePerHour.isEmpty() || completed == 0) {
             return OptionalDouble.empty();
         }
-        final double hours = window.length().toMinutes() / (double) MINUTES_PER_HOUR;
+        final long counted = Duration.between(since, asOf).toSeconds();
+        final long seconds = Math.min(window.length().toSeconds(), Math.max(counted, 1));
+        final double hours = seconds / SECONDS_PER_HOUR;
         return OptionalDouble.of(pricePerHour.getAsDouble() * hours * THOUSAND / completed);
     }
 }
--- a/report/src/main/java/org/whinhead/report/TextReport.java
+++ b/report/src/main/java/org/whinhead/report/TextReport.java
@@ -2,11 +2,13 @@
 
 import java.util.Locale;
 import java.util.OptionalDouble;
+import java.util.function.Function;
+import java.util.stream.Stream;
 
 /** Writes a report as tables for a terminal. */
 public final class TextReport {
 
-    private static final String ROW = "%-16s %-12s %-15s %8s %8s %8s %10s  %s%n";
+    private static final String NUMBERS = "%-14s  %8s %8s %8s %9s  %s";
     private static final String BURN = "%.2f";
     private static final String NOTHING_COUNTED = "-";
 
@@ -23,23 +25,7 @@
         out.append("Service-level burn at ")
                 .append(report.asOf())
                 .append(" (1.00 = allowance)\n\n");
-        out.append(
-                String.format(
-                        Locale.ROOT,
-                        ROW,
-                        "customer",
-                        "tier",
-                        "promise",
-                        Window.SHORT.title(),
-                        Window.MIDDLE.title(),
-                        Window.LONG.title(),
-                        "requests",
-                        "alert"));
-        for (final FleetReport.Line line : report.lines()) {
-            for (final ServiceLevel level : ServiceLevel.values()) {
-                out.append(row(line, level));
-            }
-        }
+        burnTable(report, out);
         out.append('\n');
         tiers(report, out);
         tokens(report, out);
@@ -50,18 +36,55 @@
         return out.toString();
     }
 
-    private static String row(final FleetReport.Line line, final ServiceLevel level) {
-        return String.format(
-                Locale.ROOT,
-                ROW,
-                line.key().customer(),
-                line.key().tier(),
-                level.title(),
-                burn(line, level, Window.SHORT),
-                burn(line, level, Window.MIDDLE),
-                burn(line, level, Window.LONG),
-                level.total(line.counts(Window.LONG)),
-                Alert.of(line, level).title());
+    /** Lays the table out by its longest names, which operators choose. */
+    private static void burnTable(final FleetReport report, final StringBuilder out) {
+        final int customers = width(report, "customer", line -> line.key().customer().value());
+        final int tiers = width(report, "tier", line -> line.key().tier());
+        final String layout = "%-" + customers + "s  %-" + tiers + "s  " + NUMBERS;
+        final Object[] heads = {
+            "customer",
+            "tier",
+            "promise",
+            Window.SHORT.title(),
+            Window.MIDDLE.title(),
+            Window.LONG.title(),
+            "requests",
+            "alert"
+        };
+        addRow(out, layout, heads);
+        for (final FleetReport.Line line : report.lines()) {
+            for (final ServiceLevel level : ServiceLevel.values()) {
+                addRow(out, layout, cells(line, level));
+            }
+        }
+    }
+
+    private static int width(
+            final FleetReport report,
+            final String head,
+            final Function<FleetReport.Line, String> name) {
+        return Stream.concat(Stream.of(head), report.lines().stream().map(name))
+                .mapToInt(String::length)
+                .max()
+                .orElse(0);
+    }
+
+    private static void addRow(
+            final StringBuilder out, final String layout, final Object... cells) {
+        out.append(String.format(Locale.ROOT, layout, cells).stripTrailing()).append('\n');
+    }
+
+    private static Object[] cells(final FleetReport.Line line, final ServiceLevel level) {
+        return new Object[] {
+            line.key().customer(),
+            line.key().tier(),
+            level.title(),
+            burn(line, level, Window.SHORT),
+            burn(line, level, Window.MIDDLE),
+            burn(line, level, Window.LONG),
+            level.total(line.counts(Window.LONG)),
+            Alert.of(line, level).title()
+        };
     }
 
     private static String burn(
