Greet seeds whose VM is not known and ask peers for their settings

A daemon's settings name seeds by address only, while the transport calls VMs whose name the certificate must bear, so a new daemon could reach nobody. greet() sends one message to an address and takes the peer's own first message for its name, under the bounds for strangers. Conclusion: seeds of the settings can be used.

--- a/membership/src/main/java/org/whinhead/membership/Membership.java
+++ b/membership/src/main/java/org/whinhead/membership/Membership.java
@@ -69,6 +69,22 @@
         return mView;
     }
 
+    /**
+     * Tells when an announced VM is stopped.
+     *
+     * @param vm the VM
+     * @return the latest time, or empty if none was announced
+     */
+    public Optional<Instant> goneBy(final VmId vm) {
+        return Optional.ofNullable(mRegistry.facts(vm)).map(VmFacts::goneBy);
+    }
+
+    /** Returns the own heartbeat with which a daemon introduces itself to one it does not know. */
+    public MembershipMessage.Heartbeat introduction() {
+        return new MembershipMessage.Heartbeat(
+                mDissemination.incarnation(), mRegistry.digest(), Optional.of(mSelf));
+    }
+
     /**
      * The platform's VM list was read.
      *
--- a/peer/src/main/java/org/whinhead/peer/MessageClass.java
+++ b/peer/src/main/java/org/whinhead/peer/MessageClass.java
@@ -14,7 +14,13 @@
     static MessageClass of(final Envelope envelope) {
         return switch (envelope.getBodyCase()) {
             case HEARTBEAT, GOSSIP, LOAD_DIGEST, SETTINGS_IN_FORCE -> GOSSIP;
-            case TAIL_CHUNK, CLAIM_REPLY, EXPLAIN_REPLY, HANDOVER_ACK, REPORT_REPLY -> REPLY;
+            case TAIL_CHUNK,
+                    CLAIM_REPLY,
+                    EXPLAIN_REPLY,
+                    HANDOVER_ACK,
+                    REPORT_REPLY,
+                    SETTINGS_REPLY ->
+                    REPLY;
             default -> COMMAND;
         };
     }
--- a/peer/src/main/java/org/whinhead/peer/NettyPeerTransport.java
+++ b/peer/src/main/java/org/whinhead/peer/NettyPeerTransport.java
@@ -13,6 +13,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.ssl.SslContext;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.time.InstantSource;
@@ -94,7 +95,7 @@
                 new PeerPipeline(
                         mSettings,
                         () -> mTls.map(tls -> tls.material().server()),
-                        () -> connection(Optional.empty()));
+                        () -> connection(Optional.empty(), Optional.empty()));
         final ChannelFuture bound =
                 new ServerBootstrap()
                         .group(mGroup)
@@ -112,8 +113,9 @@
         return (InetSocketAddress) mServer.localAddress();
     }
 
-    private PeerConnection connection(final Optional<VmId> dialed) {
-        return new PeerConnection(mTable, mCounters, mSelf, dialed);
+    private PeerConnection connection(
+            final Optional<VmId> dialed, final Optional<Envelope> greeting) {
+        return new PeerConnection(mTable, mCounters, mSelf, dialed, greeting);
     }
 
     private static boolean isLoopback(final InetSocketAddress address) {
@@ -202,17 +204,49 @@
                 new PeerPipeline(
                         mSettings,
                         () -> mTls.map(tls -> clientOf(tls)),
-                        () -> connection(Optional.of(address.vm())));
+                        () -> connection(Optional.of(address.vm()), Optional.empty()));
+        dial(target, pipeline)
+                .addListener(connected -> connectEnded(link, (ChannelFuture) connected));
+    }
+
+    private ChannelFuture dial(final InetSocketAddress target, final PeerPipeline pipeline) {
         final int timeout = (int) mSettings.handshakeTimeout().toMillis();
-        new Bootstrap()
+        return new Bootstrap()
                 .group(mLoop)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeout)
                 .option(ChannelOption.WRITE_BUFFER_WATER_MARK, waterMark())
                 .handler(pipeline)
-                .connect(target)
-                .addListener(connected -> connectEnded(link, (ChannelFuture) connected));
+                .connect(target);
+    }
+
+    /**
+     * Calls an address whose VM is not known, once. The peer must prove like any other that it is
+     * the VM it says, and has as long for it as one that calls here.
+     *
+     * @param address the address
+     * @param greeting the first message to whoever listens there
+     */
+    public void greet(final InetSocketAddress address, final Envelope greeting) {
+        if (mTls.isEmpty() && !isLoopback(address)) {
+            mCounters.connectFailed();
+            return;
+        }
+        final PeerPipeline pipeline =
+                new PeerPipeline(
+                        mSettings,
+                        () -> mTls.map(NettyPeerTransport::clientOf),
+                        () -> connection(Optional.empty(), Optional.of(greeting)));
+        onLoop(() -> dial(address, pipeline).addListener(this::greeted));
+    }
+
+    private void greeted(final Future<?> connected) {
+        if (connected.isSuccess()) {
+            mCounters.connected();
+        } else {
+            mCounters.connectFailed();
+        }
     }
 
     private static SslContext clientOf(final TlsSource tls) {
--- a/peer/src/main/java/org/whinhead/peer/PeerConnection.java
+++ b/peer/src/main/java/org/whinhead/peer/PeerConnection.java
@@ -26,6 +26,7 @@
     private final PeerCounters mCounters;
     private final PeerIdentity mSelf;
     private final Optional<VmId> mDialed;
+    private final Optional<Envelope> mGreeting;
     private Channel mChannel;
     private X509Certificate mCertificate;
     private VmId mPeer;
@@ -34,16 +35,22 @@
     private boolean mReady;
     private boolean mRefused;
 
-    /** Makes the handler; the dialed VM is empty for a connection that a peer made. */
+    /**
+     * Makes the handler; the dialed VM is empty for a connection that a peer made, or one to an
+     * address where any VM may listen. The latter begins with a greeting, and the peer says who it
+     * is with its first message.
+     */
     PeerConnection(
             final ConnectionOwner owner,
             final PeerCounters counters,
             final PeerIdentity self,
-            final Optional<VmId> dialed) {
+            final Optional<VmId> dialed,
+            final Optional<Envelope> greeting) {
         mOwner = owner;
         mCounters = counters;
         mSelf = self;
         mDialed = dialed;
+        mGreeting = greeting;
     }
 
     @Override
@@ -95,6 +102,7 @@
             mPeer = mDialed.get();
             mOwner.opened(this);
         }
+        mGreeting.ifPresent(this::write);
     }
 
     @Override
--- a/peer/src/test/java/org/whinhead/peer/NettyPeerTransportTest.java
+++ b/peer/src/test/java/org/whinhead/peer/NettyPeerTransportTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.whinhead.api.model.VmId;
+import org.whinhead.peer.generated.PeerProto.Envelope;
 
 class NettyPeerTransportTest {
 
@@ -47,6 +48,23 @@
         refusedAsHandshake(other.issue(mFolder, "vm-a"));
     }
 
+    // A new daemon knows a seed's address, not which VM listens there. Both prove who they are, and
+    // the connection serves the seed's answers.
+    @Test
+    void greetingReachesAnAddressWhoseVmIsNotKnown() throws Exception {
+        final TestAuthority authority = new TestAuthority();
+        try (TestPeer a = new TestPeer("vm-a", Optional.of(authority.issue(mFolder, "vm-a")));
+                TestPeer b = new TestPeer("vm-b", Optional.of(authority.issue(mFolder, "vm-b")))) {
+            final InetSocketAddress seed =
+                    new InetSocketAddress(b.address().host(), b.address().port());
+            a.transport().greet(seed, Envelope.getDefaultInstance());
+            assertThat(b.take().from()).isEqualTo(a.address().vm());
+            b.tell(a, 7);
+            assertThat(a.take().from()).isEqualTo(b.address().vm());
+            assertThat(b.counters().connects()).isZero();
+        }
+    }
+
     // A daemon's certificate ran out and nobody replaced it. It is no longer a proof.
     @Test
     void expiredCertificateIsRefused() throws Exception {
