Vouch for a peer only by what this daemon itself heard

Two observers of a dead daemon whose timeouts differ asked each other in turn: each counted the other's word as a sign of life and passed it on as its own. Seen as: a killed daemon stayed on the others' address lists for over 30 s in the story test of three whole daemons. A vouched peer is now given its time, but the word is not passed on. Conclusion: suspicion ends in one timeout and one probe for every observer.

--- a/membership/src/main/java/org/whinhead/membership/Arrivals.java
+++ b/membership/src/main/java/org/whinhead/membership/Arrivals.java
@@ -12,6 +12,7 @@
 
     private final MembershipSettings mSettings;
     private Instant mLastSign;
+    private Instant mLastHeard;
     private Instant mLastHeartbeat;
     private double mMeanMillis;
     private double mDeviationMillis;
@@ -22,9 +23,24 @@
         mMeanMillis = settings.heartbeatInterval().toMillis();
     }
 
-    /** Any sign of life, also one that another daemon passed on. */
+    /** A sign of life from the peer itself. */
     void sign(final Instant now) {
         mLastSign = now;
+        mLastHeard = now;
+    }
+
+    /** Another daemon has heard the peer. */
+    void vouched(final Instant now) {
+        mLastSign = now;
+    }
+
+    /**
+     * Tells whether the peer itself was heard within its timeout. Guards against two observers of a
+     * dead peer that vouch for it by each other's word for ever: it would stay live in every view.
+     * What another daemon has heard counts here, but is not passed on.
+     */
+    boolean isHeard(final Instant now) {
+        return mLastHeard != null && isWithinTimeout(mLastHeard, now);
     }
 
     /** A heartbeat arrived; the gap before it widens or narrows the timeout. */
@@ -37,7 +53,7 @@
             mMeanMillis += MEAN_GAIN * (gap - mMeanMillis);
         }
         mLastHeartbeat = now;
-        mLastSign = now;
+        sign(now);
     }
 
     /** The own daemon was paused: silence during the pause is not the peer's. */
@@ -47,7 +63,11 @@
     }
 
     boolean isSilent(final Instant now) {
-        return Duration.between(mLastSign, now).compareTo(timeout()) > 0;
+        return !isWithinTimeout(mLastSign, now);
+    }
+
+    private boolean isWithinTimeout(final Instant last, final Instant now) {
+        return Duration.between(last, now).compareTo(timeout()) <= 0;
     }
 
     /**
--- a/membership/src/main/java/org/whinhead/membership/FailureDetector.java
+++ b/membership/src/main/java/org/whinhead/membership/FailureDetector.java
@@ -53,16 +53,18 @@
     void answered(final VmId vm, final long nonce, final Instant now) {
         final Probe probe = mProbes.get(vm);
         if (probe != null && probe.nonce() == nonce) {
-            sign(vm, now);
+            mArrivals.get(vm).vouched(now);
+            mProbes.remove(vm);
         }
     }
 
     /**
-     * Tells whether a neighbour was heard within its timeout; false for one that is not watched.
+     * Tells whether this daemon itself heard a neighbour within its timeout; false for one that is
+     * not watched.
      */
     boolean isHeard(final VmId vm, final Instant now) {
         final Arrivals arrivals = mArrivals.get(vm);
-        return arrivals != null && !arrivals.isSilent(now);
+        return arrivals != null && arrivals.isHeard(now);
     }
 
     /**
--- /dev/null
+++ b/membership/src/test/java/org/whinhead/membership/FailureDetectorTest.java
@@ -0,0 +1,33 @@
+package org.whinhead.membership;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Instant;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.whinhead.api.model.VmId;
+
+class FailureDetectorTest {
+
+    private static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
+    private static final VmId DEAD = new VmId("vm-dead");
+
+    /**
+     * Callers are sent for minutes to a daemon that died. Its two observers wait for different
+     * times: the first asks the second, which still vouches; then the second asks the first, which
+     * vouches by nothing but that word; and so on for ever.
+     */
+    @Test
+    void wordOfAnotherIsNotPassedOn() {
+        final MembershipSettings settings = MembershipSettings.defaults();
+        final FailureDetector detector = new FailureDetector(settings);
+        detector.watch(Set.of(DEAD), START);
+        detector.heartbeat(DEAD, START);
+        assertThat(detector.isHeard(DEAD, START)).isTrue();
+        final Instant silent = START.plus(settings.minimumTimeout()).plusMillis(1);
+        final long nonce = detector.startProbes(silent).get(0).nonce();
+        detector.answered(DEAD, nonce, silent);
+        assertThat(detector.startProbes(silent)).isEmpty();
+        assertThat(detector.isHeard(DEAD, silent)).isFalse();
+    }
+}
