Run membership and the peer transport as a duty of the daemon

Daemons did not talk: a notice counted only where it was heard, addresses came from the lagging list, and each daemon polled every engine's load. A peer duty with its own bounded ring now owns membership and transport; its view gives the callers' addresses and the endpoints' states, a notice of the own VM becomes a graceful stop, a planned stop is announced, and load is polled by plan and shared in digests. The watch passes whole lists on, and the demo's daemons name each other as seeds. Conclusion: leaving VMs are shut out on daemons that did not hear the notice.

--- a/daemon/src/main/java/org/whinhead/daemon/Daemon.java
+++ b/daemon/src/main/java/org/whinhead/daemon/Daemon.java
@@ -7,7 +7,6 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
-import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
@@ -15,31 +14,23 @@
 import org.slf4j.LoggerFactory;
 import org.whinhead.admission.SimpleAdmission;
 import org.whinhead.api.model.DaemonId;
-import org.whinhead.api.model.Endpoint;
-import org.whinhead.api.model.EndpointId;
 import org.whinhead.api.request.RequestId;
 import org.whinhead.daemon.burn.BurnCollector;
 import org.whinhead.daemon.burn.BurnHandler;
 import org.whinhead.daemon.caller.CallerServer;
 import org.whinhead.daemon.decision.DecisionEvent;
 import org.whinhead.daemon.decision.DecisionLoop;
-import org.whinhead.daemon.duty.EndpointWatch;
-import org.whinhead.daemon.duty.NoticeWatch;
 import org.whinhead.daemon.engine.ActionDispatcher;
 import org.whinhead.daemon.engine.AttemptTransport;
 import org.whinhead.daemon.operator.Meters;
 import org.whinhead.daemon.operator.OperatorHandler;
+import org.whinhead.daemon.peers.PeerMeters;
 import org.whinhead.daemon.request.LiveRequests;
-import org.whinhead.daemon.view.EntryAddress;
-import org.whinhead.platform.cloud.NoticeClient;
-import org.whinhead.platform.cloud.ReclaimNotice;
 import org.whinhead.platform.http.HttpCaller;
-import org.whinhead.platform.vms.VmListClient;
 import org.whinhead.report.BurnRecorder;
 import org.whinhead.requests.ClaimOutcome;
 import org.whinhead.requests.DefaultRequestCoordinator;
 import org.whinhead.routing.AffinityRouter;
-import org.whinhead.routing.LoadReport;
 import org.whinhead.routing.RoutingSettings;
 import org.whinhead.settings.daemon.DaemonSettings;
 import org.whinhead.settings.daemon.HostPort;
@@ -68,8 +59,7 @@
     private final DecisionLoop mLoop;
     private final AffinityRouter mRouter;
     private final HttpCaller mCaller;
-    private final EndpointWatch mWatch;
-    private final NoticeWatch mNotices;
+    private final PeerWiring mPeers;
     private final OpenConnections mConnections;
     private final Undertow mServer;
     private final XnioExecutor.Key mTicks;
@@ -90,22 +80,13 @@
         mRouter = new AffinityRouter(RoutingSettings.of(settings.domain()), random);
         mCaller = new HttpCaller(options.worker());
         startDecisions(random);
+        mPeers = new PeerWiring(settings, options, mCaller, mStanding, mLoop, mRouter);
         mConnections = new OpenConnections(mStanding::isStopping);
         mServer = server();
         mServer.start();
         mTicks = every(TICK_MILLIS, new DecisionEvent.Tick());
         mCounting = every(COUNT_MILLIS, new DecisionEvent.Update(mBurn::count));
-        mWatch =
-                new EndpointWatch(
-                        settings.name() + "-platform",
-                        mCaller,
-                        new VmListClient(mCaller, settings.platform().vms()),
-                        new Watched());
-        mNotices =
-                new NoticeWatch(
-                        new NoticeClient(mCaller, settings.platform().cloud()),
-                        mCaller.anyThread(),
-                        this::noticed);
+        mPeers.start(settings, mCaller);
     }
 
     /**
@@ -135,6 +116,11 @@
         return listening(OPERATORS);
     }
 
+    /** Returns the address that other daemons connect to. */
+    public HostPort peerAddress() {
+        return mPeers.peers().address();
+    }
+
     /** Returns this incarnation's identity. */
     public DaemonId id() {
         return mStanding.id();
@@ -172,6 +158,7 @@
                                 },
                                 TICK_MILLIS,
                                 TimeUnit.MILLISECONDS);
+        mPeers.peers().stopping(goneBy);
         mLoop.offer(new DecisionEvent.Stopping(goneBy));
         final boolean finished = idle.await(bound.toMillis(), TimeUnit.MILLISECONDS);
         look.remove();
@@ -182,8 +169,7 @@
     @Override
     public void close() {
         mStanding.beginStop();
-        mNotices.close();
-        mWatch.close();
+        mPeers.close();
         mTicks.remove();
         mCounting.remove();
         mServer.stop();
@@ -257,6 +243,7 @@
                 "events",
                 "Events that wait in the decision ring.",
                 mLoop::waiting);
+        PeerMeters.register(meters, mPeers.peers());
         return meters;
     }
 
@@ -271,45 +258,9 @@
         mLoop.offer(new DecisionEvent.Claimed(request, ClaimOutcome.UNAVAILABLE));
     }
 
-    /**
-     * Guards against a daemon that takes new requests until its VM disappears, which cuts every
-     * answer in progress without a ticket: a notice of its own VM is a stop with an end.
-     */
-    private void noticed(final ReclaimNotice notice) {
-        if (notice.vm().equals(mSettings.vm())) {
-            mStanding.beginStop();
-            mLoop.offer(new DecisionEvent.Stopping(notice.goneBy()));
-            return;
-        }
-        final EndpointId endpoint = new EndpointId(notice.vm().value());
-        mLoop.offer(new DecisionEvent.Update(() -> mRouter.leaving(endpoint)));
-        mLoop.offer(new DecisionEvent.EndpointLeaving(endpoint, notice.goneBy()));
-    }
-
     private XnioExecutor.Key every(final long millis, final DecisionEvent event) {
         return mOptions.worker()
                 .getIoThread()
                 .executeAtInterval(() -> mLoop.offer(event), millis, TimeUnit.MILLISECONDS);
     }
-
-    /** Passes what the platform duty finds on to the decisions. */
-    private final class Watched implements EndpointWatch.Listener {
-        @Override
-        public void endpoints(final List<Endpoint> endpoints) {
-            mLoop.offer(new DecisionEvent.Update(() -> mRouter.endpointsChanged(endpoints)));
-            mStanding.endpointsKnown();
-        }
-
-        @Override
-        public void load(final LoadReport report) {
-            mLoop.offer(
-                    new DecisionEvent.Update(
-                            () -> mRouter.loadReported(report, mOptions.clock().instant())));
-        }
-
-        @Override
-        public void addresses(final List<EntryAddress> addresses) {
-            mStanding.addressesListed(addresses);
-        }
-    }
 }
--- a/daemon/src/main/java/org/whinhead/daemon/duty/EndpointWatch.java
+++ b/daemon/src/main/java/org/whinhead/daemon/duty/EndpointWatch.java
@@ -14,7 +14,6 @@
 import org.whinhead.api.model.EndpointId;
 import org.whinhead.api.model.ModelRef;
 import org.whinhead.api.model.VmId;
-import org.whinhead.daemon.view.EntryAddress;
 import org.whinhead.platform.engine.EngineClient;
 import org.whinhead.platform.http.HttpCaller;
 import org.whinhead.platform.vms.ListedVm;
@@ -59,11 +58,19 @@
         void load(LoadReport report);
 
         /**
-         * The addresses of this system's live daemons were read.
+         * The VM list was read.
          *
-         * @param addresses the addresses
+         * @param listing the list
          */
-        void addresses(List<EntryAddress> addresses);
+        void listed(VmListing listing);
+
+        /**
+         * Tells whether to ask an endpoint for its load.
+         *
+         * @param endpoint the endpoint
+         * @return false if another daemon asks it and shares the answer
+         */
+        boolean polls(EndpointId endpoint);
     }
 
     /**
@@ -105,6 +112,9 @@
     private void ask(final ListedVm vm) {
         final String problem = "engine " + vm.vm().id() + " does not answer";
         run(mEngines.models(vm.uri()), models -> loaded(vm, models), problem);
+        if (!mListener.polls(new EndpointId(vm.vm().id().value()))) {
+            return;
+        }
         run(
                 mEngines.load(vm.uri()),
                 load ->
@@ -135,12 +145,7 @@
         mListed = true;
         mVms = listing.vms();
         mModels.keySet().retainAll(mVms.stream().map(vm -> vm.vm().id()).toList());
-        mListener.addresses(
-                mVms.stream()
-                        .filter(vm -> vm.role() == VmRole.ENTRY)
-                        .filter(vm -> vm.vm().state().acceptsNewWork())
-                        .map(vm -> new EntryAddress(vm.uri(), vm.vm().domain()))
-                        .toList());
+        mListener.listed(listing);
         tell();
         if (first) {
             mVms.stream().filter(vm -> vm.role() == VmRole.ENGINE).forEach(this::ask);
--- /dev/null
+++ b/daemon/src/main/java/org/whinhead/daemon/peers/ListedVms.java
@@ -0,0 +1,54 @@
+package org.whinhead.daemon.peers;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.whinhead.api.model.Endpoint;
+import org.whinhead.membership.DaemonAddress;
+import org.whinhead.membership.DaemonMember;
+import org.whinhead.membership.MembershipView;
+import org.whinhead.membership.VmListSnapshot;
+import org.whinhead.platform.vms.ListedVm;
+import org.whinhead.platform.vms.VmListing;
+import org.whinhead.platform.vms.VmRole;
+
+/** Turns the platform's VM list into what membership takes. */
+final class ListedVms {
+
+    private final DaemonMember mSelf;
+
+    ListedVms(final DaemonMember self) {
+        mSelf = self;
+    }
+
+    VmListSnapshot snapshot(final VmListing listing, final MembershipView view) {
+        final List<DaemonMember> daemons = new ArrayList<>();
+        final List<Endpoint> endpoints = new ArrayList<>();
+        for (final ListedVm vm : listing.vms()) {
+            if (vm.role() == VmRole.ENTRY) {
+                address(vm, view)
+                        .map(address -> new DaemonMember(vm.vm(), address, vm.uri()))
+                        .ifPresent(daemons::add);
+            } else {
+                endpoints.add(vm.endpoint(Set.of()));
+            }
+        }
+        return new VmListSnapshot(listing.asOf(), daemons, endpoints);
+    }
+
+    /**
+     * The list names no peer ports. A daemon that was not heard of is taken to listen on the same
+     * port as this one; on the own host that port is this daemon's, so nothing can be presumed.
+     */
+    private Optional<DaemonAddress> address(final ListedVm vm, final MembershipView view) {
+        final Optional<DaemonMember> known = view.daemon(vm.vm().id());
+        if (known.isPresent()) {
+            return known.map(DaemonMember::address);
+        }
+        if (vm.vm().host().equals(mSelf.address().host())) {
+            return Optional.empty();
+        }
+        return Optional.of(new DaemonAddress(vm.vm().id(), vm.vm().host(), mSelf.address().port()));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/whinhead/daemon/peers/LoadSharing.java
@@ -0,0 +1,118 @@
+package org.whinhead.daemon.peers;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.whinhead.api.model.DaemonId;
+import org.whinhead.api.model.EndpointId;
+import org.whinhead.api.model.VmId;
+import org.whinhead.api.model.VmState;
+import org.whinhead.membership.DaemonAddress;
+import org.whinhead.membership.DaemonMember;
+import org.whinhead.membership.MembershipView;
+import org.whinhead.peer.generated.PeerProto;
+import org.whinhead.peer.generated.PeerProto.Envelope;
+import org.whinhead.routing.DaemonPlace;
+import org.whinhead.routing.LoadReport;
+import org.whinhead.routing.WatchPlan;
+
+/**
+ * Decides whose load this daemon asks for and passes the answers on to the peers that route by
+ * them.
+ */
+final class LoadSharing {
+
+    private static final Duration INTERVAL = Duration.ofSeconds(1);
+
+    private final DaemonMember mSelf;
+    private final Map<EndpointId, LoadReport> mFresh = new HashMap<>();
+    private List<DaemonAddress> mPeers = List.of();
+    private Instant mNext = Instant.MIN;
+    private volatile Optional<Set<EndpointId>> mPolled = Optional.empty();
+
+    LoadSharing(final DaemonMember self) {
+        mSelf = self;
+    }
+
+    /** Tells, from any thread, whether this daemon polls an endpoint; all before the first plan. */
+    boolean polls(final EndpointId endpoint) {
+        return mPolled.map(polled -> polled.contains(endpoint)).orElse(true);
+    }
+
+    void viewChanged(final MembershipView view) {
+        final List<DaemonPlace> places = new ArrayList<>();
+        for (final DaemonMember member : view.daemons()) {
+            if (member.vm().state() == VmState.LIVE) {
+                places.add(place(member));
+            }
+        }
+        final WatchPlan plan =
+                WatchPlan.of(
+                        place(mSelf),
+                        places,
+                        List.copyOf(view.endpoints()),
+                        WatchPlan.Limits.DEFAULT);
+        mPolled = Optional.of(Set.copyOf(plan.polled()));
+        mPeers =
+                plan.peers().stream()
+                        .map(peer -> view.daemon(new VmId(peer.value())))
+                        .flatMap(Optional::stream)
+                        .map(DaemonMember::address)
+                        .toList();
+    }
+
+    /** All daemons name each other by their VMs, so that they agree on who polls what. */
+    private static DaemonPlace place(final DaemonMember member) {
+        return new DaemonPlace(new DaemonId(member.id().value()), member.vm().domain());
+    }
+
+    void polled(final LoadReport report) {
+        mFresh.put(report.endpoint(), report);
+    }
+
+    List<DaemonAddress> peers() {
+        return mPeers;
+    }
+
+    /** Returns the digest to send now, if one is due and there is news. */
+    Optional<Envelope> due(final Instant now) {
+        if (now.isBefore(mNext) || mFresh.isEmpty()) {
+            return Optional.empty();
+        }
+        mNext = now.plus(INTERVAL);
+        final PeerProto.LoadDigest.Builder digest = PeerProto.LoadDigest.newBuilder();
+        mFresh.values().forEach(report -> digest.addReports(encode(report)));
+        mFresh.clear();
+        return Optional.of(Envelope.newBuilder().setLoadDigest(digest).build());
+    }
+
+    private static PeerProto.EndpointLoad encode(final LoadReport report) {
+        return PeerProto.EndpointLoad.newBuilder()
+                .setEndpoint(report.endpoint().value())
+                .setAsOfMillis(report.asOf().toEpochMilli())
+                .setRunning(report.running())
+                .setWaiting(report.waiting())
+                .setTokensPerSecond((float) report.tokensPerSecond())
+                .build();
+    }
+
+    /** Reads a peer's digest. */
+    static List<LoadReport> decode(final PeerProto.LoadDigest digest) {
+        final List<LoadReport> reports = new ArrayList<>(digest.getReportsCount());
+        for (final PeerProto.EndpointLoad load : digest.getReportsList()) {
+            reports.add(
+                    new LoadReport(
+                            new EndpointId(load.getEndpoint()),
+                            Instant.ofEpochMilli(load.getAsOfMillis()),
+                            load.getRunning(),
+                            load.getWaiting(),
+                            load.getTokensPerSecond()));
+        }
+        return reports;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/whinhead/daemon/peers/PeerMeters.java
@@ -0,0 +1,74 @@
+package org.whinhead.daemon.peers;
+
+import java.util.Arrays;
+import java.util.Locale;
+import java.util.function.ToLongFunction;
+import org.whinhead.api.model.VmState;
+import org.whinhead.daemon.operator.Meters;
+import org.whinhead.peer.PeerCounters;
+import org.whinhead.peer.PeerRefusal;
+
+/** The metrics of the peer duty. */
+public final class PeerMeters {
+
+    private PeerMeters() {}
+
+    /**
+     * Adds them.
+     *
+     * @param meters where to
+     * @param duty the duty
+     */
+    public static void register(final Meters meters, final PeerDuty duty) {
+        for (final VmState state : VmState.values()) {
+            final String name = state.name().toLowerCase(Locale.ROOT);
+            meters.gauge(
+                    "whinhead.peers." + name,
+                    "daemons",
+                    "Daemons that this one sees as " + name + ", itself included.",
+                    () -> count(duty, state));
+        }
+        counter(
+                meters,
+                duty,
+                "refused.connections",
+                "Connections of peers that were closed on them, for any reason.",
+                PeerMeters::refusals);
+        counter(
+                meters,
+                duty,
+                "dropped.messages",
+                "Messages that a peer did not take in time.",
+                PeerCounters::messagesDropped);
+        counter(
+                meters,
+                duty,
+                "sent.bytes",
+                "Bytes of messages to peers, before TLS.",
+                PeerCounters::bytesSent);
+    }
+
+    private static long count(final PeerDuty duty, final VmState state) {
+        return duty.view().daemons().stream()
+                .filter(member -> member.vm().state() == state)
+                .count();
+    }
+
+    private static long refusals(final PeerCounters counters) {
+        return Arrays.stream(PeerRefusal.values()).mapToLong(counters::refusals).sum();
+    }
+
+    private static void counter(
+            final Meters meters,
+            final PeerDuty duty,
+            final String name,
+            final String description,
+            final ToLongFunction<PeerCounters> read) {
+        final String unit = name.substring(name.indexOf('.') + 1);
+        meters.gauge(
+                "whinhead.peers." + name,
+                unit,
+                description,
+                () -> read.applyAsLong(duty.counters()));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/whinhead/daemon/peers/Seeds.java
@@ -0,0 +1,51 @@
+package org.whinhead.daemon.peers;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.whinhead.api.model.VmState;
+import org.whinhead.membership.DaemonAddress;
+import org.whinhead.membership.DaemonMember;
+import org.whinhead.membership.MembershipView;
+import org.whinhead.settings.daemon.HostPort;
+
+/** Says which addresses of the settings to call, because no daemon is known there. */
+final class Seeds {
+
+    private static final Duration INTERVAL = Duration.ofSeconds(2);
+
+    private final List<HostPort> mSeeds;
+    private final HostPort mOwn;
+    private Instant mNext = Instant.MIN;
+
+    Seeds(final List<HostPort> seeds, final DaemonAddress own) {
+        mSeeds = seeds;
+        mOwn = hostPort(own);
+    }
+
+    /** Returns the addresses to call now; none until the interval has passed. */
+    List<InetSocketAddress> due(final MembershipView view, final Instant now) {
+        if (now.isBefore(mNext)) {
+            return List.of();
+        }
+        mNext = now.plus(INTERVAL);
+        final Set<HostPort> known = new HashSet<>();
+        known.add(mOwn);
+        for (final DaemonMember member : view.daemons()) {
+            if (member.vm().state() != VmState.GONE) {
+                known.add(hostPort(member.address()));
+            }
+        }
+        return mSeeds.stream()
+                .filter(seed -> !known.contains(seed))
+                .map(seed -> new InetSocketAddress(seed.host(), seed.port()))
+                .toList();
+    }
+
+    private static HostPort hostPort(final DaemonAddress address) {
+        return new HostPort(address.host(), address.port());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/whinhead/daemon/peers/ViewOutlet.java
@@ -0,0 +1,152 @@
+package org.whinhead.daemon.peers;
+
+import java.net.URI;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+import org.whinhead.api.model.Endpoint;
+import org.whinhead.api.model.EndpointId;
+import org.whinhead.api.model.VmId;
+import org.whinhead.api.model.VmState;
+import org.whinhead.daemon.view.EntryAddress;
+import org.whinhead.membership.DaemonMember;
+import org.whinhead.membership.MembershipView;
+
+/** Tells the daemon what changed in the view, each thing until it was taken in. */
+final class ViewOutlet {
+
+    /** What is left to a VM that the list alone calls leaving, without saying until when. */
+    private static final Duration PRESUMED_NOTICE = Duration.ofSeconds(5);
+
+    private final VmId mSelf;
+    private final Function<VmId, Optional<Instant>> mGoneBy;
+    private final PeerDutyListener mListener;
+    private final Set<EndpointId> mToldLeaving = new HashSet<>();
+    private Map<EndpointId, Endpoint> mDescribed = Map.of();
+    private List<Endpoint> mToldEndpoints = List.of();
+    private boolean mEndpointsKnown;
+    private boolean mOwnTold;
+    private boolean mPending;
+
+    ViewOutlet(
+            final VmId self,
+            final Function<VmId, Optional<Instant>> goneBy,
+            final PeerDutyListener listener) {
+        mSelf = self;
+        mGoneBy = goneBy;
+        mListener = listener;
+    }
+
+    /** Takes in the endpoints with the models that they have loaded, which the list lacks. */
+    void described(final List<Endpoint> endpoints) {
+        final Map<EndpointId, Endpoint> described = new HashMap<>();
+        endpoints.forEach(endpoint -> described.put(endpoint.id(), endpoint));
+        mDescribed = described;
+        mEndpointsKnown = true;
+        mPending = true;
+    }
+
+    void viewChanged() {
+        mPending = true;
+    }
+
+    /** The daemon stops by itself and need not be told that its VM is leaving. */
+    void ownStop() {
+        mOwnTold = true;
+    }
+
+    /**
+     * Tells what was not told yet.
+     *
+     * <p>Guards against a full decision ring, which would lose the news of a leaving endpoint and
+     * with it keep sending work there: what was not taken in is told again at the next tick.
+     */
+    void publish(final MembershipView view, final Instant now) {
+        if (!mPending) {
+            return;
+        }
+        mPending = false;
+        mListener.addressesChanged(addresses(view));
+        tellOwnVm(view, now);
+        if (mEndpointsKnown) {
+            final List<Endpoint> endpoints = merged(view);
+            tellEndpoints(endpoints);
+            tellLeaving(endpoints, now);
+        }
+    }
+
+    private void tellEndpoints(final List<Endpoint> endpoints) {
+        if (endpoints.equals(mToldEndpoints) && !endpoints.isEmpty()) {
+            return;
+        }
+        if (mListener.endpointsChanged(endpoints)) {
+            mToldEndpoints = endpoints;
+        } else {
+            mPending = true;
+        }
+    }
+
+    private void tellLeaving(final List<Endpoint> endpoints, final Instant now) {
+        final Set<EndpointId> leaving = new HashSet<>();
+        for (final Endpoint endpoint : endpoints) {
+            if (endpoint.vm().state() == VmState.LEAVING) {
+                leaving.add(endpoint.id());
+                if (!mToldLeaving.contains(endpoint.id())) {
+                    tellLeaving(endpoint, now);
+                }
+            }
+        }
+        mToldLeaving.retainAll(leaving);
+    }
+
+    private void tellLeaving(final Endpoint endpoint, final Instant now) {
+        if (mListener.endpointLeaving(endpoint.id(), goneBy(endpoint.vm().id(), now))) {
+            mToldLeaving.add(endpoint.id());
+        } else {
+            mPending = true;
+        }
+    }
+
+    private void tellOwnVm(final MembershipView view, final Instant now) {
+        final boolean leaving =
+                view.daemon(mSelf).filter(self -> self.vm().state() == VmState.LEAVING).isPresent();
+        if (leaving && !mOwnTold) {
+            mOwnTold = mListener.ownVmLeaving(goneBy(mSelf, now));
+            mPending |= !mOwnTold;
+        }
+    }
+
+    private Instant goneBy(final VmId vm, final Instant now) {
+        return mGoneBy.apply(vm).orElseGet(() -> now.plus(PRESUMED_NOTICE));
+    }
+
+    private List<Endpoint> merged(final MembershipView view) {
+        final Map<EndpointId, Endpoint> merged = new HashMap<>(mDescribed);
+        for (final Endpoint endpoint : view.endpoints()) {
+            final Endpoint described = mDescribed.getOrDefault(endpoint.id(), endpoint);
+            merged.put(endpoint.id(), described.withVmState(endpoint.vm().state()));
+        }
+        final List<Endpoint> endpoints = new ArrayList<>(merged.values());
+        endpoints.removeIf(endpoint -> !endpoint.vm().state().mayStillAnswer());
+        endpoints.sort(Comparator.comparing(endpoint -> endpoint.id().value()));
+        return endpoints;
+    }
+
+    private static List<EntryAddress> addresses(final MembershipView view) {
+        final Map<URI, EntryAddress> known = new HashMap<>();
+        for (final DaemonMember member : view.daemons()) {
+            known.put(
+                    member.callerAddress(),
+                    new EntryAddress(member.callerAddress(), member.vm().domain()));
+        }
+        return view.callerAddresses().stream().distinct().map(known::get).toList();
+    }
+}
--- a/demo/src/main/java/org/whinhead/demo/EntryVms.java
+++ b/demo/src/main/java/org/whinhead/demo/EntryVms.java
@@ -72,6 +72,7 @@
                         .listen(new ListenAddresses(free.get(0), free.get(1), free.get(2)))
                         .publicUri(uri)
                         .platform(platform)
+                        .seeds(mDaemons.values().stream().map(Daemon::peerAddress).toList())
                         .limits(example.limits())
                         .gracefulStop(example.gracefulStop())
                         .operators(example.operators())
--- /dev/null
+++ b/demo/src/test/java/org/whinhead/demo/PeersTest.java
@@ -0,0 +1,162 @@
+package org.whinhead.demo;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.pkitesting.CertificateBuilder;
+import io.netty.pkitesting.X509Bundle;
+import java.net.URI;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.whinhead.settings.daemon.TlsFiles;
+
+@Timeout(120)
+class PeersTest {
+
+    private static final int DAEMONS = 3;
+    private static final int MANY_CALLS = 30;
+    private static final Duration NOTICE = Duration.ofMinutes(10);
+
+    @TempDir private Path mFolder;
+    private PeerDeployment mDeployment;
+
+    @BeforeEach
+    void start() throws Exception {
+        mDeployment = new PeerDeployment();
+    }
+
+    @AfterEach
+    void stop() {
+        mDeployment.close();
+    }
+
+    private boolean avoids(final int daemon, final int endpoint) throws Exception {
+        for (int i = 0; i < MANY_CALLS; i++) {
+            if (mDeployment.call(daemon) == endpoint) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /**
+     * A clerk's call is cut because it went to a VM that was already being taken back. One daemon
+     * of three hears the notice, the VM list is stuck and calls the VM live, and the other two go
+     * on sending work there, unless the first tells them.
+     */
+    @Test
+    void noticeHeardByOneDaemonShutsTheVmOutOnAll() throws Exception {
+        mDeployment.startDaemons(DAEMONS);
+        for (int daemon = 0; daemon < DAEMONS; daemon++) {
+            final int asked = daemon;
+            PeerDeployment.await("both get work", () -> mDeployment.call(asked) == 0);
+        }
+        mDeployment.vms().freeze(true);
+        mDeployment.cloud().reclaim(PeerDeployment.endpointVm(0), NOTICE);
+        for (int daemon = 0; daemon < DAEMONS; daemon++) {
+            final int asked = daemon;
+            PeerDeployment.await(daemon + " avoids the VM", () -> avoids(asked, 0));
+        }
+        for (int daemon = 0; daemon < DAEMONS; daemon++) {
+            assertThat(avoids(daemon, 0)).as("daemon " + daemon).isTrue();
+        }
+    }
+
+    /**
+     * A caller asks for addresses and gets one that is taken back seconds later. The VM of one
+     * daemon is announced to another one only, and the stuck list calls it live: no daemon may name
+     * it any more, and the one that stands on it must itself stop gracefully.
+     */
+    @Test
+    void leavingDaemonIsNamedToNoCaller() throws Exception {
+        mDeployment.startDaemons(DAEMONS);
+        mDeployment.vms().freeze(true);
+        mDeployment.cloud().reclaim(PeerDeployment.daemonVm(1), NOTICE);
+        final List<URI> others = List.of(PeerDeployment.publicUri(0), PeerDeployment.publicUri(2));
+        for (int daemon = 0; daemon < DAEMONS; daemon++) {
+            mDeployment.awaitAddresses(daemon, others.size());
+        }
+        for (int i = 0; i < MANY_CALLS; i++) {
+            assertThat(mDeployment.addresses(i % DAEMONS))
+                    .containsExactlyInAnyOrderElementsOf(others);
+        }
+        assertThat(mDeployment.isReady(1)).isFalse();
+    }
+
+    /**
+     * An operator stops a daemon. It says goodbye, so callers that ask the others afterwards are
+     * not sent to an address where nobody listens.
+     */
+    @Test
+    void stoppedDaemonVanishesFromTheOthersAddresses() throws Exception {
+        mDeployment.startDaemons(DAEMONS);
+        mDeployment.daemon(2).stop();
+        for (int daemon = 0; daemon < 2; daemon++) {
+            mDeployment.awaitAddresses(daemon, 2);
+            assertThat(mDeployment.addresses(daemon)).doesNotContain(PeerDeployment.publicUri(2));
+        }
+        assertThat(mDeployment.metrics(0)).contains("whinhead_peers_leaving_daemons 1.0");
+    }
+
+    /**
+     * A daemon's VM loses its power. Nobody hears a goodbye, and the VM list is stuck: its silence
+     * alone must take it off the others' lists.
+     */
+    @Test
+    void killedDaemonVanishesAfterSuspicion() throws Exception {
+        mDeployment.startDaemons(DAEMONS);
+        mDeployment.vms().freeze(true);
+        mDeployment.daemon(2).close();
+        for (int daemon = 0; daemon < 2; daemon++) {
+            mDeployment.awaitAddresses(daemon, 2);
+            assertThat(mDeployment.addresses(daemon)).doesNotContain(PeerDeployment.publicUri(2));
+            assertThat(mDeployment.metrics(daemon)).contains("whinhead_peers_suspect_daemons 1.0");
+        }
+    }
+
+    /**
+     * A process of another deployment calls in with a certificate of its own authority. It must not
+     * join, or callers would be sent to it; operators see that somebody tried.
+     */
+    @Test
+    void strangerStaysAloneAndIsCounted() throws Exception {
+        final X509Bundle authority = authority("ours");
+        mDeployment.startDaemon(Optional.of(files(authority, PeerDeployment.daemonVm(0))));
+        mDeployment.startDaemon(Optional.of(files(authority, PeerDeployment.daemonVm(1))));
+        mDeployment.startDaemon(Optional.of(files(authority("other"), "vm-entry-2")));
+        mDeployment.awaitAddresses(0, 2);
+        mDeployment.awaitAddresses(1, 2);
+        PeerDeployment.await(
+                "the stranger is counted",
+                () -> !mDeployment.metrics(0).contains("whinhead_peers_refused_connections 0.0"));
+        assertThat(mDeployment.addresses(1))
+                .containsExactlyInAnyOrder(
+                        PeerDeployment.publicUri(0), PeerDeployment.publicUri(1));
+        assertThat(mDeployment.addresses(2)).containsExactly(PeerDeployment.publicUri(2));
+    }
+
+    private static X509Bundle authority(final String name) throws Exception {
+        return builder(name).setIsCertificateAuthority(true).buildSelfSigned();
+    }
+
+    private static CertificateBuilder builder(final String name) {
+        return new CertificateBuilder()
+                .algorithm(CertificateBuilder.Algorithm.ecp256)
+                .subject("CN=" + name);
+    }
+
+    private TlsFiles files(final X509Bundle authority, final String vm) throws Exception {
+        final X509Bundle own = builder(vm).buildIssuedBy(authority);
+        return new TlsFiles(
+                Files.writeString(mFolder.resolve(vm + ".crt"), own.getCertificatePathPEM()),
+                Files.writeString(mFolder.resolve(vm + ".key"), own.getPrivateKeyPEM()),
+                Files.writeString(mFolder.resolve(vm + ".trust"), authority.getCertificatePEM()));
+    }
+}
