--- a/daemon/src/main/java/org/whinhead/daemon/Daemon.java
+++ b/daemon/src/main/java/org/whinhead/daemon/Daemon.java
@@ -17,32 +17,24 @@
 import org.slf4j.LoggerFactory;
 import org.whinhead.admission.SimpleAdmission;
 import org.whinhead.api.model.DaemonId;
-import org.whinhead.api.model.Endpoint;
-import org.whinhead.api.model.EndpointId;
 import org.whinhead.daemon.burn.BurnCollector;
 import org.whinhead.daemon.burn.BurnHandler;
 import org.whinhead.daemon.caller.CallerServer;
 import org.whinhead.daemon.decision.DecisionEvent;
 import org.whinhead.daemon.decision.DecisionLoop;
-import org.whinhead.daemon.duty.EndpointWatch;
-import org.whinhead.daemon.duty.NoticeWatch;
 import org.whinhead.daemon.engine.ActionDispatcher;
 import org.whinhead.daemon.engine.AttemptTransport;
 import org.whinhead.daemon.log.LogStanding;
 import org.whinhead.daemon.operator.Meters;
 import org.whinhead.daemon.operator.OperatorCalls;
 import org.whinhead.daemon.operator.OperatorHandler;
+import org.whinhead.daemon.peers.PeerMeters;
 import org.whinhead.daemon.request.LiveRequests;
-import org.whinhead.daemon.view.EntryAddress;
-import org.whinhead.platform.cloud.NoticeClient;
-import org.whinhead.platform.cloud.ReclaimNotice;
 import org.whinhead.platform.http.HttpCaller;
-import org.whinhead.platform.vms.VmListClient;
 import org.whinhead.report.BurnRecorder;
 import org.whinhead.requests.Decision;
 import org.whinhead.requests.DefaultRequestCoordinator;
 import org.whinhead.routing.AffinityRouter;
-import org.whinhead.routing.LoadReport;
 import org.whinhead.routing.RoutingSettings;
 import org.whinhead.settings.daemon.DaemonSettings;
 import org.whinhead.settings.daemon.HostPort;
@@ -73,8 +65,7 @@
     private final HttpCaller mCaller;
     private final LogWiring mLog;
     private final DefaultRequestCoordinator mCoordinator;
-    private final EndpointWatch mWatch;
-    private final NoticeWatch mNotices;
+    private final PeerWiring mPeers;
     private final OpenConnections mConnections;
     private final Undertow mServer;
     private final XnioExecutor.Key mTicks;
@@ -97,23 +88,14 @@
         mLog = new LogWiring(settings, options, mCaller, mStanding, mRequests, mLoop);
         mCoordinator = coordinator(random);
         mLoop.start(mCoordinator);
+        mPeers = new PeerWiring(settings, options, mCaller, mStanding, mLoop, mRouter);
         mConnections = new OpenConnections(mStanding::isStopping);
         mServer = server();
         mServer.start();
         mLog.start();
         mTicks = every(TICK_MILLIS, new DecisionEvent.Tick());
         mCounting = every(COUNT_MILLIS, new DecisionEvent.Update(mBurn::count));
-        mWatch =
-                new EndpointWatch(
-                        settings.name() + "-platform",
-                        mCaller,
-                        new VmListClient(mCaller, settings.platform().vms()),
-                        new Watched());
-        mNotices =
-                new NoticeWatch(
-                        new NoticeClient(mCaller, settings.platform().cloud()),
-                        mCaller.anyThread(),
-                        this::noticed);
+        mPeers.start(settings, mCaller);
     }
 
     /**
@@ -143,6 +125,11 @@
         return listening(OPERATORS);
     }
 
+    /** Returns the address that other daemons connect to. */
+    public HostPort peerAddress() {
+        return mPeers.peers().address();
+    }
+
     /** Returns this incarnation's identity. */
     public DaemonId id() {
         return mStanding.id();
@@ -185,6 +172,7 @@
                                 },
                                 TICK_MILLIS,
                                 TimeUnit.MILLISECONDS);
+        mPeers.peers().stopping(goneBy);
         mLoop.offer(new DecisionEvent.Stopping(goneBy));
         final boolean finished = idle.await(bound.toMillis(), TimeUnit.MILLISECONDS);
         look.remove();
@@ -195,8 +183,7 @@
     @Override
     public void close() {
         mStanding.beginStop();
-        mNotices.close();
-        mWatch.close();
+        mPeers.close();
         mTicks.remove();
         mCounting.remove();
         mServer.stop();
@@ -290,6 +277,7 @@
                 "samples",
                 "Ended requests that wait to be counted for the report on burn.",
                 mBurn::waiting);
+        PeerMeters.register(meters, mPeers.peers());
         return meters;
     }
 
@@ -299,45 +287,9 @@
         return URI.create("http://" + new HostPort(address.getHostString(), address.getPort()));
     }
 
-    /**
-     * Guards against a daemon that takes new requests until its VM disappears, which cuts every
-     * answer in progress without a ticket: a notice of its own VM is a stop with an end.
-     */
-    private void noticed(final ReclaimNotice notice) {
-        if (notice.vm().equals(mSettings.vm())) {
-            mStanding.beginStop();
-            mLoop.offer(new DecisionEvent.Stopping(notice.goneBy()));
-            return;
-        }
-        final EndpointId endpoint = new EndpointId(notice.vm().value());
-        mLoop.offer(new DecisionEvent.Update(() -> mRouter.leaving(endpoint)));
-        mLoop.offer(new DecisionEvent.EndpointLeaving(endpoint, notice.goneBy()));
-    }
-
     private XnioExecutor.Key every(final long millis, final DecisionEvent event) {
         return mOptions.worker()
                 .getIoThread()
                 .executeAtInterval(() -> mLoop.offer(event), millis, TimeUnit.MILLISECONDS);
     }
-
-    /** Passes what the platform duty finds on to the decisions. */
-    private final class Watched implements EndpointWatch.Listener {
-        @Override
-        public void endpoints(final List<Endpoint> endpoints) {
-            mLoop.offer(new DecisionEvent.Update(() -> mRouter.endpointsChanged(endpoints)));
-            mStanding.endpointsKnown();
-        }
-
-        @Override
-        public void load(final LoadReport report) {
-            mLoop.offer(
-                    new DecisionEvent.Update(
-                            () -> mRouter.loadReported(report, mOptions.clock().instant())));
-        }
-
-        @Override
-        public void addresses(final List<EntryAddress> addresses) {
-            mStanding.addressesListed(addresses);
-        }
-    }
 }
