--- a/daemon/src/main/java/org/whinhead/daemon/Daemon.java
+++ b/daemon/src/main/java/org/whinhead/daemon/Daemon.java
@@ -209,6 +209,7 @@
                 .router(mRouter)
                 .admission(new SimpleAdmission(MAX_RUNNING, MAX_WAITING))
                 .actions(actions)
+                .settings(mOptions.requests())
                 .random(random)
                 .build();
     }
--- a/daemon/src/main/java/org/whinhead/daemon/DaemonOptions.java
+++ b/daemon/src/main/java/org/whinhead/daemon/DaemonOptions.java
@@ -8,6 +8,7 @@
 import org.whinhead.api.Arguments;
 import org.whinhead.daemon.log.AdvancingClock;
 import org.whinhead.daemon.log.LogTerms;
+import org.whinhead.requests.RequestSettings;
 import org.whinhead.requests.TicketCodec;
 import org.whinhead.requests.TicketKey;
 import org.xnio.XnioWorker;
@@ -20,13 +21,15 @@
  * @param tickets reads and writes tickets, with the keys that all daemons of a deployment share
  * @param bodyTimeout how long a caller's body may take to arrive
  * @param log the bounds of the log duty
+ * @param requests how patient decisions on requests are and how often they try
  */
 public record DaemonOptions(
         XnioWorker worker,
         InstantSource clock,
         TicketCodec tickets,
         Duration bodyTimeout,
-        LogTerms log) {
+        LogTerms log,
+        RequestSettings requests) {
 
     private static final Duration DEFAULT_BODY_TIMEOUT = Duration.ofSeconds(10);
     private static final int SECRET_BYTES = 32;
@@ -38,6 +41,7 @@
         Objects.requireNonNull(tickets, "tickets");
         Arguments.requirePositive(bodyTimeout, "bodyTimeout");
         Objects.requireNonNull(log, "log");
+        Objects.requireNonNull(requests, "requests");
     }
 
     /**
@@ -51,7 +55,13 @@
         new SecureRandom().nextBytes(secret);
         final TicketCodec tickets = new TicketCodec(List.of(new TicketKey("own", secret)));
         final InstantSource clock = new AdvancingClock(InstantSource.system(), System::nanoTime);
-        return new DaemonOptions(worker, clock, tickets, DEFAULT_BODY_TIMEOUT, LogTerms.DEFAULT);
+        return new DaemonOptions(
+                worker,
+                clock,
+                tickets,
+                DEFAULT_BODY_TIMEOUT,
+                LogTerms.DEFAULT,
+                RequestSettings.builder().build());
     }
 
     /**
@@ -61,7 +71,7 @@
      * @return a copy
      */
     public DaemonOptions withBodyTimeout(final Duration timeout) {
-        return new DaemonOptions(worker, clock, tickets, timeout, log);
+        return new DaemonOptions(worker, clock, tickets, timeout, log, requests);
     }
 
     /**
@@ -71,7 +81,7 @@
      * @return a copy
      */
     public DaemonOptions withTickets(final TicketCodec codec) {
-        return new DaemonOptions(worker, clock, codec, bodyTimeout, log);
+        return new DaemonOptions(worker, clock, codec, bodyTimeout, log, requests);
     }
 
     /**
@@ -81,6 +91,16 @@
      * @return a copy
      */
     public DaemonOptions withLog(final LogTerms terms) {
-        return new DaemonOptions(worker, clock, tickets, bodyTimeout, terms);
+        return new DaemonOptions(worker, clock, tickets, bodyTimeout, terms, requests);
+    }
+
+    /**
+     * Returns these options with other settings of the decisions on requests.
+     *
+     * @param settings the settings
+     * @return a copy
+     */
+    public DaemonOptions withRequests(final RequestSettings settings) {
+        return new DaemonOptions(worker, clock, tickets, bodyTimeout, log, settings);
     }
 }
