Put the demo's settings on the log through the operators' interface

Settings were handed to the daemons by the process. They now go the way of an operator's change: each document is put through one daemon and decided on the log, and the run begins when every daemon goes by the last of them and can serve. Calls that must not be repeated are claimed on the log.

--- a/demo/src/main/java/org/whinhead/demo/DemoConfig.java
+++ b/demo/src/main/java/org/whinhead/demo/DemoConfig.java
@@ -5,6 +5,7 @@
 import java.util.Objects;
 import org.whinhead.api.Arguments;
 import org.whinhead.api.model.FailureDomain;
+import org.whinhead.requests.RecoveryMode;
 import org.whinhead.standins.deployment.DeploymentPlan;
 import org.whinhead.standins.load.mix.Deployment;
 
@@ -18,6 +19,7 @@
  * @param seed the seed of requests and of which failure domain is reclaimed
  * @param speedUp how many times as fast as real engines
  * @param callerDeadline how long a caller waits for its whole answer
+ * @param recovery what daemons make of the work of failed and leaving engines
  */
 public record DemoConfig(
         Deployment deployment,
@@ -26,7 +28,8 @@
         Duration notice,
         long seed,
         double speedUp,
-        Duration callerDeadline) {
+        Duration callerDeadline,
+        RecoveryMode recovery) {
 
     /** Checks every part. */
     public DemoConfig {
@@ -35,6 +38,7 @@
         Arguments.requirePositive(duration, "duration");
         Objects.requireNonNull(notice, "notice");
         Arguments.requirePositive(callerDeadline, "callerDeadline");
+        Objects.requireNonNull(recovery, "recovery");
     }
 
     /** Returns what stands where. */
@@ -71,7 +75,8 @@
                 .notice(notice)
                 .seed(seed)
                 .speedUp(speedUp)
-                .callerDeadline(callerDeadline);
+                .callerDeadline(callerDeadline)
+                .recovery(recovery);
     }
 
     /** Builds a {@link DemoConfig}. */
@@ -83,6 +88,7 @@
         private long mSeed = 1;
         private double mSpeedUp = 1;
         private Duration mCallerDeadline = Duration.ofSeconds(15);
+        private RecoveryMode mRecovery = RecoveryMode.KEEP_WORK;
 
         private Builder(final Deployment deployment) {
             mDeployment = deployment;
@@ -124,10 +130,23 @@
             return this;
         }
 
+        /** Sets what daemons make of lost work; they keep what they can by default. */
+        public Builder recovery(final RecoveryMode recovery) {
+            mRecovery = recovery;
+            return this;
+        }
+
         /** Builds the configuration. */
         public DemoConfig build() {
             return new DemoConfig(
-                    mDeployment, mPerSecond, mDuration, mNotice, mSeed, mSpeedUp, mCallerDeadline);
+                    mDeployment,
+                    mPerSecond,
+                    mDuration,
+                    mNotice,
+                    mSeed,
+                    mSpeedUp,
+                    mCallerDeadline,
+                    mRecovery);
         }
     }
 }
--- a/demo/src/main/java/org/whinhead/demo/DemoRun.java
+++ b/demo/src/main/java/org/whinhead/demo/DemoRun.java
@@ -32,7 +32,7 @@
 
     private DemoRun(final DemoConfig config) throws IOException {
         mConfig = config;
-        mEntries = new EntryVms();
+        mEntries = new EntryVms(config.recovery());
         mStandIns =
                 DeploymentStandIns.start(
                         DeploymentConfig.of(config.plan()).withSpeedUp(config.speedUp()), mEntries);
@@ -71,8 +71,7 @@
             mStandIns.addEntry(daemon.vm().value(), daemon.domain(), uri);
             mTargets.add(uri);
         }
-        mEntries.settingsChanged(settings.inForce());
-        mEntries.awaitReady();
+        mEntries.putSettings(settings.documents());
     }
 
     /** Returns where the platform's services are. */
--- a/demo/src/main/java/org/whinhead/demo/EntryVms.java
+++ b/demo/src/main/java/org/whinhead/demo/EntryVms.java
@@ -4,9 +4,6 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
-import java.net.http.HttpResponse.BodyHandlers;
 import java.security.SecureRandom;
 import java.time.Duration;
 import java.time.Instant;
@@ -19,13 +16,15 @@
 import org.whinhead.daemon.Daemon;
 import org.whinhead.daemon.DaemonOptions;
 import org.whinhead.daemon.WorkerPool;
+import org.whinhead.requests.RecoveryMode;
+import org.whinhead.requests.RequestSettings;
 import org.whinhead.requests.TicketCodec;
 import org.whinhead.requests.TicketKey;
 import org.whinhead.settings.daemon.DaemonSettings;
 import org.whinhead.settings.daemon.HostPort;
 import org.whinhead.settings.daemon.ListenAddresses;
 import org.whinhead.settings.daemon.PlatformUris;
-import org.whinhead.settings.deployment.DeploymentSettings;
+import org.whinhead.settings.deployment.DocumentList;
 import org.whinhead.standins.cloud.CloudActions;
 import org.whinhead.standins.cloud.VmOrder;
 import org.xnio.XnioWorker;
@@ -37,22 +36,28 @@
     private static final int IO_THREADS = 4;
     private static final int SECRET_BYTES = 32;
     private static final int PORTS = 3;
-    private static final int OK = 200;
     private static final Duration START_BOUND = Duration.ofSeconds(20);
     private static final long LOOK_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
 
     private final Map<String, Daemon> mDaemons = new ConcurrentSkipListMap<>();
-    private final HttpClient mClient = HttpClient.newHttpClient();
+    private final OperatorClient mOperator = new OperatorClient();
     private final XnioWorker mWorker;
     private final DaemonOptions mOptions;
 
-    EntryVms() throws IOException {
+    /**
+     * Makes VMs without daemons.
+     *
+     * @param recovery what daemons make of the work of failed and leaving engines
+     * @throws IOException if the IO threads can not be started
+     */
+    EntryVms(final RecoveryMode recovery) throws IOException {
         mWorker = WorkerPool.start("entry", IO_THREADS);
         final byte[] secret = new byte[SECRET_BYTES];
         new SecureRandom().nextBytes(secret);
         mOptions =
                 DaemonOptions.on(mWorker)
-                        .withTickets(new TicketCodec(List.of(new TicketKey("demo", secret))));
+                        .withTickets(new TicketCodec(List.of(new TicketKey("demo", secret))))
+                        .withRequests(RequestSettings.builder().recovery(recovery).build());
     }
 
     /**
@@ -80,32 +85,41 @@
         return uri;
     }
 
-    /** Puts settings in force on every daemon. */
-    void settingsChanged(final DeploymentSettings settings) {
-        mDaemons.values().forEach(daemon -> daemon.settingsChanged(settings, 0));
+    /**
+     * Puts documents through one daemon and waits until every daemon goes by them and can serve.
+     *
+     * @param documents the documents, in an order in which they can be put
+     * @throws IOException if a change is refused, or a daemon is not ready in time
+     * @throws InterruptedException if the thread is interrupted while it waits
+     */
+    void putSettings(final List<DocumentList.Entry> documents)
+            throws IOException, InterruptedException {
+        final List<URI> all = mDaemons.values().stream().map(Daemon::operatorUri).toList();
+        await(all.get(0), mOperator::followsLog);
+        long last = 0;
+        for (final DocumentList.Entry document : documents) {
+            last = mOperator.put(all.get(0), document);
+        }
+        final long revision = last;
+        for (final URI daemon : all) {
+            await(daemon, one -> mOperator.revision(one) >= revision && mOperator.isReady(one));
+        }
     }
 
-    /** Waits until every daemon can serve. */
-    void awaitReady() throws InterruptedException {
+    private static void await(final URI daemon, final Question question)
+            throws IOException, InterruptedException {
         final long end = System.nanoTime() + START_BOUND.toNanos();
-        for (final Daemon daemon : mDaemons.values()) {
-            while (!isReady(daemon)) {
-                if (System.nanoTime() > end) {
-                    throw new IllegalStateException(daemon.id() + " is not ready in time");
-                }
-                LockSupport.parkNanos(LOOK_NANOS);
+        while (!question.ask(daemon)) {
+            if (System.nanoTime() > end) {
+                throw new IOException(daemon + " is not ready in time");
             }
+            LockSupport.parkNanos(LOOK_NANOS);
         }
     }
 
-    private boolean isReady(final Daemon daemon) throws InterruptedException {
-        final HttpRequest question =
-                HttpRequest.newBuilder(daemon.operatorUri().resolve("/health/ready")).build();
-        try {
-            return mClient.send(question, BodyHandlers.discarding()).statusCode() == OK;
-        } catch (final IOException e) {
-            return false;
-        }
+    /** Something that is asked of a daemon until the answer is yes. */
+    private interface Question {
+        boolean ask(URI daemon) throws IOException, InterruptedException;
     }
 
     @Override
--- a/demo/src/main/java/org/whinhead/demo/ExampleSettings.java
+++ b/demo/src/main/java/org/whinhead/demo/ExampleSettings.java
@@ -9,9 +9,7 @@
 import org.whinhead.settings.SettingsException;
 import org.whinhead.settings.daemon.DaemonSettings;
 import org.whinhead.settings.daemon.SettingsReader;
-import org.whinhead.settings.deployment.DeploymentSettings;
 import org.whinhead.settings.deployment.DocumentList;
-import org.whinhead.settings.deployment.StoredDocument;
 import org.whinhead.standins.load.mix.Deployment;
 
 /** Reads the settings of the example deployments, which are built into this program. */
@@ -46,14 +44,6 @@
         return DocumentList.parse(name, text(name));
     }
 
-    /** Returns the documents as if they were in force. */
-    DeploymentSettings inForce() throws IOException, SettingsException {
-        return DeploymentSettings.of(
-                documents().stream()
-                        .map(entry -> new StoredDocument(entry.path(), entry.text(), 1))
-                        .toList());
-    }
-
     private static String text(final String name) throws IOException {
         try (InputStream file = ExampleSettings.class.getResourceAsStream(name)) {
             if (file == null) {
--- a/demo/src/main/java/org/whinhead/demo/LoadPhases.java
+++ b/demo/src/main/java/org/whinhead/demo/LoadPhases.java
@@ -11,7 +11,7 @@
  * @param settled all that was seen when the wave had settled
  * @param end all that was seen
  */
-record LoadPhases(LoadResult atNotice, LoadResult settled, LoadResult end) {
+public record LoadPhases(LoadResult atNotice, LoadResult settled, LoadResult end) {
 
     /**
      * The times of one part of a run.
@@ -19,7 +19,7 @@
      * @param firstToken times to the first token, of requests that ended in this part
      * @param betweenTokens times between two tokens
      */
-    record Times(LatencyDistribution firstToken, LatencyDistribution betweenTokens) {
+    public record Times(LatencyDistribution firstToken, LatencyDistribution betweenTokens) {
 
         private static Times of(final LoadResult result) {
             return new Times(result.firstToken(), result.betweenTokens());
@@ -32,19 +32,23 @@
         }
     }
 
-    Times before() {
+    /** Returns the times until the notice. */
+    public Times before() {
         return Times.of(atNotice);
     }
 
-    Times during() {
+    /** Returns the times from the notice until the wave had settled. */
+    public Times during() {
         return Times.of(settled).since(Times.of(atNotice));
     }
 
-    Times after() {
+    /** Returns the times after the wave had settled. */
+    public Times after() {
         return Times.of(end).since(Times.of(settled));
     }
 
-    Times whole() {
+    /** Returns the times of the whole run. */
+    public Times whole() {
         return Times.of(end);
     }
 }
--- a/demo/src/test/java/org/whinhead/demo/ReclaimedDaemonTest.java
+++ b/demo/src/test/java/org/whinhead/demo/ReclaimedDaemonTest.java
@@ -9,6 +9,7 @@
 import java.time.Duration;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.whinhead.requests.RecoveryMode;
 import org.whinhead.settings.daemon.DaemonSettings;
 import org.whinhead.standins.deployment.DeploymentConfig;
 import org.whinhead.standins.deployment.DeploymentPlan;
@@ -37,15 +38,14 @@
      */
     @Test
     void daemonStopsWhenItsOwnVmIsAnnounced() throws Exception {
-        try (EntryVms entries = new EntryVms();
+        try (EntryVms entries = new EntryVms(RecoveryMode.KEEP_WORK);
                 DeploymentStandIns standIns =
                         DeploymentStandIns.start(DeploymentConfig.of(DeploymentPlan.INKIKO))) {
             final ExampleSettings examples = new ExampleSettings(Deployment.INKIKO);
             final DaemonSettings daemon = examples.daemons().get(0);
             final URI uri = entries.start(daemon, DemoRun.platform(standIns));
             standIns.addEntry(daemon.vm().value(), daemon.domain(), uri);
-            entries.settingsChanged(examples.inForce());
-            entries.awaitReady();
+            entries.putSettings(examples.documents());
             standIns.cloud().reclaim(daemon.vm().value(), Duration.ofSeconds(30));
             while (addresses(uri).contains(uri.toString())) {
                 Thread.onSpinWait();
