Measure reclaim waves against starting over

bin/bench waves runs whole deployments whose failure domains are reclaimed with and without notice, and compares recomputed tokens, latency and cost with daemons that start every answer over.

--- a/bench/src/main/java/org/whinhead/bench/BenchmarkCatalog.java
+++ b/bench/src/main/java/org/whinhead/bench/BenchmarkCatalog.java
@@ -13,6 +13,7 @@
 import org.whinhead.bench.capacity.WatchCost;
 import org.whinhead.bench.goodput.GoodputBenchmark;
 import org.whinhead.bench.routing.RoutingBenchmark;
+import org.whinhead.bench.waves.WavesBenchmark;
 
 /** Every benchmark that the command line knows. */
 public enum BenchmarkCatalog {
@@ -20,6 +21,8 @@
     ROUTING(RoutingBenchmark::new),
     /** Admission under overload. */
     GOODPUT(GoodputBenchmark::new),
+    /** Reclaim waves over whole deployments. */
+    WAVES(WavesBenchmark::new),
     /** What the role costs by its size. */
     CAPACITY_REQUESTS(RequestsCost::new),
     /** What the role costs by its size. */
--- /dev/null
+++ b/bench/src/main/java/org/whinhead/bench/waves/WaveTotals.java
@@ -0,0 +1,58 @@
+package org.whinhead.bench.waves;
+
+import org.HdrHistogram.Histogram;
+import org.whinhead.demo.DemoResult;
+import org.whinhead.demo.LoadPhases;
+import org.whinhead.standins.load.result.Outcome;
+
+/** Adds several waves up. */
+final class WaveTotals {
+
+    private static final double MOST = 95;
+    private static final double MICROS_IN_MILLI = 1000;
+    private static final double THOUSAND = 1000;
+    private static final double PERCENT = 100;
+    private static final int DIGITS = 3;
+
+    private final Histogram mFirstToken = new Histogram(DIGITS);
+    private final Histogram mBetweenTokens = new Histogram(DIGITS);
+    private long mRecomputed;
+    private long mGenerated;
+    private long mCompleted;
+    private long mRequests;
+    private long mLost;
+    private long mDoubled;
+    private long mWrong;
+    private double mCost;
+
+    void add(final DemoResult wave) {
+        final LoadPhases.Times during = wave.phases().during();
+        mFirstToken.add(during.firstToken().micros());
+        mBetweenTokens.add(during.betweenTokens().micros());
+        mRecomputed += wave.recomputedTokens();
+        mGenerated += wave.generatedTokens();
+        mRequests += wave.load().requests().size();
+        mCompleted += wave.load().count(Outcome.COMPLETED);
+        mLost += wave.lost();
+        mDoubled += wave.doubled();
+        mWrong += wave.wrongAnswers() + wave.notRunButRan();
+        mCost += wave.cost();
+    }
+
+    /** Returns the figures in the order of {@link WavesBenchmark}'s columns. */
+    double[] figures(final WaveTotals baseline) {
+        return new double[] {
+            mRequests,
+            mCompleted,
+            mRecomputed,
+            mRecomputed * PERCENT / Math.max(1, mGenerated),
+            (double) mRecomputed / Math.max(1, baseline.mRecomputed),
+            mFirstToken.getValueAtPercentile(MOST) / MICROS_IN_MILLI,
+            mBetweenTokens.getValueAtPercentile(MOST) / MICROS_IN_MILLI,
+            mCost * THOUSAND / Math.max(1, mCompleted),
+            mLost,
+            mDoubled,
+            mWrong
+        };
+    }
+}
