--- a/bench/src/main/java/org/whinhead/bench/waves/WavesBenchmark.java
+++ b/bench/src/main/java/org/whinhead/bench/waves/WavesBenchmark.java
@@ -9,6 +9,7 @@
 import org.whinhead.bench.Benchmark;
 import org.whinhead.bench.FigureTable;
 import org.whinhead.demo.DemoConfig;
+import org.whinhead.demo.DemoLogs;
 import org.whinhead.demo.DemoResult;
 import org.whinhead.demo.DemoRun;
 import org.whinhead.requests.RecoveryMode;
@@ -35,6 +36,7 @@
 
     @Override
     public void run(final BenchOptions options, final PrintStream out) {
+        DemoLogs.toStandardError();
         final FigureTable table =
                 new FigureTable(
                         "deployment, notice, recovery",
--- a/demo/src/main/java/org/whinhead/demo/DemoMain.java
+++ b/demo/src/main/java/org/whinhead/demo/DemoMain.java
@@ -18,9 +18,6 @@
     /** The options are wrong. */
     static final int EXIT_USAGE = 2;
 
-    private static final String LOG_PROPERTY = "logback.configurationFile";
-    private static final String LOG_SETTINGS = "org/whinhead/demo/logback.xml";
-
     private DemoMain() {}
 
     /**
@@ -34,9 +31,7 @@
      */
     public static void main(final String[] arguments)
             throws IOException, SettingsException, InterruptedException, ExecutionException {
-        if (System.getProperty(LOG_PROPERTY) == null) {
-            System.setProperty(LOG_PROPERTY, LOG_SETTINGS);
-        }
+        DemoLogs.toStandardError();
         System.exit(run(System.out, System.err, arguments));
     }
 
