Draw the report's course from when counting began

The page of a young fleet drew hours of zeros before any daemon counted, which looks like good service. The course now begins with the first daemon's count and spans at least 30 minutes.

--- a/report/src/main/java/org/whinhead/report/BurnPlot.java
+++ b/report/src/main/java/org/whinhead/report/BurnPlot.java
@@ -41,6 +41,7 @@
 
     private static final int WIDTH = 1040;
     private static final int HEIGHT = 340;
+    private static final long FEWEST_MINUTES = 30;
     private static final long MILLIS_PER_MINUTE = 60_000;
     private static final String ALLOWANCE = "allowance";
     private static final int HEX_DIGITS = 0xffffff;
@@ -56,7 +57,7 @@
     BurnPlot(final FleetReport report) {
         mReport = report;
         mLast = Math.floorDiv(report.asOf().toEpochMilli(), MILLIS_PER_MINUTE);
-        mFirst = mLast - Window.LONG.length().toMinutes() + 1;
+        mFirst = firstMinute(report);
         mShown =
                 report.lines().stream()
                         .sorted(Comparator.comparingDouble(BurnPlot::highestBurn).reversed())
@@ -64,6 +65,13 @@
                         .toList();
     }
 
+    /** Leaves out the time before any daemon counted, which would look like good service. */
+    private long firstMinute(final FleetReport report) {
+        final long earliest = mLast - Window.LONG.length().toMinutes() + 1;
+        final long since = Math.floorDiv(report.since().toEpochMilli(), MILLIS_PER_MINUTE);
+        return Math.min(Math.max(earliest, since), mLast - FEWEST_MINUTES + 1);
+    }
+
     /** Returns the lines that are drawn: those with the highest burn. */
     List<FleetReport.Line> shown() {
         return mShown;
