Count callers that come back against the running requests

Cause: a caller that came back with a ticket went on without admission. After a daemon's loss the others ran such answers beside a full set of new ones and reserved no budget for them. Change: Admission.adopt counts a request that another daemon admitted; it takes a slot, free or not, and reserves what the budget has, and is never refused, since it was accepted. Tickets.returned calls it. Measured: before, the new test's next request was sent at once; after, it waits for the end of the returned one. Conclusion: the limit of running requests holds through a wave; a budget may be exceeded by the rest of the answers that were accepted before.

--- a/admission/src/main/java/org/whinhead/admission/Admission.java
+++ b/admission/src/main/java/org/whinhead/admission/Admission.java
@@ -46,6 +46,17 @@
      */
     void ended(RequestId request, long generatedTokens, Instant now);
 
+    /**
+     * Counts a request that another daemon admitted and that goes on here; it is never refused.
+     *
+     * <p>Guards against a wave of callers that come back after a daemon is gone: not counted, their
+     * answers would run beside a full set of new ones, and all of them would be late.
+     *
+     * @param spec the request
+     * @param now the time
+     */
+    default void adopt(final RequestSpec spec, final Instant now) {}
+
     /**
      * A waiting request that is refused.
      *
--- a/admission/src/main/java/org/whinhead/admission/Lane.java
+++ b/admission/src/main/java/org/whinhead/admission/Lane.java
@@ -62,6 +62,11 @@
         return null;
     }
 
+    /** Takes a slot for a request that runs already, free or not. */
+    void occupy() {
+        mRunning++;
+    }
+
     void ended(final long tokens, final Duration took) {
         mRunning--;
         mTimes.observe(tokens, took);
--- a/admission/src/main/java/org/whinhead/admission/SimpleAdmission.java
+++ b/admission/src/main/java/org/whinhead/admission/SimpleAdmission.java
@@ -56,6 +56,11 @@
         return admitted;
     }
 
+    @Override
+    public void adopt(final RequestSpec spec, final Instant now) {
+        mRunning.add(spec.id());
+    }
+
     @Override
     public List<Shed> shed(final Instant now) {
         final List<Shed> shed = new ArrayList<>();
--- a/admission/src/main/java/org/whinhead/admission/TieredAdmission.java
+++ b/admission/src/main/java/org/whinhead/admission/TieredAdmission.java
@@ -113,6 +113,20 @@
         return admitted;
     }
 
+    /**
+     * {@inheritDoc}
+     *
+     * <p>What is left of the team's budget is reserved; if that is not enough the request goes on
+     * all the same, since it was accepted.
+     */
+    @Override
+    public void adopt(final RequestSpec spec, final Instant now) {
+        final Lane lane = lane(Target.of(spec));
+        lane.occupy();
+        reserve(spec, now);
+        mRunning.put(spec.id(), new Running(lane, now));
+    }
+
     @Override
     public List<Shed> shed(final Instant now) {
         removeLate(now);
--- a/admission/src/test/java/org/whinhead/admission/TieredAdmissionTest.java
+++ b/admission/src/test/java/org/whinhead/admission/TieredAdmissionTest.java
@@ -96,6 +96,21 @@
                 .hasSize(30);
     }
 
+    // Callers of a lost daemon come back and their answers go on here. Were they not counted, new
+    // requests would be dispatched beside them, twice as many as the engines have slots.
+    @Test
+    void adoptedRequestHoldsItsSlotUntilItEnds() {
+        final TieredAdmission admission = admission(4);
+        admission.capacityChanged(TARGET, 1);
+        final RequestSpec adopted = Requests.of("c", BATCH, START);
+        final RequestSpec next = Requests.of("c", BATCH, START);
+        admission.adopt(adopted, START);
+        admission.offer(next, START);
+        assertThat(admission.admitted(START)).isEmpty();
+        admission.ended(adopted.id(), 10, START);
+        assertThat(admission.admitted(START)).containsExactly(next);
+    }
+
     // Requests take a second on the only slot and the target is two. The fourth in line can not be
     // served in time: it is told so at once, with a time to come back, instead of timing out.
     @Test
--- a/requests/src/main/java/org/whinhead/requests/Tickets.java
+++ b/requests/src/main/java/org/whinhead/requests/Tickets.java
@@ -69,6 +69,8 @@
         former.ifPresent(old -> state.numberAfter(old.lastNumber()));
         state.setLastTicket(latest);
         mEndings.add(state);
+        mWiring.admission().adopt(state.spec(), now);
+        state.setOffered();
         mWiring.log().add(state, DecisionKind.CALLER_RETURNED, latest.endpoint().value(), now);
         if (state.isLate(now)) {
             mEndings.giveUp(state, ErrorCode.DEADLINE_PASSED, "before the caller came back", now);
--- a/requests/src/test/java/org/whinhead/requests/Recorder.java
+++ b/requests/src/test/java/org/whinhead/requests/Recorder.java
@@ -42,6 +42,10 @@
     private Instant mNow = START;
 
     Recorder(final RequestSettings settings, final String endpoints) {
+        this(settings, endpoints, 1000);
+    }
+
+    Recorder(final RequestSettings settings, final String endpoints, final int maxRunning) {
         final InvocationHandler handler =
                 (proxy, method, arguments) -> {
                     mActions.add(method.getName() + describe(arguments));
@@ -53,7 +57,7 @@
         mCoordinator =
                 DefaultRequestCoordinator.builder()
                         .router(new FirstRouter(endpoints))
-                        .admission(new SimpleAdmission(1000, 1000))
+                        .admission(new SimpleAdmission(maxRunning, 1000))
                         .actions((RequestActions) actions)
                         .settings(settings)
                         .random(new SplittableRandom(1))
--- a/requests/src/test/java/org/whinhead/requests/RecoveryTest.java
+++ b/requests/src/test/java/org/whinhead/requests/RecoveryTest.java
@@ -80,6 +80,22 @@
                         "deliver r 2 z ");
     }
 
+    /**
+     * A daemon is gone and its callers come back to another one, which is full with them. Were they
+     * not counted, new requests would be sent beside them and all would be late.
+     */
+    @Test
+    void callerThatComesBackHoldsSlotUntilItsEnd() {
+        final Recorder world = new Recorder(RequestSettings.builder().build(), "ab", 1);
+        final RequestId next = new RequestId("next");
+        world.returned(true, 1, "x ")
+                .coordinator()
+                .arrived(Recorder.spec(next).service("x").build(), world.now());
+        assertThat(world.actions()).containsExactly("resume r#2 a s1 1");
+        world.coordinator().callerLeft(Recorder.ID, world.now());
+        assertThat(world.actions()).containsExactly("cancel r#2 a s1", "call next#1 a");
+    }
+
     /** A frozen engine answers nothing and breaks no connection; the caller would wait for good. */
     @Test
     void silentEngineIsLeftAfterTheBoundOfItsTier() {
