Check the notes of the fleet's duty and lose a holder mid-append

Cause: in a trial on a scratch copy notes of old leases were accepted and nothing showed it. Change: the oracle replays leases and notes and compares them with each daemon's; a new fault kills the holder while what it noted lands only under the next lease.

--- a/faults/src/main/java/org/whinhead/faults/matrix/Fault.java
+++ b/faults/src/main/java/org/whinhead/faults/matrix/Fault.java
@@ -25,6 +25,7 @@
     DAEMON_PAUSED("the daemon is paused past its lease", scene -> scene.daemon().pause(7_000)),
     DAEMON_PAUSED_LONG("it is paused past the log's retention", Fault::pauseLong),
     HOLDER_PAUSED("the holder is paused and its orders arrive late", Fault::pauseHolder),
+    HOLDER_LOST("the holder dies and what it noted lands under the next lease", Fault::loseHolder),
     CALLER_CUT("the caller's connection breaks", Fault::cutCaller, Step.Subject.CALLER),
     CALLER_LEFT("the caller hangs up", scene -> scene.caller().leave(), Step.Subject.CALLER),
     EVENTS_LOST("events get lost and come twice", scene -> scene.world().setLossPercent(3)),
@@ -145,6 +146,15 @@
         scene.changeVersion();
     }
 
+    private static void loseHolder(final Scene scene) {
+        final FakeDaemon holder = scene.holder();
+        scene.changeVersion();
+        scene.world().run(200);
+        scene.world().log().landLate(2);
+        scene.world().run(400);
+        holder.die();
+    }
+
     private static void cutCaller(final Scene scene) {
         scene.caller().cutOff();
     }
--- a/faults/src/main/java/org/whinhead/faults/world/FakeLog.java
+++ b/faults/src/main/java/org/whinhead/faults/world/FakeLog.java
@@ -26,7 +26,7 @@
     public static final Duration RETENTION = Duration.ofSeconds(60);
 
     private static final int MAX_DELAY_MILLIS = 5;
-    private static final int LATE_MILLIS = 4_000;
+    private static final int LATE_MILLIS = 7_000;
 
     private final FakeWorld mWorld;
     private final Map<String, Stream> mStreams = new TreeMap<>();
--- /dev/null
+++ b/faults/src/main/java/org/whinhead/faults/world/NoteReplay.java
@@ -0,0 +1,48 @@
+package org.whinhead.faults.world;
+
+import java.util.HashSet;
+import java.util.Set;
+import java.util.TreeSet;
+import org.whinhead.state.record.LogEntry;
+import org.whinhead.state.record.LogRecord;
+import org.whinhead.state.record.RecordId;
+
+/** Replays the leases of the fleet's duty and the notes that were made under them. */
+final class NoteReplay {
+
+    private final Set<RecordId> mCopies = new HashSet<>();
+    private final Set<String> mOpen = new TreeSet<>();
+    private long mFencing = LogRecord.NONE;
+    private long mNewest = LogRecord.NONE;
+
+    void apply(final LogEntry entry) {
+        if (!mCopies.add(entry.record().id())) {
+            return;
+        }
+        if (entry.record() instanceof LogRecord.LeaseTaken taken && taken.seenOffset() == mNewest) {
+            mFencing = entry.offset();
+            mNewest = entry.offset();
+        } else if (entry.record() instanceof LogRecord.LeaseRenewed renewed
+                && renewed.seenOffset() == mFencing) {
+            mNewest = entry.offset();
+        } else if (entry.record() instanceof LogRecord.DutyNoted note) {
+            apply(note);
+        }
+    }
+
+    private void apply(final LogRecord.DutyNoted note) {
+        if (note.fencing() != mFencing) {
+            return;
+        }
+        if (note.body().isPresent()) {
+            mOpen.add(note.name());
+        } else {
+            mOpen.remove(note.name());
+        }
+    }
+
+    /** Returns the names of the notes that stand. */
+    Set<String> open() {
+        return mOpen;
+    }
+}
--- a/faults/src/main/java/org/whinhead/faults/world/StateOracle.java
+++ b/faults/src/main/java/org/whinhead/faults/world/StateOracle.java
@@ -84,6 +84,7 @@
                 require(revisions.equals(inForce), daemon.id() + " " + revisions + inForce);
             }
         }
+        checkNotes();
         for (final FakeOperator.Change change : mWorld.operator().changes()) {
             require(change.outcome().isPresent(), "no outcome of " + change.name());
             final ChangeOutcome outcome = change.outcome().get();
@@ -92,6 +93,23 @@
         }
     }
 
+    /** A note counts only under the lease in force where it stands in the log. */
+    private void checkNotes() {
+        final List<LogEntry> all = mWorld.log().all(FakeLog.FLEET);
+        for (final FakeDaemon daemon : mWorld.daemons()) {
+            if (daemon.isAlive()) {
+                final FoldState state = daemon.state().view().state();
+                final NoteReplay replay = new NoteReplay();
+                all.subList(0, (int) state.asOf()).forEach(replay::apply);
+                final Set<String> notes =
+                        state.notes().getOrDefault(DaemonState.DUTY, Map.of()).keySet();
+                require(
+                        notes.equals(replay.open()),
+                        "notes " + notes + " in place of " + replay.open());
+            }
+        }
+    }
+
     private void replay(final Map<String, Long> inForce, final Map<String, Long> won) {
         final List<LogEntry> all = mWorld.log().all(FakeLog.FLEET);
         final Set<RecordId> copies = new HashSet<>();
