Admit by tiers, weights and budgets in the daemon

Cause: the daemon admitted first come, first served, up to fixed bounds, and no budget was kept. A caller that came back with a ticket was seen by no limit, and a customer that was removed between key check and queue would have had none. Change: DaemonAdmission feeds TieredAdmission from the settings in force, the endpoints and the number of live entry VMs; it looks at the latest inputs before each decision. Budgets are an even share for each daemon, with the bound stated in EvenShareBudget. Returned requests take slots and budget and are counted. A removed customer is refused "not run". Conclusion: the holder of grants is left; a customer's own rate is not enforced.

--- a/admission/src/main/java/org/whinhead/admission/Admission.java
+++ b/admission/src/main/java/org/whinhead/admission/Admission.java
@@ -38,7 +38,18 @@
     List<Shed> shed(Instant now);
 
     /**
-     * A request that was offered ended, or its caller left.
+     * A caller came back with a ticket for the rest of its answer, and the request goes on here at
+     * once. It was admitted before, by another daemon or this one, so it is neither queued nor
+     * refused; it is counted.
+     *
+     * @param spec the request
+     * @param restTokens the most tokens that may still be generated
+     * @param now the time
+     */
+    default void returned(final RequestSpec spec, final long restTokens, final Instant now) {}
+
+    /**
+     * A request that was offered or returned ended, or its caller left.
      *
      * @param request the request
      * @param generatedTokens tokens that were generated for it
--- a/admission/src/main/java/org/whinhead/admission/Lane.java
+++ b/admission/src/main/java/org/whinhead/admission/Lane.java
@@ -62,6 +62,11 @@
         return null;
     }
 
+    /** Counts a request that runs without having been served from the queue. */
+    void returned() {
+        mRunning++;
+    }
+
     void ended(final long tokens, final Duration took) {
         mRunning--;
         mTimes.observe(tokens, took);
--- a/admission/src/main/java/org/whinhead/admission/TieredAdmission.java
+++ b/admission/src/main/java/org/whinhead/admission/TieredAdmission.java
@@ -33,6 +33,8 @@
     private final List<Shed> mShed = new ArrayList<>();
     private Map<CustomerId, Customer> mCustomers = Map.of();
     private long mSequence;
+    private long mReturned;
+    private long mReturnedWithoutBudget;
 
     /**
      * Makes empty queues.
@@ -121,6 +123,25 @@
         return shed;
     }
 
+    /**
+     * Counts a request that came back against the slots and, as far as there is any, the budget.
+     *
+     * <p>Guards against work that nobody sees: after the loss of a daemon all its callers come back
+     * elsewhere at once, and a daemon that did not count them would admit as many new requests as
+     * before on top. The lane may hold more than its slots then, and admits nothing until it has
+     * drained.
+     */
+    @Override
+    public void returned(final RequestSpec spec, final long restTokens, final Instant now) {
+        final Lane lane = lane(Target.of(spec));
+        lane.returned();
+        mRunning.put(spec.id(), new Running(lane, now));
+        mReturned++;
+        if (reserve(spec, restTokens, now).kind() != BudgetDecision.Kind.RESERVED) {
+            mReturnedWithoutBudget++;
+        }
+    }
+
     @Override
     public void ended(final RequestId request, final long generatedTokens, final Instant now) {
         final Running running = mRunning.remove(request);
@@ -144,17 +165,31 @@
         return mRunning.size();
     }
 
+    /** Returns how many requests came back with a ticket so far. */
+    public long returned() {
+        return mReturned;
+    }
+
+    /** Returns how many of those found no budget left and went on all the same. */
+    public long returnedWithoutBudget() {
+        return mReturnedWithoutBudget;
+    }
+
     private boolean hasBudget(final Waiter waiter, final Instant now) {
         return reserve(waiter.spec(), now).kind() == BudgetDecision.Kind.RESERVED;
     }
 
     private BudgetDecision reserve(final RequestSpec spec, final Instant now) {
+        return reserve(spec, spec.maxTokens(), now);
+    }
+
+    private BudgetDecision reserve(final RequestSpec spec, final long tokens, final Instant now) {
         final Customer customer = mCustomers.get(spec.customer());
         if (customer == null) {
             return BudgetDecision.RESERVED;
         }
         final TeamId team = customer.team();
-        return mBudget.reserve(spec.id(), team, Math.max(1, spec.maxTokens()), now);
+        return mBudget.reserve(spec.id(), team, Math.max(1, tokens), now);
     }
 
     /**
@@ -207,11 +242,20 @@
         return wait.compareTo(mSettings.longestRetry()) > 0 ? mSettings.longestRetry() : wait;
     }
 
+    /**
+     * Returns the last moment at which admission still meets a request's target.
+     *
+     * <p>Guards against a tier whose target is not longer than the allowance: each of its requests
+     * would be late on arrival and refused for ever. Half the target is the most that is kept back.
+     */
     private Instant due(final RequestSpec spec) {
+        final Duration promised = spec.tier().firstTokenTarget();
+        final Duration half = promised.dividedBy(2);
+        final Duration allowance = mSettings.dispatchAllowance();
         final Instant target =
                 spec.arrived()
-                        .plus(spec.tier().firstTokenTarget())
-                        .minus(mSettings.dispatchAllowance());
+                        .plus(promised)
+                        .minus(allowance.compareTo(half) < 0 ? allowance : half);
         return target.isBefore(spec.deadline()) ? target : spec.deadline();
     }
 
--- a/admission/src/main/java/org/whinhead/admission/budget/Income.java
+++ b/admission/src/main/java/org/whinhead/admission/budget/Income.java
@@ -52,6 +52,22 @@
         mTokens -= tokens;
     }
 
+    void giveBack(final long tokens) {
+        mTokens = Math.min(bound(), mTokens + tokens);
+    }
+
+    /** Saves up to the bound at once. */
+    void fill() {
+        mTokens = bound();
+    }
+
+    /** Returns how long it takes until there are enough tokens, or until no more are saved up. */
+    Duration timeUntil(final long tokens) {
+        final double missing = Math.min(tokens, bound()) - mTokens;
+        final double seconds = mPerSecond == 0 ? mBurst.toSeconds() : missing / mPerSecond;
+        return Duration.ofNanos((long) (Math.max(0, seconds) * NANOS_PER_SECOND));
+    }
+
     private double bound() {
         return mPerSecond * mBurst.toNanos() / NANOS_PER_SECOND;
     }
--- a/admission/src/test/java/org/whinhead/admission/TieredAdmissionTest.java
+++ b/admission/src/test/java/org/whinhead/admission/TieredAdmissionTest.java
@@ -63,6 +63,17 @@
         assertThat(admission.admitted(START.plusMillis(5))).containsExactly(light);
     }
 
+    // A tier promises the first token in 100 ms, less than what is kept back for the way to it. Its
+    // requests would all be late on arrival and refused with an empty queue.
+    @Test
+    void tierWithShortTargetIsServed() {
+        final Duration target = Duration.ofMillis(100);
+        final Tier tier = new Tier("lookup", 3, target, target, Duration.ofSeconds(1));
+        final RequestSpec request = Requests.of("clerk", tier, START);
+        assertThat(mAdmission.offer(request, START.plusMillis(20))).isEmpty();
+        assertThat(mAdmission.admitted(START.plusMillis(20))).containsExactly(request);
+    }
+
     // One customer worked all morning; another comes at noon with a pile. Its idle morning is no
     // credit: the first one's requests must not wait until the whole pile is done.
     @Test
--- a/daemon/src/main/java/org/whinhead/daemon/Daemon.java
+++ b/daemon/src/main/java/org/whinhead/daemon/Daemon.java
@@ -13,7 +13,7 @@
 import java.util.random.RandomGenerator;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.whinhead.admission.SimpleAdmission;
+import org.whinhead.admission.AdmissionSettings;
 import org.whinhead.api.model.DaemonId;
 import org.whinhead.api.model.Endpoint;
 import org.whinhead.api.model.EndpointId;
@@ -27,6 +27,9 @@
 import org.whinhead.daemon.duty.NoticeWatch;
 import org.whinhead.daemon.engine.ActionDispatcher;
 import org.whinhead.daemon.engine.AttemptTransport;
+import org.whinhead.daemon.limits.DaemonAdmission;
+import org.whinhead.daemon.limits.LimitBoard;
+import org.whinhead.daemon.limits.LimitMeters;
 import org.whinhead.daemon.operator.Meters;
 import org.whinhead.daemon.operator.OperatorHandler;
 import org.whinhead.daemon.request.LiveRequests;
@@ -55,14 +58,15 @@
     private static final long TICK_MILLIS = 20;
     private static final long COUNT_MILLIS = 1_000;
     private static final String RANDOM = "L64X128MixRandom";
-    private static final int MAX_RUNNING = 1024;
-    private static final int MAX_WAITING = 1024;
     private static final int CALLERS = 0;
     private static final int OPERATORS = 1;
 
     private final DaemonSettings mSettings;
     private final DaemonOptions mOptions;
     private final LiveRequests mRequests = new LiveRequests();
+    private final LimitBoard mLimits = new LimitBoard(AdmissionSettings.DEFAULT.startSlots());
+    private final DaemonAdmission mAdmission =
+            new DaemonAdmission(mLimits, AdmissionSettings.DEFAULT);
     private final Standing mStanding;
     private final BurnCollector mBurn;
     private final DecisionLoop mLoop;
@@ -147,6 +151,7 @@
      * @param revision the log offset of the last change
      */
     public void settingsChanged(final DeploymentSettings settings, final long revision) {
+        mLimits.settingsChanged(settings);
         mStanding.settingsChanged(settings, revision);
     }
 
@@ -200,7 +205,7 @@
         mLoop.start(
                 DefaultRequestCoordinator.builder()
                         .router(mRouter)
-                        .admission(new SimpleAdmission(MAX_RUNNING, MAX_WAITING))
+                        .admission(mAdmission)
                         .actions(actions)
                         .random(random)
                         .build());
@@ -257,6 +262,7 @@
                 "events",
                 "Events that wait in the decision ring.",
                 mLoop::waiting);
+        LimitMeters.add(meters, mAdmission);
         return meters;
     }
 
@@ -296,6 +302,7 @@
     private final class Watched implements EndpointWatch.Listener {
         @Override
         public void endpoints(final List<Endpoint> endpoints) {
+            mLimits.endpointsChanged(endpoints);
             mLoop.offer(new DecisionEvent.Update(() -> mRouter.endpointsChanged(endpoints)));
             mStanding.endpointsKnown();
         }
@@ -309,6 +316,7 @@
 
         @Override
         public void addresses(final List<EntryAddress> addresses) {
+            mLimits.daemonsChanged(addresses.size());
             mStanding.addressesListed(addresses);
         }
     }
--- /dev/null
+++ b/daemon/src/main/java/org/whinhead/daemon/limits/DaemonAdmission.java
@@ -0,0 +1,114 @@
+package org.whinhead.daemon.limits;
+
+import java.time.Instant;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import org.whinhead.admission.Admission;
+import org.whinhead.admission.AdmissionSettings;
+import org.whinhead.admission.TieredAdmission;
+import org.whinhead.admission.budget.BudgetSettings;
+import org.whinhead.admission.budget.EvenShareBudget;
+import org.whinhead.api.model.Customer;
+import org.whinhead.api.model.CustomerId;
+import org.whinhead.api.request.RequestId;
+import org.whinhead.api.request.RequestSpec;
+import org.whinhead.api.verdict.ErrorCode;
+import org.whinhead.api.verdict.Refusal;
+
+/**
+ * The daemon's admission: tiers, weights and budgets of the settings in force, and this daemon's
+ * share of the endpoints' slots.
+ *
+ * <p>Guards against limits that fall behind: news sent over the bounded ring could be dropped when
+ * it is full, and a budget that was cut would go on being spent. The latest inputs are looked at
+ * before each decision instead, so none can be lost or overtaken.
+ */
+public final class DaemonAdmission implements Admission {
+
+    private final LimitBoard mBoard;
+    private final EvenShareBudget mBudget = new EvenShareBudget(BudgetSettings.DEFAULT);
+    private final TieredAdmission mAdmission;
+    private LimitInputs mApplied = LimitInputs.EMPTY;
+    private Set<CustomerId> mCustomers = Set.of();
+    private volatile LimitCounts mCounts = LimitCounts.NONE;
+
+    /**
+     * Makes empty queues.
+     *
+     * @param board where the inputs stand
+     * @param settings bounds of the queues
+     */
+    public DaemonAdmission(final LimitBoard board, final AdmissionSettings settings) {
+        mBoard = Objects.requireNonNull(board, "board");
+        mAdmission = new TieredAdmission(settings, mBudget);
+    }
+
+    /**
+     * Offers a new request.
+     *
+     * <p>Guards against a customer who was taken out of the settings after its key was checked: it
+     * has no weight and no budget any more, and would run without limits.
+     */
+    @Override
+    public Optional<Refusal> offer(final RequestSpec spec, final Instant now) {
+        refresh(now);
+        if (!mCustomers.contains(spec.customer())) {
+            return Optional.of(Refusal.notRun(ErrorCode.UNKNOWN_KEY, "customer was removed"));
+        }
+        return mAdmission.offer(spec, now);
+    }
+
+    @Override
+    public List<RequestSpec> admitted(final Instant now) {
+        refresh(now);
+        final List<RequestSpec> admitted = mAdmission.admitted(now);
+        mCounts =
+                new LimitCounts(
+                        mAdmission.waiting(),
+                        mAdmission.running(),
+                        mAdmission.returned(),
+                        mAdmission.returnedWithoutBudget());
+        return admitted;
+    }
+
+    @Override
+    public List<Shed> shed(final Instant now) {
+        refresh(now);
+        return mAdmission.shed(now);
+    }
+
+    @Override
+    public void returned(final RequestSpec spec, final long restTokens, final Instant now) {
+        refresh(now);
+        mAdmission.returned(spec, restTokens, now);
+    }
+
+    @Override
+    public void ended(final RequestId request, final long generatedTokens, final Instant now) {
+        mAdmission.ended(request, generatedTokens, now);
+    }
+
+    /** Returns the counts as of the last look, from any thread. */
+    public LimitCounts counts() {
+        return mCounts;
+    }
+
+    private void refresh(final Instant now) {
+        final LimitInputs latest = mBoard.inputs();
+        if (latest == mApplied) {
+            return;
+        }
+        mApplied = latest;
+        final Set<CustomerId> customers = new HashSet<>();
+        for (final Customer customer : latest.customers()) {
+            customers.add(customer.id());
+        }
+        mCustomers = customers;
+        mAdmission.customersChanged(latest.customers());
+        mBudget.ratesChanged(latest.rates(), latest.daemons(), now);
+        latest.slots().forEach(mAdmission::capacityChanged);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/whinhead/daemon/limits/LimitCounts.java
@@ -0,0 +1,15 @@
+package org.whinhead.daemon.limits;
+
+/**
+ * What admission holds and has seen.
+ *
+ * @param waiting requests that wait for a slot
+ * @param running requests that hold a slot
+ * @param returned requests that came back with a ticket so far
+ * @param returnedWithoutBudget those of them for which no budget was left
+ */
+public record LimitCounts(int waiting, int running, long returned, long returnedWithoutBudget) {
+
+    /** Nothing so far. */
+    public static final LimitCounts NONE = new LimitCounts(0, 0, 0, 0);
+}
--- /dev/null
+++ b/daemon/src/main/java/org/whinhead/daemon/limits/LimitMeters.java
@@ -0,0 +1,40 @@
+package org.whinhead.daemon.limits;
+
+import org.whinhead.daemon.operator.Meters;
+
+/** The metrics of admission. */
+public final class LimitMeters {
+
+    private static final String UNIT = "requests";
+
+    private LimitMeters() {}
+
+    /**
+     * Adds the metrics.
+     *
+     * @param meters where to
+     * @param admission what they tell of
+     */
+    public static void add(final Meters meters, final DaemonAdmission admission) {
+        meters.gauge(
+                "whinhead.admission.waiting",
+                UNIT,
+                "Requests that wait for a slot.",
+                () -> admission.counts().waiting());
+        meters.gauge(
+                "whinhead.admission.running",
+                UNIT,
+                "Requests that hold a slot.",
+                () -> admission.counts().running());
+        meters.gauge(
+                "whinhead.admission.returned",
+                UNIT,
+                "Requests that came back with a ticket and went on without a queue.",
+                () -> admission.counts().returned());
+        meters.gauge(
+                "whinhead.admission.returned.without.budget",
+                UNIT,
+                "Requests that came back and went on though no budget was left.",
+                () -> admission.counts().returnedWithoutBudget());
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/whinhead/daemon/limits/DaemonAdmissionTest.java
@@ -0,0 +1,150 @@
+package org.whinhead.daemon.limits;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.URI;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.whinhead.admission.AdmissionSettings;
+import org.whinhead.api.model.Billing;
+import org.whinhead.api.model.CustomerId;
+import org.whinhead.api.model.Endpoint;
+import org.whinhead.api.model.EndpointId;
+import org.whinhead.api.model.FailureDomain;
+import org.whinhead.api.model.ModelRef;
+import org.whinhead.api.model.Tier;
+import org.whinhead.api.model.Vm;
+import org.whinhead.api.model.VmId;
+import org.whinhead.api.model.VmState;
+import org.whinhead.api.request.RequestId;
+import org.whinhead.api.request.RequestSpec;
+import org.whinhead.api.verdict.ErrorCode;
+import org.whinhead.api.verdict.Refusal;
+import org.whinhead.api.verdict.Verdict;
+import org.whinhead.settings.deployment.DeploymentSettings;
+import org.whinhead.settings.deployment.DocumentPath;
+import org.whinhead.settings.deployment.StoredDocument;
+
+class DaemonAdmissionTest {
+
+    private static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
+    private static final ModelRef MODEL = ModelRef.of("summary", "1");
+    private static final Map<String, String> DOCUMENTS =
+            Map.of(
+                    "/tiers/standard",
+                    "{'schema':1,'priority':5,'firstTokenMillis':1000,'betweenTokensMillis':1000,"
+                            + "'requestTimeoutMillis':30000,'objectives':{'latencyShare':0.99,"
+                            + "'availabilityShare':0.99,'windowHours':24}}",
+                    "/teams/filing/customers/clinic",
+                    "{'schema':1,'tier':'/tiers/standard','keyHashes':['sha256:"
+                            + "0".repeat(64)
+                            + "'],'weight':1,'tokensPerSecond':100}");
+
+    private final LimitBoard mBoard = new LimitBoard(2);
+    private final DaemonAdmission mAdmission =
+            new DaemonAdmission(mBoard, AdmissionSettings.DEFAULT);
+    private int mNext;
+
+    // An operator takes a customer out while one of its requests is on its way from the key check
+    // to the queue. Without settings it would have no budget to keep and run without any limit.
+    @Test
+    void customerWithoutSettingsIsRefused() {
+        mBoard.settingsChanged(settings());
+        assertThat(mAdmission.offer(request(10), START)).isEmpty();
+        mBoard.settingsChanged(DeploymentSettings.EMPTY);
+        assertThat(mAdmission.offer(request(10), START))
+                .contains(Refusal.notRun(ErrorCode.UNKNOWN_KEY, "customer was removed"));
+    }
+
+    // A team calls one of two daemons only. That daemon must stop at half of the team's rate, with
+    // the burst of five seconds, or the team could spend its rate once at each daemon.
+    @Test
+    void teamIsHeldToTheDaemonsShareAndToldWhenToComeBack() {
+        mBoard.settingsChanged(settings());
+        mBoard.daemonsChanged(2);
+        assertThat(mAdmission.offer(request(250), START)).isEmpty();
+        final Refusal refusal = mAdmission.offer(request(100), START).orElseThrow();
+        assertThat(refusal.code()).isEqualTo(ErrorCode.BUDGET_SPENT);
+        assertThat(refusal.verdict()).isEqualTo(Verdict.NOT_RUN);
+        assertThat(refusal.retryAfter()).contains(Duration.ofSeconds(2));
+        assertThat(mAdmission.offer(request(100), START.plusSeconds(2))).isEmpty();
+    }
+
+    // Engines come and go. The daemon runs its share of their slots at once; when the last has
+    // left,
+    // a few requests still go through, so that callers hear "no endpoint" and not "overloaded".
+    @Test
+    void slotsFollowTheEndpointsAndTheDaemons() {
+        mBoard.settingsChanged(settings());
+        mBoard.endpointsChanged(List.of(engine(VmState.LIVE), engine(VmState.LEAVING)));
+        mBoard.daemonsChanged(3);
+        for (int i = 0; i < 12; i++) {
+            mAdmission.offer(request(1), START);
+        }
+        assertThat(mAdmission.admitted(START)).hasSize(5);
+        mBoard.endpointsChanged(List.of());
+        assertThat(mAdmission.admitted(START)).isEmpty();
+        assertThat(mAdmission.counts()).isEqualTo(new LimitCounts(7, 5, 0, 0));
+        mBoard.daemonsChanged(1);
+        assertThat(mBoard.inputs().slots()).containsValue(2);
+    }
+
+    // A daemon dies and its callers come back here with tickets. They go on at once, beyond the
+    // slots, but are counted: nothing new is admitted until they are done.
+    @Test
+    void returnedRequestsTakeSlotsAndBudget() {
+        mBoard.settingsChanged(settings());
+        final RequestSpec first = request(400);
+        mAdmission.returned(first, 300, START);
+        mAdmission.returned(request(400), 400, START);
+        mAdmission.returned(request(50), 50, START);
+        assertThat(mAdmission.offer(request(50), START)).isEmpty();
+        assertThat(mAdmission.admitted(START)).hasSize(1);
+        mBoard.endpointsChanged(List.of(engine(VmState.LIVE)));
+        assertThat(mAdmission.counts()).isEqualTo(new LimitCounts(0, 4, 3, 1));
+        mAdmission.ended(first.id(), 0, START);
+        assertThat(mAdmission.offer(request(300), START)).isEmpty();
+    }
+
+    private RequestSpec request(final int maxTokens) {
+        mNext++;
+        final Duration second = Duration.ofSeconds(1);
+        return RequestSpec.builder(new RequestId("r" + mNext))
+                .customer(new CustomerId("clinic"))
+                .tier(new Tier("standard", 5, second, second, second.multipliedBy(30)))
+                .model(MODEL)
+                .maxTokens(maxTokens)
+                .arrived(START.plusSeconds(2))
+                .deadline(START.plusSeconds(32))
+                .build();
+    }
+
+    private static Endpoint engine(final VmState state) {
+        final FailureDomain domain = new FailureDomain("kigali", "kg-gasabo");
+        final String name = "vm-" + state;
+        final Vm vm =
+                new Vm(new VmId(name), "127.0.0.1", domain, "gpu", Billing.RECLAIMABLE, state);
+        return Endpoint.engine(new EndpointId(name))
+                .vm(vm)
+                .uri(URI.create("http://127.0.0.1:1"))
+                .models(Set.of(MODEL))
+                .slots(10)
+                .build();
+    }
+
+    private static DeploymentSettings settings() {
+        return DeploymentSettings.of(
+                DOCUMENTS.entrySet().stream()
+                        .map(
+                                entry ->
+                                        new StoredDocument(
+                                                DocumentPath.parse(entry.getKey()),
+                                                entry.getValue().replace('\'', '"'),
+                                                1))
+                        .toList());
+    }
+}
--- a/requests/src/main/java/org/whinhead/requests/Tickets.java
+++ b/requests/src/main/java/org/whinhead/requests/Tickets.java
@@ -69,6 +69,9 @@
         former.ifPresent(old -> state.numberAfter(old.lastNumber()));
         state.setLastTicket(latest);
         mEndings.add(state);
+        final long rest = Math.max(0, state.spec().maxTokens() - state.delivered().tokens());
+        mWiring.admission().returned(state.spec(), rest, now);
+        state.setOffered();
         mWiring.log().add(state, DecisionKind.CALLER_RETURNED, latest.endpoint().value(), now);
         if (state.isLate(now)) {
             mEndings.giveUp(state, ErrorCode.DEADLINE_PASSED, "before the caller came back", now);
