--- a/requests/src/main/java/org/whinhead/requests/AttemptEventHandler.java
+++ b/requests/src/main/java/org/whinhead/requests/AttemptEventHandler.java
@@ -76,6 +76,9 @@
             final Instant now) {
         attempt.heard(now);
         state.setBlockedSince(Optional.empty());
+        if (attempt.kind().isDispatch()) {
+            mWiring.settings().retryScope().answerBegan(state, now);
+        }
         final boolean named = !opened.streamId().isEmpty();
         if (named && (attempt.kind().isDispatch() || attempt.kind() == AttemptKind.RESUME)) {
             attempt.setStreamId(opened.streamId());
--- a/requests/src/main/java/org/whinhead/requests/RequestSettings.java
+++ b/requests/src/main/java/org/whinhead/requests/RequestSettings.java
@@ -16,10 +16,13 @@
  * @param patience how long a request waits for an endpoint that takes it, or for the retry budget
  * @param silenceFactor how many times a tier's latency target an engine may be silent
  * @param leastSilence the shortest silence that counts as a failure
+ * @param openTimeout how long an engine may take to open its stream, if that is shorter than the
+ *     bound on silence before the first token
  * @param moveTime how long a move of KV cache may take
  * @param stopMargin how long before a daemon's end its callers are sent away
  * @param comeBackAfter the wait told to callers that are refused
  * @param recovery what is made of the work of failed and leaving engines
+ * @param retryScope what one deadline and one count of runs cover; the whole request by default
  */
 public record RequestSettings(
         int maxDispatches,
@@ -30,10 +33,12 @@
         Duration patience,
         int silenceFactor,
         Duration leastSilence,
+        Duration openTimeout,
         Duration moveTime,
         Duration stopMargin,
         Duration comeBackAfter,
-        RecoveryMode recovery) {
+        RecoveryMode recovery,
+        RetryScope retryScope) {
 
     /** Checks every part. */
     public RequestSettings {
@@ -44,10 +49,12 @@
         Arguments.requirePositive(patience, "patience");
         Arguments.requireAtLeast(silenceFactor, 1, "silenceFactor");
         Arguments.requirePositive(leastSilence, "leastSilence");
+        Arguments.requirePositive(openTimeout, "openTimeout");
         Arguments.requirePositive(moveTime, "moveTime");
         Arguments.requirePositive(stopMargin, "stopMargin");
         Arguments.requirePositive(comeBackAfter, "comeBackAfter");
         Objects.requireNonNull(recovery, "recovery");
+        Objects.requireNonNull(retryScope, "retryScope");
         if (!(retryShare >= 0 && retryShare <= 1)) {
             throw new IllegalArgumentException("retryShare is not a share: " + retryShare);
         }
@@ -68,10 +75,12 @@
         private Duration mPatience = Duration.ofSeconds(5);
         private int mSilenceFactor = 20;
         private Duration mLeastSilence = Duration.ofSeconds(2);
+        private Duration mOpenTimeout = Duration.ofSeconds(30);
         private Duration mMoveTime = Duration.ofSeconds(2);
         private Duration mStopMargin = Duration.ofSeconds(1);
         private Duration mComeBackAfter = Duration.ofSeconds(1);
         private RecoveryMode mRecovery = RecoveryMode.KEEP_WORK;
+        private RetryScope mRetryScope = RetryScope.REQUEST;
 
         private Builder() {}
 
@@ -108,6 +117,12 @@
             return this;
         }
 
+        /** Sets how long an engine may take to open its stream. */
+        public Builder openTimeout(final Duration openTimeout) {
+            mOpenTimeout = openTimeout;
+            return this;
+        }
+
         /** Sets how long a move of KV cache may take. */
         public Builder moveTime(final Duration moveTime) {
             mMoveTime = moveTime;
@@ -132,6 +147,12 @@
             return this;
         }
 
+        /** Sets what one deadline and one count of runs cover. */
+        public Builder retryScope(final RetryScope retryScope) {
+            mRetryScope = retryScope;
+            return this;
+        }
+
         /** Builds the settings. */
         public RequestSettings build() {
             return new RequestSettings(
@@ -143,10 +164,12 @@
                     mPatience,
                     mSilenceFactor,
                     mLeastSilence,
+                    mOpenTimeout,
                     mMoveTime,
                     mStopMargin,
                     mComeBackAfter,
-                    mRecovery);
+                    mRecovery,
+                    mRetryScope);
         }
     }
 }
--- a/requests/src/main/java/org/whinhead/requests/RequestState.java
+++ b/requests/src/main/java/org/whinhead/requests/RequestState.java
@@ -26,7 +26,7 @@
     }
 
     private final RequestSpec mSpec;
-    private final Instant mDeadline;
+    private Instant mDeadline;
     private final DeliveredText mDelivered;
     private final Set<EndpointId> mTried = new HashSet<>();
     private Phase mPhase = Phase.WAITING;
@@ -72,6 +72,12 @@
         return !now.isBefore(mDeadline);
     }
 
+    /** Starts the deadline and the count of possible runs anew, with the attempt in progress. */
+    void restartBounds(final Instant now) {
+        mDeadline = now.plus(mSpec.tier().requestTimeout());
+        mPossibleRuns = 1;
+    }
+
     DeliveredText delivered() {
         return mDelivered;
     }
--- a/requests/src/main/java/org/whinhead/requests/StallDetector.java
+++ b/requests/src/main/java/org/whinhead/requests/StallDetector.java
@@ -36,7 +36,21 @@
                 && !now.isBefore(attempt.heardAt().plus(MISSING_BEFORE_END));
     }
 
+    /**
+     * Returns how long an attempt may be silent.
+     *
+     * <p>Guards against an engine that takes requests and gives no sign: while a stream that is
+     * open may rightly wait long for its first token, one that never opens waits for nothing. The
+     * caller's deadline would come first, and the engine would go on getting work.
+     */
     private Duration bound(final RequestState state, final Attempt attempt) {
+        final Duration bound = tierBound(state, attempt);
+        final Duration open = mSettings.openTimeout();
+        final boolean opens = state.spec().kind().streams() && !attempt.hasStream();
+        return opens && open.compareTo(bound) < 0 ? open : bound;
+    }
+
+    private Duration tierBound(final RequestState state, final Attempt attempt) {
         final Tier tier = state.spec().tier();
         final Duration target =
                 attempt.tokens() == 0 ? tier.firstTokenTarget() : tier.betweenTokensTarget();
--- a/requests/src/test/java/org/whinhead/requests/RecoveryTest.java
+++ b/requests/src/test/java/org/whinhead/requests/RecoveryTest.java
@@ -56,6 +56,29 @@
                 .noneMatch(action -> action.startsWith("resume") || action.startsWith("move"));
     }
 
+    /**
+     * Engines take a request, begin to answer and die, one after the other. Were the bounds those
+     * of one attempt, the request would be sent out again and again, and its caller hear nothing
+     * final.
+     */
+    @Test
+    void boundsCoverAttemptsThatFailedInTheirAnswer() {
+        final RequestSettings.Builder settings = RequestSettings.builder().maxDispatches(2);
+        assertThat(dispatchesOfDyingEngines(settings)).isEqualTo(2);
+        settings.retryScope(RetryScope.ATTEMPT);
+        assertThat(dispatchesOfDyingEngines(settings)).isEqualTo(5);
+    }
+
+    private static long dispatchesOfDyingEngines(final RequestSettings.Builder settings) {
+        final Recorder world = new Recorder(settings.build(), "abcd");
+        world.chat(true);
+        for (int attempt = 1; attempt <= 4; attempt++) {
+            world.opened(attempt, "s" + attempt);
+            world.failed(attempt, AttemptFailure.FAULTED).pass(Duration.ofMillis(200)).tick();
+        }
+        return world.actions().stream().filter(action -> action.startsWith("generate")).count();
+    }
+
     /**
      * An engine can't continue text, so the request starts over, and the new run differs from what
      * the caller has. Mixed, it would read as an answer that no run gave.
--- a/routing/src/main/java/org/whinhead/routing/EndpointHealth.java
+++ b/routing/src/main/java/org/whinhead/routing/EndpointHealth.java
@@ -13,7 +13,7 @@
  */
 public final class EndpointHealth {
 
-    private static final int MAX_DOUBLINGS = 5;
+    private static final int MAX_DOUBLINGS = 16;
 
     private final HealthSettings mSettings;
     private final RandomGenerator mRandom;
@@ -76,7 +76,7 @@
      * @param revision what {@link #dispatched} gave
      */
     public void succeeded(final long revision) {
-        if (revision < mRevision) {
+        if (!mSettings.successRule().clears(revision, mRevision)) {
             return;
         }
         mSuspect = false;
@@ -113,7 +113,8 @@
     }
 
     private Duration cooldown() {
-        final long base = mSettings.cooldown().toMillis() << mDoublings;
+        final long doubled = mSettings.cooldown().toMillis() << mDoublings;
+        final long base = Math.min(doubled, mSettings.longestCooldown().toMillis());
         return Duration.ofMillis(base + (long) (base * mSettings.jitter() * mRandom.nextDouble()));
     }
 }
--- a/routing/src/main/java/org/whinhead/routing/RoutingSettings.java
+++ b/routing/src/main/java/org/whinhead/routing/RoutingSettings.java
@@ -45,6 +45,16 @@
         return new RoutingSettings(ownDomain, next, health, costs);
     }
 
+    /**
+     * Returns these settings with other rules of health.
+     *
+     * @param next when endpoints become suspect
+     * @return a copy
+     */
+    public RoutingSettings withHealth(final HealthSettings next) {
+        return new RoutingSettings(ownDomain, strategy, next, costs);
+    }
+
     /**
      * What the parts of a decision cost.
      *
--- a/routing/src/test/java/org/whinhead/routing/EndpointHealthTest.java
+++ b/routing/src/test/java/org/whinhead/routing/EndpointHealthTest.java
@@ -47,6 +47,20 @@
         assertThat(mHealth.isOpen(cooled.plus(SETTINGS.probeTimeout()))).isTrue();
     }
 
+    // An engine is away for a minute and every probe fails. When it is back, callers must not wait
+    // for half a minute more because the cooldown had doubled that often.
+    @Test
+    void cooldownDoublesUpToItsBound() {
+        Instant now = START;
+        for (int i = 0; i < 10; i++) {
+            mHealth.failed(mHealth.dispatched(now), now);
+            now = now.plusSeconds(60);
+        }
+        final Instant last = now.minusSeconds(60);
+        assertThat(mHealth.isOpen(last.plus(SETTINGS.longestCooldown().dividedBy(2)))).isFalse();
+        assertThat(mHealth.isOpen(last.plusMillis(6000))).isTrue();
+    }
+
     // An engine with many streams dies: all of them fail, most after the first probe has gone out.
     // They tell of the same death, so the probe's success opens the engine at once.
     @Test
