--- a/daemon/src/main/java/org/whinhead/daemon/Standing.java
+++ b/daemon/src/main/java/org/whinhead/daemon/Standing.java
@@ -3,9 +3,13 @@
 import java.net.URI;
 import java.util.List;
 import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import java.util.stream.Stream;
 import org.whinhead.api.model.DaemonId;
+import org.whinhead.daemon.limits.LimitBoard;
 import org.whinhead.daemon.operator.DaemonStatus;
+import org.whinhead.daemon.operator.PeersInForce;
 import org.whinhead.daemon.request.LiveRequests;
 import org.whinhead.daemon.view.DeploymentView;
 import org.whinhead.daemon.view.EntryAddress;
@@ -19,23 +23,27 @@
     private final DaemonId mId;
     private final EntryAddress mOwn;
     private final LiveRequests mRequests;
+    private final LimitBoard mLimits;
     private volatile InForce mInForce =
             new InForce(DeploymentSettings.EMPTY, DeploymentView.EMPTY, -1);
     private volatile List<EntryAddress> mListed = List.of();
     private volatile boolean mEndpointsKnown;
     private volatile boolean mStopping;
 
-    Standing(final DaemonSettings settings, final LiveRequests requests) {
+    Standing(final DaemonSettings settings, final LiveRequests requests, final LimitBoard limits) {
         mId = new DaemonId(settings.name() + "-" + UUID.randomUUID());
         mOwn = new EntryAddress(settings.publicUri(), settings.domain());
         mRequests = requests;
+        mLimits = limits;
     }
 
     void settingsChanged(final DeploymentSettings settings, final long revision) {
+        mLimits.settingsChanged(settings);
         mInForce = new InForce(settings, ViewMaker.of(settings), revision);
     }
 
     void addressesListed(final List<EntryAddress> listed) {
+        mLimits.daemonsChanged(listed.size());
         mListed = listed;
     }
 
@@ -95,6 +103,17 @@
         return Stream.concat(mListed.stream(), Stream.of(mOwn)).toList();
     }
 
+    /** Until daemons speak to each other, no other one can be asked: all that are listed miss. */
+    CompletionStage<PeersInForce.Report> cannotBeAsked(final long revision) {
+        final List<String> others =
+                mListed.stream()
+                        .map(EntryAddress::uri)
+                        .filter(uri -> !uri.equals(mOwn.uri()))
+                        .map(URI::toString)
+                        .toList();
+        return CompletableFuture.completedStage(new PeersInForce.Report(List.of(), others));
+    }
+
     /** The settings in force with what follows from them. */
     private record InForce(DeploymentSettings settings, DeploymentView view, long revision) {}
 }
