--- a/admission/src/main/java/org/whinhead/admission/Admission.java
+++ b/admission/src/main/java/org/whinhead/admission/Admission.java
@@ -38,24 +38,24 @@
     List<Shed> shed(Instant now);
 
     /**
-     * A request that was offered ended, or its caller left.
+     * A caller came back with a ticket for the rest of its answer, and the request goes on here at
+     * once. It was admitted before, by another daemon or this one, so it is neither queued nor
+     * refused; it is counted.
      *
-     * @param request the request
-     * @param generatedTokens tokens that were generated for it
+     * @param spec the request
+     * @param restTokens the most tokens that may still be generated
      * @param now the time
      */
-    void ended(RequestId request, long generatedTokens, Instant now);
+    default void returned(final RequestSpec spec, final long restTokens, final Instant now) {}
 
     /**
-     * Counts a request that another daemon admitted and that goes on here; it is never refused.
-     *
-     * <p>Guards against a wave of callers that come back after a daemon is gone: not counted, their
-     * answers would run beside a full set of new ones, and all of them would be late.
+     * A request that was offered or returned ended, or its caller left.
      *
-     * @param spec the request
+     * @param request the request
+     * @param generatedTokens tokens that were generated for it
      * @param now the time
      */
-    default void adopt(final RequestSpec spec, final Instant now) {}
+    void ended(RequestId request, long generatedTokens, Instant now);
 
     /**
      * A waiting request that is refused.
--- a/admission/src/main/java/org/whinhead/admission/Lane.java
+++ b/admission/src/main/java/org/whinhead/admission/Lane.java
@@ -62,8 +62,8 @@
         return null;
     }
 
-    /** Takes a slot for a request that runs already, free or not. */
-    void occupy() {
+    /** Counts a request that runs without having been served from the queue. */
+    void returned() {
         mRunning++;
     }
 
--- a/admission/src/main/java/org/whinhead/admission/SimpleAdmission.java
+++ b/admission/src/main/java/org/whinhead/admission/SimpleAdmission.java
@@ -57,7 +57,7 @@
     }
 
     @Override
-    public void adopt(final RequestSpec spec, final Instant now) {
+    public void returned(final RequestSpec spec, final long restTokens, final Instant now) {
         mRunning.add(spec.id());
     }
 
--- a/admission/src/test/java/org/whinhead/admission/TieredAdmissionTest.java
+++ b/admission/src/test/java/org/whinhead/admission/TieredAdmissionTest.java
@@ -63,6 +63,17 @@
         assertThat(admission.admitted(START.plusMillis(5))).containsExactly(light);
     }
 
+    // A tier promises the first token in 100 ms, less than what is kept back for the way to it. Its
+    // requests would all be late on arrival and refused with an empty queue.
+    @Test
+    void tierWithShortTargetIsServed() {
+        final Duration target = Duration.ofMillis(100);
+        final Tier tier = new Tier("lookup", 3, target, target, Duration.ofSeconds(1));
+        final RequestSpec request = Requests.of("clerk", tier, START);
+        assertThat(mAdmission.offer(request, START.plusMillis(20))).isEmpty();
+        assertThat(mAdmission.admitted(START.plusMillis(20))).containsExactly(request);
+    }
+
     // One customer worked all morning; another comes at noon with a pile. Its idle morning is no
     // credit: the first one's requests must not wait until the whole pile is done.
     @Test
@@ -99,15 +110,15 @@
     // Callers of a lost daemon come back and their answers go on here. Were they not counted, new
     // requests would be dispatched beside them, twice as many as the engines have slots.
     @Test
-    void adoptedRequestHoldsItsSlotUntilItEnds() {
+    void returnedRequestHoldsItsSlotUntilItEnds() {
         final TieredAdmission admission = admission(4);
         admission.capacityChanged(TARGET, 1);
-        final RequestSpec adopted = Requests.of("c", BATCH, START);
+        final RequestSpec returned = Requests.of("c", BATCH, START);
         final RequestSpec next = Requests.of("c", BATCH, START);
-        admission.adopt(adopted, START);
+        admission.returned(returned, 10, START);
         admission.offer(next, START);
         assertThat(admission.admitted(START)).isEmpty();
-        admission.ended(adopted.id(), 10, START);
+        admission.ended(returned.id(), 10, START);
         assertThat(admission.admitted(START)).containsExactly(next);
     }
 
--- a/daemon/src/main/java/org/whinhead/daemon/Daemon.java
+++ b/daemon/src/main/java/org/whinhead/daemon/Daemon.java
@@ -15,7 +15,7 @@
 import java.util.random.RandomGenerator;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.whinhead.admission.SimpleAdmission;
+import org.whinhead.admission.AdmissionSettings;
 import org.whinhead.api.model.DaemonId;
 import org.whinhead.daemon.burn.BurnCollector;
 import org.whinhead.daemon.burn.BurnHandler;
@@ -24,6 +24,9 @@
 import org.whinhead.daemon.decision.DecisionLoop;
 import org.whinhead.daemon.engine.ActionDispatcher;
 import org.whinhead.daemon.engine.AttemptTransport;
+import org.whinhead.daemon.limits.DaemonAdmission;
+import org.whinhead.daemon.limits.LimitBoard;
+import org.whinhead.daemon.limits.LimitMeters;
 import org.whinhead.daemon.log.LogStanding;
 import org.whinhead.daemon.operator.Meters;
 import org.whinhead.daemon.operator.OperatorCalls;
@@ -50,14 +53,15 @@
     private static final long TICK_MILLIS = 20;
     private static final long COUNT_MILLIS = 1_000;
     private static final String RANDOM = "L64X128MixRandom";
-    private static final int MAX_RUNNING = 1024;
-    private static final int MAX_WAITING = 1024;
     private static final int CALLERS = 0;
     private static final int OPERATORS = 1;
 
     private final DaemonSettings mSettings;
     private final DaemonOptions mOptions;
     private final LiveRequests mRequests = new LiveRequests();
+    private final LimitBoard mLimits = new LimitBoard(AdmissionSettings.DEFAULT.startSlots());
+    private final DaemonAdmission mAdmission =
+            new DaemonAdmission(mLimits, AdmissionSettings.DEFAULT);
     private final Standing mStanding;
     private final BurnCollector mBurn;
     private final DecisionLoop mLoop;
@@ -74,7 +78,7 @@
     private Daemon(final DaemonSettings settings, final DaemonOptions options) {
         mSettings = settings;
         mOptions = options;
-        mStanding = new Standing(settings, mRequests);
+        mStanding = new Standing(settings, mRequests, mLimits);
         mBurn = burn();
         mLoop =
                 new DecisionLoop(
@@ -88,7 +92,7 @@
         mLog = new LogWiring(settings, options, mCaller, mStanding, mRequests, mLoop);
         mCoordinator = coordinator(random);
         mLoop.start(mCoordinator);
-        mPeers = new PeerWiring(settings, options, mCaller, mStanding, mLoop, mRouter);
+        mPeers = new PeerWiring(settings, options, mCaller, mStanding, mLoop, mRouter, mLimits);
         mConnections = new OpenConnections(mStanding::isStopping);
         mServer = server();
         mServer.start();
@@ -200,7 +204,7 @@
                 new ActionDispatcher(mRequests, transport, mOptions.tickets(), mLog);
         return DefaultRequestCoordinator.builder()
                 .router(mRouter)
-                .admission(new SimpleAdmission(MAX_RUNNING, MAX_WAITING))
+                .admission(mAdmission)
                 .actions(actions)
                 .settings(mOptions.requests())
                 .random(random)
@@ -279,6 +283,7 @@
                 "Ended requests that wait to be counted for the report on burn.",
                 mBurn::waiting);
         PeerMeters.register(meters, mPeers.peers());
+        LimitMeters.add(meters, mAdmission);
         return meters;
     }
 
--- a/daemon/src/main/java/org/whinhead/daemon/PeerWiring.java
+++ b/daemon/src/main/java/org/whinhead/daemon/PeerWiring.java
@@ -11,6 +11,7 @@
 import org.whinhead.daemon.decision.DecisionLoop;
 import org.whinhead.daemon.duty.EndpointWatch;
 import org.whinhead.daemon.duty.NoticeWatch;
+import org.whinhead.daemon.limits.LimitBoard;
 import org.whinhead.daemon.peers.PeerDuty;
 import org.whinhead.daemon.peers.PeerDutyListener;
 import org.whinhead.daemon.view.EntryAddress;
@@ -34,6 +35,7 @@
     private final Standing mStanding;
     private final DecisionLoop mLoop;
     private final AffinityRouter mRouter;
+    private final LimitBoard mLimits;
     private final PeerDuty mPeers;
     private EndpointWatch mWatch;
     private NoticeWatch mNotices;
@@ -44,11 +46,13 @@
             final HttpCaller caller,
             final Standing standing,
             final DecisionLoop loop,
-            final AffinityRouter router) {
+            final AffinityRouter router,
+            final LimitBoard limits) {
         mOptions = options;
         mStanding = standing;
         mLoop = loop;
         mRouter = router;
+        mLimits = limits;
         try {
             mPeers =
                     PeerDuty.start(
@@ -104,6 +108,7 @@
 
     @Override
     public boolean endpointsChanged(final List<Endpoint> endpoints) {
+        mLimits.endpointsChanged(endpoints);
         final boolean taken =
                 mLoop.offer(new DecisionEvent.Update(() -> mRouter.endpointsChanged(endpoints)));
         if (taken) {
--- a/daemon/src/main/java/org/whinhead/daemon/Standing.java
+++ b/daemon/src/main/java/org/whinhead/daemon/Standing.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.stream.Stream;
 import org.whinhead.api.model.DaemonId;
+import org.whinhead.daemon.limits.LimitBoard;
 import org.whinhead.daemon.operator.DaemonStatus;
 import org.whinhead.daemon.operator.PeersInForce;
 import org.whinhead.daemon.request.LiveRequests;
@@ -22,23 +23,27 @@
     private final DaemonId mId;
     private final EntryAddress mOwn;
     private final LiveRequests mRequests;
+    private final LimitBoard mLimits;
     private volatile InForce mInForce =
             new InForce(DeploymentSettings.EMPTY, DeploymentView.EMPTY, -1);
     private volatile List<EntryAddress> mListed = List.of();
     private volatile boolean mEndpointsKnown;
     private volatile boolean mStopping;
 
-    Standing(final DaemonSettings settings, final LiveRequests requests) {
+    Standing(final DaemonSettings settings, final LiveRequests requests, final LimitBoard limits) {
         mId = new DaemonId(settings.name() + "-" + UUID.randomUUID());
         mOwn = new EntryAddress(settings.publicUri(), settings.domain());
         mRequests = requests;
+        mLimits = limits;
     }
 
     void settingsChanged(final DeploymentSettings settings, final long revision) {
+        mLimits.settingsChanged(settings);
         mInForce = new InForce(settings, ViewMaker.of(settings), revision);
     }
 
     void addressesListed(final List<EntryAddress> listed) {
+        mLimits.daemonsChanged(listed.size());
         mListed = listed;
     }
 
--- a/requests/src/main/java/org/whinhead/requests/Tickets.java
+++ b/requests/src/main/java/org/whinhead/requests/Tickets.java
@@ -69,7 +69,8 @@
         former.ifPresent(old -> state.numberAfter(old.lastNumber()));
         state.setLastTicket(latest);
         mEndings.add(state);
-        mWiring.admission().adopt(state.spec(), now);
+        final long rest = Math.max(0, state.spec().maxTokens() - state.delivered().tokens());
+        mWiring.admission().returned(state.spec(), rest, now);
         state.setOffered();
         mWiring.log().add(state, DecisionKind.CALLER_RETURNED, latest.endpoint().value(), now);
         if (state.isLate(now)) {
