Measure retries in an outage, idea by idea

Cause: the effect of the ideas on retries under real overload was not measured. Change: benchmark "retries" in simulated time with the real coordinator, router and admission; half of the engines fail in three ways for 30 s. AffinityRouter tells whether an endpoint is suspect, so that the effect of leaving its slots out can be measured.

--- a/bench/src/main/java/org/whinhead/bench/engine/EngineListener.java
+++ b/bench/src/main/java/org/whinhead/bench/engine/EngineListener.java
@@ -5,6 +5,14 @@
 /** Told what an engine does. */
 public interface EngineListener {
 
+    /**
+     * A sequence got a token; told before {@link #finished}.
+     *
+     * @param engine the engine's number
+     * @param sequence the sequence
+     */
+    default void decoded(final int engine, final Sequence sequence) {}
+
     /**
      * A sequence got its last token.
      *
--- a/bench/src/main/java/org/whinhead/bench/engine/EngineModel.java
+++ b/bench/src/main/java/org/whinhead/bench/engine/EngineModel.java
@@ -65,6 +65,16 @@
         }
     }
 
+    /**
+     * Takes a sequence out, wherever it is; nothing more is computed for it.
+     *
+     * @param sequence the sequence
+     */
+    public void cancel(final Sequence sequence) {
+        mBatch.remove(sequence);
+        mWaiting.removeIf(waiting -> waiting.sequence() == sequence);
+    }
+
     /** Returns the load now. */
     public LoadReport load() {
         return new LoadReport(mId, mSimulation.now(), mBatch.size(), mWaiting.size(), 0);
@@ -93,11 +103,13 @@
 
     private void endStep(final List<Sequence> decoding) {
         final Instant now = mSimulation.now();
+        decoding.retainAll(mBatch);
         for (final Sequence sequence : decoding) {
             if (sequence.generated() == 0) {
                 mCache.store(sequence.spec().prefixHashes());
             }
             sequence.decode(now);
+            mListener.decoded(mNumber, sequence);
             if (sequence.isDone()) {
                 mBatch.remove(sequence);
                 mListener.finished(mNumber, sequence);
--- a/bench/src/main/java/org/whinhead/bench/engine/Sequence.java
+++ b/bench/src/main/java/org/whinhead/bench/engine/Sequence.java
@@ -39,6 +39,11 @@
         return mUncachedPrompt;
     }
 
+    /** Returns the tokens computed so far, of the prompt and of the answer. */
+    public int computed() {
+        return mUncachedPrompt - mPromptLeft + mGenerated;
+    }
+
     /** Returns when the first token came. */
     public Instant firstTokenAt() {
         return mFirstTokenAt;
--- /dev/null
+++ b/bench/src/main/java/org/whinhead/bench/retries/FaultyEngine.java
@@ -0,0 +1,185 @@
+package org.whinhead.bench.retries;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Random;
+import java.util.function.Consumer;
+import org.whinhead.api.model.EndpointId;
+import org.whinhead.api.request.AttemptId;
+import org.whinhead.api.request.RequestSpec;
+import org.whinhead.bench.engine.EngineListener;
+import org.whinhead.bench.engine.EngineModel;
+import org.whinhead.bench.engine.EngineSettings;
+import org.whinhead.bench.engine.Sequence;
+import org.whinhead.bench.engine.Simulation;
+import org.whinhead.requests.AttemptEvent;
+import org.whinhead.requests.AttemptFailure;
+import org.whinhead.routing.CacheEvent;
+import org.whinhead.routing.LoadReport;
+
+/** An engine of the model behind a connection that may fail. */
+final class FaultyEngine implements EngineListener {
+
+    /** The text of each token. */
+    static final String TOKEN_TEXT = "t ";
+
+    private static final Duration WAY = Duration.ofMillis(1);
+    private static final int LEAST_CUT_MILLIS = 300;
+    private static final int CUT_SPREAD_MILLIS = 700;
+
+    private final Simulation mSimulation;
+    private final Random mRandom;
+    private final EngineModel mModel;
+    private final Consumer<CacheEvent> mCacheEvents;
+    private final Map<AttemptId, Stream> mStreams = new LinkedHashMap<>();
+    private final Map<Sequence, Stream> mBySequence = new HashMap<>();
+    private EngineFault mFault = EngineFault.NONE;
+    private long mComputedByEnded;
+
+    FaultyEngine(
+            final int number,
+            final EndpointId id,
+            final Simulation simulation,
+            final Random random,
+            final Consumer<CacheEvent> cacheEvents) {
+        mSimulation = simulation;
+        mRandom = random;
+        mCacheEvents = cacheEvents;
+        mModel = new EngineModel(number, id, EngineSettings.DEFAULT, simulation, this);
+    }
+
+    /** Changes what is wrong; streams of a cut or silent connection do not come back. */
+    void setFault(final EngineFault fault) {
+        mFault = fault;
+        for (final Stream stream : new ArrayList<>(mStreams.values())) {
+            if (fault == EngineFault.CUTS_STREAMS) {
+                cut(stream);
+            } else if (fault == EngineFault.SILENT) {
+                stream.mMuted = true;
+            }
+        }
+    }
+
+    /** Takes an attempt; the rest of the answer has a number of tokens from an index on. */
+    void generate(
+            final AttemptId attempt,
+            final RequestSpec spec,
+            final int answerTokens,
+            final long fromIndex,
+            final Consumer<AttemptEvent> events) {
+        final int rest = (int) (answerTokens - fromIndex);
+        final Stream stream = new Stream(attempt, new Sequence(spec, rest), fromIndex, events);
+        if (mFault == EngineFault.UNREACHABLE) {
+            tell(stream, new AttemptEvent.Failed(attempt, AttemptFailure.CONNECT_FAILED, "fault"));
+            return;
+        }
+        stream.mMuted = mFault == EngineFault.SILENT;
+        tell(stream, new AttemptEvent.Opened(attempt, attempt.toString()));
+        if (rest <= 0) {
+            tell(stream, new AttemptEvent.Finished(attempt, "stop", 0, 0, fromIndex));
+            return;
+        }
+        mStreams.put(attempt, stream);
+        mBySequence.put(stream.mSequence, stream);
+        mModel.submit(stream.mSequence);
+        if (mFault == EngineFault.CUTS_STREAMS) {
+            final int millis = LEAST_CUT_MILLIS + mRandom.nextInt(CUT_SPREAD_MILLIS);
+            mSimulation.after(Duration.ofMillis(millis), () -> cut(stream));
+        }
+    }
+
+    /** Ends an attempt's work, if there is any. */
+    void cancel(final AttemptId attempt) {
+        final Stream stream = mStreams.get(attempt);
+        if (stream != null) {
+            mModel.cancel(stream.mSequence);
+            forget(stream);
+        }
+    }
+
+    /** Tells whether load reports get out. */
+    boolean reports() {
+        return mFault == EngineFault.NONE || mFault == EngineFault.CUTS_STREAMS;
+    }
+
+    LoadReport load() {
+        return mModel.load();
+    }
+
+    /** Returns the tokens computed so far, of prompts and answers. */
+    long computed() {
+        long computed = mComputedByEnded;
+        for (final Stream stream : mStreams.values()) {
+            computed += stream.mSequence.computed();
+        }
+        return computed;
+    }
+
+    @Override
+    public void decoded(final int engine, final Sequence sequence) {
+        final Stream stream = mBySequence.get(sequence);
+        final long index = stream.mFromIndex + sequence.generated() - 1;
+        tell(stream, new AttemptEvent.Token(stream.mAttempt, index, TOKEN_TEXT));
+    }
+
+    @Override
+    public void finished(final int engine, final Sequence sequence) {
+        final Stream stream = mBySequence.get(sequence);
+        final long answer = stream.mFromIndex + sequence.generated();
+        final int prompt = sequence.spec().promptTokens();
+        final int cached = prompt - sequence.uncachedPrompt();
+        forget(stream);
+        tell(stream, new AttemptEvent.Finished(stream.mAttempt, "stop", prompt, cached, answer));
+    }
+
+    @Override
+    public void cacheChanged(final CacheEvent event) {
+        mCacheEvents.accept(event);
+    }
+
+    private void cut(final Stream stream) {
+        if (!mStreams.containsKey(stream.mAttempt)) {
+            return;
+        }
+        final boolean begun = stream.mSequence.generated() > 0;
+        cancel(stream.mAttempt);
+        final AttemptFailure failure =
+                begun ? AttemptFailure.CUT_DURING_ANSWER : AttemptFailure.CUT_BEFORE_ANSWER;
+        tell(stream, new AttemptEvent.Failed(stream.mAttempt, failure, "fault"));
+    }
+
+    private void forget(final Stream stream) {
+        mStreams.remove(stream.mAttempt);
+        mBySequence.remove(stream.mSequence);
+        mComputedByEnded += stream.mSequence.computed();
+    }
+
+    private void tell(final Stream stream, final AttemptEvent event) {
+        if (!stream.mMuted) {
+            mSimulation.after(WAY, () -> stream.mEvents.accept(event));
+        }
+    }
+
+    /** One attempt at this engine. */
+    private static final class Stream {
+        private final AttemptId mAttempt;
+        private final Sequence mSequence;
+        private final long mFromIndex;
+        private final Consumer<AttemptEvent> mEvents;
+        private boolean mMuted;
+
+        Stream(
+                final AttemptId attempt,
+                final Sequence sequence,
+                final long fromIndex,
+                final Consumer<AttemptEvent> events) {
+            mAttempt = attempt;
+            mSequence = sequence;
+            mFromIndex = fromIndex;
+            mEvents = events;
+        }
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/whinhead/bench/retries/OutageFigures.java
@@ -0,0 +1,124 @@
+package org.whinhead.bench.retries;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.function.LongSupplier;
+import java.util.function.Predicate;
+import org.whinhead.bench.engine.Simulation;
+
+/** What one outage cost, taken at its beginning, its end and after the run. */
+final class OutageFigures {
+
+    static final Duration WARM_UP = Duration.ofSeconds(30);
+    static final Duration BEGIN = Duration.ofSeconds(60);
+    static final Duration END = Duration.ofSeconds(90);
+    static final Duration LENGTH = Duration.ofSeconds(180);
+
+    /** Calls of the last seconds are left out, since they may still be open. */
+    private static final Duration COUNTED_END = Duration.ofSeconds(140);
+
+    private static final Duration BUCKET = Duration.ofSeconds(2);
+    private static final double RECOVERED_SHARE = 0.95;
+
+    private final Callers mCallers;
+    private final LongSupplier mDispatches;
+    private final LongSupplier mComputed;
+    private long mDispatchesBefore;
+    private long mDispatchesAtEnd;
+    private long mComputedBefore;
+    private long mComputedAtEnd;
+    private long mComputedWarm;
+
+    OutageFigures(
+            final Callers callers, final LongSupplier dispatches, final LongSupplier computed) {
+        mCallers = callers;
+        mDispatches = dispatches;
+        mComputed = computed;
+    }
+
+    void warm() {
+        mComputedWarm = mComputed.getAsLong();
+    }
+
+    void outageBegan() {
+        mDispatchesBefore = mDispatches.getAsLong();
+        mComputedBefore = mComputed.getAsLong();
+    }
+
+    void outageEnded() {
+        mDispatchesAtEnd = mDispatches.getAsLong();
+        mComputedAtEnd = mComputed.getAsLong();
+    }
+
+    /** Returns the dispatches in the outage for each call that came in it. */
+    double dispatchesPerCall() {
+        return (double) (mDispatchesAtEnd - mDispatchesBefore) / arrived(BEGIN, END).size();
+    }
+
+    /** Returns how often each call that came in the outage was asked for. */
+    double triesPerCall() {
+        return arrived(BEGIN, END).stream().mapToInt(Callers.Call::tries).average().orElse(0);
+    }
+
+    /** Returns the tokens computed in the outage for each answer in it, against those before. */
+    double tokensPerAnswer() {
+        final double during = (double) (mComputedAtEnd - mComputedBefore) / answered(BEGIN, END);
+        final double before = (double) (mComputedBefore - mComputedWarm) / answered(WARM_UP, BEGIN);
+        return during / before;
+    }
+
+    /** Returns the answers in time a second during the outage, by the time of the answer. */
+    double goodput() {
+        final long inTime =
+                mCallers.calls().stream()
+                        .filter(Callers.Call::isInTime)
+                        .filter(call -> isIn(call.answeredAt(), BEGIN, END))
+                        .count();
+        return (double) inTime / END.minus(BEGIN).toSeconds();
+    }
+
+    /** Returns the share of calls of the outage that got a whole answer in the end. */
+    double answeredShare() {
+        return share(arrived(BEGIN, END), call -> call.answeredAt().isBefore(Instant.MAX));
+    }
+
+    /**
+     * Returns the seconds from the outage's end until the share of calls in time at once is back at
+     * 95% of the share before and stays there for two buckets; negative if it never is.
+     */
+    double secondsToRecover() {
+        final double wanted = RECOVERED_SHARE * atOnce(WARM_UP, BEGIN);
+        Duration from = END;
+        while (from.compareTo(COUNTED_END) < 0) {
+            final Duration next = from.plus(BUCKET);
+            if (atOnce(from, next) >= wanted && atOnce(next, next.plus(BUCKET)) >= wanted) {
+                return from.minus(END).toSeconds();
+            }
+            from = next;
+        }
+        return -1;
+    }
+
+    private double atOnce(final Duration from, final Duration to) {
+        return share(arrived(from, to), Callers.Call::isInTimeAtOnce);
+    }
+
+    private long answered(final Duration from, final Duration to) {
+        return mCallers.calls().stream().filter(call -> isIn(call.answeredAt(), from, to)).count();
+    }
+
+    private List<Callers.Call> arrived(final Duration from, final Duration to) {
+        return mCallers.calls().stream().filter(call -> isIn(call.arrived(), from, to)).toList();
+    }
+
+    private static double share(
+            final List<Callers.Call> calls, final Predicate<Callers.Call> condition) {
+        return (double) calls.stream().filter(condition).count() / calls.size();
+    }
+
+    private static boolean isIn(final Instant time, final Duration from, final Duration to) {
+        return !time.isBefore(Simulation.START.plus(from))
+                && time.isBefore(Simulation.START.plus(to));
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/whinhead/bench/retries/OutageRun.java
@@ -0,0 +1,112 @@
+package org.whinhead.bench.retries;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.whinhead.admission.Target;
+import org.whinhead.api.model.Endpoint;
+import org.whinhead.api.model.EndpointId;
+import org.whinhead.api.model.EndpointKind;
+import org.whinhead.bench.engine.Cluster;
+import org.whinhead.bench.engine.Conversations;
+import org.whinhead.bench.engine.Simulation;
+import org.whinhead.routing.CacheEvent;
+import org.whinhead.routing.LoadReport;
+
+/** One outage under one set of ideas. */
+final class OutageRun {
+
+    private static final int ENGINES = 12;
+    private static final int DAEMONS = 4;
+    private static final int ENGINES_OF_EACH_FAULT = 2;
+    private static final Duration REPORT_PERIOD = Duration.ofSeconds(1);
+    private static final Duration REPORT_LAG = Duration.ofMillis(500);
+    private static final Duration EVENT_LAG = Duration.ofMillis(300);
+    private static final List<EngineFault> FAULTS =
+            List.of(EngineFault.UNREACHABLE, EngineFault.CUTS_STREAMS, EngineFault.SILENT);
+
+    private final Simulation mSimulation = new Simulation();
+    private final Map<EndpointId, FaultyEngine> mEngines = new LinkedHashMap<>();
+    private final List<SimulatedDaemon> mDaemons = new ArrayList<>();
+    private final OutageFigures mFigures;
+
+    private OutageRun(final RetryIdeas ideas, final double perSecond, final long seed) {
+        final List<Endpoint> endpoints = Cluster.endpoints(ENGINES);
+        final Random random = new Random(seed);
+        for (int i = 0; i < ENGINES; i++) {
+            final EndpointId id = endpoints.get(i).id();
+            mEngines.put(id, new FaultyEngine(i, id, mSimulation, random, this::cacheChanged));
+        }
+        final Callers callers = new Callers(mSimulation, perSecond, seed);
+        final Target target = new Target(EndpointKind.MODEL_ENGINE, Conversations.MODEL.toString());
+        final SimulatedDaemon.Setup setup =
+                new SimulatedDaemon.Setup(mEngines, endpoints, target, DAEMONS);
+        for (int i = 0; i < DAEMONS; i++) {
+            final Random own = new Random(seed + i);
+            mDaemons.add(new SimulatedDaemon(ideas, setup, mSimulation, own, callers));
+        }
+        mFigures = new OutageFigures(callers, this::dispatches, this::computed);
+        report();
+        plan();
+        callers.start(mDaemons);
+    }
+
+    static OutageFigures of(final RetryIdeas ideas, final double perSecond, final long seed) {
+        final OutageRun run = new OutageRun(ideas, perSecond, seed);
+        run.mSimulation.runFor(OutageFigures.LENGTH);
+        return run.mFigures;
+    }
+
+    private void plan() {
+        mSimulation.after(OutageFigures.WARM_UP, mFigures::warm);
+        mSimulation.after(OutageFigures.BEGIN, this::begin);
+        mSimulation.after(OutageFigures.END, this::end);
+    }
+
+    private void begin() {
+        mFigures.outageBegan();
+        int at = 0;
+        for (final FaultyEngine engine : mEngines.values()) {
+            final int fault = at / ENGINES_OF_EACH_FAULT;
+            engine.setFault(fault < FAULTS.size() ? FAULTS.get(fault) : EngineFault.NONE);
+            at++;
+        }
+    }
+
+    private void end() {
+        mFigures.outageEnded();
+        mEngines.values().forEach(engine -> engine.setFault(EngineFault.NONE));
+    }
+
+    private void report() {
+        for (final FaultyEngine engine : mEngines.values()) {
+            if (engine.reports()) {
+                final LoadReport report = engine.load();
+                mSimulation.after(REPORT_LAG, () -> deliver(report));
+            }
+        }
+        mSimulation.after(REPORT_PERIOD, this::report);
+    }
+
+    private void deliver(final LoadReport report) {
+        final Instant now = mSimulation.now();
+        mDaemons.forEach(daemon -> daemon.router().loadReported(report, now));
+    }
+
+    private void cacheChanged(final CacheEvent event) {
+        mSimulation.after(
+                EVENT_LAG, () -> mDaemons.forEach(daemon -> daemon.router().cacheEvent(event)));
+    }
+
+    private long dispatches() {
+        return mDaemons.stream().mapToLong(SimulatedDaemon::dispatches).sum();
+    }
+
+    private long computed() {
+        return mEngines.values().stream().mapToLong(FaultyEngine::computed).sum();
+    }
+}
--- a/routing/src/main/java/org/whinhead/routing/AffinityRouter.java
+++ b/routing/src/main/java/org/whinhead/routing/AffinityRouter.java
@@ -181,6 +181,17 @@
         return state == null ? 0 : state.load().ownInFlight();
     }
 
+    /**
+     * Tells whether an endpoint has failed and not yet recovered.
+     *
+     * @param endpoint the endpoint
+     * @return true if it is suspect; false if it is not known
+     */
+    public boolean isSuspect(final EndpointId endpoint) {
+        final EndpointState state = mTable.state(endpoint);
+        return state != null && state.health().isSuspect();
+    }
+
     @Override
     public Optional<Endpoint> find(
             final EndpointId endpoint, final RequestSpec spec, final Instant now) {
