--- a/bench/src/main/java/org/whinhead/bench/BenchmarkCatalog.java
+++ b/bench/src/main/java/org/whinhead/bench/BenchmarkCatalog.java
@@ -12,6 +12,7 @@
 import org.whinhead.bench.capacity.SettingsCost;
 import org.whinhead.bench.capacity.WatchCost;
 import org.whinhead.bench.goodput.GoodputBenchmark;
+import org.whinhead.bench.retries.RetriesBenchmark;
 import org.whinhead.bench.routing.RoutingBenchmark;
 import org.whinhead.bench.waves.WavesBenchmark;
 
@@ -23,6 +24,8 @@
     GOODPUT(GoodputBenchmark::new),
     /** Reclaim waves over whole deployments. */
     WAVES(WavesBenchmark::new),
+    /** Retries while engines fail. */
+    RETRIES(RetriesBenchmark::new),
     /** What the role costs by its size. */
     CAPACITY_REQUESTS(RequestsCost::new),
     /** What the role costs by its size. */
--- a/daemon/src/main/java/org/whinhead/daemon/PeerWiring.java
+++ b/daemon/src/main/java/org/whinhead/daemon/PeerWiring.java
@@ -112,7 +112,7 @@
         final boolean taken =
                 mLoop.offer(new DecisionEvent.Update(() -> mRouter.endpointsChanged(endpoints)));
         if (taken) {
-            mStanding.endpointsKnown();
+            mStanding.endpointsKnown(endpoints);
         }
         return taken;
     }
--- a/daemon/src/main/java/org/whinhead/daemon/Standing.java
+++ b/daemon/src/main/java/org/whinhead/daemon/Standing.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.stream.Stream;
 import org.whinhead.api.model.DaemonId;
+import org.whinhead.api.model.Endpoint;
 import org.whinhead.daemon.limits.LimitBoard;
 import org.whinhead.daemon.operator.DaemonStatus;
 import org.whinhead.daemon.operator.PeersInForce;
@@ -47,7 +48,8 @@
         mListed = listed;
     }
 
-    void endpointsKnown() {
+    void endpointsKnown(final List<Endpoint> endpoints) {
+        mLimits.endpointsChanged(endpoints);
         mEndpointsKnown = true;
     }
 
