--- a/demo/src/main/java/org/whinhead/demo/LocalDeployment.java
+++ b/demo/src/main/java/org/whinhead/demo/LocalDeployment.java
@@ -124,9 +124,13 @@
         return number;
     }
 
-    /** Ends a daemon's input and output at once, as when its VM is gone. */
+    /**
+     * Ends a daemon's input and output at once, as when its VM is gone. Its other threads are left
+     * with nothing to do until the process ends, as it cannot be closed without its IO threads.
+     */
     public void crash(final int daemon) {
         mWorkers.get(daemon).shutdownNow();
+        mStopped.add(daemon);
     }
 
     /** Stops a daemon at once, with its duties given up. */
