Measure settings in force, claims and the take-over of leases

Cause: none of these times was measured. Change: the benchmark log, through whole daemons in one process.

--- a/bench/src/main/java/org/whinhead/bench/BenchmarkCatalog.java
+++ b/bench/src/main/java/org/whinhead/bench/BenchmarkCatalog.java
@@ -12,6 +12,7 @@
 import org.whinhead.bench.capacity.SettingsCost;
 import org.whinhead.bench.capacity.WatchCost;
 import org.whinhead.bench.goodput.GoodputBenchmark;
+import org.whinhead.bench.log.LogBenchmark;
 import org.whinhead.bench.routing.RoutingBenchmark;
 
 /** Every benchmark that the command line knows. */
@@ -20,6 +21,8 @@
     ROUTING(RoutingBenchmark::new),
     /** Admission under overload. */
     GOODPUT(GoodputBenchmark::new),
+    /** Settings, claims and leases through whole daemons. */
+    LOG(LogBenchmark::new),
     /** What the role costs by its size. */
     CAPACITY_REQUESTS(RequestsCost::new),
     /** What the role costs by its size. */
