--- a/bench/src/main/java/org/whinhead/bench/BenchmarkCatalog.java
+++ b/bench/src/main/java/org/whinhead/bench/BenchmarkCatalog.java
@@ -13,6 +13,7 @@
 import org.whinhead.bench.capacity.WatchCost;
 import org.whinhead.bench.goodput.GoodputBenchmark;
 import org.whinhead.bench.retries.RetriesBenchmark;
+import org.whinhead.bench.log.LogBenchmark;
 import org.whinhead.bench.routing.RoutingBenchmark;
 import org.whinhead.bench.waves.WavesBenchmark;
 
@@ -26,6 +27,8 @@
     WAVES(WavesBenchmark::new),
     /** Retries while engines fail. */
     RETRIES(RetriesBenchmark::new),
+    /** Settings, claims and leases through whole daemons. */
+    LOG(LogBenchmark::new),
     /** What the role costs by its size. */
     CAPACITY_REQUESTS(RequestsCost::new),
     /** What the role costs by its size. */
