--- a/daemon/src/main/java/org/whinhead/daemon/Daemon.java
+++ b/daemon/src/main/java/org/whinhead/daemon/Daemon.java
@@ -7,6 +7,9 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
@@ -14,7 +17,6 @@
 import org.slf4j.LoggerFactory;
 import org.whinhead.admission.SimpleAdmission;
 import org.whinhead.api.model.DaemonId;
-import org.whinhead.api.request.RequestId;
 import org.whinhead.daemon.burn.BurnCollector;
 import org.whinhead.daemon.burn.BurnHandler;
 import org.whinhead.daemon.caller.CallerServer;
@@ -22,13 +24,15 @@
 import org.whinhead.daemon.decision.DecisionLoop;
 import org.whinhead.daemon.engine.ActionDispatcher;
 import org.whinhead.daemon.engine.AttemptTransport;
+import org.whinhead.daemon.log.LogStanding;
 import org.whinhead.daemon.operator.Meters;
+import org.whinhead.daemon.operator.OperatorCalls;
 import org.whinhead.daemon.operator.OperatorHandler;
 import org.whinhead.daemon.peers.PeerMeters;
 import org.whinhead.daemon.request.LiveRequests;
 import org.whinhead.platform.http.HttpCaller;
 import org.whinhead.report.BurnRecorder;
-import org.whinhead.requests.ClaimOutcome;
+import org.whinhead.requests.Decision;
 import org.whinhead.requests.DefaultRequestCoordinator;
 import org.whinhead.routing.AffinityRouter;
 import org.whinhead.routing.RoutingSettings;
@@ -59,6 +63,8 @@
     private final DecisionLoop mLoop;
     private final AffinityRouter mRouter;
     private final HttpCaller mCaller;
+    private final LogWiring mLog;
+    private final DefaultRequestCoordinator mCoordinator;
     private final PeerWiring mPeers;
     private final OpenConnections mConnections;
     private final Undertow mServer;
@@ -79,11 +85,14 @@
         final RandomGenerator random = RandomGenerator.of(RANDOM);
         mRouter = new AffinityRouter(RoutingSettings.of(settings.domain()), random);
         mCaller = new HttpCaller(options.worker());
-        startDecisions(random);
-        mPeers = new PeerWiring(settings, options, mCaller, mStanding, mLoop, mRouter);
+        mLog = new LogWiring(settings, options, mCaller, mStanding, mRequests, mLoop);
+        mCoordinator = coordinator(random);
+        mLoop.start(mCoordinator);
+        mPeers = new PeerWiring(settings, options, mCaller, mStanding, mLoop, mRouter, mLog.duty());
         mConnections = new OpenConnections(mStanding::isStopping);
         mServer = server();
         mServer.start();
+        mLog.start();
         mTicks = every(TICK_MILLIS, new DecisionEvent.Tick());
         mCounting = every(COUNT_MILLIS, new DecisionEvent.Update(mBurn::count));
         mPeers.start(settings, mCaller);
@@ -126,6 +135,11 @@
         return mStanding.id();
     }
 
+    /** Returns what this daemon knows from the log. */
+    public LogStanding logStanding() {
+        return mLog.duty().standing();
+    }
+
     /**
      * Puts settings in force.
      *
@@ -174,22 +188,22 @@
         mCounting.remove();
         mServer.stop();
         mConnections.close();
+        mLog.close();
         mCaller.close();
         mLoop.close();
     }
 
-    private void startDecisions(final RandomGenerator random) {
+    private DefaultRequestCoordinator coordinator(final RandomGenerator random) {
         final AttemptTransport transport =
                 new AttemptTransport(mCaller, mLoop, CONNECT_TIMEOUT, SILENCE_TIMEOUT);
         final ActionDispatcher actions =
-                new ActionDispatcher(mRequests, transport, mOptions.tickets(), this::claim);
-        mLoop.start(
-                DefaultRequestCoordinator.builder()
-                        .router(mRouter)
-                        .admission(new SimpleAdmission(MAX_RUNNING, MAX_WAITING))
-                        .actions(actions)
-                        .random(random)
-                        .build());
+                new ActionDispatcher(mRequests, transport, mOptions.tickets(), mLog);
+        return DefaultRequestCoordinator.builder()
+                .router(mRouter)
+                .admission(new SimpleAdmission(MAX_RUNNING, MAX_WAITING))
+                .actions(actions)
+                .random(random)
+                .build();
     }
 
     private Undertow server() {
@@ -213,10 +227,6 @@
         return new BurnCollector(recorder, clock, mStanding::settings);
     }
 
-    private HttpHandler operatorHandler() {
-        return new OperatorHandler(mSettings, mStanding, meters(), new BurnHandler(mBurn, mLoop));
-    }
-
     private HttpHandler callerHandler() {
         return CallerServer.builder(id())
                 .view(mStanding::view)
@@ -231,6 +241,25 @@
                 .build();
     }
 
+    private HttpHandler operatorHandler() {
+        return new OperatorHandler(
+                mSettings,
+                mStanding,
+                meters(),
+                new OperatorCalls(
+                        mSettings.name(), mLog.duty(), mPeers.peers().inForce(), this::decisions),
+                new BurnHandler(mBurn, mLoop));
+    }
+
+    private CompletionStage<List<Decision>> decisions(final String id) {
+        final CompletableFuture<List<Decision>> found = new CompletableFuture<>();
+        final Runnable look = () -> found.complete(mCoordinator.decisions().endingWith(id));
+        if (!mLoop.offerNew(new DecisionEvent.Update(look))) {
+            found.completeExceptionally(new IllegalStateException("the decision ring is full"));
+        }
+        return found;
+    }
+
     private Meters meters() {
         final Meters meters = new Meters();
         meters.gauge(
@@ -243,6 +272,11 @@
                 "events",
                 "Events that wait in the decision ring.",
                 mLoop::waiting);
+        meters.gauge(
+                "whinhead.burn.waiting",
+                "samples",
+                "Ended requests that wait to be counted for the report on burn.",
+                mBurn::waiting);
         PeerMeters.register(meters, mPeers.peers());
         return meters;
     }
@@ -253,11 +287,6 @@
         return URI.create("http://" + new HostPort(address.getHostString(), address.getPort()));
     }
 
-    /** Without a log there is no claim, and what may run at most once does not run. */
-    private void claim(final RequestId request) {
-        mLoop.offer(new DecisionEvent.Claimed(request, ClaimOutcome.UNAVAILABLE));
-    }
-
     private XnioExecutor.Key every(final long millis, final DecisionEvent event) {
         return mOptions.worker()
                 .getIoThread()
--- a/demo/src/test/java/org/whinhead/demo/PeersTest.java
+++ b/demo/src/test/java/org/whinhead/demo/PeersTest.java
@@ -121,6 +121,24 @@
         }
     }
 
+    /**
+     * An operator asks one daemon whether a change is in force everywhere. Here no log answers, so
+     * each daemon stands at the log's beginning; one of them was killed just now, is still on the
+     * list, and cannot confirm anything.
+     */
+    @Test
+    void daemonsAreAskedWhatTheyHaveInForce() throws Exception {
+        mDeployment.startDaemons(DAEMONS);
+        assertThat(mDeployment.inForce(0, -1, "inForce"))
+                .containsExactlyInAnyOrder("daemon-0", "vm-entry-1", "vm-entry-2");
+        assertThat(mDeployment.inForce(0, 0, "missing"))
+                .containsExactlyInAnyOrder("daemon-0", "vm-entry-1", "vm-entry-2");
+        mDeployment.daemon(2).close();
+        assertThat(mDeployment.inForce(0, -1, "inForce"))
+                .containsExactlyInAnyOrder("daemon-0", "vm-entry-1");
+        assertThat(mDeployment.inForce(0, -1, "missing")).containsExactly("vm-entry-2");
+    }
+
     /**
      * A process of another deployment calls in with a certificate of its own authority. It must not
      * join, or callers would be sent to it; operators see that somebody tried.
