Measure leaving endpoints and the traffic of peers

How long work reaches a leaving VM, and what peers cost on real sockets with TLS, were not measured. Two benchmarks are in the catalog; the report's cost follows FleetMerge, which takes no time any more (the module did not compile).

--- a/bench/src/main/java/org/whinhead/bench/BenchmarkCatalog.java
+++ b/bench/src/main/java/org/whinhead/bench/BenchmarkCatalog.java
@@ -12,6 +12,8 @@
 import org.whinhead.bench.capacity.SettingsCost;
 import org.whinhead.bench.capacity.WatchCost;
 import org.whinhead.bench.goodput.GoodputBenchmark;
+import org.whinhead.bench.peers.LeavingBenchmark;
+import org.whinhead.bench.peers.TrafficBenchmark;
 import org.whinhead.bench.routing.RoutingBenchmark;
 
 /** Every benchmark that the command line knows. */
@@ -35,7 +37,11 @@
     /** What the role costs by its size. */
     CAPACITY_FLEET(FleetCost::new),
     /** What the role costs by its size. */
-    CAPACITY_REPORT(ReportCost::new);
+    CAPACITY_REPORT(ReportCost::new),
+    /** How fast a notice reaches every daemon. */
+    PEERS_LEAVING(LeavingBenchmark::new),
+    /** What peers cost each other. */
+    PEERS_TRAFFIC(TrafficBenchmark::new);
 
     private final Supplier<Benchmark> mMaker;
 
--- a/bench/src/main/java/org/whinhead/bench/capacity/ReportCost.java
+++ b/bench/src/main/java/org/whinhead/bench/capacity/ReportCost.java
@@ -94,7 +94,7 @@
     }
 
     private static long merge(final List<DaemonReport> reports) {
-        final FleetMerge merge = new FleetMerge(end());
+        final FleetMerge merge = new FleetMerge();
         reports.forEach(merge::add);
         return merge.report().lines().isEmpty() ? 0 : 1;
     }
