--- a/bench/src/main/java/org/whinhead/bench/BenchmarkCatalog.java
+++ b/bench/src/main/java/org/whinhead/bench/BenchmarkCatalog.java
@@ -15,6 +15,7 @@
 import org.whinhead.bench.peers.LeavingBenchmark;
 import org.whinhead.bench.peers.TrafficBenchmark;
 import org.whinhead.bench.routing.RoutingBenchmark;
+import org.whinhead.bench.waves.WavesBenchmark;
 
 /** Every benchmark that the command line knows. */
 public enum BenchmarkCatalog {
@@ -22,6 +23,8 @@
     ROUTING(RoutingBenchmark::new),
     /** Admission under overload. */
     GOODPUT(GoodputBenchmark::new),
+    /** Reclaim waves over whole deployments. */
+    WAVES(WavesBenchmark::new),
     /** What the role costs by its size. */
     CAPACITY_REQUESTS(RequestsCost::new),
     /** What the role costs by its size. */
