--- a/daemon/src/main/java/org/whinhead/daemon/Daemon.java
+++ b/daemon/src/main/java/org/whinhead/daemon/Daemon.java
@@ -92,7 +92,16 @@
         mLog = new LogWiring(settings, options, mCaller, mStanding, mRequests, mLoop);
         mCoordinator = coordinator(random);
         mLoop.start(mCoordinator);
-        mPeers = new PeerWiring(settings, options, mCaller, mStanding, mLoop, mRouter, mLimits);
+        mPeers =
+                new PeerWiring(
+                        settings,
+                        options,
+                        mCaller,
+                        mStanding,
+                        mLoop,
+                        mRouter,
+                        mLimits,
+                        mLog.duty());
         mConnections = new OpenConnections(mStanding::isStopping);
         mServer = server();
         mServer.start();
@@ -252,7 +261,7 @@
                 mStanding,
                 meters(),
                 new OperatorCalls(
-                        mSettings.name(), mLog.duty(), mStanding::cannotBeAsked, this::decisions),
+                        mSettings.name(), mLog.duty(), mPeers.peers().inForce(), this::decisions),
                 new BurnHandler(mBurn, mLoop));
     }
 
--- a/daemon/src/main/java/org/whinhead/daemon/PeerWiring.java
+++ b/daemon/src/main/java/org/whinhead/daemon/PeerWiring.java
@@ -12,6 +12,7 @@
 import org.whinhead.daemon.duty.EndpointWatch;
 import org.whinhead.daemon.duty.NoticeWatch;
 import org.whinhead.daemon.limits.LimitBoard;
+import org.whinhead.daemon.log.LogDuty;
 import org.whinhead.daemon.peers.PeerDuty;
 import org.whinhead.daemon.peers.PeerDutyListener;
 import org.whinhead.daemon.view.EntryAddress;
@@ -47,7 +48,8 @@
             final Standing standing,
             final DecisionLoop loop,
             final AffinityRouter router,
-            final LimitBoard limits) {
+            final LimitBoard limits,
+            final LogDuty log) {
         mOptions = options;
         mStanding = standing;
         mLoop = loop;
@@ -56,7 +58,12 @@
         try {
             mPeers =
                     PeerDuty.start(
-                            settings, standing.id(), options.clock(), caller.anyThread(), this);
+                            settings,
+                            standing.id(),
+                            options.clock(),
+                            caller.anyThread(),
+                            () -> log.standing().fold().state().asOf(),
+                            this);
         } catch (final PeerException e) {
             throw new IllegalArgumentException(e.getMessage(), e);
         }
--- a/daemon/src/main/java/org/whinhead/daemon/peers/LoadSharing.java
+++ b/daemon/src/main/java/org/whinhead/daemon/peers/LoadSharing.java
@@ -27,7 +27,10 @@
  */
 final class LoadSharing {
 
-    private static final Duration INTERVAL = Duration.ofSeconds(1);
+    private static final Duration SHORTEST_INTERVAL = Duration.ofSeconds(1);
+
+    /** Keeps the bytes of digests about the same a second, however many peers there are. */
+    private static final Duration INTERVAL_PER_PEER = Duration.ofMillis(60);
 
     private final DaemonMember mSelf;
     private final Map<EndpointId, LoadReport> mFresh = new HashMap<>();
@@ -84,13 +87,18 @@
         if (now.isBefore(mNext) || mFresh.isEmpty()) {
             return Optional.empty();
         }
-        mNext = now.plus(INTERVAL);
+        mNext = now.plus(interval());
         final PeerProto.LoadDigest.Builder digest = PeerProto.LoadDigest.newBuilder();
         mFresh.values().forEach(report -> digest.addReports(encode(report)));
         mFresh.clear();
         return Optional.of(Envelope.newBuilder().setLoadDigest(digest).build());
     }
 
+    private Duration interval() {
+        final Duration interval = INTERVAL_PER_PEER.multipliedBy(mPeers.size());
+        return interval.compareTo(SHORTEST_INTERVAL) > 0 ? interval : SHORTEST_INTERVAL;
+    }
+
     private static PeerProto.EndpointLoad encode(final LoadReport report) {
         return PeerProto.EndpointLoad.newBuilder()
                 .setEndpoint(report.endpoint().value())
--- a/daemon/src/main/java/org/whinhead/daemon/peers/PeerDuty.java
+++ b/daemon/src/main/java/org/whinhead/daemon/peers/PeerDuty.java
@@ -8,17 +8,17 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.whinhead.api.model.Billing;
 import org.whinhead.api.model.DaemonId;
 import org.whinhead.api.model.Endpoint;
 import org.whinhead.api.model.EndpointId;
-import org.whinhead.api.model.Vm;
 import org.whinhead.api.model.VmId;
 import org.whinhead.api.model.VmState;
 import org.whinhead.daemon.duty.DutyLoop;
+import org.whinhead.daemon.operator.PeersInForce;
 import org.whinhead.membership.DaemonAddress;
 import org.whinhead.membership.DaemonMember;
 import org.whinhead.membership.LeavingNotice;
@@ -50,10 +50,10 @@
     private static final int RING_SLOTS = 4096;
     private static final long TICK_MILLIS = 100;
     private static final long RETRY_MILLIS = 5;
-    private static final long FAREWELL_SECONDS = 1;
+    private static final long FAREWELL_MILLIS = 2_000;
+    private static final long LONGEST_FAREWELL_MILLIS = 3_000;
     private static final Duration RELOAD_INTERVAL = Duration.ofSeconds(10);
     private static final String RANDOM = "L64X128MixRandom";
-    private static final String MACHINE_CLASS = "entry";
 
     private final DaemonSettings mSettings;
     private final InstantSource mClock;
@@ -66,6 +66,7 @@
     private final ListedVms mListed;
     private final LoadSharing mLoad;
     private final ViewOutlet mOutlet;
+    private final InForceQuestions mInForce;
     private final XnioExecutor.Key mTicks;
     private volatile Membership mMembership;
     private volatile MembershipView mView;
@@ -77,6 +78,7 @@
             final DaemonId id,
             final InstantSource clock,
             final XnioIoThread timers,
+            final LongSupplier position,
             final PeerDutyListener listener,
             final DutyLoop loop)
             throws PeerException {
@@ -93,11 +95,12 @@
                         clock,
                         RandomGenerator.of(RANDOM),
                         this::arrived);
-        mSelf = member(settings, listen());
+        mSelf = OwnMember.of(settings, listen());
         mSeeds = new Seeds(settings.seeds(), mSelf.address());
         mListed = new ListedVms(mSelf);
         mLoad = new LoadSharing(mSelf);
         mOutlet = new ViewOutlet(settings.vm(), vm -> mMembership.goneBy(vm), listener);
+        mInForce = new InForceQuestions(mTransport, settings.vm(), this::view, position);
         final Instant now = clock.instant();
         mNextReload = now.plus(RELOAD_INTERVAL);
         final Membership membership =
@@ -122,6 +125,7 @@
      * @param id the daemon's incarnation
      * @param clock the time
      * @param timers the IO thread that ticks
+     * @param position how far this daemon has folded the log, from any thread
      * @param listener told what comes of it
      * @return the duty, which listens
      * @throws PeerException if the peer address or the TLS files cannot be used
@@ -131,11 +135,12 @@
             final DaemonId id,
             final InstantSource clock,
             final XnioIoThread timers,
+            final LongSupplier position,
             final PeerDutyListener listener)
             throws PeerException {
         final DutyLoop loop = new DutyLoop(settings.name() + "-peers", RING_SLOTS);
         try {
-            return new PeerDuty(settings, id, clock, timers, listener, loop);
+            return new PeerDuty(settings, id, clock, timers, position, listener, loop);
         } catch (final PeerException e) {
             loop.close();
             throw e;
@@ -159,23 +164,6 @@
         }
     }
 
-    private static DaemonMember member(final DaemonSettings settings, final int port) {
-        final String listens = settings.listen().peers().host();
-        final boolean anywhere =
-                new InetSocketAddress(listens, port).getAddress().isAnyLocalAddress();
-        final String host = anywhere ? settings.publicUri().getHost() : listens;
-        final VmId id = settings.vm();
-        final Vm vm =
-                new Vm(
-                        id,
-                        host,
-                        settings.domain(),
-                        MACHINE_CLASS,
-                        Billing.RECLAIMABLE,
-                        VmState.LIVE);
-        return new DaemonMember(vm, new DaemonAddress(id, host, port), settings.publicUri());
-    }
-
     /** Returns where peers reach this daemon. */
     public HostPort address() {
         return new HostPort(mSelf.address().host(), mSelf.address().port());
@@ -186,6 +174,11 @@
         return mView;
     }
 
+    /** Returns what asks the other daemons how far they have folded the log. */
+    public PeersInForce inForce() {
+        return mInForce;
+    }
+
     /** Returns what the transport has counted, from any thread. */
     public PeerCounters counters() {
         return mTransport.counters();
@@ -252,8 +245,11 @@
     }
 
     /**
-     * This daemon begins its graceful stop; from any thread. The peers are told at once, and {@link
-     * #close} waits for that.
+     * This daemon begins its graceful stop; from any thread. The peers are told at once.
+     *
+     * <p>Guards against a goodbye that is lost with its connection, after which peers name this
+     * daemon to callers until they suspect it: {@link #close} waits until two seconds have passed,
+     * in which heartbeats show the peers what they lack.
      *
      * @param goneBy when it stops answering
      */
@@ -266,7 +262,8 @@
                     mOutlet.ownStop();
                     mMembership.stopping(goneBy, now);
                     mMembership.tick(now);
-                    told.complete(null);
+                    mTimers.executeAfter(
+                            () -> told.complete(null), FAREWELL_MILLIS, TimeUnit.MILLISECONDS);
                 });
     }
 
@@ -303,6 +300,10 @@
             LoadSharing.decode(envelope.getLoadDigest()).forEach(mListener::loadReported);
             return;
         }
+        if (envelope.hasSettingsQuery()) {
+            message.reply(mInForce.answer());
+            return;
+        }
         final Optional<MembershipMessage> decoded = MembershipCodec.decode(envelope);
         if (decoded.isPresent()) {
             final Instant now = mClock.instant();
@@ -327,8 +328,8 @@
 
     @Override
     public void close() {
+        mFarewell.completeOnTimeout(null, LONGEST_FAREWELL_MILLIS, TimeUnit.MILLISECONDS).join();
         mTicks.remove();
-        mFarewell.completeOnTimeout(null, FAREWELL_SECONDS, TimeUnit.SECONDS).join();
         mLoop.close();
         mTransport.close();
     }
--- a/demo/src/test/java/org/whinhead/demo/PeerDeployment.java
+++ b/demo/src/test/java/org/whinhead/demo/PeerDeployment.java
@@ -189,6 +189,16 @@
         return get(mDaemons.get(daemon).operatorUri().resolve("/metrics")).body();
     }
 
+    /** Returns the daemons that are said to hold a revision, or those that are not. */
+    List<String> inForce(final int daemon, final long revision, final String list)
+            throws Exception {
+        final String path = "/operator/settings/inforce?revision=" + revision;
+        final HttpResponse<String> answer = get(mDaemons.get(daemon).operatorUri().resolve(path));
+        final List<String> names = new ArrayList<>();
+        MAPPER.readTree(answer.body()).path(list).forEach(name -> names.add(name.asText()));
+        return names;
+    }
+
     /** Returns the addresses that a daemon tells callers. */
     List<URI> addresses(final int daemon) throws Exception {
         final HttpResponse<String> answer =
