Judge refusals by the names that endpoints see

Cause: engines see a request under CUSTOMER/NAME and services under the idempotency key, but the demo looked both up by the caller's name alone. So no refusal that said not run could ever be found to have run; counts of doubled calls were right, as they go by the key. Change: requests are looked up under the right names, and a completed request that no stand-in saw is counted and fails the run, so that a judgement of nothing shows.

--- a/demo/src/main/java/org/whinhead/demo/DemoReport.java
+++ b/demo/src/main/java/org/whinhead/demo/DemoReport.java
@@ -62,6 +62,7 @@
         root.put("doubled", mResult.doubled());
         root.put("wrongAnswers", mResult.wrongAnswers());
         root.put("notRunButRan", mResult.notRunButRan());
+        root.put("unwitnessed", mResult.unwitnessed());
         root.put("recomputedTokens", mResult.recomputedTokens());
         root.put("generatedTokens", mResult.generatedTokens());
         put(root, mResult.phases().whole());
@@ -115,6 +116,7 @@
                 row("report.doubled", "" + mResult.doubled()),
                 row("report.wrong", "" + mResult.wrongAnswers()),
                 row("report.not-run-but-ran", "" + mResult.notRunButRan()),
+                row("report.unwitnessed", "" + mResult.unwitnessed()),
                 row("report.recomputed", "" + mResult.recomputedTokens()),
                 row("report.generated", "" + mResult.generatedTokens()));
     }
--- a/demo/src/main/java/org/whinhead/demo/DemoResult.java
+++ b/demo/src/main/java/org/whinhead/demo/DemoResult.java
@@ -4,9 +4,9 @@
 import java.util.Objects;
 import java.util.TreeMap;
 import org.whinhead.standins.deployment.DeploymentStandIns;
+import org.whinhead.standins.load.mix.PlannedRequest;
 import org.whinhead.standins.load.result.LoadResult;
 import org.whinhead.standins.load.result.Outcome;
-import org.whinhead.standins.load.result.RequestResult;
 import org.whinhead.standins.witness.Witness;
 
 /**
@@ -16,6 +16,8 @@
  * @param phases what the callers saw
  * @param doubled requests that must not be repeated and were run more than once
  * @param notRunButRan requests that were refused as not run, though work was done for them
+ * @param unwitnessed completed requests that no stand-in saw run, so that nothing said of them
+ *     holds
  * @param recomputedTokens tokens that engines computed again for the same request and position
  * @param generatedTokens tokens that engines generated
  * @param costByRole what the VMs of each role have cost
@@ -25,6 +27,7 @@
         LoadPhases phases,
         long doubled,
         long notRunButRan,
+        long unwitnessed,
         long recomputedTokens,
         long generatedTokens,
         Map<String, Double> costByRole) {
@@ -48,6 +51,7 @@
                 phases,
                 doubled(phases.end(), witness),
                 notRunButRan(phases.end(), witness),
+                unwitnessed(phases.end(), witness),
                 witness.recomputedTokens(),
                 witness.generatedTokens(),
                 cost);
@@ -94,7 +98,7 @@
 
     /** Tells whether nothing was lost, doubled or wrong, and some request was completed. */
     public boolean promiseKept() {
-        return load().promiseKept() && doubled == 0 && notRunButRan == 0;
+        return load().promiseKept() && doubled == 0 && notRunButRan == 0 && unwitnessed == 0;
     }
 
     private double work(final String tier) {
@@ -105,18 +109,44 @@
                 .sum();
     }
 
+    /** Returns the identity under which engines see a request. */
+    static String nameAtEngines(final PlannedRequest request) {
+        return request.customer().name() + '/' + request.id().value();
+    }
+
     private static long doubled(final LoadResult load, final Witness witness) {
         return load.nonIdempotent().stream()
-                .flatMap(result -> result.idempotencyKey().stream())
-                .filter(key -> witness.executions(key) > 1)
+                .filter(result -> witness.executions(result.request().id().value()) > 1)
                 .count();
     }
 
     private static long notRunButRan(final LoadResult load, final Witness witness) {
+        return count(load, Outcome.REFUSED_NOT_RUN, witness, true);
+    }
+
+    /**
+     * Guards against a judgement of nothing: if endpoints saw requests under other names than are
+     * looked up here, no doubled run would ever be found.
+     */
+    private static long unwitnessed(final LoadResult load, final Witness witness) {
+        return count(load, Outcome.COMPLETED, witness, false);
+    }
+
+    private static long count(
+            final LoadResult load,
+            final Outcome outcome,
+            final Witness witness,
+            final boolean ran) {
         return load.requests().stream()
-                .filter(result -> result.outcome() == Outcome.REFUSED_NOT_RUN)
-                .map(RequestResult::request)
-                .filter(request -> witness.ran(request.id().value()))
+                .filter(result -> result.outcome() == outcome)
+                .filter(result -> ran(result.request(), witness) == ran)
                 .count();
     }
+
+    /** Services see the caller's own name as the idempotency key. */
+    private static boolean ran(final PlannedRequest request, final Witness witness) {
+        return request.kind().style().plain()
+                ? witness.executions(request.id().value()) > 0
+                : witness.ran(nameAtEngines(request));
+    }
 }
--- a/demo/src/test/java/org/whinhead/demo/DemoRunTest.java
+++ b/demo/src/test/java/org/whinhead/demo/DemoRunTest.java
@@ -37,6 +37,7 @@
         assertThat(result.doubled()).isZero();
         assertThat(result.wrongAnswers()).isZero();
         assertThat(result.notRunButRan()).isZero();
+        assertThat(result.unwitnessed()).isZero();
         assertThat(result.promiseKept()).isTrue();
     }
 
