--- a/bench/src/main/java/org/whinhead/bench/BenchmarkCatalog.java
+++ b/bench/src/main/java/org/whinhead/bench/BenchmarkCatalog.java
@@ -13,6 +13,7 @@
 import org.whinhead.bench.capacity.WatchCost;
 import org.whinhead.bench.goodput.GoodputBenchmark;
 import org.whinhead.bench.log.LogBenchmark;
+import org.whinhead.bench.overhead.OverheadBenchmark;
 import org.whinhead.bench.peers.LeavingBenchmark;
 import org.whinhead.bench.peers.TrafficBenchmark;
 import org.whinhead.bench.retries.RetriesBenchmark;
@@ -25,6 +26,8 @@
     ROUTING(RoutingBenchmark::new),
     /** Admission under overload. */
     GOODPUT(GoodputBenchmark::new),
+    /** What a daemon adds to a request. */
+    OVERHEAD(OverheadBenchmark::new),
     /** Reclaim waves over whole deployments. */
     WAVES(WavesBenchmark::new),
     /** Retries while engines fail. */
--- /dev/null
+++ b/bench/src/main/java/org/whinhead/bench/overhead/Caller.java
@@ -0,0 +1,127 @@
+package org.whinhead.bench.overhead;
+
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
+import org.HdrHistogram.ConcurrentHistogram;
+import org.HdrHistogram.Histogram;
+
+/** Sends one kind of request over and over, by a rate or by a number in progress. */
+final class Caller {
+
+    private static final int DIGITS = 3;
+    private static final int OK = 200;
+    private static final String KEY_HEADER = "Idempotency-Key";
+
+    private final HttpClient mClient;
+    private final URI mUri;
+    private final String mKey;
+    private final AtomicLong mNumber = new AtomicLong();
+
+    Caller(final HttpClient client, final URI uri, final String key) {
+        mClient = client;
+        mUri = uri;
+        mKey = key;
+    }
+
+    /** Starts requests at even intervals; each is measured from its intended start. */
+    Outcome open(final int perSecond, final Duration time) {
+        final Histogram nanos = new ConcurrentHistogram(DIGITS);
+        final AtomicLong failed = new AtomicLong();
+        final long interval = Duration.ofSeconds(1).toNanos() / perSecond;
+        final long count = time.toNanos() / interval;
+        final Semaphore ended = new Semaphore(0);
+        final long start = System.nanoTime();
+        for (long i = 0; i < count; i++) {
+            final long intended = start + i * interval;
+            long wait = intended - System.nanoTime();
+            while (wait > 0) {
+                LockSupport.parkNanos(wait);
+                wait = intended - System.nanoTime();
+            }
+            send().whenComplete(
+                            (response, fault) -> {
+                                note(response, nanos, failed, intended);
+                                ended.release();
+                            });
+        }
+        ended.acquireUninterruptibly((int) count);
+        return new Outcome(nanos, failed.get(), System.nanoTime() - start);
+    }
+
+    /** Keeps a number of requests in progress. */
+    Outcome closed(final int inProgress, final Duration time) {
+        final Histogram nanos = new ConcurrentHistogram(DIGITS);
+        final AtomicLong failed = new AtomicLong();
+        final Semaphore ended = new Semaphore(0);
+        final long start = System.nanoTime();
+        final long end = start + time.toNanos();
+        for (int i = 0; i < inProgress; i++) {
+            repeat(nanos, failed, end, ended);
+        }
+        ended.acquireUninterruptibly(inProgress);
+        return new Outcome(nanos, failed.get(), System.nanoTime() - start);
+    }
+
+    private void repeat(
+            final Histogram nanos, final AtomicLong failed, final long end, final Semaphore ended) {
+        final long begun = System.nanoTime();
+        if (begun >= end) {
+            ended.release();
+            return;
+        }
+        send().whenComplete(
+                        (response, fault) -> {
+                            note(response, nanos, failed, begun);
+                            repeat(nanos, failed, end, ended);
+                        });
+    }
+
+    private CompletableFuture<HttpResponse<Void>> send() {
+        final HttpRequest request =
+                HttpRequest.newBuilder(mUri)
+                        .header("Authorization", "Bearer " + mKey)
+                        .header("Content-Type", "application/json")
+                        .header(KEY_HEADER, mUri.getPort() + "-" + mNumber.incrementAndGet())
+                        .POST(HttpRequest.BodyPublishers.ofString("{\"case\":\"7\"}"))
+                        .build();
+        return mClient.sendAsync(request, BodyHandlers.discarding());
+    }
+
+    private static void note(
+            final HttpResponse<Void> response,
+            final Histogram nanos,
+            final AtomicLong failed,
+            final long since) {
+        if (response == null || response.statusCode() != OK) {
+            failed.incrementAndGet();
+        } else {
+            nanos.recordValue(System.nanoTime() - since);
+        }
+    }
+
+    /**
+     * What came of a run.
+     *
+     * @param nanos times of the requests that were answered with 200
+     * @param failed how many were not
+     * @param elapsed the run's length in nanoseconds
+     */
+    record Outcome(Histogram nanos, long failed, long elapsed) {
+
+        double millisAt(final double percentile) {
+            return nanos.getValueAtPercentile(percentile) / (double) Duration.ofMillis(1).toNanos();
+        }
+
+        double perSecond() {
+            return nanos.getTotalCount() * (double) Duration.ofSeconds(1).toNanos() / elapsed;
+        }
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/whinhead/bench/overhead/OverheadBenchmark.java
@@ -0,0 +1,119 @@
+package org.whinhead.bench.overhead;
+
+import java.io.PrintStream;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.time.Duration;
+import org.whinhead.bench.BenchOptions;
+import org.whinhead.bench.Benchmark;
+import org.whinhead.bench.FigureTable;
+import org.whinhead.daemon.log.LogTerms;
+import org.whinhead.demo.LocalDeployment;
+import org.whinhead.standins.log.LogConfig;
+
+/**
+ * Calls a plain service directly and through one daemon, in turns of the same run: the time that
+ * the daemon adds at a steady rate, and the most requests a second that it carries.
+ */
+public final class OverheadBenchmark implements Benchmark {
+
+    private static final int RATE = 500;
+    private static final int IN_PROGRESS = 64;
+    private static final int REPETITIONS = 3;
+    private static final double MEDIAN = 50;
+    private static final double TAIL = 99;
+    private static final Duration WARM_UP = Duration.ofSeconds(4);
+    private static final Duration TURN = Duration.ofSeconds(5);
+
+    @Override
+    public String name() {
+        return "overhead";
+    }
+
+    @Override
+    public String description() {
+        return "time that a daemon adds to a request, and the most requests a second it carries";
+    }
+
+    @Override
+    public void run(final BenchOptions options, final PrintStream out) {
+        try (LocalDeployment deployment =
+                new LocalDeployment(LogConfig.DEFAULT, LogTerms.DEFAULT)) {
+            deployment.startDaemon();
+            deployment.load();
+            measure(deployment, options, out);
+        } catch (final Exception e) {
+            throw new IllegalStateException("the deployment could not be started", e);
+        }
+    }
+
+    private static void measure(
+            final LocalDeployment deployment, final BenchOptions options, final PrintStream out) {
+        final HttpClient client =
+                HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+        final URI daemon = deployment.daemon(0).callerUri().resolve("/v1/services/filing/status");
+        final Caller direct =
+                new Caller(client, deployment.serviceUri().resolve("/status"), LocalDeployment.KEY);
+        final Caller through = new Caller(client, daemon, LocalDeployment.KEY);
+        direct.closed(IN_PROGRESS, WARM_UP);
+        through.closed(IN_PROGRESS, WARM_UP);
+        steady(direct, through, options, out);
+        most(direct, through, options, out);
+    }
+
+    private static void steady(
+            final Caller direct,
+            final Caller through,
+            final BenchOptions options,
+            final PrintStream out) {
+        final FigureTable table =
+                new FigureTable(
+                        "at " + RATE + " requests/s",
+                        "p50 direct ms",
+                        "p50 daemon ms",
+                        "p50 added ms",
+                        "p99 direct ms",
+                        "p99 daemon ms",
+                        "p99 added ms",
+                        "failed");
+        for (int i = 1; i <= REPETITIONS; i++) {
+            final Caller.Outcome a = direct.open(RATE, TURN);
+            final Caller.Outcome b = through.open(RATE, TURN);
+            table.add(
+                    "run " + i,
+                    a.millisAt(MEDIAN),
+                    b.millisAt(MEDIAN),
+                    b.millisAt(MEDIAN) - a.millisAt(MEDIAN),
+                    a.millisAt(TAIL),
+                    b.millisAt(TAIL),
+                    b.millisAt(TAIL) - a.millisAt(TAIL),
+                    a.failed() + b.failed());
+        }
+        table.print(options, out);
+    }
+
+    private static void most(
+            final Caller direct,
+            final Caller through,
+            final BenchOptions options,
+            final PrintStream out) {
+        final FigureTable table =
+                new FigureTable(
+                        IN_PROGRESS + " in progress",
+                        "direct req/s",
+                        "daemon req/s",
+                        "ratio",
+                        "failed");
+        for (int i = 1; i <= REPETITIONS; i++) {
+            final Caller.Outcome a = direct.closed(IN_PROGRESS, TURN);
+            final Caller.Outcome b = through.closed(IN_PROGRESS, TURN);
+            table.add(
+                    "run " + i,
+                    a.perSecond(),
+                    b.perSecond(),
+                    b.perSecond() / a.perSecond(),
+                    a.failed() + b.failed());
+        }
+        table.print(options, out);
+    }
+}
--- a/demo/src/main/java/org/whinhead/demo/LocalDeployment.java
+++ b/demo/src/main/java/org/whinhead/demo/LocalDeployment.java
@@ -139,6 +139,11 @@
         mStopped.add(daemon);
     }
 
+    /** Returns the plain service's own address. */
+    public URI serviceUri() {
+        return mService.uri();
+    }
+
     /** Returns how many daemons were started. */
     public int size() {
         return mDaemons.size();
