Say not run of a repeat only if no earlier submission can have run

Cause: a filing that ran at a daemon which then died, sent again while the log is out, was refused as not run: true of the second submission, not of the filing. Change: callers mark repeats (X-Whinhead-Repeat); a refused repeat says may have run. Conclusion: without the mark a verdict still speaks of one submission only; the window is claims that landed between this daemon's last read of the log and the outage.

--- a/daemon/src/main/java/org/whinhead/daemon/caller/CallerHeaders.java
+++ b/daemon/src/main/java/org/whinhead/daemon/caller/CallerHeaders.java
@@ -10,6 +10,10 @@
     static final HttpString TICKET = new HttpString("X-Whinhead-Ticket");
     static final HttpString LAST_EVENT_ID = new HttpString("Last-Event-ID");
     static final HttpString IDEMPOTENCY_KEY = new HttpString("Idempotency-Key");
+
+    /** Set to {@code true} by a caller that sent the request before and has no answer to it. */
+    static final HttpString REPEAT = new HttpString("X-Whinhead-Repeat");
+
     static final HttpString IDEMPOTENT = new HttpString("X-Idempotent");
 
     private CallerHeaders() {}
--- a/daemon/src/main/java/org/whinhead/daemon/caller/Refusals.java
+++ b/daemon/src/main/java/org/whinhead/daemon/caller/Refusals.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.whinhead.api.verdict.Refusal;
+import org.whinhead.api.verdict.Verdict;
 import org.xnio.IoUtils;
 
 /** Writes refusals as whole responses. */
@@ -36,8 +37,25 @@
                 .ifPresent(wait -> headers.put(Headers.RETRY_AFTER, RefusalBody.seconds(wait)));
     }
 
+    /**
+     * Returns what a caller may be told of its request, all its submissions together.
+     *
+     * <p>Guards against "not run" for a filing that ran: its first submission ran at a daemon that
+     * then died, and the second one is refused here, for example because the log is out. This
+     * daemon knows only that the second did not run, so it does not say more of a repeat.
+     */
+    private static Refusal told(final HttpServerExchange exchange, final Refusal refusal) {
+        final String repeat = exchange.getRequestHeaders().getFirst(CallerHeaders.REPEAT);
+        if (!Boolean.parseBoolean(repeat) || refusal.verdict() != Verdict.NOT_RUN) {
+            return refusal;
+        }
+        return new Refusal(
+                refusal.code(), Verdict.MAY_HAVE_RUN, refusal.detail(), refusal.retryAfter());
+    }
+
     /** Refuses a request that was read whole and has a writer. */
-    static void write(final ExchangeWriter writer, final Refusal refusal) {
+    static void write(final ExchangeWriter writer, final Refusal decided) {
+        final Refusal refusal = told(writer.exchange(), decided);
         final byte[] body = RefusalBody.of(refusal);
         head(writer.exchange(), refusal);
         writer.exchange().getResponseHeaders().put(Headers.CONTENT_LENGTH, body.length);
@@ -52,7 +70,8 @@
      * the rest has not come within a short while, the connection is closed. Closing at once would
      * make the kernel reset the connection, and the caller might never see the refusal.
      */
-    static void send(final HttpServerExchange exchange, final Refusal refusal) {
+    static void send(final HttpServerExchange exchange, final Refusal decided) {
+        final Refusal refusal = told(exchange, decided);
         head(exchange, refusal);
         final Consumer<Refusal> listener = exchange.getAttachment(LISTENER);
         if (listener != null) {
--- a/demo/src/main/java/org/whinhead/demo/LocalDeployment.java
+++ b/demo/src/main/java/org/whinhead/demo/LocalDeployment.java
@@ -267,13 +267,20 @@
      */
     public HttpResponse<String> call(final int daemon, final String path, final String key)
             throws Exception {
-        return send(
-                HttpRequest.newBuilder(
-                                mDaemons.get(daemon)
-                                        .callerUri()
-                                        .resolve("/v1/services/filing/" + path))
-                        .header("Idempotency-Key", key)
-                        .POST(HttpRequest.BodyPublishers.ofString("{}")));
+        return send(calling(daemon, path, key));
+    }
+
+    /** Calls the plain service again, as a caller that has no answer to its first submission. */
+    public HttpResponse<String> callAgain(final int daemon, final String path, final String key)
+            throws Exception {
+        return send(calling(daemon, path, key).header("X-Whinhead-Repeat", "true"));
+    }
+
+    private HttpRequest.Builder calling(final int daemon, final String path, final String key) {
+        final URI service = mDaemons.get(daemon).callerUri().resolve("/v1/services/filing/");
+        return HttpRequest.newBuilder(service.resolve(path))
+                .header("Idempotency-Key", key)
+                .POST(HttpRequest.BodyPublishers.ofString("{}"));
     }
 
     private HttpResponse<String> send(final HttpRequest.Builder request) throws Exception {
--- a/demo/src/test/java/org/whinhead/demo/SharedStateTest.java
+++ b/demo/src/test/java/org/whinhead/demo/SharedStateTest.java
@@ -101,6 +101,23 @@
         assertThat(mDeployment.executions("case-8")).isEqualTo(1);
     }
 
+    /**
+     * A clerk's filing runs through one daemon, which dies before it answers; the log goes out, and
+     * the clerk sends the filing again through another daemon. Told "not run", the clerk would file
+     * under a new key, and the docket would hold the claim twice.
+     */
+    @Test
+    void repeatIsNotToldNotRunOfWhatEarlierSubmissionsDid() throws Exception {
+        start();
+        mDeployment.log().outage(true);
+        final HttpResponse<String> first = mDeployment.call(1, "claims", "case-10");
+        final HttpResponse<String> repeat = mDeployment.callAgain(1, "claims", "case-11");
+        assertThat(verdict(first)).isEqualTo("not-run");
+        assertThat(verdict(repeat)).isEqualTo("may-have-run");
+        assertThat(json(repeat).at("/error/verdict").asText()).isEqualTo("may-have-run");
+        assertThat(json(repeat).at("/error/code").asText()).isEqualTo("claim-unavailable");
+    }
+
     /**
      * Two operators change one customer at the same time through two daemons. One change wins; the
      * other operator is told which one. Asked again through the other daemon under its name, as
--- a/standins/src/main/java/org/whinhead/standins/load/caller/Call.java
+++ b/standins/src/main/java/org/whinhead/standins/load/caller/Call.java
@@ -172,7 +172,11 @@
         mSilence.begin(mTools.config().answerSilence(), () -> silent(attempt));
         attempt.send(
                 mTools.client(),
-                mWriter.to(daemon.get(), mProgress.ticket(), mProgress.check().receivedTokens()));
+                mWriter.to(
+                        daemon.get(),
+                        mProgress.ticket(),
+                        mProgress.check().receivedTokens(),
+                        mProgress.mayHaveRun()));
     }
 
     private synchronized void tryLater(final Duration pause) {
--- a/standins/src/main/java/org/whinhead/standins/load/caller/CallProgress.java
+++ b/standins/src/main/java/org/whinhead/standins/load/caller/CallProgress.java
@@ -81,6 +81,11 @@
         mRefused = false;
     }
 
+    /** Tells whether a try may have run. */
+    boolean mayHaveRun() {
+        return mMayHaveRun;
+    }
+
     /** Notes a refusal. */
     void refused(final DaemonError error) {
         mErrorCode = error.code();
--- a/standins/src/main/java/org/whinhead/standins/load/caller/RequestWriter.java
+++ b/standins/src/main/java/org/whinhead/standins/load/caller/RequestWriter.java
@@ -41,9 +41,14 @@
      * @param daemon the daemon's address
      * @param ticket where the answer is being made, if a daemon said so
      * @param received the tokens that the caller has
+     * @param repeat whether an earlier try may have run
      * @return the request to send
      */
-    HttpRequest to(final URI daemon, final Optional<String> ticket, final List<String> received) {
+    HttpRequest to(
+            final URI daemon,
+            final Optional<String> ticket,
+            final List<String> received,
+            final boolean repeat) {
         final HttpRequest.Builder builder =
                 HttpRequest.newBuilder(daemon.resolve(path()))
                         .header("Authorization", "Bearer " + mRequest.customer().key())
@@ -54,6 +59,9 @@
             builder.header("Idempotency-Key", mRequest.id().value());
             builder.header("X-Idempotent", "false");
         }
+        if (repeat) {
+            builder.header("X-Whinhead-Repeat", "true");
+        }
         ticket.ifPresent(value -> builder.header("X-Whinhead-Ticket", value));
         if (!received.isEmpty()) {
             builder.header("Last-Event-ID", Integer.toString(received.size() - 1));
