Make one class of the three Disruptor rings

Cause: DecisionLoop, DutyLoop and DutyRing each held the same code around a ring: thread, bound, fault log, close. Change: daemon.ring.EventRing holds it once. DutyLoop still halts at close; the other two still wait up to 2 s for what is in the ring. Offers, the reserved quarter and the tick stay as they were.

--- a/daemon/src/main/java/org/whinhead/daemon/decision/DecisionLoop.java
+++ b/daemon/src/main/java/org/whinhead/daemon/decision/DecisionLoop.java
@@ -1,33 +1,16 @@
 package org.whinhead.daemon.decision;
 
-import com.lmax.disruptor.BlockingWaitStrategy;
-import com.lmax.disruptor.ExceptionHandler;
-import com.lmax.disruptor.RingBuffer;
-import com.lmax.disruptor.TimeoutException;
-import com.lmax.disruptor.dsl.Disruptor;
-import com.lmax.disruptor.dsl.ProducerType;
-import java.time.Duration;
 import java.time.InstantSource;
-import java.util.concurrent.TimeUnit;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 import org.whinhead.daemon.request.LiveRequests;
+import org.whinhead.daemon.ring.EventRing;
 import org.whinhead.requests.RequestCoordinator;
 
 /** Runs the coordinator on one thread, fed by a bounded ring. */
 public final class DecisionLoop implements AutoCloseable {
 
-    private static final Logger LOGGER = LoggerFactory.getLogger(DecisionLoop.class);
-    private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(2);
-
-    /** New requests leave this share of the ring to events of requests in progress. */
-    private static final int RESERVED_SHARE = 4;
-
-    private final Disruptor<Slot> mDisruptor;
-    private final RingBuffer<Slot> mRing;
+    private final EventRing<DecisionEvent> mRing;
     private final InstantSource mClock;
     private final LiveRequests mRequests;
-    private final int mReserved;
     private RequestCoordinator mCoordinator;
 
     /**
@@ -45,17 +28,7 @@
             final InstantSource clock) {
         mClock = clock;
         mRequests = requests;
-        mReserved = slots / RESERVED_SHARE;
-        mDisruptor =
-                new Disruptor<>(
-                        Slot::new,
-                        slots,
-                        task -> new Thread(task, name),
-                        ProducerType.MULTI,
-                        new BlockingWaitStrategy());
-        mDisruptor.setDefaultExceptionHandler(new FaultLog());
-        mDisruptor.handleEventsWith((slot, sequence, endOfBatch) -> apply(slot.takeEvent()));
-        mRing = mDisruptor.getRingBuffer();
+        mRing = new EventRing<>(name, slots, (event, endOfBatch) -> apply(event));
     }
 
     /**
@@ -65,7 +38,7 @@
      */
     public void start(final RequestCoordinator coordinator) {
         mCoordinator = coordinator;
-        mDisruptor.start();
+        mRing.start();
     }
 
     /**
@@ -75,7 +48,7 @@
      * @return false if the ring is nearly full; nothing was taken in then
      */
     public boolean offerNew(final DecisionEvent event) {
-        return mRing.hasAvailableCapacity(mReserved) && offer(event);
+        return mRing.offerNew(event);
     }
 
     /**
@@ -85,12 +58,12 @@
      * @return false if the ring is full; nothing was taken in then
      */
     public boolean offer(final DecisionEvent event) {
-        return mRing.tryPublishEvent((slot, sequence) -> slot.mEvent = event);
+        return mRing.offer(event);
     }
 
     /** Returns how many events wait, for metrics. */
     public long waiting() {
-        return mRing.getBufferSize() - mRing.remainingCapacity();
+        return mRing.waiting();
     }
 
     private void apply(final DecisionEvent event) {
@@ -99,45 +72,6 @@
 
     @Override
     public void close() {
-        try {
-            mDisruptor.shutdown(CLOSE_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
-        } catch (final TimeoutException e) {
-            LOGGER.atWarn().log("decisions were still waiting when the loop was stopped");
-            mDisruptor.halt();
-        }
-    }
-
-    /** One place of the ring. */
-    private static final class Slot {
-        private DecisionEvent mEvent;
-
-        /** Takes the event out, so that the ring keeps no request alive. */
-        private DecisionEvent takeEvent() {
-            final DecisionEvent event = mEvent;
-            mEvent = null;
-            return event;
-        }
-    }
-
-    /**
-     * Guards against a fault in one decision that would end the thread and with it all requests: it
-     * is logged with its cause, and the loop goes on with the next event.
-     */
-    private static final class FaultLog implements ExceptionHandler<Slot> {
-        @Override
-        public void handleEventException(
-                final Throwable fault, final long sequence, final Slot slot) {
-            LOGGER.atError().setCause(fault).log("a decision failed");
-        }
-
-        @Override
-        public void handleOnStartException(final Throwable fault) {
-            LOGGER.atError().setCause(fault).log("the decision loop could not start");
-        }
-
-        @Override
-        public void handleOnShutdownException(final Throwable fault) {
-            LOGGER.atError().setCause(fault).log("the decision loop could not stop");
-        }
+        mRing.close();
     }
 }
--- a/daemon/src/main/java/org/whinhead/daemon/duty/DutyLoop.java
+++ b/daemon/src/main/java/org/whinhead/daemon/duty/DutyLoop.java
@@ -1,20 +1,11 @@
 package org.whinhead.daemon.duty;
 
-import com.lmax.disruptor.BlockingWaitStrategy;
-import com.lmax.disruptor.ExceptionHandler;
-import com.lmax.disruptor.RingBuffer;
-import com.lmax.disruptor.dsl.Disruptor;
-import com.lmax.disruptor.dsl.ProducerType;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
+import org.whinhead.daemon.ring.EventRing;
 
 /** A duty's thread, which runs short tasks from a bounded ring one after the other. */
 public final class DutyLoop implements AutoCloseable {
 
-    private static final Logger LOGGER = LoggerFactory.getLogger(DutyLoop.class);
-
-    private final Disruptor<Slot> mDisruptor;
-    private final RingBuffer<Slot> mRing;
+    private final EventRing<Runnable> mRing;
 
     /**
      * Starts a duty's thread.
@@ -23,17 +14,8 @@
      * @param slots the ring's size, a power of two
      */
     public DutyLoop(final String name, final int slots) {
-        mDisruptor =
-                new Disruptor<>(
-                        Slot::new,
-                        slots,
-                        task -> new Thread(task, name),
-                        ProducerType.MULTI,
-                        new BlockingWaitStrategy());
-        mDisruptor.setDefaultExceptionHandler(new FaultLog());
-        mDisruptor.handleEventsWith((slot, sequence, endOfBatch) -> slot.takeTask().run());
-        mRing = mDisruptor.getRingBuffer();
-        mDisruptor.start();
+        mRing = new EventRing<>(name, slots, (task, endOfBatch) -> task.run());
+        mRing.start();
     }
 
     /**
@@ -43,41 +25,12 @@
      * @return false if the ring is full; nothing was taken in then
      */
     public boolean offer(final Runnable task) {
-        return mRing.tryPublishEvent((slot, sequence) -> slot.mTask = task);
+        return mRing.offer(task);
     }
 
+    /** Stops the thread after the task in hand; tasks that wait are dropped. */
     @Override
     public void close() {
-        mDisruptor.halt();
-    }
-
-    /** One place of the ring. */
-    private static final class Slot {
-        private Runnable mTask;
-
-        private Runnable takeTask() {
-            final Runnable task = mTask;
-            mTask = null;
-            return task;
-        }
-    }
-
-    /** Guards against a fault in one task that would end the duty's thread: it is logged. */
-    private static final class FaultLog implements ExceptionHandler<Slot> {
-        @Override
-        public void handleEventException(
-                final Throwable fault, final long sequence, final Slot slot) {
-            LOGGER.atError().setCause(fault).log("a task of a duty failed");
-        }
-
-        @Override
-        public void handleOnStartException(final Throwable fault) {
-            LOGGER.atError().setCause(fault).log("a duty could not start");
-        }
-
-        @Override
-        public void handleOnShutdownException(final Throwable fault) {
-            LOGGER.atError().setCause(fault).log("a duty could not stop");
-        }
+        mRing.halt();
     }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/whinhead/daemon/ring/EventHandler.java
@@ -0,0 +1,18 @@
+package org.whinhead.daemon.ring;
+
+/**
+ * Handles a ring's events on the ring's thread.
+ *
+ * @param <E> the type of the events
+ */
+@FunctionalInterface
+public interface EventHandler<E> {
+
+    /**
+     * Handles an event.
+     *
+     * @param event the event
+     * @param endOfBatch whether no further event waited when the ring was last looked at
+     */
+    void handle(E event, boolean endOfBatch);
+}
--- /dev/null
+++ b/daemon/src/main/java/org/whinhead/daemon/ring/package-info.java
@@ -0,0 +1,2 @@
+/** The bounded ring that joins the daemon's threads. */
+package org.whinhead.daemon.ring;
