--- a/faults/src/main/java/org/whinhead/faults/FaultsMain.java
+++ b/faults/src/main/java/org/whinhead/faults/FaultsMain.java
@@ -20,6 +20,7 @@
 /** The command {@code bin/fuzz}: random chains for some minutes, or the page of the matrix. */
 public final class FaultsMain {
 
+    private static final String HELP = "help";
     private static final int HELD = 0;
     private static final int BROKEN = 1;
     private static final int USAGE = 2;
@@ -46,6 +47,10 @@
         final Options options = options();
         try {
             final CommandLine line = new DefaultParser().parse(options, arguments);
+            if (line.hasOption(HELP)) {
+                new HelpFormatter().printHelp("bin/fuzz --minutes N | --matrix FILE", options);
+                return HELD;
+            }
             if (line.hasOption("matrix")) {
                 return matrix(Path.of(line.getOptionValue("matrix")), seed(line, Matrix.SEED));
             }
@@ -62,9 +67,13 @@
 
     private static Options options() {
         final Options options = new Options();
-        options.addOption(option("minutes", "N", "plays random chains for so long"));
-        options.addOption(option("seed", "S", "the seed of the first chain"));
-        options.addOption(option("matrix", "FILE", "plays the fault matrix and writes its page"));
+        options.addOption(
+                option("minutes", "N", "plays random chains for so long; e.g. --minutes 0.5"));
+        options.addOption(
+                option("seed", "S", "the first seed; default: the time, or CI's for a matrix"));
+        options.addOption(
+                option("matrix", "FILE", "plays the matrix, writes its page; e.g. docs/FAULTS.md"));
+        options.addOption(Option.builder().longOpt(HELP).desc("prints this text").build());
         return options;
     }
 
