--- a/bench/src/main/java/org/whinhead/bench/BenchMain.java
+++ b/bench/src/main/java/org/whinhead/bench/BenchMain.java
@@ -12,8 +12,10 @@
 
     private static final String JSON = "json";
     private static final String SEED = "seed";
+    private static final String HELP = "help";
     private static final String LIST = "list";
-    private static final String USAGE = "usage: bench NAME [--json] [--seed N] | bench --list";
+    private static final String USAGE =
+            "usage: bin/bench NAME [--json] [--seed N] | --list | --help";
     private static final int EXIT_USAGE = 2;
 
     private BenchMain() {}
@@ -47,7 +49,11 @@
 
     private static int run(
             final CommandLine line, final PrintStream out, final PrintStream errors) {
-        if (line.hasOption(LIST)) {
+        if (line.hasOption(HELP)) {
+            out.println(USAGE);
+            out.println("NAME is one of:");
+        }
+        if (line.hasOption(HELP) || line.hasOption(LIST)) {
             list(out);
             return 0;
         }
@@ -75,6 +81,7 @@
         return new Options()
                 .addOption(null, JSON, false, "print JSON")
                 .addOption(null, SEED, true, "seed of the run")
+                .addOption(null, HELP, false, "print this text")
                 .addOption(null, LIST, false, "list the benchmarks");
     }
 }
