--- a/platform/src/main/java/org/whinhead/platform/cloud/NoticeClient.java
+++ b/clients/src/main/java/org/whinhead/clients/cloud/NoticeClient.java
@@ -1,4 +1,4 @@
-package org.whinhead.platform.cloud;
+package org.whinhead.clients.cloud;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -13,10 +13,10 @@
 import java.util.List;
 import java.util.concurrent.CompletionStage;
 import org.whinhead.api.model.VmId;
-import org.whinhead.platform.http.HttpCaller;
-import org.whinhead.platform.http.OutgoingRequest;
-import org.whinhead.platform.http.WholeCall;
-import org.whinhead.platform.http.WholeHttpResponse;
+import org.whinhead.clients.http.HttpCaller;
+import org.whinhead.clients.http.OutgoingRequest;
+import org.whinhead.clients.http.WholeCall;
+import org.whinhead.clients.http.WholeHttpResponse;
 
 /** Reads the cloud's reclaim notices, waiting for new ones. */
 public final class NoticeClient {
--- a/platform/src/main/java/org/whinhead/platform/cloud/NoticePage.java
+++ b/clients/src/main/java/org/whinhead/clients/cloud/NoticePage.java
@@ -1,4 +1,4 @@
-package org.whinhead.platform.cloud;
+package org.whinhead.clients.cloud;
 
 import java.util.List;
 
--- /dev/null
+++ b/clients/src/main/java/org/whinhead/clients/cloud/package-info.java
@@ -0,0 +1,2 @@
+/** The client of the cloud API. */
+package org.whinhead.clients.cloud;
--- a/platform/src/main/java/org/whinhead/platform/engine/EngineClient.java
+++ b/clients/src/main/java/org/whinhead/clients/engine/EngineClient.java
@@ -1,4 +1,4 @@
-package org.whinhead.platform.engine;
+package org.whinhead.clients.engine;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -13,10 +13,10 @@
 import java.util.Set;
 import java.util.concurrent.CompletionStage;
 import org.whinhead.api.model.ModelRef;
-import org.whinhead.platform.http.HttpCaller;
-import org.whinhead.platform.http.OutgoingRequest;
-import org.whinhead.platform.http.WholeCall;
-import org.whinhead.platform.http.WholeHttpResponse;
+import org.whinhead.clients.http.HttpCaller;
+import org.whinhead.clients.http.OutgoingRequest;
+import org.whinhead.clients.http.WholeCall;
+import org.whinhead.clients.http.WholeHttpResponse;
 
 /** Asks engines which models they have loaded and how busy they are. */
 public final class EngineClient {
--- a/platform/src/main/java/org/whinhead/platform/engine/EngineLoad.java
+++ b/clients/src/main/java/org/whinhead/clients/engine/EngineLoad.java
@@ -1,4 +1,4 @@
-package org.whinhead.platform.engine;
+package org.whinhead.clients.engine;
 
 import java.time.Instant;
 import java.util.Objects;
--- a/platform/src/main/java/org/whinhead/platform/engine/package-info.java
+++ b/clients/src/main/java/org/whinhead/clients/engine/package-info.java
@@ -1,2 +1,2 @@
 /** The client of what a model engine tells about itself. */
-package org.whinhead.platform.engine;
+package org.whinhead.clients.engine;
--- a/platform/src/main/java/org/whinhead/platform/http/CallFailedException.java
+++ b/clients/src/main/java/org/whinhead/clients/http/CallFailedException.java
@@ -1,4 +1,4 @@
-package org.whinhead.platform.http;
+package org.whinhead.clients.http;
 
 import java.io.IOException;
 import java.io.Serial;
--- a/platform/src/main/java/org/whinhead/platform/http/HttpCall.java
+++ b/clients/src/main/java/org/whinhead/clients/http/HttpCall.java
@@ -1,4 +1,4 @@
-package org.whinhead.platform.http;
+package org.whinhead.clients.http;
 
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
--- a/platform/src/main/java/org/whinhead/platform/http/HttpFailure.java
+++ b/clients/src/main/java/org/whinhead/clients/http/HttpFailure.java
@@ -1,4 +1,4 @@
-package org.whinhead.platform.http;
+package org.whinhead.clients.http;
 
 /** How an HTTP call ended without a whole response. */
 public enum HttpFailure {
--- a/platform/src/main/java/org/whinhead/platform/http/package-info.java
+++ b/clients/src/main/java/org/whinhead/clients/http/package-info.java
@@ -1,4 +1,4 @@
 /**
  * Non-blocking HTTP calls over Undertow's client: pooled connections, timeouts and cancellation.
  */
-package org.whinhead.platform.http;
+package org.whinhead.clients.http;
--- a/platform/src/main/java/org/whinhead/platform/log/LogClient.java
+++ b/clients/src/main/java/org/whinhead/clients/log/LogClient.java
@@ -1,4 +1,4 @@
-package org.whinhead.platform.log;
+package org.whinhead.clients.log;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -18,12 +18,12 @@
 import java.util.Objects;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
-import org.whinhead.platform.http.CallFailedException;
-import org.whinhead.platform.http.HttpCaller;
-import org.whinhead.platform.http.HttpFailure;
-import org.whinhead.platform.http.OutgoingRequest;
-import org.whinhead.platform.http.WholeCall;
-import org.whinhead.platform.http.WholeHttpResponse;
+import org.whinhead.clients.http.CallFailedException;
+import org.whinhead.clients.http.HttpCaller;
+import org.whinhead.clients.http.HttpFailure;
+import org.whinhead.clients.http.OutgoingRequest;
+import org.whinhead.clients.http.WholeCall;
+import org.whinhead.clients.http.WholeHttpResponse;
 
 /** Appends to and reads from the streams of the log service, within bounds of time and size. */
 public final class LogClient {
--- a/platform/src/main/java/org/whinhead/platform/log/ReadResult.java
+++ b/clients/src/main/java/org/whinhead/clients/log/ReadResult.java
@@ -1,4 +1,4 @@
-package org.whinhead.platform.log;
+package org.whinhead.clients.log;
 
 import java.time.Duration;
 import java.util.List;
--- a/platform/src/main/java/org/whinhead/platform/log/package-info.java
+++ b/clients/src/main/java/org/whinhead/clients/log/package-info.java
@@ -1,2 +1,2 @@
 /** The client of the log service. */
-package org.whinhead.platform.log;
+package org.whinhead.clients.log;
--- a/platform/src/main/java/org/whinhead/platform/sse/SseEvent.java
+++ b/clients/src/main/java/org/whinhead/clients/sse/SseEvent.java
@@ -1,4 +1,4 @@
-package org.whinhead.platform.sse;
+package org.whinhead.clients.sse;
 
 import java.util.Objects;
 
--- a/platform/src/main/java/org/whinhead/platform/sse/package-info.java
+++ b/clients/src/main/java/org/whinhead/clients/sse/package-info.java
@@ -1,2 +1,2 @@
 /** Server-sent events, parsed as their bytes arrive. */
-package org.whinhead.platform.sse;
+package org.whinhead.clients.sse;
--- a/platform/src/main/java/org/whinhead/platform/vms/ListedVm.java
+++ b/clients/src/main/java/org/whinhead/clients/vms/ListedVm.java
@@ -1,4 +1,4 @@
-package org.whinhead.platform.vms;
+package org.whinhead.clients.vms;
 
 import java.net.URI;
 import java.util.Objects;
--- a/platform/src/main/java/org/whinhead/platform/vms/VmListClient.java
+++ b/clients/src/main/java/org/whinhead/clients/vms/VmListClient.java
@@ -1,4 +1,4 @@
-package org.whinhead.platform.vms;
+package org.whinhead.clients.vms;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -18,10 +18,10 @@
 import org.whinhead.api.model.Vm;
 import org.whinhead.api.model.VmId;
 import org.whinhead.api.model.VmState;
-import org.whinhead.platform.http.HttpCaller;
-import org.whinhead.platform.http.OutgoingRequest;
-import org.whinhead.platform.http.WholeCall;
-import org.whinhead.platform.http.WholeHttpResponse;
+import org.whinhead.clients.http.HttpCaller;
+import org.whinhead.clients.http.OutgoingRequest;
+import org.whinhead.clients.http.WholeCall;
+import org.whinhead.clients.http.WholeHttpResponse;
 
 /** Reads the VM list. */
 public final class VmListClient {
--- a/platform/src/main/java/org/whinhead/platform/vms/VmListing.java
+++ b/clients/src/main/java/org/whinhead/clients/vms/VmListing.java
@@ -1,4 +1,4 @@
-package org.whinhead.platform.vms;
+package org.whinhead.clients.vms;
 
 import java.time.Instant;
 import java.util.List;
--- a/platform/src/main/java/org/whinhead/platform/vms/VmRole.java
+++ b/clients/src/main/java/org/whinhead/clients/vms/VmRole.java
@@ -1,4 +1,4 @@
-package org.whinhead.platform.vms;
+package org.whinhead.clients.vms;
 
 /** What runs on a listed VM. */
 public enum VmRole {
--- a/daemon/src/main/java/org/whinhead/daemon/duty/NoticeWatch.java
+++ b/daemon/src/main/java/org/whinhead/daemon/duty/NoticeWatch.java
@@ -4,9 +4,9 @@
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.whinhead.platform.cloud.NoticeClient;
-import org.whinhead.platform.cloud.NoticePage;
-import org.whinhead.platform.cloud.ReclaimNotice;
+import org.whinhead.clients.cloud.NoticeClient;
+import org.whinhead.clients.cloud.NoticePage;
+import org.whinhead.clients.cloud.ReclaimNotice;
 import org.xnio.XnioIoThread;
 
 /** Waits for reclaim notices and passes each on, on an IO thread. */
--- a/daemon/src/main/java/org/whinhead/daemon/engine/AttemptEvents.java
+++ b/daemon/src/main/java/org/whinhead/daemon/engine/AttemptEvents.java
@@ -4,9 +4,9 @@
 import java.util.Queue;
 import java.util.concurrent.TimeUnit;
 import org.whinhead.api.request.AttemptId;
+import org.whinhead.clients.http.HttpCall;
 import org.whinhead.daemon.decision.DecisionEvent;
 import org.whinhead.daemon.decision.DecisionLoop;
-import org.whinhead.platform.http.HttpCall;
 import org.whinhead.requests.AttemptEvent;
 import org.whinhead.requests.AttemptFailure;
 
--- a/daemon/src/main/java/org/whinhead/daemon/engine/AttemptTransport.java
+++ b/daemon/src/main/java/org/whinhead/daemon/engine/AttemptTransport.java
@@ -9,13 +9,13 @@
 import java.util.concurrent.ConcurrentHashMap;
 import org.whinhead.api.model.Endpoint;
 import org.whinhead.api.request.AttemptId;
+import org.whinhead.clients.http.HttpCall;
+import org.whinhead.clients.http.HttpCaller;
+import org.whinhead.clients.http.OutgoingRequest;
+import org.whinhead.clients.http.ResponseListener;
 import org.whinhead.daemon.decision.DecisionLoop;
 import org.whinhead.daemon.request.LiveRequest;
 import org.whinhead.daemon.request.RequestBody;
-import org.whinhead.platform.http.HttpCall;
-import org.whinhead.platform.http.HttpCaller;
-import org.whinhead.platform.http.OutgoingRequest;
-import org.whinhead.platform.http.ResponseListener;
 import org.xnio.XnioIoThread;
 
 /** Starts and cancels attempts at endpoints; called on the decision thread, never blocks. */
--- a/daemon/src/main/java/org/whinhead/daemon/engine/EngineStream.java
+++ b/daemon/src/main/java/org/whinhead/daemon/engine/EngineStream.java
@@ -6,11 +6,11 @@
 import io.undertow.util.HeaderMap;
 import io.undertow.util.StatusCodes;
 import java.nio.ByteBuffer;
-import org.whinhead.platform.http.HttpCall;
-import org.whinhead.platform.http.HttpFailure;
-import org.whinhead.platform.http.ResponseListener;
-import org.whinhead.platform.sse.SseEvent;
-import org.whinhead.platform.sse.SseParser;
+import org.whinhead.clients.http.HttpCall;
+import org.whinhead.clients.http.HttpFailure;
+import org.whinhead.clients.http.ResponseListener;
+import org.whinhead.clients.sse.SseEvent;
+import org.whinhead.clients.sse.SseParser;
 import org.whinhead.requests.AttemptEvent;
 import org.whinhead.requests.AttemptFailure;
 
--- a/daemon/src/main/java/org/whinhead/daemon/engine/Failures.java
+++ b/daemon/src/main/java/org/whinhead/daemon/engine/Failures.java
@@ -1,7 +1,7 @@
 package org.whinhead.daemon.engine;
 
 import io.undertow.util.StatusCodes;
-import org.whinhead.platform.http.HttpFailure;
+import org.whinhead.clients.http.HttpFailure;
 import org.whinhead.requests.AttemptFailure;
 
 /** What a failed call or a refusing status means for an attempt. */
--- a/daemon/src/main/java/org/whinhead/daemon/engine/IgnoredResponse.java
+++ b/daemon/src/main/java/org/whinhead/daemon/engine/IgnoredResponse.java
@@ -2,8 +2,8 @@
 
 import io.undertow.util.HeaderMap;
 import java.nio.ByteBuffer;
-import org.whinhead.platform.http.HttpFailure;
-import org.whinhead.platform.http.ResponseListener;
+import org.whinhead.clients.http.HttpFailure;
+import org.whinhead.clients.http.ResponseListener;
 
 /** Takes the response of a call whose outcome changes nothing, such as a cancellation. */
 final class IgnoredResponse implements ResponseListener {
--- a/daemon/src/main/java/org/whinhead/daemon/engine/WholeResponse.java
+++ b/daemon/src/main/java/org/whinhead/daemon/engine/WholeResponse.java
@@ -4,9 +4,9 @@
 import io.undertow.util.Headers;
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
-import org.whinhead.platform.http.HttpCall;
-import org.whinhead.platform.http.HttpFailure;
-import org.whinhead.platform.http.ResponseListener;
+import org.whinhead.clients.http.HttpCall;
+import org.whinhead.clients.http.HttpFailure;
+import org.whinhead.clients.http.ResponseListener;
 import org.whinhead.requests.AttemptFailure;
 
 /** Reads an attempt's whole response, up to a bound. */
--- a/daemon/src/main/java/org/whinhead/daemon/log/LogDuty.java
+++ b/daemon/src/main/java/org/whinhead/daemon/log/LogDuty.java
@@ -9,7 +9,7 @@
 import java.util.random.RandomGenerator;
 import org.whinhead.api.model.DaemonId;
 import org.whinhead.api.request.RequestId;
-import org.whinhead.platform.log.LogClient;
+import org.whinhead.clients.log.LogClient;
 import org.whinhead.requests.ClaimOutcome;
 import org.whinhead.settings.deployment.DeploymentSettings;
 import org.whinhead.state.claim.ClaimKey;
--- a/daemon/src/main/java/org/whinhead/daemon/peers/ListedVms.java
+++ b/daemon/src/main/java/org/whinhead/daemon/peers/ListedVms.java
@@ -5,13 +5,13 @@
 import java.util.Optional;
 import java.util.Set;
 import org.whinhead.api.model.Endpoint;
+import org.whinhead.clients.vms.ListedVm;
+import org.whinhead.clients.vms.VmListing;
+import org.whinhead.clients.vms.VmRole;
 import org.whinhead.membership.DaemonAddress;
 import org.whinhead.membership.DaemonMember;
 import org.whinhead.membership.MembershipView;
 import org.whinhead.membership.VmListSnapshot;
-import org.whinhead.platform.vms.ListedVm;
-import org.whinhead.platform.vms.VmListing;
-import org.whinhead.platform.vms.VmRole;
 
 /** Turns the platform's VM list into what membership takes. */
 final class ListedVms {
--- /dev/null
+++ b/gateway/src/main/java/org/whinhead/gateway/Gateway.java
@@ -0,0 +1,252 @@
+package org.whinhead.gateway;
+
+import io.netty.channel.EventLoop;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.whinhead.gateway.caller.CallerListener;
+import org.whinhead.gateway.duty.DutyHolder;
+import org.whinhead.gateway.endpoint.EndpointConnections;
+import org.whinhead.gateway.exchange.Exchanges;
+import org.whinhead.gateway.exchange.RequestJournal;
+import org.whinhead.gateway.exchange.ServingState;
+import org.whinhead.gateway.http.HttpReply;
+import org.whinhead.gateway.http.SmallHttpServer;
+import org.whinhead.gateway.peers.Addresses;
+import org.whinhead.gateway.peers.MemberAnnouncement;
+import org.whinhead.gateway.peers.PeerReports;
+import org.whinhead.gateway.store.ConfigurationWatch;
+import org.whinhead.gateway.store.EndpointWatch;
+import org.whinhead.gateway.store.StoreTopic;
+import org.whinhead.gateway.store.TopicFollower;
+import org.whinhead.serving.balance.EndpointChooser;
+import org.whinhead.serving.capacity.CapacityPlanner;
+import org.whinhead.serving.configuration.CallerLimits;
+import org.whinhead.serving.configuration.ServingConfiguration;
+import org.whinhead.serving.duty.DutyLease;
+import org.whinhead.serving.duty.UsagePlan;
+import org.whinhead.serving.limit.CustomerQuotas;
+import org.whinhead.serving.limit.RetryBudget;
+import org.whinhead.serving.member.MemberTable;
+import org.whinhead.serving.usage.UsageLedger;
+import org.whinhead.serving.usage.UsageWindows;
+
+/**
+ * One daemon: callers in front, endpoints behind, the store and the other daemons beside.
+ *
+ * <p>Everything runs on one event loop: on a VM with less than a core, a hand-over between threads
+ * costs more than the decisions, and no decision object needs a lock.
+ */
+public final class Gateway {
+
+    private static final Logger LOG = LoggerFactory.getLogger(Gateway.class);
+
+    private static final int READY = 200;
+    private static final int NOT_READY = 503;
+
+    /** How long callers keep an answer of the directory; some keep it three times as long. */
+    private static final Duration DIRECTORY_KEEP = Duration.ofSeconds(1);
+
+    /** Wait and pause of the configuration's reads: a read that hangs is given up in time. */
+    private static final TopicFollower.Pace CONFIGURATION_PACE =
+            new TopicFollower.Pace(Duration.ofMillis(1_000), Duration.ofMillis(20));
+
+    /** Endpoints write several times a second, so reads need not wait but must be paced. */
+    private static final TopicFollower.Pace ENDPOINT_PACE =
+            new TopicFollower.Pace(Duration.ZERO, Duration.ofMillis(400));
+
+    /** From the signal on: when connections without a request are closed. */
+    private static final Duration CLOSE_IDLE_AFTER = Duration.ofMillis(300);
+
+    /** From the signal on: when streams are refused, since they would not end within the grace. */
+    private static final Duration REFUSE_STREAMS_AFTER = Duration.ofMillis(2_500);
+
+    /**
+     * From the signal on: when callers have learnt not to connect here, and an idle daemon ends.
+     */
+    private static final Duration LEAST_STOP = Duration.ofMillis(4_000);
+
+    /** What is left of the grace when the daemon ends with requests under way. */
+    private static final Duration STOP_MARGIN = Duration.ofMillis(500);
+
+    private static final int STOP_CHECK_MILLIS = 100;
+
+    private final EventLoop mLoop;
+    private final GatewaySettings mSettings;
+    private final ServingState mState;
+    private final MemberTable mMembers;
+    private final CallerListener mCallers;
+    private final Exchanges mExchanges;
+    private final EndpointWatch mEndpointWatch;
+    private final ConfigurationWatch mConfigurationWatch;
+    private final PeerReports mPeers;
+    private final MemberAnnouncement mAnnouncement;
+    private final DutyHolder mDuties;
+    private final GatewayPorts mPorts;
+    private boolean mStopping;
+
+    /**
+     * Makes a daemon that does nothing yet.
+     *
+     * @param loop where everything runs
+     * @param settings what it is told
+     * @param ports what the adapter supplies
+     * @param clock the steady clock
+     * @param timeOfDay the time of day
+     */
+    public Gateway(
+            final EventLoop loop,
+            final GatewaySettings settings,
+            final GatewayPorts ports,
+            final InstantSource clock,
+            final InstantSource timeOfDay) {
+        mLoop = loop;
+        mSettings = settings;
+        mPorts = ports;
+        final String incarnation = settings.self().incarnation();
+        final UsageWindows windows = new UsageWindows(settings.usageWindow());
+        mState =
+                ServingState.builder()
+                        .clocks(clock, timeOfDay)
+                        .chooser(new EndpointChooser(settings.self().domain()))
+                        .limits(
+                                new CustomerQuotas(settings.quotaSlackTokens()),
+                                new RetryBudget(
+                                        settings.retryShare(),
+                                        settings.retryFixed(),
+                                        settings.retryWindow()))
+                        .usage(new UsageLedger(incarnation), windows)
+                        .build();
+        mMembers = new MemberTable(settings.self());
+        final EndpointConnections connections =
+                new EndpointConnections(loop, clock, ports.endpoints());
+        mExchanges =
+                new Exchanges(
+                        loop, mState, connections, ports.endpoints(), new RequestJournal(clock));
+        mCallers = new CallerListener(loop, ports.callers(), mExchanges, this::limits);
+        mConfigurationWatch =
+                new ConfigurationWatch(mState, ports.configurations(), ports.configurationKey());
+        mEndpointWatch = new EndpointWatch(mState, connections, ports.entries());
+        mPeers = new PeerReports(loop, mState, mMembers);
+        mAnnouncement =
+                new MemberAnnouncement(loop, ports.store(), settings.self(), mPeers::addContact);
+        mDuties =
+                new DutyHolder(
+                        loop,
+                        mState,
+                        mMembers,
+                        ports.store(),
+                        ports.cloud(),
+                        new DutyHolder.Duties(
+                                new DutyLease(incarnation, settings.leaseTerm()),
+                                new UsagePlan(windows, mState.usage(), timeOfDay.instant()),
+                                new CapacityPlanner(settings.capacityTarget())));
+    }
+
+    private CallerLimits limits() {
+        return mState.configuration()
+                .current()
+                .map(ServingConfiguration::limits)
+                .orElse(CallerLimits.INITIAL);
+    }
+
+    /** Starts to listen and to follow the store; to be called on the event loop. */
+    public void start() {
+        final SmallHttpServer small = new SmallHttpServer(mLoop);
+        small.listen(mSettings.readinessAddress(), "text/plain", target -> readiness());
+        small.listen(mSettings.directoryAddress(), "application/json", this::addresses);
+        mCallers.listen(mSettings.self().callerAddress());
+        mSettings.contacts().forEach(mPeers::addContact);
+        mPeers.start();
+        follow(StoreTopic.CONFIGURATION, mConfigurationWatch, CONFIGURATION_PACE);
+        follow(StoreTopic.ENDPOINTS, mEndpointWatch, ENDPOINT_PACE);
+        mAnnouncement.start();
+        mDuties.start();
+        LOG.atInfo()
+                .addKeyValue("daemon", mSettings.self().name())
+                .addKeyValue("incarnation", mSettings.self().incarnation())
+                .addKeyValue("callers", Addresses.format(mSettings.self().callerAddress()))
+                .log("started");
+    }
+
+    private void follow(
+            final StoreTopic topic,
+            final org.whinhead.gateway.store.TopicListener listener,
+            final TopicFollower.Pace pace) {
+        new TopicFollower(mLoop, mPorts.store(), topic, listener, pace).start();
+    }
+
+    private HttpReply readiness() {
+        final boolean ready = isReady();
+        return new HttpReply(ready ? READY : NOT_READY, new byte[0]);
+    }
+
+    private boolean isReady() {
+        final boolean ready =
+                !mStopping
+                        && mState.configuration().current().isPresent()
+                        && mEndpointWatch.isLoaded();
+        mMembers.selfReady(ready);
+        return ready;
+    }
+
+    private HttpReply addresses(final String target) {
+        isReady();
+        return mPorts.directory()
+                .answer(
+                        target,
+                        domain -> mMembers.addressesFor(domain, mState.clock().instant()),
+                        DIRECTORY_KEEP);
+    }
+
+    /**
+     * Takes addresses of other daemons from settings that changed.
+     *
+     * @param changed the settings as they are now
+     */
+    public void reload(final GatewaySettings changed) {
+        changed.contacts().forEach(mPeers::addContact);
+        LOG.atInfo().addKeyValue("contacts", changed.contacts()).log("settings read again");
+    }
+
+    /**
+     * Stops gently: no new callers at once, what is under way ends.
+     *
+     * @param ended runs when nothing is left to do, within the grace
+     */
+    public void stop(final Runnable ended) {
+        if (mStopping) {
+            return;
+        }
+        mStopping = true;
+        LOG.info("stopping");
+        mMembers.selfReady(false);
+        mPeers.leave();
+        mDuties.stop();
+        final Instant start = mState.clock().instant();
+        later(CLOSE_IDLE_AFTER, mCallers::stopGently);
+        later(REFUSE_STREAMS_AFTER, mExchanges::closeForStreams);
+        mLoop.scheduleWithFixedDelay(
+                () -> checkStopped(start, ended),
+                LEAST_STOP.toMillis(),
+                STOP_CHECK_MILLIS,
+                TimeUnit.MILLISECONDS);
+    }
+
+    private void later(final Duration delay, final Runnable step) {
+        mLoop.schedule(step, delay.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    private void checkStopped(final Instant start, final Runnable ended) {
+        mCallers.stopAccepting();
+        final Duration spent = Duration.between(start, mState.clock().instant());
+        final int busy = mCallers.busyConnections();
+        if (busy == 0 || spent.compareTo(mSettings.stopGrace().minus(STOP_MARGIN)) > 0) {
+            LOG.atInfo().addKeyValue("requestsCut", busy).log("stopped");
+            ended.run();
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/whinhead/gateway/GatewaySettings.java
@@ -0,0 +1,223 @@
+package org.whinhead.gateway;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.Objects;
+import org.whinhead.serving.capacity.CapacityTarget;
+import org.whinhead.serving.member.Member;
+
+/** What a gateway is told when it starts: immutable, made by its builder. */
+public final class GatewaySettings {
+
+    private final Member mSelf;
+    private final InetSocketAddress mReadinessAddress;
+    private final InetSocketAddress mDirectoryAddress;
+    private final List<InetSocketAddress> mContacts;
+    private final double mRetryShare;
+    private final int mRetryFixed;
+    private final Duration mRetryWindow;
+    private final long mQuotaSlackTokens;
+    private final Duration mUsageWindow;
+    private final Duration mLeaseTerm;
+    private final Duration mStopGrace;
+    private final CapacityTarget mCapacityTarget;
+
+    private GatewaySettings(final Builder builder) {
+        mSelf = Objects.requireNonNull(builder.mSelf, "self");
+        mReadinessAddress = Objects.requireNonNull(builder.mReadinessAddress, "readinessAddress");
+        mDirectoryAddress = Objects.requireNonNull(builder.mDirectoryAddress, "directoryAddress");
+        mContacts = List.copyOf(builder.mContacts);
+        mRetryShare = builder.mRetryShare;
+        mRetryFixed = builder.mRetryFixed;
+        mRetryWindow = Objects.requireNonNull(builder.mRetryWindow, "retryWindow");
+        mQuotaSlackTokens = builder.mQuotaSlackTokens;
+        mUsageWindow = Objects.requireNonNull(builder.mUsageWindow, "usageWindow");
+        mLeaseTerm = Objects.requireNonNull(builder.mLeaseTerm, "leaseTerm");
+        mStopGrace = Objects.requireNonNull(builder.mStopGrace, "stopGrace");
+        mCapacityTarget = Objects.requireNonNull(builder.mCapacityTarget, "capacityTarget");
+    }
+
+    /**
+     * Starts settings.
+     *
+     * @return a builder
+     */
+    public static Builder builder() {
+        return new Builder();
+    }
+
+    public Member self() {
+        return mSelf;
+    }
+
+    public InetSocketAddress readinessAddress() {
+        return mReadinessAddress;
+    }
+
+    public InetSocketAddress directoryAddress() {
+        return mDirectoryAddress;
+    }
+
+    public List<InetSocketAddress> contacts() {
+        return mContacts;
+    }
+
+    public double retryShare() {
+        return mRetryShare;
+    }
+
+    public int retryFixed() {
+        return mRetryFixed;
+    }
+
+    public Duration retryWindow() {
+        return mRetryWindow;
+    }
+
+    public long quotaSlackTokens() {
+        return mQuotaSlackTokens;
+    }
+
+    public Duration usageWindow() {
+        return mUsageWindow;
+    }
+
+    public Duration leaseTerm() {
+        return mLeaseTerm;
+    }
+
+    public Duration stopGrace() {
+        return mStopGrace;
+    }
+
+    public CapacityTarget capacityTarget() {
+        return mCapacityTarget;
+    }
+
+    /** Collects the parts of settings. */
+    public static final class Builder {
+
+        private Member mSelf;
+        private InetSocketAddress mReadinessAddress;
+        private InetSocketAddress mDirectoryAddress;
+        private List<InetSocketAddress> mContacts = List.of();
+        private double mRetryShare;
+        private int mRetryFixed;
+        private Duration mRetryWindow;
+        private long mQuotaSlackTokens;
+        private Duration mUsageWindow;
+        private Duration mLeaseTerm;
+        private Duration mStopGrace;
+        private CapacityTarget mCapacityTarget;
+
+        private Builder() {}
+
+        /**
+         * Sets who this daemon is and where callers and other daemons reach it.
+         *
+         * @param self this daemon
+         * @return this builder
+         */
+        public Builder self(final Member self) {
+            mSelf = self;
+            return this;
+        }
+
+        /**
+         * Sets where small calls are answered.
+         *
+         * @param readinessAddress where the platform asks whether this daemon is ready
+         * @param directoryAddress where callers ask which addresses to use
+         * @return this builder
+         */
+        public Builder smallCalls(
+                final InetSocketAddress readinessAddress,
+                final InetSocketAddress directoryAddress) {
+            mReadinessAddress = readinessAddress;
+            mDirectoryAddress = directoryAddress;
+            return this;
+        }
+
+        /**
+         * Sets where other daemons may be found.
+         *
+         * @param contacts addresses for reports; some may be stale
+         * @return this builder
+         */
+        public Builder contacts(final List<InetSocketAddress> contacts) {
+            mContacts = contacts;
+            return this;
+        }
+
+        /**
+         * Sets what retries may add.
+         *
+         * @param share retries that each request adds
+         * @param fixed retries that all daemons together may add besides
+         * @param window the time in which they are counted
+         * @return this builder
+         */
+        public Builder retries(final double share, final int fixed, final Duration window) {
+            mRetryShare = share;
+            mRetryFixed = fixed;
+            mRetryWindow = window;
+            return this;
+        }
+
+        /**
+         * Sets what customers are granted beyond their allowance.
+         *
+         * @param tokens the slack in tokens
+         * @return this builder
+         */
+        public Builder quotaSlack(final long tokens) {
+            mQuotaSlackTokens = tokens;
+            return this;
+        }
+
+        /**
+         * Sets the times of the duties.
+         *
+         * @param usageWindow the length of a usage window
+         * @param leaseTerm the time within which no two holders may act by turns
+         * @return this builder
+         */
+        public Builder duties(final Duration usageWindow, final Duration leaseTerm) {
+            mUsageWindow = usageWindow;
+            mLeaseTerm = leaseTerm;
+            return this;
+        }
+
+        /**
+         * Sets how long a planned stop may take.
+         *
+         * @param stopGrace the time from the signal to the kill
+         * @return this builder
+         */
+        public Builder stopGrace(final Duration stopGrace) {
+            mStopGrace = stopGrace;
+            return this;
+        }
+
+        /**
+         * Sets how many endpoints a scaled service keeps in each failure domain.
+         *
+         * @param capacityTarget the target
+         * @return this builder
+         */
+        public Builder capacityTarget(final CapacityTarget capacityTarget) {
+            mCapacityTarget = capacityTarget;
+            return this;
+        }
+
+        /**
+         * Makes the settings.
+         *
+         * @return the settings
+         */
+        public GatewaySettings build() {
+            return new GatewaySettings(this);
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/whinhead/gateway/caller/CallerConnection.java
@@ -0,0 +1,308 @@
+package org.whinhead.gateway.caller;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.CompositeByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.timeout.IdleStateEvent;
+import io.netty.util.ReferenceCountUtil;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import org.whinhead.gateway.endpoint.EndpointAnswer;
+
+/**
+ * One connection of a caller: reads a request whole, has it served, answers, reads the next.
+ *
+ * <p>The connection is read all the time, since a caller that leaves shows only there. Requests
+ * that are sent ahead wait; a caller that sends many ahead is no longer read.
+ */
+final class CallerConnection extends ChannelInboundHandlerAdapter implements CallerAnswer {
+
+    private static final int MOST_WAITING_MESSAGES = 64;
+
+    private final CallerListener mListener;
+    private final Deque<Object> mWaiting = new ArrayDeque<>();
+    private ChannelHandlerContext mContext;
+    private CallerRequest mRequest;
+    private CompositeByteBuf mBody;
+    private CallerRequestHandler.Running mRunning;
+    private boolean mServing;
+    private boolean mKeepAlive = true;
+    private boolean mChunked;
+    private boolean mDiscarding;
+    private boolean mSeenRequest;
+
+    CallerConnection(final CallerListener listener) {
+        mListener = listener;
+    }
+
+    @Override
+    public void handlerAdded(final ChannelHandlerContext context) {
+        mContext = context;
+        mListener.opened(this);
+    }
+
+    boolean isIdle() {
+        return !mServing && mRequest == null;
+    }
+
+    boolean hasSeenRequest() {
+        return mSeenRequest;
+    }
+
+    void close() {
+        mContext.close();
+    }
+
+    @Override
+    public void channelRead(final ChannelHandlerContext context, final Object message) {
+        if (mDiscarding) {
+            ReferenceCountUtil.release(message);
+        } else if (mServing || !mWaiting.isEmpty()) {
+            mWaiting.add(message);
+            if (mWaiting.size() > MOST_WAITING_MESSAGES) {
+                context.channel().config().setAutoRead(false);
+            }
+        } else {
+            read(message);
+        }
+    }
+
+    private void read(final Object message) {
+        try {
+            if (message instanceof HttpRequest head) {
+                head(head);
+            }
+            if (message instanceof HttpContent content && mRequest != null) {
+                content(content);
+            }
+        } finally {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    private void head(final HttpRequest head) {
+        mSeenRequest = true;
+        if (head.decoderResult().isFailure()) {
+            refuseUnread(refusalOf(head.decoderResult().cause()));
+            return;
+        }
+        mKeepAlive = HttpUtil.isKeepAlive(head);
+        try {
+            mRequest = mListener.protocol().decode(head);
+        } catch (BadRequestException e) {
+            refuseUnread(Refusal.invalid(HttpResponseStatus.BAD_REQUEST, e.getMessage()));
+            return;
+        }
+        if (HttpUtil.getContentLength(head, 0L) > mListener.limits().maxBodyBytes()) {
+            refuseUnread(tooLarge());
+            return;
+        }
+        if (HttpUtil.is100ContinueExpected(head)) {
+            mContext.writeAndFlush(
+                    new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+        }
+        mBody = mContext.alloc().compositeBuffer(1024);
+    }
+
+    private static Refusal refusalOf(final Throwable cause) {
+        if (cause instanceof TooLongFrameException) {
+            return Refusal.invalid(
+                    HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "head too long");
+        }
+        return Refusal.invalid(HttpResponseStatus.BAD_REQUEST, "unreadable head");
+    }
+
+    private static Refusal tooLarge() {
+        return Refusal.invalid(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body too long");
+    }
+
+    private void content(final HttpContent content) {
+        if (content.decoderResult().isFailure()) {
+            refuseUnread(Refusal.invalid(HttpResponseStatus.BAD_REQUEST, "unreadable body"));
+            return;
+        }
+        if (content.content().isReadable()) {
+            mBody.addComponent(true, content.content().retain());
+        }
+        if (mBody.readableBytes() > mListener.limits().maxBodyBytes()) {
+            refuseUnread(tooLarge());
+            return;
+        }
+        if (content instanceof LastHttpContent) {
+            serve();
+        }
+    }
+
+    private void serve() {
+        mServing = true;
+        final ByteBuf body = mBody;
+        mBody = null;
+        final CallerRequestHandler.Running running =
+                mListener.handler().serve(mRequest, body, this);
+        mRunning = mServing ? running : null;
+    }
+
+    /** Answers a request that was not read to its end; what follows on the connection is void. */
+    private void refuseUnread(final Refusal refusal) {
+        mDiscarding = true;
+        mKeepAlive = false;
+        mServing = true;
+        mListener.refusedUnread(refusal);
+        refuse(refusal);
+    }
+
+    @Override
+    public void start(final EndpointAnswer answer) {
+        final HttpResponse response =
+                new DefaultHttpResponse(HttpVersion.HTTP_1_1, answer.status(), answer.passed());
+        mChunked = !HttpUtil.isContentLengthSet(response);
+        if (mChunked) {
+            HttpUtil.setTransferEncodingChunked(response, true);
+        }
+        setConnection(response);
+        mContext.write(response);
+    }
+
+    private void setConnection(final HttpResponse response) {
+        if (!mKeepAlive || mListener.isStopping()) {
+            mKeepAlive = false;
+            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
+    }
+
+    @Override
+    public boolean write(final ByteBuf bytes) {
+        mContext.writeAndFlush(new DefaultHttpContent(bytes));
+        return mContext.channel().isWritable();
+    }
+
+    @Override
+    public void finish() {
+        final var written = mContext.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+        if (!mKeepAlive) {
+            written.addListener(ChannelFutureListener.CLOSE);
+        }
+        next();
+    }
+
+    @Override
+    public void abort() {
+        mServing = false;
+        mRunning = null;
+        mContext.close();
+    }
+
+    @Override
+    public void refuse(final Refusal refusal) {
+        final FullHttpResponse response =
+                new DefaultFullHttpResponse(
+                        HttpVersion.HTTP_1_1,
+                        refusal.status(),
+                        Unpooled.copiedBuffer(refusal.reason() + "\n", StandardCharsets.UTF_8));
+        response.headers().set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8");
+        refusal.retryAfter().ifPresent(after -> setRetryAfter(response, after));
+        HttpUtil.setContentLength(response, response.content().readableBytes());
+        setConnection(response);
+        final var written = mContext.writeAndFlush(response);
+        if (!mKeepAlive) {
+            written.addListener(ChannelFutureListener.CLOSE);
+        }
+        next();
+    }
+
+    private static void setRetryAfter(final HttpResponse response, final Duration after) {
+        final String seconds = String.format("%.3f", after.toMillis() / 1000.0);
+        response.headers().set(HttpHeaderNames.RETRY_AFTER, seconds);
+    }
+
+    private void next() {
+        mServing = false;
+        mRunning = null;
+        mRequest = null;
+        if (!mKeepAlive) {
+            mDiscarding = true;
+            releaseWaiting();
+            return;
+        }
+        if (!mWaiting.isEmpty()) {
+            mContext.executor().execute(this::readWaiting);
+        }
+    }
+
+    private void readWaiting() {
+        while (!mServing && !mDiscarding && !mWaiting.isEmpty()) {
+            read(mWaiting.poll());
+        }
+        if (mWaiting.size() <= MOST_WAITING_MESSAGES) {
+            mContext.channel().config().setAutoRead(true);
+        }
+    }
+
+    @Override
+    public void channelWritabilityChanged(final ChannelHandlerContext context) {
+        if (mRunning != null && context.channel().isWritable()) {
+            mRunning.callerKeepsUp();
+        }
+    }
+
+    @Override
+    public void channelInactive(final ChannelHandlerContext context) {
+        mListener.closed(this);
+        releaseWaiting();
+        if (mBody != null) {
+            mBody.release();
+            mBody = null;
+        }
+        final CallerRequestHandler.Running running = mRunning;
+        mRunning = null;
+        mServing = false;
+        if (running != null) {
+            running.callerLeft();
+        }
+    }
+
+    private void releaseWaiting() {
+        mWaiting.forEach(ReferenceCountUtil::release);
+        mWaiting.clear();
+    }
+
+    @Override
+    public void userEventTriggered(final ChannelHandlerContext context, final Object event) {
+        if (!(event instanceof IdleStateEvent) || mServing) {
+            return;
+        }
+        if (mRequest == null) {
+            context.close();
+            return;
+        }
+        refuseUnread(
+                new Refusal(
+                        HttpResponseStatus.REQUEST_TIMEOUT,
+                        "body not received in time",
+                        java.util.Optional.empty()));
+    }
+
+    @Override
+    public void exceptionCaught(final ChannelHandlerContext context, final Throwable cause) {
+        context.close();
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/whinhead/gateway/caller/CallerListener.java
@@ -0,0 +1,140 @@
+package org.whinhead.gateway.caller;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.handler.timeout.IdleStateHandler;
+import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.whinhead.serving.configuration.CallerLimits;
+
+/** Listens for callers and keeps their connections. */
+public final class CallerListener {
+
+    private static final Logger LOG = LoggerFactory.getLogger(CallerListener.class);
+    private static final int BACKLOG = 1_024;
+
+    private final EventLoop mLoop;
+    private final CallerProtocol mProtocol;
+    private final CallerRequestHandler mHandler;
+    private final Supplier<CallerLimits> mLimits;
+    private final Set<CallerConnection> mConnections = new HashSet<>();
+    private Channel mServer;
+    private boolean mStopping;
+
+    /**
+     * Makes a listener that listens nowhere yet.
+     *
+     * @param loop where everything runs
+     * @param protocol how callers spell their requests
+     * @param handler serves requests
+     * @param limits gives the limits in force
+     */
+    public CallerListener(
+            final EventLoop loop,
+            final CallerProtocol protocol,
+            final CallerRequestHandler handler,
+            final Supplier<CallerLimits> limits) {
+        mLoop = loop;
+        mProtocol = protocol;
+        mHandler = handler;
+        mLimits = limits;
+    }
+
+    /**
+     * Starts to listen.
+     *
+     * @param address where callers connect
+     */
+    public void listen(final InetSocketAddress address) {
+        mServer =
+                new ServerBootstrap()
+                        .group(mLoop)
+                        .channel(NioServerSocketChannel.class)
+                        .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childHandler(new Setup())
+                        .bind(address)
+                        .channel();
+    }
+
+    /** Has every answer from now on close its connection, and closes those without a request. */
+    public void stopGently() {
+        mStopping = true;
+        for (final CallerConnection connection : List.copyOf(mConnections)) {
+            if (connection.isIdle()) {
+                connection.close();
+            }
+        }
+    }
+
+    /** Takes no more connections. */
+    public void stopAccepting() {
+        mServer.close();
+    }
+
+    /**
+     * Counts the connections with a request.
+     *
+     * @return their number
+     */
+    public int busyConnections() {
+        return (int) mConnections.stream().filter(connection -> !connection.isIdle()).count();
+    }
+
+    boolean isStopping() {
+        return mStopping;
+    }
+
+    CallerProtocol protocol() {
+        return mProtocol;
+    }
+
+    CallerRequestHandler handler() {
+        return mHandler;
+    }
+
+    CallerLimits limits() {
+        return mLimits.get();
+    }
+
+    void opened(final CallerConnection connection) {
+        mConnections.add(connection);
+    }
+
+    void closed(final CallerConnection connection) {
+        mConnections.remove(connection);
+    }
+
+    void refusedUnread(final Refusal refusal) {
+        LOG.atInfo()
+                .addKeyValue("status", refusal.status().code())
+                .addKeyValue("reason", refusal.reason())
+                .log("request refused before it was read");
+    }
+
+    private final class Setup extends ChannelInitializer<SocketChannel> {
+        @Override
+        protected void initChannel(final SocketChannel channel) {
+            final CallerLimits limits = limits();
+            final long idleMillis = limits.idleTimeout().toMillis();
+            channel.pipeline()
+                    .addLast(new IdleStateHandler(0, 0, idleMillis, TimeUnit.MILLISECONDS))
+                    .addLast(new SlowHeadGuard(limits.headerTimeout()))
+                    .addLast(new StrictRequestDecoder(limits.maxHeaderBytes()))
+                    .addLast(new HttpResponseEncoder())
+                    .addLast(new CallerConnection(CallerListener.this));
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/whinhead/gateway/duty/DutyHolder.java
@@ -0,0 +1,286 @@
+package org.whinhead.gateway.duty;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.netty.channel.EventLoop;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.whinhead.gateway.exchange.ServingState;
+import org.whinhead.gateway.store.MetadataStore;
+import org.whinhead.gateway.store.StorePage;
+import org.whinhead.gateway.store.StoreRecord;
+import org.whinhead.gateway.store.StoreTopic;
+import org.whinhead.serving.capacity.CapacityOrder;
+import org.whinhead.serving.capacity.CapacityPlanner;
+import org.whinhead.serving.configuration.ServiceSpec;
+import org.whinhead.serving.configuration.ServingConfiguration;
+import org.whinhead.serving.duty.DutyLease;
+import org.whinhead.serving.duty.LeaseRecord;
+import org.whinhead.serving.duty.StoredLease;
+import org.whinhead.serving.duty.UsageDecision;
+import org.whinhead.serving.duty.UsagePlan;
+import org.whinhead.serving.member.Member;
+import org.whinhead.serving.member.MemberTable;
+
+/**
+ * Keeps or awaits the lease, and acts while it is held.
+ *
+ * <p>The two daemons whose names come first watch the lease for all; the others neither read nor
+ * write it, so that its cost doesn't grow with the number of daemons.
+ */
+public final class DutyHolder {
+
+    private static final Logger LOG = LoggerFactory.getLogger(DutyHolder.class);
+    private static final String LEASE_KEY = "lease";
+
+    /** The pace of renewals, and of a candidate's reads; a third of the lease at most. */
+    private static final int TICK_MILLIS = 1_000;
+
+    /** Daemons that watch the lease without holding it. */
+    private static final int CANDIDATES = 2;
+
+    private final EventLoop mLoop;
+    private final ServingState mState;
+    private final MemberTable mMembers;
+    private final MetadataStore mStore;
+    private final CloudDuties mCloud;
+    private final DutyLease mLease;
+    private final UsagePlan mUsagePlan;
+    private final CapacityPlanner mPlanner;
+    private final Set<Long> mDelivered = new HashSet<>();
+    private LeaseRecord mClaim;
+    private Instant mClaimSteady;
+    private Instant mClaimTimeOfDay;
+    private boolean mBusy;
+    private boolean mStopped;
+
+    /**
+     * Makes a holder that holds nothing.
+     *
+     * @param loop where everything runs
+     * @param state the decision objects
+     * @param members the daemons
+     * @param store where the lease is kept
+     * @param cloud takes reports and orders
+     * @param duties the lease and the plans of its holder
+     */
+    public DutyHolder(
+            final EventLoop loop,
+            final ServingState state,
+            final MemberTable members,
+            final MetadataStore store,
+            final CloudDuties cloud,
+            final Duties duties) {
+        mLoop = loop;
+        mState = state;
+        mMembers = members;
+        mStore = store;
+        mCloud = cloud;
+        mLease = duties.lease();
+        mUsagePlan = duties.usagePlan();
+        mPlanner = duties.planner();
+    }
+
+    /**
+     * The decision objects of the duties.
+     *
+     * @param lease the lease
+     * @param usagePlan which windows are reported
+     * @param planner which endpoints are ordered
+     */
+    public record Duties(DutyLease lease, UsagePlan usagePlan, CapacityPlanner planner) {}
+
+    /** Starts to watch the lease. */
+    public void start() {
+        mLoop.scheduleWithFixedDelay(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Gives the lease up, so that another daemon need not wait for it to run out. */
+    public void stop() {
+        mStopped = true;
+        if (mLease.isHeld()) {
+            final LeaseRecord release = mLease.release();
+            mLease.lost();
+            mStore.appendAt(StoreTopic.DUTIES, LEASE_KEY, DutyRecords.encode(release), mLease.end())
+                    .whenComplete(
+                            (end, failure) ->
+                                    LOG.atInfo()
+                                            .addKeyValue("token", release.token())
+                                            .addKeyValue("failure", String.valueOf(failure))
+                                            .log("lease given up"));
+        }
+    }
+
+    private void tick() {
+        if (mBusy || mStopped) {
+            return;
+        }
+        if (mLease.isHeld()) {
+            claim();
+        } else if (isCandidate()) {
+            look();
+        }
+    }
+
+    private boolean isCandidate() {
+        final Set<String> silent = new HashSet<>(mMembers.silent(mState.clock().instant()));
+        final long before =
+                mMembers.peers().stream()
+                        .map(Member::name)
+                        .filter(name -> !silent.contains(name))
+                        .filter(name -> name.compareTo(mMembers.self().name()) < 0)
+                        .count();
+        return before < CANDIDATES;
+    }
+
+    private void look() {
+        mBusy = true;
+        final Instant steady = mState.clock().instant();
+        mStore.newest(StoreTopic.DUTIES)
+                .whenComplete(
+                        (page, failure) -> {
+                            mBusy = false;
+                            if (failure == null) {
+                                looked(page, steady);
+                            }
+                        });
+    }
+
+    private void looked(final StorePage page, final Instant steady) {
+        final Optional<LeaseRecord> record;
+        try {
+            record = lease(page);
+        } catch (InvalidProtocolBufferException e) {
+            LOG.error("lease not understood, no duty is done", e);
+            return;
+        }
+        mLease.seen(new StoredLease(record, page.end()), steady);
+        if (mLease.isFree(mState.clock().instant()) && !mStopped) {
+            claim();
+        }
+    }
+
+    private static Optional<LeaseRecord> lease(final StorePage page)
+            throws InvalidProtocolBufferException {
+        for (final StoreRecord record : page.records()) {
+            if (record.key().equals(LEASE_KEY) && record.value().isPresent()) {
+                return Optional.of(DutyRecords.decode(record.value().get()));
+            }
+        }
+        return Optional.empty();
+    }
+
+    private void claim() {
+        mBusy = true;
+        final boolean renewal = mLease.isHeld();
+        final Instant timeOfDay = mState.timeOfDay().instant();
+        final List<UsageDecision> decisions =
+                mUsagePlan.decide(markDelivered(mLease.decisions()), timeOfDay);
+        mClaim = mLease.claim(decisions);
+        mClaimSteady = mState.clock().instant();
+        mClaimTimeOfDay = timeOfDay;
+        mStore.appendAt(StoreTopic.DUTIES, LEASE_KEY, DutyRecords.encode(mClaim), mLease.end())
+                .whenComplete(
+                        (end, failure) -> {
+                            mBusy = false;
+                            claimed(renewal, end, failure);
+                        });
+    }
+
+    private List<UsageDecision> markDelivered(final List<UsageDecision> decisions) {
+        final List<UsageDecision> marked = new ArrayList<>();
+        for (final UsageDecision decision : decisions) {
+            marked.add(mDelivered.contains(decision.window()) ? decision.asDelivered() : decision);
+        }
+        return marked;
+    }
+
+    private void claimed(final boolean renewal, final OptionalLong end, final Throwable failure) {
+        if (failure != null) {
+            // The claim may have landed all the same; the next look tells.
+            mLease.lost();
+            LOG.atWarn()
+                    .addKeyValue("token", mClaim.token())
+                    .addKeyValue("cause", String.valueOf(failure.getMessage()))
+                    .log("claim of the lease not answered");
+        } else if (end.isEmpty()) {
+            mLease.lost();
+            LOG.info("lease belongs to another daemon");
+        } else {
+            if (!renewal) {
+                LOG.atInfo().addKeyValue("token", mClaim.token()).log("lease taken");
+            }
+            granted(end.getAsLong());
+        }
+    }
+
+    private void granted(final long end) {
+        mLease.granted(mClaim, end, mClaimSteady, mClaimTimeOfDay);
+        act();
+    }
+
+    private void act() {
+        for (final UsageDecision decision : mLease.decisions()) {
+            if (!decision.delivered() && !mDelivered.contains(decision.window())) {
+                token().ifPresent(token -> report(token, decision));
+            }
+        }
+        final Optional<ServingConfiguration> configuration = mState.configuration().current();
+        if (configuration.isEmpty()) {
+            return;
+        }
+        for (final ServiceSpec service : configuration.get().services()) {
+            final List<CapacityOrder> orders =
+                    mPlanner.plan(
+                            service,
+                            mState.endpoints().usable(service.name()),
+                            mState.clock().instant());
+            for (final CapacityOrder order : orders) {
+                token().ifPresent(token -> order(token, order));
+            }
+        }
+    }
+
+    private Optional<Long> token() {
+        return mLease.tokenToAct(mState.clock().instant(), mState.timeOfDay().instant());
+    }
+
+    private void report(final long token, final UsageDecision decision) {
+        mCloud.reportUsage(token, decision)
+                .whenComplete(
+                        (taken, failure) -> {
+                            if (failure == null && taken) {
+                                mDelivered.add(decision.window());
+                            }
+                            LOG.atInfo()
+                                    .addKeyValue("window", decision.window())
+                                    .addKeyValue("counts", decision.counts())
+                                    .addKeyValue("token", token)
+                                    .addKeyValue("taken", taken)
+                                    .addKeyValue("failure", String.valueOf(failure))
+                                    .log("usage reported");
+                        });
+    }
+
+    private void order(final long token, final CapacityOrder order) {
+        mCloud.order(token, order)
+                .whenComplete(
+                        (taken, failure) ->
+                                LOG.atInfo()
+                                        .addKeyValue("service", order.service())
+                                        .addKeyValue("domain", order.domain())
+                                        .addKeyValue("reclaimable", order.reclaimable())
+                                        .addKeyValue("count", order.count())
+                                        .addKeyValue("token", token)
+                                        .addKeyValue("taken", taken)
+                                        .addKeyValue("failure", String.valueOf(failure))
+                                        .log("endpoints ordered"));
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointAnswer.java
@@ -0,0 +1,48 @@
+package org.whinhead.gateway.endpoint;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.time.Duration;
+import java.util.Objects;
+import java.util.Optional;
+
+/**
+ * The head of an endpoint's answer, decoded.
+ *
+ * @param status its status
+ * @param passed the headers that a caller gets
+ * @param requestId the request that it says it answers, if it says so
+ * @param notRun whether the endpoint states that the request did not run
+ * @param otherEndpoint whether the address belongs to another endpoint than expected
+ * @param genuine whether the body is the endpoint's own: signed and not encoded
+ * @param idleTimeout how long the endpoint keeps an idle connection, if it says so
+ * @param closes whether the endpoint closes the connection behind this answer
+ */
+public record EndpointAnswer(
+        HttpResponseStatus status,
+        HttpHeaders passed,
+        Optional<String> requestId,
+        boolean notRun,
+        boolean otherEndpoint,
+        boolean genuine,
+        Optional<Duration> idleTimeout,
+        boolean closes) {
+
+    private static final int FIRST_SUCCESS = 200;
+    private static final int FIRST_REDIRECT = 300;
+    private static final int FIRST_SERVER_ERROR = 500;
+
+    /** Checks the parts. */
+    public EndpointAnswer {
+        Objects.requireNonNull(status, "status");
+        Objects.requireNonNull(passed, "passed");
+    }
+
+    public boolean isSuccess() {
+        return status.code() >= FIRST_SUCCESS && status.code() < FIRST_REDIRECT;
+    }
+
+    public boolean isServerError() {
+        return status.code() >= FIRST_SERVER_ERROR;
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/package-info.java
@@ -0,0 +1,2 @@
+/** Connections to endpoints, and what comes back on them. */
+package org.whinhead.gateway.endpoint;
--- /dev/null
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/EventSplitter.java
@@ -0,0 +1,93 @@
+package org.whinhead.gateway.exchange;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.ByteBufUtil;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+
+/**
+ * Cuts an event stream into whole events.
+ *
+ * <p>An endpoint that crashes may break its stream off within an event; only whole events are
+ * passed on, so that a stream which goes on elsewhere continues behind the last whole one.
+ */
+final class EventSplitter {
+
+    private static final byte LINE_END = '\n';
+    private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
+
+    private final ByteBuf mBytes;
+    private int mScanned;
+
+    EventSplitter(final ByteBufAllocator allocator) {
+        mBytes = allocator.buffer();
+    }
+
+    void add(final ByteBuf bytes) {
+        mBytes.discardReadBytes();
+        mBytes.writeBytes(bytes);
+    }
+
+    int pendingBytes() {
+        return mBytes.readableBytes();
+    }
+
+    /** Takes the next whole event with its blank line, if there is one; the caller releases it. */
+    Optional<ByteBuf> next() {
+        final int start = mBytes.readerIndex();
+        int from = start + mScanned;
+        while (true) {
+            final int lineEnd = mBytes.indexOf(from, mBytes.writerIndex(), LINE_END);
+            if (lineEnd < 0) {
+                return Optional.empty();
+            }
+            if (isBlank(from, lineEnd)) {
+                mScanned = 0;
+                return Optional.of(mBytes.readBytes(lineEnd + 1 - start));
+            }
+            from = lineEnd + 1;
+            mScanned = from - start;
+        }
+    }
+
+    private boolean isBlank(final int from, final int lineEnd) {
+        return lineEnd == from || lineEnd == from + 1 && mBytes.getByte(from) == '\r';
+    }
+
+    /** Drops a part of an event, as its endpoint sends no more. */
+    void clear() {
+        mBytes.clear();
+        mScanned = 0;
+    }
+
+    void release() {
+        mBytes.release();
+    }
+
+    /** Reads the id of an event. */
+    static Optional<String> id(final ByteBuf event) {
+        int from = event.readerIndex();
+        while (from < event.writerIndex()) {
+            int lineEnd = event.indexOf(from, event.writerIndex(), LINE_END);
+            if (lineEnd < 0) {
+                lineEnd = event.writerIndex();
+            }
+            final boolean isId =
+                    lineEnd - from > ID_FIELD.length
+                            && ByteBufUtil.equals(
+                                    event,
+                                    from,
+                                    io.netty.buffer.Unpooled.wrappedBuffer(ID_FIELD),
+                                    0,
+                                    ID_FIELD.length);
+            if (isId) {
+                final int begin = from + ID_FIELD.length;
+                return Optional.of(
+                        event.toString(begin, lineEnd - begin, StandardCharsets.UTF_8).strip());
+            }
+            from = lineEnd + 1;
+        }
+        return Optional.empty();
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/Exchanges.java
@@ -0,0 +1,154 @@
+package org.whinhead.gateway.exchange;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+import org.whinhead.gateway.caller.CallerAnswer;
+import org.whinhead.gateway.caller.CallerRequest;
+import org.whinhead.gateway.caller.CallerRequestHandler;
+import org.whinhead.gateway.caller.Refusal;
+import org.whinhead.gateway.endpoint.EndpointConnections;
+import org.whinhead.gateway.endpoint.EndpointProtocol;
+import org.whinhead.serving.configuration.CustomerAccount;
+import org.whinhead.serving.configuration.ServingConfiguration;
+import org.whinhead.serving.route.Route;
+
+/** Checks requests against the configuration in force and starts those that are allowed. */
+public final class Exchanges implements CallerRequestHandler {
+
+    /** When a caller comes back that came before this daemon knew any configuration. */
+    private static final Duration NO_CONFIGURATION_RETRY = Duration.ofMillis(300);
+
+    private final EventLoop mLoop;
+    private final ServingState mState;
+    private final EndpointConnections mConnections;
+    private final EndpointProtocol mProtocol;
+    private final RequestJournal mJournal;
+    private boolean mClosedForStreams;
+
+    /**
+     * Makes a handler without requests.
+     *
+     * @param loop where everything runs
+     * @param state the decision objects
+     * @param connections the connections to endpoints
+     * @param protocol how endpoints are spoken to
+     * @param journal logs what became of each request
+     */
+    public Exchanges(
+            final EventLoop loop,
+            final ServingState state,
+            final EndpointConnections connections,
+            final EndpointProtocol protocol,
+            final RequestJournal journal) {
+        mLoop = loop;
+        mState = state;
+        mConnections = connections;
+        mProtocol = protocol;
+        mJournal = journal;
+    }
+
+    /** Refuses streams from now on, as this daemon stops before they would end. */
+    public void closeForStreams() {
+        mClosedForStreams = true;
+    }
+
+    @Override
+    public Running serve(
+            final CallerRequest request, final ByteBuf body, final CallerAnswer answer) {
+        final Instant arrivedAt = mState.clock().instant();
+        final Optional<ServingConfiguration> current = mState.configuration().current();
+        if (current.isEmpty()) {
+            return refuse(
+                    request,
+                    body,
+                    answer,
+                    Refusal.notRun("no configuration yet", NO_CONFIGURATION_RETRY));
+        }
+        final ServingConfiguration configuration = current.get();
+        final Optional<Route> route = configuration.routes().find(request.host(), request.path());
+        if (route.isEmpty()) {
+            return refuse(
+                    request,
+                    body,
+                    answer,
+                    Refusal.invalid(HttpResponseStatus.NOT_FOUND, "no such route"));
+        }
+        final Optional<CustomerAccount> customer =
+                request.key().flatMap(configuration::customerOfKey);
+        final boolean needsKey = configuration.needsKeys() && !route.get().isKeyless();
+        if (needsKey && customer.isEmpty()) {
+            return refuse(
+                    request,
+                    body,
+                    answer,
+                    Refusal.invalid(HttpResponseStatus.UNAUTHORIZED, "unknown key"));
+        }
+        if (mClosedForStreams && route.get().kind().isStream()) {
+            return refuse(request, body, answer, Refusal.notRun("stopping", Duration.ZERO));
+        }
+        final long tokens =
+                request.tokens().orElse(customer.map(c -> c.allowance().plainTokens()).orElse(0L));
+        final boolean admitted =
+                customer.isEmpty()
+                        || mState.quotas().admit(customer.get().name(), tokens, arrivedAt);
+        if (!admitted) {
+            final Duration after = mState.quotas().comeBackAfter(customer.get().name(), tokens);
+            return refuse(request, body, answer, Refusal.overAllowance(after));
+        }
+        final Exchange exchange =
+                new Exchange(
+                        this,
+                        new Admission(request, route.get(), customer, tokens, arrivedAt),
+                        body,
+                        answer);
+        exchange.start();
+        return exchange;
+    }
+
+    private Running refuse(
+            final CallerRequest request,
+            final ByteBuf body,
+            final CallerAnswer answer,
+            final Refusal refusal) {
+        body.release();
+        mJournal.refused(request, refusal);
+        answer.refuse(refusal);
+        return new Refused();
+    }
+
+    EventLoop loop() {
+        return mLoop;
+    }
+
+    ServingState state() {
+        return mState;
+    }
+
+    EndpointConnections connections() {
+        return mConnections;
+    }
+
+    EndpointProtocol protocol() {
+        return mProtocol;
+    }
+
+    RequestJournal journal() {
+        return mJournal;
+    }
+
+    private static final class Refused implements Running {
+        @Override
+        public void callerLeft() {
+            // Nothing is under way for a request that was refused.
+        }
+
+        @Override
+        public void callerKeepsUp() {
+            // The refusal was written whole.
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/RequestJournal.java
@@ -0,0 +1,71 @@
+package org.whinhead.gateway.exchange;
+
+import java.time.Duration;
+import java.time.InstantSource;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.whinhead.api.verdict.Verdict;
+import org.whinhead.gateway.caller.CallerRequest;
+import org.whinhead.gateway.caller.Refusal;
+import org.whinhead.serving.balance.Placement;
+import org.whinhead.serving.endpoint.EndpointEntry;
+
+/** Logs one line for each decision about a request, with the request's id. */
+public final class RequestJournal {
+
+    private static final Logger LOG = LoggerFactory.getLogger(RequestJournal.class);
+
+    private final InstantSource mClock;
+
+    /**
+     * Makes a journal.
+     *
+     * @param clock the steady clock
+     */
+    public RequestJournal(final InstantSource clock) {
+        mClock = clock;
+    }
+
+    void refused(final CallerRequest request, final Refusal refusal) {
+        LOG.atInfo()
+                .addKeyValue("request", request.id())
+                .addKeyValue("status", refusal.status().code())
+                .addKeyValue("reason", refusal.reason())
+                .log("request refused");
+    }
+
+    void attemptFailed(
+            final Admission admission,
+            final EndpointEntry endpoint,
+            final Verdict verdict,
+            final String reason) {
+        LOG.atInfo()
+                .addKeyValue("request", admission.request().id())
+                .addKeyValue("route", admission.route().name())
+                .addKeyValue("endpoint", endpoint.id())
+                .addKeyValue("verdict", verdict.wireName())
+                .addKeyValue("reason", reason)
+                .log("attempt failed");
+    }
+
+    void finished(
+            final Admission admission,
+            final Placement placement,
+            final int sends,
+            final String outcome,
+            final int status) {
+        final String endpoint = placement == null ? "" : placement.endpoint().id();
+        LOG.atInfo()
+                .addKeyValue("request", admission.request().id())
+                .addKeyValue("route", admission.route().name())
+                .addKeyValue("customer", admission.customerName().orElse(""))
+                .addKeyValue("endpoint", endpoint)
+                .addKeyValue("sends", sends)
+                .addKeyValue("status", status)
+                .addKeyValue(
+                        "millis",
+                        Duration.between(admission.arrivedAt(), mClock.instant()).toMillis())
+                .addKeyValue("outcome", outcome)
+                .log("request finished");
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/ServingState.java
@@ -0,0 +1,153 @@
+package org.whinhead.gateway.exchange;
+
+import java.time.InstantSource;
+import java.util.Objects;
+import org.whinhead.serving.balance.EndpointChooser;
+import org.whinhead.serving.configuration.ConfigurationHolder;
+import org.whinhead.serving.endpoint.EndpointRegistry;
+import org.whinhead.serving.limit.CustomerQuotas;
+import org.whinhead.serving.limit.RetryBudget;
+import org.whinhead.serving.usage.UsageLedger;
+import org.whinhead.serving.usage.UsageWindows;
+
+/** The decision objects of a daemon; all are used on its event loop only. */
+public final class ServingState {
+
+    private final InstantSource mClock;
+    private final InstantSource mTimeOfDay;
+    private final ConfigurationHolder mConfiguration = new ConfigurationHolder();
+    private final EndpointRegistry mEndpoints = new EndpointRegistry();
+    private final EndpointChooser mChooser;
+    private final CustomerQuotas mQuotas;
+    private final RetryBudget mRetryBudget;
+    private final UsageLedger mUsage;
+    private final UsageWindows mUsageWindows;
+
+    private ServingState(final Builder builder) {
+        mClock = Objects.requireNonNull(builder.mClock, "clock");
+        mTimeOfDay = Objects.requireNonNull(builder.mTimeOfDay, "timeOfDay");
+        mChooser = Objects.requireNonNull(builder.mChooser, "chooser");
+        mQuotas = Objects.requireNonNull(builder.mQuotas, "quotas");
+        mRetryBudget = Objects.requireNonNull(builder.mRetryBudget, "retryBudget");
+        mUsage = Objects.requireNonNull(builder.mUsage, "usage");
+        mUsageWindows = Objects.requireNonNull(builder.mUsageWindows, "usageWindows");
+    }
+
+    /**
+     * Starts a state.
+     *
+     * @return a builder
+     */
+    public static Builder builder() {
+        return new Builder();
+    }
+
+    public InstantSource clock() {
+        return mClock;
+    }
+
+    public InstantSource timeOfDay() {
+        return mTimeOfDay;
+    }
+
+    public ConfigurationHolder configuration() {
+        return mConfiguration;
+    }
+
+    public EndpointRegistry endpoints() {
+        return mEndpoints;
+    }
+
+    public EndpointChooser chooser() {
+        return mChooser;
+    }
+
+    public CustomerQuotas quotas() {
+        return mQuotas;
+    }
+
+    public RetryBudget retryBudget() {
+        return mRetryBudget;
+    }
+
+    public UsageLedger usage() {
+        return mUsage;
+    }
+
+    public UsageWindows usageWindows() {
+        return mUsageWindows;
+    }
+
+    /** Collects the parts of a state. */
+    public static final class Builder {
+
+        private InstantSource mClock;
+        private InstantSource mTimeOfDay;
+        private EndpointChooser mChooser;
+        private CustomerQuotas mQuotas;
+        private RetryBudget mRetryBudget;
+        private UsageLedger mUsage;
+        private UsageWindows mUsageWindows;
+
+        private Builder() {}
+
+        /**
+         * Sets the clocks.
+         *
+         * @param clock the steady clock
+         * @param timeOfDay the time of day
+         * @return this builder
+         */
+        public Builder clocks(final InstantSource clock, final InstantSource timeOfDay) {
+            mClock = clock;
+            mTimeOfDay = timeOfDay;
+            return this;
+        }
+
+        /**
+         * Sets the choice of endpoints.
+         *
+         * @param chooser the chooser
+         * @return this builder
+         */
+        public Builder chooser(final EndpointChooser chooser) {
+            mChooser = chooser;
+            return this;
+        }
+
+        /**
+         * Sets the limits.
+         *
+         * @param quotas what customers may spend
+         * @param retryBudget what retries may add
+         * @return this builder
+         */
+        public Builder limits(final CustomerQuotas quotas, final RetryBudget retryBudget) {
+            mQuotas = quotas;
+            mRetryBudget = retryBudget;
+            return this;
+        }
+
+        /**
+         * Sets where usage is counted.
+         *
+         * @param usage the counts
+         * @param windows the windows
+         * @return this builder
+         */
+        public Builder usage(final UsageLedger usage, final UsageWindows windows) {
+            mUsage = usage;
+            mUsageWindows = windows;
+            return this;
+        }
+
+        /**
+         * Makes the state.
+         *
+         * @return the state
+         */
+        public ServingState build() {
+            return new ServingState(this);
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/package-info.java
@@ -0,0 +1,2 @@
+/** The life of a request: from a caller, to one endpoint or several, and back. */
+package org.whinhead.gateway.exchange;
--- /dev/null
+++ b/gateway/src/main/java/org/whinhead/gateway/http/HttpCaller.java
@@ -0,0 +1,203 @@
+package org.whinhead.gateway.http;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.Future;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Makes calls to one server, each on a connection of its own while it lasts.
+ *
+ * <p>A connection whose answer was lost never carries another one, so a call that fails or times
+ * out closes its connection. All of it runs on one event loop, which also completes the futures.
+ */
+public final class HttpCaller {
+
+    private static final int MOST_IDLE = 4;
+    private static final int MOST_ANSWER_BYTES = 16 * 1024 * 1024;
+
+    private final EventLoop mLoop;
+    private final InetSocketAddress mServer;
+    private final Deque<Channel> mIdle = new ArrayDeque<>();
+
+    /**
+     * Makes a caller without a connection.
+     *
+     * @param loop where everything runs
+     * @param server the server's address
+     */
+    public HttpCaller(final EventLoop loop, final InetSocketAddress server) {
+        mLoop = loop;
+        mServer = server;
+    }
+
+    /**
+     * Makes a call; to be called on the event loop.
+     *
+     * @param call the call
+     * @return the answer, or a {@link CallFailedException}
+     */
+    public CompletableFuture<HttpReply> call(final HttpCall call) {
+        final Pending pending = new Pending(call);
+        final Future<?> timeout =
+                mLoop.schedule(
+                        () -> pending.fail("no answer in " + call.timeout().toMillis() + " ms"),
+                        call.timeout().toMillis(),
+                        TimeUnit.MILLISECONDS);
+        pending.mReply.whenComplete((reply, failure) -> timeout.cancel(false));
+        final Channel idle = takeIdle();
+        if (idle == null) {
+            connect(pending);
+        } else {
+            send(idle, pending);
+        }
+        return pending.mReply;
+    }
+
+    private Channel takeIdle() {
+        Channel channel = mIdle.pollFirst();
+        while (channel != null && !channel.isActive()) {
+            channel = mIdle.pollFirst();
+        }
+        return channel;
+    }
+
+    private void connect(final Pending pending) {
+        final Bootstrap bootstrap =
+                new Bootstrap()
+                        .group(mLoop)
+                        .channel(NioSocketChannel.class)
+                        .option(ChannelOption.TCP_NODELAY, true)
+                        .handler(new Setup());
+        final ChannelFuture connected = bootstrap.connect(mServer);
+        pending.mChannel = connected.channel();
+        connected.addListener(
+                future -> {
+                    if (future.isSuccess()) {
+                        send(connected.channel(), pending);
+                    } else {
+                        pending.fail("no connection: " + future.cause());
+                    }
+                });
+    }
+
+    private void send(final Channel channel, final Pending pending) {
+        if (pending.mReply.isDone()) {
+            channel.close();
+            return;
+        }
+        pending.mChannel = channel;
+        channel.pipeline().get(Receiver.class).mPending = pending;
+        channel.writeAndFlush(pending.request(mServer));
+    }
+
+    private static final class Setup extends ChannelInitializer<SocketChannel> {
+        @Override
+        protected void initChannel(final SocketChannel channel) {
+            channel.pipeline()
+                    .addLast(new HttpClientCodec())
+                    .addLast(new HttpObjectAggregator(MOST_ANSWER_BYTES))
+                    .addLast(new Receiver());
+        }
+    }
+
+    private final class Pending {
+        private final HttpCall mCall;
+        private final CompletableFuture<HttpReply> mReply = new CompletableFuture<>();
+        private Channel mChannel;
+
+        private Pending(final HttpCall call) {
+            mCall = call;
+        }
+
+        private FullHttpRequest request(final InetSocketAddress server) {
+            final FullHttpRequest request =
+                    new DefaultFullHttpRequest(
+                            HttpVersion.HTTP_1_1,
+                            mCall.method(),
+                            mCall.target(),
+                            Unpooled.wrappedBuffer(mCall.body()));
+            mCall.headers().forEach(request.headers()::set);
+            request.headers()
+                    .set(
+                            HttpHeaderNames.HOST,
+                            server.getAddress().getHostAddress() + ":" + server.getPort());
+            HttpUtil.setContentLength(request, request.content().readableBytes());
+            return request;
+        }
+
+        private void succeed(final HttpReply reply, final boolean keepAlive) {
+            if (keepAlive && mIdle.size() < MOST_IDLE) {
+                mIdle.addFirst(mChannel);
+            } else {
+                mChannel.close();
+            }
+            mReply.complete(reply);
+        }
+
+        private void fail(final String reason) {
+            if (mReply.isDone()) {
+                return;
+            }
+            if (mChannel != null) {
+                mChannel.close();
+            }
+            mReply.completeExceptionally(new CallFailedException(reason));
+        }
+    }
+
+    private static final class Receiver extends SimpleChannelInboundHandler<FullHttpResponse> {
+        private Pending mPending;
+
+        @Override
+        protected void channelRead0(
+                final ChannelHandlerContext context, final FullHttpResponse response) {
+            if (mPending == null || response.decoderResult().isFailure()) {
+                context.close();
+                return;
+            }
+            final byte[] body = new byte[response.content().readableBytes()];
+            response.content().readBytes(body);
+            final Pending pending = mPending;
+            mPending = null;
+            pending.succeed(
+                    new HttpReply(response.status().code(), body), HttpUtil.isKeepAlive(response));
+        }
+
+        @Override
+        public void channelInactive(final ChannelHandlerContext context) {
+            if (mPending != null) {
+                mPending.fail("connection closed");
+            }
+        }
+
+        @Override
+        public void exceptionCaught(final ChannelHandlerContext context, final Throwable cause) {
+            if (mPending != null) {
+                mPending.fail("connection broke: " + cause);
+            }
+            context.close();
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/whinhead/gateway/http/package-info.java
@@ -0,0 +1,2 @@
+/** Plain HTTP calls and answers that fit into memory. */
+package org.whinhead.gateway.http;
--- /dev/null
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/PeerReports.java
@@ -0,0 +1,230 @@
+package org.whinhead.gateway.peers;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import java.net.InetSocketAddress;
+import java.time.Instant;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.whinhead.gateway.exchange.ServingState;
+import org.whinhead.gateway.generated.GatewayProto.CustomerSpend;
+import org.whinhead.gateway.generated.GatewayProto.EndpointShare;
+import org.whinhead.gateway.generated.GatewayProto.PeerReport;
+import org.whinhead.gateway.generated.GatewayProto.UsageEntry;
+import org.whinhead.serving.balance.EndpointLoad;
+import org.whinhead.serving.member.Member;
+import org.whinhead.serving.member.MemberTable;
+import org.whinhead.serving.usage.UsageCount;
+
+/**
+ * Sends this daemon's report to all others, and takes theirs.
+ *
+ * <p>Reports are datagrams with totals, not changes: one that is lost is made up for by the next.
+ * The interval grows with the number of daemons, so that each receives about as many reports a
+ * second whatever the size of the deployment.
+ */
+public final class PeerReports {
+
+    private static final Logger LOG = LoggerFactory.getLogger(PeerReports.class);
+
+    /** The shortest interval of reports. */
+    private static final int LEAST_INTERVAL_MILLIS = 200;
+
+    /** What each daemon adds to the interval: about 45 reports a second arrive at each. */
+    private static final int INTERVAL_MILLIS_PER_DAEMON = 22;
+
+    /** Known addresses that a report passes on; a newcomer learns all within a few reports. */
+    private static final int CONTACTS = 12;
+
+    private final EventLoop mLoop;
+    private final ServingState mState;
+    private final MemberTable mMembers;
+    private final Set<InetSocketAddress> mContacts = new HashSet<>();
+    private Channel mChannel;
+    private boolean mLeaving;
+
+    /**
+     * Makes a reporter that sends nothing yet.
+     *
+     * @param loop where everything runs
+     * @param state what is reported, and what reports change
+     * @param members the daemons
+     */
+    public PeerReports(final EventLoop loop, final ServingState state, final MemberTable members) {
+        mLoop = loop;
+        mState = state;
+        mMembers = members;
+    }
+
+    /** Starts to send and receive. */
+    public void start() {
+        mChannel =
+                new Bootstrap()
+                        .group(mLoop)
+                        .channel(NioDatagramChannel.class)
+                        .handler(new Receiver())
+                        .bind(mMembers.self().peerAddress())
+                        .channel();
+        tick();
+    }
+
+    /**
+     * Adds an address at which a daemon may be.
+     *
+     * @param contact the address
+     */
+    public void addContact(final InetSocketAddress contact) {
+        if (!contact.equals(mMembers.self().peerAddress())) {
+            mContacts.add(contact);
+        }
+    }
+
+    /** Tells the others at once that this daemon is about to stop. */
+    public void leave() {
+        mLeaving = true;
+        send();
+    }
+
+    private void tick() {
+        send();
+        final Instant now = now();
+        mMembers.expire(now);
+        mMembers.silent(now).forEach(mState.chooser()::forgetPeer);
+        mState.retryBudget().daemons(mMembers.knownCount());
+        final int interval =
+                Math.max(LEAST_INTERVAL_MILLIS, INTERVAL_MILLIS_PER_DAEMON * mMembers.knownCount());
+        mLoop.schedule(this::tick, interval, TimeUnit.MILLISECONDS);
+    }
+
+    private void send() {
+        final byte[] report = report().toByteArray();
+        final Set<InetSocketAddress> receivers = new HashSet<>(mContacts);
+        mMembers.peers().forEach(peer -> receivers.add(peer.peerAddress()));
+        for (final InetSocketAddress receiver : receivers) {
+            mChannel.write(new DatagramPacket(Unpooled.wrappedBuffer(report), receiver));
+        }
+        mChannel.flush();
+    }
+
+    private PeerReport report() {
+        final Member self = mMembers.self();
+        final PeerReport.Builder report =
+                PeerReport.newBuilder()
+                        .setName(self.name())
+                        .setIncarnation(self.incarnation())
+                        .setDomain(self.domain())
+                        .setCallerAddress(Addresses.format(self.callerAddress()))
+                        .setPeerAddress(Addresses.format(self.peerAddress()))
+                        .setReady(mMembers.isSelfReady())
+                        .setLeaving(mLeaving);
+        mState.configuration()
+                .current()
+                .ifPresent(current -> report.setConfigurationVersion(current.version()));
+        mState.quotas()
+                .ownSpent()
+                .forEach(
+                        (customer, tokens) ->
+                                report.addSpent(
+                                        CustomerSpend.newBuilder()
+                                                .setCustomer(customer)
+                                                .setTokens(tokens)));
+        for (final Map.Entry<String, EndpointLoad> load : mState.chooser().loads().entrySet()) {
+            if (load.getValue().ownRunning() > 0) {
+                report.addShares(
+                        EndpointShare.newBuilder()
+                                .setEndpoint(load.getKey())
+                                .setRunning(load.getValue().ownRunning())
+                                .setPromptTokens(load.getValue().ownPromptTokens()));
+            }
+        }
+        for (final UsageCount count : mState.usage().own()) {
+            report.addUsage(
+                    UsageEntry.newBuilder()
+                            .setWindow(count.window())
+                            .setCustomer(count.customer())
+                            .setRequests(count.requests()));
+        }
+        mMembers.peers().stream()
+                .limit(CONTACTS)
+                .forEach(peer -> report.addContacts(Addresses.format(peer.peerAddress())));
+        return report.build();
+    }
+
+    private void take(final PeerReport report) {
+        if (report.getName().equals(mMembers.self().name())) {
+            return;
+        }
+        final Instant now = now();
+        final Member member =
+                new Member(
+                        report.getName(),
+                        report.getIncarnation(),
+                        report.getDomain(),
+                        Addresses.parse(report.getCallerAddress()),
+                        Addresses.parse(report.getPeerAddress()));
+        mMembers.heard(member, report.getReady(), report.getLeaving(), now)
+                .ifPresent(
+                        before ->
+                                LOG.atInfo()
+                                        .addKeyValue("daemon", member.name())
+                                        .addKeyValue("incarnation", member.incarnation())
+                                        .log("daemon was restarted"));
+        report.getContactsList().forEach(contact -> addContact(Addresses.parse(contact)));
+        for (final CustomerSpend spend : report.getSpentList()) {
+            mState.quotas()
+                    .peerSpent(
+                            report.getIncarnation(), spend.getCustomer(), spend.getTokens(), now);
+        }
+        mState.chooser().forgetPeer(report.getName());
+        for (final EndpointShare share : report.getSharesList()) {
+            mState.chooser()
+                    .peerLoad(
+                            report.getName(),
+                            share.getEndpoint(),
+                            share.getRunning(),
+                            share.getPromptTokens());
+        }
+        for (final UsageEntry entry : report.getUsageList()) {
+            mState.usage()
+                    .peerCount(
+                            report.getIncarnation(),
+                            new UsageCount(
+                                    entry.getWindow(), entry.getCustomer(), entry.getRequests()));
+        }
+    }
+
+    private Instant now() {
+        return mState.clock().instant();
+    }
+
+    private final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
+        @Override
+        protected void channelRead0(
+                final ChannelHandlerContext context, final DatagramPacket packet) {
+            try {
+                take(PeerReport.parseFrom(packet.content().nioBuffer()));
+            } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
+                LOG.atWarn()
+                        .addKeyValue("sender", packet.sender())
+                        .addKeyValue("cause", e.getMessage())
+                        .log("report not understood");
+            }
+        }
+
+        @Override
+        public void exceptionCaught(final ChannelHandlerContext context, final Throwable cause) {
+            LOG.atWarn().addKeyValue("cause", cause.toString()).log("report channel failed");
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/whinhead/gateway/store/EndpointWatch.java
@@ -0,0 +1,117 @@
+package org.whinhead.gateway.store;
+
+import java.time.Instant;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.whinhead.gateway.endpoint.EndpointConnections;
+import org.whinhead.gateway.exchange.ServingState;
+import org.whinhead.serving.endpoint.EndpointEntry;
+import org.whinhead.serving.endpoint.EndpointRegistry;
+
+/** Keeps the registry of endpoints as the store shows them. */
+public final class EndpointWatch implements TopicListener {
+
+    private static final Logger LOG = LoggerFactory.getLogger(EndpointWatch.class);
+
+    private final ServingState mState;
+    private final EndpointConnections mConnections;
+    private final EndpointDecoder mDecoder;
+    private boolean mLoaded;
+
+    /**
+     * Makes a watch.
+     *
+     * @param state gets the endpoints
+     * @param connections drops connections to endpoints that are gone
+     * @param decoder reads their entries
+     */
+    public EndpointWatch(
+            final ServingState state,
+            final EndpointConnections connections,
+            final EndpointDecoder decoder) {
+        mState = state;
+        mConnections = connections;
+        mDecoder = decoder;
+    }
+
+    /**
+     * Tells whether the endpoints were read once.
+     *
+     * @return whether they are known
+     */
+    public boolean isLoaded() {
+        return mLoaded;
+    }
+
+    @Override
+    public void snapshot(final List<StoreRecord> records, final long end) {
+        records.forEach(this::take);
+        final Set<String> listed =
+                records.stream()
+                        .filter(record -> record.value().isPresent())
+                        .map(StoreRecord::key)
+                        .collect(Collectors.toCollection(HashSet::new));
+        registry().retain(listed, end, now());
+        mLoaded = true;
+        tidy();
+    }
+
+    @Override
+    public void appended(final List<StoreRecord> records) {
+        records.forEach(this::take);
+        tidy();
+    }
+
+    private void take(final StoreRecord record) {
+        if (record.value().isEmpty()) {
+            registry().remove(record.key(), record.offset(), now());
+            LOG.atInfo().addKeyValue("endpoint", record.key()).log("endpoint entry removed");
+            return;
+        }
+        final EndpointEntry entry;
+        try {
+            entry = mDecoder.decode(record.key(), record.value().get());
+        } catch (UnreadableRecordException e) {
+            LOG.error("entry of endpoint {} not understood", record.key(), e);
+            return;
+        }
+        if (registry().put(entry, record.offset())) {
+            LOG.atInfo()
+                    .addKeyValue("endpoint", entry.id())
+                    .addKeyValue("service", entry.service())
+                    .addKeyValue("address", entry.address())
+                    .addKeyValue("domain", entry.domain())
+                    .addKeyValue("reclaimable", entry.reclaimable())
+                    .addKeyValue("leaving", entry.leaving())
+                    .addKeyValue("offset", record.offset())
+                    .log("endpoint changed");
+        }
+    }
+
+    private void tidy() {
+        registry()
+                .expire(now())
+                .forEach(id -> LOG.atInfo().addKeyValue("endpoint", id).log("endpoint lapsed"));
+        final Set<String> known =
+                registry().all().stream().map(EndpointEntry::id).collect(Collectors.toSet());
+        mState.chooser().retain(known);
+        mConnections.retain(known);
+    }
+
+    @Override
+    public void unreachable(final Throwable cause) {
+        registry().storeUnreachable(now());
+    }
+
+    private EndpointRegistry registry() {
+        return mState.endpoints();
+    }
+
+    private Instant now() {
+        return mState.clock().instant();
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/whinhead/gateway/store/StoreTopic.java
@@ -0,0 +1,13 @@
+package org.whinhead.gateway.store;
+
+/** What the store keeps the newest record of each key of. */
+public enum StoreTopic {
+    /** The operator's configuration. */
+    CONFIGURATION,
+    /** Entries that endpoints write of themselves. */
+    ENDPOINTS,
+    /** Entries that daemons write of themselves. */
+    MEMBERS,
+    /** The lease of the duties, with its holders' decisions. */
+    DUTIES
+}
--- /dev/null
+++ b/gateway/src/main/java/org/whinhead/gateway/store/TopicFollower.java
@@ -0,0 +1,127 @@
+package org.whinhead.gateway.store;
+
+import io.netty.channel.EventLoop;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Follows a topic: the newest records first, then each record as it comes.
+ *
+ * <p>A read that finds its records dropped starts over with the newest ones. Reads that hang or
+ * fail are repeated at a steady pace, as the store's calls are limited and billed.
+ */
+public final class TopicFollower {
+
+    private static final Logger LOG = LoggerFactory.getLogger(TopicFollower.class);
+
+    /** The pause after a failed call: a store that is back is noticed within it. */
+    private static final Duration RETRY_PAUSE = Duration.ofMillis(400);
+
+    private final EventLoop mLoop;
+    private final MetadataStore mStore;
+    private final StoreTopic mTopic;
+    private final TopicListener mListener;
+    private final Duration mWait;
+    private final Duration mPause;
+    private long mNext = -1;
+    private boolean mReachable = true;
+
+    /**
+     * Makes a follower that follows nothing yet.
+     *
+     * @param loop where everything runs
+     * @param store the store
+     * @param topic the topic
+     * @param listener hears what is read
+     * @param pace how it is read
+     */
+    public TopicFollower(
+            final EventLoop loop,
+            final MetadataStore store,
+            final StoreTopic topic,
+            final TopicListener listener,
+            final Pace pace) {
+        mLoop = loop;
+        mStore = store;
+        mTopic = topic;
+        mListener = listener;
+        mWait = pace.longestWait();
+        mPause = pace.pause();
+    }
+
+    /**
+     * How often a topic is read.
+     *
+     * @param longestWait how long the store may wait for a record
+     * @param pause the pause between two reads
+     */
+    public record Pace(Duration longestWait, Duration pause) {}
+
+    /** Starts to follow. */
+    public void start() {
+        if (mNext < 0) {
+            mStore.newest(mTopic).whenComplete(this::newestRead);
+        } else {
+            mStore.read(mTopic, mNext, mWait).whenComplete(this::read);
+        }
+    }
+
+    private void newestRead(final StorePage page, final Throwable failure) {
+        if (failure != null) {
+            failed(failure);
+            return;
+        }
+        reachable();
+        mNext = page.end();
+        mListener.snapshot(page.records(), page.end());
+        again(mPause);
+    }
+
+    private void read(final StorePage page, final Throwable failure) {
+        if (failure != null) {
+            failed(failure);
+            return;
+        }
+        reachable();
+        if (page.truncated()) {
+            LOG.atInfo().addKeyValue("topic", mTopic).log("records dropped, reading the newest");
+            mNext = -1;
+            start();
+            return;
+        }
+        final List<StoreRecord> records = page.records();
+        if (!records.isEmpty()) {
+            mNext = records.get(records.size() - 1).offset() + 1;
+        }
+        mListener.appended(records);
+        again(mPause);
+    }
+
+    private void again(final Duration pause) {
+        mLoop.schedule(this::start, pause.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    private void reachable() {
+        if (!mReachable) {
+            mReachable = true;
+            // Whatever was dropped while the store was away has no record that could be read.
+            mNext = -1;
+            LOG.atInfo().addKeyValue("topic", mTopic).log("store reachable again");
+        }
+    }
+
+    private void failed(final Throwable failure) {
+        if (mReachable) {
+            mReachable = false;
+            LOG.atWarn()
+                    .addKeyValue("topic", mTopic)
+                    .addKeyValue("cause", String.valueOf(failure.getMessage()))
+                    .log("store not reachable");
+        }
+        mListener.unreachable(failure);
+        again(RETRY_PAUSE);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/whinhead/gateway/time/package-info.java
@@ -0,0 +1,2 @@
+/** Clocks of a running daemon. */
+package org.whinhead.gateway.time;
--- /dev/null
+++ b/serving/src/main/java/org/whinhead/serving/balance/EndpointChooser.java
@@ -0,0 +1,214 @@
+package org.whinhead.serving.balance;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Instant;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.zip.CRC32;
+import org.whinhead.serving.endpoint.EndpointEntry;
+
+/**
+ * Chooses the endpoint with the shortest expected wait.
+ *
+ * <p>The wait is estimated in milliseconds: prompts that are still to be read there (from all
+ * daemons), requests that run there, the request's own tokens that are not cached there, and
+ * penalties for failures and distance. Sessions have a home endpoint that every daemon computes
+ * alike, so that their prompts are read once for the fleet and not once for each daemon.
+ */
+public final class EndpointChooser {
+
+    /** Prompt tokens that an engine reads in a millisecond; from the engines' data sheet. */
+    private static final double TOKENS_PER_MILLISECOND = 38.4;
+
+    /** What a request that runs beside another one delays it by; from the engines' data sheet. */
+    private static final double RUNNING_MILLISECONDS = 2.0;
+
+    /** What a plain service's request waits for each other one, relative to its places. */
+    private static final double PLACE_MILLISECONDS = 60.0;
+
+    /** What a call to another failure domain costs: its way, and bytes that are billed. */
+    private static final double OTHER_DOMAIN_MILLISECONDS = 6.0;
+
+    /** What an endpoint that fails all its requests is put behind. */
+    private static final double FAILURE_MILLISECONDS = 2_000.0;
+
+    /**
+     * Share of shared tokens taken as cached at a session's home, though nothing was sent there.
+     */
+    private static final double HOME_CONFIDENCE = 0.9;
+
+    /** Tokens of prompts that an engine keeps beside the running requests. */
+    private static final long PREFIX_CAPACITY = 200_000;
+
+    /** An odd constant with evenly spread bits: 2 to the 64 over the golden ratio. */
+    private static final long SPREAD_FACTOR = 0x9E3779B97F4A7C15L;
+
+    private final String mOwnDomain;
+    private final Map<String, EndpointLoad> mLoads = new HashMap<>();
+
+    /**
+     * Makes a chooser that knows no load.
+     *
+     * @param ownDomain the failure domain of this daemon
+     */
+    public EndpointChooser(final String ownDomain) {
+        mOwnDomain = ownDomain;
+    }
+
+    /**
+     * Chooses an endpoint and counts the request there.
+     *
+     * @param candidates the endpoints that may get it
+     * @param work what the request asks
+     * @param tried endpoints that it was sent to before
+     * @param now the time
+     * @return the place, if there is one
+     */
+    public Optional<Placement> place(
+            final List<EndpointEntry> candidates,
+            final Work work,
+            final Set<String> tried,
+            final Instant now) {
+        final String home = home(candidates, work.session());
+        EndpointEntry best = best(candidates, work, tried, home, now, true);
+        if (best == null) {
+            best = best(candidates, work, tried, home, now, false);
+        }
+        if (best == null) {
+            return Optional.empty();
+        }
+        final EndpointLoad load = load(best.id());
+        final int unread = work.promptTokens() - load.cachedTokens(work);
+        load.started(work, Math.max(unread, 0));
+        return Optional.of(new Placement(best, load, Math.max(unread, 0)));
+    }
+
+    private EndpointEntry best(
+            final List<EndpointEntry> candidates,
+            final Work work,
+            final Set<String> tried,
+            final String home,
+            final Instant now,
+            final boolean openOnly) {
+        EndpointEntry best = null;
+        double least = Double.MAX_VALUE;
+        for (final EndpointEntry candidate : candidates) {
+            if (tried.contains(candidate.id()) || openOnly && !load(candidate.id()).isOpen(now)) {
+                continue;
+            }
+            final double wait = expectedWait(candidate, work, candidate.id().equals(home));
+            if (wait < least) {
+                least = wait;
+                best = candidate;
+            }
+        }
+        return best;
+    }
+
+    private double expectedWait(final EndpointEntry endpoint, final Work work, final boolean home) {
+        final EndpointLoad load = load(endpoint.id());
+        double wait = load.failureShare() * load.failureShare() * FAILURE_MILLISECONDS;
+        if (!endpoint.domain().equals(mOwnDomain)) {
+            wait += OTHER_DOMAIN_MILLISECONDS;
+        }
+        wait += Math.min(endpoint.coldFor().toMillis(), 200);
+        if (work.promptTokens() == 0) {
+            return wait + PLACE_MILLISECONDS * load.running() / Math.max(endpoint.slots(), 1);
+        }
+        double cached = load.cachedTokens(work);
+        if (home) {
+            cached = Math.max(cached, HOME_CONFIDENCE * work.sharedTokens());
+        }
+        wait += (load.promptTokens() + work.promptTokens() - cached) / TOKENS_PER_MILLISECOND;
+        return wait + RUNNING_MILLISECONDS * load.running();
+    }
+
+    /** The endpoint with the highest hash of its id and the session, the same on every daemon. */
+    private static String home(final List<EndpointEntry> candidates, final String session) {
+        if (session.isEmpty()) {
+            return "";
+        }
+        String home = "";
+        long highest = -1;
+        for (final EndpointEntry candidate : candidates) {
+            final CRC32 hash = new CRC32();
+            hash.update((candidate.id() + '/' + session).getBytes(StandardCharsets.UTF_8));
+            final long spread = spread(hash.getValue());
+            if (spread > highest) {
+                highest = spread;
+                home = candidate.id();
+            }
+        }
+        return home;
+    }
+
+    /**
+     * Spreads a checksum over all bits. Checksums of texts with a common start differ by a constant
+     * pattern, which would give some endpoints far more sessions than others.
+     */
+    private static long spread(final long checksum) {
+        final long mixed = (checksum ^ (checksum >>> 16)) * SPREAD_FACTOR;
+        return (mixed ^ (mixed >>> 29)) & Long.MAX_VALUE;
+    }
+
+    /**
+     * Finds the load of an endpoint.
+     *
+     * @param endpoint its id
+     * @return its load, empty at first
+     */
+    public EndpointLoad load(final String endpoint) {
+        return mLoads.computeIfAbsent(endpoint, id -> new EndpointLoad(PREFIX_CAPACITY));
+    }
+
+    /**
+     * Takes what another daemon has under way at an endpoint.
+     *
+     * @param daemon the other daemon
+     * @param endpoint the endpoint
+     * @param running its requests there
+     * @param promptTokens their prompt tokens that are still to be read
+     */
+    public void peerLoad(
+            final String daemon,
+            final String endpoint,
+            final int running,
+            final long promptTokens) {
+        load(endpoint).peer(daemon, running, promptTokens);
+    }
+
+    /**
+     * Forgets what a daemon had under way, as it fell silent.
+     *
+     * @param daemon the daemon
+     */
+    public void forgetPeer(final String daemon) {
+        mLoads.values().forEach(load -> load.forgetPeer(daemon));
+    }
+
+    /**
+     * Drops the loads of endpoints that are gone.
+     *
+     * @param known the ids of all endpoints
+     */
+    public void retain(final Collection<String> known) {
+        mLoads.entrySet()
+                .removeIf(
+                        entry ->
+                                !known.contains(entry.getKey())
+                                        && entry.getValue().ownRunning() == 0);
+    }
+
+    /**
+     * Lists the loads of this daemon's own requests.
+     *
+     * @return the loads by endpoint
+     */
+    public Map<String, EndpointLoad> loads() {
+        return mLoads;
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/org/whinhead/serving/balance/package-info.java
@@ -0,0 +1,2 @@
+/** The choice of an endpoint: cached prompt parts against load, failures and distance. */
+package org.whinhead.serving.balance;
--- /dev/null
+++ b/serving/src/main/java/org/whinhead/serving/endpoint/EndpointRegistry.java
@@ -0,0 +1,195 @@
+package org.whinhead.serving.endpoint;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * The endpoints that the store lists, in the order of its offsets.
+ *
+ * <p>An entry lapses in the store when its endpoint's heartbeats are not written, also when it is
+ * the store that was away. Such an endpoint is alive and comes back within two seconds; dropping it
+ * at once would leave a service without endpoints after each outage. So an entry that goes missing
+ * around an outage stays in use for a while, and one that goes missing in calm times leaves at
+ * once.
+ */
+public final class EndpointRegistry {
+
+    /**
+     * How long an entry that lapsed around an outage may stay missing; the store's promise is 2 s.
+     */
+    static final Duration LAPSE_GRACE = Duration.ofMillis(2_300);
+
+    /** How long after an outage a removal still counts as caused by it: three missed heartbeats. */
+    static final Duration OUTAGE_SHADOW = Duration.ofMillis(1_500);
+
+    private final Map<String, Record> mRecords = new HashMap<>();
+    private final Set<String> mOnceLeaving = new HashSet<>();
+    private Instant mLastOutage = Instant.EPOCH;
+    private long mNewestOffset = -1;
+
+    /**
+     * Takes the newest record of an endpoint.
+     *
+     * @param entry the entry
+     * @param offset its offset in the store
+     * @return whether anything but the offset changed
+     */
+    public boolean put(final EndpointEntry entry, final long offset) {
+        mNewestOffset = Math.max(mNewestOffset, offset);
+        final Record before = mRecords.get(entry.id());
+        if (before != null && before.mOffset >= offset) {
+            return false;
+        }
+        final boolean leaving = entry.leaving() || mOnceLeaving.contains(entry.id());
+        if (leaving) {
+            mOnceLeaving.add(entry.id());
+        }
+        mRecords.put(entry.id(), new Record(entry, offset, leaving, null));
+        return before == null || before.mLeaving != leaving || before.mMissingSince != null;
+    }
+
+    /**
+     * Takes the removal of an entry.
+     *
+     * @param id the endpoint
+     * @param offset the removal's offset
+     * @param now the time
+     */
+    public void remove(final String id, final long offset, final Instant now) {
+        mNewestOffset = Math.max(mNewestOffset, offset);
+        final Record before = mRecords.get(id);
+        if (before == null || before.mOffset >= offset) {
+            return;
+        }
+        lapse(before, now);
+    }
+
+    /**
+     * Takes a whole listing.
+     *
+     * @param listed the ids that it names; their entries were put before
+     * @param end the store's end offset when it was made; an older listing removes nothing
+     * @param now the time
+     */
+    public void retain(final Set<String> listed, final long end, final Instant now) {
+        if (end <= mNewestOffset) {
+            return;
+        }
+        for (final Record record : List.copyOf(mRecords.values())) {
+            if (!listed.contains(record.mEntry.id()) && record.mOffset < end) {
+                lapse(record, now);
+            }
+        }
+    }
+
+    private void lapse(final Record record, final Instant now) {
+        final String id = record.mEntry.id();
+        final boolean aroundOutage = now.isBefore(mLastOutage.plus(OUTAGE_SHADOW));
+        if (record.mLeaving || !aroundOutage) {
+            mRecords.remove(id);
+            return;
+        }
+        if (record.mMissingSince == null) {
+            mRecords.put(id, new Record(record.mEntry, record.mOffset, false, now));
+        }
+    }
+
+    /**
+     * Notes that the store could not be read.
+     *
+     * @param now the time
+     */
+    public void storeUnreachable(final Instant now) {
+        mLastOutage = now;
+    }
+
+    /**
+     * Drops the entries that stayed missing after an outage.
+     *
+     * @param now the time
+     * @return the ids that were dropped
+     */
+    public List<String> expire(final Instant now) {
+        final List<String> gone = new ArrayList<>();
+        for (final Record record : mRecords.values()) {
+            if (record.mMissingSince != null
+                    && now.isAfter(record.mMissingSince.plus(LAPSE_GRACE))) {
+                gone.add(record.mEntry.id());
+            }
+        }
+        gone.forEach(mRecords::remove);
+        return gone;
+    }
+
+    /**
+     * Lists the endpoints that may get new work.
+     *
+     * @param service the service
+     * @return its endpoints that are not leaving
+     */
+    public List<EndpointEntry> usable(final String service) {
+        final List<EndpointEntry> usable = new ArrayList<>();
+        for (final Record record : mRecords.values()) {
+            if (!record.mLeaving && record.mEntry.service().equals(service)) {
+                usable.add(record.mEntry);
+            }
+        }
+        return usable;
+    }
+
+    /**
+     * Finds an endpoint, leaving or not.
+     *
+     * @param id its id
+     * @return its entry, if the store lists it
+     */
+    public Optional<EndpointEntry> find(final String id) {
+        return Optional.ofNullable(mRecords.get(id)).map(record -> record.mEntry);
+    }
+
+    /**
+     * Drops an endpoint whose address answered for another one.
+     *
+     * @param id the endpoint that is no longer there
+     */
+    public void replacedAtAddress(final String id) {
+        mOnceLeaving.add(id);
+        mRecords.computeIfPresent(
+                id, (key, record) -> new Record(record.mEntry, record.mOffset, true, null));
+    }
+
+    /**
+     * Lists all endpoints, leaving ones too.
+     *
+     * @return their entries
+     */
+    public Collection<EndpointEntry> all() {
+        return mRecords.values().stream().map(record -> record.mEntry).toList();
+    }
+
+    private static final class Record {
+        private final EndpointEntry mEntry;
+        private final long mOffset;
+        private final boolean mLeaving;
+        private final Instant mMissingSince;
+
+        private Record(
+                final EndpointEntry entry,
+                final long offset,
+                final boolean leaving,
+                final Instant missingSince) {
+            mEntry = entry;
+            mOffset = offset;
+            mLeaving = leaving;
+            mMissingSince = missingSince;
+        }
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/org/whinhead/serving/endpoint/package-info.java
@@ -0,0 +1,2 @@
+/** Endpoints as the store lists them: which exist, which are leaving, which lapsed. */
+package org.whinhead.serving.endpoint;
--- /dev/null
+++ b/serving/src/main/java/org/whinhead/serving/limit/RetryBudget.java
@@ -0,0 +1,90 @@
+package org.whinhead.serving.limit;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Decides whether a request may be sent once more.
+ *
+ * <p>When endpoints fail, every daemon sees it at once, and unbounded retries would multiply the
+ * load of a service that is already short. All daemons together may add a share of the requests and
+ * a fixed number beside; each daemon takes the share of its own requests and an equal part of the
+ * fixed number, so that no message between them is needed and a lost daemon frees nothing.
+ */
+public final class RetryBudget {
+
+    /** The part of the budget that is used; the rest covers daemons that count in other windows. */
+    private static final double USED_PART = 0.8;
+
+    private final double mShare;
+    private final int mFixed;
+    private final Duration mWindow;
+    private final Map<String, Service> mServices = new HashMap<>();
+    private int mDaemons = 1;
+
+    /**
+     * Makes a budget.
+     *
+     * @param share retries that each request adds
+     * @param fixed retries that all daemons together may add besides, in each window
+     * @param window the window
+     */
+    public RetryBudget(final double share, final int fixed, final Duration window) {
+        mShare = share;
+        mFixed = fixed;
+        mWindow = window;
+    }
+
+    /**
+     * Sets among how many daemons the fixed number is split.
+     *
+     * @param daemons the daemons that are up, this one too
+     */
+    public void daemons(final int daemons) {
+        mDaemons = Math.max(daemons, 1);
+    }
+
+    /**
+     * Counts a caller's request.
+     *
+     * @param service the service that it goes to
+     * @param now the time
+     */
+    public void request(final String service, final Instant now) {
+        counts(service).mRequests.add(now);
+    }
+
+    /**
+     * Takes one retry from the budget.
+     *
+     * @param service the service that it goes to
+     * @param now the time
+     * @return whether there was one left
+     */
+    public boolean tryRetry(final String service, final Instant now) {
+        final Service counts = counts(service);
+        final double allowed =
+                USED_PART * (mShare * counts.mRequests.total(now) + (double) mFixed / mDaemons);
+        if (counts.mRetries.total(now) + 1 > allowed) {
+            return false;
+        }
+        counts.mRetries.add(now);
+        return true;
+    }
+
+    private Service counts(final String service) {
+        return mServices.computeIfAbsent(service, name -> new Service(mWindow));
+    }
+
+    private static final class Service {
+        private final SlidingCount mRequests;
+        private final SlidingCount mRetries;
+
+        private Service(final Duration window) {
+            mRequests = new SlidingCount(window);
+            mRetries = new SlidingCount(window);
+        }
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/org/whinhead/serving/member/MemberTable.java
@@ -0,0 +1,173 @@
+package org.whinhead.serving.member;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** Which daemons are up, and which of them callers should use. */
+public final class MemberTable {
+
+    /** A daemon that was not heard for this long gets no new callers; five reports are missed. */
+    static final Duration QUIET_AFTER = Duration.ofMillis(1_200);
+
+    /** A daemon that was not heard for this long is forgotten. */
+    static final Duration FORGOTTEN_AFTER = Duration.ofSeconds(20);
+
+    /** Fewer daemons than this in a failure domain are joined by those of other ones. */
+    private static final int LEAST_ANSWERS = 2;
+
+    /** The most addresses that a caller is given; callers use no more. */
+    private static final int MOST_ANSWERS = 64;
+
+    private final Member mSelf;
+    private final Map<String, Seen> mPeers = new HashMap<>();
+    private boolean mSelfReady;
+
+    /**
+     * Makes a table that knows this daemon only.
+     *
+     * @param self this daemon
+     */
+    public MemberTable(final Member self) {
+        mSelf = self;
+    }
+
+    public Member self() {
+        return mSelf;
+    }
+
+    /**
+     * Sets whether this daemon takes callers.
+     *
+     * @param ready whether it does
+     */
+    public void selfReady(final boolean ready) {
+        mSelfReady = ready;
+    }
+
+    public boolean isSelfReady() {
+        return mSelfReady;
+    }
+
+    /**
+     * Notes a report of another daemon.
+     *
+     * @param member the daemon
+     * @param ready whether it takes callers
+     * @param leaving whether it is about to stop
+     * @param now the time
+     * @return the incarnation that this one replaces, if the daemon was restarted
+     */
+    public Optional<String> heard(
+            final Member member, final boolean ready, final boolean leaving, final Instant now) {
+        if (member.name().equals(mSelf.name())) {
+            return Optional.empty();
+        }
+        final Seen before =
+                mPeers.put(member.name(), new Seen(member, ready && !leaving, leaving, now));
+        if (before == null || before.mMember.incarnation().equals(member.incarnation())) {
+            return Optional.empty();
+        }
+        return Optional.of(before.mMember.incarnation());
+    }
+
+    /**
+     * Forgets daemons that fell silent long ago.
+     *
+     * @param now the time
+     */
+    public void expire(final Instant now) {
+        mPeers.values().removeIf(seen -> now.isAfter(seen.mAt.plus(FORGOTTEN_AFTER)));
+    }
+
+    /**
+     * Lists the other daemons, silent ones too.
+     *
+     * @return the daemons
+     */
+    public Collection<Member> peers() {
+        return mPeers.values().stream().map(seen -> seen.mMember).toList();
+    }
+
+    /**
+     * Lists the daemons that fell silent and whose load no longer counts.
+     *
+     * @param now the time
+     * @return their names
+     */
+    public List<String> silent(final Instant now) {
+        return mPeers.values().stream()
+                .filter(seen -> !seen.isFresh(now))
+                .map(seen -> seen.mMember.name())
+                .toList();
+    }
+
+    /**
+     * Counts the daemons that are up.
+     *
+     * @param now the time
+     * @return the number, this daemon included
+     */
+    public int upCount(final Instant now) {
+        return 1 + (int) mPeers.values().stream().filter(seen -> seen.isFresh(now)).count();
+    }
+
+    /**
+     * Counts the daemons heard of lately, also those that may be cut off from this one.
+     *
+     * @return the number, this daemon included
+     */
+    public int knownCount() {
+        return 1 + mPeers.size();
+    }
+
+    /**
+     * Lists the addresses that a caller should use: those of its own failure domain first.
+     *
+     * @param domain the caller's failure domain
+     * @param now the time
+     * @return the addresses; empty if no daemon takes callers
+     */
+    public List<InetSocketAddress> addressesFor(final String domain, final Instant now) {
+        final List<Member> ready = new ArrayList<>();
+        if (mSelfReady) {
+            ready.add(mSelf);
+        }
+        for (final Seen seen : mPeers.values()) {
+            if (seen.mReady && seen.isFresh(now)) {
+                ready.add(seen.mMember);
+            }
+        }
+        ready.sort(Comparator.comparing(Member::name));
+        final List<Member> near =
+                ready.stream().filter(member -> member.domain().equals(domain)).toList();
+        final List<Member> chosen = near.size() >= LEAST_ANSWERS ? near : ready;
+        return chosen.stream().limit(MOST_ANSWERS).map(Member::callerAddress).toList();
+    }
+
+    private static final class Seen {
+        private final Member mMember;
+        private final boolean mReady;
+        private final boolean mLeaving;
+        private final Instant mAt;
+
+        private Seen(
+                final Member member, final boolean ready, final boolean leaving, final Instant at) {
+            mMember = member;
+            mReady = ready;
+            mLeaving = leaving;
+            mAt = at;
+        }
+
+        private boolean isFresh(final Instant now) {
+            return !mLeaving && !now.isAfter(mAt.plus(QUIET_AFTER));
+        }
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/org/whinhead/serving/member/package-info.java
@@ -0,0 +1,2 @@
+/** The daemons of a deployment, by what they report to each other. */
+package org.whinhead.serving.member;
--- /dev/null
+++ b/serving/src/main/java/org/whinhead/serving/route/Route.java
@@ -0,0 +1,241 @@
+package org.whinhead.serving.route;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import org.whinhead.api.Arguments;
+
+/** One route of a configuration: immutable, made by its builder. */
+public final class Route {
+
+    private final String mName;
+    private final String mHost;
+    private final String mPathPrefix;
+    private final RouteKind mKind;
+    private final Duration mTimeout;
+    private final Duration mTargetLatency;
+    private final int mPriority;
+    private final List<WeightedService> mServices;
+    private final int mMaxAttempts;
+    private final boolean mKeyless;
+    private final boolean mResumable;
+
+    private Route(final Builder builder) {
+        mName = Arguments.requireText(builder.mName, "name");
+        mHost = Arguments.requireText(builder.mHost, "host");
+        mPathPrefix = Arguments.requireText(builder.mPathPrefix, "pathPrefix");
+        mKind = Objects.requireNonNull(builder.mKind, "kind");
+        mTimeout = Arguments.requirePositive(builder.mTimeout, "timeout");
+        mTargetLatency = Arguments.requirePositive(builder.mTargetLatency, "targetLatency");
+        mPriority = builder.mPriority;
+        mServices = List.copyOf(builder.mServices);
+        mMaxAttempts = (int) Arguments.requireAtLeast(builder.mMaxAttempts, 1, "maxAttempts");
+        mKeyless = builder.mKeyless;
+        mResumable = builder.mResumable;
+    }
+
+    /**
+     * Starts a route.
+     *
+     * @return a builder with no service
+     */
+    public static Builder builder() {
+        return new Builder();
+    }
+
+    public String name() {
+        return mName;
+    }
+
+    public String host() {
+        return mHost;
+    }
+
+    public String pathPrefix() {
+        return mPathPrefix;
+    }
+
+    public RouteKind kind() {
+        return mKind;
+    }
+
+    public Duration timeout() {
+        return mTimeout;
+    }
+
+    public Duration targetLatency() {
+        return mTargetLatency;
+    }
+
+    public int priority() {
+        return mPriority;
+    }
+
+    public int maxAttempts() {
+        return mMaxAttempts;
+    }
+
+    /**
+     * Tells whether requests need no key of a customer.
+     *
+     * @return whether anyone may call
+     */
+    public boolean isKeyless() {
+        return mKeyless;
+    }
+
+    /**
+     * Tells whether a request that may have run can be sent to another endpoint.
+     *
+     * @return whether it can
+     */
+    public boolean mayRunAgain() {
+        return mKind.mayRunAgain(mResumable);
+    }
+
+    /**
+     * Picks the service of one request by the weights of the route.
+     *
+     * @param draw any number that is spread evenly over requests
+     * @return the service's name
+     */
+    public String service(final int draw) {
+        final int total = mServices.stream().mapToInt(WeightedService::weight).sum();
+        if (total == 0) {
+            return mServices.get(0).service();
+        }
+        int left = Math.floorMod(draw, total);
+        for (final WeightedService service : mServices) {
+            left -= service.weight();
+            if (left < 0) {
+                return service.service();
+            }
+        }
+        throw new IllegalStateException("weights of route " + mName + " changed while drawing");
+    }
+
+    /** Collects the parts of a route. */
+    public static final class Builder {
+
+        private final List<WeightedService> mServices = new ArrayList<>();
+        private String mName;
+        private String mHost;
+        private String mPathPrefix;
+        private RouteKind mKind;
+        private Duration mTimeout;
+        private Duration mTargetLatency;
+        private int mPriority;
+        private int mMaxAttempts = 1;
+        private boolean mKeyless;
+        private boolean mResumable;
+
+        private Builder() {}
+
+        /**
+         * Sets the route's name.
+         *
+         * @param name the name
+         * @return this builder
+         */
+        public Builder name(final String name) {
+            mName = name;
+            return this;
+        }
+
+        /**
+         * Sets what selects the route.
+         *
+         * @param host the host that callers name, in lower case, without a port
+         * @param pathPrefix the start of the path, with a slash at both ends
+         * @return this builder
+         */
+        public Builder match(final String host, final String pathPrefix) {
+            mHost = host;
+            mPathPrefix = pathPrefix;
+            return this;
+        }
+
+        /**
+         * Sets what may be repeated.
+         *
+         * @param kind the kind of the route's requests
+         * @param resumable whether streams can go on from an event
+         * @return this builder
+         */
+        public Builder kind(final RouteKind kind, final boolean resumable) {
+            mKind = kind;
+            mResumable = resumable;
+            return this;
+        }
+
+        /**
+         * Sets the times of the route.
+         *
+         * @param timeout the longest time that a caller is kept waiting
+         * @param targetLatency the time within which an answer is worth most
+         * @return this builder
+         */
+        public Builder times(final Duration timeout, final Duration targetLatency) {
+            mTimeout = timeout;
+            mTargetLatency = targetLatency;
+            return this;
+        }
+
+        /**
+         * Sets the rank of the route's requests.
+         *
+         * @param priority the rank, 0 first
+         * @return this builder
+         */
+        public Builder priority(final int priority) {
+            mPriority = priority;
+            return this;
+        }
+
+        /**
+         * Adds a service that answers a share of the requests.
+         *
+         * @param service the service and its share
+         * @return this builder
+         */
+        public Builder service(final WeightedService service) {
+            mServices.add(service);
+            return this;
+        }
+
+        /**
+         * Sets how many endpoints one request may be sent to.
+         *
+         * @param maxAttempts the number, at least 1
+         * @return this builder
+         */
+        public Builder maxAttempts(final int maxAttempts) {
+            mMaxAttempts = maxAttempts;
+            return this;
+        }
+
+        /**
+         * Sets whether requests need no key.
+         *
+         * @param keyless whether anyone may call
+         * @return this builder
+         */
+        public Builder keyless(final boolean keyless) {
+            mKeyless = keyless;
+            return this;
+        }
+
+        /**
+         * Makes the route.
+         *
+         * @return the route
+         */
+        public Route build() {
+            if (mServices.isEmpty()) {
+                throw new IllegalArgumentException("route " + mName + " has no service");
+            }
+            return new Route(this);
+        }
+    }
+}
