--- a/gateway/src/main/java/org/whinhead/gateway/Gateway.java
+++ b/gateway/src/main/java/org/whinhead/gateway/Gateway.java
@@ -113,7 +113,7 @@
                         .clocks(clock, timeOfDay)
                         .chooser(new EndpointChooser(settings.self().domain()))
                         .limits(
-                                new CustomerQuotas(settings.quotaSlackTokens()),
+                                new CustomerQuotas(settings.quotaTolerance()),
                                 new RetryBudget(
                                         settings.retryShare(),
                                         settings.retryFixed(),
--- a/gateway/src/main/java/org/whinhead/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/whinhead/gateway/GatewaySettings.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Objects;
 import org.whinhead.serving.capacity.CapacityTarget;
+import org.whinhead.serving.limit.QuotaTolerance;
 import org.whinhead.serving.member.Member;
 
 /** What a gateway is told when it starts: immutable, made by its builder. */
@@ -17,7 +18,7 @@
     private final double mRetryShare;
     private final int mRetryFixed;
     private final Duration mRetryWindow;
-    private final long mQuotaSlackTokens;
+    private final QuotaTolerance mQuotaTolerance;
     private final Duration mUsageWindow;
     private final Duration mLeaseTerm;
     private final Duration mStopGrace;
@@ -31,7 +32,7 @@
         mRetryShare = builder.mRetryShare;
         mRetryFixed = builder.mRetryFixed;
         mRetryWindow = Objects.requireNonNull(builder.mRetryWindow, "retryWindow");
-        mQuotaSlackTokens = builder.mQuotaSlackTokens;
+        mQuotaTolerance = Objects.requireNonNull(builder.mQuotaTolerance, "quotaTolerance");
         mUsageWindow = Objects.requireNonNull(builder.mUsageWindow, "usageWindow");
         mLeaseTerm = Objects.requireNonNull(builder.mLeaseTerm, "leaseTerm");
         mStopGrace = Objects.requireNonNull(builder.mStopGrace, "stopGrace");
@@ -75,8 +76,8 @@
         return mRetryWindow;
     }
 
-    public long quotaSlackTokens() {
-        return mQuotaSlackTokens;
+    public QuotaTolerance quotaTolerance() {
+        return mQuotaTolerance;
     }
 
     public Duration usageWindow() {
@@ -105,7 +106,7 @@
         private double mRetryShare;
         private int mRetryFixed;
         private Duration mRetryWindow;
-        private long mQuotaSlackTokens;
+        private QuotaTolerance mQuotaTolerance;
         private Duration mUsageWindow;
         private Duration mLeaseTerm;
         private Duration mStopGrace;
@@ -166,13 +167,13 @@
         }
 
         /**
-         * Sets what customers are granted beyond their allowance.
+         * Sets how the spending of customers is measured.
          *
-         * @param tokens the slack in tokens
+         * @param quotaTolerance window and tolerance
          * @return this builder
          */
-        public Builder quotaSlack(final long tokens) {
-            mQuotaSlackTokens = tokens;
+        public Builder quotaTolerance(final QuotaTolerance quotaTolerance) {
+            mQuotaTolerance = quotaTolerance;
             return this;
         }
 
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
@@ -391,7 +391,10 @@
                 .customerName()
                 .ifPresent(
                         customer ->
-                                mExchanges.state().quotas().refund(customer, mAdmission.tokens()));
+                                mExchanges
+                                        .state()
+                                        .quotas()
+                                        .refund(customer, mAdmission.tokens(), now()));
     }
 
     private Duration retryAfter() {
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/RequestJournal.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/RequestJournal.java
@@ -8,6 +8,7 @@
 import org.whinhead.gateway.caller.CallerRequest;
 import org.whinhead.gateway.caller.Refusal;
 import org.whinhead.serving.balance.Placement;
+import org.whinhead.serving.configuration.CustomerAccount;
 import org.whinhead.serving.endpoint.EndpointEntry;
 
 /** Logs one line for each decision about a request, with the request's id. */
@@ -34,6 +35,21 @@
                 .log("request refused");
     }
 
+    void overAllowance(
+            final CallerRequest request,
+            final CustomerAccount customer,
+            final long tokens,
+            final long tokensLeft) {
+        LOG.atInfo()
+                .addKeyValue("request", request.id())
+                .addKeyValue("customer", customer.name())
+                .addKeyValue("tokens", tokens)
+                .addKeyValue("tokensLeft", tokensLeft)
+                .addKeyValue("ratePerSecond", customer.allowance().tokensPerSecond())
+                .addKeyValue("burst", customer.allowance().burstTokens())
+                .log("customer is over its allowance");
+    }
+
     void attemptFailed(
             final Admission admission,
             final EndpointEntry endpoint,
--- a/serving/src/main/java/org/whinhead/serving/limit/CustomerQuotas.java
+++ b/serving/src/main/java/org/whinhead/serving/limit/CustomerQuotas.java
@@ -11,18 +11,25 @@
 import org.whinhead.serving.configuration.TokenAllowance;
 
 /**
- * Keeps what customers spend below their allowance over all daemons.
+ * Keeps what customers spend within their allowance over all daemons.
  *
- * <p>Each daemon keeps a copy of every customer's token bucket, and takes from it what it admits
- * itself and what the others report to have admitted. Demand that moves from one failure domain to
- * another needs no shares to be moved, and the overspend is what is admitted within one report
- * interval. A daemon that falls silent may still be serving: what it was last seen to spend is
- * assumed to go on, so that a partition doesn't double the allowance.
+ * <p>A customer may spend, in any window of the deployment's length, its rate times the window and
+ * its burst. Each daemon sums the whole fleet's spending: what it admits itself, and what the
+ * others report to have admitted. Demand that moves from one failure domain to another needs no
+ * shares to be moved, and the overspend is what is admitted within one report interval. A daemon
+ * that falls silent may still be serving: what it was last seen to spend is assumed to go on, so
+ * that a partition doesn't double the allowance.
  */
 public final class CustomerQuotas {
 
-    /** How far a bucket may be overdrawn, as a part of the slack that the deployment grants. */
-    private static final double OVERDRAFT_PART = 0.25;
+    /** The part of the deployment's tolerance that is used; reports that lag need the rest. */
+    private static final double USED_TOLERANCE = 0.5;
+
+    /**
+     * The part of an allowance that a daemon which has just started takes as spent: it can't know
+     * what was admitted before, and after a restart of all daemons nobody can.
+     */
+    private static final double SPENT_AT_START = 0.5;
 
     /** Weight of the newest report in a silent daemon's assumed rate. */
     private static final double RATE_WEIGHT = 0.3;
@@ -33,16 +40,18 @@
     /** Reports come several times a second; a daemon without one for this long is silent. */
     private static final Duration SILENT_AFTER = Duration.ofMillis(1_500);
 
-    private final long mOverdraft;
-    private final Map<String, Bucket> mBuckets = new HashMap<>();
+    private static final int MILLIS_PER_SECOND = 1_000;
+
+    private final QuotaTolerance mTolerance;
+    private final Map<String, Account> mAccounts = new HashMap<>();
 
     /**
      * Makes quotas without customers.
      *
-     * @param slackTokens what the deployment grants a customer beyond its allowance, in tokens
+     * @param tolerance how spending is measured
      */
-    public CustomerQuotas(final long slackTokens) {
-        mOverdraft = Math.round(slackTokens * OVERDRAFT_PART);
+    public CustomerQuotas(final QuotaTolerance tolerance) {
+        mTolerance = tolerance;
     }
 
     /**
@@ -53,17 +62,16 @@
      */
     public void configure(final Collection<CustomerAccount> customers, final Instant now) {
         for (final CustomerAccount customer : customers) {
-            final Bucket bucket = mBuckets.get(customer.name());
-            if (bucket == null) {
-                mBuckets.put(customer.name(), new Bucket(customer.allowance(), now));
+            final Account account = mAccounts.get(customer.name());
+            if (account == null) {
+                mAccounts.put(customer.name(), new Account(customer.allowance(), now));
             } else {
-                bucket.refill(now);
-                bucket.allow(customer.allowance());
+                account.mAllowance = customer.allowance();
             }
         }
         final Set<String> names =
                 customers.stream().map(CustomerAccount::name).collect(Collectors.toSet());
-        mBuckets.keySet().retainAll(names);
+        mAccounts.keySet().retainAll(names);
     }
 
     /**
@@ -75,16 +83,15 @@
      * @return whether it is admitted; its tokens are then spent
      */
     public boolean admit(final String customer, final long tokens, final Instant now) {
-        final Bucket bucket = mBuckets.get(customer);
-        if (bucket == null || bucket.mAllowance.isUnlimited()) {
+        final Account account = mAccounts.get(customer);
+        if (account == null || account.mAllowance.isUnlimited()) {
             return true;
         }
-        bucket.refill(now);
-        if (bucket.mLevel <= -mOverdraft) {
+        account.assumeSilent(now);
+        if (account.mSpent.total(now) + tokens > account.limit()) {
             return false;
         }
-        bucket.mLevel -= tokens;
-        bucket.mOwnSpent += tokens;
+        account.spend(tokens, now);
         return true;
     }
 
@@ -93,15 +100,32 @@
      *
      * @param customer the customer
      * @param tokens what its request costs
-     * @return the time until its bucket has the tokens
+     * @param now the time
+     * @return the time in which the customer regains that many tokens at its rate
      */
-    public Duration comeBackAfter(final String customer, final long tokens) {
-        final Bucket bucket = mBuckets.get(customer);
-        if (bucket == null || bucket.mAllowance.tokensPerSecond() == 0) {
+    public Duration comeBackAfter(final String customer, final long tokens, final Instant now) {
+        final Account account = mAccounts.get(customer);
+        if (account == null || account.mAllowance.tokensPerSecond() == 0) {
             return Duration.ofSeconds(1);
         }
-        final double missing = Math.max(tokens - bucket.mLevel, 0);
-        return Duration.ofMillis(Math.round(missing * 1000 / bucket.mAllowance.tokensPerSecond()));
+        final double missing = account.mSpent.total(now) + tokens - account.limit();
+        return Duration.ofMillis(
+                Math.round(
+                        Math.max(missing, 0)
+                                * MILLIS_PER_SECOND
+                                / account.mAllowance.tokensPerSecond()));
+    }
+
+    /**
+     * Tells how many tokens a customer has left in the current window.
+     *
+     * @param customer the customer
+     * @param now the time
+     * @return the tokens; negative if it is over its allowance
+     */
+    public long tokensLeft(final String customer, final Instant now) {
+        final Account account = mAccounts.get(customer);
+        return account == null ? 0 : Math.round(account.limit() - account.mSpent.total(now));
     }
 
     /**
@@ -109,12 +133,12 @@
      *
      * @param customer the customer
      * @param tokens what it was charged
+     * @param now the time
      */
-    public void refund(final String customer, final long tokens) {
-        final Bucket bucket = mBuckets.get(customer);
-        if (bucket != null && !bucket.mAllowance.isUnlimited()) {
-            bucket.mLevel += tokens;
-            bucket.mOwnSpent -= tokens;
+    public void refund(final String customer, final long tokens, final Instant now) {
+        final Account account = mAccounts.get(customer);
+        if (account != null && !account.mAllowance.isUnlimited()) {
+            account.spend(-tokens, now);
         }
     }
 
@@ -128,10 +152,10 @@
      */
     public void peerSpent(
             final String daemon, final String customer, final long spentInAll, final Instant now) {
-        final Bucket bucket = mBuckets.get(customer);
-        if (bucket != null) {
-            bucket.refill(now);
-            bucket.peer(daemon, spentInAll, now);
+        final Account account = mAccounts.get(customer);
+        if (account != null) {
+            account.assumeSilent(now);
+            account.peer(daemon, spentInAll, now);
         }
     }
 
@@ -142,41 +166,45 @@
      */
     public Map<String, Long> ownSpent() {
         final Map<String, Long> spent = new HashMap<>();
-        mBuckets.forEach((customer, bucket) -> spent.put(customer, bucket.mOwnSpent));
+        mAccounts.forEach((customer, account) -> spent.put(customer, account.mOwnSpent));
         return spent;
     }
 
-    private static final class Bucket {
+    private final class Account {
         private final Map<String, Peer> mPeers = new HashMap<>();
+        private final SlidingCount mSpent = new SlidingCount(mTolerance.window());
         private TokenAllowance mAllowance;
-        private double mLevel;
         private long mOwnSpent;
-        private Instant mRefilledAt;
+        private Instant mAssumedAt;
 
-        private Bucket(final TokenAllowance allowance, final Instant now) {
+        private Account(final TokenAllowance allowance, final Instant now) {
             mAllowance = allowance;
-            mLevel = allowance.burstTokens();
-            mRefilledAt = now;
+            mAssumedAt = now;
+            mSpent.spread(now, SPENT_AT_START * limit());
         }
 
-        private void allow(final TokenAllowance allowance) {
-            mLevel += Math.max(allowance.burstTokens() - mAllowance.burstTokens(), 0);
-            mAllowance = allowance;
-            mLevel = Math.min(mLevel, allowance.burstTokens());
+        private double limit() {
+            final double seconds = (double) mTolerance.window().toMillis() / MILLIS_PER_SECOND;
+            final double allowed =
+                    seconds * mAllowance.tokensPerSecond() + mAllowance.burstTokens();
+            return allowed * (1 + USED_TOLERANCE * mTolerance.overPart())
+                    + USED_TOLERANCE * mTolerance.slackTokens();
+        }
+
+        private void spend(final long tokens, final Instant now) {
+            mSpent.add(now, tokens);
+            mOwnSpent += tokens;
         }
 
-        private void refill(final Instant now) {
-            final double seconds = Duration.between(mRefilledAt, now).toMillis() / 1000.0;
+        private void assumeSilent(final Instant now) {
+            final double seconds =
+                    (double) Duration.between(mAssumedAt, now).toMillis() / MILLIS_PER_SECOND;
             if (seconds <= 0) {
                 return;
             }
-            mRefilledAt = now;
-            mLevel =
-                    Math.min(
-                            mLevel + seconds * mAllowance.tokensPerSecond(),
-                            mAllowance.burstTokens());
+            mAssumedAt = now;
             for (final Peer peer : mPeers.values()) {
-                mLevel -= peer.assume(seconds, now);
+                mSpent.add(now, peer.assume(seconds, now));
             }
         }
 
@@ -186,7 +214,7 @@
                 mPeers.put(daemon, new Peer(spentInAll, now));
                 return;
             }
-            mLevel -= peer.report(spentInAll, now);
+            mSpent.add(now, peer.report(spentInAll, now));
         }
     }
 
@@ -212,7 +240,8 @@
         }
 
         private double report(final long spentInAll, final Instant now) {
-            final double seconds = Duration.between(mReportedAt, now).toMillis() / 1000.0;
+            final double seconds =
+                    Duration.between(mReportedAt, now).toMillis() / (double) MILLIS_PER_SECOND;
             if (seconds <= 0) {
                 return 0;
             }
--- /dev/null
+++ b/serving/src/main/java/org/whinhead/serving/limit/QuotaTolerance.java
@@ -0,0 +1,20 @@
+package org.whinhead.serving.limit;
+
+import java.time.Duration;
+import org.whinhead.api.Arguments;
+
+/**
+ * How a deployment measures what customers spend.
+ *
+ * @param window the sliding time in which tokens are summed
+ * @param overPart what may be spent beyond the allowance, as a part of it
+ * @param slackTokens what may be spent beyond that
+ */
+public record QuotaTolerance(Duration window, double overPart, long slackTokens) {
+
+    /** Checks the parts. */
+    public QuotaTolerance {
+        Arguments.requirePositive(window, "window");
+        Arguments.requireAtLeast(slackTokens, 0, "slackTokens");
+    }
+}
--- a/serving/src/main/java/org/whinhead/serving/limit/RetryBudget.java
+++ b/serving/src/main/java/org/whinhead/serving/limit/RetryBudget.java
@@ -53,7 +53,7 @@
      * @param now the time
      */
     public void request(final String service, final Instant now) {
-        counts(service).mRequests.add(now);
+        counts(service).mRequests.add(now, 1);
     }
 
     /**
@@ -70,7 +70,7 @@
         if (counts.mRetries.total(now) + 1 > allowed) {
             return false;
         }
-        counts.mRetries.add(now);
+        counts.mRetries.add(now, 1);
         return true;
     }
 
--- a/serving/src/main/java/org/whinhead/serving/limit/SlidingCount.java
+++ b/serving/src/main/java/org/whinhead/serving/limit/SlidingCount.java
@@ -2,47 +2,52 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Arrays;
 
-/** Counts events of the last while, in slots of a tenth of the window. */
+/** Sums amounts of the last while, in slots of a twentieth of the window. */
 final class SlidingCount {
 
-    private static final int SLOTS = 10;
+    private static final int SLOTS = 20;
 
     private final long mSlotMillis;
-    private final long[] mCounts = new long[SLOTS + 1];
+    private final double[] mSums = new double[SLOTS + 1];
     private long mNewestSlot = Long.MIN_VALUE;
 
     SlidingCount(final Duration window) {
         mSlotMillis = Math.max(window.toMillis() / SLOTS, 1);
     }
 
-    void add(final Instant now) {
-        mCounts[index(advance(now))]++;
+    void add(final Instant now, final double amount) {
+        advance(now);
+        mSums[index(mNewestSlot)] += amount;
     }
 
-    long total(final Instant now) {
+    /** Spreads an amount evenly over the window that ends now. */
+    void spread(final Instant now, final double amount) {
         advance(now);
-        long total = 0;
-        for (final long count : mCounts) {
-            total += count;
+        for (int slot = 0; slot < mSums.length; slot++) {
+            mSums[slot] += amount / mSums.length;
         }
-        return total;
     }
 
-    private long advance(final Instant now) {
+    double total(final Instant now) {
+        advance(now);
+        return Arrays.stream(mSums).sum();
+    }
+
+    private void advance(final Instant now) {
         final long slot = Math.floorDiv(now.toEpochMilli(), mSlotMillis);
-        if (mNewestSlot == Long.MIN_VALUE || slot - mNewestSlot > mCounts.length) {
-            java.util.Arrays.fill(mCounts, 0);
+        if (mNewestSlot == Long.MIN_VALUE || slot - mNewestSlot > mSums.length) {
+            Arrays.fill(mSums, 0);
             mNewestSlot = slot;
         }
         while (mNewestSlot < slot) {
             mNewestSlot++;
-            mCounts[index(mNewestSlot)] = 0;
+            mSums[index(mNewestSlot)] = 0;
         }
-        return mNewestSlot;
     }
 
     private int index(final long slot) {
-        return (int) Math.floorMod(slot, mCounts.length);
+        return (int) Math.floorMod(slot, (long) mSums.length);
     }
 }
