Bound what a customer spends across a restart of all daemons; test the decisions

Now a bucket that starts empty and never exceeds a window whatever came before. The planner leaves room for both kinds of endpoints under their common limit: orders beyond it were refused.

--- a/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
@@ -391,10 +391,7 @@
                 .customerName()
                 .ifPresent(
                         customer ->
-                                mExchanges
-                                        .state()
-                                        .quotas()
-                                        .refund(customer, mAdmission.tokens(), now()));
+                                mExchanges.state().quotas().refund(customer, mAdmission.tokens()));
     }
 
     private Duration retryAfter() {
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/Exchanges.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/Exchanges.java
@@ -96,13 +96,12 @@
                 customer.isEmpty()
                         || mState.quotas().admit(customer.get().name(), tokens, arrivedAt);
         if (!admitted) {
-            final Duration after =
-                    mState.quotas().comeBackAfter(customer.get().name(), tokens, arrivedAt);
+            final Duration after = mState.quotas().comeBackAfter(customer.get().name(), arrivedAt);
             mJournal.overAllowance(
                     request,
                     customer.get(),
                     tokens,
-                    mState.quotas().tokensLeft(customer.get().name(), arrivedAt));
+                    mState.quotas().tokensLeft(customer.get().name()));
             return refuse(request, body, answer, Refusal.overAllowance(after));
         }
         final Exchange exchange =
--- a/serving/src/main/java/org/whinhead/serving/capacity/CapacityPlanner.java
+++ b/serving/src/main/java/org/whinhead/serving/capacity/CapacityPlanner.java
@@ -61,12 +61,12 @@
             }
             mSent.putIfAbsent(
                     new Key(service.name(), domain, false), new Sent(onDemandNow, Instant.EPOCH));
-            final int reclaimable = Math.min(mTarget.reclaimable(), limits.most());
+            final int room = Math.max(limits.most() - onDemandNow, 0);
+            final int reclaimable = Math.min(mTarget.reclaimable(), room);
             add(orders, service, domain, true, reclaimable, reclaimableNow, now);
-            int onDemand = Math.min(mTarget.onDemand(), limits.most() - reclaimable);
-            onDemand = Math.max(onDemand, limits.least() - reclaimable);
-            final boolean replaced = reclaimableNow >= reclaimable;
-            if (replaced || onDemand > onDemandNow) {
+            final int onDemand =
+                    Math.max(mTarget.onDemand(), limits.least() - mTarget.reclaimable());
+            if (reclaimableNow >= reclaimable || onDemand > onDemandNow) {
                 add(orders, service, domain, false, onDemand, onDemandNow, now);
             }
         }
--- a/serving/src/main/java/org/whinhead/serving/limit/CustomerQuotas.java
+++ b/serving/src/main/java/org/whinhead/serving/limit/CustomerQuotas.java
@@ -13,23 +13,23 @@
 /**
  * Keeps what customers spend within their allowance over all daemons.
  *
- * <p>A customer may spend, in any window of the deployment's length, its rate times the window and
- * its burst. Each daemon sums the whole fleet's spending: what it admits itself, and what the
- * others report to have admitted. Demand that moves from one failure domain to another needs no
- * shares to be moved, and the overspend is what is admitted within one report interval. A daemon
- * that falls silent may still be serving: what it was last seen to spend is assumed to go on, so
- * that a partition doesn't double the allowance.
+ * <p>The deployment accepts, in any window, the rate times the window, the burst and a tolerance.
+ * Each daemon keeps a token bucket for each customer that never exceeds this sum, and takes from it
+ * what it admits itself and what the others report to have admitted. Demand that moves from one
+ * failure domain to another needs no shares to be moved, and the overspend is what is admitted
+ * within one report interval.
+ *
+ * <p>A bucket starts empty: whatever was admitted before a restart of all daemons, what they admit
+ * afterwards can't exceed the window. A daemon that falls silent may still be serving: what it was
+ * last seen to spend is assumed to go on, so that a partition doesn't double the allowance.
  */
 public final class CustomerQuotas {
 
     /** The part of the deployment's tolerance that is used; reports that lag need the rest. */
-    private static final double USED_TOLERANCE = 0.5;
+    private static final double USED_TOLERANCE = 0.7;
 
-    /**
-     * The part of an allowance that a daemon which has just started takes as spent: it can't know
-     * what was admitted before, and after a restart of all daemons nobody can.
-     */
-    private static final double SPENT_AT_START = 0.5;
+    /** The part of a window's tokens that a full bucket holds; the rest is what flows into it. */
+    private static final double BUCKET_PART = 1.0 / 6;
 
     /** Weight of the newest report in a silent daemon's assumed rate. */
     private static final double RATE_WEIGHT = 0.3;
@@ -87,11 +87,11 @@
         if (account == null || account.mAllowance.isUnlimited()) {
             return true;
         }
-        account.assumeSilent(now);
-        if (account.mSpent.total(now) + tokens > account.limit()) {
+        account.refill(now);
+        if (account.mLevel < 0) {
             return false;
         }
-        account.spend(tokens, now);
+        account.spend(tokens);
         return true;
     }
 
@@ -99,33 +99,29 @@
      * Tells when a customer that was refused may come back.
      *
      * @param customer the customer
-     * @param tokens what its request costs
      * @param now the time
-     * @return the time in which the customer regains that many tokens at its rate
+     * @return the time until its bucket is no longer overdrawn
      */
-    public Duration comeBackAfter(final String customer, final long tokens, final Instant now) {
+    public Duration comeBackAfter(final String customer, final Instant now) {
         final Account account = mAccounts.get(customer);
-        if (account == null || account.mAllowance.tokensPerSecond() == 0) {
-            return Duration.ofSeconds(1);
+        if (account == null) {
+            return Duration.ZERO;
         }
-        final double missing = account.mSpent.total(now) + tokens - account.limit();
+        account.refill(now);
+        final double missing = Math.max(-account.mLevel, 0);
         return Duration.ofMillis(
-                Math.round(
-                        Math.max(missing, 0)
-                                * MILLIS_PER_SECOND
-                                / account.mAllowance.tokensPerSecond()));
+                Math.round(missing * MILLIS_PER_SECOND / account.tokensPerSecond()));
     }
 
     /**
-     * Tells how many tokens a customer has left in the current window.
+     * Tells how many tokens a customer has left.
      *
      * @param customer the customer
-     * @param now the time
-     * @return the tokens; negative if it is over its allowance
+     * @return the tokens in its bucket when it was used last; negative if it is overdrawn
      */
-    public long tokensLeft(final String customer, final Instant now) {
+    public long tokensLeft(final String customer) {
         final Account account = mAccounts.get(customer);
-        return account == null ? 0 : Math.round(account.limit() - account.mSpent.total(now));
+        return account == null ? 0 : Math.round(account.mLevel);
     }
 
     /**
@@ -133,12 +129,11 @@
      *
      * @param customer the customer
      * @param tokens what it was charged
-     * @param now the time
      */
-    public void refund(final String customer, final long tokens, final Instant now) {
+    public void refund(final String customer, final long tokens) {
         final Account account = mAccounts.get(customer);
         if (account != null && !account.mAllowance.isUnlimited()) {
-            account.spend(-tokens, now);
+            account.spend(-tokens);
         }
     }
 
@@ -154,7 +149,7 @@
             final String daemon, final String customer, final long spentInAll, final Instant now) {
         final Account account = mAccounts.get(customer);
         if (account != null) {
-            account.assumeSilent(now);
+            account.refill(now);
             account.peer(daemon, spentInAll, now);
         }
     }
@@ -172,39 +167,50 @@
 
     private final class Account {
         private final Map<String, Peer> mPeers = new HashMap<>();
-        private final SlidingCount mSpent = new SlidingCount(mTolerance.window());
         private TokenAllowance mAllowance;
+        private double mLevel;
         private long mOwnSpent;
-        private Instant mAssumedAt;
+        private Instant mRefilledAt;
 
         private Account(final TokenAllowance allowance, final Instant now) {
             mAllowance = allowance;
-            mAssumedAt = now;
-            mSpent.spread(now, SPENT_AT_START * limit());
+            mRefilledAt = now;
         }
 
-        private double limit() {
-            final double seconds = (double) mTolerance.window().toMillis() / MILLIS_PER_SECOND;
+        private double windowSeconds() {
+            return (double) mTolerance.window().toMillis() / MILLIS_PER_SECOND;
+        }
+
+        private double tokensPerWindow() {
             final double allowed =
-                    seconds * mAllowance.tokensPerSecond() + mAllowance.burstTokens();
+                    windowSeconds() * mAllowance.tokensPerSecond() + mAllowance.burstTokens();
             return allowed * (1 + USED_TOLERANCE * mTolerance.overPart())
                     + USED_TOLERANCE * mTolerance.slackTokens();
         }
 
-        private void spend(final long tokens, final Instant now) {
-            mSpent.add(now, tokens);
+        private double bucketTokens() {
+            return BUCKET_PART * tokensPerWindow();
+        }
+
+        private double tokensPerSecond() {
+            return (tokensPerWindow() - bucketTokens()) / windowSeconds();
+        }
+
+        private void spend(final long tokens) {
+            mLevel -= tokens;
             mOwnSpent += tokens;
         }
 
-        private void assumeSilent(final Instant now) {
+        private void refill(final Instant now) {
             final double seconds =
-                    (double) Duration.between(mAssumedAt, now).toMillis() / MILLIS_PER_SECOND;
+                    (double) Duration.between(mRefilledAt, now).toMillis() / MILLIS_PER_SECOND;
             if (seconds <= 0) {
                 return;
             }
-            mAssumedAt = now;
+            mRefilledAt = now;
+            mLevel = Math.min(mLevel + seconds * tokensPerSecond(), bucketTokens());
             for (final Peer peer : mPeers.values()) {
-                mSpent.add(now, peer.assume(seconds, now));
+                mLevel -= peer.assume(seconds, now);
             }
         }
 
@@ -214,7 +220,7 @@
                 mPeers.put(daemon, new Peer(spentInAll, now));
                 return;
             }
-            mSpent.add(now, peer.report(spentInAll, now));
+            mLevel -= peer.report(spentInAll, now);
         }
     }
 
--- a/serving/src/main/java/org/whinhead/serving/limit/SlidingCount.java
+++ b/serving/src/main/java/org/whinhead/serving/limit/SlidingCount.java
@@ -22,14 +22,6 @@
         mSums[index(mNewestSlot)] += amount;
     }
 
-    /** Spreads an amount evenly over the window that ends now. */
-    void spread(final Instant now, final double amount) {
-        advance(now);
-        for (int slot = 0; slot < mSums.length; slot++) {
-            mSums[slot] += amount / mSums.length;
-        }
-    }
-
     double total(final Instant now) {
         advance(now);
         return Arrays.stream(mSums).sum();
--- /dev/null
+++ b/serving/src/test/java/org/whinhead/serving/balance/EndpointChooserTest.java
@@ -0,0 +1,119 @@
+package org.whinhead.serving.balance;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.whinhead.serving.endpoint.EndpointEntry;
+
+class EndpointChooserTest {
+
+    private static final Instant NOW = Instant.parse("2026-01-01T00:00:00Z");
+
+    private final EndpointChooser mChooser = new EndpointChooser("domain-a");
+
+    private static List<EndpointEntry> endpoints(final int count) {
+        return IntStream.range(0, count)
+                .mapToObj(
+                        index ->
+                                new EndpointEntry(
+                                        "e" + index,
+                                        "pool",
+                                        new InetSocketAddress("127.0.0.1", 9000 + index),
+                                        "domain-a",
+                                        96,
+                                        false,
+                                        false,
+                                        Optional.empty(),
+                                        Duration.ZERO))
+                .toList();
+    }
+
+    private static Work work(final String session) {
+        return new Work(
+                List.of(new PromptPart("common", 2_500), new PromptPart(session, 3_800)),
+                9_000,
+                50);
+    }
+
+    private String place(final List<EndpointEntry> endpoints, final Work work) {
+        final Placement placement = mChooser.place(endpoints, work, Set.of(), NOW).orElseThrow();
+        placement.ended();
+        return placement.endpoint().id();
+    }
+
+    @Test
+    void sessionStaysWhereItsPromptIsCached() {
+        final List<EndpointEntry> endpoints = endpoints(4);
+        final String first = place(endpoints, work("s1"));
+        assertThat(place(endpoints, work("s1"))).isEqualTo(first);
+    }
+
+    @Test
+    void daemonsAgreeOnTheHomeOfNewSessions() {
+        final List<EndpointEntry> endpoints = endpoints(4);
+        final Set<String> homes = new HashSet<>();
+        for (int session = 0; session < 20; session++) {
+            final EndpointChooser other = new EndpointChooser("domain-a");
+            final Work work = work("s" + session);
+            final String there =
+                    other.place(endpoints, work, Set.of(), NOW).orElseThrow().endpoint().id();
+            final String here =
+                    new EndpointChooser("domain-a")
+                            .place(endpoints, work, Set.of(), NOW)
+                            .orElseThrow()
+                            .endpoint()
+                            .id();
+            assertThat(here).isEqualTo(there);
+            homes.add(here);
+        }
+        assertThat(homes).hasSize(4);
+    }
+
+    @Test
+    void loadOfOtherDaemonsSendsRequestsElsewhere() {
+        final List<EndpointEntry> endpoints = endpoints(2);
+        final String home = place(endpoints, work("s1"));
+        mChooser.peerLoad("other", home, 40, 60_000);
+        assertThat(place(endpoints, work("s1"))).isNotEqualTo(home);
+    }
+
+    @Test
+    void loadOfDaemonThatFellSilentNoLongerCounts() {
+        final List<EndpointEntry> endpoints = endpoints(2);
+        final String home = place(endpoints, work("s1"));
+        mChooser.peerLoad("other", home, 40, 60_000);
+        mChooser.forgetPeer("other");
+        assertThat(place(endpoints, work("s1"))).isEqualTo(home);
+    }
+
+    // Callers wait for connections to a server that has gone dark; each request that picks it costs
+    // a
+    // timeout. After the first one the server rests, and is tried again later.
+    @Test
+    void unreachableEndpointRests() {
+        final List<EndpointEntry> endpoints = endpoints(2);
+        final String home = place(endpoints, work("s1"));
+        mChooser.load(home).unreachable(NOW);
+        assertThat(place(endpoints, work("s1"))).isNotEqualTo(home);
+    }
+
+    @Test
+    void unreachableEndpointIsUsedIfThereIsNoOther() {
+        final List<EndpointEntry> endpoints = endpoints(1);
+        mChooser.load("e0").unreachable(NOW);
+        assertThat(place(endpoints, work("s1"))).isEqualTo("e0");
+    }
+
+    @Test
+    void triedEndpointIsNotChosenAgain() {
+        assertThat(mChooser.place(endpoints(1), work("s1"), Set.of("e0"), NOW)).isEmpty();
+    }
+}
--- /dev/null
+++ b/serving/src/test/java/org/whinhead/serving/endpoint/EndpointRegistryTest.java
@@ -0,0 +1,95 @@
+package org.whinhead.serving.endpoint;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+class EndpointRegistryTest {
+
+    private static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
+
+    private final EndpointRegistry mRegistry = new EndpointRegistry();
+
+    private static EndpointEntry entry(final String id, final boolean leaving) {
+        return new EndpointEntry(
+                id,
+                "pool",
+                new InetSocketAddress("127.0.0.1", 9000),
+                "domain-a",
+                96,
+                leaving,
+                false,
+                Optional.empty(),
+                Duration.ZERO);
+    }
+
+    @Test
+    void leavingEndpointGetsNoNewWork() {
+        mRegistry.put(entry("e1", false), 1);
+        mRegistry.put(entry("e1", true), 2);
+        assertThat(mRegistry.usable("pool")).isEmpty();
+        assertThat(mRegistry.find("e1")).isPresent();
+    }
+
+    // Requests reach a server long after it announced to leave. Its announcement was read, then a
+    // listing that lags showed the entry from before, and the server counted as ready again.
+    @Test
+    void lateListingDoesNotBringLeavingEndpointBack() {
+        mRegistry.put(entry("e1", false), 1);
+        mRegistry.put(entry("e1", true), 5);
+        mRegistry.put(entry("e1", false), 1);
+        assertThat(mRegistry.usable("pool")).isEmpty();
+        mRegistry.put(entry("e1", false), 6);
+        assertThat(mRegistry.usable("pool")).isEmpty();
+    }
+
+    @Test
+    void removalInCalmTimesTakesEffectAtOnce() {
+        mRegistry.put(entry("e1", false), 1);
+        mRegistry.remove("e1", 2, START);
+        assertThat(mRegistry.usable("pool")).isEmpty();
+    }
+
+    // All requests fail for two seconds after the store was away. Nobody could write heartbeats, so
+    // every entry lapsed, and the daemon dropped endpoints that were alive all the while.
+    @Test
+    void entryThatLapsedAroundAnOutageStaysInUseUntilItIsDue() {
+        mRegistry.put(entry("e1", false), 1);
+        mRegistry.storeUnreachable(START);
+        mRegistry.retain(Set.of(), 3, START.plusMillis(400));
+        assertThat(mRegistry.usable("pool")).hasSize(1);
+        assertThat(mRegistry.expire(START.plusMillis(2_000))).isEmpty();
+        assertThat(mRegistry.expire(START.plusMillis(3_000))).containsExactly("e1");
+        assertThat(mRegistry.usable("pool")).isEmpty();
+    }
+
+    @Test
+    void lapsedEntryThatComesBackStays() {
+        mRegistry.put(entry("e1", false), 1);
+        mRegistry.storeUnreachable(START);
+        mRegistry.retain(Set.of(), 3, START.plusMillis(400));
+        mRegistry.put(entry("e1", false), 4);
+        assertThat(mRegistry.expire(START.plusSeconds(5))).isEmpty();
+        assertThat(mRegistry.usable("pool")).hasSize(1);
+    }
+
+    @Test
+    void listingOlderThanWhatIsKnownRemovesNothing() {
+        mRegistry.put(entry("e1", false), 9);
+        mRegistry.retain(Set.of(), 8, START);
+        assertThat(mRegistry.usable("pool")).hasSize(1);
+    }
+
+    @Test
+    void endpointWhoseAddressAnswersForAnotherIsNotUsedAgain() {
+        mRegistry.put(entry("e1", false), 1);
+        mRegistry.replacedAtAddress("e1");
+        mRegistry.put(entry("e1", false), 2);
+        assertThat(mRegistry.usable("pool")).isEmpty();
+    }
+}
--- /dev/null
+++ b/serving/src/test/java/org/whinhead/serving/limit/RetryBudgetTest.java
@@ -0,0 +1,37 @@
+package org.whinhead.serving.limit;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import org.junit.jupiter.api.Test;
+
+class RetryBudgetTest {
+
+    private static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
+
+    // A service whose servers fail half of the requests is hit by twice its load, as each daemon
+    // repeats whatever fails. The budget lets through a share of the requests and a little beside.
+    @Test
+    void allDaemonsTogetherStayWithinTheBudget() {
+        int retries = 0;
+        for (int daemon = 0; daemon < 8; daemon++) {
+            final RetryBudget budget = new RetryBudget(0.2, 56, Duration.ofSeconds(10));
+            budget.daemons(8);
+            for (int request = 0; request < 100; request++) {
+                final Instant now = START.plusMillis(request * 50L);
+                budget.request("pool", now);
+                retries += budget.tryRetry("pool", now) ? 1 : 0;
+            }
+        }
+        assertThat(retries).isBetween(100, (int) (0.2 * 800 + 56));
+    }
+
+    @Test
+    void budgetComesBackWithTime() {
+        final RetryBudget budget = new RetryBudget(0, 2, Duration.ofSeconds(10));
+        assertThat(budget.tryRetry("pool", START)).isTrue();
+        assertThat(budget.tryRetry("pool", START)).isFalse();
+        assertThat(budget.tryRetry("pool", START.plusSeconds(12))).isTrue();
+    }
+}
--- /dev/null
+++ b/serving/src/test/java/org/whinhead/serving/member/MemberTableTest.java
@@ -0,0 +1,66 @@
+package org.whinhead.serving.member;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.InetSocketAddress;
+import java.time.Instant;
+import org.junit.jupiter.api.Test;
+
+class MemberTableTest {
+
+    private static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
+
+    private final MemberTable mTable = new MemberTable(member("a1", "domain-a", 1));
+
+    private static Member member(final String name, final String domain, final int port) {
+        return new Member(
+                name,
+                name + "-first",
+                domain,
+                new InetSocketAddress("127.0.0.1", port),
+                new InetSocketAddress("127.0.0.1", port + 1_000));
+    }
+
+    private static InetSocketAddress address(final int port) {
+        return new InetSocketAddress("127.0.0.1", port);
+    }
+
+    @Test
+    void callersGetDaemonsOfTheirOwnDomain() {
+        mTable.selfReady(true);
+        mTable.heard(member("a2", "domain-a", 2), true, false, START);
+        mTable.heard(member("b1", "domain-b", 3), true, false, START);
+        assertThat(mTable.addressesFor("domain-a", START)).containsExactly(address(1), address(2));
+        assertThat(mTable.addressesFor("domain-b", START)).hasSize(3);
+    }
+
+    // New callers are sent to a daemon that is about to stop, and their requests are cut. The
+    // daemon
+    // said so, but its own answers and those of others still named it.
+    @Test
+    void leavingDaemonIsNamedNoMore() {
+        mTable.selfReady(true);
+        mTable.heard(member("a2", "domain-a", 2), true, false, START);
+        mTable.heard(member("a2", "domain-a", 2), true, true, START);
+        assertThat(mTable.addressesFor("domain-a", START)).containsExactly(address(1));
+    }
+
+    @Test
+    void silentDaemonIsNamedNoMore() {
+        mTable.selfReady(true);
+        mTable.heard(member("a2", "domain-a", 2), true, false, START);
+        final Instant later = START.plusSeconds(2);
+        assertThat(mTable.addressesFor("domain-a", later)).containsExactly(address(1));
+        assertThat(mTable.silent(later)).containsExactly("a2");
+        assertThat(mTable.upCount(later)).isEqualTo(1);
+        assertThat(mTable.knownCount()).isEqualTo(2);
+    }
+
+    @Test
+    void restartIsNoticed() {
+        mTable.heard(member("a2", "domain-a", 2), true, false, START);
+        final Member restarted =
+                new Member("a2", "a2-second", "domain-a", address(2), address(1_002));
+        assertThat(mTable.heard(restarted, true, false, START)).contains("a2-first");
+    }
+}
