--- /dev/null
+++ b/gateway/src/test/java/org/whinhead/gateway/caller/CallerConnectionTest.java
@@ -0,0 +1,239 @@
+package org.whinhead.gateway.caller;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.whinhead.gateway.endpoint.EndpointAnswer;
+import org.whinhead.serving.configuration.CallerLimits;
+
+class CallerConnectionTest {
+
+    private static final CallerLimits LIMITS =
+            new CallerLimits(512, 64, Duration.ofSeconds(3), Duration.ofSeconds(15));
+
+    private final List<String> mServed = new ArrayList<>();
+    private final List<CallerAnswer> mAnswers = new ArrayList<>();
+    private int mLeft;
+    private CallerListener mListener;
+    private EmbeddedChannel mChannel;
+
+    @BeforeEach
+    void connect() {
+        mListener =
+                new CallerListener(null, CallerConnectionTest::decode, this::serve, () -> LIMITS);
+        mChannel =
+                new EmbeddedChannel(
+                        new StrictRequestDecoder(LIMITS.maxHeaderBytes()),
+                        new HttpResponseEncoder(),
+                        new CallerConnection(mListener));
+    }
+
+    private static CallerRequest decode(final HttpRequest head) throws BadRequestException {
+        if (!head.headers().contains("Id")) {
+            throw new BadRequestException("no id");
+        }
+        return CallerRequest.builder()
+                .id(head.headers().get("Id"))
+                .call(head.method(), head.headers().get("Host"), head.uri())
+                .forwarded(new DefaultHttpHeaders())
+                .build();
+    }
+
+    private CallerRequestHandler.Running serve(
+            final CallerRequest request, final ByteBuf body, final CallerAnswer answer) {
+        mServed.add(request.id() + ":" + body.toString(StandardCharsets.UTF_8));
+        body.release();
+        mAnswers.add(answer);
+        return new CallerRequestHandler.Running() {
+            @Override
+            public void callerLeft() {
+                mLeft++;
+            }
+
+            @Override
+            public void callerKeepsUp() {
+                throw new AssertionError("nothing was written");
+            }
+        };
+    }
+
+    private void send(final String text) {
+        mChannel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
+        mChannel.runPendingTasks();
+    }
+
+    private String received() {
+        final StringBuilder text = new StringBuilder();
+        mChannel.runPendingTasks();
+        ByteBuf bytes = mChannel.readOutbound();
+        while (bytes != null) {
+            text.append(bytes.toString(StandardCharsets.UTF_8));
+            bytes.release();
+            bytes = mChannel.readOutbound();
+        }
+        return text.toString();
+    }
+
+    private static EndpointAnswer success() {
+        return new EndpointAnswer(
+                HttpResponseStatus.OK,
+                new DefaultHttpHeaders(),
+                Optional.empty(),
+                false,
+                false,
+                true,
+                Optional.empty(),
+                false);
+    }
+
+    @Test
+    void requestsOfOneConnectionAreServedInTurn() {
+        send("POST /a HTTP/1.1\r\nHost: h\r\nId: 1\r\nContent-Length: 2\r\n\r\nxy");
+        send("GET /b HTTP/1.1\r\nHost: h\r\nId: 2\r\n\r\n");
+        assertThat(mServed).containsExactly("1:xy");
+        mAnswers.get(0).start(success());
+        mAnswers.get(0).finish();
+        assertThat(received()).startsWith("HTTP/1.1 200 OK").endsWith("0\r\n\r\n");
+        assertThat(mServed).containsExactly("1:xy", "2:");
+    }
+
+    @Test
+    void bodyInChunksIsReadWhole() {
+        send(
+                "POST /a HTTP/1.1\r\n"
+                        + "Host: h\r\n"
+                        + "Id: 1\r\n"
+                        + "Transfer-Encoding: chunked\r\n\r\n"
+                        + "2\r\n"
+                        + "xy\r\n");
+        assertThat(mServed).isEmpty();
+        send("1\r\nz\r\n0\r\n\r\n");
+        assertThat(mServed).containsExactly("1:xyz");
+    }
+
+    // A server runs a request that no caller has sent. It was hidden in the body of another one
+    // that
+    // states both a length and chunks, and the two ends of the connection cut it differently.
+    @Test
+    void requestWithLengthAndChunksIsRefused() {
+        send(
+                "POST /a HTTP/1.1\r\nHost: h\r\nId: 1\r\nContent-Length: 4\r\n"
+                        + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+                        + "GET /hidden HTTP/1.1\r\nHost: h\r\nId: 2\r\n\r\n");
+        assertThat(mServed).isEmpty();
+        assertThat(received()).startsWith("HTTP/1.1 400");
+        assertThat(mChannel.isOpen()).isFalse();
+    }
+
+    @Test
+    void requestWithTwoLengthsIsRefused() {
+        send(
+                "POST /a HTTP/1.1\r\n"
+                        + "Host: h\r\n"
+                        + "Id: 1\r\n"
+                        + "Content-Length: 1\r\n"
+                        + "Content-Length: 2\r\n\r\n"
+                        + "x");
+        assertThat(mServed).isEmpty();
+        assertThat(received()).startsWith("HTTP/1.1 400");
+        assertThat(mChannel.isOpen()).isFalse();
+    }
+
+    @Test
+    void brokenChunksAreRefused() {
+        send(
+                "POST /a HTTP/1.1\r\n"
+                        + "Host: h\r\n"
+                        + "Id: 1\r\n"
+                        + "Transfer-Encoding: chunked\r\n\r\n"
+                        + "zz\r\n"
+                        + "xy\r\n");
+        assertThat(mServed).isEmpty();
+        assertThat(received()).startsWith("HTTP/1.1 400");
+    }
+
+    @Test
+    void headThatIsTooLongIsRefused() {
+        send("GET /a HTTP/1.1\r\nHost: h\r\nId: 1\r\nLong: " + "x".repeat(600) + "\r\n\r\n");
+        assertThat(mServed).isEmpty();
+        assertThat(received()).startsWith("HTTP/1.1 431");
+    }
+
+    @Test
+    void bodyThatIsTooLongIsRefusedBeforeItIsRead() {
+        send("POST /a HTTP/1.1\r\nHost: h\r\nId: 1\r\nContent-Length: 65\r\n\r\n");
+        assertThat(received()).startsWith("HTTP/1.1 413");
+        assertThat(mChannel.isOpen()).isFalse();
+    }
+
+    @Test
+    void chunkedBodyThatGrowsTooLongIsRefused() {
+        send("POST /a HTTP/1.1\r\nHost: h\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n");
+        send("40\r\n" + "x".repeat(64) + "\r\n" + "1\r\nx\r\n");
+        assertThat(mServed).isEmpty();
+        assertThat(received()).startsWith("HTTP/1.1 413");
+    }
+
+    // Servers work on for callers that have hung up. While an answer is awaited nothing is written,
+    // so
+    // only reading shows that the caller has left.
+    @Test
+    void callerThatLeavesIsNoticedWhileItsRequestIsServed() {
+        send("GET /a HTTP/1.1\r\nHost: h\r\nId: 1\r\n\r\n");
+        mChannel.close();
+        assertThat(mLeft).isEqualTo(1);
+    }
+
+    // A caller takes half of an answer for the whole. Its server had crashed, and the daemon ended
+    // the
+    // body in good order.
+    @Test
+    void answerThatIsBrokenOffHasNoEnd() {
+        send("GET /a HTTP/1.1\r\nHost: h\r\nId: 1\r\n\r\n");
+        mAnswers.get(0).start(success());
+        mAnswers.get(0).write(Unpooled.copiedBuffer("half", StandardCharsets.UTF_8));
+        mAnswers.get(0).abort();
+        assertThat(received()).contains("half").doesNotEndWith("0\r\n\r\n");
+        assertThat(mChannel.isOpen()).isFalse();
+    }
+
+    @Test
+    void refusalSaysWhenToComeBack() {
+        send("GET /a HTTP/1.1\r\nHost: h\r\nId: 1\r\n\r\n");
+        mAnswers.get(0).refuse(Refusal.notRun("busy", Duration.ofMillis(250)));
+        assertThat(received())
+                .startsWith("HTTP/1.1 503")
+                .containsIgnoringCase("retry-after: 0.250");
+        assertThat(mChannel.isOpen()).isTrue();
+    }
+
+    @Test
+    void stoppingDaemonClosesConnectionsBehindTheirAnswers() {
+        send("GET /a HTTP/1.1\r\nHost: h\r\nId: 1\r\n\r\n");
+        mListener.stopGently();
+        assertThat(mChannel.isOpen()).isTrue();
+        mAnswers.get(0).start(success());
+        mAnswers.get(0).finish();
+        assertThat(received()).containsIgnoringCase("connection: close");
+        assertThat(mChannel.isOpen()).isFalse();
+    }
+
+    @Test
+    void stoppingDaemonClosesIdleConnections() {
+        mListener.stopGently();
+        assertThat(mChannel.isOpen()).isFalse();
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/org/whinhead/gateway/exchange/EventSplitterTest.java
@@ -0,0 +1,67 @@
+package org.whinhead.gateway.exchange;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+class EventSplitterTest {
+
+    private final EventSplitter mSplitter = new EventSplitter(ByteBufAllocator.DEFAULT);
+
+    private void add(final String text) {
+        mSplitter.add(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
+    }
+
+    private List<String> events() {
+        final List<String> events = new ArrayList<>();
+        Optional<ByteBuf> event = mSplitter.next();
+        while (event.isPresent()) {
+            events.add(event.get().toString(StandardCharsets.UTF_8));
+            event = mSplitter.next();
+        }
+        return events;
+    }
+
+    @Test
+    void eventsComeWhole() {
+        add("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+        assertThat(events()).containsExactly("id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n");
+        assertThat(mSplitter.pendingBytes()).isZero();
+    }
+
+    // A caller sees half an event, and then the whole of it from the server that took over. The
+    // first
+    // server had crashed within the event.
+    @Test
+    void partOfAnEventIsHeldBackAndDropped() {
+        add("id: 1\ndata: a\n\nid: 2\nda");
+        assertThat(events()).containsExactly("id: 1\ndata: a\n\n");
+        assertThat(mSplitter.pendingBytes()).isPositive();
+        mSplitter.clear();
+        add("id: 2\ndata: b\n\n");
+        assertThat(events()).containsExactly("id: 2\ndata: b\n\n");
+    }
+
+    @Test
+    void eventThatComesInPiecesIsPutTogether() {
+        for (final char letter : "id: 7\r\ndata: x\r\n\r\n".toCharArray()) {
+            assertThat(events()).isEmpty();
+            add(String.valueOf(letter));
+        }
+        assertThat(events()).containsExactly("id: 7\r\ndata: x\r\n\r\n");
+    }
+
+    @Test
+    void idIsRead() {
+        final ByteBuf event =
+                Unpooled.copiedBuffer("data: id: 9\nid: 12\n\n", StandardCharsets.UTF_8);
+        assertThat(EventSplitter.id(event)).contains("12");
+    }
+}
