--- a/gateway/src/main/java/org/whinhead/gateway/Gateway.java
+++ b/gateway/src/main/java/org/whinhead/gateway/Gateway.java
@@ -144,6 +144,7 @@
                                 new DutyLease(incarnation, settings.leaseTerm()),
                                 new UsagePlan(windows, mState.usage(), timeOfDay.instant()),
                                 new CapacityPlanner(settings.capacityTarget())));
+        mEndpointWatch.onChange(mDuties::orderEndpoints);
     }
 
     private CallerLimits limits() {
--- a/gateway/src/main/java/org/whinhead/gateway/duty/DutyHolder.java
+++ b/gateway/src/main/java/org/whinhead/gateway/duty/DutyHolder.java
@@ -232,15 +232,20 @@
                 token().ifPresent(token -> report(token, decision));
             }
         }
+        orderEndpoints();
+    }
+
+    /** Orders endpoints at once if this daemon holds the lease; a reclaim leaves seconds only. */
+    public void orderEndpoints() {
         final Optional<ServingConfiguration> configuration = mState.configuration().current();
-        if (configuration.isEmpty()) {
+        if (configuration.isEmpty() || token().isEmpty()) {
             return;
         }
         for (final ServiceSpec service : configuration.get().services()) {
             final List<CapacityOrder> orders =
                     mPlanner.plan(
                             service,
-                            mState.endpoints().usable(service.name()),
+                            mState.endpoints().listed(service.name()),
                             mState.clock().instant());
             for (final CapacityOrder order : orders) {
                 token().ifPresent(token -> order(token, order));
@@ -272,15 +277,19 @@
     private void order(final long token, final CapacityOrder order) {
         mCloud.order(token, order)
                 .whenComplete(
-                        (taken, failure) ->
-                                LOG.atInfo()
-                                        .addKeyValue("service", order.service())
-                                        .addKeyValue("domain", order.domain())
-                                        .addKeyValue("reclaimable", order.reclaimable())
-                                        .addKeyValue("count", order.count())
-                                        .addKeyValue("token", token)
-                                        .addKeyValue("taken", taken)
-                                        .addKeyValue("failure", String.valueOf(failure))
-                                        .log("endpoints ordered"));
+                        (taken, failure) -> {
+                            if (failure == null) {
+                                mPlanner.answered(order, taken, mState.clock().instant());
+                            }
+                            LOG.atInfo()
+                                    .addKeyValue("service", order.service())
+                                    .addKeyValue("domain", order.domain())
+                                    .addKeyValue("reclaimable", order.reclaimable())
+                                    .addKeyValue("count", order.count())
+                                    .addKeyValue("token", token)
+                                    .addKeyValue("taken", taken)
+                                    .addKeyValue("failure", String.valueOf(failure))
+                                    .log("endpoints ordered");
+                        });
     }
 }
--- a/gateway/src/main/java/org/whinhead/gateway/store/EndpointWatch.java
+++ b/gateway/src/main/java/org/whinhead/gateway/store/EndpointWatch.java
@@ -20,6 +20,7 @@
     private final ServingState mState;
     private final EndpointConnections mConnections;
     private final EndpointDecoder mDecoder;
+    private Runnable mOnChange = () -> {};
     private boolean mLoaded;
 
     /**
@@ -38,6 +39,15 @@
         mDecoder = decoder;
     }
 
+    /**
+     * Sets what is done when an endpoint came, is leaving or is gone.
+     *
+     * @param onChange runs after the registry has changed
+     */
+    public void onChange(final Runnable onChange) {
+        mOnChange = onChange;
+    }
+
     /**
      * Tells whether the endpoints were read once.
      *
@@ -62,24 +72,31 @@
 
     @Override
     public void appended(final List<StoreRecord> records) {
-        records.forEach(this::take);
+        boolean changed = false;
+        for (final StoreRecord record : records) {
+            changed |= take(record);
+        }
         tidy();
+        if (changed) {
+            mOnChange.run();
+        }
     }
 
-    private void take(final StoreRecord record) {
+    private boolean take(final StoreRecord record) {
         if (record.value().isEmpty()) {
             registry().remove(record.key(), record.offset(), now());
             LOG.atInfo().addKeyValue("endpoint", record.key()).log("endpoint entry removed");
-            return;
+            return true;
         }
         final EndpointEntry entry;
         try {
             entry = mDecoder.decode(record.key(), record.value().get());
         } catch (UnreadableRecordException e) {
             LOG.error("entry of endpoint {} not understood", record.key(), e);
-            return;
+            return false;
         }
-        if (registry().put(entry, record.offset())) {
+        final boolean changed = registry().put(entry, record.offset());
+        if (changed) {
             LOG.atInfo()
                     .addKeyValue("endpoint", entry.id())
                     .addKeyValue("service", entry.service())
@@ -90,6 +107,7 @@
                     .addKeyValue("offset", record.offset())
                     .log("endpoint changed");
         }
+        return changed;
     }
 
     private void tidy() {
--- a/serving/src/main/java/org/whinhead/serving/capacity/CapacityPlanner.java
+++ b/serving/src/main/java/org/whinhead/serving/capacity/CapacityPlanner.java
@@ -5,8 +5,10 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.whinhead.serving.configuration.ScalingLimits;
 import org.whinhead.serving.configuration.ServiceSpec;
 import org.whinhead.serving.endpoint.EndpointEntry;
@@ -24,8 +26,13 @@
     /** How long an order that was refused, or that shows no effect, rests before it is repeated. */
     private static final Duration REPEAT_AFTER = Duration.ofSeconds(3);
 
+    /** How long after a refusal reclaimable endpoints are taken to be out of stock. */
+    private static final Duration REFUSED_FOR = Duration.ofSeconds(6);
+
     private final CapacityTarget mTarget;
     private final Map<Key, Sent> mSent = new HashMap<>();
+    private final Map<Key, Instant> mRefused = new HashMap<>();
+    private final Set<String> mNoticed = new HashSet<>();
 
     /**
      * Makes a planner that has ordered nothing.
@@ -40,18 +47,19 @@
      * Lists the orders to send now.
      *
      * @param service a service with scaling limits
-     * @param endpoints its endpoints that are not leaving
+     * @param listed its endpoints, leaving ones too
      * @param now the time
      * @return the orders; each counts as sent
      */
     public List<CapacityOrder> plan(
-            final ServiceSpec service,
-            final Collection<EndpointEntry> endpoints,
-            final Instant now) {
+            final ServiceSpec service, final Collection<EndpointEntry> listed, final Instant now) {
         final List<CapacityOrder> orders = new ArrayList<>();
         if (service.scaling().isEmpty()) {
             return orders;
         }
+        noteReclaims(service, listed, now);
+        final List<EndpointEntry> endpoints =
+                listed.stream().filter(endpoint -> !endpoint.leaving()).toList();
         final ScalingLimits limits = service.scaling().get();
         for (final String domain : limits.domainPrices().keySet().stream().sorted().toList()) {
             final int onDemandNow = count(endpoints, domain, false);
@@ -64,8 +72,10 @@
             final int room = Math.max(limits.most() - onDemandNow, 0);
             final int reclaimable = Math.min(mTarget.reclaimable(), room);
             add(orders, service, domain, true, reclaimable, reclaimableNow, now);
-            final int onDemand =
-                    Math.max(mTarget.onDemand(), limits.least() - mTarget.reclaimable());
+            int onDemand = Math.max(mTarget.onDemand(), limits.least() - mTarget.reclaimable());
+            if (isRefused(service, domain, now)) {
+                onDemand = Math.min(onDemand + reclaimable - reclaimableNow, limits.most());
+            }
             if (reclaimableNow >= reclaimable || onDemand > onDemandNow) {
                 add(orders, service, domain, false, onDemand, onDemandNow, now);
             }
@@ -73,6 +83,37 @@
         return orders;
     }
 
+    /** A reclaim takes all of a failure domain, where none are to be had for a while. */
+    private void noteReclaims(
+            final ServiceSpec service, final Collection<EndpointEntry> listed, final Instant now) {
+        for (final EndpointEntry endpoint : listed) {
+            if (endpoint.leavesIn().isPresent() && mNoticed.add(endpoint.id())) {
+                mRefused.put(new Key(service.name(), endpoint.domain(), true), now);
+            }
+        }
+    }
+
+    /**
+     * Takes the platform's answer to an order.
+     *
+     * @param order the order
+     * @param taken whether it was accepted; if not, none of that kind are to be had there
+     * @param now the time
+     */
+    public void answered(final CapacityOrder order, final boolean taken, final Instant now) {
+        final Key key = new Key(order.service(), order.domain(), order.reclaimable());
+        if (taken) {
+            mRefused.remove(key);
+        } else {
+            mRefused.put(key, now);
+        }
+    }
+
+    private boolean isRefused(final ServiceSpec service, final String domain, final Instant now) {
+        final Instant at = mRefused.get(new Key(service.name(), domain, true));
+        return at != null && now.isBefore(at.plus(REFUSED_FOR));
+    }
+
     private boolean everHad(final ServiceSpec service, final String domain) {
         return mSent.containsKey(new Key(service.name(), domain, false));
     }
--- a/serving/src/main/java/org/whinhead/serving/endpoint/EndpointRegistry.java
+++ b/serving/src/main/java/org/whinhead/serving/endpoint/EndpointRegistry.java
@@ -145,6 +145,16 @@
         return usable;
     }
 
+    /**
+     * Lists the endpoints of a service, leaving ones too.
+     *
+     * @param service the service
+     * @return their entries
+     */
+    public List<EndpointEntry> listed(final String service) {
+        return all().stream().filter(entry -> entry.service().equals(service)).toList();
+    }
+
     /**
      * Finds an endpoint, leaving or not.
      *
