--- a/gateway/src/main/java/org/whinhead/gateway/Gateway.java
+++ b/gateway/src/main/java/org/whinhead/gateway/Gateway.java
@@ -18,10 +18,12 @@
 import org.whinhead.gateway.peers.Addresses;
 import org.whinhead.gateway.peers.MemberAnnouncement;
 import org.whinhead.gateway.peers.PeerReports;
+import org.whinhead.gateway.peers.StoreDigests;
 import org.whinhead.gateway.store.ConfigurationWatch;
 import org.whinhead.gateway.store.EndpointWatch;
 import org.whinhead.gateway.store.StoreTopic;
 import org.whinhead.gateway.store.TopicFollower;
+import org.whinhead.gateway.store.TopicListener;
 import org.whinhead.serving.balance.EndpointChooser;
 import org.whinhead.serving.capacity.CapacityPlanner;
 import org.whinhead.serving.configuration.CallerLimits;
@@ -82,6 +84,7 @@
     private final Exchanges mExchanges;
     private final EndpointWatch mEndpointWatch;
     private final ConfigurationWatch mConfigurationWatch;
+    private final StoreDigests mDigests;
     private final PeerReports mPeers;
     private final MemberAnnouncement mAnnouncement;
     private final DutyHolder mDuties;
@@ -130,7 +133,8 @@
         mConfigurationWatch =
                 new ConfigurationWatch(mState, ports.configurations(), ports.configurationKey());
         mEndpointWatch = new EndpointWatch(mState, connections, ports.entries());
-        mPeers = new PeerReports(loop, mState, mMembers);
+        mDigests = new StoreDigests(mState, mMembers);
+        mPeers = new PeerReports(loop, mState, mMembers, mDigests);
         mAnnouncement =
                 new MemberAnnouncement(loop, ports.store(), settings.self(), mPeers::addContact);
         mDuties =
@@ -143,7 +147,7 @@
                         new DutyHolder.Duties(
                                 new DutyLease(incarnation, settings.leaseTerm()),
                                 new UsagePlan(windows, mState.usage(), timeOfDay.instant()),
-                                new CapacityPlanner(settings.capacityTarget())));
+                                new CapacityPlanner(settings.capacity())));
         mEndpointWatch.onChange(mDuties::orderEndpoints);
     }
 
@@ -162,8 +166,7 @@
         mCallers.listen(mSettings.self().callerAddress());
         mSettings.contacts().forEach(mPeers::addContact);
         mPeers.start();
-        follow(StoreTopic.CONFIGURATION, mConfigurationWatch, CONFIGURATION_PACE);
-        follow(StoreTopic.ENDPOINTS, mEndpointWatch, ENDPOINT_PACE);
+        followStore();
         mAnnouncement.start();
         mDuties.start();
         LOG.atInfo()
@@ -173,11 +176,29 @@
                 .log("started");
     }
 
-    private void follow(
-            final StoreTopic topic,
-            final org.whinhead.gateway.store.TopicListener listener,
-            final TopicFollower.Pace pace) {
-        new TopicFollower(mLoop, mPorts.store(), topic, listener, pace).start();
+    private void followStore() {
+        final TopicFollower configuration =
+                follower(StoreTopic.CONFIGURATION, mConfigurationWatch, CONFIGURATION_PACE);
+        final TopicFollower endpoints =
+                follower(StoreTopic.ENDPOINTS, mEndpointWatch, ENDPOINT_PACE);
+        mConfigurationWatch.onRead(mDigests::configurationRead);
+        mConfigurationWatch.onChange(mPeers::sendDigest);
+        mEndpointWatch.onRead(mPeers::sendDigest);
+        mDigests.onNews(
+                topic -> {
+                    if (topic == StoreTopic.CONFIGURATION) {
+                        configuration.wake();
+                    } else {
+                        endpoints.wake();
+                    }
+                });
+        configuration.start();
+        endpoints.start();
+    }
+
+    private TopicFollower follower(
+            final StoreTopic topic, final TopicListener listener, final TopicFollower.Pace pace) {
+        return new TopicFollower(mLoop, mPorts.store(), topic, listener, pace, mDigests);
     }
 
     private HttpReply readiness() {
--- a/gateway/src/main/java/org/whinhead/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/whinhead/gateway/GatewaySettings.java
@@ -4,7 +4,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Objects;
-import org.whinhead.serving.capacity.CapacityTarget;
+import org.whinhead.serving.capacity.CapacitySettings;
 import org.whinhead.serving.limit.QuotaTolerance;
 import org.whinhead.serving.member.Member;
 
@@ -22,7 +22,7 @@
     private final Duration mUsageWindow;
     private final Duration mLeaseTerm;
     private final Duration mStopGrace;
-    private final CapacityTarget mCapacityTarget;
+    private final CapacitySettings mCapacity;
 
     private GatewaySettings(final Builder builder) {
         mSelf = Objects.requireNonNull(builder.mSelf, "self");
@@ -36,7 +36,7 @@
         mUsageWindow = Objects.requireNonNull(builder.mUsageWindow, "usageWindow");
         mLeaseTerm = Objects.requireNonNull(builder.mLeaseTerm, "leaseTerm");
         mStopGrace = Objects.requireNonNull(builder.mStopGrace, "stopGrace");
-        mCapacityTarget = Objects.requireNonNull(builder.mCapacityTarget, "capacityTarget");
+        mCapacity = Objects.requireNonNull(builder.mCapacity, "capacity");
     }
 
     /**
@@ -92,8 +92,8 @@
         return mStopGrace;
     }
 
-    public CapacityTarget capacityTarget() {
-        return mCapacityTarget;
+    public CapacitySettings capacity() {
+        return mCapacity;
     }
 
     /** Collects the parts of settings. */
@@ -110,7 +110,7 @@
         private Duration mUsageWindow;
         private Duration mLeaseTerm;
         private Duration mStopGrace;
-        private CapacityTarget mCapacityTarget;
+        private CapacitySettings mCapacity;
 
         private Builder() {}
 
@@ -202,13 +202,13 @@
         }
 
         /**
-         * Sets how many endpoints a scaled service keeps in each failure domain.
+         * Sets how much capacity a scaled service keeps for its demand.
          *
-         * @param capacityTarget the target
+         * @param capacity the settings
          * @return this builder
          */
-        public Builder capacityTarget(final CapacityTarget capacityTarget) {
-            mCapacityTarget = capacityTarget;
+        public Builder capacity(final CapacitySettings capacity) {
+            mCapacity = capacity;
             return this;
         }
 
--- a/gateway/src/main/java/org/whinhead/gateway/duty/DutyHolder.java
+++ b/gateway/src/main/java/org/whinhead/gateway/duty/DutyHolder.java
@@ -19,6 +19,7 @@
 import org.whinhead.gateway.store.StoreTopic;
 import org.whinhead.serving.capacity.CapacityOrder;
 import org.whinhead.serving.capacity.CapacityPlanner;
+import org.whinhead.serving.capacity.DemandMeter;
 import org.whinhead.serving.configuration.ServiceSpec;
 import org.whinhead.serving.configuration.ServingConfiguration;
 import org.whinhead.serving.duty.DutyLease;
@@ -54,6 +55,7 @@
     private final DutyLease mLease;
     private final UsagePlan mUsagePlan;
     private final CapacityPlanner mPlanner;
+    private final DemandMeter mDemand = new DemandMeter();
     private final Set<Long> mDelivered = new HashSet<>();
     private LeaseRecord mClaim;
     private Instant mClaimSteady;
@@ -241,12 +243,15 @@
         if (configuration.isEmpty() || token().isEmpty()) {
             return;
         }
+        final Instant now = mState.clock().instant();
+        mDemand.total(mState.quotas().spentByAll(), now);
         for (final ServiceSpec service : configuration.get().services()) {
             final List<CapacityOrder> orders =
                     mPlanner.plan(
                             service,
-                            mState.endpoints().listed(service.name()),
-                            mState.clock().instant());
+                            mState.endpoints().usable(service.name()),
+                            mDemand.tokensPerSecond(),
+                            now);
             for (final CapacityOrder order : orders) {
                 token().ifPresent(token -> order(token, order));
             }
@@ -279,7 +284,7 @@
                 .whenComplete(
                         (taken, failure) -> {
                             if (failure == null) {
-                                mPlanner.answered(order, taken, mState.clock().instant());
+                                mPlanner.answered(order, taken);
                             }
                             LOG.atInfo()
                                     .addKeyValue("service", order.service())
--- a/gateway/src/main/java/org/whinhead/gateway/peers/PeerReports.java
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/PeerReports.java
@@ -19,6 +19,7 @@
 import org.slf4j.LoggerFactory;
 import org.whinhead.gateway.exchange.ServingState;
 import org.whinhead.gateway.generated.GatewayProto.CustomerSpend;
+import org.whinhead.gateway.generated.GatewayProto.Datagram;
 import org.whinhead.gateway.generated.GatewayProto.EndpointShare;
 import org.whinhead.gateway.generated.GatewayProto.PeerReport;
 import org.whinhead.gateway.generated.GatewayProto.UsageEntry;
@@ -50,6 +51,7 @@
     private final EventLoop mLoop;
     private final ServingState mState;
     private final MemberTable mMembers;
+    private final StoreDigests mDigests;
     private final Set<InetSocketAddress> mContacts = new HashSet<>();
     private Channel mChannel;
     private boolean mLeaving;
@@ -60,11 +62,17 @@
      * @param loop where everything runs
      * @param state what is reported, and what reports change
      * @param members the daemons
+     * @param digests what was read of the store
      */
-    public PeerReports(final EventLoop loop, final ServingState state, final MemberTable members) {
+    public PeerReports(
+            final EventLoop loop,
+            final ServingState state,
+            final MemberTable members,
+            final StoreDigests digests) {
         mLoop = loop;
         mState = state;
         mMembers = members;
+        mDigests = digests;
     }
 
     /** Starts to send and receive. */
@@ -108,11 +116,22 @@
     }
 
     private void send() {
-        final byte[] report = report().toByteArray();
+        send(Datagram.newBuilder().setReport(report()).build());
+    }
+
+    /** Tells the others what was read of the store, if this daemon reads for them. */
+    public void sendDigest() {
+        if (mDigests.isReader()) {
+            send(Datagram.newBuilder().setDigest(mDigests.digest()).build());
+        }
+    }
+
+    private void send(final Datagram datagram) {
+        final byte[] bytes = datagram.toByteArray();
         final Set<InetSocketAddress> receivers = new HashSet<>(mContacts);
         mMembers.peers().forEach(peer -> receivers.add(peer.peerAddress()));
         for (final InetSocketAddress receiver : receivers) {
-            mChannel.write(new DatagramPacket(Unpooled.wrappedBuffer(report), receiver));
+            mChannel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), receiver));
         }
         mChannel.flush();
     }
@@ -213,7 +232,13 @@
         protected void channelRead0(
                 final ChannelHandlerContext context, final DatagramPacket packet) {
             try {
-                take(PeerReport.parseFrom(packet.content().nioBuffer()));
+                final Datagram datagram = Datagram.parseFrom(packet.content().nioBuffer());
+                if (datagram.hasReport()) {
+                    take(datagram.getReport());
+                }
+                if (datagram.hasDigest()) {
+                    mDigests.take(Addresses.format(packet.sender()), datagram.getDigest());
+                }
             } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
                 LOG.atWarn()
                         .addKeyValue("sender", packet.sender())
--- a/gateway/src/main/java/org/whinhead/gateway/store/ConfigurationWatch.java
+++ b/gateway/src/main/java/org/whinhead/gateway/store/ConfigurationWatch.java
@@ -15,6 +15,8 @@
     private final ServingState mState;
     private final ConfigurationDecoder mDecoder;
     private final String mKey;
+    private Runnable mOnRead = () -> {};
+    private Runnable mOnChange = () -> {};
 
     /**
      * Makes a watch.
@@ -30,6 +32,24 @@
         mKey = key;
     }
 
+    /**
+     * Sets what is done behind each read.
+     *
+     * @param onRead runs after a read, whatever it found
+     */
+    public void onRead(final Runnable onRead) {
+        mOnRead = onRead;
+    }
+
+    /**
+     * Sets what is done when another version is in force.
+     *
+     * @param onChange runs after it came in force
+     */
+    public void onChange(final Runnable onChange) {
+        mOnChange = onChange;
+    }
+
     @Override
     public void snapshot(final List<StoreRecord> records, final long end) {
         appended(records);
@@ -44,6 +64,7 @@
             }
         }
         newest.ifPresent(this::offer);
+        mOnRead.run();
     }
 
     private void offer(final byte[] value) {
@@ -59,6 +80,7 @@
             LOG.atInfo()
                     .addKeyValue("version", configuration.version())
                     .log("configuration in force");
+            mOnChange.run();
         }
     }
 
--- a/gateway/src/main/java/org/whinhead/gateway/store/EndpointWatch.java
+++ b/gateway/src/main/java/org/whinhead/gateway/store/EndpointWatch.java
@@ -21,6 +21,7 @@
     private final EndpointConnections mConnections;
     private final EndpointDecoder mDecoder;
     private Runnable mOnChange = () -> {};
+    private Runnable mOnRead = () -> {};
     private boolean mLoaded;
 
     /**
@@ -48,6 +49,15 @@
         mOnChange = onChange;
     }
 
+    /**
+     * Sets what is done behind each read.
+     *
+     * @param onRead runs after the registry was brought up to date
+     */
+    public void onRead(final Runnable onRead) {
+        mOnRead = onRead;
+    }
+
     /**
      * Tells whether the endpoints were read once.
      *
@@ -118,6 +128,7 @@
                 registry().all().stream().map(EndpointEntry::id).collect(Collectors.toSet());
         mState.chooser().retain(known);
         mConnections.retain(known);
+        mOnRead.run();
     }
 
     @Override
--- a/gateway/src/main/java/org/whinhead/gateway/store/TopicFollower.java
+++ b/gateway/src/main/java/org/whinhead/gateway/store/TopicFollower.java
@@ -1,6 +1,7 @@
 package org.whinhead.gateway.store;
 
 import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -20,12 +21,20 @@
     /** The pause after a failed call: a store that is back is noticed within it. */
     private static final Duration RETRY_PAUSE = Duration.ofMillis(400);
 
+    /** The same for daemons that don't read for others: together they would flood the store. */
+    private static final Duration OTHERS_RETRY_PAUSE = Duration.ofMillis(1_000);
+
+    /** How often a daemon for which others read checks that they still do. */
+    private static final Duration COVERED_PAUSE = Duration.ofMillis(200);
+
     private final EventLoop mLoop;
     private final MetadataStore mStore;
     private final StoreTopic mTopic;
     private final TopicListener mListener;
     private final Duration mWait;
     private final Duration mPause;
+    private final ReadSharing mSharing;
+    private Future<?> mTimer;
     private long mNext = -1;
     private boolean mReachable = true;
 
@@ -37,19 +46,22 @@
      * @param topic the topic
      * @param listener hears what is read
      * @param pace how it is read
+     * @param sharing tells whether others read
      */
     public TopicFollower(
             final EventLoop loop,
             final MetadataStore store,
             final StoreTopic topic,
             final TopicListener listener,
-            final Pace pace) {
+            final Pace pace,
+            final ReadSharing sharing) {
         mLoop = loop;
         mStore = store;
         mTopic = topic;
         mListener = listener;
         mWait = pace.longestWait();
         mPause = pace.pause();
+        mSharing = sharing;
     }
 
     /**
@@ -62,13 +74,23 @@
 
     /** Starts to follow. */
     public void start() {
-        if (mNext < 0) {
+        mTimer = null;
+        if (mNext >= 0 && mReachable && mSharing.isCovered(mTopic)) {
+            again(COVERED_PAUSE);
+        } else if (mNext < 0) {
             mStore.newest(mTopic).whenComplete(this::newestRead);
         } else {
             mStore.read(mTopic, mNext, mWait).whenComplete(this::read);
         }
     }
 
+    /** Reads at once, as another daemon has seen something new. */
+    public void wake() {
+        if (mTimer != null && mTimer.cancel(false)) {
+            start();
+        }
+    }
+
     private void newestRead(final StorePage page, final Throwable failure) {
         if (failure != null) {
             failed(failure);
@@ -101,7 +123,7 @@
     }
 
     private void again(final Duration pause) {
-        mLoop.schedule(this::start, pause.toMillis(), TimeUnit.MILLISECONDS);
+        mTimer = mLoop.schedule(this::start, pause.toMillis(), TimeUnit.MILLISECONDS);
     }
 
     private void reachable() {
@@ -122,6 +144,6 @@
                     .log("store not reachable");
         }
         mListener.unreachable(failure);
-        again(RETRY_PAUSE);
+        again(mSharing.isReader() ? RETRY_PAUSE : OTHERS_RETRY_PAUSE);
     }
 }
--- a/serving/src/main/java/org/whinhead/serving/capacity/CapacityPlanner.java
+++ b/serving/src/main/java/org/whinhead/serving/capacity/CapacityPlanner.java
@@ -4,158 +4,190 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
+import java.util.OptionalDouble;
 import java.util.Set;
+import java.util.TreeMap;
 import org.whinhead.serving.configuration.ScalingLimits;
 import org.whinhead.serving.configuration.ServiceSpec;
 import org.whinhead.serving.endpoint.EndpointEntry;
 
 /**
- * Orders endpoints towards a target.
+ * Orders endpoints such that the loss of any failure domain's reclaimable ones leaves enough.
  *
- * <p>Reclaimable endpoints cost a fraction of the others, but a whole failure domain of them leaves
- * at once. So the target spreads them evenly, such that what is left in the other failure domains
- * carries the load. Endpoints on demand leave only once the reclaimable ones that replace them
- * serve.
+ * <p>Reclaimable endpoints cost a fraction of the others, so they carry the calm hours, spread
+ * evenly over the failure domains. A reclaim takes all of one domain within seconds, and none are
+ * to be had for a while; endpoints on demand then fill up what the demand needs, and leave again as
+ * reclaimable ones come back.
  */
 public final class CapacityPlanner {
 
-    /** How long an order that was refused, or that shows no effect, rests before it is repeated. */
-    private static final Duration REPEAT_AFTER = Duration.ofSeconds(3);
+    /** How long an order that was refused rests before it is repeated. */
+    private static final Duration REPEAT_REFUSED = Duration.ofSeconds(3);
 
-    /** How long after a refusal reclaimable endpoints are taken to be out of stock. */
-    private static final Duration REFUSED_FOR = Duration.ofSeconds(6);
+    /** What is added to the time that an endpoint takes to start, before its order is repeated. */
+    private static final Duration BOOT_MARGIN = Duration.ofSeconds(2);
 
-    private final CapacityTarget mTarget;
-    private final Map<Key, Sent> mSent = new HashMap<>();
-    private final Map<Key, Instant> mRefused = new HashMap<>();
-    private final Set<String> mNoticed = new HashSet<>();
+    /** How long a surplus lasts before endpoints on demand are given up. */
+    private static final Duration SURPLUS_FOR = Duration.ofSeconds(2);
+
+    /** Part of the endpoints present at the start that are taken as needed until traffic comes. */
+    private static final double INITIAL_NEED = 2.0 / 3;
+
+    private final CapacitySettings mSettings;
+    private final Map<String, Map<String, DomainCapacity>> mServices = new HashMap<>();
+    private final Map<String, Integer> mInitial = new HashMap<>();
+    private final Map<CapacityOrder, Instant> mSent = new HashMap<>();
+    private final Set<CapacityOrder> mRefused = new HashSet<>();
+    private final Map<String, Instant> mSurplusSince = new HashMap<>();
 
     /**
      * Makes a planner that has ordered nothing.
      *
-     * @param target what each failure domain should have
+     * @param settings how much capacity is kept
      */
-    public CapacityPlanner(final CapacityTarget target) {
-        mTarget = target;
+    public CapacityPlanner(final CapacitySettings settings) {
+        mSettings = Objects.requireNonNull(settings, "settings");
     }
 
     /**
      * Lists the orders to send now.
      *
-     * @param service a service with scaling limits
-     * @param listed its endpoints, leaving ones too
+     * @param service a service, with scaling limits or without
+     * @param endpoints its endpoints that are not leaving
+     * @param demand tokens a second, if there is traffic
      * @param now the time
      * @return the orders; each counts as sent
      */
     public List<CapacityOrder> plan(
-            final ServiceSpec service, final Collection<EndpointEntry> listed, final Instant now) {
-        final List<CapacityOrder> orders = new ArrayList<>();
-        if (service.scaling().isEmpty()) {
-            return orders;
+            final ServiceSpec service,
+            final Collection<EndpointEntry> endpoints,
+            final OptionalDouble demand,
+            final Instant now) {
+        if (service.scaling().isEmpty() || endpoints.isEmpty()) {
+            return List.of();
         }
-        noteReclaims(service, listed, now);
-        final List<EndpointEntry> endpoints =
-                listed.stream().filter(endpoint -> !endpoint.leaving()).toList();
         final ScalingLimits limits = service.scaling().get();
-        for (final String domain : limits.domainPrices().keySet().stream().sorted().toList()) {
-            final int onDemandNow = count(endpoints, domain, false);
-            final int reclaimableNow = count(endpoints, domain, true);
-            if (onDemandNow + reclaimableNow == 0 && !everHad(service, domain)) {
-                continue;
-            }
-            mSent.putIfAbsent(
-                    new Key(service.name(), domain, false), new Sent(onDemandNow, Instant.EPOCH));
-            final int room = Math.max(limits.most() - onDemandNow, 0);
-            final int reclaimable = Math.min(mTarget.reclaimable(), room);
-            add(orders, service, domain, true, reclaimable, reclaimableNow, now);
-            int onDemand = Math.max(mTarget.onDemand(), limits.least() - mTarget.reclaimable());
-            if (isRefused(service, domain, now)) {
-                onDemand = Math.min(onDemand + reclaimable - reclaimableNow, limits.most());
-            }
-            if (reclaimableNow >= reclaimable || onDemand > onDemandNow) {
-                add(orders, service, domain, false, onDemand, onDemandNow, now);
-            }
+        final Collection<DomainCapacity> domains = domains(service.name(), limits, endpoints);
+        final int need = need(service.name(), demand, endpoints.size());
+        balanceOnDemand(service.name(), domains, limits, need, now);
+        final int reclaimable =
+                Math.max(
+                        (int) Math.ceil(need * mSettings.reserve() / domains.size()),
+                        limits.least());
+        final List<CapacityOrder> orders = new ArrayList<>();
+        for (final DomainCapacity domain : domains) {
+            final int goal = domain.reclaimableGoal(reclaimable);
+            add(orders, service, domain, true, goal, now);
+            add(orders, service, domain, false, domain.onDemandGoal(), now);
         }
         return orders;
     }
 
-    /** A reclaim takes all of a failure domain, where none are to be had for a while. */
-    private void noteReclaims(
-            final ServiceSpec service, final Collection<EndpointEntry> listed, final Instant now) {
-        for (final EndpointEntry endpoint : listed) {
-            if (endpoint.leavesIn().isPresent() && mNoticed.add(endpoint.id())) {
-                mRefused.put(new Key(service.name(), endpoint.domain(), true), now);
-            }
-        }
+    private Collection<DomainCapacity> domains(
+            final String service,
+            final ScalingLimits limits,
+            final Collection<EndpointEntry> endpoints) {
+        final Map<String, DomainCapacity> domains =
+                mServices.computeIfAbsent(service, name -> new TreeMap<>());
+        endpoints.forEach(
+                endpoint ->
+                        domains.computeIfAbsent(
+                                endpoint.domain(),
+                                name -> new DomainCapacity(name, limits.most())));
+        domains.values().forEach(domain -> domain.listed(endpoints));
+        return domains.values();
     }
 
-    /**
-     * Takes the platform's answer to an order.
-     *
-     * @param order the order
-     * @param taken whether it was accepted; if not, none of that kind are to be had there
-     * @param now the time
-     */
-    public void answered(final CapacityOrder order, final boolean taken, final Instant now) {
-        final Key key = new Key(order.service(), order.domain(), order.reclaimable());
-        if (taken) {
-            mRefused.remove(key);
-        } else {
-            mRefused.put(key, now);
-        }
+    private int need(final String service, final OptionalDouble demand, final int present) {
+        final int initial = mInitial.computeIfAbsent(service, name -> present);
+        final double need =
+                demand.isPresent()
+                        ? demand.getAsDouble() / mSettings.tokensPerEndpoint()
+                        : initial * INITIAL_NEED;
+        return (int) Math.max(Math.ceil(need), 1);
     }
 
-    private boolean isRefused(final ServiceSpec service, final String domain, final Instant now) {
-        final Instant at = mRefused.get(new Key(service.name(), domain, true));
-        return at != null && now.isBefore(at.plus(REFUSED_FOR));
-    }
-
-    private boolean everHad(final ServiceSpec service, final String domain) {
-        return mSent.containsKey(new Key(service.name(), domain, false));
+    /** Sets how many endpoints on demand are wanted, so that any domain's reclaim leaves enough. */
+    private void balanceOnDemand(
+            final String service,
+            final Collection<DomainCapacity> domains,
+            final ScalingLimits limits,
+            final int need,
+            final Instant now) {
+        final int expected = domains.stream().mapToInt(DomainCapacity::expected).sum();
+        final int atRisk = domains.stream().mapToInt(domain -> domain.now(true)).max().orElse(0);
+        final int surplus = expected - atRisk - need;
+        final Comparator<DomainCapacity> byPrice =
+                Comparator.comparing(
+                        domain -> limits.domainPrices().getOrDefault(domain.domain(), 1.0));
+        if (surplus < 0) {
+            mSurplusSince.remove(service);
+            for (int missing = surplus; missing < 0; missing++) {
+                domains.stream()
+                        .filter(DomainCapacity::hasRoom)
+                        .min(
+                                Comparator.comparingInt(DomainCapacity::expected)
+                                        .thenComparing(byPrice))
+                        .ifPresent(DomainCapacity::addOnDemand);
+            }
+            return;
+        }
+        final Instant since = mSurplusSince.computeIfAbsent(service, name -> now);
+        if (surplus == 0 || now.isBefore(since.plus(SURPLUS_FOR))) {
+            return;
+        }
+        for (int left = surplus; left > 0; left--) {
+            domains.stream()
+                    .filter(domain -> domain.onDemandGoal() > 0)
+                    .filter(domain -> domain.onDemandGoal() + domain.now(true) > limits.least())
+                    .max(
+                            Comparator.comparingInt(DomainCapacity::onDemandGoal)
+                                    .thenComparing(byPrice))
+                    .ifPresent(DomainCapacity::removeOnDemand);
+        }
+        mSurplusSince.remove(service);
     }
 
     private void add(
             final List<CapacityOrder> orders,
             final ServiceSpec service,
-            final String domain,
+            final DomainCapacity domain,
             final boolean reclaimable,
-            final int wanted,
-            final int present,
+            final int goal,
             final Instant now) {
-        final Key key = new Key(service.name(), domain, reclaimable);
-        final Sent sent = mSent.get(key);
-        final boolean rested = sent == null || now.isAfter(sent.mAt.plus(REPEAT_AFTER));
-        if (wanted == present || !rested) {
+        if (goal == domain.now(reclaimable)) {
             return;
         }
-        mSent.put(key, new Sent(wanted, now));
-        orders.add(new CapacityOrder(service.name(), domain, reclaimable, wanted));
-    }
-
-    private static int count(
-            final Collection<EndpointEntry> endpoints,
-            final String domain,
-            final boolean reclaimable) {
-        return (int)
-                endpoints.stream()
-                        .filter(endpoint -> endpoint.domain().equals(domain))
-                        .filter(endpoint -> endpoint.reclaimable() == reclaimable)
-                        .count();
+        final CapacityOrder order =
+                new CapacityOrder(service.name(), domain.domain(), reclaimable, goal);
+        final Duration rest =
+                mRefused.contains(order)
+                        ? REPEAT_REFUSED
+                        : service.scaling().orElseThrow().bootTime().plus(BOOT_MARGIN);
+        final Instant sent = mSent.get(order);
+        if (sent == null || !now.isBefore(sent.plus(rest))) {
+            mSent.put(order, now);
+            orders.add(order);
+        }
     }
 
-    private record Key(String service, String domain, boolean reclaimable) {}
-
-    private static final class Sent {
-        private final int mCount;
-        private final Instant mAt;
-
-        private Sent(final int count, final Instant at) {
-            mCount = count;
-            mAt = at;
+    /**
+     * Takes the platform's answer to an order.
+     *
+     * @param order the order
+     * @param taken whether it was accepted; if not, none of that kind are to be had there
+     */
+    public void answered(final CapacityOrder order, final boolean taken) {
+        if (taken) {
+            mRefused.remove(order);
+        } else {
+            mRefused.add(order);
         }
     }
 }
--- a/serving/src/main/java/org/whinhead/serving/endpoint/EndpointRegistry.java
+++ b/serving/src/main/java/org/whinhead/serving/endpoint/EndpointRegistry.java
@@ -30,6 +30,9 @@
     /** How long after an outage a removal still counts as caused by it: three missed heartbeats. */
     static final Duration OUTAGE_SHADOW = Duration.ofMillis(1_500);
 
+    /** Spreads the hashes of single entries, so that their sum tells sets apart. */
+    private static final long SPREAD_FACTOR = 0x9E3779B97F4A7C15L;
+
     private final Map<String, Record> mRecords = new HashMap<>();
     private final Set<String> mOnceLeaving = new HashSet<>();
     private Instant mLastOutage = Instant.EPOCH;
@@ -145,16 +148,6 @@
         return usable;
     }
 
-    /**
-     * Lists the endpoints of a service, leaving ones too.
-     *
-     * @param service the service
-     * @return their entries
-     */
-    public List<EndpointEntry> listed(final String service) {
-        return all().stream().filter(entry -> entry.service().equals(service)).toList();
-    }
-
     /**
      * Finds an endpoint, leaving or not.
      *
@@ -165,6 +158,23 @@
         return Optional.ofNullable(mRecords.get(id)).map(record -> record.mEntry);
     }
 
+    /**
+     * Sums up which endpoints are listed and which of them are leaving.
+     *
+     * @return a number that two daemons with the same view share
+     */
+    public long summary() {
+        long summary = 0;
+        for (final Record record : mRecords.values()) {
+            if (record.mMissingSince == null) {
+                final int leaving = record.mEntry.leaving() ? 1 : 0;
+                final long hash = 31L * record.mEntry.id().hashCode() + leaving;
+                summary += hash * SPREAD_FACTOR;
+            }
+        }
+        return summary;
+    }
+
     /**
      * Drops an endpoint whose address answered for another one.
      *
--- a/serving/src/main/java/org/whinhead/serving/limit/CustomerQuotas.java
+++ b/serving/src/main/java/org/whinhead/serving/limit/CustomerQuotas.java
@@ -44,6 +44,7 @@
 
     private final QuotaTolerance mTolerance;
     private final Map<String, Account> mAccounts = new HashMap<>();
+    private long mSpentByAll;
 
     /**
      * Makes quotas without customers.
@@ -84,11 +85,11 @@
      */
     public boolean admit(final String customer, final long tokens, final Instant now) {
         final Account account = mAccounts.get(customer);
-        if (account == null || account.mAllowance.isUnlimited()) {
+        if (account == null) {
             return true;
         }
         account.refill(now);
-        if (account.mLevel < 0) {
+        if (account.mLevel < 0 && !account.mAllowance.isUnlimited()) {
             return false;
         }
         account.spend(tokens);
@@ -132,7 +133,7 @@
      */
     public void refund(final String customer, final long tokens) {
         final Account account = mAccounts.get(customer);
-        if (account != null && !account.mAllowance.isUnlimited()) {
+        if (account != null) {
             account.spend(-tokens);
         }
     }
@@ -165,6 +166,15 @@
         return spent;
     }
 
+    /**
+     * Sums what all daemons have admitted of all customers, as far as this one has heard.
+     *
+     * @return tokens since this daemon started
+     */
+    public long spentByAll() {
+        return mSpentByAll;
+    }
+
     private final class Account {
         private final Map<String, Peer> mPeers = new HashMap<>();
         private TokenAllowance mAllowance;
@@ -197,6 +207,7 @@
         }
 
         private void spend(final long tokens) {
+            mSpentByAll += tokens;
             mLevel -= tokens;
             mOwnSpent += tokens;
         }
@@ -220,6 +231,7 @@
                 mPeers.put(daemon, new Peer(spentInAll, now));
                 return;
             }
+            mSpentByAll += Math.max(spentInAll - peer.mSpent, 0);
             mLevel -= peer.report(spentInAll, now);
         }
     }
--- /dev/null
+++ b/serving/src/test/java/org/whinhead/serving/capacity/CapacityPlannerTest.java
@@ -0,0 +1,153 @@
+package org.whinhead.serving.capacity;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import org.junit.jupiter.api.Test;
+import org.whinhead.serving.configuration.ScalingLimits;
+import org.whinhead.serving.configuration.ServiceSpec;
+import org.whinhead.serving.endpoint.EndpointEntry;
+
+class CapacityPlannerTest {
+
+    private static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
+    private static final List<String> DOMAINS = List.of("a", "b", "c");
+    private static final ServiceSpec SERVICE =
+            new ServiceSpec(
+                    "pool",
+                    500,
+                    true,
+                    Optional.of(
+                            new ScalingLimits(
+                                    1,
+                                    4,
+                                    Duration.ofSeconds(4),
+                                    0.22,
+                                    Map.of("a", 0.85, "b", 1.2, "c", 1.0))));
+
+    private final CapacityPlanner mPlanner = new CapacityPlanner(new CapacitySettings(25_000, 2));
+    private final List<EndpointEntry> mEndpoints = new ArrayList<>();
+    private boolean mDry;
+    private int mNextId;
+
+    CapacityPlannerTest() {
+        DOMAINS.forEach(domain -> set(domain, false, 2));
+    }
+
+    private void set(final String domain, final boolean reclaimable, final int count) {
+        mEndpoints.removeIf(
+                endpoint ->
+                        endpoint.domain().equals(domain) && endpoint.reclaimable() == reclaimable);
+        for (int index = 0; index < count; index++) {
+            mNextId++;
+            mEndpoints.add(
+                    new EndpointEntry(
+                            "e" + mNextId,
+                            "pool",
+                            new InetSocketAddress("127.0.0.1", 9000),
+                            domain,
+                            96,
+                            false,
+                            reclaimable,
+                            Optional.empty(),
+                            Duration.ZERO));
+        }
+    }
+
+    private int count(final boolean reclaimable) {
+        return (int) mEndpoints.stream().filter(e -> e.reclaimable() == reclaimable).count();
+    }
+
+    /** Plays seconds in which the platform carries out each order at once, or refuses it. */
+    private void run(final int fromSecond, final int toSecond, final OptionalDouble demand) {
+        for (int second = fromSecond; second < toSecond; second++) {
+            final Instant now = START.plusSeconds(second);
+            for (final CapacityOrder order : mPlanner.plan(SERVICE, mEndpoints, demand, now)) {
+                final boolean taken = !(mDry && order.reclaimable());
+                mPlanner.answered(order, taken);
+                if (taken) {
+                    set(order.domain(), order.reclaimable(), order.count());
+                }
+            }
+        }
+    }
+
+    @Test
+    void reclaimableEndpointsReplaceThoseOnDemand() {
+        run(0, 20, OptionalDouble.of(70_000));
+        assertThat(count(true)).isEqualTo(6);
+        assertThat(count(false)).isZero();
+    }
+
+    @Test
+    void higherDemandKeepsMore() {
+        run(0, 20, OptionalDouble.of(140_000));
+        assertThat(count(true)).isEqualTo(12);
+    }
+
+    @Test
+    void beforeTrafficMostOfWhatWasThereIsKept() {
+        run(0, 20, OptionalDouble.empty());
+        assertThat(count(true) + count(false)).isGreaterThanOrEqualTo(8);
+    }
+
+    // Two failure domains are reclaimed within seconds, none of that kind are to be had, and what
+    // is
+    // left of the service is overrun. Endpoints on demand were to be had all the while.
+    @Test
+    void endpointsOnDemandFillUpAfterReclaims() {
+        run(0, 20, OptionalDouble.of(140_000));
+        mDry = true;
+        set("a", true, 0);
+        run(20, 26, OptionalDouble.of(140_000));
+        set("b", true, 0);
+        run(26, 32, OptionalDouble.of(140_000));
+        assertThat(count(true) + count(false) - 4).isGreaterThanOrEqualTo(6);
+    }
+
+    @Test
+    void endpointsOnDemandLeaveAsReclaimableOnesComeBack() {
+        run(0, 20, OptionalDouble.of(140_000));
+        mDry = true;
+        set("a", true, 0);
+        run(20, 40, OptionalDouble.of(140_000));
+        assertThat(count(false)).isPositive();
+        mDry = false;
+        run(40, 80, OptionalDouble.of(140_000));
+        assertThat(count(false)).isZero();
+        assertThat(count(true)).isEqualTo(12);
+    }
+
+    @Test
+    void orderThatShowsNoEffectIsRepeatedAfterItsStart() {
+        assertThat(mPlanner.plan(SERVICE, mEndpoints, OptionalDouble.of(70_000), START))
+                .isNotEmpty();
+        assertThat(
+                        mPlanner.plan(
+                                SERVICE,
+                                mEndpoints,
+                                OptionalDouble.of(70_000),
+                                START.plusSeconds(1)))
+                .isEmpty();
+        assertThat(
+                        mPlanner.plan(
+                                SERVICE,
+                                mEndpoints,
+                                OptionalDouble.of(70_000),
+                                START.plusSeconds(7)))
+                .isNotEmpty();
+    }
+
+    @Test
+    void serviceWithoutLimitsIsLeftAlone() {
+        final ServiceSpec plain = new ServiceSpec("api", 100, false, Optional.empty());
+        assertThat(mPlanner.plan(plain, mEndpoints, OptionalDouble.empty(), START)).isEmpty();
+    }
+}
--- /dev/null
+++ b/serving/src/test/java/org/whinhead/serving/capacity/DemandMeterTest.java
@@ -0,0 +1,47 @@
+package org.whinhead.serving.capacity;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Instant;
+import org.assertj.core.data.Percentage;
+import org.junit.jupiter.api.Test;
+
+class DemandMeterTest {
+
+    private static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
+
+    private final DemandMeter mMeter = new DemandMeter();
+
+    private void run(final int fromSecond, final int toSecond, final long tokensPerSecond) {
+        for (int second = fromSecond; second <= toSecond; second++) {
+            mTokens += tokensPerSecond;
+            mMeter.total(mTokens, START.plusSeconds(second));
+        }
+    }
+
+    private long mTokens;
+
+    @Test
+    void nothingIsKnownWithoutTraffic() {
+        run(0, 10, 0);
+        assertThat(mMeter.tokensPerSecond()).isEmpty();
+    }
+
+    @Test
+    void rateIsMeasured() {
+        run(0, 10, 50_000);
+        assertThat(mMeter.tokensPerSecond().orElseThrow())
+                .isCloseTo(50_000, Percentage.withPercentage(5));
+    }
+
+    // Endpoints are ordered away as a wave ebbs, and are missing twenty seconds later.
+    @Test
+    void peakIsForgottenSlowly() {
+        run(0, 10, 100_000);
+        run(11, 25, 40_000);
+        assertThat(mMeter.tokensPerSecond().orElseThrow()).isBetween(50_000.0, 75_000.0);
+        run(26, 120, 40_000);
+        assertThat(mMeter.tokensPerSecond().orElseThrow())
+                .isCloseTo(40_000, Percentage.withPercentage(5));
+    }
+}
