--- a/serving/src/main/java/org/whinhead/serving/capacity/CapacityPlanner.java
+++ b/serving/src/main/java/org/whinhead/serving/capacity/CapacityPlanner.java
@@ -75,15 +75,15 @@
         final ScalingLimits limits = service.scaling().get();
         final Collection<DomainCapacity> domains = domains(service.name(), limits, endpoints);
         final int need = need(service.name(), demand, endpoints.size());
-        balanceOnDemand(service.name(), domains, limits, need, now);
         final int reclaimable =
                 Math.max(
                         (int) Math.ceil(need * mSettings.reserve() / domains.size()),
                         limits.least());
+        domains.forEach(domain -> domain.wantReclaimable(reclaimable));
+        balanceOnDemand(service.name(), domains, limits, need, now);
         final List<CapacityOrder> orders = new ArrayList<>();
         for (final DomainCapacity domain : domains) {
-            final int goal = domain.reclaimableGoal(reclaimable);
-            add(orders, service, domain, true, goal, now);
+            add(orders, service, domain, true, domain.reclaimableGoal(), now);
             add(orders, service, domain, false, domain.onDemandGoal(), now);
         }
         return orders;
@@ -105,7 +105,7 @@
     }
 
     private int need(final String service, final OptionalDouble demand, final int present) {
-        final int initial = mInitial.computeIfAbsent(service, name -> present);
+        final int initial = mInitial.merge(service, present, Math::max);
         final double need =
                 demand.isPresent()
                         ? demand.getAsDouble() / mSettings.tokensPerEndpoint()
@@ -144,8 +144,7 @@
         }
         for (int left = surplus; left > 0; left--) {
             domains.stream()
-                    .filter(domain -> domain.onDemandGoal() > 0)
-                    .filter(domain -> domain.onDemandGoal() + domain.now(true) > limits.least())
+                    .filter(domain -> domain.mayGiveUpOnDemand(limits.least()))
                     .max(
                             Comparator.comparingInt(DomainCapacity::onDemandGoal)
                                     .thenComparing(byPrice))
@@ -184,6 +183,9 @@
      * @param taken whether it was accepted; if not, none of that kind are to be had there
      */
     public void answered(final CapacityOrder order, final boolean taken) {
+        if (order.reclaimable()) {
+            mServices.get(order.service()).get(order.domain()).reclaimableAnswered(taken);
+        }
         if (taken) {
             mRefused.remove(order);
         } else {
--- a/serving/src/main/java/org/whinhead/serving/capacity/DomainCapacity.java
+++ b/serving/src/main/java/org/whinhead/serving/capacity/DomainCapacity.java
@@ -11,6 +11,8 @@
     private int mOnDemandNow;
     private int mReclaimableNow;
     private int mOnDemandGoal = -1;
+    private int mReclaimableWanted;
+    private boolean mOutOfStock;
 
     DomainCapacity(final String domain, final int most) {
         mDomain = domain;
@@ -47,15 +49,42 @@
         return mOnDemandGoal;
     }
 
+    /** Sets how many reclaimable endpoints there should be, as far as there is room. */
+    void wantReclaimable(final int wanted) {
+        mReclaimableWanted = wanted;
+    }
+
+    int reclaimableGoal() {
+        final int onDemand = Math.max(mOnDemandNow, mOnDemandGoal);
+        return Math.min(mReclaimableWanted, Math.max(mMost - onDemand, 0));
+    }
+
+    /** Notes whether the platform had reclaimable endpoints when they were ordered last. */
+    void reclaimableAnswered(final boolean taken) {
+        mOutOfStock = !taken;
+    }
+
+    /** Counts reclaimable endpoints that serve or are on their way. */
+    int reclaimableExpected() {
+        return mOutOfStock ? mReclaimableNow : Math.max(mReclaimableNow, reclaimableGoal());
+    }
+
     /** Counts endpoints that serve or are on their way. */
     int expected() {
-        return Math.max(mOnDemandNow, mOnDemandGoal) + mReclaimableNow;
+        return Math.max(mOnDemandNow, mOnDemandGoal) + reclaimableExpected();
     }
 
     boolean hasRoom() {
         return mOnDemandGoal + mReclaimableNow < mMost;
     }
 
+    /** Tells whether an endpoint on demand can go: those that replace it must be there. */
+    boolean mayGiveUpOnDemand(final int least) {
+        return mOnDemandGoal > 0
+                && mOnDemandGoal + mReclaimableNow > least
+                && mReclaimableNow >= reclaimableGoal();
+    }
+
     void addOnDemand() {
         mOnDemandGoal++;
     }
@@ -63,8 +92,4 @@
     void removeOnDemand() {
         mOnDemandGoal--;
     }
-
-    int reclaimableGoal(final int wanted) {
-        return Math.min(wanted, Math.max(mMost - Math.max(mOnDemandNow, mOnDemandGoal), 0));
-    }
 }
