Move runs off leaving endpoints

An accepted request is to survive an announced reclaim; a stream that may not be resumed was cut. 1.4 s before a leaving endpoint is gone its streams still running are stopped there, their memory copied, and they go on at another endpoint behind the last event.

--- a/gateway/src/main/java/org/whinhead/gateway/Gateway.java
+++ b/gateway/src/main/java/org/whinhead/gateway/Gateway.java
@@ -128,7 +128,12 @@
                 new EndpointConnections(loop, clock, ports.endpoints());
         mExchanges =
                 new Exchanges(
-                        loop, mState, connections, ports.endpoints(), new RequestJournal(clock));
+                        loop,
+                        mState,
+                        connections,
+                        ports.endpoints(),
+                        new RequestJournal(clock),
+                        ports.mover());
         mCallers = new CallerListener(loop, ports.callers(), mExchanges, this::limits);
         mConfigurationWatch =
                 new ConfigurationWatch(mState, ports.configurations(), ports.configurationKey());
@@ -148,6 +153,7 @@
                                 new DutyLease(incarnation, settings.leaseTerm()),
                                 new UsagePlan(windows, mState.usage(), timeOfDay.instant()),
                                 new CapacityPlanner(settings.capacity())));
+        mEndpointWatch.onLeaving(entry -> mExchanges.endpointLeaves(entry.id(), entry.leavesIn()));
         mEndpointWatch.onChange(mDuties::orderEndpoints);
     }
 
--- a/gateway/src/main/java/org/whinhead/gateway/GatewayPorts.java
+++ b/gateway/src/main/java/org/whinhead/gateway/GatewayPorts.java
@@ -3,6 +3,7 @@
 import org.whinhead.gateway.caller.CallerProtocol;
 import org.whinhead.gateway.duty.CloudDuties;
 import org.whinhead.gateway.endpoint.EndpointProtocol;
+import org.whinhead.gateway.endpoint.RunMover;
 import org.whinhead.gateway.store.ConfigurationDecoder;
 import org.whinhead.gateway.store.EndpointDecoder;
 import org.whinhead.gateway.store.MetadataStore;
@@ -12,6 +13,7 @@
  *
  * @param callers how callers spell their requests
  * @param endpoints how endpoints are spoken to
+ * @param mover moves runs off leaving endpoints
  * @param directory how callers ask for addresses
  * @param store the platform's store
  * @param cloud the platform's calls for one daemon at a time
@@ -22,6 +24,7 @@
 public record GatewayPorts(
         CallerProtocol callers,
         EndpointProtocol endpoints,
+        RunMover mover,
         DirectoryProtocol directory,
         MetadataStore store,
         CloudDuties cloud,
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointOrder.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointOrder.java
@@ -13,13 +13,15 @@
  * @param timeLeft how long the caller still waits
  * @param priority the rank of the request, 0 first
  * @param resumeAfter the event after which a stream goes on, if it was broken off
+ * @param continued the stopped run whose memory the endpoint has, if it goes on with one
  */
 public record EndpointOrder(
         EndpointEntry endpoint,
         Optional<String> customer,
         Duration timeLeft,
         int priority,
-        Optional<String> resumeAfter) {
+        Optional<String> resumeAfter,
+        Optional<MovedRun> continued) {
 
     /** Checks the parts. */
     public EndpointOrder {
@@ -27,5 +29,6 @@
         Objects.requireNonNull(customer, "customer");
         Objects.requireNonNull(timeLeft, "timeLeft");
         Objects.requireNonNull(resumeAfter, "resumeAfter");
+        Objects.requireNonNull(continued, "continued");
     }
 }
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
@@ -20,6 +20,8 @@
 import org.whinhead.gateway.endpoint.EndpointConnection;
 import org.whinhead.gateway.endpoint.EndpointFailure;
 import org.whinhead.gateway.endpoint.EndpointOrder;
+import org.whinhead.gateway.endpoint.MoveOutcome;
+import org.whinhead.gateway.endpoint.MovedRun;
 import org.whinhead.serving.balance.Placement;
 import org.whinhead.serving.route.Route;
 
@@ -42,6 +44,9 @@
      */
     private static final int MOST_CONNECT_FAILURES = 4;
 
+    /** How long the last events of a stopped run may take behind the answer that it was stopped. */
+    private static final Duration STREAM_END_PATIENCE = Duration.ofMillis(150);
+
     /** Part of the target latency after which an idempotent request is sent to another endpoint. */
     private static final double PATIENCE_PART = 0.6;
 
@@ -72,6 +77,8 @@
     private int mSends;
     private int mConnectFailures;
     private int mDispatch;
+    private RunMove mMove;
+    private MovedRun mContinued;
     private boolean mMayHaveRun;
     private boolean mCounted;
     private boolean mStarted;
@@ -126,6 +133,10 @@
         }
         mPlacement = place.get();
         mTried.add(mPlacement.endpoint().id());
+        open();
+    }
+
+    private void open() {
         mDispatch++;
         final int dispatch = mDispatch;
         mExchanges
@@ -142,7 +153,9 @@
             return;
         }
         mConnection = connection;
-        mSends++;
+        if (mContinued == null) {
+            mSends++;
+        }
         mSentAt = now();
         mHead = null;
         final EndpointOrder order =
@@ -151,7 +164,9 @@
                         mAdmission.customerName(),
                         timeLeft(),
                         mAdmission.priority(),
-                        mLastEvent);
+                        mLastEvent,
+                        Optional.ofNullable(mContinued));
+        mContinued = null;
         connection.send(
                 mExchanges.protocol().encode(mAdmission.request(), order, mBody.readableBytes()),
                 mBody.retainedDuplicate(),
@@ -313,6 +328,11 @@
         if (mHead == null) {
             return;
         }
+        if (mMove != null && mEvents.pendingBytes() == 0) {
+            // The run may have been over before the source got the order to stop it.
+            mMove.target().ended();
+            mMove = null;
+        }
         if (isStream() && mEvents.pendingBytes() > 0) {
             attemptFailed(Verdict.MAY_HAVE_RUN, "stream ended within an event");
             return;
@@ -330,6 +350,12 @@
 
     @Override
     public void failed(final EndpointFailure failure) {
+        if (mMove != null) {
+            mConnection = null;
+            mMove.streamEnded();
+            goOnIfMoved();
+            return;
+        }
         attemptFailed(failure.verdict(), failure.name());
     }
 
@@ -346,6 +372,91 @@
         }
     }
 
+    /** Has the run moved in time, as its endpoint leaves before it may be over. */
+    void endpointLeaves(final String endpoint, final Duration moveAfter) {
+        final boolean running = !mDone && mPlacement != null && mConnection != null;
+        if (!running || !mPlacement.endpoint().id().equals(endpoint)) {
+            return;
+        }
+        final int dispatch = mDispatch;
+        mExchanges
+                .loop()
+                .schedule(() -> move(dispatch), moveAfter.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    private void move(final int dispatch) {
+        final boolean movable = mStarted && mConnection != null && isStream() && mMove == null;
+        if (mDone || dispatch != mDispatch || !movable) {
+            return;
+        }
+        final ServingState state = mExchanges.state();
+        final Optional<Placement> target =
+                state.chooser()
+                        .place(
+                                state.endpoints().usable(mService),
+                                mAdmission.request().work(),
+                                Set.of(mPlacement.endpoint().id()),
+                                now());
+        if (target.isEmpty() || !state.retryBudget().tryRetry(mService, now())) {
+            target.ifPresent(Placement::ended);
+            return;
+        }
+        mMove = new RunMove(target.get());
+        final RunMove move = mMove;
+        mExchanges
+                .mover()
+                .move(mPlacement.endpoint(), mAdmission.request().id(), target.get().endpoint())
+                .whenComplete((outcome, failure) -> moved(move, outcome, failure));
+    }
+
+    private void moved(final RunMove move, final MoveOutcome outcome, final Throwable failure) {
+        if (mDone || mMove != move) {
+            move.target().ended();
+            return;
+        }
+        mExchanges
+                .journal()
+                .moved(mAdmission, mPlacement.endpoint(), move.target(), outcome, failure);
+        if (failure != null || outcome.run().isEmpty()) {
+            mMove = null;
+            move.target().ended();
+            if (move.isStreamEnded()) {
+                attemptFailed(Verdict.MAY_HAVE_RUN, "run was not moved");
+            }
+            return;
+        }
+        move.stopped(outcome.run().get(), outcome.copied() ? move.target() : mPlacement);
+        if (!move.isStreamEnded()) {
+            mExchanges
+                    .loop()
+                    .schedule(
+                            () -> endOldStream(move),
+                            STREAM_END_PATIENCE.toMillis(),
+                            TimeUnit.MILLISECONDS);
+        }
+        goOnIfMoved();
+    }
+
+    private void endOldStream(final RunMove move) {
+        if (!mDone && mMove == move && !move.isStreamEnded()) {
+            move.streamEnded();
+            goOnIfMoved();
+        }
+    }
+
+    private void goOnIfMoved() {
+        if (mMove == null || !mMove.isComplete()) {
+            return;
+        }
+        final RunMove move = mMove;
+        mMove = null;
+        leaveEndpoint();
+        mPlacement = move.goesOnAt();
+        mTried.add(mPlacement.endpoint().id());
+        mContinued = move.run();
+        open();
+    }
+
     private boolean mayRetry() {
         return mSends < mAdmission.route().maxAttempts()
                 && timeLeft().compareTo(LEAST_TIME_LEFT) > 0
@@ -428,7 +539,11 @@
 
     private void done(final String outcome, final int status) {
         mDone = true;
+        mExchanges.ended(this);
         mDeadlineTimer.cancel(false);
+        if (mMove != null) {
+            mMove.target().ended();
+        }
         leaveEndpoint();
         mBody.release();
         mKept.release();
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/Exchanges.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/Exchanges.java
@@ -5,13 +5,17 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.whinhead.gateway.caller.CallerAnswer;
 import org.whinhead.gateway.caller.CallerRequest;
 import org.whinhead.gateway.caller.CallerRequestHandler;
 import org.whinhead.gateway.caller.Refusal;
 import org.whinhead.gateway.endpoint.EndpointConnections;
 import org.whinhead.gateway.endpoint.EndpointProtocol;
+import org.whinhead.gateway.endpoint.RunMover;
 import org.whinhead.serving.configuration.CustomerAccount;
 import org.whinhead.serving.configuration.ServingConfiguration;
 import org.whinhead.serving.route.Route;
@@ -22,11 +26,22 @@
     /** When a caller comes back that came before this daemon knew any configuration. */
     private static final Duration NO_CONFIGURATION_RETRY = Duration.ofMillis(300);
 
+    /** How long an endpoint serves on that only says that it is leaving: the platform's least. */
+    private static final Duration USUAL_NOTICE = Duration.ofMillis(2_000);
+
+    /**
+     * What is kept of a notice for moving: it is read up to 0.8 s late, and the copies of a full
+     * endpoint take some 0.3 s. Most runs are over before, and need no move.
+     */
+    private static final Duration MOVE_TIME = Duration.ofMillis(1_400);
+
     private final EventLoop mLoop;
     private final ServingState mState;
     private final EndpointConnections mConnections;
     private final EndpointProtocol mProtocol;
     private final RequestJournal mJournal;
+    private final RunMover mMover;
+    private final Set<Exchange> mRunning = new HashSet<>();
     private boolean mClosedForStreams;
 
     /**
@@ -37,18 +52,21 @@
      * @param connections the connections to endpoints
      * @param protocol how endpoints are spoken to
      * @param journal logs what became of each request
+     * @param mover moves runs off leaving endpoints
      */
     public Exchanges(
             final EventLoop loop,
             final ServingState state,
             final EndpointConnections connections,
             final EndpointProtocol protocol,
-            final RequestJournal journal) {
+            final RequestJournal journal,
+            final RunMover mover) {
         mLoop = loop;
         mState = state;
         mConnections = connections;
         mProtocol = protocol;
         mJournal = journal;
+        mMover = mover;
     }
 
     /** Refuses streams from now on, as this daemon stops before they would end. */
@@ -110,10 +128,27 @@
                         new Admission(request, route.get(), customer, tokens, arrivedAt),
                         body,
                         answer);
+        mRunning.add(exchange);
         exchange.start();
         return exchange;
     }
 
+    /**
+     * Moves what runs at a leaving endpoint before it is gone.
+     *
+     * @param endpoint the endpoint's id
+     * @param leavesIn how much longer it serves, as far as it says
+     */
+    public void endpointLeaves(final String endpoint, final Optional<Duration> leavesIn) {
+        final Duration moveAfter = leavesIn.orElse(USUAL_NOTICE).minus(MOVE_TIME);
+        final Duration delay = moveAfter.isNegative() ? Duration.ZERO : moveAfter;
+        List.copyOf(mRunning).forEach(exchange -> exchange.endpointLeaves(endpoint, delay));
+    }
+
+    void ended(final Exchange exchange) {
+        mRunning.remove(exchange);
+    }
+
     private Running refuse(
             final CallerRequest request,
             final ByteBuf body,
@@ -141,6 +176,10 @@
         return mProtocol;
     }
 
+    RunMover mover() {
+        return mMover;
+    }
+
     RequestJournal journal() {
         return mJournal;
     }
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/RequestJournal.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/RequestJournal.java
@@ -7,6 +7,7 @@
 import org.whinhead.api.verdict.Verdict;
 import org.whinhead.gateway.caller.CallerRequest;
 import org.whinhead.gateway.caller.Refusal;
+import org.whinhead.gateway.endpoint.MoveOutcome;
 import org.whinhead.serving.balance.Placement;
 import org.whinhead.serving.configuration.CustomerAccount;
 import org.whinhead.serving.endpoint.EndpointEntry;
@@ -64,6 +65,21 @@
                 .log("attempt failed");
     }
 
+    void moved(
+            final Admission admission,
+            final EndpointEntry source,
+            final Placement target,
+            final MoveOutcome outcome,
+            final Throwable failure) {
+        LOG.atInfo()
+                .addKeyValue("request", admission.request().id())
+                .addKeyValue("source", source.id())
+                .addKeyValue("target", target.endpoint().id())
+                .addKeyValue("outcome", String.valueOf(outcome))
+                .addKeyValue("failure", String.valueOf(failure))
+                .log("run moved");
+    }
+
     void finished(
             final Admission admission,
             final Placement placement,
--- a/gateway/src/main/java/org/whinhead/gateway/store/EndpointWatch.java
+++ b/gateway/src/main/java/org/whinhead/gateway/store/EndpointWatch.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -21,6 +22,7 @@
     private final EndpointConnections mConnections;
     private final EndpointDecoder mDecoder;
     private Runnable mOnChange = () -> {};
+    private Consumer<EndpointEntry> mOnLeaving = entry -> {};
     private Runnable mOnRead = () -> {};
     private boolean mLoaded;
 
@@ -49,6 +51,15 @@
         mOnChange = onChange;
     }
 
+    /**
+     * Sets what is done when an endpoint announces to leave, or is gone from the store.
+     *
+     * @param onLeaving takes the endpoint's last entry
+     */
+    public void onLeaving(final Consumer<EndpointEntry> onLeaving) {
+        mOnLeaving = onLeaving;
+    }
+
     /**
      * Sets what is done behind each read.
      *
@@ -94,6 +105,7 @@
 
     private boolean take(final StoreRecord record) {
         if (record.value().isEmpty()) {
+            registry().find(record.key()).ifPresent(mOnLeaving);
             registry().remove(record.key(), record.offset(), now());
             LOG.atInfo().addKeyValue("endpoint", record.key()).log("endpoint entry removed");
             return true;
@@ -116,6 +128,9 @@
                     .addKeyValue("leaving", entry.leaving())
                     .addKeyValue("offset", record.offset())
                     .log("endpoint changed");
+            if (entry.leaving()) {
+                mOnLeaving.accept(entry);
+            }
         }
         return changed;
     }
