Count the grace of lapsed entries from the store's return

Ruled out: a hung read (the log has the read before and after). The grace now ends 2.5 s after the last failed read, so at most 2 s after a removal that the store acknowledged in calm. Endpoints on demand are kept 4 s of surplus.

--- a/serving/src/main/java/org/whinhead/serving/capacity/CapacityPlanner.java
+++ b/serving/src/main/java/org/whinhead/serving/capacity/CapacityPlanner.java
@@ -34,7 +34,7 @@
     private static final Duration BOOT_MARGIN = Duration.ofSeconds(2);
 
     /** How long a surplus lasts before endpoints on demand are given up. */
-    private static final Duration SURPLUS_FOR = Duration.ofSeconds(2);
+    private static final Duration SURPLUS_FOR = Duration.ofSeconds(4);
 
     /** Part of the endpoints present at the start that are taken as needed until traffic comes. */
     private static final double INITIAL_NEED = 2.0 / 3;
--- a/serving/src/main/java/org/whinhead/serving/endpoint/EndpointRegistry.java
+++ b/serving/src/main/java/org/whinhead/serving/endpoint/EndpointRegistry.java
@@ -23,12 +23,12 @@
 public final class EndpointRegistry {
 
     /**
-     * How long an entry that lapsed around an outage may stay missing; the store's promise is 2 s.
+     * How long after the last failed read a missing entry may still come back: the store's promise
+     * of two seconds from its return, and the time in which the return is noticed. It does not
+     * count from the removal, since an endpoint that is truly gone must get no new work two seconds
+     * after that.
      */
-    static final Duration LAPSE_GRACE = Duration.ofMillis(2_300);
-
-    /** How long after an outage a removal still counts as caused by it: three missed heartbeats. */
-    static final Duration OUTAGE_SHADOW = Duration.ofMillis(1_500);
+    static final Duration LAPSE_GRACE = Duration.ofMillis(2_500);
 
     /** Spreads the hashes of single entries, so that their sum tells sets apart. */
     private static final long SPREAD_FACTOR = 0x9E3779B97F4A7C15L;
@@ -55,8 +55,8 @@
         if (leaving) {
             mOnceLeaving.add(entry.id());
         }
-        mRecords.put(entry.id(), new Record(entry, offset, leaving, null));
-        return before == null || before.mLeaving != leaving || before.mMissingSince != null;
+        mRecords.put(entry.id(), new Record(entry, offset, leaving, false));
+        return before == null || before.mLeaving != leaving || before.mMissing;
     }
 
     /**
@@ -95,13 +95,13 @@
 
     private void lapse(final Record record, final Instant now) {
         final String id = record.mEntry.id();
-        final boolean aroundOutage = now.isBefore(mLastOutage.plus(OUTAGE_SHADOW));
+        final boolean aroundOutage = now.isBefore(mLastOutage.plus(LAPSE_GRACE));
         if (record.mLeaving || !aroundOutage) {
             mRecords.remove(id);
             return;
         }
-        if (record.mMissingSince == null) {
-            mRecords.put(id, new Record(record.mEntry, record.mOffset, false, now));
+        if (!record.mMissing) {
+            mRecords.put(id, new Record(record.mEntry, record.mOffset, false, true));
         }
     }
 
@@ -123,8 +123,7 @@
     public List<String> expire(final Instant now) {
         final List<String> gone = new ArrayList<>();
         for (final Record record : mRecords.values()) {
-            if (record.mMissingSince != null
-                    && now.isAfter(record.mMissingSince.plus(LAPSE_GRACE))) {
+            if (record.mMissing && now.isAfter(mLastOutage.plus(LAPSE_GRACE))) {
                 gone.add(record.mEntry.id());
             }
         }
@@ -166,7 +165,7 @@
     public long summary() {
         long summary = 0;
         for (final Record record : mRecords.values()) {
-            if (record.mMissingSince == null) {
+            if (!record.mMissing) {
                 final int leaving = record.mEntry.leaving() ? 1 : 0;
                 final long hash = 31L * record.mEntry.id().hashCode() + leaving;
                 summary += hash * SPREAD_FACTOR;
@@ -183,7 +182,7 @@
     public void replacedAtAddress(final String id) {
         mOnceLeaving.add(id);
         mRecords.computeIfPresent(
-                id, (key, record) -> new Record(record.mEntry, record.mOffset, true, null));
+                id, (key, record) -> new Record(record.mEntry, record.mOffset, true, false));
     }
 
     /**
@@ -199,17 +198,17 @@
         private final EndpointEntry mEntry;
         private final long mOffset;
         private final boolean mLeaving;
-        private final Instant mMissingSince;
+        private final boolean mMissing;
 
         private Record(
                 final EndpointEntry entry,
                 final long offset,
                 final boolean leaving,
-                final Instant missingSince) {
+                final boolean missing) {
             mEntry = entry;
             mOffset = offset;
             mLeaving = leaving;
-            mMissingSince = missingSince;
+            mMissing = missing;
         }
     }
 }
--- a/serving/src/main/java/org/whinhead/serving/member/MemberTable.java
+++ b/serving/src/main/java/org/whinhead/serving/member/MemberTable.java
@@ -14,8 +14,8 @@
 /** Which daemons are up, and which of them callers should use. */
 public final class MemberTable {
 
-    /** A daemon that was not heard for this long gets no new callers; five reports are missed. */
-    static final Duration QUIET_AFTER = Duration.ofMillis(1_200);
+    /** A daemon that was not heard for this long gets no new callers; four reports are missed. */
+    static final Duration QUIET_AFTER = Duration.ofMillis(900);
 
     /** A daemon that was not heard for this long is forgotten. */
     static final Duration FORGOTTEN_AFTER = Duration.ofSeconds(20);
--- a/serving/src/test/java/org/whinhead/serving/endpoint/EndpointRegistryTest.java
+++ b/serving/src/test/java/org/whinhead/serving/endpoint/EndpointRegistryTest.java
@@ -68,6 +68,18 @@
         assertThat(mRegistry.usable("pool")).isEmpty();
     }
 
+    // A request reaches a server 2.2 s after its entry was removed. Just before, the store had
+    // turned
+    // this daemon away for some seconds, and the removal was taken for a lapse.
+    @Test
+    void removalSoonAfterAnOutageTakesEffectInTime() {
+        mRegistry.put(entry("e1", false), 1);
+        mRegistry.storeUnreachable(START);
+        mRegistry.remove("e1", 2, START.plusMillis(1_200));
+        assertThat(mRegistry.usable("pool")).hasSize(1);
+        assertThat(mRegistry.expire(START.plusMillis(2_600))).containsExactly("e1");
+    }
+
     @Test
     void lapsedEntryThatComesBackStays() {
         mRegistry.put(entry("e1", false), 1);
