Judge demand once traffic has settled

Ruled out: processor time (0.03 of a core). Before that the planner keeps to the endpoints there were; and the need falls only with some slack, as orders went 2, 4, 3 within seconds.

--- a/serving/src/main/java/org/whinhead/serving/capacity/CapacityPlanner.java
+++ b/serving/src/main/java/org/whinhead/serving/capacity/CapacityPlanner.java
@@ -36,12 +36,16 @@
     /** How long a surplus lasts before endpoints on demand are given up. */
     private static final Duration SURPLUS_FOR = Duration.ofSeconds(4);
 
+    /** How far the need must fall before fewer endpoints are kept; they come and go in seconds. */
+    private static final double NEED_SLACK = 1.3;
+
     /** Part of the endpoints present at the start that are taken as needed until traffic comes. */
     private static final double INITIAL_NEED = 2.0 / 3;
 
     private final CapacitySettings mSettings;
     private final Map<String, Map<String, DomainCapacity>> mServices = new HashMap<>();
     private final Map<String, Integer> mInitial = new HashMap<>();
+    private final Map<String, Integer> mNeeds = new HashMap<>();
     private final Map<CapacityOrder, Instant> mSent = new HashMap<>();
     private final Set<CapacityOrder> mRefused = new HashSet<>();
     private final Map<String, Instant> mSurplusSince = new HashMap<>();
@@ -106,11 +110,16 @@
 
     private int need(final String service, final OptionalDouble demand, final int present) {
         final int initial = mInitial.merge(service, present, Math::max);
-        final double need =
-                demand.isPresent()
-                        ? demand.getAsDouble() / mSettings.tokensPerEndpoint()
-                        : initial * INITIAL_NEED;
-        return (int) Math.max(Math.ceil(need), 1);
+        if (demand.isEmpty()) {
+            final int before = mNeeds.getOrDefault(service, 0);
+            return Math.max(before, (int) Math.ceil(initial * INITIAL_NEED));
+        }
+        final double need = demand.getAsDouble() / mSettings.tokensPerEndpoint();
+        final int held = mNeeds.getOrDefault(service, 0);
+        if (need > held || need + NEED_SLACK < held) {
+            mNeeds.put(service, (int) Math.max(Math.ceil(need), 1));
+        }
+        return mNeeds.get(service);
     }
 
     /** Sets how many endpoints on demand are wanted, so that any domain's reclaim leaves enough. */
--- a/serving/src/main/java/org/whinhead/serving/capacity/DemandMeter.java
+++ b/serving/src/main/java/org/whinhead/serving/capacity/DemandMeter.java
@@ -21,11 +21,16 @@
     /** Below this rate there is no traffic to judge by. */
     private static final double LEAST_RATE = 1_000;
 
+    /** How long traffic must have lasted: the first span is partly without, and far too low. */
+    private static final Duration SETTLED_AFTER = Duration.ofSeconds(6);
+
     private static final double MILLIS_PER_SECOND = 1_000;
 
     private long mTokensAtStart;
     private Instant mStart;
     private Instant mDecayedAt;
+    private Instant mTrafficSince;
+    private boolean mSettled;
     private double mRate;
 
     /**
@@ -51,15 +56,27 @@
             mRate = Math.max(mRate, rate);
             mStart = now;
             mTokensAtStart = tokensInAll;
+            settle(now);
+        }
+    }
+
+    private void settle(final Instant now) {
+        if (mRate < LEAST_RATE) {
+            mTrafficSince = null;
+            mSettled = false;
+        } else if (mTrafficSince == null) {
+            mTrafficSince = now;
+        } else if (!now.isBefore(mTrafficSince.plus(SETTLED_AFTER))) {
+            mSettled = true;
         }
     }
 
     /**
      * Returns the rate to be prepared for.
      *
-     * @return tokens a second; empty while there is no traffic
+     * @return tokens a second; empty while there is no traffic, or hardly any was seen
      */
     public OptionalDouble tokensPerSecond() {
-        return mRate < LEAST_RATE ? OptionalDouble.empty() : OptionalDouble.of(mRate);
+        return mSettled ? OptionalDouble.of(mRate) : OptionalDouble.empty();
     }
 }
