--- a/serving/src/test/java/org/whinhead/serving/capacity/DemandMeterTest.java
+++ b/serving/src/test/java/org/whinhead/serving/capacity/DemandMeterTest.java
@@ -43,7 +43,7 @@
 
     @Test
     void rateIsMeasured() {
-        run(0, 14, 50_000);
+        run(0, 15, 50_000);
         assertThat(mMeter.tokensPerSecond().orElseThrow())
                 .isCloseTo(50_000, Percentage.withPercentage(5));
     }
