--- a/gateway/src/main/java/org/whinhead/gateway/Gateway.java
+++ b/gateway/src/main/java/org/whinhead/gateway/Gateway.java
@@ -74,6 +74,9 @@
     /** What is left of the grace when the daemon ends with requests under way. */
     private static final Duration STOP_MARGIN = Duration.ofMillis(500);
 
+    /** How exactly the grace of a lapsed entry is kept. */
+    private static final int LAPSE_CHECK_MILLIS = 200;
+
     private static final int STOP_CHECK_MILLIS = 100;
 
     private final EventLoop mLoop;
@@ -200,6 +203,11 @@
                 });
         configuration.start();
         endpoints.start();
+        mLoop.scheduleWithFixedDelay(
+                mEndpointWatch::dropLapsed,
+                LAPSE_CHECK_MILLIS,
+                LAPSE_CHECK_MILLIS,
+                TimeUnit.MILLISECONDS);
     }
 
     private TopicFollower follower(
--- a/gateway/src/main/java/org/whinhead/gateway/store/EndpointWatch.java
+++ b/gateway/src/main/java/org/whinhead/gateway/store/EndpointWatch.java
@@ -136,9 +136,7 @@
     }
 
     private void tidy() {
-        registry()
-                .expire(now())
-                .forEach(id -> LOG.atInfo().addKeyValue("endpoint", id).log("endpoint lapsed"));
+        dropLapsed();
         final Set<String> known =
                 registry().all().stream().map(EndpointEntry::id).collect(Collectors.toSet());
         mState.chooser().retain(known);
@@ -146,6 +144,16 @@
         mOnRead.run();
     }
 
+    /**
+     * Drops entries that stayed missing after an outage. It must run at a steady pace: while other
+     * daemons read for this one, no read of its own comes by to do it.
+     */
+    public void dropLapsed() {
+        registry()
+                .expire(now())
+                .forEach(id -> LOG.atInfo().addKeyValue("endpoint", id).log("endpoint lapsed"));
+    }
+
     @Override
     public void unreachable(final Throwable cause) {
         registry().storeUnreachable(now());
