Write the command line's requests on their connection's IO thread

Cause: MainTest.lostAnswerIsAskedForAgainUnderTheSameName failed once with a NullPointerException in HttpRequestConduit.doProcessWrite: the calling thread wrote while the IO thread cleared the connection away. Other uses of that client: HttpCall runs on its IO thread throughout.

--- a/cli/src/main/java/org/whinhead/cli/http/HttpExchange.java
+++ b/cli/src/main/java/org/whinhead/cli/http/HttpExchange.java
@@ -90,13 +90,21 @@
                             request.getRequestHeaders()
                                     .put(Headers.AUTHORIZATION, "Bearer " + text));
             final CompletableFuture<HttpAnswer> answer = new CompletableFuture<>();
-            connection.sendRequest(request, new Sent(body, answer));
+            onIoThread(connection, () -> connection.sendRequest(request, new Sent(body, answer)));
             return await(answer, true);
         } finally {
-            IoUtils.safeClose(connection);
+            onIoThread(connection, () -> IoUtils.safeClose(connection));
         }
     }
 
+    /**
+     * Runs a step where the connection is at home. Its IO thread clears it away when the daemon
+     * closes it; a request written by another thread meanwhile ends in a NullPointerException.
+     */
+    private static void onIoThread(final ClientConnection connection, final Runnable step) {
+        connection.getIoThread().execute(step);
+    }
+
     private ClientConnection connect(final URI base) throws HttpCallException {
         final CompletableFuture<ClientConnection> connection = new CompletableFuture<>();
         UndertowClient.getInstance()
