Count requests for metrics; test the platform's boundary

Counters and a time by kind of route are served on the first port of the range. Architecture tests: only platform/ spells the platform's names and sees no deciding object; serving depends on nothing but Java and the api.

--- a/architecture/src/test/java/org/whinhead/architecture/LayersTest.java
+++ b/architecture/src/test/java/org/whinhead/architecture/LayersTest.java
@@ -22,6 +22,7 @@
         "org.whinhead.admission..",
         "org.whinhead.requests..",
         "org.whinhead.fleet..",
+        "org.whinhead.serving..",
     };
 
     @ArchTest
--- a/gateway/src/main/java/org/whinhead/gateway/Gateway.java
+++ b/gateway/src/main/java/org/whinhead/gateway/Gateway.java
@@ -1,6 +1,9 @@
 package org.whinhead.gateway;
 
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.netty.channel.EventLoop;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
@@ -92,6 +95,8 @@
     private final MemberAnnouncement mAnnouncement;
     private final DutyHolder mDuties;
     private final GatewayPorts mPorts;
+    private final PrometheusMeterRegistry mMeters =
+            new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     private boolean mStopping;
 
     /**
@@ -135,7 +140,7 @@
                         mState,
                         connections,
                         ports.endpoints(),
-                        new RequestJournal(clock),
+                        new RequestJournal(clock, mMeters),
                         ports.mover());
         mCallers = new CallerListener(loop, ports.callers(), mExchanges, this::limits);
         mConfigurationWatch =
@@ -172,6 +177,7 @@
         final SmallHttpServer small = new SmallHttpServer(mLoop);
         small.listen(mSettings.readinessAddress(), "text/plain", target -> readiness());
         small.listen(mSettings.directoryAddress(), "application/json", this::addresses);
+        small.listen(mSettings.metricsAddress(), "text/plain", target -> metrics());
         mCallers.listen(mSettings.self().callerAddress());
         mSettings.contacts().forEach(mPeers::addContact);
         mPeers.start();
@@ -220,6 +226,10 @@
         return new HttpReply(ready ? READY : NOT_READY, new byte[0]);
     }
 
+    private HttpReply metrics() {
+        return new HttpReply(READY, mMeters.scrape().getBytes(StandardCharsets.UTF_8));
+    }
+
     private boolean isReady() {
         final boolean ready =
                 !mStopping
--- a/gateway/src/main/java/org/whinhead/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/whinhead/gateway/GatewaySettings.java
@@ -14,6 +14,7 @@
     private final Member mSelf;
     private final InetSocketAddress mReadinessAddress;
     private final InetSocketAddress mDirectoryAddress;
+    private final InetSocketAddress mMetricsAddress;
     private final List<InetSocketAddress> mContacts;
     private final double mRetryShare;
     private final int mRetryFixed;
@@ -28,6 +29,7 @@
         mSelf = Objects.requireNonNull(builder.mSelf, "self");
         mReadinessAddress = Objects.requireNonNull(builder.mReadinessAddress, "readinessAddress");
         mDirectoryAddress = Objects.requireNonNull(builder.mDirectoryAddress, "directoryAddress");
+        mMetricsAddress = Objects.requireNonNull(builder.mMetricsAddress, "metricsAddress");
         mContacts = List.copyOf(builder.mContacts);
         mRetryShare = builder.mRetryShare;
         mRetryFixed = builder.mRetryFixed;
@@ -60,6 +62,10 @@
         return mDirectoryAddress;
     }
 
+    public InetSocketAddress metricsAddress() {
+        return mMetricsAddress;
+    }
+
     public List<InetSocketAddress> contacts() {
         return mContacts;
     }
@@ -102,6 +108,7 @@
         private Member mSelf;
         private InetSocketAddress mReadinessAddress;
         private InetSocketAddress mDirectoryAddress;
+        private InetSocketAddress mMetricsAddress;
         private List<InetSocketAddress> mContacts = List.of();
         private double mRetryShare;
         private int mRetryFixed;
@@ -130,13 +137,16 @@
          *
          * @param readinessAddress where the platform asks whether this daemon is ready
          * @param directoryAddress where callers ask which addresses to use
+         * @param metricsAddress where metrics are read
          * @return this builder
          */
         public Builder smallCalls(
                 final InetSocketAddress readinessAddress,
-                final InetSocketAddress directoryAddress) {
+                final InetSocketAddress directoryAddress,
+                final InetSocketAddress metricsAddress) {
             mReadinessAddress = readinessAddress;
             mDirectoryAddress = directoryAddress;
+            mMetricsAddress = metricsAddress;
             return this;
         }
 
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/RequestJournal.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/RequestJournal.java
@@ -1,5 +1,6 @@
 package org.whinhead.gateway.exchange;
 
+import io.micrometer.core.instrument.MeterRegistry;
 import java.time.Duration;
 import java.time.InstantSource;
 import org.slf4j.Logger;
@@ -18,17 +19,21 @@
     private static final Logger LOG = LoggerFactory.getLogger(RequestJournal.class);
 
     private final InstantSource mClock;
+    private final MeterRegistry mMeters;
 
     /**
      * Makes a journal.
      *
      * @param clock the steady clock
+     * @param meters counts what is logged
      */
-    public RequestJournal(final InstantSource clock) {
+    public RequestJournal(final InstantSource clock, final MeterRegistry meters) {
         mClock = clock;
+        mMeters = meters;
     }
 
     void refused(final CallerRequest request, final Refusal refusal) {
+        mMeters.counter("whinhead.requests.refused", "reason", refusal.reason()).increment();
         LOG.atInfo()
                 .addKeyValue("request", request.id())
                 .addKeyValue("status", refusal.status().code())
@@ -56,6 +61,8 @@
             final EndpointEntry endpoint,
             final Verdict verdict,
             final String reason) {
+        mMeters.counter("whinhead.attempts.failed", "verdict", verdict.wireName(), "reason", reason)
+                .increment();
         LOG.atInfo()
                 .addKeyValue("request", admission.request().id())
                 .addKeyValue("route", admission.route().name())
@@ -71,6 +78,8 @@
             final Placement target,
             final MoveOutcome outcome,
             final Throwable failure) {
+        mMeters.counter("whinhead.runs.moved", "answered", String.valueOf(failure == null))
+                .increment();
         LOG.atInfo()
                 .addKeyValue("request", admission.request().id())
                 .addKeyValue("source", source.id())
@@ -87,6 +96,10 @@
             final String outcome,
             final int status) {
         final String endpoint = placement == null ? "" : placement.endpoint().id();
+        final Duration taken = Duration.between(admission.arrivedAt(), mClock.instant());
+        final String kind = admission.route().kind().name();
+        mMeters.counter("whinhead.requests.finished", "kind", kind, "outcome", outcome).increment();
+        mMeters.timer("whinhead.requests.time", "kind", kind).record(taken);
         LOG.atInfo()
                 .addKeyValue("request", admission.request().id())
                 .addKeyValue("route", admission.route().name())
@@ -94,9 +107,7 @@
                 .addKeyValue("endpoint", endpoint)
                 .addKeyValue("sends", sends)
                 .addKeyValue("status", status)
-                .addKeyValue(
-                        "millis",
-                        Duration.between(admission.arrivedAt(), mClock.instant()).toMillis())
+                .addKeyValue("millis", taken.toMillis())
                 .addKeyValue("outcome", outcome)
                 .log("request finished");
     }
