--- a/gateway/src/main/java/org/whinhead/gateway/peers/PeerReports.java
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/PeerReports.java
@@ -11,7 +11,10 @@
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import java.net.InetSocketAddress;
 import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -39,21 +42,25 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(PeerReports.class);
 
-    /** The shortest interval of reports. */
-    private static final int LEAST_INTERVAL_MILLIS = 200;
-
-    /** What each daemon adds to the interval: about 45 reports a second arrive at each. */
-    private static final int INTERVAL_MILLIS_PER_DAEMON = 22;
+    /**
+     * The pace of sending: each time a part of the others is sent to, so that no link is filled.
+     */
+    private static final int TICK_MILLIS = 200;
 
     /** Known addresses that a report passes on; a newcomer learns all within a few reports. */
     private static final int CONTACTS = 12;
 
+    /** One report in so many passes addresses on: they are needed by newcomers only. */
+    private static final int REPORTS_PER_CONTACTS = 5;
+
     private final EventLoop mLoop;
     private final ServingState mState;
     private final MemberTable mMembers;
     private final StoreDigests mDigests;
     private final Set<InetSocketAddress> mContacts = new HashSet<>();
     private Channel mChannel;
+    private int mNextReceiver;
+    private long mReports;
     private boolean mLeaving;
 
     /**
@@ -101,38 +108,56 @@
     /** Tells the others at once that this daemon is about to stop. */
     public void leave() {
         mLeaving = true;
-        send();
+        sendToAll(Datagram.newBuilder().setReport(report()).build());
     }
 
     private void tick() {
-        send();
         final Instant now = now();
         mMembers.expire(now);
         mMembers.silent(now).forEach(mState.chooser()::forgetPeer);
         mState.retryBudget().daemons(mMembers.knownCount());
-        final int interval =
-                Math.max(LEAST_INTERVAL_MILLIS, INTERVAL_MILLIS_PER_DAEMON * mMembers.knownCount());
-        mLoop.schedule(this::tick, interval, TimeUnit.MILLISECONDS);
+        sendToNext();
+        mLoop.schedule(this::tick, TICK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    private void send() {
-        send(Datagram.newBuilder().setReport(report()).build());
+    /** Sends to the next part of the others; all get a report within the interval. */
+    private void sendToNext() {
+        final List<InetSocketAddress> receivers = new ArrayList<>(receivers());
+        if (receivers.isEmpty()) {
+            return;
+        }
+        receivers.sort(Comparator.comparing(Addresses::format));
+        final double part = (double) TICK_MILLIS / mMembers.reportInterval().toMillis();
+        final int count = (int) Math.min(Math.ceil(receivers.size() * part), receivers.size());
+        mReports++;
+        final byte[] bytes = Datagram.newBuilder().setReport(report()).build().toByteArray();
+        for (int index = 0; index < count; index++) {
+            mNextReceiver = (mNextReceiver + 1) % receivers.size();
+            write(bytes, receivers.get(mNextReceiver));
+        }
+        mChannel.flush();
+    }
+
+    private Set<InetSocketAddress> receivers() {
+        final Set<InetSocketAddress> receivers = new HashSet<>(mContacts);
+        mMembers.peers().forEach(peer -> receivers.add(peer.peerAddress()));
+        return receivers;
+    }
+
+    private void write(final byte[] bytes, final InetSocketAddress receiver) {
+        mChannel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), receiver));
     }
 
     /** Tells the others what was read of the store, if this daemon reads for them. */
     public void sendDigest() {
         if (mDigests.isReader()) {
-            send(Datagram.newBuilder().setDigest(mDigests.digest()).build());
+            sendToAll(Datagram.newBuilder().setDigest(mDigests.digest()).build());
         }
     }
 
-    private void send(final Datagram datagram) {
+    private void sendToAll(final Datagram datagram) {
         final byte[] bytes = datagram.toByteArray();
-        final Set<InetSocketAddress> receivers = new HashSet<>(mContacts);
-        mMembers.peers().forEach(peer -> receivers.add(peer.peerAddress()));
-        for (final InetSocketAddress receiver : receivers) {
-            mChannel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), receiver));
-        }
+        receivers().forEach(receiver -> write(bytes, receiver));
         mChannel.flush();
     }
 
@@ -175,7 +200,7 @@
                             .setRequests(count.requests()));
         }
         mMembers.peers().stream()
-                .limit(CONTACTS)
+                .limit(mReports % REPORTS_PER_CONTACTS == 0 ? CONTACTS : 0)
                 .forEach(peer -> report.addContacts(Addresses.format(peer.peerAddress())));
         return report.build();
     }
--- a/serving/src/main/java/org/whinhead/serving/limit/CustomerQuotas.java
+++ b/serving/src/main/java/org/whinhead/serving/limit/CustomerQuotas.java
@@ -37,9 +37,12 @@
     /** How long after its last report a daemon is taken to be spending unseen. */
     private static final Duration ASSUMED_FOR = Duration.ofSeconds(12);
 
-    /** Reports come several times a second; a daemon without one for this long is silent. */
+    /** The least time without a report before a daemon is taken to be spending unseen. */
     private static final Duration SILENT_AFTER = Duration.ofMillis(1_500);
 
+    /** The same in intervals of its reports, which are longer where there are many daemons. */
+    private static final double SILENT_INTERVALS = 3;
+
     private static final int MILLIS_PER_SECOND = 1_000;
 
     private final QuotaTolerance mTolerance;
@@ -240,6 +243,7 @@
         private long mSpent;
         private double mAssumed;
         private double mRate;
+        private double mIntervalMillis;
         private Instant mReportedAt;
 
         private Peer(final long spent, final Instant now) {
@@ -249,7 +253,9 @@
 
         private double assume(final double seconds, final Instant now) {
             final Duration silence = Duration.between(mReportedAt, now);
-            if (silence.compareTo(SILENT_AFTER) < 0 || silence.compareTo(ASSUMED_FOR) > 0) {
+            final double silentAfter =
+                    Math.max(SILENT_AFTER.toMillis(), SILENT_INTERVALS * mIntervalMillis);
+            if (silence.toMillis() < silentAfter || silence.compareTo(ASSUMED_FOR) > 0) {
                 return 0;
             }
             final double assumed = mRate * seconds;
@@ -264,6 +270,7 @@
                 return 0;
             }
             final double spent = spentInAll - mSpent;
+            mIntervalMillis += RATE_WEIGHT * (seconds * MILLIS_PER_SECOND - mIntervalMillis);
             mRate += RATE_WEIGHT * (Math.max(spent, 0) / seconds - mRate);
             final double unseen = spent - mAssumed;
             mSpent = spentInAll;
--- a/serving/src/main/java/org/whinhead/serving/member/MemberTable.java
+++ b/serving/src/main/java/org/whinhead/serving/member/MemberTable.java
@@ -14,11 +14,20 @@
 /** Which daemons are up, and which of them callers should use. */
 public final class MemberTable {
 
-    /** A daemon that was not heard for this long gets no new callers; four reports are missed. */
+    /** The shortest interval of the reports of one daemon to another. */
+    private static final Duration LEAST_INTERVAL = Duration.ofMillis(200);
+
+    /** What each daemon adds to the interval: about 45 reports a second arrive at each. */
+    private static final Duration INTERVAL_PER_DAEMON = Duration.ofMillis(22);
+
+    /** Reports that are missed before a daemon counts as silent. */
+    private static final int MISSED_REPORTS = 3;
+
+    /** The least time before a daemon counts as silent, which gets no new callers then. */
     static final Duration QUIET_AFTER = Duration.ofMillis(900);
 
     /** A daemon that was not heard for this long is forgotten. */
-    static final Duration FORGOTTEN_AFTER = Duration.ofSeconds(20);
+    static final Duration FORGOTTEN_AFTER = Duration.ofSeconds(30);
 
     /** Fewer daemons than this in a failure domain are joined by those of other ones. */
     private static final int LEAST_ANSWERS = 2;
@@ -104,7 +113,7 @@
      */
     public List<String> silent(final Instant now) {
         return mPeers.values().stream()
-                .filter(seen -> !seen.isFresh(now))
+                .filter(seen -> !isFresh(seen, now))
                 .map(seen -> seen.mMember.name())
                 .toList();
     }
@@ -116,7 +125,23 @@
      * @return the number, this daemon included
      */
     public int upCount(final Instant now) {
-        return 1 + (int) mPeers.values().stream().filter(seen -> seen.isFresh(now)).count();
+        return 1 + (int) mPeers.values().stream().filter(seen -> isFresh(seen, now)).count();
+    }
+
+    /**
+     * Tells how long the interval of reports is, which grows with the number of daemons.
+     *
+     * @return the interval
+     */
+    public Duration reportInterval() {
+        final Duration grown = INTERVAL_PER_DAEMON.multipliedBy(knownCount());
+        return grown.compareTo(LEAST_INTERVAL) > 0 ? grown : LEAST_INTERVAL;
+    }
+
+    private boolean isFresh(final Seen seen, final Instant now) {
+        final Duration missed = reportInterval().multipliedBy(MISSED_REPORTS);
+        final Duration quiet = missed.compareTo(QUIET_AFTER) > 0 ? missed : QUIET_AFTER;
+        return !seen.mLeaving && !now.isAfter(seen.mAt.plus(quiet));
     }
 
     /**
@@ -141,7 +166,7 @@
             ready.add(mSelf);
         }
         for (final Seen seen : mPeers.values()) {
-            if (seen.mReady && seen.isFresh(now)) {
+            if (seen.mReady && isFresh(seen, now)) {
                 ready.add(seen.mMember);
             }
         }
@@ -165,9 +190,5 @@
             mLeaving = leaving;
             mAt = at;
         }
-
-        private boolean isFresh(final Instant now) {
-            return !mLeaving && !now.isAfter(mAt.plus(QUIET_AFTER));
-        }
     }
 }
--- a/serving/src/main/java/org/whinhead/serving/usage/UsageLedger.java
+++ b/serving/src/main/java/org/whinhead/serving/usage/UsageLedger.java
@@ -17,6 +17,9 @@
     /** Windows that are kept: a report is due two windows after its own. */
     private static final int KEPT_WINDOWS = 6;
 
+    /** Windows that are reported: a window is decided two seconds after its end. */
+    private static final int REPORTED_WINDOWS = 3;
+
     private final String mOwnIncarnation;
     private final TreeMap<Long, Map<String, Map<String, Long>>> mWindows = new TreeMap<>();
 
@@ -64,20 +67,25 @@
     }
 
     /**
-     * Lists this daemon's own counts of the windows that are kept.
+     * Lists this daemon's own counts of the windows that may still be decided.
      *
      * @return the counts
      */
     public List<UsageCount> own() {
         final List<UsageCount> own = new ArrayList<>();
-        mWindows.forEach(
-                (window, daemons) ->
-                        daemons.getOrDefault(mOwnIncarnation, Map.of())
-                                .forEach(
-                                        (customer, requests) ->
-                                                own.add(
-                                                        new UsageCount(
-                                                                window, customer, requests))));
+        if (mWindows.isEmpty()) {
+            return own;
+        }
+        mWindows.tailMap(mWindows.lastKey() - REPORTED_WINDOWS, false)
+                .forEach(
+                        (window, daemons) ->
+                                daemons.getOrDefault(mOwnIncarnation, Map.of())
+                                        .forEach(
+                                                (customer, requests) ->
+                                                        own.add(
+                                                                new UsageCount(
+                                                                        window, customer,
+                                                                        requests))));
         return own;
     }
 
--- a/serving/src/test/java/org/whinhead/serving/member/MemberTableTest.java
+++ b/serving/src/test/java/org/whinhead/serving/member/MemberTableTest.java
@@ -56,6 +56,19 @@
         assertThat(mTable.knownCount()).isEqualTo(2);
     }
 
+    // All daemons of a large deployment take each other for silent, read the store each by itself
+    // and
+    // name no address but their own. Reports come less often there than silence was waited for.
+    @Test
+    void largeDeploymentWaitsLongerForReports() {
+        for (int peer = 0; peer < 60; peer++) {
+            mTable.heard(member("p" + peer, "domain-b", 100 + peer), true, false, START);
+        }
+        assertThat(mTable.reportInterval().toMillis()).isBetween(1_000L, 2_000L);
+        assertThat(mTable.silent(START.plusSeconds(2))).isEmpty();
+        assertThat(mTable.silent(START.plusSeconds(5))).hasSize(60);
+    }
+
     @Test
     void restartIsNoticed() {
         mTable.heard(member("a2", "domain-a", 2), true, false, START);
