--- a/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
@@ -1,8 +1,6 @@
 package org.whinhead.gateway.exchange;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufAllocator;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.util.concurrent.Future;
 import java.time.Duration;
 import java.time.Instant;
@@ -32,12 +30,7 @@
  * followed by another one only if the request surely did not run or may run twice, and the budgets
  * allow it.
  */
-final class Exchange implements AnswerListener, CallerRequestHandler.Running {
-
-    /**
-     * Answers up to this size are kept until they are whole, so that a broken one can be retried.
-     */
-    private static final int KEPT_ANSWER_BYTES = 256 * 1024;
+final class Exchange implements AnswerListener, AnswerRelay.Progress, CallerRequestHandler.Running {
 
     /**
      * Endpoints that are tried in vain, with nothing sent, before the caller is told to come back.
@@ -65,14 +58,11 @@
     private final CallerAnswer mAnswer;
     private final String mService;
     private final Set<String> mTried = new HashSet<>();
-    private final EventSplitter mEvents = new EventSplitter(ByteBufAllocator.DEFAULT);
-    private final ByteBuf mKept = ByteBufAllocator.DEFAULT.buffer(0);
+    private final AnswerRelay mRelay;
     private Future<?> mDeadlineTimer;
     private Future<?> mPatienceTimer;
     private Placement mPlacement;
     private EndpointConnection mConnection;
-    private EndpointAnswer mHead;
-    private Optional<String> mLastEvent;
     private Instant mSentAt;
     private int mSends;
     private int mConnectFailures;
@@ -81,7 +71,6 @@
     private MovedRun mContinued;
     private boolean mMayHaveRun;
     private boolean mCounted;
-    private boolean mStarted;
     private boolean mDone;
 
     Exchange(
@@ -94,7 +83,12 @@
         mBody = body;
         mAnswer = answer;
         mService = admission.route().service(admission.request().id().hashCode());
-        mLastEvent = admission.request().resumeAfter();
+        mRelay =
+                new AnswerRelay(
+                        answer,
+                        admission.route().kind().isStream(),
+                        admission.request().resumeAfter(),
+                        this);
     }
 
     void start() {
@@ -157,14 +151,14 @@
             mSends++;
         }
         mSentAt = now();
-        mHead = null;
+        mRelay.startAttempt();
         final EndpointOrder order =
                 new EndpointOrder(
                         mPlacement.endpoint(),
                         mAdmission.customerName(),
                         timeLeft(),
                         mAdmission.priority(),
-                        mLastEvent,
+                        mRelay.lastEvent(),
                         Optional.ofNullable(mContinued));
         mContinued = null;
         connection.send(
@@ -193,7 +187,7 @@
     }
 
     private void outOfPatience(final int dispatch) {
-        if (mDone || dispatch != mDispatch || mHead != null || !mayRetry()) {
+        if (mDone || dispatch != mDispatch || mRelay.head() != null || !mayRetry()) {
             return;
         }
         mPlacement.load().outcome(true);
@@ -234,74 +228,24 @@
             leaveEndpoint();
             dispatch();
         } else {
-            mHead = answer;
+            mRelay.head(answer);
         }
     }
 
-    private boolean isStream() {
-        return mAdmission.route().kind().isStream() && mHead.isSuccess();
-    }
-
     @Override
     public void body(final ByteBuf bytes) {
-        if (isStream()) {
-            mEvents.add(bytes);
-            passEvents();
-        } else if (mStarted) {
-            pass(bytes.retain());
-        } else {
-            mKept.writeBytes(bytes);
-            if (mKept.readableBytes() > KEPT_ANSWER_BYTES) {
-                startAnswer();
-                pass(mKept.readRetainedSlice(mKept.readableBytes()));
-            }
-        }
+        mRelay.body(bytes);
     }
 
-    private void passEvents() {
-        Optional<ByteBuf> event = mEvents.next();
-        while (event.isPresent() && !mDone) {
-            passEvent(event.get());
-            event = mEvents.next();
-        }
-    }
-
-    private void passEvent(final ByteBuf event) {
-        final Optional<String> id = EventSplitter.id(event);
-        if (id.isPresent() && mLastEvent.isPresent() && !follows(id.get(), mLastEvent.get())) {
-            event.release();
-            return;
-        }
+    @Override
+    public void generating() {
         mPlacement.promptRead();
         countUsage();
-        startAnswer();
-        pass(event);
-        if (id.isPresent()) {
-            mLastEvent = id;
-        }
-    }
-
-    /** Tells whether an event comes behind another one; ids that are no numbers are taken to. */
-    private static boolean follows(final String id, final String last) {
-        try {
-            return Long.parseLong(id) > Long.parseLong(last);
-        } catch (NumberFormatException e) {
-            return !id.equals(last);
-        }
-    }
-
-    private void startAnswer() {
-        if (!mStarted) {
-            mStarted = true;
-            if (isStream()) {
-                mHead.passed().remove(HttpHeaderNames.CONTENT_LENGTH);
-            }
-            mAnswer.start(mHead);
-        }
     }
 
-    private void pass(final ByteBuf bytes) {
-        if (!mAnswer.write(bytes) && mConnection != null) {
+    @Override
+    public void callerLags() {
+        if (mConnection != null) {
             mConnection.reading(false);
         }
     }
@@ -325,26 +269,23 @@
     @Override
     public void end() {
         mConnection = null;
-        if (mHead == null) {
+        final EndpointAnswer head = mRelay.head();
+        if (head == null) {
             return;
         }
-        if (mMove != null && mEvents.pendingBytes() == 0) {
-            // The run may have been over before the source got the order to stop it.
-            mMove.target().ended();
-            mMove = null;
-        }
-        if (isStream() && mEvents.pendingBytes() > 0) {
+        if (!mRelay.isWhole()) {
             attemptFailed(Verdict.MAY_HAVE_RUN, "stream ended within an event");
             return;
         }
-        countUsage();
-        startAnswer();
-        if (mKept.isReadable()) {
-            pass(mKept.readRetainedSlice(mKept.readableBytes()));
+        if (mMove != null) {
+            // The run was over before the source got the order to stop it.
+            mMove.target().ended();
+            mMove = null;
         }
-        mPlacement.load().outcome(mHead.isServerError());
-        final String outcome = mHead.isSuccess() ? "answered" : "answered with a failure";
-        done(outcome, mHead.status().code());
+        countUsage();
+        mRelay.passRest();
+        mPlacement.load().outcome(head.isServerError());
+        done(head.isSuccess() ? "answered" : "answered with a failure", head.status().code());
         mAnswer.finish();
     }
 
@@ -385,7 +326,8 @@
     }
 
     private void move(final int dispatch) {
-        final boolean movable = mStarted && mConnection != null && isStream() && mMove == null;
+        final boolean movable =
+                mRelay.isStarted() && mConnection != null && mRelay.isStream() && mMove == null;
         if (mDone || dispatch != mDispatch || !movable) {
             return;
         }
@@ -460,7 +402,7 @@
     private boolean mayRetry() {
         return mSends < mAdmission.route().maxAttempts()
                 && timeLeft().compareTo(LEAST_TIME_LEFT) > 0
-                && (!mStarted || mAdmission.route().kind().isStream())
+                && (!mRelay.isStarted() || mAdmission.route().kind().isStream())
                 && mExchanges.state().retryBudget().tryRetry(mService, now());
     }
 
@@ -475,13 +417,11 @@
         if (mPlacement != null) {
             mPlacement.ended();
         }
-        mKept.clear();
         mDispatch++;
-        mEvents.clear();
     }
 
     private void giveUp(final String reason) {
-        if (mStarted) {
+        if (mRelay.isStarted()) {
             done("broken off: " + reason, 0);
             mAnswer.abort();
             return;
@@ -515,7 +455,7 @@
             return;
         }
         mMayHaveRun |= mSends > 0;
-        if (mStarted || !mMayHaveRun) {
+        if (mRelay.isStarted() || !mMayHaveRun) {
             giveUp("timed out");
             return;
         }
@@ -546,8 +486,7 @@
         }
         leaveEndpoint();
         mBody.release();
-        mKept.release();
-        mEvents.release();
+        mRelay.release();
         mExchanges.journal().finished(mAdmission, mPlacement, mSends, outcome, status);
     }
 
