--- a/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
@@ -18,7 +18,6 @@
 import org.whinhead.gateway.endpoint.EndpointConnection;
 import org.whinhead.gateway.endpoint.EndpointFailure;
 import org.whinhead.gateway.endpoint.EndpointOrder;
-import org.whinhead.gateway.endpoint.MoveOutcome;
 import org.whinhead.gateway.endpoint.MovedRun;
 import org.whinhead.serving.balance.Placement;
 import org.whinhead.serving.route.Route;
@@ -30,16 +29,17 @@
  * followed by another one only if the request surely did not run or may run twice, and the budgets
  * allow it.
  */
-final class Exchange implements AnswerListener, AnswerRelay.Progress, CallerRequestHandler.Running {
+final class Exchange
+        implements AnswerListener,
+                AnswerRelay.Progress,
+                RunMove.Owner,
+                CallerRequestHandler.Running {
 
     /**
      * Endpoints that are tried in vain, with nothing sent, before the caller is told to come back.
      */
     private static final int MOST_CONNECT_FAILURES = 4;
 
-    /** How long the last events of a stopped run may take behind the answer that it was stopped. */
-    private static final Duration STREAM_END_PATIENCE = Duration.ofMillis(150);
-
     /** Part of the target latency after which an idempotent request is sent to another endpoint. */
     private static final double PATIENCE_PART = 0.6;
 
@@ -277,11 +277,8 @@
             attemptFailed(Verdict.MAY_HAVE_RUN, "stream ended within an event");
             return;
         }
-        if (mMove != null) {
-            // The run was over before the source got the order to stop it.
-            mMove.target().ended();
-            mMove = null;
-        }
+        // The run may have been over before its endpoint got the order to stop it.
+        dropMove();
         countUsage();
         mRelay.passRest();
         mPlacement.load().outcome(head.isServerError());
@@ -294,7 +291,6 @@
         if (mMove != null) {
             mConnection = null;
             mMove.streamEnded();
-            goOnIfMoved();
             return;
         }
         attemptFailed(failure.verdict(), failure.name());
@@ -328,75 +324,34 @@
     private void move(final int dispatch) {
         final boolean movable =
                 mRelay.isStarted() && mConnection != null && mRelay.isStream() && mMove == null;
-        if (mDone || dispatch != mDispatch || !movable) {
-            return;
-        }
-        final ServingState state = mExchanges.state();
-        final Optional<Placement> target =
-                state.chooser()
-                        .place(
-                                state.endpoints().usable(mService),
-                                mAdmission.request().work(),
-                                Set.of(mPlacement.endpoint().id()),
-                                now());
-        if (target.isEmpty() || !state.retryBudget().tryRetry(mService, now())) {
-            target.ifPresent(Placement::ended);
-            return;
+        if (!mDone && dispatch == mDispatch && movable) {
+            mMove = RunMove.start(mExchanges, mAdmission, mService, mPlacement, this).orElse(null);
         }
-        mMove = new RunMove(target.get());
-        final RunMove move = mMove;
-        mExchanges
-                .mover()
-                .move(mPlacement.endpoint(), mAdmission.request().id(), target.get().endpoint())
-                .whenComplete((outcome, failure) -> moved(move, outcome, failure));
     }
 
-    private void moved(final RunMove move, final MoveOutcome outcome, final Throwable failure) {
-        if (mDone || mMove != move) {
-            move.target().ended();
-            return;
-        }
-        mExchanges
-                .journal()
-                .moved(mAdmission, mPlacement.endpoint(), move.target(), outcome, failure);
-        if (failure != null || outcome.run().isEmpty()) {
-            mMove = null;
-            move.target().ended();
-            if (move.isStreamEnded()) {
-                attemptFailed(Verdict.MAY_HAVE_RUN, "run was not moved");
-            }
-            return;
-        }
-        move.stopped(outcome.run().get(), outcome.copied() ? move.target() : mPlacement);
-        if (!move.isStreamEnded()) {
-            mExchanges
-                    .loop()
-                    .schedule(
-                            () -> endOldStream(move),
-                            STREAM_END_PATIENCE.toMillis(),
-                            TimeUnit.MILLISECONDS);
-        }
-        goOnIfMoved();
+    @Override
+    public void goOn(final Placement at, final MovedRun run) {
+        mMove = null;
+        leaveEndpoint();
+        mPlacement = at;
+        mTried.add(at.endpoint().id());
+        mContinued = run;
+        open();
     }
 
-    private void endOldStream(final RunMove move) {
-        if (!mDone && mMove == move && !move.isStreamEnded()) {
-            move.streamEnded();
-            goOnIfMoved();
+    @Override
+    public void notMoved(final boolean streamEnded) {
+        mMove = null;
+        if (streamEnded) {
+            attemptFailed(Verdict.MAY_HAVE_RUN, "run was not moved");
         }
     }
 
-    private void goOnIfMoved() {
-        if (mMove == null || !mMove.isComplete()) {
-            return;
+    private void dropMove() {
+        if (mMove != null) {
+            mMove.cancel();
+            mMove = null;
         }
-        final RunMove move = mMove;
-        mMove = null;
-        leaveEndpoint();
-        mPlacement = move.goesOnAt();
-        mTried.add(mPlacement.endpoint().id());
-        mContinued = move.run();
-        open();
     }
 
     private boolean mayRetry() {
@@ -481,9 +436,7 @@
         mDone = true;
         mExchanges.ended(this);
         mDeadlineTimer.cancel(false);
-        if (mMove != null) {
-            mMove.target().ended();
-        }
+        dropMove();
         leaveEndpoint();
         mBody.release();
         mRelay.release();
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/RunMove.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/RunMove.java
@@ -1,5 +1,11 @@
 package org.whinhead.gateway.exchange;
 
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.whinhead.gateway.endpoint.MoveOutcome;
 import org.whinhead.gateway.endpoint.MovedRun;
 import org.whinhead.serving.balance.Placement;
 
@@ -11,42 +17,113 @@
  */
 final class RunMove {
 
+    /** How long the last events of a stopped run may take behind the answer that it was stopped. */
+    private static final Duration STREAM_END_PATIENCE = Duration.ofMillis(150);
+
+    private final Exchanges mExchanges;
+    private final Admission mAdmission;
+    private final Placement mSource;
     private final Placement mTarget;
+    private final Owner mOwner;
     private Placement mGoesOnAt;
     private MovedRun mRun;
     private boolean mStreamEnded;
+    private boolean mOver;
 
-    RunMove(final Placement target) {
+    private RunMove(
+            final Exchanges exchanges,
+            final Admission admission,
+            final Placement source,
+            final Placement target,
+            final Owner owner) {
+        mExchanges = exchanges;
+        mAdmission = admission;
+        mSource = source;
         mTarget = target;
+        mOwner = owner;
     }
 
-    Placement target() {
-        return mTarget;
-    }
+    /** Whose run is moved. */
+    interface Owner {
 
-    /** Notes that the run was stopped; without a copy, only its source can go on with it. */
-    void stopped(final MovedRun run, final Placement goesOnAt) {
-        mRun = run;
-        mGoesOnAt = goesOnAt;
+        /** The run was stopped and can go on. */
+        void goOn(Placement at, MovedRun run);
+
+        /** The run was not stopped, or nobody knows; its stream has ended or may still go on. */
+        void notMoved(boolean streamEnded);
     }
 
-    void streamEnded() {
-        mStreamEnded = true;
+    /** Starts to move a run, if there is another endpoint and a retry left for it. */
+    static Optional<RunMove> start(
+            final Exchanges exchanges,
+            final Admission admission,
+            final String service,
+            final Placement source,
+            final Owner owner) {
+        final ServingState state = exchanges.state();
+        final Instant now = state.clock().instant();
+        final Optional<Placement> target =
+                state.chooser()
+                        .place(
+                                state.endpoints().usable(service),
+                                admission.request().work(),
+                                Set.of(source.endpoint().id()),
+                                now);
+        if (target.isEmpty()) {
+            return Optional.empty();
+        }
+        if (!state.retryBudget().tryRetry(service, now)) {
+            target.get().ended();
+            return Optional.empty();
+        }
+        final RunMove move = new RunMove(exchanges, admission, source, target.get(), owner);
+        exchanges
+                .mover()
+                .move(source.endpoint(), admission.request().id(), target.get().endpoint())
+                .whenComplete(move::answered);
+        return Optional.of(move);
     }
 
-    Placement goesOnAt() {
-        return mGoesOnAt;
+    private void answered(final MoveOutcome outcome, final Throwable failure) {
+        if (mOver) {
+            return;
+        }
+        mExchanges.journal().moved(mAdmission, mSource.endpoint(), mTarget, outcome, failure);
+        if (failure != null || outcome.run().isEmpty()) {
+            cancel();
+            mOwner.notMoved(mStreamEnded);
+            return;
+        }
+        mRun = outcome.run().get();
+        // Without a copy only the source, which has stopped the run, can go on with it.
+        mGoesOnAt = outcome.copied() ? mTarget : mSource;
+        if (mStreamEnded) {
+            goOn();
+        } else {
+            mExchanges
+                    .loop()
+                    .schedule(this::goOn, STREAM_END_PATIENCE.toMillis(), TimeUnit.MILLISECONDS);
+        }
     }
 
-    MovedRun run() {
-        return mRun;
+    /** Notes that the source's stream has ended. */
+    void streamEnded() {
+        mStreamEnded = true;
+        if (mRun != null) {
+            goOn();
+        }
     }
 
-    boolean isStreamEnded() {
-        return mStreamEnded;
+    private void goOn() {
+        if (!mOver) {
+            mOver = true;
+            mOwner.goOn(mGoesOnAt, mRun);
+        }
     }
 
-    boolean isComplete() {
-        return mRun != null && mStreamEnded;
+    /** Gives the move up. */
+    void cancel() {
+        mOver = true;
+        mTarget.ended();
     }
 }
