--- a/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
@@ -221,6 +221,10 @@
             attemptFailed(Verdict.MAY_HAVE_RUN, "answer of another request");
         } else if (!answer.genuine()) {
             attemptFailed(Verdict.MAY_HAVE_RUN, "answer not signed by its endpoint");
+        } else if (mRelay.isStarted() && !answer.isSuccess()) {
+            // Its body would follow the events passed before, and end the stream as if it were
+            // whole.
+            attemptFailed(Verdict.MAY_HAVE_RUN, "stream could not go on");
         } else if (answer.isServerError() && mAdmission.route().mayRunAgain() && mayRetry()) {
             countUsage();
             mMayHaveRun = true;
@@ -301,7 +305,8 @@
         mMayHaveRun |= verdict != Verdict.NOT_RUN;
         mExchanges.journal().attemptFailed(mAdmission, mPlacement.endpoint(), verdict, reason);
         leaveEndpoint();
-        final boolean allowed = verdict == Verdict.NOT_RUN || mAdmission.route().mayRunAgain();
+        final boolean begun = mRelay.isStarted() || verdict != Verdict.NOT_RUN;
+        final boolean allowed = !begun || mAdmission.route().mayRunAgain();
         if (allowed && mayRetry()) {
             dispatch();
         } else {
