Rank daemons in one place; spell the time to come back alike in any locale

The two readers of the store and the two candidates for the lease were chosen by the same rule, written twice.

--- a/gateway/src/main/java/org/whinhead/gateway/caller/CallerConnection.java
+++ b/gateway/src/main/java/org/whinhead/gateway/caller/CallerConnection.java
@@ -26,6 +26,7 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Locale;
 import org.whinhead.gateway.endpoint.EndpointAnswer;
 
 /**
@@ -37,6 +38,7 @@
 final class CallerConnection extends ChannelInboundHandlerAdapter implements CallerAnswer {
 
     private static final int MOST_WAITING_MESSAGES = 64;
+    private static final double MILLIS_PER_SECOND = 1_000;
 
     private final CallerListener mListener;
     private final Deque<Object> mWaiting = new ArrayDeque<>();
@@ -230,7 +232,8 @@
     }
 
     private static void setRetryAfter(final HttpResponse response, final Duration after) {
-        final String seconds = String.format("%.3f", after.toMillis() / 1000.0);
+        final String seconds =
+                String.format(Locale.ROOT, "%.3f", after.toMillis() / MILLIS_PER_SECOND);
         response.headers().set(HttpHeaderNames.RETRY_AFTER, seconds);
     }
 
--- a/gateway/src/main/java/org/whinhead/gateway/duty/DutyHolder.java
+++ b/gateway/src/main/java/org/whinhead/gateway/duty/DutyHolder.java
@@ -27,7 +27,6 @@
 import org.whinhead.serving.duty.StoredLease;
 import org.whinhead.serving.duty.UsageDecision;
 import org.whinhead.serving.duty.UsagePlan;
-import org.whinhead.serving.member.Member;
 import org.whinhead.serving.member.MemberTable;
 
 /**
@@ -126,22 +125,11 @@
         }
         if (mLease.isHeld()) {
             claim();
-        } else if (isCandidate()) {
+        } else if (mMembers.rank(mState.clock().instant()) < CANDIDATES) {
             look();
         }
     }
 
-    private boolean isCandidate() {
-        final Set<String> silent = new HashSet<>(mMembers.silent(mState.clock().instant()));
-        final long before =
-                mMembers.peers().stream()
-                        .map(Member::name)
-                        .filter(name -> !silent.contains(name))
-                        .filter(name -> name.compareTo(mMembers.self().name()) < 0)
-                        .count();
-        return before < CANDIDATES;
-    }
-
     private void look() {
         mBusy = true;
         final Instant steady = mState.clock().instant();
--- a/gateway/src/main/java/org/whinhead/gateway/peers/StoreDigests.java
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/StoreDigests.java
@@ -3,16 +3,13 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.Consumer;
 import org.whinhead.gateway.exchange.ServingState;
 import org.whinhead.gateway.generated.GatewayProto.StoreDigest;
 import org.whinhead.gateway.store.ReadSharing;
 import org.whinhead.gateway.store.StoreTopic;
 import org.whinhead.serving.configuration.ServingConfiguration;
-import org.whinhead.serving.member.Member;
 import org.whinhead.serving.member.MemberTable;
 
 /**
@@ -67,14 +64,7 @@
 
     @Override
     public boolean isReader() {
-        final Set<String> silent = new HashSet<>(mMembers.silent(now()));
-        final long before =
-                mMembers.peers().stream()
-                        .map(Member::name)
-                        .filter(name -> name.compareTo(mMembers.self().name()) < 0)
-                        .filter(name -> !silent.contains(name))
-                        .count();
-        return before < READERS;
+        return mMembers.rank(now()) < READERS;
     }
 
     @Override
--- a/serving/src/main/java/org/whinhead/serving/member/MemberTable.java
+++ b/serving/src/main/java/org/whinhead/serving/member/MemberTable.java
@@ -118,6 +118,22 @@
                 .toList();
     }
 
+    /**
+     * Ranks this daemon among those that are up, by name: a few that come first do for all what
+     * need not be done by each. Daemons that see each other differently may share a rank for a
+     * while.
+     *
+     * @param now the time
+     * @return how many come before this daemon
+     */
+    public int rank(final Instant now) {
+        return (int)
+                mPeers.values().stream()
+                        .filter(seen -> isFresh(seen, now))
+                        .filter(seen -> seen.mMember.name().compareTo(mSelf.name()) < 0)
+                        .count();
+    }
+
     /**
      * Counts the daemons that are up.
      *
--- a/serving/src/test/java/org/whinhead/serving/member/MemberTableTest.java
+++ b/serving/src/test/java/org/whinhead/serving/member/MemberTableTest.java
@@ -69,6 +69,14 @@
         assertThat(mTable.silent(START.plusSeconds(5))).hasSize(60);
     }
 
+    @Test
+    void rankCountsDaemonsThatAreUpAndComeFirst() {
+        mTable.heard(member("a0", "domain-a", 2), true, false, START);
+        mTable.heard(member("b1", "domain-b", 3), true, false, START);
+        assertThat(mTable.rank(START)).isEqualTo(1);
+        assertThat(mTable.rank(START.plusSeconds(2))).isZero();
+    }
+
     @Test
     void restartIsNoticed() {
         mTable.heard(member("a2", "domain-a", 2), true, false, START);
