Keep a reserve of each allowance for light requests

Cause: a customer that floods the service with prompts keeps its bucket overdrawn, so its plain calls of some 200 tokens were refused like prompts of thousands. Ruled out: a bucket that is too small (it exceeds the burst) and lag of reports (the level swung by a fifth of the bucket only).

--- a/gateway/src/main/java/org/whinhead/gateway/exchange/Exchanges.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/Exchanges.java
@@ -114,7 +114,8 @@
                 customer.isEmpty()
                         || mState.quotas().admit(customer.get().name(), tokens, arrivedAt);
         if (!admitted) {
-            final Duration after = mState.quotas().comeBackAfter(customer.get().name(), arrivedAt);
+            final Duration after =
+                    mState.quotas().comeBackAfter(customer.get().name(), tokens, arrivedAt);
             mJournal.overAllowance(
                     request,
                     customer.get(),
--- a/serving/src/main/java/org/whinhead/serving/limit/CustomerQuotas.java
+++ b/serving/src/main/java/org/whinhead/serving/limit/CustomerQuotas.java
@@ -19,9 +19,11 @@
  * failure domain to another needs no shares to be moved, and the overspend is what is admitted
  * within one report interval.
  *
- * <p>A bucket starts empty: whatever was admitted before a restart of all daemons, what they admit
- * afterwards can't exceed the window. A daemon that falls silent may still be serving: what it was
- * last seen to spend is assumed to go on, so that a partition doesn't double the allowance.
+ * <p>A bucket starts with no more than the reserve for light requests, which is less than what
+ * flows in while a daemon restarts: whatever was admitted before all daemons were restarted, what
+ * they admit afterwards can't exceed the window. A daemon that falls silent may still be serving:
+ * what it was last seen to spend is assumed to go on, so that a partition doesn't double the
+ * allowance.
  */
 public final class CustomerQuotas {
 
@@ -31,6 +33,13 @@
     /** The part of a window's tokens that a full bucket holds; the rest is what flows into it. */
     private static final double BUCKET_PART = 1.0 / 6;
 
+    /**
+     * The part of a full bucket that only light requests may use. A plain call costs some 200
+     * tokens and a prompt thousands, so a customer that is over its allowance with prompts keeps
+     * its plain calls, for a few hundredths of its tokens.
+     */
+    private static final double LIGHT_RESERVE = 1.0 / 6;
+
     /** Weight of the newest report in a silent daemon's assumed rate. */
     private static final double RATE_WEIGHT = 0.3;
 
@@ -92,7 +101,7 @@
             return true;
         }
         account.refill(now);
-        if (account.mLevel < 0 && !account.mAllowance.isUnlimited()) {
+        if (account.mLevel < account.leastLevel(tokens) && !account.mAllowance.isUnlimited()) {
             return false;
         }
         account.spend(tokens);
@@ -103,16 +112,17 @@
      * Tells when a customer that was refused may come back.
      *
      * @param customer the customer
+     * @param tokens what the request would cost
      * @param now the time
-     * @return the time until its bucket is no longer overdrawn
+     * @return the time until its bucket holds enough again
      */
-    public Duration comeBackAfter(final String customer, final Instant now) {
+    public Duration comeBackAfter(final String customer, final long tokens, final Instant now) {
         final Account account = mAccounts.get(customer);
         if (account == null) {
             return Duration.ZERO;
         }
         account.refill(now);
-        final double missing = Math.max(-account.mLevel, 0);
+        final double missing = Math.max(account.leastLevel(tokens) - account.mLevel, 0);
         return Duration.ofMillis(
                 Math.round(missing * MILLIS_PER_SECOND / account.tokensPerSecond()));
     }
@@ -188,6 +198,7 @@
         private Account(final TokenAllowance allowance, final Instant now) {
             mAllowance = allowance;
             mRefilledAt = now;
+            mLevel = lightReserve();
         }
 
         private double windowSeconds() {
@@ -205,6 +216,14 @@
             return BUCKET_PART * tokensPerWindow();
         }
 
+        private double leastLevel(final long tokens) {
+            return tokens <= mAllowance.plainTokens() ? 0 : lightReserve();
+        }
+
+        private double lightReserve() {
+            return LIGHT_RESERVE * bucketTokens();
+        }
+
         private double tokensPerSecond() {
             return (tokensPerWindow() - bucketTokens()) / windowSeconds();
         }
--- a/serving/src/test/java/org/whinhead/serving/limit/CustomerQuotasTest.java
+++ b/serving/src/test/java/org/whinhead/serving/limit/CustomerQuotasTest.java
@@ -74,6 +74,25 @@
         assertThat(worstWindow(admitted)).isBetween(RATE * 8, ACCEPTED);
     }
 
+    // A customer floods the service with prompts, some hundred times its allowance. Its plain calls
+    // cost next to nothing, yet they were refused like the prompts: the bucket was always
+    // overdrawn.
+    @Test
+    void plainCallsOfCustomerOverItsAllowanceAreAdmitted() {
+        final CustomerQuotas quotas = quotas(START);
+        int refusedPrompts = 0;
+        for (int step = 0; step < 1_000; step++) {
+            final Instant now = START.plusMillis(step * 10L);
+            for (int prompt = 0; prompt < 5; prompt++) {
+                refusedPrompts += quotas.admit("clinic", REQUEST, now) ? 0 : 1;
+            }
+            if (step % 20 == 0) {
+                assertThat(quotas.admit("clinic", 200, now)).isTrue();
+            }
+        }
+        assertThat(refusedPrompts).isGreaterThan(4_000);
+    }
+
     private static void report(final List<CustomerQuotas> daemons, final Instant now) {
         for (final CustomerQuotas from : daemons) {
             for (final CustomerQuotas to : daemons) {
