Compare four endpoints a request, not all

Cause: each daemon took the endpoint that had least to do at the last report, which is up to 1.3 s old where there are 61 daemons; until the next report all of them sent everything there. The test shows the rush: 60 daemons, 20 endpoints, all at the idle one. The idea is Mitzenmacher's (old information); four was the only size tried.

--- a/gateway/src/main/java/org/whinhead/gateway/Gateway.java
+++ b/gateway/src/main/java/org/whinhead/gateway/Gateway.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -122,7 +123,7 @@
         mState =
                 ServingState.builder()
                         .clocks(clock, timeOfDay)
-                        .chooser(new EndpointChooser(settings.self().domain()))
+                        .chooser(new EndpointChooser(settings.self().domain(), new Random()))
                         .limits(
                                 new CustomerQuotas(settings.quotaTolerance()),
                                 new RetryBudget(
--- a/gateway/src/test/java/org/whinhead/gateway/store/EndpointWatchTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/store/EndpointWatchTest.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Random;
 import org.junit.jupiter.api.Test;
 import org.whinhead.gateway.endpoint.EndpointConnections;
 import org.whinhead.gateway.exchange.ServingState;
@@ -29,7 +30,7 @@
     private final ServingState mState =
             ServingState.builder()
                     .clocks(() -> mNow, () -> mNow)
-                    .chooser(new EndpointChooser("domain-a"))
+                    .chooser(new EndpointChooser("domain-a", new Random(1)))
                     .limits(
                             new CustomerQuotas(new QuotaTolerance(WINDOW, 0.1, 1_000)),
                             new RetryBudget(0.2, 10, WINDOW))
--- /dev/null
+++ b/serving/src/main/java/org/whinhead/serving/balance/CandidateSampler.java
@@ -0,0 +1,96 @@
+package org.whinhead.serving.balance;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.random.RandomGenerator;
+import java.util.zip.CRC32;
+import org.whinhead.serving.endpoint.EndpointEntry;
+
+/**
+ * Picks the few endpoints that are compared for a request.
+ *
+ * <p>What daemons know of each other's work is as old as the last report. If each of many daemons
+ * compared all endpoints, all would send everything to the one that was idle then, until the next
+ * report. Comparing a few that differ from request to request spreads the work, and is nearly as
+ * good as comparing all with fresh knowledge (Mitzenmacher, "How useful is old information?").
+ */
+final class CandidateSampler {
+
+    /** How many endpoints are compared; more brings back the rush to the seemingly idle one. */
+    private static final int SAMPLE = 4;
+
+    /** How many of them are of other failure domains, if the request has no home. */
+    private static final int OTHER_DOMAINS = 1;
+
+    /** An odd constant with evenly spread bits: 2 to the 64 over the golden ratio. */
+    private static final long SPREAD_FACTOR = 0x9E3779B97F4A7C15L;
+
+    private final String mOwnDomain;
+    private final RandomGenerator mRandom;
+
+    CandidateSampler(final String ownDomain, final RandomGenerator random) {
+        mOwnDomain = ownDomain;
+        mRandom = random;
+    }
+
+    /**
+     * Picks endpoints for a session, the same ones on every daemon: those with the highest hashes
+     * of their ids and the session.
+     *
+     * @param candidates the endpoints to pick from
+     * @param session names the session
+     * @return the picked ones, the session's home first
+     */
+    List<EndpointEntry> ofSession(final List<EndpointEntry> candidates, final String session) {
+        return candidates.stream()
+                .map(candidate -> new Ranked(candidate, hash(candidate.id() + '/' + session)))
+                .sorted(Comparator.comparingLong(Ranked::hash).reversed())
+                .limit(SAMPLE)
+                .map(Ranked::endpoint)
+                .toList();
+    }
+
+    /**
+     * Picks endpoints for a request that may go anywhere, most of them close by.
+     *
+     * @param candidates the endpoints to pick from
+     * @return the picked ones, in no order
+     */
+    List<EndpointEntry> ofAny(final List<EndpointEntry> candidates) {
+        final List<EndpointEntry> near = new ArrayList<>();
+        final List<EndpointEntry> far = new ArrayList<>();
+        for (final EndpointEntry candidate : candidates) {
+            (candidate.domain().equals(mOwnDomain) ? near : far).add(candidate);
+        }
+        final List<EndpointEntry> sample = new ArrayList<>(SAMPLE);
+        draw(far, Math.max(OTHER_DOMAINS, SAMPLE - near.size()), sample);
+        draw(near, SAMPLE - sample.size(), sample);
+        return sample;
+    }
+
+    private void draw(
+            final List<EndpointEntry> from, final int count, final List<EndpointEntry> into) {
+        for (int drawn = 0; drawn < count && !from.isEmpty(); drawn++) {
+            into.add(from.remove(mRandom.nextInt(from.size())));
+        }
+    }
+
+    private static long hash(final String text) {
+        final CRC32 checksum = new CRC32();
+        checksum.update(text.getBytes(StandardCharsets.UTF_8));
+        return spread(checksum.getValue());
+    }
+
+    /**
+     * Spreads a checksum over all bits. Checksums of texts with a common start differ by a constant
+     * pattern, which would give some endpoints far more sessions than others.
+     */
+    private static long spread(final long checksum) {
+        final long mixed = (checksum ^ (checksum >>> 16)) * SPREAD_FACTOR;
+        return (mixed ^ (mixed >>> 29)) & Long.MAX_VALUE;
+    }
+
+    private record Ranked(EndpointEntry endpoint, long hash) {}
+}
--- a/serving/src/main/java/org/whinhead/serving/balance/EndpointChooser.java
+++ b/serving/src/main/java/org/whinhead/serving/balance/EndpointChooser.java
@@ -1,6 +1,5 @@
 package org.whinhead.serving.balance;
 
-import java.nio.charset.StandardCharsets;
 import java.time.Instant;
 import java.util.Collection;
 import java.util.HashMap;
@@ -8,7 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.zip.CRC32;
+import java.util.random.RandomGenerator;
 import org.whinhead.serving.endpoint.EndpointEntry;
 
 /**
@@ -17,7 +16,8 @@
  * <p>The wait is estimated in milliseconds: prompts that are still to be read there (from all
  * daemons), requests that run there, the request's own tokens that are not cached there, and
  * penalties for failures and distance. Sessions have a home endpoint that every daemon computes
- * alike, so that their prompts are read once for the fleet and not once for each daemon.
+ * alike, so that their prompts are read once for the fleet and not once for each daemon. Only a few
+ * candidates are compared, see {@link CandidateSampler}.
  */
 public final class EndpointChooser {
 
@@ -44,19 +44,22 @@
     /** Tokens of prompts that an engine keeps beside the running requests. */
     private static final long PREFIX_CAPACITY = 200_000;
 
-    /** An odd constant with evenly spread bits: 2 to the 64 over the golden ratio. */
-    private static final long SPREAD_FACTOR = 0x9E3779B97F4A7C15L;
+    /** Shared tokens from which it pays to go to the session's home: 26 ms of reading. */
+    private static final int LEAST_SHARED_TOKENS = 1_000;
 
     private final String mOwnDomain;
+    private final CandidateSampler mSampler;
     private final Map<String, EndpointLoad> mLoads = new HashMap<>();
 
     /**
      * Makes a chooser that knows no load.
      *
      * @param ownDomain the failure domain of this daemon
+     * @param random draws the endpoints that are compared
      */
-    public EndpointChooser(final String ownDomain) {
+    public EndpointChooser(final String ownDomain, final RandomGenerator random) {
         mOwnDomain = ownDomain;
+        mSampler = new CandidateSampler(ownDomain, random);
     }
 
     /**
@@ -73,11 +76,11 @@
             final Work work,
             final Set<String> tried,
             final Instant now) {
-        final String home = home(candidates, work.session());
-        EndpointEntry best = best(candidates, work, tried, home, now, true);
-        if (best == null) {
-            best = best(candidates, work, tried, home, now, false);
-        }
+        final List<EndpointEntry> untried =
+                candidates.stream().filter(candidate -> !tried.contains(candidate.id())).toList();
+        final List<EndpointEntry> open =
+                untried.stream().filter(candidate -> load(candidate.id()).isOpen(now)).toList();
+        final EndpointEntry best = best(open.isEmpty() ? untried : open, work);
         if (best == null) {
             return Optional.empty();
         }
@@ -87,20 +90,17 @@
         return Optional.of(new Placement(best, load, Math.max(unread, 0)));
     }
 
-    private EndpointEntry best(
-            final List<EndpointEntry> candidates,
-            final Work work,
-            final Set<String> tried,
-            final String home,
-            final Instant now,
-            final boolean openOnly) {
+    private EndpointEntry best(final List<EndpointEntry> candidates, final Work work) {
+        final boolean hasHome = work.sharedTokens() >= LEAST_SHARED_TOKENS;
+        final List<EndpointEntry> sample =
+                hasHome
+                        ? mSampler.ofSession(candidates, work.session())
+                        : mSampler.ofAny(candidates);
         EndpointEntry best = null;
         double least = Double.MAX_VALUE;
-        for (final EndpointEntry candidate : candidates) {
-            if (tried.contains(candidate.id()) || openOnly && !load(candidate.id()).isOpen(now)) {
-                continue;
-            }
-            final double wait = expectedWait(candidate, work, candidate.id().equals(home));
+        for (final EndpointEntry candidate : sample) {
+            final boolean home = hasHome && candidate == sample.get(0);
+            final double wait = expectedWait(candidate, work, home);
             if (wait < least) {
                 least = wait;
                 best = candidate;
@@ -127,34 +127,6 @@
         return wait + RUNNING_MILLISECONDS * load.running();
     }
 
-    /** The endpoint with the highest hash of its id and the session, the same on every daemon. */
-    private static String home(final List<EndpointEntry> candidates, final String session) {
-        if (session.isEmpty()) {
-            return "";
-        }
-        String home = "";
-        long highest = -1;
-        for (final EndpointEntry candidate : candidates) {
-            final CRC32 hash = new CRC32();
-            hash.update((candidate.id() + '/' + session).getBytes(StandardCharsets.UTF_8));
-            final long spread = spread(hash.getValue());
-            if (spread > highest) {
-                highest = spread;
-                home = candidate.id();
-            }
-        }
-        return home;
-    }
-
-    /**
-     * Spreads a checksum over all bits. Checksums of texts with a common start differ by a constant
-     * pattern, which would give some endpoints far more sessions than others.
-     */
-    private static long spread(final long checksum) {
-        final long mixed = (checksum ^ (checksum >>> 16)) * SPREAD_FACTOR;
-        return (mixed ^ (mixed >>> 29)) & Long.MAX_VALUE;
-    }
-
     /**
      * Finds the load of an endpoint.
      *
--- a/serving/src/test/java/org/whinhead/serving/balance/EndpointChooserTest.java
+++ b/serving/src/test/java/org/whinhead/serving/balance/EndpointChooserTest.java
@@ -5,9 +5,12 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
 import java.util.Set;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
@@ -17,7 +20,11 @@
 
     private static final Instant NOW = Instant.parse("2026-01-01T00:00:00Z");
 
-    private final EndpointChooser mChooser = new EndpointChooser("domain-a");
+    private final EndpointChooser mChooser = chooser(1);
+
+    private static EndpointChooser chooser(final long seed) {
+        return new EndpointChooser("domain-a", new Random(seed));
+    }
 
     private static List<EndpointEntry> endpoints(final int count) {
         return IntStream.range(0, count)
@@ -61,16 +68,12 @@
         final List<EndpointEntry> endpoints = endpoints(4);
         final Set<String> homes = new HashSet<>();
         for (int session = 0; session < 20; session++) {
-            final EndpointChooser other = new EndpointChooser("domain-a");
+            final EndpointChooser other = chooser(2);
             final Work work = work("s" + session);
             final String there =
                     other.place(endpoints, work, Set.of(), NOW).orElseThrow().endpoint().id();
             final String here =
-                    new EndpointChooser("domain-a")
-                            .place(endpoints, work, Set.of(), NOW)
-                            .orElseThrow()
-                            .endpoint()
-                            .id();
+                    chooser(3).place(endpoints, work, Set.of(), NOW).orElseThrow().endpoint().id();
             assertThat(here).isEqualTo(there);
             homes.add(here);
         }
@@ -116,4 +119,26 @@
     void triedEndpointIsNotChosenAgain() {
         assertThat(mChooser.place(endpoints(1), work("s1"), Set.of("e0"), NOW)).isEmpty();
     }
+
+    // Prompts of many daemons pile up on one endpoint although others are idle: all daemons take
+    // the
+    // endpoint that had least to do at the last report, and send everything there until the next.
+    @Test
+    void daemonsDoNotAllRushToTheEndpointThatWasIdle() {
+        final List<EndpointEntry> endpoints = endpoints(20);
+        final Map<String, Integer> arrivals = new HashMap<>();
+        for (int daemon = 0; daemon < 60; daemon++) {
+            final EndpointChooser chooser = chooser(daemon);
+            endpoints.stream()
+                    .skip(1)
+                    .forEach(endpoint -> chooser.peerLoad("peer", endpoint.id(), 12, 8_000));
+            for (int request = 0; request < 5; request++) {
+                final Work work = new Work(List.of(new PromptPart("short", 170)), 700, 50);
+                final Placement placement =
+                        chooser.place(endpoints, work, Set.of(), NOW).orElseThrow();
+                arrivals.merge(placement.endpoint().id(), 1, Integer::sum);
+            }
+        }
+        assertThat(arrivals.get("e0")).isLessThan(4 * 300 / endpoints.size() + 20);
+    }
 }
