Pass on what the readers of the store found

Cause: two daemons read the store for all and sent a digest; whenever a digest differed from its own view, each other daemon read the store itself, and a digest of the slower reader, older than its view, made it read again. Now the readers send the changes with the digest, a digest that is older than one's own view is no news, and records that changed nothing are skipped. What is lost on the way shows in the digest and is read as before. A removal is remembered, as news overtakes own reads; its test fails without that. Also: the others' addresses are ordered once for each set of them, not at each step of 200 ms; not measured by itself.

--- a/gateway/src/main/java/org/whinhead/gateway/Gateway.java
+++ b/gateway/src/main/java/org/whinhead/gateway/Gateway.java
@@ -199,7 +199,9 @@
                 follower(StoreTopic.ENDPOINTS, mEndpointWatch, ENDPOINT_PACE);
         mConfigurationWatch.onRead(mDigests::configurationRead);
         mConfigurationWatch.onChange(mPeers::sendDigest);
-        mEndpointWatch.onRead(mPeers::sendDigest);
+        mEndpointWatch.onRead(this::passOnEndpoints);
+        mPeers.onEndpointNews(mEndpointWatch::passedOn);
+        mDigests.onSameEndpoints(endpoints::skipTo);
         mDigests.onNews(
                 topic -> {
                     if (topic == StoreTopic.CONFIGURATION) {
@@ -217,6 +219,11 @@
                 TimeUnit.MILLISECONDS);
     }
 
+    private void passOnEndpoints() {
+        mDigests.endpointsRead(mEndpointWatch.end());
+        mPeers.sendEndpoints(mEndpointWatch.takeChanges());
+    }
+
     private TopicFollower follower(
             final StoreTopic topic, final TopicListener listener, final TopicFollower.Pace pace) {
         return new TopicFollower(mLoop, mPorts.store(), topic, listener, pace, mDigests);
--- a/gateway/src/main/java/org/whinhead/gateway/peers/PeerReports.java
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/PeerReports.java
@@ -11,13 +11,13 @@
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import java.net.InetSocketAddress;
 import java.time.Instant;
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.whinhead.gateway.exchange.ServingState;
@@ -27,6 +27,7 @@
 import org.whinhead.gateway.generated.GatewayProto.PeerReport;
 import org.whinhead.gateway.generated.GatewayProto.UsageEntry;
 import org.whinhead.serving.balance.EndpointLoad;
+import org.whinhead.serving.endpoint.EndpointChange;
 import org.whinhead.serving.member.Member;
 import org.whinhead.serving.member.MemberTable;
 import org.whinhead.serving.usage.UsageCount;
@@ -58,6 +59,9 @@
     private final MemberTable mMembers;
     private final StoreDigests mDigests;
     private final Set<InetSocketAddress> mContacts = new HashSet<>();
+    private Consumer<List<EndpointChange>> mOnEndpointNews = changes -> {};
+    private Set<InetSocketAddress> mReceivers = Set.of();
+    private List<InetSocketAddress> mReceiversInOrder = List.of();
     private Channel mChannel;
     private int mNextReceiver;
     private long mReports;
@@ -122,11 +126,10 @@
 
     /** Sends to the next part of the others; all get a report within the interval. */
     private void sendToNext() {
-        final List<InetSocketAddress> receivers = new ArrayList<>(receivers());
+        final List<InetSocketAddress> receivers = receiversInOrder();
         if (receivers.isEmpty()) {
             return;
         }
-        receivers.sort(Comparator.comparing(Addresses::format));
         final double part = (double) TICK_MILLIS / mMembers.reportInterval().toMillis();
         final int count = (int) Math.min(Math.ceil(receivers.size() * part), receivers.size());
         mReports++;
@@ -138,6 +141,17 @@
         mChannel.flush();
     }
 
+    /** Orders the others, once for each set of them: sorting spells every address many times. */
+    private List<InetSocketAddress> receiversInOrder() {
+        final Set<InetSocketAddress> receivers = receivers();
+        if (!receivers.equals(mReceivers)) {
+            mReceivers = receivers;
+            mReceiversInOrder =
+                    receivers.stream().sorted(Comparator.comparing(Addresses::format)).toList();
+        }
+        return mReceiversInOrder;
+    }
+
     private Set<InetSocketAddress> receivers() {
         final Set<InetSocketAddress> receivers = new HashSet<>(mContacts);
         mMembers.peers().forEach(peer -> receivers.add(peer.peerAddress()));
@@ -148,6 +162,28 @@
         mChannel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), receiver));
     }
 
+    /**
+     * Sets what is done with endpoints that another daemon has read.
+     *
+     * @param onNews takes the changes in order
+     */
+    public void onEndpointNews(final Consumer<List<EndpointChange>> onNews) {
+        mOnEndpointNews = onNews;
+    }
+
+    /**
+     * Passes on what was read of the endpoints, if this daemon reads for the others.
+     *
+     * @param changes what has changed
+     */
+    public void sendEndpoints(final List<EndpointChange> changes) {
+        if (mDigests.isReader()) {
+            EndpointChanges.encode(changes)
+                    .forEach(news -> sendToAll(Datagram.newBuilder().setNews(news).build()));
+            sendDigest();
+        }
+    }
+
     /** Tells the others what was read of the store, if this daemon reads for them. */
     public void sendDigest() {
         if (mDigests.isReader()) {
@@ -261,6 +297,9 @@
                 if (datagram.hasReport()) {
                     take(datagram.getReport());
                 }
+                if (datagram.hasNews()) {
+                    mOnEndpointNews.accept(EndpointChanges.decode(datagram.getNews()));
+                }
                 if (datagram.hasDigest()) {
                     mDigests.take(Addresses.format(packet.sender()), datagram.getDigest());
                 }
--- a/gateway/src/main/java/org/whinhead/gateway/peers/StoreDigests.java
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/StoreDigests.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 import org.whinhead.gateway.exchange.ServingState;
 import org.whinhead.gateway.generated.GatewayProto.StoreDigest;
 import org.whinhead.gateway.store.ReadSharing;
@@ -16,9 +17,9 @@
  * Lets a few daemons read the store for all.
  *
  * <p>Each call to the store is billed and counts against a limit that all daemons share. The two
- * daemons whose names come first read at a steady pace and send a digest of what they see behind
- * each read. The others read only if a digest differs from their own view, or if none has come for
- * a while.
+ * daemons whose names come first read at a steady pace and pass on what has changed, with a digest
+ * of what they see behind each read. The others read only if a digest that is not older than their
+ * own view differs from it, or if none has come for a while.
  */
 public final class StoreDigests implements ReadSharing {
 
@@ -35,6 +36,8 @@
     private final MemberTable mMembers;
     private final Map<String, Seen> mSeen = new HashMap<>();
     private Consumer<StoreTopic> mWake = topic -> {};
+    private LongConsumer mSkip = end -> {};
+    private long mEndpointsEnd;
     private Instant mConfigurationReadAt = Instant.EPOCH;
 
     /**
@@ -57,6 +60,24 @@
         mWake = wake;
     }
 
+    /**
+     * Sets what is done when another daemon has read on and found what this one knows.
+     *
+     * @param skip takes the offset behind what it has read of the endpoints
+     */
+    public void onSameEndpoints(final LongConsumer skip) {
+        mSkip = skip;
+    }
+
+    /**
+     * Notes how far the endpoints were read.
+     *
+     * @param end the offset behind the last record
+     */
+    public void endpointsRead(final long end) {
+        mEndpointsEnd = Math.max(mEndpointsEnd, end);
+    }
+
     /** Notes that the configuration was read. */
     public void configurationRead() {
         mConfigurationReadAt = now();
@@ -79,13 +100,17 @@
 
     private boolean matches(final StoreDigest digest, final StoreTopic topic) {
         return switch (topic) {
-            case ENDPOINTS -> digest.getEndpointsHash() == mState.endpoints().summary();
+            case ENDPOINTS -> digest.getEndpointsEnd() < mEndpointsEnd || sameEndpoints(digest);
             case CONFIGURATION ->
                     digest.getConfigurationFresh() && digest.getConfigurationVersion() <= version();
             default -> false;
         };
     }
 
+    private boolean sameEndpoints(final StoreDigest digest) {
+        return digest.getEndpointsHash() == mState.endpoints().summary();
+    }
+
     private long version() {
         return mState.configuration().current().map(ServingConfiguration::version).orElse(-1L);
     }
@@ -102,6 +127,7 @@
     StoreDigest digest() {
         return StoreDigest.newBuilder()
                 .setEndpointsHash(mState.endpoints().summary())
+                .setEndpointsEnd(mEndpointsEnd)
                 .setConfigurationVersion(version())
                 .setConfigurationFresh(
                         mConfigurationReadAt.isAfter(now().minus(CONFIGURATION_FRESH_FOR)))
@@ -118,6 +144,9 @@
         mSeen.put(sender, new Seen(digest, now()));
         if (!matches(digest, StoreTopic.ENDPOINTS)) {
             mWake.accept(StoreTopic.ENDPOINTS);
+        } else if (digest.getEndpointsEnd() > mEndpointsEnd) {
+            mEndpointsEnd = digest.getEndpointsEnd();
+            mSkip.accept(mEndpointsEnd);
         }
         if (digest.getConfigurationVersion() > version()) {
             mWake.accept(StoreTopic.CONFIGURATION);
--- a/gateway/src/main/java/org/whinhead/gateway/store/EndpointWatch.java
+++ b/gateway/src/main/java/org/whinhead/gateway/store/EndpointWatch.java
@@ -1,8 +1,10 @@
 package org.whinhead.gateway.store;
 
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
@@ -10,6 +12,7 @@
 import org.slf4j.LoggerFactory;
 import org.whinhead.gateway.endpoint.EndpointConnections;
 import org.whinhead.gateway.exchange.ServingState;
+import org.whinhead.serving.endpoint.EndpointChange;
 import org.whinhead.serving.endpoint.EndpointEntry;
 import org.whinhead.serving.endpoint.EndpointRegistry;
 
@@ -24,6 +27,8 @@
     private Runnable mOnChange = () -> {};
     private Consumer<EndpointEntry> mOnLeaving = entry -> {};
     private Runnable mOnRead = () -> {};
+    private final List<EndpointChange> mChanges = new ArrayList<>();
+    private long mEnd;
     private boolean mLoaded;
 
     /**
@@ -78,6 +83,43 @@
         return mLoaded;
     }
 
+    /**
+     * Tells how far the store was read.
+     *
+     * @return the offset behind the last record
+     */
+    public long end() {
+        return mEnd;
+    }
+
+    /**
+     * Hands out what the last reads found to have changed.
+     *
+     * @return the changes in order; a snapshot's are not among them
+     */
+    public List<EndpointChange> takeChanges() {
+        final List<EndpointChange> changes = List.copyOf(mChanges);
+        mChanges.clear();
+        return changes;
+    }
+
+    /**
+     * Takes changes that another daemon has read. They may come twice, late or not at all; whether
+     * anything is missing shows in the reader's digest.
+     *
+     * @param changes the changes in order
+     */
+    public void passedOn(final List<EndpointChange> changes) {
+        boolean changed = false;
+        for (final EndpointChange change : changes) {
+            changed |= take(change);
+        }
+        if (changed) {
+            tidy();
+            mOnChange.run();
+        }
+    }
+
     @Override
     public void snapshot(final List<StoreRecord> records, final long end) {
         records.forEach(this::take);
@@ -88,36 +130,51 @@
                         .collect(Collectors.toCollection(HashSet::new));
         registry().retain(listed, end, now());
         mLoaded = true;
+        mEnd = end;
+        mChanges.clear();
         tidy();
+        mOnRead.run();
     }
 
     @Override
     public void appended(final List<StoreRecord> records) {
         boolean changed = false;
         for (final StoreRecord record : records) {
+            mEnd = Math.max(mEnd, record.offset() + 1);
             changed |= take(record);
         }
         tidy();
+        mOnRead.run();
         if (changed) {
             mOnChange.run();
         }
     }
 
     private boolean take(final StoreRecord record) {
-        if (record.value().isEmpty()) {
-            registry().find(record.key()).ifPresent(mOnLeaving);
-            registry().remove(record.key(), record.offset(), now());
-            LOG.atInfo().addKeyValue("endpoint", record.key()).log("endpoint entry removed");
-            return true;
-        }
-        final EndpointEntry entry;
+        final Optional<EndpointEntry> entry;
         try {
-            entry = mDecoder.decode(record.key(), record.value().get());
+            entry =
+                    record.value().isEmpty()
+                            ? Optional.empty()
+                            : Optional.of(mDecoder.decode(record.key(), record.value().get()));
         } catch (UnreadableRecordException e) {
             LOG.error("entry of endpoint {} not understood", record.key(), e);
             return false;
         }
-        final boolean changed = registry().put(entry, record.offset());
+        final EndpointChange change = new EndpointChange(record.key(), record.offset(), entry);
+        final boolean changed = take(change);
+        if (changed) {
+            mChanges.add(change);
+        }
+        return changed;
+    }
+
+    private boolean take(final EndpointChange change) {
+        if (change.entry().isEmpty()) {
+            return remove(change);
+        }
+        final EndpointEntry entry = change.entry().get();
+        final boolean changed = registry().put(entry, change.offset());
         if (changed) {
             LOG.atInfo()
                     .addKeyValue("endpoint", entry.id())
@@ -126,7 +183,7 @@
                     .addKeyValue("domain", entry.domain())
                     .addKeyValue("reclaimable", entry.reclaimable())
                     .addKeyValue("leaving", entry.leaving())
-                    .addKeyValue("offset", record.offset())
+                    .addKeyValue("offset", change.offset())
                     .log("endpoint changed");
             if (entry.leaving()) {
                 mOnLeaving.accept(entry);
@@ -135,13 +192,25 @@
         return changed;
     }
 
+    private boolean remove(final EndpointChange change) {
+        final Optional<EndpointEntry> before = registry().find(change.id());
+        if (!registry().remove(change.id(), change.offset(), now())) {
+            return false;
+        }
+        before.ifPresent(mOnLeaving);
+        LOG.atInfo()
+                .addKeyValue("endpoint", change.id())
+                .addKeyValue("offset", change.offset())
+                .log("endpoint entry removed");
+        return true;
+    }
+
     private void tidy() {
         dropLapsed();
         final Set<String> known =
                 registry().all().stream().map(EndpointEntry::id).collect(Collectors.toSet());
         mState.chooser().retain(known);
         mConnections.retain(known);
-        mOnRead.run();
     }
 
     /**
--- a/gateway/src/main/java/org/whinhead/gateway/store/TopicFollower.java
+++ b/gateway/src/main/java/org/whinhead/gateway/store/TopicFollower.java
@@ -91,6 +91,17 @@
         }
     }
 
+    /**
+     * Skips records that were read by another daemon and changed nothing here.
+     *
+     * @param end the offset behind the last of them
+     */
+    public void skipTo(final long end) {
+        if (mNext >= 0) {
+            mNext = Math.max(mNext, end);
+        }
+    }
+
     private void newestRead(final StorePage page, final Throwable failure) {
         if (failure != null) {
             failed(failure);
@@ -116,7 +127,7 @@
         }
         final List<StoreRecord> records = page.records();
         if (!records.isEmpty()) {
-            mNext = records.get(records.size() - 1).offset() + 1;
+            mNext = Math.max(mNext, records.get(records.size() - 1).offset() + 1);
         }
         mListener.appended(records);
         again(mPause);
--- a/gateway/src/test/java/org/whinhead/gateway/store/EndpointWatchTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/store/EndpointWatchTest.java
@@ -14,6 +14,7 @@
 import org.whinhead.gateway.endpoint.EndpointConnections;
 import org.whinhead.gateway.exchange.ServingState;
 import org.whinhead.serving.balance.EndpointChooser;
+import org.whinhead.serving.endpoint.EndpointChange;
 import org.whinhead.serving.endpoint.EndpointEntry;
 import org.whinhead.serving.limit.CustomerQuotas;
 import org.whinhead.serving.limit.QuotaTolerance;
@@ -82,4 +83,31 @@
         mWatch.appended(List.of(record("leaving", 2)));
         assertThat(mLeaving).containsExactly("e1");
     }
+
+    @Test
+    void changesThatOneDaemonReadAreInForceAtAnother() {
+        mWatch.snapshot(List.of(record("ready", 0)), 1);
+        mWatch.appended(List.of(record("ready", 1), record("leaving", 2)));
+        final List<EndpointChange> changes = mWatch.takeChanges();
+        assertThat(changes).extracting(EndpointChange::offset).containsExactly(2L);
+        assertThat(mWatch.takeChanges()).isEmpty();
+
+        final EndpointWatchTest other = new EndpointWatchTest();
+        other.mWatch.snapshot(List.of(record("ready", 0)), 1);
+        other.mWatch.onLeaving(entry -> other.mLeaving.add(entry.id()));
+        other.mWatch.passedOn(changes);
+        other.mWatch.passedOn(changes);
+        assertThat(other.mLeaving).containsExactly("e1");
+        assertThat(other.mState.endpoints().summary()).isEqualTo(mState.endpoints().summary());
+    }
+
+    // A server is back under its old entry although it was removed: a daemon learned of the removal
+    // from another one, and then read the older records itself.
+    @Test
+    void recordsOlderThanWhatWasPassedOnChangeNothing() {
+        mWatch.snapshot(List.of(record("ready", 0)), 1);
+        mWatch.passedOn(List.of(new EndpointChange("e1", 5, Optional.empty())));
+        mWatch.appended(List.of(record("ready", 3)));
+        assertThat(mState.endpoints().usable("pool")).isEmpty();
+    }
 }
--- a/serving/src/main/java/org/whinhead/serving/endpoint/EndpointRegistry.java
+++ b/serving/src/main/java/org/whinhead/serving/endpoint/EndpointRegistry.java
@@ -6,6 +6,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -30,11 +31,15 @@
      */
     static final Duration LAPSE_GRACE = Duration.ofMillis(2_500);
 
+    /** Removals that are remembered: all that the largest deployment sees in some minutes. */
+    private static final int KEPT_REMOVALS = 2_000;
+
     /** Spreads the hashes of single entries, so that their sum tells sets apart. */
     private static final long SPREAD_FACTOR = 0x9E3779B97F4A7C15L;
 
     private final Map<String, Record> mRecords = new HashMap<>();
     private final Set<String> mOnceLeaving = new HashSet<>();
+    private final Map<String, Long> mRemovals = new LinkedHashMap<>();
     private Instant mLastOutage = Instant.EPOCH;
     private long mNewestOffset = -1;
 
@@ -48,7 +53,8 @@
     public boolean put(final EndpointEntry entry, final long offset) {
         mNewestOffset = Math.max(mNewestOffset, offset);
         final Record before = mRecords.get(entry.id());
-        if (before != null && before.mOffset >= offset) {
+        if (before != null && before.mOffset >= offset
+                || mRemovals.getOrDefault(entry.id(), -1L) >= offset) {
             return false;
         }
         final boolean leaving = entry.leaving() || mOnceLeaving.contains(entry.id());
@@ -65,14 +71,28 @@
      * @param id the endpoint
      * @param offset the removal's offset
      * @param now the time
+     * @return whether the entry was listed, and the removal is newer
      */
-    public void remove(final String id, final long offset, final Instant now) {
+    public boolean remove(final String id, final long offset, final Instant now) {
         mNewestOffset = Math.max(mNewestOffset, offset);
         final Record before = mRecords.get(id);
         if (before == null || before.mOffset >= offset) {
-            return;
+            return false;
         }
+        noteRemoval(id, offset);
         lapse(before, now);
+        return true;
+    }
+
+    /**
+     * Remembers a removal. What other daemons have read overtakes this daemon's own reads, and an
+     * older record that is read afterwards must not bring the endpoint back.
+     */
+    private void noteRemoval(final String id, final long offset) {
+        mRemovals.put(id, offset);
+        if (mRemovals.size() > KEPT_REMOVALS) {
+            mRemovals.remove(mRemovals.keySet().iterator().next());
+        }
     }
 
     /**
