Count usage by a clock that the daemons agree on

Cause: usage is counted by windows of the true time, and each daemon counted by its machine's time of day. Now a daemon's clock runs on steadily at a jump and goes by the median of what the others show; that also tells a jump from a suspension, after which the time of day is right and the steady clock behind.

--- a/gateway/src/main/java/org/whinhead/gateway/duty/DutyHolder.java
+++ b/gateway/src/main/java/org/whinhead/gateway/duty/DutyHolder.java
@@ -172,7 +172,7 @@
         final boolean renewal = mLease.isHeld();
         final Instant timeOfDay = mState.timeOfDay().instant();
         final List<UsageDecision> decisions =
-                mUsagePlan.decide(markDelivered(mLease.decisions()), timeOfDay);
+                mUsagePlan.decide(markDelivered(mLease.decisions()), mState.usageClock().instant());
         mClaim = mLease.claim(decisions);
         mClaimSteady = mState.clock().instant();
         mClaimTimeOfDay = timeOfDay;
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
@@ -262,8 +262,8 @@
         final ServingState state = mExchanges.state();
         final Instant began =
                 mAdmission.route().kind().isStream()
-                        ? state.timeOfDay().instant()
-                        : state.timeOfDay().instant().minus(Duration.between(mSentAt, now()));
+                        ? state.usageClock().instant()
+                        : state.usageClock().instant().minus(Duration.between(mSentAt, now()));
         mAdmission
                 .customerName()
                 .ifPresent(
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/ServingState.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/ServingState.java
@@ -7,6 +7,7 @@
 import org.whinhead.serving.endpoint.EndpointRegistry;
 import org.whinhead.serving.limit.CustomerQuotas;
 import org.whinhead.serving.limit.RetryBudget;
+import org.whinhead.serving.usage.FleetClock;
 import org.whinhead.serving.usage.UsageLedger;
 import org.whinhead.serving.usage.UsageWindows;
 
@@ -22,10 +23,12 @@
     private final RetryBudget mRetryBudget;
     private final UsageLedger mUsage;
     private final UsageWindows mUsageWindows;
+    private final FleetClock mUsageClock;
 
     private ServingState(final Builder builder) {
         mClock = Objects.requireNonNull(builder.mClock, "clock");
         mTimeOfDay = Objects.requireNonNull(builder.mTimeOfDay, "timeOfDay");
+        mUsageClock = new FleetClock(mClock, mTimeOfDay);
         mChooser = Objects.requireNonNull(builder.mChooser, "chooser");
         mQuotas = Objects.requireNonNull(builder.mQuotas, "quotas");
         mRetryBudget = Objects.requireNonNull(builder.mRetryBudget, "retryBudget");
@@ -50,6 +53,15 @@
         return mTimeOfDay;
     }
 
+    /**
+     * Returns the clock by which usage is counted.
+     *
+     * @return the time of day that the daemons agree on
+     */
+    public FleetClock usageClock() {
+        return mUsageClock;
+    }
+
     public ConfigurationHolder configuration() {
         return mConfiguration;
     }
--- a/gateway/src/main/java/org/whinhead/gateway/peers/PeerReports.java
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/PeerReports.java
@@ -119,6 +119,7 @@
         final Instant now = now();
         mMembers.expire(now);
         mMembers.silent(now).forEach(mState.chooser()::forgetPeer);
+        mState.usageClock().compare();
         mState.retryBudget().daemons(mMembers.knownCount());
         sendToNext();
         mLoop.schedule(this::tick, TICK_MILLIS, TimeUnit.MILLISECONDS);
@@ -207,7 +208,8 @@
                         .setCallerAddress(Addresses.format(self.callerAddress()))
                         .setPeerAddress(Addresses.format(self.peerAddress()))
                         .setReady(mMembers.isSelfReady())
-                        .setLeaving(mLeaving);
+                        .setLeaving(mLeaving)
+                        .setTimeOfDayMillis(mState.usageClock().instant().toEpochMilli());
         mState.configuration()
                 .current()
                 .ifPresent(current -> report.setConfigurationVersion(current.version()));
@@ -260,6 +262,10 @@
                                         .addKeyValue("daemon", member.name())
                                         .addKeyValue("incarnation", member.incarnation())
                                         .log("daemon was restarted"));
+        if (report.getTimeOfDayMillis() > 0) {
+            mState.usageClock()
+                    .heard(report.getName(), Instant.ofEpochMilli(report.getTimeOfDayMillis()));
+        }
         report.getContactsList().forEach(contact -> addContact(Addresses.parse(contact)));
         for (final CustomerSpend spend : report.getSpentList()) {
             mState.quotas()
