--- a/cli/src/main/java/org/whinhead/cli/CliOption.java
+++ b/cli/src/main/java/org/whinhead/cli/CliOption.java
@@ -37,6 +37,8 @@
     OUT("out", "FILE", "the standard output", "--out burn.html"),
     /** What the fleet costs. */
     PRICE("price-per-hour", "NUMBER", "", "--price-per-hour 14.2"),
+    /** Saved logs to read in place of asking daemons. */
+    LOGS("logs", "FILE,...", "", "--logs edge-1.log,edge-2.log"),
     /** How long asking all daemons may take. */
     TOTAL("total-seconds", "NUMBER", "30", "--total-seconds 60");
 
--- a/cli/src/main/java/org/whinhead/cli/CommandName.java
+++ b/cli/src/main/java/org/whinhead/cli/CommandName.java
@@ -24,7 +24,7 @@
     /** Which addresses callers are told. */
     ADDRESSES("addresses", "", 0, 0, true, AddressesCommand::new),
     /** Why a request or an order went as it did. */
-    EXPLAIN("explain", "ID", 1, 1, true, ExplainCommand::new, CliOption.TOTAL),
+    EXPLAIN("explain", "ID", 1, 1, true, ExplainCommand::new, CliOption.TOTAL, CliOption.LOGS),
     /** How fast the tiers' allowances are used up. */
     REPORT(
             "report",
--- a/cli/src/main/java/org/whinhead/cli/command/ExplainCommand.java
+++ b/cli/src/main/java/org/whinhead/cli/command/ExplainCommand.java
@@ -4,12 +4,15 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.List;
 import org.whinhead.cli.CliException;
 import org.whinhead.cli.CliMessages;
+import org.whinhead.cli.CliOption;
 import org.whinhead.cli.Command;
 import org.whinhead.cli.Console;
 import org.whinhead.cli.ExitCode;
@@ -20,7 +23,7 @@
 
 /**
  * Shows the decisions about a request or an order of all daemons that took part, in order of time;
- * a request that moved has some on each.
+ * a request that moved has some on each. With saved logs it reads these and asks no daemon.
  */
 public final class ExplainCommand implements Command {
 
@@ -34,6 +37,9 @@
     @Override
     public ExitCode run(final Invocation invocation, final Console console) throws CliException {
         final String id = invocation.arguments().get(0);
+        if (invocation.has(CliOption.LOGS)) {
+            return explainLogs(id, invocation.text(CliOption.LOGS).orElseThrow(), console);
+        }
         try (FleetClient client = invocation.fleet()) {
             final FleetPlan plan = new FleetPlan(client.named(), Answers.body(client.addresses()));
             client.get(plan.toAsk(), "/operator/explain?id=" + Answers.query(id), this::take);
@@ -50,6 +56,28 @@
         return mMissing.isEmpty() ? ExitCode.OK : ExitCode.REFUSED;
     }
 
+    private static ExitCode explainLogs(final String id, final String files, final Console console)
+            throws CliException {
+        final LogStory story = new LogStory();
+        for (final String file : files.split(",")) {
+            try {
+                story.read(Path.of(file));
+            } catch (IOException e) {
+                throw new CliException(ExitCode.USAGE, "usage.unreadable", file);
+            }
+        }
+        final ArrayNode lines = story.of(id);
+        if (lines.isEmpty()) {
+            throw new CliException(ExitCode.REFUSED, "explain.not-logged", id);
+        }
+        if (console.isJson()) {
+            console.json(JsonNodeFactory.instance.objectNode().put("id", id).set("lines", lines));
+        } else {
+            console.table(JsonRows.columns(lines, LogStory.COLUMNS));
+        }
+        return ExitCode.OK;
+    }
+
     private void take(final FleetAnswer answer) {
         if (answer.answer().isPresent() && answer.answer().get().isOk()) {
             for (final JsonNode decision : answer.answer().get().body().path("decisions")) {
