--- /dev/null
+++ b/gateway/src/test/java/org/whinhead/gateway/peers/StoreDigestsTest.java
@@ -0,0 +1,111 @@
+package org.whinhead.gateway.peers;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.whinhead.gateway.exchange.ServingState;
+import org.whinhead.gateway.store.StoreTopic;
+import org.whinhead.serving.balance.EndpointChooser;
+import org.whinhead.serving.endpoint.EndpointEntry;
+import org.whinhead.serving.limit.CustomerQuotas;
+import org.whinhead.serving.limit.QuotaTolerance;
+import org.whinhead.serving.limit.RetryBudget;
+import org.whinhead.serving.member.Member;
+import org.whinhead.serving.member.MemberTable;
+import org.whinhead.serving.usage.UsageLedger;
+import org.whinhead.serving.usage.UsageWindows;
+
+class StoreDigestsTest {
+
+    private static final Duration WINDOW = Duration.ofSeconds(5);
+
+    private final Instant mNow = Instant.parse("2026-01-01T00:00:00Z");
+    private final List<StoreTopic> mWoken = new ArrayList<>();
+    private final List<Long> mSkipped = new ArrayList<>();
+
+    private ServingState state() {
+        return ServingState.builder()
+                .clocks(() -> mNow, () -> mNow)
+                .chooser(new EndpointChooser("domain-a", new Random(1)))
+                .limits(
+                        new CustomerQuotas(new QuotaTolerance(WINDOW, 0.1, 1_000)),
+                        new RetryBudget(0.2, 10, WINDOW))
+                .usage(new UsageLedger("self"), new UsageWindows(WINDOW))
+                .build();
+    }
+
+    private static Member member(final String name) {
+        final InetSocketAddress address = new InetSocketAddress("127.0.0.1", 7600);
+        return new Member(name, "i-" + name, "domain-a", address, address);
+    }
+
+    private static void list(final ServingState state, final String id, final long offset) {
+        state.endpoints()
+                .put(
+                        new EndpointEntry(
+                                id,
+                                "pool",
+                                new InetSocketAddress("127.0.0.1", 9000),
+                                "domain-a",
+                                96,
+                                false,
+                                false,
+                                Optional.empty(),
+                                Duration.ZERO),
+                        offset);
+    }
+
+    private StoreDigests follower(final ServingState state) {
+        final MemberTable members = new MemberTable(member("z"));
+        members.heard(member("a"), true, false, mNow);
+        members.heard(member("b"), true, false, mNow);
+        final StoreDigests digests = new StoreDigests(state, members);
+        digests.onNews(mWoken::add);
+        digests.onSameEndpoints(mSkipped::add);
+        return digests;
+    }
+
+    private StoreDigests reader(final ServingState state, final long end) {
+        final StoreDigests digests = new StoreDigests(state, new MemberTable(member("a")));
+        digests.endpointsRead(end);
+        return digests;
+    }
+
+    // Every change of an endpoint cost each daemon two reads of the store: one as the first reader
+    // told of it, and one more as the second reader, which had not seen it yet, told otherwise.
+    @Test
+    void digestThatIsOlderThanOneselfIsNoNews() {
+        final ServingState own = state();
+        list(own, "e-1", 4);
+        final StoreDigests digests = follower(own);
+        digests.endpointsRead(5);
+        digests.take("b", reader(state(), 3).digest());
+        assertThat(mWoken).isEmpty();
+        assertThat(digests.isCovered(StoreTopic.ENDPOINTS)).isTrue();
+    }
+
+    @Test
+    void digestThatTellsMoreWakes() {
+        final ServingState readers = state();
+        list(readers, "e-1", 4);
+        final StoreDigests digests = follower(state());
+        digests.take("a", reader(readers, 5).digest());
+        assertThat(mWoken).containsExactly(StoreTopic.ENDPOINTS);
+        assertThat(digests.isCovered(StoreTopic.ENDPOINTS)).isFalse();
+    }
+
+    @Test
+    void recordsThatChangedNothingAreSkipped() {
+        final StoreDigests digests = follower(state());
+        digests.take("a", reader(state(), 90).digest());
+        assertThat(mWoken).isEmpty();
+        assertThat(mSkipped).containsExactly(90L);
+    }
+}
