Remember the removal of an endpoint that was not known yet

Cause: found by reading. Removals are remembered as news overtakes own reads, but only of endpoints that were listed. If the datagram with an endpoint's coming was lost and that with its removal was not, an older record read afterwards listed it until the read reached the removal. Before: EndpointRegistryTest.removalOfAnEndpointThatWasNotKnownYetIsRemembered failed. After: it passes.

--- a/serving/src/main/java/org/whinhead/serving/endpoint/EndpointRegistry.java
+++ b/serving/src/main/java/org/whinhead/serving/endpoint/EndpointRegistry.java
@@ -76,10 +76,13 @@
     public boolean remove(final String id, final long offset, final Instant now) {
         mNewestOffset = Math.max(mNewestOffset, offset);
         final Record before = mRecords.get(id);
-        if (before == null || before.mOffset >= offset) {
+        if (before != null && before.mOffset >= offset) {
             return false;
         }
         noteRemoval(id, offset);
+        if (before == null) {
+            return false;
+        }
         lapse(before, now);
         return true;
     }
--- a/serving/src/test/java/org/whinhead/serving/endpoint/EndpointRegistryTest.java
+++ b/serving/src/test/java/org/whinhead/serving/endpoint/EndpointRegistryTest.java
@@ -104,4 +104,16 @@
         mRegistry.put(entry("e1", false), 2);
         assertThat(mRegistry.usable("pool")).isEmpty();
     }
+
+    // A server that is gone gets requests. Another daemon told of its removal, but the datagram
+    // that
+    // had told of its coming was lost; then this daemon read the older records itself.
+    @Test
+    void removalOfAnEndpointThatWasNotKnownYetIsRemembered() {
+        assertThat(mRegistry.remove("e1", 5, START)).isFalse();
+        mRegistry.put(entry("e1", false), 3);
+        assertThat(mRegistry.usable("pool")).isEmpty();
+        mRegistry.put(entry("e1", false), 6);
+        assertThat(mRegistry.usable("pool")).hasSize(1);
+    }
 }
