--- /dev/null
+++ b/gateway/src/test/java/org/whinhead/gateway/exchange/TestServing.java
@@ -0,0 +1,48 @@
+package org.whinhead.gateway.exchange;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.Optional;
+import java.util.Random;
+import org.whinhead.serving.balance.EndpointChooser;
+import org.whinhead.serving.endpoint.EndpointEntry;
+import org.whinhead.serving.limit.CustomerQuotas;
+import org.whinhead.serving.limit.QuotaTolerance;
+import org.whinhead.serving.limit.RetryBudget;
+import org.whinhead.serving.usage.UsageLedger;
+import org.whinhead.serving.usage.UsageWindows;
+
+/** Decision objects and endpoints for tests. */
+public final class TestServing {
+
+    private static final Duration WINDOW = Duration.ofSeconds(5);
+
+    private TestServing() {}
+
+    /** Makes a state that knows nothing; one clock stands for both. */
+    public static ServingState state(final InstantSource clock) {
+        return ServingState.builder()
+                .clocks(clock, clock)
+                .chooser(new EndpointChooser("domain-a", new Random(1)))
+                .limits(
+                        new CustomerQuotas(new QuotaTolerance(WINDOW, 0.1, 1_000)),
+                        new RetryBudget(0.2, 10, WINDOW))
+                .usage(new UsageLedger("self"), new UsageWindows(WINDOW))
+                .build();
+    }
+
+    /** Describes an endpoint of the service "pool". */
+    public static EndpointEntry endpoint(final String id, final boolean leaving) {
+        return new EndpointEntry(
+                id,
+                "pool",
+                new InetSocketAddress("127.0.0.1", 9000),
+                "domain-a",
+                96,
+                leaving,
+                false,
+                Optional.empty(),
+                Duration.ZERO);
+    }
+}
--- a/gateway/src/test/java/org/whinhead/gateway/peers/StoreDigestsTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/peers/StoreDigestsTest.java
@@ -3,42 +3,24 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.net.InetSocketAddress;
-import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
-import java.util.Random;
 import org.junit.jupiter.api.Test;
 import org.whinhead.gateway.exchange.ServingState;
+import org.whinhead.gateway.exchange.TestServing;
 import org.whinhead.gateway.store.StoreTopic;
-import org.whinhead.serving.balance.EndpointChooser;
-import org.whinhead.serving.endpoint.EndpointEntry;
-import org.whinhead.serving.limit.CustomerQuotas;
-import org.whinhead.serving.limit.QuotaTolerance;
-import org.whinhead.serving.limit.RetryBudget;
 import org.whinhead.serving.member.Member;
 import org.whinhead.serving.member.MemberTable;
-import org.whinhead.serving.usage.UsageLedger;
-import org.whinhead.serving.usage.UsageWindows;
 
 class StoreDigestsTest {
 
-    private static final Duration WINDOW = Duration.ofSeconds(5);
-
     private final Instant mNow = Instant.parse("2026-01-01T00:00:00Z");
     private final List<StoreTopic> mWoken = new ArrayList<>();
     private final List<Long> mSkipped = new ArrayList<>();
 
     private ServingState state() {
-        return ServingState.builder()
-                .clocks(() -> mNow, () -> mNow)
-                .chooser(new EndpointChooser("domain-a", new Random(1)))
-                .limits(
-                        new CustomerQuotas(new QuotaTolerance(WINDOW, 0.1, 1_000)),
-                        new RetryBudget(0.2, 10, WINDOW))
-                .usage(new UsageLedger("self"), new UsageWindows(WINDOW))
-                .build();
+        return TestServing.state(() -> mNow);
     }
 
     private static Member member(final String name) {
@@ -47,19 +29,7 @@
     }
 
     private static void list(final ServingState state, final String id, final long offset) {
-        state.endpoints()
-                .put(
-                        new EndpointEntry(
-                                id,
-                                "pool",
-                                new InetSocketAddress("127.0.0.1", 9000),
-                                "domain-a",
-                                96,
-                                false,
-                                false,
-                                Optional.empty(),
-                                Duration.ZERO),
-                        offset);
+        state.endpoints().put(TestServing.endpoint(id, false), offset);
     }
 
     private StoreDigests follower(final ServingState state) {
--- a/gateway/src/test/java/org/whinhead/gateway/store/EndpointWatchTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/store/EndpointWatchTest.java
@@ -2,41 +2,23 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.Random;
 import org.junit.jupiter.api.Test;
 import org.whinhead.gateway.endpoint.EndpointConnections;
 import org.whinhead.gateway.exchange.ServingState;
-import org.whinhead.serving.balance.EndpointChooser;
+import org.whinhead.gateway.exchange.TestServing;
 import org.whinhead.serving.endpoint.EndpointChange;
 import org.whinhead.serving.endpoint.EndpointEntry;
-import org.whinhead.serving.limit.CustomerQuotas;
-import org.whinhead.serving.limit.QuotaTolerance;
-import org.whinhead.serving.limit.RetryBudget;
-import org.whinhead.serving.usage.UsageLedger;
-import org.whinhead.serving.usage.UsageWindows;
 
 class EndpointWatchTest {
 
-    private static final Duration WINDOW = Duration.ofSeconds(5);
-
     private Instant mNow = Instant.parse("2026-01-01T00:00:00Z");
     private final List<String> mLeaving = new ArrayList<>();
-    private final ServingState mState =
-            ServingState.builder()
-                    .clocks(() -> mNow, () -> mNow)
-                    .chooser(new EndpointChooser("domain-a", new Random(1)))
-                    .limits(
-                            new CustomerQuotas(new QuotaTolerance(WINDOW, 0.1, 1_000)),
-                            new RetryBudget(0.2, 10, WINDOW))
-                    .usage(new UsageLedger("self"), new UsageWindows(WINDOW))
-                    .build();
+    private final ServingState mState = TestServing.state(() -> mNow);
     private final EndpointWatch mWatch =
             new EndpointWatch(
                     mState,
@@ -44,16 +26,8 @@
                     EndpointWatchTest::decode);
 
     private static EndpointEntry decode(final String id, final byte[] value) {
-        return new EndpointEntry(
-                id,
-                "pool",
-                new InetSocketAddress("127.0.0.1", 9000),
-                "domain-a",
-                96,
-                new String(value, StandardCharsets.UTF_8).equals("leaving"),
-                false,
-                Optional.empty(),
-                Duration.ZERO);
+        return TestServing.endpoint(
+                id, new String(value, StandardCharsets.UTF_8).equals("leaving"));
     }
 
     private static StoreRecord record(final String value, final long offset) {
