Take three jobs out of the life of a request

Exchange judged answers, counted usage and chose what a caller is told, beside driving the attempts.

--- /dev/null
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/CallerEnding.java
@@ -0,0 +1,59 @@
+package org.whinhead.gateway.exchange;
+
+import java.time.Duration;
+import org.whinhead.gateway.caller.Refusal;
+
+/** What a caller is told of a request that got no answer, by whether the request may have run. */
+final class CallerEnding {
+
+    /** Longest time after which a caller with a request that did not run is asked to come back. */
+    private static final Duration LONGEST_RETRY_AFTER = Duration.ofMillis(300);
+
+    /** Part of the caller's remaining time that it should wait before it comes back. */
+    private static final int RETRY_AFTER_DIVISOR = 12;
+
+    private final ServingState mState;
+    private final Admission mAdmission;
+    private boolean mMayHaveRun;
+
+    CallerEnding(final ServingState state, final Admission admission) {
+        mState = state;
+        mAdmission = admission;
+    }
+
+    /** Notes that the request may have run, or be running; that can't be taken back. */
+    void mayHaveRun() {
+        mMayHaveRun = true;
+    }
+
+    /**
+     * Refuses a request for which nothing more is tried. One that did not run costs its customer
+     * nothing.
+     *
+     * @param reason what is logged and told
+     */
+    Refusal givenUp(final String reason) {
+        if (mMayHaveRun) {
+            return Refusal.mayHaveRun(reason);
+        }
+        mAdmission
+                .customerName()
+                .ifPresent(customer -> mState.quotas().refund(customer, mAdmission.tokens()));
+        return Refusal.notRun(reason, retryAfter());
+    }
+
+    /**
+     * Refuses a request whose time is up.
+     *
+     * @param reason what is logged and told
+     */
+    Refusal timedOut(final String reason) {
+        return mMayHaveRun ? Refusal.timedOut() : givenUp(reason);
+    }
+
+    private Duration retryAfter() {
+        final Duration left = Duration.between(mState.clock().instant(), mAdmission.deadline());
+        final Duration part = left.dividedBy(RETRY_AFTER_DIVISOR);
+        return part.compareTo(LONGEST_RETRY_AFTER) < 0 ? part : LONGEST_RETRY_AFTER;
+    }
+}
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
@@ -46,11 +46,7 @@
     /** Least time left for another attempt to be worth its cost. */
     private static final Duration LEAST_TIME_LEFT = Duration.ofMillis(30);
 
-    /** Longest time after which a caller with a request that did not run is asked to come back. */
-    private static final Duration LONGEST_RETRY_AFTER = Duration.ofMillis(300);
-
-    /** Part of the caller's remaining time that it should wait before it comes back. */
-    private static final int RETRY_AFTER_DIVISOR = 12;
+    private static final String TIMED_OUT = "timed out";
 
     private final Exchanges mExchanges;
     private final Admission mAdmission;
@@ -59,6 +55,8 @@
     private final String mService;
     private final Set<String> mTried = new HashSet<>();
     private final AnswerRelay mRelay;
+    private final UsageMark mUsage;
+    private final CallerEnding mEnding;
     private Future<?> mDeadlineTimer;
     private Future<?> mPatienceTimer;
     private Placement mPlacement;
@@ -69,8 +67,6 @@
     private int mDispatch;
     private RunMove mMove;
     private MovedRun mContinued;
-    private boolean mMayHaveRun;
-    private boolean mCounted;
     private boolean mDone;
 
     Exchange(
@@ -89,6 +85,8 @@
                         admission.route().kind().isStream(),
                         admission.request().resumeAfter(),
                         this);
+        mUsage = new UsageMark(exchanges.state(), admission);
+        mEnding = new CallerEnding(exchanges.state(), admission);
     }
 
     void start() {
@@ -191,7 +189,7 @@
             return;
         }
         mPlacement.load().outcome(true);
-        mMayHaveRun = true;
+        mEnding.mayHaveRun();
         leaveEndpoint();
         dispatch();
     }
@@ -214,20 +212,14 @@
     public void head(final EndpointAnswer answer) {
         if (answer.otherEndpoint()) {
             mExchanges.state().endpoints().replacedAtAddress(mPlacement.endpoint().id());
-            attemptFailed(Verdict.NOT_RUN, "address belongs to another endpoint");
-        } else if (answer.notRun()) {
-            attemptFailed(Verdict.NOT_RUN, "endpoint refused");
-        } else if (!answer.requestId().equals(Optional.of(mAdmission.request().id()))) {
-            attemptFailed(Verdict.MAY_HAVE_RUN, "answer of another request");
-        } else if (!answer.genuine()) {
-            attemptFailed(Verdict.MAY_HAVE_RUN, "answer not signed by its endpoint");
-        } else if (mRelay.isStarted() && !answer.isSuccess()) {
-            // Its body would follow the events passed before, and end the stream as if it were
-            // whole.
-            attemptFailed(Verdict.MAY_HAVE_RUN, "stream could not go on");
+        }
+        final Optional<AnswerFault> fault =
+                AnswerFault.of(answer, mAdmission.request().id(), mRelay.isStarted());
+        if (fault.isPresent()) {
+            attemptFailed(fault.get().verdict(), fault.get().reason());
         } else if (answer.isServerError() && mAdmission.route().mayRunAgain() && mayRetry()) {
-            countUsage();
-            mMayHaveRun = true;
+            mUsage.ran(mSentAt);
+            mEnding.mayHaveRun();
             mPlacement.load().outcome(true);
             leaveEndpoint();
             dispatch();
@@ -244,7 +236,7 @@
     @Override
     public void generating() {
         mPlacement.promptRead();
-        countUsage();
+        mUsage.ran(mSentAt);
     }
 
     @Override
@@ -254,22 +246,6 @@
         }
     }
 
-    private void countUsage() {
-        if (mCounted) {
-            return;
-        }
-        mCounted = true;
-        final ServingState state = mExchanges.state();
-        final Instant began =
-                mAdmission.route().kind().isStream()
-                        ? state.usageClock().instant()
-                        : state.usageClock().instant().minus(Duration.between(mSentAt, now()));
-        mAdmission
-                .customerName()
-                .ifPresent(
-                        customer -> state.usage().began(state.usageWindows().at(began), customer));
-    }
-
     @Override
     public void end() {
         mConnection = null;
@@ -283,7 +259,7 @@
         }
         // The run may have been over before its endpoint got the order to stop it.
         dropMove();
-        countUsage();
+        mUsage.ran(mSentAt);
         mRelay.passRest();
         mPlacement.load().outcome(head.isServerError());
         done(head.isSuccess() ? "answered" : "answered with a failure", head.status().code());
@@ -302,7 +278,9 @@
 
     private void attemptFailed(final Verdict verdict, final String reason) {
         mPlacement.load().outcome(true);
-        mMayHaveRun |= verdict != Verdict.NOT_RUN;
+        if (verdict != Verdict.NOT_RUN) {
+            mEnding.mayHaveRun();
+        }
         mExchanges.journal().attemptFailed(mAdmission, mPlacement.endpoint(), verdict, reason);
         leaveEndpoint();
         final boolean begun = mRelay.isStarted() || verdict != Verdict.NOT_RUN;
@@ -386,41 +364,26 @@
             mAnswer.abort();
             return;
         }
-        final Refusal refusal;
-        if (mMayHaveRun) {
-            refusal = Refusal.mayHaveRun(reason);
-        } else {
-            refund();
-            refusal = Refusal.notRun(reason, retryAfter());
-        }
-        done(reason, refusal.status().code());
-        mAnswer.refuse(refusal);
+        refuse(reason, mEnding.givenUp(reason));
     }
 
-    private void refund() {
-        mAdmission
-                .customerName()
-                .ifPresent(
-                        customer ->
-                                mExchanges.state().quotas().refund(customer, mAdmission.tokens()));
-    }
-
-    private Duration retryAfter() {
-        final Duration part = timeLeft().dividedBy(RETRY_AFTER_DIVISOR);
-        return part.compareTo(LONGEST_RETRY_AFTER) < 0 ? part : LONGEST_RETRY_AFTER;
+    private void refuse(final String reason, final Refusal refusal) {
+        done(reason, refusal.status().code());
+        mAnswer.refuse(refusal);
     }
 
     private void deadlinePassed() {
         if (mDone) {
             return;
         }
-        mMayHaveRun |= mSends > 0;
-        if (mRelay.isStarted() || !mMayHaveRun) {
-            giveUp("timed out");
-            return;
+        if (mSends > 0) {
+            mEnding.mayHaveRun();
+        }
+        if (mRelay.isStarted()) {
+            giveUp(TIMED_OUT);
+        } else {
+            refuse(TIMED_OUT, mEnding.timedOut(TIMED_OUT));
         }
-        done("timed out", Refusal.timedOut().status().code());
-        mAnswer.refuse(Refusal.timedOut());
     }
 
     @Override
