Never tell a caller to come back before now

Cause: found while reading. Timers fire late, so a request whose time is up has a little less than no time left, and a part of that was told as the time to come back. Before: CallerEndingTest.timeToComeBackIsNeverNegative failed with PT-0.001S. After: it passes.

--- a/gateway/src/main/java/org/whinhead/gateway/exchange/CallerEnding.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/CallerEnding.java
@@ -53,6 +53,9 @@
 
     private Duration retryAfter() {
         final Duration left = Duration.between(mState.clock().instant(), mAdmission.deadline());
+        if (left.isNegative()) {
+            return Duration.ZERO;
+        }
         final Duration part = left.dividedBy(RETRY_AFTER_DIVISOR);
         return part.compareTo(LONGEST_RETRY_AFTER) < 0 ? part : LONGEST_RETRY_AFTER;
     }
--- a/gateway/src/test/java/org/whinhead/gateway/exchange/CallerEndingTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/exchange/CallerEndingTest.java
@@ -53,4 +53,12 @@
         assertThat(mEnding.givenUp("lost").status().code()).isEqualTo(502);
         assertThat(mEnding.timedOut("late").status().code()).isEqualTo(504);
     }
+
+    // A caller is told to come back after minus one millisecond, and takes the answer for broken.
+    // Timers fire late, so a request whose time is up has a little less than none left.
+    @Test
+    void timeToComeBackIsNeverNegative() {
+        mNow = START.plusMillis(1_012);
+        assertThat(mEnding.timedOut("late").retryAfter()).contains(Duration.ZERO);
+    }
 }
