--- /dev/null
+++ b/gateway/src/test/java/org/whinhead/gateway/peers/EndpointChangesTest.java
@@ -0,0 +1,65 @@
+package org.whinhead.gateway.peers;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.whinhead.gateway.generated.GatewayProto.EndpointNews;
+import org.whinhead.serving.endpoint.EndpointChange;
+import org.whinhead.serving.endpoint.EndpointEntry;
+
+class EndpointChangesTest {
+
+    private static EndpointChange change(final int number, final Optional<Duration> leavesIn) {
+        final EndpointEntry entry =
+                new EndpointEntry(
+                        "i-7f3a91c2" + number,
+                        "costdesk-llm",
+                        new InetSocketAddress("10.3.64.44", 8064),
+                        "industrial-area",
+                        96,
+                        leavesIn.isPresent(),
+                        true,
+                        leavesIn,
+                        Duration.ofMillis(250));
+        return new EndpointChange(entry.id(), number, Optional.of(entry));
+    }
+
+    private static List<EndpointChange> sent(final List<EndpointChange> changes)
+            throws InvalidProtocolBufferException {
+        final List<EndpointChange> received = new ArrayList<>();
+        for (final EndpointNews news : EndpointChanges.encode(changes)) {
+            received.addAll(EndpointChanges.decode(EndpointNews.parseFrom(news.toByteArray())));
+        }
+        return received;
+    }
+
+    @Test
+    void changesArriveAsTheyWere() throws InvalidProtocolBufferException {
+        final List<EndpointChange> changes =
+                List.of(
+                        change(1, Optional.empty()),
+                        change(2, Optional.of(Duration.ZERO)),
+                        change(3, Optional.of(Duration.ofMillis(2_300))),
+                        new EndpointChange("gone", 9, Optional.empty()));
+        assertThat(sent(changes)).isEqualTo(changes);
+    }
+
+    // A whole failure domain is reclaimed, and no daemon hears of it until it reads the store: the
+    // news did not fit into one packet, and one of its pieces was lost.
+    @Test
+    void newsFitIntoPackets() throws InvalidProtocolBufferException {
+        final List<EndpointChange> changes = new ArrayList<>();
+        for (int number = 0; number < 60; number++) {
+            changes.add(change(number, Optional.of(Duration.ofMillis(1_300))));
+        }
+        assertThat(EndpointChanges.encode(changes))
+                .allMatch(news -> news.getSerializedSize() < 1_400);
+        assertThat(sent(changes)).isEqualTo(changes);
+    }
+}
