Copy shared parts of prompts from the engine that holds them

Change: a request that goes elsewhere names the engine that holds most of its shared parts, by what was sent there from here, or else the session's home, if the configuration's link copies faster than engines read. CapacitySettings gets the part that must survive a reclaim, at 1, as before.

--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointOrder.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointOrder.java
@@ -13,6 +13,7 @@
  * @param timeLeft how long the caller still waits
  * @param priority the rank of the request, 0 first
  * @param resumeAfter the event after which a stream goes on, if it was broken off
+ * @param promptSource the endpoint from which to copy shared parts of the prompt
  * @param continued the stopped run whose memory the endpoint has, if it goes on with one
  */
 public record EndpointOrder(
@@ -21,6 +22,7 @@
         Duration timeLeft,
         int priority,
         Optional<String> resumeAfter,
+        Optional<EndpointEntry> promptSource,
         Optional<MovedRun> continued) {
 
     /** Checks the parts. */
@@ -29,6 +31,7 @@
         Objects.requireNonNull(customer, "customer");
         Objects.requireNonNull(timeLeft, "timeLeft");
         Objects.requireNonNull(resumeAfter, "resumeAfter");
+        Objects.requireNonNull(promptSource, "promptSource");
         Objects.requireNonNull(continued, "continued");
     }
 }
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
@@ -118,6 +118,7 @@
                                 state.endpoints().usable(mService),
                                 mAdmission.request().work(),
                                 mTried,
+                                state.copiesPrompts(mService),
                                 now());
         if (place.isEmpty()) {
             giveUp("no endpoint left");
@@ -157,6 +158,7 @@
                         timeLeft(),
                         mAdmission.priority(),
                         mRelay.lastEvent(),
+                        mContinued == null ? mPlacement.promptSource() : Optional.empty(),
                         Optional.ofNullable(mContinued));
         mContinued = null;
         connection.send(
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/RunMove.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/RunMove.java
@@ -68,6 +68,7 @@
                                 state.endpoints().usable(service),
                                 admission.request().work(),
                                 Set.of(source.endpoint().id()),
+                                false,
                                 now);
         if (target.isEmpty()) {
             return Optional.empty();
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/ServingState.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/ServingState.java
@@ -4,6 +4,7 @@
 import java.util.Objects;
 import org.whinhead.serving.balance.EndpointChooser;
 import org.whinhead.serving.configuration.ConfigurationHolder;
+import org.whinhead.serving.configuration.ServiceSpec;
 import org.whinhead.serving.endpoint.EndpointRegistry;
 import org.whinhead.serving.limit.CustomerQuotas;
 import org.whinhead.serving.limit.RetryBudget;
@@ -14,6 +15,12 @@
 /** The decision objects of a daemon; all are used on its event loop only. */
 public final class ServingState {
 
+    /**
+     * Tokens in a millisecond from which engines are taken to copy a prompt faster than they read
+     * it: twice what the fastest known one reads.
+     */
+    private static final double LEAST_COPY_SPEED = 100;
+
     private final InstantSource mClock;
     private final InstantSource mTimeOfDay;
     private final ConfigurationHolder mConfiguration = new ConfigurationHolder();
@@ -66,6 +73,22 @@
         return mConfiguration;
     }
 
+    /**
+     * Tells whether a service's endpoints copy cached prompts from each other faster than they read
+     * them.
+     *
+     * @param service the service
+     * @return whether a request may name an endpoint to copy from
+     */
+    boolean copiesPrompts(final String service) {
+        return mConfiguration
+                .current()
+                .flatMap(current -> current.service(service))
+                .flatMap(ServiceSpec::engineLink)
+                .filter(link -> link.tokensPerMillisecond() > LEAST_COPY_SPEED)
+                .isPresent();
+    }
+
     public EndpointRegistry endpoints() {
         return mEndpoints;
     }
--- a/serving/src/main/java/org/whinhead/serving/balance/EndpointChooser.java
+++ b/serving/src/main/java/org/whinhead/serving/balance/EndpointChooser.java
@@ -47,6 +47,12 @@
     /** Shared tokens from which it pays to go to the session's home: 26 ms of reading. */
     private static final int LEAST_SHARED_TOKENS = 1_000;
 
+    /**
+     * Shared tokens from which a copy pays. A copy has a fixed cost of some milliseconds at the
+     * engine, in which it reads 150 to 200 tokens.
+     */
+    private static final int LEAST_COPIED_TOKENS = 200;
+
     private final String mOwnDomain;
     private final CandidateSampler mSampler;
     private final Map<String, EndpointLoad> mLoads = new HashMap<>();
@@ -68,6 +74,7 @@
      * @param candidates the endpoints that may get it
      * @param work what the request asks
      * @param tried endpoints that it was sent to before
+     * @param copies whether the endpoints copy cached prompts from each other
      * @param now the time
      * @return the place, if there is one
      */
@@ -75,6 +82,7 @@
             final List<EndpointEntry> candidates,
             final Work work,
             final Set<String> tried,
+            final boolean copies,
             final Instant now) {
         final List<EndpointEntry> untried =
                 candidates.stream().filter(candidate -> !tried.contains(candidate.id())).toList();
@@ -85,9 +93,40 @@
             return Optional.empty();
         }
         final EndpointLoad load = load(best.id());
-        final int unread = work.promptTokens() - load.cachedTokens(work);
-        load.started(work, Math.max(unread, 0));
-        return Optional.of(new Placement(best, load, Math.max(unread, 0)));
+        final Optional<EndpointEntry> source =
+                copies ? promptSource(open, best, work) : Optional.empty();
+        final int cached =
+                Math.max(
+                        load.cachedTokens(work),
+                        source.map(endpoint -> load(endpoint.id()).cachedTokens(work)).orElse(0));
+        final int unread = Math.max(work.promptTokens() - cached, 0);
+        load.started(work, unread);
+        return Optional.of(new Placement(best, load, unread, source));
+    }
+
+    /**
+     * Finds the endpoint from which the chosen one should copy shared parts of a prompt. It is the
+     * one to which most of them were sent from here, or else the session's home, where the other
+     * daemons send them.
+     */
+    private Optional<EndpointEntry> promptSource(
+            final List<EndpointEntry> open, final EndpointEntry chosen, final Work work) {
+        if (open.isEmpty() || work.sharedTokens() < LEAST_COPIED_TOKENS) {
+            return Optional.empty();
+        }
+        EndpointEntry source = null;
+        int most = load(chosen.id()).cachedTokens(work) + LEAST_COPIED_TOKENS - 1;
+        for (final EndpointEntry candidate : open) {
+            final int cached = load(candidate.id()).cachedTokens(work);
+            if (cached > most) {
+                most = cached;
+                source = candidate;
+            }
+        }
+        if (source == null && most < work.sharedTokens()) {
+            source = mSampler.ofSession(open, work.session()).get(0);
+        }
+        return Optional.ofNullable(source).filter(endpoint -> endpoint != chosen);
     }
 
     private EndpointEntry best(final List<EndpointEntry> candidates, final Work work) {
--- a/serving/src/main/java/org/whinhead/serving/capacity/CapacityPlanner.java
+++ b/serving/src/main/java/org/whinhead/serving/capacity/CapacityPlanner.java
@@ -18,7 +18,8 @@
 import org.whinhead.serving.endpoint.EndpointEntry;
 
 /**
- * Orders endpoints such that the loss of any failure domain's reclaimable ones leaves enough.
+ * Orders endpoints such that the demand is met, and that the loss of any failure domain's
+ * reclaimable ones leaves a part of them.
  *
  * <p>Reclaimable endpoints cost a fraction of the others, so they carry the calm hours, spread
  * evenly over the failure domains. A reclaim takes all of one domain within seconds, and none are
@@ -161,7 +162,7 @@
         return mNeeds.get(service);
     }
 
-    /** Sets how many endpoints on demand are wanted, so that any domain's reclaim leaves enough. */
+    /** Sets how many endpoints on demand are wanted, by what there is and what may go at once. */
     private void balanceOnDemand(
             final String service,
             final Collection<DomainCapacity> domains,
@@ -170,7 +171,8 @@
             final Instant now) {
         final int expected = domains.stream().mapToInt(DomainCapacity::expected).sum();
         final int atRisk = domains.stream().mapToInt(domain -> domain.now(true)).max().orElse(0);
-        final int surplus = expected - atRisk - need;
+        final int surviving = (int) Math.ceil(need * mSettings.survivingPart());
+        final int surplus = Math.min(expected - need, expected - atRisk - surviving);
         final Comparator<DomainCapacity> byPrice =
                 Comparator.comparing(
                         domain -> limits.domainPrices().getOrDefault(domain.domain(), 1.0));
--- a/serving/src/test/java/org/whinhead/serving/balance/EndpointChooserTest.java
+++ b/serving/src/test/java/org/whinhead/serving/balance/EndpointChooserTest.java
@@ -46,7 +46,8 @@
     }
 
     private String place(final List<EndpointEntry> endpoints, final Work work) {
-        final Placement placement = mChooser.place(endpoints, work, Set.of(), NOW).orElseThrow();
+        final Placement placement =
+                mChooser.place(endpoints, work, Set.of(), false, NOW).orElseThrow();
         placement.ended();
         return placement.endpoint().id();
     }
@@ -66,9 +67,16 @@
             final EndpointChooser other = chooser(2);
             final Work work = work("s" + session);
             final String there =
-                    other.place(endpoints, work, Set.of(), NOW).orElseThrow().endpoint().id();
+                    other.place(endpoints, work, Set.of(), false, NOW)
+                            .orElseThrow()
+                            .endpoint()
+                            .id();
             final String here =
-                    chooser(3).place(endpoints, work, Set.of(), NOW).orElseThrow().endpoint().id();
+                    chooser(3)
+                            .place(endpoints, work, Set.of(), false, NOW)
+                            .orElseThrow()
+                            .endpoint()
+                            .id();
             assertThat(here).isEqualTo(there);
             homes.add(here);
         }
@@ -92,6 +100,55 @@
         assertThat(place(endpoints, work("s1"))).isEqualTo(home);
     }
 
+    // Half of the prompts of a busy session are read twice: its home is full, so its requests go to
+    // another server, which reads 6,300 tokens that the home holds. A copy takes some milliseconds.
+    @Test
+    void promptIsCopiedFromItsHomeIfTheRequestGoesElsewhere() {
+        final List<EndpointEntry> endpoints = endpoints(2);
+        final String home = place(endpoints, work("s1"));
+        mChooser.peerLoad("other", home, 40, 60_000);
+        final Placement away = copying(endpoints, work("s1"));
+        assertThat(away.endpoint().id()).isNotEqualTo(home);
+        assertThat(away.promptSource()).map(EndpointEntry::id).contains(home);
+    }
+
+    @Test
+    void promptIsCopiedFromTheHomeThatOtherDaemonsUse() {
+        final List<EndpointEntry> endpoints = endpoints(2);
+        final String home = place(endpoints, work("s1"));
+        final EndpointChooser other = chooser(2);
+        other.peerLoad("busy", home, 40, 60_000);
+        final Placement away =
+                other.place(endpoints, work("s1"), Set.of(), true, NOW).orElseThrow();
+        assertThat(away.promptSource()).map(EndpointEntry::id).contains(home);
+    }
+
+    @Test
+    void promptThatIsThereIsNotCopied() {
+        final List<EndpointEntry> endpoints = endpoints(4);
+        place(endpoints, work("s1"));
+        assertThat(copying(endpoints, work("s1")).promptSource()).isEmpty();
+    }
+
+    @Test
+    void promptIsNotCopiedFromAnUnreachableEndpoint() {
+        final List<EndpointEntry> endpoints = endpoints(2);
+        final String home = place(endpoints, work("s1"));
+        mChooser.load(home).unreachable(NOW);
+        assertThat(copying(endpoints, work("s1")).promptSource()).isEmpty();
+    }
+
+    @Test
+    void shortSharedPartIsReadAgain() {
+        final List<EndpointEntry> endpoints = endpoints(2);
+        final Work work = new Work(List.of(new PromptPart("short", 170)), 700, 50);
+        assertThat(copying(endpoints, work).promptSource()).isEmpty();
+    }
+
+    private Placement copying(final List<EndpointEntry> endpoints, final Work work) {
+        return mChooser.place(endpoints, work, Set.of(), true, NOW).orElseThrow();
+    }
+
     // Callers wait for connections to a server that has gone dark; each request that picks it costs
     // a
     // timeout. After the first one the server rests, and is tried again later.
@@ -112,7 +169,7 @@
 
     @Test
     void triedEndpointIsNotChosenAgain() {
-        assertThat(mChooser.place(endpoints(1), work("s1"), Set.of("e0"), NOW)).isEmpty();
+        assertThat(mChooser.place(endpoints(1), work("s1"), Set.of("e0"), false, NOW)).isEmpty();
     }
 
     // Prompts of many daemons pile up on one endpoint although others are idle: all daemons take
@@ -130,7 +187,7 @@
             for (int request = 0; request < 5; request++) {
                 final Work work = new Work(List.of(new PromptPart("short", 170)), 700, 50);
                 final Placement placement =
-                        chooser.place(endpoints, work, Set.of(), NOW).orElseThrow();
+                        chooser.place(endpoints, work, Set.of(), false, NOW).orElseThrow();
                 arrivals.merge(placement.endpoint().id(), 1, Integer::sum);
             }
         }
--- a/serving/src/test/java/org/whinhead/serving/capacity/CapacityPlannerTest.java
+++ b/serving/src/test/java/org/whinhead/serving/capacity/CapacityPlannerTest.java
@@ -24,6 +24,7 @@
                     "pool",
                     500,
                     true,
+                    Optional.empty(),
                     Optional.of(
                             new ScalingLimits(
                                     1,
@@ -32,7 +33,8 @@
                                     0.22,
                                     Map.of("a", 0.85, "b", 1.2, "c", 1.0))));
 
-    private final CapacityPlanner mPlanner = new CapacityPlanner(new CapacitySettings(25_000, 2));
+    private final CapacityPlanner mPlanner =
+            new CapacityPlanner(new CapacitySettings(25_000, 2, 1));
     private final List<EndpointEntry> mEndpoints = new ArrayList<>();
     private boolean mDry;
     private int mNextId;
@@ -184,7 +186,8 @@
 
     @Test
     void serviceWithoutLimitsIsLeftAlone() {
-        final ServiceSpec plain = new ServiceSpec("api", 100, false, Optional.empty());
+        final ServiceSpec plain =
+                new ServiceSpec("api", 100, false, Optional.empty(), Optional.empty());
         assertThat(mPlanner.plan(plain, mEndpoints, OptionalDouble.empty(), START)).isEmpty();
     }
 }
--- a/serving/src/test/java/org/whinhead/serving/capacity/CapacityRecoveryTest.java
+++ b/serving/src/test/java/org/whinhead/serving/capacity/CapacityRecoveryTest.java
@@ -38,6 +38,7 @@
                     "pool",
                     500,
                     true,
+                    Optional.empty(),
                     Optional.of(
                             new ScalingLimits(
                                     1,
@@ -112,7 +113,7 @@
     }
 
     private static CapacityPlanner planner() {
-        return new CapacityPlanner(new CapacitySettings(25_000, 2));
+        return new CapacityPlanner(new CapacitySettings(25_000, 2, 1));
     }
 
     private static void second(
