--- a/gateway/src/main/java/org/whinhead/gateway/duty/DutyHolder.java
+++ b/gateway/src/main/java/org/whinhead/gateway/duty/DutyHolder.java
@@ -199,12 +199,7 @@
 
     private void claimed(final boolean renewal, final OptionalLong end, final Throwable failure) {
         if (failure != null) {
-            // The claim may have landed all the same; the next look tells.
-            mLease.lost();
-            LOG.atWarn()
-                    .addKeyValue("token", mClaim.token())
-                    .addKeyValue("cause", String.valueOf(failure.getMessage()))
-                    .log("claim of the lease not answered");
+            notAnswered(failure);
         } else if (end.isEmpty()) {
             mLease.lost();
             LOG.info("lease belongs to another daemon");
@@ -216,6 +211,26 @@
         }
     }
 
+    /**
+     * Goes on under the last renewal, as long as that holds. The store may turn away the holder
+     * just as its endpoints are reclaimed; a holder that gave up at the first refusal left nobody
+     * to order others until its successor's wait was over, 3.4 s later. It stays safe: nobody else
+     * takes the lease before its term has passed since the last record. The claim may have landed
+     * all the same; then the next one finds another end of the store.
+     */
+    private void notAnswered(final Throwable failure) {
+        final boolean stillHeld = token().isPresent();
+        if (!stillHeld) {
+            mLease.lost();
+        }
+        LOG.atWarn()
+                .addKeyValue("token", mClaim.token())
+                .addKeyValue("cause", String.valueOf(failure.getMessage()))
+                .addKeyValue("stillHeld", stillHeld)
+                .log("claim of the lease not answered");
+        orderEndpoints();
+    }
+
     private void granted(final long end) {
         mLease.granted(mClaim, end, mClaimSteady, mClaimTimeOfDay);
         act();
--- /dev/null
+++ b/gateway/src/test/java/org/whinhead/gateway/duty/DutyHolderTest.java
@@ -0,0 +1,184 @@
+package org.whinhead.gateway.duty;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.whinhead.gateway.exchange.ServingState;
+import org.whinhead.gateway.exchange.TestServing;
+import org.whinhead.gateway.store.MetadataStore;
+import org.whinhead.gateway.store.StorePage;
+import org.whinhead.gateway.store.StoreTopic;
+import org.whinhead.serving.capacity.CapacityOrder;
+import org.whinhead.serving.capacity.CapacityPlanner;
+import org.whinhead.serving.capacity.CapacitySettings;
+import org.whinhead.serving.configuration.CallerLimits;
+import org.whinhead.serving.configuration.ScalingLimits;
+import org.whinhead.serving.configuration.ServiceSpec;
+import org.whinhead.serving.configuration.ServingConfiguration;
+import org.whinhead.serving.duty.DutyLease;
+import org.whinhead.serving.duty.UsageDecision;
+import org.whinhead.serving.duty.UsagePlan;
+import org.whinhead.serving.endpoint.EndpointEntry;
+import org.whinhead.serving.member.Member;
+import org.whinhead.serving.member.MemberTable;
+
+class DutyHolderTest {
+
+    private static final Duration TERM = Duration.ofSeconds(3);
+
+    /** One endpoint on demand in the only domain, as many as may be. */
+    private static final ServiceSpec POOL =
+            new ServiceSpec(
+                    "pool",
+                    100,
+                    true,
+                    Optional.empty(),
+                    Optional.of(
+                            new ScalingLimits(
+                                    1, 2, Duration.ofSeconds(4), 0.2, Map.of("domain-a", 1.0))));
+
+    private final EmbeddedChannel mChannel = new EmbeddedChannel();
+    private final FakeStore mStore = new FakeStore();
+    private final FakeCloud mCloud = new FakeCloud();
+    private Instant mNow = Instant.parse("2026-01-01T00:00:00Z");
+    private final ServingState mState = TestServing.state(() -> mNow);
+    private DutyHolder mHolder;
+
+    /** A store that takes a record, refuses it, or says that another daemon has written. */
+    private static final class FakeStore implements MetadataStore {
+        private boolean mRefuses;
+        private boolean mWrittenByAnother;
+        private long mEnd;
+
+        @Override
+        public CompletableFuture<StorePage> newest(final StoreTopic topic) {
+            return CompletableFuture.completedFuture(new StorePage(List.of(), mEnd, false));
+        }
+
+        @Override
+        public CompletableFuture<StorePage> read(
+                final StoreTopic topic, final long from, final Duration wait) {
+            return newest(topic);
+        }
+
+        @Override
+        public CompletableFuture<Long> append(
+                final StoreTopic topic, final String key, final byte[] value) {
+            return CompletableFuture.completedFuture(++mEnd);
+        }
+
+        @Override
+        public CompletableFuture<OptionalLong> appendAt(
+                final StoreTopic topic, final String key, final byte[] value, final long end) {
+            if (mRefuses) {
+                return CompletableFuture.failedFuture(new IllegalStateException("refused"));
+            }
+            final boolean taken = !mWrittenByAnother && end == mEnd;
+            return CompletableFuture.completedFuture(
+                    taken ? OptionalLong.of(++mEnd) : OptionalLong.empty());
+        }
+    }
+
+    private static final class FakeCloud implements CloudDuties {
+        private final List<CapacityOrder> mOrders = new ArrayList<>();
+
+        @Override
+        public CompletableFuture<Boolean> reportUsage(
+                final long token, final UsageDecision decision) {
+            return CompletableFuture.completedFuture(true);
+        }
+
+        @Override
+        public CompletableFuture<Boolean> order(final long token, final CapacityOrder order) {
+            mOrders.add(order);
+            return CompletableFuture.completedFuture(true);
+        }
+    }
+
+    @BeforeEach
+    void takeTheLease() {
+        mState.configuration()
+                .offer(
+                        new ServingConfiguration(
+                                1, List.of(), List.of(POOL), CallerLimits.INITIAL, List.of()));
+        final InetSocketAddress address = new InetSocketAddress("127.0.0.1", 9000);
+        mHolder =
+                new DutyHolder(
+                        mChannel.eventLoop(),
+                        mState,
+                        new MemberTable(new Member("a-1", "self", "domain-a", address, address)),
+                        mStore,
+                        mCloud,
+                        new DutyHolder.Duties(
+                                new DutyLease("self", TERM),
+                                new UsagePlan(mState.usageWindows(), mState.usage(), mNow),
+                                new CapacityPlanner(new CapacitySettings(1, 1, 0))));
+        mChannel.freezeTime();
+        mState.endpoints().put(endpoint(), 1);
+        mHolder.start();
+        seconds(12);
+        mCloud.mOrders.clear();
+    }
+
+    private static EndpointEntry endpoint() {
+        return EndpointEntry.builder(
+                        "e1", "pool", new InetSocketAddress("127.0.0.1", 9000), "domain-a")
+                .reclaimable(true)
+                .build();
+    }
+
+    private void seconds(final int count) {
+        for (int second = 0; second < count; second++) {
+            mNow = mNow.plusSeconds(1);
+            mChannel.advanceTimeBy(1, TimeUnit.SECONDS);
+            mChannel.runScheduledPendingTasks();
+        }
+    }
+
+    private void loseTheEndpoint() {
+        mState.endpoints().remove("e1", 2, mNow);
+        mHolder.orderEndpoints();
+    }
+
+    // Nothing is served for eight seconds. The store turned the lease holder away, the last
+    // endpoints were reclaimed half a second later, and nobody ordered others: the holder had given
+    // its lease up at the first refusal, and its successor had to wait until it surely had.
+    @Test
+    void holderThatTheStoreTurnsAwayOrdersOnWhileItsLeaseHolds() {
+        mStore.mRefuses = true;
+        seconds(1);
+        loseTheEndpoint();
+        assertThat(mCloud.mOrders).isNotEmpty();
+    }
+
+    @Test
+    void holderThatCannotRenewStopsBeforeAnotherMayTakeOver() {
+        mStore.mRefuses = true;
+        seconds(3);
+        mCloud.mOrders.clear();
+        loseTheEndpoint();
+        assertThat(mCloud.mOrders).isEmpty();
+    }
+
+    // Two daemons order by turns. One was turned away by the store, another took the lease when its
+    // term was over, and the first learned that from its next claim.
+    @Test
+    void holderThatFindsAnotherRecordStopsAtOnce() {
+        mStore.mWrittenByAnother = true;
+        seconds(1);
+        loseTheEndpoint();
+        assertThat(mCloud.mOrders).isEmpty();
+    }
+}
--- a/serving/src/main/java/org/whinhead/serving/capacity/CapacityPlanner.java
+++ b/serving/src/main/java/org/whinhead/serving/capacity/CapacityPlanner.java
@@ -47,16 +47,10 @@
     /** Part of the endpoints present at the start that are taken as needed until traffic comes. */
     private static final double INITIAL_NEED = 2.0 / 3;
 
-    /**
-     * How long after the first plan endpoints still count as present at the start: their entries
-     * come within a heartbeat, and those that this planner has ordered must not count.
-     */
-    private static final Duration INITIAL_LISTING = Duration.ofSeconds(2);
-
     private final CapacitySettings mSettings;
     private final Map<String, Map<String, DomainCapacity>> mServices = new HashMap<>();
     private final Map<String, Integer> mInitial = new HashMap<>();
-    private final Map<String, Instant> mFirstPlan = new HashMap<>();
+    private final Map<String, Integer> mReclaimableAtFirst = new HashMap<>();
     private final Map<String, Integer> mNeeds = new HashMap<>();
     private final Map<CapacityOrder, Instant> mSent = new HashMap<>();
     private final Set<CapacityOrder> mRefused = new HashSet<>();
@@ -102,7 +96,7 @@
             return List.of();
         }
         final int least = Math.max(domains.size() * limits.least(), 1);
-        noteInitial(service.name(), Math.max(endpoints.size(), least), now);
+        noteInitial(service.name(), domains, least);
         final int need = need(service.name(), load);
         final int reclaimable =
                 Math.max(
@@ -150,11 +144,17 @@
         domains.computeIfAbsent(domain, name -> new DomainCapacity(name, limits.most()));
     }
 
-    private void noteInitial(final String service, final int present, final Instant now) {
-        final Instant first = mFirstPlan.computeIfAbsent(service, name -> now);
-        if (now.isBefore(first.plus(INITIAL_LISTING))) {
-            mInitial.merge(service, present, Math::max);
-        }
+    /**
+     * Counts what is present until traffic tells the demand. Entries of a large service come one by
+     * one over seconds, so the largest count holds; reclaimable endpoints that come later don't
+     * count, as they are those that this planner has ordered itself.
+     */
+    private void noteInitial(
+            final String service, final Collection<DomainCapacity> domains, final int least) {
+        final int onDemand = domains.stream().mapToInt(domain -> domain.now(false)).sum();
+        final int reclaimable = domains.stream().mapToInt(domain -> domain.now(true)).sum();
+        final int atFirst = mReclaimableAtFirst.computeIfAbsent(service, name -> reclaimable);
+        mInitial.merge(service, Math.max(onDemand + atFirst, least), Math::max);
     }
 
     private int need(final String service, final Load load) {
--- a/serving/src/main/java/org/whinhead/serving/capacity/DomainCapacity.java
+++ b/serving/src/main/java/org/whinhead/serving/capacity/DomainCapacity.java
@@ -35,12 +35,21 @@
                 mOnDemandNow++;
             }
         }
-        if (mOnDemandGoal < 0) {
-            mOnDemandGoal = mOnDemandNow;
+        if (mOnDemandNow > onDemandBefore || mOnDemandGoal < 0) {
+            adoptOnDemand();
         }
         return mOnDemandNow < onDemandBefore || mReclaimableNow < reclaimableBefore;
     }
 
+    /**
+     * Takes endpoints on demand that have come as wanted. The holder before may have ordered them
+     * for a fleet that was lost; a successor that never asked for them ordered them away as they
+     * came up, and the service stood without endpoints for another start.
+     */
+    private void adoptOnDemand() {
+        mOnDemandGoal = Math.max(mOnDemandGoal, mOnDemandNow);
+    }
+
     String domain() {
         return mDomain;
     }
--- a/serving/src/test/java/org/whinhead/serving/capacity/CapacityPlannerTest.java
+++ b/serving/src/test/java/org/whinhead/serving/capacity/CapacityPlannerTest.java
@@ -102,6 +102,18 @@
         assertThat(count(true) + count(false)).isGreaterThanOrEqualTo(8);
     }
 
+    // Half of the callers of a large service fail for its first twelve seconds. The lease holder
+    // planned when the first of its 42 endpoints were listed, and took these for all.
+    @Test
+    void endpointsThatAreListedLateCountAsPresent() {
+        mEndpoints.clear();
+        set("a", false, 1);
+        run(0, 4, OptionalDouble.empty());
+        DOMAINS.forEach(domain -> set(domain, false, 4));
+        run(4, 12, OptionalDouble.empty());
+        assertThat(count(true) + count(false)).isGreaterThanOrEqualTo(8);
+    }
+
     // Two failure domains are reclaimed within seconds, none of that kind are to be had, and what
     // is
     // left of the service is overrun. Endpoints on demand were to be had all the while.
@@ -172,6 +184,27 @@
         assertThat(count(true)).isEqualTo(6);
     }
 
+    // A fleet that was lost is served again for a moment, and stands without endpoints for three
+    // seconds more. The holder before had ordered endpoints on demand; as they came up the next
+    // holder, which had ordered reclaimable ones meanwhile, ordered them away.
+    @Test
+    void holderKeepsWhatTheOneBeforeHadOrderedUntilItsOwnIsThere() {
+        mEndpoints.clear();
+        final CapacityPlanner.Load load = load(OptionalDouble.of(100_000));
+        mPlanner.plan(SERVICE, mEndpoints, load, START)
+                .forEach(order -> mPlanner.answered(order, true));
+        set("a", false, 2);
+        set("b", false, 1);
+        for (int second = 1; second < 8; second++) {
+            final List<CapacityOrder> orders =
+                    mPlanner.plan(SERVICE, mEndpoints, load, START.plusSeconds(second));
+            assertThat(orders).noneMatch(order -> !order.reclaimable() && order.count() == 0);
+        }
+        DOMAINS.forEach(domain -> set(domain, true, 3));
+        run(8, 40, OptionalDouble.of(100_000));
+        assertThat(count(false)).isZero();
+    }
+
     @Test
     void holderThatTakesOverAnEmptyFleetInDryTimesOrdersOnDemand() {
         mEndpoints.clear();
