--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnections.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnections.java
@@ -127,7 +127,7 @@
         final Pool pool = mPools.remove(endpoint);
         if (pool != null) {
             pool.closeIdle();
-            java.util.Set.copyOf(pool.mOpen).forEach(EndpointConnection::endpointRestarted);
+            Set.copyOf(pool.mOpen).forEach(EndpointConnection::endpointRestarted);
         }
     }
 
