Give the timers of a request a class of their own

Exchange had grown to 420 lines and kept two timers beside the life of a request. No change of behaviour; the tests of gateway and platform pass.

--- a/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
@@ -1,7 +1,6 @@
 package org.whinhead.gateway.exchange;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.util.concurrent.Future;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashSet;
@@ -40,9 +39,6 @@
      */
     private static final int MOST_CONNECT_FAILURES = 4;
 
-    /** Part of the target latency after which an idempotent request is sent to another endpoint. */
-    private static final double PATIENCE_PART = 0.6;
-
     /** Least time left for another attempt to be worth its cost. */
     private static final Duration LEAST_TIME_LEFT = Duration.ofMillis(30);
 
@@ -58,8 +54,7 @@
     private final AnswerRelay mRelay;
     private final UsageMark mUsage;
     private final CallerEnding mEnding;
-    private Future<?> mDeadlineTimer;
-    private Future<?> mPatienceTimer;
+    private final ExchangeTimers mTimers;
     private Placement mPlacement;
     private EndpointConnection mConnection;
     private Instant mSentAt;
@@ -88,18 +83,13 @@
                         this);
         mUsage = new UsageMark(exchanges.state(), admission);
         mEnding = new CallerEnding(exchanges.state(), admission);
+        mTimers = new ExchangeTimers(exchanges.loop());
     }
 
     void start() {
         final Instant now = now();
         mExchanges.state().retryBudget().request(mService, now);
-        mDeadlineTimer =
-                mExchanges
-                        .loop()
-                        .schedule(
-                                this::deadlinePassed,
-                                Duration.between(now, mAdmission.deadline()).toMillis(),
-                                TimeUnit.MILLISECONDS);
+        mTimers.startDeadline(timeLeft(), this::deadlinePassed);
         if (timeLeft().compareTo(LEAST_TIME_LEFT) < 0) {
             refuse(TOO_LATE, mEnding.givenUp(TOO_LATE));
         } else {
@@ -173,22 +163,13 @@
         watchPatience();
     }
 
-    /**
-     * An answer that was lost on its way shows as silence; a request that may repeat need not wait.
-     */
     private void watchPatience() {
         final Route route = mAdmission.route();
         if (!route.mayRunAgain() || route.kind().isStream() || mSends >= route.maxAttempts()) {
             return;
         }
         final int dispatch = mDispatch;
-        mPatienceTimer =
-                mExchanges
-                        .loop()
-                        .schedule(
-                                () -> outOfPatience(dispatch),
-                                Math.round(route.targetLatency().toMillis() * PATIENCE_PART),
-                                TimeUnit.MILLISECONDS);
+        mTimers.startPatience(route, () -> outOfPatience(dispatch));
     }
 
     private void outOfPatience(final int dispatch) {
@@ -353,9 +334,7 @@
     }
 
     private void leaveEndpoint() {
-        if (mPatienceTimer != null) {
-            mPatienceTimer.cancel(false);
-        }
+        mTimers.cancelPatience();
         if (mConnection != null) {
             mConnection.cancel();
             mConnection = null;
@@ -411,7 +390,7 @@
     private void done(final String outcome, final int status) {
         mDone = true;
         mExchanges.ended(this);
-        mDeadlineTimer.cancel(false);
+        mTimers.cancelDeadline();
         dropMove();
         leaveEndpoint();
         mBody.release();
--- /dev/null
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/ExchangeTimers.java
@@ -0,0 +1,48 @@
+package org.whinhead.gateway.exchange;
+
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import org.whinhead.serving.route.Route;
+
+/** The two timers of a request: the end of its time, and of the patience with its attempt. */
+final class ExchangeTimers {
+
+    /** Part of the target latency after which an idempotent request is sent to another endpoint. */
+    private static final double PATIENCE_PART = 0.6;
+
+    private final EventLoop mLoop;
+    private Future<?> mDeadline;
+    private Future<?> mPatience;
+
+    ExchangeTimers(final EventLoop loop) {
+        mLoop = loop;
+    }
+
+    /** Starts the time that the whole request has; one that is over ends at once. */
+    void startDeadline(final Duration left, final Runnable passed) {
+        mDeadline = mLoop.schedule(passed, left.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Starts the time that an attempt has to answer. An answer that was lost on its way shows as
+     * silence only; a request that may repeat need not wait for its deadline then.
+     */
+    void startPatience(final Route route, final Runnable over) {
+        final long millis = Math.round(route.targetLatency().toMillis() * PATIENCE_PART);
+        mPatience = mLoop.schedule(over, millis, TimeUnit.MILLISECONDS);
+    }
+
+    /** Drops the patience with an attempt that has ended. */
+    void cancelPatience() {
+        if (mPatience != null) {
+            mPatience.cancel(false);
+        }
+    }
+
+    /** Drops the deadline of a request that has ended. */
+    void cancelDeadline() {
+        mDeadline.cancel(false);
+    }
+}
