--- a/serving/src/main/java/org/whinhead/serving/capacity/InitialList.java
+++ b/serving/src/main/java/org/whinhead/serving/capacity/InitialList.java
@@ -8,9 +8,9 @@
  * What a service's list held when its planner began.
  *
  * <p>Entries of a large service come one by one over seconds. An order names how many endpoints
- * there should be; one that is made of the first few entries orders the others away, and with them
- * nine of ten callers' requests in the first seconds of traffic. So nothing is ordered until the
- * list has stopped to grow.
+ * there should be; one that is made of the first few entries orders the others away: 44 of 74, and
+ * a third of a calm day's requests was not served. So nothing is ordered until the list has stopped
+ * to grow.
  */
 final class InitialList {
 
