--- a/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
@@ -87,8 +87,7 @@
     }
 
     void start() {
-        final Instant now = now();
-        mExchanges.state().retryBudget().request(mService, now);
+        mExchanges.state().retryBudget().request(mService, now());
         mTimers.startDeadline(timeLeft(), this::deadlinePassed);
         if (timeLeft().compareTo(LEAST_TIME_LEFT) < 0) {
             refuse(TOO_LATE, mEnding.givenUp(TOO_LATE));
@@ -368,9 +367,9 @@
         }
         if (mRelay.isStarted()) {
             giveUp(TIMED_OUT);
-        } else {
-            refuse(TIMED_OUT, mEnding.timedOut(TIMED_OUT));
+            return;
         }
+        refuse(TIMED_OUT, mEnding.timedOut(TIMED_OUT));
     }
 
     @Override
