--- a/bench/src/main/java/org/whinhead/bench/BenchmarkCatalog.java
+++ b/bench/src/main/java/org/whinhead/bench/BenchmarkCatalog.java
@@ -12,6 +12,7 @@
 import org.whinhead.bench.capacity.SettingsCost;
 import org.whinhead.bench.capacity.WatchCost;
 import org.whinhead.bench.days.CapacityDaysBenchmark;
+import org.whinhead.bench.days.RolloutDaysBenchmark;
 import org.whinhead.bench.goodput.GoodputBenchmark;
 import org.whinhead.bench.log.LogBenchmark;
 import org.whinhead.bench.overhead.OverheadBenchmark;
@@ -53,6 +54,7 @@
     CAPACITY_REPORT(ReportCost::new),
     /** Policies of capacity over simulated days. */
     CAPACITY_DAYS(CapacityDaysBenchmark::new),
+    ROLLOUT_DAYS(RolloutDaysBenchmark::new),
     /** How fast a notice reaches every daemon. */
     PEERS_LEAVING(LeavingBenchmark::new),
     /** What peers cost each other. */
--- /dev/null
+++ b/bench/src/main/java/org/whinhead/bench/days/RolloutDaysBenchmark.java
@@ -0,0 +1,103 @@
+package org.whinhead.bench.days;
+
+import java.io.PrintStream;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Predicate;
+import org.whinhead.bench.BenchOptions;
+import org.whinhead.bench.Benchmark;
+import org.whinhead.bench.FigureTable;
+import org.whinhead.serving.rollout.RolloutState;
+import org.whinhead.simulation.rollout.Disturbance;
+import org.whinhead.simulation.rollout.RolloutCase;
+import org.whinhead.simulation.rollout.RolloutOutcome;
+import org.whinhead.simulation.rollout.RolloutSimulation;
+import org.whinhead.simulation.rollout.VersionConduct;
+
+/**
+ * How simulated roll-outs end, for good and bad versions, under disturbances and at several sizes;
+ * the reports of evidence in force beside evidence that rides in the daemons' usual reports.
+ */
+public final class RolloutDaysBenchmark implements Benchmark {
+
+    private static final int SEEDS = 100;
+    private static final int[] SIZES = {6, 66, 330};
+
+    /** What each daemon adds to the interval of the usual reports. */
+    private static final int USUAL_MILLIS_PER_DAEMON = 22;
+
+    @Override
+    public String name() {
+        return "rollout-days";
+    }
+
+    @Override
+    public String description() {
+        return "roll-outs of good and bad versions under disturbances, 6 to 330 daemons";
+    }
+
+    @Override
+    public void run(final BenchOptions options, final PrintStream out) {
+        for (final int daemons : SIZES) {
+            final FigureTable table =
+                    new FigureTable(
+                            daemons + " daemons, " + SEEDS + " seeds a row",
+                            "completed",
+                            "over exposed",
+                            "exposed/allowed",
+                            "ended after s");
+            for (final VersionConduct conduct : VersionConduct.values()) {
+                for (final Disturbance disturbance : Disturbance.values()) {
+                    final RolloutCase played = RolloutCase.ofSize(daemons, conduct, disturbance);
+                    addRow(table, conduct + ", " + disturbance, played, options.seed());
+                }
+                final Duration usual =
+                        Duration.ofMillis(Math.max(200, USUAL_MILLIS_PER_DAEMON * daemons));
+                addRow(
+                        table,
+                        conduct + ", evidence in the usual reports",
+                        RolloutCase.ofSize(daemons, conduct, Disturbance.NONE)
+                                .withEvidencePace(usual),
+                        options.seed());
+            }
+            table.print(options, out);
+        }
+    }
+
+    private static void addRow(
+            final FigureTable table,
+            final String label,
+            final RolloutCase played,
+            final long seed) {
+        final List<RolloutOutcome> outcomes = new ArrayList<>();
+        for (int index = 0; index < SEEDS; index++) {
+            outcomes.add(RolloutSimulation.play(played, seed + index));
+        }
+        table.add(
+                label,
+                part(outcomes, outcome -> outcome.state() == RolloutState.COMPLETED),
+                part(outcomes, RolloutDaysBenchmark::isOverExposed),
+                outcomes.stream().mapToDouble(RolloutDaysBenchmark::exposure).max().orElseThrow(),
+                outcomes.stream()
+                        .mapToDouble(outcome -> outcome.endedAfter().toMillis() / 1e3)
+                        .average()
+                        .orElseThrow());
+    }
+
+    private static double part(
+            final List<RolloutOutcome> outcomes, final Predicate<RolloutOutcome> which) {
+        return (double) outcomes.stream().filter(which).count() / outcomes.size();
+    }
+
+    private static boolean isOverExposed(final RolloutOutcome outcome) {
+        return outcome.isOverExposed(
+                RolloutSimulation.LIMITS.exposureShare(), RolloutSimulation.LIMITS.exposureSlack());
+    }
+
+    private static double exposure(final RolloutOutcome outcome) {
+        return outcome.exposed()
+                / (RolloutSimulation.LIMITS.exposureShare() * outcome.requests()
+                        + RolloutSimulation.LIMITS.exposureSlack());
+    }
+}
--- a/gateway/src/main/java/org/whinhead/gateway/Gateway.java
+++ b/gateway/src/main/java/org/whinhead/gateway/Gateway.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
@@ -22,6 +23,7 @@
 import org.whinhead.gateway.peers.MemberAnnouncement;
 import org.whinhead.gateway.peers.PeerReports;
 import org.whinhead.gateway.peers.StoreDigests;
+import org.whinhead.gateway.rollout.RolloutDuty;
 import org.whinhead.gateway.store.ConfigurationWatch;
 import org.whinhead.gateway.store.EndpointWatch;
 import org.whinhead.gateway.store.StoreTopic;
@@ -36,6 +38,7 @@
 import org.whinhead.serving.limit.CustomerQuotas;
 import org.whinhead.serving.limit.RetryBudget;
 import org.whinhead.serving.member.MemberTable;
+import org.whinhead.serving.rollout.RolloutLimits;
 import org.whinhead.serving.usage.UsageLedger;
 import org.whinhead.serving.usage.UsageWindows;
 
@@ -91,6 +94,7 @@
     private final PeerReports mPeers;
     private final MemberAnnouncement mAnnouncement;
     private final DutyHolder mDuties;
+    private final Optional<RolloutDuty> mRollouts;
     private final GatewayPorts mPorts;
     private final RequestCounts mCounts = new RequestCounts();
     private boolean mStopping;
@@ -126,6 +130,7 @@
                                         settings.retryFixed(),
                                         settings.retryWindow()))
                         .usage(new UsageLedger(incarnation), windows)
+                        .rollouts(settings.rollouts().isPresent())
                         .build();
         mMembers = new MemberTable(settings.self());
         final EndpointConnections connections =
@@ -140,7 +145,8 @@
                         ports.mover());
         mCallers = new CallerListener(loop, ports.callers(), mExchanges, this::limits);
         mConfigurationWatch =
-                new ConfigurationWatch(mState, ports.configurations(), ports.configurationKey());
+                new ConfigurationWatch(
+                        mState, ports.configurations(), ports.configurationKey(), ports.rollouts());
         mEndpointWatch = new EndpointWatch(mState, connections, ports.entries());
         mDigests = new StoreDigests(mState, mMembers);
         mPeers = new PeerReports(loop, mState, mMembers, mDigests);
@@ -157,10 +163,24 @@
                                 new DutyLease(incarnation, settings.leaseTerm()),
                                 new UsagePlan(windows, mState.usage(), timeOfDay.instant()),
                                 new CapacityPlanner(settings.capacity())));
+        mRollouts = settings.rollouts().map(limits -> rolloutDuty(limits, ports));
+        mRollouts.ifPresent(mPeers::onRolloutNews);
+        mRollouts.ifPresent(duty -> mConfigurationWatch.onEarlierOrder(duty::earlierOrder));
         mEndpointWatch.onLeaving(entry -> mExchanges.endpointLeaves(entry.id(), entry.leavesIn()));
         mEndpointWatch.onChange(mDuties::orderEndpoints);
     }
 
+    private RolloutDuty rolloutDuty(final RolloutLimits limits, final GatewayPorts ports) {
+        return new RolloutDuty(
+                mState,
+                mMembers,
+                mPeers,
+                new RolloutDuty.Ports(ports.store(), ports.rollouts()),
+                limits,
+                mDuties::token,
+                mExchanges::endpointLeaves);
+    }
+
     private CallerLimits limits() {
         return mState.configuration()
                 .current()
@@ -215,6 +235,7 @@
     private void check() {
         mExchanges.measureLag();
         mEndpointWatch.dropLapsed();
+        mRollouts.ifPresent(RolloutDuty::tick);
     }
 
     private void passOnEndpoints() {
--- a/gateway/src/main/java/org/whinhead/gateway/GatewayPorts.java
+++ b/gateway/src/main/java/org/whinhead/gateway/GatewayPorts.java
@@ -7,6 +7,7 @@
 import org.whinhead.gateway.store.ConfigurationDecoder;
 import org.whinhead.gateway.store.EndpointDecoder;
 import org.whinhead.gateway.store.MetadataStore;
+import org.whinhead.gateway.store.RolloutProtocol;
 
 /**
  * What an adapter of a platform supplies.
@@ -20,6 +21,7 @@
  * @param configurations reads the operator's configuration
  * @param configurationKey the key of the record that holds it
  * @param entries reads entries of endpoints
+ * @param rollouts how operators order roll-outs
  */
 public record GatewayPorts(
         CallerProtocol callers,
@@ -30,4 +32,5 @@
         CloudDuties cloud,
         ConfigurationDecoder configurations,
         String configurationKey,
-        EndpointDecoder entries) {}
+        EndpointDecoder entries,
+        RolloutProtocol rollouts) {}
--- a/gateway/src/main/java/org/whinhead/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/whinhead/gateway/GatewaySettings.java
@@ -4,9 +4,11 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 import org.whinhead.serving.capacity.CapacitySettings;
 import org.whinhead.serving.limit.QuotaTolerance;
 import org.whinhead.serving.member.Member;
+import org.whinhead.serving.rollout.RolloutLimits;
 
 /** What a gateway is told when it starts: immutable, made by its builder. */
 public final class GatewaySettings {
@@ -24,6 +26,7 @@
     private final Duration mLeaseTerm;
     private final Duration mStopGrace;
     private final CapacitySettings mCapacity;
+    private final Optional<RolloutLimits> mRollouts;
 
     private GatewaySettings(final Builder builder) {
         mSelf = Objects.requireNonNull(builder.mSelf, "self");
@@ -39,6 +42,7 @@
         mLeaseTerm = Objects.requireNonNull(builder.mLeaseTerm, "leaseTerm");
         mStopGrace = Objects.requireNonNull(builder.mStopGrace, "stopGrace");
         mCapacity = Objects.requireNonNull(builder.mCapacity, "capacity");
+        mRollouts = builder.mRollouts;
     }
 
     /**
@@ -98,6 +102,15 @@
         return mStopGrace;
     }
 
+    /**
+     * Tells what a bad version may get in a roll-out.
+     *
+     * @return the limits; empty if this deployment has no roll-outs
+     */
+    public Optional<RolloutLimits> rollouts() {
+        return mRollouts;
+    }
+
     public CapacitySettings capacity() {
         return mCapacity;
     }
@@ -118,6 +131,7 @@
         private Duration mLeaseTerm;
         private Duration mStopGrace;
         private CapacitySettings mCapacity;
+        private Optional<RolloutLimits> mRollouts = Optional.empty();
 
         private Builder() {}
 
@@ -222,6 +236,17 @@
             return this;
         }
 
+        /**
+         * Sets what a bad version may get in a roll-out.
+         *
+         * @param rollouts the limits; empty if this deployment has no roll-outs
+         * @return this builder
+         */
+        public Builder rollouts(final Optional<RolloutLimits> rollouts) {
+            mRollouts = rollouts;
+            return this;
+        }
+
         /**
          * Makes the settings.
          *
--- a/gateway/src/main/java/org/whinhead/gateway/duty/DutyHolder.java
+++ b/gateway/src/main/java/org/whinhead/gateway/duty/DutyHolder.java
@@ -27,6 +27,7 @@
 import org.whinhead.serving.duty.StoredLease;
 import org.whinhead.serving.duty.UsageDecision;
 import org.whinhead.serving.duty.UsagePlan;
+import org.whinhead.serving.endpoint.EndpointEntry;
 import org.whinhead.serving.member.MemberTable;
 
 /**
@@ -265,21 +266,38 @@
         }
         meterDemand(now);
         for (final ServiceSpec service : configuration.get().services()) {
+            final List<EndpointEntry> endpoints = capacity(service.name());
             final List<CapacityOrder> orders =
-                    mPlanner.plan(
-                            service,
-                            mState.endpoints().usable(service.name()),
-                            load(service.name()),
-                            now);
+                    mPlanner.plan(service, endpoints, load(service.name()), now);
             for (final CapacityOrder order : orders) {
+                if (givesUp(order, endpoints) && mState.rollouts().isOpen(service.name())) {
+                    continue;
+                }
                 token().ifPresent(token -> order(token, order));
             }
         }
     }
 
+    private List<EndpointEntry> capacity(final String service) {
+        return mState.rollouts().capacity(service, mState.endpoints().usable(service));
+    }
+
+    /**
+     * Tells whether an order gives endpoints up. Between two versions a service has twice what it
+     * needs, and which of them is given up would be the platform's choice.
+     */
+    private static boolean givesUp(final CapacityOrder order, final List<EndpointEntry> endpoints) {
+        final long listed =
+                endpoints.stream()
+                        .filter(endpoint -> endpoint.domain().equals(order.domain()))
+                        .filter(endpoint -> endpoint.reclaimable() == order.reclaimable())
+                        .count();
+        return order.count() < listed;
+    }
+
     private void observeEndpoints(final ServingConfiguration configuration, final Instant now) {
         for (final ServiceSpec service : configuration.services()) {
-            mPlanner.observe(service, mState.endpoints().usable(service.name()), now);
+            mPlanner.observe(service, capacity(service.name()), now);
         }
     }
 
@@ -294,7 +312,12 @@
                 mState.chooser().speed(service).tokensPerMillisecond() * MILLIS_PER_SECOND);
     }
 
-    private Optional<Long> token() {
+    /**
+     * Tells whether this daemon may act as the holder of the duties now.
+     *
+     * @return the fencing token to act with, if it may
+     */
+    public Optional<Long> token() {
         return mLease.tokenToAct(mState.clock().instant(), mState.timeOfDay().instant());
     }
 
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
@@ -53,6 +53,7 @@
     private final Set<String> mTried = new HashSet<>();
     private final AnswerRelay mRelay;
     private final UsageMark mUsage;
+    private final TrialMark mTrial;
     private final CallerEnding mEnding;
     private final ExchangeTimers mTimers;
     private Placement mPlacement;
@@ -82,6 +83,7 @@
                         admission.request().resumeAfter(),
                         this);
         mUsage = new UsageMark(exchanges.state(), admission);
+        mTrial = new TrialMark(exchanges.state(), admission.route());
         mEnding = new CallerEnding(exchanges.state(), admission);
         mTimers = new ExchangeTimers(exchanges.loop());
     }
@@ -109,7 +111,8 @@
         final Optional<Placement> place =
                 state.chooser()
                         .place(
-                                state.endpoints().usable(mService),
+                                state.candidates(
+                                        mService, mAdmission.request().id(), !mTried.isEmpty()),
                                 mAdmission.request().work(),
                                 mTried,
                                 state.copiesPrompts(mService),
@@ -144,6 +147,7 @@
             mSends++;
         }
         mSentAt = now();
+        mTrial.sent(mPlacement);
         mRelay.startAttempt();
         final EndpointOrder order =
                 new EndpointOrder(
@@ -176,6 +180,7 @@
             return;
         }
         mPlacement.load().outcome(true);
+        mTrial.outOfPatience();
         mEnding.mayHaveRun();
         leaveEndpoint();
         dispatch();
@@ -203,9 +208,11 @@
         final Optional<AnswerFault> fault =
                 AnswerFault.of(answer, mAdmission.request().id(), mRelay.isStarted());
         if (fault.isPresent()) {
+            mTrial.spoiled(fault.get().verdict());
             attemptFailed(fault.get().verdict(), fault.get().reason());
         } else if (answer.isServerError() && mAdmission.route().mayRunAgain() && mayRetry()) {
             mUsage.ran(mSentAt);
+            mTrial.answered(true);
             mEnding.mayHaveRun();
             mPlacement.load().outcome(true);
             leaveEndpoint();
@@ -223,6 +230,7 @@
     @Override
     public void generating() {
         mPlacement.firstToken(now());
+        mTrial.firstToken();
         mUsage.ran(mSentAt);
     }
 
@@ -241,6 +249,7 @@
             return;
         }
         if (!mRelay.isWhole()) {
+            mTrial.spoiled(Verdict.MAY_HAVE_RUN);
             attemptFailed(Verdict.MAY_HAVE_RUN, "stream ended within an event");
             return;
         }
@@ -249,6 +258,7 @@
         mUsage.ran(mSentAt);
         mRelay.passRest();
         mPlacement.load().outcome(head.isServerError());
+        mTrial.answered(head.isServerError());
         done(head.isSuccess() ? "answered" : "answered with a failure", head.status().code());
         mAnswer.finish();
     }
@@ -260,6 +270,7 @@
             mMove.streamEnded();
             return;
         }
+        mTrial.connectionFailed(failure);
         attemptFailed(failure.verdict(), failure.name());
     }
 
@@ -341,6 +352,7 @@
         if (mPlacement != null) {
             mPlacement.ended();
         }
+        mTrial.left();
         mDispatch++;
     }
 
@@ -362,6 +374,7 @@
         if (mDone) {
             return;
         }
+        mTrial.outOfPatience();
         if (mSends > 0) {
             mEnding.mayHaveRun();
         }
@@ -375,6 +388,7 @@
     @Override
     public void callerLeft() {
         if (!mDone) {
+            mTrial.outOfPatience();
             done("caller left", 0);
         }
     }
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/RunMove.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/RunMove.java
@@ -65,7 +65,7 @@
         final Optional<Placement> target =
                 state.chooser()
                         .place(
-                                state.endpoints().usable(service),
+                                state.candidates(service, admission.request().id(), true),
                                 admission.request().work(),
                                 Set.of(source.endpoint().id()),
                                 false,
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/ServingState.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/ServingState.java
@@ -1,13 +1,16 @@
 package org.whinhead.gateway.exchange;
 
 import java.time.InstantSource;
+import java.util.List;
 import java.util.Objects;
 import org.whinhead.serving.balance.EndpointChooser;
 import org.whinhead.serving.configuration.ConfigurationHolder;
 import org.whinhead.serving.configuration.ServiceSpec;
+import org.whinhead.serving.endpoint.EndpointEntry;
 import org.whinhead.serving.endpoint.EndpointRegistry;
 import org.whinhead.serving.limit.CustomerQuotas;
 import org.whinhead.serving.limit.RetryBudget;
+import org.whinhead.serving.rollout.Rollouts;
 import org.whinhead.serving.usage.FleetClock;
 import org.whinhead.serving.usage.UsageLedger;
 import org.whinhead.serving.usage.UsageWindows;
@@ -31,6 +34,7 @@
     private final UsageLedger mUsage;
     private final UsageWindows mUsageWindows;
     private final FleetClock mUsageClock;
+    private final Rollouts mRollouts;
 
     private ServingState(final Builder builder) {
         mClock = Objects.requireNonNull(builder.mClock, "clock");
@@ -41,6 +45,7 @@
         mRetryBudget = Objects.requireNonNull(builder.mRetryBudget, "retryBudget");
         mUsage = Objects.requireNonNull(builder.mUsage, "usage");
         mUsageWindows = Objects.requireNonNull(builder.mUsageWindows, "usageWindows");
+        mRollouts = new Rollouts(builder.mRolloutsInForce);
     }
 
     /**
@@ -93,6 +98,24 @@
         return mEndpoints;
     }
 
+    public Rollouts rollouts() {
+        return mRollouts;
+    }
+
+    /**
+     * Lists the endpoints that may get a request.
+     *
+     * @param service its service
+     * @param requestId its id
+     * @param repeated whether it was sent before
+     * @return the endpoints
+     */
+    List<EndpointEntry> candidates(
+            final String service, final String requestId, final boolean repeated) {
+        return mRollouts.candidates(
+                service, mEndpoints.usable(service), requestId, repeated, mClock.instant());
+    }
+
     public EndpointChooser chooser() {
         return mChooser;
     }
@@ -123,6 +146,7 @@
         private RetryBudget mRetryBudget;
         private UsageLedger mUsage;
         private UsageWindows mUsageWindows;
+        private boolean mRolloutsInForce;
 
         private Builder() {}
 
@@ -176,6 +200,17 @@
             return this;
         }
 
+        /**
+         * Sets whether there are roll-outs in this deployment.
+         *
+         * @param inForce whether there are
+         * @return this builder
+         */
+        public Builder rollouts(final boolean inForce) {
+            mRolloutsInForce = inForce;
+            return this;
+        }
+
         /**
          * Makes the state.
          *
--- /dev/null
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/TrialMark.java
@@ -0,0 +1,83 @@
+package org.whinhead.gateway.exchange;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+import org.whinhead.api.verdict.Verdict;
+import org.whinhead.gateway.endpoint.EndpointFailure;
+import org.whinhead.serving.balance.Placement;
+import org.whinhead.serving.rollout.Trial;
+import org.whinhead.serving.route.Route;
+
+/** Tells a roll-out what became of one request's sends, as far as that speaks of a version. */
+final class TrialMark {
+
+    private final ServingState mState;
+    private final Route mRoute;
+    private Optional<Trial> mTrial = Optional.empty();
+    private Instant mSentAt;
+    private Duration mReading = Duration.ZERO;
+
+    TrialMark(final ServingState state, final Route route) {
+        mState = state;
+        mRoute = route;
+    }
+
+    void sent(final Placement placement) {
+        mSentAt = mState.clock().instant();
+        mTrial = mState.rollouts().sent(mRoute.name(), placement.endpoint());
+        mReading = placement.expectedReading();
+    }
+
+    /**
+     * Notes a stream's first token. The time that reading its prompt takes is taken off: endpoints
+     * that have just been started have no prompt cached, at any version.
+     */
+    void firstToken() {
+        answeredIn(elapsed().minus(mReading));
+    }
+
+    /** Notes a whole answer. */
+    void answered(final boolean failure) {
+        if (failure) {
+            mTrial.ifPresent(Trial::failed);
+        } else {
+            answeredIn(elapsed());
+        }
+    }
+
+    /** Notes an answer that can't go to the caller. */
+    void spoiled(final Verdict verdict) {
+        if (verdict != Verdict.NOT_RUN) {
+            mTrial.ifPresent(Trial::failed);
+        }
+    }
+
+    /** Notes the end of a connection; only bytes that are no answer speak of the version. */
+    void connectionFailed(final EndpointFailure failure) {
+        if (failure == EndpointFailure.NOT_HTTP) {
+            mTrial.ifPresent(Trial::failed);
+        }
+    }
+
+    /** Notes that nobody waits any longer for an answer that should have come by now. */
+    void outOfPatience() {
+        if (mSentAt != null && elapsed().compareTo(mRoute.targetLatency()) > 0) {
+            answeredIn(elapsed());
+        }
+    }
+
+    /** Notes that the endpoint no longer works on the request. */
+    void left() {
+        mTrial.ifPresent(Trial::left);
+        mTrial = Optional.empty();
+    }
+
+    private void answeredIn(final Duration taken) {
+        mTrial.ifPresent(trial -> trial.answered(taken.isNegative() ? Duration.ZERO : taken));
+    }
+
+    private Duration elapsed() {
+        return Duration.between(mSentAt, mState.clock().instant());
+    }
+}
--- a/gateway/src/main/java/org/whinhead/gateway/peers/EndpointChanges.java
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/EndpointChanges.java
@@ -39,6 +39,7 @@
     private static void describe(
             final EndpointEntry entry, final EndpointChangeRecord.Builder record) {
         record.setService(entry.service())
+                .setVersion(entry.version())
                 .setAddress(Addresses.format(entry.address()))
                 .setDomain(entry.domain())
                 .setSlots(entry.slots())
@@ -75,6 +76,7 @@
                                 record.getService(),
                                 Addresses.parse(record.getAddress()),
                                 record.getDomain())
+                        .version(record.getVersion())
                         .slots(record.getSlots())
                         .leaving(record.getLeaving(), leavesIn(record))
                         .reclaimable(record.getReclaimable())
--- a/gateway/src/main/java/org/whinhead/gateway/peers/PeerReports.java
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/PeerReports.java
@@ -30,6 +30,8 @@
 import org.whinhead.serving.endpoint.EndpointChange;
 import org.whinhead.serving.member.Member;
 import org.whinhead.serving.member.MemberTable;
+import org.whinhead.serving.rollout.RolloutEvidence;
+import org.whinhead.serving.rollout.RolloutStep;
 import org.whinhead.serving.usage.UsageCount;
 
 /**
@@ -60,6 +62,7 @@
     private final StoreDigests mDigests;
     private final Set<InetSocketAddress> mContacts = new HashSet<>();
     private Consumer<List<EndpointChange>> mOnEndpointNews = changes -> {};
+    private RolloutNews mRolloutNews = new NoRolloutNews();
     private Set<InetSocketAddress> mReceivers = Set.of();
     private List<InetSocketAddress> mReceiversInOrder = List.of();
     private Channel mChannel;
@@ -186,6 +189,56 @@
         }
     }
 
+    /** Hears what other daemons say of roll-outs. */
+    public interface RolloutNews {
+
+        /**
+         * Takes a step.
+         *
+         * @param step the step
+         * @param holder where the daemon that sent it listens
+         */
+        void step(RolloutStep step, InetSocketAddress holder);
+
+        /**
+         * Takes what a daemon has seen.
+         *
+         * @param evidence its counts
+         */
+        void evidence(RolloutEvidence evidence);
+    }
+
+    /**
+     * Sets what is done with news of roll-outs.
+     *
+     * @param news takes them
+     */
+    public void onRolloutNews(final RolloutNews news) {
+        mRolloutNews = news;
+    }
+
+    /**
+     * Tells all daemons of a step.
+     *
+     * @param step the step
+     */
+    public void sendStep(final RolloutStep step) {
+        sendToAll(Datagram.newBuilder().setRolloutStep(RolloutMessages.encode(step)).build());
+    }
+
+    /**
+     * Tells the holder of the duties what this daemon has seen.
+     *
+     * @param evidence its counts
+     * @param holder where the holder listens
+     */
+    public void sendEvidence(final RolloutEvidence evidence, final InetSocketAddress holder) {
+        final Datagram datagram =
+                Datagram.newBuilder().setRolloutEvidence(RolloutMessages.encode(evidence)).build();
+        write(datagram.toByteArray(), holder);
+        mChannel.flush();
+    }
+
     /** Tells the others what was read of the store, if this daemon reads for them. */
     public void sendDigest() {
         if (mDigests.isReader()) {
@@ -295,6 +348,21 @@
         return mState.clock().instant();
     }
 
+    /** Where no roll-outs are in force, nobody sends news of them. */
+    private static final class NoRolloutNews implements RolloutNews {
+        @Override
+        public void step(final RolloutStep step, final InetSocketAddress holder) {
+            LOG.atWarn().addKeyValue("sender", holder).log("step of a roll-out not expected");
+        }
+
+        @Override
+        public void evidence(final RolloutEvidence evidence) {
+            LOG.atWarn()
+                    .addKeyValue("daemon", evidence.daemon())
+                    .log("evidence of a roll-out not expected");
+        }
+    }
+
     private final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
         @Override
         protected void channelRead0(
@@ -310,6 +378,13 @@
                 if (datagram.hasDigest()) {
                     mDigests.take(Addresses.format(packet.sender()), datagram.getDigest());
                 }
+                if (datagram.hasRolloutStep()) {
+                    mRolloutNews.step(
+                            RolloutMessages.decode(datagram.getRolloutStep()), packet.sender());
+                }
+                if (datagram.hasRolloutEvidence()) {
+                    mRolloutNews.evidence(RolloutMessages.decode(datagram.getRolloutEvidence()));
+                }
             } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
                 LOG.atWarn()
                         .addKeyValue("sender", packet.sender())
--- /dev/null
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/RolloutMessages.java
@@ -0,0 +1,137 @@
+package org.whinhead.gateway.peers;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.time.Duration;
+import java.time.Instant;
+import org.whinhead.gateway.generated.GatewayProto.RolloutEvidenceRecord;
+import org.whinhead.gateway.generated.GatewayProto.RolloutRecordEntry;
+import org.whinhead.gateway.generated.GatewayProto.RolloutStateRecord;
+import org.whinhead.gateway.generated.GatewayProto.RolloutStepRecord;
+import org.whinhead.gateway.generated.GatewayProto.RouteOutcomesRecord;
+import org.whinhead.serving.rollout.RolloutEvidence;
+import org.whinhead.serving.rollout.RolloutRecord;
+import org.whinhead.serving.rollout.RolloutState;
+import org.whinhead.serving.rollout.RolloutStep;
+import org.whinhead.serving.rollout.RouteOutcomes;
+
+/** Spells what daemons tell each other of roll-outs, and what the store keeps of them. */
+public final class RolloutMessages {
+
+    private RolloutMessages() {}
+
+    static RolloutStepRecord encode(final RolloutStep step) {
+        return RolloutStepRecord.newBuilder()
+                .setService(step.service())
+                .setOrder(step.order())
+                .setToken(step.token())
+                .setSequence(step.sequence())
+                .setState(encode(step.state()))
+                .setShare(step.share())
+                .setOldStopsInMillis(step.oldStopsIn().toMillis())
+                .build();
+    }
+
+    static RolloutStep decode(final RolloutStepRecord record) {
+        return new RolloutStep(
+                record.getService(),
+                record.getOrder(),
+                record.getToken(),
+                record.getSequence(),
+                decode(record.getState()),
+                record.getShare(),
+                Duration.ofMillis(record.getOldStopsInMillis()));
+    }
+
+    static RolloutEvidenceRecord encode(final RolloutEvidence evidence) {
+        final RolloutEvidenceRecord.Builder record =
+                RolloutEvidenceRecord.newBuilder()
+                        .setService(evidence.service())
+                        .setOrder(evidence.order())
+                        .setDaemon(evidence.daemon())
+                        .setSequence(evidence.sequence())
+                        .setToken(evidence.token())
+                        .setOldRunning(evidence.oldRunning());
+        for (final RouteOutcomes outcomes : evidence.outcomes()) {
+            record.addOutcomes(
+                    RouteOutcomesRecord.newBuilder()
+                            .setRoute(outcomes.route())
+                            .setOnTrial(outcomes.onTrial())
+                            .setSent(outcomes.sent())
+                            .setFailed(outcomes.failed())
+                            .addAllTimes(outcomes.times()));
+        }
+        return record.build();
+    }
+
+    static RolloutEvidence decode(final RolloutEvidenceRecord record) {
+        return new RolloutEvidence(
+                record.getService(),
+                record.getOrder(),
+                record.getDaemon(),
+                record.getSequence(),
+                record.getToken(),
+                record.getOldRunning(),
+                record.getOutcomesList().stream().map(RolloutMessages::decode).toList());
+    }
+
+    private static RouteOutcomes decode(final RouteOutcomesRecord record) {
+        return new RouteOutcomes(
+                record.getRoute(),
+                record.getOnTrial(),
+                record.getSent(),
+                record.getFailed(),
+                record.getTimesList());
+    }
+
+    /**
+     * Spells what the store keeps of a roll-out.
+     *
+     * @param record the roll-out
+     * @return the record's value
+     */
+    public static byte[] stored(final RolloutRecord record) {
+        return RolloutRecordEntry.newBuilder()
+                .setService(record.service())
+                .setVersion(record.version())
+                .setOrder(record.order())
+                .setStartedMillis(record.startedAt().toEpochMilli())
+                .setState(encode(record.state()))
+                .build()
+                .toByteArray();
+    }
+
+    /**
+     * Reads what the store keeps of a roll-out.
+     *
+     * @param value the record's value
+     * @return the roll-out
+     * @throws InvalidProtocolBufferException if it can't be understood
+     * @throws IllegalArgumentException if a part of it is missing
+     */
+    public static RolloutRecord stored(final byte[] value) throws InvalidProtocolBufferException {
+        final RolloutRecordEntry entry = RolloutRecordEntry.parseFrom(value);
+        return new RolloutRecord(
+                entry.getService(),
+                entry.getVersion(),
+                entry.getOrder(),
+                Instant.ofEpochMilli(entry.getStartedMillis()),
+                decode(entry.getState()));
+    }
+
+    private static RolloutStateRecord encode(final RolloutState state) {
+        return switch (state) {
+            case RUNNING -> RolloutStateRecord.RUNNING;
+            case COMPLETED -> RolloutStateRecord.COMPLETED;
+            case ROLLED_BACK -> RolloutStateRecord.ROLLED_BACK;
+        };
+    }
+
+    private static RolloutState decode(final RolloutStateRecord state) {
+        return switch (state) {
+            case RUNNING -> RolloutState.RUNNING;
+            case COMPLETED -> RolloutState.COMPLETED;
+            case ROLLED_BACK -> RolloutState.ROLLED_BACK;
+            default -> throw new IllegalArgumentException("unknown state of a roll-out");
+        };
+    }
+}
--- a/gateway/src/main/java/org/whinhead/gateway/peers/StoreDigests.java
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/StoreDigests.java
@@ -102,7 +102,9 @@
         return switch (topic) {
             case ENDPOINTS -> digest.getEndpointsEnd() < mEndpointsEnd || sameEndpoints(digest);
             case CONFIGURATION ->
-                    digest.getConfigurationFresh() && digest.getConfigurationVersion() <= version();
+                    digest.getConfigurationFresh()
+                            && digest.getConfigurationVersion() <= version()
+                            && digest.getRolloutOffset() <= mState.rollouts().newestOffset();
             default -> false;
         };
     }
@@ -129,6 +131,7 @@
                 .setEndpointsHash(mState.endpoints().summary())
                 .setEndpointsEnd(mEndpointsEnd)
                 .setConfigurationVersion(version())
+                .setRolloutOffset(mState.rollouts().newestOffset())
                 .setConfigurationFresh(
                         mConfigurationReadAt.isAfter(now().minus(CONFIGURATION_FRESH_FOR)))
                 .build();
@@ -148,7 +151,8 @@
             mEndpointsEnd = digest.getEndpointsEnd();
             mSkip.accept(mEndpointsEnd);
         }
-        if (digest.getConfigurationVersion() > version()) {
+        if (digest.getConfigurationVersion() > version()
+                || digest.getRolloutOffset() > mState.rollouts().newestOffset()) {
             mWake.accept(StoreTopic.CONFIGURATION);
         }
     }
--- a/gateway/src/main/java/org/whinhead/gateway/store/ConfigurationWatch.java
+++ b/gateway/src/main/java/org/whinhead/gateway/store/ConfigurationWatch.java
@@ -2,12 +2,14 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.whinhead.gateway.exchange.ServingState;
 import org.whinhead.serving.configuration.ServingConfiguration;
+import org.whinhead.serving.rollout.RolloutOrder;
 
-/** Puts the operator's configuration in force as the store shows it. */
+/** Puts the operator's configuration and orders in force as the store shows them. */
 public final class ConfigurationWatch implements TopicListener {
 
     private static final Logger LOG = LoggerFactory.getLogger(ConfigurationWatch.class);
@@ -15,7 +17,9 @@
     private final ServingState mState;
     private final ConfigurationDecoder mDecoder;
     private final String mKey;
+    private final RolloutProtocol mRollouts;
     private Runnable mOnRead = () -> {};
+    private Consumer<RolloutOrder> mOnEarlierOrder = order -> {};
     private Runnable mOnChange = () -> {};
 
     /**
@@ -24,12 +28,27 @@
      * @param state gets the configuration
      * @param decoder reads it
      * @param key the key of the record that holds it
+     * @param rollouts reads orders of roll-outs
      */
     public ConfigurationWatch(
-            final ServingState state, final ConfigurationDecoder decoder, final String key) {
+            final ServingState state,
+            final ConfigurationDecoder decoder,
+            final String key,
+            final RolloutProtocol rollouts) {
         mState = state;
         mDecoder = decoder;
         mKey = key;
+        mRollouts = rollouts;
+    }
+
+    /**
+     * Sets what is done with an order that is older than this daemon's reading of the store, and
+     * may have been decided.
+     *
+     * @param onEarlierOrder takes the order
+     */
+    public void onEarlierOrder(final Consumer<RolloutOrder> onEarlierOrder) {
+        mOnEarlierOrder = onEarlierOrder;
     }
 
     /**
@@ -52,11 +71,37 @@
 
     @Override
     public void snapshot(final List<StoreRecord> records, final long end) {
-        appended(records);
+        records.forEach(record -> takeOrder(record, mOnEarlierOrder));
+        takeNewest(records);
     }
 
     @Override
     public void appended(final List<StoreRecord> records) {
+        records.forEach(record -> takeOrder(record, order -> {}));
+        takeNewest(records);
+    }
+
+    private void takeOrder(final StoreRecord record, final Consumer<RolloutOrder> ifNew) {
+        try {
+            mRollouts
+                    .order(record)
+                    .filter(mState.rollouts()::ordered)
+                    .ifPresent(
+                            order -> {
+                                LOG.atInfo()
+                                        .addKeyValue("service", order.service())
+                                        .addKeyValue("version", order.version())
+                                        .addKeyValue("timeBudget", order.timeBudget())
+                                        .addKeyValue("offset", order.offset())
+                                        .log("roll-out ordered");
+                                ifNew.accept(order);
+                            });
+        } catch (UnreadableRecordException e) {
+            LOG.error("order of a roll-out not understood, nothing is done for it", e);
+        }
+    }
+
+    private void takeNewest(final List<StoreRecord> records) {
         Optional<byte[]> newest = Optional.empty();
         for (final StoreRecord record : records) {
             if (record.key().equals(mKey) && record.value().isPresent()) {
--- a/gateway/src/main/java/org/whinhead/gateway/store/EndpointWatch.java
+++ b/gateway/src/main/java/org/whinhead/gateway/store/EndpointWatch.java
@@ -237,6 +237,7 @@
                 registry().all().stream().map(EndpointEntry::id).collect(Collectors.toSet());
         mState.chooser().retain(known);
         mConnections.retain(known);
+        mState.rollouts().listed(registry().all(), now());
     }
 
     /**
--- a/gateway/src/main/java/org/whinhead/gateway/store/StoreTopic.java
+++ b/gateway/src/main/java/org/whinhead/gateway/store/StoreTopic.java
@@ -9,5 +9,9 @@
     /** Entries that daemons write of themselves. */
     MEMBERS,
     /** The lease of the duties, with its holders' decisions. */
-    DUTIES
+    DUTIES,
+    /** How far roll-outs are, for the next holder of the duties. */
+    ROLLOUTS,
+    /** How far roll-outs are, for operators. */
+    STATUS
 }
--- /dev/null
+++ b/gateway/src/test/java/org/whinhead/gateway/rollout/RolloutHolderTest.java
@@ -0,0 +1,210 @@
+package org.whinhead.gateway.rollout;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.whinhead.gateway.exchange.ServingState;
+import org.whinhead.gateway.exchange.TestServing;
+import org.whinhead.gateway.store.MetadataStore;
+import org.whinhead.gateway.store.RolloutProtocol;
+import org.whinhead.gateway.store.StorePage;
+import org.whinhead.gateway.store.StoreRecord;
+import org.whinhead.gateway.store.StoreTopic;
+import org.whinhead.serving.rollout.RolloutLimits;
+import org.whinhead.serving.rollout.RolloutOrder;
+import org.whinhead.serving.rollout.RolloutRecord;
+import org.whinhead.serving.rollout.RolloutState;
+import org.whinhead.serving.rollout.RolloutStep;
+
+class RolloutHolderTest {
+
+    private static final RolloutOrder ORDER =
+            new RolloutOrder("pool", "v2", Duration.ofSeconds(12), 7);
+    private static final int DAEMONS = 9;
+
+    private final FakeStore mStore = new FakeStore();
+    private Instant mNow = Instant.parse("2026-01-01T00:00:00Z");
+    private final ServingState mState = TestServing.state(() -> mNow);
+    private final List<RolloutStep> mSteps = new ArrayList<>();
+    private final RolloutHolder mHolder = holder(mState, mSteps);
+
+    private RolloutHolder holder(final ServingState state, final List<RolloutStep> steps) {
+        return new RolloutHolder(
+                state,
+                new RolloutLimits(0.1, 50),
+                new RolloutStore(mStore, new PlainProtocol()),
+                steps::add);
+    }
+
+    /** Keeps records in memory; can be away, and can lose answers of writes that it carries out. */
+    private static final class FakeStore implements MetadataStore {
+        private final Map<StoreTopic, List<StoreRecord>> mTopics = new EnumMap<>(StoreTopic.class);
+        private boolean mAway;
+        private boolean mLosesAnswers;
+
+        private List<StoreRecord> records(final StoreTopic topic) {
+            return mTopics.computeIfAbsent(topic, name -> new ArrayList<>());
+        }
+
+        private List<String> values(final StoreTopic topic) {
+            return records(topic).stream()
+                    .map(record -> new String(record.value().orElseThrow()))
+                    .toList();
+        }
+
+        @Override
+        public CompletableFuture<StorePage> newest(final StoreTopic topic) {
+            if (mAway) {
+                return CompletableFuture.failedFuture(new IllegalStateException("away"));
+            }
+            final List<StoreRecord> all = records(topic);
+            return CompletableFuture.completedFuture(
+                    new StorePage(List.copyOf(all), all.size(), false));
+        }
+
+        @Override
+        public CompletableFuture<StorePage> read(
+                final StoreTopic topic, final long from, final Duration wait) {
+            return newest(topic);
+        }
+
+        @Override
+        public CompletableFuture<Long> append(
+                final StoreTopic topic, final String key, final byte[] value) {
+            throw new IllegalStateException("a write without a condition");
+        }
+
+        @Override
+        public CompletableFuture<OptionalLong> appendAt(
+                final StoreTopic topic, final String key, final byte[] value, final long end) {
+            final List<StoreRecord> all = records(topic);
+            if (mAway) {
+                return CompletableFuture.failedFuture(new IllegalStateException("away"));
+            }
+            if (end != all.size()) {
+                return CompletableFuture.completedFuture(OptionalLong.empty());
+            }
+            all.add(new StoreRecord(key, Optional.of(value), end));
+            return mLosesAnswers
+                    ? CompletableFuture.failedFuture(new IllegalStateException("answer lost"))
+                    : CompletableFuture.completedFuture(OptionalLong.of(end + 1));
+        }
+    }
+
+    /** Spells a state by its name. */
+    private static final class PlainProtocol implements RolloutProtocol {
+        @Override
+        public Optional<RolloutOrder> order(final StoreRecord record) {
+            return Optional.empty();
+        }
+
+        @Override
+        public String statusKey(final String service) {
+            return "status/" + service;
+        }
+
+        @Override
+        public byte[] status(final RolloutRecord record) {
+            return record.state().name().getBytes();
+        }
+    }
+
+    @BeforeEach
+    void order() {
+        mState.rollouts().ordered(ORDER);
+    }
+
+    private void tickUntil(final RolloutHolder holder, final long token, final long millis) {
+        final Instant end = Instant.parse("2026-01-01T00:00:00Z").plusMillis(millis);
+        while (mNow.isBefore(end)) {
+            holder.tick(token, DAEMONS);
+            mNow = mNow.plusMillis(200);
+        }
+    }
+
+    private List<RolloutState> told(final List<RolloutStep> steps) {
+        return steps.stream().map(RolloutStep::state).distinct().toList();
+    }
+
+    @Test
+    void operatorsHearOfTheStartAndOfTheEnd() {
+        tickUntil(mHolder, 1, 13_000);
+
+        assertThat(mStore.values(StoreTopic.STATUS)).containsExactly("RUNNING", "ROLLED_BACK");
+        assertThat(told(mSteps)).containsExactly(RolloutState.RUNNING, RolloutState.ROLLED_BACK);
+    }
+
+    /**
+     * Some daemons hold a roll-out for ended while the next holder goes on with it. The store is
+     * away as this holder decides; nobody may be told an end that is not recorded.
+     */
+    @Test
+    void endIsNotToldBeforeItIsRecorded() {
+        tickUntil(mHolder, 1, 5_000);
+        mStore.mAway = true;
+        tickUntil(mHolder, 1, 13_000);
+        assertThat(told(mSteps)).containsExactly(RolloutState.RUNNING);
+
+        mStore.mAway = false;
+        tickUntil(mHolder, 1, 15_000);
+
+        assertThat(mStore.values(StoreTopic.STATUS)).containsExactly("RUNNING", "ROLLED_BACK");
+        assertThat(told(mSteps)).containsExactly(RolloutState.RUNNING, RolloutState.ROLLED_BACK);
+    }
+
+    /** Operators read two ends of one order: the write of the first landed, its answer was lost. */
+    @Test
+    void writeWhoseAnswerWasLostIsNotRepeated() {
+        tickUntil(mHolder, 1, 5_000);
+        mStore.mLosesAnswers = true;
+        tickUntil(mHolder, 1, 13_000);
+        mStore.mLosesAnswers = false;
+        tickUntil(mHolder, 1, 15_000);
+
+        assertThat(mStore.records(StoreTopic.ROLLOUTS)).hasSize(2);
+        assertThat(mStore.values(StoreTopic.STATUS)).last().isEqualTo("ROLLED_BACK");
+    }
+
+    /**
+     * A roll-out that was turned back is completed a second later. Its holder was paused just
+     * before it wrote its decision, and another one has decided meanwhile.
+     */
+    @Test
+    void pausedHolderTakesTheEndThatIsRecorded() {
+        tickUntil(mHolder, 1, 5_000);
+        final ServingState otherState = TestServing.state(() -> mNow);
+        otherState.rollouts().ordered(ORDER);
+        final List<RolloutStep> otherSteps = new ArrayList<>();
+        final RolloutHolder other = holder(otherState, otherSteps);
+        tickUntil(other, 2, 13_000);
+        assertThat(told(otherSteps)).last().isEqualTo(RolloutState.ROLLED_BACK);
+
+        mHolder.tick(1, DAEMONS);
+        tickUntil(mHolder, 1, 14_000);
+
+        assertThat(mStore.records(StoreTopic.ROLLOUTS)).hasSize(2);
+        assertThat(mState.rollouts().open()).isEmpty();
+    }
+
+    /** The next holder counts the time budget from the order, not from its own start. */
+    @Test
+    void nextHolderKeepsTheTimeBudget() {
+        tickUntil(mHolder, 1, 8_000);
+        final ServingState otherState = TestServing.state(() -> mNow);
+        otherState.rollouts().ordered(ORDER);
+        final RolloutHolder other = holder(otherState, new ArrayList<>());
+        tickUntil(other, 2, 12_400);
+
+        assertThat(mStore.values(StoreTopic.STATUS)).last().isEqualTo("ROLLED_BACK");
+    }
+}
--- a/serving/src/main/java/org/whinhead/serving/balance/EndpointChooser.java
+++ b/serving/src/main/java/org/whinhead/serving/balance/EndpointChooser.java
@@ -101,8 +101,17 @@
                         source.map(endpoint -> load(endpoint.id()).cachedTokens(work)).orElse(0));
         final int unread = Math.max(work.promptTokens() - cached, 0);
         load.started(work, unread);
+        final Duration reading =
+                Duration.ofMillis(
+                        Math.round(unread / speed(best.service()).tokensPerMillisecond()));
         return Optional.of(
-                new Placement(best, load, unread, source, speedSample(best.service(), work, now)));
+                new Placement(
+                        best,
+                        load,
+                        unread,
+                        source,
+                        reading,
+                        speedSample(best.service(), work, now)));
     }
 
     /**
--- a/serving/src/main/java/org/whinhead/serving/balance/Placement.java
+++ b/serving/src/main/java/org/whinhead/serving/balance/Placement.java
@@ -1,5 +1,6 @@
 package org.whinhead.serving.balance;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -12,6 +13,7 @@
     private final EndpointLoad mLoad;
     private final int mUnreadTokens;
     private final Optional<EndpointEntry> mPromptSource;
+    private final Duration mExpectedReading;
     private final Consumer<Instant> mOnFirstToken;
     private boolean mPromptHeld;
     private boolean mRead;
@@ -22,11 +24,13 @@
             final EndpointLoad load,
             final int unreadTokens,
             final Optional<EndpointEntry> promptSource,
+            final Duration expectedReading,
             final Consumer<Instant> onFirstToken) {
         mEndpoint = endpoint;
         mLoad = load;
         mUnreadTokens = unreadTokens;
         mPromptSource = promptSource;
+        mExpectedReading = expectedReading;
         mOnFirstToken = onFirstToken;
     }
 
@@ -43,6 +47,15 @@
         return mPromptSource;
     }
 
+    /**
+     * Tells how long the endpoint reads of the prompt that it has not cached.
+     *
+     * @return the time without waiting for others
+     */
+    public Duration expectedReading() {
+        return mExpectedReading;
+    }
+
     public EndpointLoad load() {
         return mLoad;
     }
--- a/serving/src/main/java/org/whinhead/serving/endpoint/EndpointEntry.java
+++ b/serving/src/main/java/org/whinhead/serving/endpoint/EndpointEntry.java
@@ -12,6 +12,7 @@
  *
  * @param id its id, which it may keep over a restart
  * @param service the service that it belongs to
+ * @param version the version of the service's software; empty if it doesn't say
  * @param address where it listens
  * @param domain its failure domain
  * @param slots how many requests it works on at once
@@ -24,6 +25,7 @@
 public record EndpointEntry(
         String id,
         String service,
+        String version,
         InetSocketAddress address,
         String domain,
         int slots,
@@ -37,6 +39,7 @@
     public EndpointEntry {
         Arguments.requireText(id, "id");
         Arguments.requireText(service, "service");
+        Objects.requireNonNull(version, "version");
         Objects.requireNonNull(address, "address");
         Objects.requireNonNull(domain, "domain");
         Arguments.requireAtLeast(slots, 1, "slots");
@@ -85,6 +88,7 @@
         private final String mService;
         private final InetSocketAddress mAddress;
         private final String mDomain;
+        private String mVersion = "";
         private int mSlots = 1;
         private boolean mLeaving;
         private boolean mReclaimable;
@@ -103,6 +107,17 @@
             mDomain = domain;
         }
 
+        /**
+         * Sets what it runs.
+         *
+         * @param version the version of the service's software
+         * @return this builder
+         */
+        public Builder version(final String version) {
+            mVersion = version;
+            return this;
+        }
+
         /**
          * Sets how much it works on at once.
          *
@@ -160,6 +175,7 @@
             return new EndpointEntry(
                     mId,
                     mService,
+                    mVersion,
                     mAddress,
                     mDomain,
                     mSlots,
--- /dev/null
+++ b/serving/src/main/java/org/whinhead/serving/rollout/RolloutController.java
@@ -0,0 +1,311 @@
+package org.whinhead.serving.rollout;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Objects;
+import java.util.Optional;
+
+/**
+ * Carries out one order, at the holder of the duties.
+ *
+ * <p>The new version first gets a small share for most of the time budget, so that a version that
+ * turns bad later shows it. It gets everything only for the last moment, as long as the requests
+ * that a bad version may get allow: whatever it does then, the bound on them holds, and the old
+ * endpoints are still there to take everything back. Nothing is decided before the store has taken
+ * the record of it.
+ */
+public final class RolloutController {
+
+    /** What is kept of the time budget for writing the decision: a second write if one is lost. */
+    private static final Duration LEAST_MARGIN = Duration.ofMillis(350);
+
+    /** The same as a part of the time budget. */
+    private static final double MARGIN_PART = 0.03;
+
+    /** The last moment is at least so long: each daemon must hear of it, and move what runs. */
+    private static final Duration LEAST_TAKEOVER = Duration.ofMillis(500);
+
+    /** Part of the requests that a bad version may get which the trial spends. */
+    private static final double TRIAL_PART = 0.4;
+
+    /** Part of what is then left that the takeover spends; the rest is for what is counted late. */
+    private static final double TAKEOVER_PART = 0.8;
+
+    /** The largest share of a trial: endpoints that all start at once must not get a flood. */
+    private static final double MOST_TRIAL_SHARE = 0.3;
+
+    /** How late the counts of other daemons come. */
+    private static final Duration COUNTED_LATE = Duration.ofMillis(600);
+
+    /** Part of the requests that a bad version may get at which it gets no more. */
+    private static final double SPENT_PART = 0.93;
+
+    /**
+     * The time within which an endpoint of the new version gets its full load for a part. A share
+     * that is less than one endpoint's is given by turns: the endpoint's full load, then nothing.
+     */
+    private static final Duration TURN = Duration.ofMillis(2_000);
+
+    /** Part of the old endpoints' number that the new ones need to take over. */
+    private static final double ENOUGH_ENDPOINTS = 0.5;
+
+    /** Requests a second that are reckoned with where hardly any come. */
+    private static final double LEAST_RATE = 1;
+
+    private static final double MILLIS_PER_SECOND = 1_000;
+
+    private final RolloutOrder mOrder;
+    private final RolloutLimits mLimits;
+    private final Instant mStartedAt;
+    private final Duration mElapsedBefore;
+    private final VersionJudge mJudge = new VersionJudge();
+    private final RequestRate mRate = new RequestRate();
+    private Endpoints mEndpoints = new Endpoints(0, 0);
+    private double mShare;
+    private boolean mTakesOver;
+    private RolloutState mState = RolloutState.RUNNING;
+    private String mReason = "";
+
+    /**
+     * Starts or resumes an order.
+     *
+     * @param order the order
+     * @param limits what a bad version may get
+     * @param startedAt the steady time of the order, as far as it is known
+     * @param now the time; later than the start if another daemon has begun
+     */
+    public RolloutController(
+            final RolloutOrder order,
+            final RolloutLimits limits,
+            final Instant startedAt,
+            final Instant now) {
+        mOrder = Objects.requireNonNull(order, "order");
+        mLimits = Objects.requireNonNull(limits, "limits");
+        mStartedAt = Objects.requireNonNull(startedAt, "startedAt");
+        mElapsedBefore = Duration.between(startedAt, now);
+    }
+
+    /**
+     * How many endpoints a service has.
+     *
+     * @param old usable ones of other versions than the new one
+     * @param trial usable ones of the new version
+     */
+    public record Endpoints(int old, int trial) {}
+
+    /**
+     * What the controller wants done, and why.
+     *
+     * @param share the share of requests for the new version
+     * @param state the state; a final one must be recorded before it is told
+     * @param oldStopsIn when the old endpoints will stop; zero while that is not near
+     * @param reason why it is so, for the log
+     */
+    public record Decision(double share, RolloutState state, Duration oldStopsIn, String reason) {}
+
+    public RolloutOrder order() {
+        return mOrder;
+    }
+
+    /**
+     * Takes what a daemon has seen.
+     *
+     * @param evidence its counts
+     */
+    public void evidence(final RolloutEvidence evidence) {
+        if (evidence.order() == mOrder.offset()) {
+            mJudge.take(evidence);
+        }
+    }
+
+    /**
+     * Takes an end that is recorded already, by this daemon or another one.
+     *
+     * @param state the end
+     */
+    public void ended(final RolloutState state) {
+        if (!state.isFinal()) {
+            throw new IllegalArgumentException("no end: " + state);
+        }
+        mState = state;
+        mShare = state == RolloutState.COMPLETED ? 1 : 0;
+        mTakesOver = false;
+        mReason = "recorded before";
+    }
+
+    /**
+     * Decides what is to be done now.
+     *
+     * @param endpoints the service's endpoints
+     * @param now the time
+     * @return the decision; one that is final stays
+     */
+    public Decision decide(final Endpoints endpoints, final Instant now) {
+        mEndpoints = endpoints;
+        mJudge.judge();
+        mRate.count(mJudge.requests(), now);
+        if (!mState.isFinal()) {
+            next(now);
+        }
+        final Duration left = remaining(now);
+        final Duration stopsIn = mTakesOver && !left.isNegative() ? left : Duration.ZERO;
+        return new Decision(mShare, mState, stopsIn, mReason);
+    }
+
+    /**
+     * Says what the decisions were based on.
+     *
+     * @return counts, for the log
+     */
+    public Basis basis() {
+        final VersionJudge.Tally tally = mJudge.tally();
+        return new Basis(
+                mJudge.requests(),
+                mJudge.exposed(),
+                tally.answers(),
+                tally.bad(),
+                tally.evidence());
+    }
+
+    /**
+     * What the decisions were based on.
+     *
+     * @param requests requests that reached the service since the order
+     * @param exposed those that reached the new version
+     * @param answers answers of the new version
+     * @param bad those that failed or took far too long
+     * @param evidence what speaks against the version, as a log likelihood ratio
+     */
+    public record Basis(long requests, long exposed, long answers, long bad, double evidence) {}
+
+    private void next(final Instant now) {
+        final Optional<String> bad = mJudge.bad();
+        if (bad.isPresent()) {
+            end(RolloutState.ROLLED_BACK, "bad answers on " + bad.get());
+            return;
+        }
+        if (remaining(now).isNegative() || remaining(now).isZero()) {
+            endInTime();
+            return;
+        }
+        if (mEndpoints.trial() == 0) {
+            mShare = 0;
+            mReason = "no endpoint of the new version";
+            return;
+        }
+        if (mJudge.isOldFailing()) {
+            mShare = 0;
+            mTakesOver = false;
+            mReason = "old version fails as well, nothing can be told";
+            return;
+        }
+        if (exposed(now) >= SPENT_PART * allowed(now)) {
+            mShare = 0;
+            mTakesOver = false;
+            mReason = "gets no more than a bad version may get";
+            return;
+        }
+        mTakesOver = mayTakeOver(now);
+        if (mTakesOver) {
+            mShare = 1;
+            mReason = "takes over";
+        } else {
+            mShare = inTurns(trialShare(now), now);
+            mReason = "on trial";
+        }
+    }
+
+    private void endInTime() {
+        if (!isEnough()) {
+            end(RolloutState.ROLLED_BACK, "too few endpoints of the new version");
+        } else if (mJudge.isOldFailing() || !mJudge.isGood()) {
+            end(RolloutState.ROLLED_BACK, "too little shown within the time budget");
+        } else {
+            mState = RolloutState.COMPLETED;
+            mShare = 1;
+            mReason = "good until the time budget's end";
+        }
+    }
+
+    private void end(final RolloutState state, final String reason) {
+        mState = state;
+        mShare = 0;
+        mTakesOver = false;
+        mReason = reason;
+    }
+
+    private boolean isEnough() {
+        return mEndpoints.trial() > 0 && mEndpoints.trial() >= ENOUGH_ENDPOINTS * mEndpoints.old();
+    }
+
+    /** Returns the time until the decision has to be written. */
+    private Duration remaining(final Instant now) {
+        return Duration.between(now, mStartedAt.plus(mOrder.timeBudget()).minus(margin()));
+    }
+
+    private Duration margin() {
+        final Duration part =
+                Duration.ofMillis(Math.round(mOrder.timeBudget().toMillis() * MARGIN_PART));
+        return part.compareTo(LEAST_MARGIN) > 0 ? part : LEAST_MARGIN;
+    }
+
+    /** Returns the requests a second that reach the service. */
+    private double rate() {
+        return Math.max(mRate.perSecond(), LEAST_RATE);
+    }
+
+    /**
+     * Counts the requests that have reached the new version. Those before this daemon took over may
+     * be forgotten, where daemons were killed as well; the trial's part of them is assumed.
+     */
+    private double exposed(final Instant now) {
+        final double before = (double) mElapsedBefore.toMillis() / mOrder.timeBudget().toMillis();
+        return mJudge.exposed() + before * TRIAL_PART * allowed(now);
+    }
+
+    /** Returns the requests that a bad version may get until the end of the time budget. */
+    private double allowed(final Instant now) {
+        final Duration left = Duration.between(now, mStartedAt.plus(mOrder.timeBudget()));
+        final double coming = rate() * left.toMillis() / MILLIS_PER_SECOND;
+        return mLimits.allowed(mJudge.requests() + coming);
+    }
+
+    /** Tells whether the new version may get all that comes until the time budget's end. */
+    private boolean mayTakeOver(final Instant now) {
+        if (!isEnough() || !mJudge.isPromising()) {
+            return false;
+        }
+        return mTakesOver || remaining(now).compareTo(takeover(now)) <= 0;
+    }
+
+    /** Returns how long before the decision the takeover may begin. */
+    private Duration takeover(final Instant now) {
+        final double spendable = (allowed(now) - exposed(now)) * TAKEOVER_PART;
+        final double seconds = spendable / rate();
+        final Duration takeover =
+                Duration.ofMillis(Math.round(seconds * MILLIS_PER_SECOND)).minus(margin());
+        return takeover.compareTo(LEAST_TAKEOVER) > 0 ? takeover : LEAST_TAKEOVER;
+    }
+
+    /** Gives a share that is less than one endpoint's by turns. */
+    private double inTurns(final double share, final Instant now) {
+        final double one = 1.0 / mEndpoints.trial();
+        if (share >= one) {
+            return share;
+        }
+        final long into = Duration.between(mStartedAt, now).toMillis() % TURN.toMillis();
+        return into < share / one * TURN.toMillis() ? one : 0;
+    }
+
+    private double trialShare(final Instant now) {
+        final double budget = allowed(now) * TRIAL_PART;
+        final double unseen = rate() * mShare * COUNTED_LATE.toMillis() / MILLIS_PER_SECOND;
+        final double left = budget - exposed(now) - unseen;
+        final double trialSeconds =
+                Math.max(
+                        (remaining(now).toMillis() - takeover(now).toMillis()) / MILLIS_PER_SECOND,
+                        1);
+        final double share = left / (rate() * trialSeconds);
+        return Math.min(Math.max(share, 0), MOST_TRIAL_SHARE);
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/org/whinhead/serving/rollout/RolloutEvidence.java
@@ -0,0 +1,45 @@
+package org.whinhead.serving.rollout;
+
+import java.util.List;
+import org.whinhead.api.Arguments;
+
+/**
+ * What one daemon has seen of a roll-out since its order; each says all, so that one that is lost
+ * is made up for by the next.
+ *
+ * @param service the service
+ * @param order the offset of the order
+ * @param daemon names the daemon's process
+ * @param sequence the number of the newest step that it follows; 0 if it follows none
+ * @param token the fencing token of that step
+ * @param oldRunning requests that it has under way at endpoints of other versions than the new one
+ * @param outcomes what became of the requests
+ */
+public record RolloutEvidence(
+        String service,
+        long order,
+        String daemon,
+        long sequence,
+        long token,
+        int oldRunning,
+        List<RouteOutcomes> outcomes) {
+
+    /** Checks the parts. */
+    public RolloutEvidence {
+        Arguments.requireText(service, "service");
+        Arguments.requireText(daemon, "daemon");
+        outcomes = List.copyOf(outcomes);
+    }
+
+    /**
+     * Counts what the new version failed.
+     *
+     * @return the failures on all routes
+     */
+    public long failedOnTrial() {
+        return outcomes.stream()
+                .filter(RouteOutcomes::onTrial)
+                .mapToLong(RouteOutcomes::failed)
+                .sum();
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/org/whinhead/serving/rollout/RolloutOrder.java
@@ -0,0 +1,23 @@
+package org.whinhead.serving.rollout;
+
+import java.time.Duration;
+import org.whinhead.api.Arguments;
+
+/**
+ * An operator's order to move a service to a version.
+ *
+ * @param service the service
+ * @param version the version that its endpoints are to have
+ * @param timeBudget how long it may take, from the order on
+ * @param offset where the order lies in the store; a later order of the same service replaces it
+ */
+public record RolloutOrder(String service, String version, Duration timeBudget, long offset) {
+
+    /** Checks the parts. */
+    public RolloutOrder {
+        Arguments.requireText(service, "service");
+        Arguments.requireText(version, "version");
+        Arguments.requirePositive(timeBudget, "timeBudget");
+        Arguments.requireAtLeast(offset, 0, "offset");
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/org/whinhead/serving/rollout/ServiceRollout.java
@@ -0,0 +1,128 @@
+package org.whinhead.serving.rollout;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import org.whinhead.serving.endpoint.EndpointEntry;
+
+/** One order at one daemon: which version gets a request, and what became of those that went. */
+final class ServiceRollout {
+
+    /**
+     * How long a step holds without another one from the holder. A holder that is killed, paused or
+     * cut off can't take a bad version back, so each daemon does it alone: without news the new
+     * version gets nothing. Three pulses of the holder may be lost before that.
+     */
+    static final Duration STEP_HOLDS = Duration.ofMillis(1_500);
+
+    /** Steps after which other endpoints get the trial's requests: about each two seconds. */
+    private static final long STEPS_ON_SAME_ENDPOINTS = 10;
+
+    /** From this share on the new version may stand in where the old one has no endpoint left. */
+    private static final double TAKES_OVER = 0.5;
+
+    /** What makes a share of one endpoint's part one endpoint, though it is no whole number. */
+    private static final double ROUNDING = 1e-6;
+
+    /** Spreads the hashes of ids that differ in few characters. */
+    private static final int SPREAD_FACTOR = 0x9E3779B9;
+
+    private final RolloutOrder mOrder;
+    private final TrialCounts mCounts = new TrialCounts();
+    private RolloutStep mStep;
+    private Instant mStepAt = Instant.EPOCH;
+    private RolloutState mDecided = RolloutState.RUNNING;
+
+    ServiceRollout(final RolloutOrder order) {
+        mOrder = Objects.requireNonNull(order, "order");
+    }
+
+    RolloutOrder order() {
+        return mOrder;
+    }
+
+    RolloutState state() {
+        return mDecided;
+    }
+
+    TrialCounts counts() {
+        return mCounts;
+    }
+
+    Optional<RolloutStep> step() {
+        return Optional.ofNullable(mStep);
+    }
+
+    /** Takes a step of the holder; one that was overtaken on the way changes nothing. */
+    void step(final RolloutStep step, final Instant now) {
+        if (step.order() != mOrder.offset() || (mStep != null && !step.isAfter(mStep))) {
+            return;
+        }
+        mStep = step;
+        mStepAt = now;
+        if (step.state().isFinal()) {
+            mDecided = step.state();
+        }
+    }
+
+    /** Takes what the store says of the order. */
+    void decided(final RolloutState state) {
+        if (state.isFinal()) {
+            mDecided = state;
+        }
+    }
+
+    boolean isNew(final EndpointEntry endpoint) {
+        return endpoint.version().equals(mOrder.version());
+    }
+
+    double share(final Instant now) {
+        return switch (mDecided) {
+            case COMPLETED -> 1;
+            case ROLLED_BACK -> 0;
+            case RUNNING ->
+                    mStep == null || now.isAfter(mStepAt.plus(STEP_HOLDS)) ? 0 : mStep.share();
+        };
+    }
+
+    /**
+     * Picks the endpoints that may get a request.
+     *
+     * @param usable the service's endpoints
+     * @param draw a number from 0 to 1 that is spread evenly over requests
+     * @param now the time
+     */
+    List<EndpointEntry> candidates(
+            final List<EndpointEntry> usable, final double draw, final Instant now) {
+        final double share = share(now);
+        final List<EndpointEntry> trial = usable.stream().filter(this::isNew).toList();
+        final List<EndpointEntry> old = usable.stream().filter(entry -> !isNew(entry)).toList();
+        if (draw < share && !trial.isEmpty()) {
+            return loaded(trial, share);
+        }
+        final boolean replaced = mDecided == RolloutState.COMPLETED && !trial.isEmpty();
+        if (replaced || (old.isEmpty() && share >= TAKES_OVER)) {
+            return trial;
+        }
+        return old;
+    }
+
+    /**
+     * Picks as many endpoints of the new version as the share is of all, the same ones at every
+     * daemon: each then gets what an endpoint gets in the end, and a version that is bad under load
+     * only shows it while it gets a tenth of the traffic.
+     */
+    private List<EndpointEntry> loaded(final List<EndpointEntry> trial, final double share) {
+        final int count = (int) Math.max(trial.size() * share + ROUNDING, 1);
+        if (count >= trial.size()) {
+            return trial;
+        }
+        final long turn = mStep == null ? 0 : mStep.sequence() / STEPS_ON_SAME_ENDPOINTS;
+        final Comparator<EndpointEntry> byTurn =
+                Comparator.comparingInt(entry -> (entry.id() + turn).hashCode() * SPREAD_FACTOR);
+        return trial.stream().sorted(byTurn.thenComparing(EndpointEntry::id)).limit(count).toList();
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/org/whinhead/serving/rollout/Trial.java
@@ -0,0 +1,62 @@
+package org.whinhead.serving.rollout;
+
+import java.time.Duration;
+
+/** One send of a request to an endpoint of a service that a roll-out is under way for. */
+public final class Trial {
+
+    private final TrialCounts mCounts;
+    private final String mRoute;
+    private final boolean mOnTrial;
+    private boolean mAnswered;
+    private boolean mFailed;
+    private boolean mLeft;
+
+    Trial(final TrialCounts counts, final String route, final boolean onTrial) {
+        mCounts = counts;
+        mRoute = route;
+        mOnTrial = onTrial;
+        counts.sent(route, onTrial);
+    }
+
+    /**
+     * Tells whether the send went to the new version.
+     *
+     * @return whether the version is on trial
+     */
+    public boolean isOnTrial() {
+        return mOnTrial;
+    }
+
+    /**
+     * Notes that the endpoint answered, or began to generate.
+     *
+     * @param taken the time from the send to the whole answer, or to a stream's first token
+     */
+    public void answered(final Duration taken) {
+        if (!mAnswered) {
+            mAnswered = true;
+            mCounts.answered(mRoute, mOnTrial, taken);
+        }
+    }
+
+    /**
+     * Notes that the endpoint failed the request by its answer, or spoiled a stream behind its
+     * first token. A connection that is lost says nothing of the version: VMs are reclaimed and
+     * crash at any version.
+     */
+    public void failed() {
+        if (!mFailed) {
+            mFailed = true;
+            mCounts.failed(mRoute, mOnTrial);
+        }
+    }
+
+    /** Notes that the endpoint no longer works on the request. */
+    public void left() {
+        if (!mLeft) {
+            mLeft = true;
+            mCounts.left(mOnTrial);
+        }
+    }
+}
--- /dev/null
+++ b/serving/src/test/java/org/whinhead/serving/rollout/BadAnswerTestTest.java
@@ -0,0 +1,48 @@
+package org.whinhead.serving.rollout;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+class BadAnswerTestTest {
+
+    private static final double USUAL = 0.02;
+
+    private final BadAnswerTest mTest = new BadAnswerTest();
+
+    @Test
+    void fewGoodAnswersShowNothing() {
+        mTest.answers(10, 0, USUAL);
+
+        assertThat(mTest.isGood()).isFalse();
+        assertThat(mTest.isBad()).isFalse();
+    }
+
+    @Test
+    void manyGoodAnswersShowGoodVersion() {
+        mTest.answers(17, 0, USUAL);
+
+        assertThat(mTest.isGood()).isTrue();
+    }
+
+    /** A version that turns bad late must be found as fast as one that was bad from the start. */
+    @Test
+    void goodPastHidesNothing() {
+        mTest.answers(1_000, 0, USUAL);
+        mTest.answers(0, 4, USUAL);
+
+        assertThat(mTest.isBad()).isTrue();
+        assertThat(mTest.isGood()).isFalse();
+    }
+
+    /** One route of the users fails one answer in seven at every version. */
+    @Test
+    void usualFailuresAreNotTheVersions() {
+        for (int round = 0; round < 20; round++) {
+            mTest.answers(6, 1, 0.14);
+        }
+
+        assertThat(mTest.isBad()).isFalse();
+        assertThat(mTest.isGood()).isTrue();
+    }
+}
--- /dev/null
+++ b/simulation/src/main/java/org/whinhead/simulation/rollout/EventQueue.java
@@ -0,0 +1,44 @@
+package org.whinhead.simulation.rollout;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Comparator;
+import java.util.PriorityQueue;
+
+/** Things that happen at simulated times, in their order. */
+final class EventQueue {
+
+    private final PriorityQueue<Event> mEvents =
+            new PriorityQueue<>(Comparator.comparing(Event::at).thenComparing(Event::number));
+    private Instant mNow = Instant.EPOCH;
+    private long mNumber;
+
+    Instant now() {
+        return mNow;
+    }
+
+    void after(final Duration delay, final Runnable action) {
+        mNumber++;
+        mEvents.add(new Event(mNow.plus(delay), mNumber, action));
+    }
+
+    /** Repeats an action as long as the simulation runs. */
+    void each(final Duration pace, final Runnable action) {
+        after(
+                pace,
+                () -> {
+                    action.run();
+                    each(pace, action);
+                });
+    }
+
+    void runUntil(final Instant end) {
+        while (!mEvents.isEmpty() && !mEvents.peek().at().isAfter(end)) {
+            final Event event = mEvents.poll();
+            mNow = event.at();
+            event.action().run();
+        }
+    }
+
+    private record Event(Instant at, long number, Runnable action) {}
+}
--- /dev/null
+++ b/simulation/src/main/java/org/whinhead/simulation/rollout/SimulatedDaemon.java
@@ -0,0 +1,62 @@
+package org.whinhead.simulation.rollout;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import org.whinhead.serving.endpoint.EndpointEntry;
+import org.whinhead.serving.rollout.RolloutEvidence;
+import org.whinhead.serving.rollout.RolloutOrder;
+import org.whinhead.serving.rollout.RolloutRecord;
+import org.whinhead.serving.rollout.RolloutStep;
+import org.whinhead.serving.rollout.Rollouts;
+import org.whinhead.serving.rollout.Trial;
+
+/** One daemon, which forgets everything when it is killed. */
+final class SimulatedDaemon {
+
+    private final int mNumber;
+    private Rollouts mRollouts = new Rollouts(true);
+    private int mStarts;
+    private boolean mCut;
+
+    SimulatedDaemon(final int number) {
+        mNumber = number;
+    }
+
+    void cut(final boolean cut) {
+        mCut = cut;
+    }
+
+    boolean isCut() {
+        return mCut;
+    }
+
+    /** Starts anew: the order is read from the store, and what is recorded of it. */
+    void restart(final RolloutOrder order, final Optional<RolloutRecord> record) {
+        mStarts++;
+        mRollouts = new Rollouts(true);
+        mRollouts.ordered(order);
+        record.ifPresent(mRollouts::recorded);
+    }
+
+    void ordered(final RolloutOrder order) {
+        mRollouts.ordered(order);
+    }
+
+    void step(final RolloutStep step, final Instant now) {
+        mRollouts.step(step, now);
+    }
+
+    List<EndpointEntry> candidates(
+            final List<EndpointEntry> usable, final String requestId, final Instant now) {
+        return mRollouts.candidates(RolloutSimulation.SERVICE, usable, requestId, false, now);
+    }
+
+    Optional<Trial> sent(final String route, final EndpointEntry endpoint) {
+        return mRollouts.sent(route, endpoint);
+    }
+
+    List<RolloutEvidence> evidence() {
+        return mRollouts.evidence(mNumber + "-" + mStarts);
+    }
+}
