Send what nobody else can take to endpoints that were reclaimed a moment ago

Change: where no other endpoint is usable, those whose notice was read up to 0.7 s ago and that serve for 0.8 s more get it. Test: LeavingEndpointsTest.

--- a/gateway/src/main/java/org/whinhead/gateway/exchange/ServingState.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/ServingState.java
@@ -1,5 +1,6 @@
 package org.whinhead.gateway.exchange;
 
+import java.time.Instant;
 import java.time.InstantSource;
 import java.util.List;
 import java.util.Objects;
@@ -8,6 +9,7 @@
 import org.whinhead.serving.configuration.ServiceSpec;
 import org.whinhead.serving.endpoint.EndpointEntry;
 import org.whinhead.serving.endpoint.EndpointRegistry;
+import org.whinhead.serving.endpoint.LeavingEndpoints;
 import org.whinhead.serving.limit.CustomerQuotas;
 import org.whinhead.serving.limit.RetryBudget;
 import org.whinhead.serving.rollout.Rollouts;
@@ -28,6 +30,7 @@
     private final InstantSource mTimeOfDay;
     private final ConfigurationHolder mConfiguration = new ConfigurationHolder();
     private final EndpointRegistry mEndpoints = new EndpointRegistry();
+    private final LeavingEndpoints mLeaving = new LeavingEndpoints();
     private final EndpointChooser mChooser;
     private final CustomerQuotas mQuotas;
     private final RetryBudget mRetryBudget;
@@ -112,8 +115,20 @@
      */
     List<EndpointEntry> candidates(
             final String service, final String requestId, final boolean repeated) {
-        return mRollouts.candidates(
-                service, mEndpoints.usable(service), requestId, repeated, mClock.instant());
+        final Instant now = mClock.instant();
+        final List<EndpointEntry> usable = mEndpoints.usable(service);
+        final List<EndpointEntry> serving =
+                usable.isEmpty() ? mLeaving.lastResort(service, now) : usable;
+        return mRollouts.candidates(service, serving, requestId, repeated, now);
+    }
+
+    /**
+     * Finds the endpoints that leave and still serve.
+     *
+     * @return the endpoints
+     */
+    public LeavingEndpoints leaving() {
+        return mLeaving;
     }
 
     public EndpointChooser chooser() {
--- a/gateway/src/main/java/org/whinhead/gateway/store/EndpointWatch.java
+++ b/gateway/src/main/java/org/whinhead/gateway/store/EndpointWatch.java
@@ -212,6 +212,7 @@
                     .addKeyValue("offset", change.offset())
                     .log("endpoint changed");
             if (entry.leaving()) {
+                mState.leaving().noticed(entry, now());
                 mOnLeaving.accept(entry);
             }
         }
@@ -223,6 +224,7 @@
         if (!registry().remove(change.id(), change.offset(), now())) {
             return false;
         }
+        mState.leaving().gone(change.id());
         before.ifPresent(mOnLeaving);
         LOG.atInfo()
                 .addKeyValue("endpoint", change.id())
--- /dev/null
+++ b/serving/src/test/java/org/whinhead/serving/endpoint/LeavingEndpointsTest.java
@@ -0,0 +1,68 @@
+package org.whinhead.serving.endpoint;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Three failure domains are reclaimed within six seconds, the last one 2.4 s before the endpoints
+ * that replace them are up. Callers were refused for two seconds, while the last domain still
+ * served.
+ */
+class LeavingEndpointsTest {
+
+    private static final Instant NOW = Instant.ofEpochSecond(1_000);
+
+    private final LeavingEndpoints mLeaving = new LeavingEndpoints();
+
+    private static EndpointEntry leaving(final Optional<Duration> leavesIn) {
+        return EndpointEntry.builder(
+                        "a", "pool", InetSocketAddress.createUnresolved("endpoint", 1), "domain")
+                .leaving(true, leavesIn)
+                .build();
+    }
+
+    @Test
+    void endpointServesShortlyAfterItsNotice() {
+        mLeaving.noticed(leaving(Optional.of(Duration.ofMillis(2_400))), NOW);
+
+        assertThat(mLeaving.lastResort("pool", NOW.plusMillis(700))).hasSize(1);
+        assertThat(mLeaving.lastResort("pool", NOW.plusMillis(701))).isEmpty();
+    }
+
+    @Test
+    void endpointThatIsGoneSoonIsNotUsed() {
+        mLeaving.noticed(leaving(Optional.of(Duration.ofMillis(1_000))), NOW);
+
+        assertThat(mLeaving.lastResort("pool", NOW.plusMillis(200))).hasSize(1);
+        assertThat(mLeaving.lastResort("pool", NOW.plusMillis(201))).isEmpty();
+    }
+
+    @Test
+    void endpointThatDoesNotSayWhenItGoesIsNotUsed() {
+        mLeaving.noticed(leaving(Optional.empty()), NOW);
+
+        assertThat(mLeaving.lastResort("pool", NOW)).isEmpty();
+    }
+
+    @Test
+    void repeatedNoticeExtendsNothing() {
+        final EndpointEntry entry = leaving(Optional.of(Duration.ofMillis(2_400)));
+        mLeaving.noticed(entry, NOW);
+        mLeaving.noticed(entry, NOW.plusMillis(600));
+
+        assertThat(mLeaving.lastResort("pool", NOW.plusMillis(800))).isEmpty();
+    }
+
+    @Test
+    void endpointThatIsGoneIsNotUsed() {
+        mLeaving.noticed(leaving(Optional.of(Duration.ofMillis(2_400))), NOW);
+        mLeaving.gone("a");
+
+        assertThat(mLeaving.lastResort("pool", NOW)).isEmpty();
+    }
+}
