Notice a reclaim that leaves an entry listed, and one that was only watched

Change: three quarters gone within two seconds, at every daemon. Tests: reclaimThatLeavesOneEntryListedIsNoticed, holderThatTakesOverHasNoticedTheReclaimBefore, both failed before.

--- a/serving/src/main/java/org/whinhead/serving/capacity/CapacityPlanner.java
+++ b/serving/src/main/java/org/whinhead/serving/capacity/CapacityPlanner.java
@@ -145,6 +145,8 @@
                     domains(service.name(), limits, endpoints, now);
             initial(service.name(), limits, now).note(domains, now);
             domains.forEach(DomainCapacity::keepOnDemand);
+            // What the holder has ordered is wanted: where all of it goes, it was reclaimed.
+            domains.forEach(domain -> domain.wantReclaimable(domain.now(true)));
         }
     }
 
--- a/serving/src/main/java/org/whinhead/serving/capacity/DomainCapacity.java
+++ b/serving/src/main/java/org/whinhead/serving/capacity/DomainCapacity.java
@@ -11,6 +11,12 @@
     /** How long after one reclaim another is expected; those of a wave came 2 to 6 s apart. */
     private static final Duration WAVE = Duration.ofSeconds(8);
 
+    /** How long the notices of one reclaim take to be read. */
+    private static final Duration RECLAIM_WITHIN = Duration.ofMillis(2_000);
+
+    /** Part of the endpoints that may still be listed when a reclaim is taken for one. */
+    private static final double LEFT_BY_RECLAIM = 0.25;
+
     private final String mDomain;
     private final int mMost;
     private int mOnDemandNow;
@@ -19,6 +25,8 @@
     private int mReclaimableWanted;
     private boolean mOutOfStock;
     private Instant mReclaimedAt = Instant.EPOCH;
+    private int mPeak;
+    private Instant mPeakAt = Instant.EPOCH;
 
     DomainCapacity(final String domain, final int most) {
         mDomain = domain;
@@ -41,10 +49,24 @@
                 mOnDemandNow++;
             }
         }
-        if (reclaimableBefore > 0 && mReclaimableNow == 0 && mReclaimableWanted > 0) {
+        noteReclaim(now);
+        return mOnDemandNow < onDemandBefore || mReclaimableNow < reclaimableBefore;
+    }
+
+    /**
+     * Notes a reclaim: most of the reclaimable endpoints go within a moment, though they are
+     * wanted. Not all, since the list is read in parts, and entries of other starts may stay a
+     * while.
+     */
+    private void noteReclaim(final Instant now) {
+        if (mReclaimableNow >= mPeak || now.isAfter(mPeakAt.plus(RECLAIM_WITHIN))) {
+            mPeak = mReclaimableNow;
+            mPeakAt = now;
+        }
+        final boolean mostGone = mReclaimableNow <= mPeak * LEFT_BY_RECLAIM;
+        if (mPeak > 0 && mostGone && mReclaimableWanted > mReclaimableNow) {
             mReclaimedAt = now;
         }
-        return mOnDemandNow < onDemandBefore || mReclaimableNow < reclaimableBefore;
     }
 
     /** Takes all endpoints on demand that are here as wanted, while the list still grows. */
--- a/serving/src/test/java/org/whinhead/serving/capacity/CapacityPlannerTest.java
+++ b/serving/src/test/java/org/whinhead/serving/capacity/CapacityPlannerTest.java
@@ -322,6 +322,35 @@
         assertThat(count(false)).isGreaterThanOrEqualTo(5);
     }
 
+    // Nobody is served for two seconds of a wave of reclaims. The news of the first one is read in
+    // parts, one entry of the domain stays listed, and nothing is ordered against the next reclaim.
+    @Test
+    void reclaimThatLeavesOneEntryListedIsNoticed() {
+        mPlanner = new CapacityPlanner(new CapacitySettings(1, 2, 0.34, 1));
+        run(0, 20, OptionalDouble.of(140_000));
+        mDry = true;
+        set("a", true, 1);
+        run(20, 23, OptionalDouble.of(140_000));
+        assertThat(count(false)).isGreaterThanOrEqualTo(1);
+    }
+
+    // The same, as the lease changes hands between two reclaims: the next holder had only watched
+    // the first one, and ordered nothing until the second was read.
+    @Test
+    void holderThatTakesOverHasNoticedTheReclaimBefore() {
+        mPlanner = new CapacityPlanner(new CapacitySettings(1, 2, 0.34, 1));
+        DOMAINS.forEach(domain -> set(domain, false, 0));
+        DOMAINS.forEach(domain -> set(domain, true, 4));
+        for (int second = 0; second < 10; second++) {
+            mPlanner.observe(SERVICE, mEndpoints, START.plusSeconds(second));
+        }
+        mDry = true;
+        set("a", true, 0);
+        mPlanner.observe(SERVICE, mEndpoints, START.plusSeconds(10));
+        run(12, 15, OptionalDouble.of(140_000));
+        assertThat(count(false)).isGreaterThanOrEqualTo(2);
+    }
+
     @Test
     void endpointsThatWereKeptForTheWaveLeaveBehindIt() {
         mPlanner = new CapacityPlanner(new CapacitySettings(1, 2, 0.34, 1));
