Let a daemon that the store turns away keep its pace of calls

Change: digests don't shorten the pause after a refused call. Test: daemonThatIsTurnedAwayKeepsItsPace, which failed before.

--- a/gateway/src/main/java/org/whinhead/gateway/store/TopicFollower.java
+++ b/gateway/src/main/java/org/whinhead/gateway/store/TopicFollower.java
@@ -84,9 +84,15 @@
         }
     }
 
-    /** Reads at once, as another daemon has seen something new. */
+    /**
+     * Reads at once, as another daemon has seen something new.
+     *
+     * <p>Not while the store turns this daemon away: digests of what it can't read come several
+     * times a second, and each refused call is billed. Twenty daemons that were cut off for nine
+     * seconds while keys were revoked made a thousand of them.
+     */
     public void wake() {
-        if (mTimer != null && mTimer.cancel(false)) {
+        if (mReachable && mTimer != null && mTimer.cancel(false)) {
             start();
         }
     }
