Send a request elsewhere that waits for its first token at a reclaimed endpoint

Only streams that had begun were moved. Change: at the time at which runs are moved, a request without a first token that may run again goes to another endpoint, within its attempts and the retry budget. Test: requestThatWaitsAtReclaimedServerIsServedElsewhere, failed before.

--- a/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
@@ -303,13 +303,32 @@
     }
 
     private void move(final int dispatch) {
-        final boolean movable =
-                mRelay.isStarted() && mConnection != null && mRelay.isStream() && mMove == null;
-        if (!mDone && dispatch == mDispatch && movable) {
+        if (mDone || dispatch != mDispatch || mConnection == null || mMove != null) {
+            return;
+        }
+        if (!mRelay.isStarted()) {
+            sendElsewhere();
+        } else if (mRelay.isStream()) {
             mMove = RunMove.start(mExchanges, mAdmission, mService, mPlacement, this).orElse(null);
         }
     }
 
+    /**
+     * Sends a request elsewhere that waits for its first token at an endpoint that is about to go,
+     * if it may run again. Its connection would stay silent: the caller would hear nothing until
+     * its deadline, as those did that waited at the last endpoints of a wave of reclaims.
+     */
+    private void sendElsewhere() {
+        final boolean otherLeft =
+                mExchanges.state().candidates(mService, mAdmission.request().id(), true).stream()
+                        .anyMatch(candidate -> !mTried.contains(candidate.id()));
+        if (otherLeft && mAdmission.route().mayRunAgain() && mayRetry()) {
+            mEnding.mayHaveRun();
+            leaveEndpoint();
+            dispatch();
+        }
+    }
+
     @Override
     public void goOn(final Placement at, final MovedRun run) {
         mMove = null;
