Tell the other daemons of orders, so that the next holder doesn't cancel them

Change: an order that was taken goes to all daemons in a datagram; one that takes over counts it as on its way until its endpoints must be listed. Test: holderThatTakesOverKeepsWhatIsOnItsWay, which fails with the note left out.

--- a/gateway/src/main/java/org/whinhead/gateway/Gateway.java
+++ b/gateway/src/main/java/org/whinhead/gateway/Gateway.java
@@ -168,6 +168,8 @@
         mRollouts.ifPresent(duty -> mConfigurationWatch.onEarlierOrder(duty::earlierOrder));
         mEndpointWatch.onLeaving(entry -> mExchanges.endpointLeaves(entry.id(), entry.leavesIn()));
         mEndpointWatch.onChange(mDuties::orderEndpoints);
+        mDuties.onOrdered(mPeers::sendOrder);
+        mPeers.onOrder(mDuties::orderedElsewhere);
     }
 
     private RolloutDuty rolloutDuty(final RolloutLimits limits, final GatewayPorts ports) {
--- a/gateway/src/main/java/org/whinhead/gateway/duty/DutyHolder.java
+++ b/gateway/src/main/java/org/whinhead/gateway/duty/DutyHolder.java
@@ -10,6 +10,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.whinhead.gateway.exchange.ServingState;
@@ -68,6 +69,7 @@
     private boolean mBusy;
     private boolean mStopped;
     private boolean mOrdersSoon;
+    private Consumer<CapacityOrder> mOnOrdered = order -> {};
 
     /**
      * Makes a holder that holds nothing.
@@ -105,6 +107,30 @@
      */
     public record Duties(DutyLease lease, UsagePlan usagePlan, CapacityPlanner planner) {}
 
+    /**
+     * Sets what is done with an order that the platform has taken.
+     *
+     * @param onOrdered takes the order
+     */
+    public void onOrdered(final Consumer<CapacityOrder> onOrdered) {
+        mOnOrdered = onOrdered;
+    }
+
+    /**
+     * Takes an order of the daemon that holds the lease, for the time when this one does.
+     *
+     * @param order an order that the platform has taken
+     */
+    public void orderedElsewhere(final CapacityOrder order) {
+        final Optional<ServiceSpec> service =
+                mState.configuration()
+                        .current()
+                        .flatMap(configuration -> configuration.service(order.service()));
+        if (service.isPresent() && token().isEmpty()) {
+            mPlanner.orderedElsewhere(service.get(), order, mState.clock().instant());
+        }
+    }
+
     /** Starts to watch the lease. */
     public void start() {
         mLoop.scheduleWithFixedDelay(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
@@ -363,6 +389,9 @@
                             if (failure == null) {
                                 mPlanner.answered(order, taken);
                             }
+                            if (failure == null && taken) {
+                                mOnOrdered.accept(order);
+                            }
                             if (failure == null && !taken) {
                                 orderOthersSoon();
                             }
--- a/gateway/src/main/java/org/whinhead/gateway/peers/PeerReports.java
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/PeerReports.java
@@ -21,6 +21,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.whinhead.gateway.exchange.ServingState;
+import org.whinhead.gateway.generated.GatewayProto.CapacityOrderRecord;
 import org.whinhead.gateway.generated.GatewayProto.CustomerSpend;
 import org.whinhead.gateway.generated.GatewayProto.Datagram;
 import org.whinhead.gateway.generated.GatewayProto.EndpointNews;
@@ -28,6 +29,7 @@
 import org.whinhead.gateway.generated.GatewayProto.PeerReport;
 import org.whinhead.gateway.generated.GatewayProto.UsageEntry;
 import org.whinhead.serving.balance.EndpointLoad;
+import org.whinhead.serving.capacity.CapacityOrder;
 import org.whinhead.serving.endpoint.EndpointChange;
 import org.whinhead.serving.member.Member;
 import org.whinhead.serving.member.MemberTable;
@@ -69,6 +71,7 @@
     private final StoreDigests mDigests;
     private final Set<InetSocketAddress> mContacts = new HashSet<>();
     private Consumer<List<EndpointChange>> mOnEndpointNews = changes -> {};
+    private Consumer<CapacityOrder> mOnOrder = order -> {};
     private RolloutNews mRolloutNews = new NoRolloutNews();
     private long mReceiversAsOf = -1;
     private List<InetSocketAddress> mReceiversInOrder = List.of();
@@ -206,6 +209,40 @@
         }
     }
 
+    /**
+     * Sets what is done with orders of endpoints by another daemon.
+     *
+     * @param onOrder takes an order that the platform has taken
+     */
+    public void onOrder(final Consumer<CapacityOrder> onOrder) {
+        mOnOrder = onOrder;
+    }
+
+    /**
+     * Tells all daemons of an order of endpoints, as any of them may be the next to order.
+     *
+     * @param order an order that the platform has taken
+     */
+    public void sendOrder(final CapacityOrder order) {
+        sendToAll(
+                Datagram.newBuilder()
+                        .setCapacityOrder(
+                                CapacityOrderRecord.newBuilder()
+                                        .setService(order.service())
+                                        .setDomain(order.domain())
+                                        .setReclaimable(order.reclaimable())
+                                        .setCount(order.count()))
+                        .build());
+    }
+
+    private static CapacityOrder decode(final CapacityOrderRecord record) {
+        return new CapacityOrder(
+                record.getService(),
+                record.getDomain(),
+                record.getReclaimable(),
+                record.getCount());
+    }
+
     /** Hears what other daemons say of roll-outs. */
     public interface RolloutNews {
 
@@ -396,6 +433,9 @@
                 if (datagram.hasDigest()) {
                     mDigests.take(Addresses.format(packet.sender()), datagram.getDigest());
                 }
+                if (datagram.hasCapacityOrder()) {
+                    mOnOrder.accept(decode(datagram.getCapacityOrder()));
+                }
                 if (datagram.hasRolloutStep()) {
                     mRolloutNews.step(
                             RolloutMessages.decode(datagram.getRolloutStep()), packet.sender());
--- a/serving/src/main/java/org/whinhead/serving/capacity/CapacityPlanner.java
+++ b/serving/src/main/java/org/whinhead/serving/capacity/CapacityPlanner.java
@@ -144,12 +144,35 @@
             final Collection<DomainCapacity> domains =
                     domains(service.name(), limits, endpoints, now);
             initial(service.name(), limits, now).note(domains, now);
-            domains.forEach(DomainCapacity::keepOnDemand);
+            domains.forEach(domain -> domain.keepOnDemand(now));
             // What the holder has ordered is wanted: where all of it goes, it was reclaimed.
             domains.forEach(domain -> domain.wantReclaimable(domain.now(true)));
         }
     }
 
+    /**
+     * Notes an order of the daemon that orders now. Its endpoints are not listed before they have
+     * started; one that takes over meanwhile would order fewer, and the platform give up those that
+     * were about to start: twenty of them, two seconds before the last failure domain went.
+     *
+     * @param service the service
+     * @param order an order that the platform has taken
+     * @param now the time
+     */
+    public void orderedElsewhere(
+            final ServiceSpec service, final CapacityOrder order, final Instant now) {
+        if (service.scaling().isEmpty() || order.reclaimable()) {
+            return;
+        }
+        final Map<String, DomainCapacity> domains =
+                mServices.computeIfAbsent(service.name(), name -> new TreeMap<>());
+        final ScalingLimits limits = service.scaling().get();
+        addDomain(domains, order.domain(), limits);
+        final Instant listedAt = now.plus(limits.bootTime()).plus(BOOT_MARGIN);
+        domains.get(order.domain()).onDemandOrderedElsewhere(order.count(), listedAt);
+        domains.get(order.domain()).keepOnDemand(now);
+    }
+
     private InitialList initial(
             final String service, final ScalingLimits limits, final Instant now) {
         return mInitial.computeIfAbsent(service, name -> new InitialList(now, limits.bootTime()));
--- a/serving/src/main/java/org/whinhead/serving/capacity/DomainCapacity.java
+++ b/serving/src/main/java/org/whinhead/serving/capacity/DomainCapacity.java
@@ -25,6 +25,8 @@
     private int mReclaimableWanted;
     private boolean mOutOfStock;
     private Instant mReclaimedAt = Instant.EPOCH;
+    private int mOnDemandUnderWay;
+    private Instant mUnderWayUntil = Instant.EPOCH;
     private int mPeak;
     private Instant mPeakAt = Instant.EPOCH;
 
@@ -69,9 +71,19 @@
         }
     }
 
-    /** Takes all endpoints on demand that are here as wanted, while the list still grows. */
-    void keepOnDemand() {
-        mOnDemandGoal = mOnDemandNow;
+    /**
+     * Takes all endpoints on demand that are here, or on their way, as wanted: while the list still
+     * grows, and while another daemon orders.
+     */
+    void keepOnDemand(final Instant now) {
+        final boolean underWay = now.isBefore(mUnderWayUntil);
+        mOnDemandGoal = underWay ? Math.max(mOnDemandNow, mOnDemandUnderWay) : mOnDemandNow;
+    }
+
+    /** Notes how many endpoints on demand another daemon has ordered, and when they are listed. */
+    void onDemandOrderedElsewhere(final int count, final Instant listedAt) {
+        mOnDemandUnderWay = count;
+        mUnderWayUntil = listedAt;
     }
 
     /** Tells whether all reclaimable endpoints were taken back here within the last while. */
--- a/serving/src/main/java/org/whinhead/serving/capacity/InitialList.java
+++ b/serving/src/main/java/org/whinhead/serving/capacity/InitialList.java
@@ -53,7 +53,7 @@
             mFirstAt = mFirstAt == null ? now : mFirstAt;
         }
         if (!isSettled(now)) {
-            domains.forEach(DomainCapacity::keepOnDemand);
+            domains.forEach(domain -> domain.keepOnDemand(now));
         }
         mOnDemand = Math.max(mOnDemand, onDemand);
         mReclaimable = Math.max(mReclaimable, reclaimable);
--- a/serving/src/test/java/org/whinhead/serving/capacity/CapacityPlannerTest.java
+++ b/serving/src/test/java/org/whinhead/serving/capacity/CapacityPlannerTest.java
@@ -104,6 +104,40 @@
         assertThat(count(true) + count(false)).isGreaterThanOrEqualTo(8);
     }
 
+    // Nobody is served for a second of a wave of reclaims. The holder had ordered endpoints on
+    // demand in
+    // time; the next one took the lease while they started, ordered one for the same domain, and
+    // the
+    // platform gave up those on their way.
+    @Test
+    void holderThatTakesOverKeepsWhatIsOnItsWay() {
+        mPlanner =
+                new CapacityPlanner(CapacitySettings.builder().reserve(2).surviving(0, 1).build());
+        DOMAINS.forEach(domain -> set(domain, false, 0));
+        DOMAINS.forEach(domain -> set(domain, true, 4));
+        for (int second = 0; second < 10; second++) {
+            mPlanner.observe(SERVICE, mEndpoints, START.plusSeconds(second));
+        }
+        mDry = true;
+        set("a", true, 0);
+        final Instant reclaimed = START.plusSeconds(10);
+        mPlanner.observe(SERVICE, mEndpoints, reclaimed);
+        mPlanner.orderedElsewhere(SERVICE, new CapacityOrder("pool", "a", false, 4), reclaimed);
+        mPlanner.observe(SERVICE, mEndpoints, reclaimed.plusSeconds(1));
+        final List<CapacityOrder> orders = new ArrayList<>();
+        for (int round = 0; round < 3; round++) {
+            final Instant now = reclaimed.plusSeconds(2).plusMillis(30 * round);
+            for (final CapacityOrder order :
+                    mPlanner.plan(SERVICE, mEndpoints, load(OptionalDouble.of(140_000)), now)) {
+                mPlanner.answered(order, !order.reclaimable());
+                orders.add(order);
+            }
+        }
+        assertThat(orders)
+                .filteredOn(order -> order.domain().equals("a") && !order.reclaimable())
+                .allMatch(order -> order.count() >= 4);
+    }
+
     // Half of the callers of a large service fail for its first twelve seconds. The lease holder
     // planned when the first of its 42 endpoints were listed, and took these for all.
     @Test
