Believe a removal that another daemon has read, though the store turns this one away

Change: a removal that a reader passes on holds at once; a reader passes on only what it doesn't doubt itself. Tests: daemonThatIsTurnedAwayBelievesRemovalsThatOthersRead, removalThatTheReaderDoubtsIsNotPassedOn, both failed before.

--- a/gateway/src/main/java/org/whinhead/gateway/store/EndpointWatch.java
+++ b/gateway/src/main/java/org/whinhead/gateway/store/EndpointWatch.java
@@ -110,14 +110,16 @@
 
     /**
      * Takes changes that another daemon has read. They may come twice, late or not at all; whether
-     * anything is missing shows in the reader's digest.
+     * anything is missing shows in the reader's digest. A removal holds also while the store turns
+     * this daemon away: the reader has read it from a store that is there. A daemon that doubted it
+     * went on sending to endpoints that were gone, and ordered none in their place.
      *
      * @param changes the changes in order
      */
     public void passedOn(final List<EndpointChange> changes) {
         boolean changed = false;
         for (final EndpointChange change : changes) {
-            changed |= take(change);
+            changed |= change.entry().isPresent() ? take(change) : removedForOthers(change);
         }
         if (changed) {
             tidy();
@@ -167,7 +169,8 @@
         }
         final EndpointChange change = new EndpointChange(record.key(), record.offset(), entry);
         final boolean changed = take(change);
-        if (changed) {
+        final boolean doubted = entry.isEmpty() && registry().find(record.key()).isPresent();
+        if (changed && !doubted) {
             mChanges.add(change);
         }
         return changed;
@@ -221,9 +224,15 @@
 
     private boolean remove(final EndpointChange change) {
         final Optional<EndpointEntry> before = registry().find(change.id());
-        if (!registry().remove(change.id(), change.offset(), now())) {
-            return false;
-        }
+        return registry().remove(change.id(), change.offset(), now()) && removed(change, before);
+    }
+
+    private boolean removedForOthers(final EndpointChange change) {
+        final Optional<EndpointEntry> before = registry().find(change.id());
+        return registry().removedForOthers(change.id(), change.offset()) && removed(change, before);
+    }
+
+    private boolean removed(final EndpointChange change, final Optional<EndpointEntry> before) {
         mState.leaving().gone(change.id());
         before.ifPresent(mOnLeaving);
         LOG.atInfo()
--- a/gateway/src/test/java/org/whinhead/gateway/store/EndpointWatchTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/store/EndpointWatchTest.java
@@ -104,4 +104,27 @@
         mWatch.appended(List.of(record("ready", 3)));
         assertThat(mState.endpoints().usable("pool")).isEmpty();
     }
+
+    // Requests go to endpoints that were reclaimed, and none are ordered in their place. The store
+    // turns
+    // this daemon away, and it took the removals that a reader passed on for lapses of the store.
+    @Test
+    void daemonThatIsTurnedAwayBelievesRemovalsThatOthersRead() {
+        mWatch.snapshot(List.of(record("ready", 0)), 1);
+        mWatch.unreachable(new IllegalStateException("turned away"));
+        mWatch.passedOn(List.of(new EndpointChange("e1", 5, Optional.empty())));
+        assertThat(mState.endpoints().usable("pool")).isEmpty();
+    }
+
+    // A service stands without endpoints for two seconds after an outage of the store: a reader
+    // passed
+    // on that their entries had lapsed, and the others believed it.
+    @Test
+    void removalThatTheReaderDoubtsIsNotPassedOn() {
+        mWatch.snapshot(List.of(record("ready", 0)), 1);
+        mWatch.unreachable(new IllegalStateException("down"));
+        mWatch.appended(List.of(new StoreRecord("e1", Optional.empty(), 1)));
+        assertThat(mState.endpoints().usable("pool")).hasSize(1);
+        assertThat(mWatch.takeChanges()).isEmpty();
+    }
 }
--- a/serving/src/main/java/org/whinhead/serving/endpoint/EndpointRegistry.java
+++ b/serving/src/main/java/org/whinhead/serving/endpoint/EndpointRegistry.java
@@ -125,6 +125,23 @@
         return true;
     }
 
+    /**
+     * Takes the removal of an entry that another daemon has read and doesn't doubt.
+     *
+     * @param id the endpoint
+     * @param offset the removal's offset
+     * @return whether the entry was listed, and the removal is newer
+     */
+    public boolean removedForOthers(final String id, final long offset) {
+        mNewestOffset = Math.max(mNewestOffset, offset);
+        final Record before = mRecords.get(id);
+        if (before != null && before.mOffset >= offset) {
+            return false;
+        }
+        noteRemoval(id, offset);
+        return mRecords.remove(id) != null;
+    }
+
     /**
      * Remembers a removal. What other daemons have read overtakes this daemon's own reads, and an
      * older record that is read afterwards must not bring the endpoint back.
