Drop what evidence of a roll-out carried and nobody read

The number of the step, its token and the requests under way at old endpoints were sent and not used; a trial no longer notes its end.

--- a/gateway/src/main/java/org/whinhead/gateway/exchange/TrialMark.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/TrialMark.java
@@ -67,9 +67,8 @@
         }
     }
 
-    /** Notes that the endpoint no longer works on the request. */
+    /** Notes that the endpoint no longer works on the request; what comes later is not its own. */
     void left() {
-        mTrial.ifPresent(Trial::left);
         mTrial = Optional.empty();
     }
 
--- a/gateway/src/main/java/org/whinhead/gateway/peers/RolloutMessages.java
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/RolloutMessages.java
@@ -47,10 +47,7 @@
                 RolloutEvidenceRecord.newBuilder()
                         .setService(evidence.service())
                         .setOrder(evidence.order())
-                        .setDaemon(evidence.daemon())
-                        .setSequence(evidence.sequence())
-                        .setToken(evidence.token())
-                        .setOldRunning(evidence.oldRunning());
+                        .setDaemon(evidence.daemon());
         for (final RouteOutcomes outcomes : evidence.outcomes()) {
             record.addOutcomes(
                     RouteOutcomesRecord.newBuilder()
@@ -68,9 +65,6 @@
                 record.getService(),
                 record.getOrder(),
                 record.getDaemon(),
-                record.getSequence(),
-                record.getToken(),
-                record.getOldRunning(),
                 record.getOutcomesList().stream().map(RolloutMessages::decode).toList());
     }
 
--- a/serving/src/main/java/org/whinhead/serving/rollout/RolloutEvidence.java
+++ b/serving/src/main/java/org/whinhead/serving/rollout/RolloutEvidence.java
@@ -10,19 +10,10 @@
  * @param service the service
  * @param order the offset of the order
  * @param daemon names the daemon's process
- * @param sequence the number of the newest step that it follows; 0 if it follows none
- * @param token the fencing token of that step
- * @param oldRunning requests that it has under way at endpoints of other versions than the new one
  * @param outcomes what became of the requests
  */
 public record RolloutEvidence(
-        String service,
-        long order,
-        String daemon,
-        long sequence,
-        long token,
-        int oldRunning,
-        List<RouteOutcomes> outcomes) {
+        String service, long order, String daemon, List<RouteOutcomes> outcomes) {
 
     /** Checks the parts. */
     public RolloutEvidence {
--- a/serving/src/main/java/org/whinhead/serving/rollout/Rollouts.java
+++ b/serving/src/main/java/org/whinhead/serving/rollout/Rollouts.java
@@ -181,26 +181,12 @@
                                 rollout.order().service(),
                                 rollout.order().offset(),
                                 daemon,
-                                rollout.step().map(RolloutStep::sequence).orElse(0L),
-                                rollout.step().map(RolloutStep::token).orElse(0L),
-                                rollout.counts().oldRunning(),
                                 rollout.counts().outcomes()));
             }
         }
         return all;
     }
 
-    /**
-     * Tells which part of a service's requests go to the new version from here.
-     *
-     * @param service the service
-     * @param now the time
-     * @return the part; 0 without a roll-out
-     */
-    public double share(final String service, final Instant now) {
-        return find(service).map(rollout -> rollout.share(now)).orElse(0.0);
-    }
-
     /**
      * Picks the endpoints that stop when a roll-out of their service is completed.
      *
--- a/serving/src/main/java/org/whinhead/serving/rollout/ServiceRollout.java
+++ b/serving/src/main/java/org/whinhead/serving/rollout/ServiceRollout.java
@@ -5,7 +5,6 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Objects;
-import java.util.Optional;
 import org.whinhead.serving.endpoint.EndpointEntry;
 
 /** One order at one daemon: which version gets a request, and what became of those that went. */
@@ -52,10 +51,6 @@
         return mCounts;
     }
 
-    Optional<RolloutStep> step() {
-        return Optional.ofNullable(mStep);
-    }
-
     /** Takes a step of the holder; one that was overtaken on the way changes nothing. */
     void step(final RolloutStep step, final Instant now) {
         if (step.order() != mOrder.offset() || (mStep != null && !step.isAfter(mStep))) {
--- a/serving/src/main/java/org/whinhead/serving/rollout/Trial.java
+++ b/serving/src/main/java/org/whinhead/serving/rollout/Trial.java
@@ -10,7 +10,6 @@
     private final boolean mOnTrial;
     private boolean mAnswered;
     private boolean mFailed;
-    private boolean mLeft;
 
     Trial(final TrialCounts counts, final String route, final boolean onTrial) {
         mCounts = counts;
@@ -19,15 +18,6 @@
         counts.sent(route, onTrial);
     }
 
-    /**
-     * Tells whether the send went to the new version.
-     *
-     * @return whether the version is on trial
-     */
-    public boolean isOnTrial() {
-        return mOnTrial;
-    }
-
     /**
      * Notes that the endpoint answered, or began to generate.
      *
@@ -51,12 +41,4 @@
             mCounts.failed(mRoute, mOnTrial);
         }
     }
-
-    /** Notes that the endpoint no longer works on the request. */
-    public void left() {
-        if (!mLeft) {
-            mLeft = true;
-            mCounts.left(mOnTrial);
-        }
-    }
 }
--- a/serving/src/main/java/org/whinhead/serving/rollout/TrialCounts.java
+++ b/serving/src/main/java/org/whinhead/serving/rollout/TrialCounts.java
@@ -10,13 +10,9 @@
 final class TrialCounts {
 
     private final Map<Side, Counts> mCounts = new HashMap<>();
-    private int mOldRunning;
 
     void sent(final String route, final boolean onTrial) {
         counts(route, onTrial).mSent++;
-        if (!onTrial) {
-            mOldRunning++;
-        }
     }
 
     void answered(final String route, final boolean onTrial, final Duration taken) {
@@ -27,16 +23,6 @@
         counts(route, onTrial).mFailed++;
     }
 
-    void left(final boolean onTrial) {
-        if (!onTrial) {
-            mOldRunning--;
-        }
-    }
-
-    int oldRunning() {
-        return mOldRunning;
-    }
-
     List<RouteOutcomes> outcomes() {
         final List<RouteOutcomes> outcomes = new ArrayList<>();
         mCounts.forEach(
--- a/serving/src/test/java/org/whinhead/serving/rollout/RolloutControllerTest.java
+++ b/serving/src/test/java/org/whinhead/serving/rollout/RolloutControllerTest.java
@@ -39,9 +39,6 @@
                         "service",
                         7,
                         "daemon",
-                        1,
-                        1,
-                        0,
                         List.of(
                                 new RouteOutcomes(
                                         "route",
--- a/simulation/src/main/java/org/whinhead/simulation/rollout/RolloutSimulation.java
+++ b/simulation/src/main/java/org/whinhead/simulation/rollout/RolloutSimulation.java
@@ -204,7 +204,6 @@
                     } else {
                         trial.answered(taken);
                     }
-                    trial.left();
                 });
     }
 
