--- a/gateway/src/main/java/org/whinhead/gateway/Gateway.java
+++ b/gateway/src/main/java/org/whinhead/gateway/Gateway.java
@@ -167,9 +167,9 @@
         mRollouts.ifPresent(mPeers::onRolloutNews);
         mRollouts.ifPresent(duty -> mConfigurationWatch.onEarlierOrder(duty::earlierOrder));
         mEndpointWatch.onLeaving(entry -> mExchanges.endpointLeaves(entry.id(), entry.leavesIn()));
-        mEndpointWatch.onChange(mDuties::orderEndpoints);
-        mDuties.onOrdered(mPeers::sendOrder);
-        mPeers.onOrder(mDuties::orderedElsewhere);
+        mEndpointWatch.onChange(mDuties.capacity()::orderEndpoints);
+        mDuties.capacity().onOrdered(mPeers::sendOrder);
+        mPeers.onOrder(mDuties.capacity()::orderedElsewhere);
     }
 
     private RolloutDuty rolloutDuty(final RolloutLimits limits, final GatewayPorts ports) {
--- a/gateway/src/main/java/org/whinhead/gateway/duty/DutyHolder.java
+++ b/gateway/src/main/java/org/whinhead/gateway/duty/DutyHolder.java
@@ -10,7 +10,6 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.whinhead.gateway.exchange.ServingState;
@@ -18,17 +17,12 @@
 import org.whinhead.gateway.store.StorePage;
 import org.whinhead.gateway.store.StoreRecord;
 import org.whinhead.gateway.store.StoreTopic;
-import org.whinhead.serving.capacity.CapacityOrder;
 import org.whinhead.serving.capacity.CapacityPlanner;
-import org.whinhead.serving.capacity.DemandMeter;
-import org.whinhead.serving.configuration.ServiceSpec;
-import org.whinhead.serving.configuration.ServingConfiguration;
 import org.whinhead.serving.duty.DutyLease;
 import org.whinhead.serving.duty.LeaseRecord;
 import org.whinhead.serving.duty.StoredLease;
 import org.whinhead.serving.duty.UsageDecision;
 import org.whinhead.serving.duty.UsagePlan;
-import org.whinhead.serving.endpoint.EndpointEntry;
 import org.whinhead.serving.member.MemberTable;
 
 /**
@@ -45,11 +39,6 @@
     /** The pace of renewals, and of a candidate's reads; a third of the lease at most. */
     private static final int TICK_MILLIS = 1_000;
 
-    private static final int MILLIS_PER_SECOND = 1_000;
-
-    /** How long answers to the orders of one round are gathered; an answer takes some 4 ms. */
-    private static final int REFUSALS_GATHERED_MILLIS = 30;
-
     /** Daemons that watch the lease without holding it. */
     private static final int CANDIDATES = 2;
 
@@ -58,18 +47,15 @@
     private final MemberTable mMembers;
     private final MetadataStore mStore;
     private final CloudDuties mCloud;
+    private final CapacityDuty mCapacity;
     private final DutyLease mLease;
     private final UsagePlan mUsagePlan;
-    private final CapacityPlanner mPlanner;
-    private final DemandMeter mDemand = new DemandMeter();
     private final Set<Long> mDelivered = new HashSet<>();
     private LeaseRecord mClaim;
     private Instant mClaimSteady;
     private Instant mClaimTimeOfDay;
     private boolean mBusy;
     private boolean mStopped;
-    private boolean mOrdersSoon;
-    private Consumer<CapacityOrder> mOnOrdered = order -> {};
 
     /**
      * Makes a holder that holds nothing.
@@ -95,7 +81,7 @@
         mCloud = cloud;
         mLease = duties.lease();
         mUsagePlan = duties.usagePlan();
-        mPlanner = duties.planner();
+        mCapacity = new CapacityDuty(loop, state, cloud, duties.planner(), this::token);
     }
 
     /**
@@ -108,27 +94,12 @@
     public record Duties(DutyLease lease, UsagePlan usagePlan, CapacityPlanner planner) {}
 
     /**
-     * Sets what is done with an order that the platform has taken.
+     * Returns the duty that orders endpoints under the lease.
      *
-     * @param onOrdered takes the order
+     * @return the duty
      */
-    public void onOrdered(final Consumer<CapacityOrder> onOrdered) {
-        mOnOrdered = onOrdered;
-    }
-
-    /**
-     * Takes an order of the daemon that holds the lease, for the time when this one does.
-     *
-     * @param order an order that the platform has taken
-     */
-    public void orderedElsewhere(final CapacityOrder order) {
-        final Optional<ServiceSpec> service =
-                mState.configuration()
-                        .current()
-                        .flatMap(configuration -> configuration.service(order.service()));
-        if (service.isPresent() && token().isEmpty()) {
-            mPlanner.orderedElsewhere(service.get(), order, mState.clock().instant());
-        }
+    public CapacityDuty capacity() {
+        return mCapacity;
     }
 
     /** Starts to watch the lease. */
@@ -155,7 +126,7 @@
     private void tick() {
         // Every daemon meters the demand: one that takes the lease over a fleet that was just lost
         // would otherwise judge it by the few requests that are still served.
-        meterDemand(mState.clock().instant());
+        mCapacity.meterDemand();
         if (mBusy || mStopped) {
             return;
         }
@@ -259,7 +230,7 @@
                 .addKeyValue("cause", String.valueOf(failure.getMessage()))
                 .addKeyValue("stillHeld", stillHeld)
                 .log("claim of the lease not answered");
-        orderEndpoints();
+        mCapacity.orderEndpoints();
     }
 
     private void granted(final long end) {
@@ -273,69 +244,7 @@
                 token().ifPresent(token -> report(token, decision));
             }
         }
-        orderEndpoints();
-    }
-
-    /**
-     * Orders endpoints at once if this daemon holds the lease, as a reclaim leaves seconds only;
-     * otherwise it only watches which there are.
-     */
-    public void orderEndpoints() {
-        final Optional<ServingConfiguration> configuration = mState.configuration().current();
-        if (configuration.isEmpty()) {
-            return;
-        }
-        final Instant now = mState.clock().instant();
-        if (token().isEmpty()) {
-            observeEndpoints(configuration.get(), now);
-            return;
-        }
-        meterDemand(now);
-        for (final ServiceSpec service : configuration.get().services()) {
-            final List<EndpointEntry> endpoints = capacity(service.name());
-            final List<CapacityOrder> orders =
-                    mPlanner.plan(service, endpoints, load(service.name()), now);
-            for (final CapacityOrder order : orders) {
-                if (givesUp(order, endpoints) && mState.rollouts().isOpen(service.name())) {
-                    continue;
-                }
-                token().ifPresent(token -> order(token, order));
-            }
-        }
-    }
-
-    private List<EndpointEntry> capacity(final String service) {
-        return mState.rollouts().capacity(service, mState.endpoints().usable(service));
-    }
-
-    /**
-     * Tells whether an order gives endpoints up. Between two versions a service has twice what it
-     * needs, and which of them is given up would be the platform's choice.
-     */
-    private static boolean givesUp(final CapacityOrder order, final List<EndpointEntry> endpoints) {
-        final long listed =
-                endpoints.stream()
-                        .filter(endpoint -> endpoint.domain().equals(order.domain()))
-                        .filter(endpoint -> endpoint.reclaimable() == order.reclaimable())
-                        .count();
-        return order.count() < listed;
-    }
-
-    private void observeEndpoints(final ServingConfiguration configuration, final Instant now) {
-        for (final ServiceSpec service : configuration.services()) {
-            mPlanner.observe(service, capacity(service.name()), now);
-        }
-    }
-
-    private void meterDemand(final Instant now) {
-        mDemand.total(mState.quotas().offeredByAll(), mState.quotas().usualTokens(), now);
-    }
-
-    private CapacityPlanner.Load load(final String service) {
-        return new CapacityPlanner.Load(
-                mDemand.tokensPerSecond(),
-                mDemand.atLeast(),
-                mState.chooser().speed(service).tokensPerMillisecond() * MILLIS_PER_SECOND);
+        mCapacity.orderEndpoints();
     }
 
     /**
@@ -363,47 +272,4 @@
                                     .log("usage reported");
                         });
     }
-
-    /**
-     * Orders elsewhere what was refused, once for all refusals of a round. A wave of reclaims makes
-     * several domains run dry together; a holder that went on at its next round lost a second of
-     * the two or three that a notice gives.
-     */
-    private void orderOthersSoon() {
-        if (!mOrdersSoon) {
-            mOrdersSoon = true;
-            mLoop.schedule(
-                    () -> {
-                        mOrdersSoon = false;
-                        orderEndpoints();
-                    },
-                    REFUSALS_GATHERED_MILLIS,
-                    TimeUnit.MILLISECONDS);
-        }
-    }
-
-    private void order(final long token, final CapacityOrder order) {
-        mCloud.order(token, order)
-                .whenComplete(
-                        (taken, failure) -> {
-                            if (failure == null) {
-                                mPlanner.answered(order, taken);
-                            }
-                            if (failure == null && taken) {
-                                mOnOrdered.accept(order);
-                            }
-                            if (failure == null && !taken) {
-                                orderOthersSoon();
-                            }
-                            LOG.atInfo()
-                                    .addKeyValue("service", order.service())
-                                    .addKeyValue("domain", order.domain())
-                                    .addKeyValue("reclaimable", order.reclaimable())
-                                    .addKeyValue("count", order.count())
-                                    .addKeyValue("token", token)
-                                    .addKeyValue("taken", taken)
-                                    .addKeyValue("failure", String.valueOf(failure))
-                                    .log("endpoints ordered");
-                        });
-    }
 }
--- a/gateway/src/main/java/org/whinhead/gateway/peers/PeerReports.java
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/PeerReports.java
@@ -14,7 +14,6 @@
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -22,20 +21,14 @@
 import org.slf4j.LoggerFactory;
 import org.whinhead.gateway.exchange.ServingState;
 import org.whinhead.gateway.generated.GatewayProto.CapacityOrderRecord;
-import org.whinhead.gateway.generated.GatewayProto.CustomerSpend;
 import org.whinhead.gateway.generated.GatewayProto.Datagram;
 import org.whinhead.gateway.generated.GatewayProto.EndpointNews;
-import org.whinhead.gateway.generated.GatewayProto.EndpointShare;
 import org.whinhead.gateway.generated.GatewayProto.PeerReport;
-import org.whinhead.gateway.generated.GatewayProto.UsageEntry;
-import org.whinhead.serving.balance.EndpointLoad;
 import org.whinhead.serving.capacity.CapacityOrder;
 import org.whinhead.serving.endpoint.EndpointChange;
-import org.whinhead.serving.member.Member;
 import org.whinhead.serving.member.MemberTable;
 import org.whinhead.serving.rollout.RolloutEvidence;
 import org.whinhead.serving.rollout.RolloutStep;
-import org.whinhead.serving.usage.UsageCount;
 
 /**
  * Sends this daemon's report to all others, and takes theirs.
@@ -69,6 +62,7 @@
     private final ServingState mState;
     private final MemberTable mMembers;
     private final StoreDigests mDigests;
+    private final ReportContent mContent;
     private final Set<InetSocketAddress> mContacts = new HashSet<>();
     private Consumer<List<EndpointChange>> mOnEndpointNews = changes -> {};
     private Consumer<CapacityOrder> mOnOrder = order -> {};
@@ -97,6 +91,7 @@
         mState = state;
         mMembers = members;
         mDigests = digests;
+        mContent = new ReportContent(state, members, this::addContact);
     }
 
     /** Starts to send and receive. */
@@ -307,95 +302,7 @@
     }
 
     private PeerReport report() {
-        final Member self = mMembers.self();
-        final PeerReport.Builder report =
-                PeerReport.newBuilder()
-                        .setName(self.name())
-                        .setIncarnation(self.incarnation())
-                        .setDomain(self.domain())
-                        .setCallerAddress(Addresses.format(self.callerAddress()))
-                        .setPeerAddress(Addresses.format(self.peerAddress()))
-                        .setReady(mMembers.isSelfReady())
-                        .setLeaving(mLeaving)
-                        .setTimeOfDayMillis(mState.usageClock().instant().toEpochMilli());
-        mState.configuration()
-                .current()
-                .ifPresent(current -> report.setConfigurationVersion(current.version()));
-        mState.quotas()
-                .ownSpent()
-                .forEach(
-                        (customer, tokens) ->
-                                report.addSpent(
-                                        CustomerSpend.newBuilder()
-                                                .setCustomer(customer)
-                                                .setTokens(tokens)));
-        for (final Map.Entry<String, EndpointLoad> load : mState.chooser().loads().entrySet()) {
-            if (load.getValue().ownRunning() > 0) {
-                report.addShares(
-                        EndpointShare.newBuilder()
-                                .setEndpoint(load.getKey())
-                                .setRunning(load.getValue().ownRunning())
-                                .setPromptTokens(load.getValue().ownPromptTokens()));
-            }
-        }
-        for (final UsageCount count : mState.usage().own()) {
-            report.addUsage(
-                    UsageEntry.newBuilder()
-                            .setWindow(count.window())
-                            .setCustomer(count.customer())
-                            .setRequests(count.requests()));
-        }
-        mMembers.peers().stream()
-                .limit(mReports % REPORTS_PER_CONTACTS == 0 ? CONTACTS : 0)
-                .forEach(peer -> report.addContacts(Addresses.format(peer.peerAddress())));
-        return report.build();
-    }
-
-    private void take(final PeerReport report) {
-        if (report.getName().equals(mMembers.self().name())) {
-            return;
-        }
-        final Instant now = now();
-        final Member member =
-                new Member(
-                        report.getName(),
-                        report.getIncarnation(),
-                        report.getDomain(),
-                        Addresses.parse(report.getCallerAddress()),
-                        Addresses.parse(report.getPeerAddress()));
-        mMembers.heard(member, report.getReady(), report.getLeaving(), now)
-                .ifPresent(
-                        before ->
-                                LOG.atInfo()
-                                        .addKeyValue("daemon", member.name())
-                                        .addKeyValue("incarnation", member.incarnation())
-                                        .log("daemon was restarted"));
-        if (report.getTimeOfDayMillis() > 0) {
-            mState.usageClock()
-                    .heard(report.getName(), Instant.ofEpochMilli(report.getTimeOfDayMillis()));
-        }
-        report.getContactsList().forEach(contact -> addContact(Addresses.parse(contact)));
-        for (final CustomerSpend spend : report.getSpentList()) {
-            mState.quotas()
-                    .peerSpent(
-                            report.getIncarnation(), spend.getCustomer(), spend.getTokens(), now);
-        }
-        mState.chooser().forgetPeer(report.getName());
-        for (final EndpointShare share : report.getSharesList()) {
-            mState.chooser()
-                    .peerLoad(
-                            report.getName(),
-                            share.getEndpoint(),
-                            share.getRunning(),
-                            share.getPromptTokens());
-        }
-        for (final UsageEntry entry : report.getUsageList()) {
-            mState.usage()
-                    .peerCount(
-                            report.getIncarnation(),
-                            new UsageCount(
-                                    entry.getWindow(), entry.getCustomer(), entry.getRequests()));
-        }
+        return mContent.report(mLeaving, mReports % REPORTS_PER_CONTACTS == 0 ? CONTACTS : 0);
     }
 
     private Instant now() {
@@ -424,7 +331,7 @@
             try {
                 final Datagram datagram = Datagram.parseFrom(packet.content().nioBuffer());
                 if (datagram.hasReport()) {
-                    take(datagram.getReport());
+                    mContent.take(datagram.getReport());
                 }
                 if (datagram.hasNews()) {
                     mOnEndpointNews.accept(
--- /dev/null
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/ReportContent.java
@@ -0,0 +1,135 @@
+package org.whinhead.gateway.peers;
+
+import java.net.InetSocketAddress;
+import java.time.Instant;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.whinhead.gateway.exchange.ServingState;
+import org.whinhead.gateway.generated.GatewayProto.CustomerSpend;
+import org.whinhead.gateway.generated.GatewayProto.EndpointShare;
+import org.whinhead.gateway.generated.GatewayProto.PeerReport;
+import org.whinhead.gateway.generated.GatewayProto.UsageEntry;
+import org.whinhead.serving.balance.EndpointLoad;
+import org.whinhead.serving.member.Member;
+import org.whinhead.serving.member.MemberTable;
+import org.whinhead.serving.usage.UsageCount;
+
+/** What a report between daemons holds, and what it changes where it arrives. */
+final class ReportContent {
+
+    private static final Logger LOG = LoggerFactory.getLogger(ReportContent.class);
+
+    private final ServingState mState;
+    private final MemberTable mMembers;
+    private final Consumer<InetSocketAddress> mOnContact;
+
+    ReportContent(
+            final ServingState state,
+            final MemberTable members,
+            final Consumer<InetSocketAddress> onContact) {
+        mState = state;
+        mMembers = members;
+        mOnContact = onContact;
+    }
+
+    /**
+     * Says what this daemon has to say.
+     *
+     * @param leaving whether it is about to stop
+     * @param contacts how many addresses of other daemons are passed on
+     */
+    PeerReport report(final boolean leaving, final int contacts) {
+        final Member self = mMembers.self();
+        final PeerReport.Builder report =
+                PeerReport.newBuilder()
+                        .setName(self.name())
+                        .setIncarnation(self.incarnation())
+                        .setDomain(self.domain())
+                        .setCallerAddress(Addresses.format(self.callerAddress()))
+                        .setPeerAddress(Addresses.format(self.peerAddress()))
+                        .setReady(mMembers.isSelfReady())
+                        .setLeaving(leaving)
+                        .setTimeOfDayMillis(mState.usageClock().instant().toEpochMilli());
+        mState.configuration()
+                .current()
+                .ifPresent(current -> report.setConfigurationVersion(current.version()));
+        mState.quotas()
+                .ownSpent()
+                .forEach(
+                        (customer, tokens) ->
+                                report.addSpent(
+                                        CustomerSpend.newBuilder()
+                                                .setCustomer(customer)
+                                                .setTokens(tokens)));
+        for (final Map.Entry<String, EndpointLoad> load : mState.chooser().loads().entrySet()) {
+            if (load.getValue().ownRunning() > 0) {
+                report.addShares(
+                        EndpointShare.newBuilder()
+                                .setEndpoint(load.getKey())
+                                .setRunning(load.getValue().ownRunning())
+                                .setPromptTokens(load.getValue().ownPromptTokens()));
+            }
+        }
+        for (final UsageCount count : mState.usage().own()) {
+            report.addUsage(
+                    UsageEntry.newBuilder()
+                            .setWindow(count.window())
+                            .setCustomer(count.customer())
+                            .setRequests(count.requests()));
+        }
+        mMembers.peers().stream()
+                .limit(contacts)
+                .forEach(peer -> report.addContacts(Addresses.format(peer.peerAddress())));
+        return report.build();
+    }
+
+    /** Takes what another daemon says. */
+    void take(final PeerReport report) {
+        if (report.getName().equals(mMembers.self().name())) {
+            return;
+        }
+        final Instant now = mState.clock().instant();
+        final Member member =
+                new Member(
+                        report.getName(),
+                        report.getIncarnation(),
+                        report.getDomain(),
+                        Addresses.parse(report.getCallerAddress()),
+                        Addresses.parse(report.getPeerAddress()));
+        mMembers.heard(member, report.getReady(), report.getLeaving(), now)
+                .ifPresent(
+                        before ->
+                                LOG.atInfo()
+                                        .addKeyValue("daemon", member.name())
+                                        .addKeyValue("incarnation", member.incarnation())
+                                        .log("daemon was restarted"));
+        if (report.getTimeOfDayMillis() > 0) {
+            mState.usageClock()
+                    .heard(report.getName(), Instant.ofEpochMilli(report.getTimeOfDayMillis()));
+        }
+        report.getContactsList().forEach(contact -> mOnContact.accept(Addresses.parse(contact)));
+        for (final CustomerSpend spend : report.getSpentList()) {
+            mState.quotas()
+                    .peerSpent(
+                            report.getIncarnation(), spend.getCustomer(), spend.getTokens(), now);
+        }
+        mState.chooser().forgetPeer(report.getName());
+        for (final EndpointShare share : report.getSharesList()) {
+            mState.chooser()
+                    .peerLoad(
+                            report.getName(),
+                            share.getEndpoint(),
+                            share.getRunning(),
+                            share.getPromptTokens());
+        }
+        for (final UsageEntry entry : report.getUsageList()) {
+            mState.usage()
+                    .peerCount(
+                            report.getIncarnation(),
+                            new UsageCount(
+                                    entry.getWindow(), entry.getCustomer(), entry.getRequests()));
+        }
+    }
+}
--- a/gateway/src/test/java/org/whinhead/gateway/duty/DutyHolderTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/duty/DutyHolderTest.java
@@ -154,7 +154,7 @@
 
     private void loseTheEndpoint() {
         mState.endpoints().remove("e1", 2, mNow);
-        mHolder.orderEndpoints();
+        mHolder.capacity().orderEndpoints();
     }
 
     // Nothing is served for eight seconds. The store turned the lease holder away, the last
