--- a/gateway/src/main/java/org/whinhead/gateway/exchange/ServingState.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/ServingState.java
@@ -9,7 +9,7 @@
 import org.whinhead.serving.configuration.ServiceSpec;
 import org.whinhead.serving.endpoint.EndpointEntry;
 import org.whinhead.serving.endpoint.EndpointRegistry;
-import org.whinhead.serving.endpoint.LeavingEndpoints;
+import org.whinhead.serving.endpoint.ReclaimedEndpoints;
 import org.whinhead.serving.limit.CustomerQuotas;
 import org.whinhead.serving.limit.RetryBudget;
 import org.whinhead.serving.rollout.Rollouts;
@@ -30,7 +30,7 @@
     private final InstantSource mTimeOfDay;
     private final ConfigurationHolder mConfiguration = new ConfigurationHolder();
     private final EndpointRegistry mEndpoints = new EndpointRegistry();
-    private final LeavingEndpoints mLeaving = new LeavingEndpoints();
+    private final ReclaimedEndpoints mLeaving = new ReclaimedEndpoints();
     private final EndpointChooser mChooser;
     private final CustomerQuotas mQuotas;
     private final RetryBudget mRetryBudget;
@@ -127,7 +127,7 @@
      *
      * @return the endpoints
      */
-    public LeavingEndpoints leaving() {
+    public ReclaimedEndpoints leaving() {
         return mLeaving;
     }
 
--- a/serving/src/main/java/org/whinhead/serving/endpoint/LeavingEndpoints.java
+++ b/serving/src/main/java/org/whinhead/serving/endpoint/ReclaimedEndpoints.java
@@ -16,7 +16,7 @@
  * up. Leaving endpoints get no new work otherwise, and none later than 0.7 s after their notice was
  * read.
  */
-public final class LeavingEndpoints {
+public final class ReclaimedEndpoints {
 
     /**
      * How long after its notice was read an endpoint may get work: a notice is read up to 0.8 s
--- a/serving/src/test/java/org/whinhead/serving/endpoint/LeavingEndpointsTest.java
+++ b/serving/src/test/java/org/whinhead/serving/endpoint/ReclaimedEndpointsTest.java
@@ -13,11 +13,11 @@
  * that replace them are up. Callers were refused for two seconds, while the last domain still
  * served.
  */
-class LeavingEndpointsTest {
+class ReclaimedEndpointsTest {
 
     private static final Instant NOW = Instant.ofEpochSecond(1_000);
 
-    private final LeavingEndpoints mLeaving = new LeavingEndpoints();
+    private final ReclaimedEndpoints mLeaving = new ReclaimedEndpoints();
 
     private static EndpointEntry leaving(final Optional<Duration> leavesIn) {
         return EndpointEntry.builder(
--- a/simulation/src/main/java/org/whinhead/simulation/rollout/SimulatedDaemon.java
+++ b/simulation/src/main/java/org/whinhead/simulation/rollout/RolloutDaemon.java
@@ -12,14 +12,14 @@
 import org.whinhead.serving.rollout.Trial;
 
 /** One daemon, which forgets everything when it is killed. */
-final class SimulatedDaemon {
+final class RolloutDaemon {
 
     private final int mNumber;
     private Rollouts mRollouts = new Rollouts(true);
     private int mStarts;
     private boolean mCut;
 
-    SimulatedDaemon(final int number) {
+    RolloutDaemon(final int number) {
         mNumber = number;
     }
 
--- a/simulation/src/main/java/org/whinhead/simulation/rollout/RolloutSimulation.java
+++ b/simulation/src/main/java/org/whinhead/simulation/rollout/RolloutSimulation.java
@@ -59,7 +59,7 @@
     private final RolloutCase mCase;
     private final SplittableRandom mRandom;
     private final EventQueue mEvents = new EventQueue();
-    private final List<SimulatedDaemon> mDaemons = new ArrayList<>();
+    private final List<RolloutDaemon> mDaemons = new ArrayList<>();
     private final List<EndpointEntry> mEndpoints = new ArrayList<>();
     private final RolloutOrder mOrder;
     private final Map<String, EndpointRate> mRates = new HashMap<>();
@@ -97,7 +97,7 @@
 
     private RolloutOutcome play() {
         for (int number = 0; number < mCase.daemons(); number++) {
-            final SimulatedDaemon daemon = new SimulatedDaemon(number);
+            final RolloutDaemon daemon = new RolloutDaemon(number);
             mDaemons.add(daemon);
             later(300, () -> daemon.ordered(mOrder));
             mEvents.after(
@@ -157,7 +157,7 @@
         if (mDown) {
             return;
         }
-        final SimulatedDaemon daemon = mDaemons.get(mRandom.nextInt(mDaemons.size()));
+        final RolloutDaemon daemon = mDaemons.get(mRandom.nextInt(mDaemons.size()));
         final String id = Long.toHexString(mRandom.nextLong());
         final List<EndpointEntry> candidates = daemon.candidates(mEndpoints, id, mEvents.now());
         if (candidates.isEmpty()) {
@@ -230,7 +230,7 @@
 
     // Daemons and the holder.
 
-    private void reportOn(final SimulatedDaemon daemon) {
+    private void reportOn(final RolloutDaemon daemon) {
         report(daemon);
         final boolean soon = mTakesOver && mCase.evidencePace().compareTo(TAKEOVER_PACE) > 0;
         mEvents.after(
@@ -238,7 +238,7 @@
                 () -> reportOn(daemon));
     }
 
-    private void report(final SimulatedDaemon daemon) {
+    private void report(final RolloutDaemon daemon) {
         if (mDown || daemon.isCut()) {
             return;
         }
@@ -298,7 +298,7 @@
     }
 
     private void tell(final RolloutStep step) {
-        for (final SimulatedDaemon daemon : mDaemons) {
+        for (final RolloutDaemon daemon : mDaemons) {
             if (!daemon.isCut() && mRandom.nextDouble() >= LOST_PART) {
                 later(3 + mRandom.nextInt(10), () -> daemon.step(step, mEvents.now()));
             }
@@ -324,8 +324,7 @@
 
     private void cutDaemons() {
         final int count = (int) Math.round(mDaemons.size() * CUT_PART);
-        final List<SimulatedDaemon> cut =
-                mDaemons.subList(mDaemons.size() - count, mDaemons.size());
+        final List<RolloutDaemon> cut = mDaemons.subList(mDaemons.size() - count, mDaemons.size());
         cut.forEach(daemon -> daemon.cut(true));
         mEvents.after(CUT_FOR, () -> cut.forEach(daemon -> daemon.cut(false)));
     }
