--- a/serving/src/test/java/org/whinhead/serving/limit/CustomerQuotasFleetTest.java
+++ b/serving/src/test/java/org/whinhead/serving/limit/CustomerQuotasFleetTest.java
@@ -139,12 +139,13 @@
         assertThat((double) mAdmittedBefore / mOfferedBefore).isBetween(0.97, 1.0);
     }
 
-    // At the size that decides the design reports are seven seconds apart, the allowance is
-    // overspent
-    // by an eighth and some requests below it are refused: reports have to be summed up on the way.
+    // At the size that decides the design a customer asks six times its usual, evenly of all
+    // daemons,
+    // and gets an eighth more than is accepted in eight seconds: the daemons hear of each other
+    // every seven seconds.
     @Test
-    void reportsOfHundredsOfDaemonsAreTooRare() {
-        assertThat(worstWindow(330, 7_260, LARGE_RATE, 6)).isBetween(1.0, 1.15);
-        assertThat((double) mAdmittedBefore / mOfferedBefore).isBetween(0.9, 1.0);
+    void customerOfHundredsOfDaemonsStaysWithinItsAllowance() {
+        assertThat(worstWindow(330, 7_260, LARGE_RATE, 6)).isLessThanOrEqualTo(1.0);
+        assertThat((double) mAdmittedBefore / mOfferedBefore).isGreaterThanOrEqualTo(0.99);
     }
 }
