Count the tokens that each customer is admitted with

The record of the overspent allowance says what all daemons admitted together; no log and no metric says what one of them did, so the hypotheses (late reports, a restart, a cut) can't be told apart in the field. Summed over the daemons the counter shows the overspend and where it comes from.

--- a/gateway/src/main/java/org/whinhead/gateway/exchange/Exchanges.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/Exchanges.java
@@ -134,6 +134,7 @@
                     mState.quotas().tokensLeft(customer.get().name()));
             return refuse(request, body, answer, Refusal.overAllowance(after));
         }
+        customer.ifPresent(account -> mJournal.admitted(account, tokens));
         final Exchange exchange =
                 new Exchange(
                         this,
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/RequestJournal.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/RequestJournal.java
@@ -41,6 +41,10 @@
                 .log("request refused");
     }
 
+    void admitted(final CustomerAccount customer, final long tokens) {
+        mCounts.admitted(customer.name(), tokens);
+    }
+
     void overAllowance(
             final CallerRequest request,
             final CustomerAccount customer,
--- a/gateway/src/main/java/org/whinhead/gateway/metrics/CountName.java
+++ b/gateway/src/main/java/org/whinhead/gateway/metrics/CountName.java
@@ -27,6 +27,8 @@
     enum Metric {
         /** Requests that were refused without being sent. */
         REFUSED("whinhead.requests.refused", "reason", ""),
+        /** Tokens of the requests that customers were admitted with. */
+        TOKENS_ADMITTED("whinhead.tokens.admitted", "customer", ""),
         /** Sends that ended without an answer. */
         ATTEMPT_FAILED("whinhead.attempts.failed", "verdict", "reason"),
         /** Runs that were moved off leaving endpoints. */
--- a/gateway/src/main/java/org/whinhead/gateway/metrics/RequestCounts.java
+++ b/gateway/src/main/java/org/whinhead/gateway/metrics/RequestCounts.java
@@ -36,6 +36,17 @@
         count(Metric.REFUSED, reason, "").add(1);
     }
 
+    /**
+     * Counts what a customer was admitted with. Summed over all daemons, the growth within a window
+     * is what the customer's allowance bounds.
+     *
+     * @param customer the customer's name
+     * @param tokens what the request costs
+     */
+    public void admitted(final String customer, final long tokens) {
+        count(Metric.TOKENS_ADMITTED, customer, "").add(tokens);
+    }
+
     /**
      * Counts a send without an answer.
      *
--- a/gateway/src/test/java/org/whinhead/gateway/metrics/RequestCountsTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/metrics/RequestCountsTest.java
@@ -31,6 +31,16 @@
                 .contains("whinhead_runs_moved_total{answered=\"true\"} 1.0");
     }
 
+    @Test
+    void tokensAreSummedByCustomer() {
+        mCounts.admitted("clinic", 4_000);
+        mCounts.admitted("clinic", 200);
+        mCounts.admitted("court", 100);
+        assertThat(mCounts.page())
+                .contains("whinhead_tokens_admitted_total{customer=\"clinic\"} 4200.0")
+                .contains("whinhead_tokens_admitted_total{customer=\"court\"} 100.0");
+    }
+
     @Test
     void timesAreCountedCumulatively() {
         mCounts.finished(RouteKind.IDEMPOTENT, "answered", Duration.ofMillis(30));
