Give a daemon that has just started its part of the retries only

Callers would see: after a loss of power of all daemons, while a service fails, it gets many times the retries that the deployment allows. Cause, the same class as the overspent allowance: the fixed number of retries is split by the daemons that each has heard of, and one that has just started has heard of none. Change: it is split by the number written in the table of shares where that is more, and nobody has a part before that is known. Left: a daemon that is restarted within a window has its part twice.

--- a/gateway/src/main/java/org/whinhead/gateway/peers/PeerReports.java
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/PeerReports.java
@@ -29,6 +29,7 @@
 import org.whinhead.serving.capacity.CapacityOrder;
 import org.whinhead.serving.endpoint.EndpointChange;
 import org.whinhead.serving.member.MemberTable;
+import org.whinhead.serving.quota.ShareTable;
 import org.whinhead.serving.rollout.RolloutEvidence;
 import org.whinhead.serving.rollout.RolloutStep;
 
@@ -131,7 +132,10 @@
         mMembers.expire(now);
         mMembers.silent(now).forEach(mState.chooser()::forgetPeer);
         mState.usageClock().compare();
-        mState.retryBudget().daemons(mMembers.knownCount());
+        mState.retryBudget()
+                .daemons(
+                        mMembers.knownCount(),
+                        mState.quotas().held().table().map(ShareTable::daemons).orElse(0));
         sendToNext();
         mLoop.schedule(this::tick, TICK_MILLIS, TimeUnit.MILLISECONDS);
     }
--- a/gateway/src/main/java/org/whinhead/gateway/quota/QuotaMessages.java
+++ b/gateway/src/main/java/org/whinhead/gateway/quota/QuotaMessages.java
@@ -77,7 +77,9 @@
 
     static byte[] encode(final ShareTable table) {
         final ShareTableRecord.Builder record =
-                ShareTableRecord.newBuilder().setVersion(table.version());
+                ShareTableRecord.newBuilder()
+                        .setVersion(table.version())
+                        .setDaemons(table.daemons());
         for (final ShareTable.Slot slot : table.slots()) {
             record.addSlots(
                     ShareSlotRecord.newBuilder()
@@ -97,6 +99,6 @@
                                                 Addresses.parse(slot.getHolder()),
                                                 Instant.ofEpochMilli(slot.getActiveFromMillis())))
                         .toList();
-        return new ShareTable(record.getVersion(), slots);
+        return new ShareTable(record.getVersion(), record.getDaemons(), slots);
     }
 }
--- a/serving/src/main/java/org/whinhead/serving/limit/RetryBudget.java
+++ b/serving/src/main/java/org/whinhead/serving/limit/RetryBudget.java
@@ -22,7 +22,7 @@
     private final int mFixed;
     private final Duration mWindow;
     private final Map<String, Service> mServices = new HashMap<>();
-    private int mDaemons = 1;
+    private int mDaemons;
 
     /**
      * Makes a budget.
@@ -38,12 +38,21 @@
     }
 
     /**
-     * Sets among how many daemons the fixed number is split.
+     * Sets among how many daemons the fixed number is split; until then nobody has a part of it.
      *
-     * @param daemons the daemons that are up, this one too
+     * <p>Just after a restart a daemon has heard of no other one. If it took the whole number for
+     * itself, all daemons that were restarted together would repeat many times what they may. So it
+     * goes by what was written down of the deployment, if that is more.
+     *
+     * @param heardOf the daemons that this one has heard of, itself included
+     * @param expected the daemons that the deployment is known to have had; 0 if that is not known
      */
-    public void daemons(final int daemons) {
-        mDaemons = Math.max(daemons, 1);
+    public void daemons(final int heardOf, final int expected) {
+        mDaemons = expected == 0 ? 0 : Math.max(heardOf, expected);
+    }
+
+    private double fixedPart() {
+        return mDaemons == 0 ? 0 : (double) mFixed / mDaemons;
     }
 
     /**
@@ -65,8 +74,7 @@
      */
     public boolean tryRetry(final String service, final Instant now) {
         final Service counts = counts(service);
-        final double allowed =
-                USED_PART * (mShare * counts.mRequests.total(now) + (double) mFixed / mDaemons);
+        final double allowed = USED_PART * (mShare * counts.mRequests.total(now) + fixedPart());
         if (counts.mRetries.total(now) + 1 > allowed) {
             return false;
         }
--- a/serving/src/main/java/org/whinhead/serving/quota/ShareTable.java
+++ b/serving/src/main/java/org/whinhead/serving/quota/ShareTable.java
@@ -15,9 +15,10 @@
  * gone. So a restart needs no change of the table, and no daemon has to find out who is alive.
  *
  * @param version grows with each change
+ * @param daemons how many daemons there were when it was written
  * @param slots the holders; each customer uses {@link ShareLimits#SHARES} neighbouring slots
  */
-public record ShareTable(long version, List<Slot> slots) {
+public record ShareTable(long version, int daemons, List<Slot> slots) {
 
     /** The slots of a table, so that the shares of many customers spread over many daemons. */
     public static final int SLOTS = 64;
@@ -25,6 +26,7 @@
     /** Checks and copies the parts. */
     public ShareTable {
         Arguments.requireAtLeast(version, 1, "version");
+        Arguments.requireAtLeast(daemons, 1, "daemons");
         slots = List.copyOf(slots);
         Arguments.requireAtLeast(slots.size(), ShareLimits.SHARES, "slots");
     }
@@ -55,7 +57,7 @@
         for (int index = 0; index < SLOTS; index++) {
             slots.add(new Slot(holders.get(index % holders.size()), Instant.EPOCH));
         }
-        return new ShareTable(1, slots);
+        return new ShareTable(1, holders.size(), slots);
     }
 
     /**
@@ -80,7 +82,7 @@
                 next.add(slot);
             }
         }
-        return taken == 0 ? this : new ShareTable(version + 1, next);
+        return taken == 0 ? this : new ShareTable(version + 1, daemons, next);
     }
 
     /**
--- a/serving/src/test/java/org/whinhead/serving/limit/RetryBudgetTest.java
+++ b/serving/src/test/java/org/whinhead/serving/limit/RetryBudgetTest.java
@@ -17,7 +17,7 @@
         int retries = 0;
         for (int daemon = 0; daemon < 8; daemon++) {
             final RetryBudget budget = new RetryBudget(0.2, 56, Duration.ofSeconds(10));
-            budget.daemons(8);
+            budget.daemons(8, 8);
             for (int request = 0; request < 100; request++) {
                 final Instant now = START.plusMillis(request * 50L);
                 budget.request("pool", now);
@@ -27,9 +27,28 @@
         assertThat(retries).isBetween(100, (int) (0.2 * 800 + 56));
     }
 
+    // All 95 daemons lose power while a service fails. Each of them comes up knowing of no other
+    // one, takes the whole fixed number of retries for its own, and the service gets up to 95
+    // times as many.
+    @Test
+    void daemonsThatHaveJustStartedTakeTheirPartOnly() {
+        int retries = 0;
+        for (int daemon = 0; daemon < 95; daemon++) {
+            final RetryBudget budget = new RetryBudget(0.2, 230, Duration.ofSeconds(10));
+            budget.daemons(1, daemon % 2 == 0 ? 0 : 95);
+            for (int request = 0; request < 20; request++) {
+                final Instant now = START.plusMillis(request * 50L);
+                budget.request("pool", now);
+                retries += budget.tryRetry("pool", now) ? 1 : 0;
+            }
+        }
+        assertThat(retries).isBetween(1, (int) (0.2 * 95 * 20 + 230));
+    }
+
     @Test
     void budgetComesBackWithTime() {
         final RetryBudget budget = new RetryBudget(0, 2, Duration.ofSeconds(10));
+        budget.daemons(1, 1);
         assertThat(budget.tryRetry("pool", START)).isTrue();
         assertThat(budget.tryRetry("pool", START)).isFalse();
         assertThat(budget.tryRetry("pool", START.plusSeconds(12))).isTrue();
--- a/serving/src/test/java/org/whinhead/serving/quota/ShareTableTest.java
+++ b/serving/src/test/java/org/whinhead/serving/quota/ShareTableTest.java
@@ -96,7 +96,7 @@
 
     @Test
     void tableWithTooFewSlotsIsRefused() {
-        assertThatThrownBy(() -> new ShareTable(1, List.of()))
+        assertThatThrownBy(() -> new ShareTable(1, 1, List.of()))
                 .isInstanceOf(IllegalArgumentException.class);
     }
 }
