Test the keeper of the table of shares and its messages

The fleet tests drive the decisions without a store. Kept now: the first table is written once the daemons have found each other, a lost answer or a second writer makes no second table, shares of a daemon that is gone go to others only after the old holder has surely stopped, a table that the store has lost is written again, reads stay seldom. No change of behaviour.

--- /dev/null
+++ b/gateway/src/test/java/org/whinhead/gateway/quota/ShareTableKeeperTest.java
@@ -0,0 +1,235 @@
+package org.whinhead.gateway.quota;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.whinhead.gateway.exchange.ServingState;
+import org.whinhead.gateway.exchange.TestServing;
+import org.whinhead.gateway.store.MetadataStore;
+import org.whinhead.gateway.store.StorePage;
+import org.whinhead.gateway.store.StoreRecord;
+import org.whinhead.gateway.store.StoreTopic;
+import org.whinhead.serving.member.Member;
+import org.whinhead.serving.member.MemberTable;
+import org.whinhead.serving.quota.HeldShares;
+import org.whinhead.serving.quota.ShareTable;
+
+class ShareTableKeeperTest {
+
+    private static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
+
+    private final EmbeddedChannel mChannel = new EmbeddedChannel();
+    private final FakeStore mStore = new FakeStore();
+    private final MemberTable mMembers = new MemberTable(member(1));
+    private Instant mNow = START;
+    private final ServingState mState = TestServing.state(() -> mNow);
+    private boolean mHoldsDuties = true;
+    private ShareTableKeeper mKeeper;
+
+    /** A store that keeps the table, and may be away. */
+    private static final class FakeStore implements MetadataStore {
+        private Optional<byte[]> mValue = Optional.empty();
+        private long mEnd;
+        private boolean mAway;
+        private boolean mLosesAnswers;
+        private int mReads;
+
+        @Override
+        public CompletableFuture<StorePage> newest(final StoreTopic topic) {
+            mReads++;
+            if (mAway) {
+                return CompletableFuture.failedFuture(new IllegalStateException("away"));
+            }
+            final List<StoreRecord> records =
+                    mValue.map(value -> List.of(record(value))).orElse(List.of());
+            return CompletableFuture.completedFuture(new StorePage(records, mEnd, false));
+        }
+
+        private StoreRecord record(final byte[] value) {
+            return new StoreRecord("shares", Optional.of(value), mEnd - 1);
+        }
+
+        @Override
+        public CompletableFuture<StorePage> read(
+                final StoreTopic topic, final long from, final Duration wait) {
+            return newest(topic);
+        }
+
+        @Override
+        public CompletableFuture<Long> append(
+                final StoreTopic topic, final String key, final byte[] value) {
+            throw new IllegalStateException("not conditional");
+        }
+
+        @Override
+        public CompletableFuture<OptionalLong> appendAt(
+                final StoreTopic topic, final String key, final byte[] value, final long end) {
+            if (end != mEnd) {
+                return CompletableFuture.completedFuture(OptionalLong.empty());
+            }
+            mEnd++;
+            mValue = Optional.of(value);
+            return mLosesAnswers
+                    ? CompletableFuture.failedFuture(new IllegalStateException("no answer"))
+                    : CompletableFuture.completedFuture(OptionalLong.of(mEnd));
+        }
+    }
+
+    private static Member member(final int number) {
+        final InetSocketAddress address = new InetSocketAddress("127.0.0." + number, 7600);
+        return new Member("edge-" + number, "i-" + number, "domain-a", address, address);
+    }
+
+    @BeforeEach
+    void start() {
+        mChannel.freezeTime();
+        mKeeper =
+                new ShareTableKeeper(
+                        mChannel.eventLoop(), mState, mMembers, mStore, () -> mHoldsDuties);
+    }
+
+    /** Lets time pass; all daemons but those named are heard of. */
+    private void pass(final Duration time, final int... heard) {
+        final Instant end = mNow.plus(time);
+        while (mNow.isBefore(end)) {
+            mNow = mNow.plusMillis(200);
+            mChannel.advanceTimeBy(200, TimeUnit.MILLISECONDS);
+            mChannel.runScheduledPendingTasks();
+            for (final int number : heard) {
+                mMembers.heard(member(number), true, false, mNow);
+            }
+            mMembers.expire(mNow);
+            mKeeper.tick();
+        }
+    }
+
+    private Optional<ShareTable> table() {
+        return mState.quotas().held().table();
+    }
+
+    @Test
+    void tableIsWrittenOnceTheDaemonsHaveFoundEachOther() {
+        mKeeper.start();
+        pass(Duration.ofSeconds(1), 2);
+        assertThat(table()).isEmpty();
+        pass(Duration.ofSeconds(4), 2, 3);
+        assertThat(table().orElseThrow().version()).isEqualTo(1);
+        assertThat(table().orElseThrow().daemons()).isEqualTo(3);
+        assertThat(table().orElseThrow().names(member(3).peerAddress())).isTrue();
+    }
+
+    @Test
+    void daemonWithoutTheDutiesWritesNothing() {
+        mHoldsDuties = false;
+        mKeeper.start();
+        pass(Duration.ofSeconds(10), 2);
+        assertThat(mStore.mValue).isEmpty();
+    }
+
+    // The store takes the table and its answer is lost. A daemon that went by what it had meant to
+    // write could issue shares that another one holds; what counts is what is read.
+    @Test
+    void tableIsReadThoughTheAnswerToItsWritingWasLost() {
+        mStore.mLosesAnswers = true;
+        mKeeper.start();
+        pass(Duration.ofSeconds(5), 2);
+        assertThat(table()).isPresent();
+        assertThat(mStore.mEnd).isEqualTo(1);
+    }
+
+    // Two daemons take themselves for the holder of the duties and write a first table each. Both
+    // would issue the same shares.
+    @Test
+    void tableThatAnotherDaemonHasWrittenIsNotReplaced() {
+        mKeeper.start();
+        pass(Duration.ofMillis(600));
+        mStore.mValue =
+                Optional.of(
+                        QuotaMessages.encode(ShareTable.first(List.of(member(9).peerAddress()))));
+        mStore.mEnd = 1;
+        pass(Duration.ofSeconds(5), 2);
+        assertThat(table().orElseThrow().names(member(9).peerAddress())).isTrue();
+        assertThat(mStore.mEnd).isEqualTo(1);
+    }
+
+    @Test
+    void daemonThatHearsOfNewerTableReadsIt() {
+        mHoldsDuties = false;
+        mKeeper.start();
+        mStore.mValue =
+                Optional.of(
+                        QuotaMessages.encode(ShareTable.first(List.of(member(2).peerAddress()))));
+        mStore.mEnd = 1;
+        mKeeper.heardVersion(1);
+        pass(Duration.ofMillis(600));
+        assertThat(table()).isPresent();
+    }
+
+    @Test
+    void tableIsReadSeldomOnceItIsKnown() {
+        mKeeper.start();
+        pass(Duration.ofSeconds(5), 2);
+        final int reads = mStore.mReads;
+        pass(Duration.ofMinutes(4), 2);
+        assertThat(mStore.mReads).isEqualTo(reads);
+        pass(Duration.ofMinutes(2), 2);
+        assertThat(mStore.mReads).isGreaterThan(reads);
+    }
+
+    // A VM is gone for good. Its shares of every allowance would be lost; others get them, but only
+    // once the one that may merely be cut off has surely stopped.
+    @Test
+    void sharesOfDaemonThatIsGoneAreGivenToOthersLater() {
+        mKeeper.start();
+        pass(Duration.ofSeconds(5), 2, 3);
+        pass(Duration.ofMinutes(7), 2);
+        final ShareTable table = table().orElseThrow();
+        assertThat(table.version()).isEqualTo(2);
+        assertThat(table.names(member(3).peerAddress())).isFalse();
+        final Instant later = START.plus(HeldShares.TABLE_VALID_FOR);
+        assertThat(table.slots().stream().filter(slot -> slot.activeFrom().isAfter(later)))
+                .isNotEmpty();
+    }
+
+    @Test
+    void daemonThatIsSilentForOneMinuteKeepsItsShares() {
+        mKeeper.start();
+        pass(Duration.ofSeconds(5), 2, 3);
+        pass(Duration.ofMinutes(1), 2);
+        pass(Duration.ofMinutes(5), 2, 3);
+        assertThat(table().orElseThrow().version()).isEqualTo(1);
+    }
+
+    // The store comes back from an older copy, without the table. Daemons that start then would
+    // find none; the holder of the duties writes what is in force again.
+    @Test
+    void tableThatTheStoreHasLostIsWrittenAgain() {
+        mKeeper.start();
+        pass(Duration.ofSeconds(5), 2);
+        final ShareTable before = table().orElseThrow();
+        mStore.mValue = Optional.empty();
+        mStore.mEnd = 0;
+        pass(Duration.ofMinutes(6), 2);
+        assertThat(mStore.mValue).isPresent();
+        assertThat(table()).contains(before);
+    }
+
+    @Test
+    void tableStaysInForceWhileTheStoreIsAway() {
+        mKeeper.start();
+        pass(Duration.ofSeconds(5), 2);
+        mStore.mAway = true;
+        pass(Duration.ofMinutes(6), 2);
+        assertThat(table()).isPresent();
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/org/whinhead/gateway/quota/TokenMessengerTest.java
@@ -0,0 +1,58 @@
+package org.whinhead.gateway.quota;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.net.InetSocketAddress;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.whinhead.gateway.exchange.ServingState;
+import org.whinhead.gateway.exchange.TestServing;
+import org.whinhead.gateway.generated.GatewayProto.Datagram;
+import org.whinhead.serving.quota.TokenAnswer;
+import org.whinhead.serving.quota.TokenAsk;
+
+class TokenMessengerTest {
+
+    private static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
+    private static final InetSocketAddress OTHER = new InetSocketAddress("127.0.0.2", 7600);
+
+    private final TokenMessenger mMessenger =
+            new TokenMessenger(new EmbeddedChannel().eventLoop(), "self");
+    private final List<Datagram> mSent = new ArrayList<>();
+    private final ServingState mState = TestServing.state(() -> START);
+
+    @BeforeEach
+    void connect() {
+        mMessenger.connect(
+                mState,
+                (receiver, datagram) -> {
+                    assertThat(receiver).isEqualTo(OTHER);
+                    mSent.add(datagram);
+                });
+    }
+
+    @Test
+    void askIsAnsweredToItsSender() {
+        final TokenAsk ask = new TokenAsk(3, "clinic", 5, 100, false);
+        mMessenger.take(
+                Datagram.newBuilder().setTokenAsk(QuotaMessages.encode("other", ask)).build(),
+                OTHER);
+        assertThat(mSent).hasSize(1);
+        assertThat(mSent.get(0).getTokenAnswer().getClaimant()).isEqualTo("other");
+        assertThat(QuotaMessages.decode(mSent.get(0).getTokenAnswer()).outcome())
+                .isEqualTo(TokenAnswer.Outcome.NOT_HELD);
+    }
+
+    @Test
+    void asksAndReturnsNameTheClaimant() {
+        final TokenAsk ask = new TokenAsk(3, "clinic", 5, 100, false);
+        mMessenger.ask(OTHER, ask);
+        mMessenger.giveBack(OTHER, ask);
+        assertThat(mSent.get(0).getTokenAsk().getClaimant()).isEqualTo("self");
+        assertThat(mSent.get(1).getTokenReturn()).isEqualTo(mSent.get(0).getTokenAsk());
+    }
+}
