End the claim of a customer that is taken out or whose limit is lifted

Callers would see: a request without any answer. A claim of tokens was waiting for a holder when a new configuration took its customer out; the next answer found no limits and ended in an exception. Now it is refused as not run, or granted where the limit was lifted. Two tests, errors before. A part that is not needed any more is not sent.

--- a/serving/src/main/java/org/whinhead/serving/quota/CustomerQuotas.java
+++ b/serving/src/main/java/org/whinhead/serving/quota/CustomerQuotas.java
@@ -5,8 +5,6 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Collections;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -37,25 +35,17 @@
      */
     static final Duration CLAIM_TIMEOUT = Duration.ofMillis(1_000);
 
-    /** How long a holder that did not answer is passed over, if others are left. */
-    private static final Duration SILENT_FOR = Duration.ofSeconds(10);
-
     /** When a caller comes back whose customer's tokens could not be asked for. */
     private static final Duration UNKNOWN_RETRY = Duration.ofMillis(100);
 
-    /** The least time after which a customer that is over its allowance is asked to come back. */
-    private static final Duration LEAST_RETRY = Duration.ofMillis(20);
-
     private final HeldShares mHeld;
     private final QuotaTransport mTransport;
-    private final Random mRandom;
+    private final ShareViews mViews;
     private final String mSelf;
     private final OfferedTokens mOffered = new OfferedTokens();
     private final Map<String, TokenAllowance> mAllowances = new HashMap<>();
     private final Map<String, TokenStock> mStocks = new HashMap<>();
-    private final Map<String, List<ShareView>> mViews = new HashMap<>();
     private final Map<Long, OpenAsk> mAsks = new LinkedHashMap<>();
-    private final Map<InetSocketAddress, Instant> mSilentUntil = new HashMap<>();
     private long mNextId;
     private boolean mCheckScheduled;
 
@@ -75,7 +65,7 @@
         mSelf = self;
         mHeld = held;
         mTransport = transport;
-        mRandom = random;
+        mViews = new ShareViews(held, random);
     }
 
     /**
@@ -88,7 +78,7 @@
         mAllowances.clear();
         customers.forEach(customer -> mAllowances.put(customer.name(), customer.allowance()));
         mStocks.keySet().retainAll(mAllowances.keySet());
-        mViews.keySet().retainAll(mAllowances.keySet());
+        mViews.retain(mAllowances.keySet());
         mHeld.configure(customers, now.steady());
     }
 
@@ -176,11 +166,11 @@
         switch (answer.outcome()) {
             case ISSUED -> issued(open, answer.level(), now.steady());
             case TOO_FEW -> {
-                heard(ask, answer.level(), now.steady());
+                mViews.heard(ask, answer.level(), now.steady());
                 claim.denied(ask);
             }
             case NOT_HELD -> {
-                silent(ask, now.steady());
+                mViews.silent(ask, now.steady());
                 claim.notKnown(ask);
             }
             default -> throw new IllegalStateException(answer.toString());
@@ -189,7 +179,7 @@
     }
 
     private void issued(final OpenAsk open, final long level, final Instant now) {
-        heard(open.ask(), level, now);
+        mViews.heard(open.ask(), level, now);
         if (open.claim().isDone()) {
             stock(open.claim().customer()).add(open.ask().tokens(), open.sentAt());
         } else {
@@ -197,26 +187,15 @@
         }
     }
 
-    private void heard(final TokenAsk ask, final long level, final Instant now) {
-        view(ask.customer(), ask.slot()).level(level, now);
-        mSilentUntil.remove(holder(ask.slot()));
-    }
-
-    private void silent(final TokenAsk ask, final Instant now) {
-        mSilentUntil.put(holder(ask.slot()), now.plus(SILENT_FOR));
-    }
-
-    private boolean isSilent(final int slot, final Instant now) {
-        return now.isBefore(mSilentUntil.getOrDefault(holder(slot), Instant.EPOCH));
-    }
-
     /** Does the next step of a claim: it is whole, more is asked for, or it can't be met. */
     private void proceed(final TokenClaim claim, final Moment now) {
         if (claim.isDone()) {
             return;
         }
         claim.dropLapsed(now);
-        if (claim.isWhole()) {
+        if (mHeld.limits(claim.customer()).isEmpty()) {
+            endUnlimited(claim, now);
+        } else if (claim.isWhole()) {
             complete(claim);
         } else if (now.since(claim.startedAt()).compareTo(CLAIM_TIMEOUT) > 0) {
             refuse(claim, now);
@@ -225,6 +204,16 @@
         }
     }
 
+    /** The customer has no shares any more: its limit was lifted, or it was taken out. */
+    private void endUnlimited(final TokenClaim claim, final Moment now) {
+        abandon(claim, now);
+        if (mAllowances.containsKey(claim.customer())) {
+            grant(claim, now);
+        } else {
+            claim.outcome().unknown(UNKNOWN_RETRY);
+        }
+    }
+
     private void complete(final TokenClaim claim) {
         final Moment issuedAfter = claim.issuedAfter();
         if (claim.surplus() > 0) {
@@ -252,7 +241,7 @@
         for (final TokenClaim claim : claims) {
             Optional<TokenAsk> overdue = claim.overdue(now.steady());
             while (overdue.isPresent()) {
-                silent(overdue.get(), now.steady());
+                mViews.silent(overdue.get(), now.steady());
                 overdue = claim.overdue(now.steady());
             }
             proceed(claim, now);
@@ -272,7 +261,7 @@
     /** Asks for what is missing, split over as many shares as it takes. */
     private void ask(final TokenClaim claim, final Moment now) {
         final ShareLimits limits = mHeld.limits(claim.customer()).orElseThrow();
-        final List<Integer> slots = slotsToAsk(claim, limits, now);
+        final List<Integer> slots = mViews.slotsToAsk(claim, limits, now);
         if (slots.isEmpty() && !claim.awaitsAnswers()) {
             refuse(claim, now);
             return;
@@ -285,39 +274,7 @@
             missing -= tokens;
             asks.add(open(claim, slots.get(parts - part), tokens, now));
         }
-        asks.forEach(ask -> send(ask, now));
-    }
-
-    /** The slots that may have enough: own ones, then those of holders that answer. */
-    private List<Integer> slotsToAsk(
-            final TokenClaim claim, final ShareLimits limits, final Moment now) {
-        final ShareTable table = mHeld.table().orElseThrow();
-        final List<Integer> slots = new ArrayList<>();
-        for (int share = 0; share < ShareLimits.SHARES; share++) {
-            final int slot = table.slotOf(claim.customer(), share);
-            final double level = levelAtMost(claim.customer(), slot, limits, now);
-            if (claim.mayAsk(slot) && level >= limits.leastBefore(claim.isLight())) {
-                slots.add(slot);
-            }
-        }
-        Collections.shuffle(slots, mRandom);
-        slots.sort(
-                Comparator.<Integer, Boolean>comparing(slot -> !mHeld.isOwn(slot))
-                        .thenComparing(slot -> isSilent(slot, now.steady()))
-                        .thenComparing(slot -> isLow(claim, slot, limits, now)));
-        return slots;
-    }
-
-    private boolean isLow(
-            final TokenClaim claim, final int slot, final ShareLimits limits, final Moment now) {
-        return levelAtMost(claim.customer(), slot, limits, now) < limits.fullTokens() / 2;
-    }
-
-    private double levelAtMost(
-            final String customer, final int slot, final ShareLimits limits, final Moment now) {
-        return mHeld.isOwn(slot)
-                ? mHeld.level(customer, slot, now)
-                : view(customer, slot).atMost(limits, now.steady());
+        asks.forEach(ask -> send(claim, ask, now));
     }
 
     private TokenAsk open(
@@ -329,8 +286,11 @@
         return ask;
     }
 
-    private void send(final TokenAsk ask, final Moment now) {
-        if (mHeld.isOwn(ask.slot())) {
+    private void send(final TokenClaim claim, final TokenAsk ask, final Moment now) {
+        if (claim.isDone()) {
+            // The answer of an own share has ended the claim before this part was sent.
+            mAsks.remove(ask.id());
+        } else if (mHeld.isOwn(ask.slot())) {
             answered(mHeld.answer(mSelf, ask, now), now);
         } else {
             mTransport.ask(holder(ask.slot()), ask);
@@ -344,25 +304,11 @@
         if (claim.isUnanswered()) {
             claim.outcome().unknown(UNKNOWN_RETRY);
         } else {
-            claim.outcome().overAllowance(comeBackAfter(claim, now.steady()));
+            final ShareLimits limits = mHeld.limits(claim.customer()).orElseThrow();
+            claim.outcome().overAllowance(mViews.comeBackAfter(claim, limits, now.steady()));
         }
     }
 
-    private Duration comeBackAfter(final TokenClaim claim, final Instant now) {
-        final ShareLimits limits = mHeld.limits(claim.customer()).orElseThrow();
-        final ShareTable table = mHeld.table().orElseThrow();
-        final int parts = limits.partsOf(claim.tokens());
-        final double needed = limits.levelFor(claim.tokens() / parts, claim.isLight());
-        final List<Duration> times = new ArrayList<>();
-        for (int share = 0; share < ShareLimits.SHARES; share++) {
-            final ShareView view = view(claim.customer(), table.slotOf(claim.customer(), share));
-            times.add(view.until(needed, limits, now));
-        }
-        Collections.sort(times);
-        final Duration enough = times.get(parts - 1);
-        return enough.compareTo(LEAST_RETRY) > 0 ? enough : LEAST_RETRY;
-    }
-
     /** Ends a claim whose tokens nobody wants any more, and gives back what was issued. */
     private void abandon(final TokenClaim claim, final Moment now) {
         claim.done();
@@ -385,19 +331,5 @@
         return mStocks.computeIfAbsent(customer, name -> new TokenStock());
     }
 
-    private ShareView view(final String customer, final int slot) {
-        final List<ShareView> views =
-                mViews.computeIfAbsent(
-                        customer,
-                        name -> {
-                            final List<ShareView> made = new ArrayList<>();
-                            for (int share = 0; share < ShareLimits.SHARES; share++) {
-                                made.add(new ShareView());
-                            }
-                            return made;
-                        });
-        return views.get(slot % ShareLimits.SHARES);
-    }
-
     private record OpenAsk(TokenClaim claim, TokenAsk ask, Moment sentAt) {}
 }
--- a/serving/src/test/java/org/whinhead/serving/quota/CustomerQuotasTest.java
+++ b/serving/src/test/java/org/whinhead/serving/quota/CustomerQuotasTest.java
@@ -234,6 +234,26 @@
         assertThat(mUnknown.size() + mOver.size()).isEqualTo(1);
     }
 
+    // An operator takes a customer out, or lifts its limit, while one of its requests waits for
+    // tokens. The request would never be answered.
+    @Test
+    void claimOfCustomerThatIsTakenOutIsRefused() {
+        heldBy(OTHER);
+        claim(REQUEST, 10_000);
+        mQuotas.configure(List.of(), at(10_001));
+        answer(mAsks.get(0), TokenAnswer.Outcome.TOO_FEW, 0, 10_002);
+        assertThat(mUnknown).hasSize(1);
+    }
+
+    @Test
+    void claimOfCustomerWhoseLimitIsLiftedIsGranted() {
+        heldBy(OTHER);
+        claim(REQUEST, 10_000);
+        mQuotas.configure(customers(0), at(10_001));
+        mQuotas.checkAnswers(at(10_080));
+        assertThat(mGranted).hasSize(1);
+    }
+
     @Test
     void callerThatLeavesGivesItsTokensBack() {
         heldBy(OTHER);
