--- a/serving/src/test/java/org/whinhead/serving/quota/CustomerQuotasFleetTest.java
+++ b/serving/src/test/java/org/whinhead/serving/quota/CustomerQuotasFleetTest.java
@@ -11,6 +11,7 @@
 class CustomerQuotasFleetTest {
 
     private static final long LARGE_RATE = 200_000;
+    private static final long MIDDLE_RATE = 50_000;
     private static final long SMALL_RATE = 18_000;
     private static final int SEED = 7;
     private static final int HOT_AT = 20_000;
@@ -22,6 +23,12 @@
                 .countsUntil(HOT_AT);
     }
 
+    private static void restartAll(final QuotaFleet fleet) {
+        for (int index = 0; index < fleet.size(); index++) {
+            fleet.restart(index, Duration.ofMillis(1_000));
+        }
+    }
+
     // Callers of other customers find the engines full. One customer asks many times its usual, and
     // all daemons together admit more than it may have in eight seconds. Pattern: calls spread over
     // all daemons, from one moment on 3 to 8 times as many. Grounds: customers are seen to ask up
@@ -95,17 +102,46 @@
     void restartOfAllRefusesHardlyAnything(final int daemons, final long rate) {
         final QuotaDay day = new QuotaDay(daemons, rate, SEED);
         final QuotaFleet fleet = day.fleet();
-        fleet.at(
-                24_000,
-                () -> {
-                    for (int index = 0; index < fleet.size(); index++) {
-                        fleet.restart(index, Duration.ofMillis(1_000));
-                    }
-                });
+        fleet.at(24_000, () -> restartAll(fleet));
         day.play(19_000, 39_000);
         assertThat(day.admittedPart()).isGreaterThanOrEqualTo(0.95);
     }
 
+    // A customer spends far beyond its allowance. Its callers all reach one failure domain, so each
+    // of three daemons admits on its own what the customer may spend in all.
+    @Test
+    void daemonsThatHearEachOtherStayWithinTheAllowance() {
+        final QuotaDay day = new QuotaDay(3, MIDDLE_RATE, SEED).asks(millis -> 7).play(0, END);
+        final double lastingRate =
+                MIDDLE_RATE * 8 / (MIDDLE_RATE * 9 * 1.1 + QuotaFleet.TOLERANCE.slackTokens());
+        assertThat(day.worstWindow()).isBetween(lastingRate, 1.0);
+    }
+
+    // A customer sends six times its usual while all daemons are killed at once. Before the kill it
+    // had spent its allowance; the daemons that come back know nothing of that and admit as much
+    // again within the same eight seconds.
+    @ParameterizedTest
+    @CsvSource({"1, 50000", "6, 50000", "95, 50000", "6, 600000", "95, 600000", "330, 18000"})
+    void restartOfAllDaemonsDoesNotGrantTheAllowanceTwice(final int daemons, final long rate) {
+        final QuotaDay day = new QuotaDay(daemons, rate, SEED).asks(millis -> 6);
+        final QuotaFleet fleet = day.fleet();
+        fleet.at(30_000, () -> restartAll(fleet));
+        fleet.at(33_500, () -> restartAll(fleet));
+        day.play(20_000, 50_000);
+        assertThat(day.worstWindow()).isLessThanOrEqualTo(1.0);
+    }
+
+    // A partition leaves daemons with callers of the same customer on both sides. Neither hears
+    // what the other admits, and together they admit twice the allowance.
+    @ParameterizedTest
+    @CsvSource({"3, 50000", "95, 50000", "330, 600000"})
+    void silentDaemonIsTakenToSpendOn(final int daemons, final long rate) {
+        final QuotaDay day = new QuotaDay(daemons, rate, SEED).asks(millis -> 7);
+        day.fleet().at(10_000, () -> day.fleet().cutThird(true));
+        day.play(0, 30_000);
+        assertThat(day.worstWindow()).isLessThanOrEqualTo(1.0);
+    }
+
     // A third of the daemons is cut off from the others for ten seconds. Both sides serve on from
     // the shares that they hold; a customer that asks its usual is refused hardly anything.
     @ParameterizedTest
