Let no tokens flow into a share beside those that may still be spent

A customer could get up to half a second of its rate more than the shares are laid out for, some 5% of what is accepted in a window. Cause: a share that was not asked while issued tokens took up its room caught up on the whole time at once when they had lapsed. Now the room is followed in the order in which tokens lapse. Test: 510 tokens before, at most 10 now.

--- a/serving/src/main/java/org/whinhead/serving/quota/ShareBucket.java
+++ b/serving/src/main/java/org/whinhead/serving/quota/ShareBucket.java
@@ -126,14 +126,20 @@
             if (!issue.mSpentBy.isBefore(now)) {
                 break;
             }
+            flowInUntil(issue.mSpentBy);
             mOutstanding -= issue.mTokens;
             oldestFirst.remove();
         }
-        final Duration passed = Duration.between(mRefilledAt, now);
+        flowInUntil(now);
+    }
+
+    /** Lets tokens flow in, as far as there is room beside those that may still be spent. */
+    private void flowInUntil(final Instant time) {
+        final Duration passed = Duration.between(mRefilledAt, time);
         if (passed.isNegative() || passed.isZero()) {
             return;
         }
-        mRefilledAt = now;
+        mRefilledAt = time;
         final double most = Math.max(mLimits.fullTokens() - mOutstanding, mLevel);
         mLevel = Math.min(mLevel + mLimits.inflow(passed), most);
     }
--- a/serving/src/main/java/org/whinhead/serving/quota/ShareLimits.java
+++ b/serving/src/main/java/org/whinhead/serving/quota/ShareLimits.java
@@ -31,7 +31,7 @@
     private static final double USED_PART = 0.98;
 
     /** The part of what is accepted beyond the rate that flows in; the rest is kept for bursts. */
-    private static final double FLOWING_PART = 1.0 / 4;
+    private static final double FLOWING_PART = 1.0 / 5;
 
     /** The least part of what is accepted that is not lasting rate: a request comes all at once. */
     private static final double LEAST_BEYOND_RATE = 1.0 / 8;
--- a/serving/src/test/java/org/whinhead/serving/quota/ShareBucketTest.java
+++ b/serving/src/test/java/org/whinhead/serving/quota/ShareBucketTest.java
@@ -41,6 +41,15 @@
         assertThat(mBucket.level(stillValid.plusMillis(500))).isGreaterThan(400);
     }
 
+    // A share issues all it has and is not asked for half a second. What could have been spent all
+    // that time took up its room, so nothing has flowed in meanwhile.
+    @Test
+    void nothingFlowsInWhileIssuedTokensTakeUpTheRoom() {
+        mBucket.issue(claim(1), 900, false, START);
+        final Instant lapsed = START.plus(ShareBucket.VALID_FOR).plusMillis(10);
+        assertThat(mBucket.level(lapsed)).isBetween(0.0, 10.0);
+    }
+
     // An answer is lost and the claimant gives up; a datagram that is carried twice gives the same
     // tokens back twice, and the customer would have more than before.
     @Test
