--- a/gateway/src/main/java/org/whinhead/gateway/exchange/PendingAdmission.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/PendingAdmission.java
@@ -9,12 +9,12 @@
 import org.whinhead.gateway.caller.CallerRequestHandler;
 import org.whinhead.gateway.caller.Refusal;
 import org.whinhead.serving.configuration.CustomerAccount;
-import org.whinhead.serving.quota.ClaimOutcome;
+import org.whinhead.serving.quota.TokenClaimListener;
 import org.whinhead.serving.quota.TokenSpend;
 import org.whinhead.serving.route.Route;
 
 /** A request whose customer's tokens are being claimed, and what it becomes. */
-final class PendingAdmission implements CallerRequestHandler.Running, ClaimOutcome {
+final class PendingAdmission implements CallerRequestHandler.Running, TokenClaimListener {
 
     private final Exchanges mExchanges;
     private final Candidate mCandidate;
--- a/gateway/src/main/java/org/whinhead/gateway/peers/PeerReports.java
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/PeerReports.java
@@ -244,25 +244,6 @@
                 record.getCount());
     }
 
-    /** Hears what other daemons say of roll-outs. */
-    public interface RolloutNews {
-
-        /**
-         * Takes a step.
-         *
-         * @param step the step
-         * @param holder where the daemon that sent it listens
-         */
-        void step(RolloutStep step, InetSocketAddress holder);
-
-        /**
-         * Takes what a daemon has seen.
-         *
-         * @param evidence its counts
-         */
-        void evidence(RolloutEvidence evidence);
-    }
-
     /**
      * Sets what is done with news of roll-outs.
      *
--- /dev/null
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/RolloutNews.java
@@ -0,0 +1,24 @@
+package org.whinhead.gateway.peers;
+
+import java.net.InetSocketAddress;
+import org.whinhead.serving.rollout.RolloutEvidence;
+import org.whinhead.serving.rollout.RolloutStep;
+
+/** Hears what other daemons say of roll-outs. */
+public interface RolloutNews {
+
+    /**
+     * Takes a step.
+     *
+     * @param step the step
+     * @param holder where the daemon that sent it listens
+     */
+    void step(RolloutStep step, InetSocketAddress holder);
+
+    /**
+     * Takes what a daemon has seen.
+     *
+     * @param evidence its counts
+     */
+    void evidence(RolloutEvidence evidence);
+}
--- a/gateway/src/main/java/org/whinhead/gateway/rollout/RolloutDuty.java
+++ b/gateway/src/main/java/org/whinhead/gateway/rollout/RolloutDuty.java
@@ -13,6 +13,7 @@
 import org.slf4j.LoggerFactory;
 import org.whinhead.gateway.exchange.ServingState;
 import org.whinhead.gateway.peers.PeerReports;
+import org.whinhead.gateway.peers.RolloutNews;
 import org.whinhead.gateway.store.MetadataStore;
 import org.whinhead.gateway.store.RolloutProtocol;
 import org.whinhead.serving.endpoint.EndpointEntry;
@@ -27,7 +28,7 @@
  * A daemon's part in roll-outs: it follows the holder's steps, tells it what it sees, and decides
  * itself while it is the holder.
  */
-public final class RolloutDuty implements PeerReports.RolloutNews {
+public final class RolloutDuty implements RolloutNews {
 
     private static final Logger LOG = LoggerFactory.getLogger(RolloutDuty.class);
 
--- a/serving/src/main/java/org/whinhead/serving/quota/CustomerQuotas.java
+++ b/serving/src/main/java/org/whinhead/serving/quota/CustomerQuotas.java
@@ -106,14 +106,14 @@
      * @param customer the customer
      * @param tokens what the request costs
      * @param now the moment
-     * @param outcome hears the outcome, perhaps at once
+     * @param outcome is told the outcome, perhaps at once
      * @return takes the claim back, for a caller that has left
      */
     public Runnable claim(
             final String customer,
             final long tokens,
             final Moment now,
-            final ClaimOutcome outcome) {
+            final TokenClaimListener outcome) {
         final TokenAllowance allowance = mAllowances.get(customer);
         final boolean light = allowance != null && tokens <= allowance.plainTokens();
         final TokenClaim claim = new TokenClaim(customer, tokens, light, now, outcome);
--- a/serving/src/main/java/org/whinhead/serving/quota/TokenClaim.java
+++ b/serving/src/main/java/org/whinhead/serving/quota/TokenClaim.java
@@ -18,7 +18,7 @@
     private final long mTokens;
     private final boolean mLight;
     private final Moment mStartedAt;
-    private final ClaimOutcome mOutcome;
+    private final TokenClaimListener mOutcome;
     private final Map<Long, SentAsk> mOpen = new HashMap<>();
     private final List<IssuedTokens> mIssued = new ArrayList<>();
     private final Set<Integer> mFailed = new HashSet<>();
@@ -39,7 +39,7 @@
             final long tokens,
             final boolean light,
             final Moment startedAt,
-            final ClaimOutcome outcome) {
+            final TokenClaimListener outcome) {
         mCustomer = customer;
         mTokens = tokens;
         mLight = light;
@@ -63,7 +63,7 @@
         return mStartedAt;
     }
 
-    ClaimOutcome outcome() {
+    TokenClaimListener outcome() {
         return mOutcome;
     }
 
--- a/serving/src/main/java/org/whinhead/serving/quota/ClaimOutcome.java
+++ b/serving/src/main/java/org/whinhead/serving/quota/TokenClaimListener.java
@@ -3,7 +3,7 @@
 import java.time.Duration;
 
 /** Hears what becomes of a claim, once. */
-public interface ClaimOutcome {
+public interface TokenClaimListener {
 
     /**
      * The customer has the tokens.
--- a/serving/src/test/java/org/whinhead/serving/quota/CustomerQuotasTest.java
+++ b/serving/src/test/java/org/whinhead/serving/quota/CustomerQuotasTest.java
@@ -50,7 +50,7 @@
         }
     }
 
-    private final class RecordingOutcome implements ClaimOutcome {
+    private final class RecordingListener implements TokenClaimListener {
         @Override
         public void granted(final TokenSpend spend) {
             mGranted.add(spend);
@@ -86,7 +86,7 @@
     }
 
     private Runnable claim(final long tokens, final long millis) {
-        return mQuotas.claim("clinic", tokens, at(millis), new RecordingOutcome());
+        return mQuotas.claim("clinic", tokens, at(millis), new RecordingListener());
     }
 
     private void answer(
--- a/serving/src/test/java/org/whinhead/serving/quota/QuotaDay.java
+++ b/serving/src/test/java/org/whinhead/serving/quota/QuotaDay.java
@@ -109,7 +109,7 @@
                 index,
                 CUSTOMER,
                 tokens,
-                new ClaimOutcome() {
+                new TokenClaimListener() {
                     @Override
                     public void granted(final TokenSpend spend) {
                         if (mGivenBackPart > 0 && random.nextDouble() < mGivenBackPart) {
--- a/serving/src/test/java/org/whinhead/serving/quota/QuotaFleet.java
+++ b/serving/src/test/java/org/whinhead/serving/quota/QuotaFleet.java
@@ -117,7 +117,10 @@
     }
 
     Runnable claim(
-            final int index, final String customer, final long tokens, final ClaimOutcome outcome) {
+            final int index,
+            final String customer,
+            final long tokens,
+            final TokenClaimListener outcome) {
         final Daemon daemon = mDaemons.get(index);
         return daemon.mQuotas.claim(customer, tokens, daemon.now(), outcome);
     }
