--- a/gateway/src/main/java/org/whinhead/gateway/http/SmallHttpServer.java
+++ b/gateway/src/main/java/org/whinhead/gateway/http/SmallHttpServer.java
@@ -22,10 +22,14 @@
 import io.netty.handler.timeout.IdleStateHandler;
 import java.net.InetSocketAddress;
 import java.util.function.Function;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Answers small calls from memory: readiness, addresses, metrics. */
 public final class SmallHttpServer {
 
+    private static final Logger LOG = LoggerFactory.getLogger(SmallHttpServer.class);
+
     private static final int MOST_REQUEST_BYTES = 64 * 1024;
 
     /** A connection without a call for this long is closed. */
@@ -69,9 +73,20 @@
                             }
                         })
                 .bind(address)
+                .addListener(bound -> logFailure(address, bound.cause()))
                 .channel();
     }
 
+    /** A daemon whose port is taken goes on; without a line nobody would know why it is silent. */
+    private static void logFailure(final InetSocketAddress address, final Throwable cause) {
+        if (cause != null) {
+            LOG.atError()
+                    .addKeyValue("address", address)
+                    .addKeyValue("cause", cause.toString())
+                    .log("port not opened");
+        }
+    }
+
     private static final class Answerer extends SimpleChannelInboundHandler<FullHttpRequest> {
         private final String mType;
         private final Function<String, HttpReply> mAnswer;
