Take a daemon's rate during a roll-out from its own reports, not from the sum of all counts

Seen: after a change of holder, or once daemons that were cut off are heard again, a roll-out got far less than it may, and was turned back for "too little shown".

Cause: the rate was the growth of the sum of all counts over two seconds. The first reports to a new holder hold everything since the order, so 66 requests a second were taken for some 600, and the trial's share was divided by that.

Why it holds: a daemon's first count, and one after a pause, only start its rate. A daemon whose rate isn't known yet is taken to have the others' mean; until any is known the mean since the order stands in.

--- a/serving/src/main/java/org/whinhead/serving/rollout/RolloutController.java
+++ b/serving/src/main/java/org/whinhead/serving/rollout/RolloutController.java
@@ -59,7 +59,6 @@
     private final Instant mStartedAt;
     private final Duration mElapsedBefore;
     private final VersionJudge mJudge = new VersionJudge();
-    private final RequestRate mRate = new RequestRate();
     private Endpoints mEndpoints = new Endpoints(0, 0);
     private double mShare;
     private boolean mTakesOver;
@@ -142,8 +141,7 @@
      */
     public Decision decide(final Endpoints endpoints, final Instant now) {
         mEndpoints = endpoints;
-        mJudge.judge();
-        mRate.count(mJudge.requests(), now);
+        mJudge.judge(now);
         if (!mState.isFinal()) {
             next(now);
         }
@@ -250,8 +248,15 @@
     }
 
     /** Returns the requests a second that reach the service. */
-    private double rate() {
-        return Math.max(mRate.perSecond(), LEAST_RATE);
+    private double rate(final Instant now) {
+        final double known = mJudge.requestsPerSecond(now);
+        return Math.max(known > 0 ? known : meanRate(now), LEAST_RATE);
+    }
+
+    /** Returns the rate since the order, by what the daemons have reported so far. */
+    private double meanRate(final Instant now) {
+        final long millis = Math.max(Duration.between(mStartedAt, now).toMillis(), 1);
+        return mJudge.requests() * MILLIS_PER_SECOND / millis;
     }
 
     /**
@@ -266,7 +271,7 @@
     /** Returns the requests that a bad version may get until the end of the time budget. */
     private double allowed(final Instant now) {
         final Duration left = Duration.between(now, mStartedAt.plus(mOrder.timeBudget()));
-        final double coming = rate() * left.toMillis() / MILLIS_PER_SECOND;
+        final double coming = rate(now) * left.toMillis() / MILLIS_PER_SECOND;
         return mLimits.allowed(mJudge.requests() + coming);
     }
 
@@ -281,7 +286,7 @@
     /** Returns how long before the decision the takeover may begin. */
     private Duration takeover(final Instant now) {
         final double spendable = (allowed(now) - exposed(now)) * TAKEOVER_PART;
-        final double seconds = spendable / rate();
+        final double seconds = spendable / rate(now);
         final Duration takeover =
                 Duration.ofMillis(Math.round(seconds * MILLIS_PER_SECOND)).minus(margin());
         return takeover.compareTo(LEAST_TAKEOVER) > 0 ? takeover : LEAST_TAKEOVER;
@@ -299,13 +304,13 @@
 
     private double trialShare(final Instant now) {
         final double budget = allowed(now) * TRIAL_PART;
-        final double unseen = rate() * mShare * COUNTED_LATE.toMillis() / MILLIS_PER_SECOND;
+        final double unseen = rate(now) * mShare * COUNTED_LATE.toMillis() / MILLIS_PER_SECOND;
         final double left = budget - exposed(now) - unseen;
         final double trialSeconds =
                 Math.max(
                         (remaining(now).toMillis() - takeover(now).toMillis()) / MILLIS_PER_SECOND,
                         1);
-        final double share = left / (rate() * trialSeconds);
+        final double share = left / (rate(now) * trialSeconds);
         return Math.min(Math.max(share, 0), MOST_TRIAL_SHARE);
     }
 }
--- a/serving/src/main/java/org/whinhead/serving/rollout/VersionJudge.java
+++ b/serving/src/main/java/org/whinhead/serving/rollout/VersionJudge.java
@@ -1,5 +1,6 @@
 package org.whinhead.serving.rollout;
 
+import java.time.Instant;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -19,6 +20,8 @@
 final class VersionJudge {
 
     private final Map<String, RolloutEvidence> mEvidence = new HashMap<>();
+    private final Set<String> mHeard = new HashSet<>();
+    private final RequestRate mRate = new RequestRate();
     private final Map<String, RouteComparison> mRoutes = new HashMap<>();
     private final BadAnswerTest mOverall = new BadAnswerTest();
 
@@ -27,6 +30,7 @@
         final RolloutEvidence known = mEvidence.get(evidence.daemon());
         if (known == null || sent(evidence.outcomes()) >= sent(known.outcomes())) {
             mEvidence.put(evidence.daemon(), evidence);
+            mHeard.add(evidence.daemon());
         }
     }
 
@@ -34,8 +38,14 @@
         return outcomes.stream().mapToLong(RouteOutcomes::sent).sum();
     }
 
-    /** Judges what has come since the last call. */
-    void judge() {
+    /**
+     * Judges what has come since the last call.
+     *
+     * @param now the time
+     */
+    void judge(final Instant now) {
+        mHeard.forEach(daemon -> mRate.count(daemon, sent(mEvidence.get(daemon).outcomes()), now));
+        mHeard.clear();
         final Map<String, RouteComparison.Sums> old = new HashMap<>();
         final Map<String, RouteComparison.Sums> trial = new HashMap<>();
         for (final RolloutEvidence evidence : mEvidence.values()) {
@@ -83,6 +93,11 @@
         return mRoutes.values().stream().anyMatch(RouteComparison::isOldFailing);
     }
 
+    /** Returns the requests a second that reach the service; 0 if that isn't known yet. */
+    double requestsPerSecond(final Instant now) {
+        return mRate.perSecond(now);
+    }
+
     /** Counts requests that reached the service since the order. */
     long requests() {
         return count(false) + count(true);
