Complete a roll-out only where a fault would have shown, and spend the trial where it is needed

Cause: of 129 requests that a bad version may get some 85 were judged, spread evenly over routes, though one that fails 14% anyway needs twice as many as one that fails 2%; fixed bounds on likelihood ratios said nothing of the errors that few answers leave.

Change: exact counts decide (AnswerSample), failures and delays apart; each step carries a share for each route by what it still needs (RouteNeed); the takeover gets what it needs, and nothing is kept for after the decision. Found on the way: a takeover was begun that the allowed requests didn't cover; a version was completed that hadn't taken over; answers of the new version from while the old one failed were judged afterwards; answers that no load had reached counted as if under load.

The simulation passes a request's route before its endpoint is chosen, as the gateway knows it then; faults, rates and checks of the model are as they were.

--- a/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
@@ -112,7 +112,10 @@
                 state.chooser()
                         .place(
                                 state.candidates(
-                                        mService, mAdmission.request().id(), !mTried.isEmpty()),
+                                        mService,
+                                        mAdmission.route().name(),
+                                        mAdmission.request().id(),
+                                        !mTried.isEmpty()),
                                 mAdmission.request().work(),
                                 mTried,
                                 state.copiesPrompts(mService),
@@ -320,7 +323,7 @@
      */
     private void sendElsewhere() {
         final boolean otherLeft =
-                mExchanges.state().candidates(mService, mAdmission.request().id(), true).stream()
+                mExchanges.state().candidatesAgain(mService, mAdmission.request().id()).stream()
                         .anyMatch(candidate -> !mTried.contains(candidate.id()));
         if (otherLeft && mAdmission.route().mayRunAgain() && mayRetry()) {
             mEnding.mayHaveRun();
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/RunMove.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/RunMove.java
@@ -65,7 +65,7 @@
         final Optional<Placement> target =
                 state.chooser()
                         .place(
-                                state.candidates(service, admission.request().id(), true),
+                                state.candidatesAgain(service, admission.request().id()),
                                 admission.request().work(),
                                 Set.of(source.endpoint().id()),
                                 false,
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/ServingState.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/ServingState.java
@@ -119,17 +119,36 @@
      * Lists the endpoints that may get a request.
      *
      * @param service its service
+     * @param route its route
      * @param requestId its id
      * @param repeated whether it was sent before
      * @return the endpoints
      */
     List<EndpointEntry> candidates(
-            final String service, final String requestId, final boolean repeated) {
+            final String service,
+            final String route,
+            final String requestId,
+            final boolean repeated) {
         final Instant now = mClock.instant();
+        return mRollouts.candidates(
+                service, serving(service, now), route, requestId, repeated, now);
+    }
+
+    /**
+     * Lists the endpoints that may get a request which was sent before.
+     *
+     * @param service its service
+     * @param requestId its id
+     * @return the endpoints
+     */
+    List<EndpointEntry> candidatesAgain(final String service, final String requestId) {
+        final Instant now = mClock.instant();
+        return mRollouts.candidates(service, serving(service, now), requestId, true, now);
+    }
+
+    private List<EndpointEntry> serving(final String service, final Instant now) {
         final List<EndpointEntry> usable = mEndpoints.usable(service);
-        final List<EndpointEntry> serving =
-                usable.isEmpty() ? mLeaving.lastResort(service, now) : usable;
-        return mRollouts.candidates(service, serving, requestId, repeated, now);
+        return usable.isEmpty() ? mLeaving.lastResort(service, now) : usable;
     }
 
     /**
--- a/gateway/src/main/java/org/whinhead/gateway/peers/RolloutMessages.java
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/RolloutMessages.java
@@ -8,11 +8,13 @@
 import org.whinhead.gateway.generated.GatewayProto.RolloutStateRecord;
 import org.whinhead.gateway.generated.GatewayProto.RolloutStepRecord;
 import org.whinhead.gateway.generated.GatewayProto.RouteOutcomesRecord;
+import org.whinhead.gateway.generated.GatewayProto.RouteShareRecord;
 import org.whinhead.serving.rollout.RolloutEvidence;
 import org.whinhead.serving.rollout.RolloutRecord;
 import org.whinhead.serving.rollout.RolloutState;
 import org.whinhead.serving.rollout.RolloutStep;
 import org.whinhead.serving.rollout.RouteOutcomes;
+import org.whinhead.serving.rollout.RouteShare;
 
 /** Spells what daemons tell each other of roll-outs, and what the store keeps of them. */
 public final class RolloutMessages {
@@ -20,15 +22,20 @@
     private RolloutMessages() {}
 
     static RolloutStepRecord encode(final RolloutStep step) {
-        return RolloutStepRecord.newBuilder()
-                .setService(step.service())
-                .setOrder(step.order())
-                .setToken(step.token())
-                .setSequence(step.sequence())
-                .setState(encode(step.state()))
-                .setShare(step.share())
-                .setOldStopsInMillis(step.oldStopsIn().toMillis())
-                .build();
+        final RolloutStepRecord.Builder record =
+                RolloutStepRecord.newBuilder()
+                        .setService(step.service())
+                        .setOrder(step.order())
+                        .setToken(step.token())
+                        .setSequence(step.sequence())
+                        .setState(encode(step.state()))
+                        .setShare(step.share())
+                        .setOldStopsInMillis(step.oldStopsIn().toMillis());
+        for (final RouteShare route : step.routes()) {
+            record.addRoutes(
+                    RouteShareRecord.newBuilder().setRoute(route.route()).setShare(route.share()));
+        }
+        return record.build();
     }
 
     static RolloutStep decode(final RolloutStepRecord record) {
@@ -39,6 +46,9 @@
                 record.getSequence(),
                 decode(record.getState()),
                 record.getShare(),
+                record.getRoutesList().stream()
+                        .map(route -> new RouteShare(route.getRoute(), route.getShare()))
+                        .toList(),
                 Duration.ofMillis(record.getOldStopsInMillis()));
     }
 
--- a/gateway/src/main/java/org/whinhead/gateway/rollout/RolloutHolder.java
+++ b/gateway/src/main/java/org/whinhead/gateway/rollout/RolloutHolder.java
@@ -181,6 +181,7 @@
                     .addKeyValue("state", decision.state())
                     .addKeyValue("reason", decision.reason())
                     .addKeyValue("share", decision.share())
+                    .addKeyValue("routes", decision.routes())
                     .addKeyValue("endpointsOld", usable.size() - trial)
                     .addKeyValue("endpointsOnTrial", trial)
                     .addKeyValue("requests", basis.requests())
@@ -292,6 +293,7 @@
                             mSequence,
                             held.tellable(),
                             decision.share(),
+                            decision.routes(),
                             decision.oldStopsIn()));
         }
     }
--- a/serving/src/main/java/org/whinhead/serving/rollout/RolloutController.java
+++ b/serving/src/main/java/org/whinhead/serving/rollout/RolloutController.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 
@@ -25,20 +26,32 @@
     /** The last moment is at least so long: each daemon must hear of it, and move what runs. */
     private static final Duration LEAST_TAKEOVER = Duration.ofMillis(500);
 
-    /** Part of the requests that a bad version may get which the trial spends. */
-    private static final double TRIAL_PART = 0.4;
+    /** Part of the requests that a bad version may get which the takeover spends at least. */
+    private static final double TAKEOVER_PART = 0.2;
 
-    /** Part of what is then left that the takeover spends; the rest is for what is counted late. */
-    private static final double TAKEOVER_PART = 0.8;
+    /** Part of the time budget that the takeover lasts at most. */
+    private static final double MOST_TAKEOVER_PART = 0.25;
+
+    /** How much later than it is due a decision may be taken and heard. */
+    private static final Duration DECIDED_LATE = Duration.ofMillis(150);
 
     /** The largest share of a trial: endpoints that all start at once must not get a flood. */
-    private static final double MOST_TRIAL_SHARE = 0.3;
+    private static final double MOST_TRIAL_SHARE = 0.6;
+
+    /** How long requests are on their way to a count, beside the pause between two reports. */
+    private static final Duration COUNTED_LATE = Duration.ofMillis(100);
+
+    /** How long endpoints that begin to get requests are not under load yet. */
+    private static final Duration LOADED_AFTER = Duration.ofMillis(1_000);
+
+    /** The last part of the trial is not spread over less. */
+    private static final double LEAST_TRIAL_SECONDS = 0.3;
 
-    /** How late the counts of other daemons come. */
-    private static final Duration COUNTED_LATE = Duration.ofMillis(600);
+    /** Part of the requests that a bad version may get which is kept for what is counted late. */
+    private static final double RESERVE_PART = 0.05;
 
-    /** Part of the requests that a bad version may get at which it gets no more. */
-    private static final double SPENT_PART = 0.93;
+    /** Requests that are kept for that at least. */
+    private static final double LEAST_RESERVE = 5;
 
     /**
      * The time within which an endpoint of the new version gets its full load for a part. A share
@@ -49,6 +62,9 @@
     /** Part of the old endpoints' number that the new ones need to take over. */
     private static final double ENOUGH_ENDPOINTS = 0.5;
 
+    /** What a reported request counts where it is not sure how many there were. */
+    private static final double REPORTED_SURELY = 0.8;
+
     /** Requests a second that are reckoned with where hardly any come. */
     private static final double LEAST_RATE = 1;
 
@@ -62,6 +78,9 @@
     private Endpoints mEndpoints = new Endpoints(0, 0);
     private double mShare;
     private boolean mTakesOver;
+    private Instant mTrialSince;
+    private long mAnswers;
+    private long mUnloaded;
     private RolloutState mState = RolloutState.RUNNING;
     private String mReason = "";
 
@@ -96,11 +115,17 @@
      * What the controller wants done, and why.
      *
      * @param share the share of requests for the new version
+     * @param routes the shares of routes that get another one
      * @param state the state; a final one must be recorded before it is told
      * @param oldStopsIn when the old endpoints will stop; zero while that is not near
      * @param reason why it is so, for the log
      */
-    public record Decision(double share, RolloutState state, Duration oldStopsIn, String reason) {}
+    public record Decision(
+            double share,
+            List<RouteShare> routes,
+            RolloutState state,
+            Duration oldStopsIn,
+            String reason) {}
 
     public RolloutOrder order() {
         return mOrder;
@@ -142,12 +167,13 @@
     public Decision decide(final Endpoints endpoints, final Instant now) {
         mEndpoints = endpoints;
         mJudge.judge(now);
+        countUnloaded(now);
         if (!mState.isFinal()) {
             next(now);
         }
         final Duration left = remaining(now);
         final Duration stopsIn = mTakesOver && !left.isNegative() ? left : Duration.ZERO;
-        return new Decision(mShare, mState, stopsIn, mReason);
+        return new Decision(mShare, routes(now), mState, stopsIn, mReason);
     }
 
     /**
@@ -176,6 +202,33 @@
      */
     public record Basis(long requests, long exposed, long answers, long bad, double evidence) {}
 
+    /** Splits the trial over the routes, reckoning with what the takeover will show of each. */
+    private List<RouteShare> routes(final Instant now) {
+        if (mShare == 0 || mShare == 1) {
+            return List.of();
+        }
+        final double shownMillis = takeover(now).minus(DECIDED_LATE).toMillis();
+        return RouteNeed.split(mJudge.needs(), mShare, rate(now) * shownMillis / MILLIS_PER_SECOND);
+    }
+
+    /** Counts the answers that endpoints gave before they were under load. */
+    private void countUnloaded(final Instant now) {
+        final long answers = mJudge.tally().answers() - mJudge.found();
+        if (mTrialSince == null && mShare > 0) {
+            mTrialSince = now;
+        }
+        final boolean starts = mTrialSince != null && now.isBefore(mTrialSince.plus(LOADED_AFTER));
+        if (starts || mTakesOver) {
+            mUnloaded += answers - mAnswers;
+        }
+        mAnswers = answers;
+    }
+
+    private double loadedPart() {
+        final long answers = mJudge.tally().answers();
+        return answers == 0 ? 0 : Math.max(1 - (double) mUnloaded / answers, 0);
+    }
+
     private void next(final Instant now) {
         final Optional<String> bad = mJudge.bad();
         if (bad.isPresent()) {
@@ -197,7 +250,7 @@
             mReason = "old version fails as well, nothing can be told";
             return;
         }
-        if (exposed(now) >= SPENT_PART * allowed(now)) {
+        if (exposed(now) >= spendable(now)) {
             mShare = 0;
             mTakesOver = false;
             mReason = "gets no more than a bad version may get";
@@ -214,10 +267,18 @@
     }
 
     private void endInTime() {
+        final Optional<String> unproven = mJudge.unproven(loadedPart());
         if (!isEnough()) {
             end(RolloutState.ROLLED_BACK, "too few endpoints of the new version");
-        } else if (mJudge.isOldFailing() || !mJudge.isGood()) {
-            end(RolloutState.ROLLED_BACK, "too little shown within the time budget");
+        } else if (mJudge.isOldFailing()) {
+            end(RolloutState.ROLLED_BACK, "old version fails as well, nothing can be told");
+        } else if (unproven.isPresent()) {
+            end(
+                    RolloutState.ROLLED_BACK,
+                    "too little shown within the time budget on " + unproven.get());
+        } else if (!mTakesOver) {
+            // Old endpoints stop at once, so what runs there must have moved before.
+            end(RolloutState.ROLLED_BACK, "good, but no time left to take over");
         } else {
             mState = RolloutState.COMPLETED;
             mShare = 1;
@@ -260,12 +321,20 @@
     }
 
     /**
-     * Counts the requests that have reached the new version. Those before this daemon took over may
-     * be forgotten, where daemons were killed as well; the trial's part of them is assumed.
+     * Counts the requests that have reached the new version. Daemons that were killed have
+     * forgotten theirs; the trial's part of what they served before this daemon took over is
+     * assumed.
      */
     private double exposed(final Instant now) {
         final double before = (double) mElapsedBefore.toMillis() / mOrder.timeBudget().toMillis();
-        return mJudge.exposed() + before * TRIAL_PART * allowed(now);
+        return mJudge.exposed() + before * forgottenPart(now) * trialBudget(now);
+    }
+
+    /** Returns the part of the requests since the order that no daemon has reported. */
+    private double forgottenPart(final Instant now) {
+        final double elapsed = Duration.between(mStartedAt, now).toMillis() / MILLIS_PER_SECOND;
+        final double reported = mJudge.requests() / (rate(now) * elapsed);
+        return Math.min(Math.max(1 - REPORTED_SURELY * reported, 0), 1);
     }
 
     /** Returns the requests that a bad version may get until the end of the time budget. */
@@ -275,23 +344,45 @@
         return mLimits.allowed(mJudge.requests() + coming);
     }
 
-    /** Tells whether the new version may get all that comes until the time budget's end. */
+    /** Tells whether the new version may get all that comes until the decision. */
     private boolean mayTakeOver(final Instant now) {
         if (!isEnough() || !mJudge.isPromising()) {
             return false;
         }
-        return mTakesOver || remaining(now).compareTo(takeover(now)) <= 0;
+        return mTakesOver || (isTakeoverDue(now) && isTakeoverAllowed(now));
+    }
+
+    private boolean isTakeoverDue(final Instant now) {
+        return remaining(now).compareTo(takeover(now)) <= 0;
+    }
+
+    private boolean isTakeoverAllowed(final Instant now) {
+        final double coming =
+                rate(now) * remaining(now).plus(DECIDED_LATE).toMillis() / MILLIS_PER_SECOND;
+        return exposed(now) + uncounted(now) + coming <= allowed(now);
     }
 
-    /** Returns how long before the decision the takeover may begin. */
+    /** Returns how long before the decision the takeover begins. */
     private Duration takeover(final Instant now) {
-        final double spendable = (allowed(now) - exposed(now)) * TAKEOVER_PART;
-        final double seconds = spendable / rate(now);
-        final Duration takeover =
-                Duration.ofMillis(Math.round(seconds * MILLIS_PER_SECOND)).minus(margin());
+        final double mostSeconds =
+                MOST_TAKEOVER_PART * mOrder.timeBudget().toMillis() / MILLIS_PER_SECOND;
+        final double seconds = Math.min(spendable(now) * TAKEOVER_PART / rate(now), mostSeconds);
+        final Duration takeover = Duration.ofMillis(Math.round(seconds * MILLIS_PER_SECOND));
         return takeover.compareTo(LEAST_TAKEOVER) > 0 ? takeover : LEAST_TAKEOVER;
     }
 
+    /** Returns the requests that the new version may get until it is decided. */
+    private double spendable(final Instant now) {
+        final double allowed = allowed(now);
+        return allowed - Math.max(RESERVE_PART * allowed, LEAST_RESERVE);
+    }
+
+    /** Returns the requests that the trial may spend: what the takeover leaves. */
+    private double trialBudget(final Instant now) {
+        final double takeoverMillis = takeover(now).plus(DECIDED_LATE).toMillis();
+        return Math.max(spendable(now) - rate(now) * takeoverMillis / MILLIS_PER_SECOND, 0);
+    }
+
     /** Gives a share that is less than one endpoint's by turns. */
     private double inTurns(final double share, final Instant now) {
         final double one = 1.0 / mEndpoints.trial();
@@ -302,14 +393,18 @@
         return into < share / one * TURN.toMillis() ? one : 0;
     }
 
+    /** Returns the requests to the new version that no count holds yet. */
+    private double uncounted(final Instant now) {
+        final Duration late = mJudge.countedBefore(now).plus(COUNTED_LATE);
+        return rate(now) * mShare * late.toMillis() / MILLIS_PER_SECOND;
+    }
+
     private double trialShare(final Instant now) {
-        final double budget = allowed(now) * TRIAL_PART;
-        final double unseen = rate(now) * mShare * COUNTED_LATE.toMillis() / MILLIS_PER_SECOND;
-        final double left = budget - exposed(now) - unseen;
+        final double left = trialBudget(now) - exposed(now) - uncounted(now);
         final double trialSeconds =
                 Math.max(
                         (remaining(now).toMillis() - takeover(now).toMillis()) / MILLIS_PER_SECOND,
-                        1);
+                        LEAST_TRIAL_SECONDS);
         final double share = left / (rate(now) * trialSeconds);
         return Math.min(Math.max(share, 0), MOST_TRIAL_SHARE);
     }
--- a/serving/src/main/java/org/whinhead/serving/rollout/RolloutStep.java
+++ b/serving/src/main/java/org/whinhead/serving/rollout/RolloutStep.java
@@ -1,6 +1,7 @@
 package org.whinhead.serving.rollout;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Objects;
 import org.whinhead.api.Arguments;
 
@@ -14,6 +15,7 @@
  * @param state how far the roll-out is
  * @param share the part of the service's requests that go to the new version while it is running, 0
  *     to 1
+ * @param routes routes that another part of goes there; empty if all get the same
  * @param oldStopsIn when the old endpoints will stop, once the new version gets everything; zero
  *     before that
  */
@@ -24,6 +26,7 @@
         long sequence,
         RolloutState state,
         double share,
+        List<RouteShare> routes,
         Duration oldStopsIn) {
 
     /** Checks the parts. */
@@ -31,11 +34,34 @@
         Arguments.requireText(service, "service");
         Objects.requireNonNull(state, "state");
         Objects.requireNonNull(oldStopsIn, "oldStopsIn");
+        routes = List.copyOf(routes);
         if (!(share >= 0 && share <= 1)) {
             throw new IllegalArgumentException("share is no part: " + share);
         }
     }
 
+    /**
+     * Makes a step that gives all routes the same share.
+     *
+     * @param service the service
+     * @param order the offset of the order
+     * @param token the fencing token of the holder
+     * @param sequence the number of the step
+     * @param state how far the roll-out is
+     * @param share the part of the requests that go to the new version
+     * @param oldStopsIn when the old endpoints will stop; zero if that is not near
+     */
+    public RolloutStep(
+            final String service,
+            final long order,
+            final long token,
+            final long sequence,
+            final RolloutState state,
+            final double share,
+            final Duration oldStopsIn) {
+        this(service, order, token, sequence, state, share, List.of(), oldStopsIn);
+    }
+
     /** Tells whether this step is newer than another one: by order, holder and number. */
     boolean isAfter(final RolloutStep other) {
         if (order != other.order) {
--- a/serving/src/main/java/org/whinhead/serving/rollout/Rollouts.java
+++ b/serving/src/main/java/org/whinhead/serving/rollout/Rollouts.java
@@ -19,6 +19,9 @@
  */
 public final class Rollouts {
 
+    /** Stands for the route where all routes get the same. */
+    private static final String ANY_ROUTE = "";
+
     private static final double HASHES = 0x1p32;
 
     /** Spreads the hashes of ids that differ in few characters. */
@@ -96,15 +99,36 @@
     public List<EndpointEntry> capacity(final String service, final List<EndpointEntry> usable) {
         return find(service)
                 .filter(rollout -> rollout.state().isFinal())
-                .map(rollout -> rollout.candidates(usable, 0, Instant.MAX))
+                .map(rollout -> rollout.candidates(usable, ANY_ROUTE, 0, Instant.MAX))
                 .orElse(usable);
     }
 
+    /**
+     * Picks the endpoints that may get a request whose route is of no concern.
+     *
+     * @param service the service
+     * @param usable its endpoints that are not leaving
+     * @param requestId the request's id
+     * @param repeated whether the request was sent before; then the new version gets it only if it
+     *     has taken over
+     * @param now the time
+     * @return those that may get it
+     */
+    public List<EndpointEntry> candidates(
+            final String service,
+            final List<EndpointEntry> usable,
+            final String requestId,
+            final boolean repeated,
+            final Instant now) {
+        return candidates(service, usable, ANY_ROUTE, requestId, repeated, now);
+    }
+
     /**
      * Picks the endpoints that may get a request.
      *
      * @param service the service
      * @param usable its endpoints that are not leaving
+     * @param route the request's route
      * @param requestId the request's id
      * @param repeated whether the request was sent before; then the new version gets it only if it
      *     has taken over
@@ -114,13 +138,14 @@
     public List<EndpointEntry> candidates(
             final String service,
             final List<EndpointEntry> usable,
+            final String route,
             final String requestId,
             final boolean repeated,
             final Instant now) {
         final Optional<ServiceRollout> rollout = find(service);
         if (rollout.isPresent()) {
             final double draw = repeated ? Math.nextDown(1.0) : draw(requestId);
-            return rollout.get().candidates(usable, draw, now);
+            return rollout.get().candidates(usable, route, draw, now);
         }
         if (!mInForce) {
             return usable;
--- a/serving/src/main/java/org/whinhead/serving/rollout/RouteComparison.java
+++ b/serving/src/main/java/org/whinhead/serving/rollout/RouteComparison.java
@@ -31,15 +31,23 @@
     private final BadAnswerTest mTest = new BadAnswerTest();
     private Sums mJudged = new Sums();
     private Sums mJudgedOld = new Sums();
-    private double mUsual;
+    private long mOldAnswers;
+    private long mOldFailed;
+    private long mOldSlow;
+    private long mAllOldAnswers;
+    private long mAllOldBad;
     private double mRecentAnswers;
     private double mRecentBad;
-    private long mBad;
     private long mAnswers;
+    private long mFailed;
+    private long mSlow;
 
     /**
      * Takes all answers so far.
      *
+     * <p>What either version answers while the old one fails says nothing of the new one, and is
+     * left out.
+     *
      * @param old the old version's sums
      * @param trial the new version's sums
      * @param overall also gets the answers that are new since the last call
@@ -47,35 +55,62 @@
     void compare(final Sums old, final Sums trial, final BadAnswerTest overall) {
         final int slowBucket = slowBucket(old);
         final Sums freshOld = old.since(mJudgedOld);
+        mJudgedOld = old.copy();
         mRecentAnswers = RECENT_KEPT * mRecentAnswers + freshOld.answers();
         mRecentBad = RECENT_KEPT * mRecentBad + freshOld.bad(slowBucket);
-        mJudgedOld = old.copy();
-        mUsual = share(old.bad(slowBucket), old.answers());
-        if (old.answers() < LEAST_ANSWERS || isOldFailing()) {
+        mAllOldAnswers += freshOld.answers();
+        mAllOldBad += freshOld.bad(slowBucket);
+        if (isOldFailing()) {
+            mJudged = trial.copy();
             return;
         }
-        final double usual = Math.max(mUsual, recentShare());
-        final Sums fresh = trial.since(mJudged);
-        mJudged = trial.copy();
+        mOldAnswers += freshOld.answers();
+        mOldFailed += freshOld.mFailed;
+        mOldSlow += freshOld.mTimes.above(slowBucket);
+        if (mOldAnswers >= LEAST_ANSWERS) {
+            judge(trial.since(mJudged), slowBucket, overall);
+            mJudged = trial.copy();
+        }
+    }
+
+    private void judge(final Sums fresh, final int slowBucket, final BadAnswerTest overall) {
         final long bad = fresh.bad(slowBucket);
         final long good = fresh.answers() - bad;
+        final double usual = isWorseRecently() ? recentShare() : usual();
         mTest.answers(good, bad, usual);
         overall.answers(good, bad, usual);
-        mBad += bad;
-        mAnswers += good + bad;
+        mAnswers += fresh.answers();
+        mFailed += fresh.mFailed;
+        mSlow += fresh.mTimes.above(slowBucket);
     }
 
     private static double share(final double bad, final double answers) {
         return (bad + PRIOR_BAD) / (answers + PRIOR_ANSWERS);
     }
 
+    /** Returns the share of the old version's answers that are bad. */
+    double usual() {
+        return share(mOldFailed + mOldSlow, mOldAnswers);
+    }
+
     private double recentShare() {
         return share(mRecentBad, mRecentAnswers);
     }
 
+    private boolean isWorseRecently() {
+        return leastShare(mRecentBad, mRecentAnswers) > usual();
+    }
+
+    /** Returns a share less its standard error: what it is at least, but for chance. */
+    private static double leastShare(final double bad, final double answers) {
+        final double share = share(bad, answers);
+        return share - Math.sqrt(share * (1 - share) / (answers + PRIOR_ANSWERS));
+    }
+
     /** Tells whether the old version fails so often now that nothing can be told of the new one. */
     boolean isOldFailing() {
-        return Math.max(mUsual, recentShare()) > BadAnswerTest.MOST_USUAL;
+        return leastShare(mRecentBad, mRecentAnswers) > FaultLikelihood.MOST_USUAL
+                || leastShare(mAllOldBad, mAllOldAnswers) > FaultLikelihood.MOST_USUAL;
     }
 
     private static int slowBucket(final Sums old) {
@@ -91,16 +126,31 @@
         return mTest.isBad();
     }
 
-    boolean isPromising() {
-        return mTest.isPromising();
+    /** Returns what the new version has shown of failures. */
+    AnswerSample failures() {
+        return new AnswerSample(
+                (int) mAnswers, (int) mFailed, share(mOldFailed, mOldAnswers), mOldAnswers);
+    }
+
+    /** Returns what the new version has shown of answers that are far too slow. */
+    AnswerSample delays() {
+        final long answered = mOldAnswers - mOldFailed;
+        return new AnswerSample(
+                (int) (mAnswers - mFailed), (int) mSlow, share(mOldSlow, answered), answered);
+    }
+
+    /** Returns how much speaks for a fault that hits a part, as a log likelihood ratio. */
+    double logRatio(final double hitPart) {
+        return FaultLikelihood.logRatio(mAnswers, bad(), usual(), hitPart);
     }
 
-    boolean isSuspected() {
-        return mTest.isSuspected();
+    /** Counts the old version's answers that the new one's are compared with. */
+    long oldAnswers() {
+        return mOldAnswers;
     }
 
     long bad() {
-        return mBad;
+        return mFailed + mSlow;
     }
 
     long answers() {
--- a/serving/src/main/java/org/whinhead/serving/rollout/RouteOutcomes.java
+++ b/serving/src/main/java/org/whinhead/serving/rollout/RouteOutcomes.java
@@ -23,4 +23,9 @@
         Arguments.requireAtLeast(failed, 0, "failed");
         times = List.copyOf(times);
     }
+
+    /** Counts the answers, failures included. */
+    long answers() {
+        return failed + times.stream().mapToLong(Long::longValue).sum();
+    }
 }
--- a/serving/src/main/java/org/whinhead/serving/rollout/ServiceRollout.java
+++ b/serving/src/main/java/org/whinhead/serving/rollout/ServiceRollout.java
@@ -74,28 +74,43 @@
         return endpoint.version().equals(mOrder.version());
     }
 
-    double share(final Instant now) {
+    private double share(final Instant now) {
         return switch (mDecided) {
             case COMPLETED -> 1;
             case ROLLED_BACK -> 0;
-            case RUNNING ->
-                    mStep == null || now.isAfter(mStepAt.plus(STEP_HOLDS)) ? 0 : mStep.share();
+            case RUNNING -> isStepInForce(now) ? mStep.share() : 0;
         };
     }
 
+    /** Returns a route's part of the requests; of other routes' the same part is sent. */
+    private double share(final String route, final Instant now) {
+        final double share = share(now);
+        return mDecided == RolloutState.RUNNING && share > 0
+                ? RouteShare.of(mStep.routes(), route, share)
+                : share;
+    }
+
+    private boolean isStepInForce(final Instant now) {
+        return mStep != null && !now.isAfter(mStepAt.plus(STEP_HOLDS));
+    }
+
     /**
      * Picks the endpoints that may get a request.
      *
      * @param usable the service's endpoints
+     * @param route the request's route
      * @param draw a number from 0 to 1 that is spread evenly over requests
      * @param now the time
      */
     List<EndpointEntry> candidates(
-            final List<EndpointEntry> usable, final double draw, final Instant now) {
+            final List<EndpointEntry> usable,
+            final String route,
+            final double draw,
+            final Instant now) {
         final double share = share(now);
         final List<EndpointEntry> trial = usable.stream().filter(this::isNew).toList();
         final List<EndpointEntry> old = usable.stream().filter(entry -> !isNew(entry)).toList();
-        if (draw < share && !trial.isEmpty()) {
+        if (draw < share(route, now) && !trial.isEmpty()) {
             return loaded(trial, share);
         }
         final boolean replaced = mDecided == RolloutState.COMPLETED && !trial.isEmpty();
--- a/serving/src/main/java/org/whinhead/serving/rollout/VersionJudge.java
+++ b/serving/src/main/java/org/whinhead/serving/rollout/VersionJudge.java
@@ -1,5 +1,6 @@
 package org.whinhead.serving.rollout;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.Collection;
 import java.util.HashMap;
@@ -8,32 +9,69 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Function;
 
 /**
  * Judges a new version by what all daemons have seen of it and of the old one.
  *
  * <p>Each route is tested apart, since a version may be bad on one route only, and all of them
- * together, since one route alone may have too few requests to tell. The old version's answers in
- * the same seconds are what the new one is held against: a fault that hits both is not the
- * version's.
+ * together, since one route alone may have too few requests to tell. Failures and delays are tested
+ * apart as well: the usual ones of one kind would hide a fault of the other. The old version's
+ * answers in the same seconds are what the new one is held against: a fault that hits both is not
+ * the version's.
  */
 final class VersionJudge {
 
+    /** The part of a route's answers that a fault hits which must not be overlooked. */
+    private static final double ROUTE_HIT_PART = 0.4;
+
+    /** The same of all routes' answers that were given under load. */
+    private static final double OVERALL_HIT_PART = 0.3;
+
+    /** The chance of overlooking such a fault that is accepted. */
+    private static final double MOST_CHANCE = 0.002;
+
+    /** The chance that the trial is to bring it down to, where it may get enough requests. */
+    private static final double AIMED_CHANCE = MOST_CHANCE / 10;
+
+    /** The chance of so many bad answers below which a version is worse than the old one. */
+    private static final double LEAST_CHANCE = 0.0005;
+
+    /** The log likelihood ratio of a fault up to which the version may get everything. */
+    private static final double PROMISING_AT = 4;
+
+    /** Answers without which the version may not get everything. */
+    private static final int LEAST_SHOWN = 10;
+
+    /** Routes with a smaller part of the service's answers need not be shown to be good. */
+    private static final double MINOR_PART = 0.1;
+
     private final Map<String, RolloutEvidence> mEvidence = new HashMap<>();
     private final Set<String> mHeard = new HashSet<>();
     private final RequestRate mRate = new RequestRate();
     private final Map<String, RouteComparison> mRoutes = new HashMap<>();
     private final BadAnswerTest mOverall = new BadAnswerTest();
+    private long mFound;
 
     /** Takes a daemon's counts; older ones than those that are known change nothing. */
     void take(final RolloutEvidence evidence) {
         final RolloutEvidence known = mEvidence.get(evidence.daemon());
+        if (known == null) {
+            mFound += answersOnTrial(evidence);
+        }
         if (known == null || sent(evidence.outcomes()) >= sent(known.outcomes())) {
             mEvidence.put(evidence.daemon(), evidence);
             mHeard.add(evidence.daemon());
         }
     }
 
+    private static long answersOnTrial(final RolloutEvidence evidence) {
+        return evidence.outcomes().stream()
+                .filter(RouteOutcomes::onTrial)
+                .mapToLong(RouteOutcomes::answers)
+                .sum();
+    }
+
     private static long sent(final List<RouteOutcomes> outcomes) {
         return outcomes.stream().mapToLong(RouteOutcomes::sent).sum();
     }
@@ -78,14 +116,84 @@
 
     /** Tells whether the version may get more requests, though it isn't known to be good yet. */
     boolean isPromising() {
-        return mOverall.isPromisingOverall()
-                && mRoutes.values().stream().allMatch(RouteComparison::isPromising);
+        final Collection<RouteComparison> routes = mRoutes.values();
+        return bad().isEmpty()
+                && tally().answers() >= LEAST_SHOWN
+                && routes.stream().allMatch(route -> route.logRatio(ROUTE_HIT_PART) <= PROMISING_AT)
+                && routes.stream().mapToDouble(route -> route.logRatio(OVERALL_HIT_PART)).sum()
+                        <= PROMISING_AT;
     }
 
-    boolean isGood() {
-        return bad().isEmpty()
-                && mRoutes.values().stream().noneMatch(RouteComparison::isSuspected)
-                && mOverall.isGood();
+    /**
+     * Names what hasn't been shown to be free of faults.
+     *
+     * @param loadedPart the part of the answers that were given under load: a fault that needs load
+     *     shows in no others
+     * @return a route, or all of them together; empty if the version is good
+     */
+    Optional<String> unproven(final double loadedPart) {
+        final Optional<String> bad = bad();
+        if (bad.isPresent()) {
+            return bad;
+        }
+        for (final Map.Entry<String, RouteComparison> route : mRoutes.entrySet()) {
+            if (!isGood(route.getValue())) {
+                return Optional.of("route " + route.getKey());
+            }
+        }
+        final double hitPart = OVERALL_HIT_PART * loadedPart;
+        return isRuledOut(samples(RouteComparison::failures), hitPart)
+                        && isRuledOut(samples(RouteComparison::delays), hitPart)
+                ? Optional.empty()
+                : Optional.of("all routes together");
+    }
+
+    private List<AnswerSample> samples(final Function<RouteComparison, AnswerSample> kind) {
+        return mRoutes.values().stream().map(kind).toList();
+    }
+
+    /** A route that few requests take can't be shown to be good; it must not be suspected. */
+    private boolean isGood(final RouteComparison route) {
+        if (isMinor(route)) {
+            return route.logRatio(ROUTE_HIT_PART) <= 0;
+        }
+        return isRuledOut(List.of(route.failures()), ROUTE_HIT_PART)
+                && isRuledOut(List.of(route.delays()), ROUTE_HIT_PART);
+    }
+
+    private static boolean isRuledOut(final List<AnswerSample> samples, final double hitPart) {
+        return AnswerSample.chanceOfSoFew(samples, hitPart) <= MOST_CHANCE
+                && AnswerSample.chanceOfSoMany(samples) >= LEAST_CHANCE;
+    }
+
+    private boolean isMinor(final RouteComparison route) {
+        return route.oldAnswers() < MINOR_PART * oldAnswers();
+    }
+
+    private long oldAnswers() {
+        return mRoutes.values().stream().mapToLong(RouteComparison::oldAnswers).sum();
+    }
+
+    /**
+     * Says what each route needs, so that the trial's requests can be split accordingly.
+     *
+     * @return the needs of all routes but those that few requests take
+     */
+    List<RouteNeed> needs() {
+        return mRoutes.entrySet().stream()
+                .filter(route -> route.getValue().oldAnswers() > 0 && !isMinor(route.getValue()))
+                .map(route -> need(route.getKey(), route.getValue()))
+                .toList();
+    }
+
+    private RouteNeed need(final String name, final RouteComparison route) {
+        final int needed =
+                Math.max(
+                        route.failures().needed(ROUTE_HIT_PART, AIMED_CHANCE),
+                        route.delays().needed(ROUTE_HIT_PART, AIMED_CHANCE));
+        final long unanswered = exposed(name) - route.answers();
+        final double trafficPart = (double) route.oldAnswers() / oldAnswers();
+        return new RouteNeed(name, trafficPart, Math.max(needed - unanswered, 0));
     }
 
     /** Tells whether the old version fails so often now that the new one can't be judged. */
@@ -98,14 +206,36 @@
         return mRate.perSecond(now);
     }
 
+    /** Returns how old the daemons' counts are in the mean. */
+    Duration countedBefore(final Instant now) {
+        return mRate.meanAge(now);
+    }
+
+    /** Counts answers of the new version that daemons already had when they were first heard. */
+    long found() {
+        return mFound;
+    }
+
     /** Counts requests that reached the service since the order. */
     long requests() {
-        return count(false) + count(true);
+        return mEvidence.values().stream().mapToLong(evidence -> sent(evidence.outcomes())).sum();
     }
 
     /** Counts requests that reached the new version. */
     long exposed() {
-        return count(true);
+        return mEvidence.values().stream()
+                .flatMap(evidence -> evidence.outcomes().stream())
+                .filter(RouteOutcomes::onTrial)
+                .mapToLong(RouteOutcomes::sent)
+                .sum();
+    }
+
+    private long exposed(final String route) {
+        return mEvidence.values().stream()
+                .flatMap(evidence -> evidence.outcomes().stream())
+                .filter(outcomes -> outcomes.onTrial() && outcomes.route().equals(route))
+                .mapToLong(RouteOutcomes::sent)
+                .sum();
     }
 
     /** Counts answers of the new version that were judged, and how many of them were bad. */
@@ -117,14 +247,6 @@
                 mOverall.evidence());
     }
 
-    private long count(final boolean onTrial) {
-        return mEvidence.values().stream()
-                .flatMap(evidence -> evidence.outcomes().stream())
-                .filter(outcomes -> outcomes.onTrial() == onTrial)
-                .mapToLong(RouteOutcomes::sent)
-                .sum();
-    }
-
     /**
      * What was judged.
      *
--- a/serving/src/test/java/org/whinhead/serving/rollout/RolloutControllerTest.java
+++ b/serving/src/test/java/org/whinhead/serving/rollout/RolloutControllerTest.java
@@ -130,6 +130,46 @@
         assertThat(after(11_700).state()).isEqualTo(RolloutState.ROLLED_BACK);
     }
 
+    /** Old endpoints stop at once when a roll-out is completed, with all that still runs there. */
+    @Test
+    void versionThatHasNotTakenOverIsNotCompleted() {
+        goodUntil(11_000);
+
+        final RolloutController.Decision decision = after(11_700);
+
+        assertThat(decision.state()).isEqualTo(RolloutState.ROLLED_BACK);
+        assertThat(decision.reason()).isEqualTo("good, but no time left to take over");
+    }
+
+    /** Requests would be put on trial evenly, though one route needs more to show a fault. */
+    @Test
+    void routeThatIsNotShownYetGetsMore() {
+        for (long at = 200; at <= 6_000; at += 200) {
+            mController.evidence(
+                    new RolloutEvidence(
+                            "service",
+                            7,
+                            "daemon",
+                            List.of(
+                                    outcomes("often", false, 12 * at / 200, 2 * at / 200),
+                                    outcomes("often", true, at / 400, at / 2_400),
+                                    outcomes("seldom", false, 12 * at / 200, 0),
+                                    outcomes("seldom", true, at / 400, 0))));
+            mController.decide(BOTH, START.plusMillis(at));
+        }
+
+        final List<RouteShare> routes = mController.decide(BOTH, START.plusMillis(6_100)).routes();
+
+        assertThat(RouteShare.of(routes, "often", 0))
+                .as(routes.toString())
+                .isGreaterThan(RouteShare.of(routes, "seldom", 1));
+    }
+
+    private static RouteOutcomes outcomes(
+            final String route, final boolean onTrial, final long sent, final long failed) {
+        return new RouteOutcomes(route, onTrial, sent, failed, times(sent - failed, 0));
+    }
+
     /** Another holder's recorded end stays, whatever is seen afterwards. */
     @Test
     void recordedEndStays() {
--- a/simulation/src/main/java/org/whinhead/simulation/rollout/RolloutDaemon.java
+++ b/simulation/src/main/java/org/whinhead/simulation/rollout/RolloutDaemon.java
@@ -48,8 +48,12 @@
     }
 
     List<EndpointEntry> candidates(
-            final List<EndpointEntry> usable, final String requestId, final Instant now) {
-        return mRollouts.candidates(RolloutSimulation.SERVICE, usable, requestId, false, now);
+            final List<EndpointEntry> usable,
+            final String route,
+            final String requestId,
+            final Instant now) {
+        return mRollouts.candidates(
+                RolloutSimulation.SERVICE, usable, route, requestId, false, now);
     }
 
     Optional<Trial> sent(final String route, final EndpointEntry endpoint) {
--- a/simulation/src/main/java/org/whinhead/simulation/rollout/RolloutSimulation.java
+++ b/simulation/src/main/java/org/whinhead/simulation/rollout/RolloutSimulation.java
@@ -159,7 +159,9 @@
         }
         final RolloutDaemon daemon = mDaemons.get(mRandom.nextInt(mDaemons.size()));
         final String id = Long.toHexString(mRandom.nextLong());
-        final List<EndpointEntry> candidates = daemon.candidates(mEndpoints, id, mEvents.now());
+        final int route = mRandom.nextInt(ROUTES);
+        final List<EndpointEntry> candidates =
+                daemon.candidates(mEndpoints, "route-" + route, id, mEvents.now());
         if (candidates.isEmpty()) {
             return;
         }
@@ -175,7 +177,6 @@
             mExposed++;
             mExposedLate += mEvents.now().isAfter(mBadKnownAt.plus(BAD_KNOWN_AFTER)) ? 1 : 0;
         }
-        final int route = mRandom.nextInt(ROUTES);
         daemon.sent("route-" + route, endpoint)
                 .ifPresent(trial -> run(trial, route, onTrial, load));
     }
@@ -274,6 +275,7 @@
                         mSequence,
                         told,
                         decision.share(),
+                        decision.routes(),
                         decision.oldStopsIn()));
     }
 
