Keep back for a large claim of tokens what it asks of each share, until it comes again

Cause: such a request asks four shares at once. A share that turned its part down held smaller claims back by the size of the part, and parts are alike however large their claims are; and only until it had enough, when whoever came first took it.

Change: an ask carries what its whole claim needs; claims smaller as wholes leave behind what a split claim asked of the share.

--- a/gateway/src/main/java/org/whinhead/gateway/quota/QuotaMessages.java
+++ b/gateway/src/main/java/org/whinhead/gateway/quota/QuotaMessages.java
@@ -26,6 +26,7 @@
                 .setSlot(ask.slot())
                 .setTokens(ask.tokens())
                 .setLight(ask.light())
+                .setClaimTokens(ask.claimTokens())
                 .build();
     }
 
@@ -35,6 +36,7 @@
                 record.getCustomer(),
                 record.getSlot(),
                 record.getTokens(),
+                Math.max(record.getClaimTokens(), record.getTokens()),
                 record.getLight());
     }
 
--- a/gateway/src/test/java/org/whinhead/gateway/quota/QuotaMessagesTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/quota/QuotaMessagesTest.java
@@ -21,6 +21,8 @@
     void asksAndAnswersAreReadAsTheyWereWritten() {
         final TokenAsk ask = new TokenAsk(7, "clinic", 12, 4_000, true);
         assertThat(QuotaMessages.decode(QuotaMessages.encode("i-1", ask))).isEqualTo(ask);
+        final TokenAsk part = new TokenAsk(8, "clinic", 12, 4_000, 9_000, false);
+        assertThat(QuotaMessages.decode(QuotaMessages.encode("i-1", part))).isEqualTo(part);
         for (final TokenAnswer.Outcome outcome : TokenAnswer.Outcome.values()) {
             final TokenAnswer answer = new TokenAnswer(7, "clinic", 12, outcome, -350);
             assertThat(QuotaMessages.decode(QuotaMessages.encode("i-1", answer))).isEqualTo(answer);
--- a/serving/src/main/java/org/whinhead/serving/quota/CustomerQuotas.java
+++ b/serving/src/main/java/org/whinhead/serving/quota/CustomerQuotas.java
@@ -280,7 +280,8 @@
     private TokenAsk open(
             final TokenClaim claim, final int slot, final long tokens, final Moment now) {
         final TokenAsk ask =
-                new TokenAsk(mNextId++, claim.customer(), slot, tokens, claim.isLight());
+                new TokenAsk(
+                        mNextId++, claim.customer(), slot, tokens, claim.tokens(), claim.isLight());
         claim.sent(ask, now, ANSWER_TIMEOUT);
         mAsks.put(ask.id(), new OpenAsk(claim, ask, now));
         return ask;
--- a/serving/src/main/java/org/whinhead/serving/quota/HeldShares.java
+++ b/serving/src/main/java/org/whinhead/serving/quota/HeldShares.java
@@ -191,7 +191,7 @@
         final boolean issued =
                 bucket.issue(
                         new ShareBucket.IssueKey(claimant, ask.id()),
-                        ask.tokens(),
+                        new ShareBucket.Part(ask.tokens(), ask.claimTokens()),
                         ask.light(),
                         now.steady());
         return new TokenAnswer(
--- a/serving/src/main/java/org/whinhead/serving/quota/ShareBucket.java
+++ b/serving/src/main/java/org/whinhead/serving/quota/ShareBucket.java
@@ -28,6 +28,7 @@
     private double mLevel;
     private double mOutstanding;
     private Instant mRefilledAt;
+    private long mWaitingClaim;
     private double mWaitingTokens;
     private Instant mWaitingUntil = Instant.EPOCH;
 
@@ -64,18 +65,24 @@
         mLevel = Math.min(mLevel, limits.fullTokens() - mOutstanding);
     }
 
-    /** Issues tokens if the share has them; a repeated claim is not issued again. */
+    /** Issues all tokens of a claim if the share has them. */
     boolean issue(final IssueKey key, final long tokens, final boolean light, final Instant now) {
+        return issue(key, new Part(tokens, tokens), light, now);
+    }
+
+    /** Issues tokens if the share has them; a repeated claim is not issued again. */
+    boolean issue(final IssueKey key, final Part part, final boolean light, final Instant now) {
         refill(now);
-        if (!has(light ? tokens : Math.max(tokens, waitingTokens(now)), light)) {
-            noteWaiting(tokens, light, now);
+        final long tokens = part.tokens();
+        if (!has(light ? tokens : tokensToHave(part, now), light)) {
+            noteWaiting(part, light, now);
             return false;
         }
         if (mIssued.containsKey(key)) {
             return false;
         }
-        if (tokens >= mWaitingTokens) {
-            mWaitingTokens = 0;
+        if (part.claimTokens() >= mWaitingClaim) {
+            mWaitingClaim = 0;
         }
         mIssued.put(key, new Issue(tokens, now.plus(VALID_FOR)));
         mLevel -= tokens;
@@ -87,19 +94,36 @@
         return mLevel >= mLimits.leastBefore(light) && mLevel - tokens >= mLimits.leastAfter(light);
     }
 
+    /**
+     * Returns what the share must have for a claim. One that needs several shares at the same
+     * moment finds what it asks of this one left behind by smaller claims; one that needs no other
+     * share comes first as soon as there is enough for it.
+     */
+    private double tokensToHave(final Part part, final Instant now) {
+        final long waiting = waitingClaim(now);
+        if (part.claimTokens() >= waiting) {
+            return part.tokens();
+        }
+        return waiting > mWaitingTokens
+                ? part.tokens() + mWaitingTokens
+                : Math.max(part.tokens(), mWaitingTokens);
+    }
+
     /** The largest claim that was turned down a moment ago. */
-    private double waitingTokens(final Instant now) {
-        return now.isBefore(mWaitingUntil) ? mWaitingTokens : 0;
+    private long waitingClaim(final Instant now) {
+        return now.isBefore(mWaitingUntil) ? mWaitingClaim : 0;
     }
 
     /**
      * Remembers a claim that was turned down. While a customer asks for more than it may have, its
      * small requests would take every token that comes in and its large ones would never be served;
-     * so smaller claims wait until the share has enough for the largest.
+     * so smaller claims wait. Claims are compared as wholes: a large one is split over several
+     * shares, and its parts are no larger than others.
      */
-    private void noteWaiting(final long tokens, final boolean light, final Instant now) {
-        if (!light && tokens >= waitingTokens(now)) {
-            mWaitingTokens = Math.min(tokens, MOST_WAITING_PART * mLimits.fullTokens());
+    private void noteWaiting(final Part part, final boolean light, final Instant now) {
+        if (!light && part.claimTokens() >= waitingClaim(now)) {
+            mWaitingClaim = part.claimTokens();
+            mWaitingTokens = Math.min(part.tokens(), MOST_WAITING_PART * mLimits.fullTokens());
             mWaitingUntil = now.plus(WAITING_FOR);
         }
     }
@@ -144,6 +168,14 @@
         mLevel = Math.min(mLevel + mLimits.inflow(passed), most);
     }
 
+    /**
+     * What a claim asks of this share.
+     *
+     * @param tokens how many it asks here
+     * @param claimTokens how many it needs of all shares
+     */
+    record Part(long tokens, long claimTokens) {}
+
     /** Who claimed, and under which number. */
     record IssueKey(String claimant, long claim) {}
 
--- a/serving/src/test/java/org/whinhead/serving/quota/ShareBucketTest.java
+++ b/serving/src/test/java/org/whinhead/serving/quota/ShareBucketTest.java
@@ -76,6 +76,35 @@
         assertThat(mBucket.level(START)).isEqualTo(800);
     }
 
+    /** Small claims would use up a share before a large claim finds it and others full at once. */
+    @Test
+    void smallClaimsLeaveBehindWhatSplitClaimAsks() {
+        mBucket.issue(claim(1), 500, false, START);
+        assertThat(issuePart(2, 560, 2_000)).isFalse();
+        mBucket.giveBack(claim(1), START);
+
+        assertThat(mBucket.issue(claim(3), 400, false, START)).isTrue();
+        assertThat(mBucket.issue(claim(4), 400, false, START)).isFalse();
+        assertThat(issuePart(5, 560, 2_000)).isTrue();
+    }
+
+    /** Claims were compared by their parts, which are alike however large the claims are. */
+    @Test
+    void partOfSmallerClaimWaitsForLargerOne() {
+        mBucket.issue(claim(1), 700, false, START);
+        assertThat(issuePart(2, 500, 2_000)).isFalse();
+        mBucket.giveBack(claim(1), START);
+
+        assertThat(issuePart(3, 500, 1_000)).isTrue();
+        assertThat(issuePart(4, 500, 1_000)).isFalse();
+        assertThat(issuePart(5, 500, 2_000)).isTrue();
+    }
+
+    private boolean issuePart(final long number, final long tokens, final long claimTokens) {
+        return mBucket.issue(
+                claim(number), new ShareBucket.Part(tokens, claimTokens), false, START);
+    }
+
     @Test
     void lowerLimitHoldsAtOnce() {
         mBucket.limits(new ShareLimits(100, 90, 30, 20, 15), START);
