Decide nothing any more at a daemon that closes its connections

Seen: callers whose daemon ended came back at another one with their tickets, and one stream of nine was computed again (133 tokens) though its engine keeps it for 10 s; once in four runs beside a load of 15.

Cause: Daemon.close closes the callers' connections first. The next token is written to a closed connection, which the writer reports as a caller that has left, and the decision thread deletes the stream at the engine while the client to engines is still open.

Why it holds: the loop drops every event from before the first connection is closed, so nothing that the closing causes is taken for a caller's doing.

--- a/daemon/src/main/java/org/whinhead/daemon/Daemon.java
+++ b/daemon/src/main/java/org/whinhead/daemon/Daemon.java
@@ -199,6 +199,7 @@
         mPeers.close();
         mTicks.remove();
         mCounting.remove();
+        mLoop.stopDeciding();
         mServer.stop();
         mConnections.close();
         mLog.close();
--- a/daemon/src/main/java/org/whinhead/daemon/decision/DecisionLoop.java
+++ b/daemon/src/main/java/org/whinhead/daemon/decision/DecisionLoop.java
@@ -12,6 +12,7 @@
     private final InstantSource mClock;
     private final LiveRequests mRequests;
     private RequestCoordinator mCoordinator;
+    private volatile boolean mStopped;
 
     /**
      * Makes a loop that is not started yet.
@@ -66,7 +67,20 @@
         return mRing.waiting();
     }
 
+    /**
+     * Decides nothing from now on; events that come are dropped.
+     *
+     * <p>A daemon that ends closes its callers' connections, which looks as if they had hung up.
+     * Their streams would be cancelled at the engines, where other daemons read them on.
+     */
+    public void stopDeciding() {
+        mStopped = true;
+    }
+
     private void apply(final DecisionEvent event) {
+        if (mStopped) {
+            return;
+        }
         event.applyTo(mCoordinator, mRequests, mClock.instant());
     }
 
