--- /dev/null
+++ b/serving/src/main/java/org/whinhead/serving/rollout/LoadedAnswers.java
@@ -0,0 +1,46 @@
+package org.whinhead.serving.rollout;
+
+import java.time.Duration;
+import java.time.Instant;
+
+/**
+ * Counts which part of the new version's answers its endpoints gave under load. A fault that needs
+ * load shows in no others.
+ */
+final class LoadedAnswers {
+
+    /** How long endpoints that begin to get requests are not under load yet. */
+    private static final Duration LOADED_AFTER = Duration.ofMillis(1_000);
+
+    private Instant mTrialSince;
+    private long mAnswers;
+    private long mUnloaded;
+
+    /**
+     * Takes the count of answers.
+     *
+     * @param answers answers since this daemon holds the duties
+     * @param share the share of requests that the new version gets
+     * @param now the time
+     */
+    void count(final long answers, final double share, final Instant now) {
+        if (mTrialSince == null && share > 0) {
+            mTrialSince = now;
+        }
+        final boolean starts = mTrialSince != null && now.isBefore(mTrialSince.plus(LOADED_AFTER));
+        if (starts || share == 1) {
+            mUnloaded += answers - mAnswers;
+        }
+        mAnswers = answers;
+    }
+
+    /**
+     * Returns the part that was given under load.
+     *
+     * @param answers all answers, those from before this daemon held the duties included
+     * @return 0 to 1; 0 without answers
+     */
+    double part(final long answers) {
+        return answers == 0 ? 0 : Math.max(1 - (double) mUnloaded / answers, 0);
+    }
+}
--- a/serving/src/main/java/org/whinhead/serving/rollout/RolloutController.java
+++ b/serving/src/main/java/org/whinhead/serving/rollout/RolloutController.java
@@ -10,10 +10,10 @@
  * Carries out one order, at the holder of the duties.
  *
  * <p>The new version first gets a small share for most of the time budget, so that a version that
- * turns bad later shows it. It gets everything only for the last moment, as long as the requests
- * that a bad version may get allow: whatever it does then, the bound on them holds, and the old
- * endpoints are still there to take everything back. Nothing is decided before the store has taken
- * the record of it.
+ * turns bad later shows it. It gets everything only for the last moment before the decision, if the
+ * requests that a bad version may get allow that: the bound on them holds for each version that is
+ * turned back, and the old endpoints are still there until then. Nothing is decided before the
+ * store has taken the record of it.
  */
 public final class RolloutController {
 
@@ -41,9 +41,6 @@
     /** How long requests are on their way to a count, beside the pause between two reports. */
     private static final Duration COUNTED_LATE = Duration.ofMillis(100);
 
-    /** How long endpoints that begin to get requests are not under load yet. */
-    private static final Duration LOADED_AFTER = Duration.ofMillis(1_000);
-
     /** The last part of the trial is not spread over less. */
     private static final double LEAST_TRIAL_SECONDS = 0.3;
 
@@ -75,12 +72,10 @@
     private final Instant mStartedAt;
     private final Duration mElapsedBefore;
     private final VersionJudge mJudge = new VersionJudge();
+    private final LoadedAnswers mLoaded = new LoadedAnswers();
     private Endpoints mEndpoints = new Endpoints(0, 0);
     private double mShare;
     private boolean mTakesOver;
-    private Instant mTrialSince;
-    private long mAnswers;
-    private long mUnloaded;
     private RolloutState mState = RolloutState.RUNNING;
     private String mReason = "";
 
@@ -167,7 +162,7 @@
     public Decision decide(final Endpoints endpoints, final Instant now) {
         mEndpoints = endpoints;
         mJudge.judge(now);
-        countUnloaded(now);
+        mLoaded.count(mJudge.tally().answers() - mJudge.found(), mShare, now);
         if (!mState.isFinal()) {
             next(now);
         }
@@ -211,24 +206,6 @@
         return RouteNeed.split(mJudge.needs(), mShare, rate(now) * shownMillis / MILLIS_PER_SECOND);
     }
 
-    /** Counts the answers that endpoints gave before they were under load. */
-    private void countUnloaded(final Instant now) {
-        final long answers = mJudge.tally().answers() - mJudge.found();
-        if (mTrialSince == null && mShare > 0) {
-            mTrialSince = now;
-        }
-        final boolean starts = mTrialSince != null && now.isBefore(mTrialSince.plus(LOADED_AFTER));
-        if (starts || mTakesOver) {
-            mUnloaded += answers - mAnswers;
-        }
-        mAnswers = answers;
-    }
-
-    private double loadedPart() {
-        final long answers = mJudge.tally().answers();
-        return answers == 0 ? 0 : Math.max(1 - (double) mUnloaded / answers, 0);
-    }
-
     private void next(final Instant now) {
         final Optional<String> bad = mJudge.bad();
         if (bad.isPresent()) {
@@ -267,7 +244,7 @@
     }
 
     private void endInTime() {
-        final Optional<String> unproven = mJudge.unproven(loadedPart());
+        final Optional<String> unproven = mJudge.unproven(mLoaded.part(mJudge.tally().answers()));
         if (!isEnough()) {
             end(RolloutState.ROLLED_BACK, "too few endpoints of the new version");
         } else if (mJudge.isOldFailing()) {
