Record when an endpoint begins to answer an attempt

The decisions about a request showed when it was dispatched and when it failed or came back, but not when the engine had named its stream. So they could not tell a daemon that ended before the engine answered from one that knew the stream and had issued a ticket for it. `explain` and the decision log now have OPENED with the stream's id.

--- a/requests/src/main/java/org/whinhead/requests/AttemptEventHandler.java
+++ b/requests/src/main/java/org/whinhead/requests/AttemptEventHandler.java
@@ -74,6 +74,7 @@
             final AttemptEvent.Opened opened,
             final Instant now) {
         attempt.recordEvent(now);
+        mContext.log().add(attempt, DecisionKind.OPENED, opened.streamId(), now);
         state.setBlockedSince(Optional.empty());
         if (attempt.kind().isDispatch()) {
             mContext.settings().retryScope().onAnswerBegan(state, now);
--- a/requests/src/main/java/org/whinhead/requests/DecisionKind.java
+++ b/requests/src/main/java/org/whinhead/requests/DecisionKind.java
@@ -12,6 +12,8 @@
     CLAIM_DECIDED,
     /** The request was sent to an endpoint. */
     DISPATCHED,
+    /** The endpoint began to answer the attempt; the cause is the stream's ID, if it has one. */
+    OPENED,
     /** Reading of the stream was resumed. */
     RESUMED,
     /** A move of the KV cache to another engine was started. */
--- a/requests/src/test/java/org/whinhead/requests/RecoveryTest.java
+++ b/requests/src/test/java/org/whinhead/requests/RecoveryTest.java
@@ -1,6 +1,7 @@
 package org.whinhead.requests;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.tuple;
 
 import java.time.Duration;
 import java.util.function.Predicate;
@@ -44,6 +45,18 @@
                 .isEqualTo(11);
     }
 
+    /**
+     * Guards against decisions that do not show whether a lost daemon knew the stream of a request
+     * that was computed again.
+     */
+    @Test
+    void decisionsShowWhenAnEngineNamedItsStream() {
+        mHarness.chat(true).opened(1, "s1");
+        assertThat(mHarness.coordinator().decisionLog().findByRequest(new RequestId("r")))
+                .extracting(Decision::kind, Decision::cause)
+                .contains(tuple(DecisionKind.OPENED, "s1"));
+    }
+
     /** The baseline of measurements: no work of a failed engine is reused. */
     @Test
     void startingOverGeneratesFromTheStartAndDeliversOnlyTheRest() {
