Handle the events of a ring that closes before its thread runs

A daemon that was stopped in its first milliseconds dropped requests that it had accepted, and the release of its lease, without a log line.

Cause: the library's shutdown waits for consumers that run; it takes a thread that is not scheduled yet for one without events and stops it before it reads. Evidence: of 200 rings that were started, offered one event and closed, 5 handled it on an idle machine (the new test of EventRingTest on the code before). DecisionLoopTest#eventsReachTheCoordinator: 97 of 100 runs red beside 24 busy threads (shared trace).

EventRing.close now waits, for at most its timeout, until the thread runs; from then on the library sees its events.

--- a/daemon/src/main/java/org/whinhead/daemon/ring/EventRing.java
+++ b/daemon/src/main/java/org/whinhead/daemon/ring/EventRing.java
@@ -7,6 +7,7 @@
 import com.lmax.disruptor.dsl.Disruptor;
 import com.lmax.disruptor.dsl.ProducerType;
 import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -28,6 +29,8 @@
     private final Disruptor<Slot<E>> mDisruptor;
     private final RingBuffer<Slot<E>> mRing;
     private final int mReservedSlots;
+    private final CountDownLatch mRunning = new CountDownLatch(1);
+    private volatile boolean mStarted;
 
     /**
      * Creates a ring that is not started yet.
@@ -47,13 +50,13 @@
                         ProducerType.MULTI,
                         new BlockingWaitStrategy());
         mDisruptor.setDefaultExceptionHandler(new FaultLogger());
-        mDisruptor.handleEventsWith(
-                (slot, sequence, endOfBatch) -> handler.handle(slot.takeEvent(), endOfBatch));
+        mDisruptor.handleEventsWith(new SlotHandler<>(handler, mRunning));
         mRing = mDisruptor.getRingBuffer();
     }
 
     /** Starts the thread, which first handles the events that were offered before. */
     public void start() {
+        mStarted = true;
         mDisruptor.start();
     }
 
@@ -87,16 +90,56 @@
         mDisruptor.halt();
     }
 
-    /** Stops the thread after it handled the waiting events, or after a timeout. */
+    /**
+     * Stops the thread after it handled the waiting events, or after a timeout.
+     *
+     * <p>Guards against the loss of all events of a ring that is closed before its new thread runs:
+     * the library does not wait for a thread that is not running yet, and stops it without its
+     * events.
+     */
     @Override
     public void close() {
         try {
+            if (mStarted && !mRunning.await(CLOSE_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)) {
+                throw TimeoutException.INSTANCE;
+            }
             mDisruptor.shutdown(CLOSE_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+        } catch (final InterruptedException e) {
+            Thread.currentThread().interrupt();
+            haltWithWaitingEvents();
         } catch (final TimeoutException e) {
-            LOGGER.atWarn()
-                    .addKeyValue("ring", mName)
-                    .log("event ring stopped with unhandled events");
-            mDisruptor.halt();
+            haltWithWaitingEvents();
+        }
+    }
+
+    private void haltWithWaitingEvents() {
+        LOGGER.atWarn()
+                .addKeyValue("ring", mName)
+                .addKeyValue("events", waitingEvents())
+                .log("event ring stopped with unhandled events");
+        mDisruptor.halt();
+    }
+
+    /** Passes the events to the ring's handler and reports that the thread runs. */
+    private static final class SlotHandler<E> implements com.lmax.disruptor.EventHandler<Slot<E>> {
+
+        private final EventHandler<E> mHandler;
+        private final CountDownLatch mRunning;
+
+        SlotHandler(final EventHandler<E> handler, final CountDownLatch running) {
+            mHandler = handler;
+            mRunning = running;
+        }
+
+        @Override
+        public void onStart() {
+            mRunning.countDown();
+        }
+
+        @Override
+        public void onEvent(final Slot<E> slot, final long sequence, final boolean endOfBatch)
+                throws Exception {
+            mHandler.handle(slot.takeEvent(), endOfBatch);
         }
     }
 
--- a/daemon/src/test/java/org/whinhead/daemon/ring/EventRingTest.java
+++ b/daemon/src/test/java/org/whinhead/daemon/ring/EventRingTest.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -16,6 +17,7 @@
     private static final int SLOTS = 8;
     private static final int FAULTY = -1;
     private static final int LAST = 100;
+    private static final int SHORT_LIVED_RINGS = 200;
 
     private final BlockingQueue<Integer> mHandled = new LinkedBlockingQueue<>();
     private final EventRing<Integer> mRing = new EventRing<>("ring", SLOTS, this::handle);
@@ -53,6 +55,25 @@
         assertThat(take(1)).containsExactly(LAST);
     }
 
+    /**
+     * Guards against the loss of accepted events if a ring is closed before its thread runs; enough
+     * rings are opened at once that some threads start late.
+     */
+    @Test
+    void ringClosedRightAfterItsStartHandlesAcceptedEvents() {
+        final AtomicInteger handled = new AtomicInteger();
+        for (int i = 0; i < SHORT_LIVED_RINGS; i++) {
+            final EventRing<Integer> ring =
+                    new EventRing<>(
+                            "short", SLOTS, (event, endOfBatch) -> handled.addAndGet(event));
+            ring.start();
+            assertThat(ring.offer(1)).isTrue();
+            ring.close();
+        }
+
+        assertThat(handled).hasValue(SHORT_LIVED_RINGS);
+    }
+
     // If new requests could fill the ring, events that end requests in progress would be lost.
     @Test
     void reservedSlotsRefuseOnlyNewWork() {
