Send the ticket when the engine names the stream, not with the first token

What callers saw: two daemons ended, one after the other, and a whole prompt and answer of a streamed request was computed again (543, 143 or 206 tokens in LostDaemonsTest#streamsOfLostDaemonsAreReadOnElsewhere, 0 expected).

Cause: StreamedFormat kept the ticket in memory until the first token, to send it as a header. From the engine's acceptance to the first token is the engine's queue and the prefill. A caller that lost its daemon then held no ticket, sent the request anew, and another engine began from the start.

The response now begins with the ticket; later failures are told in the stream, as after a first token.

The load program allows the wait for the first token what it allowed for the first byte before.

--- a/daemon/src/main/java/org/whinhead/daemon/caller/ExchangeWriter.java
+++ b/daemon/src/main/java/org/whinhead/daemon/caller/ExchangeWriter.java
@@ -63,6 +63,13 @@
         return mClosed;
     }
 
+    /** Sends the status and the headers before the first byte of the body is known. */
+    void sendHeaders() {
+        if (!mClosed && !mEnding) {
+            writeWaiting();
+        }
+    }
+
     void write(final byte[] bytes) {
         if (mClosed || mEnding || bytes.length == 0) {
             return;
--- a/daemon/src/main/java/org/whinhead/daemon/caller/StreamedFormat.java
+++ b/daemon/src/main/java/org/whinhead/daemon/caller/StreamedFormat.java
@@ -28,14 +28,13 @@
             mBatch.append("id: ").append(token.index()).append('\n');
             appendData(mJson.tokenChunk(token.text()));
         } else if (part instanceof ReplyPart.NewTicket ticket) {
-            appendTicket(ticket.ticket(), writer);
+            sendTicket(ticket.ticket(), writer);
         } else if (part instanceof ReplyPart.Completed completed) {
             complete(completed.completion(), writer);
         } else if (part instanceof ReplyPart.Refused refused) {
             refuse(refused.refusal(), writer);
         } else if (part instanceof ReplyPart.HandedBack back) {
-            appendTicket(back.ticket(), writer);
-            refuse(back.refusal(), writer);
+            handBack(back, writer);
         }
     }
 
@@ -59,12 +58,34 @@
         }
     }
 
-    private void appendTicket(final String ticket, final ExchangeWriter writer) {
-        final boolean begun = writer.hasBegun() || mBatch.length() > 0;
-        mTicket = ticket;
-        if (begun) {
-            mBatch.append(": ticket ").append(ticket).append("\n\n");
+    /**
+     * Sends a ticket at once, as header of the response or in a comment line.
+     *
+     * <p>Guards against a second computation of the whole prompt: a daemon ends after an engine
+     * began to work on a request and before its first token. A caller without the ticket sends the
+     * request anew, and nobody reads the engine's stream.
+     */
+    private void sendTicket(final String ticket, final ExchangeWriter writer) {
+        if (writer.hasBegun() || mBatch.length() > 0) {
+            appendTicket(ticket);
+        } else {
+            mTicket = ticket;
+            startIfNeeded(writer);
+            writer.sendHeaders();
+        }
+    }
+
+    private void handBack(final ReplyPart.HandedBack back, final ExchangeWriter writer) {
+        if (writer.hasBegun() || mBatch.length() > 0) {
+            appendTicket(back.ticket());
+        } else {
+            mTicket = back.ticket();
         }
+        refuse(back.refusal(), writer);
+    }
+
+    private void appendTicket(final String ticket) {
+        mBatch.append(": ticket ").append(ticket).append("\n\n");
     }
 
     private void complete(final Completion completion, final ExchangeWriter writer) {
--- a/standins/src/main/java/org/whinhead/standins/load/caller/CallerConfig.java
+++ b/standins/src/main/java/org/whinhead/standins/load/caller/CallerConfig.java
@@ -10,10 +10,10 @@
  *
  * @param targets daemons that receive the first address queries; at least one
  * @param deadline the time limit of a request, including retries
- * @param answerSilence the time limit for the start of an answer; after that the daemon is treated
- *     as lost
- * @param streamSilence the longest time without a line of a stream; after that the daemon is
- *     treated as lost
+ * @param answerSilence the time limit for the first token or the whole answer; after that the
+ *     daemon is treated as lost
+ * @param streamSilence the longest time without a line of a stream after its first token; after
+ *     that the daemon is treated as lost
  * @param connectTimeout the time limit for opening a connection
  */
 public record CallerConfig(
