Split claims that no share can meet, and release reservations of met ones

Cause: a request was refused if none of the eight shares alone had enough, though together they did; and a share that turned a claim down kept back the whole of it for half a second from smaller ones, also when another share had met it at once.

Levels at each refusal: eight shares with 3,000 to 5,000 refused 5,800 in a row.

A claim that no share can meet is split over all that have tokens; a met claim releases its reservations; a share reserves an eighth of a claim, and smaller ones leave so much that it can be issued; the fullest share is asked first.

--- a/serving/src/main/java/org/whinhead/serving/quota/CustomerQuotas.java
+++ b/serving/src/main/java/org/whinhead/serving/quota/CustomerQuotas.java
@@ -135,6 +135,7 @@
     private void cancel(final TokenClaim claim, final ClockReading claimedAt) {
         if (!claim.isFinished()) {
             abandon(claim, claimedAt);
+            releaseReservations(claim, claimedAt);
         }
     }
 
@@ -197,7 +198,7 @@
         if (mHeldShares.limits(claim.customer()).isEmpty()) {
             finishWithoutShares(claim, now);
         } else if (claim.isComplete()) {
-            complete(claim);
+            complete(claim, now);
         } else if (now.elapsedSince(claim.startedAt()).compareTo(CLAIM_TIMEOUT) > 0) {
             reject(claim, now);
         } else if (claim.missingTokens() > 0) {
@@ -215,7 +216,8 @@
         }
     }
 
-    private void complete(final TokenClaim claim) {
+    private void complete(final TokenClaim claim, final ClockReading now) {
+        releaseReservations(claim, now);
         final ClockReading issuedAfter = claim.issuedAfter();
         if (claim.surplusTokens() > 0) {
             pool(claim.customer()).add(claim.surplusTokens(), issuedAfter);
@@ -223,6 +225,16 @@
         grant(claim, issuedAfter);
     }
 
+    /**
+     * Releases what shares reserved for a claim when they had too few tokens.
+     *
+     * <p>A reservation for a claim that was met elsewhere would hold back the smaller claims of a
+     * customer within its allowance.
+     */
+    private void releaseReservations(final TokenClaim claim, final ClockReading now) {
+        claim.deniedRequests().forEach(request -> returnTokens(request, now));
+    }
+
     private void grant(final TokenClaim claim, final ClockReading issuedAfter) {
         claim.finish();
         mOfferedLoad.recordAdmitted(claim.tokens());
@@ -261,21 +273,39 @@
         }
     }
 
-    /** Requests a claim's missing tokens, split over as many shares as needed. */
+    /**
+     * Requests a claim's missing tokens, split over as few shares as its size needs. A claim that
+     * no share can meet alone is split over all that have tokens.
+     */
     private void requestTokens(final TokenClaim claim, final ClockReading now) {
         final ShareLimits limits = mHeldShares.limits(claim.customer()).orElseThrow();
         final List<Integer> slots = mEstimates.candidateSlots(claim, limits, now);
-        if (slots.isEmpty() && !claim.hasOpenRequests()) {
-            reject(claim, now);
+        if (!slots.isEmpty() || claim.hasOpenRequests()) {
+            final int parts = Math.min(limits.partCount(claim.missingTokens()), slots.size());
+            requestParts(claim, slots.subList(0, parts), now);
             return;
         }
+        final List<Integer> partSlots =
+                claim.beginSplit()
+                        ? mEstimates.slotsForEvenParts(claim, limits, now)
+                        : List.<Integer>of();
+        if (partSlots.isEmpty()) {
+            reject(claim, now);
+        } else {
+            requestParts(claim, partSlots, now);
+        }
+    }
+
+    private void requestParts(
+            final TokenClaim claim, final List<Integer> slots, final ClockReading now) {
         long missing = claim.missingTokens();
-        final int parts = Math.min(limits.partCount(missing), slots.size());
         final List<TokenRequest> requests = new ArrayList<>();
-        for (int part = parts; part > 0; part--) {
-            final long tokens = missing / part;
+        int remaining = slots.size();
+        for (final int slot : slots) {
+            final long tokens = missing / remaining;
             missing -= tokens;
-            requests.add(createRequest(claim, slots.get(parts - part), tokens, now));
+            remaining--;
+            requests.add(createRequest(claim, slot, tokens, now));
         }
         requests.forEach(request -> send(claim, request, now));
     }
--- a/serving/src/main/java/org/whinhead/serving/quota/ShareBucket.java
+++ b/serving/src/main/java/org/whinhead/serving/quota/ShareBucket.java
@@ -31,6 +31,7 @@
     private long mReservedClaimTokens;
     private double mReservedTokens;
     private Instant mReservedUntil = Instant.EPOCH;
+    private IssueKey mReservedFor;
 
     private ShareBucket(final ShareLimits limits, final double level, final Instant at) {
         mLimits = limits;
@@ -76,14 +77,14 @@
         refill(now);
         final long tokens = part.tokens();
         if (!hasTokens(light ? tokens : requiredTokens(part, now), light)) {
-            reserve(part, light, now);
+            reserve(key, part, light, now);
             return false;
         }
         if (mIssued.containsKey(key)) {
             return false;
         }
         if (part.claimTokens() >= mReservedClaimTokens) {
-            mReservedClaimTokens = 0;
+            releaseReservation();
         }
         mIssued.put(key, new Issue(tokens, now.plus(TOKEN_VALIDITY)));
         mLevel -= tokens;
@@ -91,24 +92,28 @@
         return true;
     }
 
+    private void releaseReservation() {
+        mReservedClaimTokens = 0;
+        mReservedFor = null;
+    }
+
     private boolean hasTokens(final double tokens, final boolean light) {
         return mLevel >= mLimits.minLevelBefore(light)
                 && mLevel - tokens >= mLimits.minLevelAfter(light);
     }
 
     /**
-     * Returns the tokens that the share must have to serve a part. Smaller claims leave the tokens
-     * of a waiting claim that needs several shares at the same time; a waiting claim that needs no
-     * other share is served first once the level suffices.
+     * Returns the tokens that the share must have to serve a part. Smaller claims leave so many
+     * that the part of a waiting claim can be issued afterwards.
      */
     private double requiredTokens(final ClaimPart part, final Instant now) {
         final long reservedClaim = reservedClaimTokens(now);
         if (part.claimTokens() >= reservedClaim) {
             return part.tokens();
         }
-        return reservedClaim > mReservedTokens
-                ? part.tokens() + mReservedTokens
-                : Math.max(part.tokens(), mReservedTokens);
+        return part.tokens()
+                + mLimits.requiredLevel(mReservedTokens, false)
+                - mLimits.minLevelAfter(false);
     }
 
     /** Returns the size of the largest recently rejected claim, in tokens; 0 if there is none. */
@@ -120,20 +125,31 @@
      * Reserves tokens for a rejected claim, so that smaller claims wait. Otherwise the small
      * requests of a customer over its allowance would take every new token and its large requests
      * would never be served. Whole claims are compared: a large one is split over several shares,
-     * and its parts are no larger than others.
+     * and its parts are no larger than others. An even part of it is reserved, since every share
+     * that it asks reserves one.
      */
-    private void reserve(final ClaimPart part, final boolean light, final Instant now) {
+    private void reserve(
+            final IssueKey key, final ClaimPart part, final boolean light, final Instant now) {
         if (!light && part.claimTokens() >= reservedClaimTokens(now)) {
             mReservedClaimTokens = part.claimTokens();
             mReservedTokens =
-                    Math.min(part.tokens(), MAX_RESERVED_FRACTION * mLimits.capacityTokens());
+                    Math.min(
+                            (double) part.claimTokens() / ShareLimits.SHARES,
+                            MAX_RESERVED_FRACTION * mLimits.capacityTokens());
+            mReservedFor = key;
             mReservedUntil = now.plus(RESERVATION_TIME);
         }
     }
 
-    /** Puts issued tokens back into the share; they must not have been spent. */
+    /**
+     * Ends a request that is no longer needed: puts its issued tokens, which must not have been
+     * spent, back into the share, or releases what was reserved when it was rejected.
+     */
     void returnTokens(final IssueKey key, final Instant now) {
         refill(now);
+        if (key.equals(mReservedFor)) {
+            releaseReservation();
+        }
         final Issue issue = mIssued.remove(key);
         if (issue != null) {
             mLevel += issue.mTokens;
--- a/serving/src/main/java/org/whinhead/serving/quota/ShareEstimates.java
+++ b/serving/src/main/java/org/whinhead/serving/quota/ShareEstimates.java
@@ -53,7 +53,13 @@
         mUnresponsiveUntil.put(holder(request.slot()), now.plus(UNRESPONSIVE_TIME));
     }
 
-    /** Returns the slots that may have enough tokens: own ones first, then responsive holders. */
+    /**
+     * Returns the slots that may have enough tokens: responsive holders first, and of those the
+     * shares that are not low, own ones before others.
+     *
+     * <p>A full share wastes its refill while requests are rejected at low ones, so the fullest is
+     * asked first.
+     */
     List<Integer> candidateSlots(
             final TokenClaim claim, final ShareLimits limits, final ClockReading now) {
         final ShareTable table = mHeldShares.table().orElseThrow();
@@ -67,12 +73,40 @@
         }
         Collections.shuffle(slots, mRandom);
         slots.sort(
-                Comparator.<Integer, Boolean>comparing(slot -> !mHeldShares.isOwn(slot))
-                        .thenComparing(slot -> isUnresponsive(slot, now.steady()))
-                        .thenComparing(slot -> isLow(claim, slot, limits, now)));
+                Comparator.<Integer, Boolean>comparing(slot -> isUnresponsive(slot, now.steady()))
+                        .thenComparing(slot -> isLow(claim, slot, limits, now))
+                        .thenComparing(slot -> !mHeldShares.isOwn(slot))
+                        .thenComparing(fullestFirst(claim, limits, now)));
         return slots;
     }
 
+    /**
+     * Returns the slots over which the missing tokens can be split evenly, as many as possible.
+     *
+     * @return the slots, or an empty list if no even split is known to be possible
+     */
+    List<Integer> slotsForEvenParts(
+            final TokenClaim claim, final ShareLimits limits, final ClockReading now) {
+        final List<Integer> slots = candidateSlots(claim, limits, now);
+        slots.sort(fullestFirst(claim, limits, now));
+        for (int parts = slots.size(); parts > 0; parts--) {
+            final double part = Math.ceil((double) claim.missingTokens() / parts);
+            final int lowestSlot = slots.get(parts - 1);
+            if (levelUpperBound(claim.customer(), lowestSlot, limits, now)
+                    >= limits.requiredLevel(part, claim.isLight())) {
+                return List.copyOf(slots.subList(0, parts));
+            }
+        }
+        return List.of();
+    }
+
+    private Comparator<Integer> fullestFirst(
+            final TokenClaim claim, final ShareLimits limits, final ClockReading now) {
+        return Comparator.<Integer>comparingDouble(
+                        slot -> levelUpperBound(claim.customer(), slot, limits, now))
+                .reversed();
+    }
+
     private boolean isUnresponsive(final int slot, final Instant now) {
         return now.isBefore(mUnresponsiveUntil.getOrDefault(holder(slot), Instant.EPOCH));
     }
--- a/serving/src/main/java/org/whinhead/serving/quota/TokenClaim.java
+++ b/serving/src/main/java/org/whinhead/serving/quota/TokenClaim.java
@@ -22,6 +22,8 @@
     private final Map<Long, SentRequest> mOpenRequests = new HashMap<>();
     private final List<IssuedTokens> mIssued = new ArrayList<>();
     private final Set<Integer> mFailedSlots = new HashSet<>();
+    private final List<TokenRequest> mDenied = new ArrayList<>();
+    private boolean mSplit;
     private boolean mUnanswered;
     private boolean mFinished;
 
@@ -91,18 +93,39 @@
                 .orElse(mStartedAt);
     }
 
-    /** Records that a share has too few tokens; the claim does not ask it again. */
+    /** Records that a share has too few tokens; the claim asks it again only for a smaller part. */
     void recordDenied(final TokenRequest request) {
         mOpenRequests.remove(request.id());
         mFailedSlots.add(request.slot());
+        mDenied.add(request);
     }
 
     /** Records that a daemon does not hold a share; the claim does not ask it again. */
     void recordNotHeld(final TokenRequest request) {
-        recordDenied(request);
+        mOpenRequests.remove(request.id());
+        mFailedSlots.add(request.slot());
         mUnanswered = true;
     }
 
+    /** Returns the requests for which a share had too few tokens. */
+    List<TokenRequest> deniedRequests() {
+        return List.copyOf(mDenied);
+    }
+
+    /**
+     * Begins to ask the shares that had too few tokens for smaller parts.
+     *
+     * @return false if the claim did so before
+     */
+    boolean beginSplit() {
+        if (mSplit) {
+            return false;
+        }
+        mSplit = true;
+        mDenied.forEach(request -> mFailedSlots.remove(request.slot()));
+        return true;
+    }
+
     /** Returns each request without a response in time once; a late response is still used. */
     Optional<TokenRequest> takeOverdue(final Instant now) {
         for (final SentRequest sent : mOpenRequests.values()) {
--- a/serving/src/test/java/org/whinhead/serving/quota/CustomerQuotasFleetTest.java
+++ b/serving/src/test/java/org/whinhead/serving/quota/CustomerQuotasFleetTest.java
@@ -6,6 +6,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests the admission of one customer by a simulated fleet of daemons. */
 class CustomerQuotasFleetTest {
@@ -14,6 +15,8 @@
     private static final long MIDDLE_RATE = 50_000;
     private static final long SMALL_RATE = 18_000;
     private static final int SEED = 7;
+    private static final int FIRST_SEED = 100;
+    private static final int SEEDS = 24;
     private static final int SPIKE_AT = 20_000;
     private static final int END = 40_000;
 
@@ -77,6 +80,22 @@
         assertThat(scenario.admittedFraction()).isGreaterThanOrEqualTo(0.99);
     }
 
+    // The same on many seeds. Claims that were met by another share, or that fit into no single one
+    // although the shares together had enough, would cause rejections.
+    @ParameterizedTest
+    @ValueSource(ints = {6, 18, 66, 95, 330})
+    void customerUsingNearlyAllOfItsAllowanceIsAdmittedOnEachSeed(final int daemons) {
+        for (int seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++) {
+            final QuotaScenario scenario =
+                    new QuotaScenario(daemons, LARGE_RATE, seed)
+                            .demand(millis -> 1.7)
+                            .run(19_000, 79_000);
+            assertThat(scenario.admittedFraction())
+                    .as("seed %d", seed)
+                    .isGreaterThanOrEqualTo(0.99);
+        }
+    }
+
     // A customer's demand is six times its usual for a long time. Its small requests would take
     // every new token, and its largest ones would hardly ever be admitted.
     @ParameterizedTest
--- a/serving/src/test/java/org/whinhead/serving/quota/CustomerQuotasTest.java
+++ b/serving/src/test/java/org/whinhead/serving/quota/CustomerQuotasTest.java
@@ -175,6 +175,28 @@
         assertThat(mRequests.get(1).slot()).isNotEqualTo(mRequests.get(0).slot());
     }
 
+    /**
+     * Guards against rejections of a customer within its allowance whose tokens are spread over all
+     * shares, so that none can meet a claim alone.
+     */
+    @Test
+    void claimThatNoShareCanMeetIsSplitOverAll() {
+        setHolder(OTHER);
+        claim(REQUEST, 10_000);
+        for (int share = 0; share < ShareLimits.SHARES; share++) {
+            respond(mRequests.get(share), TokenResponse.Outcome.TOO_FEW, 700, 10_001);
+        }
+        final List<TokenRequest> parts =
+                List.copyOf(mRequests.subList(ShareLimits.SHARES, mRequests.size()));
+        assertThat(parts).hasSize(ShareLimits.SHARES);
+        assertThat(parts.stream().mapToLong(TokenRequest::tokens).sum()).isEqualTo(REQUEST);
+
+        parts.forEach(part -> respond(part, TokenResponse.Outcome.ISSUED, 300, 10_002));
+
+        assertThat(mGranted).hasSize(1);
+        assertThat(mReturns).containsExactlyElementsOf(mRequests.subList(0, ShareLimits.SHARES));
+    }
+
     // Once all holders have reported empty shares, the next claim is rejected at once: requesting
     // tokens again would only delay the rejection.
     @Test
--- a/serving/src/test/java/org/whinhead/serving/quota/ShareBucketTest.java
+++ b/serving/src/test/java/org/whinhead/serving/quota/ShareBucketTest.java
@@ -100,6 +100,21 @@
         assertThat(issuePart(5, 500, 2_000)).isTrue();
     }
 
+    /**
+     * Guards against tokens that stay reserved for a claim that another share has met: the smaller
+     * claims of a customer within its allowance would be rejected meanwhile.
+     */
+    @Test
+    void reservationEndsWithItsClaim() {
+        mBucket.issue(key(1), 700, false, START);
+        assertThat(mBucket.issue(key(2), 560, false, START)).isFalse();
+        assertThat(mBucket.issue(key(3), 300, false, START)).isFalse();
+
+        mBucket.returnTokens(key(2), START);
+
+        assertThat(mBucket.issue(key(4), 300, false, START)).isTrue();
+    }
+
     private boolean issuePart(final long requestId, final long tokens, final long claimTokens) {
         return mBucket.issue(
                 key(requestId), new ShareBucket.ClaimPart(tokens, claimTokens), false, START);
