Read the lease at once if a claim is refused after one without an answer

What users saw: with an answer of the store lost, nobody reported usage or ordered endpoints for two more renewals; the usage of a window, due 10 s after its end, is reported 2 to 3 s after it, and two lost answers made it late.

Cause: a claim that the store had appended without an answer left the holder with the end from before. Its next claim was refused, it took that for another holder, and read its own record only at the renewal after.

Evidence: DutyLeaseManagerTest#holderContinuesAtTheNextRenewalAfterLostAnswer failed before. The lease is now read at once after such a refusal, and claimed again if the record is the daemon's own; another daemon's record is respected as before.

--- a/gateway/src/main/java/org/whinhead/gateway/duty/DutyLeaseManager.java
+++ b/gateway/src/main/java/org/whinhead/gateway/duty/DutyLeaseManager.java
@@ -60,6 +60,7 @@
     private Instant mClaimedAtTimeOfDay;
     private Instant mTickedAt;
     private boolean mCallPending;
+    private boolean mClaimUnanswered;
     private boolean mStopped;
 
     /**
@@ -260,9 +261,9 @@
         if (failure != null) {
             handleUnansweredClaim(failure);
         } else if (end.isEmpty()) {
-            mLease.recordLost();
-            LOG.info("lease is held by another daemon");
+            handleRefusedClaim();
         } else {
+            mClaimUnanswered = false;
             if (!renewal) {
                 LOG.atInfo().addKeyValue("token", mClaimedRecord.token()).log("lease taken");
             }
@@ -270,6 +271,22 @@
         }
     }
 
+    /**
+     * Gives the lease up. If a claim before was not answered, the store may have appended it, and
+     * the lease is read at once: waiting for two more renewals would delay the usage reports and
+     * the orders of a holder that nobody has replaced.
+     */
+    private void handleRefusedClaim() {
+        mLease.recordLost();
+        if (mClaimUnanswered) {
+            mClaimUnanswered = false;
+            LOG.info("lease claim refused after one without an answer, reading the lease");
+            readLease();
+        } else {
+            LOG.info("lease is held by another daemon");
+        }
+    }
+
     /**
      * Continues under the last renewal while it is valid. The store may refuse the holder just as
      * its endpoints are reclaimed; a holder that gave up at the first refusal left nobody to order
@@ -278,6 +295,7 @@
      * same, the next one finds another end.
      */
     private void handleUnansweredClaim(final Throwable failure) {
+        mClaimUnanswered = true;
         final boolean stillHeld = fencingToken().isPresent();
         if (!stillHeld) {
             mLease.recordLost();
--- a/gateway/src/test/java/org/whinhead/gateway/duty/DutyLeaseManagerTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/duty/DutyLeaseManagerTest.java
@@ -19,6 +19,7 @@
 import org.whinhead.gateway.exchange.TestServing;
 import org.whinhead.gateway.store.MetadataStore;
 import org.whinhead.gateway.store.StorePage;
+import org.whinhead.gateway.store.StoreRecord;
 import org.whinhead.gateway.store.StoreTopic;
 import org.whinhead.serving.capacity.CapacityOrder;
 import org.whinhead.serving.capacity.CapacityPlanner;
@@ -60,11 +61,13 @@
     private static final class FakeStore implements MetadataStore {
         private boolean mRefuses;
         private boolean mWrittenByAnother;
+        private boolean mLosesAnswers;
         private long mEnd;
+        private List<StoreRecord> mRecords = List.of();
 
         @Override
         public CompletableFuture<StorePage> newest(final StoreTopic topic) {
-            return CompletableFuture.completedFuture(new StorePage(List.of(), mEnd, false));
+            return CompletableFuture.completedFuture(new StorePage(mRecords, mEnd, false));
         }
 
         @Override
@@ -86,6 +89,13 @@
                 return CompletableFuture.failedFuture(new IllegalStateException("refused"));
             }
             final boolean accepted = !mWrittenByAnother && end == mEnd;
+            if (accepted) {
+                mRecords = List.of(new StoreRecord(key, Optional.of(value), mEnd));
+            }
+            if (mLosesAnswers) {
+                mEnd += accepted ? 1 : 0;
+                return CompletableFuture.failedFuture(new IllegalStateException("answer lost"));
+            }
             return CompletableFuture.completedFuture(
                     accepted ? OptionalLong.of(++mEnd) : OptionalLong.empty());
         }
@@ -168,6 +178,18 @@
         assertThat(mCloud.mOrders).isNotEmpty();
     }
 
+    // Guards against usage and orders that wait for two more renewals after the store has accepted
+    // one and its answer was lost: the next one finds another end, which is the holder's own.
+    @Test
+    void holderContinuesAtTheNextRenewalAfterLostAnswer() {
+        mStore.mLosesAnswers = true;
+        advanceSeconds(1);
+        mStore.mLosesAnswers = false;
+        advanceSeconds(1);
+        removeEndpoint();
+        assertThat(mCloud.mOrders).isNotEmpty();
+    }
+
     @Test
     void holderWithoutRenewalStopsBeforeTakeover() {
         mStore.mRefuses = true;
