--- a/serving/src/main/java/org/whinhead/serving/balance/CandidateSampler.java
+++ b/serving/src/main/java/org/whinhead/serving/balance/CandidateSampler.java
@@ -15,8 +15,6 @@
  * daemons compared all endpoints, all would send every request to the endpoint that was idle at the
  * last report. Comparing a few that differ from request to request spreads the load, and is nearly
  * as good as comparing all with current knowledge (Mitzenmacher, "How useful is old information?").
- * On a busy day with 17 daemons it raised the earned share of the owed amount from 0.356 to 0.389,
- * including the reserve of allowances.
  */
 final class CandidateSampler {
 
--- a/serving/src/main/java/org/whinhead/serving/capacity/CapacitySettings.java
+++ b/serving/src/main/java/org/whinhead/serving/capacity/CapacitySettings.java
@@ -6,13 +6,11 @@
 public final class CapacitySettings {
 
     /**
-     * The settings for model services. Within a wave of reclaims all of the need must survive:
-     * where all three domains were reclaimed within nine seconds, and the last while no daemon
-     * could order, that earned 0.14 of the day more than a third did; on days of two reclaims it
-     * costs 0.01. In calm times only a third of the need must survive the next reclaim: that earned
-     * 0.03 to 0.09 of the owed amount more on days with two reclaims, since half of the on-demand
-     * endpoints were not needed. With a load of 1.17 of an engine's prefill rate a service that had
-     * lost all reclaimable endpoints served 0.73 of the owed amount, not 0.86.
+     * The settings for model services. Within a wave of reclaims all of the need must survive, as
+     * the last reclaim may come while no daemon can order replacements. In calm times only a third
+     * of the need must survive the next reclaim: on-demand endpoints for more of it would mostly be
+     * idle. The load stays below an engine's prefill rate, so that a service that has lost all
+     * reclaimable endpoints still serves most requests.
      */
     public static final CapacitySettings USUAL = usual().build();
 
