--- a/gateway/src/main/java/org/whinhead/gateway/duty/DutyLeaseManager.java
+++ b/gateway/src/main/java/org/whinhead/gateway/duty/DutyLeaseManager.java
@@ -4,12 +4,8 @@
 import io.netty.channel.EventLoop;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.ArrayList;
-import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -23,7 +19,6 @@
 import org.whinhead.serving.duty.LeaseRecord;
 import org.whinhead.serving.duty.StoredLease;
 import org.whinhead.serving.duty.UsageDecider;
-import org.whinhead.serving.duty.UsageDecision;
 import org.whinhead.serving.member.MemberTable;
 
 /**
@@ -50,11 +45,9 @@
     private final ServingState mState;
     private final MemberTable mMembers;
     private final MetadataStore mStore;
-    private final FencedCloudClient mCloud;
     private final EndpointAutoscaler mAutoscaler;
     private final DutyLease mLease;
-    private final UsageDecider mUsagePlan;
-    private final Set<Long> mDeliveredWindows = new HashSet<>();
+    private final UsageReporter mUsageReporter;
     private LeaseRecord mClaimedRecord;
     private Instant mClaimedAt;
     private Instant mClaimedAtTimeOfDay;
@@ -84,9 +77,8 @@
         mState = state;
         mMembers = members;
         mStore = store;
-        mCloud = cloud;
         mLease = duties.lease();
-        mUsagePlan = duties.usagePlan();
+        mUsageReporter = new UsageReporter(state, cloud, duties.usagePlan());
         mAutoscaler =
                 new EndpointAutoscaler(loop, state, cloud, duties.planner(), this::fencingToken);
     }
@@ -211,10 +203,7 @@
         mCallPending = true;
         final boolean renewal = mLease.isHeld();
         final Instant timeOfDay = mState.timeOfDay().instant();
-        final List<UsageDecision> decisions =
-                mUsagePlan.decide(markDelivered(mLease.decisions()), mState.usageClock().instant());
-        logSkippedWindows(mLease.decisions(), decisions);
-        mClaimedRecord = mLease.claimRecord(decisions);
+        mClaimedRecord = mLease.claimRecord(mUsageReporter.decide(mLease.decisions()));
         mClaimedAt = mState.clock().instant();
         mClaimedAtTimeOfDay = timeOfDay;
         mStore.appendAt(
@@ -229,33 +218,6 @@
                         });
     }
 
-    /** Logs windows whose usage is never reported, since no holder decided on them in time. */
-    private static void logSkippedWindows(
-            final List<UsageDecision> previous, final List<UsageDecision> decisions) {
-        if (previous.isEmpty() || decisions.size() == previous.size()) {
-            return;
-        }
-        final long expected = previous.get(previous.size() - 1).window() + 1;
-        final long next = decisions.get(previous.size()).window();
-        if (next > expected) {
-            LOG.atWarn()
-                    .addKeyValue("first", expected)
-                    .addKeyValue("last", next - 1)
-                    .log("usage windows skipped");
-        }
-    }
-
-    private List<UsageDecision> markDelivered(final List<UsageDecision> decisions) {
-        final List<UsageDecision> marked = new ArrayList<>();
-        for (final UsageDecision decision : decisions) {
-            marked.add(
-                    mDeliveredWindows.contains(decision.window())
-                            ? decision.asDelivered()
-                            : decision);
-        }
-        return marked;
-    }
-
     private void handleClaimResult(
             final boolean renewal, final OptionalLong end, final Throwable failure) {
         if (failure != null) {
@@ -314,11 +276,7 @@
     }
 
     private void performDuties() {
-        for (final UsageDecision decision : mLease.decisions()) {
-            if (!decision.delivered() && !mDeliveredWindows.contains(decision.window())) {
-                fencingToken().ifPresent(fencingToken -> reportUsage(fencingToken, decision));
-            }
-        }
+        mUsageReporter.reportUndelivered(mLease.decisions(), this::fencingToken);
         mAutoscaler.orderEndpoints();
     }
 
@@ -330,27 +288,4 @@
     public Optional<Long> fencingToken() {
         return mLease.fencingToken(mState.clock().instant(), mState.timeOfDay().instant());
     }
-
-    private void reportUsage(final long fencingToken, final UsageDecision decision) {
-        mCloud.reportUsage(fencingToken, decision)
-                .whenComplete(
-                        (accepted, failure) -> {
-                            if (failure == null && accepted) {
-                                mDeliveredWindows.add(decision.window());
-                            }
-                            LOG.atInfo()
-                                    .addKeyValue("window", decision.window())
-                                    .addKeyValue("millisAfterEnd", millisAfterEnd(decision))
-                                    .addKeyValue("counts", decision.counts())
-                                    .addKeyValue("token", fencingToken)
-                                    .addKeyValue("taken", accepted)
-                                    .addKeyValue("failure", String.valueOf(failure))
-                                    .log("usage reported");
-                        });
-    }
-
-    private long millisAfterEnd(final UsageDecision decision) {
-        final Instant end = mState.usageWindows().endOf(decision.window());
-        return Duration.between(end, mState.usageClock().instant()).toMillis();
-    }
 }
