Choose the keepers of tickets by the router's rendezvous hash

TicketKeepers had a hash of its own, a checksum whose order of two members depends on few bits of the key. One function for both.

--- a/daemon/src/main/java/org/whinhead/daemon/peers/TicketKeepers.java
+++ b/daemon/src/main/java/org/whinhead/daemon/peers/TicketKeepers.java
@@ -1,15 +1,14 @@
 package org.whinhead.daemon.peers;
 
-import java.nio.charset.StandardCharsets;
 import java.util.Comparator;
 import java.util.List;
 import java.util.stream.Stream;
-import java.util.zip.CRC32;
 import org.whinhead.api.model.VmId;
 import org.whinhead.api.model.VmState;
 import org.whinhead.api.request.RequestId;
 import org.whinhead.membership.DaemonMember;
 import org.whinhead.membership.MembershipView;
+import org.whinhead.routing.RendezvousHash;
 
 /**
  * Selects the daemons that keep a request's ticket, by rendezvous hashing: every daemon finds the
@@ -39,19 +38,17 @@
 
     private static Stream<DaemonMember> ranked(
             final MembershipView view, final VmId self, final RequestId request) {
+        final long key = RendezvousHash.hash(request.value());
         return view.daemons().stream()
                 .filter(member -> !member.id().equals(self))
                 .filter(member -> member.vm().state() != VmState.GONE)
                 .sorted(
-                        Comparator.<DaemonMember>comparingLong(member -> rank(member, request))
+                        Comparator.<DaemonMember>comparingLong(member -> score(member, key))
+                                .reversed()
                                 .thenComparing(DaemonMember::id));
     }
 
-    private static long rank(final DaemonMember member, final RequestId request) {
-        final CRC32 hash = new CRC32();
-        hash.update(request.value().getBytes(StandardCharsets.UTF_8));
-        hash.update(0);
-        hash.update(member.id().value().getBytes(StandardCharsets.UTF_8));
-        return hash.getValue();
+    private static long score(final DaemonMember member, final long key) {
+        return RendezvousHash.score(RendezvousHash.hash(member.id().value()), key);
     }
 }
--- a/daemon/src/test/java/org/whinhead/daemon/peers/TicketSharingTest.java
+++ b/daemon/src/test/java/org/whinhead/daemon/peers/TicketSharingTest.java
@@ -31,6 +31,7 @@
 
     private static final int DAEMONS = 9;
     private static final int REQUESTS = 200;
+    private static final int EVEN_REQUESTS = 4_000;
     private static final FailureDomain DOMAIN = new FailureDomain("region", "domain");
 
     private final Map<VmId, DaemonMember> mMembers = new HashMap<>();
@@ -81,6 +82,21 @@
         }
     }
 
+    /** Guards against a daemon that keeps most tickets of all, and drops them early. */
+    @Test
+    void keepersAreSpreadEvenly() {
+        final MembershipView view = new MembershipView(1, DOMAIN, mMembers, Map.of());
+        final Map<VmId, Integer> kept = new HashMap<>();
+        for (int i = 0; i < EVEN_REQUESTS; i++) {
+            TicketKeepers.ofOwnRequest(view, vm(0), request(i))
+                    .forEach(keeper -> kept.merge(keeper.id(), 1, Integer::sum));
+        }
+        final int mean = 2 * EVEN_REQUESTS / (DAEMONS - 1);
+        assertThat(kept).hasSize(DAEMONS - 1);
+        assertThat(kept.values())
+                .allSatisfy(count -> assertThat(count).isBetween(mean / 2, mean * 3 / 2));
+    }
+
     @Test
     void unknownRequestHasNoTicket() {
         assertThat(find(1, request(1))).isEmpty();
--- a/routing/src/main/java/org/whinhead/routing/RendezvousHash.java
+++ b/routing/src/main/java/org/whinhead/routing/RendezvousHash.java
@@ -7,7 +7,7 @@
  * scores own the key. All daemons agree without messages, and removing a member moves only its
  * keys.
  */
-final class RendezvousHash {
+public final class RendezvousHash {
 
     private static final LongHashFunction TEXT_HASH = LongHashFunction.xx3();
     private static final long FIRST_FACTOR = 0xbf58476d1ce4e5b9L;
@@ -17,11 +17,24 @@
 
     private RendezvousHash() {}
 
-    static long hash(final String text) {
+    /**
+     * Returns the hash of a member's or a key's name.
+     *
+     * @param text the name
+     * @return the hash
+     */
+    public static long hash(final String text) {
         return TEXT_HASH.hashChars(text);
     }
 
-    static long score(final long member, final long key) {
+    /**
+     * Returns the score of a member for a key.
+     *
+     * @param member the hash of the member's name
+     * @param key the hash of the key
+     * @return the score; the member with the highest one comes first
+     */
+    public static long score(final long member, final long key) {
         final long mixed = (member ^ key ^ ((member ^ key) >>> FIRST_SHIFT)) * FIRST_FACTOR;
         return (mixed ^ (mixed >>> SECOND_SHIFT)) * SECOND_FACTOR;
     }
