Don't report ready without the port for callers, and log errors of connections

A daemon that couldn't open its port for callers said nothing, reported that it was ready and stood in the directory: callers got its address and reached nobody, or the process that held the port, for as long as the daemon lived. A previous daemon that is still stopping is enough.

- A daemon is ready only while its port for callers is open.

--- a/gateway/src/main/java/org/whinhead/gateway/Gateway.java
+++ b/gateway/src/main/java/org/whinhead/gateway/Gateway.java
@@ -305,7 +305,8 @@
                 !mStopping
                         && mState.configuration().current().isPresent()
                         && mState.quotas().isReady()
-                        && mEndpointWatch.isLoaded();
+                        && mEndpointWatch.isLoaded()
+                        && mCallerServer.isListening();
         mMembers.setSelfReady(ready);
         return ready;
     }
--- a/gateway/src/main/java/org/whinhead/gateway/caller/CallerConnection.java
+++ b/gateway/src/main/java/org/whinhead/gateway/caller/CallerConnection.java
@@ -27,7 +27,10 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.whinhead.gateway.endpoint.EndpointResponse;
+import org.whinhead.gateway.http.ConnectionExceptions;
 
 /**
  * One connection of a caller, which serves its requests one after the other.
@@ -37,6 +40,8 @@
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter implements CallerResponse {
 
+    private static final Logger LOG = LoggerFactory.getLogger(CallerConnection.class);
+
     private static final int MAX_QUEUED_MESSAGES = 64;
 
     /** The decimals of the seconds in Retry-After, which state milliseconds. */
@@ -313,6 +318,7 @@
 
     @Override
     public void exceptionCaught(final ChannelHandlerContext context, final Throwable cause) {
+        ConnectionExceptions.log(LOG, "caller", cause);
         context.close();
     }
 }
--- a/gateway/src/main/java/org/whinhead/gateway/caller/CallerHttpServer.java
+++ b/gateway/src/main/java/org/whinhead/gateway/caller/CallerHttpServer.java
@@ -1,7 +1,6 @@
 package org.whinhead.gateway.caller;
 
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -17,6 +16,7 @@
 import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.whinhead.gateway.http.ListeningPort;
 import org.whinhead.serving.configuration.CallerLimits;
 
 /** The HTTP server for callers, which tracks their connections. */
@@ -30,7 +30,7 @@
     private final CallerRequestHandler mHandler;
     private final Supplier<CallerLimits> mLimits;
     private final Set<CallerConnection> mConnections = new HashSet<>();
-    private Channel mServer;
+    private ListeningPort mPort;
     private boolean mStopping;
 
     /**
@@ -58,15 +58,24 @@
      * @param address the address to listen at
      */
     public void listen(final InetSocketAddress address) {
-        mServer =
-                new ServerBootstrap()
-                        .group(mLoop)
-                        .channel(NioServerSocketChannel.class)
-                        .option(ChannelOption.SO_BACKLOG, BACKLOG)
-                        .childOption(ChannelOption.TCP_NODELAY, true)
-                        .childHandler(new PipelineInitializer())
-                        .bind(address)
-                        .channel();
+        mPort =
+                new ListeningPort(
+                        mLoop,
+                        new ServerBootstrap()
+                                .channel(NioServerSocketChannel.class)
+                                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                                .childOption(ChannelOption.TCP_NODELAY, true)
+                                .childHandler(new PipelineInitializer()),
+                        address);
+    }
+
+    /**
+     * Returns whether callers can connect.
+     *
+     * @return true while the port is open
+     */
+    public boolean isListening() {
+        return mPort != null && mPort.isOpen();
     }
 
     /** Closes idle connections at once, and each other one after its current response. */
@@ -81,7 +90,7 @@
 
     /** Stops accepting connections. */
     public void stopAccepting() {
-        mServer.close();
+        mPort.close();
     }
 
     /**
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnection.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnection.java
@@ -13,6 +13,9 @@
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.util.ReferenceCountUtil;
 import java.time.Duration;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.whinhead.gateway.http.ConnectionExceptions;
 
 /**
  * A connection to an endpoint, which carries one request at a time.
@@ -24,6 +27,8 @@
  */
 public final class EndpointConnection extends ChannelInboundHandlerAdapter {
 
+    private static final Logger LOG = LoggerFactory.getLogger(EndpointConnection.class);
+
     private final EndpointProtocol mProtocol;
     private final EndpointConnections.Pool mPool;
     private Channel mChannel;
@@ -179,6 +184,7 @@
 
     @Override
     public void exceptionCaught(final ChannelHandlerContext context, final Throwable cause) {
+        ConnectionExceptions.log(LOG, "endpoint", cause);
         fail(EndpointFailure.CONNECTION_LOST);
     }
 }
--- a/gateway/src/main/java/org/whinhead/gateway/http/EventLoopHttpClient.java
+++ b/gateway/src/main/java/org/whinhead/gateway/http/EventLoopHttpClient.java
@@ -25,6 +25,8 @@
 import java.util.Deque;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * An HTTP client for one server, in which each call in progress has its own connection.
@@ -34,6 +36,8 @@
  */
 public final class EventLoopHttpClient {
 
+    private static final Logger LOG = LoggerFactory.getLogger(EventLoopHttpClient.class);
+
     private static final int MAX_IDLE_CONNECTIONS = 4;
     private static final int MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
 
@@ -198,6 +202,7 @@
 
         @Override
         public void exceptionCaught(final ChannelHandlerContext context, final Throwable cause) {
+            ConnectionExceptions.log(LOG, "outbound", cause);
             if (mPending != null) {
                 mPending.fail("connection lost: " + cause);
             }
--- a/gateway/src/main/java/org/whinhead/gateway/http/SimpleHttpServer.java
+++ b/gateway/src/main/java/org/whinhead/gateway/http/SimpleHttpServer.java
@@ -2,7 +2,6 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
@@ -52,39 +51,29 @@
      * @param address the address to listen at
      * @param contentType the content type of the responses
      * @param responder returns the response to a path and query
-     * @return the listening channel
+     * @return the port
      */
-    public Channel listen(
+    public ListeningPort listen(
             final InetSocketAddress address,
             final String contentType,
             final Function<String, HttpReply> responder) {
-        return new ServerBootstrap()
-                .group(mLoop)
-                .channel(NioServerSocketChannel.class)
-                .childHandler(
-                        new ChannelInitializer<SocketChannel>() {
-                            @Override
-                            protected void initChannel(final SocketChannel channel) {
-                                channel.pipeline()
-                                        .addLast(new IdleStateHandler(0, 0, IDLE_SECONDS))
-                                        .addLast(new HttpServerCodec())
-                                        .addLast(new HttpObjectAggregator(MAX_REQUEST_BYTES))
-                                        .addLast(new RequestHandler(contentType, responder));
-                            }
-                        })
-                .bind(address)
-                .addListener(bound -> logFailure(address, bound.cause()))
-                .channel();
-    }
-
-    /** A daemon whose port is in use keeps running; the line shows why it does not respond. */
-    private static void logFailure(final InetSocketAddress address, final Throwable cause) {
-        if (cause != null) {
-            LOG.atError()
-                    .addKeyValue("address", address)
-                    .addKeyValue("cause", cause.toString())
-                    .log("port not opened");
-        }
+        final ChannelInitializer<SocketChannel> initializer =
+                new ChannelInitializer<>() {
+                    @Override
+                    protected void initChannel(final SocketChannel channel) {
+                        channel.pipeline()
+                                .addLast(new IdleStateHandler(0, 0, IDLE_SECONDS))
+                                .addLast(new HttpServerCodec())
+                                .addLast(new HttpObjectAggregator(MAX_REQUEST_BYTES))
+                                .addLast(new RequestHandler(contentType, responder));
+                    }
+                };
+        return new ListeningPort(
+                mLoop,
+                new ServerBootstrap()
+                        .channel(NioServerSocketChannel.class)
+                        .childHandler(initializer),
+                address);
     }
 
     private static final class RequestHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
@@ -123,6 +112,7 @@
 
         @Override
         public void exceptionCaught(final ChannelHandlerContext context, final Throwable cause) {
+            ConnectionExceptions.log(LOG, "status", cause);
             context.close();
         }
     }
--- a/gateway/src/main/java/org/whinhead/gateway/peers/PeerDatagramChannel.java
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/PeerDatagramChannel.java
@@ -3,7 +3,6 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -26,6 +25,7 @@
 import org.whinhead.gateway.generated.GatewayProto.Datagram;
 import org.whinhead.gateway.generated.GatewayProto.EndpointNews;
 import org.whinhead.gateway.generated.GatewayProto.PeerReport;
+import org.whinhead.gateway.http.ListeningPort;
 import org.whinhead.serving.capacity.CapacityOrder;
 import org.whinhead.serving.endpoint.EndpointChange;
 import org.whinhead.serving.member.MemberTable;
@@ -72,7 +72,7 @@
     private BiConsumer<Datagram, InetSocketAddress> mOnTokenDatagram = (datagram, sender) -> {};
     private long mReceiversVersion = -1;
     private List<InetSocketAddress> mSortedReceivers = List.of();
-    private Channel mChannel;
+    private ListeningPort mPort;
     private int mReceiverIndex;
     private long mReportRounds;
     private boolean mLeaving;
@@ -99,13 +99,13 @@
 
     /** Opens the channel and starts to send reports. */
     public void start() {
-        mChannel =
-                new Bootstrap()
-                        .group(mLoop)
-                        .channel(NioDatagramChannel.class)
-                        .handler(new DatagramHandler())
-                        .bind(mMembers.self().peerAddress())
-                        .channel();
+        mPort =
+                new ListeningPort(
+                        mLoop,
+                        new Bootstrap()
+                                .channel(NioDatagramChannel.class)
+                                .handler(new DatagramHandler()),
+                        mMembers.self().peerAddress());
         tick();
     }
 
@@ -153,7 +153,7 @@
             mReceiverIndex = (mReceiverIndex + 1) % receivers.size();
             write(bytes, receivers.get(mReceiverIndex));
         }
-        mChannel.flush();
+        mPort.channel().flush();
     }
 
     /**
@@ -172,7 +172,7 @@
     }
 
     private void write(final byte[] bytes, final InetSocketAddress receiver) {
-        mChannel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), receiver));
+        mPort.channel().write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), receiver));
     }
 
     /**
@@ -302,7 +302,7 @@
      */
     public void send(final InetSocketAddress receiver, final Datagram datagram) {
         write(datagram.toByteArray(), receiver);
-        mChannel.flush();
+        mPort.channel().flush();
     }
 
     /** Sends a digest of the store to all, if this daemon reads for the others. */
@@ -315,7 +315,7 @@
     private void sendToAll(final Datagram datagram) {
         final byte[] bytes = datagram.toByteArray();
         sortedReceivers().forEach(receiver -> write(bytes, receiver));
-        mChannel.flush();
+        mPort.channel().flush();
     }
 
     private PeerReport createReport() {
