--- a/daemon/src/test/java/org/whinhead/daemon/peers/TicketSharingTest.java
+++ b/daemon/src/test/java/org/whinhead/daemon/peers/TicketSharingTest.java
@@ -32,7 +32,8 @@
     private static final int DAEMONS = 9;
     private static final int REQUESTS = 200;
     private static final int EVEN_REQUESTS = 4_000;
-    private static final FailureDomain DOMAIN = new FailureDomain("region", "domain");
+    private static final int DOMAINS = 3;
+    private static final int KEEPERS = 4;
 
     private final Map<VmId, DaemonMember> mMembers = new HashMap<>();
     private final Map<VmId, TicketSharing> mSharings = new HashMap<>();
@@ -42,15 +43,12 @@
     void startDaemons() {
         for (int i = 0; i < DAEMONS; i++) {
             final VmId id = vm(i);
-            mMembers.put(id, member(id));
+            mMembers.put(id, member(id, domain(i)));
+        }
+        for (int i = 0; i < DAEMONS; i++) {
+            final MembershipView view = view(i);
+            mSharings.put(vm(i), new TicketSharing(new MemoryTransport(), vm(i), () -> view));
         }
-        final MembershipView view = new MembershipView(1, DOMAIN, mMembers, Map.of());
-        mMembers.keySet()
-                .forEach(
-                        id ->
-                                mSharings.put(
-                                        id,
-                                        new TicketSharing(new MemoryTransport(), id, () -> view)));
     }
 
     /** Guards against a whole answer that is computed again after its daemon is lost. */
@@ -82,17 +80,59 @@
         }
     }
 
+    /** Guards against a ticket that is lost with the failure domain of its daemon. */
+    @Test
+    void ticketIsFoundAfterTheLossOfItsWritersDomain() {
+        for (int lost = 0; lost < DOMAINS; lost++) {
+            mLost.clear();
+            for (int i = 0; i < REQUESTS; i++) {
+                sharing(lost).store(request(i), "ticket-" + i);
+            }
+            for (int daemon = lost; daemon < DAEMONS; daemon += DOMAINS) {
+                mLost.add(vm(daemon));
+            }
+            for (int i = 0; i < REQUESTS; i++) {
+                assertThat(find((lost + 1) % DOMAINS, request(i))).isEqualTo("ticket-" + i);
+            }
+        }
+    }
+
+    /** Guards against a ticket that is lost when half of all daemons end at the same time. */
+    @Test
+    void ticketIsFoundAfterTheLossOfHalfOfTheDaemons() {
+        for (int i = 0; i < REQUESTS; i++) {
+            sharing(0).store(request(i), "ticket-" + i);
+        }
+        for (int second = 1; second < DAEMONS; second++) {
+            for (int third = second + 1; third < DAEMONS; third++) {
+                for (int fourth = third + 1; fourth < DAEMONS; fourth++) {
+                    mLost.clear();
+                    mLost.addAll(Set.of(vm(0), vm(second), vm(third), vm(fourth)));
+                    assertThatEveryTicketIsFound();
+                }
+            }
+        }
+    }
+
+    private void assertThatEveryTicketIsFound() {
+        for (int finder = 0; finder < DAEMONS; finder++) {
+            for (int i = 0; i < REQUESTS && !mLost.contains(vm(finder)); i++) {
+                assertThat(find(finder, request(i))).isEqualTo("ticket-" + i);
+            }
+        }
+    }
+
     /** Guards against a daemon that keeps most tickets of all, and drops them early. */
     @Test
     void keepersAreSpreadEvenly() {
-        final MembershipView view = new MembershipView(1, DOMAIN, mMembers, Map.of());
         final Map<VmId, Integer> kept = new HashMap<>();
         for (int i = 0; i < EVEN_REQUESTS; i++) {
-            TicketKeepers.ofOwnRequest(view, vm(0), request(i))
+            final int writer = i % DAEMONS;
+            TicketKeepers.ofOwnRequest(view(writer), vm(writer), request(i))
                     .forEach(keeper -> kept.merge(keeper.id(), 1, Integer::sum));
         }
-        final int mean = 2 * EVEN_REQUESTS / (DAEMONS - 1);
-        assertThat(kept).hasSize(DAEMONS - 1);
+        final int mean = KEEPERS * EVEN_REQUESTS / DAEMONS;
+        assertThat(kept).hasSize(DAEMONS);
         assertThat(kept.values())
                 .allSatisfy(count -> assertThat(count).isBetween(mean / 2, mean * 3 / 2));
     }
@@ -147,8 +187,16 @@
         return new RequestId("customer/request-" + number);
     }
 
-    private static DaemonMember member(final VmId id) {
-        final Vm vm = new Vm(id, "10.0.0.1", DOMAIN, "small", Billing.RECLAIMABLE, VmState.LIVE);
+    private static FailureDomain domain(final int daemon) {
+        return new FailureDomain("region", "domain-" + daemon % DOMAINS);
+    }
+
+    private MembershipView view(final int daemon) {
+        return new MembershipView(1, domain(daemon), mMembers, Map.of());
+    }
+
+    private static DaemonMember member(final VmId id, final FailureDomain domain) {
+        final Vm vm = new Vm(id, "10.0.0.1", domain, "small", Billing.RECLAIMABLE, VmState.LIVE);
         return new DaemonMember(
                 vm, new DaemonAddress(id, "10.0.0.1", 1), URI.create("http://10.0.0.1"));
     }
--- a/membership/src/main/java/org/whinhead/membership/MembershipView.java
+++ b/membership/src/main/java/org/whinhead/membership/MembershipView.java
@@ -46,6 +46,11 @@
         return mVersion;
     }
 
+    /** Returns the failure domain of the daemon that holds this view. */
+    public FailureDomain ownDomain() {
+        return mOwnDomain;
+    }
+
     /** Returns all daemons, in no particular order. */
     public Collection<DaemonMember> daemons() {
         return mDaemons.values();
