Go on after an unexpected exception in a periodic task

An event loop drops a periodic task that throws, and a completed call drops what its callback throws, both without a log line. One exception was enough for the rest of a daemon's life: - the lease was neither renewed nor read: no usage report, no order of endpoints from this daemon; - a topic was no longer read: the configuration and the endpoints stayed as they were; - no report went to the peers, which then take the daemon for lost; - the table of shares was no longer read, so that shares lapse. A lease claim or a table that can't be encoded left the manager waiting for a call that was never made.

GuardedTask logs the exception with its stack and goes on. Records that can't be applied make the follower read the newest ones of all keys again a second later, as a failure halfway may have lost some.

Read off the code while tracing the usage entry; no run has shown such an exception. DutyLeaseManagerTest#dutiesContinueAfterAnException and TopicFollowerTest#topicIsReadAgainAfterRecordsThatCannotBeApplied fail on the code before.

--- a/gateway/src/main/java/org/whinhead/gateway/Gateway.java
+++ b/gateway/src/main/java/org/whinhead/gateway/Gateway.java
@@ -31,6 +31,7 @@
 import org.whinhead.gateway.store.StoreTopic;
 import org.whinhead.gateway.store.TopicFollower;
 import org.whinhead.gateway.store.TopicListener;
+import org.whinhead.gateway.time.GuardedTask;
 import org.whinhead.serving.balance.EndpointChooser;
 import org.whinhead.serving.capacity.CapacityPlanner;
 import org.whinhead.serving.configuration.CallerLimits;
@@ -272,10 +273,10 @@
 
     /** Runs the checks that are due several times per second; one timer serves all of them. */
     private void runPeriodicTasks() {
-        mExchanges.measureLag();
-        mEndpointWatch.removeLapsedEntries();
-        mShareTable.tick();
-        mRollouts.ifPresent(RolloutParticipant::tick);
+        GuardedTask.run(LOG, "measure lag", mExchanges::measureLag);
+        GuardedTask.run(LOG, "remove lapsed entries", mEndpointWatch::removeLapsedEntries);
+        GuardedTask.run(LOG, "write table of shares", mShareTable::tick);
+        mRollouts.ifPresent(rollouts -> GuardedTask.run(LOG, "roll-outs", rollouts::tick));
     }
 
     private void publishEndpointChanges() {
@@ -350,7 +351,7 @@
         schedule(CLOSE_IDLE_AFTER, mCallerServer::drain);
         schedule(REFUSE_STREAMS_AFTER, mExchanges::refuseStreams);
         mLoop.scheduleWithFixedDelay(
-                () -> checkStopped(start, ended),
+                () -> GuardedTask.run(LOG, "stop", () -> checkStopped(start, ended)),
                 MIN_STOP_TIME.toMillis(),
                 STOP_CHECK_INTERVAL_MILLIS,
                 TimeUnit.MILLISECONDS);
--- a/gateway/src/main/java/org/whinhead/gateway/duty/DutyLeaseManager.java
+++ b/gateway/src/main/java/org/whinhead/gateway/duty/DutyLeaseManager.java
@@ -14,6 +14,7 @@
 import org.whinhead.gateway.store.StorePage;
 import org.whinhead.gateway.store.StoreRecord;
 import org.whinhead.gateway.store.StoreTopic;
+import org.whinhead.gateway.time.GuardedTask;
 import org.whinhead.serving.capacity.CapacityPlanner;
 import org.whinhead.serving.duty.DutyLease;
 import org.whinhead.serving.duty.LeaseRecord;
@@ -104,7 +105,7 @@
     /** Starts to read, claim and renew the lease. */
     public void start() {
         mLoop.scheduleWithFixedDelay(
-                this::tick,
+                () -> GuardedTask.run(LOG, "duties", this::tick),
                 RENEWAL_INTERVAL_MILLIS,
                 RENEWAL_INTERVAL_MILLIS,
                 TimeUnit.MILLISECONDS);
@@ -166,7 +167,8 @@
                         (page, failure) -> {
                             mCallPending = false;
                             if (failure == null) {
-                                handleLeaseRead(page, readAt);
+                                GuardedTask.run(
+                                        LOG, "lease read", () -> handleLeaseRead(page, readAt));
                             } else {
                                 LOG.atWarn()
                                         .addKeyValue("cause", String.valueOf(failure.getMessage()))
@@ -200,21 +202,21 @@
     }
 
     private void claim() {
-        mCallPending = true;
         final boolean renewal = mLease.isHeld();
         final Instant timeOfDay = mState.timeOfDay().instant();
         mClaimedRecord = mLease.claimRecord(mUsageReporter.decide(mLease.decisions()));
         mClaimedAt = mState.clock().instant();
         mClaimedAtTimeOfDay = timeOfDay;
-        mStore.appendAt(
-                        StoreTopic.DUTIES,
-                        LEASE_KEY,
-                        LeaseRecordCodec.encode(mClaimedRecord),
-                        mLease.endOffset())
+        final byte[] encoded = LeaseRecordCodec.encode(mClaimedRecord);
+        mCallPending = true;
+        mStore.appendAt(StoreTopic.DUTIES, LEASE_KEY, encoded, mLease.endOffset())
                 .whenComplete(
                         (end, failure) -> {
                             mCallPending = false;
-                            handleClaimResult(renewal, end, failure);
+                            GuardedTask.run(
+                                    LOG,
+                                    "lease claim result",
+                                    () -> handleClaimResult(renewal, end, failure));
                         });
     }
 
--- a/gateway/src/main/java/org/whinhead/gateway/peers/PeerDatagramChannel.java
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/PeerDatagramChannel.java
@@ -26,6 +26,7 @@
 import org.whinhead.gateway.generated.GatewayProto.EndpointNews;
 import org.whinhead.gateway.generated.GatewayProto.PeerReport;
 import org.whinhead.gateway.http.ListeningPort;
+import org.whinhead.gateway.time.GuardedTask;
 import org.whinhead.serving.capacity.CapacityOrder;
 import org.whinhead.serving.endpoint.EndpointChange;
 import org.whinhead.serving.member.MemberTable;
@@ -127,6 +128,11 @@
     }
 
     private void tick() {
+        GuardedTask.run(LOG, "report to peers", this::updateAndReport);
+        mLoop.schedule(this::tick, SEND_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void updateAndReport() {
         final Instant now = now();
         mMembers.expire(now);
         mMembers.silentMemberNames(now).forEach(mState.chooser()::forgetPeer);
@@ -136,7 +142,6 @@
                         mMembers.knownCount(),
                         mState.quotas().heldShares().table().map(ShareTable::daemons).orElse(0));
         sendToNextReceivers();
-        mLoop.schedule(this::tick, SEND_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     /** Sends a report to the next part of the receivers; all get one within the report interval. */
--- a/gateway/src/main/java/org/whinhead/gateway/quota/ShareTableSynchronizer.java
+++ b/gateway/src/main/java/org/whinhead/gateway/quota/ShareTableSynchronizer.java
@@ -24,6 +24,7 @@
 import org.whinhead.gateway.store.StorePage;
 import org.whinhead.gateway.store.StoreRecord;
 import org.whinhead.gateway.store.StoreTopic;
+import org.whinhead.gateway.time.GuardedTask;
 import org.whinhead.serving.member.Member;
 import org.whinhead.serving.member.MemberTable;
 import org.whinhead.serving.quota.ClockReading;
@@ -150,7 +151,10 @@
                         (page, failure) -> {
                             mCallPending = false;
                             if (failure == null) {
-                                applyPage(page, startedAt);
+                                GuardedTask.run(
+                                        LOG,
+                                        "apply table of shares",
+                                        () -> applyPage(page, startedAt));
                             }
                             scheduleRead(table().isPresent() ? READ_INTERVAL : RETRY_PAUSE);
                         });
@@ -240,12 +244,9 @@
     }
 
     private void write(final ShareTable table) {
+        final byte[] encoded = QuotaCodec.encode(table);
         mCallPending = true;
-        mStore.appendAt(
-                        StoreTopic.SHARES,
-                        TABLE_KEY,
-                        QuotaCodec.encode(table),
-                        mTopicEnd.getAsLong())
+        mStore.appendAt(StoreTopic.SHARES, TABLE_KEY, encoded, mTopicEnd.getAsLong())
                 .whenComplete(
                         (end, failure) -> {
                             mCallPending = false;
--- a/gateway/src/main/java/org/whinhead/gateway/store/TopicFollower.java
+++ b/gateway/src/main/java/org/whinhead/gateway/store/TopicFollower.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.whinhead.gateway.time.GuardedTask;
 
 /**
  * Reads a topic continuously: the newest records first, then appended ones.
@@ -115,8 +116,7 @@
         }
         markReachable();
         mNextOffset = page.end();
-        mListener.onSnapshot(page.records(), page.end());
-        scheduleNextRead(mPause);
+        apply(() -> mListener.onSnapshot(page.records(), page.end()));
     }
 
     private void handleRead(final StorePage page, final Throwable failure) {
@@ -137,8 +137,17 @@
         if (!records.isEmpty()) {
             mNextOffset = Math.max(mNextOffset, records.get(records.size() - 1).offset() + 1);
         }
-        mListener.onAppended(records);
-        scheduleNextRead(mPause);
+        apply(() -> mListener.onAppended(records));
+    }
+
+    /** Applies records; if that fails, reads the newest ones of all keys again. */
+    private void apply(final Runnable application) {
+        if (GuardedTask.run(LOG, "apply records of " + mTopic, application)) {
+            scheduleNextRead(mPause);
+        } else {
+            mNextOffset = -1;
+            scheduleNextRead(NON_READER_RETRY_PAUSE);
+        }
     }
 
     private void scheduleNextRead(final Duration pause) {
--- a/gateway/src/test/java/org/whinhead/gateway/duty/DutyLeaseManagerTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/duty/DutyLeaseManagerTest.java
@@ -190,6 +190,20 @@
         assertThat(mCloud.mOrders).isNotEmpty();
     }
 
+    // Guards against a holder that never renews its lease again, nor reads it: an unexpected
+    // exception, here of the clock, would end the periodic task.
+    @Test
+    void dutiesContinueAfterAnException() {
+        final Instant now = mNow;
+        mNow = null;
+        mChannel.advanceTimeBy(1, TimeUnit.SECONDS);
+        mChannel.runScheduledPendingTasks();
+        mNow = now;
+        advanceSeconds((int) TERM.toSeconds() + 2);
+        removeEndpoint();
+        assertThat(mCloud.mOrders).isNotEmpty();
+    }
+
     @Test
     void holderWithoutRenewalStopsBeforeTakeover() {
         mStore.mRefuses = true;
--- a/gateway/src/test/java/org/whinhead/gateway/store/TopicFollowerTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/store/TopicFollowerTest.java
@@ -15,12 +15,13 @@
 
     private final EmbeddedChannel mChannel = new EmbeddedChannel();
     private final CountingStore mStore = new CountingStore();
+    private final FailingListener mListener = new FailingListener();
     private final TopicFollower mFollower =
             new TopicFollower(
                     mChannel.eventLoop(),
                     mStore,
                     StoreTopic.CONFIGURATION,
-                    new IgnoringListener(),
+                    mListener,
                     new TopicFollower.PollSchedule(Duration.ZERO, Duration.ofMillis(400)),
                     new SoleReader());
 
@@ -56,15 +57,26 @@
         }
     }
 
-    private static final class IgnoringListener implements TopicListener {
+    /** Counts the snapshots and can fail to apply what it receives. */
+    private static final class FailingListener implements TopicListener {
+        private boolean mFails;
+        private int mSnapshots;
+
+        private void apply() {
+            if (mFails) {
+                throw new IllegalStateException("unexpected record");
+            }
+        }
+
         @Override
         public void onSnapshot(final List<StoreRecord> records, final long end) {
-            // These tests only count calls.
+            apply();
+            mSnapshots++;
         }
 
         @Override
         public void onAppended(final List<StoreRecord> records) {
-            // These tests only count calls.
+            apply();
         }
 
         @Override
@@ -122,6 +134,23 @@
         assertThat(mStore.mCalls).isLessThanOrEqualTo(9);
     }
 
+    /**
+     * Guards against a daemon that keeps an old configuration until it is restarted: an exception
+     * while records are applied must not end the reading of the topic.
+     */
+    @Test
+    void topicIsReadAgainAfterRecordsThatCannotBeApplied() {
+        mListener.mFails = true;
+        mFollower.readNow();
+        mListener.mFails = false;
+        mListener.mSnapshots = 0;
+
+        mChannel.advanceTimeBy(2, TimeUnit.SECONDS);
+        mChannel.runScheduledPendingTasks();
+
+        assertThat(mListener.mSnapshots).isEqualTo(1);
+    }
+
     @Test
     void daemonReadsAgainOnceStoreAccepts() {
         mStore.mRefuses = true;
