--- a/gateway/src/main/java/org/whinhead/gateway/duty/DutyLeaseManager.java
+++ b/gateway/src/main/java/org/whinhead/gateway/duty/DutyLeaseManager.java
@@ -253,10 +253,10 @@
 
     /**
      * Continues under the last renewal while it is valid. The store may refuse the holder just as
-     * its endpoints are reclaimed; a holder that gave up at the first refusal left nobody to order
-     * replacements until its successor's wait was over, 3.4 s later. It is safe: nobody else takes
-     * the lease before its term has passed since the last record. If the claim was written all the
-     * same, the next one finds another end.
+     * its endpoints are reclaimed; if it gave up at the first refusal, nobody would order
+     * replacements until its successor's wait is over. It is safe: nobody else takes the lease
+     * before its term has passed since the last record. If the claim was written all the same, the
+     * next one finds another end.
      */
     private void handleUnansweredClaim(final Throwable failure) {
         mClaimUnanswered = true;
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
@@ -318,8 +318,7 @@
 
     /**
      * Sends a request that waits for its first token at a leaving endpoint to another one, if it
-     * may run again. Otherwise the connection stays silent and the caller waits until its deadline,
-     * as happened at the last endpoints of a wave of reclaims.
+     * may run again. Otherwise the connection stays silent and the caller waits until its deadline.
      */
     private void redispatch() {
         final boolean hasUntriedEndpoint =
--- a/gateway/src/main/java/org/whinhead/gateway/peers/EndpointChangeCodec.java
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/EndpointChangeCodec.java
@@ -16,7 +16,7 @@
  *
  * <p>The record of a leaving endpoint omits what other daemons know. A reclaim changes all entries
  * of a failure domain at once, and each reader sends them to every daemon over a link of 10 Mbit/s:
- * complete entries saturated it, and half of the changes were lost.
+ * complete entries would saturate it, and it would drop many of the changes.
  */
 final class EndpointChangeCodec {
 
--- a/gateway/src/main/java/org/whinhead/gateway/peers/PeerDatagramChannel.java
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/PeerDatagramChannel.java
@@ -51,7 +51,7 @@
 
     /**
      * Pause per receiver between datagrams to all: the time of 1,200 bytes on a link of 10 Mbit/s.
-     * Without it, the second and later ones were lost.
+     * Without it, the link drops the second and later ones.
      */
     private static final long BROADCAST_PAUSE_MICROS_PER_RECEIVER = 1_000;
 
--- a/gateway/src/main/java/org/whinhead/gateway/store/TopicFollower.java
+++ b/gateway/src/main/java/org/whinhead/gateway/store/TopicFollower.java
@@ -89,8 +89,7 @@
      * Reads at once, because another daemon has read new records.
      *
      * <p>Does nothing while the store refuses this daemon: digests with new records arrive several
-     * times a second, and each refused call is billed. Twenty daemons that were refused for nine
-     * seconds while keys were revoked made a thousand calls.
+     * times a second, and each refused call is billed.
      */
     public void readNow() {
         if (mReachable && mTimer != null && mTimer.cancel(false)) {
--- a/serving/src/main/java/org/whinhead/serving/quota/CustomerQuotas.java
+++ b/serving/src/main/java/org/whinhead/serving/quota/CustomerQuotas.java
@@ -21,8 +21,8 @@
  * shares have issued its tokens.
  *
  * <p>No daemon estimates the spending of the others. Subtracting the reported spending from the
- * allowance admitted too much whenever reports were late or lost, a daemon was cut off, or all
- * daemons had just started. Here a lost message costs its customer tokens and never adds any.
+ * allowance admits too much whenever reports are late or lost, a daemon is cut off, or all daemons
+ * have just started. Here a lost message costs its customer tokens and never adds any.
  */
 public final class CustomerQuotas {
 
