Answer a repeated request after an unexpected exception

What a caller would see: a repeat of a whole answer without a ticket gets no answer at all, and its connection stays until the caller gives up. After the peers are asked for the ticket, the request is submitted in a task of the connection's thread, where the server doesn't end the exchange after an exception, as it does within its own calls. Found by reading the change; no run has shown such an exception.

Now the exception is logged with the request's name and answered 500. ChatHandlerTest#repeatedRequestIsAnsweredAfterAnException: before, the call timed out after 10 s.

--- a/daemon/src/main/java/org/whinhead/daemon/caller/ChatHandler.java
+++ b/daemon/src/main/java/org/whinhead/daemon/caller/ChatHandler.java
@@ -1,10 +1,13 @@
 package org.whinhead.daemon.caller;
 
 import io.undertow.server.HttpServerExchange;
+import io.undertow.util.StatusCodes;
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.Optional;
 import java.util.function.Supplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.whinhead.api.model.Customer;
 import org.whinhead.api.model.ModelRef;
 import org.whinhead.api.request.PrefixHashes;
@@ -22,6 +25,8 @@
 /** Parses and submits chat requests: {@code POST /v1/chat/completions}. */
 final class ChatHandler {
 
+    private static final Logger LOGGER = LoggerFactory.getLogger(ChatHandler.class);
+
     private final Supplier<DeploymentView> mView;
     private final RequestSubmitter mSubmitter;
     private final BodyReceiver mBodyReceiver;
@@ -92,6 +97,11 @@
             submit(exchange, customer, name, request, ticket);
         } catch (final RequestException e) {
             Refusals.send(exchange, e.refusal());
+        } catch (final RuntimeException e) {
+            // The server ends an exchange after an exception only within its own calls.
+            LOGGER.atError().setCause(e).addKeyValue("request", name).log("request not submitted");
+            exchange.setStatusCode(StatusCodes.INTERNAL_SERVER_ERROR);
+            exchange.endExchange();
         }
     }
 
