--- a/daemon/src/main/java/org/whinhead/daemon/caller/StreamedFormat.java
+++ b/daemon/src/main/java/org/whinhead/daemon/caller/StreamedFormat.java
@@ -61,9 +61,8 @@
     /**
      * Sends a ticket at once, as header of the response or in a comment line.
      *
-     * <p>Guards against a second computation of the whole prompt: a daemon ends after an engine
-     * began to work on a request and before its first token. A caller without the ticket sends the
-     * request anew, and nobody reads the engine's stream.
+     * <p>A caller whose daemon ends before the first token needs it to continue the engine's
+     * stream.
      */
     private void sendTicket(final String ticket, final ExchangeWriter writer) {
         if (writer.hasBegun() || mBatch.length() > 0) {
--- a/daemon/src/main/java/org/whinhead/daemon/ring/EventRing.java
+++ b/daemon/src/main/java/org/whinhead/daemon/ring/EventRing.java
@@ -93,9 +93,7 @@
     /**
      * Stops the thread after it handled the waiting events, or after a timeout.
      *
-     * <p>Guards against the loss of all events of a ring that is closed before its new thread runs:
-     * the library does not wait for a thread that is not running yet, and stops it without its
-     * events.
+     * <p>Waits for the thread to run first: the library drops the events of one that does not yet.
      */
     @Override
     public void close() {
--- a/gateway/src/main/java/org/whinhead/gateway/duty/DutyLeaseManager.java
+++ b/gateway/src/main/java/org/whinhead/gateway/duty/DutyLeaseManager.java
@@ -252,11 +252,8 @@
     }
 
     /**
-     * Continues under the last renewal while it is valid. The store may refuse the holder just as
-     * its endpoints are reclaimed; if it gave up at the first refusal, nobody would order
-     * replacements until its successor's wait is over. It is safe: nobody else takes the lease
-     * before its term has passed since the last record. If the claim was written all the same, the
-     * next one finds another end.
+     * Continues under the last renewal while it is valid: nobody else takes the lease before its
+     * term has passed, and until then nobody else would order replacements of lost endpoints.
      */
     private void handleUnansweredClaim(final Throwable failure) {
         mClaimUnanswered = true;
--- a/gateway/src/main/java/org/whinhead/gateway/peers/EndpointChangeCodec.java
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/EndpointChangeCodec.java
@@ -14,9 +14,8 @@
 /**
  * Encodes endpoint changes for other daemons and decodes them.
  *
- * <p>The record of a leaving endpoint omits what other daemons know. A reclaim changes all entries
- * of a failure domain at once, and each reader sends them to every daemon over a link of 10 Mbit/s:
- * complete entries would saturate it, and it would drop many of the changes.
+ * <p>The record of a leaving endpoint omits what other daemons know: a reclaim changes all entries
+ * of a failure domain at once, and complete ones would saturate a reader's link of 10 Mbit/s.
  */
 final class EndpointChangeCodec {
 
--- a/serving/src/main/java/org/whinhead/serving/capacity/CapacitySettings.java
+++ b/serving/src/main/java/org/whinhead/serving/capacity/CapacitySettings.java
@@ -7,10 +7,8 @@
 
     /**
      * The settings for model services. Within a wave of reclaims all of the need must survive, as
-     * the last reclaim may come while no daemon can order replacements. In calm times only a third
-     * of the need must survive the next reclaim: on-demand endpoints for more of it would mostly be
-     * idle. The load stays below an engine's prefill rate, so that a service that has lost all
-     * reclaimable endpoints still serves most requests.
+     * no daemon may be able to order replacements; in calm times a third, as on-demand endpoints
+     * for more would mostly be idle. The load stays below an engine's prefill rate.
      */
     public static final CapacitySettings USUAL = usual().build();
 
--- a/serving/src/main/java/org/whinhead/serving/quota/CustomerQuotas.java
+++ b/serving/src/main/java/org/whinhead/serving/quota/CustomerQuotas.java
@@ -20,9 +20,8 @@
  * Client of the distributed token buckets: admits a request once the holders of its customer's
  * shares have issued its tokens.
  *
- * <p>No daemon estimates the spending of the others. Subtracting the reported spending from the
- * allowance admits too much whenever reports are late or lost, a daemon is cut off, or all daemons
- * have just started. Here a lost message costs its customer tokens and never adds any.
+ * <p>No daemon estimates the spending of the others, which admits too much whenever reports are
+ * late or lost. Here a lost message costs its customer tokens and never adds any.
  */
 public final class CustomerQuotas {
 
--- a/serving/src/main/java/org/whinhead/serving/quota/ShareBucket.java
+++ b/serving/src/main/java/org/whinhead/serving/quota/ShareBucket.java
@@ -122,11 +122,9 @@
     }
 
     /**
-     * Reserves tokens for a rejected claim, so that smaller claims wait. Otherwise the small
-     * requests of a customer over its allowance would take every new token and its large requests
-     * would never be served. Whole claims are compared: a large one is split over several shares,
-     * and its parts are no larger than others. An even part of it is reserved, since every share
-     * that it asks reserves one.
+     * Reserves tokens for a rejected claim: otherwise the small requests of a customer over its
+     * allowance would take every new token. Whole claims are compared, as parts of a large one are
+     * no larger than others, and an even part is reserved, as every share that it asks does so.
      */
     private void reserve(
             final IssueKey key, final ClaimPart part, final boolean light, final Instant now) {
