--- a/gateway/src/main/java/org/whinhead/gateway/Gateway.java
+++ b/gateway/src/main/java/org/whinhead/gateway/Gateway.java
@@ -26,6 +26,7 @@
 import org.whinhead.gateway.quota.DatagramQuotaTransport;
 import org.whinhead.gateway.quota.ShareTableSynchronizer;
 import org.whinhead.gateway.rollout.RolloutParticipant;
+import org.whinhead.gateway.store.ConfigurationLagLogger;
 import org.whinhead.gateway.store.ConfigurationTopicListener;
 import org.whinhead.gateway.store.EndpointTopicListener;
 import org.whinhead.gateway.store.StoreTopic;
@@ -35,6 +36,7 @@
 import org.whinhead.serving.balance.EndpointChooser;
 import org.whinhead.serving.capacity.CapacityPlanner;
 import org.whinhead.serving.configuration.CallerLimits;
+import org.whinhead.serving.configuration.ConfigurationProgress;
 import org.whinhead.serving.configuration.ServingConfiguration;
 import org.whinhead.serving.duty.DutyLease;
 import org.whinhead.serving.duty.UsageDecider;
@@ -98,6 +100,7 @@
     private final Exchanges mExchanges;
     private final EndpointTopicListener mEndpointWatch;
     private final ConfigurationTopicListener mConfigurationWatch;
+    private final ConfigurationLagLogger mConfigurationLag;
     private final DigestReadCoordinator mDigests;
     private final PeerDatagramChannel mPeers;
     private final MemberDiscovery mAnnouncement;
@@ -138,12 +141,13 @@
                         mState,
                         connections,
                         ports.endpoints(),
-                        new RequestLogger(clock, mCounts),
+                        new RequestLogger(clock, mCounts, mState.configurationProgress()),
                         ports.mover());
         mCallerServer = new CallerHttpServer(loop, ports.callers(), mExchanges, this::limits);
         mConfigurationWatch =
                 new ConfigurationTopicListener(
                         mState, ports.configurations(), ports.configurationKey(), ports.rollouts());
+        mConfigurationLag = new ConfigurationLagLogger(mState.configurationProgress());
         mEndpointWatch = new EndpointTopicListener(mState, connections, ports.entries());
         mDigests = new DigestReadCoordinator(mState, mMembers);
         mPeers = new PeerDatagramChannel(loop, mState, mMembers, mDigests);
@@ -176,10 +180,20 @@
         mRollouts.ifPresent(duty -> mConfigurationWatch.onEarlierOrder(duty::recordEarlierOrder));
         mEndpointWatch.onLeaving(entry -> mExchanges.endpointLeaving(entry.id(), entry.leavesIn()));
         mEndpointWatch.onChange(mDuties.autoscaler()::orderEndpoints);
+        addConfigurationGauges();
         mDuties.autoscaler().onOrdered(mPeers::sendCapacityOrder);
         mPeers.onCapacityOrder(mDuties.autoscaler()::recordPeerOrder);
     }
 
+    private void addConfigurationGauges() {
+        final ConfigurationProgress progress = mState.configurationProgress();
+        mCounts.addGauge("whinhead.configuration.version", progress::version);
+        mCounts.addGauge("whinhead.configuration.newest.version", progress::newestVersion);
+        mCounts.addGauge(
+                "whinhead.configuration.behind.millis",
+                () -> progress.behindFor(mState.clock().instant()).toMillis());
+    }
+
     private static ServingState createState(
             final GatewaySettings settings,
             final DatagramQuotaTransport tokens,
@@ -275,6 +289,7 @@
     private void runPeriodicTasks() {
         GuardedTask.run(LOG, "measure lag", mExchanges::measureLag);
         GuardedTask.run(LOG, "remove lapsed entries", mEndpointWatch::removeLapsedEntries);
+        GuardedTask.run(LOG, "log lag", () -> mConfigurationLag.tick(mState.clock().instant()));
         GuardedTask.run(LOG, "write table of shares", mShareTable::tick);
         mRollouts.ifPresent(rollouts -> GuardedTask.run(LOG, "roll-outs", rollouts::tick));
     }
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/RequestLogger.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/RequestLogger.java
@@ -1,15 +1,18 @@
 package org.whinhead.gateway.exchange;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.time.InstantSource;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.slf4j.spi.LoggingEventBuilder;
 import org.whinhead.api.verdict.Verdict;
 import org.whinhead.gateway.caller.CallerRequest;
 import org.whinhead.gateway.caller.RefusalResponse;
 import org.whinhead.gateway.endpoint.MoveOutcome;
 import org.whinhead.gateway.metrics.RequestMetrics;
 import org.whinhead.serving.balance.Placement;
+import org.whinhead.serving.configuration.ConfigurationProgress;
 import org.whinhead.serving.configuration.CustomerAccount;
 import org.whinhead.serving.endpoint.EndpointEntry;
 
@@ -20,25 +23,45 @@
 
     private final InstantSource mClock;
     private final RequestMetrics mCounts;
+    private final ConfigurationProgress mConfiguration;
 
     /**
      * Creates a logger.
      *
      * @param clock the monotonic clock
      * @param counts the counters of the metrics
+     * @param configuration the version that refusals follow
      */
-    public RequestLogger(final InstantSource clock, final RequestMetrics counts) {
+    public RequestLogger(
+            final InstantSource clock,
+            final RequestMetrics counts,
+            final ConfigurationProgress configuration) {
         mClock = clock;
         mCounts = counts;
+        mConfiguration = configuration;
     }
 
     void refused(final CallerRequest request, final RefusalResponse refusal) {
         mCounts.recordRefused(refusal.reason());
-        LOG.atInfo()
-                .addKeyValue("request", request.id())
-                .addKeyValue("status", refusal.status().code())
-                .addKeyValue("reason", refusal.reason())
-                .log("request refused");
+        final LoggingEventBuilder line =
+                LOG.atInfo()
+                        .addKeyValue("request", request.id())
+                        .addKeyValue("status", refusal.status().code())
+                        .addKeyValue("reason", refusal.reason());
+        addConfiguration(line).log("request refused");
+    }
+
+    /** Adds the version in force and its age, and a newer one that other daemons have. */
+    private LoggingEventBuilder addConfiguration(final LoggingEventBuilder line) {
+        final Instant now = mClock.instant();
+        final Duration age = mConfiguration.inForceFor(now).orElse(Duration.ZERO);
+        line.addKeyValue("configurationVersion", mConfiguration.version())
+                .addKeyValue("configurationAgeMillis", age.toMillis());
+        if (mConfiguration.isBehind()) {
+            line.addKeyValue("newestVersion", mConfiguration.newestVersion())
+                    .addKeyValue("behindMillis", mConfiguration.behindFor(now).toMillis());
+        }
+        return line;
     }
 
     void admitted(final CustomerAccount customer, final long tokens) {
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/ServingState.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/ServingState.java
@@ -6,6 +6,7 @@
 import java.util.Objects;
 import org.whinhead.serving.balance.EndpointChooser;
 import org.whinhead.serving.configuration.ConfigurationHolder;
+import org.whinhead.serving.configuration.ConfigurationProgress;
 import org.whinhead.serving.configuration.ServiceSpec;
 import org.whinhead.serving.endpoint.EndpointEntry;
 import org.whinhead.serving.endpoint.EndpointRegistry;
@@ -30,6 +31,7 @@
     private final InstantSource mClock;
     private final InstantSource mTimeOfDay;
     private final ConfigurationHolder mConfiguration = new ConfigurationHolder();
+    private final ConfigurationProgress mConfigurationProgress = new ConfigurationProgress();
     private final EndpointRegistry mEndpoints = new EndpointRegistry();
     private final ReclaimedEndpoints mLeaving = new ReclaimedEndpoints();
     private final EndpointChooser mChooser;
@@ -91,6 +93,10 @@
         return mConfiguration;
     }
 
+    public ConfigurationProgress configurationProgress() {
+        return mConfigurationProgress;
+    }
+
     /**
      * Returns whether a service's endpoints copy cached prompts from each other faster than they
      * process them.
--- a/gateway/src/main/java/org/whinhead/gateway/metrics/RequestMetrics.java
+++ b/gateway/src/main/java/org/whinhead/gateway/metrics/RequestMetrics.java
@@ -4,7 +4,9 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.function.DoubleSupplier;
 import org.whinhead.api.verdict.Verdict;
 import org.whinhead.gateway.metrics.CounterKey.Metric;
 import org.whinhead.serving.route.RouteKind;
@@ -25,6 +27,7 @@
     private static final String INFINITE_BOUND = "+Inf";
 
     private final Map<CounterKey, Counter> mCounters = new HashMap<>();
+    private final Map<String, DoubleSupplier> mGauges = new LinkedHashMap<>();
     private PrometheusMeterRegistry mRegistry;
 
     /**
@@ -95,10 +98,25 @@
         if (mRegistry == null) {
             mRegistry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
             mCounters.forEach(this::register);
+            mGauges.forEach(this::registerGauge);
         }
         return mRegistry.scrape();
     }
 
+    /**
+     * Adds a value that is read at each scrape; must be called before the first one.
+     *
+     * @param name the metric's name
+     * @param value returns the current value
+     */
+    public void addGauge(final String name, final DoubleSupplier value) {
+        mGauges.put(name, value);
+    }
+
+    private void registerGauge(final String name, final DoubleSupplier value) {
+        mRegistry.gauge(name, value, DoubleSupplier::getAsDouble);
+    }
+
     private Counter counter(
             final Metric metric, final String firstTagValue, final String secondTagValue) {
         final CounterKey key = new CounterKey(metric, firstTagValue, secondTagValue);
--- a/gateway/src/main/java/org/whinhead/gateway/peers/DigestReadCoordinator.java
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/DigestReadCoordinator.java
@@ -148,6 +148,7 @@
      */
     void receive(final String sender, final StoreDigest digest) {
         mReceivedDigests.put(sender, new ReceivedDigest(digest, now()));
+        mState.configurationProgress().recordAnnounced(digest.getConfigurationVersion(), now());
         if (!hasNothingNew(digest, StoreTopic.ENDPOINTS)) {
             mOnNewRecords.accept(StoreTopic.ENDPOINTS);
         } else if (digest.getEndpointsEnd() > mEndpointsEnd) {
--- a/gateway/src/main/java/org/whinhead/gateway/peers/PeerReportHandler.java
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/PeerReportHandler.java
@@ -94,6 +94,8 @@
             return;
         }
         final Instant now = mState.clock().instant();
+        // A daemon without a configuration reports 0, which is below any version.
+        mState.configurationProgress().recordAnnounced(report.getConfigurationVersion(), now);
         final Member member =
                 new Member(
                         report.getName(),
--- a/gateway/src/main/java/org/whinhead/gateway/store/ConfigurationTopicListener.java
+++ b/gateway/src/main/java/org/whinhead/gateway/store/ConfigurationTopicListener.java
@@ -108,6 +108,7 @@
             }
         }
         newest.ifPresent(this::applyConfiguration);
+        mState.configurationProgress().recordRead(mState.clock().instant());
         mOnRead.run();
     }
 
@@ -120,6 +121,8 @@
             return;
         }
         if (mState.configuration().offer(configuration)) {
+            mState.configurationProgress()
+                    .recordInForce(configuration.version(), mState.clock().instant());
             mState.quotas().configure(configuration.customers(), mState.moment());
             LOG.atInfo()
                     .addKeyValue("version", configuration.version())
--- a/gateway/src/test/java/org/whinhead/gateway/metrics/RequestMetricsTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/metrics/RequestMetricsTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
+import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Test;
 import org.whinhead.api.verdict.Verdict;
 import org.whinhead.serving.route.RouteKind;
@@ -31,6 +32,15 @@
                 .contains("whinhead_runs_moved_total{answered=\"true\"} 1.0");
     }
 
+    @Test
+    void gaugesAreReadAtEachScrape() {
+        final AtomicLong version = new AtomicLong(7);
+        mMetrics.addGauge("whinhead.configuration.version", version::get);
+        assertThat(mMetrics.renderPage()).contains("whinhead_configuration_version 7.0");
+        version.set(9);
+        assertThat(mMetrics.renderPage()).contains("whinhead_configuration_version 9.0");
+    }
+
     @Test
     void tokensAreSummedByCustomer() {
         mMetrics.recordAdmitted("clinic", 4_000);
