--- a/gateway/src/test/java/org/whinhead/gateway/peers/DigestReadCoordinatorTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/peers/DigestReadCoordinatorTest.java
@@ -10,6 +10,8 @@
 import org.whinhead.gateway.exchange.ServingState;
 import org.whinhead.gateway.exchange.TestServing;
 import org.whinhead.gateway.store.StoreTopic;
+import org.whinhead.serving.configuration.CallerLimits;
+import org.whinhead.serving.configuration.ServingConfiguration;
 import org.whinhead.serving.member.Member;
 import org.whinhead.serving.member.MemberTable;
 
@@ -42,6 +44,22 @@
         return digests;
     }
 
+    private ServingState stateWithVersion(final long version) {
+        final ServingState state = state();
+        state.configuration()
+                .offer(
+                        new ServingConfiguration(
+                                version, List.of(), List.of(), CallerLimits.INITIAL, List.of()));
+        return state;
+    }
+
+    private DigestReadCoordinator configurationReader(final long version) {
+        final DigestReadCoordinator digests =
+                new DigestReadCoordinator(stateWithVersion(version), new MemberTable(member("a")));
+        digests.recordConfigurationRead();
+        return digests;
+    }
+
     private DigestReadCoordinator reader(final ServingState state, final long end) {
         final DigestReadCoordinator digests =
                 new DigestReadCoordinator(state, new MemberTable(member("a")));
@@ -73,6 +91,41 @@
         assertThat(digests.isCovered(StoreTopic.ENDPOINTS)).isFalse();
     }
 
+    // Guards against a confirmed configuration that is not in force at the daemons that don't read:
+    // the digest of a reader that is behind must not hide the newer version in another digest.
+    @Test
+    void readerThatIsBehindDoesNotHideNewerConfiguration() {
+        final DigestReadCoordinator digests = nonReader(stateWithVersion(12));
+        digests.receive("a", configurationReader(12).createDigest());
+        digests.receive("b", configurationReader(15).createDigest());
+        assertThat(digests.isCovered(StoreTopic.CONFIGURATION)).isFalse();
+        digests.receive("a", configurationReader(12).createDigest());
+        assertThat(digests.isCovered(StoreTopic.CONFIGURATION)).isFalse();
+    }
+
+    // Guards against new work for an endpoint that is leaving: the digest of a reader that has not
+    // read its notice yet must not hide the one of another reader that has.
+    @Test
+    void readerThatIsBehindDoesNotHideChangedEndpoints() {
+        final ServingState own = state();
+        putEndpoint(own, "e-1", 4);
+        final ServingState ahead = state();
+        ahead.endpoints().put(TestServing.endpoint("e-1", true), 6);
+        final DigestReadCoordinator digests = nonReader(own);
+        digests.recordEndpointsRead(5);
+        digests.receive("a", reader(state(), 3).createDigest());
+        digests.receive("b", reader(ahead, 7).createDigest());
+        assertThat(digests.isCovered(StoreTopic.ENDPOINTS)).isFalse();
+    }
+
+    @Test
+    void readersThatAgreeCoverTheConfiguration() {
+        final DigestReadCoordinator digests = nonReader(stateWithVersion(12));
+        digests.receive("a", configurationReader(12).createDigest());
+        digests.receive("b", configurationReader(12).createDigest());
+        assertThat(digests.isCovered(StoreTopic.CONFIGURATION)).isTrue();
+    }
+
     @Test
     void recordsThatChangedNothingAreSkipped() {
         final DigestReadCoordinator digests = nonReader(state());
--- a/gateway/src/test/java/org/whinhead/gateway/store/TopicFollowerTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/store/TopicFollowerTest.java
@@ -28,6 +28,7 @@
     /** Counts the calls and can refuse them. */
     private static final class CountingStore implements MetadataStore {
         private boolean mRefuses;
+        private boolean mLosesAnswers;
         private int mCalls;
 
         @Override
@@ -41,6 +42,10 @@
         @Override
         public CompletableFuture<StorePage> read(
                 final StoreTopic topic, final long from, final Duration wait) {
+            if (mLosesAnswers) {
+                mCalls++;
+                return new CompletableFuture<>();
+            }
             return newest(topic);
         }
 
@@ -151,6 +156,22 @@
         assertThat(mListener.mSnapshots).isEqualTo(1);
     }
 
+    /**
+     * Guards against a confirmed configuration that takes effect only after the timeout of a read:
+     * the answer to a read in progress is lost, and another daemon tells of a newer version.
+     */
+    @Test
+    void newsDuringUnansweredReadCausesAnotherRead() {
+        mStore.mLosesAnswers = true;
+        mFollower.readNow();
+        mStore.mLosesAnswers = false;
+        mStore.mCalls = 0;
+
+        requestReadsForSeconds(1);
+
+        assertThat(mStore.mCalls).isPositive();
+    }
+
     @Test
     void daemonReadsAgainOnceStoreAccepts() {
         mStore.mRefuses = true;
