--- a/gateway/src/main/java/org/whinhead/gateway/exchange/ServingState.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/ServingState.java
@@ -8,6 +8,7 @@
 import org.whinhead.serving.configuration.ConfigurationHolder;
 import org.whinhead.serving.configuration.ConfigurationProgress;
 import org.whinhead.serving.configuration.ServiceSpec;
+import org.whinhead.serving.configuration.ServingConfiguration;
 import org.whinhead.serving.endpoint.EndpointEntry;
 import org.whinhead.serving.endpoint.EndpointRegistry;
 import org.whinhead.serving.endpoint.ReclaimedEndpoints;
@@ -93,6 +94,20 @@
         return mConfiguration;
     }
 
+    /**
+     * Puts a configuration in force if it is newer than the current one.
+     *
+     * @param candidate the configuration
+     * @return whether it is in force now and was not before
+     */
+    public boolean offerConfiguration(final ServingConfiguration candidate) {
+        final boolean newer = mConfiguration.offer(candidate);
+        if (newer) {
+            mConfigurationProgress.recordInForce(candidate.version(), mClock.instant());
+        }
+        return newer;
+    }
+
     public ConfigurationProgress configurationProgress() {
         return mConfigurationProgress;
     }
--- a/gateway/src/main/java/org/whinhead/gateway/peers/DigestReadCoordinator.java
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/DigestReadCoordinator.java
@@ -3,7 +3,9 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import org.whinhead.gateway.exchange.ServingState;
@@ -18,8 +20,8 @@
  *
  * <p>Each call to the store is billed and counts against a limit that all daemons share. The two
  * daemons with the first names in order read at a fixed interval, and send the changes and a digest
- * of their view after each read. The others read only if a digest that is not older than their own
- * view differs from it, or if none arrives for a while.
+ * of their view after each read. The others read only if some digest that is not older than their
+ * own view differs from it, or if none arrives for a while.
  */
 public final class DigestReadCoordinator implements ReadCoordinator {
 
@@ -29,8 +31,8 @@
     /** Covers two lost digests; a leaving endpoint must be noticed within two seconds. */
     private static final Duration DIGEST_MAX_AGE = Duration.ofMillis(900);
 
-    /** A configuration read waits up to one second at the store. */
-    private static final Duration CONFIGURATION_READ_MAX_AGE = Duration.ofMillis(2_500);
+    /** A configuration read waits up to one second at the store; more is a lost answer. */
+    private static final Duration CONFIGURATION_READ_MAX_AGE = Duration.ofMillis(1_200);
 
     private final ServingState mState;
     private final MemberTable mMembers;
@@ -76,6 +78,9 @@
      */
     public void recordEndpointsRead(final long end) {
         mEndpointsEnd = Math.max(mEndpointsEnd, end);
+        mReceivedDigests.values().stream()
+                .filter(received -> received.mDigest.getEndpointsEnd() <= mEndpointsEnd)
+                .forEach(ReceivedDigest::recordReadPast);
     }
 
     /** Records that this daemon has read the configuration now. */
@@ -94,20 +99,35 @@
             return false;
         }
         final Instant notBefore = now().minus(DIGEST_MAX_AGE);
-        return mReceivedDigests.values().stream()
-                .anyMatch(
-                        received ->
-                                received.mReceivedAt.isAfter(notBefore)
-                                        && hasNothingNew(received.mDigest, topic));
+        final List<ReceivedDigest> digests =
+                mReceivedDigests.values().stream()
+                        .filter(received -> received.mReceivedAt.isAfter(notBefore))
+                        .toList();
+        // A reader that is behind has nothing new either, so one digest with news decides.
+        return digests.stream().noneMatch(digest -> hasNews(digest, topic))
+                && digests.stream().anyMatch(digest -> isRecent(digest.mDigest, topic));
     }
 
-    private boolean hasNothingNew(final StoreDigest digest, final StoreTopic topic) {
+    private boolean hasNews(final ReceivedDigest received, final StoreTopic topic) {
+        final StoreDigest digest = received.mDigest;
         return switch (topic) {
-            case ENDPOINTS -> digest.getEndpointsEnd() < mEndpointsEnd || hasSameEndpoints(digest);
+            case ENDPOINTS ->
+                    digest.getEndpointsEnd() >= mEndpointsEnd
+                            && !hasSameEndpoints(digest)
+                            && !received.isReadPast();
             case CONFIGURATION ->
-                    digest.getConfigurationFresh()
-                            && digest.getConfigurationVersion() <= configurationVersion()
-                            && digest.getRolloutOffset() <= mState.rollouts().newestOrderOffset();
+                    mState.configurationProgress().isBehind()
+                            || digest.getConfigurationVersion() > configurationVersion()
+                            || digest.getRolloutOffset() > mState.rollouts().newestOrderOffset();
+            default -> false;
+        };
+    }
+
+    /** Returns whether the sender of a digest had just read a topic. */
+    private static boolean isRecent(final StoreDigest digest, final StoreTopic topic) {
+        return switch (topic) {
+            case ENDPOINTS -> true;
+            case CONFIGURATION -> digest.getConfigurationFresh();
             default -> false;
         };
     }
@@ -147,16 +167,17 @@
      * @param digest the digest
      */
     void receive(final String sender, final StoreDigest digest) {
-        mReceivedDigests.put(sender, new ReceivedDigest(digest, now()));
+        final ReceivedDigest received =
+                new ReceivedDigest(digest, now(), mReceivedDigests.get(sender));
+        mReceivedDigests.put(sender, received);
         mState.configurationProgress().recordAnnounced(digest.getConfigurationVersion(), now());
-        if (!hasNothingNew(digest, StoreTopic.ENDPOINTS)) {
+        if (hasNews(received, StoreTopic.ENDPOINTS)) {
             mOnNewRecords.accept(StoreTopic.ENDPOINTS);
         } else if (digest.getEndpointsEnd() > mEndpointsEnd) {
             mEndpointsEnd = digest.getEndpointsEnd();
             mOnSkippableEndpoints.accept(mEndpointsEnd);
         }
-        if (digest.getConfigurationVersion() > configurationVersion()
-                || digest.getRolloutOffset() > mState.rollouts().newestOrderOffset()) {
+        if (hasNews(received, StoreTopic.CONFIGURATION)) {
             mOnNewRecords.accept(StoreTopic.CONFIGURATION);
         }
     }
@@ -164,10 +185,25 @@
     private static final class ReceivedDigest {
         private final StoreDigest mDigest;
         private final Instant mReceivedAt;
+        private OptionalLong mReadPastHash;
 
-        private ReceivedDigest(final StoreDigest digest, final Instant receivedAt) {
+        private ReceivedDigest(
+                final StoreDigest digest, final Instant receivedAt, final ReceivedDigest previous) {
             mDigest = digest;
             mReceivedAt = receivedAt;
+            mReadPastHash = previous == null ? OptionalLong.empty() : previous.mReadPastHash;
+        }
+
+        /**
+         * Records that this daemon has read all that the sender had. If their views still differ,
+         * for example by entries in doubt after an outage, reading again wouldn't help.
+         */
+        private void recordReadPast() {
+            mReadPastHash = OptionalLong.of(mDigest.getEndpointsHash());
+        }
+
+        private boolean isReadPast() {
+            return mReadPastHash.equals(OptionalLong.of(mDigest.getEndpointsHash()));
         }
     }
 }
--- a/gateway/src/main/java/org/whinhead/gateway/store/ConfigurationTopicListener.java
+++ b/gateway/src/main/java/org/whinhead/gateway/store/ConfigurationTopicListener.java
@@ -120,9 +120,7 @@
             LOG.error("configuration not readable, the previous one stays in force", e);
             return;
         }
-        if (mState.configuration().offer(configuration)) {
-            mState.configurationProgress()
-                    .recordInForce(configuration.version(), mState.clock().instant());
+        if (mState.offerConfiguration(configuration)) {
             mState.quotas().configure(configuration.customers(), mState.moment());
             LOG.atInfo()
                     .addKeyValue("version", configuration.version())
--- a/gateway/src/test/java/org/whinhead/gateway/peers/DigestReadCoordinatorTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/peers/DigestReadCoordinatorTest.java
@@ -46,10 +46,9 @@
 
     private ServingState stateWithVersion(final long version) {
         final ServingState state = state();
-        state.configuration()
-                .offer(
-                        new ServingConfiguration(
-                                version, List.of(), List.of(), CallerLimits.INITIAL, List.of()));
+        state.offerConfiguration(
+                new ServingConfiguration(
+                        version, List.of(), List.of(), CallerLimits.INITIAL, List.of()));
         return state;
     }
 
@@ -118,6 +117,38 @@
         assertThat(digests.isCovered(StoreTopic.ENDPOINTS)).isFalse();
     }
 
+    // Guards against a billed read by every daemon at each digest of a reader whose view differs
+    // for
+    // other reasons than the store's records.
+    @Test
+    void differenceThatReadingDidNotResolveCausesNoFurtherRead() {
+        final ServingState readers = state();
+        putEndpoint(readers, "e-1", 4);
+        final DigestReadCoordinator digests = nonReader(state());
+        digests.receive("a", reader(readers, 5).createDigest());
+        digests.recordEndpointsRead(6);
+        mTopicsToRead.clear();
+
+        digests.receive("a", reader(readers, 9).createDigest());
+        assertThat(mTopicsToRead).isEmpty();
+
+        putEndpoint(readers, "e-2", 10);
+        digests.receive("a", reader(readers, 11).createDigest());
+        assertThat(mTopicsToRead).containsExactly(StoreTopic.ENDPOINTS);
+    }
+
+    // Guards against an old configuration while no reader has the new one: any daemon's report
+    // tells
+    // of its version.
+    @Test
+    void versionInReportOfAnyDaemonIsRead() {
+        final ServingState own = stateWithVersion(12);
+        final DigestReadCoordinator digests = nonReader(own);
+        digests.receive("a", configurationReader(12).createDigest());
+        own.configurationProgress().recordAnnounced(15, mNow);
+        assertThat(digests.isCovered(StoreTopic.CONFIGURATION)).isFalse();
+    }
+
     @Test
     void readersThatAgreeCoverTheConfiguration() {
         final DigestReadCoordinator digests = nonReader(stateWithVersion(12));
