--- a/gateway/src/main/java/org/whinhead/gateway/http/EventLoopHttpClient.java
+++ b/gateway/src/main/java/org/whinhead/gateway/http/EventLoopHttpClient.java
@@ -190,7 +190,8 @@
             final PendingCall pending = mPending;
             mPending = null;
             pending.succeed(
-                    new HttpReply(response.status().code(), body), HttpUtil.isKeepAlive(response));
+                    new HttpReply(response.status().code(), response.headers(), body),
+                    HttpUtil.isKeepAlive(response));
         }
 
         @Override
--- a/gateway/src/main/java/org/whinhead/gateway/store/EndpointTopicListener.java
+++ b/gateway/src/main/java/org/whinhead/gateway/store/EndpointTopicListener.java
@@ -127,6 +127,11 @@
         }
     }
 
+    @Override
+    public void onOlderCopy(final long end) {
+        registry().recordOlderCopy(end, now());
+    }
+
     @Override
     public void onSnapshot(final List<StoreRecord> records, final long end) {
         records.forEach(this::apply);
--- a/gateway/src/main/java/org/whinhead/gateway/store/MetadataStore.java
+++ b/gateway/src/main/java/org/whinhead/gateway/store/MetadataStore.java
@@ -6,7 +6,9 @@
 
 /**
  * The platform's store of keyed records. Futures complete on the event loop; a call that fails may
- * have been carried out.
+ * have been carried out. All offsets and ends are a {@link
+ * org.whinhead.serving.store.StorePosition}, so that they remain comparable if the store returns
+ * from an older copy.
  */
 public interface MetadataStore {
 
@@ -45,7 +47,8 @@
      * @param key the record's key
      * @param value the record's value
      * @param end the expected end, which becomes the record's offset
-     * @return the new end; empty if the topic has another end
+     * @return the new end; empty if the topic has another end, or if the store has returned from an
+     *     older copy since the expected end was read
      */
     CompletableFuture<OptionalLong> appendAt(StoreTopic topic, String key, byte[] value, long end);
 }
--- a/gateway/src/main/java/org/whinhead/gateway/store/StoreRecord.java
+++ b/gateway/src/main/java/org/whinhead/gateway/store/StoreRecord.java
@@ -15,7 +15,7 @@
      *
      * @param key the key
      * @param value the value; an empty one removes the key
-     * @param offset the record's position in the topic
+     * @param offset the record's {@link org.whinhead.serving.store.StorePosition} in the topic
      */
     public StoreRecord(final String key, final Optional<byte[]> value, final long offset) {
         mKey = Objects.requireNonNull(key, "key");
--- a/gateway/src/main/java/org/whinhead/gateway/store/TopicFollower.java
+++ b/gateway/src/main/java/org/whinhead/gateway/store/TopicFollower.java
@@ -8,12 +8,14 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.whinhead.gateway.time.GuardedTask;
+import org.whinhead.serving.store.StorePosition;
 
 /**
  * Reads a topic continuously: the newest records first, then appended ones.
  *
- * <p>If the store has dropped unread records, the follower starts again with the newest ones.
- * Failed reads are repeated at a fixed pause, as calls are limited and billed.
+ * <p>If the store has dropped unread records or has returned from an older copy, the follower
+ * starts again with the newest ones. Failed reads are repeated at a fixed pause, as calls are
+ * limited and billed.
  */
 public final class TopicFollower {
 
@@ -37,7 +39,9 @@
     private final ReadCoordinator mReadCoordinator;
     private Future<?> mTimer;
     private long mNextOffset = -1;
+    private long mNewestEnd = -1;
     private boolean mReachable = true;
+    private boolean mWasCovered;
 
     /**
      * Creates a follower that is not started.
@@ -77,9 +81,13 @@
     public void start() {
         mTimer = null;
         if (mNextOffset >= 0 && mReachable && mReadCoordinator.isCovered(mTopic)) {
+            mWasCovered = true;
             scheduleNextRead(COVERAGE_CHECK_PAUSE);
         } else if (mNextOffset < 0) {
             mStore.newest(mTopic).whenComplete(this::handleSnapshot);
+        } else if (mWasCovered && mTopic.isResumedWithNewest()) {
+            // The position is old by now: what it points to may have been written again.
+            mStore.newest(mTopic).whenComplete(this::handleResumption);
         } else {
             mStore.read(mTopic, mNextOffset, mMaxWait).whenComplete(this::handleRead);
         }
@@ -114,8 +122,46 @@
             return;
         }
         markReachable();
+        mWasCovered = false;
         mNextOffset = page.end();
-        apply(() -> mListener.onSnapshot(page.records(), page.end()));
+        final boolean olderCopy = recordEnd(page.end());
+        apply(
+                () -> {
+                    if (olderCopy) {
+                        mListener.onOlderCopy(page.end());
+                    }
+                    mListener.onSnapshot(page.records(), page.end());
+                });
+    }
+
+    /** Handles the newest records after others have read: those that are known change nothing. */
+    private void handleResumption(final StorePage page, final Throwable failure) {
+        if (failure != null || isOfLaterEra(page.end())) {
+            handleSnapshot(page, failure);
+            return;
+        }
+        markReachable();
+        mWasCovered = false;
+        mNextOffset = page.end();
+        apply(() -> mListener.onAppended(page.records()));
+    }
+
+    /** Records the end of a snapshot; returns whether the store has begun a new era since. */
+    private boolean recordEnd(final long end) {
+        final boolean laterEra = isOfLaterEra(end);
+        mNewestEnd = Math.max(mNewestEnd, end);
+        if (laterEra) {
+            LOG.atWarn()
+                    .addKeyValue("topic", mTopic)
+                    .addKeyValue("era", StorePosition.era(end))
+                    .addKeyValue("end", StorePosition.offset(end))
+                    .log("store returned from an older copy, topic read again");
+        }
+        return laterEra;
+    }
+
+    private boolean isOfLaterEra(final long end) {
+        return mNewestEnd >= 0 && StorePosition.era(end) > StorePosition.era(mNewestEnd);
     }
 
     private void handleRead(final StorePage page, final Throwable failure) {
@@ -127,7 +173,7 @@
         if (page.truncated()) {
             LOG.atInfo()
                     .addKeyValue("topic", mTopic)
-                    .log("store dropped unread records, reading the newest ones");
+                    .log("records not in the store, reading the newest ones");
             mNextOffset = -1;
             start();
             return;
--- a/gateway/src/main/java/org/whinhead/gateway/store/TopicListener.java
+++ b/gateway/src/main/java/org/whinhead/gateway/store/TopicListener.java
@@ -13,6 +13,15 @@
      */
     void onSnapshot(List<StoreRecord> records, long end);
 
+    /**
+     * Handles a store that has returned from an older copy; called before its first snapshot.
+     *
+     * @param end the topic's end in that copy, with what was written since
+     */
+    default void onOlderCopy(final long end) {
+        // Records with a version of their own need no more.
+    }
+
     /**
      * Handles newly read records.
      *
--- a/serving/src/main/java/org/whinhead/serving/endpoint/EndpointRegistry.java
+++ b/serving/src/main/java/org/whinhead/serving/endpoint/EndpointRegistry.java
@@ -11,9 +11,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.whinhead.serving.store.StorePosition;
 
 /**
- * The endpoints that the store lists, updated in the order of the store's offsets.
+ * The endpoints that the store lists, updated in the order of the records' {@link StorePosition}.
  *
  * <p>An entry lapses in the store if its endpoint's heartbeats are not written, even if the store
  * itself was down. Such an endpoint is alive and is listed again within two seconds; removing it at
@@ -42,6 +43,7 @@
     private final Map<String, Long> mRemovals = new LinkedHashMap<>();
     private Instant mLastOutage = Instant.EPOCH;
     private long mNewestOffset = -1;
+    private long mCopyEnd;
 
     /**
      * Adds or updates an endpoint's entry.
@@ -79,13 +81,36 @@
      */
     private boolean isOutdated(
             final EndpointEntry entry, final long offset, final Record previous) {
-        if (mRemovals.getOrDefault(entry.id(), -1L) >= offset) {
+        final long removal = mRemovals.getOrDefault(entry.id(), -1L);
+        if (removal >= offset || isOfCopyBefore(removal, offset)) {
             return true;
         }
         return previous != null
                 && (previous.mOffset >= offset || entry.startedBefore(previous.mEntry));
     }
 
+    /**
+     * Returns whether an entry may be one that an older copy of the store still holds, although the
+     * endpoint was removed later. An endpoint that is alive writes again soon.
+     */
+    private boolean isOfCopyBefore(final long removal, final long offset) {
+        return removal >= 0
+                && offset < mCopyEnd
+                && StorePosition.era(removal) < StorePosition.era(offset);
+    }
+
+    /**
+     * Records that the store has returned from an older copy. Entries that are not in it count as
+     * missing around an outage, as their endpoints write them again.
+     *
+     * @param end the end of the topic when the copy was first read
+     * @param now the current time
+     */
+    public void recordOlderCopy(final long end, final Instant now) {
+        mCopyEnd = end;
+        mLastOutage = now;
+    }
+
     /**
      * Marks an endpoint whose newest record can't be parsed. The record may come from another
      * writer and describes no usable endpoint, so the endpoint gets no new work until it has
--- a/serving/src/test/java/org/whinhead/serving/endpoint/EndpointRegistryTest.java
+++ b/serving/src/test/java/org/whinhead/serving/endpoint/EndpointRegistryTest.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.whinhead.serving.store.StorePosition;
 
 class EndpointRegistryTest {
 
@@ -59,6 +60,45 @@
         assertThat(mRegistry.usable("pool")).hasSize(1);
     }
 
+    // Guards against new work for an endpoint that is gone: an older copy of the store still lists
+    // it, without its notice and its removal.
+    @Test
+    void endpointRemovedBeforeOlderCopyGetsNoWork() {
+        mRegistry.put(entry("e1", false), 5);
+        mRegistry.remove("e1", 9, START);
+        mRegistry.recordOlderCopy(StorePosition.of(1, 8), START.plusSeconds(9));
+        mRegistry.put(entry("e1", false), StorePosition.of(1, 5));
+        assertThat(mRegistry.usable("pool")).isEmpty();
+
+        // It is alive after all, and writes again.
+        mRegistry.put(entry("e1", false), StorePosition.of(1, 8));
+        assertThat(mRegistry.usable("pool")).hasSize(1);
+    }
+
+    // Guards against requests without an endpoint: entries that an older copy of the store lacks
+    // are
+    // written again soon.
+    @Test
+    void entryMissingInAnOlderCopyStaysInUseForItsGrace() {
+        mRegistry.put(entry("e1", false), 9);
+        final Instant returned = START.plusSeconds(9);
+        mRegistry.recordOlderCopy(StorePosition.of(1, 4), returned);
+        mRegistry.retain(Set.of(), StorePosition.of(1, 4), returned);
+        assertThat(mRegistry.usable("pool")).hasSize(1);
+        mRegistry.expire(returned.plus(EndpointRegistry.LAPSE_GRACE).plusMillis(1));
+        assertThat(mRegistry.usable("pool")).isEmpty();
+    }
+
+    // Guards against a notice to leave that is taken for an old record: the store returned from an
+    // older copy, and gave it a lower offset than the entry before.
+    @Test
+    void noticeUnderLowerOffsetOfLaterEraCounts() {
+        mRegistry.put(entry("e1", false), 90);
+        assertThat(mRegistry.put(entry("e1", true), StorePosition.of(1, 7)))
+                .isEqualTo(EntryEffect.CHANGED);
+        assertThat(mRegistry.usable("pool")).isEmpty();
+    }
+
     @Test
     void unreadableRecordStopsNewWorkUntilTheEndpointWritesAgain() {
         mRegistry.put(entry("e1", false), 1);
