--- a/gateway/src/main/java/org/whinhead/gateway/store/TopicFollower.java
+++ b/gateway/src/main/java/org/whinhead/gateway/store/TopicFollower.java
@@ -4,7 +4,10 @@
 import io.netty.util.concurrent.Future;
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.whinhead.gateway.time.GuardedTask;
@@ -27,6 +30,9 @@
     /** The same for daemons that don't read for others: together they would overload the store. */
     private static final Duration NON_READER_RETRY_PAUSE = Duration.ofMillis(1_000);
 
+    /** The time within which the store answers a read for which it has records. */
+    private static final Duration ANSWER_TIME = Duration.ofMillis(500);
+
     /** Interval at which a daemon checks that others still read for it. */
     private static final Duration COVERAGE_CHECK_PAUSE = Duration.ofMillis(200);
 
@@ -38,6 +44,7 @@
     private final Duration mPause;
     private final ReadCoordinator mReadCoordinator;
     private Future<?> mTimer;
+    private PendingRead mRead;
     private long mNextOffset = -1;
     private long mNewestEnd = -1;
     private boolean mReachable = true;
@@ -84,23 +91,38 @@
             mWasCovered = true;
             scheduleNextRead(COVERAGE_CHECK_PAUSE);
         } else if (mNextOffset < 0) {
-            mStore.newest(mTopic).whenComplete(this::handleSnapshot);
+            read(() -> mStore.newest(mTopic), this::handleSnapshot);
         } else if (mWasCovered && mTopic.isResumedWithNewest()) {
             // The position is old by now: what it points to may have been written again.
-            mStore.newest(mTopic).whenComplete(this::handleResumption);
+            read(() -> mStore.newest(mTopic), this::handleResumption);
         } else {
-            mStore.read(mTopic, mNextOffset, mMaxWait).whenComplete(this::handleRead);
+            final long from = mNextOffset;
+            read(() -> mStore.read(mTopic, from, mMaxWait), this::handleRead);
         }
     }
 
+    private void read(
+            final Supplier<CompletableFuture<StorePage>> call,
+            final BiConsumer<StorePage, Throwable> handler) {
+        mRead = new PendingRead(call, handler);
+        mRead.send();
+    }
+
     /**
-     * Reads at once, because another daemon has read new records.
+     * Reads at once, because another daemon has read new records. A read in progress should then be
+     * answered at once; if it isn't, its answer is lost, and waiting for its timeout would delay
+     * the records by seconds. So it is sent once more.
      *
      * <p>Does nothing while the store refuses this daemon: digests with new records arrive several
      * times a second, and each refused call is billed.
      */
     public void readNow() {
-        if (mReachable && mTimer != null && mTimer.cancel(false)) {
+        if (!mReachable || mRead == null) {
+            return;
+        }
+        if (mTimer == null) {
+            mRead.repeatIfUnanswered();
+        } else if (mTimer.cancel(false)) {
             start();
         }
     }
@@ -219,4 +241,48 @@
         mListener.onUnreachable(failure);
         scheduleNextRead(mReadCoordinator.isReader() ? READER_RETRY_PAUSE : NON_READER_RETRY_PAUSE);
     }
+
+    /** A read that is sent at most twice; the first answer counts. */
+    private final class PendingRead {
+        private final Supplier<CompletableFuture<StorePage>> mCall;
+        private final BiConsumer<StorePage, Throwable> mHandler;
+        private int mUnanswered;
+        private boolean mRepeated;
+        private boolean mDone;
+
+        private PendingRead(
+                final Supplier<CompletableFuture<StorePage>> call,
+                final BiConsumer<StorePage, Throwable> handler) {
+            mCall = call;
+            mHandler = handler;
+        }
+
+        private void send() {
+            mUnanswered++;
+            mCall.get().whenComplete(this::complete);
+        }
+
+        private void repeatIfUnanswered() {
+            if (!mRepeated) {
+                mRepeated = true;
+                mLoop.schedule(this::repeat, ANSWER_TIME.toMillis(), TimeUnit.MILLISECONDS);
+            }
+        }
+
+        private void repeat() {
+            if (!mDone) {
+                LOG.atInfo().addKeyValue("topic", mTopic).log("read not answered, sent again");
+                send();
+            }
+        }
+
+        private void complete(final StorePage page, final Throwable failure) {
+            mUnanswered--;
+            final boolean otherMayAnswer = failure != null && mUnanswered > 0;
+            if (!mDone && !otherMayAnswer) {
+                mDone = true;
+                mHandler.accept(page, failure);
+            }
+        }
+    }
 }
--- a/gateway/src/test/java/org/whinhead/gateway/store/TopicFollowerTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/store/TopicFollowerTest.java
@@ -172,6 +172,18 @@
         assertThat(mStore.mCalls).isPositive();
     }
 
+    // Guards against a billed call for each digest while the store answers late.
+    @Test
+    void unansweredReadIsRepeatedOnlyOnce() {
+        mStore.mLosesAnswers = true;
+        mFollower.readNow();
+        mStore.mCalls = 0;
+
+        requestReadsForSeconds(3);
+
+        assertThat(mStore.mCalls).isEqualTo(1);
+    }
+
     @Test
     void daemonReadsAgainOnceStoreAccepts() {
         mStore.mRefuses = true;
