--- a/gateway/src/main/java/org/whinhead/gateway/http/EventLoopHttpClient.java
+++ b/gateway/src/main/java/org/whinhead/gateway/http/EventLoopHttpClient.java
@@ -67,9 +67,10 @@
         final PendingCall pending = new PendingCall(call);
         final Future<?> timeout =
                 mLoop.schedule(
-                        () ->
-                                pending.fail(
-                                        "no response within " + call.timeout().toMillis() + " ms"),
+                        () -> {
+                            pending.fail("no response within " + call.timeout().toMillis() + " ms");
+                            closeIdle();
+                        },
                         call.timeout().toMillis(),
                         TimeUnit.MILLISECONDS);
         pending.mReply.whenComplete((reply, failure) -> timeout.cancel(false));
@@ -90,6 +91,15 @@
         return channel;
     }
 
+    /**
+     * Closes the idle connections. If one has gone silent, the others may have too, and each would
+     * cost another call its timeout.
+     */
+    private void closeIdle() {
+        mIdle.forEach(Channel::close);
+        mIdle.clear();
+    }
+
     private void connect(final PendingCall pending) {
         final Bootstrap bootstrap =
                 new Bootstrap()
