--- a/gateway/src/main/java/org/whinhead/gateway/duty/DutyLeaseManager.java
+++ b/gateway/src/main/java/org/whinhead/gateway/duty/DutyLeaseManager.java
@@ -225,7 +225,7 @@
         if (failure != null) {
             handleUnansweredClaim(failure);
         } else if (end.isEmpty()) {
-            handleRefusedClaim();
+            handleRefusedClaim(renewal);
         } else {
             mClaimUnanswered = false;
             if (!renewal) {
@@ -236,15 +236,19 @@
     }
 
     /**
-     * Gives the lease up. If a claim before was not answered, the store may have appended it, and
-     * the lease is read at once: waiting for two more renewals would delay the usage reports and
-     * the orders of a holder that nobody has replaced.
+     * Gives the lease up. If this daemon held it, or if a claim before was not answered, the lease
+     * is read at once: the store may have appended that claim, or may have returned from a copy
+     * without the lease. Waiting for two more renewals would delay the usage reports and the orders
+     * of a holder that nobody has replaced.
      */
-    private void handleRefusedClaim() {
+    private void handleRefusedClaim(final boolean renewal) {
         mLease.recordLost();
-        if (mClaimUnanswered) {
+        if (mClaimUnanswered || renewal) {
+            LOG.atInfo()
+                    .addKeyValue("renewal", renewal)
+                    .addKeyValue("earlierClaimUnanswered", mClaimUnanswered)
+                    .log("lease claim refused, reading the lease");
             mClaimUnanswered = false;
-            LOG.info("lease claim refused after one without an answer, reading the lease");
             readLease();
         } else {
             LOG.info("lease is held by another daemon");
--- a/gateway/src/main/java/org/whinhead/gateway/store/TopicFollower.java
+++ b/gateway/src/main/java/org/whinhead/gateway/store/TopicFollower.java
@@ -183,7 +183,7 @@
     }
 
     private boolean isOfLaterEra(final long end) {
-        return mNewestEnd >= 0 && StorePosition.era(end) > StorePosition.era(mNewestEnd);
+        return StorePosition.isLaterEra(mNewestEnd, end);
     }
 
     private void handleRead(final StorePage page, final Throwable failure) {
--- a/serving/src/main/java/org/whinhead/serving/duty/DutyLease.java
+++ b/serving/src/main/java/org/whinhead/serving/duty/DutyLease.java
@@ -4,7 +4,10 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
+import org.whinhead.serving.store.StorePosition;
 
 /**
  * One daemon's view of the lease on the duties.
@@ -29,6 +32,9 @@
     private final Duration mTerm;
     private List<UsageDecision> mDecisions = List.of();
     private long mEndOffset = -1;
+    private long mGrantedEnd = -1;
+    private long mOlderCopyEnd = -1;
+    private boolean mHeldBeforeOlderCopy;
     private Instant mUnchangedSince;
     private boolean mReleased;
     private boolean mOwnRecord;
@@ -60,6 +66,10 @@
         if (stored.endOffset() < mEndOffset) {
             return;
         }
+        if (StorePosition.isLaterEra(mEndOffset, stored.endOffset())) {
+            mOlderCopyEnd = stored.endOffset();
+            mHeldBeforeOlderCopy = mEndOffset == mGrantedEnd;
+        }
         if (stored.endOffset() != mEndOffset || mUnchangedSince == null) {
             mEndOffset = stored.endOffset();
             mUnchangedSince = steady;
@@ -71,7 +81,8 @@
         final LeaseRecord record = stored.record().get();
         mReleased = record.isReleased();
         mOwnRecord = record.holder().equals(mSelf);
-        mDecisions = record.decisions();
+        mDecisions = isOlderCopy() ? withKnownDecisions(record) : record.decisions();
+        mHeldBeforeOlderCopy &= record.token() <= mToken;
         mHighestToken = Math.max(mHighestToken, record.token());
         mBeat = Math.max(mBeat, record.beat());
         if (!mOwnRecord) {
@@ -85,6 +96,9 @@
      * <p>A claim whose response was lost may have been appended: then the newest record is this
      * daemon's own, and claiming again is safe, as no other daemon has written since.
      *
+     * <p>An older copy of the store may lack the lease of a holder that still acts. Until something
+     * is written to it, only that holder may claim at once, as long as its last renewal is valid.
+     *
      * @param steady the steady time
      * @return whether the lease was released, was last claimed by this daemon, or has expired
      */
@@ -92,9 +106,28 @@
         if (mHeld || mUnchangedSince == null) {
             return false;
         }
-        return mReleased
-                || mOwnRecord
-                || steady.isAfter(mUnchangedSince.plus(mTerm).plus(TAKEOVER_MARGIN));
+        final boolean claimableAtOnce =
+                isOlderCopy()
+                        ? mHeldBeforeOlderCopy && isRenewalValid(mRenewedSteady, steady)
+                        : mReleased || mOwnRecord;
+        return claimableAtOnce || steady.isAfter(mUnchangedSince.plus(mTerm).plus(TAKEOVER_MARGIN));
+    }
+
+    /** Returns whether nothing was written since the store returned from an older copy. */
+    private boolean isOlderCopy() {
+        return mEndOffset >= 0 && mEndOffset == mOlderCopyEnd;
+    }
+
+    /** Returns a record's decisions with those known before, which may have been reported. */
+    private List<UsageDecision> withKnownDecisions(final LeaseRecord record) {
+        final Map<Long, UsageDecision> byWindow = new TreeMap<>();
+        record.decisions().forEach(decision -> byWindow.put(decision.window(), decision));
+        mDecisions.forEach(decision -> byWindow.put(decision.window(), decision));
+        return newest(List.copyOf(byWindow.values()));
+    }
+
+    private boolean isRenewalValid(final Instant renewedAt, final Instant now) {
+        return Duration.between(renewedAt, now).abs().compareTo(mTerm.minus(ACTING_MARGIN)) <= 0;
     }
 
     /**
@@ -141,6 +174,7 @@
         mBeat = claim.beat();
         mDecisions = claim.decisions();
         mEndOffset = endOffset;
+        mGrantedEnd = endOffset;
         mUnchangedSince = sentSteady;
         mReleased = false;
         mRenewedSteady = sentSteady;
@@ -167,12 +201,10 @@
         if (!mHeld) {
             return Optional.empty();
         }
-        final Duration maxAge = mTerm.minus(ACTING_MARGIN);
-        final boolean isStale =
-                Duration.between(mRenewedSteady, steady).compareTo(maxAge) > 0
-                        || Duration.between(mRenewedTimeOfDay, timeOfDay).abs().compareTo(maxAge)
-                                > 0;
-        return isStale ? Optional.empty() : Optional.of(mToken);
+        final boolean valid =
+                isRenewalValid(mRenewedSteady, steady)
+                        && isRenewalValid(mRenewedTimeOfDay, timeOfDay);
+        return valid ? Optional.of(mToken) : Optional.empty();
     }
 
     public long endOffset() {
--- a/serving/src/main/java/org/whinhead/serving/store/StorePosition.java
+++ b/serving/src/main/java/org/whinhead/serving/store/StorePosition.java
@@ -48,6 +48,17 @@
         return position >> OFFSET_BITS;
     }
 
+    /**
+     * Returns whether the store has returned from an older copy between two reads.
+     *
+     * @param earlier the position that was read earlier; negative if there was none
+     * @param later the position that was read later
+     * @return whether the later position is of a later era
+     */
+    public static boolean isLaterEra(final long earlier, final long later) {
+        return earlier >= 0 && era(later) > era(earlier);
+    }
+
     /**
      * Returns the offset of a position within its era.
      *
--- a/serving/src/test/java/org/whinhead/serving/duty/DutyLeaseTest.java
+++ b/serving/src/test/java/org/whinhead/serving/duty/DutyLeaseTest.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
+import org.whinhead.serving.store.StorePosition;
 
 class DutyLeaseTest {
 
@@ -76,6 +77,71 @@
         assertThat(mLease.canClaim(START.plusSeconds(1))).isTrue();
     }
 
+    // Guards against two holders at the same time: the store returned from an older copy in which
+    // this daemon still has the lease that another one has taken since.
+    @Test
+    void ownRecordOfOlderCopyIsNotClaimedWithinTheTerm() {
+        acquire(START);
+        mLease.recordLost();
+        mLease.recordRead(held("other", 9, 9), START.plusSeconds(6));
+        final Instant returned = START.plusSeconds(7);
+        mLease.recordRead(held("self", 1, StorePosition.of(1, 2)), returned);
+        assertThat(mLease.canClaim(returned)).isFalse();
+        assertThat(mLease.canClaim(returned.plusSeconds(3))).isFalse();
+        assertThat(mLease.canClaim(returned.plusSeconds(5))).isTrue();
+        assertThat(mLease.claimRecord(List.of()).token()).isGreaterThan(9);
+    }
+
+    // Guards against the same with a lease that was released before the other daemon took it.
+    @Test
+    void releaseOfOlderCopyIsNotTakenWithinTheTerm() {
+        mLease.recordRead(held("other", 9, 9), START);
+        mLease.recordRead(held("", 8, StorePosition.of(1, 7)), START.plusSeconds(1));
+        assertThat(mLease.canClaim(START.plusSeconds(2))).isFalse();
+        assertThat(mLease.canClaim(START.plusSeconds(6))).isTrue();
+    }
+
+    // Guards against seconds without usage reports and orders: the store forgot the lease of a
+    // holder that nobody else can have replaced within its term.
+    @Test
+    void holderForgottenByOlderCopyContinues() {
+        mLease.recordRead(held("other", 5, 10), START.minusSeconds(9));
+        mLease.recordGranted(mLease.claimRecord(List.of()), 12, START, START);
+        mLease.recordLost();
+        mLease.recordRead(held("other", 5, StorePosition.of(1, 8)), START.plusSeconds(1));
+        assertThat(mLease.canClaim(START.plusSeconds(1))).isTrue();
+        assertThat(mLease.canClaim(START.plusMillis(2_500))).isFalse();
+    }
+
+    // Guards against a holder that was suspended meanwhile and claims the lease of its successor.
+    @Test
+    void holderForgottenByOlderCopyYieldsToItsSuccessor() {
+        acquire(START);
+        mLease.recordLost();
+        final long token = StorePosition.of(1, 8);
+        mLease.recordRead(held("other", token, StorePosition.of(1, 9)), START.plusSeconds(1));
+        assertThat(mLease.canClaim(START.plusSeconds(1))).isFalse();
+    }
+
+    // Guards against a usage window reported twice with different counts: the decision was written
+    // and reported, and the store returned from a copy without it.
+    @Test
+    void decisionThatOlderCopyLacksIsKept() {
+        final UsageDecision earlier = new UsageDecision(40, Map.of("clinic", 3L), true);
+        final UsageDecision later = new UsageDecision(41, Map.of("clinic", 7L), true);
+        mLease.recordRead(
+                new StoredLease(
+                        Optional.of(new LeaseRecord("other", 5, 9, List.of(earlier, later))), 9),
+                START);
+        final StoredLease copy =
+                new StoredLease(
+                        Optional.of(new LeaseRecord("other", 5, 8, List.of(earlier))),
+                        StorePosition.of(1, 8));
+        mLease.recordRead(copy, START.plusSeconds(1));
+        mLease.recordRead(copy, START.plusSeconds(2));
+        assertThat(mLease.decisions()).containsExactly(earlier, later);
+    }
+
     // Guards against a usage window reported twice with different counts: the first holder reported
     // it and died, and the next one counted it again. The next holder reads the decision instead.
     @Test
