--- a/serving/src/main/java/org/whinhead/serving/rollout/RolloutOrder.java
+++ b/serving/src/main/java/org/whinhead/serving/rollout/RolloutOrder.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import org.whinhead.api.Arguments;
+import org.whinhead.serving.store.StorePosition;
 
 /**
  * An operator's order to move a service to a version.
@@ -20,4 +21,18 @@
         Arguments.requirePositive(timeBudget, "timeBudget");
         Arguments.requireAtLeast(offset, 0, "offset");
     }
+
+    /**
+     * Returns whether this order is a known one that was written again, after the store returned
+     * from a copy without it.
+     *
+     * @param known the known order
+     * @return whether the orders differ in the era of their offsets only
+     */
+    boolean isRewrittenFrom(final RolloutOrder known) {
+        return StorePosition.isLaterEra(known.offset, offset)
+                && service.equals(known.service)
+                && version.equals(known.version)
+                && timeBudget.equals(known.timeBudget);
+    }
 }
--- a/serving/src/main/java/org/whinhead/serving/rollout/Rollouts.java
+++ b/serving/src/main/java/org/whinhead/serving/rollout/Rollouts.java
@@ -30,6 +30,7 @@
     private final boolean mEnabled;
     private final VersionHold mHold = new VersionHold();
     private final Map<String, ServiceRollout> mServices = new HashMap<>();
+    private long mNewestOrderOffset;
 
     /**
      * Creates a set without any order.
@@ -43,12 +44,16 @@
     /**
      * Adds an order that the store holds.
      *
-     * @param order the order; it is ignored unless it is newer than the known order of its service
+     * @param order the order; it is ignored unless it is newer than the known order of its service,
+     *     and if it is that order, written again after the store returned from an older copy
      * @return whether the order is new
      */
     public boolean addOrder(final RolloutOrder order) {
+        mNewestOrderOffset = Math.max(mNewestOrderOffset, order.offset());
         final ServiceRollout known = mServices.get(order.service());
-        if (known != null && known.order().offset() >= order.offset()) {
+        if (known != null
+                && (known.order().offset() >= order.offset()
+                        || order.isRewrittenFrom(known.order()))) {
             return false;
         }
         mServices.put(order.service(), new ServiceRollout(order));
@@ -239,10 +244,7 @@
      * @return the offset; 0 without an order
      */
     public long newestOrderOffset() {
-        return mServices.values().stream()
-                .mapToLong(rollout -> rollout.order().offset())
-                .max()
-                .orElse(0);
+        return mNewestOrderOffset;
     }
 
     private Optional<ServiceRollout> find(final String service) {
--- a/serving/src/test/java/org/whinhead/serving/rollout/RolloutsTest.java
+++ b/serving/src/test/java/org/whinhead/serving/rollout/RolloutsTest.java
@@ -14,6 +14,7 @@
 import net.jqwik.api.constraints.IntRange;
 import org.junit.jupiter.api.Test;
 import org.whinhead.serving.endpoint.EndpointEntry;
+import org.whinhead.serving.store.StorePosition;
 
 class RolloutsTest {
 
@@ -128,6 +129,32 @@
         assertThat(mRollouts.isOpen(SERVICE)).isTrue();
     }
 
+    /**
+     * Guards against a decided roll-out that is tried again: the store returned from a copy without
+     * the operator's order, which was then written again at another offset.
+     */
+    @Test
+    void orderWrittenAgainIsNotCarriedOutAgain() {
+        mRollouts.addOrder(ORDER);
+        mRollouts.applyStep(step(1, 1, RolloutState.ROLLED_BACK, 0), START);
+
+        final long offset = StorePosition.of(1, 3);
+        final RolloutOrder again =
+                new RolloutOrder(SERVICE, ORDER.version(), ORDER.timeBudget(), offset);
+        assertThat(mRollouts.addOrder(again)).isFalse();
+        assertThat(mRollouts.openOrders()).isEmpty();
+        assertThat(mRollouts.newestOrderOffset()).isEqualTo(offset);
+    }
+
+    /** Guards against an order that is ignored, as a copy of the store gave it a lower offset. */
+    @Test
+    void anotherOrderOfLaterEraIsCarriedOut() {
+        mRollouts.addOrder(ORDER);
+        final RolloutOrder other =
+                new RolloutOrder(SERVICE, "v3", ORDER.timeBudget(), StorePosition.of(1, 3));
+        assertThat(mRollouts.addOrder(other)).isTrue();
+    }
+
     @Test
     void repeatedRequestGoesToTheOldVersion() {
         mRollouts.addOrder(ORDER);
