--- a/gateway/src/main/java/org/whinhead/gateway/exchange/Exchanges.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/Exchanges.java
@@ -40,6 +40,9 @@
     /** The interval at which {@link #measureLag()} must be called. */
     public static final Duration LAG_MEASUREMENT_INTERVAL = Duration.ofMillis(200);
 
+    /** A newer configuration is read within this, and other daemons may have it already. */
+    private static final Duration BEHIND_RETRY_AFTER = Duration.ofMillis(100);
+
     private final EventLoop mLoop;
     private final ServingState mState;
     private final EndpointConnections mConnections;
@@ -106,7 +109,7 @@
                     request,
                     body,
                     response,
-                    RefusalResponse.invalid(HttpResponseStatus.NOT_FOUND, "no such route"));
+                    notAllowed(HttpResponseStatus.NOT_FOUND, "no such route"));
         }
         final Optional<CustomerAccount> customer =
                 request.key().flatMap(configuration::customerOfKey);
@@ -116,7 +119,7 @@
                     request,
                     body,
                     response,
-                    RefusalResponse.invalid(HttpResponseStatus.UNAUTHORIZED, "unknown key"));
+                    notAllowed(HttpResponseStatus.UNAUTHORIZED, "unknown key"));
         }
         if (mRefusesStreams && route.get().kind().isStream()) {
             return refuse(
@@ -136,6 +139,16 @@
                 response);
     }
 
+    /**
+     * Returns the refusal of a request that the configuration in force does not allow. A newer one
+     * that other daemons have may allow it; callers don't repeat what is refused for good.
+     */
+    private RefusalResponse notAllowed(final HttpResponseStatus status, final String reason) {
+        return mState.configurationProgress().isBehind()
+                ? RefusalResponse.notRun("configuration is behind: " + reason, BEHIND_RETRY_AFTER)
+                : RefusalResponse.invalid(status, reason);
+    }
+
     /** Starts the exchange of an admitted request. */
     ActiveRequest start(
             final AdmittedRequest admission, final ByteBuf body, final CallerResponse response) {
