--- a/gateway/src/main/java/org/whinhead/gateway/store/TopicFollower.java
+++ b/gateway/src/main/java/org/whinhead/gateway/store/TopicFollower.java
@@ -201,7 +201,8 @@
             return;
         }
         final List<StoreRecord> records = page.records();
-        if (!records.isEmpty()) {
+        // Without a position, the newest records are read next.
+        if (!records.isEmpty() && mNextOffset >= 0) {
             mNextOffset = Math.max(mNextOffset, records.get(records.size() - 1).offset() + 1);
         }
         apply(() -> mListener.onAppended(records));
--- a/gateway/src/test/java/org/whinhead/gateway/store/TopicFollowerTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/store/TopicFollowerTest.java
@@ -5,6 +5,7 @@
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -29,6 +30,7 @@
     private static final class CountingStore implements MetadataStore {
         private boolean mRefuses;
         private boolean mLosesAnswers;
+        private List<StoreRecord> mAppended = List.of();
         private int mCalls;
 
         @Override
@@ -46,6 +48,10 @@
                 mCalls++;
                 return new CompletableFuture<>();
             }
+            if (!mAppended.isEmpty() && !mRefuses) {
+                mCalls++;
+                return CompletableFuture.completedFuture(new StorePage(mAppended, 1, false));
+            }
             return newest(topic);
         }
 
@@ -172,6 +178,22 @@
         assertThat(mStore.mCalls).isPositive();
     }
 
+    // Guards against work for an endpoint that is gone: its entry was dropped in an outage, of
+    // which
+    // there is no record, and the first read after the outage found records of other keys.
+    @Test
+    void newestRecordsAreReadAfterOutage() {
+        mStore.mRefuses = true;
+        requestReadsForSeconds(3);
+        mStore.mRefuses = false;
+        mStore.mAppended = List.of(new StoreRecord("other", Optional.of(new byte[1]), 0));
+        mListener.mSnapshots = 0;
+
+        requestReadsForSeconds(3);
+
+        assertThat(mListener.mSnapshots).isEqualTo(1);
+    }
+
     // Guards against a billed call for each digest while the store answers late.
     @Test
     void unansweredReadIsRepeatedOnlyOnce() {
