--- a/gateway/src/main/java/org/whinhead/gateway/store/EndpointTopicListener.java
+++ b/gateway/src/main/java/org/whinhead/gateway/store/EndpointTopicListener.java
@@ -134,13 +134,14 @@
 
     @Override
     public void onSnapshot(final List<StoreRecord> records, final long end) {
-        records.forEach(this::apply);
         final Set<String> listed =
                 records.stream()
                         .filter(record -> record.value().isPresent())
                         .map(StoreRecord::key)
                         .collect(Collectors.toCollection(HashSet::new));
+        // First, as records of later pages may lie behind the end of the first page.
         registry().retain(listed, end, now());
+        records.forEach(this::apply);
         mLoaded = true;
         mEnd = end;
         mChanges.clear();
--- a/gateway/src/main/java/org/whinhead/gateway/store/MetadataStore.java
+++ b/gateway/src/main/java/org/whinhead/gateway/store/MetadataStore.java
@@ -16,7 +16,8 @@
      * Reads the newest record of each key.
      *
      * @param topic the topic
-     * @return the records and the topic's end
+     * @return the records, and an end below all records that are missing, as the store may be
+     *     written to while it is read
      */
     CompletableFuture<StorePage> newest(StoreTopic topic);
 
--- a/serving/src/main/java/org/whinhead/serving/endpoint/EndpointRegistry.java
+++ b/serving/src/main/java/org/whinhead/serving/endpoint/EndpointRegistry.java
@@ -183,7 +183,7 @@
     /**
      * Removes the entries that a complete listing doesn't contain.
      *
-     * @param listed the ids in the listing; their entries were put before
+     * @param listed the ids in the listing, whose entries are put afterwards
      * @param end the store's end offset when the listing was made; an older listing removes nothing
      * @param now the current time
      */
