--- a/gateway/src/main/java/org/whinhead/gateway/Gateway.java
+++ b/gateway/src/main/java/org/whinhead/gateway/Gateway.java
@@ -278,6 +278,7 @@
                         endpoints.readNow();
                     }
                 });
+        mCounts.addGauge("whinhead.store.era", endpoints::era);
         configuration.start();
         endpoints.start();
         final long interval = Exchanges.LAG_MEASUREMENT_INTERVAL.toMillis();
--- a/gateway/src/main/java/org/whinhead/gateway/store/TopicFollower.java
+++ b/gateway/src/main/java/org/whinhead/gateway/store/TopicFollower.java
@@ -138,6 +138,15 @@
         }
     }
 
+    /**
+     * Returns the era of the store in which the topic was last read as a whole.
+     *
+     * @return the era; 0 before the first read, and for a store that names none
+     */
+    public long era() {
+        return StorePosition.era(Math.max(mNewestEnd, 0));
+    }
+
     private void handleSnapshot(final StorePage page, final Throwable failure) {
         if (failure != null) {
             handleFailure(failure);
