Log failed connects to endpoints, and attempts that got no answer

From the logs, an endpoint that was down and a daemon that was cut from all endpoints looked the same: a failed connect left no line, and a request on a dead connection only its time at its end.

'connect failed' names the endpoint, its domain, the time taken and the cause. 'attempt not answered' tells whether an attempt was on a connection, its age and for how long it had received nothing. Connects and retries that the budget denied are counted.

No logic is changed.

--- a/gateway/src/main/java/org/whinhead/gateway/Gateway.java
+++ b/gateway/src/main/java/org/whinhead/gateway/Gateway.java
@@ -12,6 +12,7 @@
 import org.slf4j.LoggerFactory;
 import org.whinhead.gateway.caller.CallerHttpServer;
 import org.whinhead.gateway.duty.DutyLeaseManager;
+import org.whinhead.gateway.endpoint.ConnectionLogger;
 import org.whinhead.gateway.endpoint.EndpointConnections;
 import org.whinhead.gateway.exchange.Exchanges;
 import org.whinhead.gateway.exchange.RequestLogger;
@@ -134,7 +135,8 @@
         mState = createState(settings, tokens, clock, timeOfDay);
         mMembers = new MemberTable(settings.self());
         final EndpointConnections connections =
-                new EndpointConnections(loop, clock, ports.endpoints());
+                new EndpointConnections(
+                        loop, clock, ports.endpoints(), new ConnectionLogger(mCounts));
         mExchanges =
                 new Exchanges(
                         loop,
--- /dev/null
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/ConnectionLogger.java
@@ -0,0 +1,41 @@
+package org.whinhead.gateway.endpoint;
+
+import java.time.Duration;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.whinhead.gateway.metrics.RequestMetrics;
+import org.whinhead.gateway.peers.Addresses;
+import org.whinhead.serving.endpoint.EndpointEntry;
+
+/** Logs and counts the connects to endpoints. */
+public final class ConnectionLogger {
+
+    private static final Logger LOG = LoggerFactory.getLogger(ConnectionLogger.class);
+
+    private final RequestMetrics mCounts;
+
+    /**
+     * Creates a logger.
+     *
+     * @param counts the counters of the metrics
+     */
+    public ConnectionLogger(final RequestMetrics counts) {
+        mCounts = counts;
+    }
+
+    void connected() {
+        mCounts.recordConnect(true);
+    }
+
+    void connectFailed(final EndpointEntry endpoint, final Duration taken, final Throwable cause) {
+        mCounts.recordConnect(false);
+        LOG.atInfo()
+                .addKeyValue("endpoint", endpoint.id())
+                .addKeyValue("service", endpoint.service())
+                .addKeyValue("address", Addresses.format(endpoint.address()))
+                .addKeyValue("domain", endpoint.domain())
+                .addKeyValue("millis", taken.toMillis())
+                .addKeyValue("cause", cause.getClass().getSimpleName())
+                .log("connect failed");
+    }
+}
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnection.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnection.java
@@ -13,6 +13,8 @@
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.util.ReferenceCountUtil;
 import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.whinhead.gateway.http.ConnectionExceptions;
@@ -31,16 +33,25 @@
 
     private final EndpointProtocol mProtocol;
     private final EndpointConnections.Pool mPool;
+    private final InstantSource mClock;
+    private final Instant mOpenedAt;
     private Channel mChannel;
+    private Instant mLastReadAt;
     private EndpointResponseListener mListener;
     private ChannelFuture mWritten;
     private EndpointResponse mResponse;
     private Duration mIdleTimeout;
     private boolean mReusable = true;
 
-    EndpointConnection(final EndpointProtocol protocol, final EndpointConnections.Pool pool) {
+    EndpointConnection(
+            final EndpointProtocol protocol,
+            final EndpointConnections.Pool pool,
+            final InstantSource clock) {
         mProtocol = protocol;
         mPool = pool;
+        mClock = clock;
+        mOpenedAt = clock.instant();
+        mLastReadAt = mOpenedAt;
         mIdleTimeout = EndpointConnections.DEFAULT_IDLE_TIMEOUT;
     }
 
@@ -71,6 +82,24 @@
         mWritten = mChannel.writeAndFlush(new DefaultLastHttpContent(body));
     }
 
+    /**
+     * Returns the time since this connection was opened.
+     *
+     * @return the age of the connection
+     */
+    public Duration age() {
+        return Duration.between(mOpenedAt, mClock.instant());
+    }
+
+    /**
+     * Returns the time since anything was received on this connection.
+     *
+     * @return the time since the last read, or since the connection was opened
+     */
+    public Duration silentFor() {
+        return Duration.between(mLastReadAt, mClock.instant());
+    }
+
     /** Returns the unused connection to the pool. */
     public void release() {
         mPool.release(this);
@@ -94,6 +123,7 @@
 
     @Override
     public void channelRead(final ChannelHandlerContext context, final Object message) {
+        mLastReadAt = mClock.instant();
         try {
             if (mListener == null) {
                 mReusable = false;
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnections.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnections.java
@@ -37,6 +37,7 @@
     private final EventLoop mLoop;
     private final InstantSource mClock;
     private final EndpointProtocol mProtocol;
+    private final ConnectionLogger mLogger;
     private final Map<String, Pool> mPools = new HashMap<>();
 
     /**
@@ -45,12 +46,17 @@
      * @param loop the event loop on which all work runs
      * @param clock the monotonic clock
      * @param protocol decodes the responses of endpoints
+     * @param logger logs and counts the connects
      */
     public EndpointConnections(
-            final EventLoop loop, final InstantSource clock, final EndpointProtocol protocol) {
+            final EventLoop loop,
+            final InstantSource clock,
+            final EndpointProtocol protocol,
+            final ConnectionLogger logger) {
         mLoop = loop;
         mClock = clock;
         mProtocol = protocol;
+        mLogger = logger;
     }
 
     /**
@@ -78,7 +84,8 @@
             final Pool pool,
             final Consumer<EndpointConnection> opened,
             final Runnable failed) {
-        final EndpointConnection connection = new EndpointConnection(mProtocol, pool);
+        final Instant startedAt = mClock.instant();
+        final EndpointConnection connection = new EndpointConnection(mProtocol, pool, mClock);
         final ChannelFuture future =
                 new Bootstrap()
                         .group(mLoop)
@@ -92,8 +99,11 @@
         future.addListener(
                 done -> {
                     if (done.isSuccess()) {
+                        mLogger.connected();
                         opened.accept(connection);
                     } else {
+                        final Duration taken = Duration.between(startedAt, mClock.instant());
+                        mLogger.connectFailed(endpoint, taken, done.cause());
                         pool.remove(connection);
                         failed.run();
                     }
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
@@ -183,10 +183,21 @@
         mPlacement.load().recordOutcome(true);
         mTrial.attemptAbandoned();
         mRefusals.markMayHaveRun();
+        logUnanswered();
         endAttempt();
         dispatch();
     }
 
+    /** Logs the current attempt, if any, as given up. */
+    private void logUnanswered() {
+        if (mPlacement != null) {
+            mExchanges
+                    .requestLogger()
+                    .attemptUnanswered(
+                            mAdmission, mPlacement.endpoint(), Optional.ofNullable(mConnection));
+        }
+    }
+
     private void connectFailed(final int attemptId) {
         if (mFinished || attemptId != mAttemptId) {
             return;
@@ -359,10 +370,18 @@
 
     /** Returns whether another attempt is allowed, and charges it to the retry budget if so. */
     private boolean acquireRetry() {
-        return mSends < mAdmission.route().maxAttempts()
-                && timeLeft().compareTo(MIN_TIME_LEFT) > 0
-                && (!mRelay.isStarted() || mAdmission.route().kind().isStream())
-                && mExchanges.state().retryBudget().tryRetry(mService, now());
+        final boolean useful =
+                mSends < mAdmission.route().maxAttempts()
+                        && timeLeft().compareTo(MIN_TIME_LEFT) > 0
+                        && (!mRelay.isStarted() || mAdmission.route().kind().isStream());
+        if (!useful) {
+            return false;
+        }
+        final boolean allowed = mExchanges.state().retryBudget().tryRetry(mService, now());
+        if (!allowed) {
+            mExchanges.requestLogger().retryDenied(mService);
+        }
+        return allowed;
     }
 
     /** Ends the current attempt, if any, and invalidates its pending callbacks. */
@@ -397,6 +416,7 @@
         if (mFinished) {
             return;
         }
+        logUnanswered();
         mTrial.attemptAbandoned();
         if (mSends > 0) {
             mRefusals.markMayHaveRun();
@@ -411,6 +431,7 @@
     @Override
     public void callerDisconnected() {
         if (!mFinished) {
+            logUnanswered();
             mTrial.attemptAbandoned();
             finish("caller left", 0);
         }
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/RequestLogger.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/RequestLogger.java
@@ -3,12 +3,14 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.Optional;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.slf4j.spi.LoggingEventBuilder;
 import org.whinhead.api.verdict.Verdict;
 import org.whinhead.gateway.caller.CallerRequest;
 import org.whinhead.gateway.caller.RefusalResponse;
+import org.whinhead.gateway.endpoint.EndpointConnection;
 import org.whinhead.gateway.endpoint.MoveOutcome;
 import org.whinhead.gateway.metrics.RequestMetrics;
 import org.whinhead.serving.balance.Placement;
@@ -98,6 +100,31 @@
                 .log("attempt failed");
     }
 
+    /**
+     * Logs that an attempt is given up without a response, and how long its connection has existed
+     * and received nothing.
+     */
+    void attemptUnanswered(
+            final AdmittedRequest admission,
+            final EndpointEntry endpoint,
+            final Optional<EndpointConnection> connection) {
+        final LoggingEventBuilder line =
+                LOG.atInfo()
+                        .addKeyValue("request", admission.request().id())
+                        .addKeyValue("route", admission.route().name())
+                        .addKeyValue("endpoint", endpoint.id())
+                        .addKeyValue("connected", connection.isPresent());
+        connection.ifPresent(
+                used ->
+                        line.addKeyValue("connectionAgeMillis", used.age().toMillis())
+                                .addKeyValue("silentMillis", used.silentFor().toMillis()));
+        line.log("attempt not answered");
+    }
+
+    void retryDenied(final String service) {
+        mCounts.recordRetryDenied(service);
+    }
+
     void moved(
             final AdmittedRequest admission,
             final EndpointEntry source,
--- a/gateway/src/main/java/org/whinhead/gateway/metrics/CounterKey.java
+++ b/gateway/src/main/java/org/whinhead/gateway/metrics/CounterKey.java
@@ -31,6 +31,10 @@
         TOKENS_ADMITTED("whinhead.tokens.admitted", "customer", ""),
         /** Attempts that ended without an answer. */
         ATTEMPT_FAILED("whinhead.attempts.failed", "verdict", "reason"),
+        /** Connects to endpoints. */
+        CONNECT("whinhead.endpoint.connects", "outcome", ""),
+        /** Further attempts that the retry budget did not allow. */
+        RETRY_DENIED("whinhead.retries.denied", "service", ""),
         /** Runs that were moved off leaving endpoints. */
         MOVED("whinhead.runs.moved", "answered", ""),
         /** Requests that have ended. */
--- a/gateway/src/main/java/org/whinhead/gateway/metrics/RequestMetrics.java
+++ b/gateway/src/main/java/org/whinhead/gateway/metrics/RequestMetrics.java
@@ -60,6 +60,24 @@
         counter(Metric.ATTEMPT_FAILED, verdict.wireName(), reason).add(1);
     }
 
+    /**
+     * Counts a connect to an endpoint.
+     *
+     * @param succeeded whether the endpoint accepted it
+     */
+    public void recordConnect(final boolean succeeded) {
+        counter(Metric.CONNECT, succeeded ? "accepted" : "failed", "").add(1);
+    }
+
+    /**
+     * Counts a further attempt that the retry budget did not allow.
+     *
+     * @param service the requested service
+     */
+    public void recordRetryDenied(final String service) {
+        counter(Metric.RETRY_DENIED, service, "").add(1);
+    }
+
     /**
      * Counts a run that was moved, or should have been.
      *
--- a/gateway/src/test/java/org/whinhead/gateway/endpoint/EndpointConnectionTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/endpoint/EndpointConnectionTest.java
@@ -77,8 +77,9 @@
     void connect() {
         final PlainProtocol protocol = new PlainProtocol();
         final EndpointConnections connections =
-                new EndpointConnections(null, InstantSource.system(), protocol);
-        mConnection = new EndpointConnection(protocol, connections.new Pool());
+                new EndpointConnections(null, InstantSource.system(), protocol, null);
+        mConnection =
+                new EndpointConnection(protocol, connections.new Pool(), InstantSource.system());
         mChannel =
                 new EmbeddedChannel(
                         new HttpClientCodec(new HttpDecoderConfig(), false, false), mConnection);
--- a/gateway/src/test/java/org/whinhead/gateway/metrics/RequestMetricsTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/metrics/RequestMetricsTest.java
@@ -60,4 +60,17 @@
                 .contains("whinhead_requests_within_total{kind=\"IDEMPOTENT\",millis=\"+Inf\"} 2.0")
                 .doesNotContain("millis=\"20\"");
     }
+
+    @Test
+    void connectsAndDeniedRetriesAreCounted() {
+        final RequestMetrics metrics = new RequestMetrics();
+        metrics.recordConnect(true);
+        metrics.recordConnect(false);
+        metrics.recordConnect(false);
+        metrics.recordRetryDenied("api");
+        assertThat(metrics.renderPage())
+                .contains("whinhead_endpoint_connects_total{outcome=\"accepted\"} 1.0")
+                .contains("whinhead_endpoint_connects_total{outcome=\"failed\"} 2.0")
+                .contains("whinhead_retries_denied_total{service=\"api\"} 1.0");
+    }
 }
