Connect to endpoints from the VM's own address

Connections to endpoints left the source address to the system. Bound to the address in the settings, an endpoint and everything between see which daemon connects, also on a VM or test machine with several addresses; tests can cut one daemon's way to the endpoints.

--- a/gateway/src/main/java/org/whinhead/gateway/Gateway.java
+++ b/gateway/src/main/java/org/whinhead/gateway/Gateway.java
@@ -134,9 +134,7 @@
                 new DatagramQuotaTransport(loop, settings.self().incarnation());
         mState = createState(settings, tokens, clock, timeOfDay);
         mMembers = new MemberTable(settings.self());
-        final EndpointConnections connections =
-                new EndpointConnections(
-                        loop, clock, ports.endpoints(), new ConnectionLogger(mCounts));
+        final EndpointConnections connections = createConnections(clock);
         mExchanges =
                 new Exchanges(
                         loop,
@@ -187,6 +185,15 @@
         mPeers.onCapacityOrder(mDuties.autoscaler()::recordPeerOrder);
     }
 
+    private EndpointConnections createConnections(final InstantSource clock) {
+        return new EndpointConnections(
+                mLoop,
+                clock,
+                mPorts.endpoints(),
+                new ConnectionLogger(mCounts),
+                mSettings.self().peerAddress().getAddress());
+    }
+
     private void addConfigurationGauges() {
         final ConfigurationProgress progress = mState.configurationProgress();
         mCounts.addGauge("whinhead.configuration.version", progress::version);
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnections.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnections.java
@@ -9,6 +9,8 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
@@ -38,6 +40,7 @@
     private final InstantSource mClock;
     private final EndpointProtocol mProtocol;
     private final ConnectionLogger mLogger;
+    private final InetAddress mLocalAddress;
     private final Map<String, Pool> mPools = new HashMap<>();
 
     /**
@@ -47,16 +50,19 @@
      * @param clock the monotonic clock
      * @param protocol decodes the responses of endpoints
      * @param logger logs and counts the connects
+     * @param localAddress the address of this VM, which endpoints see as the sender's
      */
     public EndpointConnections(
             final EventLoop loop,
             final InstantSource clock,
             final EndpointProtocol protocol,
-            final ConnectionLogger logger) {
+            final ConnectionLogger logger,
+            final InetAddress localAddress) {
         mLoop = loop;
         mClock = clock;
         mProtocol = protocol;
         mLogger = logger;
+        mLocalAddress = localAddress;
     }
 
     /**
@@ -93,7 +99,7 @@
                         .option(ChannelOption.TCP_NODELAY, true)
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                         .handler(new PipelineInitializer(connection))
-                        .connect(endpoint.address());
+                        .connect(endpoint.address(), new InetSocketAddress(mLocalAddress, 0));
         connection.setChannel(future.channel());
         pool.mOpen.add(connection);
         future.addListener(
--- a/gateway/src/test/java/org/whinhead/gateway/endpoint/EndpointConnectionTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/endpoint/EndpointConnectionTest.java
@@ -77,7 +77,7 @@
     void connect() {
         final PlainProtocol protocol = new PlainProtocol();
         final EndpointConnections connections =
-                new EndpointConnections(null, InstantSource.system(), protocol, null);
+                new EndpointConnections(null, InstantSource.system(), protocol, null, null);
         mConnection =
                 new EndpointConnection(protocol, connections.new Pool(), InstantSource.system());
         mChannel =
--- a/gateway/src/test/java/org/whinhead/gateway/store/EndpointTopicListenerTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/store/EndpointTopicListenerTest.java
@@ -22,7 +22,7 @@
     private final EndpointTopicListener mListener =
             new EndpointTopicListener(
                     mState,
-                    new EndpointConnections(null, () -> mNow, null, null),
+                    new EndpointConnections(null, () -> mNow, null, null, null),
                     EndpointTopicListenerTest::decode);
 
     private static EndpointEntry decode(final String id, final byte[] value)
