--- /dev/null
+++ b/gateway/src/main/java/org/whinhead/gateway/EndpointAccess.java
@@ -0,0 +1,97 @@
+package org.whinhead.gateway;
+
+import io.netty.channel.EventLoop;
+import java.net.InetAddress;
+import java.util.Random;
+import org.whinhead.gateway.endpoint.ConnectionLogger;
+import org.whinhead.gateway.endpoint.EndpointConnections;
+import org.whinhead.gateway.endpoint.EndpointConnector;
+import org.whinhead.gateway.endpoint.EndpointProtocol;
+import org.whinhead.gateway.endpoint.ReachMonitor;
+import org.whinhead.gateway.exchange.ServingState;
+import org.whinhead.gateway.metrics.RequestMetrics;
+import org.whinhead.gateway.relay.RelayServer;
+import org.whinhead.serving.member.MemberTable;
+import org.whinhead.serving.reach.RelaySelector;
+
+/** The ways from this daemon to the endpoints, its own and those through other daemons. */
+final class EndpointAccess {
+
+    private final ServingState mState;
+    private final MemberTable mMembers;
+    private final GatewaySettings mSettings;
+    private final EndpointConnections mConnections;
+    private final ReachMonitor mMonitor;
+    private final RelayServer mRelayServer;
+
+    EndpointAccess(
+            final EventLoop loop,
+            final GatewaySettings settings,
+            final ServingState state,
+            final MemberTable members,
+            final EndpointProtocol protocol,
+            final RequestMetrics counts) {
+        mState = state;
+        mMembers = members;
+        mSettings = settings;
+        final InetAddress localAddress = settings.self().peerAddress().getAddress();
+        final EndpointConnector connector =
+                new EndpointConnector(
+                        loop,
+                        state.clock(),
+                        localAddress,
+                        state.reach(),
+                        new RelaySelector(members, new Random()),
+                        new ConnectionLogger(counts));
+        mConnections = new EndpointConnections(state.clock(), protocol, connector, state.reach());
+        mMonitor =
+                new ReachMonitor(
+                        connector,
+                        protocol,
+                        state.reach(),
+                        state.endpoints()::find,
+                        state::healthPath);
+        mRelayServer =
+                new RelayServer(loop, localAddress, state.endpoints()::find, members::hasAddress);
+        counts.addGauge("whinhead.endpoints.relayed", state.reach()::relayedCount);
+        counts.addGauge("whinhead.endpoints.cut.off", () -> mMonitor.isCutOff() ? 1 : 0);
+        counts.addGauge("whinhead.relayed.connections", mRelayServer::connectionCount);
+    }
+
+    EndpointConnections connections() {
+        return mConnections;
+    }
+
+    /**
+     * Starts to relay connections for other daemons.
+     *
+     * @param reportNow sends a report to the other daemons after a change of this daemon's reach
+     */
+    void start(final Runnable reportNow) {
+        mRelayServer.listen(mSettings.relayAddress());
+        mMonitor.onCutOffChange(
+                () -> {
+                    mMembers.setSelfCutOff(mMonitor.isCutOff());
+                    reportNow.run();
+                });
+    }
+
+    /** Starts the checks that are due; must be called several times per second. */
+    void tick() {
+        mMonitor.tick(mState.clock().instant());
+    }
+
+    /** Lets relayed connections end with their current request. */
+    void drain() {
+        mRelayServer.drain();
+    }
+
+    /**
+     * Returns the number of connections that this daemon relays for others.
+     *
+     * @return the number of connections
+     */
+    int relayedCount() {
+        return mRelayServer.connectionCount();
+    }
+}
--- a/gateway/src/main/java/org/whinhead/gateway/Gateway.java
+++ b/gateway/src/main/java/org/whinhead/gateway/Gateway.java
@@ -12,7 +12,6 @@
 import org.slf4j.LoggerFactory;
 import org.whinhead.gateway.caller.CallerHttpServer;
 import org.whinhead.gateway.duty.DutyLeaseManager;
-import org.whinhead.gateway.endpoint.ConnectionLogger;
 import org.whinhead.gateway.endpoint.EndpointConnections;
 import org.whinhead.gateway.exchange.Exchanges;
 import org.whinhead.gateway.exchange.RequestLogger;
@@ -97,6 +96,7 @@
     private final GatewaySettings mSettings;
     private final ServingState mState;
     private final MemberTable mMembers;
+    private final EndpointAccess mAccess;
     private final CallerHttpServer mCallerServer;
     private final Exchanges mExchanges;
     private final EndpointTopicListener mEndpointWatch;
@@ -134,7 +134,8 @@
                 new DatagramQuotaTransport(loop, settings.self().incarnation());
         mState = createState(settings, tokens, clock, timeOfDay);
         mMembers = new MemberTable(settings.self());
-        final EndpointConnections connections = createConnections(clock);
+        mAccess = new EndpointAccess(loop, settings, mState, mMembers, ports.endpoints(), mCounts);
+        final EndpointConnections connections = mAccess.connections();
         mExchanges =
                 new Exchanges(
                         loop,
@@ -185,15 +186,6 @@
         mPeers.onCapacityOrder(mDuties.autoscaler()::recordPeerOrder);
     }
 
-    private EndpointConnections createConnections(final InstantSource clock) {
-        return new EndpointConnections(
-                mLoop,
-                clock,
-                mPorts.endpoints(),
-                new ConnectionLogger(mCounts),
-                mSettings.self().peerAddress().getAddress());
-    }
-
     private void addConfigurationGauges() {
         final ConfigurationProgress progress = mState.configurationProgress();
         mCounts.addGauge("whinhead.configuration.version", progress::version);
@@ -257,7 +249,9 @@
         statusServer.listen(mSettings.metricsAddress(), "text/plain", target -> metrics());
         mCallerServer.listen(mSettings.self().callerAddress());
         mSettings.contacts().forEach(mPeers::addContact);
+        mPeers.setRelayPort(mSettings.relayAddress().getPort());
         mPeers.start();
+        mAccess.start(mPeers::reportToAll);
         followStore();
         mAnnouncement.start();
         mDuties.start();
@@ -299,6 +293,7 @@
     private void runPeriodicTasks() {
         GuardedTask.run(LOG, "measure lag", mExchanges::measureLag);
         GuardedTask.run(LOG, "remove lapsed entries", mEndpointWatch::removeLapsedEntries);
+        GuardedTask.run(LOG, "check reach", mAccess::tick);
         GuardedTask.run(LOG, "log lag", () -> mConfigurationLag.tick(mState.clock().instant()));
         GuardedTask.run(LOG, "write table of shares", mShareTable::tick);
         mRollouts.ifPresent(rollouts -> GuardedTask.run(LOG, "roll-outs", rollouts::tick));
@@ -372,6 +367,7 @@
         mMembers.setSelfReady(false);
         mPeers.announceLeaving();
         mDuties.stop();
+        mAccess.drain();
         final Instant start = mState.clock().instant();
         schedule(CLOSE_IDLE_AFTER, mCallerServer::drain);
         schedule(REFUSE_STREAMS_AFTER, mExchanges::refuseStreams);
@@ -389,7 +385,7 @@
     private void checkStopped(final Instant start, final Runnable ended) {
         mCallerServer.stopAccepting();
         final Duration elapsed = Duration.between(start, mState.clock().instant());
-        final int busy = mCallerServer.busyConnectionCount();
+        final int busy = mCallerServer.busyConnectionCount() + mAccess.relayedCount();
         if (busy == 0 || elapsed.compareTo(mSettings.stopGrace().minus(STOP_MARGIN)) > 0) {
             LOG.atInfo().addKeyValue("requestsCut", busy).log("stopped");
             ended.run();
--- a/gateway/src/main/java/org/whinhead/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/whinhead/gateway/GatewaySettings.java
@@ -17,6 +17,7 @@
     private final InetSocketAddress mReadinessAddress;
     private final InetSocketAddress mDirectoryAddress;
     private final InetSocketAddress mMetricsAddress;
+    private final InetSocketAddress mRelayAddress;
     private final List<InetSocketAddress> mContacts;
     private final double mRetryShare;
     private final int mRetryFixed;
@@ -33,6 +34,7 @@
         mReadinessAddress = Objects.requireNonNull(builder.mReadinessAddress, "readinessAddress");
         mDirectoryAddress = Objects.requireNonNull(builder.mDirectoryAddress, "directoryAddress");
         mMetricsAddress = Objects.requireNonNull(builder.mMetricsAddress, "metricsAddress");
+        mRelayAddress = Objects.requireNonNull(builder.mRelayAddress, "relayAddress");
         mContacts = List.copyOf(builder.mContacts);
         mRetryShare = builder.mRetryShare;
         mRetryFixed = builder.mRetryFixed;
@@ -70,6 +72,15 @@
         return mMetricsAddress;
     }
 
+    /**
+     * Returns the address at which this daemon relays connections to endpoints for other daemons.
+     *
+     * @return the address
+     */
+    public InetSocketAddress relayAddress() {
+        return mRelayAddress;
+    }
+
     public List<InetSocketAddress> contacts() {
         return mContacts;
     }
@@ -122,6 +133,7 @@
         private InetSocketAddress mReadinessAddress;
         private InetSocketAddress mDirectoryAddress;
         private InetSocketAddress mMetricsAddress;
+        private InetSocketAddress mRelayAddress;
         private List<InetSocketAddress> mContacts = List.of();
         private double mRetryShare;
         private int mRetryFixed;
@@ -164,6 +176,17 @@
             return this;
         }
 
+        /**
+         * Sets the address at which this daemon relays connections for other daemons.
+         *
+         * @param relayAddress the address
+         * @return this builder
+         */
+        public Builder relayAddress(final InetSocketAddress relayAddress) {
+            mRelayAddress = relayAddress;
+            return this;
+        }
+
         /**
          * Sets the addresses by which other daemons are first contacted.
          *
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/ConnectionLogger.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/ConnectionLogger.java
@@ -5,7 +5,9 @@
 import org.slf4j.LoggerFactory;
 import org.whinhead.gateway.metrics.RequestMetrics;
 import org.whinhead.gateway.peers.Addresses;
+import org.whinhead.gateway.relay.RelayFailure;
 import org.whinhead.serving.endpoint.EndpointEntry;
+import org.whinhead.serving.member.Relay;
 
 /** Logs and counts the connects to endpoints. */
 public final class ConnectionLogger {
@@ -38,4 +40,18 @@
                 .addKeyValue("cause", cause.getClass().getSimpleName())
                 .log("connect failed");
     }
+
+    void relayed() {
+        mCounts.recordRelay("relayed");
+    }
+
+    void relayFailed(final EndpointEntry endpoint, final Relay relay, final RelayFailure failure) {
+        mCounts.recordRelay(failure.name());
+        LOG.atInfo()
+                .addKeyValue("endpoint", endpoint.id())
+                .addKeyValue("service", endpoint.service())
+                .addKeyValue("relay", relay.daemon())
+                .addKeyValue("cause", failure.name())
+                .log("connection not relayed");
+    }
 }
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnection.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnection.java
@@ -18,6 +18,9 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.whinhead.gateway.http.ConnectionExceptions;
+import org.whinhead.gateway.relay.RelayDrainEvent;
+import org.whinhead.gateway.relay.RelayLostException;
+import org.whinhead.serving.reach.AccessPath;
 
 /**
  * A connection to an endpoint, which carries one request at a time.
@@ -34,9 +37,11 @@
     private final EndpointProtocol mProtocol;
     private final EndpointConnections.Pool mPool;
     private final InstantSource mClock;
-    private final Instant mOpenedAt;
     private Channel mChannel;
+    private AccessPath mPath;
+    private Instant mOpenedAt;
     private Instant mLastReadAt;
+    private boolean mAnswered;
     private EndpointResponseListener mListener;
     private ChannelFuture mWritten;
     private EndpointResponse mResponse;
@@ -50,13 +55,24 @@
         mProtocol = protocol;
         mPool = pool;
         mClock = clock;
-        mOpenedAt = clock.instant();
-        mLastReadAt = mOpenedAt;
         mIdleTimeout = EndpointConnections.DEFAULT_IDLE_TIMEOUT;
     }
 
-    void setChannel(final Channel channel) {
-        mChannel = channel;
+    @Override
+    public void handlerAdded(final ChannelHandlerContext context) {
+        mChannel = context.channel();
+    }
+
+    /** Starts the use of the open connection. */
+    void opened(final AccessPath path) {
+        mPath = path;
+        mOpenedAt = mClock.instant();
+        mLastReadAt = mOpenedAt;
+        mPool.add(this);
+    }
+
+    AccessPath path() {
+        return mPath;
     }
 
     boolean isUsable() {
@@ -146,6 +162,10 @@
             fail(EndpointFailure.NOT_HTTP);
             return;
         }
+        if (!mAnswered && mPath == AccessPath.DIRECT) {
+            mPool.reachedDirectly();
+        }
+        mAnswered = true;
         mResponse = mProtocol.decode(response);
         mIdleTimeout = mResponse.idleTimeout().orElse(EndpointConnections.DEFAULT_IDLE_TIMEOUT);
         if (mResponse.closesConnection()) {
@@ -200,7 +220,11 @@
 
     @Override
     public void userEventTriggered(final ChannelHandlerContext context, final Object event) {
-        if (event instanceof IdleStateEvent && mListener == null) {
+        final boolean drain = event == RelayDrainEvent.INSTANCE;
+        if (drain) {
+            mReusable = false;
+        }
+        if ((drain || event instanceof IdleStateEvent) && mListener == null) {
             mReusable = false;
             context.close();
         }
@@ -215,6 +239,9 @@
     @Override
     public void exceptionCaught(final ChannelHandlerContext context, final Throwable cause) {
         ConnectionExceptions.log(LOG, "endpoint", cause);
-        fail(EndpointFailure.CONNECTION_LOST);
+        fail(
+                cause instanceof RelayLostException
+                        ? EndpointFailure.RELAY_LOST
+                        : EndpointFailure.CONNECTION_LOST);
     }
 }
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnections.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnections.java
@@ -1,16 +1,9 @@
 package org.whinhead.gateway.endpoint;
 
-import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.ChannelFuture;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoop;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
@@ -19,10 +12,13 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.whinhead.serving.endpoint.EndpointEntry;
+import org.whinhead.serving.reach.AccessPath;
+import org.whinhead.serving.reach.EndpointReach;
 
 /** The connection pools of the endpoints, by endpoint id. */
 public final class EndpointConnections {
@@ -33,36 +29,29 @@
     /** The time before the endpoint's idle timeout in which a connection is no longer used. */
     private static final Duration IDLE_MARGIN = Duration.ofMillis(700);
 
-    /** Endpoints of the same region accept within a few milliseconds, unreachable ones never. */
-    private static final int CONNECT_TIMEOUT_MILLIS = 300;
-
-    private final EventLoop mLoop;
     private final InstantSource mClock;
     private final EndpointProtocol mProtocol;
-    private final ConnectionLogger mLogger;
-    private final InetAddress mLocalAddress;
+    private final EndpointConnector mConnector;
+    private final EndpointReach mReach;
     private final Map<String, Pool> mPools = new HashMap<>();
 
     /**
      * Creates pools without connections.
      *
-     * @param loop the event loop on which all work runs
      * @param clock the monotonic clock
      * @param protocol decodes the responses of endpoints
-     * @param logger logs and counts the connects
-     * @param localAddress the address of this VM, which endpoints see as the sender's
+     * @param connector opens the connections
+     * @param reach which endpoints are reached directly
      */
     public EndpointConnections(
-            final EventLoop loop,
             final InstantSource clock,
             final EndpointProtocol protocol,
-            final ConnectionLogger logger,
-            final InetAddress localAddress) {
-        mLoop = loop;
+            final EndpointConnector connector,
+            final EndpointReach reach) {
         mClock = clock;
         mProtocol = protocol;
-        mLogger = logger;
-        mLocalAddress = localAddress;
+        mConnector = connector;
+        mReach = reach;
     }
 
     /**
@@ -70,48 +59,45 @@
      *
      * @param endpoint the endpoint
      * @param opened receives the connection
-     * @param failed called if no connection can be made
+     * @param failed receives the reason if no connection can be made
      */
     public void acquire(
             final EndpointEntry endpoint,
             final Consumer<EndpointConnection> opened,
-            final Runnable failed) {
-        final Pool pool = mPools.computeIfAbsent(endpoint.id(), id -> new Pool());
-        final EndpointConnection idle = pool.acquireIdle(mClock.instant());
+            final Consumer<ConnectFailure> failed) {
+        final AccessPath path = mReach.pathTo(endpoint.id(), endpoint.service());
+        final EndpointConnection idle = pool(endpoint).acquireIdle(path, mClock.instant());
         if (idle == null) {
-            connect(endpoint, pool, opened, failed);
+            connect(endpoint, opened, failed);
         } else {
             opened.accept(idle);
         }
     }
 
+    private Pool pool(final EndpointEntry endpoint) {
+        return mPools.computeIfAbsent(
+                endpoint.id(), id -> new Pool(endpoint.id(), endpoint.service()));
+    }
+
     private void connect(
             final EndpointEntry endpoint,
-            final Pool pool,
             final Consumer<EndpointConnection> opened,
-            final Runnable failed) {
-        final Instant startedAt = mClock.instant();
-        final EndpointConnection connection = new EndpointConnection(mProtocol, pool, mClock);
-        final ChannelFuture future =
-                new Bootstrap()
-                        .group(mLoop)
-                        .channel(NioSocketChannel.class)
-                        .option(ChannelOption.TCP_NODELAY, true)
-                        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-                        .handler(new PipelineInitializer(connection))
-                        .connect(endpoint.address(), new InetSocketAddress(mLocalAddress, 0));
-        connection.setChannel(future.channel());
-        pool.mOpen.add(connection);
-        future.addListener(
-                done -> {
-                    if (done.isSuccess()) {
-                        mLogger.connected();
+            final Consumer<ConnectFailure> failed) {
+        mConnector.connect(
+                endpoint,
+                () -> new PipelineInitializer(pool(endpoint)),
+                new ConnectListener() {
+                    @Override
+                    public void connected(final Channel channel, final AccessPath path) {
+                        final EndpointConnection connection =
+                                channel.pipeline().get(EndpointConnection.class);
+                        connection.opened(path);
                         opened.accept(connection);
-                    } else {
-                        final Duration taken = Duration.between(startedAt, mClock.instant());
-                        mLogger.connectFailed(endpoint, taken, done.cause());
-                        pool.remove(connection);
-                        failed.run();
+                    }
+
+                    @Override
+                    public void failed(final ConnectFailure failure) {
+                        failed.accept(failure);
                     }
                 });
     }
@@ -122,6 +108,7 @@
      * @param known the ids of all endpoints
      */
     public void retainEndpoints(final Collection<String> known) {
+        mReach.retain(known);
         mPools.entrySet()
                 .removeIf(
                         entry -> {
@@ -147,30 +134,40 @@
         }
     }
 
-    private static final class PipelineInitializer extends ChannelInitializer<SocketChannel> {
-        private final EndpointConnection mConnection;
+    private final class PipelineInitializer extends ChannelInitializer<Channel> {
+        private final Pool mPool;
 
-        private PipelineInitializer(final EndpointConnection connection) {
-            mConnection = connection;
+        private PipelineInitializer(final Pool pool) {
+            mPool = pool;
         }
 
         @Override
-        protected void initChannel(final SocketChannel channel) {
+        protected void initChannel(final Channel channel) {
             channel.pipeline()
                     .addLast(new HttpClientCodec(new HttpDecoderConfig(), false, false))
-                    .addLast(mConnection);
+                    .addLast(new EndpointConnection(mProtocol, mPool, mClock));
         }
     }
 
     /** The connections to one endpoint. */
     final class Pool {
+        private final String mEndpoint;
+        private final String mService;
         private final Deque<IdleConnection> mIdle = new ArrayDeque<>();
         private final Set<EndpointConnection> mOpen = new HashSet<>();
 
-        private EndpointConnection acquireIdle(final Instant now) {
+        Pool(final String endpoint, final String service) {
+            mEndpoint = endpoint;
+            mService = service;
+        }
+
+        /** Returns an idle connection on a way, and closes those on the other one. */
+        private EndpointConnection acquireIdle(final AccessPath path, final Instant now) {
             IdleConnection idle = mIdle.pollFirst();
             while (idle != null) {
-                if (idle.mConnection.isUsable() && now.isBefore(idle.mUsableUntil)) {
+                if (idle.mConnection.isUsable()
+                        && idle.mConnection.path() == path
+                        && now.isBefore(idle.mUsableUntil)) {
                     return idle.mConnection;
                 }
                 idle.mConnection.cancel();
@@ -179,6 +176,10 @@
             return null;
         }
 
+        void add(final EndpointConnection connection) {
+            mOpen.add(connection);
+        }
+
         void release(final EndpointConnection connection) {
             if (!connection.isUsable()) {
                 return;
@@ -192,8 +193,13 @@
             mIdle.removeIf(idle -> idle.mConnection == connection);
         }
 
+        /** Records the first response on a connection of its own. */
+        void reachedDirectly() {
+            mReach.recordDirect(mEndpoint, mService, mClock.instant());
+        }
+
         private void closeIdle() {
-            for (final IdleConnection idle : java.util.List.copyOf(mIdle)) {
+            for (final IdleConnection idle : List.copyOf(mIdle)) {
                 idle.mConnection.cancel();
             }
             mIdle.clear();
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointFailure.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointFailure.java
@@ -8,6 +8,8 @@
     NOT_CONNECTED(Verdict.NOT_RUN),
     /** The connection was lost before the response was complete. */
     CONNECTION_LOST(Verdict.MAY_HAVE_RUN),
+    /** The daemon that relayed the connection was lost before the response was complete. */
+    RELAY_LOST(Verdict.MAY_HAVE_RUN),
     /** The received bytes were not a valid HTTP response. */
     NOT_HTTP(Verdict.MAY_HAVE_RUN);
 
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointProtocol.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointProtocol.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import org.whinhead.gateway.caller.CallerRequest;
+import org.whinhead.serving.endpoint.EndpointEntry;
 
 /** Encodes requests to endpoints and decodes their responses. */
 public interface EndpointProtocol {
@@ -17,6 +18,15 @@
      */
     HttpRequest encode(CallerRequest request, AttemptContext context, int bodyBytes);
 
+    /**
+     * Encodes a health check, which has no body.
+     *
+     * @param endpoint the endpoint
+     * @param path the path of its service's health check
+     * @return the head of the request
+     */
+    HttpRequest encodeHealthCheck(EndpointEntry endpoint, String path);
+
     /**
      * Decodes the head of a response.
      *
--- /dev/null
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/HealthProbe.java
@@ -0,0 +1,61 @@
+package org.whinhead.gateway.endpoint;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+
+/** Sends a health check on a new connection and closes it after the response. */
+final class HealthProbe extends ChannelInitializer<Channel> {
+
+    private final HttpRequest mRequest;
+    private final Runnable mOnAnswered;
+
+    /**
+     * Creates a probe.
+     *
+     * @param request the health check
+     * @param onAnswered called if a response is received, whatever its status
+     */
+    HealthProbe(final HttpRequest request, final Runnable onAnswered) {
+        mRequest = request;
+        mOnAnswered = onAnswered;
+    }
+
+    @Override
+    protected void initChannel(final Channel channel) {
+        channel.pipeline().addLast(new HttpClientCodec()).addLast(new ResponseHandler());
+    }
+
+    /** Sends the health check on an open connection. */
+    void send(final Channel channel) {
+        channel.write(mRequest);
+        channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+    }
+
+    private final class ResponseHandler extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelRead(final ChannelHandlerContext context, final Object message) {
+            try {
+                if (message instanceof HttpResponse response
+                        && response.decoderResult().isSuccess()) {
+                    context.close();
+                    mOnAnswered.run();
+                }
+            } finally {
+                ReferenceCountUtil.release(message);
+            }
+        }
+
+        @Override
+        public void exceptionCaught(final ChannelHandlerContext context, final Throwable cause) {
+            // A lost connection is no answer, which the timeout of the check shows.
+            context.close();
+        }
+    }
+}
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
@@ -13,6 +13,7 @@
 import org.whinhead.gateway.caller.CallerResponse;
 import org.whinhead.gateway.caller.RefusalResponse;
 import org.whinhead.gateway.endpoint.AttemptContext;
+import org.whinhead.gateway.endpoint.ConnectFailure;
 import org.whinhead.gateway.endpoint.EndpointConnection;
 import org.whinhead.gateway.endpoint.EndpointFailure;
 import org.whinhead.gateway.endpoint.EndpointResponse;
@@ -135,7 +136,7 @@
                 .acquire(
                         mPlacement.endpoint(),
                         connection -> connected(connection, attemptId),
-                        () -> connectFailed(attemptId));
+                        failure -> connectFailed(attemptId, failure));
     }
 
     private void connected(final EndpointConnection connection, final int attemptId) {
@@ -198,14 +199,16 @@
         }
     }
 
-    private void connectFailed(final int attemptId) {
+    private void connectFailed(final int attemptId, final ConnectFailure failure) {
         if (mFinished || attemptId != mAttemptId) {
             return;
         }
-        mPlacement.load().recordUnreachable(now());
+        if (failure == ConnectFailure.ENDPOINT) {
+            mPlacement.load().recordUnreachable(now());
+        }
         mPlacement.release();
         mConnectFailures++;
-        if (mConnectFailures >= MAX_CONNECT_FAILURES) {
+        if (failure == ConnectFailure.PATH || mConnectFailures >= MAX_CONNECT_FAILURES) {
             giveUp("endpoints not reachable");
         } else {
             dispatch();
@@ -283,11 +286,18 @@
             return;
         }
         mTrial.connectionFailed(failure);
-        attemptFailed(failure.verdict(), failure.name());
+        if (failure != EndpointFailure.RELAY_LOST) {
+            mPlacement.load().recordOutcome(true);
+        }
+        retryOrGiveUp(failure.verdict(), failure.name());
     }
 
     private void attemptFailed(final Verdict verdict, final String reason) {
         mPlacement.load().recordOutcome(true);
+        retryOrGiveUp(verdict, reason);
+    }
+
+    private void retryOrGiveUp(final Verdict verdict, final String reason) {
         if (verdict != Verdict.NOT_RUN) {
             mRefusals.markMayHaveRun();
         }
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/ServingState.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/ServingState.java
@@ -15,6 +15,7 @@
 import org.whinhead.serving.limit.ServiceRetryBudget;
 import org.whinhead.serving.quota.ClockReading;
 import org.whinhead.serving.quota.CustomerQuotas;
+import org.whinhead.serving.reach.EndpointReach;
 import org.whinhead.serving.rollout.Rollouts;
 import org.whinhead.serving.usage.FleetClock;
 import org.whinhead.serving.usage.UsageLedger;
@@ -35,6 +36,7 @@
     private final ConfigurationProgress mConfigurationProgress = new ConfigurationProgress();
     private final EndpointRegistry mEndpoints = new EndpointRegistry();
     private final ReclaimedEndpoints mLeaving = new ReclaimedEndpoints();
+    private final EndpointReach mReach = new EndpointReach();
     private final EndpointChooser mChooser;
     private final CustomerQuotas mQuotas;
     private final ServiceRetryBudget mRetryBudget;
@@ -128,6 +130,20 @@
                 .isPresent();
     }
 
+    /**
+     * Returns the path of a service's health check.
+     *
+     * @param service the service
+     * @return the path; the root if the service is not configured
+     */
+    public String healthPath(final String service) {
+        return mConfiguration
+                .current()
+                .flatMap(current -> current.service(service))
+                .map(ServiceSpec::healthPath)
+                .orElse("/");
+    }
+
     public EndpointRegistry endpoints() {
         return mEndpoints;
     }
@@ -181,6 +197,15 @@
         return mLeaving;
     }
 
+    /**
+     * Returns which endpoints this daemon reaches itself.
+     *
+     * @return the ways to the endpoints
+     */
+    public EndpointReach reach() {
+        return mReach;
+    }
+
     public EndpointChooser chooser() {
         return mChooser;
     }
--- a/gateway/src/main/java/org/whinhead/gateway/metrics/CounterKey.java
+++ b/gateway/src/main/java/org/whinhead/gateway/metrics/CounterKey.java
@@ -33,6 +33,8 @@
         ATTEMPT_FAILED("whinhead.attempts.failed", "verdict", "reason"),
         /** Connects to endpoints. */
         CONNECT("whinhead.endpoint.connects", "outcome", ""),
+        /** Requests to other daemons to relay a connection to an endpoint. */
+        RELAY("whinhead.endpoint.relays", "outcome", ""),
         /** Further attempts that the retry budget did not allow. */
         RETRY_DENIED("whinhead.retries.denied", "service", ""),
         /** Runs that were moved off leaving endpoints. */
--- a/gateway/src/main/java/org/whinhead/gateway/metrics/RequestMetrics.java
+++ b/gateway/src/main/java/org/whinhead/gateway/metrics/RequestMetrics.java
@@ -69,6 +69,15 @@
         counter(Metric.CONNECT, succeeded ? "accepted" : "failed", "").add(1);
     }
 
+    /**
+     * Counts a request to another daemon to relay a connection to an endpoint.
+     *
+     * @param outcome whether it was relayed, or why not
+     */
+    public void recordRelay(final String outcome) {
+        counter(Metric.RELAY, outcome, "").add(1);
+    }
+
     /**
      * Counts a further attempt that the retry budget did not allow.
      *
--- a/gateway/src/main/java/org/whinhead/gateway/peers/PeerDatagramChannel.java
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/PeerDatagramChannel.java
@@ -121,9 +121,23 @@
         }
     }
 
+    /**
+     * Sets the port on which this daemon relays connections to endpoints.
+     *
+     * @param relayPort the port; 0 as long as it relays none
+     */
+    public void setRelayPort(final int relayPort) {
+        mReportHandler.setRelayPort(relayPort);
+    }
+
     /** Informs all other daemons at once that this daemon is about to stop. */
     public void announceLeaving() {
         mLeaving = true;
+        reportToAll();
+    }
+
+    /** Sends a report to all other daemons at once, as they must not wait for the next one. */
+    public void reportToAll() {
         sendToAll(Datagram.newBuilder().setReport(createReport()).build());
     }
 
--- a/gateway/src/main/java/org/whinhead/gateway/peers/PeerReportHandler.java
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/PeerReportHandler.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.time.Instant;
 import java.util.Map;
+import java.util.OptionalInt;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import org.slf4j.Logger;
@@ -13,6 +14,7 @@
 import org.whinhead.gateway.generated.GatewayProto.UsageEntry;
 import org.whinhead.serving.balance.EndpointLoad;
 import org.whinhead.serving.member.Member;
+import org.whinhead.serving.member.MemberStatus;
 import org.whinhead.serving.member.MemberTable;
 import org.whinhead.serving.usage.UsageCount;
 
@@ -25,6 +27,7 @@
     private final MemberTable mMembers;
     private final Consumer<InetSocketAddress> mOnContact;
     private LongConsumer mOnShareTableVersion = version -> {};
+    private int mRelayPort;
 
     PeerReportHandler(
             final ServingState state,
@@ -40,6 +43,11 @@
         mOnShareTableVersion = onShareTable;
     }
 
+    /** Sets the port on which this daemon relays connections; 0 as long as it doesn't. */
+    void setRelayPort(final int relayPort) {
+        mRelayPort = relayPort;
+    }
+
     /**
      * Creates a report of this daemon.
      *
@@ -57,6 +65,8 @@
                         .setPeerAddress(Addresses.format(self.peerAddress()))
                         .setReady(mMembers.isSelfReady())
                         .setLeaving(leaving)
+                        .setRelayPort(mRelayPort)
+                        .setCutOff(mMembers.isSelfCutOff())
                         .setTimeOfDayMillis(mState.usageClock().instant().toEpochMilli());
         mState.configuration()
                 .current()
@@ -88,6 +98,16 @@
         return report.build();
     }
 
+    private static MemberStatus statusOf(final PeerReport report) {
+        return new MemberStatus(
+                report.getReady(),
+                report.getLeaving(),
+                report.getCutOff(),
+                report.getRelayPort() == 0
+                        ? OptionalInt.empty()
+                        : OptionalInt.of(report.getRelayPort()));
+    }
+
     /** Applies a report of another daemon; ignores this daemon's own. */
     void applyReport(final PeerReport report) {
         if (report.getName().equals(mMembers.self().name())) {
@@ -103,7 +123,7 @@
                         report.getDomain(),
                         Addresses.parse(report.getCallerAddress()),
                         Addresses.parse(report.getPeerAddress()));
-        mMembers.recordReport(member, report.getReady(), report.getLeaving(), now)
+        mMembers.recordReport(member, statusOf(report), now)
                 .ifPresent(
                         previous ->
                                 LOG.atInfo()
--- /dev/null
+++ b/gateway/src/main/java/org/whinhead/gateway/relay/RelayServer.java
@@ -0,0 +1,126 @@
+package org.whinhead.gateway.relay;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.timeout.IdleStateHandler;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.function.Predicate;
+import org.whinhead.gateway.http.ListeningPort;
+import org.whinhead.serving.endpoint.EndpointEntry;
+
+/** Relays connections to endpoints for daemons that don't reach them. */
+public final class RelayServer {
+
+    /** The most connections relayed at once; each takes two file descriptors. */
+    private static final int MAX_CONNECTIONS = 400;
+
+    /**
+     * The time without any bytes after which a connection is closed: the asking daemon has lost
+     * power, since it keeps idle connections for a shorter time.
+     */
+    private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(30);
+
+    private final EventLoop mLoop;
+    private final InetAddress mLocalAddress;
+    private final Function<String, Optional<EndpointEntry>> mFindEndpoint;
+    private final Predicate<InetAddress> mIsMember;
+    private final Set<RelayServerHandler> mConnections = new HashSet<>();
+    private ListeningPort mPort;
+    private boolean mStopping;
+
+    /**
+     * Creates a server that does not listen yet.
+     *
+     * @param loop the event loop on which all work runs
+     * @param localAddress the address of this VM, which endpoints see as the sender's
+     * @param findEndpoint finds a listed endpoint by its id
+     * @param isMember returns whether a daemon of this deployment has an address; others are denied
+     */
+    public RelayServer(
+            final EventLoop loop,
+            final InetAddress localAddress,
+            final Function<String, Optional<EndpointEntry>> findEndpoint,
+            final Predicate<InetAddress> isMember) {
+        mLoop = Objects.requireNonNull(loop, "loop");
+        mLocalAddress = Objects.requireNonNull(localAddress, "localAddress");
+        mFindEndpoint = Objects.requireNonNull(findEndpoint, "findEndpoint");
+        mIsMember = Objects.requireNonNull(isMember, "isMember");
+    }
+
+    /**
+     * Starts to accept connections.
+     *
+     * @param address the address to listen at
+     */
+    public void listen(final InetSocketAddress address) {
+        mPort =
+                new ListeningPort(
+                        mLoop,
+                        new ServerBootstrap()
+                                .channel(NioServerSocketChannel.class)
+                                .childOption(ChannelOption.TCP_NODELAY, true)
+                                .childHandler(new PipelineInitializer()),
+                        address);
+    }
+
+    /** Denies new connections from now on; those that are open end with their current request. */
+    public void drain() {
+        mStopping = true;
+        Set.copyOf(mConnections).forEach(connection -> connection.send(RelayMessageCodec.drain()));
+    }
+
+    /**
+     * Returns the number of connections that are relayed now.
+     *
+     * @return the number of connections
+     */
+    public int connectionCount() {
+        return mConnections.size();
+    }
+
+    boolean accepts(final InetSocketAddress sender) {
+        return !mStopping
+                && mConnections.size() < MAX_CONNECTIONS
+                && mIsMember.test(sender.getAddress());
+    }
+
+    Optional<EndpointEntry> findEndpoint(final String id) {
+        return mFindEndpoint.apply(id);
+    }
+
+    InetSocketAddress localAddress() {
+        return new InetSocketAddress(mLocalAddress, 0);
+    }
+
+    void opened(final RelayServerHandler connection) {
+        mConnections.add(connection);
+    }
+
+    void closed(final RelayServerHandler connection) {
+        mConnections.remove(connection);
+    }
+
+    private final class PipelineInitializer extends ChannelInitializer<SocketChannel> {
+        @Override
+        protected void initChannel(final SocketChannel channel) {
+            channel.pipeline()
+                    .addLast(
+                            new IdleStateHandler(
+                                    0, 0, IDLE_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS));
+            RelayMessageCodec.addTo(channel.pipeline());
+            channel.pipeline().addLast(new RelayServerHandler(RelayServer.this));
+        }
+    }
+}
--- a/gateway/src/test/java/org/whinhead/gateway/duty/DutyLeaseManagerTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/duty/DutyLeaseManagerTest.java
@@ -43,6 +43,7 @@
     private static final ServiceSpec POOL =
             new ServiceSpec(
                     "pool",
+                    "/health",
                     100,
                     true,
                     Optional.empty(),
--- a/gateway/src/test/java/org/whinhead/gateway/endpoint/EndpointConnectionTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/endpoint/EndpointConnectionTest.java
@@ -22,6 +22,9 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.whinhead.gateway.caller.CallerRequest;
+import org.whinhead.serving.endpoint.EndpointEntry;
+import org.whinhead.serving.reach.AccessPath;
+import org.whinhead.serving.reach.EndpointReach;
 
 class EndpointConnectionTest {
 
@@ -59,6 +62,11 @@
             throw new AssertionError("not used");
         }
 
+        @Override
+        public HttpRequest encodeHealthCheck(final EndpointEntry endpoint, final String path) {
+            throw new AssertionError("not used");
+        }
+
         @Override
         public EndpointResponse decode(final HttpResponse response) {
             return new EndpointResponse(
@@ -77,13 +85,15 @@
     void connect() {
         final PlainProtocol protocol = new PlainProtocol();
         final EndpointConnections connections =
-                new EndpointConnections(null, InstantSource.system(), protocol, null, null);
+                new EndpointConnections(
+                        InstantSource.system(), protocol, null, new EndpointReach());
         mConnection =
-                new EndpointConnection(protocol, connections.new Pool(), InstantSource.system());
+                new EndpointConnection(
+                        protocol, connections.new Pool("e-1", "api"), InstantSource.system());
         mChannel =
                 new EmbeddedChannel(
                         new HttpClientCodec(new HttpDecoderConfig(), false, false), mConnection);
-        mConnection.setChannel(mChannel);
+        mConnection.opened(AccessPath.DIRECT);
         mConnection.send(
                 new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/a"),
                 Unpooled.EMPTY_BUFFER,
--- /dev/null
+++ b/gateway/src/test/java/org/whinhead/gateway/endpoint/EndpointConnectorTest.java
@@ -0,0 +1,201 @@
+package org.whinhead.gateway.endpoint;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Random;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.Callable;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.whinhead.gateway.metrics.RequestMetrics;
+import org.whinhead.gateway.relay.RelayServer;
+import org.whinhead.serving.endpoint.EndpointEntry;
+import org.whinhead.serving.member.Member;
+import org.whinhead.serving.member.MemberStatus;
+import org.whinhead.serving.member.MemberTable;
+import org.whinhead.serving.reach.AccessPath;
+import org.whinhead.serving.reach.EndpointReach;
+import org.whinhead.serving.reach.RelaySelector;
+
+class EndpointConnectorTest {
+
+    private static final InetAddress LOOPBACK = InetAddress.getLoopbackAddress();
+    private static final Instant NOW = Instant.parse("2026-01-01T00:00:00Z");
+    private static final int TIMEOUT_SECONDS = 10;
+    private static final String SERVICE = "pool";
+
+    private final MultiThreadIoEventLoopGroup mLoops =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop mLoop = (EventLoop) mLoops.next();
+    private final BlockingQueue<String> mOutcomes = new LinkedBlockingQueue<>();
+    private final MemberTable mMembers = new MemberTable(member("a1"));
+    private final EndpointReach mReach = new EndpointReach();
+    private final EndpointConnector mConnector =
+            new EndpointConnector(
+                    mLoop,
+                    () -> NOW,
+                    LOOPBACK,
+                    mReach,
+                    new RelaySelector(mMembers, new Random(1)),
+                    new ConnectionLogger(new RequestMetrics()));
+    private final List<Socket> mFillers = new ArrayList<>();
+    private ServerSocket mEndpoint;
+    private volatile boolean mRelayReachesEndpoint = true;
+
+    private static Member member(final String name) {
+        final InetSocketAddress address = new InetSocketAddress(LOOPBACK, 7600);
+        return new Member(name, name + "-first", "domain-a", address, address);
+    }
+
+    @BeforeEach
+    void startRelay() throws Exception {
+        mEndpoint = new ServerSocket(0, 50, LOOPBACK);
+        final int port = freePort();
+        onLoop(
+                () -> {
+                    final RelayServer server =
+                            new RelayServer(mLoop, LOOPBACK, this::findForRelay, address -> true);
+                    server.listen(new InetSocketAddress(LOOPBACK, port));
+                    return server;
+                });
+        mMembers.recordReport(
+                member("a2"), new MemberStatus(true, false, false, OptionalInt.of(port)), NOW);
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket free = new ServerSocket(0, 1, LOOPBACK)) {
+            return free.getLocalPort();
+        }
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        for (final Socket filler : mFillers) {
+            filler.close();
+        }
+        mEndpoint.close();
+        mLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+
+    private <T> T onLoop(final Callable<T> task) throws Exception {
+        return mLoop.submit(task).get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    }
+
+    /** The relay reaches endpoints at an address at which this daemon's connections fail. */
+    private Optional<EndpointEntry> findForRelay(final String id) {
+        return mRelayReachesEndpoint
+                ? Optional.of(entry(id, mEndpoint.getLocalPort()))
+                : Optional.empty();
+    }
+
+    private static EndpointEntry entry(final String id, final int port) {
+        final InetSocketAddress address = new InetSocketAddress(LOOPBACK, port);
+        return EndpointEntry.builder(id, SERVICE, address, "domain-a").build();
+    }
+
+    private String connect(final EndpointEntry endpoint) throws Exception {
+        final ConnectListener listener =
+                new ConnectListener() {
+                    @Override
+                    public void connected(final Channel channel, final AccessPath path) {
+                        mOutcomes.add(path.name());
+                    }
+
+                    @Override
+                    public void failed(final ConnectFailure failure) {
+                        mOutcomes.add("failed: " + failure);
+                    }
+                };
+        mLoop.execute(
+                () -> mConnector.connect(endpoint, ChannelInboundHandlerAdapter::new, listener));
+        return mOutcomes.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    }
+
+    private AccessPath pathTo(final String endpoint) throws Exception {
+        return onLoop(() -> mReach.pathTo(endpoint, SERVICE));
+    }
+
+    @Test
+    void reachableEndpointIsConnectedDirectly() throws Exception {
+        assertThat(connect(entry("e-1", mEndpoint.getLocalPort()))).isEqualTo("DIRECT");
+        assertThat(pathTo("e-1")).isEqualTo(AccessPath.DIRECT);
+    }
+
+    // Guards against requests that are refused although their endpoint serves others: this daemon's
+    // connections to it are refused.
+    @Test
+    void refusedEndpointIsReachedThroughAnotherDaemon() throws Exception {
+        assertThat(connect(entry("e-1", freePort()))).isEqualTo("RELAYED");
+        assertThat(pathTo("e-1")).isEqualTo(AccessPath.RELAYED);
+        assertThat(connect(entry("e-1", freePort()))).isEqualTo("RELAYED");
+    }
+
+    // Guards against requests that wait for a connection until their deadline: the packets to the
+    // endpoint get lost.
+    @Test
+    void silentEndpointIsReachedThroughAnotherDaemon() throws Exception {
+        try (ServerSocket full = new ServerSocket(0, 1, LOOPBACK)) {
+            fillBacklog(full);
+            assertThat(connect(entry("e-1", full.getLocalPort()))).isEqualTo("RELAYED");
+        }
+    }
+
+    /** Opens connections until the listener drops the packets of further ones. */
+    private void fillBacklog(final ServerSocket listener) throws IOException {
+        for (int index = 0; index < 3; index++) {
+            final Socket filler = new Socket();
+            mFillers.add(filler);
+            try {
+                filler.connect(listener.getLocalSocketAddress(), 200);
+            } catch (java.net.SocketTimeoutException e) {
+                return;
+            }
+        }
+    }
+
+    // Guards against a daemon that believes itself cut off when the endpoint is down.
+    @Test
+    void endpointThatNobodyReachesIsChargedWithTheFailure() throws Exception {
+        mRelayReachesEndpoint = false;
+        assertThat(connect(entry("e-1", freePort()))).isEqualTo("failed: ENDPOINT");
+        assertThat(pathTo("e-1")).isEqualTo(AccessPath.DIRECT);
+    }
+
+    // Guards against endpoints being avoided after a cut because their daemon was cut off and had
+    // nobody to relay its connections.
+    @Test
+    void endpointIsNotChargedIfNobodyRelaysDuringCut() throws Exception {
+        assertThat(connect(entry("e-1", freePort()))).isEqualTo("RELAYED");
+        assertThat(connect(entry("e-2", freePort()))).isEqualTo("RELAYED");
+        mMembers.recordReport(member("a2"), MemberStatus.READY.asLeaving(), NOW);
+        assertThat(connect(entry("e-3", freePort()))).isEqualTo("failed: PATH");
+    }
+
+    // Guards against a daemon that can't use endpoints which it reaches again, as the daemons that
+    // relayed for it are gone.
+    @Test
+    void cutOffDaemonWithoutRelaysTriesDirectConnections() throws Exception {
+        connect(entry("e-1", freePort()));
+        connect(entry("e-2", freePort()));
+        mMembers.recordReport(member("a2"), MemberStatus.READY.asLeaving(), NOW);
+        assertThat(connect(entry("e-3", mEndpoint.getLocalPort()))).isEqualTo("DIRECT");
+    }
+}
--- a/gateway/src/test/java/org/whinhead/gateway/peers/DigestReadCoordinatorTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/peers/DigestReadCoordinatorTest.java
@@ -13,6 +13,7 @@
 import org.whinhead.serving.configuration.CallerLimits;
 import org.whinhead.serving.configuration.ServingConfiguration;
 import org.whinhead.serving.member.Member;
+import org.whinhead.serving.member.MemberStatus;
 import org.whinhead.serving.member.MemberTable;
 
 class DigestReadCoordinatorTest {
@@ -36,8 +37,8 @@
 
     private DigestReadCoordinator nonReader(final ServingState state) {
         final MemberTable members = new MemberTable(member("z"));
-        members.recordReport(member("a"), true, false, mNow);
-        members.recordReport(member("b"), true, false, mNow);
+        members.recordReport(member("a"), MemberStatus.READY, mNow);
+        members.recordReport(member("b"), MemberStatus.READY, mNow);
         final DigestReadCoordinator digests = new DigestReadCoordinator(state, members);
         digests.onNewRecords(mTopicsToRead::add);
         digests.onSkippableEndpoints(mSkippedTo::add);
--- a/gateway/src/test/java/org/whinhead/gateway/quota/ShareTableSynchronizerTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/quota/ShareTableSynchronizerTest.java
@@ -20,6 +20,7 @@
 import org.whinhead.gateway.store.StoreRecord;
 import org.whinhead.gateway.store.StoreTopic;
 import org.whinhead.serving.member.Member;
+import org.whinhead.serving.member.MemberStatus;
 import org.whinhead.serving.member.MemberTable;
 import org.whinhead.serving.quota.HeldShares;
 import org.whinhead.serving.quota.ShareTable;
@@ -109,7 +110,7 @@
             mChannel.advanceTimeBy(200, TimeUnit.MILLISECONDS);
             mChannel.runScheduledPendingTasks();
             for (final int number : heard) {
-                mMembers.recordReport(member(number), true, false, mNow);
+                mMembers.recordReport(member(number), MemberStatus.READY, mNow);
             }
             mMembers.expire(mNow);
             mSynchronizer.tick();
--- /dev/null
+++ b/gateway/src/test/java/org/whinhead/gateway/relay/RelayClientHandlerTest.java
@@ -0,0 +1,153 @@
+package org.whinhead.gateway.relay;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.whinhead.gateway.generated.GatewayProto.RelayMessage;
+import org.whinhead.gateway.generated.GatewayProto.RelayOutcome;
+
+class RelayClientHandlerTest {
+
+    private final List<String> mEvents = new ArrayList<>();
+
+    private final RelayListener mListener =
+            new RelayListener() {
+                @Override
+                public void connected(final Channel channel) {
+                    mEvents.add("connected");
+                }
+
+                @Override
+                public void failed(final RelayFailure failure) {
+                    mEvents.add(failure.name());
+                }
+            };
+
+    private final EmbeddedChannel mChannel =
+            new EmbeddedChannel(
+                    new RelayClientHandler("a2", "e-1", new EventRecorder(), mListener));
+
+    private final class EventRecorder extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelRead(final ChannelHandlerContext context, final Object message) {
+            final ByteBuf bytes = (ByteBuf) message;
+            mEvents.add("read " + bytes.toString(StandardCharsets.US_ASCII));
+            bytes.release();
+        }
+
+        @Override
+        public void userEventTriggered(final ChannelHandlerContext context, final Object event) {
+            mEvents.add("event " + event.getClass().getSimpleName());
+        }
+
+        @Override
+        public void exceptionCaught(final ChannelHandlerContext context, final Throwable cause) {
+            mEvents.add(cause.getClass().getSimpleName());
+        }
+
+        @Override
+        public void channelInactive(final ChannelHandlerContext context) {
+            mEvents.add("inactive");
+        }
+    }
+
+    private void receive(final RelayMessage message) {
+        mChannel.writeInbound(message);
+    }
+
+    private static ByteBuf bytes(final String text) {
+        return Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII);
+    }
+
+    private void connect() {
+        receive(RelayMessageCodec.outcome(RelayOutcome.CONNECTED));
+        mEvents.clear();
+    }
+
+    @Test
+    void bytesPassOnceTheRelayIsConnected() {
+        final RelayMessage request = mChannel.readOutbound();
+        assertThat(request.getRequest().getEndpoint()).isEqualTo("e-1");
+        receive(RelayMessageCodec.outcome(RelayOutcome.CONNECTED));
+        mChannel.writeOutbound(bytes("ask"));
+        final RelayMessage sent = mChannel.readOutbound();
+        assertThat(sent.getData().toStringUtf8()).isEqualTo("ask");
+        receive(RelayMessageCodec.nextData(bytes("answer")));
+        assertThat(mEvents).containsExactly("connected", "read answer");
+    }
+
+    @Test
+    void longWriteIsSplit() {
+        mChannel.readOutbound();
+        connect();
+        mChannel.writeOutbound(bytes("x".repeat(150_000)));
+        int length = 0;
+        for (RelayMessage part = mChannel.readOutbound();
+                part != null;
+                part = mChannel.readOutbound()) {
+            assertThat(part.getData().size()).isLessThanOrEqualTo(64 * 1024);
+            length += part.getData().size();
+        }
+        assertThat(length).isEqualTo(150_000);
+    }
+
+    @Test
+    void relayThatDoesNotReachTheEndpointEitherSaysSo() {
+        receive(RelayMessageCodec.outcome(RelayOutcome.ENDPOINT_NOT_REACHED));
+        assertThat(mEvents).containsExactly("ENDPOINT_NOT_REACHED");
+        assertThat(mChannel.isActive()).isFalse();
+    }
+
+    @Test
+    void relayThatClosesBeforeItsReplyHasNotRelayed() {
+        mChannel.close();
+        assertThat(mEvents).containsExactly("NOT_RELAYED");
+    }
+
+    @Test
+    void connectionThatTheEndpointClosedEndsInOrder() {
+        connect();
+        receive(RelayMessageCodec.end(true));
+        assertThat(mEvents).containsExactly("inactive");
+    }
+
+    @Test
+    void connectionThatTheEndpointResetIsLost() {
+        connect();
+        receive(RelayMessageCodec.end(false));
+        assertThat(mEvents).containsExactly("IOException", "inactive");
+    }
+
+    // Guards against taking a part of a response without a length for the whole one: its relay was
+    // killed, which closes the connection in order as well.
+    @Test
+    void connectionThatEndsWithoutTheRelaysWordIsLost() {
+        connect();
+        mChannel.close();
+        assertThat(mEvents).containsExactly("RelayLostException", "inactive");
+    }
+
+    @Test
+    void connectionThatIsResetIsLostOnce() {
+        connect();
+        mChannel.pipeline().fireExceptionCaught(new IOException("Connection reset"));
+        assertThat(mEvents).containsExactly("RelayLostException", "inactive");
+    }
+
+    @Test
+    void drainIsPassedOn() {
+        connect();
+        receive(RelayMessageCodec.drain());
+        assertThat(mEvents).containsExactly("event RelayDrainEvent");
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/org/whinhead/gateway/relay/RelayServerTest.java
@@ -0,0 +1,213 @@
+package org.whinhead.gateway.relay;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.Callable;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.whinhead.serving.endpoint.EndpointEntry;
+import org.whinhead.serving.member.Relay;
+
+class RelayServerTest {
+
+    private static final InetAddress LOOPBACK = InetAddress.getLoopbackAddress();
+    private static final int TIMEOUT_SECONDS = 10;
+
+    private final MultiThreadIoEventLoopGroup mLoops =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop mLoop = (EventLoop) mLoops.next();
+    private final BlockingQueue<String> mEvents = new LinkedBlockingQueue<>();
+    private volatile boolean mIsMember = true;
+    private ServerSocket mEndpoint;
+    private RelayServer mServer;
+    private Relay mRelay;
+    private Channel mChannel;
+
+    private final class EventRecorder extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelRead(final ChannelHandlerContext context, final Object message) {
+            final ByteBuf bytes = (ByteBuf) message;
+            mEvents.add("read " + bytes.toString(StandardCharsets.US_ASCII));
+            bytes.release();
+        }
+
+        @Override
+        public void userEventTriggered(final ChannelHandlerContext context, final Object event) {
+            mEvents.add("event " + event.getClass().getSimpleName());
+        }
+
+        @Override
+        public void exceptionCaught(final ChannelHandlerContext context, final Throwable cause) {
+            mEvents.add(cause.getClass().getSimpleName());
+        }
+
+        @Override
+        public void channelInactive(final ChannelHandlerContext context) {
+            mEvents.add("inactive");
+        }
+    }
+
+    @BeforeEach
+    void listen() throws Exception {
+        mEndpoint = new ServerSocket(0, 50, LOOPBACK);
+        final int port;
+        try (ServerSocket free = new ServerSocket(0, 1, LOOPBACK)) {
+            port = free.getLocalPort();
+        }
+        mServer =
+                onLoop(
+                        () -> {
+                            final RelayServer server =
+                                    new RelayServer(
+                                            mLoop,
+                                            LOOPBACK,
+                                            this::findEndpoint,
+                                            address -> mIsMember);
+                            server.listen(new InetSocketAddress(LOOPBACK, port));
+                            return server;
+                        });
+        mRelay = new Relay("a2", "domain-a", new InetSocketAddress(LOOPBACK, port));
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        mEndpoint.close();
+        mLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+
+    private Optional<EndpointEntry> findEndpoint(final String id) {
+        final InetSocketAddress address = new InetSocketAddress(LOOPBACK, mEndpoint.getLocalPort());
+        return id.equals("e-1")
+                ? Optional.of(EndpointEntry.builder(id, "pool", address, "domain-a").build())
+                : Optional.empty();
+    }
+
+    private <T> T onLoop(final Callable<T> task) throws Exception {
+        return mLoop.submit(task).get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    }
+
+    private void open(final String endpoint) throws Exception {
+        final RelayListener listener =
+                new RelayListener() {
+                    @Override
+                    public void connected(final Channel channel) {
+                        mEvents.add("connected");
+                    }
+
+                    @Override
+                    public void failed(final RelayFailure failure) {
+                        mEvents.add(failure.name());
+                    }
+                };
+        final RelayClient client = new RelayClient(mLoop, LOOPBACK);
+        mChannel = onLoop(() -> client.open(mRelay, endpoint, new EventRecorder(), listener));
+    }
+
+    private String nextEvent() throws InterruptedException {
+        return mEvents.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    }
+
+    private void write(final String text) {
+        mChannel.writeAndFlush(Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII));
+    }
+
+    private static String read(final Socket socket, final int length) throws IOException {
+        return new String(socket.getInputStream().readNBytes(length), StandardCharsets.US_ASCII);
+    }
+
+    @Test
+    void bytesPassBothWaysUntilTheEndpointCloses() throws Exception {
+        open("e-1");
+        try (Socket endpoint = mEndpoint.accept()) {
+            assertThat(nextEvent()).isEqualTo("connected");
+            final String ask = "ask".repeat(100_000);
+            write(ask);
+            assertThat(read(endpoint, ask.length())).isEqualTo(ask);
+            endpoint.getOutputStream().write("answer".getBytes(StandardCharsets.US_ASCII));
+            assertThat(nextEvent()).isEqualTo("read answer");
+            assertThat(onLoop(mServer::connectionCount)).isEqualTo(1);
+        }
+        assertThat(nextEvent()).isEqualTo("inactive");
+    }
+
+    @Test
+    void resetByTheEndpointIsPassedOn() throws Exception {
+        open("e-1");
+        try (Socket endpoint = mEndpoint.accept()) {
+            assertThat(nextEvent()).isEqualTo("connected");
+            endpoint.setSoLinger(true, 0);
+        }
+        assertThat(nextEvent()).isEqualTo("IOException");
+        assertThat(nextEvent()).isEqualTo("inactive");
+    }
+
+    // Guards against work that goes on at an endpoint after the caller has left: the daemon that
+    // asked closes its connection to the relay.
+    @Test
+    void closedConnectionIsClosedAtTheEndpoint() throws Exception {
+        open("e-1");
+        try (Socket endpoint = mEndpoint.accept()) {
+            assertThat(nextEvent()).isEqualTo("connected");
+            mChannel.close();
+            assertThat(endpoint.getInputStream().read()).isEqualTo(-1);
+        }
+        assertThat(onLoop(mServer::connectionCount)).isZero();
+    }
+
+    @Test
+    void endpointThatIsDownOrUnknownIsNotReached() throws Exception {
+        open("e-2");
+        assertThat(nextEvent()).isEqualTo("ENDPOINT_NOT_REACHED");
+        mEndpoint.close();
+        open("e-1");
+        assertThat(nextEvent()).isEqualTo("ENDPOINT_NOT_REACHED");
+        assertThat(onLoop(mServer::connectionCount)).isZero();
+    }
+
+    // Guards against strangers that reach the endpoints through a daemon.
+    @Test
+    void senderThatIsNoDaemonIsDenied() throws Exception {
+        mIsMember = false;
+        open("e-1");
+        assertThat(nextEvent()).isEqualTo("NOT_RELAYED");
+    }
+
+    // Guards against requests that are cut by the planned stop of their relay: the daemon that
+    // asked must not use the connection for a further request.
+    @Test
+    void relayThatStopsAnnouncesIt() throws Exception {
+        open("e-1");
+        try (Socket endpoint = mEndpoint.accept()) {
+            assertThat(nextEvent()).isEqualTo("connected");
+            onLoop(
+                    () -> {
+                        mServer.drain();
+                        return null;
+                    });
+            assertThat(nextEvent()).isEqualTo("event RelayDrainEvent");
+            endpoint.getOutputStream().write('x');
+            assertThat(nextEvent()).isEqualTo("read x");
+            open("e-1");
+            assertThat(nextEvent()).isEqualTo("NOT_RELAYED");
+        }
+    }
+}
--- a/gateway/src/test/java/org/whinhead/gateway/store/EndpointTopicListenerTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/store/EndpointTopicListenerTest.java
@@ -13,6 +13,7 @@
 import org.whinhead.gateway.exchange.TestServing;
 import org.whinhead.serving.endpoint.EndpointChange;
 import org.whinhead.serving.endpoint.EndpointEntry;
+import org.whinhead.serving.reach.EndpointReach;
 
 class EndpointTopicListenerTest {
 
@@ -22,7 +23,7 @@
     private final EndpointTopicListener mListener =
             new EndpointTopicListener(
                     mState,
-                    new EndpointConnections(null, () -> mNow, null, null, null),
+                    new EndpointConnections(() -> mNow, null, null, new EndpointReach()),
                     EndpointTopicListenerTest::decode);
 
     private static EndpointEntry decode(final String id, final byte[] value)
--- a/serving/src/main/java/org/whinhead/serving/configuration/ServiceSpec.java
+++ b/serving/src/main/java/org/whinhead/serving/configuration/ServiceSpec.java
@@ -8,6 +8,7 @@
  * Configuration of a service.
  *
  * @param name the service's name
+ * @param healthPath the path of the health check of its endpoints
  * @param maxConnections the number of connections one endpoint accepts from all callers together
  * @param modelEngine whether its endpoints run language models
  * @param engineLink the link over which its endpoints copy cached prompts, if they can
@@ -15,6 +16,7 @@
  */
 public record ServiceSpec(
         String name,
+        String healthPath,
         int maxConnections,
         boolean modelEngine,
         Optional<EngineLink> engineLink,
@@ -23,6 +25,7 @@
     /** Checks the components. */
     public ServiceSpec {
         Arguments.requireText(name, "name");
+        Arguments.requireText(healthPath, "healthPath");
         Arguments.requireAtLeast(maxConnections, 1, "maxConnections");
         Objects.requireNonNull(engineLink, "engineLink");
         Objects.requireNonNull(scaling, "scaling");
--- a/serving/src/main/java/org/whinhead/serving/member/MemberTable.java
+++ b/serving/src/main/java/org/whinhead/serving/member/MemberTable.java
@@ -1,5 +1,6 @@
 package org.whinhead.serving.member;
 
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.time.Instant;
@@ -41,6 +42,7 @@
     private Duration mSilenceTimeout = MIN_SILENCE_TIMEOUT;
     private long mAddressChanges;
     private boolean mSelfReady;
+    private boolean mSelfCutOff;
 
     /**
      * Creates a table that contains only this daemon.
@@ -68,22 +70,33 @@
         return mSelfReady;
     }
 
+    /**
+     * Sets whether this daemon reaches the endpoints of some service only through other daemons.
+     *
+     * @param cutOff whether it is cut off
+     */
+    public void setSelfCutOff(final boolean cutOff) {
+        mSelfCutOff = cutOff;
+    }
+
+    public boolean isSelfCutOff() {
+        return mSelfCutOff;
+    }
+
     /**
      * Records a report of another daemon.
      *
      * @param member the other daemon
-     * @param ready whether it accepts callers
-     * @param leaving whether it is about to stop
+     * @param status what it reports about itself
      * @param now the current time
      * @return the previous incarnation, if the daemon was restarted
      */
     public Optional<String> recordReport(
-            final Member member, final boolean ready, final boolean leaving, final Instant now) {
+            final Member member, final MemberStatus status, final Instant now) {
         if (member.name().equals(mSelf.name())) {
             return Optional.empty();
         }
-        final PeerState before =
-                mPeers.put(member.name(), new PeerState(member, ready && !leaving, leaving, now));
+        final PeerState before = mPeers.put(member.name(), new PeerState(member, status, now));
         if (before == null || !before.mMember.peerAddress().equals(member.peerAddress())) {
             recordPeersChanged();
         }
@@ -136,6 +149,17 @@
         return mPeers.values().stream().map(peer -> peer.mMember).toList();
     }
 
+    /**
+     * Returns whether another daemon, including silent ones, has an address.
+     *
+     * @param address the address
+     * @return true if a daemon reported from it
+     */
+    public boolean hasAddress(final InetAddress address) {
+        return mPeers.values().stream()
+                .anyMatch(peer -> peer.mMember.peerAddress().getAddress().equals(address));
+    }
+
     /**
      * Returns the daemons that are leaving or silent, whose load no longer counts.
      *
@@ -186,7 +210,7 @@
     }
 
     private boolean isUp(final PeerState peer, final Instant now) {
-        return !peer.mLeaving && !now.isAfter(peer.mReportedAt.plus(mSilenceTimeout));
+        return !peer.mStatus.leaving() && !now.isAfter(peer.mReportedAt.plus(mSilenceTimeout));
     }
 
     /**
@@ -212,7 +236,7 @@
             ready.add(mSelf);
         }
         for (final PeerState peer : mPeers.values()) {
-            if (peer.mReady && isUp(peer, now)) {
+            if (peer.mStatus.acceptsCallers() && isUp(peer, now)) {
                 ready.add(peer.mMember);
             }
         }
@@ -223,18 +247,37 @@
         return chosen.stream().limit(MAX_ADDRESSES).map(Member::callerAddress).toList();
     }
 
+    /**
+     * Returns the daemons that relay connections to endpoints.
+     *
+     * @param now the current time
+     * @return the daemons that are up and reach the endpoints themselves
+     */
+    public List<Relay> relays(final Instant now) {
+        return mPeers.values().stream()
+                .filter(peer -> peer.mStatus.canRelay() && isUp(peer, now))
+                .map(PeerState::relay)
+                .sorted(Comparator.comparing(Relay::daemon))
+                .toList();
+    }
+
     private static final class PeerState {
         private final Member mMember;
-        private final boolean mReady;
-        private final boolean mLeaving;
+        private final MemberStatus mStatus;
         private final Instant mReportedAt;
 
-        private PeerState(
-                final Member member, final boolean ready, final boolean leaving, final Instant at) {
+        private PeerState(final Member member, final MemberStatus status, final Instant at) {
             mMember = member;
-            mReady = ready;
-            mLeaving = leaving;
+            mStatus = status;
             mReportedAt = at;
         }
+
+        private Relay relay() {
+            return new Relay(
+                    mMember.name(),
+                    mMember.domain(),
+                    new InetSocketAddress(
+                            mMember.peerAddress().getAddress(), mStatus.relayPort().orElseThrow()));
+        }
     }
 }
--- /dev/null
+++ b/serving/src/main/java/org/whinhead/serving/reach/EndpointReach.java
@@ -0,0 +1,159 @@
+package org.whinhead.serving.reach;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Tells a daemon's own loss of endpoints from the endpoints' failures.
+ *
+ * <p>An endpoint that this daemon doesn't reach is down, or this daemon's way to it is cut. Only
+ * another daemon that reaches it shows which. So the evidence of a cut is an endpoint that was
+ * reached through another daemon and not directly; connections that fail on both ways say nothing
+ * about this daemon. Two such endpoints of a service without a direct success in between stand for
+ * all of the service's endpoints: the daemon is cut off from the service.
+ */
+public final class EndpointReach {
+
+    /**
+     * The endpoints of a service that stand for all: a single one may be cut off from some daemons
+     * by a fault of its own.
+     */
+    private static final int MIN_RELAYED_ENDPOINTS = 2;
+
+    /** The interval between checks of whether a relayed endpoint is reached directly again. */
+    private static final Duration RECHECK_INTERVAL = Duration.ofMillis(500);
+
+    private final Map<String, RelayedEndpoint> mRelayed = new HashMap<>();
+    private final Map<String, Instant> mReachedAt = new HashMap<>();
+    private Instant mRecheckedAt = Instant.EPOCH;
+
+    /**
+     * Returns the way to an endpoint that is tried first.
+     *
+     * @param endpoint the endpoint's id
+     * @param service the endpoint's service
+     * @return the way
+     */
+    public AccessPath pathTo(final String endpoint, final String service) {
+        return mRelayed.containsKey(endpoint) || isCutOff(service)
+                ? AccessPath.RELAYED
+                : AccessPath.DIRECT;
+    }
+
+    /**
+     * Returns whether this daemon reaches none of a service's endpoints, while other daemons do.
+     *
+     * @param service the service
+     * @return true if it is cut off from the service
+     */
+    public boolean isCutOff(final String service) {
+        final Instant reachedAt = mReachedAt.getOrDefault(service, Instant.EPOCH);
+        return mRelayed.values().stream()
+                        .filter(relayed -> relayed.mService.equals(service))
+                        .filter(relayed -> relayed.mSince.isAfter(reachedAt))
+                        .count()
+                >= MIN_RELAYED_ENDPOINTS;
+    }
+
+    /**
+     * Returns the services from whose endpoints this daemon is cut off.
+     *
+     * @return the names of the services
+     */
+    public Set<String> cutOffServices() {
+        final Set<String> services = new HashSet<>();
+        mRelayed.values().forEach(relayed -> services.add(relayed.mService));
+        services.removeIf(service -> !isCutOff(service));
+        return services;
+    }
+
+    /**
+     * Records a response on a new direct connection.
+     *
+     * <p>If the endpoint was relayed until now, the cause has probably ended for the others, too,
+     * so all of the service's endpoints are tried directly again.
+     *
+     * @param endpoint the endpoint's id
+     * @param service the endpoint's service
+     * @param now the current time
+     */
+    public void recordDirect(final String endpoint, final String service, final Instant now) {
+        mReachedAt.put(service, now);
+        if (mRelayed.containsKey(endpoint)) {
+            mRelayed.values().removeIf(relayed -> relayed.mService.equals(service));
+        }
+    }
+
+    /**
+     * Records that an endpoint was reached through another daemon, and not directly.
+     *
+     * @param endpoint the endpoint's id
+     * @param service the endpoint's service
+     * @param now the current time
+     */
+    public void recordRelayed(final String endpoint, final String service, final Instant now) {
+        mRelayed.putIfAbsent(endpoint, new RelayedEndpoint(endpoint, service, now));
+    }
+
+    /**
+     * Returns the relayed endpoint to check next, at a bounded rate: nothing else shows that the
+     * direct way is open again, as no request uses it.
+     *
+     * @param now the current time
+     * @return the endpoint's id; empty if no check is due
+     */
+    public Optional<String> nextRecheck(final Instant now) {
+        if (mRelayed.isEmpty() || now.isBefore(mRecheckedAt.plus(RECHECK_INTERVAL))) {
+            return Optional.empty();
+        }
+        mRecheckedAt = now;
+        final RelayedEndpoint next =
+                mRelayed.values().stream()
+                        .min(
+                                Comparator.comparing(
+                                                (RelayedEndpoint relayed) -> relayed.mCheckedAt)
+                                        .thenComparing(relayed -> relayed.mId))
+                        .orElseThrow();
+        next.mCheckedAt = now;
+        return Optional.of(next.mId);
+    }
+
+    /**
+     * Forgets endpoints that no longer exist.
+     *
+     * @param known the ids of all endpoints
+     */
+    public void retain(final Collection<String> known) {
+        mRelayed.keySet().removeIf(endpoint -> !known.contains(endpoint));
+    }
+
+    /**
+     * Returns the number of endpoints that are reached only through other daemons.
+     *
+     * @return the number of relayed endpoints
+     */
+    public int relayedCount() {
+        return mRelayed.size();
+    }
+
+    private static final class RelayedEndpoint {
+        private final String mId;
+        private final String mService;
+        private final Instant mSince;
+        private Instant mCheckedAt;
+
+        private RelayedEndpoint(final String id, final String service, final Instant since) {
+            mId = id;
+            mService = service;
+            mSince = since;
+            mCheckedAt = since;
+        }
+    }
+}
--- a/serving/src/test/java/org/whinhead/serving/capacity/CapacityPlannerTest.java
+++ b/serving/src/test/java/org/whinhead/serving/capacity/CapacityPlannerTest.java
@@ -22,6 +22,7 @@
     private static final ServiceSpec SERVICE =
             new ServiceSpec(
                     "pool",
+                    "/health",
                     500,
                     true,
                     Optional.empty(),
@@ -300,7 +301,7 @@
     @Test
     void serviceWithoutLimitsGetsNoOrders() {
         final ServiceSpec plain =
-                new ServiceSpec("api", 100, false, Optional.empty(), Optional.empty());
+                new ServiceSpec("api", "/health", 100, false, Optional.empty(), Optional.empty());
         assertThat(mPlanner.plan(plain, mEndpoints, load(OptionalDouble.empty()), START)).isEmpty();
     }
 
--- a/serving/src/test/java/org/whinhead/serving/capacity/CapacityRecoveryTest.java
+++ b/serving/src/test/java/org/whinhead/serving/capacity/CapacityRecoveryTest.java
@@ -36,6 +36,7 @@
     private static final ServiceSpec SERVICE =
             new ServiceSpec(
                     "pool",
+                    "/health",
                     500,
                     true,
                     Optional.empty(),
--- a/serving/src/test/java/org/whinhead/serving/member/MemberTableTest.java
+++ b/serving/src/test/java/org/whinhead/serving/member/MemberTableTest.java
@@ -28,8 +28,8 @@
     @Test
     void callersGetDaemonsOfTheirOwnDomain() {
         mTable.setSelfReady(true);
-        mTable.recordReport(member("a2", "domain-a", 2), true, false, START);
-        mTable.recordReport(member("b1", "domain-b", 3), true, false, START);
+        mTable.recordReport(member("a2", "domain-a", 2), MemberStatus.READY, START);
+        mTable.recordReport(member("b1", "domain-b", 3), MemberStatus.READY, START);
         assertThat(mTable.addressesFor("domain-a", START)).containsExactly(address(1), address(2));
         assertThat(mTable.addressesFor("domain-b", START)).hasSize(3);
     }
@@ -39,15 +39,15 @@
     @Test
     void leavingDaemonIsNotReturned() {
         mTable.setSelfReady(true);
-        mTable.recordReport(member("a2", "domain-a", 2), true, false, START);
-        mTable.recordReport(member("a2", "domain-a", 2), true, true, START);
+        mTable.recordReport(member("a2", "domain-a", 2), MemberStatus.READY, START);
+        mTable.recordReport(member("a2", "domain-a", 2), MemberStatus.READY.asLeaving(), START);
         assertThat(mTable.addressesFor("domain-a", START)).containsExactly(address(1));
     }
 
     @Test
     void silentDaemonIsNotReturned() {
         mTable.setSelfReady(true);
-        mTable.recordReport(member("a2", "domain-a", 2), true, false, START);
+        mTable.recordReport(member("a2", "domain-a", 2), MemberStatus.READY, START);
         final Instant later = START.plusSeconds(2);
         assertThat(mTable.addressesFor("domain-a", later)).containsExactly(address(1));
         assertThat(mTable.silentMemberNames(later)).containsExactly("a2");
@@ -61,7 +61,8 @@
     @Test
     void silenceTimeoutGrowsWithFleetSize() {
         for (int peer = 0; peer < 60; peer++) {
-            mTable.recordReport(member("p" + peer, "domain-b", 100 + peer), true, false, START);
+            mTable.recordReport(
+                    member("p" + peer, "domain-b", 100 + peer), MemberStatus.READY, START);
         }
         assertThat(mTable.reportInterval().toMillis()).isBetween(1_000L, 2_000L);
         assertThat(mTable.silentMemberNames(START.plusSeconds(2))).isEmpty();
@@ -70,17 +71,17 @@
 
     @Test
     void rankCountsUpDaemonsWithSmallerNames() {
-        mTable.recordReport(member("a0", "domain-a", 2), true, false, START);
-        mTable.recordReport(member("b1", "domain-b", 3), true, false, START);
+        mTable.recordReport(member("a0", "domain-a", 2), MemberStatus.READY, START);
+        mTable.recordReport(member("b1", "domain-b", 3), MemberStatus.READY, START);
         assertThat(mTable.rank(START)).isEqualTo(1);
         assertThat(mTable.rank(START.plusSeconds(2))).isZero();
     }
 
     @Test
     void restartIsDetected() {
-        mTable.recordReport(member("a2", "domain-a", 2), true, false, START);
+        mTable.recordReport(member("a2", "domain-a", 2), MemberStatus.READY, START);
         final Member restarted =
                 new Member("a2", "a2-second", "domain-a", address(2), address(1_002));
-        assertThat(mTable.recordReport(restarted, true, false, START)).contains("a2-first");
+        assertThat(mTable.recordReport(restarted, MemberStatus.READY, START)).contains("a2-first");
     }
 }
--- a/simulation/src/main/java/org/whinhead/simulation/capacity/CapacitySimulation.java
+++ b/simulation/src/main/java/org/whinhead/simulation/capacity/CapacitySimulation.java
@@ -57,6 +57,7 @@
         mService =
                 new ServiceSpec(
                         SimulatedCloud.SERVICE,
+                        "/health",
                         1,
                         true,
                         Optional.empty(),
