Notice dead connections to endpoints, and send what may run again on another way

Nothing closed such connections, and a service that was used through them showed no failed connect.

Cause: an open connection was taken for a way that works.

Now the silence of a whole service for 250 ms, while a request waits, has two of its endpoints checked on new connections, directly and through another daemon. If only the latter answers, the endpoint is relayed, what may run again is sent again, and dead connections are reset so that held-back requests are not delivered later. The stand-in endpoints answer health checks, as the platform's do.

--- a/gateway/src/main/java/org/whinhead/gateway/EndpointAccess.java
+++ b/gateway/src/main/java/org/whinhead/gateway/EndpointAccess.java
@@ -47,9 +47,10 @@
         mMonitor =
                 new ReachMonitor(
                         connector,
+                        mConnections,
                         protocol,
                         state.reach(),
-                        state.endpoints()::find,
+                        state.endpoints(),
                         state::healthPath);
         mRelayServer =
                 new RelayServer(loop, localAddress, state.endpoints()::find, members::hasAddress);
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/ConnectAttempt.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/ConnectAttempt.java
@@ -2,11 +2,13 @@
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandler;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.util.concurrent.Future;
 import java.time.Duration;
 import java.util.function.Supplier;
 import org.whinhead.serving.endpoint.EndpointEntry;
 import org.whinhead.serving.reach.AccessPath;
+import org.whinhead.serving.reach.DirectLoss;
 
 /**
  * Opens one connection to an endpoint on the way that works.
@@ -32,6 +34,7 @@
     private Channel mDirect;
     private RelayedConnect mRelayed;
     private boolean mDirectFailed;
+    private DirectLoss mDirectLoss = DirectLoss.SILENT;
     private boolean mRelayFailed;
     private boolean mEndpointNotReached;
     private boolean mEnded;
@@ -64,14 +67,17 @@
                         mEndpoint,
                         mHandlers.get(),
                         channel -> connected(channel, AccessPath.DIRECT),
-                        cause -> directFailed());
+                        this::directFailed);
     }
 
-    private void directFailed() {
+    private void directFailed(final Throwable cause) {
         if (mEnded) {
             return;
         }
         mDirectFailed = true;
+        if (!(cause instanceof ConnectTimeoutException)) {
+            mDirectLoss = DirectLoss.REFUSED;
+        }
         if (mRelayFailed) {
             fail();
         } else {
@@ -119,7 +125,10 @@
             return;
         }
         if (path == AccessPath.RELAYED && mDirect != null) {
-            mConnector.reach().recordRelayed(mEndpoint.id(), mEndpoint.service(), mConnector.now());
+            mConnector
+                    .reach()
+                    .recordRelayed(
+                            mEndpoint.id(), mEndpoint.service(), mDirectLoss, mConnector.now());
         }
         end();
         mListener.connected(channel, path);
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnection.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpRequest;
@@ -15,6 +16,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.Optional;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.whinhead.gateway.http.ConnectionExceptions;
@@ -40,7 +42,9 @@
     private Channel mChannel;
     private AccessPath mPath;
     private Instant mOpenedAt;
+    private Instant mSentAt;
     private Instant mLastReadAt;
+    private boolean mPathLost;
     private boolean mAnswered;
     private EndpointResponseListener mListener;
     private ChannelFuture mWritten;
@@ -75,6 +79,10 @@
         return mPath;
     }
 
+    EndpointConnections.Pool pool() {
+        return mPool;
+    }
+
     boolean isUsable() {
         return mReusable && mChannel.isActive();
     }
@@ -94,6 +102,8 @@
             final HttpRequest head, final ByteBuf body, final EndpointResponseListener listener) {
         mListener = listener;
         mResponse = null;
+        mSentAt = mClock.instant();
+        mPathLost = false;
         mChannel.write(head);
         mWritten = mChannel.writeAndFlush(new DefaultLastHttpContent(body));
     }
@@ -116,6 +126,27 @@
         return Duration.between(mLastReadAt, mClock.instant());
     }
 
+    /**
+     * Returns since when a response or its next part has been awaited.
+     *
+     * @return the time of the request or of the last read; empty if nothing is awaited, or if
+     *     reading is paused
+     */
+    Optional<Instant> waitingSince() {
+        if (mListener == null || !mChannel.config().isAutoRead()) {
+            return Optional.empty();
+        }
+        return Optional.of(mSentAt.isAfter(mLastReadAt) ? mSentAt : mLastReadAt);
+    }
+
+    /** Informs the listener, once for each request, that the way to the endpoint is lost. */
+    void pathLost() {
+        if (mListener != null && !mPathLost) {
+            mPathLost = true;
+            mListener.pathLost();
+        }
+    }
+
     /** Returns the unused connection to the pool. */
     public void release() {
         mPool.release(this);
@@ -123,6 +154,10 @@
 
     /** Closes the connection without notice to the listener; endpoints then drop the request. */
     public void cancel() {
+        if (mPathLost && mListener != null) {
+            // Otherwise the request would be sent to the endpoint once the way is open again.
+            mChannel.config().setOption(ChannelOption.SO_LINGER, 0);
+        }
         mListener = null;
         mReusable = false;
         mChannel.close();
@@ -140,6 +175,7 @@
     @Override
     public void channelRead(final ChannelHandlerContext context, final Object message) {
         mLastReadAt = mClock.instant();
+        mPool.received(this, mLastReadAt);
         try {
             if (mListener == null) {
                 mReusable = false;
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnections.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnections.java
@@ -34,6 +34,7 @@
     private final EndpointConnector mConnector;
     private final EndpointReach mReach;
     private final Map<String, Pool> mPools = new HashMap<>();
+    private final Map<String, Instant> mReceivedAt = new HashMap<>();
 
     /**
      * Creates pools without connections.
@@ -102,6 +103,29 @@
                 });
     }
 
+    /**
+     * Returns the direct connections on which a response is awaited.
+     *
+     * @return the connections
+     */
+    List<EndpointConnection> waitingDirectly() {
+        return mPools.values().stream()
+                .flatMap(pool -> pool.mOpen.stream())
+                .filter(connection -> connection.path() == AccessPath.DIRECT)
+                .filter(connection -> connection.waitingSince().isPresent())
+                .toList();
+    }
+
+    /**
+     * Returns when anything was last received on a direct connection to any endpoint of a service.
+     *
+     * @param service the service
+     * @return the time; the epoch if nothing was ever received
+     */
+    Instant receivedAt(final String service) {
+        return mReceivedAt.getOrDefault(service, Instant.EPOCH);
+    }
+
     /**
      * Closes the idle connections to endpoints that no longer exist.
      *
@@ -155,6 +179,7 @@
         private final String mService;
         private final Deque<IdleConnection> mIdle = new ArrayDeque<>();
         private final Set<EndpointConnection> mOpen = new HashSet<>();
+        private Instant mPoolReceivedAt = Instant.EPOCH;
 
         Pool(final String endpoint, final String service) {
             mEndpoint = endpoint;
@@ -193,6 +218,25 @@
             mIdle.removeIf(idle -> idle.mConnection == connection);
         }
 
+        String endpoint() {
+            return mEndpoint;
+        }
+
+        String service() {
+            return mService;
+        }
+
+        void received(final EndpointConnection connection, final Instant now) {
+            if (connection.path() == AccessPath.DIRECT) {
+                mReceivedAt.put(mService, now);
+                mPoolReceivedAt = now;
+            }
+        }
+
+        Instant receivedAt() {
+            return mPoolReceivedAt;
+        }
+
         /** Records the first response on a connection of its own. */
         void reachedDirectly() {
             mReach.recordDirect(mEndpoint, mService, mClock.instant());
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointResponseListener.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointResponseListener.java
@@ -22,6 +22,12 @@
     /** Called when the response is complete. */
     void completed();
 
+    /**
+     * Called when this daemon has lost its way to the endpoint and has received nothing for a
+     * while. The response may still arrive if the way opens again.
+     */
+    void pathLost();
+
     /**
      * Called when the response can't be completed.
      *
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/ReachMonitor.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/ReachMonitor.java
@@ -3,14 +3,17 @@
 import io.netty.channel.Channel;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.HashSet;
 import java.util.Objects;
-import java.util.Optional;
 import java.util.Set;
 import java.util.function.Function;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.whinhead.serving.endpoint.EndpointEntry;
+import org.whinhead.serving.endpoint.EndpointRegistry;
+import org.whinhead.serving.reach.AccessPath;
 import org.whinhead.serving.reach.EndpointReach;
+import org.whinhead.serving.reach.ReachLevel;
 
 /** Checks which endpoints this daemon reaches, and reports if it is cut off from them. */
 public final class ReachMonitor {
@@ -23,7 +26,10 @@
     private final EndpointConnector mConnector;
     private final EndpointProtocol mProtocol;
     private final EndpointReach mReach;
-    private final Function<String, Optional<EndpointEntry>> mFindEndpoint;
+    private final EndpointConnections mConnections;
+    private final SilenceDetector mSilence;
+    private final Set<String> mChecked = new HashSet<>();
+    private final EndpointRegistry mEndpoints;
     private final Function<String, String> mHealthPath;
     private Set<String> mCutOffServices = Set.of();
     private Runnable mOnCutOffChange = () -> {};
@@ -32,21 +38,25 @@
      * Creates a monitor.
      *
      * @param connector opens connections for checks
+     * @param connections the connections of requests
      * @param protocol encodes health checks
      * @param reach receives the results
-     * @param findEndpoint finds a listed endpoint by its id
+     * @param endpoints the listed endpoints
      * @param healthPath returns the path of a service's health check
      */
     public ReachMonitor(
             final EndpointConnector connector,
+            final EndpointConnections connections,
             final EndpointProtocol protocol,
             final EndpointReach reach,
-            final Function<String, Optional<EndpointEntry>> findEndpoint,
+            final EndpointRegistry endpoints,
             final Function<String, String> healthPath) {
         mConnector = Objects.requireNonNull(connector, "connector");
+        mConnections = Objects.requireNonNull(connections, "connections");
+        mSilence = new SilenceDetector(connections, endpoints::usable);
         mProtocol = Objects.requireNonNull(protocol, "protocol");
         mReach = Objects.requireNonNull(reach, "reach");
-        mFindEndpoint = Objects.requireNonNull(findEndpoint, "findEndpoint");
+        mEndpoints = Objects.requireNonNull(endpoints, "endpoints");
         mHealthPath = Objects.requireNonNull(healthPath, "healthPath");
     }
 
@@ -74,7 +84,12 @@
      * @param now the current time
      */
     public void tick(final Instant now) {
-        mReach.nextRecheck(now).flatMap(mFindEndpoint).ifPresent(this::recheck);
+        mReach.nextRecheck(now).flatMap(mEndpoints::find).ifPresent(this::recheck);
+        mSilence.suspects(now)
+                .forEach(endpoint -> mEndpoints.find(endpoint).ifPresent(this::check));
+        mConnections.waitingDirectly().stream()
+                .filter(connection -> isPathLost(connection, now))
+                .forEach(EndpointConnection::pathLost);
         final Set<String> cutOff = mReach.cutOffServices();
         if (!cutOff.equals(mCutOffServices)) {
             mCutOffServices = cutOff;
@@ -83,6 +98,43 @@
         }
     }
 
+    /** Returns whether a response is awaited on a connection that leads nowhere. */
+    private boolean isPathLost(final EndpointConnection connection, final Instant now) {
+        final EndpointConnections.Pool pool = connection.pool();
+        final Instant since = now.minus(SilenceDetector.SERVICE_SILENCE);
+        return mReach.isSilent(pool.endpoint(), pool.service())
+                && !connection.waitingSince().orElse(now).isAfter(since);
+    }
+
+    private void check(final EndpointEntry endpoint) {
+        final AccessPath path = mReach.pathTo(endpoint.id(), endpoint.service());
+        if (path == AccessPath.DIRECT && mChecked.add(endpoint.id())) {
+            new ReachCheck(
+                            mConnector,
+                            endpoint,
+                            answered -> probe(endpoint, answered),
+                            this::checked)
+                    .start();
+        }
+    }
+
+    private void checked(final ReachCheck check) {
+        final EndpointEntry endpoint = check.endpoint();
+        mChecked.remove(endpoint.id());
+        LOG.atInfo()
+                .addKeyValue("endpoint", endpoint.id())
+                .addKeyValue("service", endpoint.service())
+                .addKeyValue("direct", check.directLevel())
+                .addKeyValue("relayed", check.relayedLevel())
+                .log("silent endpoint checked");
+        if (check.directLevel() == ReachLevel.ANSWERED) {
+            recordDirect(endpoint);
+        } else if (check.relayedLevel().isAbove(check.directLevel())) {
+            mReach.recordRelayed(
+                    endpoint.id(), endpoint.service(), check.directLoss(), mConnector.now());
+        }
+    }
+
     private void logCutOff() {
         LOG.atWarn()
                 .addKeyValue("services", mCutOffServices)
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
@@ -292,6 +292,16 @@
         retryOrGiveUp(failure.verdict(), failure.name());
     }
 
+    @Override
+    public void pathLost() {
+        if (mMove == null && mAdmission.route().canRunAgain() && acquireRetry()) {
+            mRefusals.markMayHaveRun();
+            logUnanswered();
+            endAttempt();
+            dispatch();
+        }
+    }
+
     private void attemptFailed(final Verdict verdict, final String reason) {
         mPlacement.load().recordOutcome(true);
         retryOrGiveUp(verdict, reason);
--- a/gateway/src/test/java/org/whinhead/gateway/endpoint/EndpointConnectionTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/endpoint/EndpointConnectionTest.java
@@ -49,6 +49,11 @@
                     mReceived.add("end");
                 }
 
+                @Override
+                public void pathLost() {
+                    mReceived.add("path lost");
+                }
+
                 @Override
                 public void failed(final EndpointFailure failure) {
                     mReceived.add(failure.name());
--- /dev/null
+++ b/gateway/src/test/java/org/whinhead/gateway/endpoint/ReachMonitorTest.java
@@ -0,0 +1,332 @@
+package org.whinhead.gateway.endpoint;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Random;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.whinhead.gateway.caller.CallerRequest;
+import org.whinhead.gateway.metrics.RequestMetrics;
+import org.whinhead.gateway.relay.RelayServer;
+import org.whinhead.serving.endpoint.EndpointEntry;
+import org.whinhead.serving.endpoint.EndpointRegistry;
+import org.whinhead.serving.member.Member;
+import org.whinhead.serving.member.MemberStatus;
+import org.whinhead.serving.member.MemberTable;
+import org.whinhead.serving.reach.AccessPath;
+import org.whinhead.serving.reach.DirectLoss;
+import org.whinhead.serving.reach.EndpointReach;
+import org.whinhead.serving.reach.RelaySelector;
+
+class ReachMonitorTest {
+
+    private static final InetAddress LOOPBACK = InetAddress.getLoopbackAddress();
+    private static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
+    private static final int TIMEOUT_SECONDS = 10;
+    private static final String SERVICE = "api";
+
+    private final MultiThreadIoEventLoopGroup mLoops =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop mLoop = (EventLoop) mLoops.next();
+    private final BlockingQueue<String> mEvents = new LinkedBlockingQueue<>();
+    private final List<Socket> mAccepted = new ArrayList<>();
+    private final AtomicInteger mAnsweredChecks = new AtomicInteger();
+    private final MemberTable mMembers = new MemberTable(member("a1"));
+    private final EndpointReach mReach = new EndpointReach();
+    private final EndpointRegistry mEndpoints = new EndpointRegistry();
+    private volatile Instant mNow = START;
+    private final EndpointConnector mConnector =
+            new EndpointConnector(
+                    mLoop,
+                    () -> mNow,
+                    LOOPBACK,
+                    mReach,
+                    new RelaySelector(mMembers, new Random(1)),
+                    new ConnectionLogger(new RequestMetrics()));
+    private final EndpointConnections mConnections =
+            new EndpointConnections(() -> mNow, new PlainProtocol(), mConnector, mReach);
+    private final ReachMonitor mMonitor =
+            new ReachMonitor(
+                    mConnector,
+                    mConnections,
+                    new PlainProtocol(),
+                    mReach,
+                    mEndpoints,
+                    service -> "/health");
+    private ServerSocket mAnswering;
+    private ServerSocket mSilent;
+
+    private static final class PlainProtocol implements EndpointProtocol {
+        @Override
+        public HttpRequest encode(
+                final CallerRequest request, final AttemptContext context, final int bodyBytes) {
+            throw new AssertionError("not used");
+        }
+
+        @Override
+        public HttpRequest encodeHealthCheck(final EndpointEntry endpoint, final String path) {
+            return new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path);
+        }
+
+        @Override
+        public EndpointResponse decode(final HttpResponse response) {
+            return new EndpointResponse(
+                    response.status(),
+                    response.headers(),
+                    Optional.empty(),
+                    false,
+                    false,
+                    true,
+                    Optional.empty(),
+                    false);
+        }
+    }
+
+    private final class RecordingListener implements EndpointResponseListener {
+        @Override
+        public void headReceived(final EndpointResponse response) {
+            mEvents.add("head");
+        }
+
+        @Override
+        public void bodyReceived(final ByteBuf bytes) {
+            mEvents.add("body");
+        }
+
+        @Override
+        public void completed() {
+            mEvents.add("completed");
+        }
+
+        @Override
+        public void pathLost() {
+            mEvents.add("path lost");
+        }
+
+        @Override
+        public void failed(final EndpointFailure failure) {
+            mEvents.add(failure.name());
+        }
+    }
+
+    private static Member member(final String name) {
+        final InetSocketAddress address = new InetSocketAddress(LOOPBACK, 7600);
+        return new Member(name, name + "-first", "domain-a", address, address);
+    }
+
+    @BeforeEach
+    void startServersAndRelay() throws Exception {
+        mAnswering = new ServerSocket(0, 50, LOOPBACK);
+        mSilent = new ServerSocket(0, 50, LOOPBACK);
+        startThread(() -> acceptAll(mAnswering, true));
+        startThread(() -> acceptAll(mSilent, false));
+        final int port;
+        try (ServerSocket free = new ServerSocket(0, 1, LOOPBACK)) {
+            port = free.getLocalPort();
+        }
+        onLoop(
+                () -> {
+                    final RelayServer server =
+                            new RelayServer(
+                                    mLoop,
+                                    LOOPBACK,
+                                    id -> Optional.of(entry(id, mAnswering)),
+                                    address -> true);
+                    server.listen(new InetSocketAddress(LOOPBACK, port));
+                    return server;
+                });
+        mMembers.recordReport(
+                member("a2"), new MemberStatus(true, false, false, OptionalInt.of(port)), START);
+    }
+
+    private static void startThread(final Runnable work) {
+        final Thread thread = new Thread(work, "endpoint");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private void acceptAll(final ServerSocket server, final boolean answersHealthChecks) {
+        while (!server.isClosed()) {
+            try {
+                final Socket socket = server.accept();
+                synchronized (mAccepted) {
+                    mAccepted.add(socket);
+                }
+                if (answersHealthChecks) {
+                    startThread(() -> answerHealthCheck(socket));
+                }
+            } catch (IOException e) {
+                return;
+            }
+        }
+    }
+
+    private void answerHealthCheck(final Socket socket) {
+        try {
+            final byte[] line = socket.getInputStream().readNBytes("GET /health".length());
+            if (new String(line, StandardCharsets.US_ASCII).equals("GET /health")) {
+                socket.getOutputStream()
+                        .write(
+                                "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+                                        .getBytes(StandardCharsets.US_ASCII));
+                mAnsweredChecks.incrementAndGet();
+            }
+        } catch (IOException e) {
+            mEvents.add("health check not read: " + e);
+        }
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        mAnswering.close();
+        mSilent.close();
+        synchronized (mAccepted) {
+            for (final Socket socket : mAccepted) {
+                socket.close();
+            }
+        }
+        mLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+
+    private <T> T onLoop(final Callable<T> task) throws Exception {
+        return mLoop.submit(task).get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    }
+
+    private static EndpointEntry entry(final String id, final ServerSocket server) {
+        final InetSocketAddress address = new InetSocketAddress(LOOPBACK, server.getLocalPort());
+        return EndpointEntry.builder(id, SERVICE, address, "domain-a").build();
+    }
+
+    /** Lists two endpoints of the service at a server of the test. */
+    private void listEndpoints(final ServerSocket server) throws Exception {
+        onLoop(
+                () -> {
+                    mEndpoints.put(entry("e-1", server), 1);
+                    mEndpoints.put(entry("e-2", server), 2);
+                    return null;
+                });
+    }
+
+    /** Sends a request on a new connection to the first endpoint. */
+    private void sendRequest() throws Exception {
+        final CompletableFuture<EndpointConnection> opened = new CompletableFuture<>();
+        mLoop.execute(
+                () ->
+                        mConnections.acquire(
+                                mEndpoints.find("e-1").orElseThrow(),
+                                opened::complete,
+                                failure ->
+                                        opened.completeExceptionally(
+                                                new IOException(failure.name()))));
+        final EndpointConnection connection = opened.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        onLoop(
+                () -> {
+                    connection.send(
+                            new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/a"),
+                            Unpooled.EMPTY_BUFFER,
+                            new RecordingListener());
+                    return null;
+                });
+    }
+
+    /** Lets the monitor do what is due until a condition holds. */
+    private void tickUntil(final Callable<Boolean> condition) throws Exception {
+        final Instant end = Instant.now().plusSeconds(TIMEOUT_SECONDS);
+        while (!onLoop(condition)) {
+            assertThat(Instant.now()).isBefore(end);
+            tick();
+        }
+    }
+
+    private void tick() throws Exception {
+        onLoop(
+                () -> {
+                    mMonitor.tick(mNow);
+                    return null;
+                });
+    }
+
+    private boolean isCutOff() {
+        return mReach.isCutOff(SERVICE);
+    }
+
+    // Guards against requests that wait on dead connections until their deadline, and against more
+    // of them following: what was sent to any endpoint of the service gets no answer.
+    @Test
+    void silenceOfWholeServiceIsCheckedAndItsRequestsAreTold() throws Exception {
+        listEndpoints(mSilent);
+        sendRequest();
+        tick();
+        assertThat(onLoop(this::isCutOff)).isFalse();
+        mNow = START.plusMillis(300);
+        tickUntil(this::isCutOff);
+        tick();
+        assertThat(mMonitor.isCutOff()).isTrue();
+        assertThat(mEvents).containsExactly("path lost");
+        tick();
+        assertThat(mEvents).hasSize(1);
+    }
+
+    // Guards against a busy endpoint being taken for one that is out of reach: it doesn't answer a
+    // request for a while, but new connections work.
+    @Test
+    void busyEndpointIsNoCut() throws Exception {
+        listEndpoints(mAnswering);
+        sendRequest();
+        mNow = START.plusMillis(300);
+        tickUntil(() -> mAnsweredChecks.get() == 2);
+        tick();
+        assertThat(onLoop(() -> mReach.pathTo("e-1", SERVICE))).isEqualTo(AccessPath.DIRECT);
+        assertThat(mEvents).isEmpty();
+    }
+
+    // Guards against a daemon that stays out of the directory, and connects through others, after
+    // its own way is open again.
+    @Test
+    void cutEndsOnceEndpointAnswersDirectly() throws Exception {
+        listEndpoints(mAnswering);
+        final BlockingQueue<Boolean> changes = new LinkedBlockingQueue<>();
+        mMonitor.onCutOffChange(() -> changes.add(mMonitor.isCutOff()));
+        onLoop(
+                () -> {
+                    mReach.recordRelayed("e-1", SERVICE, DirectLoss.SILENT, START);
+                    mReach.recordRelayed("e-2", SERVICE, DirectLoss.SILENT, START);
+                    return null;
+                });
+        tick();
+        assertThat(changes.poll()).isTrue();
+        mNow = START.plus(Duration.ofMillis(600));
+        tickUntil(() -> !isCutOff());
+        tick();
+        assertThat(changes.poll()).isFalse();
+    }
+}
--- a/serving/src/main/java/org/whinhead/serving/reach/EndpointReach.java
+++ b/serving/src/main/java/org/whinhead/serving/reach/EndpointReach.java
@@ -96,10 +96,38 @@
      *
      * @param endpoint the endpoint's id
      * @param service the endpoint's service
+     * @param directLoss what became of the direct connection
      * @param now the current time
      */
-    public void recordRelayed(final String endpoint, final String service, final Instant now) {
-        mRelayed.putIfAbsent(endpoint, new RelayedEndpoint(endpoint, service, now));
+    public void recordRelayed(
+            final String endpoint,
+            final String service,
+            final DirectLoss directLoss,
+            final Instant now) {
+        final RelayedEndpoint known = mRelayed.get(endpoint);
+        if (known == null) {
+            mRelayed.put(endpoint, new RelayedEndpoint(endpoint, service, directLoss, now));
+        } else if (directLoss == DirectLoss.SILENT) {
+            known.mDirectLoss = directLoss;
+        }
+    }
+
+    /**
+     * Returns whether the direct connections to an endpoint that are still open lead nowhere.
+     *
+     * @param endpoint the endpoint's id
+     * @param service the endpoint's service
+     * @return true if the endpoint is relayed, and new direct connections got no reply at all
+     */
+    public boolean isSilent(final String endpoint, final String service) {
+        final RelayedEndpoint relayed = mRelayed.get(endpoint);
+        if (relayed != null) {
+            return relayed.mDirectLoss == DirectLoss.SILENT;
+        }
+        return isCutOff(service)
+                && mRelayed.values().stream()
+                        .filter(other -> other.mService.equals(service))
+                        .allMatch(other -> other.mDirectLoss == DirectLoss.SILENT);
     }
 
     /**
@@ -147,11 +175,17 @@
         private final String mId;
         private final String mService;
         private final Instant mSince;
+        private DirectLoss mDirectLoss;
         private Instant mCheckedAt;
 
-        private RelayedEndpoint(final String id, final String service, final Instant since) {
+        private RelayedEndpoint(
+                final String id,
+                final String service,
+                final DirectLoss directLoss,
+                final Instant since) {
             mId = id;
             mService = service;
+            mDirectLoss = directLoss;
             mSince = since;
             mCheckedAt = since;
         }
--- a/serving/src/test/java/org/whinhead/serving/reach/EndpointReachTest.java
+++ b/serving/src/test/java/org/whinhead/serving/reach/EndpointReachTest.java
@@ -28,7 +28,7 @@
     // Guards against moving all callers off a daemon because one endpoint is cut off from it.
     @Test
     void singleRelayedEndpointIsNoCutOfTheService() {
-        mReach.recordRelayed("e-1", SERVICE, START);
+        mReach.recordRelayed("e-1", SERVICE, DirectLoss.SILENT, START);
         assertThat(mReach.pathTo("e-1", SERVICE)).isEqualTo(AccessPath.RELAYED);
         assertThat(mReach.pathTo("e-2", SERVICE)).isEqualTo(AccessPath.DIRECT);
         assertThat(mReach.cutOffServices()).isEmpty();
@@ -38,8 +38,8 @@
     // endpoints that only others reach stand for all of the service's.
     @Test
     void twoRelayedEndpointsStandForAllOfTheirService() {
-        mReach.recordRelayed("e-1", SERVICE, START);
-        mReach.recordRelayed("e-2", SERVICE, after(10));
+        mReach.recordRelayed("e-1", SERVICE, DirectLoss.SILENT, START);
+        mReach.recordRelayed("e-2", SERVICE, DirectLoss.SILENT, after(10));
         assertThat(mReach.pathTo("e-3", SERVICE)).isEqualTo(AccessPath.RELAYED);
         assertThat(mReach.pathTo("a-1", "api")).isEqualTo(AccessPath.DIRECT);
         assertThat(mReach.cutOffServices()).containsExactly(SERVICE);
@@ -47,9 +47,9 @@
 
     @Test
     void directSuccessAtAnotherEndpointContradictsTheCut() {
-        mReach.recordRelayed("e-1", SERVICE, START);
+        mReach.recordRelayed("e-1", SERVICE, DirectLoss.SILENT, START);
         mReach.recordDirect("e-3", SERVICE, after(5));
-        mReach.recordRelayed("e-2", SERVICE, after(10));
+        mReach.recordRelayed("e-2", SERVICE, DirectLoss.SILENT, after(10));
         assertThat(mReach.isCutOff(SERVICE)).isFalse();
         assertThat(mReach.pathTo("e-1", SERVICE)).isEqualTo(AccessPath.RELAYED);
         assertThat(mReach.pathTo("e-2", SERVICE)).isEqualTo(AccessPath.RELAYED);
@@ -59,9 +59,9 @@
     // Guards against a daemon that stays cut off although its way is open again.
     @Test
     void relayedEndpointThatAnswersDirectlyEndsTheCut() {
-        mReach.recordRelayed("e-1", SERVICE, START);
-        mReach.recordRelayed("e-2", SERVICE, START);
-        mReach.recordRelayed("a-1", "api", START);
+        mReach.recordRelayed("e-1", SERVICE, DirectLoss.SILENT, START);
+        mReach.recordRelayed("e-2", SERVICE, DirectLoss.SILENT, START);
+        mReach.recordRelayed("a-1", "api", DirectLoss.SILENT, START);
         mReach.recordDirect("e-2", SERVICE, after(700));
         assertThat(mReach.pathTo("e-1", SERVICE)).isEqualTo(AccessPath.DIRECT);
         assertThat(mReach.pathTo("a-1", "api")).isEqualTo(AccessPath.RELAYED);
@@ -70,8 +70,8 @@
 
     @Test
     void relayedEndpointsAreCheckedInTurnAtBoundedRate() {
-        mReach.recordRelayed("e-1", SERVICE, START);
-        mReach.recordRelayed("e-2", SERVICE, START);
+        mReach.recordRelayed("e-1", SERVICE, DirectLoss.SILENT, START);
+        mReach.recordRelayed("e-2", SERVICE, DirectLoss.SILENT, START);
         assertThat(mReach.nextRecheck(after(500))).contains("e-1");
         assertThat(mReach.nextRecheck(after(900))).isEmpty();
         assertThat(mReach.nextRecheck(after(1_000))).contains("e-2");
@@ -80,10 +80,23 @@
 
     @Test
     void endpointsThatNoLongerExistAreForgotten() {
-        mReach.recordRelayed("e-1", SERVICE, START);
-        mReach.recordRelayed("e-2", SERVICE, START);
+        mReach.recordRelayed("e-1", SERVICE, DirectLoss.SILENT, START);
+        mReach.recordRelayed("e-2", SERVICE, DirectLoss.SILENT, START);
         mReach.retain(List.of("e-2", "e-3"));
         assertThat(mReach.isCutOff(SERVICE)).isFalse();
         assertThat(mReach.relayedCount()).isEqualTo(1);
     }
+
+    // Guards against giving up requests whose connection still works: only new connections are
+    // refused.
+    @Test
+    void openConnectionsAreLostOnlyIfNewOnesGetNoReply() {
+        mReach.recordRelayed("e-1", SERVICE, DirectLoss.REFUSED, START);
+        mReach.recordRelayed("e-2", SERVICE, DirectLoss.SILENT, START);
+        assertThat(mReach.isSilent("e-1", SERVICE)).isFalse();
+        assertThat(mReach.isSilent("e-2", SERVICE)).isTrue();
+        assertThat(mReach.isSilent("e-3", SERVICE)).isFalse();
+        mReach.recordRelayed("e-1", SERVICE, DirectLoss.SILENT, START);
+        assertThat(mReach.isSilent("e-3", SERVICE)).isTrue();
+    }
 }
