Omit daemons that are cut off from endpoints from the directory

Cause: the directory asks whether a daemon has a configuration, quotas, endpoints and its port; a daemon's reach was no part of it.

MemberTableTest#daemonThatIsCutOffFromEndpointsIsNotReturned failed before.

--- a/serving/src/main/java/org/whinhead/serving/member/MemberTable.java
+++ b/serving/src/main/java/org/whinhead/serving/member/MemberTable.java
@@ -226,25 +226,35 @@
      * Returns the addresses that a caller should use: those of its own failure domain if it has
      * enough daemons, otherwise those of all domains.
      *
+     * <p>Daemons that are cut off from endpoints are omitted as long as there are others. What they
+     * serve costs another daemon as much as serving it itself, and the hop besides.
+     *
      * @param domain the name of the caller's failure domain
      * @param now the current time
      * @return the addresses; empty if no daemon accepts callers
      */
     public List<InetSocketAddress> addressesFor(final String domain, final Instant now) {
-        final List<Member> ready = new ArrayList<>();
-        if (mSelfReady) {
-            ready.add(mSelf);
+        final List<Member> reaching = acceptingCallers(now, false);
+        final List<Member> usable = reaching.isEmpty() ? acceptingCallers(now, true) : reaching;
+        final List<Member> sameDomain =
+                usable.stream().filter(member -> member.domain().equals(domain)).toList();
+        final List<Member> chosen = sameDomain.size() >= MIN_DOMAIN_ADDRESSES ? sameDomain : usable;
+        return chosen.stream().limit(MAX_ADDRESSES).map(Member::callerAddress).toList();
+    }
+
+    private List<Member> acceptingCallers(final Instant now, final boolean withCutOff) {
+        final List<Member> accepting = new ArrayList<>();
+        if (mSelfReady && (withCutOff || !mSelfCutOff)) {
+            accepting.add(mSelf);
         }
         for (final PeerState peer : mPeers.values()) {
-            if (peer.mStatus.acceptsCallers() && isUp(peer, now)) {
-                ready.add(peer.mMember);
+            final boolean reaches = withCutOff || !peer.mStatus.cutOff();
+            if (reaches && peer.mStatus.acceptsCallers() && isUp(peer, now)) {
+                accepting.add(peer.mMember);
             }
         }
-        ready.sort(Comparator.comparing(Member::name));
-        final List<Member> sameDomain =
-                ready.stream().filter(member -> member.domain().equals(domain)).toList();
-        final List<Member> chosen = sameDomain.size() >= MIN_DOMAIN_ADDRESSES ? sameDomain : ready;
-        return chosen.stream().limit(MAX_ADDRESSES).map(Member::callerAddress).toList();
+        accepting.sort(Comparator.comparing(Member::name));
+        return accepting;
     }
 
     /**
--- a/serving/src/test/java/org/whinhead/serving/member/MemberTableTest.java
+++ b/serving/src/test/java/org/whinhead/serving/member/MemberTableTest.java
@@ -4,6 +4,7 @@
 
 import java.net.InetSocketAddress;
 import java.time.Instant;
+import java.util.OptionalInt;
 import org.junit.jupiter.api.Test;
 
 class MemberTableTest {
@@ -84,4 +85,28 @@
                 new Member("a2", "a2-second", "domain-a", address(2), address(1_002));
         assertThat(mTable.recordReport(restarted, MemberStatus.READY, START)).contains("a2-first");
     }
+
+    private static MemberStatus cutOff() {
+        return new MemberStatus(true, false, true, OptionalInt.empty());
+    }
+
+    // Guards against sending callers to a daemon that can serve them only through another one.
+    @Test
+    void daemonThatIsCutOffFromEndpointsIsNotReturned() {
+        mTable.setSelfReady(true);
+        mTable.recordReport(member("a2", "domain-a", 2), cutOff(), START);
+        mTable.recordReport(member("b1", "domain-b", 3), MemberStatus.READY, START);
+        assertThat(mTable.addressesFor("domain-a", START)).containsExactly(address(1), address(3));
+        mTable.setSelfCutOff(true);
+        assertThat(mTable.addressesFor("domain-a", START)).containsExactly(address(3));
+    }
+
+    // Guards against callers that get no address at all: every daemon is cut off.
+    @Test
+    void daemonsAreReturnedIfAllAreCutOff() {
+        mTable.setSelfReady(true);
+        mTable.setSelfCutOff(true);
+        mTable.recordReport(member("a2", "domain-a", 2), cutOff(), START);
+        assertThat(mTable.addressesFor("domain-a", START)).containsExactly(address(1), address(2));
+    }
 }
