Count no answers of a version on trial that are lost on a daemon's own way

A request on a dead connection was counted as a slow answer of its endpoint's version when its deadline passed: a daemon that was cut off from all endpoints gave evidence against a good version, for as long as the cut lasted.

Once the way is known to be lost, the attempt no longer counts for its version.

--- a/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
@@ -294,6 +294,7 @@
 
     @Override
     public void pathLost() {
+        mTrial.pathLost();
         if (mMove == null && mAdmission.route().canRunAgain() && acquireRetry()) {
             mRefusals.markMayHaveRun();
             logUnanswered();
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/TrialRecorder.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/TrialRecorder.java
@@ -67,6 +67,11 @@
         }
     }
 
+    /** Records that this daemon has lost its way to the endpoint, which may have answered. */
+    void pathLost() {
+        mTrial = Optional.empty();
+    }
+
     /** Records that the attempt has ended; later outcomes do not count for its endpoint. */
     void attemptEnded() {
         mTrial = Optional.empty();
--- a/gateway/src/test/java/org/whinhead/gateway/exchange/TestServing.java
+++ b/gateway/src/test/java/org/whinhead/gateway/exchange/TestServing.java
@@ -26,11 +26,17 @@
 
     /** Creates a state without configuration and endpoints, with one clock as both clocks. */
     public static ServingState state(final InstantSource clock) {
+        return state(clock, false);
+    }
+
+    /** Creates such a state of a deployment with or without roll-outs. */
+    public static ServingState state(final InstantSource clock, final boolean rollouts) {
         return ServingState.builder()
                 .clocks(clock, clock)
                 .chooser(new EndpointChooser("domain-a", new Random(1)))
                 .limits(quotas(clock), new ServiceRetryBudget(0.2, 10, WINDOW))
                 .usage(new UsageLedger("self"), new UsageWindows(WINDOW))
+                .rollouts(rollouts)
                 .build();
     }
 
