End the backoff of endpoints whose connections failed on the daemon's own way

Until a cut is recognised, connects that fail are charged to the endpoints, and their backoff of up to two seconds outlived the finding that the daemon itself was cut off: connections through other daemons then went to few endpoints, or to none of a small service.

Now the finding ends the backoff of the service's endpoints. EndpointChooserTest#endpointIsUsedAtOnceIfItsConnectionFailedOnTheWay is new with the method that it tests.

--- a/gateway/src/main/java/org/whinhead/gateway/EndpointAccess.java
+++ b/gateway/src/main/java/org/whinhead/gateway/EndpointAccess.java
@@ -73,10 +73,16 @@
         mMonitor.onCutOffChange(
                 () -> {
                     mMembers.setSelfCutOff(mMonitor.isCutOff());
+                    mMonitor.cutOffServices().forEach(this::clearUnreachable);
                     reportNow.run();
                 });
     }
 
+    /** Ends the backoff of a service's endpoints: this daemon was cut off, they weren't down. */
+    private void clearUnreachable(final String service) {
+        mState.chooser().clearUnreachable(mState.endpoints().usable(service));
+    }
+
     /** Starts the checks that are due; must be called several times per second. */
     void tick() {
         mMonitor.tick(mState.clock().instant());
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/ReachMonitor.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/ReachMonitor.java
@@ -78,6 +78,15 @@
         return !mCutOffServices.isEmpty();
     }
 
+    /**
+     * Returns the services from whose endpoints this daemon is cut off.
+     *
+     * @return the names of the services
+     */
+    public Set<String> cutOffServices() {
+        return Set.copyOf(mCutOffServices);
+    }
+
     /**
      * Starts the checks that are due; must be called several times per second.
      *
--- a/serving/src/main/java/org/whinhead/serving/balance/EndpointChooser.java
+++ b/serving/src/main/java/org/whinhead/serving/balance/EndpointChooser.java
@@ -207,6 +207,15 @@
         return mLoads.computeIfAbsent(endpoint, id -> new EndpointLoad(PREFIX_CACHE_TOKENS));
     }
 
+    /**
+     * Ends the backoff of endpoints whose connections failed on the way and not at the endpoint.
+     *
+     * @param endpoints the endpoints
+     */
+    public void clearUnreachable(final Collection<EndpointEntry> endpoints) {
+        endpoints.forEach(endpoint -> load(endpoint.id()).clearUnreachable());
+    }
+
     /**
      * Updates another daemon's load at an endpoint.
      *
--- a/serving/src/main/java/org/whinhead/serving/balance/EndpointLoad.java
+++ b/serving/src/main/java/org/whinhead/serving/balance/EndpointLoad.java
@@ -76,6 +76,12 @@
         recordOutcome(true);
     }
 
+    /** Ends the backoff, as the connections failed on the way and not at the endpoint. */
+    void clearUnreachable() {
+        mUnreachableCount = 0;
+        mAvailableAt = Instant.EPOCH;
+    }
+
     boolean isAvailable(final Instant now) {
         return !now.isBefore(mAvailableAt);
     }
--- a/serving/src/test/java/org/whinhead/serving/balance/EndpointChooserTest.java
+++ b/serving/src/test/java/org/whinhead/serving/balance/EndpointChooserTest.java
@@ -160,6 +160,17 @@
         assertThat(place(endpoints, work("s1"))).isNotEqualTo(home);
     }
 
+    // Guards against endpoints being avoided for seconds by a daemon that was itself cut off from
+    // them when their connections failed.
+    @Test
+    void endpointIsUsedAtOnceIfItsConnectionFailedOnTheWay() {
+        final List<EndpointEntry> endpoints = endpoints(2);
+        final String home = place(endpoints, work("s1"));
+        mChooser.load(home).recordUnreachable(NOW);
+        mChooser.clearUnreachable(endpoints);
+        assertThat(place(endpoints, work("s1"))).isEqualTo(home);
+    }
+
     @Test
     void unreachableEndpointIsUsedIfThereIsNoOther() {
         final List<EndpointEntry> endpoints = endpoints(1);
