Move runs off leaving endpoints also from a daemon that is cut off from them

The call to move a run went out directly only. A daemon that was cut off from the engine had no reply within 1.5 s, and its runs were lost with the engine although other daemons reach it.

EndpointConnectorTest#ownCallReachesEndpointThroughAnotherDaemon: the endpoint refuses the daemon and accepts the relay; there was no such way before.

--- a/gateway/src/main/java/org/whinhead/gateway/EndpointAccess.java
+++ b/gateway/src/main/java/org/whinhead/gateway/EndpointAccess.java
@@ -6,6 +6,7 @@
 import org.whinhead.gateway.endpoint.ConnectionLogger;
 import org.whinhead.gateway.endpoint.EndpointConnections;
 import org.whinhead.gateway.endpoint.EndpointConnector;
+import org.whinhead.gateway.endpoint.EndpointHttpClients;
 import org.whinhead.gateway.endpoint.EndpointProtocol;
 import org.whinhead.gateway.endpoint.ReachMonitor;
 import org.whinhead.gateway.exchange.ServingState;
@@ -21,6 +22,7 @@
     private final MemberTable mMembers;
     private final GatewaySettings mSettings;
     private final EndpointConnections mConnections;
+    private final EndpointHttpClients mClients;
     private final ReachMonitor mMonitor;
     private final RelayServer mRelayServer;
 
@@ -44,6 +46,7 @@
                         new RelaySelector(members, new Random()),
                         new ConnectionLogger(counts));
         mConnections = new EndpointConnections(state.clock(), protocol, connector, state.reach());
+        mClients = new EndpointHttpClients(loop, connector);
         mMonitor =
                 new ReachMonitor(
                         connector,
@@ -63,6 +66,10 @@
         return mConnections;
     }
 
+    EndpointHttpClients clients() {
+        return mClients;
+    }
+
     /**
      * Starts to relay connections for other daemons.
      *
--- a/gateway/src/main/java/org/whinhead/gateway/Gateway.java
+++ b/gateway/src/main/java/org/whinhead/gateway/Gateway.java
@@ -143,7 +143,7 @@
                         connections,
                         ports.endpoints(),
                         new RequestLogger(clock, mCounts, mState.configurationProgress()),
-                        ports.mover());
+                        ports.mover().create(mAccess.clients()));
         mCallerServer = new CallerHttpServer(loop, ports.callers(), mExchanges, this::limits);
         mConfigurationWatch =
                 new ConfigurationTopicListener(
--- a/gateway/src/main/java/org/whinhead/gateway/GatewayPorts.java
+++ b/gateway/src/main/java/org/whinhead/gateway/GatewayPorts.java
@@ -3,7 +3,7 @@
 import org.whinhead.gateway.caller.CallerProtocol;
 import org.whinhead.gateway.duty.FencedCloudClient;
 import org.whinhead.gateway.endpoint.EndpointProtocol;
-import org.whinhead.gateway.endpoint.RunMover;
+import org.whinhead.gateway.endpoint.RunMoverFactory;
 import org.whinhead.gateway.store.ConfigurationDecoder;
 import org.whinhead.gateway.store.EndpointDecoder;
 import org.whinhead.gateway.store.MetadataStore;
@@ -14,7 +14,7 @@
  *
  * @param callers decodes the requests of callers
  * @param endpoints encodes requests to endpoints and decodes their responses
- * @param mover moves runs from leaving endpoints to other ones
+ * @param mover creates the client that moves runs from leaving endpoints to other ones
  * @param directory answers directory calls of callers
  * @param store the platform's metadata store
  * @param cloud the cloud calls that one daemon at a time makes
@@ -26,7 +26,7 @@
 public record GatewayPorts(
         CallerProtocol callers,
         EndpointProtocol endpoints,
-        RunMover mover,
+        RunMoverFactory mover,
         DirectoryProtocol directory,
         MetadataStore store,
         FencedCloudClient cloud,
--- a/gateway/src/main/java/org/whinhead/gateway/http/EventLoopHttpClient.java
+++ b/gateway/src/main/java/org/whinhead/gateway/http/EventLoopHttpClient.java
@@ -4,12 +4,12 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -25,6 +25,7 @@
 import java.util.Deque;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -43,6 +44,7 @@
 
     private final EventLoop mLoop;
     private final InetSocketAddress mServer;
+    private final ChannelOpener mOpener;
     private final Deque<Channel> mIdle = new ArrayDeque<>();
 
     /**
@@ -52,8 +54,48 @@
      * @param server the server's address
      */
     public EventLoopHttpClient(final EventLoop loop, final InetSocketAddress server) {
+        this(
+                loop,
+                server,
+                (handlers, opened, failed) ->
+                        connect(loop, server, handlers.get(), opened, failed));
+    }
+
+    /**
+     * Creates a client without connections.
+     *
+     * @param loop the event loop on which all work runs
+     * @param server the server's address, which requests name
+     * @param opener opens connections to the server
+     */
+    public EventLoopHttpClient(
+            final EventLoop loop, final InetSocketAddress server, final ChannelOpener opener) {
         mLoop = loop;
         mServer = server;
+        mOpener = opener;
+    }
+
+    private static void connect(
+            final EventLoop loop,
+            final InetSocketAddress server,
+            final ChannelHandler handler,
+            final Consumer<Channel> opened,
+            final Consumer<String> failed) {
+        final ChannelFuture future =
+                new Bootstrap()
+                        .group(loop)
+                        .channel(NioSocketChannel.class)
+                        .option(ChannelOption.TCP_NODELAY, true)
+                        .handler(handler)
+                        .connect(server);
+        future.addListener(
+                done -> {
+                    if (done.isSuccess()) {
+                        opened.accept(future.channel());
+                    } else {
+                        failed.accept(done.cause().toString());
+                    }
+                });
     }
 
     /**
@@ -101,22 +143,10 @@
     }
 
     private void connect(final PendingCall pending) {
-        final Bootstrap bootstrap =
-                new Bootstrap()
-                        .group(mLoop)
-                        .channel(NioSocketChannel.class)
-                        .option(ChannelOption.TCP_NODELAY, true)
-                        .handler(new PipelineInitializer());
-        final ChannelFuture connected = bootstrap.connect(mServer);
-        pending.mChannel = connected.channel();
-        connected.addListener(
-                future -> {
-                    if (future.isSuccess()) {
-                        send(connected.channel(), pending);
-                    } else {
-                        pending.fail("connect failed: " + future.cause());
-                    }
-                });
+        mOpener.open(
+                PipelineInitializer::new,
+                channel -> send(channel, pending),
+                cause -> pending.fail("connect failed: " + cause));
     }
 
     private void send(final Channel channel, final PendingCall pending) {
@@ -129,9 +159,9 @@
         channel.writeAndFlush(pending.request(mServer));
     }
 
-    private static final class PipelineInitializer extends ChannelInitializer<SocketChannel> {
+    private static final class PipelineInitializer extends ChannelInitializer<Channel> {
         @Override
-        protected void initChannel(final SocketChannel channel) {
+        protected void initChannel(final Channel channel) {
             channel.pipeline()
                     .addLast(new HttpClientCodec())
                     .addLast(new HttpObjectAggregator(MAX_RESPONSE_BYTES))
--- a/gateway/src/test/java/org/whinhead/gateway/endpoint/EndpointConnectorTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/endpoint/EndpointConnectorTest.java
@@ -7,11 +7,14 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.HttpMethod;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
@@ -20,11 +23,14 @@
 import java.util.Random;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.whinhead.gateway.http.HttpReply;
+import org.whinhead.gateway.http.OutboundRequest;
 import org.whinhead.gateway.metrics.RequestMetrics;
 import org.whinhead.gateway.relay.RelayServer;
 import org.whinhead.serving.endpoint.EndpointEntry;
@@ -198,4 +204,25 @@
         mMembers.recordReport(member("a2"), MemberStatus.READY.asLeaving(), NOW);
         assertThat(connect(entry("e-3", mEndpoint.getLocalPort()))).isEqualTo("DIRECT");
     }
+
+    // Guards against runs that are lost with their leaving endpoint: the daemon that should move
+    // them is cut off from it.
+    @Test
+    void ownCallReachesEndpointThroughAnotherDaemon() throws Exception {
+        final EndpointHttpClients clients = new EndpointHttpClients(mLoop, mConnector);
+        final EndpointEntry cutOff = entry("e-1", freePort());
+        final OutboundRequest call =
+                OutboundRequest.builder(HttpMethod.GET, "/moves")
+                        .timeout(Duration.ofSeconds(TIMEOUT_SECONDS))
+                        .build();
+        final CompletableFuture<HttpReply> reply =
+                onLoop(() -> clients.clientOf(cutOff).call(call));
+        try (Socket endpoint = mEndpoint.accept()) {
+            endpoint.getOutputStream()
+                    .write(
+                            "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+                                    .getBytes(StandardCharsets.US_ASCII));
+            assertThat(reply.get(TIMEOUT_SECONDS, TimeUnit.SECONDS).isSuccess()).isTrue();
+        }
+    }
 }
