Refuse a request after one slow connect if no endpoint was reached lately

If neither this daemon nor another one reaches any endpoint of a service, each request waited for up to four connects of 300 ms in turn, longer than a status check's whole time of 600 ms, although the failures before had told. What is known not to be served is to be rejected at once.

Now a connect that took long is followed by another one only if the connects to some other endpoint have not failed lately. Refused connects, which take milliseconds, are still followed by the next endpoint.

UnreachableEndpointsTest#requestIsRefusedAfterOneConnectIfNoEndpointWasReachedBefore: 3 connects for one request before, one now.

--- a/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -20,6 +21,7 @@
 import org.whinhead.gateway.endpoint.EndpointResponseListener;
 import org.whinhead.gateway.endpoint.MovedRun;
 import org.whinhead.serving.balance.Placement;
+import org.whinhead.serving.endpoint.EndpointEntry;
 import org.whinhead.serving.route.Route;
 
 /**
@@ -41,6 +43,9 @@
     /** With less time left than this, an attempt is not worth its cost. */
     private static final Duration MIN_TIME_LEFT = Duration.ofMillis(30);
 
+    /** A connect that is refused takes a few milliseconds, one without a reply far longer. */
+    private static final Duration SLOW_CONNECT = Duration.ofMillis(200);
+
     private static final String TIMED_OUT = "timed out";
     private static final String TOO_LATE = "read too late";
 
@@ -57,6 +62,7 @@
     private final ExchangeTimers mTimers;
     private Placement mPlacement;
     private EndpointConnection mConnection;
+    private Instant mConnectStartedAt;
     private Instant mSentAt;
     private int mSends;
     private int mConnectFailures;
@@ -110,11 +116,7 @@
         final Optional<Placement> placement =
                 state.chooser()
                         .place(
-                                state.candidates(
-                                        mService,
-                                        mAdmission.route().name(),
-                                        mAdmission.request().id(),
-                                        !mTriedEndpoints.isEmpty()),
+                                candidates(),
                                 mAdmission.request().work(),
                                 mTriedEndpoints,
                                 state.canCopyPrompts(mService),
@@ -128,7 +130,18 @@
         connect();
     }
 
+    private List<EndpointEntry> candidates() {
+        return mExchanges
+                .state()
+                .candidates(
+                        mService,
+                        mAdmission.route().name(),
+                        mAdmission.request().id(),
+                        !mTriedEndpoints.isEmpty());
+    }
+
     private void connect() {
+        mConnectStartedAt = now();
         mAttemptId++;
         final int attemptId = mAttemptId;
         mExchanges
@@ -208,13 +221,25 @@
         }
         mPlacement.release();
         mConnectFailures++;
-        if (failure == ConnectFailure.PATH || mConnectFailures >= MAX_CONNECT_FAILURES) {
+        if (failure == ConnectFailure.PATH
+                || mConnectFailures >= MAX_CONNECT_FAILURES
+                || isFurtherConnectUseless()) {
             giveUp("endpoints not reachable");
         } else {
             dispatch();
         }
     }
 
+    /**
+     * Returns whether the connect just given up took long, and those to all other endpoints have
+     * failed lately: the caller can come back sooner than they would be found out one by one.
+     */
+    private boolean isFurtherConnectUseless() {
+        final Duration taken = Duration.between(mConnectStartedAt, now());
+        return taken.compareTo(SLOW_CONNECT) >= 0
+                && !mExchanges.state().chooser().hasAvailable(candidates(), mTriedEndpoints, now());
+    }
+
     @Override
     public void headReceived(final EndpointResponse response) {
         if (response.isFromOtherEndpoint()) {
--- a/serving/src/main/java/org/whinhead/serving/balance/EndpointChooser.java
+++ b/serving/src/main/java/org/whinhead/serving/balance/EndpointChooser.java
@@ -116,6 +116,23 @@
                         prefillSampler(best.service(), work, now)));
     }
 
+    /**
+     * Returns whether a connection to an untried endpoint has not failed lately.
+     *
+     * @param candidates the endpoints that may receive the request
+     * @param tried the ids of endpoints that the request was sent to before
+     * @param now the current time
+     * @return true if another attempt may succeed
+     */
+    public boolean hasAvailable(
+            final List<EndpointEntry> candidates, final Set<String> tried, final Instant now) {
+        return candidates.stream()
+                .anyMatch(
+                        candidate ->
+                                !tried.contains(candidate.id())
+                                        && load(candidate.id()).isAvailable(now));
+    }
+
     /**
      * Returns the endpoint from which the chosen one should copy shared prompt parts: the one to
      * which this daemon sent most of them, or else the session's home, which other daemons use.
