Split the search for a connection from a request's exchange

No behaviour is changed; the tests of exchanges, of the whole path and of unreachable and brittle endpoints pass as before.

--- /dev/null
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/ConnectionSearch.java
@@ -0,0 +1,185 @@
+package org.whinhead.gateway.exchange;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.whinhead.gateway.endpoint.ConnectFailure;
+import org.whinhead.gateway.endpoint.EndpointConnection;
+import org.whinhead.serving.balance.Placement;
+import org.whinhead.serving.endpoint.EndpointEntry;
+
+/** Finds an endpoint that was not tried before, and a connection to it, for each attempt. */
+final class ConnectionSearch {
+
+    /** The number of failed connects after which a request that was not sent is refused. */
+    private static final int MAX_CONNECT_FAILURES = 4;
+
+    /** A connect that is refused takes a few milliseconds, one without a reply far longer. */
+    private static final Duration SLOW_CONNECT = Duration.ofMillis(200);
+
+    /** The pause before a request looks for room at brittle endpoints again. */
+    private static final int ROOM_WAIT_MILLIS = 10;
+
+    /** The pauses after which it is refused: together longer than most plain calls run. */
+    private static final int MAX_ROOM_WAITS = 10;
+
+    private final Exchanges mExchanges;
+    private final AdmittedRequest mAdmission;
+    private final String mService;
+    private final Listener mListener;
+    private final Set<String> mTriedEndpoints = new HashSet<>();
+    private Placement mPlacement;
+    private Instant mConnectStartedAt;
+    private int mConnectFailures;
+    private int mRoomWaits;
+    private int mSearchId;
+
+    ConnectionSearch(
+            final Exchanges exchanges,
+            final AdmittedRequest admission,
+            final String service,
+            final Listener listener) {
+        mExchanges = exchanges;
+        mAdmission = admission;
+        mService = service;
+        mListener = listener;
+    }
+
+    /** Receives the outcome of a search. */
+    interface Listener {
+
+        /** Called when an endpoint was chosen, before a connection is made. */
+        void placed(Placement placement);
+
+        /** Called when there is a connection to the chosen endpoint. */
+        void connected(EndpointConnection connection);
+
+        /** Called if no endpoint or no connection was found. */
+        void notConnected(String reason);
+    }
+
+    /** Searches for an untried endpoint. */
+    void start() {
+        final ServingState state = mExchanges.state();
+        final Optional<Placement> placement =
+                state.chooser()
+                        .place(
+                                candidates(),
+                                mAdmission.request().work(),
+                                mTriedEndpoints,
+                                state.canCopyPrompts(mService),
+                                now());
+        if (placement.isPresent()) {
+            connectTo(placement.get());
+        } else {
+            waitForRoom();
+        }
+    }
+
+    /** Searches for a connection to a given endpoint, and then for another endpoint. */
+    void connectTo(final Placement placement) {
+        mPlacement = placement;
+        mTriedEndpoints.add(placement.endpoint().id());
+        mListener.placed(placement);
+        mConnectStartedAt = now();
+        mSearchId++;
+        final int searchId = mSearchId;
+        mExchanges
+                .connections()
+                .acquire(
+                        placement.endpoint(),
+                        connection -> connected(connection, searchId),
+                        failure -> connectFailed(failure, searchId));
+    }
+
+    /** Cancels the search; the listener is not called any more until the next one. */
+    void cancel() {
+        mSearchId++;
+    }
+
+    /** Returns whether some of the endpoints were not tried. */
+    boolean hasUntried(final Collection<EndpointEntry> endpoints) {
+        return endpoints.stream().anyMatch(endpoint -> !mTriedEndpoints.contains(endpoint.id()));
+    }
+
+    private Instant now() {
+        return mExchanges.state().clock().instant();
+    }
+
+    private List<EndpointEntry> candidates() {
+        return mExchanges
+                .state()
+                .candidates(
+                        mService,
+                        mAdmission.route().name(),
+                        mAdmission.request().id(),
+                        !mTriedEndpoints.isEmpty());
+    }
+
+    /**
+     * Waits for room at brittle endpoints, or ends the search. Their slots are free again within
+     * milliseconds; a queue at the endpoints is what they must not get.
+     */
+    private void waitForRoom() {
+        final boolean withoutRoom = mExchanges.state().isWithoutRoom(mService);
+        if (!withoutRoom || mRoomWaits >= MAX_ROOM_WAITS) {
+            mListener.notConnected(
+                    withoutRoom ? "no room at brittle endpoints" : "no endpoint left");
+            return;
+        }
+        mRoomWaits++;
+        mSearchId++;
+        final int searchId = mSearchId;
+        mExchanges
+                .loop()
+                .schedule(
+                        () -> {
+                            if (searchId == mSearchId) {
+                                start();
+                            }
+                        },
+                        ROOM_WAIT_MILLIS,
+                        TimeUnit.MILLISECONDS);
+    }
+
+    private void connected(final EndpointConnection connection, final int searchId) {
+        if (searchId == mSearchId) {
+            mListener.connected(connection);
+        } else {
+            connection.release();
+        }
+    }
+
+    private void connectFailed(final ConnectFailure failure, final int searchId) {
+        if (searchId != mSearchId) {
+            return;
+        }
+        if (failure == ConnectFailure.ENDPOINT) {
+            mPlacement.load().recordUnreachable(now());
+        }
+        mPlacement.release();
+        mConnectFailures++;
+        if (failure == ConnectFailure.PATH
+                || mConnectFailures >= MAX_CONNECT_FAILURES
+                || isFurtherConnectUseless()) {
+            mListener.notConnected("endpoints not reachable");
+        } else {
+            start();
+        }
+    }
+
+    /**
+     * Returns whether the connect just given up took long, and those to all other endpoints have
+     * failed lately: the caller can come back sooner than they would be found out one by one.
+     */
+    private boolean isFurtherConnectUseless() {
+        final Duration taken = Duration.between(mConnectStartedAt, now());
+        return taken.compareTo(SLOW_CONNECT) >= 0
+                && !mExchanges.state().chooser().hasAvailable(candidates(), mTriedEndpoints, now());
+    }
+}
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
@@ -3,10 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.whinhead.api.verdict.Verdict;
 import org.whinhead.gateway.caller.CallerRequest;
@@ -14,14 +11,12 @@
 import org.whinhead.gateway.caller.CallerResponse;
 import org.whinhead.gateway.caller.RefusalResponse;
 import org.whinhead.gateway.endpoint.AttemptContext;
-import org.whinhead.gateway.endpoint.ConnectFailure;
 import org.whinhead.gateway.endpoint.EndpointConnection;
 import org.whinhead.gateway.endpoint.EndpointFailure;
 import org.whinhead.gateway.endpoint.EndpointResponse;
 import org.whinhead.gateway.endpoint.EndpointResponseListener;
 import org.whinhead.gateway.endpoint.MovedRun;
 import org.whinhead.serving.balance.Placement;
-import org.whinhead.serving.endpoint.EndpointEntry;
 import org.whinhead.serving.route.Route;
 
 /**
@@ -32,26 +27,15 @@
  * the retry budget allow it.
  */
 final class Exchange
-        implements EndpointResponseListener,
+        implements ConnectionSearch.Listener,
+                EndpointResponseListener,
                 ResponseRelay.ProgressListener,
                 RunMove.Listener,
                 CallerRequestHandler.ActiveRequest {
 
-    /** The number of failed connects after which a request that was not sent is refused. */
-    private static final int MAX_CONNECT_FAILURES = 4;
-
-    /** The pause before a request looks for room at brittle endpoints again. */
-    private static final int ROOM_WAIT_MILLIS = 10;
-
-    /** The pauses after which it is refused: together longer than most plain calls run. */
-    private static final int MAX_ROOM_WAITS = 10;
-
     /** With less time left than this, an attempt is not worth its cost. */
     private static final Duration MIN_TIME_LEFT = Duration.ofMillis(30);
 
-    /** A connect that is refused takes a few milliseconds, one without a reply far longer. */
-    private static final Duration SLOW_CONNECT = Duration.ofMillis(200);
-
     private static final String TIMED_OUT = "timed out";
     private static final String TOO_LATE = "read too late";
 
@@ -60,7 +44,7 @@
     private final ByteBuf mBody;
     private final CallerResponse mResponse;
     private final String mService;
-    private final Set<String> mTriedEndpoints = new HashSet<>();
+    private final ConnectionSearch mSearch;
     private final ResponseRelay mRelay;
     private final UsageRecorder mUsage;
     private final TrialRecorder mTrial;
@@ -68,11 +52,8 @@
     private final ExchangeTimers mTimers;
     private Placement mPlacement;
     private EndpointConnection mConnection;
-    private Instant mConnectStartedAt;
     private Instant mSentAt;
     private int mSends;
-    private int mConnectFailures;
-    private int mRoomWaits;
     private int mAttemptId;
     private RunMove mMove;
     private MovedRun mContinuedRun;
@@ -88,6 +69,7 @@
         mBody = body;
         mResponse = response;
         mService = admission.route().selectService(admission.request().id().hashCode());
+        mSearch = new ConnectionSearch(exchanges, admission, mService, this);
         mRelay =
                 new ResponseRelay(
                         response,
@@ -106,7 +88,7 @@
         if (timeLeft().compareTo(MIN_TIME_LEFT) < 0) {
             refuse(TOO_LATE, mRefusals.givenUpRefusal(TOO_LATE));
         } else {
-            dispatch();
+            mSearch.start();
         }
     }
 
@@ -118,76 +100,13 @@
         return Duration.between(now(), mAdmission.deadline());
     }
 
-    private void dispatch() {
-        final ServingState state = mExchanges.state();
-        final Optional<Placement> placement =
-                state.chooser()
-                        .place(
-                                candidates(),
-                                mAdmission.request().work(),
-                                mTriedEndpoints,
-                                state.canCopyPrompts(mService),
-                                now());
-        if (placement.isEmpty()) {
-            giveUpOrWaitForRoom();
-            return;
-        }
-        mPlacement = placement.get();
-        mTriedEndpoints.add(mPlacement.endpoint().id());
-        connect();
-    }
-
-    /**
-     * Waits for room at brittle endpoints, or gives the request up. Their slots are free again
-     * within milliseconds; a queue at the endpoints is what they must not get.
-     */
-    private void giveUpOrWaitForRoom() {
-        final boolean withoutRoom = mExchanges.state().isWithoutRoom(mService);
-        if (!withoutRoom || mRoomWaits >= MAX_ROOM_WAITS) {
-            giveUp(withoutRoom ? "no room at brittle endpoints" : "no endpoint left");
-            return;
-        }
-        mRoomWaits++;
-        final int attemptId = mAttemptId;
-        mExchanges
-                .loop()
-                .schedule(
-                        () -> {
-                            if (!mFinished && attemptId == mAttemptId) {
-                                dispatch();
-                            }
-                        },
-                        ROOM_WAIT_MILLIS,
-                        TimeUnit.MILLISECONDS);
-    }
-
-    private List<EndpointEntry> candidates() {
-        return mExchanges
-                .state()
-                .candidates(
-                        mService,
-                        mAdmission.route().name(),
-                        mAdmission.request().id(),
-                        !mTriedEndpoints.isEmpty());
-    }
-
-    private void connect() {
-        mConnectStartedAt = now();
-        mAttemptId++;
-        final int attemptId = mAttemptId;
-        mExchanges
-                .connections()
-                .acquire(
-                        mPlacement.endpoint(),
-                        connection -> connected(connection, attemptId),
-                        failure -> connectFailed(attemptId, failure));
+    @Override
+    public void placed(final Placement placement) {
+        mPlacement = placement;
     }
 
-    private void connected(final EndpointConnection connection, final int attemptId) {
-        if (mFinished || attemptId != mAttemptId) {
-            connection.release();
-            return;
-        }
+    @Override
+    public void connected(final EndpointConnection connection) {
         mConnection = connection;
         if (mContinuedRun == null) {
             mSends++;
@@ -230,7 +149,7 @@
         mRefusals.markMayHaveRun();
         logUnanswered();
         endAttempt();
-        dispatch();
+        mSearch.start();
     }
 
     /** Logs the current attempt, if any, as given up. */
@@ -243,32 +162,9 @@
         }
     }
 
-    private void connectFailed(final int attemptId, final ConnectFailure failure) {
-        if (mFinished || attemptId != mAttemptId) {
-            return;
-        }
-        if (failure == ConnectFailure.ENDPOINT) {
-            mPlacement.load().recordUnreachable(now());
-        }
-        mPlacement.release();
-        mConnectFailures++;
-        if (failure == ConnectFailure.PATH
-                || mConnectFailures >= MAX_CONNECT_FAILURES
-                || isFurtherConnectUseless()) {
-            giveUp("endpoints not reachable");
-        } else {
-            dispatch();
-        }
-    }
-
-    /**
-     * Returns whether the connect just given up took long, and those to all other endpoints have
-     * failed lately: the caller can come back sooner than they would be found out one by one.
-     */
-    private boolean isFurtherConnectUseless() {
-        final Duration taken = Duration.between(mConnectStartedAt, now());
-        return taken.compareTo(SLOW_CONNECT) >= 0
-                && !mExchanges.state().chooser().hasAvailable(candidates(), mTriedEndpoints, now());
+    @Override
+    public void notConnected(final String reason) {
+        giveUp(reason);
     }
 
     @Override
@@ -289,7 +185,7 @@
             mRefusals.markMayHaveRun();
             mPlacement.load().recordOutcome(true);
             endAttempt();
-            dispatch();
+            mSearch.start();
         } else {
             mRelay.head(response);
         }
@@ -358,7 +254,7 @@
             mRefusals.markMayHaveRun();
             logUnanswered();
             endAttempt();
-            dispatch();
+            mSearch.start();
         }
     }
 
@@ -378,7 +274,7 @@
         final boolean mayHaveRun = mRelay.isStarted() || verdict != Verdict.NOT_RUN;
         final boolean allowed = !mayHaveRun || mAdmission.route().canRunAgain();
         if (allowed && acquireRetry()) {
-            dispatch();
+            mSearch.start();
         } else {
             giveUp(reason);
         }
@@ -413,12 +309,12 @@
      */
     private void redispatch() {
         final boolean hasUntriedEndpoint =
-                mExchanges.state().retryCandidates(mService, mAdmission.request().id()).stream()
-                        .anyMatch(candidate -> !mTriedEndpoints.contains(candidate.id()));
+                mSearch.hasUntried(
+                        mExchanges.state().retryCandidates(mService, mAdmission.request().id()));
         if (hasUntriedEndpoint && mAdmission.route().canRunAgain() && acquireRetry()) {
             mRefusals.markMayHaveRun();
             endAttempt();
-            dispatch();
+            mSearch.start();
         }
     }
 
@@ -426,11 +322,9 @@
     public void runMoved(final Placement at, final MovedRun run) {
         mMove = null;
         endAttempt();
-        mPlacement = at;
         at.skipPrefill();
-        mTriedEndpoints.add(at.endpoint().id());
         mContinuedRun = run;
-        connect();
+        mSearch.connectTo(at);
     }
 
     @Override
@@ -467,6 +361,7 @@
     /** Ends the current attempt, if any, and invalidates its pending callbacks. */
     private void endAttempt() {
         mTimers.cancelAttemptTimeout();
+        mSearch.cancel();
         if (mConnection != null) {
             mConnection.cancel();
             mConnection = null;
