Tell why a daemon's configuration is behind: the failed read, its age, unreadable versions

The line "configuration is behind" did not tell whether the store turned the daemon away, others read for it or a record could not be decoded, which are the three hypotheses. It names the failure of the last read now; gauges show the age of the last read and the number of versions that could not be decoded. No decision is changed.

--- a/gateway/src/main/java/org/whinhead/gateway/Gateway.java
+++ b/gateway/src/main/java/org/whinhead/gateway/Gateway.java
@@ -194,6 +194,13 @@
         mCounts.addGauge(
                 "whinhead.configuration.behind.millis",
                 () -> progress.behindFor(mState.clock().instant()).toMillis());
+        mCounts.addGauge(
+                "whinhead.configuration.read.age.millis",
+                () ->
+                        progress.sinceRead(mState.clock().instant())
+                                .orElse(Duration.ZERO)
+                                .toMillis());
+        mCounts.addGauge("whinhead.configuration.unreadable", progress::unreadableCount);
     }
 
     private static ServingState createState(
--- a/gateway/src/main/java/org/whinhead/gateway/store/ConfigurationLagLogger.java
+++ b/gateway/src/main/java/org/whinhead/gateway/store/ConfigurationLagLogger.java
@@ -39,6 +39,7 @@
                     .addKeyValue("newestVersion", mProgress.newestVersion())
                     .addKeyValue("behindMillis", lag.toMillis())
                     .addKeyValue("lastReadMillisAgo", sinceReadMillis(now))
+                    .addKeyValue("readFailure", mProgress.readFailure().orElse("none"))
                     .log("configuration is behind");
         } else if (!mLoggedLag.isZero() && lag.isZero()) {
             LOG.atInfo()
--- a/gateway/src/main/java/org/whinhead/gateway/store/ConfigurationTopicListener.java
+++ b/gateway/src/main/java/org/whinhead/gateway/store/ConfigurationTopicListener.java
@@ -117,6 +117,7 @@
         try {
             configuration = mDecoder.decode(value);
         } catch (UnreadableRecordException e) {
+            mState.configurationProgress().recordUnreadable();
             LOG.error("configuration not readable, the previous one stays in force", e);
             return;
         }
@@ -132,5 +133,6 @@
     @Override
     public void onUnreachable(final Throwable cause) {
         // The configuration in force stays; the follower logs the outage.
+        mState.configurationProgress().recordReadFailure(String.valueOf(cause.getMessage()));
     }
 }
--- a/serving/src/main/java/org/whinhead/serving/configuration/ConfigurationProgress.java
+++ b/serving/src/main/java/org/whinhead/serving/configuration/ConfigurationProgress.java
@@ -21,6 +21,8 @@
     private Instant mInForceSince;
     private Instant mBehindSince;
     private Instant mReadAt;
+    private Optional<String> mReadFailure = Optional.empty();
+    private long mUnreadableCount;
 
     /**
      * Records that a version is in force here.
@@ -56,6 +58,39 @@
      */
     public void recordRead(final Instant now) {
         mReadAt = Objects.requireNonNull(now, "now");
+        mReadFailure = Optional.empty();
+    }
+
+    /**
+     * Records a read that the store did not answer or refused.
+     *
+     * @param cause the cause
+     */
+    public void recordReadFailure(final String cause) {
+        mReadFailure = Optional.of(cause);
+    }
+
+    /** Records a version that can't be decoded, so that the one before it stays in force. */
+    public void recordUnreadable() {
+        mUnreadableCount++;
+    }
+
+    /**
+     * Returns why the last read of the store failed.
+     *
+     * @return the cause; empty if the last read succeeded
+     */
+    public Optional<String> readFailure() {
+        return mReadFailure;
+    }
+
+    /**
+     * Returns the number of versions that could not be decoded.
+     *
+     * @return the number since the start of this daemon
+     */
+    public long unreadableCount() {
+        return mUnreadableCount;
     }
 
     /**
--- a/serving/src/test/java/org/whinhead/serving/configuration/ConfigurationProgressTest.java
+++ b/serving/src/test/java/org/whinhead/serving/configuration/ConfigurationProgressTest.java
@@ -53,4 +53,19 @@
         mProgress.recordRead(START);
         assertThat(mProgress.sinceRead(START.plusMillis(20))).contains(Duration.ofMillis(20));
     }
+
+    @Test
+    void successfulReadEndsFailure() {
+        mProgress.recordReadFailure("status 503");
+        assertThat(mProgress.readFailure()).contains("status 503");
+        mProgress.recordRead(START);
+        assertThat(mProgress.readFailure()).isEmpty();
+    }
+
+    @Test
+    void unreadableVersionsAreCounted() {
+        mProgress.recordUnreadable();
+        mProgress.recordUnreadable();
+        assertThat(mProgress.unreadableCount()).isEqualTo(2);
+    }
 }
