Take the configuration from another daemon if the store doesn't serve this one

The cause: there was one way to the configuration.

The record is unchanged and versions only grow, so that a copy can't bring an older state back.

--- a/gateway/src/main/java/org/whinhead/gateway/EndpointAccess.java
+++ b/gateway/src/main/java/org/whinhead/gateway/EndpointAccess.java
@@ -3,7 +3,9 @@
 import io.netty.channel.EventLoop;
 import java.net.InetAddress;
 import java.time.Instant;
+import java.util.Optional;
 import java.util.Random;
+import java.util.function.Supplier;
 import org.whinhead.gateway.endpoint.BrittleServicesLogger;
 import org.whinhead.gateway.endpoint.ConnectionLogger;
 import org.whinhead.gateway.endpoint.EndpointConnections;
@@ -13,6 +15,7 @@
 import org.whinhead.gateway.endpoint.ReachMonitor;
 import org.whinhead.gateway.exchange.ServingState;
 import org.whinhead.gateway.metrics.RequestMetrics;
+import org.whinhead.gateway.relay.ConfigurationCopy;
 import org.whinhead.gateway.relay.RelayServer;
 import org.whinhead.serving.member.MemberTable;
 import org.whinhead.serving.reach.RelaySelector;
@@ -102,6 +105,15 @@
         mBrittle.tick(now);
     }
 
+    /**
+     * Sets the configuration that is sent to daemons that the store doesn't serve.
+     *
+     * @param configuration returns the configuration in force
+     */
+    void shareConfiguration(final Supplier<Optional<ConfigurationCopy>> configuration) {
+        mRelayServer.shareConfiguration(configuration);
+    }
+
     /** Lets relayed connections end with their current request. */
     void drain() {
         mRelayServer.drain();
--- a/gateway/src/main/java/org/whinhead/gateway/Gateway.java
+++ b/gateway/src/main/java/org/whinhead/gateway/Gateway.java
@@ -25,7 +25,9 @@
 import org.whinhead.gateway.peers.PeerDatagramChannel;
 import org.whinhead.gateway.quota.DatagramQuotaTransport;
 import org.whinhead.gateway.quota.ShareTableSynchronizer;
+import org.whinhead.gateway.relay.ConfigurationClient;
 import org.whinhead.gateway.rollout.RolloutParticipant;
+import org.whinhead.gateway.store.ConfigurationCatchUp;
 import org.whinhead.gateway.store.ConfigurationLagLogger;
 import org.whinhead.gateway.store.ConfigurationTopicListener;
 import org.whinhead.gateway.store.EndpointTopicListener;
@@ -75,6 +77,9 @@
     private static final TopicFollower.PollSchedule ENDPOINT_PACE =
             new TopicFollower.PollSchedule(Duration.ZERO, Duration.ofMillis(400));
 
+    /** The time for which another daemon's copy of the configuration is awaited. */
+    private static final Duration COPY_TIMEOUT = Duration.ofMillis(400);
+
     /** The delay from the stop signal until connections without a request are closed. */
     private static final Duration CLOSE_IDLE_AFTER = Duration.ofMillis(300);
 
@@ -102,6 +107,7 @@
     private final EndpointTopicListener mEndpointWatch;
     private final ConfigurationTopicListener mConfigurationWatch;
     private final ConfigurationLagLogger mConfigurationLag;
+    private final ConfigurationCatchUp mCatchUp;
     private final DigestReadCoordinator mDigests;
     private final PeerDatagramChannel mPeers;
     private final MemberDiscovery mAnnouncement;
@@ -149,6 +155,7 @@
                 new ConfigurationTopicListener(
                         mState, ports.configurations(), ports.configurationKey(), ports.rollouts());
         mConfigurationLag = new ConfigurationLagLogger(mState.configurationProgress());
+        mCatchUp = createCatchUp();
         mEndpointWatch = new EndpointTopicListener(mState, connections, ports.entries());
         mDigests = new DigestReadCoordinator(mState, mMembers);
         mPeers = new PeerDatagramChannel(loop, mState, mMembers, mDigests);
@@ -175,10 +182,15 @@
                         mMembers,
                         ports.store(),
                         () -> mDuties.fencingToken().isPresent());
-        mPeers.onShareTableVersion(mShareTable::onPeerVersion);
         mRollouts = settings.rollouts().map(limits -> createRolloutDuty(limits, ports));
-        mRollouts.ifPresent(mPeers::onRolloutMessages);
+        connectEvents();
+    }
+
+    private void connectEvents() {
+        mAccess.shareConfiguration(mConfigurationWatch::copy);
         mRollouts.ifPresent(duty -> mConfigurationWatch.onEarlierOrder(duty::recordEarlierOrder));
+        mRollouts.ifPresent(mPeers::onRolloutMessages);
+        mPeers.onShareTableVersion(mShareTable::onPeerVersion);
         mEndpointWatch.onLeaving(entry -> mExchanges.endpointLeaving(entry.id(), entry.leavesIn()));
         mEndpointWatch.onChange(mDuties.autoscaler()::orderEndpoints);
         addConfigurationGauges();
@@ -187,6 +199,14 @@
         mPeers.onCapacityOrder(mDuties.autoscaler()::recordPeerOrder);
     }
 
+    private ConfigurationCatchUp createCatchUp() {
+        final ConfigurationClient client =
+                new ConfigurationClient(
+                        mLoop, mSettings.self().peerAddress().getAddress(), COPY_TIMEOUT);
+        return new ConfigurationCatchUp(
+                mState, mMembers, client::fetch, mConfigurationWatch, new Random());
+    }
+
     private void addConfigurationGauges() {
         final ConfigurationProgress progress = mState.configurationProgress();
         mCounts.addGauge("whinhead.configuration.version", progress::version);
@@ -302,6 +322,7 @@
         GuardedTask.run(LOG, "measure lag", mExchanges::measureLag);
         GuardedTask.run(LOG, "remove lapsed entries", mEndpointWatch::removeLapsedEntries);
         GuardedTask.run(LOG, "check reach", mAccess::tick);
+        GuardedTask.run(LOG, "catch up", mCatchUp::tick);
         GuardedTask.run(LOG, "log lag", () -> mConfigurationLag.tick(mState.clock().instant()));
         GuardedTask.run(LOG, "write table of shares", mShareTable::tick);
         mRollouts.ifPresent(rollouts -> GuardedTask.run(LOG, "roll-outs", rollouts::tick));
--- a/gateway/src/main/java/org/whinhead/gateway/relay/RelayMessageCodec.java
+++ b/gateway/src/main/java/org/whinhead/gateway/relay/RelayMessageCodec.java
@@ -9,7 +9,11 @@
 import io.netty.handler.codec.LengthFieldPrepender;
 import io.netty.handler.codec.MessageToMessageCodec;
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import org.whinhead.gateway.generated.GatewayProto.ConfigurationPart;
+import org.whinhead.gateway.generated.GatewayProto.ConfigurationRequest;
 import org.whinhead.gateway.generated.GatewayProto.RelayDrain;
 import org.whinhead.gateway.generated.GatewayProto.RelayEnd;
 import org.whinhead.gateway.generated.GatewayProto.RelayMessage;
@@ -42,6 +46,31 @@
                 .build();
     }
 
+    static RelayMessage configurationRequest(final long version) {
+        return RelayMessage.newBuilder()
+                .setConfigurationRequest(ConfigurationRequest.newBuilder().setVersion(version))
+                .build();
+    }
+
+    /** Returns the messages of a reply with a record, or without one. */
+    static List<RelayMessage> configurationParts(final Optional<ConfigurationCopy> copy) {
+        final int length = copy.map(ConfigurationCopy::length).orElse(0);
+        final List<RelayMessage> parts = new ArrayList<>();
+        int from = 0;
+        do {
+            final int start = from;
+            final int end = Math.min(start + MAX_DATA_BYTES, length);
+            final byte[] bytes = copy.map(record -> record.part(start, end)).orElse(new byte[0]);
+            final ConfigurationPart.Builder part =
+                    ConfigurationPart.newBuilder()
+                            .setValue(UnsafeByteOperations.unsafeWrap(bytes))
+                            .setLast(end == length);
+            parts.add(RelayMessage.newBuilder().setConfigurationPart(part).build());
+            from = end;
+        } while (from < length);
+        return parts;
+    }
+
     static RelayMessage outcome(final RelayOutcome outcome) {
         return RelayMessage.newBuilder().setOutcome(outcome).build();
     }
--- a/gateway/src/main/java/org/whinhead/gateway/relay/RelayServer.java
+++ b/gateway/src/main/java/org/whinhead/gateway/relay/RelayServer.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.function.Predicate;
+import java.util.function.Supplier;
 import org.whinhead.gateway.http.ListeningPort;
 import org.whinhead.serving.endpoint.EndpointEntry;
 
@@ -37,6 +38,7 @@
     private final Function<String, Optional<EndpointEntry>> mFindEndpoint;
     private final Predicate<InetAddress> mIsMember;
     private final Set<RelayServerHandler> mConnections = new HashSet<>();
+    private Supplier<Optional<ConfigurationCopy>> mConfiguration = Optional::empty;
     private ListeningPort mPort;
     private boolean mStopping;
 
@@ -75,6 +77,19 @@
                         address);
     }
 
+    /**
+     * Sets the configuration that is sent to daemons that ask for it.
+     *
+     * @param configuration returns the configuration in force; empty before the first one
+     */
+    public void shareConfiguration(final Supplier<Optional<ConfigurationCopy>> configuration) {
+        mConfiguration = Objects.requireNonNull(configuration, "configuration");
+    }
+
+    Optional<ConfigurationCopy> configuration() {
+        return mConfiguration.get();
+    }
+
     /** Denies new connections from now on; those that are open end with their current request. */
     public void drain() {
         mStopping = true;
--- a/gateway/src/main/java/org/whinhead/gateway/relay/RelayServerHandler.java
+++ b/gateway/src/main/java/org/whinhead/gateway/relay/RelayServerHandler.java
@@ -1,6 +1,7 @@
 package org.whinhead.gateway.relay;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
@@ -44,6 +45,8 @@
         switch (message.getContentCase()) {
             case REQUEST -> handleRequest(message.getRequest().getEndpoint());
             case DATA -> forward(message);
+            case CONFIGURATION_REQUEST ->
+                    sendConfiguration(message.getConfigurationRequest().getVersion());
             default -> context.close();
         }
     }
@@ -68,6 +71,19 @@
         connect(entry.get());
     }
 
+    private void sendConfiguration(final long version) {
+        final InetSocketAddress sender = (InetSocketAddress) mContext.channel().remoteAddress();
+        if (mEndpoint != null || !mServer.accepts(sender)) {
+            LOG.atInfo().addKeyValue("sender", sender).log("configuration denied");
+            mContext.close();
+            return;
+        }
+        final Optional<ConfigurationCopy> newer =
+                mServer.configuration().filter(copy -> copy.version() > version);
+        RelayMessageCodec.configurationParts(newer).forEach(mContext::write);
+        mContext.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+    }
+
     private void connect(final EndpointEntry endpoint) {
         final ChannelFuture future =
                 new Bootstrap()
--- a/gateway/src/main/java/org/whinhead/gateway/store/ConfigurationTopicListener.java
+++ b/gateway/src/main/java/org/whinhead/gateway/store/ConfigurationTopicListener.java
@@ -6,6 +6,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.whinhead.gateway.exchange.ServingState;
+import org.whinhead.gateway.relay.ConfigurationCopy;
 import org.whinhead.serving.configuration.ServingConfiguration;
 import org.whinhead.serving.rollout.RolloutOrder;
 
@@ -18,6 +19,7 @@
     private final ConfigurationDecoder mDecoder;
     private final String mConfigurationKey;
     private final OperatorRolloutCodec mRolloutCodec;
+    private Optional<ConfigurationCopy> mCopy = Optional.empty();
     private Runnable mOnRead = () -> {};
     private Consumer<RolloutOrder> mOnEarlierOrder = order -> {};
     private Runnable mOnChange = () -> {};
@@ -112,6 +114,24 @@
         mOnRead.run();
     }
 
+    /**
+     * Applies a record that another daemon has read.
+     *
+     * @param value the value of the configuration's record
+     */
+    public void applyCopy(final byte[] value) {
+        applyConfiguration(value);
+    }
+
+    /**
+     * Returns the record of the configuration in force.
+     *
+     * @return the record as read from the store; empty before the first one
+     */
+    public Optional<ConfigurationCopy> copy() {
+        return mCopy;
+    }
+
     private void applyConfiguration(final byte[] value) {
         final ServingConfiguration configuration;
         try {
@@ -122,6 +142,7 @@
             return;
         }
         if (mState.offerConfiguration(configuration)) {
+            mCopy = Optional.of(new ConfigurationCopy(configuration.version(), value));
             mState.quotas().configure(configuration.customers(), mState.moment());
             LOG.atInfo()
                     .addKeyValue("version", configuration.version())
--- /dev/null
+++ b/gateway/src/test/java/org/whinhead/gateway/relay/ConfigurationClientTest.java
@@ -0,0 +1,111 @@
+package org.whinhead.gateway.relay;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.whinhead.serving.member.Relay;
+
+class ConfigurationClientTest {
+
+    private static final InetAddress LOOPBACK = InetAddress.getLoopbackAddress();
+    private static final int TIMEOUT_SECONDS = 10;
+    private static final Duration SHORT_TIMEOUT = Duration.ofMillis(50);
+
+    private final MultiThreadIoEventLoopGroup mLoops =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop mLoop = (EventLoop) mLoops.next();
+    private volatile boolean mIsMember = true;
+    private volatile Optional<ConfigurationCopy> mCopy = Optional.empty();
+    private RelayServer mServer;
+    private Relay mDaemon;
+
+    @BeforeEach
+    void listen() throws Exception {
+        final int port;
+        try (ServerSocket free = new ServerSocket(0, 1, LOOPBACK)) {
+            port = free.getLocalPort();
+        }
+        mServer = new RelayServer(mLoop, LOOPBACK, id -> Optional.empty(), address -> mIsMember);
+        mServer.shareConfiguration(() -> mCopy);
+        mLoop.submit(() -> mServer.listen(new InetSocketAddress(LOOPBACK, port)))
+                .get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        mDaemon = new Relay("a2", "domain-a", new InetSocketAddress(LOOPBACK, port));
+    }
+
+    @AfterEach
+    void close() {
+        mLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+
+    private Optional<byte[]> fetch(final Relay daemon, final Duration timeout, final long version)
+            throws Exception {
+        final ConfigurationClient client = new ConfigurationClient(mLoop, LOOPBACK, timeout);
+        final CompletableFuture<Optional<byte[]>> answer = new CompletableFuture<>();
+        mLoop.execute(() -> client.fetch(daemon, version, answer::complete));
+        return answer.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    }
+
+    private Optional<byte[]> fetch(final long version) throws Exception {
+        return fetch(mDaemon, Duration.ofSeconds(TIMEOUT_SECONDS), version);
+    }
+
+    @Test
+    void recordOfManyPartsArrivesUnchanged() throws Exception {
+        final byte[] value = new byte[300_001];
+        new Random(1).nextBytes(value);
+        mCopy = Optional.of(new ConfigurationCopy(9, value));
+        assertThat(fetch(8)).hasValueSatisfying(got -> assertThat(got).isEqualTo(value));
+    }
+
+    @Test
+    void sameOrOlderVersionIsNotSent() throws Exception {
+        mCopy = Optional.of(new ConfigurationCopy(9, new byte[] {1}));
+        assertThat(fetch(9)).isEmpty();
+        assertThat(fetch(10)).isEmpty();
+    }
+
+    @Test
+    void daemonWithoutConfigurationSendsNone() throws Exception {
+        assertThat(fetch(0)).isEmpty();
+    }
+
+    @Test
+    void addressOfNoDaemonGetsNothing() throws Exception {
+        mCopy = Optional.of(new ConfigurationCopy(9, new byte[] {1}));
+        mIsMember = false;
+        assertThat(fetch(8)).isEmpty();
+    }
+
+    // Guards against a wait without end for a daemon that is silent.
+    @Test
+    void silentDaemonIsGivenUp() throws Exception {
+        try (ServerSocket silent = new ServerSocket(0, 1, LOOPBACK)) {
+            final Relay daemon =
+                    new Relay("a3", "a", new InetSocketAddress(LOOPBACK, silent.getLocalPort()));
+            assertThat(fetch(daemon, SHORT_TIMEOUT, 8)).isEmpty();
+        }
+    }
+
+    @Test
+    void daemonThatRefusesConnectionsIsGivenUp() throws Exception {
+        final int port;
+        try (ServerSocket free = new ServerSocket(0, 1, LOOPBACK)) {
+            port = free.getLocalPort();
+        }
+        final Relay daemon = new Relay("a3", "a", new InetSocketAddress(LOOPBACK, port));
+        assertThat(fetch(daemon, Duration.ofSeconds(TIMEOUT_SECONDS), 8)).isEmpty();
+    }
+}
