Find the endpoints that crash, and tell which requests were on them

The logs told that connections were lost, not whether an endpoint was gone, which requests were on it, nor what identifies a request over its attempts: what the hypotheses differ in. When a request loses its connection, another one is opened, once for all requests of the daemon there; if none is accepted, the endpoint has crashed, and each request on it is logged with a digest of customer, method, host, target and body. Crashes are counted by service. No decision is changed.

--- a/gateway/src/main/java/org/whinhead/gateway/Gateway.java
+++ b/gateway/src/main/java/org/whinhead/gateway/Gateway.java
@@ -11,6 +11,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.whinhead.gateway.caller.CallerHttpServer;
+import org.whinhead.gateway.crash.CrashDetector;
 import org.whinhead.gateway.duty.DutyLeaseManager;
 import org.whinhead.gateway.endpoint.EndpointConnections;
 import org.whinhead.gateway.exchange.Exchanges;
@@ -149,7 +150,8 @@
                         connections,
                         ports.endpoints(),
                         new RequestLogger(clock, mCounts, mState.configurationProgress()),
-                        ports.mover().create(mAccess.clients()));
+                        ports.mover().create(mAccess.clients()),
+                        new CrashDetector(connections::probe, mCounts));
         mCallerServer = new CallerHttpServer(loop, ports.callers(), mExchanges, this::limits);
         mConfigurationWatch =
                 new ConfigurationTopicListener(
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnections.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnections.java
@@ -80,6 +80,26 @@
                 endpoint.id(), id -> new Pool(endpoint.id(), endpoint.service()));
     }
 
+    /**
+     * Finds out whether an endpoint accepts another connection, which is kept for a later request.
+     *
+     * @param endpoint the endpoint
+     * @param accepted runs if it does
+     * @param failed receives the reason if no connection can be made
+     */
+    public void probe(
+            final EndpointEntry endpoint,
+            final Runnable accepted,
+            final Consumer<ConnectFailure> failed) {
+        connect(
+                endpoint,
+                connection -> {
+                    connection.release();
+                    accepted.run();
+                },
+                failed);
+    }
+
     private void connect(
             final EndpointEntry endpoint,
             final Consumer<EndpointConnection> opened,
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
@@ -49,6 +49,7 @@
     private final UsageRecorder mUsage;
     private final TrialRecorder mTrial;
     private final RefusalFactory mRefusals;
+    private final CrashRecorder mCrashes;
     private final ExchangeTimers mTimers;
     private Placement mPlacement;
     private EndpointConnection mConnection;
@@ -79,6 +80,7 @@
         mUsage = new UsageRecorder(exchanges.state(), admission);
         mTrial = new TrialRecorder(exchanges.state(), admission.route());
         mRefusals = new RefusalFactory(exchanges.state(), admission);
+        mCrashes = new CrashRecorder(exchanges, admission, body);
         mTimers = new ExchangeTimers(exchanges.loop());
     }
 
@@ -241,6 +243,9 @@
             return;
         }
         mTrial.connectionFailed(failure);
+        if (failure == EndpointFailure.CONNECTION_LOST) {
+            mCrashes.connectionLost(mPlacement.endpoint(), mSentAt);
+        }
         if (failure != EndpointFailure.RELAY_LOST) {
             mPlacement.load().recordOutcome(true);
         }
@@ -331,6 +336,7 @@
     public void moveFailed(final boolean streamEnded) {
         mMove = null;
         if (streamEnded) {
+            mCrashes.connectionLost(mPlacement.endpoint(), mSentAt);
             attemptFailed(Verdict.MAY_HAVE_RUN, "run was not moved");
         }
     }
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/Exchanges.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/Exchanges.java
@@ -14,6 +14,7 @@
 import org.whinhead.gateway.caller.CallerRequestHandler;
 import org.whinhead.gateway.caller.CallerResponse;
 import org.whinhead.gateway.caller.RefusalResponse;
+import org.whinhead.gateway.crash.CrashDetector;
 import org.whinhead.gateway.endpoint.EndpointConnections;
 import org.whinhead.gateway.endpoint.EndpointProtocol;
 import org.whinhead.gateway.endpoint.EndpointResponse;
@@ -52,6 +53,7 @@
     private final EndpointProtocol mProtocol;
     private final RequestLogger mRequestLogger;
     private final RunMover mMover;
+    private final CrashDetector mCrashes;
     private final Set<Exchange> mRunning = new HashSet<>();
     private final LoopLag mLag;
     private Consumer<EndpointEntry> mOnRejection = endpoint -> {};
@@ -66,6 +68,7 @@
      * @param protocol encodes requests to endpoints
      * @param requestLogger logs and counts the outcome of each request
      * @param mover moves runs from leaving endpoints to other ones
+     * @param crashes finds the endpoints that have crashed
      */
     public Exchanges(
             final EventLoop loop,
@@ -73,13 +76,15 @@
             final EndpointConnections connections,
             final EndpointProtocol protocol,
             final RequestLogger requestLogger,
-            final RunMover mover) {
+            final RunMover mover,
+            final CrashDetector crashes) {
         mLoop = loop;
         mState = state;
         mConnections = connections;
         mProtocol = protocol;
         mRequestLogger = requestLogger;
         mMover = mover;
+        mCrashes = crashes;
         mLag = new LoopLag(LAG_MEASUREMENT_INTERVAL, state.clock().instant());
     }
 
@@ -230,6 +235,10 @@
         return mMover;
     }
 
+    CrashDetector crashes() {
+        return mCrashes;
+    }
+
     RequestLogger requestLogger() {
         return mRequestLogger;
     }
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/RequestLogger.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/RequestLogger.java
@@ -17,6 +17,7 @@
 import org.whinhead.serving.balance.Placement;
 import org.whinhead.serving.configuration.ConfigurationProgress;
 import org.whinhead.serving.configuration.CustomerAccount;
+import org.whinhead.serving.crash.RequestIdentity;
 import org.whinhead.serving.endpoint.EndpointEntry;
 
 /** Logs one line for each decision about a request, with the request's id. */
@@ -122,6 +123,22 @@
         line.log("attempt not answered");
     }
 
+    /** Logs that a request was in progress on an endpoint that has crashed. */
+    void wasOnCrashed(
+            final AdmittedRequest admission,
+            final EndpointEntry endpoint,
+            final RequestIdentity identity,
+            final Duration age) {
+        LOG.atInfo()
+                .addKeyValue("request", admission.request().id())
+                .addKeyValue("route", admission.route().name())
+                .addKeyValue("customer", admission.customerName().orElse(""))
+                .addKeyValue("identity", identity.toText())
+                .addKeyValue("endpoint", endpoint.id())
+                .addKeyValue("ageMillis", age.toMillis())
+                .log("request was on endpoint that crashed");
+    }
+
     void rejected(final EndpointEntry endpoint, final OptionalInt rejectionLimit) {
         mCounts.recordRejection(endpoint.service());
         if (rejectionLimit.isPresent()) {
--- a/gateway/src/main/java/org/whinhead/gateway/metrics/CounterKey.java
+++ b/gateway/src/main/java/org/whinhead/gateway/metrics/CounterKey.java
@@ -37,6 +37,8 @@
         RELAY("whinhead.endpoint.relays", "outcome", ""),
         /** Requests that endpoints rejected for want of room. */
         REJECTED("whinhead.endpoint.rejections", "service", ""),
+        /** Endpoints that crashed while they had requests of this daemon. */
+        CRASHED("whinhead.endpoint.crashes", "service", ""),
         /** Further attempts that the retry budget did not allow. */
         RETRY_DENIED("whinhead.retries.denied", "service", ""),
         /** Runs that were moved off leaving endpoints. */
--- a/gateway/src/main/java/org/whinhead/gateway/metrics/RequestMetrics.java
+++ b/gateway/src/main/java/org/whinhead/gateway/metrics/RequestMetrics.java
@@ -87,6 +87,15 @@
         counter(Metric.REJECTED, service, "").add(1);
     }
 
+    /**
+     * Counts an endpoint that has crashed while it had requests of this daemon.
+     *
+     * @param service the endpoint's service
+     */
+    public void recordCrash(final String service) {
+        counter(Metric.CRASHED, service, "").add(1);
+    }
+
     /**
      * Counts a further attempt that the retry budget did not allow.
      *
--- /dev/null
+++ b/gateway/src/test/java/org/whinhead/gateway/crash/CrashDetectorTest.java
@@ -0,0 +1,65 @@
+package org.whinhead.gateway.crash;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+import org.whinhead.gateway.endpoint.ConnectFailure;
+import org.whinhead.gateway.exchange.TestServing;
+import org.whinhead.gateway.metrics.RequestMetrics;
+import org.whinhead.serving.endpoint.EndpointEntry;
+
+class CrashDetectorTest {
+
+    private final List<String> mProbed = new ArrayList<>();
+    private final List<String> mCrashed = new ArrayList<>();
+    private final RequestMetrics mCounts = new RequestMetrics();
+    private final CrashDetector mDetector = new CrashDetector(this::probe, mCounts);
+    private Runnable mAccepted;
+    private Consumer<ConnectFailure> mFailed;
+
+    private void probe(
+            final EndpointEntry endpoint,
+            final Runnable accepted,
+            final Consumer<ConnectFailure> failed) {
+        mProbed.add(endpoint.id());
+        mAccepted = accepted;
+        mFailed = failed;
+    }
+
+    private void lose(final String endpoint, final String request) {
+        mDetector.connectionLost(
+                TestServing.endpoint(endpoint, false), () -> mCrashed.add(request));
+    }
+
+    @Test
+    void requestsOfAnEndpointThatIsGoneShareTheCheck() {
+        lose("e-1", "r-1");
+        lose("e-1", "r-2");
+        assertThat(mProbed).containsExactly("e-1");
+        mFailed.accept(ConnectFailure.ENDPOINT);
+        assertThat(mCrashed).containsExactly("r-1", "r-2");
+        assertThat(mCounts.renderPage())
+                .contains("whinhead_endpoint_crashes_total{service=\"pool\"} 1");
+    }
+
+    // Guards against connections that were reset being taken for crashes.
+    @Test
+    void endpointThatAcceptsConnectionsHasNotCrashed() {
+        lose("e-1", "r-1");
+        mAccepted.run();
+        assertThat(mCrashed).isEmpty();
+        lose("e-1", "r-2");
+        assertThat(mProbed).containsExactly("e-1", "e-1");
+    }
+
+    // Guards against a cut of this daemon's own way being taken for a crash.
+    @Test
+    void lostWayIsNoCrash() {
+        lose("e-1", "r-1");
+        mFailed.accept(ConnectFailure.PATH);
+        assertThat(mCrashed).isEmpty();
+    }
+}
--- a/gateway/src/test/java/org/whinhead/gateway/exchange/ExchangesTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/exchange/ExchangesTest.java
@@ -41,6 +41,7 @@
                     null,
                     new RequestLogger(
                             () -> NOW, new RequestMetrics(), mState.configurationProgress()),
+                    null,
                     null);
 
     /** Keeps the refusal; these tests expect no answer of an endpoint. */
