Hold back requests under which endpoints crash, at all daemons

What callers saw: a request that crashes each endpoint that runs it was sent on each time it came again, at any daemon; 15 and 18 endpoints ended under it, and about five other requests with each. The cause: nothing knew a request beyond its attempt, and no daemon told another. The class: a caller's repeats are taken for new requests, each with the trust of a first one.

A request is identified by customer, method, host, target and body. If an endpoint is gone when its connections end, the requests on it come under suspicion, and all daemons hear of it. A crash counts against a request only if it follows the one before: its run began in the knowledge of that one, or it came clearly later; endpoints that are lost together count once. A complete answer, at any daemon, ends the suspicion. From two such crashes on (or three endpoints in all, without an answer for a second) one daemon, the same for all, may send it, one attempt at a time; from three on it is refused (503, before anything is sent, with the time of the next trial), and that daemon tries it after 5 s, 30 s, 180 s and so on. Suspects go to the least busy endpoint.

--- a/gateway/src/main/java/org/whinhead/gateway/Gateway.java
+++ b/gateway/src/main/java/org/whinhead/gateway/Gateway.java
@@ -104,6 +104,7 @@
     private final MemberTable mMembers;
     private final EndpointAccess mAccess;
     private final CallerHttpServer mCallerServer;
+    private final CrashDetector mCrashes;
     private final Exchanges mExchanges;
     private final EndpointTopicListener mEndpointWatch;
     private final ConfigurationTopicListener mConfigurationWatch;
@@ -143,6 +144,7 @@
         mMembers = new MemberTable(settings.self());
         mAccess = new EndpointAccess(loop, settings, mState, mMembers, ports.endpoints(), mCounts);
         final EndpointConnections connections = mAccess.connections();
+        mCrashes = new CrashDetector(connections::probe, mCounts);
         mExchanges =
                 new Exchanges(
                         loop,
@@ -151,7 +153,7 @@
                         ports.endpoints(),
                         new RequestLogger(clock, mCounts, mState.configurationProgress()),
                         ports.mover().create(mAccess.clients()),
-                        new CrashDetector(connections::probe, mCounts));
+                        mCrashes);
         mCallerServer = new CallerHttpServer(loop, ports.callers(), mExchanges, this::limits);
         mConfigurationWatch =
                 new ConfigurationTopicListener(
@@ -189,6 +191,7 @@
     }
 
     private void connectEvents() {
+        mCrashes.onEvents(mPeers::sendEndpointCrash, mPeers::sendRequestAnswered);
         mAccess.shareConfiguration(mConfigurationWatch::copy);
         mRollouts.ifPresent(duty -> mConfigurationWatch.onEarlierOrder(duty::recordEarlierOrder));
         mRollouts.ifPresent(mPeers::onRolloutMessages);
@@ -223,6 +226,8 @@
                                 .orElse(Duration.ZERO)
                                 .toMillis());
         mCounts.addGauge("whinhead.configuration.unreadable", progress::unreadableCount);
+        mCounts.addGauge("whinhead.requests.suspected", mState.suspects()::size);
+        mCounts.addGauge("whinhead.requests.held.back", mState.suspects()::blockedCount);
     }
 
     private static ServingState createState(
--- a/gateway/src/main/java/org/whinhead/gateway/crash/CrashDetector.java
+++ b/gateway/src/main/java/org/whinhead/gateway/crash/CrashDetector.java
@@ -6,10 +6,13 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.function.Consumer;
+import java.util.function.IntSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.whinhead.gateway.endpoint.ConnectFailure;
 import org.whinhead.gateway.metrics.RequestMetrics;
+import org.whinhead.serving.crash.EndpointCrash;
+import org.whinhead.serving.crash.RequestIdentity;
 import org.whinhead.serving.endpoint.EndpointEntry;
 
 /**
@@ -24,7 +27,9 @@
 
     private final Probe mProbe;
     private final RequestMetrics mCounts;
-    private final Map<String, List<Runnable>> mChecked = new HashMap<>();
+    private final Map<String, List<LostRequest>> mChecked = new HashMap<>();
+    private Consumer<EndpointCrash> mOnCrash = crash -> {};
+    private Consumer<RequestIdentity> mOnAnswer = identity -> {};
 
     /** Finds out whether an endpoint accepts connections. */
     public interface Probe {
@@ -50,19 +55,48 @@
         mCounts = Objects.requireNonNull(counts, "counts");
     }
 
+    private record LostRequest(RequestIdentity identity, IntSupplier onCrash) {}
+
+    /**
+     * Sets the handlers of what other daemons must hear.
+     *
+     * @param onCrash receives an endpoint that has crashed and the requests that were on it
+     * @param onAnswer receives a suspected request that was answered
+     */
+    public void onEvents(
+            final Consumer<EndpointCrash> onCrash, final Consumer<RequestIdentity> onAnswer) {
+        mOnCrash = Objects.requireNonNull(onCrash, "onCrash");
+        mOnAnswer = Objects.requireNonNull(onAnswer, "onAnswer");
+    }
+
+    /**
+     * Handles the answer to a suspected request.
+     *
+     * @param identity the request
+     */
+    public void answered(final RequestIdentity identity) {
+        mOnAnswer.accept(identity);
+    }
+
     /**
      * Checks an endpoint. Requests that lose their connections while it is checked share the check.
      *
      * @param endpoint the endpoint to which a request has lost its connection
-     * @param onCrash runs if the endpoint accepts no connections
+     * @param identity the request
+     * @param onCrash records the crash if the endpoint accepts no connections; returns the level of
+     *     the request
      */
-    public void connectionLost(final EndpointEntry endpoint, final Runnable onCrash) {
-        final List<Runnable> checked = mChecked.get(endpoint.id());
+    public void connectionLost(
+            final EndpointEntry endpoint,
+            final RequestIdentity identity,
+            final IntSupplier onCrash) {
+        final LostRequest lost = new LostRequest(identity, onCrash);
+        final List<LostRequest> checked = mChecked.get(endpoint.id());
         if (checked != null) {
-            checked.add(onCrash);
+            checked.add(lost);
             return;
         }
-        mChecked.put(endpoint.id(), new ArrayList<>(List.of(onCrash)));
+        mChecked.put(endpoint.id(), new ArrayList<>(List.of(lost)));
         mProbe.probe(
                 endpoint,
                 () -> mChecked.remove(endpoint.id()),
@@ -70,7 +104,7 @@
     }
 
     private void notAccepted(final EndpointEntry endpoint, final ConnectFailure failure) {
-        final List<Runnable> checked = mChecked.remove(endpoint.id());
+        final List<LostRequest> checked = mChecked.remove(endpoint.id());
         if (failure == ConnectFailure.PATH) {
             return;
         }
@@ -80,6 +114,10 @@
                 .addKeyValue("service", endpoint.service())
                 .addKeyValue("requests", checked.size())
                 .log("endpoint crashed");
-        checked.forEach(Runnable::run);
+        final List<EndpointCrash.Request> requests = new ArrayList<>();
+        for (final LostRequest lost : checked) {
+            requests.add(new EndpointCrash.Request(lost.identity(), lost.onCrash().getAsInt()));
+        }
+        mOnCrash.accept(new EndpointCrash(endpoint.id(), requests));
     }
 }
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/ConnectionSearch.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/ConnectionSearch.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.whinhead.gateway.endpoint.ConnectFailure;
 import org.whinhead.gateway.endpoint.EndpointConnection;
 import org.whinhead.serving.balance.Placement;
@@ -31,6 +32,7 @@
     private final Exchanges mExchanges;
     private final AdmittedRequest mAdmission;
     private final String mService;
+    private final BooleanSupplier mIsSuspect;
     private final Listener mListener;
     private final Set<String> mTriedEndpoints = new HashSet<>();
     private Placement mPlacement;
@@ -43,10 +45,12 @@
             final Exchanges exchanges,
             final AdmittedRequest admission,
             final String service,
+            final BooleanSupplier isSuspect,
             final Listener listener) {
         mExchanges = exchanges;
         mAdmission = admission;
         mService = service;
+        mIsSuspect = isSuspect;
         mListener = listener;
     }
 
@@ -112,13 +116,20 @@
     }
 
     private List<EndpointEntry> candidates() {
-        return mExchanges
-                .state()
-                .candidates(
+        final ServingState state = mExchanges.state();
+        final List<EndpointEntry> candidates =
+                state.candidates(
                         mService,
                         mAdmission.route().name(),
                         mAdmission.request().id(),
                         !mTriedEndpoints.isEmpty());
+        if (!mIsSuspect.getAsBoolean()) {
+            return candidates;
+        }
+        return state.leastBusy(
+                candidates.stream()
+                        .filter(endpoint -> !mTriedEndpoints.contains(endpoint.id()))
+                        .toList());
     }
 
     /**
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/CrashRecorder.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/CrashRecorder.java
@@ -3,16 +3,22 @@
 import io.netty.buffer.ByteBuf;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Optional;
 import org.whinhead.gateway.crash.RequestIdentifier;
+import org.whinhead.serving.crash.CrashSuspects;
 import org.whinhead.serving.crash.RequestIdentity;
+import org.whinhead.serving.crash.SuspectDecision;
 import org.whinhead.serving.endpoint.EndpointEntry;
 
-/** Records that a request was in progress on an endpoint that has crashed. */
+/** Records what becomes of the endpoints that have one request. */
 final class CrashRecorder {
 
     private final Exchanges mExchanges;
     private final AdmittedRequest mAdmission;
     private final ByteBuf mBody;
+    private Optional<RequestIdentity> mIdentity = Optional.empty();
+    private boolean mStarted;
+    private int mKnownLevel;
 
     CrashRecorder(final Exchanges exchanges, final AdmittedRequest admission, final ByteBuf body) {
         mExchanges = exchanges;
@@ -20,6 +26,69 @@
         mBody = body;
     }
 
+    private CrashSuspects suspects() {
+        return mExchanges.state().suspects();
+    }
+
+    private Instant now() {
+        return mExchanges.state().clock().instant();
+    }
+
+    /** Returns the identity of the request if it may be a suspected one. */
+    private Optional<RequestIdentity> suspectedIdentity() {
+        final int shape =
+                RequestIdentifier.shape(mAdmission.request(), mAdmission.customerName(), mBody);
+        return suspects().mayKnow(shape) ? Optional.of(identity()) : Optional.empty();
+    }
+
+    private RequestIdentity identity() {
+        if (mIdentity.isEmpty()) {
+            mIdentity =
+                    Optional.of(
+                            RequestIdentifier.identify(
+                                    mAdmission.request(), mAdmission.customerName(), mBody));
+        }
+        return mIdentity.get();
+    }
+
+    /** Decides whether the request may be sent, and records that it is in progress if so. */
+    SuspectDecision start() {
+        final Optional<RequestIdentity> identity = suspectedIdentity();
+        if (identity.isEmpty()) {
+            return SuspectDecision.RUN;
+        }
+        final SuspectDecision decision = suspects().decide(identity.get(), now());
+        if (decision.isAllowed()) {
+            mStarted = true;
+            suspects().recordStart(identity.get(), now());
+        }
+        return decision;
+    }
+
+    /** Records that the request is about to be sent to an endpoint. */
+    void attemptSent() {
+        suspectedIdentity()
+                .ifPresent(
+                        identity ->
+                                mKnownLevel =
+                                        Math.max(mKnownLevel, suspects().level(identity, now())));
+    }
+
+    /**
+     * Returns whether the request counts as a suspect, so that it should do as little harm as
+     * possible if it crashes another endpoint.
+     */
+    boolean isSuspect() {
+        return suspectedIdentity()
+                .filter(identity -> suspects().level(identity, now()) > 0)
+                .isPresent();
+    }
+
+    /** Returns whether the request may be sent to another endpoint if this one crashed. */
+    boolean mayRunAgain() {
+        return mKnownLevel + 1 < CrashSuspects.GUARDED_LEVEL;
+    }
+
     /**
      * Records that the connection was lost before the response was complete.
      *
@@ -27,16 +96,38 @@
      * @param sentAt the time at which the request was sent to it
      */
     void connectionLost(final EndpointEntry endpoint, final Instant sentAt) {
-        final RequestIdentity identity =
-                RequestIdentifier.identify(mAdmission.request(), mAdmission.customerName(), mBody);
-        final Duration age = Duration.between(sentAt, mExchanges.state().clock().instant());
+        final RequestIdentity identity = identity();
+        final Duration age = Duration.between(sentAt, now());
         mExchanges
                 .crashes()
-                .connectionLost(
-                        endpoint,
-                        () ->
-                                mExchanges
-                                        .requestLogger()
-                                        .wasOnCrashed(mAdmission, endpoint, identity, age));
+                .connectionLost(endpoint, identity, () -> crashed(endpoint, identity, age));
+    }
+
+    private int crashed(
+            final EndpointEntry endpoint, final RequestIdentity identity, final Duration age) {
+        final int level = suspects().recordCrash(identity, endpoint.id(), mKnownLevel, now());
+        // The next attempt may be on its way already; it began after this crash all the same.
+        mKnownLevel = Math.max(mKnownLevel, level);
+        mExchanges.requestLogger().wasOnCrashed(mAdmission, endpoint, identity, age, level);
+        return level;
+    }
+
+    /** Records that an endpoint has answered the request completely. */
+    void answered() {
+        suspectedIdentity()
+                .filter(identity -> suspects().recordAnswer(identity, now()))
+                .ifPresent(
+                        identity -> {
+                            mExchanges.requestLogger().cleared(mAdmission, identity);
+                            mExchanges.crashes().answered(identity);
+                        });
+    }
+
+    /** Records that the request has ended. */
+    void end() {
+        if (mStarted) {
+            mStarted = false;
+            mIdentity.ifPresent(suspects()::recordEnd);
+        }
     }
 }
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
@@ -17,6 +17,7 @@
 import org.whinhead.gateway.endpoint.EndpointResponseListener;
 import org.whinhead.gateway.endpoint.MovedRun;
 import org.whinhead.serving.balance.Placement;
+import org.whinhead.serving.crash.SuspectDecision;
 import org.whinhead.serving.route.Route;
 
 /**
@@ -70,7 +71,8 @@
         mBody = body;
         mResponse = response;
         mService = admission.route().selectService(admission.request().id().hashCode());
-        mSearch = new ConnectionSearch(exchanges, admission, mService, this);
+        mCrashes = new CrashRecorder(exchanges, admission, body);
+        mSearch = new ConnectionSearch(exchanges, admission, mService, mCrashes::isSuspect, this);
         mRelay =
                 new ResponseRelay(
                         response,
@@ -80,15 +82,18 @@
         mUsage = new UsageRecorder(exchanges.state(), admission);
         mTrial = new TrialRecorder(exchanges.state(), admission.route());
         mRefusals = new RefusalFactory(exchanges.state(), admission);
-        mCrashes = new CrashRecorder(exchanges, admission, body);
         mTimers = new ExchangeTimers(exchanges.loop());
     }
 
     void start() {
         mExchanges.state().retryBudget().recordRequest(mService, now());
         mTimers.startDeadline(timeLeft(), this::deadlinePassed);
+        final SuspectDecision decision = mCrashes.start();
         if (timeLeft().compareTo(MIN_TIME_LEFT) < 0) {
             refuse(TOO_LATE, mRefusals.givenUpRefusal(TOO_LATE));
+        } else if (!decision.isAllowed()) {
+            final RefusalResponse refusal = mRefusals.suspectRefusal(decision.retryAfter());
+            refuse(refusal.reason(), refusal);
         } else {
             mSearch.start();
         }
@@ -115,6 +120,7 @@
         }
         mSentAt = now();
         mTrial.attemptSent(mPlacement);
+        mCrashes.attemptSent();
         mRelay.startAttempt();
         final AttemptContext context =
                 new AttemptContext(
@@ -231,6 +237,9 @@
         mPlacement.load().recordOutcome(head.isServerError());
         mExchanges.state().brittle().recordServed(mPlacement.endpoint());
         mTrial.answered(head.isServerError());
+        if (head.isSuccess()) {
+            mCrashes.answered();
+        }
         finish(head.isSuccess() ? "answered" : "answered with a failure", head.status().code());
         mResponse.finish();
     }
@@ -277,7 +286,8 @@
                 .attemptFailed(mAdmission, mPlacement.endpoint(), verdict, reason);
         endAttempt();
         final boolean mayHaveRun = mRelay.isStarted() || verdict != Verdict.NOT_RUN;
-        final boolean allowed = !mayHaveRun || mAdmission.route().canRunAgain();
+        final boolean allowed =
+                !mayHaveRun || (mAdmission.route().canRunAgain() && mCrashes.mayRunAgain());
         if (allowed && acquireRetry()) {
             mSearch.start();
         } else {
@@ -431,6 +441,7 @@
         mTimers.cancelDeadline();
         cancelMove();
         endAttempt();
+        mCrashes.end();
         mBody.release();
         mRelay.release();
         mExchanges.requestLogger().finished(mAdmission, mPlacement, mSends, outcome, status);
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/RefusalFactory.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/RefusalFactory.java
@@ -12,6 +12,8 @@
     /** The retry delay is the caller's remaining time divided by this. */
     private static final int RETRY_AFTER_DIVISOR = 12;
 
+    private static final String SUSPECT = "endpoints crash under this request";
+
     private final ServingState mState;
     private final AdmittedRequest mAdmission;
     private boolean mMayHaveRun;
@@ -40,6 +42,17 @@
         return RefusalResponse.notRun(reason, retryAfter());
     }
 
+    /**
+     * Returns the refusal of a request that crashes endpoints, before it is sent to any. Its
+     * customer gets the tokens back.
+     *
+     * @param retryAfter the delay after which it may be sent
+     */
+    RefusalResponse suspectRefusal(final Duration retryAfter) {
+        mAdmission.spend().ifPresent(mState.quotas()::refund);
+        return RefusalResponse.notRun(SUSPECT, retryAfter);
+    }
+
     /**
      * Returns the refusal of a request whose deadline has passed.
      *
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/RequestLogger.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/RequestLogger.java
@@ -128,7 +128,8 @@
             final AdmittedRequest admission,
             final EndpointEntry endpoint,
             final RequestIdentity identity,
-            final Duration age) {
+            final Duration age,
+            final int level) {
         LOG.atInfo()
                 .addKeyValue("request", admission.request().id())
                 .addKeyValue("route", admission.route().name())
@@ -136,9 +137,18 @@
                 .addKeyValue("identity", identity.toText())
                 .addKeyValue("endpoint", endpoint.id())
                 .addKeyValue("ageMillis", age.toMillis())
+                .addKeyValue("level", level)
                 .log("request was on endpoint that crashed");
     }
 
+    /** Logs that a request was answered that had been on endpoints that crashed. */
+    void cleared(final AdmittedRequest admission, final RequestIdentity identity) {
+        LOG.atInfo()
+                .addKeyValue("request", admission.request().id())
+                .addKeyValue("identity", identity.toText())
+                .log("suspected request was answered");
+    }
+
     void rejected(final EndpointEntry endpoint, final OptionalInt rejectionLimit) {
         mCounts.recordRejection(endpoint.service());
         if (rejectionLimit.isPresent()) {
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/ServingState.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/ServingState.java
@@ -9,6 +9,7 @@
 import org.whinhead.serving.configuration.ConfigurationProgress;
 import org.whinhead.serving.configuration.ServiceSpec;
 import org.whinhead.serving.configuration.ServingConfiguration;
+import org.whinhead.serving.crash.CrashSuspects;
 import org.whinhead.serving.endpoint.EndpointEntry;
 import org.whinhead.serving.endpoint.EndpointRegistry;
 import org.whinhead.serving.endpoint.ReclaimedEndpoints;
@@ -39,6 +40,7 @@
     private final ReclaimedEndpoints mLeaving = new ReclaimedEndpoints();
     private final EndpointReach mReach = new EndpointReach();
     private final BrittleEndpoints mBrittle = new BrittleEndpoints();
+    private final CrashSuspects mSuspects = new CrashSuspects();
     private final EndpointChooser mChooser;
     private final CustomerQuotas mQuotas;
     private final ServiceRetryBudget mRetryBudget;
@@ -221,6 +223,32 @@
         return mBrittle;
     }
 
+    /**
+     * Returns the requests that were on endpoints that crashed.
+     *
+     * @return the suspected requests
+     */
+    public CrashSuspects suspects() {
+        return mSuspects;
+    }
+
+    /**
+     * Returns the endpoints of which a crash would end the fewest other requests.
+     *
+     * @param endpoints endpoints of one service
+     * @return those with the fewest requests in progress, as far as this daemon knows
+     */
+    List<EndpointEntry> leastBusy(final List<EndpointEntry> endpoints) {
+        final int least =
+                endpoints.stream()
+                        .mapToInt(endpoint -> mChooser.load(endpoint.id()).running())
+                        .min()
+                        .orElse(0);
+        return endpoints.stream()
+                .filter(endpoint -> mChooser.load(endpoint.id()).running() == least)
+                .toList();
+    }
+
     /**
      * Returns the leaving endpoints that still serve.
      *
--- a/gateway/src/main/java/org/whinhead/gateway/peers/PeerDatagramChannel.java
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/PeerDatagramChannel.java
@@ -29,6 +29,8 @@
 import org.whinhead.gateway.http.ListeningPort;
 import org.whinhead.gateway.time.GuardedTask;
 import org.whinhead.serving.capacity.CapacityOrder;
+import org.whinhead.serving.crash.EndpointCrash;
+import org.whinhead.serving.crash.RequestIdentity;
 import org.whinhead.serving.endpoint.EndpointChange;
 import org.whinhead.serving.endpoint.EndpointEntry;
 import org.whinhead.serving.member.MemberTable;
@@ -60,6 +62,9 @@
     /** Maximum number of addresses in a report; a new daemon learns all within a few reports. */
     private static final int CONTACTS_PER_REPORT = 12;
 
+    /** The delays after which the answer to a suspected request is told again. */
+    private static final int[] ANSWER_REPEAT_MILLIS = {100, 400};
+
     /** One round of reports in so many contains addresses, which only new daemons need. */
     private static final int REPORTS_PER_CONTACT_LIST = 5;
 
@@ -98,6 +103,7 @@
         mMembers = members;
         mReadCoordinator = readCoordinator;
         mReportHandler = new PeerReportHandler(state, members, this::addContact);
+        mReportHandler.onAnsweredSuspect((identity, peer) -> send(peer, answered(identity)));
     }
 
     /** Opens the channel and starts to send reports. */
@@ -157,6 +163,7 @@
         mState.brittle()
                 .setDaemons(
                         Math.max(mMembers.knownCount(), expectedDaemons()), mMembers.knownRank());
+        mState.suspects().setDaemons(mMembers.knownCount(), mMembers.knownRank());
         sendToNextReceivers();
     }
 
@@ -178,6 +185,45 @@
                         .build());
     }
 
+    /**
+     * Informs the other daemons that an endpoint has crashed, and of the requests that were on it.
+     *
+     * @param crash the endpoint and the requests
+     */
+    public void sendEndpointCrash(final EndpointCrash crash) {
+        CrashCodec.encode(crash).forEach(this::sendToAll);
+    }
+
+    /**
+     * Informs the other daemons that a suspected request was answered. The message is repeated, as
+     * a daemon that misses it would refuse the request.
+     *
+     * @param identity the request
+     */
+    public void sendRequestAnswered(final RequestIdentity identity) {
+        final Datagram datagram = answered(identity);
+        sendToAll(datagram);
+        for (final int millis : ANSWER_REPEAT_MILLIS) {
+            mLoop.schedule(() -> sendToAll(datagram), millis, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private static Datagram answered(final RequestIdentity identity) {
+        return Datagram.newBuilder().setRequestAnswered(CrashCodec.encode(identity)).build();
+    }
+
+    private void applyCrash(final EndpointCrash crash) {
+        crash.requests()
+                .forEach(
+                        request ->
+                                mState.suspects()
+                                        .applyPeerCrash(
+                                                request.identity(),
+                                                crash.endpoint(),
+                                                request.level(),
+                                                now()));
+    }
+
     /** Sends a report to the next part of the receivers; all get one within the report interval. */
     private void sendToNextReceivers() {
         final List<InetSocketAddress> receivers = sortedReceivers();
@@ -406,6 +452,14 @@
                                     endpoint ->
                                             mState.brittle().recordPeerRejection(endpoint, now()));
                 }
+                if (datagram.hasEndpointCrash()) {
+                    applyCrash(CrashCodec.decode(datagram.getEndpointCrash()));
+                }
+                if (datagram.hasRequestAnswered()) {
+                    mState.suspects()
+                            .applyPeerAnswer(
+                                    CrashCodec.decode(datagram.getRequestAnswered()), now());
+                }
                 if (datagram.hasCapacityOrder()) {
                     mOnCapacityOrder.accept(decode(datagram.getCapacityOrder()));
                 }
--- a/gateway/src/test/java/org/whinhead/gateway/crash/CrashDetectorTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/crash/CrashDetectorTest.java
@@ -5,16 +5,20 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.whinhead.gateway.endpoint.ConnectFailure;
 import org.whinhead.gateway.exchange.TestServing;
 import org.whinhead.gateway.metrics.RequestMetrics;
+import org.whinhead.serving.crash.EndpointCrash;
+import org.whinhead.serving.crash.RequestIdentity;
 import org.whinhead.serving.endpoint.EndpointEntry;
 
 class CrashDetectorTest {
 
     private final List<String> mProbed = new ArrayList<>();
     private final List<String> mCrashed = new ArrayList<>();
+    private final List<EndpointCrash> mTold = new ArrayList<>();
     private final RequestMetrics mCounts = new RequestMetrics();
     private final CrashDetector mDetector = new CrashDetector(this::probe, mCounts);
     private Runnable mAccepted;
@@ -29,9 +33,19 @@
         mFailed = failed;
     }
 
+    @BeforeEach
+    void listen() {
+        mDetector.onEvents(mTold::add, identity -> {});
+    }
+
     private void lose(final String endpoint, final String request) {
         mDetector.connectionLost(
-                TestServing.endpoint(endpoint, false), () -> mCrashed.add(request));
+                TestServing.endpoint(endpoint, false),
+                new RequestIdentity(1, 2, request.hashCode()),
+                () -> {
+                    mCrashed.add(request);
+                    return mCrashed.size();
+                });
     }
 
     @Test
@@ -41,6 +55,11 @@
         assertThat(mProbed).containsExactly("e-1");
         mFailed.accept(ConnectFailure.ENDPOINT);
         assertThat(mCrashed).containsExactly("r-1", "r-2");
+        assertThat(mTold).hasSize(1);
+        assertThat(mTold.get(0).endpoint()).isEqualTo("e-1");
+        assertThat(mTold.get(0).requests())
+                .extracting(EndpointCrash.Request::level)
+                .containsExactly(1, 2);
         assertThat(mCounts.renderPage())
                 .contains("whinhead_endpoint_crashes_total{service=\"pool\"} 1");
     }
--- /dev/null
+++ b/serving/src/test/java/org/whinhead/serving/crash/CrashFleetTest.java
@@ -0,0 +1,58 @@
+package org.whinhead.serving.crash;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class CrashFleetTest {
+
+    private static final int MAX_LATER_SENDS = 3;
+    private static final int MINUTE = 60_000;
+
+    // Guards against endpoints that crash on and on under the same requests, sent to all daemons,
+    // with lost messages and a third of the daemons cut off from the others at first.
+    @ParameterizedTest
+    @CsvSource({"8, 14, 1", "8, 14, 20", "66, 42, 1", "66, 42, 50", "330, 200, 50"})
+    void crashingRequestsAreHeldBack(
+            final int daemons, final int endpoints, final int crashingRequests) {
+        final CrashFleet fleet =
+                new CrashFleet(daemons, endpoints, 0.05, 54)
+                        .addCrashing(crashingRequests, 300)
+                        .addCommon(5, 40)
+                        .addSingle(20)
+                        .play(MINUTE);
+        assertThat(fleet.crashing())
+                .allSatisfy(
+                        tally -> {
+                            assertThat(tally.laterSends()).isLessThanOrEqualTo(MAX_LATER_SENDS);
+                            assertThat(tally.crashes()).isGreaterThanOrEqualTo(1);
+                        });
+    }
+
+    // Guards against daemons that are cut off from each other keeping what they know to themselves
+    // after the cut.
+    @Test
+    void knowledgeSpreadsAfterDaemonsWereCutOffFromEachOther() {
+        final CrashFleet fleet =
+                new CrashFleet(9, 14, 0.05, 54).addCrashing(1, 300).cutThird(5_000).play(MINUTE);
+        assertThat(fleet.crashing().get(0).laterSends()).isLessThanOrEqualTo(MAX_LATER_SENDS);
+    }
+
+    // Guards against innocent requests that are refused because endpoints crash of themselves, one
+    // by one or several at the same moment.
+    @ParameterizedTest
+    @CsvSource({"8, 14, 1, 2000", "8, 14, 5, 6000", "66, 42, 14, 6000", "330, 200, 60, 6000"})
+    void innocentRequestsAreServed(
+            final int daemons, final int endpoints, final int crashes, final int interval) {
+        final CrashFleet fleet =
+                new CrashFleet(daemons, endpoints, 0.05, 54)
+                        .addCommon(10, 20)
+                        .addSingle(2)
+                        .addOwnCrashes(crashes, interval)
+                        .play(MINUTE);
+        assertThat(fleet.innocentCalls()).isGreaterThan(50_000);
+        assertThat(fleet.innocentRefusals()).isLessThanOrEqualTo(fleet.innocentCalls() / 100_000);
+    }
+}
