Move the messages about crashes out of the channel of datagrams

PeerDatagramChannel and PeerReportHandler had grown by them; CrashMessenger has them alone. No behaviour is changed: CrashFleetTest, CrashSuspectsTest, CrashDetectorTest, CrashCodecTest, DigestReadCoordinatorTest and ExchangesTest pass as before.

--- a/gateway/src/main/java/org/whinhead/gateway/peers/PeerDatagramChannel.java
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/PeerDatagramChannel.java
@@ -62,9 +62,6 @@
     /** Maximum number of addresses in a report; a new daemon learns all within a few reports. */
     private static final int CONTACTS_PER_REPORT = 12;
 
-    /** The delays after which the answer to a suspected request is told again. */
-    private static final int[] ANSWER_REPEAT_MILLIS = {100, 400};
-
     /** One round of reports in so many contains addresses, which only new daemons need. */
     private static final int REPORTS_PER_CONTACT_LIST = 5;
 
@@ -72,6 +69,7 @@
     private final ServingState mState;
     private final MemberTable mMembers;
     private final DigestReadCoordinator mReadCoordinator;
+    private final CrashMessenger mCrashMessenger;
     private final PeerReportHandler mReportHandler;
     private final Set<InetSocketAddress> mContacts = new HashSet<>();
     private Consumer<List<EndpointChange>> mOnEndpointChanges = changes -> {};
@@ -102,8 +100,8 @@
         mState = state;
         mMembers = members;
         mReadCoordinator = readCoordinator;
-        mReportHandler = new PeerReportHandler(state, members, this::addContact);
-        mReportHandler.onAnsweredSuspect((identity, peer) -> send(peer, answered(identity)));
+        mCrashMessenger = new CrashMessenger(loop, state, this::sendToAll, this::send);
+        mReportHandler = new PeerReportHandler(state, members, mCrashMessenger, this::addContact);
     }
 
     /** Opens the channel and starts to send reports. */
@@ -191,37 +189,16 @@
      * @param crash the endpoint and the requests
      */
     public void sendEndpointCrash(final EndpointCrash crash) {
-        CrashCodec.encode(crash).forEach(this::sendToAll);
+        mCrashMessenger.sendCrash(crash);
     }
 
     /**
-     * Informs the other daemons that a suspected request was answered. The message is repeated, as
-     * a daemon that misses it would refuse the request.
+     * Informs the other daemons that a suspected request was answered.
      *
      * @param identity the request
      */
     public void sendRequestAnswered(final RequestIdentity identity) {
-        final Datagram datagram = answered(identity);
-        sendToAll(datagram);
-        for (final int millis : ANSWER_REPEAT_MILLIS) {
-            mLoop.schedule(() -> sendToAll(datagram), millis, TimeUnit.MILLISECONDS);
-        }
-    }
-
-    private static Datagram answered(final RequestIdentity identity) {
-        return Datagram.newBuilder().setRequestAnswered(CrashCodec.encode(identity)).build();
-    }
-
-    private void applyCrash(final EndpointCrash crash) {
-        crash.requests()
-                .forEach(
-                        request ->
-                                mState.suspects()
-                                        .applyPeerCrash(
-                                                request.identity(),
-                                                crash.endpoint(),
-                                                request.level(),
-                                                now()));
+        mCrashMessenger.sendAnswered(identity);
     }
 
     /** Sends a report to the next part of the receivers; all get one within the report interval. */
@@ -452,14 +429,7 @@
                                     endpoint ->
                                             mState.brittle().recordPeerRejection(endpoint, now()));
                 }
-                if (datagram.hasEndpointCrash()) {
-                    applyCrash(CrashCodec.decode(datagram.getEndpointCrash()));
-                }
-                if (datagram.hasRequestAnswered()) {
-                    mState.suspects()
-                            .applyPeerAnswer(
-                                    CrashCodec.decode(datagram.getRequestAnswered()), now());
-                }
+                mCrashMessenger.receive(datagram);
                 if (datagram.hasCapacityOrder()) {
                     mOnCapacityOrder.accept(decode(datagram.getCapacityOrder()));
                 }
--- a/gateway/src/main/java/org/whinhead/gateway/peers/PeerReportHandler.java
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/PeerReportHandler.java
@@ -4,7 +4,6 @@
 import java.time.Instant;
 import java.util.Map;
 import java.util.OptionalInt;
-import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import org.slf4j.Logger;
@@ -12,11 +11,8 @@
 import org.whinhead.gateway.exchange.ServingState;
 import org.whinhead.gateway.generated.GatewayProto.EndpointShare;
 import org.whinhead.gateway.generated.GatewayProto.PeerReport;
-import org.whinhead.gateway.generated.GatewayProto.SuspectRequestRecord;
 import org.whinhead.gateway.generated.GatewayProto.UsageEntry;
 import org.whinhead.serving.balance.EndpointLoad;
-import org.whinhead.serving.crash.RequestIdentity;
-import org.whinhead.serving.crash.SuspectRecord;
 import org.whinhead.serving.member.Member;
 import org.whinhead.serving.member.MemberStatus;
 import org.whinhead.serving.member.MemberTable;
@@ -27,23 +23,21 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(PeerReportHandler.class);
 
-    /** The suspected requests in a report; all are told within a few reports. */
-    private static final int SUSPECTS_PER_REPORT = 8;
-
     private final ServingState mState;
     private final MemberTable mMembers;
+    private final CrashMessenger mCrashMessenger;
     private final Consumer<InetSocketAddress> mOnContact;
     private LongConsumer mOnShareTableVersion = version -> {};
-    private BiConsumer<RequestIdentity, InetSocketAddress> mOnAnsweredSuspect =
-            (identity, sender) -> {};
     private int mRelayPort;
 
     PeerReportHandler(
             final ServingState state,
             final MemberTable members,
+            final CrashMessenger crashMessenger,
             final Consumer<InetSocketAddress> onContact) {
         mState = state;
         mMembers = members;
+        mCrashMessenger = crashMessenger;
         mOnContact = onContact;
     }
 
@@ -101,28 +95,13 @@
                             .setCustomer(count.customer())
                             .setRequests(count.requests()));
         }
-        mState.suspects()
-                .nextRecords(SUSPECTS_PER_REPORT, mState.clock().instant())
-                .forEach(suspect -> report.addSuspects(CrashCodec.encode(suspect)));
+        mCrashMessenger.addTo(report);
         mMembers.peers().stream()
                 .limit(maxContacts)
                 .forEach(peer -> report.addContacts(Addresses.format(peer.peerAddress())));
         return report.build();
     }
 
-    private void applySuspect(
-            final SuspectRequestRecord suspect, final InetSocketAddress sender, final Instant now) {
-        final SuspectRecord record = CrashCodec.decode(suspect);
-        if (mState.suspects().applyPeerRecord(record, now)) {
-            mOnAnsweredSuspect.accept(record.identity(), sender);
-        }
-    }
-
-    /** Sets the handler of requests that another daemon suspects and that were answered. */
-    void onAnsweredSuspect(final BiConsumer<RequestIdentity, InetSocketAddress> onAnswered) {
-        mOnAnsweredSuspect = onAnswered;
-    }
-
     private static MemberStatus statusOf(final PeerReport report) {
         return new MemberStatus(
                 report.getReady(),
@@ -174,9 +153,7 @@
                             share.getRunning(),
                             share.getPromptTokens());
         }
-        for (final SuspectRequestRecord suspect : report.getSuspectsList()) {
-            applySuspect(suspect, Addresses.parse(report.getPeerAddress()), now);
-        }
+        mCrashMessenger.receive(report);
         for (final UsageEntry entry : report.getUsageList()) {
             mState.usage()
                     .mergePeerCount(
