Rely on another daemon's read of the configuration by the age of the read

What callers would see: up to 2.8 s after a change, a daemon that others read for handles requests as the older version demands, if both readers go on to read the endpoints and get no answers for the configuration.

A digest tells that age now, and it goes on to count at the receiver, up to 1.25 s; readers send a digest after each read, so that calm daemons don't read more than before. Daemons of the version before are understood as before.

--- a/gateway/src/main/java/org/whinhead/gateway/Gateway.java
+++ b/gateway/src/main/java/org/whinhead/gateway/Gateway.java
@@ -303,7 +303,7 @@
                 follower(StoreTopic.CONFIGURATION, mConfigurationWatch, CONFIGURATION_PACE);
         final TopicFollower endpoints =
                 follower(StoreTopic.ENDPOINTS, mEndpointWatch, ENDPOINT_PACE);
-        mConfigurationWatch.onRead(mDigests::recordConfigurationRead);
+        mConfigurationWatch.onRead(this::publishConfigurationRead);
         mConfigurationWatch.onChange(mPeers::sendDigest);
         mEndpointWatch.onRead(this::publishEndpointChanges);
         mPeers.onEndpointChanges(mEndpointWatch::applyPeerChanges);
@@ -335,6 +335,11 @@
         mRollouts.ifPresent(rollouts -> GuardedTask.run(LOG, "roll-outs", rollouts::tick));
     }
 
+    private void publishConfigurationRead() {
+        mDigests.recordConfigurationRead();
+        mPeers.sendDigest();
+    }
+
     private void publishEndpointChanges() {
         mDigests.recordEndpointsRead(mEndpointWatch.end());
         mPeers.sendEndpointChanges(mEndpointWatch.drainChanges());
--- a/gateway/src/main/java/org/whinhead/gateway/peers/DigestReadCoordinator.java
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/DigestReadCoordinator.java
@@ -34,6 +34,12 @@
     /** A configuration read waits up to one second at the store; more is a lost answer. */
     private static final Duration CONFIGURATION_READ_MAX_AGE = Duration.ofMillis(1_200);
 
+    /**
+     * The age up to which a read of another daemon is relied on. With the interval of the checks
+     * and an own read that is sent twice, a change is in force within two seconds.
+     */
+    private static final Duration MAX_RELIED_READ_AGE = Duration.ofMillis(1_250);
+
     private final ServingState mState;
     private final MemberTable mMembers;
     private final Map<String, ReceivedDigest> mReceivedDigests = new HashMap<>();
@@ -105,7 +111,7 @@
                         .toList();
         // A reader that is behind has nothing new either, so one digest with news decides.
         return digests.stream().noneMatch(digest -> hasNews(digest, topic))
-                && digests.stream().anyMatch(digest -> isRecent(digest.mDigest, topic));
+                && digests.stream().anyMatch(digest -> isRecent(digest, topic));
     }
 
     private boolean hasNews(final ReceivedDigest received, final StoreTopic topic) {
@@ -123,15 +129,26 @@
         };
     }
 
-    /** Returns whether the sender of a digest had just read a topic. */
-    private static boolean isRecent(final StoreDigest digest, final StoreTopic topic) {
+    /** Returns whether the sender of a digest has read a topic a short while ago. */
+    private boolean isRecent(final ReceivedDigest received, final StoreTopic topic) {
         return switch (topic) {
             case ENDPOINTS -> true;
-            case CONFIGURATION -> digest.getConfigurationFresh();
+            case CONFIGURATION -> isConfigurationReadRecent(received);
             default -> false;
         };
     }
 
+    private boolean isConfigurationReadRecent(final ReceivedDigest received) {
+        final StoreDigest digest = received.mDigest;
+        if (!digest.hasConfigurationReadAgeMillis()) {
+            return digest.getConfigurationFresh();
+        }
+        final Duration age =
+                Duration.between(received.mReceivedAt, now())
+                        .plusMillis(digest.getConfigurationReadAgeMillis());
+        return age.compareTo(MAX_RELIED_READ_AGE) <= 0;
+    }
+
     private boolean hasSameEndpoints(final StoreDigest digest) {
         return digest.getEndpointsHash() == mState.endpoints().digest();
     }
@@ -150,14 +167,20 @@
      * @return the digest
      */
     StoreDigest createDigest() {
-        return StoreDigest.newBuilder()
-                .setEndpointsHash(mState.endpoints().digest())
-                .setEndpointsEnd(mEndpointsEnd)
-                .setConfigurationVersion(configurationVersion())
-                .setRolloutOffset(mState.rollouts().newestOrderOffset())
-                .setConfigurationFresh(
-                        mConfigurationReadAt.isAfter(now().minus(CONFIGURATION_READ_MAX_AGE)))
-                .build();
+        final StoreDigest.Builder digest =
+                StoreDigest.newBuilder()
+                        .setEndpointsHash(mState.endpoints().digest())
+                        .setEndpointsEnd(mEndpointsEnd)
+                        .setConfigurationVersion(configurationVersion())
+                        .setRolloutOffset(mState.rollouts().newestOrderOffset())
+                        .setConfigurationFresh(
+                                mConfigurationReadAt.isAfter(
+                                        now().minus(CONFIGURATION_READ_MAX_AGE)));
+        if (mConfigurationReadAt.isAfter(Instant.EPOCH)) {
+            digest.setConfigurationReadAgeMillis(
+                    Duration.between(mConfigurationReadAt, now()).toMillis());
+        }
+        return digest.build();
     }
 
     /**
