Forget requests of one crash before those that are held back

Read off the code before landing: with more than 4,096 remembered requests the one raised longest ago went first, also one that is refused. Forty endpoints that crash with a hundred requests each would have let it crash three more. Now the oldest below the guard goes first.

CrashSuspectsTest#requestHeldBackOutlivesManySuspectsOfOneCrash was red (allowed after 10,000 others) and passes; CrashFleetTest as before.

--- a/serving/src/main/java/org/whinhead/serving/crash/CrashSuspects.java
+++ b/serving/src/main/java/org/whinhead/serving/crash/CrashSuspects.java
@@ -266,10 +266,19 @@
         // The entry that was raised last is the last one to be removed for want of room.
         mSuspects.put(request, suspect);
         if (mSuspects.size() > MAX_SUSPECTS) {
-            remove(mSuspects.keySet().iterator().next());
+            remove(leastSuspected());
         }
     }
 
+    /** Returns the oldest request that is not held back, or else the oldest one. */
+    private RequestIdentity leastSuspected() {
+        return mSuspects.entrySet().stream()
+                .filter(entry -> entry.getValue().mLevel < GUARDED_LEVEL)
+                .findFirst()
+                .map(Map.Entry::getKey)
+                .orElseGet(() -> mSuspects.keySet().iterator().next());
+    }
+
     private void remove(final RequestIdentity request) {
         if (mSuspects.remove(request) != null) {
             mShapes.computeIfPresent(
--- a/serving/src/test/java/org/whinhead/serving/crash/CrashSuspectsTest.java
+++ b/serving/src/test/java/org/whinhead/serving/crash/CrashSuspectsTest.java
@@ -175,6 +175,18 @@
         assertThat(mSuspects.size()).isLessThanOrEqualTo(4_096);
     }
 
+    // Guards against a request that crashes endpoints being forgotten because many innocent ones
+    // were
+    // on endpoints that crashed later.
+    @Test
+    void requestHeldBackOutlivesManySuspectsOfOneCrash() {
+        block();
+        for (int number = 0; number < 10_000; number++) {
+            mSuspects.recordCrash(new RequestIdentity(number, number, 9), "e-9", 0, at(200));
+        }
+        assertThat(isAllowed(300)).isFalse();
+    }
+
     @Test
     void reportsTellGuardedRequestsInTurn() {
         block();
