Go on asking for the configuration after a copy that could not be applied

Read off the code before landing: an unexpected exception while a copy is applied left the daemon in the belief that it was still asking, so that it never asked again. ConfigurationCatchUpTest#unexpectedExceptionDoesNotEndTheAsking failed with that exception and passes now.

--- a/gateway/src/main/java/org/whinhead/gateway/store/ConfigurationCatchUp.java
+++ b/gateway/src/main/java/org/whinhead/gateway/store/ConfigurationCatchUp.java
@@ -14,6 +14,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.whinhead.gateway.exchange.ServingState;
+import org.whinhead.gateway.time.GuardedTask;
 import org.whinhead.serving.configuration.ConfigurationProgress;
 import org.whinhead.serving.member.MemberTable;
 import org.whinhead.serving.member.Relay;
@@ -110,7 +111,7 @@
                     .addKeyValue("bytes", answer.get().length)
                     .addKeyValue("readFailure", progress().readFailure().orElse("none"))
                     .log("configuration taken from daemon");
-            mListener.applyCopy(answer.get());
+            GuardedTask.run(LOG, "apply copy", () -> mListener.applyCopy(answer.get()));
         }
         askNext(left);
     }
--- a/gateway/src/test/java/org/whinhead/gateway/store/ConfigurationCatchUpTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/store/ConfigurationCatchUpTest.java
@@ -29,6 +29,9 @@
     private static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
     private static final int RELAY_PORT = 7601;
 
+    /** A record whose decoding fails in a way that nobody expects. */
+    private static final byte[] UNEXPECTED = {1};
+
     private final List<Relay> mAsked = new ArrayList<>();
     private final List<Consumer<Optional<byte[]>>> mAnswers = new ArrayList<>();
     private Instant mNow = START;
@@ -51,6 +54,9 @@
 
     private static ServingConfiguration decode(final byte[] value)
             throws UnreadableRecordException {
+        if (value == UNEXPECTED) {
+            throw new IllegalStateException("unexpected");
+        }
         try {
             return new ServingConfiguration(
                     Long.parseLong(new String(value, StandardCharsets.US_ASCII)),
@@ -126,6 +132,17 @@
         assertThat(mAsked).hasSize(3);
     }
 
+    // Guards against a daemon that asks nobody any more because one copy could not be applied.
+    @Test
+    void unexpectedExceptionDoesNotEndTheAsking() {
+        mState.configurationProgress().recordAnnounced(7, START);
+        tickAfter(300);
+        answerNext(Optional.of(UNEXPECTED));
+        answerNext(Optional.empty());
+        tickAfter(500);
+        assertThat(mAsked).hasSize(3);
+    }
+
     @Test
     void nextDaemonIsNotAskedMeanwhile() {
         mState.configurationProgress().recordAnnounced(7, START);
