--- a/serving/src/main/java/org/whinhead/serving/crash/CrashSuspects.java
+++ b/serving/src/main/java/org/whinhead/serving/crash/CrashSuspects.java
@@ -51,31 +51,15 @@
     /** The time for which a request is remembered after its last crash or refusal. */
     private static final Duration MEMORY = Duration.ofMinutes(10);
 
-    /** The pause before the first trial of a blocked request. */
-    private static final Duration FIRST_TRIAL_DELAY = Duration.ofSeconds(5);
-
-    /** Each trial that crashes an endpoint makes the next pause so many times as long. */
-    private static final int TRIAL_BACKOFF = 6;
-
-    private static final Duration MAX_TRIAL_DELAY = Duration.ofHours(1);
-
     /** The delay sent to callers of a guarded request that may run elsewhere, or soon. */
     private static final Duration GUARD_RETRY_AFTER = Duration.ofMillis(300);
 
     /** Bounds the memory: an endpoint that crashes takes up to a hundred requests with it. */
     private static final int MAX_SUSPECTS = 4_096;
 
-    /**
-     * The time for which an answered request is not suspected again by reports of daemons that have
-     * not heard of the answer.
-     */
-    private static final Duration ANSWER_MEMORY = Duration.ofSeconds(30);
-
-    private static final int MAX_ANSWERED = 1_024;
-
     private final Map<RequestIdentity, Suspect> mSuspects = new LinkedHashMap<>();
     private final Map<Integer, Integer> mShapes = new HashMap<>();
-    private final Map<RequestIdentity, Instant> mAnswered = new LinkedHashMap<>();
+    private final AnsweredRequests mAnswered = new AnsweredRequests();
     private int mDaemonCount = 1;
     private int mRank;
     private int mReported;
@@ -150,7 +134,7 @@
         final Suspect suspect = found.get();
         if (suspect.mLevel >= BLOCKED_LEVEL) {
             suspect.mKeptUntil = now.plus(MEMORY);
-            final Instant trialAt = suspect.mRaisedAt.plus(trialDelay(suspect.mLevel));
+            final Instant trialAt = suspect.mRaisedAt.plus(TrialSchedule.delay(suspect.mLevel));
             if (now.isBefore(trialAt)) {
                 return SuspectDecision.refuse(Duration.between(now, trialAt));
             }
@@ -160,17 +144,6 @@
                 : SuspectDecision.RUN;
     }
 
-    private static Duration trialDelay(final int level) {
-        Duration delay = FIRST_TRIAL_DELAY;
-        for (int trial = BLOCKED_LEVEL; trial < level; trial++) {
-            delay = delay.multipliedBy(TRIAL_BACKOFF);
-            if (delay.compareTo(MAX_TRIAL_DELAY) >= 0) {
-                return MAX_TRIAL_DELAY;
-            }
-        }
-        return delay;
-    }
-
     private boolean makesTrials(final RequestIdentity request) {
         return Math.floorMod(request.low(), mDaemonCount) == mRank;
     }
@@ -303,11 +276,7 @@
 
     private void forget(final RequestIdentity request, final Instant now) {
         remove(request);
-        mAnswered.remove(request);
-        mAnswered.put(request, now);
-        if (mAnswered.size() > MAX_ANSWERED) {
-            mAnswered.remove(mAnswered.keySet().iterator().next());
-        }
+        mAnswered.add(request, now);
     }
 
     /**
@@ -347,8 +316,7 @@
      * @return whether that daemon must hear that the request was answered since
      */
     public boolean applyPeerRecord(final SuspectRecord record, final Instant now) {
-        final Instant answeredAt = mAnswered.get(record.identity());
-        if (answeredAt != null && now.isBefore(answeredAt.plus(ANSWER_MEMORY))) {
+        if (mAnswered.containsRecent(record.identity(), now)) {
             return true;
         }
         merge(record, now);
