Log the software versions of a stream's attempts, and the streams that go on

The incident's hypotheses differ in who lets a stream go on at another version: a failover, a move or the caller's resumption. None of it was logged: not an endpoint's version, nor whether events had been forwarded, nor that a request resumes a stream and which one. Now one line for each attempt that goes on after an event, with the way and both versions, and a counter by way and by whether the versions are the same.

--- a/gateway/src/main/java/org/whinhead/gateway/caller/CallerRequest.java
+++ b/gateway/src/main/java/org/whinhead/gateway/caller/CallerRequest.java
@@ -21,6 +21,7 @@
     private final Work mWork;
     private final OptionalLong mTokens;
     private final Optional<String> mResumeAfter;
+    private final Optional<String> mResumedRequest;
     private final HttpHeaders mForwardedHeaders;
 
     private CallerRequest(final Builder builder) {
@@ -33,6 +34,7 @@
         mWork = builder.mWork;
         mTokens = builder.mTokens;
         mResumeAfter = builder.mResumeAfter;
+        mResumedRequest = builder.mResumedRequest;
         mForwardedHeaders = Objects.requireNonNull(builder.mForwardedHeaders, "forwardedHeaders");
     }
 
@@ -111,6 +113,15 @@
         return mResumeAfter;
     }
 
+    /**
+     * Returns the id of the caller's attempt that brought the first event of a broken stream.
+     *
+     * @return the id of that attempt; empty if the caller names none
+     */
+    public Optional<String> resumedRequest() {
+        return mResumedRequest;
+    }
+
     /**
      * Returns the headers that are forwarded to the endpoint unchanged.
      *
@@ -132,6 +143,7 @@
         private Work mWork = Work.PLAIN;
         private OptionalLong mTokens = OptionalLong.empty();
         private Optional<String> mResumeAfter = Optional.empty();
+        private Optional<String> mResumedRequest = Optional.empty();
         private HttpHeaders mForwardedHeaders;
 
         private Builder() {}
@@ -208,6 +220,18 @@
             return this;
         }
 
+        /**
+         * Sets the attempt whose stream is resumed.
+         *
+         * @param resumedRequest the id of the attempt that brought the stream's first event; empty
+         *     if the caller names none
+         * @return this builder
+         */
+        public Builder resumedRequest(final Optional<String> resumedRequest) {
+            mResumedRequest = resumedRequest;
+            return this;
+        }
+
         /**
          * Sets the headers that are forwarded unchanged.
          *
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
@@ -49,6 +49,7 @@
     private final ResponseRelay mRelay;
     private final UsageRecorder mUsage;
     private final TrialRecorder mTrial;
+    private final StreamTracker mStream;
     private final RefusalFactory mRefusals;
     private final CrashRecorder mCrashes;
     private final ExchangeTimers mTimers;
@@ -81,6 +82,7 @@
                         this);
         mUsage = new UsageRecorder(exchanges.state(), admission);
         mTrial = new TrialRecorder(exchanges.state(), admission.route());
+        mStream = new StreamTracker(exchanges.requestLogger(), admission);
         mRefusals = new RefusalFactory(exchanges.state(), admission);
         mTimers = new ExchangeTimers(exchanges.loop());
     }
@@ -121,6 +123,7 @@
         mSentAt = now();
         mTrial.attemptSent(mPlacement);
         mCrashes.attemptSent();
+        mStream.attemptSent(mPlacement.endpoint(), mContinuedRun != null);
         mRelay.startAttempt();
         final AttemptContext context =
                 new AttemptContext(
@@ -206,6 +209,7 @@
 
     @Override
     public void generationStarted() {
+        mStream.eventReceived(mPlacement.endpoint());
         mPlacement.recordFirstToken(now());
         mTrial.firstToken();
         mUsage.recordRun(mSentAt);
@@ -283,7 +287,8 @@
         }
         mExchanges
                 .requestLogger()
-                .attemptFailed(mAdmission, mPlacement.endpoint(), verdict, reason);
+                .attemptFailed(
+                        mAdmission, mPlacement.endpoint(), verdict, reason, mRelay.isStarted());
         endAttempt();
         final boolean mayHaveRun = mRelay.isStarted() || verdict != Verdict.NOT_RUN;
         final boolean allowed =
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/RequestLogger.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/RequestLogger.java
@@ -91,14 +91,17 @@
             final AdmittedRequest admission,
             final EndpointEntry endpoint,
             final Verdict verdict,
-            final String reason) {
+            final String reason,
+            final boolean forwarded) {
         mCounts.recordFailedAttempt(verdict, reason);
         LOG.atInfo()
                 .addKeyValue("request", admission.request().id())
                 .addKeyValue("route", admission.route().name())
                 .addKeyValue("endpoint", endpoint.id())
+                .addKeyValue("version", endpoint.version())
                 .addKeyValue("verdict", verdict.wireName())
                 .addKeyValue("reason", reason)
+                .addKeyValue("forwarded", forwarded)
                 .log("attempt failed");
     }
 
@@ -174,12 +177,36 @@
         LOG.atInfo()
                 .addKeyValue("request", admission.request().id())
                 .addKeyValue("source", source.id())
+                .addKeyValue("sourceVersion", source.version())
                 .addKeyValue("target", target.endpoint().id())
+                .addKeyValue("targetVersion", target.endpoint().version())
                 .addKeyValue("outcome", String.valueOf(outcome))
                 .addKeyValue("failure", String.valueOf(failure))
                 .log("run moved");
     }
 
+    /** Logs that an attempt continues a stream, and at which version it began, if known. */
+    void streamContinued(
+            final AdmittedRequest admission,
+            final EndpointEntry endpoint,
+            final StreamContinuation by,
+            final Optional<String> firstVersion) {
+        final String match =
+                firstVersion
+                        .map(version -> version.equals(endpoint.version()) ? "same" : "other")
+                        .orElse("unknown");
+        mCounts.recordStreamContinued(by.name(), match);
+        LOG.atInfo()
+                .addKeyValue("request", admission.request().id())
+                .addKeyValue("resumedRequest", admission.request().resumedRequest().orElse(""))
+                .addKeyValue("resumeAfter", admission.request().resumeAfter().orElse(""))
+                .addKeyValue("by", by)
+                .addKeyValue("firstVersion", firstVersion.orElse(""))
+                .addKeyValue("endpoint", endpoint.id())
+                .addKeyValue("version", endpoint.version())
+                .log("stream continued");
+    }
+
     void finished(
             final AdmittedRequest admission,
             final Placement placement,
--- a/gateway/src/main/java/org/whinhead/gateway/metrics/CounterKey.java
+++ b/gateway/src/main/java/org/whinhead/gateway/metrics/CounterKey.java
@@ -43,6 +43,8 @@
         RETRY_DENIED("whinhead.retries.denied", "service", ""),
         /** Runs that were moved off leaving endpoints. */
         MOVED("whinhead.runs.moved", "answered", ""),
+        /** Attempts that continue a stream after its first event. */
+        STREAM_CONTINUED("whinhead.streams.continued", "by", "version"),
         /** Requests that have ended. */
         FINISHED("whinhead.requests.finished", "kind", "outcome"),
         /**
--- a/gateway/src/main/java/org/whinhead/gateway/metrics/RequestMetrics.java
+++ b/gateway/src/main/java/org/whinhead/gateway/metrics/RequestMetrics.java
@@ -114,6 +114,16 @@
         counter(Metric.MOVED, String.valueOf(answered), "").add(1);
     }
 
+    /**
+     * Counts an attempt that continues a stream after its first event.
+     *
+     * @param by what continues it: a failover, a move or the caller
+     * @param version whether the endpoint runs the version that began the stream
+     */
+    public void recordStreamContinued(final String by, final String version) {
+        counter(Metric.STREAM_CONTINUED, by, version).add(1);
+    }
+
     /**
      * Counts a request that has ended.
      *
--- a/gateway/src/main/java/org/whinhead/gateway/store/EndpointTopicListener.java
+++ b/gateway/src/main/java/org/whinhead/gateway/store/EndpointTopicListener.java
@@ -214,6 +214,7 @@
             LOG.atInfo()
                     .addKeyValue("endpoint", entry.id())
                     .addKeyValue("service", entry.service())
+                    .addKeyValue("version", entry.version())
                     .addKeyValue("address", entry.address())
                     .addKeyValue("domain", entry.domain())
                     .addKeyValue("reclaimable", entry.reclaimable())
