Let a failed-over stream continue only at its software version

An exchange now remembers the service and version that sent the first event it forwarded, and its further attempts go only to endpoints of both; roll-outs say whether that version may still serve. Without one, the stream breaks off as before when no endpoint was left.

--- a/gateway/src/main/java/org/whinhead/gateway/exchange/ConnectionSearch.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/ConnectionSearch.java
@@ -32,6 +32,7 @@
     private final Exchanges mExchanges;
     private final AdmittedRequest mAdmission;
     private final String mService;
+    private final StreamTracker mStream;
     private final BooleanSupplier mIsSuspect;
     private final Listener mListener;
     private final Set<String> mTriedEndpoints = new HashSet<>();
@@ -45,11 +46,13 @@
             final Exchanges exchanges,
             final AdmittedRequest admission,
             final String service,
+            final StreamTracker stream,
             final BooleanSupplier isSuspect,
             final Listener listener) {
         mExchanges = exchanges;
         mAdmission = admission;
         mService = service;
+        mStream = stream;
         mIsSuspect = isSuspect;
         mListener = listener;
     }
@@ -116,20 +119,16 @@
     }
 
     private List<EndpointEntry> candidates() {
-        final ServingState state = mExchanges.state();
-        final List<EndpointEntry> candidates =
-                state.candidates(
-                        mService,
-                        mAdmission.route().name(),
-                        mAdmission.request().id(),
-                        !mTriedEndpoints.isEmpty());
+        final List<EndpointEntry> candidates = mStream.candidates(!mTriedEndpoints.isEmpty());
         if (!mIsSuspect.getAsBoolean()) {
             return candidates;
         }
-        return state.leastBusy(
-                candidates.stream()
-                        .filter(endpoint -> !mTriedEndpoints.contains(endpoint.id()))
-                        .toList());
+        return mExchanges
+                .state()
+                .leastBusy(
+                        candidates.stream()
+                                .filter(endpoint -> !mTriedEndpoints.contains(endpoint.id()))
+                                .toList());
     }
 
     /**
@@ -137,7 +136,7 @@
      * milliseconds; a queue at the endpoints is what they must not get.
      */
     private void waitForRoom() {
-        final boolean withoutRoom = mExchanges.state().isWithoutRoom(mService);
+        final boolean withoutRoom = mStream.isWithoutRoom();
         if (!withoutRoom || mRoomWaits >= MAX_ROOM_WAITS) {
             mListener.notConnected(
                     withoutRoom ? "no room at brittle endpoints" : "no endpoint left");
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
@@ -73,7 +73,10 @@
         mResponse = response;
         mService = admission.route().selectService(admission.request().id().hashCode());
         mCrashes = new CrashRecorder(exchanges, admission, body);
-        mSearch = new ConnectionSearch(exchanges, admission, mService, mCrashes::isSuspect, this);
+        mStream = new StreamTracker(exchanges, admission, mService);
+        mSearch =
+                new ConnectionSearch(
+                        exchanges, admission, mService, mStream, mCrashes::isSuspect, this);
         mRelay =
                 new ResponseRelay(
                         response,
@@ -82,7 +85,6 @@
                         this);
         mUsage = new UsageRecorder(exchanges.state(), admission);
         mTrial = new TrialRecorder(exchanges.state(), admission.route());
-        mStream = new StreamTracker(exchanges.requestLogger(), admission);
         mRefusals = new RefusalFactory(exchanges.state(), admission);
         mTimers = new ExchangeTimers(exchanges.loop());
     }
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/ServingState.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/ServingState.java
@@ -19,6 +19,7 @@
 import org.whinhead.serving.quota.CustomerQuotas;
 import org.whinhead.serving.reach.EndpointReach;
 import org.whinhead.serving.rollout.Rollouts;
+import org.whinhead.serving.stream.StreamOrigin;
 import org.whinhead.serving.usage.FleetClock;
 import org.whinhead.serving.usage.UsageLedger;
 import org.whinhead.serving.usage.UsageWindows;
@@ -187,6 +188,17 @@
         return mRollouts.candidates(service, serving(service, now), requestId, true, now);
     }
 
+    /**
+     * Returns the endpoints that may continue a stream.
+     *
+     * @param origin the service and version that began the stream
+     * @return the endpoints
+     */
+    List<EndpointEntry> continuationCandidates(final StreamOrigin origin) {
+        final Instant now = mClock.instant();
+        return mRollouts.continuationCandidates(origin, serving(origin.service(), now), now);
+    }
+
     private List<EndpointEntry> serving(final String service, final Instant now) {
         return mBrittle.withRoom(service, listed(service, now), this::ownRunning, now);
     }
@@ -214,6 +226,19 @@
                 && serving(service, now).isEmpty();
     }
 
+    /**
+     * Returns whether all endpoints that may continue a stream are brittle ones without room.
+     *
+     * @param origin the service and version that began the stream
+     * @return true if the stream must wait or break off
+     */
+    boolean isWithoutRoom(final StreamOrigin origin) {
+        final Instant now = mClock.instant();
+        return mBrittle.isBrittle(origin.service(), now)
+                && listed(origin.service(), now).stream().anyMatch(origin::matches)
+                && serving(origin.service(), now).stream().noneMatch(origin::matches);
+    }
+
     /**
      * Returns the limits at brittle endpoints.
      *
--- a/serving/src/main/java/org/whinhead/serving/rollout/Rollouts.java
+++ b/serving/src/main/java/org/whinhead/serving/rollout/Rollouts.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.whinhead.serving.endpoint.EndpointEntry;
+import org.whinhead.serving.stream.StreamOrigin;
 
 /**
  * The roll-outs that a daemon knows, which select the endpoints that may receive a request.
@@ -161,6 +162,24 @@
         return known.isEmpty() ? usable : known;
     }
 
+    /**
+     * Returns the endpoints that may continue a stream. A stream of the new version continues there
+     * as long as that version serves at all; it counts against the version like any request.
+     *
+     * @param origin the service and version that began the stream
+     * @param usable the service's endpoints that are not leaving
+     * @param now the current time
+     * @return the endpoints of the same version that may serve
+     */
+    public List<EndpointEntry> continuationCandidates(
+            final StreamOrigin origin, final List<EndpointEntry> usable, final Instant now) {
+        final boolean mayServe =
+                find(origin.service())
+                        .map(rollout -> rollout.mayServe(origin.version(), usable, now))
+                        .orElse(true);
+        return mayServe ? usable.stream().filter(origin::matches).toList() : List.of();
+    }
+
     /**
      * Starts to track a request that is sent to an endpoint.
      *
--- a/serving/src/main/java/org/whinhead/serving/rollout/ServiceRollout.java
+++ b/serving/src/main/java/org/whinhead/serving/rollout/ServiceRollout.java
@@ -121,6 +121,21 @@
         return old;
     }
 
+    /**
+     * Returns whether a version may serve: the new one while it has a share, any other one unless
+     * the new one has replaced it.
+     *
+     * @param version the version
+     * @param usable the service's endpoints
+     * @param now the current time
+     */
+    boolean mayServe(final String version, final List<EndpointEntry> usable, final Instant now) {
+        if (version.equals(mOrder.version())) {
+            return share(now) > 0;
+        }
+        return mState != RolloutState.COMPLETED || usable.stream().noneMatch(this::isNew);
+    }
+
     /**
      * Selects as many endpoints of the new version as correspond to the share, the same ones at
      * every daemon. Each of them then receives an endpoint's full load, so that a version that is
--- a/serving/src/test/java/org/whinhead/serving/rollout/RolloutsTest.java
+++ b/serving/src/test/java/org/whinhead/serving/rollout/RolloutsTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.api.Test;
 import org.whinhead.serving.endpoint.EndpointEntry;
 import org.whinhead.serving.store.StorePosition;
+import org.whinhead.serving.stream.StreamOrigin;
 
 class RolloutsTest {
 
@@ -216,4 +217,46 @@
         final double tolerance = 5 * Math.sqrt(requests * largest) + 1;
         assertThat((double) exposed).isLessThanOrEqualTo(requests * largest + tolerance);
     }
+
+    private List<String> continuations(final String version, final Instant now) {
+        final StreamOrigin origin = new StreamOrigin(SERVICE, version);
+        return mRollouts.continuationCandidates(origin, mBoth, now).stream()
+                .map(EndpointEntry::id)
+                .toList();
+    }
+
+    // Guards against streams that go on at another version than the one that began them, whatever
+    // the share of the new version is, and against streams of the new version that are given up
+    // while it serves.
+    @Test
+    void streamContinuesAtItsVersionWhileThatServes() {
+        mRollouts.addOrder(ORDER);
+        mRollouts.applyStep(step(1, 1, RolloutState.RUNNING, 0.1), START);
+        assertThat(continuations("v1", START)).containsExactly("a", "b");
+        assertThat(continuations("v2", START)).containsExactly("c", "d");
+        assertThat(continuations("v3", START)).isEmpty();
+
+        mRollouts.applyStep(step(1, 2, RolloutState.ROLLED_BACK, 0), START);
+        assertThat(continuations("v1", START)).containsExactly("a", "b");
+        assertThat(continuations("v2", START)).isEmpty();
+    }
+
+    @Test
+    void streamOfReplacedVersionDoesNotContinue() {
+        mRollouts.addOrder(ORDER);
+        mRollouts.applyStep(step(1, 1, RolloutState.COMPLETED, 1), START);
+        assertThat(continuations("v1", START)).isEmpty();
+        assertThat(continuations("v2", START)).containsExactly("c", "d");
+    }
+
+    // Guards against streams that are given up after an order is completed: the endpoints of the
+    // ordered version were replaced by those of another one without an order.
+    @Test
+    void streamContinuesAtVersionThatFollowsTheOrderedOne() {
+        mRollouts.addOrder(ORDER);
+        mRollouts.applyStep(step(1, 1, RolloutState.COMPLETED, 1), START);
+        final List<EndpointEntry> later = List.of(entry("e", "v3"), entry("f", "v3"));
+        assertThat(mRollouts.continuationCandidates(new StreamOrigin(SERVICE, "v3"), later, START))
+                .isEqualTo(later);
+    }
 }
