Move runs off a leaving endpoint within their software version only

The move now takes the endpoints that may continue the stream, and so does a request that waits there for its first event.

A run whose version has no other endpoint stays where it is and ends with it, if it isn't done before.

--- a/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
@@ -321,7 +321,14 @@
         if (!mRelay.isStarted()) {
             redispatch();
         } else if (mRelay.isStream()) {
-            mMove = RunMove.start(mExchanges, mAdmission, mService, mPlacement, this).orElse(null);
+            mMove =
+                    RunMove.start(
+                                    mExchanges,
+                                    mAdmission,
+                                    mStream.candidates(true),
+                                    mPlacement,
+                                    this)
+                            .orElse(null);
         }
     }
 
@@ -330,9 +337,7 @@
      * may run again. Otherwise the connection stays silent and the caller waits until its deadline.
      */
     private void redispatch() {
-        final boolean hasUntriedEndpoint =
-                mSearch.hasUntried(
-                        mExchanges.state().retryCandidates(mService, mAdmission.request().id()));
+        final boolean hasUntriedEndpoint = mSearch.hasUntried(mStream.candidates(true));
         if (hasUntriedEndpoint && mAdmission.route().canRunAgain() && acquireRetry()) {
             mRefusals.markMayHaveRun();
             endAttempt();
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/RunMove.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/RunMove.java
@@ -2,12 +2,14 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.whinhead.gateway.endpoint.MoveOutcome;
 import org.whinhead.gateway.endpoint.MovedRun;
 import org.whinhead.serving.balance.Placement;
+import org.whinhead.serving.endpoint.EndpointEntry;
 
 /**
  * The move of a run from a leaving endpoint to another one.
@@ -53,11 +55,19 @@
         void moveFailed(boolean streamEnded);
     }
 
-    /** Starts to move a run, if there is another endpoint and the retry budget allows it. */
+    /**
+     * Starts to move a run, if there is another endpoint and the retry budget allows it.
+     *
+     * @param exchanges the parts of this daemon
+     * @param admission the request of the run
+     * @param candidates the endpoints that may continue the run's stream
+     * @param source the endpoint that leaves
+     * @param listener receives the outcome
+     */
     static Optional<RunMove> start(
             final Exchanges exchanges,
             final AdmittedRequest admission,
-            final String service,
+            final List<EndpointEntry> candidates,
             final Placement source,
             final Listener listener) {
         final ServingState state = exchanges.state();
@@ -65,7 +75,7 @@
         final Optional<Placement> target =
                 state.chooser()
                         .place(
-                                state.retryCandidates(service, admission.request().id()),
+                                candidates,
                                 admission.request().work(),
                                 Set.of(source.endpoint().id()),
                                 false,
@@ -73,7 +83,7 @@
         if (target.isEmpty()) {
             return Optional.empty();
         }
-        if (!state.retryBudget().tryRetry(service, now)) {
+        if (!state.retryBudget().tryRetry(source.endpoint().service(), now)) {
             target.get().release();
             return Optional.empty();
         }
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/ServingState.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/ServingState.java
@@ -176,18 +176,6 @@
                 service, serving(service, now), route, requestId, repeated, now);
     }
 
-    /**
-     * Returns the endpoints to which a request may be sent again.
-     *
-     * @param service the name of the request's service
-     * @param requestId the request's id
-     * @return the endpoints
-     */
-    List<EndpointEntry> retryCandidates(final String service, final String requestId) {
-        final Instant now = mClock.instant();
-        return mRollouts.candidates(service, serving(service, now), requestId, true, now);
-    }
-
     /**
      * Returns the endpoints that may continue a stream.
      *
