Resume streams at the service and software version that began them, at any daemon

A daemon now tells a few others (three at the largest size, six of eight) where each resumable stream begins, before its caller gets the first event, and once more when it breaks it off. They are chosen by a digest of customer, host, target and id, in different failure domains. A daemon that gets a resumption asks up to eight, for at most 0.25 s, and sends it to endpoints of that service and version only. If nobody knows the stream, its id was used for two, its service was replaced or its version has no endpoint, the request is refused at once (503, not run) without Retry-After, so that the caller begins anew. Streams are known until their callers give up, at most 16,384, the largest customer's first.

--- a/gateway/src/main/java/org/whinhead/gateway/Gateway.java
+++ b/gateway/src/main/java/org/whinhead/gateway/Gateway.java
@@ -191,6 +191,7 @@
     }
 
     private void connectEvents() {
+        mExchanges.setStreams(mPeers.streams());
         mCrashes.onEvents(mPeers::sendEndpointCrash, mPeers::sendRequestAnswered);
         mAccess.shareConfiguration(mConfigurationWatch::copy);
         mRollouts.ifPresent(duty -> mConfigurationWatch.onEarlierOrder(duty::recordEarlierOrder));
@@ -226,6 +227,7 @@
                                 .orElse(Duration.ZERO)
                                 .toMillis());
         mCounts.addGauge("whinhead.configuration.unreadable", progress::unreadableCount);
+        mCounts.addGauge("whinhead.streams.known", mState.streams()::size);
         mCounts.addGauge("whinhead.requests.suspected", mState.suspects()::size);
         mCounts.addGauge("whinhead.requests.held.back", mState.suspects()::blockedCount);
     }
--- a/gateway/src/main/java/org/whinhead/gateway/caller/RefusalResponse.java
+++ b/gateway/src/main/java/org/whinhead/gateway/caller/RefusalResponse.java
@@ -37,6 +37,18 @@
                 HttpResponseStatus.SERVICE_UNAVAILABLE, reason, Optional.of(retryAfter));
     }
 
+    /**
+     * Returns the refusal of a request that did not run and will not be served later either, such
+     * as one for the rest of a stream that can't continue. Its caller may begin anew at once.
+     *
+     * @param reason the reason, for the body and the log
+     * @return the refusal
+     */
+    public static RefusalResponse notRunForGood(final String reason) {
+        return new RefusalResponse(
+                HttpResponseStatus.SERVICE_UNAVAILABLE, reason, Optional.empty());
+    }
+
     /**
      * Returns the refusal of a request that exceeds its customer's allowance.
      *
--- a/gateway/src/main/java/org/whinhead/gateway/crash/RequestIdentifier.java
+++ b/gateway/src/main/java/org/whinhead/gateway/crash/RequestIdentifier.java
@@ -2,19 +2,15 @@
 
 import io.netty.buffer.ByteBuf;
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.Objects;
 import java.util.Optional;
 import org.whinhead.gateway.caller.CallerRequest;
+import org.whinhead.gateway.identity.IdentityDigest;
 import org.whinhead.serving.crash.RequestIdentity;
 
 /** Computes the identity of a request over its attempts, which differ in their ids. */
 public final class RequestIdentifier {
 
-    private static final String DIGEST_ALGORITHM = "SHA-256";
-
     private RequestIdentifier() {}
 
     /**
@@ -45,31 +41,17 @@
      */
     public static RequestIdentity identify(
             final CallerRequest request, final Optional<String> customer, final ByteBuf body) {
-        final MessageDigest digest = createDigest();
-        update(digest, customer.orElse(""));
-        update(digest, request.method().name());
-        update(digest, request.host());
-        update(digest, request.target());
+        final IdentityDigest digest =
+                new IdentityDigest()
+                        .add(customer.orElse(""))
+                        .add(request.method().name())
+                        .add(request.host())
+                        .add(request.target());
         for (final ByteBuffer part : body.nioBuffers()) {
-            digest.update(part);
+            digest.add(part);
         }
-        final ByteBuffer value = ByteBuffer.wrap(digest.digest());
+        final ByteBuffer value = digest.finish();
         return new RequestIdentity(
                 shape(request, customer, body), value.getLong(), value.getLong());
     }
-
-    /** Adds a text behind its length, so that texts can't be split in another way. */
-    private static void update(final MessageDigest digest, final String text) {
-        final byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
-        digest.update(ByteBuffer.allocate(Integer.BYTES).putInt(bytes.length).array());
-        digest.update(bytes);
-    }
-
-    private static MessageDigest createDigest() {
-        try {
-            return MessageDigest.getInstance(DIGEST_ALGORITHM);
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException("every Java platform has " + DIGEST_ALGORITHM, e);
-        }
-    }
 }
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
@@ -19,6 +19,7 @@
 import org.whinhead.serving.balance.Placement;
 import org.whinhead.serving.crash.SuspectDecision;
 import org.whinhead.serving.route.Route;
+import org.whinhead.serving.stream.StreamOrigin;
 
 /**
  * Handles one admitted request from its first attempt to the end of its response.
@@ -65,15 +66,16 @@
     Exchange(
             final Exchanges exchanges,
             final AdmittedRequest admission,
+            final Optional<StreamOrigin> origin,
             final ByteBuf body,
             final CallerResponse response) {
         mExchanges = exchanges;
         mAdmission = admission;
         mBody = body;
         mResponse = response;
-        mService = admission.route().selectService(admission.request().id().hashCode());
+        mService = origin.map(StreamOrigin::service).orElseGet(() -> selectService(admission));
         mCrashes = new CrashRecorder(exchanges, admission, body);
-        mStream = new StreamTracker(exchanges, admission, mService);
+        mStream = new StreamTracker(exchanges, admission, mService, origin);
         mSearch =
                 new ConnectionSearch(
                         exchanges, admission, mService, mStream, mCrashes::isSuspect, this);
@@ -89,6 +91,10 @@
         mTimers = new ExchangeTimers(exchanges.loop());
     }
 
+    private static String selectService(final AdmittedRequest admission) {
+        return admission.route().selectService(admission.request().id().hashCode());
+    }
+
     void start() {
         mExchanges.state().retryBudget().recordRequest(mService, now());
         mTimers.startDeadline(timeLeft(), this::deadlinePassed);
@@ -403,11 +409,14 @@
 
     private void giveUp(final String reason) {
         if (mRelay.isStarted()) {
+            mStream.brokenOff();
             finish("broken off: " + reason, 0);
             mResponse.abort();
-            return;
+        } else if (mStream.hasNoEndpoint()) {
+            refuse(reason, mRefusals.cannotContinueRefusal(reason));
+        } else {
+            refuse(reason, mRefusals.givenUpRefusal(reason));
         }
-        refuse(reason, mRefusals.givenUpRefusal(reason));
     }
 
     private void refuse(final String reason, final RefusalResponse refusal) {
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/Exchanges.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/Exchanges.java
@@ -7,6 +7,7 @@
 import java.time.Instant;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -19,11 +20,14 @@
 import org.whinhead.gateway.endpoint.EndpointProtocol;
 import org.whinhead.gateway.endpoint.EndpointResponse;
 import org.whinhead.gateway.endpoint.RunMover;
+import org.whinhead.gateway.stream.LocalStreamDirectory;
+import org.whinhead.gateway.stream.StreamDirectory;
 import org.whinhead.gateway.time.LoopLag;
 import org.whinhead.serving.configuration.CustomerAccount;
 import org.whinhead.serving.configuration.ServingConfiguration;
 import org.whinhead.serving.endpoint.EndpointEntry;
 import org.whinhead.serving.route.Route;
+import org.whinhead.serving.stream.StreamOrigin;
 
 /** Checks requests against the configuration in force and starts the allowed ones. */
 public final class Exchanges implements CallerRequestHandler {
@@ -57,6 +61,7 @@
     private final Set<Exchange> mRunning = new HashSet<>();
     private final LoopLag mLag;
     private Consumer<EndpointEntry> mOnRejection = endpoint -> {};
+    private StreamDirectory mStreams;
     private boolean mRefusesStreams;
 
     /**
@@ -86,6 +91,16 @@
         mMover = mover;
         mCrashes = crashes;
         mLag = new LoopLag(LAG_MEASUREMENT_INTERVAL, state.clock().instant());
+        mStreams = new LocalStreamDirectory(state.streams(), state.clock());
+    }
+
+    /**
+     * Sets the directory that knows the streams of other daemons as well.
+     *
+     * @param streams the directory
+     */
+    public void setStreams(final StreamDirectory streams) {
+        mStreams = Objects.requireNonNull(streams, "streams");
     }
 
     /**
@@ -179,10 +194,24 @@
                 : RefusalResponse.invalid(status, reason);
     }
 
-    /** Starts the exchange of an admitted request. */
+    /** Starts an admitted request; one that resumes a stream waits for the stream's origin. */
     ActiveRequest start(
             final AdmittedRequest admission, final ByteBuf body, final CallerResponse response) {
-        final Exchange exchange = new Exchange(this, admission, body, response);
+        final boolean resumes =
+                admission.route().kind().isStream()
+                        && admission.request().resumeAfter().isPresent();
+        return resumes
+                ? new PendingResumption(this, admission, body, response)
+                : startExchange(admission, Optional.empty(), body, response);
+    }
+
+    /** Starts the exchange of an admitted request, which may continue a stream. */
+    ActiveRequest startExchange(
+            final AdmittedRequest admission,
+            final Optional<StreamOrigin> origin,
+            final ByteBuf body,
+            final CallerResponse response) {
+        final Exchange exchange = new Exchange(this, admission, origin, body, response);
         mRunning.add(exchange);
         exchange.start();
         return exchange;
@@ -239,6 +268,10 @@
         return mCrashes;
     }
 
+    StreamDirectory streams() {
+        return mStreams;
+    }
+
     RequestLogger requestLogger() {
         return mRequestLogger;
     }
--- /dev/null
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/PendingResumption.java
@@ -0,0 +1,112 @@
+package org.whinhead.gateway.exchange;
+
+import io.netty.buffer.ByteBuf;
+import java.util.Optional;
+import org.whinhead.gateway.caller.CallerRequestHandler;
+import org.whinhead.gateway.caller.CallerResponse;
+import org.whinhead.gateway.stream.StreamIdentifier;
+import org.whinhead.serving.stream.StreamLookup;
+
+/**
+ * A request that resumes a stream, until it is known where the stream began. Without that, events
+ * of two software versions could be joined, so the request is refused and its caller begins anew.
+ */
+final class PendingResumption implements CallerRequestHandler.ActiveRequest {
+
+    private static final String NOT_NAMED = "resumed stream not named";
+    private static final String NAMES_ITSELF = "request resumes itself";
+    private static final String NOT_KNOWN = "resumed stream not known";
+    private static final String AMBIGUOUS = "id of resumed stream used twice";
+    private static final String SERVICE_REPLACED = "service of resumed stream replaced";
+
+    private final Exchanges mExchanges;
+    private final AdmittedRequest mAdmission;
+    private final ByteBuf mBody;
+    private final CallerResponse mResponse;
+    private final Runnable mCancel;
+    private Optional<CallerRequestHandler.ActiveRequest> mSuccessor = Optional.empty();
+    private boolean mCallerDisconnected;
+
+    /**
+     * Looks for the origin of the stream.
+     *
+     * @param exchanges starts or refuses the request
+     * @param admission the request
+     * @param body the body, which is released if the request is not started
+     * @param response receives the response
+     */
+    PendingResumption(
+            final Exchanges exchanges,
+            final AdmittedRequest admission,
+            final ByteBuf body,
+            final CallerResponse response) {
+        mExchanges = exchanges;
+        mAdmission = admission;
+        mBody = body;
+        mResponse = response;
+        mCancel = find();
+    }
+
+    private Runnable find() {
+        final Optional<String> firstId = mAdmission.request().resumedRequest();
+        if (firstId.isEmpty()) {
+            refuse(NOT_NAMED);
+            return () -> {};
+        }
+        if (firstId.get().equals(mAdmission.request().id())) {
+            refuse(NAMES_ITSELF);
+            return () -> {};
+        }
+        return mExchanges
+                .streams()
+                .find(
+                        StreamIdentifier.identify(
+                                mAdmission.request(), mAdmission.customerName(), firstId.get()),
+                        this::found);
+    }
+
+    private void found(final StreamLookup lookup) {
+        switch (lookup.knowledge()) {
+            case NONE -> refuse(NOT_KNOWN);
+            case AMBIGUOUS -> refuse(AMBIGUOUS);
+            case ORIGIN -> {
+                if (mAdmission.route().isServedBy(lookup.origin().orElseThrow().service())) {
+                    mSuccessor =
+                            Optional.of(
+                                    mExchanges.startExchange(
+                                            mAdmission, lookup.origin(), mBody, mResponse));
+                } else {
+                    refuse(SERVICE_REPLACED);
+                }
+            }
+            default -> throw new IllegalStateException("knowledge " + lookup.knowledge());
+        }
+    }
+
+    private void refuse(final String reason) {
+        mSuccessor =
+                Optional.of(
+                        mExchanges.refuse(
+                                mAdmission.request(),
+                                mBody,
+                                mResponse,
+                                new RefusalFactory(mExchanges.state(), mAdmission)
+                                        .cannotContinueRefusal(reason)));
+    }
+
+    @Override
+    public void callerDisconnected() {
+        if (mSuccessor.isPresent()) {
+            mSuccessor.get().callerDisconnected();
+        } else if (!mCallerDisconnected) {
+            mCallerDisconnected = true;
+            mCancel.run();
+            mBody.release();
+        }
+    }
+
+    @Override
+    public void callerCaughtUp() {
+        mSuccessor.ifPresent(CallerRequestHandler.ActiveRequest::callerCaughtUp);
+    }
+}
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/RefusalFactory.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/RefusalFactory.java
@@ -53,6 +53,20 @@
         return RefusalResponse.notRun(SUSPECT, retryAfter);
     }
 
+    /**
+     * Returns the refusal of a request for the rest of a stream that can't continue. If the request
+     * did not run, its customer gets the tokens back.
+     *
+     * @param reason the reason for the log and the caller
+     */
+    RefusalResponse cannotContinueRefusal(final String reason) {
+        if (mMayHaveRun) {
+            return RefusalResponse.mayHaveRun(reason);
+        }
+        mAdmission.spend().ifPresent(mState.quotas()::refund);
+        return RefusalResponse.notRunForGood(reason);
+    }
+
     /**
      * Returns the refusal of a request whose deadline has passed.
      *
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/RequestLogger.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/RequestLogger.java
@@ -19,6 +19,7 @@
 import org.whinhead.serving.configuration.CustomerAccount;
 import org.whinhead.serving.crash.RequestIdentity;
 import org.whinhead.serving.endpoint.EndpointEntry;
+import org.whinhead.serving.stream.StreamOrigin;
 
 /** Logs one line for each decision about a request, with the request's id. */
 public final class RequestLogger {
@@ -52,6 +53,7 @@
                         .addKeyValue("request", request.id())
                         .addKeyValue("status", refusal.status().code())
                         .addKeyValue("reason", refusal.reason());
+        request.resumedRequest().ifPresent(first -> line.addKeyValue("resumedRequest", first));
         addConfiguration(line).log("request refused");
     }
 
@@ -185,23 +187,19 @@
                 .log("run moved");
     }
 
-    /** Logs that an attempt continues a stream, and at which version it began, if known. */
+    /** Logs that an attempt continues a stream, and at which version it began. */
     void streamContinued(
             final AdmittedRequest admission,
             final EndpointEntry endpoint,
             final StreamContinuation by,
-            final Optional<String> firstVersion) {
-        final String match =
-                firstVersion
-                        .map(version -> version.equals(endpoint.version()) ? "same" : "other")
-                        .orElse("unknown");
-        mCounts.recordStreamContinued(by.name(), match);
+            final StreamOrigin origin) {
+        mCounts.recordStreamContinued(by.name(), origin.matches(endpoint));
         LOG.atInfo()
                 .addKeyValue("request", admission.request().id())
                 .addKeyValue("resumedRequest", admission.request().resumedRequest().orElse(""))
                 .addKeyValue("resumeAfter", admission.request().resumeAfter().orElse(""))
                 .addKeyValue("by", by)
-                .addKeyValue("firstVersion", firstVersion.orElse(""))
+                .addKeyValue("firstVersion", origin.version())
                 .addKeyValue("endpoint", endpoint.id())
                 .addKeyValue("version", endpoint.version())
                 .log("stream continued");
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/ServingState.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/ServingState.java
@@ -19,6 +19,7 @@
 import org.whinhead.serving.quota.CustomerQuotas;
 import org.whinhead.serving.reach.EndpointReach;
 import org.whinhead.serving.rollout.Rollouts;
+import org.whinhead.serving.stream.KnownStreams;
 import org.whinhead.serving.stream.StreamOrigin;
 import org.whinhead.serving.usage.FleetClock;
 import org.whinhead.serving.usage.UsageLedger;
@@ -42,6 +43,7 @@
     private final EndpointReach mReach = new EndpointReach();
     private final BrittleEndpoints mBrittle = new BrittleEndpoints();
     private final CrashSuspects mSuspects = new CrashSuspects();
+    private final KnownStreams mStreams = new KnownStreams();
     private final EndpointChooser mChooser;
     private final CustomerQuotas mQuotas;
     private final ServiceRetryBudget mRetryBudget;
@@ -245,6 +247,15 @@
         return mSuspects;
     }
 
+    /**
+     * Returns the streams whose origin this daemon knows.
+     *
+     * @return the streams
+     */
+    public KnownStreams streams() {
+        return mStreams;
+    }
+
     /**
      * Returns the endpoints of which a crash would end the fewest other requests.
      *
--- a/gateway/src/main/java/org/whinhead/gateway/metrics/RequestMetrics.java
+++ b/gateway/src/main/java/org/whinhead/gateway/metrics/RequestMetrics.java
@@ -118,10 +118,10 @@
      * Counts an attempt that continues a stream after its first event.
      *
      * @param by what continues it: a failover, a move or the caller
-     * @param version whether the endpoint runs the version that began the stream
+     * @param sameVersion whether the endpoint runs the version that began the stream
      */
-    public void recordStreamContinued(final String by, final String version) {
-        counter(Metric.STREAM_CONTINUED, by, version).add(1);
+    public void recordStreamContinued(final String by, final boolean sameVersion) {
+        counter(Metric.STREAM_CONTINUED, by, sameVersion ? "same" : "other").add(1);
     }
 
     /**
--- a/gateway/src/main/java/org/whinhead/gateway/peers/PeerDatagramChannel.java
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/PeerDatagramChannel.java
@@ -27,6 +27,7 @@
 import org.whinhead.gateway.generated.GatewayProto.EndpointRejectionRecord;
 import org.whinhead.gateway.generated.GatewayProto.PeerReport;
 import org.whinhead.gateway.http.ListeningPort;
+import org.whinhead.gateway.stream.StreamDirectory;
 import org.whinhead.gateway.time.GuardedTask;
 import org.whinhead.serving.capacity.CapacityOrder;
 import org.whinhead.serving.crash.EndpointCrash;
@@ -70,6 +71,7 @@
     private final MemberTable mMembers;
     private final DigestReadCoordinator mReadCoordinator;
     private final CrashMessenger mCrashMessenger;
+    private final StreamMessenger mStreamMessenger;
     private final PeerReportHandler mReportHandler;
     private final Set<InetSocketAddress> mContacts = new HashSet<>();
     private Consumer<List<EndpointChange>> mOnEndpointChanges = changes -> {};
@@ -101,6 +103,12 @@
         mMembers = members;
         mReadCoordinator = readCoordinator;
         mCrashMessenger = new CrashMessenger(loop, state, this::sendToAll, this::send);
+        mStreamMessenger =
+                new StreamMessenger(
+                        loop,
+                        state,
+                        members,
+                        new StreamMessenger.Transport(this::sortedReceivers, this::send));
         mReportHandler = new PeerReportHandler(state, members, mCrashMessenger, this::addContact);
     }
 
@@ -162,9 +170,19 @@
                 .setDaemons(
                         Math.max(mMembers.knownCount(), expectedDaemons()), mMembers.knownRank());
         mState.suspects().setDaemons(mMembers.knownCount(), mMembers.knownRank());
+        mStreamMessenger.expire();
         sendToNextReceivers();
     }
 
+    /**
+     * Returns where streams began, at this daemon and at others.
+     *
+     * @return the directory
+     */
+    public StreamDirectory streams() {
+        return mStreamMessenger;
+    }
+
     /** Returns the recorded number of daemons of the deployment; 0 if not known. */
     private int expectedDaemons() {
         return mState.quotas().heldShares().table().map(ShareTable::daemons).orElse(0);
@@ -375,8 +393,12 @@
     }
 
     private void sendToAll(final Datagram datagram) {
+        send(datagram, sortedReceivers());
+    }
+
+    private void send(final Datagram datagram, final Iterable<InetSocketAddress> receivers) {
         final byte[] bytes = datagram.toByteArray();
-        sortedReceivers().forEach(receiver -> write(bytes, receiver));
+        receivers.forEach(receiver -> write(bytes, receiver));
         mPort.channel().flush();
     }
 
@@ -430,6 +452,7 @@
                                             mState.brittle().recordPeerRejection(endpoint, now()));
                 }
                 mCrashMessenger.receive(datagram);
+                mStreamMessenger.receive(datagram, packet.sender());
                 if (datagram.hasCapacityOrder()) {
                     mOnCapacityOrder.accept(decode(datagram.getCapacityOrder()));
                 }
--- /dev/null
+++ b/gateway/src/main/java/org/whinhead/gateway/stream/package-info.java
@@ -0,0 +1,2 @@
+/** Finds where streams began that callers resume. */
+package org.whinhead.gateway.stream;
--- a/gateway/src/test/java/org/whinhead/gateway/exchange/ExchangesTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/exchange/ExchangesTest.java
@@ -19,6 +19,7 @@
 import org.whinhead.gateway.caller.RefusalResponse;
 import org.whinhead.gateway.endpoint.EndpointResponse;
 import org.whinhead.gateway.metrics.RequestMetrics;
+import org.whinhead.gateway.stream.StreamIdentifier;
 import org.whinhead.serving.configuration.CallerLimits;
 import org.whinhead.serving.configuration.CustomerAccount;
 import org.whinhead.serving.configuration.ServingConfiguration;
@@ -26,6 +27,9 @@
 import org.whinhead.serving.route.Route;
 import org.whinhead.serving.route.RouteKind;
 import org.whinhead.serving.route.WeightedService;
+import org.whinhead.serving.stream.StreamKey;
+import org.whinhead.serving.stream.StreamOrigin;
+import org.whinhead.serving.stream.StreamRecord;
 
 class ExchangesTest {
 
@@ -85,11 +89,24 @@
                         .service(new WeightedService("api", 1))
                         .maxAttempts(1)
                         .build();
+        final Route stream =
+                Route.builder()
+                        .name("draft")
+                        .match("desk.example", "/drafts/")
+                        .kind(RouteKind.STREAMING, true)
+                        .times(Duration.ofSeconds(4), Duration.ofMillis(600))
+                        .service(new WeightedService("pool", 1))
+                        .maxAttempts(2)
+                        .build();
         final CustomerAccount customer =
                 new CustomerAccount("clinic", List.of("key-1"), OptionalInt.empty(), NO_LIMIT);
         mState.offerConfiguration(
                 new ServingConfiguration(
-                        7, List.of(route), List.of(), CallerLimits.INITIAL, List.of(customer)));
+                        7,
+                        List.of(route, stream),
+                        List.of(),
+                        CallerLimits.INITIAL,
+                        List.of(customer)));
     }
 
     private RefusalResponse refusalOf(final String target, final String key) {
@@ -106,6 +123,75 @@
         return response.mRefusal;
     }
 
+    private RefusalResponse refusalOfResumption(final Optional<String> resumedRequest) {
+        final RefusalRecorder response = new RefusalRecorder();
+        mExchanges.serve(
+                CallerRequest.builder()
+                        .id("r-2")
+                        .call(HttpMethod.POST, "desk.example", "/drafts/1")
+                        .key(Optional.of("key-1"))
+                        .resumeAfter(Optional.of("3"))
+                        .resumedRequest(resumedRequest)
+                        .forwardedHeaders(new DefaultHttpHeaders())
+                        .build(),
+                Unpooled.EMPTY_BUFFER,
+                response);
+        return response.mRefusal;
+    }
+
+    private void recordStream(final String service, final String version) {
+        final StreamKey key =
+                StreamIdentifier.identify(
+                        CallerRequest.builder()
+                                .id("r-1")
+                                .call(HttpMethod.POST, "desk.example", "/drafts/1")
+                                .forwardedHeaders(new DefaultHttpHeaders())
+                                .build(),
+                        Optional.of("clinic"),
+                        "r-1");
+        mState.streams()
+                .add(
+                        new StreamRecord(
+                                key, new StreamOrigin(service, version), Duration.ofSeconds(9)),
+                        NOW);
+    }
+
+    // Guards against joining events of two versions: nobody knows where the stream began. Its
+    // caller may begin anew at once, as waiting would not help.
+    @Test
+    void resumptionOfUnknownStreamIsRefusedWithoutDelay() {
+        assertThat(refusalOfResumption(Optional.of("r-1")))
+                .isEqualTo(RefusalResponse.notRunForGood("resumed stream not known"));
+        assertThat(refusalOfResumption(Optional.empty()))
+                .isEqualTo(RefusalResponse.notRunForGood("resumed stream not named"));
+        assertThat(refusalOfResumption(Optional.of("r-2")))
+                .isEqualTo(RefusalResponse.notRunForGood("request resumes itself"));
+    }
+
+    @Test
+    void resumptionWithAnIdOfTwoStreamsIsRefused() {
+        recordStream("pool", "v1");
+        recordStream("pool", "v1.1");
+        assertThat(refusalOfResumption(Optional.of("r-1")))
+                .isEqualTo(RefusalResponse.notRunForGood("id of resumed stream used twice"));
+    }
+
+    // Guards against a stream that goes on at another service: its route was moved meanwhile.
+    @Test
+    void resumptionOfStreamOfReplacedServiceIsRefused() {
+        recordStream("other-pool", "v1");
+        assertThat(refusalOfResumption(Optional.of("r-1")))
+                .isEqualTo(RefusalResponse.notRunForGood("service of resumed stream replaced"));
+    }
+
+    // Guards against callers that wait and come back for a stream whose version has no endpoint.
+    @Test
+    void resumptionWithoutEndpointOfItsVersionIsRefusedWithoutDelay() {
+        recordStream("pool", "v1");
+        assertThat(refusalOfResumption(Optional.of("r-1")))
+                .isEqualTo(RefusalResponse.notRunForGood("no endpoint left"));
+    }
+
     @Test
     void whatTheConfigurationDoesNotAllowIsRefusedForGood() {
         assertThat(refusalOf("/new/1", "key-1").status().code()).isEqualTo(404);
--- a/serving/src/main/java/org/whinhead/serving/member/MemberTable.java
+++ b/serving/src/main/java/org/whinhead/serving/member/MemberTable.java
@@ -220,8 +220,26 @@
         return mReportInterval;
     }
 
+    /**
+     * Returns the other daemons that have reported a short while ago.
+     *
+     * @param withLeaving whether to include those that are about to stop
+     * @param now the current time
+     * @return the daemons
+     */
+    public List<Member> heardPeers(final boolean withLeaving, final Instant now) {
+        return mPeers.values().stream()
+                .filter(peer -> isHeard(peer, now) && (withLeaving || !peer.mStatus.leaving()))
+                .map(peer -> peer.mMember)
+                .toList();
+    }
+
+    private boolean isHeard(final PeerState peer, final Instant now) {
+        return !now.isAfter(peer.mReportedAt.plus(mSilenceTimeout));
+    }
+
     private boolean isUp(final PeerState peer, final Instant now) {
-        return !peer.mStatus.leaving() && !now.isAfter(peer.mReportedAt.plus(mSilenceTimeout));
+        return !peer.mStatus.leaving() && isHeard(peer, now);
     }
 
     /**
--- a/serving/src/main/java/org/whinhead/serving/route/Route.java
+++ b/serving/src/main/java/org/whinhead/serving/route/Route.java
@@ -115,6 +115,20 @@
         throw new IllegalStateException("weights of route " + mName + " changed while drawing");
     }
 
+    /**
+     * Returns whether requests of this route may be sent to a service.
+     *
+     * @param service the service's name
+     * @return true if some or all of them are
+     */
+    public boolean isServedBy(final String service) {
+        final boolean weighted = mServices.stream().anyMatch(entry -> entry.weight() > 0);
+        return weighted
+                ? mServices.stream()
+                        .anyMatch(entry -> entry.weight() > 0 && entry.service().equals(service))
+                : mServices.get(0).service().equals(service);
+    }
+
     /** Builds a route. */
     public static final class Builder {
 
