Treat another software version under the same id as a restart of the endpoint

An endpoint that restarts under its id with another software and states no start time changed its version at the daemons that read the store, while those that only hear of changes kept the old one: the change was no change, and digests didn't hold the version. Such an entry counts as a restart now, so that runs there end, other daemons hear of it, and digests differ.

EndpointRegistryTest#otherVersionUnderTheSameIdIsReportedAsRestart failed before and passes.

--- a/serving/src/main/java/org/whinhead/serving/endpoint/EndpointRegistry.java
+++ b/serving/src/main/java/org/whinhead/serving/endpoint/EndpointRegistry.java
@@ -58,7 +58,7 @@
         if (isOutdated(entry, offset, previous)) {
             return EntryEffect.NONE;
         }
-        final boolean restarted = previous != null && entry.startedAfter(previous.mEntry);
+        final boolean restarted = previous != null && isOfOtherStart(entry, previous.mEntry);
         if (restarted) {
             mLeavingIds.remove(entry.id());
         }
@@ -75,6 +75,11 @@
         return changed ? EntryEffect.CHANGED : EntryEffect.NONE;
     }
 
+    /** Returns whether an endpoint has started again; its software changes with a start only. */
+    private static boolean isOfOtherStart(final EndpointEntry entry, final EndpointEntry known) {
+        return entry.startedAfter(known) || !entry.version().equals(known.version());
+    }
+
     /**
      * Returns whether an entry is older than the known one. A write of an endpoint's earlier start
      * may be carried out after the first one of its next start, and must not replace that.
@@ -276,7 +281,8 @@
                 final long hash =
                         31L * record.mEntry.id().hashCode()
                                 + leaving
-                                + record.mEntry.startedAt().hashCode();
+                                + record.mEntry.startedAt().hashCode()
+                                + 31L * record.mEntry.version().hashCode();
                 digest += hash * SPREAD_FACTOR;
             }
         }
--- a/serving/src/test/java/org/whinhead/serving/endpoint/EndpointRegistryTest.java
+++ b/serving/src/test/java/org/whinhead/serving/endpoint/EndpointRegistryTest.java
@@ -41,6 +41,26 @@
                 .isEqualTo(EntryEffect.RESTARTED);
     }
 
+    // Guards against streams that go on at another version: an endpoint has restarted with another
+    // software under the same id, states no start time, and the daemons that only hear of changes
+    // never learn of it.
+    @Test
+    void otherVersionUnderTheSameIdIsReportedAsRestart() {
+        mRegistry.put(entryOf("v1"), 1);
+        final long digest = mRegistry.digest();
+        assertThat(mRegistry.put(entryOf("v1.1"), 2)).isEqualTo(EntryEffect.RESTARTED);
+        assertThat(mRegistry.digest()).isNotEqualTo(digest);
+        assertThat(mRegistry.put(entryOf("v1.1"), 3)).isEqualTo(EntryEffect.NONE);
+        assertThat(mRegistry.usable("pool").get(0).version()).isEqualTo("v1.1");
+    }
+
+    private static EndpointEntry entryOf(final String version) {
+        return EndpointEntry.builder(
+                        "e1", "pool", new InetSocketAddress("127.0.0.1", 9000), "domain-a")
+                .version(version)
+                .build();
+    }
+
     // Guards against a server that never gets work again because it announced to leave, crashed and
     // restarted under the same id.
     @Test
