Place new streams where another endpoint of the same version could continue them

With several versions side by side, a stream at the only endpoint of its version can't go on if that endpoint fails. Such an endpoint now gets a new stream only if all others would make it wait 50 ms longer. With one version nothing changes.

EndpointChooserTest#onlyEndpointOfVersionIsAvoidedWhileOthersHaveRoom failed before and passes.

--- a/serving/src/main/java/org/whinhead/serving/balance/EndpointChooser.java
+++ b/serving/src/main/java/org/whinhead/serving/balance/EndpointChooser.java
@@ -35,6 +35,12 @@
     /** The penalty of an endpoint that fails all requests, in milliseconds. */
     private static final double FAILURE_MILLIS = 2_000.0;
 
+    /**
+     * The penalty of an endpoint that is the only one of its software version: if it fails, nobody
+     * can continue its streams. Small against the wait at a busy endpoint.
+     */
+    private static final double ONLY_ONE_OF_VERSION_MILLIS = 50.0;
+
     /** The share of shared tokens assumed to be cached at the home, even if none was sent. */
     private static final double HOME_CACHED_SHARE = 0.9;
 
@@ -175,6 +181,26 @@
     }
 
     private EndpointEntry findBest(final List<EndpointEntry> candidates, final Work work) {
+        final VersionCounts versions = VersionCounts.of(candidates);
+        final List<EndpointEntry> replaceable =
+                candidates.stream().filter(endpoint -> !versions.isOnlyOne(endpoint)).toList();
+        if (replaceable.isEmpty() || work.promptTokens() == 0) {
+            return findShortestWait(candidates, work).endpoint();
+        }
+        Choice best = findShortestWait(replaceable, work);
+        for (final EndpointEntry endpoint : candidates) {
+            if (versions.isOnlyOne(endpoint)) {
+                final double wait =
+                        expectedWait(endpoint, work, false) + ONLY_ONE_OF_VERSION_MILLIS;
+                best = wait < best.waitMillis() ? new Choice(endpoint, wait) : best;
+            }
+        }
+        return best.endpoint();
+    }
+
+    private record Choice(EndpointEntry endpoint, double waitMillis) {}
+
+    private Choice findShortestWait(final List<EndpointEntry> candidates, final Work work) {
         final boolean hasHome = work.sharedTokens() >= MIN_SHARED_TOKENS;
         final List<EndpointEntry> sample =
                 hasHome
@@ -190,7 +216,7 @@
                 best = candidate;
             }
         }
-        return best;
+        return new Choice(best, least);
     }
 
     private double expectedWait(
--- a/serving/src/test/java/org/whinhead/serving/balance/EndpointChooserTest.java
+++ b/serving/src/test/java/org/whinhead/serving/balance/EndpointChooserTest.java
@@ -204,4 +204,51 @@
         }
         assertThat(arrivals.get("e0")).isLessThan(4 * 300 / endpoints.size() + 20);
     }
+
+    private static EndpointEntry endpoint(final int number, final String version) {
+        return EndpointEntry.builder(
+                        "e" + number,
+                        "pool",
+                        new InetSocketAddress("127.0.0.1", 9000 + number),
+                        "domain-a")
+                .version(version)
+                .slots(96)
+                .build();
+    }
+
+    // Guards against streams that nobody can continue: they were placed at the only endpoint of a
+    // version although others had room.
+    @Test
+    void onlyEndpointOfVersionIsAvoidedWhileOthersHaveRoom() {
+        final List<EndpointEntry> endpoints =
+                List.of(endpoint(0, "v1"), endpoint(1, "v1"), endpoint(2, "v1.1"));
+        final Set<String> used = new HashSet<>();
+        for (int session = 0; session < 30; session++) {
+            used.add(place(endpoints, work("s" + session)));
+        }
+        assertThat(used).doesNotContain("e2");
+    }
+
+    @Test
+    void onlyEndpointOfVersionIsUsedWhenOthersAreBusy() {
+        final List<EndpointEntry> endpoints =
+                List.of(endpoint(0, "v1"), endpoint(1, "v1"), endpoint(2, "v1.1"));
+        final Set<String> used = new HashSet<>();
+        for (int session = 0; session < 30; session++) {
+            mChooser.place(endpoints, work("s" + session), Set.of(), false, NOW)
+                    .ifPresent(placement -> used.add(placement.endpoint().id()));
+        }
+        assertThat(used).contains("e2");
+    }
+
+    @Test
+    void endpointsThatAllHaveDifferentVersionsAreUsedAlike() {
+        final List<EndpointEntry> endpoints =
+                List.of(endpoint(0, "v1"), endpoint(1, "v1.1"), endpoint(2, "v1.2"));
+        final Set<String> used = new HashSet<>();
+        for (int session = 0; session < 30; session++) {
+            used.add(place(endpoints, work("s" + session)));
+        }
+        assertThat(used).hasSize(3);
+    }
 }
