Let streams that continue come before new ones of their rank

Only endpoints of one version can take a stream that continues, while new streams may go anywhere; if those endpoints are full, new ones took their places first. New requests are sent with the next lower priority now, so that their order among each other stays the same, and a stream that continues, by failover, move or its caller, keeps its rank.

ResumptionTest#resumedStreamIsMoreUrgentThanNewOnes failed before (the same priority) and passes.

--- a/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
@@ -138,7 +138,7 @@
                         mPlacement.endpoint(),
                         mAdmission.customerName(),
                         timeLeft(),
-                        mAdmission.priority(),
+                        mStream.priority(),
                         mRelay.lastEventId(),
                         mContinuedRun == null ? mPlacement.promptSource() : Optional.empty(),
                         Optional.ofNullable(mContinuedRun));
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/StreamTracker.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/StreamTracker.java
@@ -59,6 +59,14 @@
                 mService, mAdmission.route().name(), mAdmission.request().id(), repeated);
     }
 
+    /**
+     * Returns the priority of the next attempt. A stream that continues comes before new ones of
+     * its rank, since only endpoints of its version can take it.
+     */
+    int priority() {
+        return mOrigin.isPresent() ? mAdmission.priority() : mAdmission.priority() + 1;
+    }
+
     /** Returns whether the request must wait for room at brittle endpoints. */
     boolean isWithoutRoom() {
         final ServingState state = mExchanges.state();
