Continue streams whose origin nobody knows if only one version can have begun them

Streams of daemons that were all killed, or that an older build began, would be refused as well. A daemon now keeps when each version of a service was last listed; if it was a single one for the route's timeout and three seconds, with a list that was confirmed all the while, the stream continues there.

--- a/gateway/src/main/java/org/whinhead/gateway/exchange/PendingResumption.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/PendingResumption.java
@@ -1,15 +1,19 @@
 package org.whinhead.gateway.exchange;
 
 import io.netty.buffer.ByteBuf;
+import java.time.Duration;
 import java.util.Optional;
 import org.whinhead.gateway.caller.CallerRequestHandler;
 import org.whinhead.gateway.caller.CallerResponse;
 import org.whinhead.gateway.stream.StreamIdentifier;
+import org.whinhead.serving.route.Route;
 import org.whinhead.serving.stream.StreamLookup;
+import org.whinhead.serving.stream.StreamOrigin;
 
 /**
  * A request that resumes a stream, until it is known where the stream began. Without that, events
- * of two software versions could be joined, so the request is refused and its caller begins anew.
+ * of two software versions could be joined, so the request is refused and its caller begins anew,
+ * unless only one version has served for as long as streams of the route may last.
  */
 final class PendingResumption implements CallerRequestHandler.ActiveRequest {
 
@@ -19,6 +23,9 @@
     private static final String AMBIGUOUS = "id of resumed stream used twice";
     private static final String SERVICE_REPLACED = "service of resumed stream replaced";
 
+    /** The time that a caller takes to notice that its stream has broken off. */
+    private static final Duration BREAK_NOTICED = Duration.ofSeconds(3);
+
     private final Exchanges mExchanges;
     private final AdmittedRequest mAdmission;
     private final ByteBuf mBody;
@@ -50,7 +57,7 @@
     private Runnable find() {
         final Optional<String> firstId = mAdmission.request().resumedRequest();
         if (firstId.isEmpty()) {
-            refuse(NOT_NAMED);
+            continueAtOnlyVersion(NOT_NAMED);
             return () -> {};
         }
         if (firstId.get().equals(mAdmission.request().id())) {
@@ -67,22 +74,42 @@
 
     private void found(final StreamLookup lookup) {
         switch (lookup.knowledge()) {
-            case NONE -> refuse(NOT_KNOWN);
+            case NONE -> continueAtOnlyVersion(NOT_KNOWN);
             case AMBIGUOUS -> refuse(AMBIGUOUS);
-            case ORIGIN -> {
-                if (mAdmission.route().isServedBy(lookup.origin().orElseThrow().service())) {
-                    mSuccessor =
-                            Optional.of(
-                                    mExchanges.startExchange(
-                                            mAdmission, lookup.origin(), mBody, mResponse));
-                } else {
-                    refuse(SERVICE_REPLACED);
-                }
-            }
+            case ORIGIN -> continueAt(lookup.origin().orElseThrow());
             default -> throw new IllegalStateException("knowledge " + lookup.knowledge());
         }
     }
 
+    private void continueAtOnlyVersion(final String reason) {
+        final Route route = mAdmission.route();
+        final Optional<StreamOrigin> origin =
+                route.onlyService()
+                        .flatMap(
+                                service ->
+                                        mExchanges
+                                                .state()
+                                                .onlyOrigin(
+                                                        service,
+                                                        route.timeout().plus(BREAK_NOTICED)));
+        if (origin.isPresent()) {
+            continueAt(origin.get());
+        } else {
+            refuse(reason);
+        }
+    }
+
+    private void continueAt(final StreamOrigin origin) {
+        if (mAdmission.route().isServedBy(origin.service())) {
+            mSuccessor =
+                    Optional.of(
+                            mExchanges.startExchange(
+                                    mAdmission, Optional.of(origin), mBody, mResponse));
+        } else {
+            refuse(SERVICE_REPLACED);
+        }
+    }
+
     private void refuse(final String reason) {
         mSuccessor =
                 Optional.of(
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/ServingState.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/ServingState.java
@@ -1,9 +1,11 @@
 package org.whinhead.gateway.exchange;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 import org.whinhead.serving.balance.EndpointChooser;
 import org.whinhead.serving.configuration.ConfigurationHolder;
 import org.whinhead.serving.configuration.ConfigurationProgress;
@@ -20,6 +22,7 @@
 import org.whinhead.serving.reach.EndpointReach;
 import org.whinhead.serving.rollout.Rollouts;
 import org.whinhead.serving.stream.KnownStreams;
+import org.whinhead.serving.stream.ServedVersions;
 import org.whinhead.serving.stream.StreamOrigin;
 import org.whinhead.serving.usage.FleetClock;
 import org.whinhead.serving.usage.UsageLedger;
@@ -44,6 +47,7 @@
     private final BrittleEndpoints mBrittle = new BrittleEndpoints();
     private final CrashSuspects mSuspects = new CrashSuspects();
     private final KnownStreams mStreams = new KnownStreams();
+    private final ServedVersions mVersions = new ServedVersions();
     private final EndpointChooser mChooser;
     private final CustomerQuotas mQuotas;
     private final ServiceRetryBudget mRetryBudget;
@@ -256,6 +260,35 @@
         return mStreams;
     }
 
+    /**
+     * Returns the software versions that services were listed with.
+     *
+     * @return the versions
+     */
+    public ServedVersions versions() {
+        return mVersions;
+    }
+
+    /** Observes the versions of the listed endpoints; to be called several times a second. */
+    public void observeVersions() {
+        mVersions.observe(mEndpoints.all(), mClock.instant());
+    }
+
+    /**
+     * Returns where a stream began if nobody knows it, but only one endpoint version can have begun
+     * it.
+     *
+     * @param service the service of the stream's route
+     * @param span the time before which the stream can't have begun
+     * @return the origin; empty if it could be one of several
+     */
+    Optional<StreamOrigin> onlyOrigin(final String service, final Duration span) {
+        observeVersions();
+        return mVersions
+                .onlyVersion(service, span, mClock.instant())
+                .map(version -> new StreamOrigin(service, version));
+    }
+
     /**
      * Returns the endpoints of which a crash would end the fewest other requests.
      *
--- a/gateway/src/main/java/org/whinhead/gateway/peers/DigestReadCoordinator.java
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/DigestReadCoordinator.java
@@ -194,6 +194,9 @@
                 new ReceivedDigest(digest, now(), mReceivedDigests.get(sender));
         mReceivedDigests.put(sender, received);
         mState.configurationProgress().recordAnnounced(digest.getConfigurationVersion(), now());
+        if (hasSameEndpoints(digest)) {
+            mState.versions().recordConfirmed(now());
+        }
         if (hasNews(received, StoreTopic.ENDPOINTS)) {
             mOnNewRecords.accept(StoreTopic.ENDPOINTS);
         } else if (digest.getEndpointsEnd() > mEndpointsEnd) {
--- a/gateway/src/main/java/org/whinhead/gateway/store/EndpointTopicListener.java
+++ b/gateway/src/main/java/org/whinhead/gateway/store/EndpointTopicListener.java
@@ -146,6 +146,7 @@
         mEnd = end;
         mChanges.clear();
         discardStaleState();
+        mState.versions().recordConfirmed(now());
         mOnRead.run();
     }
 
@@ -157,6 +158,7 @@
             changed |= apply(record);
         }
         discardStaleState();
+        mState.versions().recordConfirmed(now());
         mOnRead.run();
         if (changed) {
             mOnChange.run();
@@ -268,6 +270,7 @@
      * others read for this daemon, no read of its own does it.
      */
     public void removeLapsedEntries() {
+        mState.observeVersions();
         registry()
                 .expire(now())
                 .forEach(id -> LOG.atInfo().addKeyValue("endpoint", id).log("endpoint lapsed"));
--- a/gateway/src/test/java/org/whinhead/gateway/exchange/ExchangesTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/exchange/ExchangesTest.java
@@ -36,7 +36,8 @@
     private static final Instant NOW = Instant.parse("2026-01-01T00:00:00Z");
     private static final TokenAllowance NO_LIMIT = new TokenAllowance(0, 0, 1);
 
-    private final ServingState mState = TestServing.state(() -> NOW);
+    private Instant mNow = NOW;
+    private final ServingState mState = TestServing.state(() -> mNow);
     private final Exchanges mExchanges =
             new Exchanges(
                     new EmbeddedChannel().eventLoop(),
@@ -44,7 +45,7 @@
                     null,
                     null,
                     new RequestLogger(
-                            () -> NOW, new RequestMetrics(), mState.configurationProgress()),
+                            () -> mNow, new RequestMetrics(), mState.configurationProgress()),
                     null,
                     null);
 
@@ -184,6 +185,32 @@
                 .isEqualTo(RefusalResponse.notRunForGood("service of resumed stream replaced"));
     }
 
+    private void passTime(final Duration duration) {
+        final Instant end = mNow.plus(duration);
+        while (mNow.isBefore(end)) {
+            mNow = mNow.plus(Exchanges.LAG_MEASUREMENT_INTERVAL);
+            mExchanges.measureLag();
+            mState.versions().recordConfirmed(mNow);
+        }
+    }
+
+    // Guards against streams that are given up needlessly: their callers don't name them, or all
+    // daemons were killed, while only one version has served.
+    @Test
+    void resumptionOfUnknownStreamContinuesIfOnlyOneVersionHasServed() {
+        mState.endpoints().put(TestServing.endpoint("e-1", true), 1);
+        mState.observeVersions();
+        mState.versions().recordConfirmed(NOW);
+        assertThat(refusalOfResumption(Optional.of("r-1")))
+                .isEqualTo(RefusalResponse.notRunForGood("resumed stream not known"));
+        passTime(Duration.ofSeconds(8));
+        // The only endpoint is leaving, so nothing is sent.
+        assertThat(refusalOfResumption(Optional.of("r-1")))
+                .isEqualTo(RefusalResponse.notRunForGood("no endpoint left"));
+        assertThat(refusalOfResumption(Optional.empty()))
+                .isEqualTo(RefusalResponse.notRunForGood("no endpoint left"));
+    }
+
     // Guards against callers that wait and come back for a stream whose version has no endpoint.
     @Test
     void resumptionWithoutEndpointOfItsVersionIsRefusedWithoutDelay() {
--- a/serving/src/main/java/org/whinhead/serving/route/Route.java
+++ b/serving/src/main/java/org/whinhead/serving/route/Route.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 import org.whinhead.api.Arguments;
 
 /** A route of a configuration: immutable, created by its builder. */
@@ -115,6 +116,17 @@
         throw new IllegalStateException("weights of route " + mName + " changed while drawing");
     }
 
+    /**
+     * Returns the service of this route if all its requests are sent to one.
+     *
+     * @return the service's name; empty if the route is split
+     */
+    public Optional<String> onlyService() {
+        final List<String> services =
+                mServices.stream().map(WeightedService::service).filter(this::isServedBy).toList();
+        return services.size() == 1 ? Optional.of(services.get(0)) : Optional.empty();
+    }
+
     /**
      * Returns whether requests of this route may be sent to a service.
      *
