Tell more daemons of a stream where few streams begin

Streams are few there, so the number of copies follows the rate of streams now: six up to 10 a second at a daemon, three from 20 on, 60 messages a second between.

--- a/gateway/src/main/java/org/whinhead/gateway/peers/StreamMessenger.java
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/StreamMessenger.java
@@ -21,6 +21,7 @@
 import org.whinhead.gateway.stream.StreamDirectory;
 import org.whinhead.serving.member.Member;
 import org.whinhead.serving.member.MemberTable;
+import org.whinhead.serving.stream.CopyBudget;
 import org.whinhead.serving.stream.StreamHolders;
 import org.whinhead.serving.stream.StreamKey;
 import org.whinhead.serving.stream.StreamLookup;
@@ -45,6 +46,7 @@
     private final MemberTable mMembers;
     private final Transport mTransport;
     private final Map<StreamKey, Search> mSearches = new HashMap<>();
+    private final CopyBudget mCopies = new CopyBudget();
 
     /**
      * Creates a messenger.
@@ -88,7 +90,11 @@
     public void add(final StreamRecord stream) {
         mState.streams().add(stream, now());
         final List<InetSocketAddress> receivers =
-                StreamHolders.toTell(stream.key(), mMembers.heardPeers(false, now())).stream()
+                StreamHolders.toTell(
+                                stream.key(),
+                                mMembers.heardPeers(false, now()),
+                                mCopies.countStream(now()))
+                        .stream()
                         .map(Member::peerAddress)
                         .toList();
         if (!receivers.isEmpty()) {
--- a/serving/src/main/java/org/whinhead/serving/limit/SlidingWindowSum.java
+++ b/serving/src/main/java/org/whinhead/serving/limit/SlidingWindowSum.java
@@ -5,7 +5,7 @@
 import java.util.Arrays;
 
 /** Sliding-window sum of amounts, in slots of a twentieth of the window. */
-final class SlidingWindowSum {
+public final class SlidingWindowSum {
 
     private static final int SLOTS = 20;
 
@@ -13,16 +13,33 @@
     private final double[] mSums = new double[SLOTS + 1];
     private long mNewestSlot = Long.MIN_VALUE;
 
-    SlidingWindowSum(final Duration window) {
+    /**
+     * Creates a sum without amounts.
+     *
+     * @param window the time for which an amount counts
+     */
+    public SlidingWindowSum(final Duration window) {
         mSlotMillis = Math.max(window.toMillis() / SLOTS, 1);
     }
 
-    void add(final Instant now, final double amount) {
+    /**
+     * Adds an amount.
+     *
+     * @param now the current time
+     * @param amount the amount
+     */
+    public void add(final Instant now, final double amount) {
         advance(now);
         mSums[index(mNewestSlot)] += amount;
     }
 
-    double total(final Instant now) {
+    /**
+     * Returns the sum.
+     *
+     * @param now the current time
+     * @return the sum of the amounts within the window
+     */
+    public double total(final Instant now) {
         advance(now);
         return Arrays.stream(mSums).sum();
     }
--- a/serving/src/main/java/org/whinhead/serving/stream/StreamHolders.java
+++ b/serving/src/main/java/org/whinhead/serving/stream/StreamHolders.java
@@ -16,15 +16,6 @@
  */
 public final class StreamHolders {
 
-    /** The fewest daemons that are told of a stream; each is lost with its process. */
-    private static final int MIN_TOLD = 3;
-
-    /** The most daemons that are told: of eight daemons, the last two lose one stream in seven. */
-    private static final int MAX_TOLD = 6;
-
-    /** The daemons up to which the most are told; a fault of many ends a larger share of few. */
-    private static final int SMALL_FLEET = 8;
-
     /** The daemons that are asked: those told, and some that others may have told. */
     public static final int ASKED = 8;
 
@@ -37,11 +28,12 @@
      *
      * @param key the stream
      * @param others the daemons that are up, without this one
-     * @return up to six of them, in different failure domains if there are as many
+     * @param copies the most daemons to tell
+     * @return the daemons, in different failure domains if there are as many
      */
-    public static List<Member> toTell(final StreamKey key, final Collection<Member> others) {
-        final int told = MAX_TOLD * SMALL_FLEET / Math.max(others.size() + 1, 1);
-        return ranked(key, others, Math.max(MIN_TOLD, Math.min(told, MAX_TOLD)));
+    public static List<Member> toTell(
+            final StreamKey key, final Collection<Member> others, final int copies) {
+        return ranked(key, others, copies);
     }
 
     /**
--- a/serving/src/test/java/org/whinhead/serving/crash/CrashFleet.java
+++ b/serving/src/test/java/org/whinhead/serving/crash/CrashFleet.java
@@ -43,6 +43,7 @@
     private long mEventCount;
     private long mCutUntil;
     private long mNextIdentity;
+    private boolean mMassCrashesEnded;
     private int mInnocentCalls;
     private int mInnocentRefusals;
 
@@ -179,6 +180,28 @@
         return this;
     }
 
+    /** Lets all endpoints crash together, one by one within some milliseconds. */
+    CrashFleet addMassCrashes(final int intervalMillis, final int spreadMillis) {
+        repeat(
+                intervalMillis,
+                intervalMillis,
+                () -> {
+                    if (!mMassCrashesEnded) {
+                        mEndpoints.forEach(
+                                endpoint ->
+                                        schedule(
+                                                mRandom.nextInt(spreadMillis),
+                                                () -> crash(endpoint)));
+                    }
+                });
+        return this;
+    }
+
+    CrashFleet stopMassCrashes() {
+        mMassCrashesEnded = true;
+        return this;
+    }
+
     /** Cuts the first third of the daemons off from the others for a time. */
     CrashFleet cutThird(final long untilMillis) {
         mCutUntil = untilMillis;
--- a/serving/src/test/java/org/whinhead/serving/crash/CrashFleetTest.java
+++ b/serving/src/test/java/org/whinhead/serving/crash/CrashFleetTest.java
@@ -12,6 +12,7 @@
     private static final int MINUTE = 60_000;
     private static final int FIRST_SEED = 100;
     private static final int SEEDS = 10;
+    private static final int MASS_CRASHES_MILLIS = 17_000;
 
     // Guards against endpoints that crash on and on under the same requests, sent to all daemons,
     // with lost messages and a third of the daemons cut off from the others at first.
@@ -44,6 +45,33 @@
         assertThat(fleet.crashing().get(0).laterSends()).isLessThanOrEqualTo(MAX_LATER_SENDS);
     }
 
+    // Guards against common requests that are refused for seconds after all endpoints crashed at
+    // nearly the same moment, several times: each is on every endpoint, and is sent again at once.
+    @ParameterizedTest
+    @CsvSource({"1, 6, 5", "8, 14, 5", "8, 14, 20", "66, 42, 10", "330, 200, 10"})
+    void commonRequestsAreServedAfterAllEndpointsCrashed(
+            final int daemons, final int endpoints, final int spreadMillis) {
+        int calls = 0;
+        int refusals = 0;
+        for (int seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++) {
+            final CrashFleet fleet =
+                    new CrashFleet(daemons, endpoints, 0.05, seed)
+                            .addCommon(4, 4)
+                            .addMassCrashes(3_200, spreadMillis)
+                            .play(MASS_CRASHES_MILLIS);
+            final int callsBefore = fleet.innocentCalls();
+            final int refusalsBefore = fleet.innocentRefusals();
+            fleet.stopMassCrashes().play(5_000);
+            final int callsAfter = fleet.innocentCalls();
+            final int refusalsAfter = fleet.innocentRefusals();
+            fleet.play(10_000);
+            calls += fleet.innocentCalls() - callsAfter;
+            refusals += fleet.innocentRefusals() - refusalsAfter;
+            assertThat(callsBefore).isGreaterThan(refusalsBefore);
+        }
+        assertThat(refusals).as("refused of %d", calls).isZero();
+    }
+
     // Guards against innocent requests that are refused because endpoints crash of themselves, one
     // by one or several at the same moment.
     @ParameterizedTest
