Select endpoints in a class of its own, and share what waiting requests have in common

Both are moved as they were, with one difference: a stream whose endpoints are brittle and have no room now is refused with a time to come back, as they may continue it soon; before, it counted as one without endpoints.

--- a/gateway/src/main/java/org/whinhead/gateway/exchange/ConnectionSearch.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/ConnectionSearch.java
@@ -125,6 +125,7 @@
         }
         return mExchanges
                 .state()
+                .selection()
                 .leastBusy(
                         candidates.stream()
                                 .filter(endpoint -> !mTriedEndpoints.contains(endpoint.id()))
--- /dev/null
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/EndpointSelection.java
@@ -0,0 +1,130 @@
+package org.whinhead.gateway.exchange;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import org.whinhead.serving.endpoint.EndpointEntry;
+import org.whinhead.serving.stream.StreamOrigin;
+
+/** Selects the endpoints that may receive a request, before one of them is chosen by its load. */
+final class EndpointSelection {
+
+    private final ServingState mState;
+
+    EndpointSelection(final ServingState state) {
+        mState = Objects.requireNonNull(state, "state");
+    }
+
+    private Instant now() {
+        return mState.clock().instant();
+    }
+
+    /**
+     * Returns the endpoints to which a request may be sent.
+     *
+     * @param service the name of the request's service
+     * @param route the name of the request's route
+     * @param requestId the request's id
+     * @param repeated whether the request was sent before
+     * @return the endpoints
+     */
+    List<EndpointEntry> candidates(
+            final String service,
+            final String route,
+            final String requestId,
+            final boolean repeated) {
+        return mState.rollouts()
+                .candidates(service, withRoom(service), route, requestId, repeated, now());
+    }
+
+    /**
+     * Returns the endpoints to which the rest of a stream may be sent.
+     *
+     * @param origin the service and version that began the stream
+     * @return the endpoints
+     */
+    List<EndpointEntry> continuationCandidates(final StreamOrigin origin) {
+        return mState.rollouts().continuationCandidates(origin, withRoom(origin.service()), now());
+    }
+
+    /**
+     * Returns whether any endpoint may continue a stream, with or without room now.
+     *
+     * @param origin the service and version that began the stream
+     * @return false if waiting is of no use
+     */
+    boolean canContinue(final StreamOrigin origin) {
+        return !mState.rollouts()
+                .continuationCandidates(origin, listed(origin.service()), now())
+                .isEmpty();
+    }
+
+    private List<EndpointEntry> withRoom(final String service) {
+        return mState.brittle().withRoom(service, listed(service), this::ownRunning, now());
+    }
+
+    private List<EndpointEntry> listed(final String service) {
+        final List<EndpointEntry> usable = mState.endpoints().usable(service);
+        return usable.isEmpty() ? mState.leaving().lastResort(service, now()) : usable;
+    }
+
+    private int ownRunning(final EndpointEntry endpoint) {
+        return mState.chooser().load(endpoint.id()).ownRunning();
+    }
+
+    /**
+     * Returns whether all endpoints of a service are brittle ones without room for a request of
+     * this daemon.
+     *
+     * @param service the service
+     * @return true if a request must wait or be refused
+     */
+    boolean isWithoutRoom(final String service) {
+        return mState.brittle().isBrittle(service, now())
+                && !listed(service).isEmpty()
+                && withRoom(service).isEmpty();
+    }
+
+    /**
+     * Returns whether all endpoints that may continue a stream are brittle ones without room.
+     *
+     * @param origin the service and version that began the stream
+     * @return true if the stream must wait or break off
+     */
+    boolean isWithoutRoom(final StreamOrigin origin) {
+        return mState.brittle().isBrittle(origin.service(), now())
+                && canContinue(origin)
+                && continuationCandidates(origin).isEmpty();
+    }
+
+    /**
+     * Returns the endpoints of which a crash would end the fewest other requests.
+     *
+     * @param endpoints endpoints of one service
+     * @return those with the fewest requests in progress, as far as this daemon knows
+     */
+    List<EndpointEntry> leastBusy(final List<EndpointEntry> endpoints) {
+        final int least = endpoints.stream().mapToInt(this::running).min().orElse(0);
+        return endpoints.stream().filter(endpoint -> running(endpoint) == least).toList();
+    }
+
+    private int running(final EndpointEntry endpoint) {
+        return mState.chooser().load(endpoint.id()).running();
+    }
+
+    /**
+     * Returns where a stream began if nobody knows it, but only one version can have begun it.
+     *
+     * @param service the service of the stream's route
+     * @param span the time before which the stream can't have begun
+     * @return the origin; empty if it could be one of several
+     */
+    Optional<StreamOrigin> onlyOrigin(final String service, final Duration span) {
+        mState.observeVersions();
+        return mState.versions()
+                .onlyVersion(service, span, now())
+                .map(version -> new StreamOrigin(service, version));
+    }
+}
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/PendingAdmission.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/PendingAdmission.java
@@ -5,7 +5,6 @@
 import java.time.Instant;
 import java.util.Optional;
 import org.whinhead.gateway.caller.CallerRequest;
-import org.whinhead.gateway.caller.CallerRequestHandler;
 import org.whinhead.gateway.caller.CallerResponse;
 import org.whinhead.gateway.caller.RefusalResponse;
 import org.whinhead.serving.configuration.CustomerAccount;
@@ -14,16 +13,13 @@
 import org.whinhead.serving.route.Route;
 
 /** A request that waits for its customer's tokens and is then started or refused. */
-final class PendingAdmission implements CallerRequestHandler.ActiveRequest, TokenClaimListener {
+final class PendingAdmission extends PendingRequest implements TokenClaimListener {
 
     private final Exchanges mExchanges;
     private final Candidate mCandidate;
-    private final ByteBuf mBody;
     private final CallerResponse mResponse;
     private final long mTokens;
     private final Runnable mCancel;
-    private Optional<CallerRequestHandler.ActiveRequest> mSuccessor = Optional.empty();
-    private boolean mCallerDisconnected;
 
     /**
      * Claims the tokens of a request.
@@ -38,9 +34,9 @@
             final Candidate candidate,
             final ByteBuf body,
             final CallerResponse response) {
+        super(body);
         mExchanges = exchanges;
         mCandidate = candidate;
-        mBody = body;
         mResponse = response;
         mTokens =
                 candidate.request().tokens().orElse(candidate.customer().allowance().plainTokens());
@@ -76,7 +72,7 @@
                         Optional.of(mCandidate.customer()),
                         Optional.of(spend),
                         mCandidate.arrivedAt());
-        mSuccessor = Optional.of(mExchanges.start(admission, mBody, mResponse));
+        decided(mExchanges.start(admission, body(), mResponse));
     }
 
     @Override
@@ -93,23 +89,11 @@
     }
 
     private void refuse(final RefusalResponse refusal) {
-        mSuccessor =
-                Optional.of(mExchanges.refuse(mCandidate.request(), mBody, mResponse, refusal));
+        decided(mExchanges.refuse(mCandidate.request(), body(), mResponse, refusal));
     }
 
     @Override
-    public void callerDisconnected() {
-        if (mSuccessor.isPresent()) {
-            mSuccessor.get().callerDisconnected();
-        } else if (!mCallerDisconnected) {
-            mCallerDisconnected = true;
-            mCancel.run();
-            mBody.release();
-        }
-    }
-
-    @Override
-    public void callerCaughtUp() {
-        mSuccessor.ifPresent(CallerRequestHandler.ActiveRequest::callerCaughtUp);
+    void cancel() {
+        mCancel.run();
     }
 }
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/PendingResumption.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/PendingResumption.java
@@ -3,8 +3,8 @@
 import io.netty.buffer.ByteBuf;
 import java.time.Duration;
 import java.util.Optional;
-import org.whinhead.gateway.caller.CallerRequestHandler;
 import org.whinhead.gateway.caller.CallerResponse;
+import org.whinhead.gateway.caller.RefusalResponse;
 import org.whinhead.gateway.stream.StreamIdentifier;
 import org.whinhead.serving.route.Route;
 import org.whinhead.serving.stream.StreamLookup;
@@ -15,7 +15,7 @@
  * of two software versions could be joined, so the request is refused and its caller begins anew,
  * unless only one version has served for as long as streams of the route may last.
  */
-final class PendingResumption implements CallerRequestHandler.ActiveRequest {
+final class PendingResumption extends PendingRequest {
 
     private static final String NOT_NAMED = "resumed stream not named";
     private static final String NAMES_ITSELF = "request resumes itself";
@@ -28,11 +28,8 @@
 
     private final Exchanges mExchanges;
     private final AdmittedRequest mAdmission;
-    private final ByteBuf mBody;
     private final CallerResponse mResponse;
     private final Runnable mCancel;
-    private Optional<CallerRequestHandler.ActiveRequest> mSuccessor = Optional.empty();
-    private boolean mCallerDisconnected;
 
     /**
      * Looks for the origin of the stream.
@@ -47,9 +44,9 @@
             final AdmittedRequest admission,
             final ByteBuf body,
             final CallerResponse response) {
+        super(body);
         mExchanges = exchanges;
         mAdmission = admission;
-        mBody = body;
         mResponse = response;
         mCancel = find();
     }
@@ -89,6 +86,7 @@
                                 service ->
                                         mExchanges
                                                 .state()
+                                                .selection()
                                                 .onlyOrigin(
                                                         service,
                                                         route.timeout().plus(BREAK_NOTICED)));
@@ -101,39 +99,20 @@
 
     private void continueAt(final StreamOrigin origin) {
         if (mAdmission.route().isServedBy(origin.service())) {
-            mSuccessor =
-                    Optional.of(
-                            mExchanges.startExchange(
-                                    mAdmission, Optional.of(origin), mBody, mResponse));
+            decided(mExchanges.startExchange(mAdmission, Optional.of(origin), body(), mResponse));
         } else {
             refuse(SERVICE_REPLACED);
         }
     }
 
     private void refuse(final String reason) {
-        mSuccessor =
-                Optional.of(
-                        mExchanges.refuse(
-                                mAdmission.request(),
-                                mBody,
-                                mResponse,
-                                new RefusalFactory(mExchanges.state(), mAdmission)
-                                        .cannotContinueRefusal(reason)));
+        final RefusalResponse refusal =
+                new RefusalFactory(mExchanges.state(), mAdmission).cannotContinueRefusal(reason);
+        decided(mExchanges.refuse(mAdmission.request(), body(), mResponse, refusal));
     }
 
     @Override
-    public void callerDisconnected() {
-        if (mSuccessor.isPresent()) {
-            mSuccessor.get().callerDisconnected();
-        } else if (!mCallerDisconnected) {
-            mCallerDisconnected = true;
-            mCancel.run();
-            mBody.release();
-        }
-    }
-
-    @Override
-    public void callerCaughtUp() {
-        mSuccessor.ifPresent(CallerRequestHandler.ActiveRequest::callerCaughtUp);
+    void cancel() {
+        mCancel.run();
     }
 }
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/ServingState.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/ServingState.java
@@ -1,11 +1,7 @@
 package org.whinhead.gateway.exchange;
 
-import java.time.Duration;
-import java.time.Instant;
 import java.time.InstantSource;
-import java.util.List;
 import java.util.Objects;
-import java.util.Optional;
 import org.whinhead.serving.balance.EndpointChooser;
 import org.whinhead.serving.configuration.ConfigurationHolder;
 import org.whinhead.serving.configuration.ConfigurationProgress;
@@ -13,7 +9,6 @@
 import org.whinhead.serving.configuration.ServingConfiguration;
 import org.whinhead.serving.crash.CrashSuspects;
 import org.whinhead.serving.crash.UsualRequests;
-import org.whinhead.serving.endpoint.EndpointEntry;
 import org.whinhead.serving.endpoint.EndpointRegistry;
 import org.whinhead.serving.endpoint.ReclaimedEndpoints;
 import org.whinhead.serving.limit.BrittleEndpoints;
@@ -24,7 +19,6 @@
 import org.whinhead.serving.rollout.Rollouts;
 import org.whinhead.serving.stream.KnownStreams;
 import org.whinhead.serving.stream.ServedVersions;
-import org.whinhead.serving.stream.StreamOrigin;
 import org.whinhead.serving.usage.FleetClock;
 import org.whinhead.serving.usage.UsageLedger;
 import org.whinhead.serving.usage.UsageWindows;
@@ -57,6 +51,7 @@
     private final UsageWindows mUsageWindows;
     private final FleetClock mUsageClock;
     private final Rollouts mRollouts;
+    private final EndpointSelection mSelection;
 
     private ServingState(final Builder builder) {
         mClock = Objects.requireNonNull(builder.mClock, "clock");
@@ -68,6 +63,7 @@
         mUsage = Objects.requireNonNull(builder.mUsage, "usage");
         mUsageWindows = Objects.requireNonNull(builder.mUsageWindows, "usageWindows");
         mRollouts = new Rollouts(builder.mRolloutsInForce);
+        mSelection = new EndpointSelection(this);
     }
 
     /**
@@ -166,73 +162,12 @@
     }
 
     /**
-     * Returns the endpoints to which a request may be sent.
+     * Returns the selection of endpoints that may receive a request.
      *
-     * @param service the name of the request's service
-     * @param route the name of the request's route
-     * @param requestId the request's id
-     * @param repeated whether the request was sent before
-     * @return the endpoints
-     */
-    List<EndpointEntry> candidates(
-            final String service,
-            final String route,
-            final String requestId,
-            final boolean repeated) {
-        final Instant now = mClock.instant();
-        return mRollouts.candidates(
-                service, serving(service, now), route, requestId, repeated, now);
-    }
-
-    /**
-     * Returns the endpoints that may continue a stream.
-     *
-     * @param origin the service and version that began the stream
-     * @return the endpoints
-     */
-    List<EndpointEntry> continuationCandidates(final StreamOrigin origin) {
-        final Instant now = mClock.instant();
-        return mRollouts.continuationCandidates(origin, serving(origin.service(), now), now);
-    }
-
-    private List<EndpointEntry> serving(final String service, final Instant now) {
-        return mBrittle.withRoom(service, listed(service, now), this::ownRunning, now);
-    }
-
-    private List<EndpointEntry> listed(final String service, final Instant now) {
-        final List<EndpointEntry> usable = mEndpoints.usable(service);
-        return usable.isEmpty() ? mLeaving.lastResort(service, now) : usable;
-    }
-
-    private int ownRunning(final EndpointEntry endpoint) {
-        return mChooser.load(endpoint.id()).ownRunning();
-    }
-
-    /**
-     * Returns whether all endpoints of a service are brittle ones without room for a request of
-     * this daemon.
-     *
-     * @param service the service
-     * @return true if a request must wait or be refused
+     * @return the selection
      */
-    boolean isWithoutRoom(final String service) {
-        final Instant now = mClock.instant();
-        return mBrittle.isBrittle(service, now)
-                && !listed(service, now).isEmpty()
-                && serving(service, now).isEmpty();
-    }
-
-    /**
-     * Returns whether all endpoints that may continue a stream are brittle ones without room.
-     *
-     * @param origin the service and version that began the stream
-     * @return true if the stream must wait or break off
-     */
-    boolean isWithoutRoom(final StreamOrigin origin) {
-        final Instant now = mClock.instant();
-        return mBrittle.isBrittle(origin.service(), now)
-                && listed(origin.service(), now).stream().anyMatch(origin::matches)
-                && serving(origin.service(), now).stream().noneMatch(origin::matches);
+    EndpointSelection selection() {
+        return mSelection;
     }
 
     /**
@@ -285,38 +220,6 @@
         mVersions.observe(mEndpoints.all(), mClock.instant());
     }
 
-    /**
-     * Returns where a stream began if nobody knows it, but only one endpoint version can have begun
-     * it.
-     *
-     * @param service the service of the stream's route
-     * @param span the time before which the stream can't have begun
-     * @return the origin; empty if it could be one of several
-     */
-    Optional<StreamOrigin> onlyOrigin(final String service, final Duration span) {
-        observeVersions();
-        return mVersions
-                .onlyVersion(service, span, mClock.instant())
-                .map(version -> new StreamOrigin(service, version));
-    }
-
-    /**
-     * Returns the endpoints of which a crash would end the fewest other requests.
-     *
-     * @param endpoints endpoints of one service
-     * @return those with the fewest requests in progress, as far as this daemon knows
-     */
-    List<EndpointEntry> leastBusy(final List<EndpointEntry> endpoints) {
-        final int least =
-                endpoints.stream()
-                        .mapToInt(endpoint -> mChooser.load(endpoint.id()).running())
-                        .min()
-                        .orElse(0);
-        return endpoints.stream()
-                .filter(endpoint -> mChooser.load(endpoint.id()).running() == least)
-                .toList();
-    }
-
     /**
      * Returns the leaving endpoints that still serve.
      *
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/StreamTracker.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/StreamTracker.java
@@ -44,6 +44,10 @@
         mOrigin = origin;
     }
 
+    private EndpointSelection selection() {
+        return mExchanges.state().selection();
+    }
+
     /**
      * Returns the endpoints that may receive the request: any before the first event, afterwards
      * only those that may continue the stream.
@@ -51,12 +55,12 @@
      * @param repeated whether the request was sent before
      */
     List<EndpointEntry> candidates(final boolean repeated) {
-        final ServingState state = mExchanges.state();
         if (mOrigin.isPresent()) {
-            return state.continuationCandidates(mOrigin.get());
+            return selection().continuationCandidates(mOrigin.get());
         }
-        return state.candidates(
-                mService, mAdmission.route().name(), mAdmission.request().id(), repeated);
+        return selection()
+                .candidates(
+                        mService, mAdmission.route().name(), mAdmission.request().id(), repeated);
     }
 
     /**
@@ -69,16 +73,14 @@
 
     /** Returns whether the request must wait for room at brittle endpoints. */
     boolean isWithoutRoom() {
-        final ServingState state = mExchanges.state();
         return mOrigin.isPresent()
-                ? state.isWithoutRoom(mOrigin.get())
-                : state.isWithoutRoom(mService);
+                ? selection().isWithoutRoom(mOrigin.get())
+                : selection().isWithoutRoom(mService);
     }
 
     /** Returns whether the stream has begun and no endpoint that may continue it is left. */
     boolean hasNoEndpoint() {
-        return mOrigin.isPresent()
-                && mExchanges.state().continuationCandidates(mOrigin.get()).isEmpty();
+        return mOrigin.isPresent() && !selection().canContinue(mOrigin.get());
     }
 
     /** Records that the request is about to be sent to an endpoint. */
