Don't repeat an old answer once the request is suspected again

Some daemons refused a common request for up to 8 s that all others served: the answer to a suspected request is told four times within 0.7 s, and when endpoints crashed again in between, the last repeat ended the new suspicion, but not at daemons that missed it. A daemon that suspects the request again sends no further repeats.

CrashMessengerTest#answerIsNotRepeatedOnceTheRequestIsSuspectedAgain failed before (four messages) and passes.

--- a/gateway/src/main/java/org/whinhead/gateway/peers/CrashMessenger.java
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/CrashMessenger.java
@@ -59,13 +59,20 @@
 
     /**
      * Tells that a suspected request was answered. The message is repeated, as a daemon that misses
-     * it would refuse the request.
+     * it would refuse the request, but not once endpoints have crashed under the request again: it
+     * would end the new suspicion, and only at the daemons that receive it.
      */
     void sendAnswered(final RequestIdentity identity) {
         final Datagram datagram = answered(identity);
         mSendToAll.accept(datagram);
         for (final int millis : ANSWER_REPEAT_MILLIS) {
-            mLoop.schedule(() -> mSendToAll.accept(datagram), millis, TimeUnit.MILLISECONDS);
+            mLoop.schedule(() -> repeatAnswered(identity, datagram), millis, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void repeatAnswered(final RequestIdentity identity, final Datagram datagram) {
+        if (mState.suspects().level(identity, now()) == 0) {
+            mSendToAll.accept(datagram);
         }
     }
 
--- a/serving/src/test/java/org/whinhead/serving/crash/CrashFleet.java
+++ b/serving/src/test/java/org/whinhead/serving/crash/CrashFleet.java
@@ -326,13 +326,17 @@
         mUsual.get(run.mDaemon).recordAnswer(run.mRequest.high(), now());
         if (daemon.recordAnswer(run.mRequest, now())) {
             for (final int delay : ANSWER_SENDS_MILLIS) {
-                schedule(
-                        delay,
-                        () -> send(run.mDaemon, to -> to.applyPeerAnswer(run.mRequest, now())));
+                schedule(delay, () -> tellAnswered(run));
             }
         }
     }
 
+    private void tellAnswered(final Run run) {
+        if (mDaemons.get(run.mDaemon).level(run.mRequest, now()) == 0) {
+            send(run.mDaemon, to -> to.applyPeerAnswer(run.mRequest, now()));
+        }
+    }
+
     private void crash(final Endpoint endpoint) {
         if (!endpoint.mUp) {
             return;
