Log the parts of requests on endpoints that crash, and responses that end with their connection

A lost request's line names its parts now and whether its response had begun; a response without a length that ended with its connection has a line and a counter. Decisions are the same: ResponseEnd is passed on and only logged.

--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnection.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnection.java
@@ -225,6 +225,9 @@
 
     private void complete() {
         final EndpointResponseListener listener = mListener;
+        // The decoder ends a response without a length only once its connection is closed.
+        final ResponseEnd end =
+                mChannel.isActive() ? ResponseEnd.DECLARED : ResponseEnd.CONNECTION_CLOSED;
         mListener = null;
         if (mWritten.isDone() && mReusable) {
             mChannel.config().setAutoRead(true);
@@ -233,7 +236,7 @@
             mReusable = false;
             mChannel.close();
         }
-        listener.completed();
+        listener.completed(end);
     }
 
     private void fail(final EndpointFailure failure) {
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointResponseListener.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointResponseListener.java
@@ -19,8 +19,12 @@
      */
     void bodyReceived(ByteBuf bytes);
 
-    /** Called when the response is complete. */
-    void completed();
+    /**
+     * Called when the response is complete, as far as its protocol tells.
+     *
+     * @param end what tells it
+     */
+    void completed(ResponseEnd end);
 
     /**
      * Called when this daemon has lost its way to the endpoint and has received nothing for a
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/CrashRecorder.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/CrashRecorder.java
@@ -98,27 +98,30 @@
      *
      * @param endpoint the endpoint
      * @param sentAt the time at which the request was sent to it
+     * @param begun whether a part of its response was forwarded
      */
-    void connectionLost(final EndpointEntry endpoint, final Instant sentAt) {
+    void connectionLost(final EndpointEntry endpoint, final Instant sentAt, final boolean begun) {
         final RequestIdentity identity = identity();
         final long hash = hash();
         final Duration age = Duration.between(sentAt, now());
         mExchanges
                 .crashes()
-                .connectionLost(endpoint, identity, () -> crashed(endpoint, identity, hash, age));
+                .connectionLost(
+                        endpoint, identity, () -> crashed(endpoint, identity, hash, age, begun));
     }
 
     private int crashed(
             final EndpointEntry endpoint,
             final RequestIdentity identity,
             final long hash,
-            final Duration age) {
+            final Duration age,
+            final boolean begun) {
         final boolean usual = mExchanges.state().usual().contains(hash, now());
         final int level =
                 suspects().recordCrash(identity, endpoint.id(), mKnownLevel, usual, now());
         // The next attempt may be on its way already; it began after this crash all the same.
         mKnownLevel = Math.max(mKnownLevel, level);
-        mExchanges.requestLogger().wasOnCrashed(mAdmission, endpoint, identity, age, level);
+        mExchanges.requestLogger().wasOnCrashed(mAdmission, endpoint, identity, age, begun, level);
         return level;
     }
 
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
@@ -16,6 +16,7 @@
 import org.whinhead.gateway.endpoint.EndpointResponse;
 import org.whinhead.gateway.endpoint.EndpointResponseListener;
 import org.whinhead.gateway.endpoint.MovedRun;
+import org.whinhead.gateway.endpoint.ResponseEnd;
 import org.whinhead.serving.balance.Placement;
 import org.whinhead.serving.crash.SuspectDecision;
 import org.whinhead.serving.route.Route;
@@ -231,12 +232,17 @@
     }
 
     @Override
-    public void completed() {
+    public void completed(final ResponseEnd end) {
         mConnection = null;
         final EndpointResponse head = mRelay.head();
         if (head == null) {
             return;
         }
+        if (end == ResponseEnd.CONNECTION_CLOSED) {
+            mExchanges
+                    .requestLogger()
+                    .endedWithConnection(mAdmission, mPlacement.endpoint(), mRelay);
+        }
         if (!mRelay.isComplete()) {
             mTrial.responseRejected(Verdict.MAY_HAVE_RUN);
             attemptFailed(Verdict.MAY_HAVE_RUN, "stream ended within an event");
@@ -265,7 +271,7 @@
         }
         mTrial.connectionFailed(failure);
         if (failure == EndpointFailure.CONNECTION_LOST) {
-            mCrashes.connectionLost(mPlacement.endpoint(), mSentAt);
+            mCrashes.connectionLost(mPlacement.endpoint(), mSentAt, mRelay.isStarted());
         }
         if (failure != EndpointFailure.RELAY_LOST) {
             mPlacement.load().recordOutcome(true);
@@ -364,7 +370,7 @@
     public void moveFailed(final boolean streamEnded) {
         mMove = null;
         if (streamEnded) {
-            mCrashes.connectionLost(mPlacement.endpoint(), mSentAt);
+            mCrashes.connectionLost(mPlacement.endpoint(), mSentAt, true);
             attemptFailed(Verdict.MAY_HAVE_RUN, "run was not moved");
         }
     }
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/RequestLogger.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/RequestLogger.java
@@ -5,6 +5,7 @@
 import java.time.InstantSource;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.stream.Collectors;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.slf4j.spi.LoggingEventBuilder;
@@ -15,6 +16,7 @@
 import org.whinhead.gateway.endpoint.MoveOutcome;
 import org.whinhead.gateway.metrics.RequestMetrics;
 import org.whinhead.serving.balance.Placement;
+import org.whinhead.serving.balance.PromptPart;
 import org.whinhead.serving.configuration.ConfigurationProgress;
 import org.whinhead.serving.configuration.CustomerAccount;
 import org.whinhead.serving.crash.RequestIdentity;
@@ -134,18 +136,39 @@
             final EndpointEntry endpoint,
             final RequestIdentity identity,
             final Duration age,
+            final boolean begun,
             final int level) {
         LOG.atInfo()
                 .addKeyValue("request", admission.request().id())
                 .addKeyValue("route", admission.route().name())
                 .addKeyValue("customer", admission.customerName().orElse(""))
                 .addKeyValue("identity", identity.toText())
+                .addKeyValue("parts", partIds(admission.request()))
                 .addKeyValue("endpoint", endpoint.id())
                 .addKeyValue("ageMillis", age.toMillis())
+                .addKeyValue("begun", begun)
                 .addKeyValue("level", level)
                 .log("request was on endpoint that crashed");
     }
 
+    private static String partIds(final CallerRequest request) {
+        return request.work().parts().stream().map(PromptPart::id).collect(Collectors.joining(" "));
+    }
+
+    /** Logs that a response without a length ended when its connection was closed. */
+    void endedWithConnection(
+            final AdmittedRequest admission,
+            final EndpointEntry endpoint,
+            final ResponseRelay relay) {
+        mCounts.recordEndedWithConnection(endpoint.service());
+        LOG.atInfo()
+                .addKeyValue("request", admission.request().id())
+                .addKeyValue("endpoint", endpoint.id())
+                .addKeyValue("begun", relay.isStarted())
+                .addKeyValue("withinEvent", !relay.isComplete())
+                .log("response ended with its connection");
+    }
+
     /** Logs that a request was answered that had been on endpoints that crashed. */
     void cleared(final AdmittedRequest admission, final RequestIdentity identity) {
         LOG.atInfo()
--- a/gateway/src/main/java/org/whinhead/gateway/metrics/CounterKey.java
+++ b/gateway/src/main/java/org/whinhead/gateway/metrics/CounterKey.java
@@ -39,6 +39,8 @@
         REJECTED("whinhead.endpoint.rejections", "service", ""),
         /** Endpoints that crashed while they had requests of this daemon. */
         CRASHED("whinhead.endpoint.crashes", "service", ""),
+        /** Responses that ended when their connection was closed. */
+        ENDED_WITH_CONNECTION("whinhead.responses.ended.with.connection", "service", ""),
         /** Further attempts that the retry budget did not allow. */
         RETRY_DENIED("whinhead.retries.denied", "service", ""),
         /** Runs that were moved off leaving endpoints. */
--- a/gateway/src/main/java/org/whinhead/gateway/metrics/RequestMetrics.java
+++ b/gateway/src/main/java/org/whinhead/gateway/metrics/RequestMetrics.java
@@ -96,6 +96,15 @@
         counter(Metric.CRASHED, service, "").add(1);
     }
 
+    /**
+     * Counts a response that ended when its connection was closed.
+     *
+     * @param service the endpoint's service
+     */
+    public void recordEndedWithConnection(final String service) {
+        counter(Metric.ENDED_WITH_CONNECTION, service, "").add(1);
+    }
+
     /**
      * Counts a further attempt that the retry budget did not allow.
      *
--- a/gateway/src/test/java/org/whinhead/gateway/endpoint/EndpointConnectionTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/endpoint/EndpointConnectionTest.java
@@ -39,7 +39,7 @@
                 }
 
                 @Override
-                public void completed() {
+                public void completed(final ResponseEnd end) {
                     mReceived.add("end");
                 }
 
--- a/gateway/src/test/java/org/whinhead/gateway/endpoint/ReachMonitorTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/endpoint/ReachMonitorTest.java
@@ -94,7 +94,7 @@
         }
 
         @Override
-        public void completed() {
+        public void completed(final ResponseEnd end) {
             mEvents.add("completed");
         }
 
