Ask an endpoint for another connection before a response that ended with its connection counts as complete

What callers saw: a stream without a length whose endpoint crashed came as a complete one, with fewer or no events, and the request that had crashed the endpoint lost its suspicion by it, so that it was sent on without end. A run stopped to be moved ended in the same way. Cause: the decoder ends a response without a length when its connection closes, whatever closed it. Now such a response is complete if the endpoint accepts another connection, which the pool needs anyway, or if it is known to leave. If it accepts none, it has crashed, as with any lost connection. A stream that ends within an event, or that has none, is broken off, and counts against no version. During a move it is the end of the source's stream.

--- a/gateway/src/main/java/org/whinhead/gateway/crash/CrashDetector.java
+++ b/gateway/src/main/java/org/whinhead/gateway/crash/CrashDetector.java
@@ -6,7 +6,6 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.function.Consumer;
-import java.util.function.IntSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.whinhead.gateway.endpoint.ConnectFailure;
@@ -55,7 +54,23 @@
         mCounts = Objects.requireNonNull(counts, "counts");
     }
 
-    private record LostRequest(RequestIdentity identity, IntSupplier onCrash) {}
+    /** A request whose connection to an endpoint has ended. */
+    public interface LostRequest {
+
+        /**
+         * Records that the endpoint has crashed.
+         *
+         * @return what other daemons must hear of the request
+         */
+        EndpointCrash.Request crashed();
+
+        /**
+         * Called after the check.
+         *
+         * @param crashed whether the endpoint has crashed; false also if that can't be found out
+         */
+        void checked(boolean crashed);
+    }
 
     /**
      * Sets the handlers of what other daemons must hear.
@@ -82,15 +97,9 @@
      * Checks an endpoint. Requests that lose their connections while it is checked share the check.
      *
      * @param endpoint the endpoint to which a request has lost its connection
-     * @param identity the request
-     * @param onCrash records the crash if the endpoint accepts no connections; returns the level of
-     *     the request
+     * @param lost the request
      */
-    public void connectionLost(
-            final EndpointEntry endpoint,
-            final RequestIdentity identity,
-            final IntSupplier onCrash) {
-        final LostRequest lost = new LostRequest(identity, onCrash);
+    public void connectionLost(final EndpointEntry endpoint, final LostRequest lost) {
         final List<LostRequest> checked = mChecked.get(endpoint.id());
         if (checked != null) {
             checked.add(lost);
@@ -98,26 +107,28 @@
         }
         mChecked.put(endpoint.id(), new ArrayList<>(List.of(lost)));
         mProbe.probe(
-                endpoint,
-                () -> mChecked.remove(endpoint.id()),
-                failure -> notAccepted(endpoint, failure));
+                endpoint, () -> notCrashed(endpoint), failure -> notAccepted(endpoint, failure));
+    }
+
+    private void notCrashed(final EndpointEntry endpoint) {
+        mChecked.remove(endpoint.id()).forEach(lost -> lost.checked(false));
     }
 
     private void notAccepted(final EndpointEntry endpoint, final ConnectFailure failure) {
-        final List<LostRequest> checked = mChecked.remove(endpoint.id());
         if (failure == ConnectFailure.PATH) {
+            notCrashed(endpoint);
             return;
         }
+        final List<LostRequest> checked = mChecked.remove(endpoint.id());
         mCounts.recordCrash(endpoint.service());
         LOG.atInfo()
                 .addKeyValue("endpoint", endpoint.id())
                 .addKeyValue("service", endpoint.service())
                 .addKeyValue("requests", checked.size())
                 .log("endpoint crashed");
-        final List<EndpointCrash.Request> requests = new ArrayList<>();
-        for (final LostRequest lost : checked) {
-            requests.add(new EndpointCrash.Request(lost.identity(), lost.onCrash().getAsInt()));
-        }
-        mOnCrash.accept(new EndpointCrash(endpoint.id(), requests));
+        mOnCrash.accept(
+                new EndpointCrash(
+                        endpoint.id(), checked.stream().map(LostRequest::crashed).toList()));
+        checked.forEach(lost -> lost.checked(true));
     }
 }
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/CrashRecorder.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/CrashRecorder.java
@@ -4,8 +4,11 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
+import java.util.function.Consumer;
+import org.whinhead.gateway.crash.CrashDetector;
 import org.whinhead.gateway.crash.RequestIdentifier;
 import org.whinhead.serving.crash.CrashSuspects;
+import org.whinhead.serving.crash.EndpointCrash;
 import org.whinhead.serving.crash.RequestIdentity;
 import org.whinhead.serving.crash.SuspectDecision;
 import org.whinhead.serving.endpoint.EndpointEntry;
@@ -13,6 +16,12 @@
 /** Records what becomes of the endpoints that have one request. */
 final class CrashRecorder {
 
+    /**
+     * The longest wait for a check: an endpoint that has closed a connection, or whose VM has,
+     * accepts or refuses another one within milliseconds.
+     */
+    private static final Duration MAX_CHECK_TIME = Duration.ofMillis(300);
+
     private final Exchanges mExchanges;
     private final AdmittedRequest mAdmission;
     private final ByteBuf mBody;
@@ -94,23 +103,42 @@
     }
 
     /**
-     * Records that the connection was lost before the response was complete.
+     * Finds out whether an endpoint has crashed that has ended the connection of the request.
      *
      * @param endpoint the endpoint
      * @param sentAt the time at which the request was sent to it
      * @param begun whether a part of its response was forwarded
+     * @param checked receives whether it has crashed; false also if that is not known in time
      */
-    void connectionLost(final EndpointEntry endpoint, final Instant sentAt, final boolean begun) {
+    void connectionEnded(
+            final EndpointEntry endpoint,
+            final Instant sentAt,
+            final boolean begun,
+            final Consumer<Boolean> checked) {
         final RequestIdentity identity = identity();
         final long hash = hash();
         final Duration age = Duration.between(sentAt, now());
+        final CheckResult result = new CheckResult(mExchanges.loop(), MAX_CHECK_TIME, checked);
         mExchanges
                 .crashes()
                 .connectionLost(
-                        endpoint, identity, () -> crashed(endpoint, identity, hash, age, begun));
+                        endpoint,
+                        new CrashDetector.LostRequest() {
+                            @Override
+                            public EndpointCrash.Request crashed() {
+                                return new EndpointCrash.Request(
+                                        identity,
+                                        recordCrash(endpoint, identity, hash, age, begun));
+                            }
+
+                            @Override
+                            public void checked(final boolean crashed) {
+                                result.set(crashed);
+                            }
+                        });
     }
 
-    private int crashed(
+    private int recordCrash(
             final EndpointEntry endpoint,
             final RequestIdentity identity,
             final long hash,
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
@@ -5,6 +5,7 @@
 import java.time.Instant;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.whinhead.api.verdict.Verdict;
 import org.whinhead.gateway.caller.CallerRequest;
 import org.whinhead.gateway.caller.CallerRequestHandler;
@@ -41,6 +42,7 @@
 
     private static final String TIMED_OUT = "timed out";
     private static final String TOO_LATE = "read too late";
+    private static final String STREAM_CUT = "stream ended within an event";
 
     private final Exchanges mExchanges;
     private final AdmittedRequest mAdmission;
@@ -234,20 +236,60 @@
     @Override
     public void completed(final ResponseEnd end) {
         mConnection = null;
-        final EndpointResponse head = mRelay.head();
-        if (head == null) {
+        if (mRelay.head() == null) {
             return;
         }
         if (end == ResponseEnd.CONNECTION_CLOSED) {
             mExchanges
                     .requestLogger()
                     .endedWithConnection(mAdmission, mPlacement.endpoint(), mRelay);
-        }
-        if (!mRelay.isComplete()) {
+            endedWithConnection();
+        } else if (mRelay.isComplete()) {
+            responseCompleted();
+        } else {
             mTrial.responseRejected(Verdict.MAY_HAVE_RUN);
-            attemptFailed(Verdict.MAY_HAVE_RUN, "stream ended within an event");
+            attemptFailed(Verdict.MAY_HAVE_RUN, STREAM_CUT);
+        }
+    }
+
+    /**
+     * Handles a response without a length whose connection was closed: it is complete, its endpoint
+     * has crashed, or the run was stopped to be moved.
+     */
+    private void endedWithConnection() {
+        if (mMove != null) {
+            mMove.streamEnded();
             return;
         }
+        if (!mRelay.isComplete() || mRelay.isEmptyStream()) {
+            checkEndpoint(crashed -> {});
+            attemptFailed(Verdict.MAY_HAVE_RUN, STREAM_CUT);
+        } else if (mExchanges.state().endpoints().isUsable(mPlacement.endpoint().id())) {
+            final int attemptId = mAttemptId;
+            checkEndpoint(crashed -> endpointChecked(attemptId, crashed));
+        } else {
+            // An endpoint that leaves accepts no connections once it has answered.
+            responseCompleted();
+        }
+    }
+
+    private void endpointChecked(final int attemptId, final boolean crashed) {
+        if (mFinished || attemptId != mAttemptId) {
+            return;
+        }
+        if (crashed) {
+            attemptFailed(Verdict.MAY_HAVE_RUN, EndpointFailure.CONNECTION_LOST.name());
+        } else {
+            responseCompleted();
+        }
+    }
+
+    private void checkEndpoint(final Consumer<Boolean> checked) {
+        mCrashes.connectionEnded(mPlacement.endpoint(), mSentAt, mRelay.isStarted(), checked);
+    }
+
+    private void responseCompleted() {
+        final EndpointResponse head = mRelay.head();
         // The run may have ended before its endpoint received the order to stop it.
         cancelMove();
         mUsage.recordRun(mSentAt);
@@ -271,7 +313,7 @@
         }
         mTrial.connectionFailed(failure);
         if (failure == EndpointFailure.CONNECTION_LOST) {
-            mCrashes.connectionLost(mPlacement.endpoint(), mSentAt, mRelay.isStarted());
+            checkEndpoint(crashed -> {});
         }
         if (failure != EndpointFailure.RELAY_LOST) {
             mPlacement.load().recordOutcome(true);
@@ -370,7 +412,7 @@
     public void moveFailed(final boolean streamEnded) {
         mMove = null;
         if (streamEnded) {
-            mCrashes.connectionLost(mPlacement.endpoint(), mSentAt, true);
+            checkEndpoint(crashed -> {});
             attemptFailed(Verdict.MAY_HAVE_RUN, "run was not moved");
         }
     }
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/ResponseRelay.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/ResponseRelay.java
@@ -151,6 +151,11 @@
         return !isStream() || mEvents.pendingBytes() == 0;
     }
 
+    /** Returns whether the response is a stream from its first event on that has none. */
+    boolean isEmptyStream() {
+        return isStream() && !mStarted && mLastEventId.isEmpty();
+    }
+
     /** Forwards the buffered rest of a complete response. */
     void flush() {
         forwardBuffered();
--- a/gateway/src/test/java/org/whinhead/gateway/crash/CrashDetectorTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/crash/CrashDetectorTest.java
@@ -18,6 +18,7 @@
 
     private final List<String> mProbed = new ArrayList<>();
     private final List<String> mCrashed = new ArrayList<>();
+    private final List<Boolean> mChecked = new ArrayList<>();
     private final List<EndpointCrash> mTold = new ArrayList<>();
     private final RequestMetrics mCounts = new RequestMetrics();
     private final CrashDetector mDetector = new CrashDetector(this::probe, mCounts);
@@ -41,10 +42,18 @@
     private void lose(final String endpoint, final String request) {
         mDetector.connectionLost(
                 TestServing.endpoint(endpoint, false),
-                new RequestIdentity(1, 2, request.hashCode()),
-                () -> {
-                    mCrashed.add(request);
-                    return mCrashed.size();
+                new CrashDetector.LostRequest() {
+                    @Override
+                    public EndpointCrash.Request crashed() {
+                        mCrashed.add(request);
+                        return new EndpointCrash.Request(
+                                new RequestIdentity(1, 2, request.hashCode()), mCrashed.size());
+                    }
+
+                    @Override
+                    public void checked(final boolean crashed) {
+                        mChecked.add(crashed);
+                    }
                 });
     }
 
@@ -55,6 +64,7 @@
         assertThat(mProbed).containsExactly("e-1");
         mFailed.accept(ConnectFailure.ENDPOINT);
         assertThat(mCrashed).containsExactly("r-1", "r-2");
+        assertThat(mChecked).containsExactly(true, true);
         assertThat(mTold).hasSize(1);
         assertThat(mTold.get(0).endpoint()).isEqualTo("e-1");
         assertThat(mTold.get(0).requests())
@@ -70,6 +80,7 @@
         lose("e-1", "r-1");
         mAccepted.run();
         assertThat(mCrashed).isEmpty();
+        assertThat(mChecked).containsExactly(false);
         lose("e-1", "r-2");
         assertThat(mProbed).containsExactly("e-1", "e-1");
     }
--- a/gateway/src/test/java/org/whinhead/gateway/endpoint/EndpointConnectionTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/endpoint/EndpointConnectionTest.java
@@ -40,7 +40,7 @@
 
                 @Override
                 public void completed(final ResponseEnd end) {
-                    mReceived.add("end");
+                    mReceived.add(end == ResponseEnd.DECLARED ? "end" : "closed");
                 }
 
                 @Override
@@ -119,7 +119,7 @@
     void responseWithoutLengthEndsWithItsConnection() {
         receive("HTTP/1.1 200 OK\r\n\r\nok");
         mChannel.close();
-        assertThat(mReceived).containsExactly("head 200", "body ok", "end");
+        assertThat(mReceived).containsExactly("head 200", "body ok", "closed");
     }
 
     // Guards against taking a part of a response without a length for the complete one after the
--- a/serving/src/main/java/org/whinhead/serving/endpoint/EndpointRegistry.java
+++ b/serving/src/main/java/org/whinhead/serving/endpoint/EndpointRegistry.java
@@ -258,6 +258,17 @@
         return usable;
     }
 
+    /**
+     * Returns whether an endpoint may get new work.
+     *
+     * @param id the endpoint's id
+     * @return false if it is leaving or not listed
+     */
+    public boolean isUsable(final String id) {
+        final Record record = mRecords.get(id);
+        return record != null && !record.mLeaving && record.mDoubt != Doubt.UNREADABLE;
+    }
+
     /**
      * Returns an endpoint's entry, even if it is leaving.
      *
