--- a/gateway/src/main/java/org/whinhead/gateway/Gateway.java
+++ b/gateway/src/main/java/org/whinhead/gateway/Gateway.java
@@ -192,7 +192,7 @@
 
     private void connectEvents() {
         mExchanges.setStreams(mPeers.streams());
-        mCrashes.onEvents(mPeers::sendEndpointCrash, mPeers::sendRequestAnswered);
+        mCrashes.setNews(mPeers.crashNews());
         mAccess.shareConfiguration(mConfigurationWatch::copy);
         mRollouts.ifPresent(duty -> mConfigurationWatch.onEarlierOrder(duty::recordEarlierOrder));
         mRollouts.ifPresent(mPeers::onRolloutMessages);
--- a/gateway/src/main/java/org/whinhead/gateway/crash/CrashDetector.java
+++ b/gateway/src/main/java/org/whinhead/gateway/crash/CrashDetector.java
@@ -11,7 +11,8 @@
 import org.whinhead.gateway.endpoint.ConnectFailure;
 import org.whinhead.gateway.metrics.RequestMetrics;
 import org.whinhead.serving.crash.EndpointCrash;
-import org.whinhead.serving.crash.RequestIdentity;
+import org.whinhead.serving.crash.FeatureAnswer;
+import org.whinhead.serving.crash.RequestFeature;
 import org.whinhead.serving.endpoint.EndpointEntry;
 
 /**
@@ -27,8 +28,7 @@
     private final Probe mProbe;
     private final RequestMetrics mCounts;
     private final Map<String, List<LostRequest>> mChecked = new HashMap<>();
-    private Consumer<EndpointCrash> mOnCrash = crash -> {};
-    private Consumer<RequestIdentity> mOnAnswer = identity -> {};
+    private CrashNews mNews = new UntoldNews();
 
     /** Finds out whether an endpoint accepts connections. */
     public interface Probe {
@@ -62,7 +62,7 @@
          *
          * @return what other daemons must hear of the request
          */
-        EndpointCrash.Request crashed();
+        EndpointCrash.LostRun crashed();
 
         /**
          * Called after the check.
@@ -73,24 +73,21 @@
     }
 
     /**
-     * Sets the handlers of what other daemons must hear.
+     * Sets who tells other daemons.
      *
-     * @param onCrash receives an endpoint that has crashed and the requests that were on it
-     * @param onAnswer receives a suspected request that was answered
+     * @param news tells them
      */
-    public void onEvents(
-            final Consumer<EndpointCrash> onCrash, final Consumer<RequestIdentity> onAnswer) {
-        mOnCrash = Objects.requireNonNull(onCrash, "onCrash");
-        mOnAnswer = Objects.requireNonNull(onAnswer, "onAnswer");
+    public void setNews(final CrashNews news) {
+        mNews = Objects.requireNonNull(news, "news");
     }
 
     /**
-     * Handles the answer to a suspected request.
+     * Returns who tells other daemons.
      *
-     * @param identity the request
+     * @return tells nobody until {@link #setNews} is called
      */
-    public void answered(final RequestIdentity identity) {
-        mOnAnswer.accept(identity);
+    public CrashNews news() {
+        return mNews;
     }
 
     /**
@@ -126,9 +123,27 @@
                 .addKeyValue("service", endpoint.service())
                 .addKeyValue("requests", checked.size())
                 .log("endpoint crashed");
-        mOnCrash.accept(
+        mNews.endpointCrashed(
                 new EndpointCrash(
                         endpoint.id(), checked.stream().map(LostRequest::crashed).toList()));
         checked.forEach(lost -> lost.checked(true));
     }
+
+    /** Tells nobody. */
+    private static final class UntoldNews implements CrashNews {
+        @Override
+        public void endpointCrashed(final EndpointCrash crash) {
+            // A daemon by itself has nobody to tell.
+        }
+
+        @Override
+        public void answered(final FeatureAnswer answer) {
+            // See above.
+        }
+
+        @Override
+        public void started(final List<RequestFeature> features) {
+            // See above.
+        }
+    }
 }
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/CrashRecorder.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/CrashRecorder.java
@@ -3,36 +3,35 @@
 import io.netty.buffer.ByteBuf;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.Optional;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.function.Consumer;
 import org.whinhead.gateway.crash.CrashDetector;
-import org.whinhead.gateway.crash.RequestIdentifier;
+import org.whinhead.gateway.crash.FeatureSource;
+import org.whinhead.gateway.crash.RequestFeatures;
 import org.whinhead.serving.crash.CrashSuspects;
 import org.whinhead.serving.crash.EndpointCrash;
-import org.whinhead.serving.crash.RequestIdentity;
+import org.whinhead.serving.crash.FeatureAnswer;
+import org.whinhead.serving.crash.FeatureLevel;
+import org.whinhead.serving.crash.RequestFeature;
 import org.whinhead.serving.crash.SuspectDecision;
 import org.whinhead.serving.endpoint.EndpointEntry;
 
 /** Records what becomes of the endpoints that have one request. */
 final class CrashRecorder {
 
-    /**
-     * The longest wait for a check: an endpoint that has closed a connection, or whose VM has,
-     * accepts or refuses another one within milliseconds.
-     */
-    private static final Duration MAX_CHECK_TIME = Duration.ofMillis(300);
-
     private final Exchanges mExchanges;
     private final AdmittedRequest mAdmission;
-    private final ByteBuf mBody;
-    private Optional<RequestIdentity> mIdentity = Optional.empty();
-    private boolean mStarted;
-    private int mKnownLevel;
+    private final List<FeatureSource> mFeatures;
+    private final Map<RequestFeature, Integer> mKnownLevels = new HashMap<>();
+    private List<RequestFeature> mGuarded = List.of();
+    private boolean mBegun;
 
     CrashRecorder(final Exchanges exchanges, final AdmittedRequest admission, final ByteBuf body) {
         mExchanges = exchanges;
         mAdmission = admission;
-        mBody = body;
+        mFeatures = RequestFeatures.of(admission.request(), admission.customerName(), body);
     }
 
     private CrashSuspects suspects() {
@@ -43,63 +42,52 @@
         return mExchanges.state().clock().instant();
     }
 
-    /** Returns the identity of the request if it may be a suspected one. */
-    private Optional<RequestIdentity> suspectedIdentity() {
-        final int shape =
-                RequestIdentifier.shape(mAdmission.request(), mAdmission.customerName(), mBody);
-        return suspects().mayKnow(shape) ? Optional.of(identity()) : Optional.empty();
-    }
-
-    private RequestIdentity identity() {
-        if (mIdentity.isEmpty()) {
-            mIdentity =
-                    Optional.of(
-                            RequestIdentifier.identify(
-                                    mAdmission.request(), mAdmission.customerName(), mBody));
-        }
-        return mIdentity.get();
+    /** Returns the features of the request that may be suspected. */
+    private List<RequestFeature> suspected() {
+        return mFeatures.stream()
+                .filter(source -> suspects().mayKnow(source.shape()))
+                .map(FeatureSource::feature)
+                .toList();
     }
 
-    private long hash() {
-        return RequestIdentifier.hash(mAdmission.request(), mAdmission.customerName(), mBody);
+    private boolean isUsual(final RequestFeature feature) {
+        return mFeatures.stream()
+                .filter(source -> source.shape() == feature.shape())
+                .anyMatch(source -> mExchanges.state().usual().contains(source.hash(), now()));
     }
 
-    /** Decides whether the request may be sent, and records that it is in progress if so. */
+    /** Decides whether the request may be sent, and records that it is about to run if so. */
     SuspectDecision start() {
-        final Optional<RequestIdentity> identity = suspectedIdentity();
-        if (identity.isEmpty()) {
+        mBegun = false;
+        final List<RequestFeature> suspected = suspected();
+        if (suspected.isEmpty()) {
             return SuspectDecision.RUN;
         }
-        final SuspectDecision decision = suspects().decide(identity.get(), now());
+        final SuspectDecision decision = suspects().decide(suspected, this::isUsual, now());
         if (decision.isAllowed()) {
-            mStarted = true;
-            suspects().recordStart(identity.get(), now());
+            mGuarded = suspects().recordStart(suspected, this::isUsual, now());
+            if (!mGuarded.isEmpty()) {
+                mExchanges.crashes().news().started(mGuarded);
+            }
+        } else {
+            mExchanges.requestLogger().heldBack(mAdmission, levels(), decision.retryAfter());
         }
         return decision;
     }
 
     /** Records that the request is about to be sent to an endpoint. */
     void attemptSent() {
-        suspectedIdentity()
-                .ifPresent(
-                        identity ->
-                                mKnownLevel =
-                                        Math.max(mKnownLevel, suspects().level(identity, now())));
+        for (final RequestFeature feature : suspected()) {
+            mKnownLevels.merge(feature, suspects().level(feature, now()), Math::max);
+        }
     }
 
     /**
-     * Returns whether the request counts as a suspect, so that it should do as little harm as
-     * possible if it crashes another endpoint.
+     * Returns whether the request runs one at a time with others, so that it should do as little
+     * harm as possible if it crashes another endpoint.
      */
     boolean isSuspect() {
-        return suspectedIdentity()
-                .filter(identity -> suspects().level(identity, now()) > 0)
-                .isPresent();
-    }
-
-    /** Returns whether the request may be sent to another endpoint if this one crashed. */
-    boolean mayRunAgain() {
-        return mKnownLevel + 1 < CrashSuspects.GUARDED_LEVEL;
+        return !mGuarded.isEmpty();
     }
 
     /**
@@ -107,69 +95,103 @@
      *
      * @param endpoint the endpoint
      * @param sentAt the time at which the request was sent to it
-     * @param begun whether a part of its response was forwarded
+     * @param limit the longest wait for the result
      * @param checked receives whether it has crashed; false also if that is not known in time
      */
     void connectionEnded(
             final EndpointEntry endpoint,
             final Instant sentAt,
-            final boolean begun,
+            final Duration limit,
             final Consumer<Boolean> checked) {
-        final RequestIdentity identity = identity();
-        final long hash = hash();
+        final List<FeatureLevel> run =
+                mFeatures.stream()
+                        .map(FeatureSource::feature)
+                        .map(
+                                feature ->
+                                        new FeatureLevel(
+                                                feature, mKnownLevels.getOrDefault(feature, 0)))
+                        .toList();
         final Duration age = Duration.between(sentAt, now());
-        final CheckResult result = new CheckResult(mExchanges.loop(), MAX_CHECK_TIME, checked);
+        final boolean begun = mBegun;
+        // Others wait until it is known what has become of this one.
+        final List<RequestFeature> guarded = mGuarded;
+        mGuarded = List.of();
+        final CheckResult result = new CheckResult(mExchanges.loop(), limit, checked);
         mExchanges
                 .crashes()
                 .connectionLost(
                         endpoint,
                         new CrashDetector.LostRequest() {
                             @Override
-                            public EndpointCrash.Request crashed() {
-                                return new EndpointCrash.Request(
-                                        identity,
-                                        recordCrash(endpoint, identity, hash, age, begun));
+                            public EndpointCrash.LostRun crashed() {
+                                return recordCrash(run, endpoint, age, begun);
                             }
 
                             @Override
                             public void checked(final boolean crashed) {
+                                if (!crashed) {
+                                    suspects().recordEnd(guarded, now());
+                                }
                                 result.set(crashed);
                             }
                         });
     }
 
-    private int recordCrash(
+    private EndpointCrash.LostRun recordCrash(
+            final List<FeatureLevel> run,
             final EndpointEntry endpoint,
-            final RequestIdentity identity,
-            final long hash,
             final Duration age,
             final boolean begun) {
-        final boolean usual = mExchanges.state().usual().contains(hash, now());
-        final int level =
-                suspects().recordCrash(identity, endpoint.id(), mKnownLevel, usual, now());
+        final List<FeatureLevel> blamed = suspects().recordCrash(run, endpoint.id(), now());
         // The next attempt may be on its way already; it began after this crash all the same.
-        mKnownLevel = Math.max(mKnownLevel, level);
-        mExchanges.requestLogger().wasOnCrashed(mAdmission, endpoint, identity, age, begun, level);
-        return level;
+        blamed.forEach(
+                feature -> mKnownLevels.merge(feature.feature(), feature.level(), Math::max));
+        mExchanges
+                .requestLogger()
+                .wasOnCrashed(mAdmission, endpoint, new LostAttempt(age, begun, levels()));
+        return new EndpointCrash.LostRun(blamed);
+    }
+
+    /** Returns the names and levels of the suspected features. */
+    private Map<String, Integer> levels() {
+        final Map<String, Integer> levels = new HashMap<>();
+        mFeatures.stream()
+                .filter(source -> suspects().mayKnow(source.shape()))
+                .forEach(
+                        source ->
+                                levels.put(
+                                        source.name(), suspects().level(source.feature(), now())));
+        return levels;
+    }
+
+    /** Records that an event of the answer is about to be forwarded. */
+    void eventReceived() {
+        if (!mBegun) {
+            mBegun = true;
+            tell(suspects().recordBegun(suspected(), now()), false);
+        }
     }
 
     /** Records that an endpoint has answered the request completely. */
     void answered() {
-        mExchanges.state().usual().recordAnswer(hash(), now());
-        suspectedIdentity()
-                .filter(identity -> suspects().recordAnswer(identity, now()))
-                .ifPresent(
-                        identity -> {
-                            mExchanges.requestLogger().cleared(mAdmission, identity);
-                            mExchanges.crashes().answered(identity);
-                        });
+        mFeatures.forEach(source -> mExchanges.state().usual().recordAnswer(source.hash(), now()));
+        final List<RequestFeature> answered = suspects().recordAnswer(suspected(), now());
+        if (!answered.isEmpty()) {
+            mExchanges.requestLogger().cleared(mAdmission, answered.size());
+        }
+        tell(answered, true);
+        mGuarded = List.of();
     }
 
-    /** Records that the request has ended. */
-    void end() {
-        if (mStarted) {
-            mStarted = false;
-            mIdentity.ifPresent(suspects()::recordEnd);
+    private void tell(final List<RequestFeature> features, final boolean complete) {
+        if (!features.isEmpty()) {
+            mExchanges.crashes().news().answered(new FeatureAnswer(features, complete));
         }
     }
+
+    /** Records that the attempt has ended. */
+    void attemptEnded() {
+        suspects().recordEnd(mGuarded, now());
+        mGuarded = List.of();
+    }
 }
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
@@ -37,8 +37,14 @@
                 RunMove.Listener,
                 CallerRequestHandler.ActiveRequest {
 
-    /** With less time left than this, an attempt is not worth its cost. */
-    private static final Duration MIN_TIME_LEFT = Duration.ofMillis(30);
+    /**
+     * The longest wait for the check of an endpoint before the next attempt: one that has crashed
+     * refuses connections within milliseconds.
+     */
+    private static final Duration RETRY_CHECK_TIME = Duration.ofMillis(50);
+
+    /** The same before a response that ended with its connection counts as complete. */
+    private static final Duration END_CHECK_TIME = Duration.ofMillis(300);
 
     private static final String TIMED_OUT = "timed out";
     private static final String TOO_LATE = "read too late";
@@ -57,6 +63,7 @@
     private final RefusalFactory mRefusals;
     private final CrashRecorder mCrashes;
     private final ExchangeTimers mTimers;
+    private final RetryPermits mRetries;
     private Placement mPlacement;
     private EndpointConnection mConnection;
     private Instant mSentAt;
@@ -92,6 +99,7 @@
         mTrial = new TrialRecorder(exchanges.state(), admission.route());
         mRefusals = new RefusalFactory(exchanges.state(), admission);
         mTimers = new ExchangeTimers(exchanges.loop());
+        mRetries = new RetryPermits(exchanges, admission, mService);
     }
 
     private static String selectService(final AdmittedRequest admission) {
@@ -101,14 +109,23 @@
     void start() {
         mExchanges.state().retryBudget().recordRequest(mService, now());
         mTimers.startDeadline(timeLeft(), this::deadlinePassed);
-        final SuspectDecision decision = mCrashes.start();
-        if (timeLeft().compareTo(MIN_TIME_LEFT) < 0) {
+        if (timeLeft().compareTo(RetryPermits.MIN_TIME_LEFT) < 0) {
             refuse(TOO_LATE, mRefusals.givenUpRefusal(TOO_LATE));
-        } else if (!decision.isAllowed()) {
-            final RefusalResponse refusal = mRefusals.suspectRefusal(decision.retryAfter());
-            refuse(refusal.reason(), refusal);
         } else {
+            startAttempt();
+        }
+    }
+
+    /** Searches for an endpoint, unless endpoints crash under requests like this one. */
+    private void startAttempt() {
+        final SuspectDecision decision = mCrashes.start();
+        if (decision.isAllowed()) {
             mSearch.start();
+        } else if (mRelay.isStarted()) {
+            giveUp(RefusalFactory.SUSPECT);
+        } else {
+            final RefusalResponse refusal = mRefusals.suspectRefusal(decision.retryAfter());
+            refuse(refusal.reason(), refusal);
         }
     }
 
@@ -171,7 +188,7 @@
         mRefusals.markMayHaveRun();
         logUnanswered();
         endAttempt();
-        mSearch.start();
+        startAttempt();
     }
 
     /** Logs the current attempt, if any, as given up. */
@@ -207,7 +224,7 @@
             mRefusals.markMayHaveRun();
             mPlacement.load().recordOutcome(true);
             endAttempt();
-            mSearch.start();
+            startAttempt();
         } else {
             mRelay.head(response);
         }
@@ -221,6 +238,7 @@
     @Override
     public void generationStarted() {
         mStream.eventReceived(mPlacement.endpoint());
+        mCrashes.eventReceived();
         mPlacement.recordFirstToken(now());
         mTrial.firstToken();
         mUsage.recordRun(mSentAt);
@@ -262,11 +280,10 @@
             return;
         }
         if (!mRelay.isComplete() || mRelay.isEmptyStream()) {
-            checkEndpoint(crashed -> {});
-            attemptFailed(Verdict.MAY_HAVE_RUN, STREAM_CUT);
+            connectionLost(STREAM_CUT);
         } else if (mExchanges.state().endpoints().isUsable(mPlacement.endpoint().id())) {
             final int attemptId = mAttemptId;
-            checkEndpoint(crashed -> endpointChecked(attemptId, crashed));
+            checkEndpoint(END_CHECK_TIME, crashed -> endpointChecked(attemptId, crashed));
         } else {
             // An endpoint that leaves accepts no connections once it has answered.
             responseCompleted();
@@ -284,8 +301,30 @@
         }
     }
 
-    private void checkEndpoint(final Consumer<Boolean> checked) {
-        mCrashes.connectionEnded(mPlacement.endpoint(), mSentAt, mRelay.isStarted(), checked);
+    private void checkEndpoint(final Duration limit, final Consumer<Boolean> checked) {
+        mCrashes.connectionEnded(mPlacement.endpoint(), mSentAt, limit, checked);
+    }
+
+    /**
+     * Ends an attempt that has lost its connection. The next one waits until it is known whether
+     * the endpoint has crashed, since others may crash under the request as well.
+     */
+    private void connectionLost(final String reason) {
+        mPlacement.load().recordOutcome(true);
+        mConnection = null;
+        final int attemptId = mAttemptId;
+        if (mRetries.isUseful(mSends, mRelay.isStarted())) {
+            checkEndpoint(
+                    RETRY_CHECK_TIME,
+                    crashed -> {
+                        if (!mFinished && attemptId == mAttemptId) {
+                            retryOrGiveUp(Verdict.MAY_HAVE_RUN, reason);
+                        }
+                    });
+        } else {
+            checkEndpoint(RETRY_CHECK_TIME, crashed -> {});
+            retryOrGiveUp(Verdict.MAY_HAVE_RUN, reason);
+        }
     }
 
     private void responseCompleted() {
@@ -313,7 +352,8 @@
         }
         mTrial.connectionFailed(failure);
         if (failure == EndpointFailure.CONNECTION_LOST) {
-            checkEndpoint(crashed -> {});
+            connectionLost(failure.name());
+            return;
         }
         if (failure != EndpointFailure.RELAY_LOST) {
             mPlacement.load().recordOutcome(true);
@@ -328,7 +368,7 @@
             mRefusals.markMayHaveRun();
             logUnanswered();
             endAttempt();
-            mSearch.start();
+            startAttempt();
         }
     }
 
@@ -347,10 +387,9 @@
                         mAdmission, mPlacement.endpoint(), verdict, reason, mRelay.isStarted());
         endAttempt();
         final boolean mayHaveRun = mRelay.isStarted() || verdict != Verdict.NOT_RUN;
-        final boolean allowed =
-                !mayHaveRun || (mAdmission.route().canRunAgain() && mCrashes.mayRunAgain());
+        final boolean allowed = !mayHaveRun || mAdmission.route().canRunAgain();
         if (allowed && acquireRetry()) {
-            mSearch.start();
+            startAttempt();
         } else {
             giveUp(reason);
         }
@@ -395,7 +434,7 @@
         if (hasUntriedEndpoint && mAdmission.route().canRunAgain() && acquireRetry()) {
             mRefusals.markMayHaveRun();
             endAttempt();
-            mSearch.start();
+            startAttempt();
         }
     }
 
@@ -412,8 +451,7 @@
     public void moveFailed(final boolean streamEnded) {
         mMove = null;
         if (streamEnded) {
-            checkEndpoint(crashed -> {});
-            attemptFailed(Verdict.MAY_HAVE_RUN, "run was not moved");
+            connectionLost("run was not moved");
         }
     }
 
@@ -426,18 +464,7 @@
 
     /** Returns whether another attempt is allowed, and charges it to the retry budget if so. */
     private boolean acquireRetry() {
-        final boolean useful =
-                mSends < mAdmission.route().maxAttempts()
-                        && timeLeft().compareTo(MIN_TIME_LEFT) > 0
-                        && (!mRelay.isStarted() || mAdmission.route().kind().isStream());
-        if (!useful) {
-            return false;
-        }
-        final boolean allowed = mExchanges.state().retryBudget().tryRetry(mService, now());
-        if (!allowed) {
-            mExchanges.requestLogger().retryDenied(mService);
-        }
-        return allowed;
+        return mRetries.acquire(mSends, mRelay.isStarted());
     }
 
     /** Ends the current attempt, if any, and invalidates its pending callbacks. */
@@ -452,6 +479,7 @@
             mPlacement.release();
         }
         mTrial.attemptEnded();
+        mCrashes.attemptEnded();
         mAttemptId++;
     }
 
@@ -510,7 +538,6 @@
         mTimers.cancelDeadline();
         cancelMove();
         endAttempt();
-        mCrashes.end();
         mBody.release();
         mRelay.release();
         mExchanges.requestLogger().finished(mAdmission, mPlacement, mSends, outcome, status);
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/RefusalFactory.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/RefusalFactory.java
@@ -12,7 +12,8 @@
     /** The retry delay is the caller's remaining time divided by this. */
     private static final int RETRY_AFTER_DIVISOR = 12;
 
-    private static final String SUSPECT = "endpoints crash under this request";
+    /** The reason why requests are held back under which endpoints crash. */
+    static final String SUSPECT = "endpoints crash under this request";
 
     private final ServingState mState;
     private final AdmittedRequest mAdmission;
@@ -43,12 +44,15 @@
     }
 
     /**
-     * Returns the refusal of a request that crashes endpoints, before it is sent to any. Its
-     * customer gets the tokens back.
+     * Returns the refusal of a request that is held back as endpoints crash under requests like it.
+     * If it was not sent to any, its customer gets the tokens back.
      *
      * @param retryAfter the delay after which it may be sent
      */
     RefusalResponse suspectRefusal(final Duration retryAfter) {
+        if (mMayHaveRun) {
+            return RefusalResponse.mayHaveRun(SUSPECT);
+        }
         mAdmission.spend().ifPresent(mState.quotas()::refund);
         return RefusalResponse.notRun(SUSPECT, retryAfter);
     }
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/RequestLogger.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/RequestLogger.java
@@ -3,9 +3,9 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
-import java.util.stream.Collectors;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.slf4j.spi.LoggingEventBuilder;
@@ -16,10 +16,8 @@
 import org.whinhead.gateway.endpoint.MoveOutcome;
 import org.whinhead.gateway.metrics.RequestMetrics;
 import org.whinhead.serving.balance.Placement;
-import org.whinhead.serving.balance.PromptPart;
 import org.whinhead.serving.configuration.ConfigurationProgress;
 import org.whinhead.serving.configuration.CustomerAccount;
-import org.whinhead.serving.crash.RequestIdentity;
 import org.whinhead.serving.endpoint.EndpointEntry;
 import org.whinhead.serving.stream.StreamOrigin;
 
@@ -134,25 +132,30 @@
     void wasOnCrashed(
             final AdmittedRequest admission,
             final EndpointEntry endpoint,
-            final RequestIdentity identity,
-            final Duration age,
-            final boolean begun,
-            final int level) {
+            final LostAttempt attempt) {
         LOG.atInfo()
                 .addKeyValue("request", admission.request().id())
                 .addKeyValue("route", admission.route().name())
                 .addKeyValue("customer", admission.customerName().orElse(""))
-                .addKeyValue("identity", identity.toText())
-                .addKeyValue("parts", partIds(admission.request()))
                 .addKeyValue("endpoint", endpoint.id())
-                .addKeyValue("ageMillis", age.toMillis())
-                .addKeyValue("begun", begun)
-                .addKeyValue("level", level)
+                .addKeyValue("ageMillis", attempt.age().toMillis())
+                .addKeyValue("begun", attempt.begun())
+                .addKeyValue("levels", attempt.levels())
                 .log("request was on endpoint that crashed");
     }
 
-    private static String partIds(final CallerRequest request) {
-        return request.work().parts().stream().map(PromptPart::id).collect(Collectors.joining(" "));
+    /** Logs that a request is not sent as endpoints crashed under requests like it. */
+    void heldBack(
+            final AdmittedRequest admission,
+            final Map<String, Integer> levels,
+            final Duration retryAfter) {
+        LOG.atInfo()
+                .addKeyValue("request", admission.request().id())
+                .addKeyValue("route", admission.route().name())
+                .addKeyValue("customer", admission.customerName().orElse(""))
+                .addKeyValue("levels", levels)
+                .addKeyValue("comeBackAfter", retryAfter)
+                .log("request held back");
     }
 
     /** Logs that a response without a length ended when its connection was closed. */
@@ -169,11 +172,11 @@
                 .log("response ended with its connection");
     }
 
-    /** Logs that a request was answered that had been on endpoints that crashed. */
-    void cleared(final AdmittedRequest admission, final RequestIdentity identity) {
+    /** Logs that a request was answered that had features of requests on crashed endpoints. */
+    void cleared(final AdmittedRequest admission, final int features) {
         LOG.atInfo()
                 .addKeyValue("request", admission.request().id())
-                .addKeyValue("identity", identity.toText())
+                .addKeyValue("features", features)
                 .log("suspected request was answered");
     }
 
--- a/gateway/src/main/java/org/whinhead/gateway/peers/CrashMessenger.java
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/CrashMessenger.java
@@ -3,25 +3,28 @@
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
 import java.time.Instant;
+import java.util.List;
 import java.util.Objects;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import org.whinhead.gateway.crash.CrashNews;
 import org.whinhead.gateway.exchange.ServingState;
 import org.whinhead.gateway.generated.GatewayProto.Datagram;
 import org.whinhead.gateway.generated.GatewayProto.PeerReport;
-import org.whinhead.gateway.generated.GatewayProto.SuspectRequestRecord;
+import org.whinhead.gateway.generated.GatewayProto.SuspectFeatureRecord;
 import org.whinhead.serving.crash.EndpointCrash;
-import org.whinhead.serving.crash.RequestIdentity;
+import org.whinhead.serving.crash.FeatureAnswer;
+import org.whinhead.serving.crash.RequestFeature;
 import org.whinhead.serving.crash.SuspectRecord;
 
-/** Exchanges with the other daemons which requests were on endpoints that crashed. */
-final class CrashMessenger {
+/** Exchanges with the other daemons what requests on endpoints that crashed have in common. */
+final class CrashMessenger implements CrashNews {
 
-    /** The suspected requests in a report; all are told within a few reports. */
+    /** The suspected features in a report; all are told within a few reports. */
     private static final int SUSPECTS_PER_REPORT = 8;
 
-    /** The delays after which the answer to a suspected request is told again. */
+    /** The delays after which the complete answer to a suspected request is told again. */
     private static final int[] ANSWER_REPEAT_MILLIS = {100, 300, 700};
 
     private final EventLoop mLoop;
@@ -52,63 +55,75 @@
         return mState.clock().instant();
     }
 
-    /** Tells of an endpoint that has crashed, and of the requests that were on it. */
-    void sendCrash(final EndpointCrash crash) {
+    @Override
+    public void endpointCrashed(final EndpointCrash crash) {
         CrashCodec.encode(crash).forEach(mSendToAll);
     }
 
     /**
-     * Tells that a suspected request was answered. The message is repeated, as a daemon that misses
-     * it would refuse the request, but not once endpoints have crashed under the request again: it
-     * would end the new suspicion, and only at the daemons that receive it.
+     * Tells of an answer. The message is repeated, as a daemon that misses it would refuse requests
+     * that are innocent, but not once endpoints have crashed again under requests with these
+     * features: it would end the new suspicion, and only at the daemons that receive it.
      */
-    void sendAnswered(final RequestIdentity identity) {
-        final Datagram datagram = answered(identity);
+    @Override
+    public void answered(final FeatureAnswer answer) {
+        final Datagram datagram = CrashCodec.encode(answer);
         mSendToAll.accept(datagram);
         for (final int millis : ANSWER_REPEAT_MILLIS) {
-            mLoop.schedule(() -> repeatAnswered(identity, datagram), millis, TimeUnit.MILLISECONDS);
+            mLoop.schedule(() -> repeatAnswer(answer, datagram), millis, TimeUnit.MILLISECONDS);
         }
     }
 
-    private void repeatAnswered(final RequestIdentity identity, final Datagram datagram) {
-        if (mState.suspects().level(identity, now()) == 0) {
+    private void repeatAnswer(final FeatureAnswer answer, final Datagram datagram) {
+        final boolean isCurrent =
+                answer.isComplete()
+                        && answer.features().stream()
+                                .allMatch(feature -> mState.suspects().level(feature, now()) == 0);
+        if (isCurrent) {
             mSendToAll.accept(datagram);
         }
     }
 
-    private static Datagram answered(final RequestIdentity identity) {
-        return Datagram.newBuilder().setRequestAnswered(CrashCodec.encode(identity)).build();
+    @Override
+    public void started(final List<RequestFeature> features) {
+        mSendToAll.accept(CrashCodec.encodeStart(features));
     }
 
     /** Applies a datagram if it is one of these messages. */
     void receive(final Datagram datagram) {
         if (datagram.hasEndpointCrash()) {
             final EndpointCrash crash = CrashCodec.decode(datagram.getEndpointCrash());
-            crash.requests().forEach(request -> applyCrash(crash.endpoint(), request));
+            crash.runs()
+                    .forEach(
+                            run ->
+                                    mState.suspects()
+                                            .applyPeerCrash(
+                                                    run.features(), crash.endpoint(), now()));
         }
-        if (datagram.hasRequestAnswered()) {
+        if (datagram.hasFeatureAnswer()) {
             mState.suspects()
-                    .applyPeerAnswer(CrashCodec.decode(datagram.getRequestAnswered()), now());
+                    .applyPeerAnswer(CrashCodec.decode(datagram.getFeatureAnswer()), now());
+        }
+        if (datagram.hasFeatureStart()) {
+            mState.suspects().applyPeerStart(CrashCodec.decode(datagram.getFeatureStart()), now());
         }
     }
 
-    private void applyCrash(final String endpoint, final EndpointCrash.Request request) {
-        mState.suspects().applyPeerCrash(request.identity(), endpoint, request.level(), now());
-    }
-
-    /** Adds requests that are held back, for daemons that have missed their crashes. */
+    /** Adds features whose requests are held back, for daemons that have missed their crashes. */
     void addTo(final PeerReport.Builder report) {
         mState.suspects()
                 .nextRecords(SUSPECTS_PER_REPORT, now())
                 .forEach(suspect -> report.addSuspects(CrashCodec.encode(suspect)));
     }
 
-    /** Applies the requests of a report; tells its sender of those that were answered since. */
+    /** Applies the features of a report; tells its sender of those that were answered since. */
     void receive(final PeerReport report) {
-        for (final SuspectRequestRecord suspect : report.getSuspectsList()) {
+        for (final SuspectFeatureRecord suspect : report.getSuspectsList()) {
             final SuspectRecord record = CrashCodec.decode(suspect);
             if (mState.suspects().applyPeerRecord(record, now())) {
-                mSend.accept(Addresses.parse(report.getPeerAddress()), answered(record.identity()));
+                mSend.accept(
+                        Addresses.parse(report.getPeerAddress()),
+                        CrashCodec.encode(new FeatureAnswer(List.of(record.feature()), true)));
             }
         }
     }
--- a/gateway/src/main/java/org/whinhead/gateway/peers/PeerDatagramChannel.java
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/PeerDatagramChannel.java
@@ -20,6 +20,7 @@
 import java.util.function.LongConsumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.whinhead.gateway.crash.CrashNews;
 import org.whinhead.gateway.exchange.ServingState;
 import org.whinhead.gateway.generated.GatewayProto.CapacityOrderRecord;
 import org.whinhead.gateway.generated.GatewayProto.Datagram;
@@ -30,8 +31,6 @@
 import org.whinhead.gateway.stream.StreamDirectory;
 import org.whinhead.gateway.time.GuardedTask;
 import org.whinhead.serving.capacity.CapacityOrder;
-import org.whinhead.serving.crash.EndpointCrash;
-import org.whinhead.serving.crash.RequestIdentity;
 import org.whinhead.serving.endpoint.EndpointChange;
 import org.whinhead.serving.endpoint.EndpointEntry;
 import org.whinhead.serving.member.MemberTable;
@@ -169,7 +168,7 @@
         mState.brittle()
                 .setDaemons(
                         Math.max(mMembers.knownCount(), expectedDaemons()), mMembers.knownRank());
-        mState.suspects().setDaemons(mMembers.knownCount(), mMembers.knownRank());
+        mState.suspects().setRank(mMembers.knownRank());
         mStreamMessenger.expire();
         sendToNextReceivers();
     }
@@ -202,21 +201,12 @@
     }
 
     /**
-     * Informs the other daemons that an endpoint has crashed, and of the requests that were on it.
+     * Returns what tells the other daemons of requests under which endpoints crash.
      *
-     * @param crash the endpoint and the requests
+     * @return the messenger
      */
-    public void sendEndpointCrash(final EndpointCrash crash) {
-        mCrashMessenger.sendCrash(crash);
-    }
-
-    /**
-     * Informs the other daemons that a suspected request was answered.
-     *
-     * @param identity the request
-     */
-    public void sendRequestAnswered(final RequestIdentity identity) {
-        mCrashMessenger.sendAnswered(identity);
+    public CrashNews crashNews() {
+        return mCrashMessenger;
     }
 
     /** Sends a report to the next part of the receivers; all get one within the report interval. */
--- a/gateway/src/test/java/org/whinhead/gateway/crash/CrashDetectorTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/crash/CrashDetectorTest.java
@@ -11,7 +11,9 @@
 import org.whinhead.gateway.exchange.TestServing;
 import org.whinhead.gateway.metrics.RequestMetrics;
 import org.whinhead.serving.crash.EndpointCrash;
-import org.whinhead.serving.crash.RequestIdentity;
+import org.whinhead.serving.crash.FeatureAnswer;
+import org.whinhead.serving.crash.FeatureLevel;
+import org.whinhead.serving.crash.RequestFeature;
 import org.whinhead.serving.endpoint.EndpointEntry;
 
 class CrashDetectorTest {
@@ -36,7 +38,23 @@
 
     @BeforeEach
     void listen() {
-        mDetector.onEvents(mTold::add, identity -> {});
+        mDetector.setNews(
+                new CrashNews() {
+                    @Override
+                    public void endpointCrashed(final EndpointCrash crash) {
+                        mTold.add(crash);
+                    }
+
+                    @Override
+                    public void answered(final FeatureAnswer answer) {
+                        throw new IllegalStateException("nothing was answered");
+                    }
+
+                    @Override
+                    public void started(final List<RequestFeature> features) {
+                        throw new IllegalStateException("nothing was started");
+                    }
+                });
     }
 
     private void lose(final String endpoint, final String request) {
@@ -44,10 +62,13 @@
                 TestServing.endpoint(endpoint, false),
                 new CrashDetector.LostRequest() {
                     @Override
-                    public EndpointCrash.Request crashed() {
+                    public EndpointCrash.LostRun crashed() {
                         mCrashed.add(request);
-                        return new EndpointCrash.Request(
-                                new RequestIdentity(1, 2, request.hashCode()), mCrashed.size());
+                        return new EndpointCrash.LostRun(
+                                List.of(
+                                        new FeatureLevel(
+                                                new RequestFeature(1, 2, request.hashCode()),
+                                                mCrashed.size())));
                     }
 
                     @Override
@@ -67,8 +88,9 @@
         assertThat(mChecked).containsExactly(true, true);
         assertThat(mTold).hasSize(1);
         assertThat(mTold.get(0).endpoint()).isEqualTo("e-1");
-        assertThat(mTold.get(0).requests())
-                .extracting(EndpointCrash.Request::level)
+        assertThat(mTold.get(0).runs())
+                .flatExtracting(EndpointCrash.LostRun::features)
+                .extracting(FeatureLevel::level)
                 .containsExactly(1, 2);
         assertThat(mCounts.renderPage())
                 .contains("whinhead_endpoint_crashes_total{service=\"pool\"} 1");
--- a/gateway/src/test/java/org/whinhead/gateway/peers/CrashMessengerTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/peers/CrashMessengerTest.java
@@ -11,12 +11,15 @@
 import org.whinhead.gateway.exchange.ServingState;
 import org.whinhead.gateway.exchange.TestServing;
 import org.whinhead.gateway.generated.GatewayProto.Datagram;
-import org.whinhead.serving.crash.RequestIdentity;
+import org.whinhead.serving.crash.FeatureAnswer;
+import org.whinhead.serving.crash.FeatureLevel;
+import org.whinhead.serving.crash.RequestFeature;
 
 class CrashMessengerTest {
 
     private static final Instant NOW = Instant.parse("2026-01-01T00:00:00Z");
-    private static final RequestIdentity REQUEST = new RequestIdentity(1, 2, 3);
+    private static final RequestFeature FEATURE = new RequestFeature(1, 2, 3);
+    private static final FeatureAnswer ANSWER = new FeatureAnswer(List.of(FEATURE), true);
 
     private final EmbeddedChannel mChannel = new EmbeddedChannel();
     private final ServingState mState = TestServing.state(() -> NOW);
@@ -32,19 +35,27 @@
 
     @Test
     void answerIsRepeated() {
-        mMessenger.sendAnswered(REQUEST);
+        mMessenger.answered(ANSWER);
         pass(1_000);
-        assertThat(mSent).hasSize(4).allMatch(Datagram::hasRequestAnswered);
+        assertThat(mSent).hasSize(4).allMatch(Datagram::hasFeatureAnswer);
     }
 
     // Guards against daemons that refuse a request which most others serve: an endpoint crashed
     // under it again, and a repeat of the answer from before ended the suspicion at most of them.
     @Test
     void answerIsNotRepeatedOnceTheRequestIsSuspectedAgain() {
-        mMessenger.sendAnswered(REQUEST);
+        mMessenger.answered(ANSWER);
         pass(200);
-        mState.suspects().applyPeerCrash(REQUEST, "e-1", 1, NOW);
+        mState.suspects().applyPeerCrash(List.of(new FeatureLevel(FEATURE, 1)), "e-1", NOW);
         pass(1_000);
         assertThat(mSent).hasSize(2);
     }
+
+    // Guards against a beginning that is told once more after its endpoint has crashed.
+    @Test
+    void beginningOfAnAnswerIsToldOnce() {
+        mMessenger.answered(new FeatureAnswer(List.of(FEATURE), false));
+        pass(1_000);
+        assertThat(mSent).hasSize(1);
+    }
 }
--- a/serving/src/main/java/org/whinhead/serving/crash/CrashSuspects.java
+++ b/serving/src/main/java/org/whinhead/serving/crash/CrashSuspects.java
@@ -3,319 +3,328 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.Collection;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.whinhead.api.Arguments;
 
 /**
- * Remembers which requests were in progress on endpoints that crashed, and holds back those under
- * which endpoints crash again and again.
+ * Remembers what the requests have in common that were in progress on endpoints that crashed, and
+ * holds back those under which endpoints crash again and again.
  *
- * <p>Most requests on an endpoint that crashes are innocent, and a common one may be on many that
- * crash for other reasons. So a crash raises the level of a request only if it follows the one
- * before: its run began in the knowledge of that one, or it came clearly later. Endpoints that are
- * lost together count once. A complete answer, at any daemon, ends the suspicion, and a request
- * that was answered a short while before is guarded and not refused for what happens within one
- * event.
+ * <p>Each request has several features: itself, and the parts of its prompt. A crash counts against
+ * all features of all requests on the endpoint, most of which are innocent. So it raises the level
+ * of a feature only if it follows the one before: its run began in the knowledge of that one, or it
+ * came clearly later. Endpoints that are lost together count once. A complete answer, at any
+ * daemon, ends the suspicion of all features of its request.
  *
- * <p>From {@link #GUARDED_LEVEL} on, one daemon, the same for all, may still send the request. From
- * {@link #BLOCKED_LEVEL} on it is refused; that daemon may try it again after growing pauses, since
- * the endpoints may have been mended.
+ * <p>While a feature is suspected, requests with it run one at a time, over all daemons, until an
+ * answer begins. One that is answered usually is not held up by a single crash.
+ *
+ * <p>From {@link #BLOCKED_LEVEL} on, a request is refused if it has the feature and all that was
+ * common to the lost requests with it. One that has a part of that only may be sound: it runs once,
+ * by itself, and its outcome shows what is to blame. Refused requests are tried again after growing
+ * pauses, since the endpoints may have been mended.
  */
 public final class CrashSuspects {
 
-    /** The level from which a request runs at one daemon only, one attempt at a time. */
+    /** The level from which requests run one at a time even if they are answered usually. */
     public static final int GUARDED_LEVEL = 2;
 
-    /** The level from which a request is refused. */
+    /** The level from which requests are refused. */
     public static final int BLOCKED_LEVEL = 3;
 
-    /**
-     * The number of endpoints from which a request is guarded also if they crashed together: many
-     * copies of it may be in progress at a time.
-     */
-    private static final int GUARDED_ENDPOINTS = 3;
+    /** The delay sent to callers of requests that may run soon. */
+    static final Duration GUARD_RETRY_AFTER = Duration.ofMillis(300);
 
-    /**
-     * The time from the first crash until such a guard begins. Of a common request that was on many
-     * endpoints by chance, others are answered meanwhile.
-     */
-    private static final Duration GUARD_DELAY = Duration.ofSeconds(1);
-
-    /** Crashes within this time are taken for one event if no run began after the first. */
-    private static final Duration ONE_EVENT = Duration.ofMillis(500);
-
-    /** The time for which a request is remembered after its last crash or refusal. */
+    /** The time for which a feature is remembered after its last crash. */
     private static final Duration MEMORY = Duration.ofMinutes(10);
 
-    /** The delay sent to callers of a guarded request that may run elsewhere, or soon. */
-    private static final Duration GUARD_RETRY_AFTER = Duration.ofMillis(300);
+    /** The same for a feature whose requests are refused, also after the last refusal. */
+    private static final Duration BLOCKED_MEMORY = Duration.ofDays(1);
 
-    /** Bounds the memory: an endpoint that crashes takes up to a hundred requests with it. */
-    private static final int MAX_SUSPECTS = 4_096;
-
-    private final Map<RequestIdentity, Suspect> mSuspects = new LinkedHashMap<>();
-    private final Map<Integer, Integer> mShapes = new HashMap<>();
-    private final AnsweredRequests mAnswered = new AnsweredRequests();
-    private int mDaemonCount = 1;
+    private final SuspectTable mTable = new SuspectTable();
+    private final AnsweredFeatures mAnswered = new AnsweredFeatures();
     private int mRank;
     private int mReported;
 
-    private static final class Suspect {
-        private int mLevel;
-        private Instant mFirstAt;
-        private Instant mRaisedAt;
-        private Instant mKeptUntil;
-        private Instant mGuardAt;
-        private int mInProgress;
-        private final Set<String> mEndpoints = new HashSet<>();
-    }
-
     /**
-     * Sets which daemons there are, since one of them makes the trials of a request.
+     * Sets the place of this daemon among all, as each begins its reports with other features.
      *
-     * @param count the number of daemons
-     * @param rank the place of this one among them, from 0
+     * @param rank the place, from 0
      */
-    public void setDaemons(final int count, final int rank) {
-        Arguments.requireAtLeast(count, 1, "count");
+    public void setRank(final int rank) {
         Arguments.requireAtLeast(rank, 0, "rank");
-        mDaemonCount = count;
         mRank = rank;
     }
 
     /**
-     * Returns whether any remembered request has a shape; if not, there is no need for its digest.
+     * Returns whether any suspected feature has a shape; if not, there is no need for a digest.
      *
-     * @param shape the shape of a request
-     * @return whether the request may be a remembered one
+     * @param shape the shape of a feature
+     * @return whether the feature may be suspected
      */
     public boolean mayKnow(final int shape) {
-        return mShapes.containsKey(shape);
+        return mTable.containsShape(shape);
     }
 
     /**
-     * Returns the number of crashes that count against a request.
+     * Returns the number of crashes that count against a feature.
      *
-     * @param request the request
+     * @param feature the feature
      * @param now the current time
-     * @return the level; 0 if the request is not suspected
+     * @return the level; 0 if the feature is not suspected
      */
-    public int level(final RequestIdentity request, final Instant now) {
-        return find(request, now).map(suspect -> suspect.mLevel).orElse(0);
-    }
-
-    private Optional<Suspect> find(final RequestIdentity request, final Instant now) {
-        final Suspect suspect = mSuspects.get(request);
-        if (suspect != null && !now.isBefore(suspect.mKeptUntil)) {
-            remove(request);
-            return Optional.empty();
-        }
-        if (suspect != null && suspect.mGuardAt != null && !now.isBefore(suspect.mGuardAt)) {
-            raise(request, GUARDED_LEVEL, now, MEMORY);
-        }
-        return Optional.ofNullable(suspect);
+    public int level(final RequestFeature feature, final Instant now) {
+        return mTable.find(feature, now).map(Suspect::level).orElse(0);
     }
 
     /**
      * Decides whether a request may be sent to an endpoint.
      *
-     * @param request the request
+     * @param features the features of the request that may be suspected
+     * @param isUsual whether requests with a feature are answered usually
      * @param now the current time
      * @return the decision
      */
-    public SuspectDecision decide(final RequestIdentity request, final Instant now) {
-        final Optional<Suspect> found = find(request, now);
-        if (found.isEmpty() || found.get().mLevel < GUARDED_LEVEL) {
-            return SuspectDecision.RUN;
+    public SuspectDecision decide(
+            final Collection<RequestFeature> features,
+            final Predicate<RequestFeature> isUsual,
+            final Instant now) {
+        Duration longest = Duration.ZERO;
+        for (final RequestFeature feature : features) {
+            final Optional<Suspect> found = mTable.find(feature, now);
+            if (found.isPresent()) {
+                final Duration delay = delay(found.get(), features, isUsual.test(feature), now);
+                longest = delay.compareTo(longest) > 0 ? delay : longest;
+            }
         }
-        final Suspect suspect = found.get();
-        if (suspect.mLevel >= BLOCKED_LEVEL) {
-            suspect.mKeptUntil = now.plus(MEMORY);
-            final Instant trialAt = suspect.mRaisedAt.plus(TrialSchedule.delay(suspect.mLevel));
+        return longest.isZero() ? SuspectDecision.RUN : SuspectDecision.refuse(longest);
+    }
+
+    private Duration delay(
+            final Suspect suspect,
+            final Collection<RequestFeature> features,
+            final boolean isUsual,
+            final Instant now) {
+        if (isBlocked(suspect, features)) {
+            suspect.keepUntil(now.plus(BLOCKED_MEMORY));
+            final Instant trialAt = suspect.raisedAt().plus(TrialSchedule.delay(suspect.level()));
             if (now.isBefore(trialAt)) {
-                return SuspectDecision.refuse(Duration.between(now, trialAt));
+                return Duration.between(now, trialAt);
             }
         }
-        return suspect.mInProgress > 0 || !makesTrials(request)
-                ? SuspectDecision.refuse(GUARD_RETRY_AFTER)
-                : SuspectDecision.RUN;
+        return suspect.guardDelay(isUsual, now);
+    }
+
+    /** Returns whether a request has all that was common to the lost requests with a feature. */
+    private boolean isBlocked(final Suspect suspect, final Collection<RequestFeature> features) {
+        return suspect.level() >= BLOCKED_LEVEL
+                && !suspect.isSoundApart()
+                && hasPattern(suspect, features);
     }
 
-    private boolean makesTrials(final RequestIdentity request) {
-        return Math.floorMod(request.low(), mDaemonCount) == mRank;
+    private boolean hasPattern(final Suspect suspect, final Collection<RequestFeature> features) {
+        return suspect.isPatternIn(
+                companion ->
+                        !mTable.isSuspicious(companion)
+                                || features.stream()
+                                        .anyMatch(feature -> feature.shape() == companion));
     }
 
     /**
-     * Records that a request is in progress at this daemon.
+     * Records that a request is about to run.
      *
-     * @param request the request
+     * @param features the features of the request that may be suspected
+     * @param isUsual whether requests with a feature are answered usually
      * @param now the current time
+     * @return the features of which other daemons must start no request for a while
      */
-    public void recordStart(final RequestIdentity request, final Instant now) {
-        final Suspect suspect = mSuspects.get(request);
-        if (suspect != null) {
-            suspect.mInProgress++;
-            if (suspect.mLevel >= BLOCKED_LEVEL) {
-                // A trial that ends without a result must not be followed by another one at once.
-                suspect.mRaisedAt = now;
+    public List<RequestFeature> recordStart(
+            final Collection<RequestFeature> features,
+            final Predicate<RequestFeature> isUsual,
+            final Instant now) {
+        final List<RequestFeature> guarded = new ArrayList<>();
+        for (final RequestFeature feature : features) {
+            final Optional<Suspect> found = mTable.find(feature, now);
+            if (found.isPresent() && found.get().isGuarded(isUsual.test(feature))) {
+                found.get().startAttempt(isBlocked(found.get(), features), now);
+                guarded.add(feature);
             }
         }
+        return guarded;
     }
 
     /**
-     * Records that a request is no longer in progress at this daemon.
+     * Records that another daemon is about to run a request.
      *
-     * @param request the request
+     * @param features the features that it has in its keeping
+     * @param now the current time
      */
-    public void recordEnd(final RequestIdentity request) {
-        final Suspect suspect = mSuspects.get(request);
-        if (suspect != null && suspect.mInProgress > 0) {
-            suspect.mInProgress--;
+    public void applyPeerStart(final Collection<RequestFeature> features, final Instant now) {
+        for (final RequestFeature feature : features) {
+            mTable.find(feature, now)
+                    .ifPresent(suspect -> suspect.startAttempt(isBlocked(suspect, features), now));
         }
     }
 
+    /**
+     * Records that a run has ended without an answer or a crash.
+     *
+     * @param features the features that its start has returned
+     * @param now the current time
+     */
+    public void recordEnd(final Collection<RequestFeature> features, final Instant now) {
+        features.forEach(feature -> mTable.find(feature, now).ifPresent(Suspect::endAttempt));
+    }
+
     /**
      * Records that an endpoint has crashed while it had a request.
      *
-     * @param request the request
+     * @param run all features of the request, with the levels that were known when it was sent
      * @param endpoint the endpoint's id
-     * @param knownLevel the request's level when it was sent to that endpoint
-     * @param usual whether the request was answered a short while before
      * @param now the current time
-     * @return the request's level after the crash
+     * @return the features that the crash counts against, with their levels after it
      */
-    public int recordCrash(
-            final RequestIdentity request,
-            final String endpoint,
-            final int knownLevel,
-            final boolean usual,
-            final Instant now) {
-        mAnswered.remove(request);
-        final Optional<Suspect> found = find(request, now);
-        if (found.isEmpty()) {
-            raise(request, 1, now, MEMORY);
-        } else {
-            final Suspect suspect = found.get();
-            final boolean isLater = now.isAfter(suspect.mRaisedAt.plus(ONE_EVENT));
-            final int level = Math.max(suspect.mLevel + (isLater ? 1 : 0), knownLevel + 1);
-            // Endpoints that are lost together go one after the other, and a common request that
-            // is sent on meets several of them within one event.
-            final boolean isOneEvent = now.isBefore(suspect.mFirstAt.plus(ONE_EVENT));
-            raise(
-                    request,
-                    usual && isOneEvent ? Math.min(level, GUARDED_LEVEL) : level,
-                    now,
-                    MEMORY);
+    public List<FeatureLevel> recordCrash(
+            final List<FeatureLevel> run, final String endpoint, final Instant now) {
+        final List<RequestFeature> features = run.stream().map(FeatureLevel::feature).toList();
+        final List<FeatureLevel> blamed = new ArrayList<>();
+        for (final FeatureLevel lost : blamed(run, features, now)) {
+            final Suspect suspect =
+                    mTable.find(lost.feature(), now).orElseGet(() -> new Suspect(now));
+            final int level = suspect.levelAfterCrash(endpoint, lost.level(), now);
+            crashed(new FeatureLevel(lost.feature(), level), suspect, features, endpoint, now);
+            blamed.add(new FeatureLevel(lost.feature(), suspect.level()));
         }
-        countEndpoint(request, endpoint, now);
-        return mSuspects.get(request).mLevel;
+        return blamed;
     }
 
-    private void countEndpoint(
-            final RequestIdentity request, final String endpoint, final Instant now) {
-        final Suspect suspect = mSuspects.get(request);
-        if (suspect.mEndpoints.size() < GUARDED_ENDPOINTS) {
-            suspect.mEndpoints.add(endpoint);
-        }
-        if (suspect.mEndpoints.size() >= GUARDED_ENDPOINTS && suspect.mGuardAt == null) {
-            suspect.mGuardAt = now.plus(GUARD_DELAY);
-        }
+    /** Returns the features that explain a crash: those that are refused, or else all. */
+    private List<FeatureLevel> blamed(
+            final List<FeatureLevel> run, final List<RequestFeature> features, final Instant now) {
+        final List<FeatureLevel> blocked =
+                run.stream()
+                        .filter(
+                                lost ->
+                                        mTable.find(lost.feature(), now)
+                                                .filter(suspect -> isBlocked(suspect, features))
+                                                .isPresent())
+                        .toList();
+        return blocked.isEmpty() ? run : blocked;
     }
 
-    /** Raises the level of a request unless it is as high already. */
-    private void raise(
-            final RequestIdentity request,
-            final int level,
-            final Instant now,
-            final Duration keptFor) {
-        if (mSuspects.containsKey(request) && mSuspects.get(request).mLevel >= level) {
-            return;
-        }
-        final Suspect before = mSuspects.remove(request);
-        final Suspect suspect = before == null ? new Suspect() : before;
-        if (before == null) {
-            suspect.mFirstAt = now;
-            mShapes.merge(request.shape(), 1, Integer::sum);
-        }
-        suspect.mLevel = level;
-        suspect.mRaisedAt = now;
-        suspect.mKeptUntil = now.plus(keptFor);
-        // The entry that was raised last is the last one to be removed for want of room.
-        mSuspects.put(request, suspect);
-        if (mSuspects.size() > MAX_SUSPECTS) {
-            remove(leastSuspected());
-        }
-    }
-
-    /** Returns the oldest request that is not held back, or else the oldest one. */
-    private RequestIdentity leastSuspected() {
-        return mSuspects.entrySet().stream()
-                .filter(entry -> entry.getValue().mLevel < GUARDED_LEVEL)
-                .findFirst()
-                .map(Map.Entry::getKey)
-                .orElseGet(() -> mSuspects.keySet().iterator().next());
+    private void crashed(
+            final FeatureLevel lost,
+            final Suspect suspect,
+            final List<RequestFeature> features,
+            final String endpoint,
+            final Instant now) {
+        final Set<Integer> others = new HashSet<>();
+        features.stream()
+                .filter(feature -> !feature.equals(lost.feature()))
+                .forEach(feature -> others.add(feature.shape()));
+        suspect.recordCrash(endpoint, others);
+        raise(lost, suspect, now, MEMORY);
     }
 
-    private void remove(final RequestIdentity request) {
-        if (mSuspects.remove(request) != null) {
-            mShapes.computeIfPresent(
-                    request.shape(), (shape, count) -> count == 1 ? null : count - 1);
+    private void raise(
+            final FeatureLevel raised,
+            final Suspect suspect,
+            final Instant now,
+            final Duration memory) {
+        mAnswered.remove(raised.feature());
+        if (suspect.raise(raised.level(), now)) {
+            // The feature that was raised last is the last one to be removed for want of room.
+            mTable.putLast(raised.feature(), suspect);
+            suspect.keepUntil(now.plus(raised.level() >= BLOCKED_LEVEL ? BLOCKED_MEMORY : memory));
         }
     }
 
     /**
-     * Records that an endpoint has answered a request completely.
+     * Applies a crash that another daemon has recorded.
      *
-     * @param request the request
+     * @param run the features of a request that was in progress there, with their levels
+     * @param endpoint the endpoint's id
      * @param now the current time
-     * @return whether it was suspected until now, and other daemons must hear of the answer
      */
-    public boolean recordAnswer(final RequestIdentity request, final Instant now) {
-        if (find(request, now).isEmpty()) {
-            return false;
+    public void applyPeerCrash(
+            final List<FeatureLevel> run, final String endpoint, final Instant now) {
+        final List<RequestFeature> features = run.stream().map(FeatureLevel::feature).toList();
+        for (final FeatureLevel lost : run) {
+            final Suspect suspect =
+                    mTable.find(lost.feature(), now).orElseGet(() -> new Suspect(now));
+            crashed(lost, suspect, features, endpoint, now);
         }
-        forget(request, now);
-        return true;
     }
 
-    private void forget(final RequestIdentity request, final Instant now) {
-        remove(request);
-        mAnswered.add(request, now);
+    /**
+     * Records that the answer to a request has begun.
+     *
+     * @param features the features of the request that may be suspected
+     * @param now the current time
+     * @return the features of which other daemons must hear that
+     */
+    public List<RequestFeature> recordBegun(
+            final Collection<RequestFeature> features, final Instant now) {
+        return features.stream()
+                .filter(
+                        feature ->
+                                mTable.find(feature, now).filter(Suspect::recordBegun).isPresent())
+                .toList();
     }
 
     /**
-     * Applies a crash that another daemon has recorded.
+     * Records that an endpoint has answered a request completely.
      *
-     * @param request the request
-     * @param endpoint the endpoint's id
-     * @param level the request's level there after the crash
+     * @param features the features of the request that may be suspected
      * @param now the current time
+     * @return the features that were suspected until now, of which other daemons must hear
      */
-    public void applyPeerCrash(
-            final RequestIdentity request,
-            final String endpoint,
-            final int level,
+    public List<RequestFeature> recordAnswer(
+            final Collection<RequestFeature> features, final Instant now) {
+        final List<RequestFeature> answered =
+                features.stream()
+                        .filter(
+                                feature ->
+                                        mTable.find(feature, now)
+                                                .filter(suspect -> !suspect.isSoundApart())
+                                                .isPresent())
+                        .toList();
+        answered.forEach(feature -> answered(feature, answered, now));
+        return answered;
+    }
+
+    private void answered(
+            final RequestFeature feature,
+            final Collection<RequestFeature> features,
             final Instant now) {
-        mAnswered.remove(request);
-        find(request, now);
-        raise(request, level, now, MEMORY);
-        countEndpoint(request, endpoint, now);
+        final Optional<Suspect> found = mTable.find(feature, now);
+        if (found.isPresent()
+                && found.get().level() >= BLOCKED_LEVEL
+                && !hasPattern(found.get(), features)) {
+            found.get().recordSoundApart();
+        } else {
+            mTable.remove(feature);
+            mAnswered.add(feature, now);
+        }
     }
 
     /**
-     * Applies a complete answer that another daemon has recorded.
+     * Applies an answer that another daemon has recorded.
      *
-     * @param request the request
+     * @param answer the suspected features of the answered request
      * @param now the current time
      */
-    public void applyPeerAnswer(final RequestIdentity request, final Instant now) {
-        forget(request, now);
+    public void applyPeerAnswer(final FeatureAnswer answer, final Instant now) {
+        if (answer.isComplete()) {
+            answer.features().forEach(feature -> answered(feature, answer.features(), now));
+        } else {
+            recordBegun(answer.features(), now);
+        }
     }
 
     /**
@@ -323,59 +332,58 @@
      *
      * @param record an entry of its report
      * @param now the current time
-     * @return whether that daemon must hear that the request was answered since
+     * @return whether that daemon must hear that a request with the feature was answered since
      */
     public boolean applyPeerRecord(final SuspectRecord record, final Instant now) {
-        if (mAnswered.containsRecent(record.identity(), now)) {
+        if (mAnswered.containsRecent(record.feature(), now)) {
             return true;
         }
-        merge(record, now);
+        if (!record.keptFor().isNegative() && !record.keptFor().isZero()) {
+            merge(record, now);
+        }
         return false;
     }
 
     private void merge(final SuspectRecord record, final Instant now) {
-        final Duration keptFor = min(record.keptFor(), MEMORY);
-        if (keptFor.isNegative() || keptFor.isZero()) {
-            return;
+        final Suspect suspect =
+                mTable.find(record.feature(), now).orElseGet(() -> Suspect.learnedLater(now));
+        final Duration keptFor =
+                record.keptFor().compareTo(BLOCKED_MEMORY) < 0 ? record.keptFor() : BLOCKED_MEMORY;
+        if (record.level() > suspect.level()) {
+            suspect.setCompanions(record.companions());
         }
-        find(record.identity(), now);
-        raise(record.identity(), record.level(), now, keptFor);
-        final Suspect known = mSuspects.get(record.identity());
-        if (known.mLevel == record.level()) {
-            known.mKeptUntil = max(known.mKeptUntil, now.plus(keptFor));
+        raise(new FeatureLevel(record.feature(), record.level()), suspect, now, keptFor);
+        if (suspect.level() == record.level()) {
+            suspect.keepUntil(now.plus(keptFor));
         }
     }
 
-    private static Duration min(final Duration first, final Duration second) {
-        return first.compareTo(second) <= 0 ? first : second;
-    }
-
-    private static Instant max(final Instant first, final Instant second) {
-        return first.isAfter(second) ? first : second;
-    }
-
     /**
-     * Returns the next of the remembered requests that daemons must know of which have started or
+     * Returns the next of the suspected features that daemons must know of which have started or
      * were cut off, in turn.
      *
-     * @param most the most requests to return
+     * @param most the most features to return
      * @param now the current time
-     * @return requests of {@link #GUARDED_LEVEL} or above
+     * @return features of {@link #GUARDED_LEVEL} or above
      */
     public List<SuspectRecord> nextRecords(final int most, final Instant now) {
         final List<SuspectRecord> all = new ArrayList<>();
-        mSuspects.forEach(
-                (request, suspect) -> {
-                    final Duration left = Duration.between(now, suspect.mKeptUntil);
-                    if (suspect.mLevel >= GUARDED_LEVEL && !left.isNegative()) {
-                        all.add(new SuspectRecord(request, suspect.mLevel, left));
+        mTable.forEach(
+                (feature, suspect) -> {
+                    final Duration left = Duration.between(now, suspect.keptUntil());
+                    final boolean isTold =
+                            suspect.level() >= GUARDED_LEVEL && !suspect.isSoundApart();
+                    if (isTold && !left.isNegative()) {
+                        all.add(
+                                new SuspectRecord(
+                                        feature, suspect.level(), left, suspect.companions()));
                     }
                 });
         if (all.size() <= most) {
             return all;
         }
         final List<SuspectRecord> next = new ArrayList<>();
-        // Daemons know the same requests in the same order: each begins with others of them.
+        // Daemons know the same features in the same order: each begins with others of them.
         final int first = mRank * most;
         for (int index = 0; index < most; index++) {
             next.add(all.get(Math.floorMod(first + mReported++, all.size())));
@@ -384,23 +392,28 @@
     }
 
     /**
-     * Returns the number of requests that are refused.
+     * Returns the number of features whose requests are refused.
      *
-     * @return the requests of {@link #BLOCKED_LEVEL} or above
+     * @return the features of {@link #BLOCKED_LEVEL} or above that are not known to be sound apart
+     *     from others
      */
     public int blockedCount() {
-        return (int)
-                mSuspects.values().stream()
-                        .filter(suspect -> suspect.mLevel >= BLOCKED_LEVEL)
-                        .count();
+        final int[] count = {0};
+        mTable.forEach(
+                (feature, suspect) -> {
+                    if (suspect.level() >= BLOCKED_LEVEL && !suspect.isSoundApart()) {
+                        count[0]++;
+                    }
+                });
+        return count[0];
     }
 
     /**
-     * Returns the number of requests that are remembered.
+     * Returns the number of features that are remembered.
      *
-     * @return the requests of any level
+     * @return the features of any level
      */
     public int size() {
-        return mSuspects.size();
+        return mTable.size();
     }
 }
--- a/serving/src/main/java/org/whinhead/serving/crash/EndpointCrash.java
+++ b/serving/src/main/java/org/whinhead/serving/crash/EndpointCrash.java
@@ -1,35 +1,32 @@
 package org.whinhead.serving.crash;
 
 import java.util.List;
-import java.util.Objects;
 import org.whinhead.api.Arguments;
 
 /**
  * An endpoint that has crashed, and the requests of one daemon that were in progress on it.
  *
  * @param endpoint the endpoint's id
- * @param requests the requests
+ * @param runs the requests
  */
-public record EndpointCrash(String endpoint, List<Request> requests) {
+public record EndpointCrash(String endpoint, List<LostRun> runs) {
 
     /** Checks the components. */
     public EndpointCrash {
         Arguments.requireText(endpoint, "endpoint");
-        requests = List.copyOf(requests);
+        runs = List.copyOf(runs);
     }
 
     /**
      * A request that was in progress there.
      *
-     * @param identity the request
-     * @param level the number of crashes that count against it, this one included
+     * @param features its features, with the crashes that count against each, this one included
      */
-    public record Request(RequestIdentity identity, int level) {
+    public record LostRun(List<FeatureLevel> features) {
 
-        /** Checks the components. */
-        public Request {
-            Objects.requireNonNull(identity, "identity");
-            Arguments.requireAtLeast(level, 1, "level");
+        /** Copies the features. */
+        public LostRun {
+            features = List.copyOf(features);
         }
     }
 }
--- /dev/null
+++ b/serving/src/main/java/org/whinhead/serving/crash/Suspect.java
@@ -0,0 +1,167 @@
+package org.whinhead.serving.crash;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Set;
+import java.util.function.IntPredicate;
+
+/** The evidence against one feature. */
+final class Suspect {
+
+    /** Crashes within this time are taken for one event if no run began after the first. */
+    private static final Duration ONE_EVENT = Duration.ofMillis(500);
+
+    /**
+     * The time for which an attempt keeps others waiting: most streams begin earlier, and one that
+     * hangs must not hold back the rest.
+     */
+    private static final Duration ATTEMPT_TIME = Duration.ofSeconds(1);
+
+    private final Instant mFirstAt;
+    private Instant mRaisedAt;
+    private Instant mKeptUntil;
+    private Instant mAttemptUntil = Instant.MIN;
+    private String mEndpoint = "";
+    private int mLevel;
+    private boolean mBegun;
+    private boolean mSoundApart;
+    private final Companions mCompanions = new Companions();
+
+    Suspect(final Instant firstAt) {
+        mFirstAt = firstAt;
+        mRaisedAt = firstAt;
+        mKeptUntil = firstAt;
+    }
+
+    /** Returns the evidence that other daemons have had for a while. */
+    static Suspect learnedLater(final Instant now) {
+        return new Suspect(now.minus(ONE_EVENT));
+    }
+
+    int level() {
+        return mLevel;
+    }
+
+    Instant raisedAt() {
+        return mRaisedAt;
+    }
+
+    Instant keptUntil() {
+        return mKeptUntil;
+    }
+
+    /** Returns the level after another crash that this daemon has found. */
+    int levelAfterCrash(final String endpoint, final int knownLevel, final Instant now) {
+        if (mLevel == 0) {
+            return 1;
+        }
+        final boolean isLater =
+                now.isAfter(mRaisedAt.plus(ONE_EVENT)) && !endpoint.equals(mEndpoint);
+        final int level = Math.max(mLevel + (isLater ? 1 : 0), knownLevel + 1);
+        // Endpoints that are lost together go one after the other, and a request that is sent on
+        // meets several of them within one event.
+        return isOneEvent(now) ? Math.min(level, CrashSuspects.GUARDED_LEVEL) : level;
+    }
+
+    private boolean isOneEvent(final Instant now) {
+        return now.isBefore(mFirstAt.plus(ONE_EVENT));
+    }
+
+    /** Records a crash under a request with the feature. */
+    void recordCrash(final String endpoint, final Set<Integer> others) {
+        mEndpoint = endpoint;
+        mAttemptUntil = Instant.MIN;
+        mBegun = false;
+        mSoundApart = false;
+        mCompanions.addLostRun(endpoint, others);
+    }
+
+    /** Raises the level unless it is as high already; returns whether it was raised. */
+    boolean raise(final int level, final Instant now) {
+        if (level <= mLevel) {
+            return false;
+        }
+        mLevel = level;
+        mRaisedAt = now;
+        return true;
+    }
+
+    void keepUntil(final Instant time) {
+        if (time.isAfter(mKeptUntil)) {
+            mKeptUntil = time;
+        }
+    }
+
+    Set<Integer> companions() {
+        return mCompanions.shapes();
+    }
+
+    void setCompanions(final Set<Integer> companions) {
+        mCompanions.set(companions);
+    }
+
+    /** Records that an attempt is in progress, during which others wait. */
+    void startAttempt(final boolean isTrial, final Instant now) {
+        mAttemptUntil = now.plus(ATTEMPT_TIME);
+        if (isTrial) {
+            // A trial that ends without a result must not be followed by another one at once.
+            mRaisedAt = now;
+        }
+    }
+
+    void endAttempt() {
+        mAttemptUntil = Instant.MIN;
+    }
+
+    /** Records that an answer has begun; returns whether that is news and ends the guard. */
+    boolean recordBegun() {
+        if (mBegun || mLevel >= CrashSuspects.BLOCKED_LEVEL) {
+            return false;
+        }
+        mBegun = true;
+        mAttemptUntil = Instant.MIN;
+        return true;
+    }
+
+    /** Records that a request with the feature is sound without all of its companions. */
+    void recordSoundApart() {
+        mSoundApart = true;
+        mAttemptUntil = Instant.MIN;
+    }
+
+    boolean isSoundApart() {
+        return mSoundApart;
+    }
+
+    /**
+     * Returns whether a request has all that was common to the lost requests.
+     *
+     * @param isPresent whether the request has a companion, or the companion is out of question
+     */
+    boolean isPatternIn(final IntPredicate isPresent) {
+        return companions().stream().allMatch(isPresent::test);
+    }
+
+    /**
+     * Returns how long a request must wait that may run one at a time.
+     *
+     * @param isUsual whether requests with the feature are answered usually
+     * @param now the current time
+     */
+    Duration guardDelay(final boolean isUsual, final Instant now) {
+        final boolean isFree = mBegun || mSoundApart || (isUsual && mLevel == 1);
+        if (isFree && mLevel < CrashSuspects.BLOCKED_LEVEL || mSoundApart) {
+            return Duration.ZERO;
+        }
+        if (mLevel >= CrashSuspects.GUARDED_LEVEL && isOneEvent(now)) {
+            return Duration.between(now, mFirstAt.plus(ONE_EVENT));
+        }
+        return now.isBefore(mAttemptUntil) ? CrashSuspects.GUARD_RETRY_AFTER : Duration.ZERO;
+    }
+
+    /** Returns whether a request with the feature runs one at a time. */
+    boolean isGuarded(final boolean isUsual) {
+        return !mSoundApart
+                && (mLevel >= CrashSuspects.BLOCKED_LEVEL || !mBegun && (mLevel > 1 || !isUsual));
+    }
+}
--- a/serving/src/main/java/org/whinhead/serving/crash/UsualRequests.java
+++ b/serving/src/main/java/org/whinhead/serving/crash/UsualRequests.java
@@ -16,7 +16,7 @@
      */
     private static final Duration MEMORY = Duration.ofSeconds(30);
 
-    private static final int MAX_REQUESTS = 2_048;
+    private static final int MAX_REQUESTS = 8_192;
 
     private final Map<Long, Instant> mAnsweredAt = new LinkedHashMap<>();
 
--- a/serving/src/test/java/org/whinhead/serving/crash/AnsweredRequestsTest.java
+++ b/serving/src/test/java/org/whinhead/serving/crash/AnsweredFeaturesTest.java
@@ -5,12 +5,12 @@
 import java.time.Instant;
 import org.junit.jupiter.api.Test;
 
-class AnsweredRequestsTest {
+class AnsweredFeaturesTest {
 
     private static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
-    private static final RequestIdentity REQUEST = new RequestIdentity(1, 2, 3);
+    private static final RequestFeature REQUEST = new RequestFeature(1, 2, 3);
 
-    private final AnsweredRequests mAnswered = new AnsweredRequests();
+    private final AnsweredFeatures mAnswered = new AnsweredFeatures();
 
     @Test
     void answerIsRememberedForHalfOfTheMinute() {
@@ -30,9 +30,9 @@
     void oldestAnswersAreForgottenFirst() {
         mAnswered.add(REQUEST, START);
         for (int number = 0; number < 1_024; number++) {
-            mAnswered.add(new RequestIdentity(number, number, 9), START);
+            mAnswered.add(new RequestFeature(number, number, 9), START);
         }
         assertThat(mAnswered.containsRecent(REQUEST, START)).isFalse();
-        assertThat(mAnswered.containsRecent(new RequestIdentity(9, 9, 9), START)).isTrue();
+        assertThat(mAnswered.containsRecent(new RequestFeature(9, 9, 9), START)).isTrue();
     }
 }
--- a/serving/src/test/java/org/whinhead/serving/crash/CrashFleet.java
+++ b/serving/src/test/java/org/whinhead/serving/crash/CrashFleet.java
@@ -3,18 +3,17 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Consumer;
 
 /**
- * Daemons and endpoints in simulated time: requests that crash each endpoint that runs them, common
- * ones that many callers send, and ones that are sent once and again if their endpoint crashed.
+ * Daemons and endpoints in simulated time: requests that crash each endpoint that runs them, by
+ * themselves or by a part of their prompts, common ones that many callers send, and ones that are
+ * sent once and again if their endpoint crashed.
  */
 final class CrashFleet {
 
@@ -26,6 +25,13 @@
     private static final int MAX_CRASH_MILLIS = 60;
     private static final int MAX_RUN_MILLIS = 400;
     private static final int MAX_SENDS = 4;
+    private static final int MIN_BEGIN_MILLIS = 20;
+    private static final int MAX_BEGIN_MILLIS = 120;
+    private static final int SHARED_PARTS = 12;
+    private static final int FIRST_PART = 1;
+    private static final int FIRST_SHARED_PART = 2;
+    private static final int FIRST_BAD_PART = 100;
+    private static final int CUSTOMER_PARTS = 1_000_000;
     private static final int[] ANSWER_SENDS_MILLIS = {0, 100, 300, 700};
     private static final int MIN_REPORT_MILLIS = 200;
     private static final int REPORT_MILLIS_PER_DAEMON = 25;
@@ -38,7 +44,7 @@
     private final PriorityQueue<Event> mEvents =
             new PriorityQueue<>(
                     Comparator.comparingLong(Event::millis).thenComparingLong(Event::number));
-    private final Map<RequestIdentity, CrashTally> mCrashing = new LinkedHashMap<>();
+    private final List<CrashTally> mCrashing = new ArrayList<>();
     private final double mLoss;
     private long mNow;
     private long mEventCount;
@@ -52,9 +58,7 @@
         mRandom = new Random(seed);
         mLoss = loss;
         for (int rank = 0; rank < daemons; rank++) {
-            final CrashSuspects daemon = new CrashSuspects();
-            daemon.setDaemons(daemons, rank);
-            mDaemons.add(daemon);
+            mDaemons.add(newDaemon(rank));
             mUsual.add(new UsualRequests());
         }
         for (int index = 0; index < endpoints; index++) {
@@ -67,14 +71,27 @@
         }
     }
 
+    private static CrashSuspects newDaemon(final int rank) {
+        final CrashSuspects daemon = new CrashSuspects();
+        daemon.setRank(rank);
+        return daemon;
+    }
+
     private record Event(long millis, long number, Runnable task) {}
 
-    /** The crashes that one request has caused, and when it was sent after the third. */
+    /** The crashes that requests of one kind have caused, and when they were sent later. */
     static final class CrashTally {
+        private final int mKnownAfter;
+        private final double mProbability;
         private int mCrashes;
-        private long mThirdAt = Long.MAX_VALUE;
+        private long mKnownAt = Long.MAX_VALUE;
         private int mLaterSends;
 
+        private CrashTally(final int knownAfter, final double probability) {
+            mKnownAfter = knownAfter;
+            mProbability = probability;
+        }
+
         int crashes() {
             return mCrashes;
         }
@@ -89,6 +106,9 @@
         }
     }
 
+    /** One call; the tally is null if it crashes no endpoint. */
+    private record Call(List<RequestFeature> features, CrashTally tally) {}
+
     private static final class Endpoint {
         private final String mName;
         private final Set<Run> mRunning = new LinkedHashSet<>();
@@ -105,19 +125,19 @@
     }
 
     private static final class Run {
-        private final RequestIdentity mRequest;
+        private final Call mCall;
         private final int mDaemon;
-        private final int mKnownLevel;
+        private final List<FeatureLevel> mKnown;
         private final Runnable mOnCrash;
 
         private Run(
-                final RequestIdentity request,
+                final Call call,
                 final int daemon,
-                final int knownLevel,
+                final List<FeatureLevel> known,
                 final Runnable onCrash) {
-            mRequest = request;
+            mCall = call;
             mDaemon = daemon;
-            mKnownLevel = knownLevel;
+            mKnown = known;
             mOnCrash = onCrash;
         }
     }
@@ -139,33 +159,99 @@
                 });
     }
 
-    private RequestIdentity newIdentity() {
+    private RequestFeature newIdentity() {
         mNextIdentity++;
-        return new RequestIdentity((int) mNextIdentity, mNextIdentity, mRandom.nextInt(1_000_000));
+        return new RequestFeature((int) mNextIdentity + 10_000, mNextIdentity, 0);
+    }
+
+    private static RequestFeature part(final int number) {
+        return new RequestFeature(-number, number, 1);
     }
 
     /** Lets callers send a request again and again that crashes each endpoint that runs it. */
     CrashFleet addCrashing(final int requests, final int intervalMillis) {
         for (int index = 0; index < requests; index++) {
-            final RequestIdentity request = newIdentity();
-            mCrashing.put(request, new CrashTally());
-            repeat(intervalMillis, mRandom.nextInt(intervalMillis), () -> sendCrashing(request));
+            final CrashTally tally = new CrashTally(3, 1);
+            final Call call = new Call(List.of(newIdentity()), tally);
+            mCrashing.add(tally);
+            repeat(intervalMillis, mRandom.nextInt(intervalMillis), () -> send(call, 1));
+        }
+        return this;
+    }
+
+    /**
+     * Lets callers send requests with a part that crashes endpoints, no two alike, which come with
+     * the first part of all and with shared ones.
+     *
+     * @param parts the number of such parts
+     * @param intervalMillis the time between two requests with one of them
+     * @param probability the share of the requests that crash their endpoint
+     */
+    CrashFleet addCrashingParts(
+            final int parts, final int intervalMillis, final double probability) {
+        for (int index = 0; index < parts; index++) {
+            final CrashTally tally = new CrashTally(5, probability);
+            final int part = FIRST_BAD_PART + index;
+            mCrashing.add(tally);
+            repeat(
+                    intervalMillis,
+                    mRandom.nextInt(intervalMillis),
+                    () -> send(new Call(withParts(List.of(part, sharedPart())), tally), 1));
         }
         return this;
     }
 
+    /** Lets callers send sound requests, no two alike, with the first part and a shared one. */
+    CrashFleet addSharing(final int intervalMillis) {
+        repeat(
+                intervalMillis,
+                mRandom.nextInt(intervalMillis),
+                () -> send(new Call(withParts(List.of(sharedPart())), null), 1));
+        return this;
+    }
+
+    /** Some shared parts are asked for far less often than others. */
+    private int sharedPart() {
+        return FIRST_SHARED_PART + mRandom.nextInt(1 + mRandom.nextInt(SHARED_PARTS));
+    }
+
+    private List<RequestFeature> withParts(final List<Integer> parts) {
+        final List<RequestFeature> features = new ArrayList<>(List.of(newIdentity()));
+        final List<Integer> all = new ArrayList<>(parts);
+        all.add(mRandom.nextBoolean() ? 0 : all.size(), FIRST_PART);
+        for (final int part : all) {
+            features.add(part(part));
+            features.add(part(part + CUSTOMER_PARTS));
+        }
+        features.add(newIdentity());
+        return features;
+    }
+
+    /** Kills one daemon after the other; each knows nothing when it starts again. */
+    CrashFleet addKills(final int intervalMillis) {
+        repeat(
+                intervalMillis,
+                intervalMillis,
+                () -> {
+                    final int killed = mRandom.nextInt(mDaemons.size());
+                    mDaemons.set(killed, newDaemon(killed));
+                    mUsual.set(killed, new UsualRequests());
+                });
+        return this;
+    }
+
     /** Lets many callers send the same requests. */
     CrashFleet addCommon(final int requests, final int intervalMillis) {
         for (int index = 0; index < requests; index++) {
-            final RequestIdentity request = newIdentity();
-            repeat(intervalMillis, mRandom.nextInt(intervalMillis), () -> sendInnocent(request, 1));
+            final Call call = new Call(List.of(newIdentity()), null);
+            repeat(intervalMillis, mRandom.nextInt(intervalMillis), () -> send(call, 1));
         }
         return this;
     }
 
     /** Lets callers send requests that are different each time. */
     CrashFleet addSingle(final int intervalMillis) {
-        repeat(intervalMillis, 0, () -> sendInnocent(newIdentity(), 1));
+        repeat(intervalMillis, 0, () -> send(new Call(List.of(newIdentity()), null), 1));
         return this;
     }
 
@@ -247,7 +333,8 @@
     private void apply(
             final CrashSuspects receiver, final SuspectRecord record, final CrashSuspects sender) {
         if (receiver.applyPeerRecord(record, now())) {
-            schedule(2, () -> sender.applyPeerAnswer(record.identity(), now()));
+            final FeatureAnswer answer = new FeatureAnswer(List.of(record.feature()), true);
+            schedule(2, () -> sender.applyPeerAnswer(answer, now()));
         }
     }
 
@@ -256,63 +343,68 @@
         return up.isEmpty() ? null : up.get(mRandom.nextInt(up.size()));
     }
 
+    private boolean isUsual(final int daemon, final RequestFeature feature) {
+        return mUsual.get(daemon).contains(feature.high() ^ feature.low() << 40, now());
+    }
+
     /** Starts a run that was allowed. */
     private Run start(
-            final RequestIdentity request,
-            final int daemon,
-            final Endpoint endpoint,
-            final Runnable onCrash) {
+            final Call call, final int daemon, final Endpoint endpoint, final Runnable onCrash) {
         final CrashSuspects suspects = mDaemons.get(daemon);
-        final Run run = new Run(request, daemon, suspects.level(request, now()), onCrash);
-        suspects.recordStart(request, now());
+        final List<FeatureLevel> known =
+                call.features().stream()
+                        .map(feature -> new FeatureLevel(feature, suspects.level(feature, now())))
+                        .toList();
+        final Run run = new Run(call, daemon, known, onCrash);
+        final List<RequestFeature> guarded =
+                suspects.recordStart(call.features(), feature -> isUsual(daemon, feature), now());
+        if (!guarded.isEmpty()) {
+            send(daemon, to -> to.applyPeerStart(guarded, now()));
+        }
         endpoint.mRunning.add(run);
         return run;
     }
 
-    private void sendCrashing(final RequestIdentity request) {
+    private void send(final Call call, final int sends) {
         final int daemon = mRandom.nextInt(mDaemons.size());
         final Endpoint endpoint = pickEndpoint();
-        if (endpoint == null || !mDaemons.get(daemon).decide(request, now()).isAllowed()) {
-            return;
-        }
-        final CrashTally tally = mCrashing.get(request);
-        if (mNow - CONTACT_MILLIS > tally.mThirdAt) {
-            tally.mLaterSends++;
+        if (call.tally() == null) {
+            mInnocentCalls++;
         }
-        final Run run = start(request, daemon, endpoint, () -> {});
-        schedule(
-                1 + mRandom.nextInt(MAX_CRASH_MILLIS),
-                () -> {
-                    if (endpoint.mRunning.contains(run)) {
-                        tally.mCrashes++;
-                        if (tally.mCrashes == 3) {
-                            tally.mThirdAt = mNow;
-                        }
-                        crash(endpoint);
-                    }
-                });
-    }
-
-    private void sendInnocent(final RequestIdentity request, final int sends) {
-        final int daemon = mRandom.nextInt(mDaemons.size());
-        final Endpoint endpoint = pickEndpoint();
-        mInnocentCalls++;
         if (endpoint == null) {
             return;
         }
-        if (!mDaemons.get(daemon).decide(request, now()).isAllowed()) {
+        final CrashSuspects suspects = mDaemons.get(daemon);
+        final boolean allowed =
+                suspects.decide(call.features(), feature -> isUsual(daemon, feature), now())
+                        .isAllowed();
+        if (allowed) {
+            run(call, sends, daemon, endpoint);
+        } else if (call.tally() == null) {
             mInnocentRefusals++;
-            return;
+        }
+    }
+
+    private void run(final Call call, final int sends, final int daemon, final Endpoint endpoint) {
+        final CrashTally tally = call.tally();
+        if (tally != null && mNow - CONTACT_MILLIS > tally.mKnownAt) {
+            tally.mLaterSends++;
         }
         final Runnable again =
                 () -> {
-                    if (sends < MAX_SENDS) {
-                        sendInnocent(request, sends + 1);
+                    if (sends < MAX_SENDS && tally == null) {
+                        send(call, sends + 1);
                     }
                 };
-        final Run run = start(request, daemon, endpoint, again);
+        final Run run = start(call, daemon, endpoint, again);
+        if (tally != null && mRandom.nextDouble() < tally.mProbability) {
+            schedule(1 + mRandom.nextInt(MAX_CRASH_MILLIS), () -> crashUnder(run, endpoint));
+            return;
+        }
+        final int begin = MIN_BEGIN_MILLIS + mRandom.nextInt(MAX_BEGIN_MILLIS - MIN_BEGIN_MILLIS);
+        schedule(begin, () -> begun(run, endpoint));
         schedule(
-                1 + mRandom.nextInt(MAX_RUN_MILLIS),
+                begin + 1 + mRandom.nextInt(MAX_RUN_MILLIS),
                 () -> {
                     if (endpoint.mRunning.remove(run)) {
                         answered(run);
@@ -320,20 +412,50 @@
                 });
     }
 
+    private void crashUnder(final Run run, final Endpoint endpoint) {
+        if (endpoint.mRunning.contains(run)) {
+            final CrashTally tally = run.mCall.tally();
+            tally.mCrashes++;
+            if (tally.mCrashes == tally.mKnownAfter) {
+                tally.mKnownAt = mNow;
+            }
+            crash(endpoint);
+        }
+    }
+
+    private void begun(final Run run, final Endpoint endpoint) {
+        if (endpoint.mRunning.contains(run)) {
+            tell(run, mDaemons.get(run.mDaemon).recordBegun(run.mCall.features(), now()), false);
+        }
+    }
+
+    private void tell(final Run run, final List<RequestFeature> features, final boolean complete) {
+        if (!features.isEmpty()) {
+            final FeatureAnswer answer = new FeatureAnswer(features, complete);
+            send(run.mDaemon, to -> to.applyPeerAnswer(answer, now()));
+        }
+    }
+
     private void answered(final Run run) {
         final CrashSuspects daemon = mDaemons.get(run.mDaemon);
-        daemon.recordEnd(run.mRequest);
-        mUsual.get(run.mDaemon).recordAnswer(run.mRequest.high(), now());
-        if (daemon.recordAnswer(run.mRequest, now())) {
+        run.mCall
+                .features()
+                .forEach(
+                        feature ->
+                                mUsual.get(run.mDaemon)
+                                        .recordAnswer(feature.high() ^ feature.low() << 40, now()));
+        final List<RequestFeature> features = daemon.recordAnswer(run.mCall.features(), now());
+        if (!features.isEmpty()) {
             for (final int delay : ANSWER_SENDS_MILLIS) {
-                schedule(delay, () -> tellAnswered(run));
+                schedule(delay, () -> tellAnswered(run, features));
             }
         }
     }
 
-    private void tellAnswered(final Run run) {
-        if (mDaemons.get(run.mDaemon).level(run.mRequest, now()) == 0) {
-            send(run.mDaemon, to -> to.applyPeerAnswer(run.mRequest, now()));
+    private void tellAnswered(final Run run, final List<RequestFeature> features) {
+        final CrashSuspects daemon = mDaemons.get(run.mDaemon);
+        if (features.stream().allMatch(feature -> daemon.level(feature, now()) == 0)) {
+            tell(run, features, true);
         }
     }
 
@@ -352,20 +474,13 @@
 
     private void detected(final Run run, final String endpoint) {
         final CrashSuspects daemon = mDaemons.get(run.mDaemon);
-        daemon.recordEnd(run.mRequest);
-        final int level =
-                daemon.recordCrash(
-                        run.mRequest,
-                        endpoint,
-                        run.mKnownLevel,
-                        mUsual.get(run.mDaemon).contains(run.mRequest.high(), now()),
-                        now());
-        send(run.mDaemon, to -> to.applyPeerCrash(run.mRequest, endpoint, level, now()));
+        final List<FeatureLevel> blamed = daemon.recordCrash(run.mKnown, endpoint, now());
+        send(run.mDaemon, to -> to.applyPeerCrash(blamed, endpoint, now()));
         run.mOnCrash.run();
     }
 
     List<CrashTally> crashing() {
-        return List.copyOf(mCrashing.values());
+        return List.copyOf(mCrashing);
     }
 
     int innocentCalls() {
--- a/serving/src/test/java/org/whinhead/serving/crash/CrashFleetTest.java
+++ b/serving/src/test/java/org/whinhead/serving/crash/CrashFleetTest.java
@@ -36,6 +36,47 @@
                 .isGreaterThanOrEqualTo(crashingRequests);
     }
 
+    // Guards against requests that share a part under which endpoints crash, first or later in
+    // their
+    // prompts, and against refusing sound ones with the same other parts, with lost messages,
+    // daemons that start anew and endpoints that crash of themselves.
+    @ParameterizedTest
+    @CsvSource({
+        "8, 14, 1, 50, 1",
+        "8, 14, 1, 5000, 1",
+        "8, 14, 1, 500, 0.9",
+        "8, 14, 5, 300, 1",
+        "66, 42, 1, 50, 1",
+        "66, 42, 5, 500, 0.9",
+        "330, 200, 3, 100, 1"
+    })
+    void requestsWithCrashingPartsAreHeldBack(
+            final int daemons,
+            final int endpoints,
+            final int parts,
+            final int interval,
+            final double probability) {
+        final CrashFleet fleet =
+                new CrashFleet(daemons, endpoints, 0.05, FIRST_SEED)
+                        .addCrashingParts(parts, interval, probability)
+                        .addSharing(20)
+                        .addOwnCrashes(1, 7_000)
+                        .addKills(9_000)
+                        .play(MINUTE);
+        assertThat(fleet.crashing())
+                .allSatisfy(
+                        tally ->
+                                assertThat(tally.laterSends())
+                                        .isLessThanOrEqualTo(MAX_LATER_SENDS));
+        final int calls = fleet.innocentCalls();
+        final int refusals = fleet.innocentRefusals();
+        fleet.play(MINUTE / 2);
+        assertThat(fleet.innocentCalls() - calls).isGreaterThan(1_000);
+        assertThat(fleet.innocentRefusals() - refusals)
+                .as("sound requests refused in half a minute, after %d before", refusals)
+                .isZero();
+    }
+
     // Guards against daemons that are cut off from each other keeping what they know to themselves
     // after the cut.
     @Test
--- a/serving/src/test/java/org/whinhead/serving/crash/CrashSuspectsTest.java
+++ b/serving/src/test/java/org/whinhead/serving/crash/CrashSuspectsTest.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Arrays;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -12,157 +13,325 @@
 class CrashSuspectsTest {
 
     private static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
-    private static final RequestIdentity REQUEST = new RequestIdentity(1, 2, 4);
-    private static final RequestIdentity OTHER = new RequestIdentity(1, 2, 5);
+    private static final RequestFeature PART = feature(1);
+    private static final RequestFeature SOUND = feature(2);
+    private static final RequestFeature OTHER = feature(3);
+    private static final long DAY = Duration.ofDays(1).toMillis();
 
     private final CrashSuspects mSuspects = new CrashSuspects();
 
+    private static RequestFeature feature(final int number) {
+        return new RequestFeature(number, number, -number);
+    }
+
     private static Instant at(final long millis) {
         return START.plusMillis(millis);
     }
 
-    private boolean isAllowed(final long millis) {
-        return mSuspects.decide(REQUEST, at(millis)).isAllowed();
+    private static List<FeatureLevel> run(final int level, final RequestFeature... features) {
+        return Arrays.stream(features).map(feature -> new FeatureLevel(feature, level)).toList();
+    }
+
+    private boolean isAllowed(final long millis, final RequestFeature... features) {
+        return decide(mSuspects, millis, features).isAllowed();
+    }
+
+    private static SuspectDecision decide(
+            final CrashSuspects daemon, final long millis, final RequestFeature... features) {
+        return daemon.decide(List.of(features), feature -> false, at(millis));
+    }
+
+    private boolean isAllowedIfUsual(final long millis, final RequestFeature... features) {
+        return mSuspects.decide(List.of(features), feature -> true, at(millis)).isAllowed();
     }
 
-    private void block() {
-        mSuspects.recordCrash(REQUEST, "e-1", 0, false, at(0));
-        mSuspects.recordCrash(REQUEST, "e-2", 1, false, at(50));
-        mSuspects.recordCrash(REQUEST, "e-3", 2, false, at(100));
+    /** Records a crash under a request that is sent and lost at the same moment. */
+    private void crash(final String endpoint, final long millis, final RequestFeature... features) {
+        final List<FeatureLevel> lost =
+                Arrays.stream(features)
+                        .map(
+                                feature ->
+                                        new FeatureLevel(
+                                                feature, mSuspects.level(feature, at(millis))))
+                        .toList();
+        mSuspects.recordCrash(lost, endpoint, at(millis));
+    }
+
+    private void block(final RequestFeature... features) {
+        crash("e-1", 0, features);
+        crash("e-2", 300, features);
+        crash("e-3", 600, features);
     }
 
     @Test
     void unknownRequestRuns() {
-        assertThat(isAllowed(0)).isTrue();
-        assertThat(mSuspects.mayKnow(REQUEST.shape())).isFalse();
+        assertThat(isAllowed(0, PART, SOUND)).isTrue();
+        assertThat(mSuspects.mayKnow(PART.shape())).isFalse();
     }
 
-    // Guards against a request that crashes one endpoint after the other.
+    // Guards against requests that share a part under which one endpoint crashes after the other.
     @Test
-    void requestIsRefusedAfterThreeCrashesInTurn() {
-        block();
-        assertThat(mSuspects.level(REQUEST, at(100))).isEqualTo(CrashSuspects.BLOCKED_LEVEL);
-        assertThat(isAllowed(200)).isFalse();
-        assertThat(isAllowed(5_000)).isFalse();
+    void requestsWithPartAreRefusedAfterThreeCrashesInTurn() {
+        crash("e-1", 0, PART, feature(10));
+        crash("e-2", 300, PART, feature(11));
+        crash("e-3", 600, PART, feature(12));
+        assertThat(mSuspects.level(PART, at(600))).isEqualTo(CrashSuspects.BLOCKED_LEVEL);
+        assertThat(isAllowed(700, PART, feature(13))).isFalse();
+        assertThat(isAllowed(50_000, PART)).isFalse();
         assertThat(mSuspects.blockedCount()).isEqualTo(1);
-        assertThat(mSuspects.decide(OTHER, at(200)).isAllowed()).isTrue();
+        assertThat(isAllowed(700, feature(10), feature(13))).isTrue();
+    }
+
+    // Guards against a part that crashes endpoints crashing several at once before it is refused:
+    // its requests come faster than the daemons learn what becomes of them.
+    @Test
+    void requestsWithSuspectedPartRunOneByOne() {
+        crash("e-1", 0, PART, feature(10));
+        assertThat(isAllowed(10, PART)).isTrue();
+        mSuspects.recordStart(List.of(PART), feature -> false, at(10));
+        assertThat(isAllowed(20, PART)).isFalse();
+        mSuspects.recordEnd(List.of(PART), at(30));
+        assertThat(isAllowed(30, PART)).isTrue();
+    }
+
+    @Test
+    void requestThatHangsHoldsUpOthersForOneSecond() {
+        crash("e-1", 0, PART, feature(10));
+        mSuspects.recordStart(List.of(PART), feature -> false, at(10));
+        assertThat(isAllowed(1_000, PART)).isFalse();
+        assertThat(isAllowed(1_010, PART)).isTrue();
+    }
+
+    // Guards against a common part that is held up at each crash of any endpoint.
+    @Test
+    void oneCrashDoesNotHoldUpWhatIsAnsweredUsually() {
+        crash("e-1", 0, PART, feature(10));
+        assertThat(mSuspects.recordStart(List.of(PART), feature -> true, at(10))).isEmpty();
+        assertThat(isAllowedIfUsual(20, PART)).isTrue();
+        crash("e-2", 600, PART, feature(11));
+        mSuspects.recordStart(List.of(PART), feature -> true, at(610));
+        assertThat(isAllowedIfUsual(620, PART)).isFalse();
+    }
+
+    @Test
+    void requestsRunFreelyOnceAnAnswerHasBegun() {
+        crash("e-1", 0, PART, feature(10));
+        mSuspects.recordStart(List.of(PART), feature -> false, at(10));
+        assertThat(mSuspects.recordBegun(List.of(PART), at(60))).containsExactly(PART);
+        assertThat(mSuspects.recordBegun(List.of(PART), at(61))).isEmpty();
+        assertThat(isAllowed(70, PART)).isTrue();
+        assertThat(mSuspects.recordStart(List.of(PART), feature -> false, at(70))).isEmpty();
+    }
+
+    // Guards against a part that crashes endpoints after they have begun to answer, and is never
+    // refused because each beginning ends its suspicion.
+    @Test
+    void answersThatBeginDoNotOutweighTheirCrashes() {
+        for (int number = 0; number < 3; number++) {
+            crash("e-" + number, 600L * number, PART, feature(10 + number));
+            mSuspects.recordBegun(List.of(PART), at(600L * number + 100));
+        }
+        assertThat(isAllowed(1_400, PART)).isFalse();
     }
 
     // Guards against a common request that is refused because endpoints are lost together.
     @Test
     void endpointsLostTogetherCountOnce() {
-        mSuspects.recordCrash(REQUEST, "e-1", 0, false, at(0));
-        mSuspects.recordCrash(REQUEST, "e-2", 0, false, at(3));
-        assertThat(mSuspects.level(REQUEST, at(3))).isEqualTo(1);
-        assertThat(isAllowed(10)).isTrue();
+        mSuspects.recordCrash(run(0, PART), "e-1", at(0));
+        mSuspects.recordCrash(run(0, PART), "e-2", at(3));
+        assertThat(mSuspects.level(PART, at(3))).isEqualTo(1);
+        assertThat(isAllowed(10, PART)).isTrue();
     }
 
-    // Guards against a request of which many copies crash endpoints before the first crash is
-    // known.
+    // Guards against a common request that is refused for long because its endpoints were lost one
+    // after the other within milliseconds, and each daemon sent it on to the next one.
     @Test
-    void threeEndpointsLostTogetherPutRequestUnderGuard() {
-        mSuspects.setDaemons(3, 0);
-        mSuspects.recordCrash(REQUEST, "e-1", 0, false, at(0));
-        mSuspects.recordCrash(REQUEST, "e-1", 0, false, at(1));
-        mSuspects.recordCrash(REQUEST, "e-2", 0, false, at(2));
-        assertThat(isAllowed(3)).isTrue();
-        mSuspects.recordCrash(REQUEST, "e-3", 0, false, at(3));
-        assertThat(isAllowed(900)).isTrue();
-        assertThat(isAllowed(1_010)).isFalse();
+    void requestsSentOnWithinOneEventAreOnlyGuarded() {
+        crash("e-1", 0, PART);
+        crash("e-2", 40, PART);
+        crash("e-3", 41, PART);
+        assertThat(mSuspects.level(PART, at(41))).isEqualTo(CrashSuspects.GUARDED_LEVEL);
+        assertThat(isAllowed(100, PART)).isFalse();
+        assertThat(isAllowed(500, PART)).isTrue();
     }
 
     @Test
     void laterCrashCountsAlthoughItsRunBeganBefore() {
-        mSuspects.recordCrash(REQUEST, "e-1", 0, false, at(0));
-        mSuspects.recordCrash(REQUEST, "e-2", 0, false, at(1_000));
-        assertThat(mSuspects.level(REQUEST, at(1_000))).isEqualTo(2);
+        mSuspects.recordCrash(run(0, PART), "e-1", at(0));
+        mSuspects.recordCrash(run(0, PART), "e-2", at(1_000));
+        assertThat(mSuspects.level(PART, at(1_000))).isEqualTo(2);
+    }
+
+    // Guards against one crash that counts twice because two daemons find it at different times.
+    @Test
+    void crashOfOneEndpointCountsOnce() {
+        mSuspects.applyPeerCrash(run(1, PART, feature(10)), "e-1", at(0));
+        mSuspects.recordCrash(run(0, PART, feature(11)), "e-1", at(900));
+        assertThat(mSuspects.level(PART, at(900))).isEqualTo(1);
+    }
+
+    @Test
+    void completeAnswerEndsSuspicion() {
+        crash("e-1", 0, PART, SOUND);
+        crash("e-2", 600, PART, SOUND);
+        assertThat(mSuspects.recordAnswer(List.of(SOUND), at(700))).containsExactly(SOUND);
+        assertThat(mSuspects.level(SOUND, at(701))).isZero();
+        assertThat(mSuspects.recordAnswer(List.of(SOUND), at(800))).isEmpty();
+        assertThat(mSuspects.mayKnow(SOUND.shape())).isFalse();
+        assertThat(mSuspects.level(PART, at(701))).isEqualTo(2);
     }
 
+    // Guards against sound requests that are refused because a part of theirs came with the one
+    // that crashes endpoints each time.
     @Test
-    void answerEndsSuspicion() {
-        block();
-        assertThat(mSuspects.recordAnswer(REQUEST, at(200))).isTrue();
-        assertThat(isAllowed(201)).isTrue();
-        assertThat(mSuspects.recordAnswer(REQUEST, at(300))).isFalse();
-        assertThat(mSuspects.mayKnow(REQUEST.shape())).isFalse();
+    void partThatCameWithTheOtherRunsOnceByItself() {
+        block(PART, SOUND);
+        assertThat(isAllowed(700, PART, SOUND, feature(20))).isFalse();
+        assertThat(isAllowed(700, SOUND, feature(21))).isTrue();
+        mSuspects.recordStart(List.of(SOUND), feature -> false, at(700));
+        assertThat(isAllowed(710, SOUND, feature(22))).isFalse();
+        mSuspects.recordAnswer(List.of(SOUND), at(800));
+        assertThat(isAllowed(810, SOUND, feature(22))).isTrue();
+        assertThat(isAllowed(820, SOUND, feature(23))).isTrue();
+        assertThat(isAllowed(820, PART, SOUND, feature(24))).isFalse();
+        assertThat(isAllowed(820, PART, OTHER, feature(25))).isFalse();
+    }
+
+    @Test
+    void partThatCrashesWithoutTheOtherIsRefusedByItself() {
+        block(PART, SOUND);
+        assertThat(isAllowed(700, PART, OTHER)).isTrue();
+        crash("e-4", 800, PART, OTHER);
+        assertThat(isAllowed(900, PART)).isFalse();
+        assertThat(isAllowed(900, PART, OTHER, feature(30))).isFalse();
+        assertThat(mSuspects.level(OTHER, at(900))).isEqualTo(1);
+    }
+
+    // Guards against a customer that crashes endpoints with a part under another customer's id:
+    // the other one must be served, and what it is answered must not help the first.
+    @Test
+    void partOfOneCustomerDoesNotBlockThatOfAnother() {
+        final RequestFeature ofFirst = feature(40);
+        final RequestFeature ofSecond = feature(41);
+        block(PART, ofFirst);
+        assertThat(isAllowed(700, PART, ofSecond)).isTrue();
+        mSuspects.recordAnswer(List.of(PART), at(800));
+        assertThat(isAllowed(900, PART, ofSecond)).isTrue();
+        assertThat(isAllowed(900, PART, ofFirst)).isFalse();
+    }
+
+    @Test
+    void partThatCrashesForTwoCustomersIsRefusedForAll() {
+        block(PART, feature(40));
+        crash("e-4", 800, PART, feature(41));
+        assertThat(isAllowed(900, PART, feature(42))).isFalse();
+    }
+
+    // Guards against requests on the same endpoint as one that crashes it being taken for the
+    // cause: the part that they share with it came without it there, but not elsewhere.
+    @Test
+    void requestsOnOneEndpointShareItsCrash() {
+        for (int number = 0; number < 3; number++) {
+            crash("e-" + number, 600L * number, PART, SOUND, feature(50 + number));
+            crash("e-" + number, 600L * number, SOUND, feature(60 + number));
+        }
+        assertThat(isAllowed(1_300, SOUND, feature(70))).isTrue();
+        assertThat(isAllowed(1_300, PART, SOUND, feature(71))).isFalse();
+    }
+
+    @Test
+    void crashUnderRefusedPartCountsAgainstNoOther() {
+        crash("e-1", 0, PART, feature(10));
+        crash("e-2", 300, PART, feature(11));
+        crash("e-3", 600, PART, feature(12));
+        crash("e-4", 70_000, PART, OTHER);
+        assertThat(mSuspects.level(OTHER, at(70_000))).isZero();
+        assertThat(mSuspects.level(PART, at(70_000))).isEqualTo(4);
     }
 
     // Guards against an innocent request that comes under suspicion again by the report of a daemon
     // that has not heard of its answer.
     @Test
     void reportOlderThanAnswerIsAnsweredAndIgnored() {
-        mSuspects.recordCrash(REQUEST, "e-1", 0, false, at(0));
-        mSuspects.recordAnswer(REQUEST, at(10));
-        final SuspectRecord record = new SuspectRecord(REQUEST, 3, Duration.ofMinutes(5));
+        crash("e-1", 0, PART);
+        mSuspects.recordAnswer(List.of(PART), at(10));
+        final SuspectRecord record = new SuspectRecord(PART, 3, Duration.ofMinutes(5), Set.of());
         assertThat(mSuspects.applyPeerRecord(record, at(20))).isTrue();
-        assertThat(isAllowed(20)).isTrue();
+        assertThat(isAllowed(20, PART)).isTrue();
         assertThat(mSuspects.applyPeerRecord(record, at(40_000))).isFalse();
-        assertThat(isAllowed(40_000)).isFalse();
+        assertThat(isAllowed(40_000, PART)).isFalse();
     }
 
     @Test
     void crashesAtOtherDaemonsCount() {
-        mSuspects.applyPeerCrash(REQUEST, "e-1", 1, at(0));
-        assertThat(mSuspects.recordCrash(REQUEST, "e-2", 1, false, at(100))).isEqualTo(2);
-        mSuspects.applyPeerCrash(REQUEST, "e-3", 3, at(200));
-        assertThat(isAllowed(300)).isFalse();
-        mSuspects.applyPeerAnswer(REQUEST, at(400));
-        assertThat(isAllowed(400)).isTrue();
+        mSuspects.applyPeerCrash(run(1, PART), "e-1", at(0));
+        assertThat(mSuspects.recordCrash(run(1, PART), "e-2", at(100)).get(0).level()).isEqualTo(2);
+        mSuspects.applyPeerCrash(run(3, PART), "e-3", at(200));
+        assertThat(isAllowed(300, PART)).isFalse();
+        mSuspects.applyPeerAnswer(new FeatureAnswer(List.of(PART), true), at(400));
+        assertThat(isAllowed(400, PART)).isTrue();
     }
 
+    // Guards against requests with a suspected part that run at several daemons at a time.
     @Test
-    void guardedRequestRunsOnceAtOneDaemonOnly() {
-        int allowed = 0;
-        for (int rank = 0; rank < 3; rank++) {
-            final CrashSuspects daemon = new CrashSuspects();
-            daemon.setDaemons(3, rank);
-            daemon.applyPeerCrash(REQUEST, "e-1", CrashSuspects.GUARDED_LEVEL, at(0));
-            if (daemon.decide(REQUEST, at(10)).isAllowed()) {
-                allowed++;
-                daemon.recordStart(REQUEST, at(10));
-                assertThat(daemon.decide(REQUEST, at(20)).isAllowed()).isFalse();
-                daemon.recordEnd(REQUEST);
-                assertThat(daemon.decide(REQUEST, at(30)).isAllowed()).isTrue();
-            }
-        }
-        assertThat(allowed).isEqualTo(1);
+    void requestAtAnotherDaemonHoldsUpOthers() {
+        mSuspects.applyPeerCrash(run(1, PART), "e-1", at(0));
+        mSuspects.applyPeerStart(List.of(PART), at(10));
+        assertThat(isAllowed(20, PART)).isFalse();
+        mSuspects.applyPeerAnswer(new FeatureAnswer(List.of(PART), false), at(30));
+        assertThat(isAllowed(40, PART)).isTrue();
+    }
+
+    // Guards against requests that are refused for good although their endpoints have been mended.
+    @Test
+    void refusedPartIsTriedAfterGrowingPauses() {
+        block(PART);
+        assertThat(isAllowed(60_500, PART)).isFalse();
+        assertThat(isAllowed(60_700, PART)).isTrue();
+        mSuspects.recordStart(List.of(PART), feature -> false, at(60_700));
+        assertThat(isAllowed(60_800, PART)).isFalse();
+        crash("e-4", 60_900, PART);
+        assertThat(decide(mSuspects, 900_900, PART).retryAfter()).isEqualTo(Duration.ofMinutes(1));
+        assertThat(isAllowed(960_900, PART)).isTrue();
     }
 
-    // Guards against a request that is refused for good although its endpoints have been mended.
+    // Guards against two daemons that both try a refused part after the same pause.
     @Test
-    void blockedRequestIsTriedAfterGrowingPauses() {
-        block();
-        assertThat(isAllowed(5_100)).isTrue();
-        mSuspects.recordStart(REQUEST, at(5_100));
-        mSuspects.recordCrash(REQUEST, "e-4", 3, false, at(5_200));
-        mSuspects.recordEnd(REQUEST);
-        assertThat(isAllowed(35_100)).isFalse();
-        assertThat(mSuspects.decide(REQUEST, at(25_200)).retryAfter())
-                .isEqualTo(Duration.ofSeconds(10));
-        assertThat(isAllowed(35_200)).isTrue();
+    void trialOfAnotherDaemonPutsOffThisOne() {
+        block(PART);
+        mSuspects.applyPeerStart(List.of(PART), at(60_700));
+        assertThat(isAllowed(70_000, PART)).isFalse();
     }
 
     @Test
     void trialWithoutResultIsNotRepeatedAtOnce() {
-        block();
-        mSuspects.recordStart(REQUEST, at(5_100));
-        mSuspects.recordEnd(REQUEST);
-        assertThat(isAllowed(5_200)).isFalse();
-        assertThat(isAllowed(10_100)).isTrue();
+        block(PART);
+        mSuspects.recordStart(List.of(PART), feature -> false, at(60_700));
+        mSuspects.recordEnd(List.of(PART), at(60_800));
+        assertThat(isAllowed(61_000, PART)).isFalse();
+        assertThat(isAllowed(120_700, PART)).isTrue();
     }
 
     @Test
-    void requestThatDoesNotComeAgainIsForgotten() {
-        block();
-        assertThat(isAllowed(Duration.ofMinutes(11).toMillis())).isTrue();
+    void suspectedPartThatDoesNotComeAgainIsForgotten() {
+        crash("e-1", 0, PART);
+        assertThat(mSuspects.level(PART, at(Duration.ofMinutes(11).toMillis()))).isZero();
         assertThat(mSuspects.size()).isZero();
     }
 
+    // Guards against a part that is forgotten while it isn't asked for, and crashes endpoints anew.
+    @Test
+    void refusedPartIsRememberedForOneDay() {
+        block(PART);
+        assertThat(mSuspects.level(PART, at(DAY))).isEqualTo(CrashSuspects.BLOCKED_LEVEL);
+        assertThat(mSuspects.level(PART, at(DAY + 601))).isZero();
+    }
+
     @Test
     void refusalsKeepTheMemory() {
-        block();
-        for (int minute = 0; minute < 30; minute++) {
-            mSuspects.decide(REQUEST, at(Duration.ofMinutes(minute).toMillis()));
+        block(PART);
+        for (int hour = 0; hour < 30; hour++) {
+            isAllowed(Duration.ofHours(hour).toMillis(), PART);
         }
         assertThat(mSuspects.size()).isEqualTo(1);
     }
@@ -170,79 +339,59 @@
     // Guards against memory that grows with each request that is on an endpoint that crashes.
     @Test
     void memoryIsBounded() {
-        block();
+        block(PART);
         for (int number = 0; number < 10_000; number++) {
-            mSuspects.recordCrash(new RequestIdentity(number, number, 9), "e-9", 0, false, at(200));
+            mSuspects.recordCrash(run(0, feature(1_000 + number)), "e-9", at(700));
         }
         assertThat(mSuspects.size()).isLessThanOrEqualTo(4_096);
     }
 
-    // Guards against a request that crashes endpoints being forgotten because many innocent ones
-    // were
-    // on endpoints that crashed later.
+    // Guards against a part that crashes endpoints being forgotten because a customer invents parts
+    // without end, or many innocent requests were on endpoints that crashed later.
     @Test
-    void requestHeldBackOutlivesManySuspectsOfOneCrash() {
-        block();
+    void refusedPartOutlivesManySuspectsOfOneCrash() {
+        block(PART);
         for (int number = 0; number < 10_000; number++) {
-            mSuspects.recordCrash(new RequestIdentity(number, number, 9), "e-9", 0, false, at(200));
+            mSuspects.recordCrash(run(0, feature(1_000 + number)), "e-9", at(700));
         }
-        assertThat(isAllowed(300)).isFalse();
+        assertThat(isAllowed(800, PART)).isFalse();
     }
 
     @Test
-    void reportsTellGuardedRequestsInTurn() {
-        block();
-        mSuspects.recordCrash(OTHER, "e-1", 0, false, at(0));
-        assertThat(mSuspects.nextRecords(8, at(200)))
-                .extracting(SuspectRecord::identity)
-                .containsExactly(REQUEST);
-        mSuspects.recordCrash(OTHER, "e-2", 1, false, at(300));
-        final List<SuspectRecord> first = mSuspects.nextRecords(1, at(400));
-        final List<SuspectRecord> second = mSuspects.nextRecords(1, at(400));
-        assertThat(first.get(0).identity()).isNotEqualTo(second.get(0).identity());
+    void reportsTellGuardedFeaturesInTurn() {
+        block(PART);
+        crash("e-1", 0, OTHER);
+        assertThat(mSuspects.nextRecords(8, at(700)))
+                .extracting(SuspectRecord::feature)
+                .containsExactly(PART);
+        crash("e-2", 800, OTHER);
+        final List<SuspectRecord> first = mSuspects.nextRecords(1, at(900));
+        final List<SuspectRecord> second = mSuspects.nextRecords(1, at(900));
+        assertThat(first.get(0).feature()).isNotEqualTo(second.get(0).feature());
     }
 
-    // Guards against a request that most daemons hold back and that is not in any report for a long
+    // Guards against a part that most daemons hold back and that is not in any report for a long
     // time, because all of them tell the same part of what they know.
     @Test
-    void daemonsTellDifferentRequests() {
-        final Set<RequestIdentity> told = new HashSet<>();
+    void daemonsTellDifferentFeatures() {
+        final Set<RequestFeature> told = new HashSet<>();
         for (int rank = 0; rank < 8; rank++) {
             final CrashSuspects daemon = new CrashSuspects();
-            daemon.setDaemons(8, rank);
+            daemon.setRank(rank);
             for (int number = 0; number < 64; number++) {
-                daemon.applyPeerCrash(new RequestIdentity(number, number, 9), "e-1", 2, at(0));
+                daemon.applyPeerCrash(run(2, feature(number)), "e-1", at(0));
             }
-            daemon.nextRecords(8, at(10)).forEach(record -> told.add(record.identity()));
+            daemon.nextRecords(8, at(10)).forEach(record -> told.add(record.feature()));
         }
         assertThat(told).hasSize(64);
     }
 
     @Test
     void daemonThatStartsLearnsFromReports() {
-        block();
+        block(PART, SOUND);
         final CrashSuspects started = new CrashSuspects();
-        mSuspects.nextRecords(8, at(200)).forEach(r -> started.applyPeerRecord(r, at(210)));
-        assertThat(started.decide(REQUEST, at(300)).isAllowed()).isFalse();
-    }
-
-    // Guards against a common request that is refused for seconds because its endpoints were lost
-    // one after the other within milliseconds, and each daemon sent it on to the next one.
-    @Test
-    void requestThatWasAnsweredBeforeIsOnlyGuardedForOneEvent() {
-        mSuspects.recordCrash(REQUEST, "e-1", 0, true, at(0));
-        mSuspects.recordCrash(REQUEST, "e-2", 1, true, at(40));
-        mSuspects.recordCrash(REQUEST, "e-3", 2, true, at(41));
-        assertThat(mSuspects.level(REQUEST, at(41))).isEqualTo(CrashSuspects.GUARDED_LEVEL);
-        assertThat(isAllowed(100)).isTrue();
-    }
-
-    // Guards against a request that begins to crash endpoints after it was answered.
-    @Test
-    void requestThatWasAnsweredBeforeIsRefusedAfterLaterCrashes() {
-        mSuspects.recordCrash(REQUEST, "e-1", 0, true, at(0));
-        mSuspects.recordCrash(REQUEST, "e-2", 1, true, at(300));
-        mSuspects.recordCrash(REQUEST, "e-3", 2, true, at(600));
-        assertThat(isAllowed(700)).isFalse();
+        mSuspects.nextRecords(8, at(700)).forEach(r -> started.applyPeerRecord(r, at(710)));
+        assertThat(decide(started, 800, PART, SOUND).isAllowed()).isFalse();
+        assertThat(decide(started, 800, SOUND, OTHER).isAllowed()).isTrue();
     }
 }
--- a/serving/src/test/java/org/whinhead/serving/crash/TrialScheduleTest.java
+++ b/serving/src/test/java/org/whinhead/serving/crash/TrialScheduleTest.java
@@ -7,12 +7,18 @@
 
 class TrialScheduleTest {
 
+    // Guards against trials that crash more endpoints in a day than callers can be asked to bear.
     @Test
-    void pausesGrowUpToAnHour() {
-        assertThat(TrialSchedule.delay(3)).isEqualTo(Duration.ofSeconds(5));
-        assertThat(TrialSchedule.delay(4)).isEqualTo(Duration.ofSeconds(30));
-        assertThat(TrialSchedule.delay(5)).isEqualTo(Duration.ofSeconds(180));
-        assertThat(TrialSchedule.delay(9)).isEqualTo(Duration.ofHours(1));
-        assertThat(TrialSchedule.delay(Integer.MAX_VALUE)).isEqualTo(Duration.ofHours(1));
+    void threeTrialsFitIntoOneDay() {
+        assertThat(TrialSchedule.delay(3)).isEqualTo(Duration.ofMinutes(1));
+        assertThat(TrialSchedule.delay(4)).isEqualTo(Duration.ofMinutes(15));
+        assertThat(TrialSchedule.delay(5)).isEqualTo(Duration.ofMinutes(225));
+        assertThat(TrialSchedule.delay(6)).isGreaterThan(Duration.ofDays(1));
+    }
+
+    @Test
+    void pausesGrowUpToTwoDays() {
+        assertThat(TrialSchedule.delay(9)).isEqualTo(Duration.ofDays(2));
+        assertThat(TrialSchedule.delay(Integer.MAX_VALUE)).isEqualTo(Duration.ofDays(2));
     }
 }
--- a/serving/src/test/java/org/whinhead/serving/crash/UsualRequestsTest.java
+++ b/serving/src/test/java/org/whinhead/serving/crash/UsualRequestsTest.java
@@ -8,7 +8,7 @@
 class UsualRequestsTest {
 
     private static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
-    private static final int MANY = 5_000;
+    private static final int MANY = 9_000;
 
     private final UsualRequests mUsual = new UsualRequests();
 
