Find out which suspected request explains a crash, let few of them meet, and let one answer outweigh one crash

Now a daemon says at which endpoint its suspected request runs. Others choose another endpoint for theirs, and a crash there counts against that request only. A part is not refused if each of its crashes is explained by a refused one that the request doesn't have. An answer takes one crash off. Requests that another one holds up wait up to 240 ms before they are refused, decided anew each 30 ms.

--- a/gateway/src/main/java/org/whinhead/gateway/crash/CrashDetector.java
+++ b/gateway/src/main/java/org/whinhead/gateway/crash/CrashDetector.java
@@ -123,9 +123,14 @@
                 .addKeyValue("service", endpoint.service())
                 .addKeyValue("requests", checked.size())
                 .log("endpoint crashed");
-        mNews.endpointCrashed(
-                new EndpointCrash(
-                        endpoint.id(), checked.stream().map(LostRequest::crashed).toList()));
+        final List<EndpointCrash.LostRun> blamed =
+                checked.stream()
+                        .map(LostRequest::crashed)
+                        .filter(run -> !run.features().isEmpty())
+                        .toList();
+        if (!blamed.isEmpty()) {
+            mNews.endpointCrashed(new EndpointCrash(endpoint.id(), blamed));
+        }
         checked.forEach(lost -> lost.checked(true));
     }
 
@@ -142,7 +147,7 @@
         }
 
         @Override
-        public void started(final List<RequestFeature> features) {
+        public void started(final List<RequestFeature> features, final String endpoint) {
             // See above.
         }
     }
--- a/gateway/src/main/java/org/whinhead/gateway/crash/CrashNews.java
+++ b/gateway/src/main/java/org/whinhead/gateway/crash/CrashNews.java
@@ -26,6 +26,7 @@
      * Tells that a request is about to run.
      *
      * @param features the features of which no other daemon should start a request for a while
+     * @param endpoint the id of its endpoint
      */
-    void started(List<RequestFeature> features);
+    void started(List<RequestFeature> features, String endpoint);
 }
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/ConnectionSearch.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/ConnectionSearch.java
@@ -123,12 +123,14 @@
         if (!mIsSuspect.getAsBoolean()) {
             return candidates;
         }
-        return mExchanges
-                .state()
-                .selection()
+        final ServingState state = mExchanges.state();
+        return state.selection()
                 .leastBusy(
                         candidates.stream()
                                 .filter(endpoint -> !mTriedEndpoints.contains(endpoint.id()))
+                                .filter(
+                                        endpoint ->
+                                                !state.suspects().isGuarded(endpoint.id(), now()))
                                 .toList());
     }
 
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/CrashRecorder.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/CrashRecorder.java
@@ -3,13 +3,16 @@
 import io.netty.buffer.ByteBuf;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.whinhead.gateway.crash.CrashDetector;
 import org.whinhead.gateway.crash.FeatureSource;
 import org.whinhead.gateway.crash.RequestFeatures;
+import org.whinhead.serving.crash.AnswerHistory;
 import org.whinhead.serving.crash.CrashSuspects;
 import org.whinhead.serving.crash.EndpointCrash;
 import org.whinhead.serving.crash.FeatureAnswer;
@@ -21,12 +24,19 @@
 /** Records what becomes of the endpoints that have one request. */
 final class CrashRecorder {
 
+    /** The pause before a request that another one holds up is decided again. */
+    private static final int GUARD_WAIT_MILLIS = 30;
+
+    /** The pauses after which it is refused: most answers begin within them. */
+    private static final int MAX_GUARD_WAITS = 8;
+
     private final Exchanges mExchanges;
     private final AdmittedRequest mAdmission;
     private final List<FeatureSource> mFeatures;
     private final Map<RequestFeature, Integer> mKnownLevels = new HashMap<>();
     private List<RequestFeature> mGuarded = List.of();
     private boolean mBegun;
+    private int mAttemptId;
 
     CrashRecorder(final Exchanges exchanges, final AdmittedRequest admission, final ByteBuf body) {
         mExchanges = exchanges;
@@ -50,29 +60,57 @@
                 .toList();
     }
 
-    private boolean isUsual(final RequestFeature feature) {
+    private AnswerHistory history(final RequestFeature feature) {
         return mFeatures.stream()
                 .filter(source -> source.shape() == feature.shape())
-                .anyMatch(source -> mExchanges.state().usual().contains(source.hash(), now()));
+                .map(source -> mExchanges.state().usual().history(source.hash(), now()))
+                .max(Comparator.naturalOrder())
+                .orElse(AnswerHistory.NONE);
     }
 
-    /** Decides whether the request may be sent, and records that it is about to run if so. */
-    SuspectDecision start() {
+    /**
+     * Decides whether the request may be sent, and records that it is about to run if so. A request
+     * that another one like it holds up waits a little, as most of them are innocent, and the
+     * outcome of the other one is known soon.
+     *
+     * @param decided receives the decision, once, unless {@link #attemptEnded} comes before
+     */
+    void start(final Consumer<SuspectDecision> decided) {
         mBegun = false;
+        mAttemptId++;
+        decide(MAX_GUARD_WAITS, decided);
+    }
+
+    private void decide(final int waits, final Consumer<SuspectDecision> decided) {
         final List<RequestFeature> suspected = suspected();
-        if (suspected.isEmpty()) {
-            return SuspectDecision.RUN;
-        }
-        final SuspectDecision decision = suspects().decide(suspected, this::isUsual, now());
+        final SuspectDecision decision = suspects().decide(suspected, this::history, now());
         if (decision.isAllowed()) {
-            mGuarded = suspects().recordStart(suspected, this::isUsual, now());
-            if (!mGuarded.isEmpty()) {
-                mExchanges.crashes().news().started(mGuarded);
-            }
+            mGuarded = suspects().recordStart(suspected, this::history, now());
+            decided.accept(decision);
+        } else if (waits > 0 && decision.isShort()) {
+            final int attemptId = mAttemptId;
+            mExchanges
+                    .loop()
+                    .schedule(
+                            () -> {
+                                if (attemptId == mAttemptId) {
+                                    decide(waits - 1, decided);
+                                }
+                            },
+                            GUARD_WAIT_MILLIS,
+                            TimeUnit.MILLISECONDS);
         } else {
             mExchanges.requestLogger().heldBack(mAdmission, levels(), decision.retryAfter());
+            decided.accept(decision);
+        }
+    }
+
+    /** Records that an endpoint was chosen for the request. */
+    void placed(final EndpointEntry endpoint) {
+        if (!mGuarded.isEmpty()) {
+            suspects().recordPlaced(mGuarded, endpoint.id(), now());
+            mExchanges.crashes().news().started(mGuarded, endpoint.id());
         }
-        return decision;
     }
 
     /** Records that the request is about to be sent to an endpoint. */
@@ -142,7 +180,8 @@
             final EndpointEntry endpoint,
             final Duration age,
             final boolean begun) {
-        final List<FeatureLevel> blamed = suspects().recordCrash(run, endpoint.id(), now());
+        final List<FeatureLevel> blamed =
+                suspects().recordCrash(run, this::history, endpoint.id(), now());
         // The next attempt may be on its way already; it began after this crash all the same.
         blamed.forEach(
                 feature -> mKnownLevels.merge(feature.feature(), feature.level(), Math::max));
@@ -168,14 +207,18 @@
     void eventReceived() {
         if (!mBegun) {
             mBegun = true;
-            tell(suspects().recordBegun(suspected(), now()), false);
+            tell(
+                    suspects().recordBegun(suspected(), now()).stream()
+                            .map(feature -> new FeatureLevel(feature, 0))
+                            .toList(),
+                    false);
         }
     }
 
     /** Records that an endpoint has answered the request completely. */
     void answered() {
         mFeatures.forEach(source -> mExchanges.state().usual().recordAnswer(source.hash(), now()));
-        final List<RequestFeature> answered = suspects().recordAnswer(suspected(), now());
+        final List<FeatureLevel> answered = suspects().recordAnswer(suspected(), now());
         if (!answered.isEmpty()) {
             mExchanges.requestLogger().cleared(mAdmission, answered.size());
         }
@@ -183,7 +226,7 @@
         mGuarded = List.of();
     }
 
-    private void tell(final List<RequestFeature> features, final boolean complete) {
+    private void tell(final List<FeatureLevel> features, final boolean complete) {
         if (!features.isEmpty()) {
             mExchanges.crashes().news().answered(new FeatureAnswer(features, complete));
         }
@@ -191,6 +234,7 @@
 
     /** Records that the attempt has ended. */
     void attemptEnded() {
+        mAttemptId++;
         suspects().recordEnd(mGuarded, now());
         mGuarded = List.of();
     }
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
@@ -118,7 +118,10 @@
 
     /** Searches for an endpoint, unless endpoints crash under requests like this one. */
     private void startAttempt() {
-        final SuspectDecision decision = mCrashes.start();
+        mCrashes.start(this::attemptDecided);
+    }
+
+    private void attemptDecided(final SuspectDecision decision) {
         if (decision.isAllowed()) {
             mSearch.start();
         } else if (mRelay.isStarted()) {
@@ -140,6 +143,7 @@
     @Override
     public void placed(final Placement placement) {
         mPlacement = placement;
+        mCrashes.placed(placement.endpoint());
     }
 
     @Override
--- a/gateway/src/main/java/org/whinhead/gateway/peers/CrashCodec.java
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/CrashCodec.java
@@ -81,16 +81,21 @@
 
     private static LostRunRecord encode(final EndpointCrash.LostRun run) {
         final LostRunRecord.Builder record = LostRunRecord.newBuilder();
-        run.features()
-                .forEach(
-                        lost ->
-                                record.addFeatures(
-                                        SuspectFeatureRecord.newBuilder()
-                                                .setFeature(encode(lost.feature()))
-                                                .setLevel(lost.level())));
+        run.features().forEach(lost -> record.addFeatures(encode(lost)));
         return record.build();
     }
 
+    private static SuspectFeatureRecord encode(final FeatureLevel feature) {
+        return SuspectFeatureRecord.newBuilder()
+                .setFeature(encode(feature.feature()))
+                .setLevel(feature.level())
+                .build();
+    }
+
+    private static FeatureLevel decodeLevel(final SuspectFeatureRecord record) {
+        return new FeatureLevel(decode(record.getFeature()), record.getLevel());
+    }
+
     static EndpointCrash decode(final EndpointCrashRecord record) {
         return new EndpointCrash(
                 record.getEndpoint(),
@@ -99,9 +104,7 @@
 
     private static EndpointCrash.LostRun decode(final LostRunRecord record) {
         return new EndpointCrash.LostRun(
-                record.getFeaturesList().stream()
-                        .map(lost -> new FeatureLevel(decode(lost.getFeature()), lost.getLevel()))
-                        .toList());
+                record.getFeaturesList().stream().map(CrashCodec::decodeLevel).toList());
     }
 
     static Datagram encode(final FeatureAnswer answer) {
@@ -113,12 +116,13 @@
 
     static FeatureAnswer decode(final FeatureAnswerRecord record) {
         return new FeatureAnswer(
-                record.getFeaturesList().stream().map(CrashCodec::decode).toList(),
+                record.getFeaturesList().stream().map(CrashCodec::decodeLevel).toList(),
                 record.getComplete());
     }
 
-    static Datagram encodeStart(final List<RequestFeature> features) {
-        final FeatureStartRecord.Builder record = FeatureStartRecord.newBuilder();
+    static Datagram encodeStart(final List<RequestFeature> features, final String endpoint) {
+        final FeatureStartRecord.Builder record =
+                FeatureStartRecord.newBuilder().setEndpoint(endpoint);
         features.forEach(feature -> record.addFeatures(encode(feature)));
         return Datagram.newBuilder().setFeatureStart(record).build();
     }
--- a/gateway/src/main/java/org/whinhead/gateway/peers/CrashMessenger.java
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/CrashMessenger.java
@@ -15,6 +15,7 @@
 import org.whinhead.gateway.generated.GatewayProto.SuspectFeatureRecord;
 import org.whinhead.serving.crash.EndpointCrash;
 import org.whinhead.serving.crash.FeatureAnswer;
+import org.whinhead.serving.crash.FeatureLevel;
 import org.whinhead.serving.crash.RequestFeature;
 import org.whinhead.serving.crash.SuspectRecord;
 
@@ -78,15 +79,18 @@
         final boolean isCurrent =
                 answer.isComplete()
                         && answer.features().stream()
-                                .allMatch(feature -> mState.suspects().level(feature, now()) == 0);
+                                .allMatch(
+                                        answered ->
+                                                mState.suspects().level(answered.feature(), now())
+                                                        <= answered.level());
         if (isCurrent) {
             mSendToAll.accept(datagram);
         }
     }
 
     @Override
-    public void started(final List<RequestFeature> features) {
-        mSendToAll.accept(CrashCodec.encodeStart(features));
+    public void started(final List<RequestFeature> features, final String endpoint) {
+        mSendToAll.accept(CrashCodec.encodeStart(features, endpoint));
     }
 
     /** Applies a datagram if it is one of these messages. */
@@ -105,7 +109,11 @@
                     .applyPeerAnswer(CrashCodec.decode(datagram.getFeatureAnswer()), now());
         }
         if (datagram.hasFeatureStart()) {
-            mState.suspects().applyPeerStart(CrashCodec.decode(datagram.getFeatureStart()), now());
+            mState.suspects()
+                    .applyPeerStart(
+                            CrashCodec.decode(datagram.getFeatureStart()),
+                            datagram.getFeatureStart().getEndpoint(),
+                            now());
         }
     }
 
@@ -123,7 +131,14 @@
             if (mState.suspects().applyPeerRecord(record, now())) {
                 mSend.accept(
                         Addresses.parse(report.getPeerAddress()),
-                        CrashCodec.encode(new FeatureAnswer(List.of(record.feature()), true)));
+                        CrashCodec.encode(
+                                new FeatureAnswer(
+                                        List.of(
+                                                new FeatureLevel(
+                                                        record.feature(),
+                                                        mState.suspects()
+                                                                .level(record.feature(), now()))),
+                                        true)));
             }
         }
     }
--- a/serving/src/main/java/org/whinhead/serving/crash/CrashSuspects.java
+++ b/serving/src/main/java/org/whinhead/serving/crash/CrashSuspects.java
@@ -8,7 +8,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Predicate;
+import java.util.function.Function;
+import java.util.stream.Collectors;
 import org.whinhead.api.Arguments;
 
 /**
@@ -19,13 +20,13 @@
  * all features of all requests on the endpoint, most of which are innocent. So it raises the level
  * of a feature only if it follows the one before: its run began in the knowledge of that one, or it
  * came clearly later. Endpoints that are lost together count once. A complete answer, at any
- * daemon, ends the suspicion of all features of its request.
+ * daemon, lowers the levels of all features of its request.
  *
  * <p>While a feature is suspected, requests with it run one at a time, over all daemons, until an
  * answer begins. One that is answered usually is not held up by a single crash.
  *
- * <p>From {@link #BLOCKED_LEVEL} on, a request is refused if it has the feature and all that was
- * common to the lost requests with it. One that has a part of that only may be sound: it runs once,
+ * <p>From {@link #BLOCKED_LEVEL} on, a request is refused, unless each crash that counts against
+ * its feature can be explained by another one that it doesn't have: then it may be sound, runs once
  * by itself, and its outcome shows what is to blame. Refused requests are tried again after growing
  * pauses, since the endpoints may have been mended.
  */
@@ -48,6 +49,8 @@
 
     private final SuspectTable mTable = new SuspectTable();
     private final AnsweredFeatures mAnswered = new AnsweredFeatures();
+    private final GuardedEndpoints mEndpoints = new GuardedEndpoints();
+    private final CrashEvents mEvents = new CrashEvents();
     private int mRank;
     private int mReported;
 
@@ -86,19 +89,19 @@
      * Decides whether a request may be sent to an endpoint.
      *
      * @param features the features of the request that may be suspected
-     * @param isUsual whether requests with a feature are answered usually
+     * @param history how often requests with a feature were answered lately
      * @param now the current time
      * @return the decision
      */
     public SuspectDecision decide(
             final Collection<RequestFeature> features,
-            final Predicate<RequestFeature> isUsual,
+            final Function<RequestFeature, AnswerHistory> history,
             final Instant now) {
         Duration longest = Duration.ZERO;
         for (final RequestFeature feature : features) {
             final Optional<Suspect> found = mTable.find(feature, now);
             if (found.isPresent()) {
-                final Duration delay = delay(found.get(), features, isUsual.test(feature), now);
+                final Duration delay = delay(found.get(), features, history.apply(feature), now);
                 longest = delay.compareTo(longest) > 0 ? delay : longest;
             }
         }
@@ -108,49 +111,61 @@
     private Duration delay(
             final Suspect suspect,
             final Collection<RequestFeature> features,
-            final boolean isUsual,
+            final AnswerHistory history,
             final Instant now) {
         if (isBlocked(suspect, features)) {
             suspect.keepUntil(now.plus(BLOCKED_MEMORY));
-            final Instant trialAt = suspect.raisedAt().plus(TrialSchedule.delay(suspect.level()));
+            final Instant trialAt = suspect.raisedAt().plus(history.trialDelay(suspect.level()));
             if (now.isBefore(trialAt)) {
                 return Duration.between(now, trialAt);
             }
         }
-        return suspect.guardDelay(isUsual, now);
+        return suspect.guardDelay(history, now);
     }
 
-    /** Returns whether a request has all that was common to the lost requests with a feature. */
+    /** Returns whether a request is refused for one of its features. */
     private boolean isBlocked(final Suspect suspect, final Collection<RequestFeature> features) {
         return suspect.level() >= BLOCKED_LEVEL
                 && !suspect.isSoundApart()
-                && hasPattern(suspect, features);
+                && !isExplainedWithout(suspect, features);
     }
 
-    private boolean hasPattern(final Suspect suspect, final Collection<RequestFeature> features) {
-        return suspect.isPatternIn(
-                companion ->
-                        !mTable.isSuspicious(companion)
-                                || features.stream()
-                                        .anyMatch(feature -> feature.shape() == companion));
+    /**
+     * Returns whether each crash that counts against a feature can be explained by another feature
+     * whose requests are refused, and that a request doesn't have.
+     */
+    private boolean isExplainedWithout(
+            final Suspect suspect, final Collection<RequestFeature> features) {
+        final Set<Integer> own = new HashSet<>();
+        features.forEach(feature -> own.add(feature.shape()));
+        final List<Set<Integer>> crashes = new ArrayList<>();
+        suspect.endpoints().forEach(endpoint -> crashes.add(mEvents.shapes(endpoint)));
+        if (crashes.isEmpty()) {
+            crashes.add(suspect.companions());
+        }
+        return crashes.stream().allMatch(shapes -> hasOtherBlocked(shapes, own));
+    }
+
+    private boolean hasOtherBlocked(final Set<Integer> shapes, final Set<Integer> own) {
+        return shapes.stream().anyMatch(shape -> !own.contains(shape) && mTable.isBlocked(shape));
     }
 
     /**
      * Records that a request is about to run.
      *
      * @param features the features of the request that may be suspected
-     * @param isUsual whether requests with a feature are answered usually
+     * @param history how often requests with a feature were answered lately
      * @param now the current time
      * @return the features of which other daemons must start no request for a while
      */
     public List<RequestFeature> recordStart(
             final Collection<RequestFeature> features,
-            final Predicate<RequestFeature> isUsual,
+            final Function<RequestFeature, AnswerHistory> history,
             final Instant now) {
         final List<RequestFeature> guarded = new ArrayList<>();
         for (final RequestFeature feature : features) {
             final Optional<Suspect> found = mTable.find(feature, now);
-            if (found.isPresent() && found.get().isGuarded(isUsual.test(feature))) {
+            if (found.isPresent() && found.get().isGuarded(history.apply(feature))) {
                 found.get().startAttempt(isBlocked(found.get(), features), now);
                 guarded.add(feature);
             }
@@ -158,13 +173,40 @@
         return guarded;
     }
 
+    /**
+     * Returns whether a request with suspected features runs at an endpoint. Another one there
+     * would make it unclear which of them is to blame for a crash.
+     *
+     * @param endpoint the endpoint's id
+     * @param now the current time
+     * @return whether one runs at this daemon or another one
+     */
+    public boolean isGuarded(final String endpoint, final Instant now) {
+        return mEndpoints.contains(endpoint, now);
+    }
+
+    /**
+     * Records where a request runs that is guarded.
+     *
+     * @param features the features that its start has returned
+     * @param endpoint the endpoint's id
+     * @param now the current time
+     */
+    public void recordPlaced(
+            final Collection<RequestFeature> features, final String endpoint, final Instant now) {
+        mEndpoints.start(endpoint, features, now);
+    }
+
     /**
      * Records that another daemon is about to run a request.
      *
-     * @param features the features that it has in its keeping
+     * @param features the features of which it runs the only request
+     * @param endpoint the endpoint's id
      * @param now the current time
      */
-    public void applyPeerStart(final Collection<RequestFeature> features, final Instant now) {
+    public void applyPeerStart(
+            final Collection<RequestFeature> features, final String endpoint, final Instant now) {
+        mEndpoints.start(endpoint, features, now);
         for (final RequestFeature feature : features) {
             mTable.find(feature, now)
                     .ifPresent(suspect -> suspect.startAttempt(isBlocked(suspect, features), now));
@@ -178,26 +220,41 @@
      * @param now the current time
      */
     public void recordEnd(final Collection<RequestFeature> features, final Instant now) {
+        mEndpoints.end(features);
         features.forEach(feature -> mTable.find(feature, now).ifPresent(Suspect::endAttempt));
     }
 
     /**
-     * Records that an endpoint has crashed while it had a request.
+     * Records that an endpoint has crashed while it had a request. It counts against the request
+     * unless another one there was suspected before.
      *
      * @param run all features of the request, with the levels that were known when it was sent
+     * @param history how often requests with a feature were answered lately
      * @param endpoint the endpoint's id
      * @param now the current time
      * @return the features that the crash counts against, with their levels after it
      */
     public List<FeatureLevel> recordCrash(
-            final List<FeatureLevel> run, final String endpoint, final Instant now) {
+            final List<FeatureLevel> run,
+            final Function<RequestFeature, AnswerHistory> history,
+            final String endpoint,
+            final Instant now) {
         final List<RequestFeature> features = run.stream().map(FeatureLevel::feature).toList();
         final List<FeatureLevel> blamed = new ArrayList<>();
+        mEvents.add(endpoint, features);
+        if (mEndpoints.explain(endpoint, features, now)) {
+            return blamed;
+        }
+        final boolean isShared = mEndpoints.containsOther(endpoint, features, now);
         for (final FeatureLevel lost : blamed(run, features, now)) {
+            if (isShared && history.apply(lost.feature()).outweighsOthers()) {
+                // Of two suspected requests there, the one that is answered usually is innocent.
+                continue;
+            }
             final Suspect suspect =
                     mTable.find(lost.feature(), now).orElseGet(() -> new Suspect(now));
             final int level = suspect.levelAfterCrash(endpoint, lost.level(), now);
-            crashed(new FeatureLevel(lost.feature(), level), suspect, features, endpoint, now);
+            crashed(new FeatureLevel(lost.feature(), level), suspect, endpoint, now);
             blamed.add(new FeatureLevel(lost.feature(), suspect.level()));
         }
         return blamed;
@@ -220,14 +277,9 @@
     private void crashed(
             final FeatureLevel lost,
             final Suspect suspect,
-            final List<RequestFeature> features,
             final String endpoint,
             final Instant now) {
-        final Set<Integer> others = new HashSet<>();
-        features.stream()
-                .filter(feature -> !feature.equals(lost.feature()))
-                .forEach(feature -> others.add(feature.shape()));
-        suspect.recordCrash(endpoint, others);
+        suspect.recordCrash(endpoint);
         raise(lost, suspect, now, MEMORY);
     }
 
@@ -253,11 +305,11 @@
      */
     public void applyPeerCrash(
             final List<FeatureLevel> run, final String endpoint, final Instant now) {
-        final List<RequestFeature> features = run.stream().map(FeatureLevel::feature).toList();
+        mEvents.add(endpoint, run.stream().map(FeatureLevel::feature).toList());
         for (final FeatureLevel lost : run) {
             final Suspect suspect =
                     mTable.find(lost.feature(), now).orElseGet(() -> new Suspect(now));
-            crashed(lost, suspect, features, endpoint, now);
+            crashed(lost, suspect, endpoint, now);
         }
     }
 
@@ -270,46 +322,62 @@
      */
     public List<RequestFeature> recordBegun(
             final Collection<RequestFeature> features, final Instant now) {
-        return features.stream()
-                .filter(
-                        feature ->
-                                mTable.find(feature, now).filter(Suspect::recordBegun).isPresent())
-                .toList();
+        final List<RequestFeature> begun =
+                features.stream()
+                        .filter(
+                                feature ->
+                                        mTable.find(feature, now)
+                                                .filter(Suspect::recordBegun)
+                                                .isPresent())
+                        .toList();
+        mEndpoints.end(begun);
+        return begun;
     }
 
     /**
-     * Records that an endpoint has answered a request completely.
+     * Records that an endpoint has answered a request completely. That outweighs one crash of those
+     * that count against each of its features: of what crashes endpoints nearly always, some
+     * requests are answered too.
      *
      * @param features the features of the request that may be suspected
      * @param now the current time
-     * @return the features that were suspected until now, of which other daemons must hear
+     * @return the features that were suspected until now, with their levels after it, of which
+     *     other daemons must hear
      */
-    public List<RequestFeature> recordAnswer(
+    public List<FeatureLevel> recordAnswer(
             final Collection<RequestFeature> features, final Instant now) {
-        final List<RequestFeature> answered =
-                features.stream()
-                        .filter(
-                                feature ->
-                                        mTable.find(feature, now)
-                                                .filter(suspect -> !suspect.isSoundApart())
-                                                .isPresent())
-                        .toList();
-        answered.forEach(feature -> answered(feature, answered, now));
+        final List<FeatureLevel> answered = new ArrayList<>();
+        for (final RequestFeature feature : features) {
+            mTable.find(feature, now)
+                    .filter(suspect -> !suspect.isSoundApart())
+                    .ifPresent(
+                            suspect ->
+                                    answered.add(new FeatureLevel(feature, suspect.level() - 1)));
+        }
+        applyAnswer(new FeatureAnswer(answered, true), now);
         return answered;
     }
 
-    private void answered(
-            final RequestFeature feature,
-            final Collection<RequestFeature> features,
-            final Instant now) {
-        final Optional<Suspect> found = mTable.find(feature, now);
-        if (found.isPresent()
-                && found.get().level() >= BLOCKED_LEVEL
-                && !hasPattern(found.get(), features)) {
-            found.get().recordSoundApart();
+    private void applyAnswer(final FeatureAnswer answer, final Instant now) {
+        final List<RequestFeature> features = answer.plainFeatures();
+        mEndpoints.end(features);
+        for (final FeatureLevel answered : answer.features()) {
+            mAnswered.add(answered.feature(), now);
+            mTable.find(answered.feature(), now)
+                    .ifPresent(suspect -> lower(answered, suspect, features));
+        }
+    }
+
+    private void lower(
+            final FeatureLevel answered,
+            final Suspect suspect,
+            final Collection<RequestFeature> features) {
+        if (suspect.level() >= BLOCKED_LEVEL && isExplainedWithout(suspect, features)) {
+            suspect.recordSoundApart();
+        } else if (answered.level() == 0) {
+            mTable.remove(answered.feature());
         } else {
-            mTable.remove(feature);
-            mAnswered.add(feature, now);
+            suspect.lower(answered.level());
         }
     }
 
@@ -321,9 +389,9 @@
      */
     public void applyPeerAnswer(final FeatureAnswer answer, final Instant now) {
         if (answer.isComplete()) {
-            answer.features().forEach(feature -> answered(feature, answer.features(), now));
+            applyAnswer(answer, now);
         } else {
-            recordBegun(answer.features(), now);
+            recordBegun(answer.plainFeatures(), now);
         }
     }
 
@@ -376,7 +444,7 @@
                     if (isTold && !left.isNegative()) {
                         all.add(
                                 new SuspectRecord(
-                                        feature, suspect.level(), left, suspect.companions()));
+                                        feature, suspect.level(), left, companions(suspect)));
                     }
                 });
         if (all.size() <= most) {
@@ -391,6 +459,15 @@
         return next;
     }
 
+    /** Returns the features that may explain the last crash that counts against another one. */
+    private Set<Integer> companions(final Suspect suspect) {
+        Set<Integer> shapes = suspect.companions();
+        for (final String endpoint : suspect.endpoints()) {
+            shapes = mEvents.shapes(endpoint);
+        }
+        return shapes.stream().filter(mTable::isBlocked).collect(Collectors.toSet());
+    }
+
     /**
      * Returns the number of features whose requests are refused.
      *
--- a/serving/src/main/java/org/whinhead/serving/crash/Suspect.java
+++ b/serving/src/main/java/org/whinhead/serving/crash/Suspect.java
@@ -2,8 +2,8 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.LinkedHashSet;
 import java.util.Set;
-import java.util.function.IntPredicate;
 
 /** The evidence against one feature. */
 final class Suspect {
@@ -17,15 +17,18 @@
      */
     private static final Duration ATTEMPT_TIME = Duration.ofSeconds(1);
 
+    /** The crashes of which it is known what else was lost. */
+    private static final int MAX_ENDPOINTS = 8;
+
     private final Instant mFirstAt;
     private Instant mRaisedAt;
     private Instant mKeptUntil;
     private Instant mAttemptUntil = Instant.MIN;
-    private String mEndpoint = "";
     private int mLevel;
     private boolean mBegun;
     private boolean mSoundApart;
-    private final Companions mCompanions = new Companions();
+    private final Set<String> mEndpoints = new LinkedHashSet<>();
+    private Set<Integer> mCompanions = Set.of();
 
     Suspect(final Instant firstAt) {
         mFirstAt = firstAt;
@@ -55,8 +58,10 @@
         if (mLevel == 0) {
             return 1;
         }
-        final boolean isLater =
-                now.isAfter(mRaisedAt.plus(ONE_EVENT)) && !endpoint.equals(mEndpoint);
+        if (mEndpoints.contains(endpoint)) {
+            return mLevel;
+        }
+        final boolean isLater = now.isAfter(mRaisedAt.plus(ONE_EVENT));
         final int level = Math.max(mLevel + (isLater ? 1 : 0), knownLevel + 1);
         // Endpoints that are lost together go one after the other, and a request that is sent on
         // meets several of them within one event.
@@ -68,12 +73,14 @@
     }
 
     /** Records a crash under a request with the feature. */
-    void recordCrash(final String endpoint, final Set<Integer> others) {
-        mEndpoint = endpoint;
+    void recordCrash(final String endpoint) {
+        mEndpoints.add(endpoint);
+        if (mEndpoints.size() > MAX_ENDPOINTS) {
+            mEndpoints.remove(mEndpoints.iterator().next());
+        }
         mAttemptUntil = Instant.MIN;
         mBegun = false;
         mSoundApart = false;
-        mCompanions.addLostRun(endpoint, others);
     }
 
     /** Raises the level unless it is as high already; returns whether it was raised. */
@@ -86,18 +93,30 @@
         return true;
     }
 
+    /** Lowers the level to that after an answer. */
+    void lower(final int level) {
+        mLevel = Math.min(mLevel, level);
+        mAttemptUntil = Instant.MIN;
+    }
+
     void keepUntil(final Instant time) {
         if (time.isAfter(mKeptUntil)) {
             mKeptUntil = time;
         }
     }
 
+    /** Returns the endpoints that crashed last under requests with the feature. */
+    Set<String> endpoints() {
+        return mEndpoints;
+    }
+
+    /** Returns what other daemons have told of features that came with this one. */
     Set<Integer> companions() {
-        return mCompanions.shapes();
+        return mCompanions;
     }
 
     void setCompanions(final Set<Integer> companions) {
-        mCompanions.set(companions);
+        mCompanions = Set.copyOf(companions);
     }
 
     /** Records that an attempt is in progress, during which others wait. */
@@ -133,23 +152,15 @@
         return mSoundApart;
     }
 
-    /**
-     * Returns whether a request has all that was common to the lost requests.
-     *
-     * @param isPresent whether the request has a companion, or the companion is out of question
-     */
-    boolean isPatternIn(final IntPredicate isPresent) {
-        return companions().stream().allMatch(isPresent::test);
-    }
-
     /**
      * Returns how long a request must wait that may run one at a time.
      *
-     * @param isUsual whether requests with the feature are answered usually
+     * @param history how often requests with the feature were answered lately
      * @param now the current time
      */
-    Duration guardDelay(final boolean isUsual, final Instant now) {
-        final boolean isFree = mBegun || mSoundApart || (isUsual && mLevel == 1);
+    Duration guardDelay(final AnswerHistory history, final Instant now) {
+        final boolean isFree =
+                mBegun || mSoundApart || (history.outweighsOneCrash() && mLevel == 1);
         if (isFree && mLevel < CrashSuspects.BLOCKED_LEVEL || mSoundApart) {
             return Duration.ZERO;
         }
@@ -160,8 +171,9 @@
     }
 
     /** Returns whether a request with the feature runs one at a time. */
-    boolean isGuarded(final boolean isUsual) {
+    boolean isGuarded(final AnswerHistory history) {
         return !mSoundApart
-                && (mLevel >= CrashSuspects.BLOCKED_LEVEL || !mBegun && (mLevel > 1 || !isUsual));
+                && (mLevel >= CrashSuspects.BLOCKED_LEVEL
+                        || !mBegun && (mLevel > 1 || !history.outweighsOneCrash()));
     }
 }
--- a/serving/src/main/java/org/whinhead/serving/crash/SuspectDecision.java
+++ b/serving/src/main/java/org/whinhead/serving/crash/SuspectDecision.java
@@ -29,6 +29,16 @@
         return mRetryAfter.isEmpty();
     }
 
+    /**
+     * Returns whether the request is held up by another one that is in progress, for a short while.
+     *
+     * @return false if it may be sent, or is refused for longer
+     */
+    public boolean isShort() {
+        return mRetryAfter.isPresent()
+                && mRetryAfter.get().compareTo(CrashSuspects.GUARD_RETRY_AFTER) <= 0;
+    }
+
     /**
      * Returns the delay after which the request may be sent.
      *
--- a/serving/src/main/java/org/whinhead/serving/crash/SuspectRecord.java
+++ b/serving/src/main/java/org/whinhead/serving/crash/SuspectRecord.java
@@ -11,7 +11,7 @@
  * @param feature the feature
  * @param level the number of crashes that count, see {@link CrashSuspects}
  * @param keptFor the time for which it is remembered
- * @param companions the shapes of other features that were in each of the lost requests
+ * @param companions the shapes of other features that may explain the last crash
  */
 public record SuspectRecord(
         RequestFeature feature, int level, Duration keptFor, Set<Integer> companions) {
--- a/serving/src/main/java/org/whinhead/serving/crash/SuspectTable.java
+++ b/serving/src/main/java/org/whinhead/serving/crash/SuspectTable.java
@@ -23,10 +23,13 @@
         return mByShape.containsKey(shape);
     }
 
-    /** Returns whether a feature with a shape is suspected of crashing endpoints by itself. */
-    boolean isSuspicious(final int shape) {
+    /** Returns whether requests with a feature of a shape are refused. */
+    boolean isBlocked(final int shape) {
         return mByShape.getOrDefault(shape, List.of()).stream()
-                .anyMatch(suspect -> !suspect.isSoundApart());
+                .anyMatch(
+                        suspect ->
+                                suspect.level() >= CrashSuspects.BLOCKED_LEVEL
+                                        && !suspect.isSoundApart());
     }
 
     /** Returns the evidence against a feature unless it is outdated. */
--- a/serving/src/main/java/org/whinhead/serving/crash/UsualRequests.java
+++ b/serving/src/main/java/org/whinhead/serving/crash/UsualRequests.java
@@ -6,8 +6,9 @@
 import java.util.Map;
 
 /**
- * Remembers by a short hash which requests were answered lately, whether suspected or not. It is
- * kept in calm too, so the hash must be cheap; two requests with the same one do little harm.
+ * Remembers by short hashes which features of requests were answered several times lately, whether
+ * suspected or not. It is kept in calm too, so the hash must be cheap; two features with the same
+ * one do little harm.
  */
 public final class UsualRequests {
 
@@ -16,33 +17,47 @@
      */
     private static final Duration MEMORY = Duration.ofSeconds(30);
 
-    private static final int MAX_REQUESTS = 8_192;
+    /** Of what crashes endpoints nearly always, one request or the other is answered too. */
+    private static final int MANY = 3;
 
-    private final Map<Long, Instant> mAnsweredAt = new LinkedHashMap<>();
+    private static final int MAX_FEATURES = 8_192;
+
+    private final Map<Long, Answers> mAnswers = new LinkedHashMap<>();
+
+    private record Answers(int count, Instant lastAt) {
+
+        private boolean isRecent(final Instant now) {
+            return now.isBefore(lastAt.plus(MEMORY));
+        }
+    }
 
     /**
      * Records a complete answer.
      *
-     * @param hash the hash of the request
+     * @param hash the hash of a feature of the request
      * @param now the current time
      */
     public void recordAnswer(final long hash, final Instant now) {
-        mAnsweredAt.remove(hash);
-        mAnsweredAt.put(hash, now);
-        if (mAnsweredAt.size() > MAX_REQUESTS) {
-            mAnsweredAt.remove(mAnsweredAt.keySet().iterator().next());
+        final Answers before = mAnswers.remove(hash);
+        final int count = before != null && before.isRecent(now) ? before.count() : 0;
+        mAnswers.put(hash, new Answers(Math.min(count + 1, MANY), now));
+        if (mAnswers.size() > MAX_FEATURES) {
+            mAnswers.remove(mAnswers.keySet().iterator().next());
         }
     }
 
     /**
-     * Returns whether a request was answered lately.
+     * Returns how often requests with a feature were answered lately.
      *
-     * @param hash the hash of the request
+     * @param hash the hash of the feature
      * @param now the current time
-     * @return true if this daemon has had an answer to it
+     * @return what this daemon has had of answers to such requests
      */
-    public boolean contains(final long hash, final Instant now) {
-        final Instant answeredAt = mAnsweredAt.get(hash);
-        return answeredAt != null && now.isBefore(answeredAt.plus(MEMORY));
+    public AnswerHistory history(final long hash, final Instant now) {
+        final Answers answers = mAnswers.get(hash);
+        if (answers == null || !answers.isRecent(now)) {
+            return AnswerHistory.NONE;
+        }
+        return answers.count() >= MANY ? AnswerHistory.MANY : AnswerHistory.SOME;
     }
 }
