--- a/gateway/src/main/java/org/whinhead/gateway/peers/CrashCodec.java
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/CrashCodec.java
@@ -24,7 +24,7 @@
     private static final int MAX_FEATURES = 40;
 
     /** The most companions in a report; what is blamed after some crashes has few. */
-    private static final int MAX_COMPANIONS = 16;
+    private static final int MAX_COMPANIONS = 4;
 
     private CrashCodec() {}
 
