Keep the hash of a feature, as it may be asked for after the request's body was released

What callers would see: an exception while a crash is recorded, so that other requests on the endpoint go unrecorded. Read off the code before landing: the endpoint is found to have crashed after the exchange has ended, and whether a feature is usual is then asked by a checksum of the released body, if two suspected requests met there. RequestFeaturesTest#hashAndFeatureOutliveTheBody needs the kept values; not run on the code before.

--- a/gateway/src/main/java/org/whinhead/gateway/crash/FeatureSource.java
+++ b/gateway/src/main/java/org/whinhead/gateway/crash/FeatureSource.java
@@ -1,16 +1,22 @@
 package org.whinhead.gateway.crash;
 
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.whinhead.serving.crash.RequestFeature;
 
-/** A feature of a request, whose digest is computed only when it is needed. */
+/**
+ * A feature of a request, whose digest and hash are computed only when they are needed, and kept:
+ * they may be asked for again after the body of the request was released.
+ */
 public final class FeatureSource {
 
     private final String mName;
     private final int mShape;
-    private final Supplier<Long> mHash;
+    private final LongSupplier mHash;
     private final Supplier<RequestFeature> mDigest;
+    private OptionalLong mHashValue = OptionalLong.empty();
     private Optional<RequestFeature> mFeature = Optional.empty();
 
     /**
@@ -24,7 +30,7 @@
     FeatureSource(
             final String name,
             final int shape,
-            final Supplier<Long> hash,
+            final LongSupplier hash,
             final Supplier<RequestFeature> digest) {
         mName = name;
         mShape = shape;
@@ -56,7 +62,10 @@
      * @return the hash, the same in every daemon
      */
     public long hash() {
-        return mHash.get();
+        if (mHashValue.isEmpty()) {
+            mHashValue = OptionalLong.of(mHash.getAsLong());
+        }
+        return mHashValue.getAsLong();
     }
 
     /**
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/CrashRecorder.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/CrashRecorder.java
@@ -141,6 +141,8 @@
             final Instant sentAt,
             final Duration limit,
             final Consumer<Boolean> checked) {
+        // The body may be released before the endpoint is checked.
+        mFeatures.forEach(FeatureSource::hash);
         final List<FeatureLevel> run =
                 mFeatures.stream()
                         .map(FeatureSource::feature)
--- a/gateway/src/test/java/org/whinhead/gateway/crash/RequestFeaturesTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/crash/RequestFeaturesTest.java
@@ -125,4 +125,18 @@
                 .contains("request", "part p0", "part p399 of clinic")
                 .doesNotContain("part p200");
     }
+
+    // Guards against an exception instead of the record of a crash: the endpoint is found to have
+    // crashed after the request has ended, and its body was released.
+    @Test
+    void hashAndFeatureOutliveTheBody() {
+        final ByteBuf body = body("x");
+        final FeatureSource source =
+                RequestFeatures.of(request("r-1", "/a/1"), CUSTOMER, body).get(0);
+        final long hash = source.hash();
+        final RequestFeature feature = source.feature();
+        body.release();
+        assertThat(source.hash()).isEqualTo(hash);
+        assertThat(source.feature()).isEqualTo(feature);
+    }
 }
