Check the endpoint of an answer that ended with its connection unless it is known to leave

What callers would see: a stream without a length, cut by the end of an endpoint whose entry was removed in the same moment, came as a complete one. Cause: an endpoint that is not listed any more was taken for one that leaves in order.

--- a/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
@@ -285,7 +285,7 @@
         }
         if (!mRelay.isComplete() || mRelay.isEmptyStream()) {
             connectionLost(STREAM_CUT);
-        } else if (mExchanges.state().endpoints().isUsable(mPlacement.endpoint().id())) {
+        } else if (!mExchanges.state().endpoints().isLeaving(mPlacement.endpoint().id())) {
             final int attemptId = mAttemptId;
             checkEndpoint(END_CHECK_TIME, crashed -> endpointChecked(attemptId, crashed));
         } else {
--- a/serving/src/main/java/org/whinhead/serving/endpoint/EndpointRegistry.java
+++ b/serving/src/main/java/org/whinhead/serving/endpoint/EndpointRegistry.java
@@ -259,14 +259,14 @@
     }
 
     /**
-     * Returns whether an endpoint may get new work.
+     * Returns whether an endpoint has said that it leaves.
      *
      * @param id the endpoint's id
-     * @return false if it is leaving or not listed
+     * @return false also if it is not listed any more, as it may have crashed
      */
-    public boolean isUsable(final String id) {
+    public boolean isLeaving(final String id) {
         final Record record = mRecords.get(id);
-        return record != null && !record.mLeaving && record.mDoubt != Doubt.UNREADABLE;
+        return record != null && record.mLeaving;
     }
 
     /**
--- a/serving/src/test/java/org/whinhead/serving/endpoint/EndpointRegistryTest.java
+++ b/serving/src/test/java/org/whinhead/serving/endpoint/EndpointRegistryTest.java
@@ -138,6 +138,17 @@
         assertThat(mRegistry.usable("pool")).hasSize(1);
     }
 
+    // Guards against an answer that is cut by the end of its endpoint counting as complete, as the
+    // endpoint is no longer listed.
+    @Test
+    void endpointThatIsNotListedIsNotLeaving() {
+        mRegistry.put(entry("e1", true), 1);
+        assertThat(mRegistry.isLeaving("e1")).isTrue();
+        mRegistry.remove("e1", 2, START);
+        assertThat(mRegistry.isLeaving("e1")).isFalse();
+        assertThat(mRegistry.isLeaving("e2")).isFalse();
+    }
+
     @Test
     void leavingEndpointGetsNoNewWork() {
         mRegistry.put(entry("e1", false), 1);
