Take an endpoint for one that is up only if a new connection stays open for 25 ms

Cause of the first: a process that ends may close its port after its connections, and the check's connection is accepted in between. Now the check's connection must stay open for 25 ms. The next attempt waits up to 60 ms for it, and the end of an answer without a length is that much later.

--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnection.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnection.java
@@ -79,6 +79,10 @@
         return mPath;
     }
 
+    Channel channel() {
+        return mChannel;
+    }
+
     EndpointConnections.Pool pool() {
         return mPool;
     }
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnections.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnections.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.whinhead.serving.endpoint.EndpointEntry;
 import org.whinhead.serving.reach.AccessPath;
@@ -29,6 +30,12 @@
     /** The time before the endpoint's idle timeout in which a connection is no longer used. */
     private static final Duration IDLE_MARGIN = Duration.ofMillis(700);
 
+    /**
+     * The time for which a connection must stay open that shows that an endpoint is up. A process
+     * that ends may close its port some milliseconds after its connections.
+     */
+    private static final int PROBE_MILLIS = 25;
+
     private final InstantSource mClock;
     private final EndpointProtocol mProtocol;
     private final EndpointConnector mConnector;
@@ -81,7 +88,8 @@
     }
 
     /**
-     * Finds out whether an endpoint accepts another connection, which is kept for a later request.
+     * Finds out whether an endpoint accepts another connection and keeps it open for a moment. The
+     * connection is kept for a later request.
      *
      * @param endpoint the endpoint
      * @param accepted runs if it does
@@ -93,13 +101,29 @@
             final Consumer<ConnectFailure> failed) {
         connect(
                 endpoint,
-                connection -> {
-                    connection.release();
-                    accepted.run();
-                },
+                connection ->
+                        connection
+                                .channel()
+                                .eventLoop()
+                                .schedule(
+                                        () -> settled(connection, accepted, failed),
+                                        PROBE_MILLIS,
+                                        TimeUnit.MILLISECONDS),
                 failed);
     }
 
+    private static void settled(
+            final EndpointConnection connection,
+            final Runnable accepted,
+            final Consumer<ConnectFailure> failed) {
+        if (connection.isUsable()) {
+            connection.release();
+            accepted.run();
+        } else {
+            failed.accept(ConnectFailure.ENDPOINT);
+        }
+    }
+
     private void connect(
             final EndpointEntry endpoint,
             final Consumer<EndpointConnection> opened,
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
@@ -38,10 +38,10 @@
                 CallerRequestHandler.ActiveRequest {
 
     /**
-     * The longest wait for the check of an endpoint before the next attempt: one that has crashed
-     * refuses connections within milliseconds.
+     * The longest wait for the check of an endpoint before the next attempt. One that has crashed
+     * refuses connections, or ends them, within less.
      */
-    private static final Duration RETRY_CHECK_TIME = Duration.ofMillis(50);
+    private static final Duration RETRY_CHECK_TIME = Duration.ofMillis(60);
 
     /** The same before a response that ended with its connection counts as complete. */
     private static final Duration END_CHECK_TIME = Duration.ofMillis(300);
