Count each crash of an endpoint that keeps its id

What callers would see: a service of few endpoints that start again under their ids is crashed on and on by one part. Cause: that a crash counts once, whoever finds it, was kept by the endpoint's id, so that its later crashes counted for nothing. Found while looking for a false refusal in CrashingPromptPartTest, whose endpoints keep their ids.

--- a/serving/src/main/java/org/whinhead/serving/crash/CrashSuspects.java
+++ b/serving/src/main/java/org/whinhead/serving/crash/CrashSuspects.java
@@ -139,7 +139,7 @@
         final Set<Integer> own = new HashSet<>();
         features.forEach(feature -> own.add(feature.shape()));
         final List<Set<Integer>> crashes = new ArrayList<>();
-        suspect.endpoints().forEach(endpoint -> crashes.add(mEvents.shapes(endpoint)));
+        suspect.crashes().forEach(crash -> crashes.add(mEvents.shapes(crash)));
         if (crashes.isEmpty()) {
             crashes.add(suspect.companions());
         }
@@ -241,7 +241,7 @@
             final Instant now) {
         final List<RequestFeature> features = run.stream().map(FeatureLevel::feature).toList();
         final List<FeatureLevel> blamed = new ArrayList<>();
-        mEvents.add(endpoint, features);
+        final long crash = mEvents.add(endpoint, features, now);
         if (mEndpoints.explain(endpoint, features, now)) {
             return blamed;
         }
@@ -253,8 +253,8 @@
             }
             final Suspect suspect =
                     mTable.find(lost.feature(), now).orElseGet(() -> new Suspect(now));
-            final int level = suspect.levelAfterCrash(endpoint, lost.level(), now);
-            crashed(new FeatureLevel(lost.feature(), level), suspect, endpoint, now);
+            final int level = suspect.levelAfterCrash(crash, lost.level(), now);
+            crashed(new FeatureLevel(lost.feature(), level), suspect, crash, now);
             blamed.add(new FeatureLevel(lost.feature(), suspect.level()));
         }
         return blamed;
@@ -275,11 +275,8 @@
     }
 
     private void crashed(
-            final FeatureLevel lost,
-            final Suspect suspect,
-            final String endpoint,
-            final Instant now) {
-        suspect.recordCrash(endpoint);
+            final FeatureLevel lost, final Suspect suspect, final long crash, final Instant now) {
+        suspect.recordCrash(crash);
         raise(lost, suspect, now, MEMORY);
     }
 
@@ -305,11 +302,12 @@
      */
     public void applyPeerCrash(
             final List<FeatureLevel> run, final String endpoint, final Instant now) {
-        mEvents.add(endpoint, run.stream().map(FeatureLevel::feature).toList());
+        final long crash =
+                mEvents.add(endpoint, run.stream().map(FeatureLevel::feature).toList(), now);
         for (final FeatureLevel lost : run) {
             final Suspect suspect =
                     mTable.find(lost.feature(), now).orElseGet(() -> new Suspect(now));
-            crashed(lost, suspect, endpoint, now);
+            crashed(lost, suspect, crash, now);
         }
     }
 
@@ -462,8 +460,8 @@
     /** Returns the features that may explain the last crash that counts against another one. */
     private Set<Integer> companions(final Suspect suspect) {
         Set<Integer> shapes = suspect.companions();
-        for (final String endpoint : suspect.endpoints()) {
-            shapes = mEvents.shapes(endpoint);
+        for (final long crash : suspect.crashes()) {
+            shapes = mEvents.shapes(crash);
         }
         return shapes.stream().filter(mTable::isBlocked).collect(Collectors.toSet());
     }
--- a/serving/src/main/java/org/whinhead/serving/crash/Suspect.java
+++ b/serving/src/main/java/org/whinhead/serving/crash/Suspect.java
@@ -18,7 +18,7 @@
     private static final Duration ATTEMPT_TIME = Duration.ofSeconds(1);
 
     /** The crashes of which it is known what else was lost. */
-    private static final int MAX_ENDPOINTS = 8;
+    private static final int MAX_CRASHES = 8;
 
     private final Instant mFirstAt;
     private Instant mRaisedAt;
@@ -27,7 +27,7 @@
     private int mLevel;
     private boolean mBegun;
     private boolean mSoundApart;
-    private final Set<String> mEndpoints = new LinkedHashSet<>();
+    private final Set<Long> mCrashes = new LinkedHashSet<>();
     private Set<Integer> mCompanions = Set.of();
 
     Suspect(final Instant firstAt) {
@@ -54,11 +54,11 @@
     }
 
     /** Returns the level after another crash that this daemon has found. */
-    int levelAfterCrash(final String endpoint, final int knownLevel, final Instant now) {
+    int levelAfterCrash(final long crash, final int knownLevel, final Instant now) {
         if (mLevel == 0) {
             return 1;
         }
-        if (mEndpoints.contains(endpoint)) {
+        if (mCrashes.contains(crash)) {
             return mLevel;
         }
         final boolean isLater = now.isAfter(mRaisedAt.plus(ONE_EVENT));
@@ -73,10 +73,10 @@
     }
 
     /** Records a crash under a request with the feature. */
-    void recordCrash(final String endpoint) {
-        mEndpoints.add(endpoint);
-        if (mEndpoints.size() > MAX_ENDPOINTS) {
-            mEndpoints.remove(mEndpoints.iterator().next());
+    void recordCrash(final long crash) {
+        mCrashes.add(crash);
+        if (mCrashes.size() > MAX_CRASHES) {
+            mCrashes.remove(mCrashes.iterator().next());
         }
         mAttemptUntil = Instant.MIN;
         mBegun = false;
@@ -105,9 +105,9 @@
         }
     }
 
-    /** Returns the endpoints that crashed last under requests with the feature. */
-    Set<String> endpoints() {
-        return mEndpoints;
+    /** Returns the last crashes under requests with the feature, see {@link CrashEvents}. */
+    Set<Long> crashes() {
+        return mCrashes;
     }
 
     /** Returns what other daemons have told of features that came with this one. */
--- a/serving/src/test/java/org/whinhead/serving/crash/CrashFleet.java
+++ b/serving/src/test/java/org/whinhead/serving/crash/CrashFleet.java
@@ -20,6 +20,7 @@
 
     private static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
     private static final int DOWN_MILLIS = 2_000;
+    private static final int SHORT_DOWN_MILLIS = 400;
     private static final int CONTACT_MILLIS = 3_000;
     private static final int DETECTION_MILLIS = 3;
     private static final int MAX_MESSAGE_MILLIS = 5;
@@ -49,6 +50,7 @@
                     Comparator.comparingLong(Event::millis).thenComparingLong(Event::number));
     private final List<CrashTally> mCrashing = new ArrayList<>();
     private final double mLoss;
+    private int mDownMillis = DOWN_MILLIS;
     private long mNow;
     private long mEventCount;
     private long mCutUntil;
@@ -116,6 +118,7 @@
         private final String mName;
         private final Set<Run> mRunning = new LinkedHashSet<>();
         private int mIncarnation;
+        private boolean mKeepsId;
         private boolean mUp = true;
 
         private Endpoint(final String name) {
@@ -123,7 +126,7 @@
         }
 
         private String id() {
-            return mName + "." + mIncarnation;
+            return mKeepsId ? mName : mName + "." + mIncarnation;
         }
     }
 
@@ -293,6 +296,13 @@
         return this;
     }
 
+    /** Lets endpoints start again under the ids that they had, after a short time. */
+    CrashFleet keepIds() {
+        mEndpoints.forEach(endpoint -> endpoint.mKeepsId = true);
+        mDownMillis = SHORT_DOWN_MILLIS;
+        return this;
+    }
+
     /** Cuts the first third of the daemons off from the others for a time. */
     CrashFleet cutThird(final long untilMillis) {
         mCutUntil = untilMillis;
@@ -508,7 +518,7 @@
         endpoint.mRunning.clear();
         endpoint.mUp = false;
         endpoint.mIncarnation++;
-        schedule(DOWN_MILLIS, () -> endpoint.mUp = true);
+        schedule(mDownMillis, () -> endpoint.mUp = true);
         schedule(DETECTION_MILLIS, () -> lost.forEach(run -> detected(run, id)));
     }
 
--- a/serving/src/test/java/org/whinhead/serving/crash/CrashFleetTest.java
+++ b/serving/src/test/java/org/whinhead/serving/crash/CrashFleetTest.java
@@ -77,6 +77,23 @@
                 .isZero();
     }
 
+    // Guards against a part that crashes endpoints on and on which start again under their ids, and
+    // are few.
+    @ParameterizedTest
+    @CsvSource({"1, 2, 110", "1, 6, 110", "8, 3, 200", "8, 14, 200"})
+    void crashesOfEndpointsThatKeepTheirIdsCount(
+            final int daemons, final int endpoints, final int interval) {
+        for (int seed = FIRST_SEED; seed < FIRST_SEED + 3 * SEEDS; seed++) {
+            final CrashFleet fleet =
+                    new CrashFleet(daemons, endpoints, 0.05, seed)
+                            .keepIds()
+                            .addSharing(120)
+                            .addCrashingParts(1, interval, 1)
+                            .play(MINUTE / 3);
+            assertThat(fleet.crashing().get(0).laterSends()).isLessThanOrEqualTo(MAX_LATER_SENDS);
+        }
+    }
+
     // Guards against daemons that are cut off from each other keeping what they know to themselves
     // after the cut.
     @Test
--- a/serving/src/test/java/org/whinhead/serving/crash/CrashSuspectsTest.java
+++ b/serving/src/test/java/org/whinhead/serving/crash/CrashSuspectsTest.java
@@ -183,6 +183,16 @@
         assertThat(mSuspects.level(PART, at(900))).isEqualTo(1);
     }
 
+    // Guards against a part that crashes the few endpoints of a service on and on, as each of them
+    // starts again under its id, and its crashes count once.
+    @Test
+    void crashesOfEndpointThatKeepsItsIdCount() {
+        for (int number = 0; number < 3; number++) {
+            crash("e-1", 1_100L * number, PART, feature(10 + number));
+        }
+        assertThat(isAllowed(2_300, PART)).isFalse();
+    }
+
     @Test
     void completeAnswerOutweighsOneCrash() {
         crash("e-1", 0, PART, SOUND);
