--- a/serving/src/main/java/org/whinhead/serving/crash/CrashSuspects.java
+++ b/serving/src/main/java/org/whinhead/serving/crash/CrashSuspects.java
@@ -371,7 +371,7 @@
             final Suspect suspect,
             final Collection<RequestFeature> features) {
         if (suspect.level() >= BLOCKED_LEVEL && isExplainedWithout(suspect, features)) {
-            suspect.recordSoundApart();
+            suspect.recordAnswerApart();
         } else if (answered.level() == 0) {
             mTable.remove(answered.feature());
         } else {
--- a/serving/src/main/java/org/whinhead/serving/crash/Suspect.java
+++ b/serving/src/main/java/org/whinhead/serving/crash/Suspect.java
@@ -17,6 +17,9 @@
      */
     private static final Duration ATTEMPT_TIME = Duration.ofSeconds(1);
 
+    /** Of what crashes endpoints nearly always, one request or the other is answered too. */
+    private static final int MIN_ANSWERS_APART = 2;
+
     /** The crashes of which it is known what else was lost. */
     private static final int MAX_CRASHES = 8;
 
@@ -26,7 +29,7 @@
     private Instant mAttemptUntil = Instant.MIN;
     private int mLevel;
     private boolean mBegun;
-    private boolean mSoundApart;
+    private int mAnswersApart;
     private final Set<Long> mCrashes = new LinkedHashSet<>();
     private Set<Integer> mCompanions = Set.of();
 
@@ -80,7 +83,7 @@
         }
         mAttemptUntil = Instant.MIN;
         mBegun = false;
-        mSoundApart = false;
+        mAnswersApart = 0;
     }
 
     /** Raises the level unless it is as high already; returns whether it was raised. */
@@ -142,14 +145,15 @@
         return true;
     }
 
-    /** Records that a request with the feature is sound without all of its companions. */
-    void recordSoundApart() {
-        mSoundApart = true;
+    /** Records the answer to a request with the feature that lacks what explains the crashes. */
+    void recordAnswerApart() {
+        mAnswersApart++;
         mAttemptUntil = Instant.MIN;
     }
 
+    /** Returns whether requests with the feature are sound unless they have another one, too. */
     boolean isSoundApart() {
-        return mSoundApart;
+        return mAnswersApart >= MIN_ANSWERS_APART;
     }
 
     /**
@@ -160,8 +164,8 @@
      */
     Duration guardDelay(final AnswerHistory history, final Instant now) {
         final boolean isFree =
-                mBegun || mSoundApart || (history.outweighsOneCrash() && mLevel == 1);
-        if (isFree && mLevel < CrashSuspects.BLOCKED_LEVEL || mSoundApart) {
+                mBegun || isSoundApart() || (history.outweighsOneCrash() && mLevel == 1);
+        if (isFree && mLevel < CrashSuspects.BLOCKED_LEVEL || isSoundApart()) {
             return Duration.ZERO;
         }
         if (mLevel >= CrashSuspects.GUARDED_LEVEL && isOneEvent(now)) {
@@ -172,7 +176,7 @@
 
     /** Returns whether a request with the feature runs one at a time. */
     boolean isGuarded(final AnswerHistory history) {
-        return !mSoundApart
+        return !isSoundApart()
                 && (mLevel >= CrashSuspects.BLOCKED_LEVEL
                         || !mBegun && (mLevel > 1 || !history.outweighsOneCrash()));
     }
--- a/serving/src/test/java/org/whinhead/serving/crash/CrashSuspectsTest.java
+++ b/serving/src/test/java/org/whinhead/serving/crash/CrashSuspectsTest.java
@@ -240,6 +240,8 @@
         assertThat(isAllowed(710, SOUND, feature(22))).isFalse();
         mSuspects.recordAnswer(List.of(SOUND), at(800));
         assertThat(isAllowed(810, SOUND, feature(22))).isTrue();
+        mSuspects.recordStart(List.of(SOUND), feature -> AnswerHistory.NONE, at(810));
+        mSuspects.recordAnswer(List.of(SOUND), at(815));
         assertThat(isAllowed(820, SOUND, feature(23))).isTrue();
         assertThat(isAllowed(820, PART, SOUND, feature(24))).isFalse();
         assertThat(isAllowed(820, PART, OTHER, feature(25))).isFalse();
@@ -264,6 +266,7 @@
         block(PART, ofFirst);
         assertThat(isAllowed(700, PART, ofSecond)).isTrue();
         mSuspects.recordAnswer(List.of(PART), at(800));
+        mSuspects.recordAnswer(List.of(PART), at(850));
         assertThat(isAllowed(900, PART, ofSecond)).isTrue();
         assertThat(isAllowed(900, PART, ofFirst)).isFalse();
     }
--- a/serving/src/test/java/org/whinhead/serving/crash/SuspectTableTest.java
+++ b/serving/src/test/java/org/whinhead/serving/crash/SuspectTableTest.java
@@ -45,7 +45,9 @@
         assertThat(mTable.isBlocked(1)).isFalse();
         final Suspect suspect = put(FEATURE, CrashSuspects.BLOCKED_LEVEL);
         assertThat(mTable.isBlocked(1)).isTrue();
-        suspect.recordSoundApart();
+        suspect.recordAnswerApart();
+        assertThat(mTable.isBlocked(1)).isTrue();
+        suspect.recordAnswerApart();
         assertThat(mTable.isBlocked(1)).isFalse();
     }
 }
