Log and count what endpoints say of the requests a second that they take

Nothing told which daemon saw a limit and when, nor what it sent to such an endpoint afterwards, so the three hypotheses of docs/incidents/request-limit.md couldn't be told apart. Nothing acts on it yet.

--- a/gateway/src/main/java/org/whinhead/gateway/EndpointAccess.java
+++ b/gateway/src/main/java/org/whinhead/gateway/EndpointAccess.java
@@ -65,6 +65,7 @@
                 new RelayServer(loop, localAddress, state.endpoints()::find, members::hasAddress);
         mBrittle = new BrittleServicesLogger(state.brittle());
         counts.addGauge("whinhead.services.brittle", mBrittle::serviceCount);
+        counts.addGauge("whinhead.endpoints.limited", state.requestLimits()::limitedCount);
         counts.addGauge("whinhead.endpoints.relayed", state.reach()::relayedCount);
         counts.addGauge("whinhead.endpoints.cut.off", () -> mMonitor.isCutOff() ? 1 : 0);
         counts.addGauge("whinhead.relayed.connections", mRelayServer::connectionCount);
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointResponse.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointResponse.java
@@ -6,6 +6,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalInt;
+import org.whinhead.serving.ratelimit.RequestRateLimit;
 
 /**
  * The decoded head of an endpoint's response.
@@ -20,6 +21,8 @@
  * @param idleTimeout the time for which the endpoint keeps an idle connection; empty if not stated
  * @param rejectionLimit the rejections in a second after which the endpoint falls over; empty if it
  *     doesn't say that it is brittle
+ * @param rateLimit the requests per second that the endpoint takes from all daemons together; empty
+ *     if it names no limit
  * @param closesConnection whether the endpoint closes the connection after this response
  */
 public record EndpointResponse(
@@ -31,6 +34,7 @@
         boolean isAuthentic,
         Optional<Duration> idleTimeout,
         OptionalInt rejectionLimit,
+        Optional<RequestRateLimit> rateLimit,
         boolean closesConnection) {
 
     private static final int FIRST_SUCCESS = 200;
@@ -41,6 +45,7 @@
     public EndpointResponse {
         Objects.requireNonNull(status, "status");
         Objects.requireNonNull(forwardedHeaders, "forwardedHeaders");
+        Objects.requireNonNull(rateLimit, "rateLimit");
     }
 
     public boolean isSuccess() {
@@ -54,6 +59,16 @@
                         || status.equals(HttpResponseStatus.TOO_MANY_REQUESTS));
     }
 
+    /**
+     * Returns whether what the head says of its endpoint is that endpoint's own statement, made
+     * while it answered a request.
+     *
+     * @param expectedId the id of the request that was sent
+     */
+    public boolean isStatementOfEndpoint(final String expectedId) {
+        return !isFromOtherEndpoint && isAuthentic && requestId.equals(Optional.of(expectedId));
+    }
+
     public boolean isServerError() {
         return status.code() >= FIRST_SERVER_ERROR;
     }
--- /dev/null
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/AttemptKind.java
@@ -0,0 +1,18 @@
+package org.whinhead.gateway.exchange;
+
+/** Which attempt of its request is sent to an endpoint. */
+enum AttemptKind {
+    /** The first one. */
+    FIRST,
+    /** Another one after an earlier one has failed or was given up. */
+    REPEATED,
+    /** A run that was moved from another endpoint goes on. */
+    MOVED;
+
+    static AttemptKind of(final int sends, final boolean moved) {
+        if (moved) {
+            return MOVED;
+        }
+        return sends <= 1 ? FIRST : REPEATED;
+    }
+}
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
@@ -154,6 +154,8 @@
         }
         mSentAt = now();
         mTrial.attemptSent(mPlacement);
+        mExchanges.logSentToLimited(
+                mAdmission, mPlacement.endpoint(), AttemptKind.of(mSends, mContinuedRun != null));
         mCrashes.attemptSent();
         mStream.attemptSent(mPlacement.endpoint(), mContinuedRun != null);
         mRelay.startAttempt();
@@ -215,7 +217,8 @@
         if (response.isFromOtherEndpoint()) {
             mExchanges.state().endpoints().markReplaced(mPlacement.endpoint().id());
         } else {
-            mExchanges.recordAnswer(mPlacement.endpoint(), response);
+            mExchanges.recordAnswer(
+                    mPlacement.endpoint(), response, mAdmission.request().id(), mSentAt);
         }
         final Optional<EndpointResponseFault> fault =
                 EndpointResponseFault.of(response, mAdmission.request().id(), mRelay.isStarted());
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/Exchanges.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/Exchanges.java
@@ -26,6 +26,7 @@
 import org.whinhead.serving.configuration.CustomerAccount;
 import org.whinhead.serving.configuration.ServingConfiguration;
 import org.whinhead.serving.endpoint.EndpointEntry;
+import org.whinhead.serving.ratelimit.StatedLimits;
 import org.whinhead.serving.route.Route;
 import org.whinhead.serving.stream.StreamOrigin;
 
@@ -112,9 +113,26 @@
         mOnRejection = onRejection;
     }
 
-    /** Records what the head of an answer says about its endpoint's room. */
-    void recordAnswer(final EndpointEntry endpoint, final EndpointResponse response) {
+    /**
+     * Records what the head of an answer says about its endpoint's room and limit.
+     *
+     * @param endpoint the endpoint
+     * @param response the head
+     * @param requestId the id of the request
+     * @param sentAt the time at which it was sent
+     */
+    void recordAnswer(
+            final EndpointEntry endpoint,
+            final EndpointResponse response,
+            final String requestId,
+            final Instant sentAt) {
         final Instant now = mState.clock().instant();
+        if (response.isStatementOfEndpoint(requestId)) {
+            mState.requestLimits()
+                    .recordAnswer(endpoint, response.rateLimit(), sentAt, now)
+                    .ifPresent(
+                            statement -> mRequestLogger.limitStated(endpoint, statement, sentAt));
+        }
         mState.brittle().recordAnswer(endpoint, response.rejectionLimit(), now);
         if (response.isRejection()) {
             mRequestLogger.rejected(endpoint, response.rejectionLimit());
@@ -124,6 +142,26 @@
         }
     }
 
+    /** Logs a request that is about to be sent to an endpoint if the endpoint names a limit. */
+    void logSentToLimited(
+            final AdmittedRequest admission,
+            final EndpointEntry endpoint,
+            final AttemptKind attempt) {
+        final StatedLimits limits = mState.requestLimits();
+        limits.statement(endpoint.id())
+                .filter(statement -> statement.limit().isPresent())
+                .ifPresent(
+                        statement ->
+                                mRequestLogger.sentToLimited(
+                                        admission,
+                                        endpoint,
+                                        attempt,
+                                        statement,
+                                        Duration.between(
+                                                limits.knownSince(endpoint.id()).orElseThrow(),
+                                                mState.clock().instant())));
+    }
+
     /** Records that the event loop runs, so that the age of the requests it reads is known. */
     public void measureLag() {
         mLag.taskRan(mState.clock().instant());
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/RequestLogger.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/RequestLogger.java
@@ -19,6 +19,8 @@
 import org.whinhead.serving.configuration.ConfigurationProgress;
 import org.whinhead.serving.configuration.CustomerAccount;
 import org.whinhead.serving.endpoint.EndpointEntry;
+import org.whinhead.serving.ratelimit.LimitStatement;
+import org.whinhead.serving.ratelimit.RequestRateLimit;
 import org.whinhead.serving.stream.StreamOrigin;
 
 /** Logs one line for each decision about a request, with the request's id. */
@@ -191,6 +193,42 @@
         }
     }
 
+    /**
+     * Logs that an endpoint names a limit of requests per second, another one, or none any more.
+     */
+    void limitStated(
+            final EndpointEntry endpoint, final LimitStatement statement, final Instant sentAt) {
+        LOG.atInfo()
+                .addKeyValue("endpoint", endpoint.id())
+                .addKeyValue("service", endpoint.service())
+                .addKeyValue("perSecond", perSecond(statement.limit()))
+                .addKeyValue("revision", statement.revision())
+                .addKeyValue(
+                        "requestAgeMillis", Duration.between(sentAt, mClock.instant()).toMillis())
+                .log("request limit of endpoint changed");
+    }
+
+    private static String perSecond(final Optional<RequestRateLimit> limit) {
+        return limit.map(RequestRateLimit::perSecond).map(String::valueOf).orElse("none");
+    }
+
+    /** Logs a request to an endpoint that names a limit, and for how long this daemon knows it. */
+    void sentToLimited(
+            final AdmittedRequest admission,
+            final EndpointEntry endpoint,
+            final AttemptKind attempt,
+            final LimitStatement statement,
+            final Duration knownFor) {
+        mCounts.recordSentToLimited(attempt.name());
+        LOG.atInfo()
+                .addKeyValue("request", admission.request().id())
+                .addKeyValue("endpoint", endpoint.id())
+                .addKeyValue("attempt", attempt)
+                .addKeyValue("perSecond", perSecond(statement.limit()))
+                .addKeyValue("knownMillis", knownFor.toMillis())
+                .log("request sent to endpoint with request limit");
+    }
+
     void retryDenied(final String service) {
         mCounts.recordRetryDenied(service);
     }
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/ServingState.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/ServingState.java
@@ -15,6 +15,7 @@
 import org.whinhead.serving.limit.ServiceRetryBudget;
 import org.whinhead.serving.quota.ClockReading;
 import org.whinhead.serving.quota.CustomerQuotas;
+import org.whinhead.serving.ratelimit.StatedLimits;
 import org.whinhead.serving.reach.EndpointReach;
 import org.whinhead.serving.rollout.Rollouts;
 import org.whinhead.serving.stream.KnownStreams;
@@ -40,6 +41,7 @@
     private final ReclaimedEndpoints mLeaving = new ReclaimedEndpoints();
     private final EndpointReach mReach = new EndpointReach();
     private final BrittleEndpoints mBrittle = new BrittleEndpoints();
+    private final StatedLimits mRequestLimits = new StatedLimits();
     private final CrashSuspects mSuspects = new CrashSuspects();
     private final UsualRequests mUsual = new UsualRequests();
     private final KnownStreams mStreams = new KnownStreams();
@@ -179,6 +181,15 @@
         return mBrittle;
     }
 
+    /**
+     * Returns the limits of requests per second that endpoints name.
+     *
+     * @return the limits
+     */
+    public StatedLimits requestLimits() {
+        return mRequestLimits;
+    }
+
     /**
      * Returns the requests that were on endpoints that crashed.
      *
--- a/gateway/src/main/java/org/whinhead/gateway/metrics/RequestMetrics.java
+++ b/gateway/src/main/java/org/whinhead/gateway/metrics/RequestMetrics.java
@@ -87,6 +87,15 @@
         counter(Metric.REJECTED, service, "").add(1);
     }
 
+    /**
+     * Counts a request that was sent to an endpoint that names a limit of requests per second.
+     *
+     * @param attempt which attempt of its request it was
+     */
+    public void recordSentToLimited(final String attempt) {
+        counter(Metric.SENT_TO_LIMITED, attempt, "").add(1);
+    }
+
     /**
      * Counts an endpoint that has crashed while it had requests of this daemon.
      *
--- a/gateway/src/main/java/org/whinhead/gateway/store/EndpointTopicListener.java
+++ b/gateway/src/main/java/org/whinhead/gateway/store/EndpointTopicListener.java
@@ -210,6 +210,7 @@
         if (effect == EntryEffect.RESTARTED) {
             mState.chooser().forgetEndpoint(entry.id());
             mState.brittle().forget(entry.id());
+            mState.requestLimits().forget(entry.id());
             mConnections.endpointRestarted(entry.id());
         }
         if (effect.isChange()) {
@@ -261,6 +262,7 @@
                 registry().all().stream().map(EndpointEntry::id).collect(Collectors.toSet());
         mState.chooser().retain(known);
         mState.brittle().retain(known);
+        mState.requestLimits().retain(known);
         mConnections.retainEndpoints(known);
         mState.rollouts().observeEndpoints(registry().all(), now());
     }
--- a/gateway/src/test/java/org/whinhead/gateway/caller/CallerConnectionTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/caller/CallerConnectionTest.java
@@ -98,6 +98,7 @@
                 true,
                 Optional.empty(),
                 OptionalInt.empty(),
+                Optional.empty(),
                 false);
     }
 
--- a/gateway/src/test/java/org/whinhead/gateway/endpoint/PlainProtocol.java
+++ b/gateway/src/test/java/org/whinhead/gateway/endpoint/PlainProtocol.java
@@ -36,6 +36,7 @@
                 true,
                 Optional.empty(),
                 OptionalInt.empty(),
+                Optional.empty(),
                 !HttpUtil.isKeepAlive(response));
     }
 }
--- a/gateway/src/test/java/org/whinhead/gateway/exchange/EndpointResponseFaultTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/exchange/EndpointResponseFaultTest.java
@@ -29,6 +29,7 @@
                 genuine,
                 Optional.empty(),
                 OptionalInt.empty(),
+                Optional.empty(),
                 false);
     }
 
