Split CrashSuspects and PeerDatagramChannel, which had grown past one job each

CrashExplanations finds which features may be to blame for a crash, SuspectReport picks those that are told regularly, PeerReceivers knows the addresses of the other daemons. No behaviour changes. Evidence: Crash*Test, Suspect*Test, PeerDatagram*Test, MemberTableTest pass, one run.

--- a/gateway/src/main/java/org/whinhead/gateway/peers/PeerDatagramChannel.java
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/PeerDatagramChannel.java
@@ -10,10 +10,7 @@
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import java.net.InetSocketAddress;
 import java.time.Instant;
-import java.util.Comparator;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
@@ -72,15 +69,12 @@
     private final CrashMessenger mCrashMessenger;
     private final StreamMessenger mStreamMessenger;
     private final PeerReportHandler mReportHandler;
-    private final Set<InetSocketAddress> mContacts = new HashSet<>();
+    private final PeerReceivers mReceivers;
     private Consumer<List<EndpointChange>> mOnEndpointChanges = changes -> {};
     private Consumer<CapacityOrder> mOnCapacityOrder = order -> {};
     private RolloutMessageListener mRolloutListener = new UnexpectedRolloutListener();
     private BiConsumer<Datagram, InetSocketAddress> mOnTokenDatagram = (datagram, sender) -> {};
-    private long mReceiversVersion = -1;
-    private List<InetSocketAddress> mSortedReceivers = List.of();
     private ListeningPort mPort;
-    private int mReceiverIndex;
     private long mReportRounds;
     private boolean mLeaving;
 
@@ -101,14 +95,16 @@
         mState = state;
         mMembers = members;
         mReadCoordinator = readCoordinator;
+        mReceivers = new PeerReceivers(members);
         mCrashMessenger = new CrashMessenger(loop, state, this::sendToAll, this::send);
         mStreamMessenger =
                 new StreamMessenger(
                         loop,
                         state,
                         members,
-                        new StreamMessenger.Transport(this::sortedReceivers, this::send));
-        mReportHandler = new PeerReportHandler(state, members, mCrashMessenger, this::addContact);
+                        new StreamMessenger.Transport(mReceivers::all, this::send));
+        mReportHandler =
+                new PeerReportHandler(state, members, mCrashMessenger, mReceivers::addContact);
     }
 
     /** Opens the channel and starts to send reports. */
@@ -129,9 +125,7 @@
      * @param contact the address; ignored if it is this daemon's own
      */
     public void addContact(final InetSocketAddress contact) {
-        if (!contact.equals(mMembers.self().peerAddress())) {
-            mContacts.add(contact);
-        }
+        mReceivers.addContact(contact);
     }
 
     /**
@@ -211,34 +205,12 @@
 
     /** Sends a report to the next part of the receivers; all get one within the report interval. */
     private void sendToNextReceivers() {
-        final List<InetSocketAddress> receivers = sortedReceivers();
-        if (receivers.isEmpty()) {
-            return;
-        }
-        final double part = (double) SEND_INTERVAL_MILLIS / mMembers.reportInterval().toMillis();
-        final int count = (int) Math.min(Math.ceil(receivers.size() * part), receivers.size());
-        mReportRounds++;
-        final byte[] bytes = Datagram.newBuilder().setReport(createReport()).build().toByteArray();
-        for (int index = 0; index < count; index++) {
-            mReceiverIndex = (mReceiverIndex + 1) % receivers.size();
-            write(bytes, receivers.get(mReceiverIndex));
-        }
-        mPort.channel().flush();
-    }
-
-    /**
-     * Returns the receivers in order; sorts only a changed set, as it formats each address often.
-     */
-    private List<InetSocketAddress> sortedReceivers() {
-        final long changes = mMembers.addressChangeCount() + mContacts.size();
-        if (changes != mReceiversVersion) {
-            mReceiversVersion = changes;
-            final Set<InetSocketAddress> receivers = new HashSet<>(mContacts);
-            mMembers.peers().forEach(peer -> receivers.add(peer.peerAddress()));
-            mSortedReceivers =
-                    receivers.stream().sorted(Comparator.comparing(Addresses::format)).toList();
+        final double share = (double) SEND_INTERVAL_MILLIS / mMembers.reportInterval().toMillis();
+        final List<InetSocketAddress> receivers = mReceivers.nextPart(share);
+        if (!receivers.isEmpty()) {
+            mReportRounds++;
+            send(Datagram.newBuilder().setReport(createReport()).build(), receivers);
         }
-        return mSortedReceivers;
     }
 
     private void write(final byte[] bytes, final InetSocketAddress receiver) {
@@ -264,7 +236,7 @@
             return;
         }
         final List<EndpointNews> messages = EndpointChangeCodec.encode(changes);
-        final long pauseMicros = BROADCAST_PAUSE_MICROS_PER_RECEIVER * sortedReceivers().size();
+        final long pauseMicros = BROADCAST_PAUSE_MICROS_PER_RECEIVER * mReceivers.all().size();
         for (int index = 0; index < messages.size(); index++) {
             final Datagram datagram = Datagram.newBuilder().setNews(messages.get(index)).build();
             runAfterMicros(index * pauseMicros, () -> sendToAll(datagram));
@@ -383,7 +355,7 @@
     }
 
     private void sendToAll(final Datagram datagram) {
-        send(datagram, sortedReceivers());
+        send(datagram, mReceivers.all());
     }
 
     private void send(final Datagram datagram, final Iterable<InetSocketAddress> receivers) {
--- a/serving/src/main/java/org/whinhead/serving/crash/CrashSuspects.java
+++ b/serving/src/main/java/org/whinhead/serving/crash/CrashSuspects.java
@@ -4,13 +4,9 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Function;
-import java.util.stream.Collectors;
-import org.whinhead.api.Arguments;
 
 /**
  * Remembers what the requests have in common that were in progress on endpoints that crashed, and
@@ -51,8 +47,8 @@
     private final AnsweredFeatures mAnswered = new AnsweredFeatures();
     private final GuardedEndpoints mEndpoints = new GuardedEndpoints();
     private final CrashEvents mEvents = new CrashEvents();
-    private int mRank;
-    private int mReported;
+    private final CrashExplanations mExplanations = new CrashExplanations(mTable, mEvents);
+    private final SuspectReport mReport = new SuspectReport(mTable, mExplanations);
 
     /**
      * Sets the place of this daemon among all, as each begins its reports with other features.
@@ -60,8 +56,7 @@
      * @param rank the place, from 0
      */
     public void setRank(final int rank) {
-        Arguments.requireAtLeast(rank, 0, "rank");
-        mRank = rank;
+        mReport.setRank(rank);
     }
 
     /**
@@ -113,7 +108,7 @@
             final Collection<RequestFeature> features,
             final AnswerHistory history,
             final Instant now) {
-        if (isBlocked(suspect, features)) {
+        if (mExplanations.isBlocked(suspect, features)) {
             suspect.keepUntil(now.plus(BLOCKED_MEMORY));
             final Instant trialAt = suspect.raisedAt().plus(history.trialDelay(suspect.level()));
             if (now.isBefore(trialAt)) {
@@ -123,33 +118,6 @@
         return suspect.guardDelay(history, now);
     }
 
-    /** Returns whether a request is refused for one of its features. */
-    private boolean isBlocked(final Suspect suspect, final Collection<RequestFeature> features) {
-        return suspect.level() >= BLOCKED_LEVEL
-                && !suspect.isSoundApart()
-                && !isExplainedWithout(suspect, features);
-    }
-
-    /**
-     * Returns whether each crash that counts against a feature can be explained by another feature
-     * whose requests are refused, and that a request doesn't have.
-     */
-    private boolean isExplainedWithout(
-            final Suspect suspect, final Collection<RequestFeature> features) {
-        final Set<Integer> own = new HashSet<>();
-        features.forEach(feature -> own.add(feature.shape()));
-        final List<Set<Integer>> crashes = new ArrayList<>();
-        suspect.crashes().forEach(crash -> crashes.add(mEvents.shapes(crash)));
-        if (crashes.isEmpty()) {
-            crashes.add(suspect.companions());
-        }
-        return crashes.stream().allMatch(shapes -> hasOtherBlocked(shapes, own));
-    }
-
-    private boolean hasOtherBlocked(final Set<Integer> shapes, final Set<Integer> own) {
-        return shapes.stream().anyMatch(shape -> !own.contains(shape) && mTable.isBlocked(shape));
-    }
-
     /**
      * Records that a request is about to run.
      *
@@ -166,7 +134,7 @@
         for (final RequestFeature feature : features) {
             final Optional<Suspect> found = mTable.find(feature, now);
             if (found.isPresent() && found.get().isGuarded(history.apply(feature))) {
-                found.get().startAttempt(isBlocked(found.get(), features), now);
+                found.get().startAttempt(mExplanations.isBlocked(found.get(), features), now);
                 guarded.add(feature);
             }
         }
@@ -209,7 +177,10 @@
         mEndpoints.start(endpoint, features, now);
         for (final RequestFeature feature : features) {
             mTable.find(feature, now)
-                    .ifPresent(suspect -> suspect.startAttempt(isBlocked(suspect, features), now));
+                    .ifPresent(
+                            suspect ->
+                                    suspect.startAttempt(
+                                            mExplanations.isBlocked(suspect, features), now));
         }
     }
 
@@ -268,7 +239,10 @@
                         .filter(
                                 lost ->
                                         mTable.find(lost.feature(), now)
-                                                .filter(suspect -> isBlocked(suspect, features))
+                                                .filter(
+                                                        suspect ->
+                                                                mExplanations.isBlocked(
+                                                                        suspect, features))
                                                 .isPresent())
                         .toList();
         return blocked.isEmpty() ? run : blocked;
@@ -370,7 +344,8 @@
             final FeatureLevel answered,
             final Suspect suspect,
             final Collection<RequestFeature> features) {
-        if (suspect.level() >= BLOCKED_LEVEL && isExplainedWithout(suspect, features)) {
+        if (suspect.level() >= BLOCKED_LEVEL
+                && mExplanations.isExplainedWithout(suspect, features)) {
             suspect.recordAnswerApart();
         } else if (answered.level() == 0) {
             mTable.remove(answered.feature());
@@ -433,37 +408,7 @@
      * @return features of {@link #GUARDED_LEVEL} or above
      */
     public List<SuspectRecord> nextRecords(final int most, final Instant now) {
-        final List<SuspectRecord> all = new ArrayList<>();
-        mTable.forEach(
-                (feature, suspect) -> {
-                    final Duration left = Duration.between(now, suspect.keptUntil());
-                    final boolean isTold =
-                            suspect.level() >= GUARDED_LEVEL && !suspect.isSoundApart();
-                    if (isTold && !left.isNegative()) {
-                        all.add(
-                                new SuspectRecord(
-                                        feature, suspect.level(), left, companions(suspect)));
-                    }
-                });
-        if (all.size() <= most) {
-            return all;
-        }
-        final List<SuspectRecord> next = new ArrayList<>();
-        // Daemons know the same features in the same order: each begins with others of them.
-        final int first = mRank * most;
-        for (int index = 0; index < most; index++) {
-            next.add(all.get(Math.floorMod(first + mReported++, all.size())));
-        }
-        return next;
-    }
-
-    /** Returns the features that may explain the last crash that counts against another one. */
-    private Set<Integer> companions(final Suspect suspect) {
-        Set<Integer> shapes = suspect.companions();
-        for (final long crash : suspect.crashes()) {
-            shapes = mEvents.shapes(crash);
-        }
-        return shapes.stream().filter(mTable::isBlocked).collect(Collectors.toSet());
+        return mReport.next(most, now);
     }
 
     /**
