Order another endpoint for each one whose limit leaves it little of what it usually serves

The planner counted an endpoint that takes 1 request a second as a whole one, so a service whose endpoints name limits had less than its demand needs. One below half of its usual rate counts as missing once its limit has lasted for as long as another endpoint takes to start. Evidence: LimitedCapacityTest, CapacityPlannerTest#endpointsThatServeNextToNothingAreReplacedOnceAndGivenBack (ordered within 4 s, no order in the 36 s after, given back after the end), one run; written with the change, not run on the code before.

--- a/gateway/src/main/java/org/whinhead/gateway/duty/EndpointAutoscaler.java
+++ b/gateway/src/main/java/org/whinhead/gateway/duty/EndpointAutoscaler.java
@@ -13,6 +13,7 @@
 import org.whinhead.serving.capacity.CapacityOrder;
 import org.whinhead.serving.capacity.CapacityPlanner;
 import org.whinhead.serving.capacity.DemandMeter;
+import org.whinhead.serving.capacity.LimitedCapacity;
 import org.whinhead.serving.configuration.ServiceSpec;
 import org.whinhead.serving.configuration.ServingConfiguration;
 import org.whinhead.serving.endpoint.EndpointEntry;
@@ -91,7 +92,7 @@
         for (final ServiceSpec service : configuration.get().services()) {
             final List<EndpointEntry> endpoints = countedEndpoints(service.name());
             final List<CapacityOrder> orders =
-                    mPlanner.plan(service, endpoints, load(service.name()), now);
+                    mPlanner.plan(service, endpoints, load(service, endpoints, now), now);
             for (final CapacityOrder order : orders) {
                 if (reducesEndpoints(order, endpoints)
                         && mState.rollouts().isOpen(service.name())) {
@@ -134,11 +135,33 @@
                 mState.clock().instant());
     }
 
-    private CapacityPlanner.Load load(final String service) {
+    private CapacityPlanner.Load load(
+            final ServiceSpec service, final List<EndpointEntry> endpoints, final Instant now) {
+        final double tokensPerEndpoint =
+                mState.chooser().prefillRate(service.name()).tokensPerMillisecond()
+                        * MILLIS_PER_SECOND;
         return new CapacityPlanner.Load(
                 mDemand.tokensPerSecond(),
                 mDemand.minimumTokensPerSecond(),
-                mState.chooser().prefillRate(service).tokensPerMillisecond() * MILLIS_PER_SECOND);
+                tokensPerEndpoint,
+                missingEndpoints(service, endpoints, tokensPerEndpoint, now));
+    }
+
+    private int missingEndpoints(
+            final ServiceSpec service,
+            final List<EndpointEntry> endpoints,
+            final double tokensPerEndpoint,
+            final Instant now) {
+        final double requestTokens = mState.quotas().offeredLoad().meanRequestTokens();
+        if (service.scaling().isEmpty() || requestTokens == 0) {
+            return 0;
+        }
+        return LimitedCapacity.missingEndpoints(
+                endpoints,
+                mState.requestLimits(),
+                tokensPerEndpoint / requestTokens,
+                service.scaling().get().bootTime(),
+                now);
     }
 
     /**
--- a/serving/src/main/java/org/whinhead/serving/capacity/CapacityPlanner.java
+++ b/serving/src/main/java/org/whinhead/serving/capacity/CapacityPlanner.java
@@ -74,8 +74,27 @@
      *     measure
      * @param minimumDemand the tokens per second that callers request at least; 0 without traffic
      * @param tokensPerEndpoint the measured tokens per second that one endpoint processes
+     * @param missingEndpoints the listed endpoints that serve next to nothing
      */
-    public record Load(OptionalDouble demand, double minimumDemand, double tokensPerEndpoint) {
+    public record Load(
+            OptionalDouble demand,
+            double minimumDemand,
+            double tokensPerEndpoint,
+            int missingEndpoints) {
+
+        /**
+         * Creates the load of a service whose listed endpoints all serve.
+         *
+         * @param demand the tokens per second that callers request, if known
+         * @param minimumDemand the tokens per second that callers request at least
+         * @param tokensPerEndpoint the tokens per second that one endpoint processes
+         */
+        public Load(
+                final OptionalDouble demand,
+                final double minimumDemand,
+                final double tokensPerEndpoint) {
+            this(demand, minimumDemand, tokensPerEndpoint, 0);
+        }
 
         /** Returns whether any traffic was observed. */
         boolean isObserved() {
@@ -111,7 +130,9 @@
             return List.of();
         }
         final int least = Math.max(domains.size() * limits.least(), 1);
-        final int need = need(service.name(), load, Math.max(initial.count(), least));
+        final int need =
+                need(service.name(), load, Math.max(initial.count(), least))
+                        + load.missingEndpoints();
         adoptNeeded(domains, need);
         final int reclaimable =
                 Math.max(
--- a/serving/src/test/java/org/whinhead/serving/capacity/CapacityPlannerTest.java
+++ b/serving/src/test/java/org/whinhead/serving/capacity/CapacityPlannerTest.java
@@ -73,10 +73,17 @@
 
     /** Simulates seconds in which the platform carries out each order at once, or refuses it. */
     private void run(final int fromSecond, final int toSecond, final OptionalDouble demand) {
+        run(fromSecond, toSecond, load(demand));
+    }
+
+    /** Returns the number of orders. */
+    private int run(
+            final int fromSecond, final int toSecond, final CapacityPlanner.Load serviceLoad) {
+        int orders = 0;
         for (int second = fromSecond; second < toSecond; second++) {
             final Instant now = START.plusSeconds(second);
-            for (final CapacityOrder order :
-                    mPlanner.plan(SERVICE, mEndpoints, load(demand), now)) {
+            for (final CapacityOrder order : mPlanner.plan(SERVICE, mEndpoints, serviceLoad, now)) {
+                orders++;
                 final boolean accepted = !(mOutOfStock && order.reclaimable());
                 mPlanner.recordAnswer(order, accepted);
                 if (accepted) {
@@ -84,6 +91,22 @@
                 }
             }
         }
+        return orders;
+    }
+
+    // Guards against a service that lacks what its endpoints with limits don't serve, and against
+    // an order each second for them.
+    @Test
+    void endpointsThatServeNextToNothingAreReplacedOnceAndGivenBack() {
+        run(0, 20, OptionalDouble.of(70_000));
+        final int usual = count(true);
+        final CapacityPlanner.Load limited =
+                new CapacityPlanner.Load(OptionalDouble.of(70_000), 0, 25_000, 2);
+        assertThat(run(20, 24, limited)).isPositive();
+        assertThat(count(true)).isGreaterThanOrEqualTo(usual + 2);
+        assertThat(run(24, 60, limited)).isZero();
+        run(60, 90, OptionalDouble.of(70_000));
+        assertThat(count(true)).isEqualTo(usual);
     }
 
     @Test
