--- a/gateway/src/main/java/org/whinhead/gateway/EndpointAccess.java
+++ b/gateway/src/main/java/org/whinhead/gateway/EndpointAccess.java
@@ -66,6 +66,10 @@
         mBrittle = new BrittleServicesLogger(state.brittle());
         counts.addGauge("whinhead.services.brittle", mBrittle::serviceCount);
         counts.addGauge("whinhead.endpoints.limited", state.requestLimits()::limitedCount);
+        counts.addGauge("whinhead.permits.granted", state.permits()::grantedCount);
+        counts.addGauge("whinhead.permits.denied", state.permits()::deniedCount);
+        counts.addGauge(
+                "whinhead.permits.owners.unreachable", state.permits()::unreachableOwnerCount);
         counts.addGauge("whinhead.endpoints.relayed", state.reach()::relayedCount);
         counts.addGauge("whinhead.endpoints.cut.off", () -> mMonitor.isCutOff() ? 1 : 0);
         counts.addGauge("whinhead.relayed.connections", mRelayServer::connectionCount);
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/ConnectionSearch.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/ConnectionSearch.java
@@ -101,7 +101,8 @@
         final Duration maxWait = withoutLimit.isEmpty() ? maxPermitWait() : Duration.ZERO;
         final List<EndpointEntry> usable =
                 mDenials < MAX_DENIALS
-                        ? state.selection().withinLimits(untried, maxWait)
+                        ? state.selection()
+                                .withinLimits(untried, mAdmission.request().id(), maxWait)
                         : withoutLimit;
         if (usable.isEmpty() && !untried.isEmpty()) {
             mListener.atRequestLimit(untried);
@@ -238,11 +239,16 @@
     }
 
     private void connected(final EndpointConnection connection, final int searchId) {
-        if (searchId == mSearchId) {
+        if (searchId != mSearchId) {
+            connection.release();
+        } else if (mGate.isLate()) {
+            connection.release();
+            mPlacement.release();
+            mTriedEndpoints.remove(mPlacement.endpoint().id());
+            start();
+        } else {
             mGate.attemptSent();
             mListener.connected(connection);
-        } else {
-            connection.release();
         }
     }
 
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/EndpointSelection.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/EndpointSelection.java
@@ -13,6 +13,9 @@
 /** Selects the endpoints that may receive a request, before one of them is chosen by its load. */
 final class EndpointSelection {
 
+    /** The number of hash codes of requests. */
+    private static final double HASHES = 1L << Integer.SIZE;
+
     private final ServingState mState;
 
     EndpointSelection(final ServingState state) {
@@ -80,15 +83,32 @@
      * Returns the endpoints that may get another request by the limits that they name.
      *
      * @param endpoints endpoints of one service
+     * @param requestId the request's id
      * @param maxWait the time that a request may wait if none may get it now
      * @return those that may get it now, as far as is known, or else those that may in that time
      */
-    List<EndpointEntry> withinLimits(final List<EndpointEntry> endpoints, final Duration maxWait) {
+    List<EndpointEntry> withinLimits(
+            final List<EndpointEntry> endpoints, final String requestId, final Duration maxWait) {
         if (mState.requestLimits().isEmpty()) {
             return endpoints;
         }
-        final List<EndpointEntry> now = mayBeGranted(endpoints, Duration.ZERO);
-        return now.isEmpty() ? mayBeGranted(endpoints, maxWait) : now;
+        final double draw = Integer.toUnsignedLong(requestId.hashCode()) / HASHES;
+        final List<EndpointEntry> returned =
+                endpoints.stream()
+                        .filter(
+                                endpoint ->
+                                        draw
+                                                < mState.requestLimits()
+                                                        .returnedShare(endpoint.id(), now()))
+                        .toList();
+        final List<EndpointEntry> usable = mayBeGranted(returned, Duration.ZERO);
+        return usable.isEmpty() ? withinLimits(endpoints, maxWait) : usable;
+    }
+
+    private List<EndpointEntry> withinLimits(
+            final List<EndpointEntry> endpoints, final Duration maxWait) {
+        final List<EndpointEntry> usable = mayBeGranted(endpoints, Duration.ZERO);
+        return usable.isEmpty() ? mayBeGranted(endpoints, maxWait) : usable;
     }
 
     private List<EndpointEntry> mayBeGranted(
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
@@ -453,7 +453,10 @@
                         mExchanges
                                 .state()
                                 .selection()
-                                .withinLimits(mStream.candidates(true), Duration.ZERO));
+                                .withinLimits(
+                                        mStream.candidates(true),
+                                        mAdmission.request().id(),
+                                        Duration.ZERO));
         if (hasUntriedEndpoint && mAdmission.route().canRunAgain() && acquireRetry()) {
             mRefusals.markMayHaveRun();
             endAttempt();
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/PermitGate.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/PermitGate.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.whinhead.serving.ratelimit.Permit;
 import org.whinhead.serving.ratelimit.PermitListener;
@@ -9,8 +10,15 @@
 /** Holds back the attempts of one request until endpoints that name a limit may get them. */
 final class PermitGate {
 
+    /**
+     * The delay after which a permit is void: the process stood still, or a connection took long,
+     * and the owner has granted the times after it to others.
+     */
+    private static final Duration MAX_DELAY = Duration.ofMillis(250);
+
     private final Exchanges mExchanges;
     private Permit mPermit = () -> {};
+    private Optional<Instant> mDue = Optional.empty();
     private int mPassId;
 
     PermitGate(final Exchanges exchanges) {
@@ -35,6 +43,10 @@
             final Runnable passed,
             final Runnable denied) {
         leave();
+        if (mExchanges.state().requestLimits().limit(endpoint).isEmpty()) {
+            passed.run();
+            return;
+        }
         final int passId = mPassId;
         mExchanges
                 .state()
@@ -50,6 +62,7 @@
                                     return;
                                 }
                                 mPermit = permit;
+                                mDue = Optional.of(now().plus(wait));
                                 passAfter(wait, passId, passed);
                             }
 
@@ -80,6 +93,11 @@
                         TimeUnit.NANOSECONDS);
     }
 
+    /** Returns whether the permit of the attempt that has passed is void. */
+    boolean isLate() {
+        return mDue.filter(due -> now().isAfter(due.plus(MAX_DELAY))).isPresent();
+    }
+
     /** Records that the attempt that has passed is about to be sent. */
     void attemptSent() {
         mPermit = () -> {};
@@ -88,6 +106,7 @@
     /** Ends the wait of an attempt, and gives back the permit of one that was not sent. */
     void leave() {
         mPassId++;
+        mDue = Optional.empty();
         final Permit unused = mPermit;
         mPermit = () -> {};
         unused.giveBack();
--- a/gateway/src/main/java/org/whinhead/gateway/peers/PeerDatagramChannel.java
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/PeerDatagramChannel.java
@@ -171,6 +171,7 @@
         mState.permits()
                 .setDaemons(
                         mMembers.heardPeers(false, now).stream().map(Member::peerAddress).toList(),
+                        mLeaving,
                         Math.max(mMembers.knownCount(), expectedDaemons()),
                         now);
         mState.suspects().setRank(mMembers.knownRank());
--- a/serving/src/main/java/org/whinhead/serving/ratelimit/LimitOwners.java
+++ b/serving/src/main/java/org/whinhead/serving/ratelimit/LimitOwners.java
@@ -4,9 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Instant;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -38,24 +36,22 @@
 
     LimitOwners(final InetSocketAddress self) {
         mSelf = Objects.requireNonNull(self, "self");
-        setDaemons(Set.of(), 1);
+        setDaemons(Set.of(self), 1);
     }
 
     /**
      * Sets the daemons that may own limits.
      *
-     * @param daemons the addresses of those that are up, other than this one
+     * @param addresses the addresses of those that are up and not about to stop
      * @param expected the number of all daemons, those that are cut off included
      * @return whether the daemons have changed
      */
-    boolean setDaemons(final Collection<InetSocketAddress> daemons, final int expected) {
+    boolean setDaemons(final Set<InetSocketAddress> addresses, final int expected) {
         mExpected = expected;
-        final Set<InetSocketAddress> addresses = new HashSet<>(daemons);
-        addresses.add(mSelf);
         if (addresses.equals(mAddresses)) {
             return false;
         }
-        mAddresses = addresses;
+        mAddresses = Set.copyOf(addresses);
         mRespondedAt.keySet().retainAll(addresses);
         final List<Candidate> candidates = new ArrayList<>();
         addresses.forEach(address -> candidates.add(new Candidate(address, hash(address))));
--- a/serving/src/main/java/org/whinhead/serving/ratelimit/RequestPermits.java
+++ b/serving/src/main/java/org/whinhead/serving/ratelimit/RequestPermits.java
@@ -5,11 +5,13 @@
 import java.time.Instant;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Function;
 import org.whinhead.serving.endpoint.EndpointEntry;
 import org.whinhead.serving.ratelimit.OwnedLimits.ClaimKey;
@@ -53,6 +55,9 @@
     private final Map<ClaimKey, Claim> mClaims = new LinkedHashMap<>();
     private final Map<String, Integer> mClaimCounts = new HashMap<>();
     private final Map<String, Instant> mNextFree = new HashMap<>();
+    private long mGranted;
+    private long mDenied;
+    private long mUnreachableOwners;
     private Instant mCheckedAt;
     private boolean mCheckScheduled;
     private long mLastId;
@@ -110,12 +115,20 @@
      * these calls other daemons may have granted permits, so that all schedules begin anew.
      *
      * @param daemons the addresses of the other daemons that are up and not about to stop
+     * @param isLeaving whether this daemon is about to stop
      * @param expected the number of all daemons, those that are cut off included
      * @param now the current time
      */
     public void setDaemons(
-            final Collection<InetSocketAddress> daemons, final int expected, final Instant now) {
-        if (mOwners.setDaemons(daemons, expected)) {
+            final Collection<InetSocketAddress> daemons,
+            final boolean isLeaving,
+            final int expected,
+            final Instant now) {
+        final Set<InetSocketAddress> owners = new HashSet<>(daemons);
+        if (!isLeaving) {
+            owners.add(mSelf);
+        }
+        if (mOwners.setDaemons(owners, expected)) {
             mOwned.retain(endpoint -> mOwners.isOwner(endpoint, now));
         }
         if (mCheckedAt != null && now.isAfter(mCheckedAt.plus(STOPPED_PAUSE))) {
@@ -171,7 +184,8 @@
             final Duration maxWait,
             final PermitListener listener,
             final Instant now) {
-        final Optional<LimitStatement> statement = mLimits.statement(endpoint);
+        final Optional<LimitStatement> statement =
+                mLimits.statement(endpoint).filter(stated -> stated.limit().isPresent());
         if (statement.isEmpty()) {
             listener.granted(Duration.ZERO, () -> {});
             return;
@@ -194,9 +208,11 @@
         if (response.outcome().isGranted()) {
             final Duration interval = interval(endpoint).orElse(Duration.ZERO);
             mNextFree.put(endpoint, now.plus(response.after()).plus(interval));
+            mGranted++;
             listener.granted(response.after(), () -> giveBack(request, now));
         } else {
             mNextFree.put(endpoint, now.plus(response.after()));
+            mDenied++;
             listener.denied();
         }
     }
@@ -267,6 +283,7 @@
     private void ownerUnreachable(final Claim claim, final Instant now) {
         final boolean isSilent = !mOwners.hasRespondedSince(claim.mOwner, claim.mFirstSentAt);
         if (isSilent) {
+            mUnreachableOwners++;
             mOwners.recordUnreachable(claim.mOwner, now.plus(UNREACHABLE_TIME));
         }
         if (isSilent && claim.mOwnersAsked < MAX_OWNERS) {
@@ -317,7 +334,10 @@
 
     /** Decides as the owner of the limit. */
     private PermitResponse decide(final PermitRequest request, final Instant now) {
-        final Optional<Duration> interval = interval(request.endpoint());
+        final LimitStatement known =
+                mLimits.statement(request.endpoint()).orElse(request.statement());
+        final Optional<Duration> interval =
+                known.limit().map(limit -> limit.interval(mOwners.share()));
         if (interval.isEmpty()) {
             return respond(request, PermitOutcome.GRANTED, Duration.ZERO);
         }
@@ -378,6 +398,33 @@
         mOwned.release(new ClaimKey(request.claimant(), request.id()));
     }
 
+    /**
+     * Returns the permits that requests of this daemon got.
+     *
+     * @return the number so far
+     */
+    public long grantedCount() {
+        return mGranted;
+    }
+
+    /**
+     * Returns the permits that requests of this daemon did not get.
+     *
+     * @return the number so far
+     */
+    public long deniedCount() {
+        return mDenied;
+    }
+
+    /**
+     * Returns how often an owner did not respond and another daemon was asked.
+     *
+     * @return the number so far
+     */
+    public long unreachableOwnerCount() {
+        return mUnreachableOwners;
+    }
+
     /**
      * Forgets what is known of endpoints that no longer exist.
      *
--- a/serving/src/main/java/org/whinhead/serving/ratelimit/StatedLimits.java
+++ b/serving/src/main/java/org/whinhead/serving/ratelimit/StatedLimits.java
@@ -19,6 +19,9 @@
      */
     private static final Duration ENDED_TOLD_TIME = Duration.ofSeconds(30);
 
+    /** The time in which an endpoint gets all requests again whose limit has ended. */
+    static final Duration RETURN_TIME = Duration.ofSeconds(2);
+
     private final Map<String, Known> mKnown = new HashMap<>();
     private int mReported;
 
@@ -125,6 +128,23 @@
         return mKnown.isEmpty();
     }
 
+    /**
+     * Returns the share of the requests that an endpoint may get, which grows after the end of a
+     * limit: all daemons would send it theirs at once, as it has none.
+     *
+     * @param endpoint the endpoint's id
+     * @param now the current time
+     * @return the share, from 0 to 1; 1 also while it names a limit, which holds by itself
+     */
+    public double returnedShare(final String endpoint, final Instant now) {
+        final Known known = mKnown.get(endpoint);
+        if (known == null || known.statement().limit().isPresent()) {
+            return 1;
+        }
+        final Duration ended = Duration.between(known.since(), now);
+        return Math.min((double) ended.toMillis() / RETURN_TIME.toMillis(), 1);
+    }
+
     /**
      * Returns the number of endpoints that name a limit.
      *
--- a/serving/src/test/java/org/whinhead/serving/ratelimit/LimitOwnersTest.java
+++ b/serving/src/test/java/org/whinhead/serving/ratelimit/LimitOwnersTest.java
@@ -8,6 +8,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 class LimitOwnersTest {
@@ -24,7 +25,7 @@
 
     private static LimitOwners owners(final InetSocketAddress self, final int count) {
         final LimitOwners owners = new LimitOwners(self);
-        owners.setDaemons(daemons(count), count);
+        owners.setDaemons(Set.copyOf(daemons(count)), count);
         return owners;
     }
 
@@ -76,16 +77,16 @@
     @Test
     void sharesOfBothPartsOfCutAddUpToLimit() {
         final LimitOwners large = new LimitOwners(daemons(8).get(0));
-        large.setDaemons(daemons(5), 8);
+        large.setDaemons(Set.copyOf(daemons(5)), 8);
         final LimitOwners small = new LimitOwners(daemons(8).get(5));
-        small.setDaemons(daemons(8).subList(5, 8), 8);
+        small.setDaemons(Set.copyOf(daemons(8).subList(5, 8)), 8);
         assertThat(large.share() + small.share()).isEqualTo(1);
     }
 
     @Test
     void shareIsNeverAboveWhole() {
         final LimitOwners owners = new LimitOwners(daemons(8).get(0));
-        owners.setDaemons(daemons(8), 3);
+        owners.setDaemons(Set.copyOf(daemons(8)), 3);
         assertThat(owners.share()).isEqualTo(1);
     }
 }
--- a/serving/src/test/java/org/whinhead/serving/ratelimit/RequestLimitFleet.java
+++ b/serving/src/test/java/org/whinhead/serving/ratelimit/RequestLimitFleet.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -235,8 +236,9 @@
                         mHeard.entrySet().stream()
                                 .filter(entry -> mNow - entry.getValue() <= mSilenceMicros)
                                 .map(Map.Entry::getKey)
-                                .collect(Collectors.toSet());
-                mPermits.setDaemons(heard, 1 + mHeard.size(), now());
+                                .collect(Collectors.toCollection(HashSet::new));
+                mPermits.setDaemons(heard, false, 1 + mHeard.size(), now());
+                heard.add(mAddress);
                 mOwnerView.setDaemons(heard, 1 + mHeard.size());
             }
             schedule(TICK_MICROS, this::tick);
--- a/serving/src/test/java/org/whinhead/serving/ratelimit/StatedLimitsTest.java
+++ b/serving/src/test/java/org/whinhead/serving/ratelimit/StatedLimitsTest.java
@@ -142,6 +142,18 @@
                         second.stream().limit(2).map(LimitStatement::endpoint).toList());
     }
 
+    // Guards against an endpoint that gets all daemons' requests at once when its limit ends.
+    @Test
+    void shareOfRequestsGrowsAfterEndOfLimit() {
+        assertThat(mLimits.returnedShare("e-1", at(0))).isOne();
+        answer(ONE, 0, 20);
+        assertThat(mLimits.returnedShare("e-1", at(20))).isOne();
+        answer(Optional.empty(), 30, 40);
+        assertThat(mLimits.returnedShare("e-1", at(40))).isZero();
+        assertThat(mLimits.returnedShare("e-1", at(1_040))).isEqualTo(0.5);
+        assertThat(mLimits.returnedShare("e-1", at(9_040))).isOne();
+    }
+
     @Test
     void endOfLimitIsToldForHalfMinute() {
         answer(ONE, 0, 20);
