Split the sending of attempts from Exchange

AttemptSender counts a request's attempts, keeps the time of the last one and the moved run that the next one continues, and sends them. No behaviour changes; two log lines of one attempt come in another order.

--- a/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
@@ -12,7 +12,6 @@
 import org.whinhead.gateway.caller.CallerRequestHandler;
 import org.whinhead.gateway.caller.CallerResponse;
 import org.whinhead.gateway.caller.RefusalResponse;
-import org.whinhead.gateway.endpoint.AttemptContext;
 import org.whinhead.gateway.endpoint.EndpointConnection;
 import org.whinhead.gateway.endpoint.EndpointFailure;
 import org.whinhead.gateway.endpoint.EndpointResponse;
@@ -66,13 +65,11 @@
     private final CrashRecorder mCrashes;
     private final ExchangeTimers mTimers;
     private final RetryPermits mRetries;
+    private final AttemptSender mSender;
     private Placement mPlacement;
     private EndpointConnection mConnection;
-    private Instant mSentAt;
-    private int mSends;
     private int mAttemptId;
     private RunMove mMove;
-    private MovedRun mContinuedRun;
     private boolean mFinished;
 
     Exchange(
@@ -102,6 +99,7 @@
         mRefusals = new RefusalFactory(exchanges.state(), admission);
         mTimers = new ExchangeTimers(exchanges.loop());
         mRetries = new RetryPermits(exchanges, admission, mService);
+        mSender = new AttemptSender(exchanges, admission, body);
     }
 
     private static String selectService(final AdmittedRequest admission) {
@@ -151,36 +149,19 @@
     @Override
     public void connected(final EndpointConnection connection) {
         mConnection = connection;
-        if (mContinuedRun == null) {
-            mSends++;
-        }
-        mSentAt = now();
+        mSender.attemptStarts(mPlacement, mStream);
         mTrial.attemptSent(mPlacement);
-        mExchanges.logSentToLimited(
-                mAdmission, mPlacement.endpoint(), AttemptKind.of(mSends, mContinuedRun != null));
         mCrashes.attemptSent();
-        mStream.attemptSent(mPlacement.endpoint(), mContinuedRun != null);
         mRelay.startAttempt();
-        final AttemptContext context =
-                new AttemptContext(
-                        mPlacement.endpoint(),
-                        mAdmission.customerName(),
-                        timeLeft(),
-                        mStream.priority(),
-                        mRelay.lastEventId(),
-                        mContinuedRun == null ? mPlacement.promptSource() : Optional.empty(),
-                        Optional.ofNullable(mContinuedRun));
-        mContinuedRun = null;
-        connection.send(
-                mExchanges.protocol().encode(mAdmission.request(), context, mBody.readableBytes()),
-                mBody.retainedDuplicate(),
-                this);
+        mSender.send(connection, mPlacement, mStream.priority(), mRelay.lastEventId(), this);
         startAttemptTimeout();
     }
 
     private void startAttemptTimeout() {
         final Route route = mAdmission.route();
-        if (!route.canRunAgain() || route.kind().isStream() || mSends >= route.maxAttempts()) {
+        if (!route.canRunAgain()
+                || route.kind().isStream()
+                || mSender.sends() >= route.maxAttempts()) {
             return;
         }
         final int attemptId = mAttemptId;
@@ -229,7 +210,7 @@
             mExchanges.state().endpoints().markReplaced(mPlacement.endpoint().id());
         } else {
             mExchanges.recordAnswer(
-                    mPlacement.endpoint(), response, mAdmission.request().id(), mSentAt);
+                    mPlacement.endpoint(), response, mAdmission.request().id(), mSender.sentAt());
         }
         final Optional<EndpointResponseFault> fault =
                 EndpointResponseFault.of(response, mAdmission.request().id(), mRelay.isStarted());
@@ -237,7 +218,7 @@
             mTrial.responseRejected(fault.get().verdict());
             attemptFailed(fault.get().verdict(), fault.get().reason());
         } else if (response.isServerError() && mAdmission.route().canRunAgain() && acquireRetry()) {
-            mUsage.recordRun(mSentAt);
+            mUsage.recordRun(mSender.sentAt());
             mTrial.answered(true);
             mRefusals.markMayHaveRun();
             mPlacement.load().recordOutcome(true);
@@ -259,7 +240,7 @@
         mCrashes.eventReceived();
         mPlacement.recordFirstToken(now());
         mTrial.firstToken();
-        mUsage.recordRun(mSentAt);
+        mUsage.recordRun(mSender.sentAt());
     }
 
     @Override
@@ -320,7 +301,7 @@
     }
 
     private void checkEndpoint(final Duration limit, final Consumer<Boolean> checked) {
-        mCrashes.connectionEnded(mPlacement.endpoint(), mSentAt, limit, checked);
+        mCrashes.connectionEnded(mPlacement.endpoint(), mSender.sentAt(), limit, checked);
     }
 
     /**
@@ -331,7 +312,7 @@
         mPlacement.load().recordOutcome(true);
         mConnection = null;
         final int attemptId = mAttemptId;
-        if (mRetries.isUseful(mSends, mRelay.isStarted())) {
+        if (mRetries.isUseful(mSender.sends(), mRelay.isStarted())) {
             checkEndpoint(
                     RETRY_CHECK_TIME,
                     crashed -> {
@@ -349,7 +330,7 @@
         final EndpointResponse head = mRelay.head();
         // The run may have ended before its endpoint received the order to stop it.
         cancelMove();
-        mUsage.recordRun(mSentAt);
+        mUsage.recordRun(mSender.sentAt());
         mRelay.flush();
         mPlacement.load().recordOutcome(head.isServerError());
         mExchanges.state().brittle().recordServed(mPlacement.endpoint());
@@ -469,7 +450,7 @@
         mMove = null;
         endAttempt();
         at.skipPrefill();
-        mContinuedRun = run;
+        mSender.continueRun(run);
         mSearch.connectTo(at);
     }
 
@@ -490,7 +471,7 @@
 
     /** Returns whether another attempt is allowed, and charges it to the retry budget if so. */
     private boolean acquireRetry() {
-        return mRetries.acquire(mSends, mRelay.isStarted());
+        return mRetries.acquire(mSender.sends(), mRelay.isStarted());
     }
 
     /** Ends the current attempt, if any, and invalidates its pending callbacks. */
@@ -532,7 +513,7 @@
         }
         logUnanswered();
         mTrial.attemptAbandoned();
-        if (mSends > 0) {
+        if (mSender.sends() > 0) {
             mRefusals.markMayHaveRun();
         }
         if (mRelay.isStarted()) {
@@ -566,7 +547,9 @@
         endAttempt();
         mBody.release();
         mRelay.release();
-        mExchanges.requestLogger().finished(mAdmission, mPlacement, mSends, outcome, status);
+        mExchanges
+                .requestLogger()
+                .finished(mAdmission, mPlacement, mSender.sends(), outcome, status);
     }
 
     CallerRequest request() {
