--- a/gateway/src/main/java/org/whinhead/gateway/peers/LimitMessenger.java
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/LimitMessenger.java
@@ -27,7 +27,7 @@
     private static final int COLLECT_MILLIS = 2;
 
     /** The most statements in a datagram: more would not fit into one packet. */
-    private static final int MAX_STATEMENTS = 24;
+    static final int MAX_STATEMENTS = 24;
 
     /** The statements in a report; all are told within a few reports. */
     private static final int STATEMENTS_PER_REPORT = 8;
--- a/gateway/src/test/java/org/whinhead/gateway/exchange/EndpointSelectionTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/exchange/EndpointSelectionTest.java
@@ -5,16 +5,23 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.whinhead.serving.endpoint.EndpointEntry;
+import org.whinhead.serving.ratelimit.Permit;
+import org.whinhead.serving.ratelimit.PermitListener;
+import org.whinhead.serving.ratelimit.RequestRateLimit;
 import org.whinhead.serving.stream.StreamOrigin;
 
 class EndpointSelectionTest {
 
     private static final Instant NOW = Instant.parse("2026-01-01T00:00:00Z");
+    private static final Duration WAIT = Duration.ofMillis(200);
     private static final StreamOrigin ORIGIN = new StreamOrigin("pool", "v1");
 
-    private final ServingState mState = TestServing.state(() -> NOW);
+    private Instant mNow = NOW;
+    private final ServingState mState = TestServing.state(() -> mNow);
     private final EndpointSelection mSelection = mState.selection();
 
     private void list(final String id, final String version, final long offset) {
@@ -42,6 +49,90 @@
         assertThat(mSelection.canContinue(new StreamOrigin("pool", "v2"))).isFalse();
     }
 
+    private void name(final String id, final double limit) {
+        mState.requestLimits()
+                .recordAnswer(
+                        mState.endpoints().find(id).orElseThrow(),
+                        limit < 0 ? Optional.empty() : Optional.of(new RequestRateLimit(limit)),
+                        mNow,
+                        mNow.plusMillis(1));
+    }
+
+    private List<String> withinLimits(final Duration maxWait) {
+        return mSelection
+                .withinLimits(mSelection.candidates("pool", "draft", "r-1", false), "r-1", maxWait)
+                .stream()
+                .map(EndpointEntry::id)
+                .toList();
+    }
+
+    /** Uses up the limit of an endpoint for one interval. */
+    private void deny(final String id) {
+        mState.permits()
+                .claim(
+                        id,
+                        Duration.ZERO,
+                        new PermitListener() {
+                            @Override
+                            public void granted(final Duration wait, final Permit permit) {
+                                throw new AssertionError("a new owner grants nothing at once");
+                            }
+
+                            @Override
+                            public void denied() {
+                                assertThat(mState.permits().deniedCount()).isPositive();
+                            }
+                        },
+                        mNow);
+    }
+
+    // Guards against requests that wait, or are refused, at an endpoint with a limit while another
+    // one has none.
+    @Test
+    void endpointWithoutLimitIsLeftOnceLimitIsUsedUp() {
+        list("e-1", "v1", 1);
+        list("e-2", "v1", 2);
+        name("e-1", 1);
+        assertThat(withinLimits(WAIT)).containsExactlyInAnyOrder("e-1", "e-2");
+        deny("e-1");
+        assertThat(withinLimits(WAIT)).containsExactly("e-2");
+    }
+
+    @Test
+    void requestMayWaitForNextTimeIfAllAreLimited() {
+        list("e-1", "v1", 1);
+        name("e-1", 1);
+        deny("e-1");
+        assertThat(withinLimits(WAIT)).isEmpty();
+        assertThat(mSelection.untilFree(mSelection.candidates("pool", "draft", "r-1", false)))
+                .isEqualTo(Duration.ofSeconds(1));
+        mNow = NOW.plusMillis(800);
+        assertThat(withinLimits(Duration.ZERO)).isEmpty();
+        assertThat(withinLimits(WAIT)).containsExactly("e-1");
+    }
+
+    @Test
+    void endpointReturnsByDegreesAfterItsLimit() {
+        list("e-1", "v1", 1);
+        list("e-2", "v1", 2);
+        name("e-1", 1);
+        mNow = NOW.plusSeconds(1);
+        name("e-1", -1);
+        assertThat(withinLimits(WAIT)).containsExactly("e-2");
+        mNow = NOW.plusSeconds(4);
+        assertThat(withinLimits(WAIT)).hasSize(2);
+    }
+
+    // Guards against callers that are refused as the only endpoint returns by degrees.
+    @Test
+    void onlyEndpointReturnsAtOnce() {
+        list("e-1", "v1", 1);
+        name("e-1", 1);
+        mNow = NOW.plusSeconds(1);
+        name("e-1", -1);
+        assertThat(withinLimits(WAIT)).containsExactly("e-1");
+    }
+
     @Test
     void streamOfUnknownOriginHasNoneWithoutHistory() {
         list("e-1", "v1", 1);
--- a/gateway/src/test/java/org/whinhead/gateway/exchange/RefusalFactoryTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/exchange/RefusalFactoryTest.java
@@ -6,9 +6,13 @@
 import io.netty.handler.codec.http.HttpMethod;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.whinhead.gateway.caller.CallerRequest;
+import org.whinhead.gateway.caller.RefusalResponse;
+import org.whinhead.serving.endpoint.EndpointEntry;
+import org.whinhead.serving.ratelimit.RequestRateLimit;
 import org.whinhead.serving.route.Route;
 import org.whinhead.serving.route.RouteKind;
 import org.whinhead.serving.route.WeightedService;
@@ -18,8 +22,8 @@
     private static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
 
     private Instant mNow = START;
-    private final RefusalFactory mRefusals =
-            new RefusalFactory(TestServing.state(() -> mNow), admission());
+    private final ServingState mState = TestServing.state(() -> mNow);
+    private final RefusalFactory mRefusals = new RefusalFactory(mState, admission());
 
     private static AdmittedRequest admission() {
         final CallerRequest request =
@@ -54,6 +58,33 @@
         assertThat(mRefusals.timeoutRefusal("late").status().code()).isEqualTo(504);
     }
 
+    // Guards against callers that all return at the one time that is free.
+    @Test
+    void requestAtLimitIsToldTimeWithinNextInterval() {
+        final EndpointEntry endpoint = TestServing.endpoint("e-1", false);
+        mState.requestLimits()
+                .recordAnswer(endpoint, Optional.of(new RequestRateLimit(2)), START, START);
+        final RefusalResponse refusal = mRefusals.requestLimitRefusal(List.of(endpoint));
+        assertThat(refusal.status().code()).isEqualTo(503);
+        assertThat(refusal.retryAfter().orElseThrow())
+                .isBetween(Duration.ZERO, Duration.ofMillis(500));
+    }
+
+    @Test
+    void requestAtLimitOfZeroIsToldTimeOfNextTrial() {
+        final EndpointEntry endpoint = TestServing.endpoint("e-1", false);
+        mState.requestLimits()
+                .recordAnswer(endpoint, Optional.of(new RequestRateLimit(0)), START, START);
+        assertThat(mRefusals.requestLimitRefusal(List.of(endpoint)).retryAfter().orElseThrow())
+                .isBetween(Duration.ZERO, Duration.ofSeconds(5));
+    }
+
+    @Test
+    void requestAtLimitThatMayHaveRunIsGatewayError() {
+        mRefusals.markMayHaveRun();
+        assertThat(mRefusals.requestLimitRefusal(List.of()).status().code()).isEqualTo(502);
+    }
+
     // Guards against a negative retry delay, which makes the response malformed. Timers fire late,
     // so the deadline has already passed when the refusal is created.
     @Test
