--- a/gateway/src/test/java/org/whinhead/gateway/peers/LimitMessengerTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/peers/LimitMessengerTest.java
@@ -38,9 +38,12 @@
         return new LimitStatement(endpoint, Optional.empty(), revision, limit);
     }
 
+    /** Lets time pass in steps, as tasks schedule others from the time at which they run. */
     private void pass(final int millis) {
-        mChannel.advanceTimeBy(millis, TimeUnit.MILLISECONDS);
-        mChannel.runScheduledPendingTasks();
+        for (int passed = 0; passed < millis; passed++) {
+            mChannel.advanceTimeBy(1, TimeUnit.MILLISECONDS);
+            mChannel.runScheduledPendingTasks();
+        }
     }
 
     // Guards against daemons that go on sending to an endpoint since a datagram was lost.
