--- a/serving/src/test/java/org/whinhead/serving/ratelimit/RequestLimitFleet.java
+++ b/serving/src/test/java/org/whinhead/serving/ratelimit/RequestLimitFleet.java
@@ -17,6 +17,9 @@
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import org.whinhead.serving.endpoint.EndpointEntry;
+import org.whinhead.serving.member.Member;
+import org.whinhead.serving.member.MemberStatus;
+import org.whinhead.serving.member.MemberTable;
 
 /**
  * Daemons before endpoints that name limits of requests per second, in simulated time: requests of
@@ -33,12 +36,13 @@
     private static final int MAX_DENIALS = 3;
     private static final int STATEMENTS_PER_REPORT = 8;
     private static final long[] TOLD_AFTER_MICROS = {2_000, 62_000, 152_000};
-    private static final long EXPIRY_MICROS = 30 * SECOND_MICROS;
+
+    /** The time in which a daemon that stood still reads what has arrived meanwhile. */
+    private static final long READ_MICROS = 1_000;
 
     private final Random mRandom;
     private final double mLossShare;
     private final long mReportMicros;
-    private final long mSilenceMicros;
     private final PriorityQueue<Event> mEvents =
             new PriorityQueue<>(
                     Comparator.comparingLong(Event::at).thenComparingLong(Event::sequence));
@@ -71,7 +75,6 @@
         mCallerDaemons = daemons;
         mCutFrom = daemons;
         mReportMicros = Math.max(TICK_MICROS, 22_000L * daemons);
-        mSilenceMicros = Math.max(900_000, 3 * mReportMicros);
         for (int index = 0; index < endpoints; index++) {
             mEndpoints.add(new SimulatedEndpoint("e-" + index));
         }
@@ -187,6 +190,16 @@
         return mEndpoints.stream().mapToInt(endpoint -> endpoint.arrivals(minAge)).sum();
     }
 
+    /** Returns the longest time without a request at an endpoint from this age of its limit on. */
+    Duration longestGap(final Duration minAge) {
+        return Duration.ofNanos(
+                mEndpoints.stream()
+                                .mapToLong(endpoint -> endpoint.longestGap(minAge))
+                                .max()
+                                .orElse(0)
+                        * 1_000);
+    }
+
     /** Returns the daemons that know of a limit of an endpoint. */
     long knowing(final int endpoint) {
         return mDaemons.stream()
@@ -199,7 +212,7 @@
         private final InetSocketAddress mAddress;
         private final StatedLimits mLimits = new StatedLimits();
         private final RequestPermits mPermits;
-        private final Map<InetSocketAddress, Long> mHeard = new HashMap<>();
+        private final MemberTable mMembers;
         private final Map<LimitStatement, Integer> mToldByOthers = new HashMap<>();
         private final LimitOwners mOwnerView;
         private long mStoppedUntil;
@@ -207,6 +220,7 @@
         private SimulatedDaemon(final int index) {
             mIndex = index;
             mAddress = InetSocketAddress.createUnresolved("10.0.0." + index, 7_600);
+            mMembers = new MemberTable(member());
             mOwnerView = new LimitOwners(mAddress);
             final Function<String, Optional<EndpointEntry>> find =
                     id -> Optional.ofNullable(mEntries.get(id));
@@ -214,6 +228,10 @@
             mByAddress.put(mAddress, this);
         }
 
+        private Member member() {
+            return new Member("daemon-" + mIndex, "first", "domain-a", mAddress, mAddress);
+        }
+
         private InetSocketAddress ownerOf(final String endpoint) {
             return mOwnerView.owner(endpoint, now());
         }
@@ -222,26 +240,32 @@
             return mNow >= mStoppedUntil;
         }
 
+        private boolean isFrozen() {
+            return !isUp() && mStoppedUntil != Long.MAX_VALUE;
+        }
+
         private void start() {
-            mDaemons.forEach(daemon -> mHeard.put(daemon.mAddress, 0L));
-            mHeard.remove(mAddress);
+            mDaemons.forEach(this::hear);
             schedule(mRandom.nextInt((int) TICK_MICROS), this::tick);
             schedule(mRandom.nextInt((int) mReportMicros), this::report);
         }
 
+        private void hear(final SimulatedDaemon other) {
+            mMembers.recordReport(other.member(), MemberStatus.READY, now());
+        }
+
         private void tick() {
             if (isUp()) {
-                mHeard.values().removeIf(at -> mNow - at > EXPIRY_MICROS);
+                mMembers.expire(now());
                 final Set<InetSocketAddress> heard =
-                        mHeard.entrySet().stream()
-                                .filter(entry -> mNow - entry.getValue() <= mSilenceMicros)
-                                .map(Map.Entry::getKey)
+                        mMembers.heardPeers(false, now()).stream()
+                                .map(Member::peerAddress)
                                 .collect(Collectors.toCollection(HashSet::new));
-                mPermits.setDaemons(heard, false, 1 + mHeard.size(), now());
+                mPermits.setDaemons(heard, false, mMembers.knownCount(), now());
                 heard.add(mAddress);
-                mOwnerView.setDaemons(heard, 1 + mHeard.size());
+                mOwnerView.setDaemons(heard, mMembers.knownCount());
             }
-            schedule(TICK_MICROS, this::tick);
+            schedule(isFrozen() ? mStoppedUntil - mNow : TICK_MICROS, this::tick);
         }
 
         private void report() {
@@ -252,7 +276,7 @@
                     send(
                             other,
                             () -> {
-                                other.mHeard.put(mAddress, mNow);
+                                other.hear(this);
                                 statements.forEach(other::learn);
                             });
                 }
@@ -260,7 +284,10 @@
             schedule(mReportMicros, this::report);
         }
 
-        /** Sends a message, which arrives unless it is lost or the receiver is not reached. */
+        /**
+         * Sends a message, which arrives unless it is lost or the receiver is not reached. One that
+         * stands still reads it afterwards.
+         */
         private void send(final SimulatedDaemon other, final Runnable message) {
             if (other == this || !isUp()) {
                 return;
@@ -269,13 +296,15 @@
             if (isCut || mRandom.nextDouble() < mLossShare) {
                 return;
             }
-            schedule(
-                    1_000 + mRandom.nextInt(2_000),
-                    () -> {
-                        if (other.isUp()) {
-                            message.run();
-                        }
-                    });
+            schedule(1_000 + mRandom.nextInt(2_000), () -> other.receive(message));
+        }
+
+        private void receive(final Runnable message) {
+            if (isFrozen()) {
+                schedule(mStoppedUntil + READ_MICROS - mNow, () -> receive(message));
+            } else if (isUp()) {
+                message.run();
+            }
         }
 
         private void learn(final LimitStatement statement) {
@@ -443,6 +472,18 @@
             return (int) mArrivals.stream().filter(at -> at >= from).count();
         }
 
+        private long longestGap(final Duration minAge) {
+            long before = mNamedAt + minAge.toNanos() / 1_000;
+            long longest = 0;
+            for (final long at : mArrivals) {
+                if (at > before) {
+                    longest = Math.max(longest, at - before);
+                    before = at;
+                }
+            }
+            return Math.max(longest, mNow - before);
+        }
+
         private int mostIn(final Duration window, final Duration minAge) {
             final long from = mNamedAt + minAge.toNanos() / 1_000;
             final long micros = window.toNanos() / 1_000;
--- a/serving/src/test/java/org/whinhead/serving/ratelimit/RequestLimitFleetTest.java
+++ b/serving/src/test/java/org/whinhead/serving/ratelimit/RequestLimitFleetTest.java
@@ -17,11 +17,16 @@
     private static final double LOSS_SHARE = 0.2;
     private static final double LEAST_USED_SHARE = 0.9;
     private static final long SEED = 7;
+    private static final int RUNS = 20;
 
     private static RequestLimitFleet fleet(final int daemons, final int endpoints) {
         return new RequestLimitFleet(daemons, endpoints, LOSS_SHARE, SEED);
     }
 
+    private static Duration interval(final double limit) {
+        return new RequestRateLimit(limit).interval(1);
+    }
+
     private static long allowed(final double limit) {
         return (long) Math.floor(limit * WINDOW.toSeconds()) + 1;
     }
@@ -110,6 +115,46 @@
                 .isGreaterThanOrEqualTo(Math.floor(LEAST_USED_SHARE * share * 10));
     }
 
+    // Guards against an endpoint that gets nothing for many intervals: its owner stood still, took
+    // all others for silent as it went on, and told them to wait for its small share of the limit.
+    @ParameterizedTest
+    @CsvSource({"4, 0.5", "8, 0.5", "8, 1", "66, 0.5"})
+    void limitIsUsedSoonAfterItsOwnerStoodStill(final int daemons, final double limit) {
+        for (int seed = 0; seed < RUNS; seed++) {
+            final RequestLimitFleet fleet =
+                    new RequestLimitFleet(daemons, 1, 0, seed)
+                            .play(100, Duration.ofSeconds(2))
+                            .name(limit, 1)
+                            .play(200, Duration.ofMillis(700))
+                            .stopOwner(0, Duration.ofMillis(950 + 10 * seed))
+                            .play(200, Duration.ofSeconds(11));
+            // The owner goes on before this, and begins with a whole interval.
+            assertThat(fleet.longestGap(Duration.ofSeconds(2)))
+                    .isLessThan(interval(limit).multipliedBy(2));
+            assertThat((long) fleet.mostIn(WINDOW, KNOWN)).isLessThanOrEqualTo(allowed(limit) + 1);
+        }
+    }
+
+    // Guards against a daemon that refuses requests for minutes after a cut: by itself it had a
+    // small share of the limit, and the next time that it was told then is far off.
+    @ParameterizedTest
+    @CsvSource({"8, 1", "66, 1"})
+    void limitIsUsedSoonAfterCutEnds(final int daemons, final double limit) {
+        final RequestLimitFleet fleet =
+                fleet(daemons, 1)
+                        .callersAt(1)
+                        .play(100, Duration.ofSeconds(2))
+                        .name(limit, 1)
+                        .play(20, Duration.ofSeconds(3))
+                        .cutFrom(1)
+                        .play(20, Duration.ofSeconds(25))
+                        .cutFrom(daemons)
+                        .play(20, Duration.ofSeconds(40));
+        // Daemons hear each other once a report of each has arrived.
+        final Duration settled = Duration.ofSeconds(30).plus(Duration.ofSeconds(10));
+        assertThat(fleet.longestGap(settled)).isLessThan(interval(limit).multipliedBy(3));
+    }
+
     // Guards against daemons that are cut into two parts, each of which uses the whole limit.
     @ParameterizedTest
     @CsvSource({"8, 4", "8, 7", "66, 20"})
