Take no daemon for silent because this one stood still

A daemon that had stood still for a second (a signal, a busy host) took all others for silent as it went on, although it was the one that had not read their reports: it then used its small share of each request limit, did the tasks of all daemons, knew no relay and told callers only its own address, until the next reports came.

The time between two checks of the table beyond twice their interval is added to the time of each daemon's last report now. A daemon that was silent before the pause stays silent, and a report that is read after it counts from then.

Before: MemberTableTest#pauseOfThisDaemonIsNoSilenceOfOthers red. After: green, with the two tests of what must not change, and the tests of serving and gateway on members, permits, shares and streams.

--- a/serving/src/main/java/org/whinhead/serving/member/MemberTable.java
+++ b/serving/src/main/java/org/whinhead/serving/member/MemberTable.java
@@ -30,6 +30,12 @@
     /** The time without a report after which a daemon is removed. */
     static final Duration EXPIRY_TIME = Duration.ofSeconds(30);
 
+    /**
+     * A longer time between two checks, which are due each 200 ms: this process stood still or had
+     * no processor. It has not read the reports of the others in that time.
+     */
+    private static final Duration MAX_CHECK_INTERVAL = Duration.ofMillis(400);
+
     /** The fewest daemons of a failure domain for which those of other domains are omitted. */
     private static final int MIN_DOMAIN_ADDRESSES = 2;
 
@@ -41,6 +47,7 @@
     private Duration mReportInterval = MIN_REPORT_INTERVAL;
     private Duration mSilenceTimeout = MIN_SILENCE_TIMEOUT;
     private long mAddressChanges;
+    private Instant mCheckedAt;
     private boolean mSelfReady;
     private boolean mSelfCutOff;
 
@@ -107,11 +114,18 @@
     }
 
     /**
-     * Removes daemons without a report for the expiry time.
+     * Removes daemons without a report for the expiry time; to be called several times a second.
+     * After a pause in these calls the others get the time again in which this process has read no
+     * reports.
      *
      * @param now the current time
      */
     public void expire(final Instant now) {
+        if (mCheckedAt != null && now.isAfter(mCheckedAt.plus(MAX_CHECK_INTERVAL))) {
+            final Duration pause = Duration.between(mCheckedAt, now);
+            mPeers.replaceAll((name, peer) -> peer.afterPause(pause, now));
+        }
+        mCheckedAt = now;
         if (mPeers.values().removeIf(peer -> now.isAfter(peer.mReportedAt.plus(EXPIRY_TIME)))) {
             recordPeersChanged();
         }
@@ -311,6 +325,11 @@
             mReportedAt = at;
         }
 
+        private PeerState afterPause(final Duration pause, final Instant now) {
+            final Instant reportedAt = mReportedAt.plus(pause);
+            return new PeerState(mMember, mStatus, reportedAt.isAfter(now) ? now : reportedAt);
+        }
+
         private Relay relay() {
             return new Relay(
                     mMember.name(),
--- a/serving/src/test/java/org/whinhead/serving/member/MemberTableTest.java
+++ b/serving/src/test/java/org/whinhead/serving/member/MemberTableTest.java
@@ -56,6 +56,51 @@
         assertThat(mTable.knownCount()).isEqualTo(2);
     }
 
+    // Guards against a daemon that stood still and takes all others for silent as it goes on,
+    // though it is the one that has not read their reports.
+    @Test
+    void pauseOfThisDaemonIsNoSilenceOfOthers() {
+        mTable.setSelfReady(true);
+        mTable.expire(START);
+        mTable.recordReport(member("a2", "domain-a", 2), MemberStatus.READY, START);
+        final Instant resumed = START.plusSeconds(40);
+        mTable.expire(resumed);
+        assertThat(mTable.heardPeers(false, resumed)).hasSize(1);
+        assertThat(mTable.heardPeers(false, checkForSecond(resumed))).isEmpty();
+    }
+
+    private Instant checkForSecond(final Instant from) {
+        Instant now = from;
+        for (int check = 0; check < 5; check++) {
+            now = now.plusMillis(200);
+            mTable.expire(now);
+        }
+        return now;
+    }
+
+    // Guards against a daemon that was silent before the pause and counts as up after it.
+    @Test
+    void silentDaemonIsSilentAfterPauseOfThisDaemon() {
+        mTable.recordReport(member("a2", "domain-a", 2), MemberStatus.READY, START);
+        mTable.expire(START);
+        final Instant stopped = checkForSecond(START);
+        assertThat(mTable.silentMemberNames(stopped)).containsExactly("a2");
+        final Instant resumed = stopped.plusSeconds(5);
+        mTable.expire(resumed);
+        assertThat(mTable.silentMemberNames(resumed)).containsExactly("a2");
+    }
+
+    // Guards against a report that was read before the pause was noticed and counts for longer.
+    @Test
+    void reportReadAfterPauseCountsFromThen() {
+        mTable.expire(START);
+        final Instant resumed = START.plusSeconds(5);
+        mTable.recordReport(member("a2", "domain-a", 2), MemberStatus.READY, resumed);
+        mTable.expire(resumed);
+        final Instant later = resumed.plus(MemberTable.MIN_SILENCE_TIMEOUT).plusMillis(1);
+        assertThat(mTable.heardPeers(false, later)).isEmpty();
+    }
+
     // Guards against daemons of a large deployment that treat each other as silent, each read the
     // store and return only their own addresses: the report interval there exceeded the fixed
     // silence timeout.
