--- a/serving/src/main/java/org/whinhead/serving/ratelimit/RequestPermits.java
+++ b/serving/src/main/java/org/whinhead/serving/ratelimit/RequestPermits.java
@@ -40,20 +40,12 @@
     /** The pause before an endpoint is tried again whose owner is not known. */
     private static final Duration NO_OWNER_PAUSE = Duration.ofMillis(100);
 
-    /**
-     * The longest time for which the time of the next permit is taken to be as it was told. The
-     * owner, or the share of the limit that it uses, may have changed since.
-     */
-    private static final Duration MAX_TRUST_TIME = Duration.ofSeconds(1);
-
     /** A longer pause between calls that come several times a second: the process was stopped. */
     private static final Duration STOPPED_PAUSE = Duration.ofMillis(900);
 
     /** One claim at a time and endpoint is enough below this rate. */
     private static final double REQUESTS_PER_CLAIM = 4;
 
-    private static final NextPermit ANY_TIME = new NextPermit(Instant.EPOCH, Instant.EPOCH);
-
     private final InetSocketAddress mSelf;
     private final StatedLimits mLimits;
     private final Function<String, Optional<EndpointEntry>> mEndpoints;
@@ -62,7 +54,7 @@
     private final OwnedLimits mOwned = new OwnedLimits();
     private final Map<ClaimKey, Claim> mClaims = new LinkedHashMap<>();
     private final Map<String, Integer> mClaimCounts = new HashMap<>();
-    private final Map<String, NextPermit> mNextPermits = new HashMap<>();
+    private final PermitForecasts mForecasts = new PermitForecasts();
     private long mGranted;
     private long mDenied;
     private long mUnreachableOwners;
@@ -99,16 +91,6 @@
         void accept(PermitResponse response, Instant now);
     }
 
-    /** When the next permit is to be had, and when it was told. */
-    private record NextPermit(Instant at, Instant toldAt) {
-
-        /** Returns the time from which the owner is asked again. */
-        Instant askedFrom() {
-            final Instant trustEnd = toldAt.plus(MAX_TRUST_TIME);
-            return at.isBefore(trustEnd) ? at : trustEnd;
-        }
-    }
-
     private static final class Claim {
         private final PermitRequest mRequest;
         private final Reply mReply;
@@ -170,11 +152,7 @@
         }
         final int claims = mClaimCounts.getOrDefault(endpoint, 0);
         return claims <= limit.get().perSecond() / REQUESTS_PER_CLAIM
-                && !nextPermit(endpoint).askedFrom().isAfter(now.plus(maxWait));
-    }
-
-    private NextPermit nextPermit(final String endpoint) {
-        return mNextPermits.getOrDefault(endpoint, ANY_TIME);
+                && mForecasts.isDue(endpoint, now.plus(maxWait));
     }
 
     /**
@@ -185,8 +163,7 @@
      * @return the time; zero if it may get one now
      */
     public Duration untilFree(final String endpoint, final Instant now) {
-        final Instant free = nextPermit(endpoint).at();
-        return free.isAfter(now) ? Duration.between(now, free) : Duration.ZERO;
+        return mForecasts.timeLeft(endpoint, now);
     }
 
     /**
@@ -225,19 +202,18 @@
         mClaimCounts.computeIfPresent(endpoint, (id, count) -> count > 1 ? count - 1 : null);
         if (response.outcome().isGranted()) {
             final Duration interval = interval(endpoint).orElse(Duration.ZERO);
-            mNextPermits.put(
-                    endpoint, new NextPermit(now.plus(response.after()).plus(interval), now));
+            mForecasts.record(endpoint, now.plus(response.after()).plus(interval), now);
             mGranted++;
             listener.granted(response.after(), () -> giveBack(request, now));
         } else {
-            mNextPermits.put(endpoint, new NextPermit(now.plus(response.after()), now));
+            mForecasts.record(endpoint, now.plus(response.after()), now);
             mDenied++;
             listener.denied();
         }
     }
 
     private void giveBack(final PermitRequest request, final Instant now) {
-        mNextPermits.remove(request.endpoint());
+        mForecasts.remove(request.endpoint());
         final InetSocketAddress owner = mOwners.owner(request.endpoint(), now);
         if (owner.equals(mSelf)) {
             handleReturn(request);
@@ -450,7 +426,7 @@
      * @param known the ids of all endpoints
      */
     public void retain(final Collection<String> known) {
-        mNextPermits.keySet().retainAll(known);
+        mForecasts.retain(known);
         mOwned.retain(known);
     }
 }
