Name the reason of an attempt apart from its kind

AttemptKind was the name of two types: how an attempt obtains its answer (requests) and why it is sent (gateway). The latter is AttemptReason now.

--- a/gateway/src/main/java/org/whinhead/gateway/exchange/AttemptReason.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/AttemptReason.java
@@ -1,7 +1,7 @@
 package org.whinhead.gateway.exchange;
 
-/** Which attempt of its request is sent to an endpoint. */
-enum AttemptKind {
+/** Why an attempt is sent to an endpoint. */
+enum AttemptReason {
     /** The first one. */
     FIRST,
     /** Another one after an earlier one has failed or was given up. */
@@ -9,7 +9,7 @@
     /** A run that was moved from another endpoint goes on. */
     MOVED;
 
-    static AttemptKind of(final int sends, final boolean moved) {
+    static AttemptReason of(final int sends, final boolean moved) {
         if (moved) {
             return MOVED;
         }
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/AttemptSender.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/AttemptSender.java
@@ -49,7 +49,7 @@
         }
         mSentAt = mExchanges.state().clock().instant();
         mExchanges.logSentToLimited(
-                mAdmission, placement.endpoint(), AttemptKind.of(mSends, moved));
+                mAdmission, placement.endpoint(), AttemptReason.of(mSends, moved));
         stream.attemptSent(placement.endpoint(), moved);
     }
 
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/Exchanges.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/Exchanges.java
@@ -161,7 +161,7 @@
     void logSentToLimited(
             final AdmittedRequest admission,
             final EndpointEntry endpoint,
-            final AttemptKind attempt) {
+            final AttemptReason attempt) {
         final StatedLimits limits = mState.requestLimits();
         limits.statement(endpoint.id())
                 .filter(statement -> statement.limit().isPresent())
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/RequestLogger.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/RequestLogger.java
@@ -216,7 +216,7 @@
     void sentToLimited(
             final AdmittedRequest admission,
             final EndpointEntry endpoint,
-            final AttemptKind attempt,
+            final AttemptReason attempt,
             final LimitStatement statement,
             final Duration knownFor) {
         mCounts.recordSentToLimited(attempt.name());
