--- a/gateway/src/test/java/org/whinhead/gateway/crash/CrashDetectorTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/crash/CrashDetectorTest.java
@@ -115,4 +115,15 @@
         mFailed.accept(ConnectFailure.PATH);
         assertThat(mCrashed).isEmpty();
     }
+
+    // Guards against a crash that counts only against innocent requests: the endpoint's port is
+    // closed a moment after its connections, and the check of the request to blame came before.
+    @Test
+    void requestThatWasCheckedBeforeThePortWasClosedBelongsToTheCrash() {
+        lose("e-1", "to blame");
+        mAccepted.run();
+        lose("e-1", "innocent");
+        mFailed.accept(ConnectFailure.ENDPOINT);
+        assertThat(mCrashed).containsExactlyInAnyOrder("to blame", "innocent");
+    }
 }
