List a removal that is never read, with a test that is red

Read off the code and shown by the test: a daemon keeps, of each other one, the view that its own reads did not resolve. It skips all records up to the end that this one has read if the view is still that one, although its own view has changed since: a reader that was cut from the store reads the entry and its removal at once, and its view is the one from before both.

--- a/gateway/src/test/java/org/whinhead/gateway/peers/DigestReadCoordinatorTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/peers/DigestReadCoordinatorTest.java
@@ -138,6 +138,25 @@
         assertThat(mTopicsToRead).containsExactly(StoreTopic.ENDPOINTS);
     }
 
+    // Guards against new work for an endpoint that is gone: its removal is skipped, as the view of
+    // a reader that has read the entry and the removal at once is the one from before both.
+    @Test
+    void removalOfEntryThatReaderNeverShowedIsRead() {
+        final ServingState readers = state();
+        putEndpoint(readers, "e-1", 4);
+        final ServingState own = state();
+        final DigestReadCoordinator digests = nonReader(own);
+        digests.receive("a", reader(readers, 5).createDigest());
+        digests.recordEndpointsRead(6);
+        putEndpoint(own, "e-2", 6);
+        digests.recordEndpointsRead(7);
+        mTopicsToRead.clear();
+
+        digests.receive("a", reader(readers, 8).createDigest());
+        assertThat(mSkippedTo).isEmpty();
+        assertThat(mTopicsToRead).containsExactly(StoreTopic.ENDPOINTS);
+    }
+
     // Guards against an old configuration while no reader has the new one: any daemon's report
     // tells
     // of its version.
