--- a/gateway/src/main/java/org/whinhead/gateway/exchange/ConnectionSearch.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/ConnectionSearch.java
@@ -70,7 +70,7 @@
         mStream = stream;
         mIsSuspect = isSuspect;
         mListener = listener;
-        mGate = new PermitGate(exchanges);
+        mGate = new PermitGate(exchanges.state(), exchanges.loop());
     }
 
     /** Receives the outcome of a search. */
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/PermitGate.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/PermitGate.java
@@ -1,7 +1,9 @@
 package org.whinhead.gateway.exchange;
 
+import io.netty.channel.EventLoop;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.whinhead.serving.ratelimit.Permit;
@@ -16,17 +18,19 @@
      */
     private static final Duration MAX_DELAY = Duration.ofMillis(250);
 
-    private final Exchanges mExchanges;
+    private final ServingState mState;
+    private final EventLoop mLoop;
     private Permit mPermit = () -> {};
     private Optional<Instant> mDue = Optional.empty();
     private int mPassId;
 
-    PermitGate(final Exchanges exchanges) {
-        mExchanges = exchanges;
+    PermitGate(final ServingState state, final EventLoop loop) {
+        mState = Objects.requireNonNull(state, "state");
+        mLoop = Objects.requireNonNull(loop, "loop");
     }
 
     private Instant now() {
-        return mExchanges.state().clock().instant();
+        return mState.clock().instant();
     }
 
     /**
@@ -43,14 +47,12 @@
             final Runnable passed,
             final Runnable denied) {
         leave();
-        if (mExchanges.state().requestLimits().limit(endpoint).isEmpty()) {
+        if (mState.requestLimits().limit(endpoint).isEmpty()) {
             passed.run();
             return;
         }
         final int passId = mPassId;
-        mExchanges
-                .state()
-                .permits()
+        mState.permits()
                 .claim(
                         endpoint,
                         maxWait,
@@ -81,16 +83,14 @@
             passed.run();
             return;
         }
-        mExchanges
-                .loop()
-                .schedule(
-                        () -> {
-                            if (passId == mPassId) {
-                                passed.run();
-                            }
-                        },
-                        wait.toNanos(),
-                        TimeUnit.NANOSECONDS);
+        mLoop.schedule(
+                () -> {
+                    if (passId == mPassId) {
+                        passed.run();
+                    }
+                },
+                wait.toNanos(),
+                TimeUnit.NANOSECONDS);
     }
 
     /** Returns whether the permit of the attempt that has passed is void. */
