Derive the longest interval of checks, and tell limits without how they were found

MAX_CHECK_INTERVAL named the 200 ms of the reports a second time; it is twice that constant now. No change of behaviour.

--- a/serving/src/main/java/org/whinhead/serving/member/MemberTable.java
+++ b/serving/src/main/java/org/whinhead/serving/member/MemberTable.java
@@ -31,10 +31,10 @@
     static final Duration EXPIRY_TIME = Duration.ofSeconds(30);
 
     /**
-     * A longer time between two checks, which are due each 200 ms: this process stood still or had
-     * no processor. It has not read the reports of the others in that time.
+     * A longer time between two checks, one of which is due with each report: this process stood
+     * still or had no processor, and has not read the reports of the others in that time.
      */
-    private static final Duration MAX_CHECK_INTERVAL = Duration.ofMillis(400);
+    private static final Duration MAX_CHECK_INTERVAL = MIN_REPORT_INTERVAL.multipliedBy(2);
 
     /** The fewest daemons of a failure domain for which those of other domains are omitted. */
     private static final int MIN_DOMAIN_ADDRESSES = 2;
@@ -132,8 +132,8 @@
     }
 
     /**
-     * Updates the values that depend only on the number of daemons. Computing them on each use,
-     * many times a second for each daemon, took a twentieth of the CPU time at 85 daemons.
+     * Updates the values that depend only on the number of daemons. They are used many times a
+     * second for each daemon, so that computing them on each use would cost too much.
      */
     private void recordPeersChanged() {
         mAddressChanges++;
--- a/serving/src/main/java/org/whinhead/serving/ratelimit/OwnedLimits.java
+++ b/serving/src/main/java/org/whinhead/serving/ratelimit/OwnedLimits.java
@@ -16,7 +16,7 @@
     /** The time for which a repeated request gets the same response. */
     private static final Duration GRANT_MEMORY = Duration.ofSeconds(1);
 
-    /** Bounds the memory; some hundred requests a second arrive at a daemon. */
+    /** Bounds the memory; more than the requests that arrive within the time above. */
     private static final int MAX_GRANTS = 4_096;
 
     private final Map<String, RequestSchedule> mSchedules = new HashMap<>();
--- a/serving/src/main/java/org/whinhead/serving/ratelimit/RequestPermits.java
+++ b/serving/src/main/java/org/whinhead/serving/ratelimit/RequestPermits.java
@@ -25,7 +25,7 @@
  */
 public final class RequestPermits {
 
-    /** The time after which a request for a permit is repeated; a round trip takes 2 to 10 ms. */
+    /** The time after which a request for a permit is repeated; longer than a round trip. */
     static final Duration RESEND_INTERVAL = Duration.ofMillis(15);
 
     /** The requests for a permit after which its owner counts as unreachable. */
