--- a/gateway/src/main/java/org/whinhead/gateway/metrics/RequestMetrics.java
+++ b/gateway/src/main/java/org/whinhead/gateway/metrics/RequestMetrics.java
@@ -14,8 +14,8 @@
 /**
  * Counts requests, their outcomes and their durations; used on the event loop only.
  *
- * <p>The Prometheus registry is created at the first scrape: its setup takes a twentieth of a
- * start. A request finds its counters without building their tags.
+ * <p>The Prometheus registry is created at the first scrape, as its setup would delay the start. A
+ * request finds its counters without building their tags.
  */
 public final class RequestMetrics {
 
