--- a/gateway/src/main/java/org/whinhead/gateway/Gateway.java
+++ b/gateway/src/main/java/org/whinhead/gateway/Gateway.java
@@ -263,6 +263,7 @@
                         new UsageWindows(settings.usageWindow()))
                 .rollouts(settings.rollouts().isPresent())
                 .permits(self.peerAddress(), permits)
+                .pools(settings.pools())
                 .build();
     }
 
--- a/gateway/src/main/java/org/whinhead/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/whinhead/gateway/GatewaySettings.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import org.whinhead.serving.capacity.CapacitySettings;
 import org.whinhead.serving.member.Member;
+import org.whinhead.serving.pool.PoolPolicy;
 import org.whinhead.serving.quota.QuotaTolerance;
 import org.whinhead.serving.rollout.RolloutLimits;
 
@@ -28,6 +29,7 @@
     private final Duration mStopGrace;
     private final CapacitySettings mCapacity;
     private final Optional<RolloutLimits> mRollouts;
+    private final PoolPolicy mPools;
 
     private GatewaySettings(final Builder builder) {
         mSelf = Objects.requireNonNull(builder.mSelf, "self");
@@ -45,6 +47,7 @@
         mStopGrace = Objects.requireNonNull(builder.mStopGrace, "stopGrace");
         mCapacity = Objects.requireNonNull(builder.mCapacity, "capacity");
         mRollouts = builder.mRollouts;
+        mPools = Objects.requireNonNull(builder.mPools, "pools");
     }
 
     /**
@@ -126,6 +129,15 @@
         return mCapacity;
     }
 
+    /**
+     * Returns the decisions about shared endpoints that this deployment asks for.
+     *
+     * @return the policy, {@link PoolPolicy#OFF} unless set
+     */
+    public PoolPolicy pools() {
+        return mPools;
+    }
+
     /** Builds {@link GatewaySettings}. */
     public static final class Builder {
 
@@ -144,6 +156,7 @@
         private Duration mStopGrace;
         private CapacitySettings mCapacity;
         private Optional<RolloutLimits> mRollouts = Optional.empty();
+        private PoolPolicy mPools = PoolPolicy.OFF;
 
         private Builder() {}
 
@@ -270,6 +283,17 @@
             return this;
         }
 
+        /**
+         * Sets the decisions about endpoints that many daemons share.
+         *
+         * @param pools the policy
+         * @return this builder
+         */
+        public Builder pools(final PoolPolicy pools) {
+            mPools = pools;
+            return this;
+        }
+
         /**
          * Creates the settings.
          *
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/ServingState.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/ServingState.java
@@ -14,6 +14,7 @@
 import org.whinhead.serving.endpoint.ReclaimedEndpoints;
 import org.whinhead.serving.limit.BrittleEndpoints;
 import org.whinhead.serving.limit.ServiceRetryBudget;
+import org.whinhead.serving.pool.PoolPolicy;
 import org.whinhead.serving.quota.ClockReading;
 import org.whinhead.serving.quota.CustomerQuotas;
 import org.whinhead.serving.ratelimit.PermitTransport;
@@ -61,6 +62,7 @@
     private final Rollouts mRollouts;
     private final EndpointSelection mSelection;
     private final RequestPermits mPermits;
+    private final PoolPolicy mPools;
 
     private ServingState(final Builder builder) {
         mClock = Objects.requireNonNull(builder.mClock, "clock");
@@ -73,6 +75,7 @@
         mUsageWindows = Objects.requireNonNull(builder.mUsageWindows, "usageWindows");
         mRollouts = new Rollouts(builder.mRolloutsInForce);
         mSelection = new EndpointSelection(this);
+        mPools = Objects.requireNonNull(builder.mPools, "pools");
         mPermits =
                 new RequestPermits(
                         Objects.requireNonNull(builder.mPeerAddress, "peerAddress"),
@@ -272,6 +275,15 @@
         return mReach;
     }
 
+    /**
+     * Returns the decisions about shared endpoints that this deployment asks for.
+     *
+     * @return the policy
+     */
+    public PoolPolicy pools() {
+        return mPools;
+    }
+
     public EndpointChooser chooser() {
         return mChooser;
     }
@@ -305,6 +317,7 @@
         private boolean mRolloutsInForce;
         private InetSocketAddress mPeerAddress;
         private PermitTransport mPermitTransport;
+        private PoolPolicy mPools = PoolPolicy.OFF;
 
         private Builder() {}
 
@@ -382,6 +395,17 @@
             return this;
         }
 
+        /**
+         * Sets the decisions about endpoints that many daemons share.
+         *
+         * @param pools the policy
+         * @return this builder
+         */
+        public Builder pools(final PoolPolicy pools) {
+            mPools = pools;
+            return this;
+        }
+
         /**
          * Creates the state.
          *
