Count a crash against requests that were checked before it was found

An endpoint that crashes may accept a connection for some milliseconds longer. The request that was checked in that time did not count as a victim, so that the crash counted against innocent requests only, most often those of other daemons.

Requests that were answered since are not counted, and a suspected request explains the crash to the others also if its check came first.

--- a/gateway/src/main/java/org/whinhead/gateway/Gateway.java
+++ b/gateway/src/main/java/org/whinhead/gateway/Gateway.java
@@ -146,7 +146,7 @@
         mMembers = new MemberTable(settings.self());
         mAccess = new EndpointAccess(loop, settings, mState, mMembers, ports.endpoints(), mCounts);
         final EndpointConnections connections = mAccess.connections();
-        mCrashes = new CrashDetector(connections::probe, mCounts);
+        mCrashes = new CrashDetector(connections::probe, mCounts, clock);
         mExchanges =
                 new Exchanges(
                         loop,
@@ -197,6 +197,7 @@
     private void connectEvents() {
         mExchanges.setStreams(mPeers.streams());
         mCrashes.setNews(mPeers.crashNews());
+        mPeers.onPeerCrash(mCrashes::crashFoundByPeer);
         mAccess.shareConfiguration(mConfigurationWatch::copy);
         mRollouts.ifPresent(duty -> mConfigurationWatch.onEarlierOrder(duty::recordEarlierOrder));
         mRollouts.ifPresent(mPeers::onRolloutMessages);
@@ -339,6 +340,7 @@
         GuardedTask.run(LOG, "measure lag", mExchanges::measureLag);
         GuardedTask.run(LOG, "remove lapsed entries", mEndpointWatch::removeLapsedEntries);
         GuardedTask.run(LOG, "check reach", mAccess::tick);
+        GuardedTask.run(LOG, "release checked requests", mCrashes::releaseOutdated);
         GuardedTask.run(LOG, "catch up", mCatchUp::tick);
         GuardedTask.run(LOG, "log lag", () -> mConfigurationLag.tick(mState.clock().instant()));
         GuardedTask.run(LOG, "write table of shares", mShareTable::tick);
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/CrashRecorder.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/CrashRecorder.java
@@ -36,6 +36,7 @@
     private final Map<RequestFeature, Integer> mKnownLevels = new HashMap<>();
     private List<RequestFeature> mGuarded = List.of();
     private boolean mBegun;
+    private boolean mAnswered;
     private int mAttemptId;
 
     CrashRecorder(final Exchanges exchanges, final AdmittedRequest admission, final ByteBuf body) {
@@ -151,8 +152,6 @@
                                         new FeatureLevel(
                                                 feature, mKnownLevels.getOrDefault(feature, 0)))
                         .toList();
-        final Duration age = Duration.between(sentAt, now());
-        final boolean begun = mBegun;
         // Others wait until it is known what has become of this one.
         final List<RequestFeature> guarded = mGuarded;
         mGuarded = List.of();
@@ -160,21 +159,7 @@
         mExchanges
                 .crashes()
                 .connectionLost(
-                        endpoint,
-                        new CrashDetector.LostRequest() {
-                            @Override
-                            public EndpointCrash.LostRun crashed() {
-                                return recordCrash(run, endpoint, age, begun);
-                            }
-
-                            @Override
-                            public void checked(final boolean crashed) {
-                                if (!crashed) {
-                                    suspects().recordEnd(guarded, now());
-                                }
-                                result.set(crashed);
-                            }
-                        });
+                        endpoint, new LostAttemptRun(endpoint, run, guarded, sentAt, result));
     }
 
     private EndpointCrash.LostRun recordCrash(
@@ -193,6 +178,55 @@
         return new EndpointCrash.LostRun(blamed);
     }
 
+    /** An attempt whose endpoint is checked, and may be found to have crashed after the check. */
+    private final class LostAttemptRun implements CrashDetector.LostRequest {
+        private final EndpointEntry mEndpoint;
+        private final List<FeatureLevel> mRun;
+        private final List<RequestFeature> mRunGuard;
+        private final Instant mSentAt;
+        private final Duration mAge;
+        private final boolean mRunBegun;
+        private final CheckResult mResult;
+        private boolean mGuardEnded;
+
+        private LostAttemptRun(
+                final EndpointEntry endpoint,
+                final List<FeatureLevel> run,
+                final List<RequestFeature> guard,
+                final Instant sentAt,
+                final CheckResult result) {
+            mEndpoint = endpoint;
+            mRun = run;
+            mRunGuard = guard;
+            mSentAt = sentAt;
+            mAge = Duration.between(sentAt, now());
+            mRunBegun = mBegun;
+            mResult = result;
+        }
+
+        @Override
+        public EndpointCrash.LostRun crashed() {
+            if (mAnswered) {
+                // An answer takes off one crash, and this one was before it.
+                return new EndpointCrash.LostRun(List.of());
+            }
+            if (mGuardEnded) {
+                // Explains the crash to the innocent requests there, as it does if found at once.
+                suspects().recordPlaced(mRunGuard, mEndpoint.id(), mSentAt);
+            }
+            return recordCrash(mRun, mEndpoint, mAge, mRunBegun);
+        }
+
+        @Override
+        public void checked(final boolean crashed) {
+            if (!crashed) {
+                mGuardEnded = !mRunGuard.isEmpty() && suspects().isGuarded(mEndpoint.id(), now());
+                suspects().recordEnd(mRunGuard, now());
+            }
+            mResult.set(crashed);
+        }
+    }
+
     /** Returns the names and levels of the suspected features. */
     private Map<String, Integer> levels() {
         final Map<String, Integer> levels = new HashMap<>();
@@ -219,6 +253,7 @@
 
     /** Records that an endpoint has answered the request completely. */
     void answered() {
+        mAnswered = true;
         mFeatures.forEach(source -> mExchanges.state().usual().recordAnswer(source.hash(), now()));
         final List<FeatureLevel> answered = suspects().recordAnswer(suspected(), now());
         if (!answered.isEmpty()) {
--- a/gateway/src/main/java/org/whinhead/gateway/peers/CrashMessenger.java
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/CrashMessenger.java
@@ -32,6 +32,7 @@
     private final ServingState mState;
     private final Consumer<Datagram> mSendToAll;
     private final BiConsumer<InetSocketAddress, Datagram> mSend;
+    private Consumer<String> mOnPeerCrash = endpoint -> {};
 
     /**
      * Creates a messenger.
@@ -52,6 +53,15 @@
         mSend = Objects.requireNonNull(send, "send");
     }
 
+    /**
+     * Sets the handler of crashes that other daemons have found.
+     *
+     * @param onPeerCrash receives the endpoint's id
+     */
+    void onPeerCrash(final Consumer<String> onPeerCrash) {
+        mOnPeerCrash = Objects.requireNonNull(onPeerCrash, "onPeerCrash");
+    }
+
     private Instant now() {
         return mState.clock().instant();
     }
@@ -103,6 +113,7 @@
                                     mState.suspects()
                                             .applyPeerCrash(
                                                     run.features(), crash.endpoint(), now()));
+            mOnPeerCrash.accept(crash.endpoint());
         }
         if (datagram.hasFeatureAnswer()) {
             mState.suspects()
--- a/gateway/src/main/java/org/whinhead/gateway/peers/PeerDatagramChannel.java
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/PeerDatagramChannel.java
@@ -215,6 +215,15 @@
         return mCrashMessenger;
     }
 
+    /**
+     * Sets the handler of crashes that other daemons have found.
+     *
+     * @param onPeerCrash receives the endpoint's id
+     */
+    public void onPeerCrash(final Consumer<String> onPeerCrash) {
+        mCrashMessenger.onPeerCrash(onPeerCrash);
+    }
+
     /** Sends a report to the next part of the receivers; all get one within the report interval. */
     private void sendToNextReceivers() {
         final double share = (double) SEND_INTERVAL_MILLIS / mMembers.reportInterval().toMillis();
--- a/gateway/src/test/java/org/whinhead/gateway/peers/CrashMessengerTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/peers/CrashMessengerTest.java
@@ -11,6 +11,7 @@
 import org.whinhead.gateway.exchange.ServingState;
 import org.whinhead.gateway.exchange.TestServing;
 import org.whinhead.gateway.generated.GatewayProto.Datagram;
+import org.whinhead.serving.crash.EndpointCrash;
 import org.whinhead.serving.crash.FeatureAnswer;
 import org.whinhead.serving.crash.FeatureLevel;
 import org.whinhead.serving.crash.RequestFeature;
@@ -59,4 +60,17 @@
         pass(1_000);
         assertThat(mSent).hasSize(1);
     }
+
+    @Test
+    void crashFoundByAnotherDaemonIsPassedOn() {
+        final List<String> crashed = new ArrayList<>();
+        mMessenger.onPeerCrash(crashed::add);
+        mMessenger.endpointCrashed(
+                new EndpointCrash(
+                        "e-1",
+                        List.of(new EndpointCrash.LostRun(List.of(new FeatureLevel(FEATURE, 1))))));
+        mSent.forEach(mMessenger::receive);
+        assertThat(crashed).containsExactly("e-1");
+        assertThat(mState.suspects().level(FEATURE, NOW)).isEqualTo(1);
+    }
 }
