Learn the speed of each endpoint, and divide work by it

Cause: endpoints of one service differ in speed by a factor of 0.6 to 1.6, and the choice of an endpoint took all of them as equally fast. Change: EndpointSpeeds keeps, for each endpoint, the mean logarithm of the time of a step over the time that is typical for the service at that load. Steps are the time between tokens, the time to the first token with a lower weight, and calls of plain services. Reports carry each daemon's mean and weight, so that a lost report is made up for by the next one. EndpointChooser multiplies the part of the wait that an endpoint causes by its slowness, and learns the delays by running requests and slots. All of it only where PoolPolicy learns speeds.

--- a/gateway/src/main/java/org/whinhead/gateway/Gateway.java
+++ b/gateway/src/main/java/org/whinhead/gateway/Gateway.java
@@ -51,6 +51,7 @@
 import org.whinhead.serving.quota.CustomerQuotas;
 import org.whinhead.serving.quota.HeldShares;
 import org.whinhead.serving.rollout.RolloutLimits;
+import org.whinhead.serving.speed.EndpointSpeeds;
 import org.whinhead.serving.usage.UsageLedger;
 import org.whinhead.serving.usage.UsageWindows;
 
@@ -251,7 +252,13 @@
                         new ClockReading(clock.instant(), timeOfDay.instant()));
         return ServingState.builder()
                 .clocks(clock, timeOfDay)
-                .chooser(new EndpointChooser(self.domain(), new Random()))
+                .chooser(
+                        new EndpointChooser(
+                                self.domain(),
+                                new Random(),
+                                settings.pools().learnsSpeed()
+                                        ? Optional.of(new EndpointSpeeds())
+                                        : Optional.empty()))
                 .limits(
                         new CustomerQuotas(self.incarnation(), held, tokens, new Random()),
                         new ServiceRetryBudget(
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
@@ -150,6 +150,7 @@
     public void connected(final EndpointConnection connection) {
         mConnection = connection;
         mSender.attemptStarts(mPlacement, mStream);
+        mPlacement.recordSent(now());
         mTrial.attemptSent(mPlacement);
         mCrashes.attemptSent();
         mRelay.startAttempt();
@@ -238,13 +239,14 @@
     public void generationStarted() {
         mStream.eventReceived(mPlacement.endpoint());
         mCrashes.eventReceived();
-        mPlacement.recordFirstToken(now());
+        mPlacement.recordToken(now());
         mTrial.firstToken();
         mUsage.recordRun(mSender.sentAt());
     }
 
     @Override
     public void callerLagging() {
+        mPlacement.recordCallerDelay();
         if (mConnection != null) {
             mConnection.setReading(false);
         }
@@ -336,6 +338,7 @@
         mExchanges.state().brittle().recordServed(mPlacement.endpoint());
         mTrial.answered(head.isServerError());
         if (head.isSuccess()) {
+            mPlacement.recordCompleted(mAdmission.request().work().promptTokens() == 0, now());
             mCrashes.answered();
         }
         finish(head.isSuccess() ? "answered" : "answered with a failure", head.status().code());
@@ -535,6 +538,7 @@
     @Override
     public void callerCaughtUp() {
         if (mConnection != null) {
+            mPlacement.recordCallerDelay();
             mConnection.setReading(true);
         }
     }
--- a/gateway/src/main/java/org/whinhead/gateway/peers/PeerReportHandler.java
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/PeerReportHandler.java
@@ -2,7 +2,6 @@
 
 import java.net.InetSocketAddress;
 import java.time.Instant;
-import java.util.Map;
 import java.util.OptionalInt;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
@@ -12,7 +11,6 @@
 import org.whinhead.gateway.generated.GatewayProto.EndpointShare;
 import org.whinhead.gateway.generated.GatewayProto.PeerReport;
 import org.whinhead.gateway.generated.GatewayProto.UsageEntry;
-import org.whinhead.serving.balance.EndpointLoad;
 import org.whinhead.serving.member.Member;
 import org.whinhead.serving.member.MemberStatus;
 import org.whinhead.serving.member.MemberTable;
@@ -82,15 +80,8 @@
                 .heldShares()
                 .table()
                 .ifPresent(table -> report.setShareTableVersion(table.version()));
-        for (final Map.Entry<String, EndpointLoad> load : mState.chooser().loads().entrySet()) {
-            if (load.getValue().ownRunning() > 0) {
-                report.addShares(
-                        EndpointShare.newBuilder()
-                                .setEndpoint(load.getKey())
-                                .setRunning(load.getValue().ownRunning())
-                                .setPromptTokens(load.getValue().ownPromptTokens()));
-            }
-        }
+        EndpointShareCodec.createShares(mState.chooser(), mState.clock().instant())
+                .forEach(report::addShares);
         for (final UsageCount count : mState.usage().ownCounts()) {
             report.addUsage(
                     UsageEntry.newBuilder()
@@ -106,6 +97,21 @@
         return report.build();
     }
 
+    private void applySpeed(final String daemon, final EndpointShare share, final Instant now) {
+        if (share.getSpeedWeight() == 0 || mState.chooser().speeds().isEmpty()) {
+            return;
+        }
+        mState.endpoints()
+                .find(share.getEndpoint())
+                .map(endpoint -> EndpointShareCodec.decodeSpeed(share, endpoint.service()))
+                .ifPresent(
+                        speed ->
+                                mState.chooser()
+                                        .speeds()
+                                        .get()
+                                        .applyReport(daemon, speed, speed.age(), now));
+    }
+
     private static MemberStatus statusOf(final PeerReport report) {
         return new MemberStatus(
                 report.getReady(),
@@ -150,12 +156,15 @@
         mOnShareTableVersion.accept(report.getShareTableVersion());
         mState.chooser().forgetPeer(report.getName());
         for (final EndpointShare share : report.getSharesList()) {
-            mState.chooser()
-                    .updatePeerLoad(
-                            report.getName(),
-                            share.getEndpoint(),
-                            share.getRunning(),
-                            share.getPromptTokens());
+            if (share.getRunning() > 0) {
+                mState.chooser()
+                        .updatePeerLoad(
+                                report.getName(),
+                                share.getEndpoint(),
+                                share.getRunning(),
+                                share.getPromptTokens());
+            }
+            applySpeed(report.getName(), share, now);
         }
         mCrashMessenger.receive(report);
         mLimitMessenger.receive(report);
--- a/serving/src/main/java/org/whinhead/serving/balance/EndpointChooser.java
+++ b/serving/src/main/java/org/whinhead/serving/balance/EndpointChooser.java
@@ -11,6 +11,7 @@
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.whinhead.serving.endpoint.EndpointEntry;
+import org.whinhead.serving.speed.EndpointSpeeds;
 
 /**
  * Chooses the endpoint with the shortest expected wait.
@@ -60,16 +61,43 @@
     private final CandidateSampler mSampler;
     private final Map<String, EndpointLoad> mLoads = new HashMap<>();
     private final Map<String, PrefillRate> mPrefillRates = new HashMap<>();
+    private final Map<String, LearnedCosts> mCosts = new HashMap<>();
+    private final Optional<EndpointSpeeds> mSpeeds;
 
     /**
-     * Creates a chooser without any known load.
+     * Creates a chooser without any known load that takes all endpoints of a service as equally
+     * fast.
      *
      * @param ownDomain the failure domain of this daemon
      * @param random the source of random candidates
      */
     public EndpointChooser(final String ownDomain, final RandomGenerator random) {
+        this(ownDomain, random, Optional.empty());
+    }
+
+    /**
+     * Creates a chooser without any known load.
+     *
+     * @param ownDomain the failure domain of this daemon
+     * @param random the source of random candidates
+     * @param speeds the learnt speeds of the endpoints; empty if they count as equally fast
+     */
+    public EndpointChooser(
+            final String ownDomain,
+            final RandomGenerator random,
+            final Optional<EndpointSpeeds> speeds) {
         mOwnDomain = ownDomain;
         mSampler = new CandidateSampler(ownDomain, random);
+        mSpeeds = speeds;
+    }
+
+    /**
+     * Returns the learnt speeds of the endpoints.
+     *
+     * @return the speeds; empty if endpoints count as equally fast
+     */
+    public Optional<EndpointSpeeds> speeds() {
+        return mSpeeds;
     }
 
     /**
@@ -94,7 +122,7 @@
                 untried.stream()
                         .filter(candidate -> load(candidate.id()).isAvailable(now))
                         .toList();
-        final EndpointEntry best = findBest(available.isEmpty() ? untried : available, work);
+        final EndpointEntry best = findBest(available.isEmpty() ? untried : available, work, now);
         if (best == null) {
             return Optional.empty();
         }
@@ -106,6 +134,7 @@
                         load.cachedTokens(work),
                         source.map(endpoint -> load(endpoint.id()).cachedTokens(work)).orElse(0));
         final int prefillTokens = Math.max(work.promptTokens() - cached, 0);
+        final long tokensAhead = load.promptTokens();
         load.recordStart(work, prefillTokens);
         final Duration prefillTime =
                 Duration.ofMillis(
@@ -119,7 +148,35 @@
                         prefillTokens,
                         source,
                         prefillTime,
-                        prefillSampler(best.service(), work, now)));
+                        prefillSampler(best, work, now),
+                        stepTimer(best, tokensAhead + prefillTokens, now)));
+    }
+
+    private Optional<StepTimer> stepTimer(
+            final EndpointEntry endpoint, final long tokens, final Instant now) {
+        if (mSpeeds.isEmpty()) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                new StepTimer(
+                        mSpeeds.get(),
+                        costs(endpoint.service()),
+                        endpoint,
+                        load(endpoint.id()),
+                        tokens / prefillRate(endpoint.service()).tokensPerMillisecond(),
+                        now));
+    }
+
+    private LearnedCosts costs(final String service) {
+        return mCosts.computeIfAbsent(
+                service, name -> new LearnedCosts(RUNNING_REQUEST_MILLIS, SLOT_MILLIS));
+    }
+
+    /** Returns the time of an endpoint relative to a typical one; 1 if speeds are not learnt. */
+    private double slowness(final EndpointEntry endpoint, final Instant now) {
+        return mSpeeds.isEmpty()
+                ? 1
+                : mSpeeds.get().slowness(endpoint.service(), endpoint.id(), now);
     }
 
     /**
@@ -164,10 +221,20 @@
     }
 
     private Consumer<Instant> prefillSampler(
-            final String service, final Work work, final Instant sentAt) {
+            final EndpointEntry endpoint, final Work work, final Instant sentAt) {
         final int unshared = work.promptTokens() - work.sharedTokens();
         return firstTokenAt ->
-                prefillRate(service).addSample(unshared, Duration.between(sentAt, firstTokenAt));
+                prefillRate(endpoint.service())
+                        .addSample(unshared, atTypical(endpoint, sentAt, firstTokenAt));
+    }
+
+    /** Returns a time at an endpoint as it would be at a typical one. */
+    private Duration atTypical(
+            final EndpointEntry endpoint, final Instant from, final Instant until) {
+        final Duration taken = Duration.between(from, until);
+        return mSpeeds.isEmpty()
+                ? taken
+                : Duration.ofNanos((long) (taken.toNanos() / slowness(endpoint, until)));
     }
 
     /**
@@ -180,18 +247,19 @@
         return mPrefillRates.computeIfAbsent(service, name -> new PrefillRate());
     }
 
-    private EndpointEntry findBest(final List<EndpointEntry> candidates, final Work work) {
+    private EndpointEntry findBest(
+            final List<EndpointEntry> candidates, final Work work, final Instant now) {
         final VersionCounts versions = VersionCounts.of(candidates);
         final List<EndpointEntry> replaceable =
                 candidates.stream().filter(endpoint -> !versions.isOnlyOne(endpoint)).toList();
         if (replaceable.isEmpty() || work.promptTokens() == 0) {
-            return findShortestWait(candidates, work).endpoint();
+            return findShortestWait(candidates, work, now).endpoint();
         }
-        Choice best = findShortestWait(replaceable, work);
+        Choice best = findShortestWait(replaceable, work, now);
         for (final EndpointEntry endpoint : candidates) {
             if (versions.isOnlyOne(endpoint)) {
                 final double wait =
-                        expectedWait(endpoint, work, false) + ONLY_ONE_OF_VERSION_MILLIS;
+                        expectedWait(endpoint, work, false, now) + ONLY_ONE_OF_VERSION_MILLIS;
                 best = wait < best.waitMillis() ? new Choice(endpoint, wait) : best;
             }
         }
@@ -200,7 +268,8 @@
 
     private record Choice(EndpointEntry endpoint, double waitMillis) {}
 
-    private Choice findShortestWait(final List<EndpointEntry> candidates, final Work work) {
+    private Choice findShortestWait(
+            final List<EndpointEntry> candidates, final Work work, final Instant now) {
         final boolean hasHome = work.sharedTokens() >= MIN_SHARED_TOKENS;
         final List<EndpointEntry> sample =
                 hasHome
@@ -210,7 +279,7 @@
         double least = Double.MAX_VALUE;
         for (final EndpointEntry candidate : sample) {
             final boolean isHome = hasHome && candidate == sample.get(0);
-            final double wait = expectedWait(candidate, work, isHome);
+            final double wait = expectedWait(candidate, work, isHome, now);
             if (wait < least) {
                 least = wait;
                 best = candidate;
@@ -220,24 +289,47 @@
     }
 
     private double expectedWait(
-            final EndpointEntry endpoint, final Work work, final boolean isHome) {
+            final EndpointEntry endpoint,
+            final Work work,
+            final boolean isHome,
+            final Instant now) {
         final EndpointLoad load = load(endpoint.id());
         double wait = load.failureShare() * load.failureShare() * FAILURE_MILLIS;
         if (!endpoint.domain().equals(mOwnDomain)) {
             wait += OTHER_DOMAIN_MILLIS;
         }
         wait += Math.min(endpoint.coldFor().toMillis(), 200);
+        // The rest is what the endpoint itself causes.
+        final double slowness = slowness(endpoint, now);
         if (work.promptTokens() == 0) {
-            return wait + SLOT_MILLIS * load.running() / Math.max(endpoint.slots(), 1);
+            return wait + slowness * slotWait(endpoint, load);
         }
         double cached = load.cachedTokens(work);
         if (isHome) {
             cached = Math.max(cached, HOME_CACHED_SHARE * work.sharedTokens());
         }
         wait +=
-                (load.promptTokens() + work.promptTokens() - cached)
-                        / prefillRate(endpoint.service()).tokensPerMillisecond();
-        return wait + RUNNING_REQUEST_MILLIS * load.running();
+                slowness
+                        * ((load.promptTokens() + work.promptTokens() - cached)
+                                / prefillRate(endpoint.service()).tokensPerMillisecond());
+        return wait + slowness * runningWait(endpoint, load);
+    }
+
+    private double runningWait(final EndpointEntry endpoint, final EndpointLoad load) {
+        return mSpeeds.isEmpty()
+                ? RUNNING_REQUEST_MILLIS * load.running()
+                : costs(endpoint.service()).loadMillis(load.running(), endpoint.slots());
+    }
+
+    /**
+     * Returns the wait by the requests at a plain endpoint. With learnt speeds, the request itself
+     * counts: otherwise all idle endpoints would be equally good.
+     */
+    private double slotWait(final EndpointEntry endpoint, final EndpointLoad load) {
+        final int slots = Math.max(endpoint.slots(), 1);
+        return mSpeeds.isEmpty()
+                ? SLOT_MILLIS * load.running() / slots
+                : costs(endpoint.service()).callMillis() * (load.running() + 1) / slots;
     }
 
     /**
@@ -292,6 +384,7 @@
      */
     public void forgetEndpoint(final String endpoint) {
         mLoads.remove(endpoint);
+        mSpeeds.ifPresent(speeds -> speeds.forget(endpoint));
     }
 
     /**
@@ -305,6 +398,7 @@
                         entry ->
                                 !known.contains(entry.getKey())
                                         && entry.getValue().ownRunning() == 0);
+        mSpeeds.ifPresent(speeds -> speeds.retain(known));
     }
 
     /**
--- a/serving/src/main/java/org/whinhead/serving/balance/Placement.java
+++ b/serving/src/main/java/org/whinhead/serving/balance/Placement.java
@@ -15,6 +15,7 @@
     private final Optional<EndpointEntry> mPromptSource;
     private final Duration mExpectedPrefill;
     private final Consumer<Instant> mOnFirstToken;
+    private final Optional<StepTimer> mTimer;
     private boolean mPrefillSkipped;
     private boolean mPrefilled;
     private boolean mReleased;
@@ -25,13 +26,15 @@
             final int prefillTokens,
             final Optional<EndpointEntry> promptSource,
             final Duration expectedPrefill,
-            final Consumer<Instant> onFirstToken) {
+            final Consumer<Instant> onFirstToken,
+            final Optional<StepTimer> timer) {
         mEndpoint = endpoint;
         mLoad = load;
         mPrefillTokens = prefillTokens;
         mPromptSource = promptSource;
         mExpectedPrefill = expectedPrefill;
         mOnFirstToken = onFirstToken;
+        mTimer = timer;
     }
 
     public EndpointEntry endpoint() {
@@ -66,15 +69,45 @@
     }
 
     /**
-     * Records the first token: the prompt no longer delays other requests.
+     * Records that the request is sent to the endpoint.
      *
      * @param now the current time
      */
-    public void recordFirstToken(final Instant now) {
+    public void recordSent(final Instant now) {
+        mTimer.ifPresent(timer -> timer.sent(now));
+    }
+
+    /**
+     * Records a token; with the first one, the prompt no longer delays other requests.
+     *
+     * @param now the current time
+     */
+    public void recordToken(final Instant now) {
         if (!mPrefilled && !mReleased && !mPrefillSkipped) {
             mOnFirstToken.accept(now);
+            mTimer.ifPresent(timer -> timer.firstToken(now));
         }
         finishPrefill();
+        if (!mReleased) {
+            mTimer.ifPresent(timer -> timer.token(now));
+        }
+    }
+
+    /** Records that the caller delays the tokens: their times don't show the endpoint's speed. */
+    public void recordCallerDelay() {
+        mTimer.ifPresent(StepTimer::interrupt);
+    }
+
+    /**
+     * Records a complete response without a failure.
+     *
+     * @param plain whether it is the response of a plain service
+     * @param now the current time
+     */
+    public void recordCompleted(final boolean plain, final Instant now) {
+        if (!mReleased) {
+            mTimer.ifPresent(timer -> timer.completed(plain, now));
+        }
     }
 
     private void finishPrefill() {
