Share an endpoint's connections between the daemons, and reuse idle ones more

An endpoint accepts a number of connections from all daemons together and resets those beyond it, but the configured number was not used anywhere; and half of the requests opened a new connection.

Each daemon now keeps to an even part of the number (ConnectionLimits), open and being opened. At its part it uses an idle connection, another endpoint, or refuses the request as not run. Idle connections beyond a part that shrinks are closed. The chooser adds the 2 ms of a new connection to the expected wait, and a sample without an idle connection gets one candidate that has one. An endpoint that resets the connection of the crash check but keeps earlier ones has not crashed. All of it only where the pool policy limits connections.

--- a/gateway/src/main/java/org/whinhead/gateway/EndpointAccess.java
+++ b/gateway/src/main/java/org/whinhead/gateway/EndpointAccess.java
@@ -52,6 +52,10 @@
                         new RelaySelector(members, new Random()),
                         new ConnectionLogger(counts));
         mConnections = new EndpointConnections(state.clock(), protocol, connector, state.reach());
+        if (state.pools().limitsConnections()) {
+            mConnections.limitTo(state::connectionPart);
+            state.chooser().preferIdle(mConnections::hasIdle);
+        }
         mClients = new EndpointHttpClients(loop, connector);
         mMonitor =
                 new ReachMonitor(
@@ -65,6 +69,8 @@
                 new RelayServer(loop, localAddress, state.endpoints()::find, members::hasAddress);
         mBrittle = new BrittleServicesLogger(state.brittle());
         counts.addGauge("whinhead.services.brittle", mBrittle::serviceCount);
+        counts.addGauges(
+                "whinhead.endpoint.connections.open", "service", mConnections::openByService);
         counts.addGauge("whinhead.endpoints.limited", state.requestLimits()::limitedCount);
         counts.addGauge("whinhead.permits.granted", state.permits()::grantedCount);
         counts.addGauge("whinhead.permits.denied", state.permits()::deniedCount);
@@ -108,6 +114,7 @@
         final Instant now = mState.clock().instant();
         mMonitor.tick(now);
         mBrittle.tick(now);
+        mConnections.closeBeyondLimit();
     }
 
     /**
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnection.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnection.java
@@ -79,6 +79,10 @@
         return mPath;
     }
 
+    Instant openedAt() {
+        return mOpenedAt;
+    }
+
     Channel channel() {
         return mChannel;
     }
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnections.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnections.java
@@ -14,9 +14,11 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.ToIntFunction;
 import org.whinhead.serving.endpoint.EndpointEntry;
 import org.whinhead.serving.reach.AccessPath;
 import org.whinhead.serving.reach.EndpointReach;
@@ -36,12 +38,17 @@
      */
     private static final int PROBE_MILLIS = 25;
 
+    /** An endpoint that is up refuses or resets a connection within less; a silent one does not. */
+    private static final Duration QUICK_FAILURE = Duration.ofMillis(100);
+
     private final InstantSource mClock;
     private final EndpointProtocol mProtocol;
     private final EndpointConnector mConnector;
     private final EndpointReach mReach;
     private final Map<String, Pool> mPools = new HashMap<>();
     private final Map<String, Instant> mReceivedAt = new HashMap<>();
+    private ToIntFunction<String> mPartOfService = service -> Integer.MAX_VALUE;
+    private boolean mLimited;
 
     /**
      * Creates pools without connections.
@@ -62,6 +69,75 @@
         mReach = reach;
     }
 
+    /**
+     * Limits the connections to each endpoint.
+     *
+     * @param partOfService returns the connections that this daemon may hold to one endpoint of a
+     *     service
+     */
+    public void limitTo(final ToIntFunction<String> partOfService) {
+        mPartOfService = partOfService;
+        mLimited = true;
+    }
+
+    /**
+     * Returns the endpoints to which a connection can be had.
+     *
+     * @param service the service of the endpoints
+     * @param endpoints the endpoints
+     * @return those with a usable idle connection, or to which another one may be opened
+     */
+    public List<EndpointEntry> withinLimit(
+            final String service, final List<EndpointEntry> endpoints) {
+        if (!mLimited) {
+            return endpoints;
+        }
+        final int part = mPartOfService.applyAsInt(service);
+        final Instant now = mClock.instant();
+        return endpoints.stream()
+                .filter(
+                        endpoint -> {
+                            final Pool pool = mPools.get(endpoint.id());
+                            return pool == null
+                                    || pool.held() < part
+                                    || pool.hasIdle(now)
+                                    || pool.held() - pool.mIdle.size() < part;
+                        })
+                .toList();
+    }
+
+    /**
+     * Returns whether there is a usable idle connection to an endpoint.
+     *
+     * @param endpoint the endpoint's id
+     * @return true if a request needs no new connection
+     */
+    public boolean hasIdle(final String endpoint) {
+        final Pool pool = mPools.get(endpoint);
+        return pool != null && pool.hasIdle(mClock.instant());
+    }
+
+    /**
+     * Returns the connections, open and being opened, to the endpoints of each service.
+     *
+     * @return the numbers by the service's name
+     */
+    public Map<String, Integer> openByService() {
+        final Map<String, Integer> open = new HashMap<>();
+        mPools.values().forEach(pool -> open.merge(pool.mService, pool.held(), Integer::sum));
+        return open;
+    }
+
+    /**
+     * Closes idle connections beyond this daemon's part, which shrinks as daemons are added; to be
+     * called several times a second.
+     */
+    public void closeBeyondLimit() {
+        if (mLimited) {
+            mPools.values().forEach(Pool::closeBeyondLimit);
+        }
+    }
+
     /**
      * Acquires a connection to an endpoint: an idle one if possible, else a new one.
      *
@@ -74,11 +150,14 @@
             final Consumer<EndpointConnection> opened,
             final Consumer<ConnectFailure> failed) {
         final AccessPath path = mReach.pathTo(endpoint.id(), endpoint.service());
-        final EndpointConnection idle = pool(endpoint).acquireIdle(path, mClock.instant());
-        if (idle == null) {
+        final Pool pool = pool(endpoint);
+        final EndpointConnection idle = pool.acquireIdle(path, mClock.instant());
+        if (idle != null) {
+            opened.accept(idle);
+        } else if (pool.held() < mPartOfService.applyAsInt(endpoint.service())) {
             connect(endpoint, opened, failed);
         } else {
-            opened.accept(idle);
+            failed.accept(ConnectFailure.LIMIT);
         }
     }
 
@@ -89,7 +168,8 @@
 
     /**
      * Finds out whether an endpoint accepts another connection and keeps it open for a moment. The
-     * connection is kept for a later request.
+     * connection is kept for a later request. It may be one beyond this daemon's part: a crash
+     * would not be found otherwise.
      *
      * @param endpoint the endpoint
      * @param accepted runs if it does
@@ -99,26 +179,57 @@
             final EndpointEntry endpoint,
             final Runnable accepted,
             final Consumer<ConnectFailure> failed) {
+        final Instant startedAt = mClock.instant();
         connect(
                 endpoint,
                 connection ->
-                        connection
-                                .channel()
-                                .eventLoop()
-                                .schedule(
-                                        () -> settled(connection, accepted, failed),
-                                        PROBE_MILLIS,
-                                        TimeUnit.MILLISECONDS),
-                failed);
+                        afterProbe(
+                                connection, () -> settled(connection, startedAt, accepted, failed)),
+                failure -> probeFailed(endpoint, startedAt, accepted, failed, failure));
+    }
+
+    private static void afterProbe(final EndpointConnection connection, final Runnable task) {
+        connection.channel().eventLoop().schedule(task, PROBE_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Ends a probe that was not accepted. An endpoint resets connections beyond its limit, some of
+     * them before they are established; one that crashes ends its other connections as well.
+     */
+    private void probeFailed(
+            final EndpointEntry endpoint,
+            final Instant startedAt,
+            final Runnable accepted,
+            final Consumer<ConnectFailure> failed,
+            final ConnectFailure failure) {
+        final Pool pool = pool(endpoint);
+        final Duration taken = Duration.between(startedAt, mClock.instant());
+        final Optional<EndpointConnection> other = pool.openedBefore(startedAt);
+        if (mLimited && taken.compareTo(QUICK_FAILURE) < 0 && other.isPresent()) {
+            afterProbe(
+                    other.get(),
+                    () -> {
+                        if (pool.openedBefore(startedAt).isPresent()) {
+                            accepted.run();
+                        } else {
+                            failed.accept(failure);
+                        }
+                    });
+        } else {
+            failed.accept(failure);
+        }
     }
 
-    private static void settled(
+    private void settled(
             final EndpointConnection connection,
+            final Instant startedAt,
             final Runnable accepted,
             final Consumer<ConnectFailure> failed) {
         if (connection.isUsable()) {
             connection.release();
             accepted.run();
+        } else if (mLimited && connection.pool().openedBefore(startedAt).isPresent()) {
+            accepted.run();
         } else {
             failed.accept(ConnectFailure.ENDPOINT);
         }
@@ -128,12 +239,15 @@
             final EndpointEntry endpoint,
             final Consumer<EndpointConnection> opened,
             final Consumer<ConnectFailure> failed) {
+        final Pool pool = pool(endpoint);
+        pool.mConnecting++;
         mConnector.connect(
                 endpoint,
                 () -> new PipelineInitializer(pool(endpoint)),
                 new ConnectListener() {
                     @Override
                     public void connected(final Channel channel, final AccessPath path) {
+                        pool.mConnecting--;
                         final EndpointConnection connection =
                                 channel.pipeline().get(EndpointConnection.class);
                         connection.opened(path);
@@ -142,6 +256,7 @@
 
                     @Override
                     public void failed(final ConnectFailure failure) {
+                        pool.mConnecting--;
                         failed.accept(failure);
                     }
                 });
@@ -224,6 +339,7 @@
         private final Deque<IdleConnection> mIdle = new ArrayDeque<>();
         private final Set<EndpointConnection> mOpen = new HashSet<>();
         private Instant mPoolReceivedAt = Instant.EPOCH;
+        private int mConnecting;
 
         Pool(final String endpoint, final String service) {
             mEndpoint = endpoint;
@@ -239,12 +355,47 @@
                         && now.isBefore(idle.mUsableUntil)) {
                     return idle.mConnection;
                 }
-                idle.mConnection.cancel();
+                close(idle.mConnection);
                 idle = mIdle.pollFirst();
             }
             return null;
         }
 
+        /** Closes an idle connection, which no longer counts at once. */
+        private void close(final EndpointConnection connection) {
+            mOpen.remove(connection);
+            connection.cancel();
+        }
+
+        /** Returns the connections of this daemon, open and being opened. */
+        private int held() {
+            return mOpen.size() + mConnecting;
+        }
+
+        /** Returns whether the connection that is used next is usable. */
+        private boolean hasIdle(final Instant now) {
+            final IdleConnection next = mIdle.peekFirst();
+            return next != null
+                    && next.mConnection.isUsable()
+                    && now.isBefore(next.mUsableUntil)
+                    && next.mConnection.path() == mReach.pathTo(mEndpoint, mService);
+        }
+
+        /** Returns a connection that was opened before a time and is still open. */
+        private Optional<EndpointConnection> openedBefore(final Instant time) {
+            return mOpen.stream()
+                    .filter(EndpointConnection::isUsable)
+                    .filter(connection -> connection.openedAt().isBefore(time))
+                    .findAny();
+        }
+
+        private void closeBeyondLimit() {
+            final int part = mPartOfService.applyAsInt(mService);
+            while (held() > part && !mIdle.isEmpty()) {
+                close(mIdle.pollLast().mConnection);
+            }
+        }
+
         void add(final EndpointConnection connection) {
             mOpen.add(connection);
         }
@@ -253,6 +404,10 @@
             if (!connection.isUsable()) {
                 return;
             }
+            if (held() > mPartOfService.applyAsInt(mService)) {
+                close(connection);
+                return;
+            }
             final Duration usableFor = connection.idleTimeout().minus(IDLE_MARGIN);
             mIdle.addFirst(new IdleConnection(connection, mClock.instant().plus(usableFor)));
         }
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/ConnectionSearch.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/ConnectionSearch.java
@@ -95,8 +95,21 @@
 
     /** Searches for an untried endpoint. */
     void start() {
+        final List<EndpointEntry> listed = untried(candidates());
+        final List<EndpointEntry> reachable =
+                mExchanges.state().pools().limitsConnections()
+                        ? mExchanges.connections().withinLimit(mService, listed)
+                        : listed;
+        if (reachable.isEmpty() && !listed.isEmpty()) {
+            mExchanges.requestLogger().withoutConnection(mAdmission, mService, listed.size());
+            mListener.notConnected(RefusalFactory.NO_CONNECTION);
+        } else {
+            choose(reachable);
+        }
+    }
+
+    private void choose(final List<EndpointEntry> untried) {
         final ServingState state = mExchanges.state();
-        final List<EndpointEntry> untried = untried(candidates());
         final List<EndpointEntry> withoutLimit = state.selection().withoutLimit(untried);
         final Duration maxWait = withoutLimit.isEmpty() ? maxPermitWait() : Duration.ZERO;
         final List<EndpointEntry> usable =
@@ -256,6 +269,13 @@
         if (searchId != mSearchId) {
             return;
         }
+        if (failure == ConnectFailure.LIMIT) {
+            mPlacement.release();
+            mGate.leave();
+            mTriedEndpoints.remove(mPlacement.endpoint().id());
+            start();
+            return;
+        }
         if (failure == ConnectFailure.ENDPOINT) {
             mPlacement.load().recordUnreachable(now());
         }
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/RefusalFactory.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/RefusalFactory.java
@@ -20,6 +20,9 @@
     /** The reason why requests are refused whose endpoints all take no more now. */
     static final String AT_REQUEST_LIMIT = "endpoints at their limits of requests per second";
 
+    /** The reason why requests are refused if this daemon may open no connection. */
+    static final String NO_CONNECTION = "all endpoints at this daemon's part of their connections";
+
     private static final double MILLIS_PER_SECOND = 1_000;
 
     /** The longest time between two permits that a refusal tells. */
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/RequestLogger.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/RequestLogger.java
@@ -229,6 +229,17 @@
                 .log("request sent to endpoint with request limit");
     }
 
+    /** Logs that no connection may be opened for a request. */
+    void withoutConnection(
+            final AdmittedRequest admission, final String service, final int endpoints) {
+        mCounts.recordWithoutConnection(service);
+        LOG.atInfo()
+                .addKeyValue("request", admission.request().id())
+                .addKeyValue("service", service)
+                .addKeyValue("endpoints", endpoints)
+                .log("no connection left for request");
+    }
+
     void retryDenied(final String service) {
         mCounts.recordRetryDenied(service);
     }
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/ServingState.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/ServingState.java
@@ -8,6 +8,7 @@
 import org.whinhead.serving.configuration.ConfigurationProgress;
 import org.whinhead.serving.configuration.ServiceSpec;
 import org.whinhead.serving.configuration.ServingConfiguration;
+import org.whinhead.serving.connection.ConnectionLimits;
 import org.whinhead.serving.crash.CrashSuspects;
 import org.whinhead.serving.crash.UsualRequests;
 import org.whinhead.serving.endpoint.EndpointRegistry;
@@ -49,6 +50,7 @@
     private final EndpointReach mReach = new EndpointReach();
     private final BrittleEndpoints mBrittle = new BrittleEndpoints();
     private final StatedLimits mRequestLimits = new StatedLimits();
+    private final ConnectionLimits mConnectionLimits = new ConnectionLimits();
     private final CrashSuspects mSuspects = new CrashSuspects();
     private final UsualRequests mUsual = new UsualRequests();
     private final KnownStreams mStreams = new KnownStreams();
@@ -172,6 +174,29 @@
                 .orElse("/");
     }
 
+    /**
+     * Returns the division of the connections to endpoints between the daemons.
+     *
+     * @return the limits
+     */
+    public ConnectionLimits connectionLimits() {
+        return mConnectionLimits;
+    }
+
+    /**
+     * Returns the connections that this daemon may hold to one endpoint of a service.
+     *
+     * @param service the service
+     * @return this daemon's part; not limited if the service is not configured
+     */
+    public int connectionPart(final String service) {
+        return mConfiguration
+                .current()
+                .flatMap(current -> current.service(service))
+                .map(mConnectionLimits::part)
+                .orElse(Integer.MAX_VALUE);
+    }
+
     public EndpointRegistry endpoints() {
         return mEndpoints;
     }
--- a/gateway/src/main/java/org/whinhead/gateway/metrics/RequestMetrics.java
+++ b/gateway/src/main/java/org/whinhead/gateway/metrics/RequestMetrics.java
@@ -1,12 +1,17 @@
 package org.whinhead.gateway.metrics;
 
+import io.micrometer.core.instrument.MultiGauge;
+import io.micrometer.core.instrument.Tags;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.DoubleSupplier;
+import java.util.function.Supplier;
 import org.whinhead.api.verdict.Verdict;
 import org.whinhead.gateway.metrics.CounterKey.Metric;
 import org.whinhead.serving.route.RouteKind;
@@ -28,6 +33,7 @@
 
     private final Map<CounterKey, Counter> mCounters = new HashMap<>();
     private final Map<String, DoubleSupplier> mGauges = new LinkedHashMap<>();
+    private final List<TaggedGauge> mTaggedGauges = new ArrayList<>();
     private PrometheusMeterRegistry mRegistry;
 
     /**
@@ -87,6 +93,15 @@
         counter(Metric.REJECTED, service, "").add(1);
     }
 
+    /**
+     * Counts a request for which no connection to any endpoint may be opened.
+     *
+     * @param service the requested service
+     */
+    public void recordWithoutConnection(final String service) {
+        counter(Metric.WITHOUT_CONNECTION, service, "").add(1);
+    }
+
     /**
      * Counts a request that was sent to an endpoint that names a limit of requests per second.
      *
@@ -173,6 +188,7 @@
             mCounters.forEach(this::register);
             mGauges.forEach(this::registerGauge);
         }
+        mTaggedGauges.forEach(this::refresh);
         return mRegistry.scrape();
     }
 
@@ -186,6 +202,33 @@
         mGauges.put(name, value);
     }
 
+    /**
+     * Adds values that are read at each scrape, one for each value of a tag.
+     *
+     * @param name the metric's name
+     * @param tag the tag's name
+     * @param values returns the current values by the tag's value
+     */
+    public void addGauges(
+            final String name,
+            final String tag,
+            final Supplier<? extends Map<String, ? extends Number>> values) {
+        mTaggedGauges.add(new TaggedGauge(name, tag, values));
+    }
+
+    private void refresh(final TaggedGauge gauge) {
+        final List<MultiGauge.Row<?>> rows = new ArrayList<>();
+        gauge.mValues
+                .get()
+                .forEach(
+                        (value, number) ->
+                                rows.add(MultiGauge.Row.of(Tags.of(gauge.mTag, value), number)));
+        if (gauge.mRegistered == null) {
+            gauge.mRegistered = MultiGauge.builder(gauge.mName).register(mRegistry);
+        }
+        gauge.mRegistered.register(rows, true);
+    }
+
     private void registerGauge(final String name, final DoubleSupplier value) {
         mRegistry.gauge(name, value, DoubleSupplier::getAsDouble);
     }
@@ -209,6 +252,22 @@
         mRegistry.more().counter(key.metric().metricName(), key.tags(), counter, Counter::total);
     }
 
+    private static final class TaggedGauge {
+        private final String mName;
+        private final String mTag;
+        private final Supplier<? extends Map<String, ? extends Number>> mValues;
+        private MultiGauge mRegistered;
+
+        private TaggedGauge(
+                final String name,
+                final String tag,
+                final Supplier<? extends Map<String, ? extends Number>> values) {
+            mName = name;
+            mTag = tag;
+            mValues = values;
+        }
+    }
+
     private static final class Counter {
         private long mTotal;
 
--- a/gateway/src/main/java/org/whinhead/gateway/peers/PeerDatagramChannel.java
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/PeerDatagramChannel.java
@@ -168,6 +168,7 @@
         mState.brittle()
                 .setDaemons(
                         Math.max(mMembers.knownCount(), expectedDaemons()), mMembers.knownRank());
+        mState.connectionLimits().setDaemons(Math.max(mMembers.knownCount(), expectedDaemons()));
         mState.permits()
                 .setDaemons(
                         mMembers.heardPeers(false, now).stream().map(Member::peerAddress).toList(),
--- a/gateway/src/test/java/org/whinhead/gateway/metrics/RequestMetricsTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/metrics/RequestMetricsTest.java
@@ -3,6 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Test;
 import org.whinhead.api.verdict.Verdict;
@@ -41,6 +43,21 @@
         assertThat(mMetrics.renderPage()).contains("whinhead_configuration_version 9.0");
     }
 
+    // Guards against services that are shown with their last number after their endpoints are gone.
+    @Test
+    void gaugesWithTagAreReadAtEachScrape() {
+        final Map<String, Integer> open = new HashMap<>(Map.of("api", 2, "pool", 3));
+        mMetrics.addGauges("whinhead.endpoint.connections.open", "service", () -> open);
+        assertThat(mMetrics.renderPage())
+                .contains("whinhead_endpoint_connections_open{service=\"api\"} 2.0")
+                .contains("whinhead_endpoint_connections_open{service=\"pool\"} 3.0");
+        open.put("api", 5);
+        open.remove("pool");
+        assertThat(mMetrics.renderPage())
+                .contains("whinhead_endpoint_connections_open{service=\"api\"} 5.0")
+                .doesNotContain("pool");
+    }
+
     @Test
     void tokensAreSummedByCustomer() {
         mMetrics.recordAdmitted("clinic", 4_000);
--- a/serving/src/main/java/org/whinhead/serving/balance/CandidateSampler.java
+++ b/serving/src/main/java/org/whinhead/serving/balance/CandidateSampler.java
@@ -4,6 +4,8 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import java.util.zip.CRC32;
 import org.whinhead.serving.endpoint.EndpointEntry;
@@ -24,6 +26,9 @@
     /** The number of them in other failure domains, if the request has no home. */
     private static final int OTHER_DOMAIN_CANDIDATES = 1;
 
+    /** The endpoints that are looked at for one with an idle connection: a bound for the cost. */
+    private static final int MAX_IDLE_LOOKUPS = 48;
+
     /** An odd constant with evenly spread bits: 2 to the 64 over the golden ratio. */
     private static final long SPREAD_FACTOR = 0x9E3779B97F4A7C15L;
 
@@ -57,9 +62,12 @@
      * Returns endpoints for a request without a home, most of them in this daemon's failure domain.
      *
      * @param candidates the endpoints to sample from
+     * @param hasIdle returns whether there is an idle connection to an endpoint; if it is present
+     *     and the sample has no such endpoint, one is added
      * @return the sampled endpoints, in no particular order
      */
-    List<EndpointEntry> sampleAny(final List<EndpointEntry> candidates) {
+    List<EndpointEntry> sampleAny(
+            final List<EndpointEntry> candidates, final Optional<Predicate<String>> hasIdle) {
         final List<EndpointEntry> near = new ArrayList<>();
         final List<EndpointEntry> far = new ArrayList<>();
         for (final EndpointEntry candidate : candidates) {
@@ -68,9 +76,28 @@
         final List<EndpointEntry> sample = new ArrayList<>(SAMPLE_SIZE);
         draw(far, Math.max(OTHER_DOMAIN_CANDIDATES, SAMPLE_SIZE - near.size()), sample);
         draw(near, SAMPLE_SIZE - sample.size(), sample);
+        hasIdle.ifPresent(isIdle -> addIdle(near, isIdle, sample));
         return sample;
     }
 
+    /** Adds one of the endpoints that were not drawn if it saves a connection. */
+    private void addIdle(
+            final List<EndpointEntry> from,
+            final Predicate<String> hasIdle,
+            final List<EndpointEntry> into) {
+        if (from.isEmpty() || into.stream().anyMatch(endpoint -> hasIdle.test(endpoint.id()))) {
+            return;
+        }
+        final int start = mRandom.nextInt(from.size());
+        for (int offset = 0; offset < Math.min(from.size(), MAX_IDLE_LOOKUPS); offset++) {
+            final EndpointEntry endpoint = from.get((start + offset) % from.size());
+            if (hasIdle.test(endpoint.id())) {
+                into.add(endpoint);
+                return;
+            }
+        }
+    }
+
     private void draw(
             final List<EndpointEntry> from, final int count, final List<EndpointEntry> into) {
         for (int drawn = 0; drawn < count && !from.isEmpty(); drawn++) {
--- a/serving/src/main/java/org/whinhead/serving/balance/EndpointChooser.java
+++ b/serving/src/main/java/org/whinhead/serving/balance/EndpointChooser.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.whinhead.serving.endpoint.EndpointEntry;
 
@@ -41,6 +42,9 @@
      */
     private static final double ONLY_ONE_OF_VERSION_MILLIS = 50.0;
 
+    /** The time that a new connection takes: 1 to 3 ms were measured, and each one is billed. */
+    private static final double NEW_CONNECTION_MILLIS = 2.0;
+
     /** The share of shared tokens assumed to be cached at the home, even if none was sent. */
     private static final double HOME_CACHED_SHARE = 0.9;
 
@@ -60,6 +64,7 @@
     private final CandidateSampler mSampler;
     private final Map<String, EndpointLoad> mLoads = new HashMap<>();
     private final Map<String, PrefillRate> mPrefillRates = new HashMap<>();
+    private Optional<Predicate<String>> mHasIdle = Optional.empty();
 
     /**
      * Creates a chooser without any known load.
@@ -72,6 +77,15 @@
         mSampler = new CandidateSampler(ownDomain, random);
     }
 
+    /**
+     * Takes into account which endpoints need no new connection.
+     *
+     * @param hasIdle returns whether there is an idle connection to the endpoint with an id
+     */
+    public void preferIdle(final Predicate<String> hasIdle) {
+        mHasIdle = Optional.of(hasIdle);
+    }
+
     /**
      * Chooses an endpoint and counts the request there.
      *
@@ -191,7 +205,9 @@
         for (final EndpointEntry endpoint : candidates) {
             if (versions.isOnlyOne(endpoint)) {
                 final double wait =
-                        expectedWait(endpoint, work, false) + ONLY_ONE_OF_VERSION_MILLIS;
+                        expectedWait(endpoint, work, false)
+                                + connectMillis(endpoint)
+                                + ONLY_ONE_OF_VERSION_MILLIS;
                 best = wait < best.waitMillis() ? new Choice(endpoint, wait) : best;
             }
         }
@@ -205,12 +221,12 @@
         final List<EndpointEntry> sample =
                 hasHome
                         ? mSampler.sampleForSession(candidates, work.session())
-                        : mSampler.sampleAny(candidates);
+                        : mSampler.sampleAny(candidates, mHasIdle);
         EndpointEntry best = null;
         double least = Double.MAX_VALUE;
         for (final EndpointEntry candidate : sample) {
             final boolean isHome = hasHome && candidate == sample.get(0);
-            final double wait = expectedWait(candidate, work, isHome);
+            final double wait = expectedWait(candidate, work, isHome) + connectMillis(candidate);
             if (wait < least) {
                 least = wait;
                 best = candidate;
@@ -219,6 +235,12 @@
         return new Choice(best, least);
     }
 
+    private double connectMillis(final EndpointEntry endpoint) {
+        return mHasIdle.isPresent() && !mHasIdle.get().test(endpoint.id())
+                ? NEW_CONNECTION_MILLIS
+                : 0;
+    }
+
     private double expectedWait(
             final EndpointEntry endpoint, final Work work, final boolean isHome) {
         final EndpointLoad load = load(endpoint.id());
--- a/serving/src/test/java/org/whinhead/serving/balance/EndpointChooserTest.java
+++ b/serving/src/test/java/org/whinhead/serving/balance/EndpointChooserTest.java
@@ -251,4 +251,35 @@
         }
         assertThat(used).hasSize(3);
     }
+
+    // Guards against a new connection for each request: of equal endpoints the one that a
+    // connection leads to is chosen, also if the sample of the others has none.
+    @Test
+    void endpointWithIdleConnectionIsChosenAmongEqualOnes() {
+        mChooser.preferIdle("e17"::equals);
+        for (int request = 0; request < 50; request++) {
+            assertThat(place(endpoints(40), Work.PLAIN)).isEqualTo("e17");
+        }
+    }
+
+    // Guards against a queue at the endpoints that connections lead to: one request of a plain
+    // service with six slots costs 10 ms, a connection less.
+    @Test
+    void idleConnectionDoesNotOutweighRunningRequest() {
+        final List<EndpointEntry> endpoints =
+                endpoints(4).stream()
+                        .map(
+                                endpoint ->
+                                        EndpointEntry.builder(
+                                                        endpoint.id(),
+                                                        "plain",
+                                                        endpoint.address(),
+                                                        "domain-a")
+                                                .slots(6)
+                                                .build())
+                        .toList();
+        mChooser.preferIdle("e2"::equals);
+        mChooser.updatePeerLoad("peer", "e2", 1, 0);
+        assertThat(place(endpoints, Work.PLAIN)).isNotEqualTo("e2");
+    }
 }
