Keep the sums of the other daemons' load at an endpoint

Cause: each expected wait added up the reports of all daemons, twice for each candidate, and each report walked all endpoints. Change: the sums change with the reports, and a daemon's endpoints are known.

--- a/serving/src/main/java/org/whinhead/serving/balance/EndpointChooser.java
+++ b/serving/src/main/java/org/whinhead/serving/balance/EndpointChooser.java
@@ -4,8 +4,10 @@
 import java.time.Instant;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -65,6 +67,7 @@
     private final CandidateSampler mSampler;
     private final Map<String, EndpointLoad> mLoads = new HashMap<>();
     private final Map<String, PrefillRate> mPrefillRates = new HashMap<>();
+    private final Map<String, Set<String>> mPeerEndpoints = new HashMap<>();
     private final Map<String, LearnedCosts> mCosts = new HashMap<>();
     private final Optional<EndpointSpeeds> mSpeeds;
     private Optional<Predicate<String>> mHasIdle = Optional.empty();
@@ -388,6 +391,7 @@
             final int running,
             final long promptTokens) {
         load(endpoint).updatePeer(daemon, running, promptTokens);
+        mPeerEndpoints.computeIfAbsent(daemon, name -> new HashSet<>()).add(endpoint);
     }
 
     /**
@@ -396,7 +400,13 @@
      * @param daemon the daemon
      */
     public void forgetPeer(final String daemon) {
-        mLoads.values().forEach(load -> load.forgetPeer(daemon));
+        final Set<String> endpoints = mPeerEndpoints.remove(daemon);
+        if (endpoints != null) {
+            endpoints.stream()
+                    .map(mLoads::get)
+                    .filter(Objects::nonNull)
+                    .forEach(load -> load.forgetPeer(daemon));
+        }
     }
 
     /**
--- a/serving/src/main/java/org/whinhead/serving/balance/EndpointLoad.java
+++ b/serving/src/main/java/org/whinhead/serving/balance/EndpointLoad.java
@@ -19,6 +19,8 @@
 
     private final PrefixCacheModel mPrefixCache;
     private final Map<String, PeerLoad> mPeers = new HashMap<>();
+    private int mPeersRunning;
+    private long mPeersPromptTokens;
     private int mRunning;
     private long mPromptTokens;
     private double mFailureShare;
@@ -44,11 +46,21 @@
     }
 
     void updatePeer(final String daemon, final int running, final long promptTokens) {
-        mPeers.put(daemon, new PeerLoad(running, promptTokens));
+        final PeerLoad previous = mPeers.put(daemon, new PeerLoad(running, promptTokens));
+        mPeersRunning += running;
+        mPeersPromptTokens += promptTokens;
+        subtract(previous);
     }
 
     void forgetPeer(final String daemon) {
-        mPeers.remove(daemon);
+        subtract(mPeers.remove(daemon));
+    }
+
+    private void subtract(final PeerLoad previous) {
+        if (previous != null) {
+            mPeersRunning -= previous.running();
+            mPeersPromptTokens -= previous.promptTokens();
+        }
     }
 
     /**
@@ -100,11 +112,11 @@
      * @return those of this daemon, and those that other daemons last reported
      */
     public int running() {
-        return mRunning + mPeers.values().stream().mapToInt(PeerLoad::running).sum();
+        return mRunning + mPeersRunning;
     }
 
     long promptTokens() {
-        return mPromptTokens + mPeers.values().stream().mapToLong(PeerLoad::promptTokens).sum();
+        return mPromptTokens + mPeersPromptTokens;
     }
 
     double failureShare() {
