Repeat a request limit also if another daemon has reported it

A statement of an endpoint's limit is told to all daemons three times, unless another daemon tells it as well. A report with it counted as that, although a report goes to a part of the daemons at a time, so that a daemon that had missed the first message was left with the reports, up to 7 s at 330 daemons.

Only a message to all daemons now ends the repetition. The added test is red before (one message in place of three) and green after.

--- a/gateway/src/main/java/org/whinhead/gateway/peers/LimitMessenger.java
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/LimitMessenger.java
@@ -101,7 +101,10 @@
     /** Applies a datagram if it tells of limits. */
     void receive(final Datagram datagram) {
         if (datagram.hasLimitNews()) {
-            apply(datagram.getLimitNews().getStatementsList());
+            final List<LimitStatement> statements =
+                    decode(datagram.getLimitNews().getStatementsList());
+            statements.forEach(told -> mUnrepeated.remove(told.endpoint(), told));
+            apply(statements);
         }
     }
 
@@ -112,16 +115,21 @@
                 .forEach(statement -> report.addLimits(PermitCodec.encode(statement)));
     }
 
-    /** Applies the statements of a report. */
+    /**
+     * Applies the statements of a report. It doesn't end the repetition of a statement: a report is
+     * sent to a part of the daemons at a time, and the others have not heard of it by this one.
+     */
     void receive(final PeerReport report) {
-        apply(report.getLimitsList());
+        apply(decode(report.getLimitsList()));
     }
 
-    private void apply(final List<LimitStatementRecord> records) {
+    private static List<LimitStatement> decode(final List<LimitStatementRecord> records) {
+        return records.stream().map(PermitCodec::decode).toList();
+    }
+
+    private void apply(final List<LimitStatement> statements) {
         final List<LimitStatement> newHere = new ArrayList<>();
-        for (final LimitStatementRecord record : records) {
-            final LimitStatement statement = PermitCodec.decode(record);
-            mUnrepeated.remove(statement.endpoint(), statement);
+        for (final LimitStatement statement : statements) {
             mState.endpoints()
                     .find(statement.endpoint())
                     .filter(entry -> mState.requestLimits().apply(entry, statement, now()))
--- a/gateway/src/test/java/org/whinhead/gateway/peers/LimitMessengerTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/peers/LimitMessengerTest.java
@@ -66,6 +66,20 @@
         assertThat(mSent).hasSize(1);
     }
 
+    // Guards against daemons that go on sending to an endpoint since a datagram was lost, and
+    // another daemon has told only the first one of the limit in its report.
+    @Test
+    void reportOfAnotherDaemonDoesNotEndRepetition() {
+        mMessenger.receive(PermitCodec.encodeNews(List.of(statement("e-1", 1, ONE))));
+        final PeerReport.Builder report = PeerReport.newBuilder();
+        mMessenger.addTo(report);
+        mMessenger.tell(statement("e-1", 1, ONE));
+        pass(10);
+        mMessenger.receive(report.build());
+        pass(1_000);
+        assertThat(mSent).hasSize(3);
+    }
+
     @Test
     void statementsMadeAtOnceShareDatagram() {
         for (int number = 0; number < 30; number++) {
