Read removals that a reader's view does not show

A daemon skipped records of the endpoints if the view of the daemon that had read them was one that reading had not resolved before, also if its own view had changed since, or a record had that the sender's view does not show. So a removal was never read, and an endpoint that is gone got work.

What was not resolved is now the pair of both views at one position. Digests name the last record that may change any view, and a hash of the whole entries; a daemon skips nothing for a difference before it has read so far.

--- a/gateway/src/main/java/org/whinhead/gateway/Gateway.java
+++ b/gateway/src/main/java/org/whinhead/gateway/Gateway.java
@@ -319,6 +319,7 @@
         mEndpointWatch.onRead(this::publishEndpointChanges);
         mPeers.onEndpointChanges(mEndpointWatch::applyPeerChanges);
         mDigests.onSkippableEndpoints(endpoints::skipTo);
+        mDigests.onListing(endpoints::readNewest);
         mDigests.onNewRecords(
                 topic -> {
                     if (topic == StoreTopic.CONFIGURATION) {
--- a/gateway/src/main/java/org/whinhead/gateway/peers/DigestReadCoordinator.java
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/DigestReadCoordinator.java
@@ -5,7 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.OptionalLong;
+import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import org.whinhead.gateway.exchange.ServingState;
@@ -13,6 +13,7 @@
 import org.whinhead.gateway.store.ReadCoordinator;
 import org.whinhead.gateway.store.StoreTopic;
 import org.whinhead.serving.configuration.ServingConfiguration;
+import org.whinhead.serving.endpoint.EndpointRegistry;
 import org.whinhead.serving.member.MemberTable;
 
 /**
@@ -40,11 +41,16 @@
      */
     private static final Duration MAX_RELIED_READ_AGE = Duration.ofMillis(1_250);
 
+    /** Covers three lost digests in a row; after more, a difference counts as a new one. */
+    private static final Duration MAX_DIGEST_GAP = Duration.ofMillis(1_900);
+
     private final ServingState mState;
     private final MemberTable mMembers;
     private final Map<String, ReceivedDigest> mReceivedDigests = new HashMap<>();
     private Consumer<StoreTopic> mOnNewRecords = topic -> {};
     private LongConsumer mOnSkippableEndpoints = end -> {};
+    private Runnable mOnListing = () -> {};
+    private final ListingSchedule mListings = new ListingSchedule();
     private long mEndpointsEnd;
     private Instant mConfigurationReadAt = Instant.EPOCH;
 
@@ -77,6 +83,15 @@
         mOnSkippableEndpoints = onSkippableEndpoints;
     }
 
+    /**
+     * Sets the handler of differences that the records after this daemon's position don't resolve.
+     *
+     * @param onListing runs when all endpoints are to be listed
+     */
+    public void onListing(final Runnable onListing) {
+        mOnListing = onListing;
+    }
+
     /**
      * Records how far this daemon has read the endpoints.
      *
@@ -86,7 +101,7 @@
         mEndpointsEnd = Math.max(mEndpointsEnd, end);
         mReceivedDigests.values().stream()
                 .filter(received -> received.mDigest.getEndpointsEnd() <= mEndpointsEnd)
-                .forEach(ReceivedDigest::recordReadPast);
+                .forEach(received -> received.recordReadPast(mState.endpoints()));
     }
 
     /** Records that this daemon has read the configuration now. */
@@ -120,7 +135,7 @@
             case ENDPOINTS ->
                     digest.getEndpointsEnd() >= mEndpointsEnd
                             && !hasSameEndpoints(digest)
-                            && !received.isReadPast();
+                            && !isUnresolvable(received);
             case CONFIGURATION ->
                     mState.configurationProgress().isBehind()
                             || digest.getConfigurationVersion() > configurationVersion()
@@ -149,10 +164,26 @@
         return age.compareTo(MAX_RELIED_READ_AGE) <= 0;
     }
 
+    /** Returns whether the listed entries are the same, as far as the sender's version tells. */
     private boolean hasSameEndpoints(final StoreDigest digest) {
+        return hasSameSet(digest)
+                && (!digest.hasEndpointsContentHash()
+                        || digest.getEndpointsContentHash() == mState.endpoints().contentDigest());
+    }
+
+    private boolean hasSameSet(final StoreDigest digest) {
         return digest.getEndpointsHash() == mState.endpoints().digest();
     }
 
+    /**
+     * Returns whether reading would not resolve the difference: it did not before, neither view has
+     * changed since, and no record was added since that may have changed this daemon's view only.
+     */
+    private boolean isUnresolvable(final ReceivedDigest received) {
+        return received.mDigest.getEndpointsChangedEnd() <= mEndpointsEnd
+                && received.isUnresolved(mState.endpoints());
+    }
+
     private long configurationVersion() {
         return mState.configuration().current().map(ServingConfiguration::version).orElse(-1L);
     }
@@ -170,7 +201,9 @@
         final StoreDigest.Builder digest =
                 StoreDigest.newBuilder()
                         .setEndpointsHash(mState.endpoints().digest())
+                        .setEndpointsContentHash(mState.endpoints().contentDigest())
                         .setEndpointsEnd(mEndpointsEnd)
+                        .setEndpointsChangedEnd(mState.endpoints().changedEnd())
                         .setConfigurationVersion(configurationVersion())
                         .setRolloutOffset(mState.rollouts().newestOrderOffset())
                         .setConfigurationFresh(
@@ -194,42 +227,79 @@
                 new ReceivedDigest(digest, now(), mReceivedDigests.get(sender));
         mReceivedDigests.put(sender, received);
         mState.configurationProgress().recordAnnounced(digest.getConfigurationVersion(), now());
-        if (hasSameEndpoints(digest)) {
+        if (hasSameSet(digest)) {
             mState.versions().recordConfirmed(now());
         }
+        if (hasSameEndpoints(digest)) {
+            received.mSameAt = now();
+            mListings.recordSame();
+        } else if (!isReader() && mListings.isDue(received.mSameAt, now())) {
+            mOnListing.run();
+        }
         if (hasNews(received, StoreTopic.ENDPOINTS)) {
             mOnNewRecords.accept(StoreTopic.ENDPOINTS);
         } else if (digest.getEndpointsEnd() > mEndpointsEnd) {
-            mEndpointsEnd = digest.getEndpointsEnd();
-            mOnSkippableEndpoints.accept(mEndpointsEnd);
+            skipEndpoints(digest);
         }
         if (hasNews(received, StoreTopic.CONFIGURATION)) {
             mOnNewRecords.accept(StoreTopic.CONFIGURATION);
         }
     }
 
+    private void skipEndpoints(final StoreDigest digest) {
+        mEndpointsEnd = digest.getEndpointsEnd();
+        if (digest.hasEndpointsContentHash() && hasSameEndpoints(digest)) {
+            // The answer to a read that is in progress may end before the skipped records.
+            mState.endpoints().recordExact(mEndpointsEnd);
+        }
+        mOnSkippableEndpoints.accept(mEndpointsEnd);
+    }
+
+    /** A difference of two views at one position of the topic. */
+    private record Difference(long received, long own) {}
+
     private static final class ReceivedDigest {
         private final StoreDigest mDigest;
         private final Instant mReceivedAt;
-        private OptionalLong mReadPastHash;
+        private Optional<Difference> mUnresolved;
+        private Instant mSameAt;
+        private boolean mReadPast;
 
         private ReceivedDigest(
                 final StoreDigest digest, final Instant receivedAt, final ReceivedDigest previous) {
             mDigest = digest;
             mReceivedAt = receivedAt;
-            mReadPastHash = previous == null ? OptionalLong.empty() : previous.mReadPastHash;
+            mUnresolved = previous == null ? Optional.empty() : previous.mUnresolved;
+            mSameAt = follows(previous) ? previous.mSameAt : receivedAt;
+        }
+
+        private boolean follows(final ReceivedDigest previous) {
+            return previous != null
+                    && mReceivedAt.isBefore(previous.mReceivedAt.plus(MAX_DIGEST_GAP));
         }
 
         /**
          * Records that this daemon has read all that the sender had. If their views still differ,
-         * for example by entries in doubt after an outage, reading again wouldn't help.
+         * for example by entries in doubt after an outage, reading again wouldn't help. Views are
+         * compared only if this daemon's own has not changed by records that the sender had not
+         * read: otherwise the difference may be these, and end unseen by the removal of what they
+         * added.
          */
-        private void recordReadPast() {
-            mReadPastHash = OptionalLong.of(mDigest.getEndpointsHash());
+        private void recordReadPast(final EndpointRegistry own) {
+            if (!mReadPast && own.changedEnd() <= mDigest.getEndpointsEnd()) {
+                mUnresolved = Optional.of(difference(own));
+            }
+            mReadPast = true;
+        }
+
+        private boolean isUnresolved(final EndpointRegistry own) {
+            return mUnresolved.equals(Optional.of(difference(own)));
         }
 
-        private boolean isReadPast() {
-            return mReadPastHash.equals(OptionalLong.of(mDigest.getEndpointsHash()));
+        private Difference difference(final EndpointRegistry own) {
+            return mDigest.hasEndpointsContentHash()
+                    ? new Difference(mDigest.getEndpointsContentHash(), own.contentDigest())
+                    : new Difference(mDigest.getEndpointsHash(), own.digest());
         }
     }
 }
--- a/gateway/src/main/java/org/whinhead/gateway/store/EndpointTopicListener.java
+++ b/gateway/src/main/java/org/whinhead/gateway/store/EndpointTopicListener.java
@@ -142,6 +142,7 @@
         // First, as records of later pages may lie behind the end of the first page.
         registry().retain(listed, end, now());
         records.forEach(this::apply);
+        registry().recordExact(end);
         mLoaded = true;
         mEnd = end;
         mChanges.clear();
--- a/gateway/src/main/java/org/whinhead/gateway/store/TopicFollower.java
+++ b/gateway/src/main/java/org/whinhead/gateway/store/TopicFollower.java
@@ -127,6 +127,14 @@
         }
     }
 
+    /** Reads the newest records of all keys with the next read, which is made at once. */
+    public void readNewest() {
+        mNextOffset = -1;
+        if (mReachable && mTimer != null && mTimer.cancel(false)) {
+            start();
+        }
+    }
+
     /**
      * Skips records that another daemon has read and that change nothing for this one.
      *
--- a/gateway/src/test/java/org/whinhead/gateway/store/TopicFollowerTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/store/TopicFollowerTest.java
@@ -129,6 +129,16 @@
         assertThat(mStore.mCalls).isEqualTo(2);
     }
 
+    // Guards against an entry that is used for good although the store has dropped it without a
+    // record, which no read of new records shows.
+    @Test
+    void readNewestListsAtOnce() {
+        mFollower.readNewest();
+
+        assertThat(mListener.mSnapshots).isEqualTo(2);
+        assertThat(mStore.mCalls).isEqualTo(2);
+    }
+
     /**
      * Guards against useless billed calls: while keys are revoked, the store refuses a third of the
      * daemons. The readers' digests report new records five times a second, and each refused daemon
--- a/serving/src/main/java/org/whinhead/serving/endpoint/EndpointEntry.java
+++ b/serving/src/main/java/org/whinhead/serving/endpoint/EndpointEntry.java
@@ -35,6 +35,9 @@
         Duration coldFor,
         Optional<Instant> startedAt) {
 
+    /** A large odd number, so that entries with few differences have hashes with many. */
+    private static final long HASH_FACTOR = 0x9E3779B97F4A7C15L;
+
     /** Checks the components. */
     public EndpointEntry {
         Arguments.requireText(id, "id");
@@ -86,6 +89,31 @@
                 startedAt);
     }
 
+    /** Returns whether two entries differ at most in what changes with the time of the write. */
+    boolean hasSameContent(final EndpointEntry other) {
+        return id.equals(other.id)
+                && service.equals(other.service)
+                && version.equals(other.version)
+                && address.equals(other.address)
+                && domain.equals(other.domain)
+                && slots == other.slots
+                && leaving == other.leaving
+                && reclaimable == other.reclaimable
+                && startedAt.equals(other.startedAt);
+    }
+
+    /** Returns a hash of what {@link #hasSameContent} compares, the same in every daemon. */
+    long contentHash() {
+        long hash = id.hashCode();
+        hash = HASH_FACTOR * hash + service.hashCode();
+        hash = HASH_FACTOR * hash + version.hashCode();
+        hash = HASH_FACTOR * hash + address.hashCode();
+        hash = HASH_FACTOR * hash + domain.hashCode();
+        hash = HASH_FACTOR * hash + slots;
+        hash = HASH_FACTOR * hash + (leaving ? 2 : 0) + (reclaimable ? 1 : 0);
+        return HASH_FACTOR * hash + startedAt.hashCode();
+    }
+
     /** Returns whether this entry is of a later start of the endpoint than another one. */
     boolean startedAfter(final EndpointEntry other) {
         return compareStart(other) > 0;
--- a/serving/src/main/java/org/whinhead/serving/endpoint/EndpointRegistry.java
+++ b/serving/src/main/java/org/whinhead/serving/endpoint/EndpointRegistry.java
@@ -42,7 +42,8 @@
     private final Set<String> mLeavingIds = new HashSet<>();
     private final Map<String, Long> mRemovals = new LinkedHashMap<>();
     private Instant mLastOutage = Instant.EPOCH;
-    private long mNewestOffset = -1;
+    private long mChangedEnd;
+    private long mExactEnd;
     private long mCopyEnd;
 
     /**
@@ -53,11 +54,15 @@
      * @return the effect of the entry
      */
     public EntryEffect put(final EndpointEntry entry, final long offset) {
-        mNewestOffset = Math.max(mNewestOffset, offset);
         final Record previous = mRecords.get(entry.id());
         if (isOutdated(entry, offset, previous)) {
             return EntryEffect.NONE;
         }
+        if (isOfCopyBefore(entry, offset)) {
+            // Others may not know of the removal, and list the endpoint.
+            recordChanged(offset);
+            return EntryEffect.NONE;
+        }
         final boolean restarted = previous != null && isOfOtherStart(entry, previous.mEntry);
         if (restarted) {
             mLeavingIds.remove(entry.id());
@@ -67,14 +72,24 @@
             mLeavingIds.add(entry.id());
         }
         mRecords.put(entry.id(), new Record(entry, offset, leaving, Doubt.NONE));
+        final boolean changed =
+                previous == null
+                        || previous.mLeaving != leaving
+                        || previous.mDoubt != Doubt.NONE
+                        || !entry.hasSameContent(previous.mEntry);
+        if (restarted || changed) {
+            recordChanged(offset);
+        }
         if (restarted) {
             return EntryEffect.RESTARTED;
         }
-        final boolean changed =
-                previous == null || previous.mLeaving != leaving || previous.mDoubt != Doubt.NONE;
         return changed ? EntryEffect.CHANGED : EntryEffect.NONE;
     }
 
+    private void recordChanged(final long offset) {
+        mChangedEnd = Math.max(mChangedEnd, offset + 1);
+    }
+
     /** Returns whether an endpoint has started again; its software changes with a start only. */
     private static boolean isOfOtherStart(final EndpointEntry entry, final EndpointEntry known) {
         return entry.startedAfter(known) || !entry.version().equals(known.version());
@@ -86,8 +101,7 @@
      */
     private boolean isOutdated(
             final EndpointEntry entry, final long offset, final Record previous) {
-        final long removal = mRemovals.getOrDefault(entry.id(), -1L);
-        if (removal >= offset || isOfCopyBefore(removal, offset)) {
+        if (offset < mExactEnd || mRemovals.getOrDefault(entry.id(), -1L) >= offset) {
             return true;
         }
         return previous != null
@@ -98,7 +112,8 @@
      * Returns whether an entry may be one that an older copy of the store still holds, although the
      * endpoint was removed later. An endpoint that is alive writes again soon.
      */
-    private boolean isOfCopyBefore(final long removal, final long offset) {
+    private boolean isOfCopyBefore(final EndpointEntry entry, final long offset) {
+        final long removal = mRemovals.getOrDefault(entry.id(), -1L);
         return removal >= 0
                 && offset < mCopyEnd
                 && StorePosition.era(removal) < StorePosition.era(offset);
@@ -126,11 +141,11 @@
      * @return whether the endpoint was usable until now
      */
     public boolean markUnreadable(final String id, final long offset) {
-        mNewestOffset = Math.max(mNewestOffset, offset);
         final Record previous = mRecords.get(id);
-        if (previous == null || previous.mOffset >= offset) {
+        if (offset < mExactEnd || previous == null || previous.mOffset >= offset) {
             return false;
         }
+        recordChanged(offset);
         mRecords.put(id, new Record(previous.mEntry, offset, previous.mLeaving, Doubt.UNREADABLE));
         return previous.mDoubt != Doubt.UNREADABLE;
     }
@@ -144,11 +159,11 @@
      * @return whether the entry was listed, and the removal is newer
      */
     public boolean remove(final String id, final long offset, final Instant now) {
-        mNewestOffset = Math.max(mNewestOffset, offset);
         final Record previous = mRecords.get(id);
-        if (previous != null && previous.mOffset >= offset) {
+        if (offset < mExactEnd || previous != null && previous.mOffset >= offset) {
             return false;
         }
+        recordChanged(offset);
         rememberRemoval(id, offset);
         if (previous == null) {
             return false;
@@ -165,11 +180,11 @@
      * @return whether the entry was listed, and the removal is newer
      */
     public boolean removeConfirmed(final String id, final long offset) {
-        mNewestOffset = Math.max(mNewestOffset, offset);
         final Record previous = mRecords.get(id);
-        if (previous != null && previous.mOffset >= offset) {
+        if (offset < mExactEnd || previous != null && previous.mOffset >= offset) {
             return false;
         }
+        recordChanged(offset);
         rememberRemoval(id, offset);
         return mRecords.remove(id) != null;
     }
@@ -189,13 +204,17 @@
      * Removes the entries that a complete listing doesn't contain.
      *
      * @param listed the ids in the listing, whose entries are put afterwards
-     * @param end the store's end offset when the listing was made; an older listing removes nothing
+     * @param end the store's end offset when the listing was made; what was written since remains,
+     *     and if these are the entries of a later position, all of them
      * @param now the current time
      */
     public void retain(final Set<String> listed, final long end, final Instant now) {
-        if (end <= mNewestOffset) {
+        // What was removed and written before the end of a listing is not known.
+        mChangedEnd = Math.max(mChangedEnd, end);
+        if (end < mExactEnd) {
             return;
         }
+        mExactEnd = 0;
         for (final Record record : List.copyOf(mRecords.values())) {
             if (!listed.contains(record.mEntry.id()) && record.mOffset < end) {
                 lapse(record, now);
@@ -215,6 +234,28 @@
         }
     }
 
+    /**
+     * Records that the entries are those of the store at a position. Records before it that arrive
+     * later are of no effect: an endpoint that was put and removed before it would be listed again
+     * by a late message or answer with the first of these records.
+     *
+     * @param end the offset behind the last record that is contained in the entries
+     */
+    public void recordExact(final long end) {
+        mExactEnd = Math.max(mExactEnd, end);
+    }
+
+    /**
+     * Returns the offset behind the last known record that may change the entries of a daemon
+     * without it, whatever it did here: a removal, or an entry that differs from the one before in
+     * more than the time at which it was written.
+     *
+     * @return the offset; the end of the last listing if none came after it
+     */
+    public long changedEnd() {
+        return mChangedEnd;
+    }
+
     /**
      * Records that the store could not be read.
      *
@@ -300,6 +341,22 @@
         return digest;
     }
 
+    /**
+     * Returns a digest of the contents of the listed endpoints' entries, without what changes from
+     * one write to the next. The digest of the set leaves out addresses, domains and slots.
+     *
+     * @return the digest, which is equal for daemons with the same entries
+     */
+    public long contentDigest() {
+        long digest = 0;
+        for (final Record record : mRecords.values()) {
+            if (record.mDoubt == Doubt.NONE) {
+                digest += record.mContentHash * SPREAD_FACTOR;
+            }
+        }
+        return digest;
+    }
+
     /**
      * Marks an endpoint as leaving because another endpoint answered at its address.
      *
@@ -334,6 +391,7 @@
         private final long mOffset;
         private final boolean mLeaving;
         private final Doubt mDoubt;
+        private final long mContentHash;
 
         private Record(
                 final EndpointEntry entry,
@@ -344,6 +402,7 @@
             mOffset = offset;
             mLeaving = leaving;
             mDoubt = doubt;
+            mContentHash = entry.contentHash();
         }
     }
 }
--- a/serving/src/test/java/org/whinhead/serving/endpoint/EndpointRegistryTest.java
+++ b/serving/src/test/java/org/whinhead/serving/endpoint/EndpointRegistryTest.java
@@ -217,6 +217,79 @@
         assertThat(mRegistry.usable("pool")).hasSize(1);
     }
 
+    // Guards against new work for an endpoint that is gone: the store dropped its entry without a
+    // record, and other daemons told of newer records before the listing arrived.
+    @Test
+    void listingRemovesEarlierEntriesAlsoIfNewerRecordsAreKnown() {
+        mRegistry.put(entry("e1", false), 1);
+        mRegistry.put(entry("e2", false), 9);
+        mRegistry.retain(Set.of(), 8, START);
+        assertThat(mRegistry.usable("pool")).extracting(EndpointEntry::id).containsExactly("e2");
+    }
+
+    // Guards against a service without endpoints: the entries are those of a later position, as
+    // their next writes were skipped, and the answer with the listing was late.
+    @Test
+    void listingBeforeExactPositionRemovesNothing() {
+        mRegistry.put(entry("e1", false), 1);
+        mRegistry.recordExact(9);
+        mRegistry.retain(Set.of(), 8, START);
+        assertThat(mRegistry.usable("pool")).hasSize(1);
+        mRegistry.retain(Set.of(), 10, START);
+        assertThat(mRegistry.usable("pool")).isEmpty();
+    }
+
+    // Guards against new work for an endpoint that is gone, and a service without endpoints: late
+    // messages and answers have records from before those that were skipped.
+    @Test
+    void recordsBeforeExactPositionAreOfNoEffect() {
+        mRegistry.put(entry("e1", false), 1);
+        mRegistry.recordExact(9);
+        assertThat(mRegistry.put(entry("e2", false), 5)).isEqualTo(EntryEffect.NONE);
+        assertThat(mRegistry.remove("e1", 5, START)).isFalse();
+        assertThat(mRegistry.removeConfirmed("e1", 6)).isFalse();
+        assertThat(mRegistry.markUnreadable("e1", 7)).isFalse();
+        assertThat(mRegistry.usable("pool")).extracting(EndpointEntry::id).containsExactly("e1");
+        assertThat(mRegistry.remove("e1", 9, START)).isTrue();
+    }
+
+    // Guards against records that are skipped although they change the view of another daemon.
+    @Test
+    void changedEndIsBehindLastRecordThatIsNoHeartbeat() {
+        mRegistry.put(entry("e1", false), 1);
+        mRegistry.put(entry("e1", false), 2);
+        assertThat(mRegistry.changedEnd()).isEqualTo(2);
+        mRegistry.put(slots("e1", 32), 3);
+        assertThat(mRegistry.changedEnd()).isEqualTo(4);
+        mRegistry.put(slots("e1", 32), 4);
+        mRegistry.remove("e9", 5, START);
+        assertThat(mRegistry.changedEnd()).isEqualTo(6);
+        mRegistry.markUnreadable("e1", 6);
+        assertThat(mRegistry.changedEnd()).isEqualTo(7);
+        mRegistry.retain(Set.of("e1"), 12, START);
+        assertThat(mRegistry.changedEnd()).isEqualTo(12);
+    }
+
+    // Guards against an endpoint that gets more work than it takes: only its slots have changed.
+    @Test
+    void changeOfSlotsIsChangeOfContent() {
+        mRegistry.put(entry("e1", false), 1);
+        final long digest = mRegistry.digest();
+        final long content = mRegistry.contentDigest();
+        mRegistry.put(entry("e1", false), 2);
+        assertThat(mRegistry.contentDigest()).isEqualTo(content);
+        assertThat(mRegistry.put(slots("e1", 32), 3)).isEqualTo(EntryEffect.CHANGED);
+        assertThat(mRegistry.digest()).isEqualTo(digest);
+        assertThat(mRegistry.contentDigest()).isNotEqualTo(content);
+    }
+
+    private static EndpointEntry slots(final String id, final int slots) {
+        return EndpointEntry.builder(
+                        id, "pool", new InetSocketAddress("127.0.0.1", 9000), "domain-a")
+                .slots(slots)
+                .build();
+    }
+
     @Test
     void replacedEndpointIsNotUsedAgain() {
         mRegistry.put(entry("e1", false), 1);
