Admit what a calm customer's allowance leaves of a window at once

Cause: a share was a token bucket whose rate took nearly all of the tokens accepted in a window, so its capacity was a part of the burst. A customer that was calm for a window and then sent 6 to 7.5 times its usual load was refused although it was within its allowance.

Change: a share sums what it has issued within the window. In any time up to the window it issues at most its capacity, overdraft and refill, so the bound is the same, and the capacity is most of the window. A holder's response tells how fast its level may rise, as tokens also leave the window.

--- a/gateway/src/main/java/org/whinhead/gateway/quota/QuotaCodec.java
+++ b/gateway/src/main/java/org/whinhead/gateway/quota/QuotaCodec.java
@@ -48,6 +48,7 @@
                 .setSlot(response.slot())
                 .setOutcome(encode(response.outcome()))
                 .setLevel(response.level())
+                .setGainPerSecond(response.gainPerSecond())
                 .build();
     }
 
@@ -65,7 +66,8 @@
                 record.getCustomer(),
                 record.getSlot(),
                 decode(record.getOutcome()),
-                record.getLevel());
+                record.getLevel(),
+                record.getGainPerSecond());
     }
 
     /** Treats an outcome of a later version as not held, so that no tokens are spent for it. */
--- a/serving/src/main/java/org/whinhead/serving/quota/CustomerQuotas.java
+++ b/serving/src/main/java/org/whinhead/serving/quota/CustomerQuotas.java
@@ -164,9 +164,9 @@
         final TokenClaim claim = openRequest.claim();
         final TokenRequest request = openRequest.request();
         switch (response.outcome()) {
-            case ISSUED -> handleIssued(openRequest, response.level(), now.steady());
+            case ISSUED -> handleIssued(openRequest, response, now.steady());
             case TOO_FEW -> {
-                mEstimates.recordLevel(request, response.level(), now.steady());
+                mEstimates.recordLevel(request, response, now.steady());
                 claim.recordDenied(request);
             }
             case NOT_HELD -> {
@@ -178,8 +178,9 @@
         advance(claim, now);
     }
 
-    private void handleIssued(final OpenRequest openRequest, final long level, final Instant now) {
-        mEstimates.recordLevel(openRequest.request(), level, now);
+    private void handleIssued(
+            final OpenRequest openRequest, final TokenResponse response, final Instant now) {
+        mEstimates.recordLevel(openRequest.request(), response, now);
         if (openRequest.claim().isFinished()) {
             pool(openRequest.claim().customer())
                     .add(openRequest.request().tokens(), openRequest.sentAt());
--- a/serving/src/main/java/org/whinhead/serving/quota/HeldShares.java
+++ b/serving/src/main/java/org/whinhead/serving/quota/HeldShares.java
@@ -70,8 +70,7 @@
 
     /** A customer that is removed and added again within a window keeps its share levels. */
     private boolean isExpired(final BucketKey key, final ShareBucket bucket, final Instant now) {
-        return !mLimits.containsKey(key.customer())
-                && bucket.isUnusedSince(now.minus(mTolerance.window()));
+        return !mLimits.containsKey(key.customer()) && bucket.isUnused(now);
     }
 
     private void setLimits(
@@ -194,6 +193,7 @@
                     request.customer(),
                     request.slot(),
                     TokenResponse.Outcome.NOT_HELD,
+                    0,
                     0);
         }
         final boolean issued =
@@ -207,7 +207,8 @@
                 request.customer(),
                 request.slot(),
                 issued ? TokenResponse.Outcome.ISSUED : TokenResponse.Outcome.TOO_FEW,
-                Math.round(bucket.level(now.steady())));
+                Math.round(bucket.level(now.steady())),
+                Math.round(bucket.gainPerSecond(now.steady())));
     }
 
     /**
--- a/serving/src/main/java/org/whinhead/serving/quota/ShareBucket.java
+++ b/serving/src/main/java/org/whinhead/serving/quota/ShareBucket.java
@@ -7,10 +7,10 @@
 import java.util.Map;
 
 /**
- * Token bucket of one share of a customer's allowance, at the daemon that holds the share.
+ * Tokens of one share of a customer's allowance, at the daemon that holds the share.
  *
- * <p>Issued tokens occupy capacity until they expire. So however tokens are issued, returned and
- * issued again, no window admits more than a full bucket, its inflow and one overdraft.
+ * <p>Issued tokens count as spent when they expire. So however tokens are issued, returned and
+ * issued again, no window admits more than the capacity, its inflow and one overdraft.
  */
 final class ShareBucket {
 
@@ -24,19 +24,16 @@
     private static final double MAX_RESERVED_FRACTION = 3.0 / 4;
 
     private final Map<IssueKey, Issue> mIssued = new LinkedHashMap<>();
+    private final IssueHistory mHistory;
     private ShareLimits mLimits;
-    private double mLevel;
-    private double mOutstanding;
-    private Instant mRefilledAt;
     private long mReservedClaimTokens;
     private double mReservedTokens;
     private Instant mReservedUntil = Instant.EPOCH;
     private IssueKey mReservedFor;
 
-    private ShareBucket(final ShareLimits limits, final double level, final Instant at) {
+    private ShareBucket(final ShareLimits limits, final Instant at) {
         mLimits = limits;
-        mLevel = level;
-        mRefilledAt = at;
+        mHistory = new IssueHistory(at);
     }
 
     /**
@@ -48,22 +45,27 @@
      * serves the callers that have waited for the restart.
      */
     static ShareBucket restarted(final ShareLimits limits, final Instant at) {
-        return new ShareBucket(limits, limits.restartCredit() - limits.maxDebt(), at);
+        final ShareBucket bucket = new ShareBucket(limits, at);
+        final double level = limits.restartCredit() - limits.maxDebt();
+        bucket.mHistory.add(limits.capacityTokens() - level, at);
+        return bucket;
     }
 
     /** Creates a full bucket, for a customer that was not served before. */
     static ShareBucket full(final ShareLimits limits, final Instant at) {
-        return new ShareBucket(limits, limits.capacityTokens(), at);
+        return new ShareBucket(limits, at);
     }
 
-    boolean isUnusedSince(final Instant time) {
-        return mRefilledAt.isBefore(time);
+    /** Returns whether no window that ends now or later contains issued tokens. */
+    boolean isUnused(final Instant now) {
+        dropExpired(now);
+        return mHistory.isEmpty();
     }
 
     void setLimits(final ShareLimits limits, final Instant now) {
-        refill(now);
+        dropExpired(now);
+        mHistory.rescale(limits.windowTokens() / mLimits.windowTokens());
         mLimits = limits;
-        mLevel = Math.min(mLevel, limits.capacityTokens() - mOutstanding);
     }
 
     /** Issues all tokens of a claim if the share has enough. */
@@ -74,9 +76,9 @@
     /** Issues tokens if the share has enough; a repeated request is not issued again. */
     boolean issue(
             final IssueKey key, final ClaimPart part, final boolean light, final Instant now) {
-        refill(now);
+        dropExpired(now);
         final long tokens = part.tokens();
-        if (!hasTokens(light ? tokens : requiredTokens(part, now), light)) {
+        if (!hasTokens(light ? tokens : requiredTokens(part, now), light, now)) {
             reserve(key, part, light, now);
             return false;
         }
@@ -86,9 +88,8 @@
         if (part.claimTokens() >= mReservedClaimTokens) {
             releaseReservation();
         }
-        mIssued.put(key, new Issue(tokens, now.plus(TOKEN_VALIDITY)));
-        mLevel -= tokens;
-        mOutstanding += tokens;
+        final Instant expiresAt = now.plus(TOKEN_VALIDITY);
+        mIssued.put(key, new Issue(tokens, expiresAt, mHistory.add(tokens, expiresAt)));
         return true;
     }
 
@@ -97,9 +98,8 @@
         mReservedFor = null;
     }
 
-    private boolean hasTokens(final double tokens, final boolean light) {
-        return mLevel >= mLimits.minLevelBefore(light)
-                && mLevel - tokens >= mLimits.minLevelAfter(light);
+    private boolean hasTokens(final double tokens, final boolean light, final Instant now) {
+        return level(now) >= mLimits.requiredLevel(tokens, light);
     }
 
     /**
@@ -144,45 +144,31 @@
      * spent, back into the share, or releases what was reserved when it was rejected.
      */
     void returnTokens(final IssueKey key, final Instant now) {
-        refill(now);
+        dropExpired(now);
         if (key.equals(mReservedFor)) {
             releaseReservation();
         }
         final Issue issue = mIssued.remove(key);
         if (issue != null) {
-            mLevel += issue.mTokens;
-            mOutstanding -= issue.mTokens;
+            mHistory.remove(issue.mStep, issue.mTokens);
         }
     }
 
     double level(final Instant now) {
-        refill(now);
-        return mLevel;
+        return mHistory.level(mLimits, now);
     }
 
-    private void refill(final Instant now) {
-        final Iterator<Issue> oldestFirst = mIssued.values().iterator();
-        while (oldestFirst.hasNext()) {
-            final Issue issue = oldestFirst.next();
-            if (!issue.mExpiresAt.isBefore(now)) {
-                break;
-            }
-            refillUntil(issue.mExpiresAt);
-            mOutstanding -= issue.mTokens;
-            oldestFirst.remove();
-        }
-        refillUntil(now);
+    /** Returns the fastest rise of the level within the forecast time if nothing is issued. */
+    double gainPerSecond(final Instant now) {
+        return mHistory.gainPerSecond(mLimits, now);
     }
 
-    /** Adds the inflow up to a time, within the capacity not occupied by issued tokens. */
-    private void refillUntil(final Instant time) {
-        final Duration elapsed = Duration.between(mRefilledAt, time);
-        if (elapsed.isNegative() || elapsed.isZero()) {
-            return;
+    private void dropExpired(final Instant now) {
+        final Iterator<Issue> oldestFirst = mIssued.values().iterator();
+        while (oldestFirst.hasNext() && oldestFirst.next().mExpiresAt.isBefore(now)) {
+            oldestFirst.remove();
         }
-        mRefilledAt = time;
-        final double maxLevel = Math.max(mLimits.capacityTokens() - mOutstanding, mLevel);
-        mLevel = Math.min(mLevel + mLimits.inflow(elapsed), maxLevel);
+        mHistory.dropBefore(now.minus(mLimits.window()));
     }
 
     /**
@@ -199,10 +185,12 @@
     private static final class Issue {
         private final long mTokens;
         private final Instant mExpiresAt;
+        private final IssueHistory.Step mStep;
 
-        private Issue(final long tokens, final Instant expiresAt) {
+        private Issue(final long tokens, final Instant expiresAt, final IssueHistory.Step step) {
             mTokens = tokens;
             mExpiresAt = expiresAt;
+            mStep = step;
         }
     }
 }
--- a/serving/src/main/java/org/whinhead/serving/quota/ShareEstimate.java
+++ b/serving/src/main/java/org/whinhead/serving/quota/ShareEstimate.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Optional;
 
 /**
  * Upper bound of the level of a share that another daemon may hold. Other daemons use the share
@@ -9,22 +10,41 @@
  */
 final class ShareEstimate {
 
-    private double mLevel = Double.POSITIVE_INFINITY;
-    private Instant mLevelAt = Instant.EPOCH;
+    /** The time for which a holder tells how fast its share's level may rise. */
+    static final Duration FORECAST_TIME = Duration.ofSeconds(1);
 
-    void setLevel(final double level, final Instant at) {
+    private static final double MILLIS_PER_SECOND = 1_000;
+
+    private double mLevel;
+    private double mGainPerSecond;
+    private Optional<Instant> mLevelAt = Optional.empty();
+
+    void setLevel(final double level, final double gainPerSecond, final Instant at) {
         mLevel = level;
-        mLevelAt = at;
+        mGainPerSecond = gainPerSecond;
+        mLevelAt = Optional.of(at);
     }
 
     double upperBound(final ShareLimits limits, final Instant now) {
-        final double refilled = mLevel + limits.inflow(Duration.between(mLevelAt, now));
-        return Math.min(refilled, limits.capacityTokens());
+        if (mLevelAt.isEmpty()) {
+            return limits.capacityTokens();
+        }
+        final Duration age = Duration.between(mLevelAt.get(), now);
+        if (age.compareTo(FORECAST_TIME) > 0) {
+            return limits.capacityTokens();
+        }
+        final double risen = mGainPerSecond * Math.max(age.toMillis(), 0) / MILLIS_PER_SECOND;
+        return Math.min(mLevel + risen, limits.capacityTokens());
     }
 
     /** Returns the time until the share may have reached a level. */
     Duration timeUntil(final double level, final ShareLimits limits, final Instant now) {
         final double missing = Math.max(level - upperBound(limits, now), 0);
-        return Duration.ofMillis((long) Math.ceil(missing * 1_000 / limits.tokensPerSecond()));
+        return missing == 0
+                ? Duration.ZERO
+                : Duration.ofMillis(
+                        (long)
+                                Math.ceil(
+                                        missing * MILLIS_PER_SECOND / Math.max(mGainPerSecond, 1)));
     }
 }
--- a/serving/src/main/java/org/whinhead/serving/quota/ShareEstimates.java
+++ b/serving/src/main/java/org/whinhead/serving/quota/ShareEstimates.java
@@ -43,8 +43,9 @@
     }
 
     /** Records the level of a share that its holder has reported, in tokens. */
-    void recordLevel(final TokenRequest request, final long level, final Instant now) {
-        estimate(request.customer(), request.slot()).setLevel(level, now);
+    void recordLevel(final TokenRequest request, final TokenResponse response, final Instant now) {
+        estimate(request.customer(), request.slot())
+                .setLevel(response.level(), response.gainPerSecond(), now);
         mUnresponsiveUntil.remove(holder(request.slot()));
     }
 
--- a/serving/src/main/java/org/whinhead/serving/quota/ShareLimits.java
+++ b/serving/src/main/java/org/whinhead/serving/quota/ShareLimits.java
@@ -4,19 +4,21 @@
 import org.whinhead.serving.configuration.TokenAllowance;
 
 /**
- * Limits of the token bucket of one share of a customer's allowance.
+ * Limits of one share of a customer's allowance.
  *
- * <p>In any window a share issues at most its rate times the window, its capacity, its overdraft
- * and the credit of a restart. Times the number of shares this stays below the tokens that the
- * deployment accepts.
+ * <p>In any time up to the window a share issues at most its rate times that time, its capacity,
+ * its overdraft and the credit of a restart. Times the number of shares this stays below the tokens
+ * that the deployment accepts.
  *
- * @param tokensPerSecond the refill rate
- * @param capacityTokens the capacity, including issued tokens that have not expired
+ * @param window the longest time in which issued tokens are summed
+ * @param tokensPerSecond the refill rate, at which also a share issues whose holder was restarted
+ * @param capacityTokens the tokens issued at once after a window without requests
  * @param maxDebt the largest overdraft, in tokens
  * @param restartCredit the tokens that a restarted holder adds to the worst-case level
  * @param lightReserve the tokens reserved for light requests
  */
 record ShareLimits(
+        Duration window,
         double tokensPerSecond,
         double capacityTokens,
         double maxDebt,
@@ -29,20 +31,37 @@
     /** The fraction of the accepted tokens in use; the rest covers clocks of different rates. */
     private static final double USED_FRACTION = 0.98;
 
-    /** The fraction of the tokens accepted beyond the rate that refills; the rest is for bursts. */
-    private static final double REFILL_FRACTION = 1.0 / 5;
+    /**
+     * The part of its rate that a customer uses while it is calm. One that has used no more for a
+     * window may spend all that its allowance leaves of the window at once.
+     */
+    private static final double CALM_FRACTION = 0.5;
+
+    /**
+     * The capacity, as a multiple of what such a customer may spend at once. Tokens count as issued
+     * until they expire, which is longer than the window.
+     */
+    private static final double CAPACITY_MARGIN = 1.1;
+
+    /** The capacity beyond that, in tokens: what is left in a share that can't meet a claim. */
+    private static final double REMAINDER_TOKENS = 4_000;
 
     /**
-     * The least fraction of the accepted tokens beyond the sustained rate; a request takes all of
-     * its tokens at once.
+     * The bounds of the refill rate, as fractions of the allowance's rate. The refill rate is what
+     * is left for a customer while restarted holders know nothing of the tokens issued before.
      */
+    private static final double MIN_REFILL_FRACTION = 0.25;
+
+    private static final double MAX_REFILL_FRACTION = 0.75;
+
+    /** The least fraction of the accepted tokens that counts as beyond the rate. */
     private static final double MIN_BURST_FRACTION = 1.0 / 8;
 
-    /** The fraction of the burst tokens available as overdraft. */
-    private static final double DEBT_FRACTION = 1.0 / 12;
+    /** The overdraft, as a fraction of the tokens accepted beyond the rate. */
+    private static final double DEBT_FRACTION = 1.0 / 15;
 
-    /** The fraction of the burst tokens available as restart credit. */
-    private static final double RESTART_FRACTION = 1.0 / 4;
+    /** The restart credit, as a fraction of the tokens accepted beyond the rate. */
+    private static final double RESTART_FRACTION = 1.0 / 16;
 
     /**
      * The shortest time, in seconds, for which a restart stops a holder from issuing tokens. It
@@ -52,10 +71,11 @@
     private static final double RESTART_PAUSE_SECONDS = 1;
 
     /**
-     * The fraction of the capacity reserved for light requests. A plain call costs some 200 tokens
-     * and a prompt thousands, so a customer that floods with prompts keeps its plain calls.
+     * The tokens reserved for light requests, as a fraction of those accepted beyond the rate. A
+     * plain call costs some 200 tokens and a prompt thousands, so a customer that floods with
+     * prompts keeps its plain calls.
      */
-    private static final double LIGHT_FRACTION = 1.0 / 16;
+    private static final double LIGHT_FRACTION = 1.0 / 30;
 
     /** The fraction of the capacity that one claim requests at most, if other shares are left. */
     private static final double MAX_CLAIM_FRACTION = 1.0 / 3;
@@ -67,15 +87,31 @@
         final double accepted = USED_FRACTION * acceptedTokens(allowance, tolerance);
         final double beyondRate =
                 Math.max(
-                        accepted - seconds * allowance.tokensPerSecond(),
-                        MIN_BURST_FRACTION * accepted);
-        final double refillRate = (accepted - beyondRate + REFILL_FRACTION * beyondRate) / seconds;
-        final double burst = (1 - REFILL_FRACTION) * beyondRate / SHARES;
-        final double rate = refillRate / SHARES;
-        final double maxDebt = DEBT_FRACTION * burst;
-        final double credit = Math.min(RESTART_FRACTION * burst, RESTART_PAUSE_SECONDS * rate);
-        final double capacity = burst - maxDebt - credit;
-        return new ShareLimits(rate, capacity, maxDebt, credit, LIGHT_FRACTION * capacity);
+                                accepted - seconds * allowance.tokensPerSecond(),
+                                MIN_BURST_FRACTION * accepted)
+                        / SHARES;
+        final double maxDebt = DEBT_FRACTION * beyondRate;
+        final double maxCredit = RESTART_FRACTION * beyondRate;
+        final double windowTokens = accepted / SHARES - maxDebt - maxCredit;
+        final double rate = refillRate(allowance, windowTokens, seconds);
+        return new ShareLimits(
+                tolerance.window(),
+                rate,
+                windowTokens - seconds * rate,
+                maxDebt,
+                Math.min(maxCredit, RESTART_PAUSE_SECONDS * rate),
+                LIGHT_FRACTION * beyondRate);
+    }
+
+    /** Returns the refill rate of a share that leaves the capacity for a burst after calm. */
+    private static double refillRate(
+            final TokenAllowance allowance, final double windowTokens, final double seconds) {
+        final double rate = (double) allowance.tokensPerSecond() / SHARES;
+        final double burst = (double) allowance.burstTokens() / SHARES;
+        final double capacity =
+                CAPACITY_MARGIN * (burst + (1 - CALM_FRACTION) * seconds * rate) + REMAINDER_TOKENS;
+        final double refill = (windowTokens - capacity) / seconds;
+        return Math.min(Math.max(refill, MIN_REFILL_FRACTION * rate), MAX_REFILL_FRACTION * rate);
     }
 
     /** Returns the most tokens that the deployment accepts in a window. */
@@ -100,6 +136,11 @@
         return Math.max(minLevelBefore(light), minLevelAfter(light) + tokens);
     }
 
+    /** Returns the tokens issued at most in a window without a restart and an overdraft. */
+    double windowTokens() {
+        return capacityTokens + inflow(window);
+    }
+
     double inflow(final Duration time) {
         return Math.max(time.toNanos() / 1e9, 0) * tokensPerSecond;
     }
--- a/serving/src/main/java/org/whinhead/serving/quota/TokenResponse.java
+++ b/serving/src/main/java/org/whinhead/serving/quota/TokenResponse.java
@@ -10,8 +10,10 @@
  * @param slot the slot of the share
  * @param outcome the outcome of the request
  * @param level the tokens left in the share; negative if it is overdrawn
+ * @param gainPerSecond the fastest rise of the level within the next second, in tokens per second
  */
-public record TokenResponse(long id, String customer, int slot, Outcome outcome, long level) {
+public record TokenResponse(
+        long id, String customer, int slot, Outcome outcome, long level, long gainPerSecond) {
 
     /** Checks the components. */
     public TokenResponse {
--- /dev/null
+++ b/serving/src/test/java/org/whinhead/serving/quota/CustomerQuotasHotCustomerTest.java
@@ -0,0 +1,71 @@
+package org.whinhead.serving.quota;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Tests a customer that sends many times its usual load for some seconds after calm. */
+class CustomerQuotasHotCustomerTest {
+
+    private static final long RATE = 533_632;
+    private static final long SEED = 100;
+    private static final int KILLED_AT = HotCustomerScenario.HOT_AT + 500;
+
+    // Shares whose capacity was a part of the burst refused 28% of the requests that were within
+    // the allowance by what the customer had sent. Columns: daemons, usual load as a fraction of
+    // the rate, factor of the hot customer, factor of its large requests, largest refused fraction.
+    @ParameterizedTest
+    @CsvSource({
+        "8, 0.5, 6, 1, 0.04",
+        "66, 0.5, 7.5, 1.7, 0.02",
+        "66, 0.6, 6, 1.7, 0.005",
+        "66, 0.4, 6, 1, 0.06",
+        "330, 0.6, 7.5, 1, 0.005",
+        "330, 0.5, 6, 1, 0.02",
+    })
+    void requestsWithinAllowanceAreAdmitted(
+            final int daemons,
+            final double usualFraction,
+            final double hotFactor,
+            final double largeFactor,
+            final double mostRefused) {
+        final HotCustomerScenario scenario =
+                new HotCustomerScenario(daemons, RATE, usualFraction, hotFactor, SEED)
+                        .largeFactor(largeFactor)
+                        .run();
+        assertThat(scenario.hot().withinRefusedFraction()).isLessThanOrEqualTo(mostRefused);
+        assertThat(scenario.calm().withinRefusedFraction()).isZero();
+        assertThat(scenario.hot().worstWindowFraction()).isLessThanOrEqualTo(1.0);
+    }
+
+    // The large requests of a hot customer find no share with enough tokens while its small ones
+    // take each token. They must be admitted at least half as often.
+    @ParameterizedTest
+    @CsvSource({"8, 0.5", "66, 0.6", "330, 0.4"})
+    void largeRequestsAreAdmittedLikeSmallOnes(final int daemons, final double usualFraction) {
+        final HotCustomerScenario scenario =
+                new HotCustomerScenario(daemons, RATE, usualFraction, 6, SEED).run();
+        final double large = scenario.hot().kinds().get(0).admittedFraction();
+        final double small = scenario.hot().kinds().get(2).admittedFraction();
+        assertThat(large / small).isGreaterThanOrEqualTo(0.5);
+    }
+
+    // A holder is killed while a customer is hot, and a fiftieth of the messages is lost. Its other
+    // holders must not issue more for it, nor refuse other customers.
+    @ParameterizedTest
+    @CsvSource({"8, 0.5", "66, 0.6", "330, 0.4"})
+    void killedHolderKeepsLimit(final int daemons, final double usualFraction) {
+        final HotCustomerScenario scenario =
+                new HotCustomerScenario(daemons, RATE, usualFraction, 7.5, SEED);
+        final SimulatedFleet fleet = scenario.fleet();
+        fleet.setLossRate(0.02);
+        final int holder = fleet.holderOf(HotCustomerScenario.HOT, 0);
+        fleet.at(KILLED_AT, () -> fleet.restart(holder, Duration.ofMillis(1_000)));
+        scenario.run();
+        assertThat(scenario.hot().worstWindowFraction()).isLessThanOrEqualTo(1.0);
+        assertThat(scenario.hot().withinRefusedFraction()).isLessThanOrEqualTo(0.15);
+        assertThat(scenario.calm().withinRefusedFraction()).isLessThanOrEqualTo(0.01);
+    }
+}
--- a/serving/src/test/java/org/whinhead/serving/quota/SimulatedFleet.java
+++ b/serving/src/test/java/org/whinhead/serving/quota/SimulatedFleet.java
@@ -102,6 +102,12 @@
         return daemon.mUp && daemon.mSuspendedUntil <= mNowMicros;
     }
 
+    /** Returns the daemon that holds one of a customer's shares. */
+    int holderOf(final String customer, final int share) {
+        final int slot = mTable.slotOf(customer, share);
+        return mTable.slots().get(slot).holder().getPort() - FIRST_PORT;
+    }
+
     int size() {
         return mDaemons.size();
     }
