Hold back or refuse requests by rank and wait where endpoints are all taken

Endpoints that 75 daemons share were flooded in bursts: every rank was sent at once, plain endpoints rejected what was beyond their queues, and urgent requests were lost like others.

ServiceAdmission decides before the first attempt of a request. While slots are free, all is placed. Beyond that the most urgent rank present is placed, others wait at their daemon until slots are free again, in the order of rank and, within it, of a fair share between customers. A request is refused if its answer can't come in its useful time. Reports carry each daemon's requests by service and rank; old ones don't count, and what a daemon's own answers and rejections show corrects late ones. Only where the pool policy admits by wait.

--- a/gateway/src/main/java/org/whinhead/gateway/EndpointAccess.java
+++ b/gateway/src/main/java/org/whinhead/gateway/EndpointAccess.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import java.net.InetAddress;
 import java.time.Instant;
+import java.util.List;
 import java.util.Optional;
 import java.util.Random;
 import java.util.function.Supplier;
@@ -70,7 +71,9 @@
         mBrittle = new BrittleServicesLogger(state.brittle());
         counts.addGauge("whinhead.services.brittle", mBrittle::serviceCount);
         counts.addGauges(
-                "whinhead.endpoint.connections.open", "service", mConnections::openByService);
+                "whinhead.endpoint.connections.open",
+                List.of("service"),
+                mConnections::openByService);
         counts.addGauge("whinhead.endpoints.limited", state.requestLimits()::limitedCount);
         counts.addGauge("whinhead.permits.granted", state.permits()::grantedCount);
         counts.addGauge("whinhead.permits.denied", state.permits()::deniedCount);
--- a/gateway/src/main/java/org/whinhead/gateway/Gateway.java
+++ b/gateway/src/main/java/org/whinhead/gateway/Gateway.java
@@ -5,6 +5,9 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
@@ -37,6 +40,7 @@
 import org.whinhead.gateway.store.TopicFollower;
 import org.whinhead.gateway.store.TopicListener;
 import org.whinhead.gateway.time.GuardedTask;
+import org.whinhead.serving.admission.ServiceWork;
 import org.whinhead.serving.balance.EndpointChooser;
 import org.whinhead.serving.capacity.CapacityPlanner;
 import org.whinhead.serving.configuration.CallerLimits;
@@ -233,10 +237,24 @@
                                 .toMillis());
         mCounts.addGauge("whinhead.configuration.unreadable", progress::unreadableCount);
         mCounts.addGauge("whinhead.streams.known", mState.streams()::size);
+        mCounts.addGauges(
+                "whinhead.requests.waiting", List.of("service", "rank"), this::waitingRequests);
         mCounts.addGauge("whinhead.requests.suspected", mState.suspects()::size);
         mCounts.addGauge("whinhead.requests.held.back", mState.suspects()::blockedCount);
     }
 
+    /** Returns the requests that wait for slots, by service and rank. */
+    private Map<List<String>, Integer> waitingRequests() {
+        final Map<List<String>, Integer> waiting = new HashMap<>();
+        for (final ServiceWork work : mState.admission().ownWork()) {
+            final List<Integer> byRank = work.waiting().toList();
+            for (int rank = 0; rank < byRank.size(); rank++) {
+                waiting.put(List.of(work.service(), String.valueOf(rank)), byRank.get(rank));
+            }
+        }
+        return waiting;
+    }
+
     private static ServingState createState(
             final GatewaySettings settings,
             final DatagramQuotaTransport tokens,
@@ -418,6 +436,7 @@
         mMembers.setSelfReady(false);
         mPeers.announceLeaving();
         mDuties.stop();
+        mExchanges.stopHolding();
         mAccess.drain();
         final Instant start = mState.clock().instant();
         schedule(CLOSE_IDLE_AFTER, mCallerServer::drain);
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnections.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnections.java
@@ -120,11 +120,12 @@
     /**
      * Returns the connections, open and being opened, to the endpoints of each service.
      *
-     * @return the numbers by the service's name
+     * @return the numbers by the service's name, as the only tag
      */
-    public Map<String, Integer> openByService() {
-        final Map<String, Integer> open = new HashMap<>();
-        mPools.values().forEach(pool -> open.merge(pool.mService, pool.held(), Integer::sum));
+    public Map<List<String>, Integer> openByService() {
+        final Map<List<String>, Integer> open = new HashMap<>();
+        mPools.values()
+                .forEach(pool -> open.merge(List.of(pool.mService), pool.held(), Integer::sum));
         return open;
     }
 
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/ConnectionSearch.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/ConnectionSearch.java
@@ -11,6 +11,7 @@
 import java.util.function.BooleanSupplier;
 import org.whinhead.gateway.endpoint.ConnectFailure;
 import org.whinhead.gateway.endpoint.EndpointConnection;
+import org.whinhead.serving.admission.AdmissionDecision;
 import org.whinhead.serving.balance.Placement;
 import org.whinhead.serving.endpoint.EndpointEntry;
 
@@ -48,6 +49,7 @@
     private final BooleanSupplier mIsSuspect;
     private final Listener mListener;
     private final PermitGate mGate;
+    private final AdmissionPass mPass;
     private final Set<String> mTriedEndpoints = new HashSet<>();
     private Placement mPlacement;
     private Optional<Placement> mUnconfirmed = Optional.empty();
@@ -71,6 +73,7 @@
         mIsSuspect = isSuspect;
         mListener = listener;
         mGate = new PermitGate(exchanges.state(), exchanges.loop());
+        mPass = new AdmissionPass(exchanges, admission, service, stream);
     }
 
     /** Receives the outcome of a search. */
@@ -89,12 +92,19 @@
          */
         void atRequestLimit(List<EndpointEntry> endpoints);
 
+        /** Called if the service has no capacity for the request in its useful time. */
+        void notAdmitted(AdmissionDecision decision);
+
         /** Called if no endpoint or no connection was found. */
         void notConnected(String reason);
     }
 
-    /** Searches for an untried endpoint. */
+    /** Searches for an untried endpoint, once the service has capacity for the request. */
     void start() {
+        mPass.enter(this::search, mListener::notAdmitted);
+    }
+
+    private void search() {
         final List<EndpointEntry> listed = untried(candidates());
         final List<EndpointEntry> reachable =
                 mExchanges.state().pools().limitsConnections()
@@ -190,11 +200,18 @@
     /** Cancels the search; the listener is not called any more until the next one. */
     void cancel() {
         mSearchId++;
+        mPass.leave();
         mGate.leave();
         mUnconfirmed.ifPresent(Placement::release);
         mUnconfirmed = Optional.empty();
     }
 
+    /** Ends the search for good, as its request has ended. */
+    void end(final boolean answered) {
+        cancel();
+        mPass.end(answered);
+    }
+
     /** Returns whether some of the endpoints were not tried. */
     boolean hasUntried(final Collection<EndpointEntry> endpoints) {
         return endpoints.stream().anyMatch(endpoint -> !mTriedEndpoints.contains(endpoint.id()));
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
@@ -18,6 +18,7 @@
 import org.whinhead.gateway.endpoint.EndpointResponseListener;
 import org.whinhead.gateway.endpoint.MovedRun;
 import org.whinhead.gateway.endpoint.ResponseEnd;
+import org.whinhead.serving.admission.AdmissionDecision;
 import org.whinhead.serving.balance.Placement;
 import org.whinhead.serving.crash.SuspectDecision;
 import org.whinhead.serving.endpoint.EndpointEntry;
@@ -47,6 +48,9 @@
     /** The same before a response that ended with its connection counts as complete. */
     private static final Duration END_CHECK_TIME = Duration.ofMillis(300);
 
+    private static final int STATUS_CLASS = 100;
+    private static final int SUCCESS_CLASS = 2;
+
     private static final String TIMED_OUT = "timed out";
     private static final String TOO_LATE = "read too late";
     private static final String STREAM_CUT = "stream ended within an event";
@@ -195,6 +199,13 @@
         giveUp(reason);
     }
 
+    @Override
+    public void notAdmitted(final AdmissionDecision decision) {
+        refuse(
+                decision.reason(),
+                mRefusals.notAdmittedRefusal(decision.reason(), decision.retryAfter()));
+    }
+
     @Override
     public void atRequestLimit(final List<EndpointEntry> endpoints) {
         if (mRelay.isStarted()) {
@@ -539,12 +550,17 @@
         }
     }
 
+    private static boolean isSuccess(final int status) {
+        return status / STATUS_CLASS == SUCCESS_CLASS;
+    }
+
     private void finish(final String outcome, final int status) {
         mFinished = true;
         mExchanges.exchangeEnded(this);
         mTimers.cancelDeadline();
         cancelMove();
         endAttempt();
+        mSearch.end(isSuccess(status));
         mBody.release();
         mRelay.release();
         mExchanges
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/Exchanges.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/Exchanges.java
@@ -10,6 +10,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.whinhead.gateway.caller.CallerRequest;
 import org.whinhead.gateway.caller.CallerRequestHandler;
@@ -61,6 +62,7 @@
     private final RunMover mMover;
     private final CrashDetector mCrashes;
     private final Set<Exchange> mRunning = new HashSet<>();
+    private final AdmissionGate mAdmissionGate;
     private final LoopLag mLag;
     private Consumer<EndpointEntry> mOnRejection = endpoint -> {};
     private Consumer<LimitStatement> mOnLimitStatement = statement -> {};
@@ -94,6 +96,12 @@
         mMover = mover;
         mCrashes = crashes;
         mLag = new LoopLag(LAG_MEASUREMENT_INTERVAL, state.clock().instant());
+        mAdmissionGate =
+                new AdmissionGate(
+                        state,
+                        loop,
+                        (task, delay) ->
+                                loop.schedule(task, delay.toMillis(), TimeUnit.MILLISECONDS));
         mStreams = new LocalStreamDirectory(state.streams(), state.clock());
     }
 
@@ -150,6 +158,9 @@
         }
         mState.brittle().recordAnswer(endpoint, response.rejectionLimit(), now);
         if (response.isRejection()) {
+            if (mState.pools().admitsByWait()) {
+                mState.admission().recordRejection(endpoint.service(), now);
+            }
             mRequestLogger.rejected(endpoint, response.rejectionLimit());
             if (mState.brittle().recordRejection(endpoint, now)) {
                 mOnRejection.accept(endpoint);
@@ -182,6 +193,11 @@
         mLag.taskRan(mState.clock().instant());
     }
 
+    /** Places or refuses the requests that wait for slots, and lets no further ones wait. */
+    public void stopHolding() {
+        mAdmissionGate.stop();
+    }
+
     /** Refuses new streams from now on, as this daemon exits before they would end. */
     public void refuseStreams() {
         mRefusesStreams = true;
@@ -297,6 +313,10 @@
         return new RefusedRequest();
     }
 
+    AdmissionGate admissionGate() {
+        return mAdmissionGate;
+    }
+
     EventLoop loop() {
         return mLoop;
     }
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/RefusalFactory.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/RefusalFactory.java
@@ -70,6 +70,18 @@
         return RefusalResponse.notRun(SUSPECT, retryAfter);
     }
 
+    /**
+     * Returns the refusal of a request that was never sent, as its service has no capacity for it.
+     * Its customer gets the tokens back.
+     *
+     * @param reason the reason for the log and the caller
+     * @param retryAfter the delay after which it may succeed
+     */
+    RefusalResponse notAdmittedRefusal(final String reason, final Duration retryAfter) {
+        mAdmission.spend().ifPresent(mState.quotas()::refund);
+        return RefusalResponse.notRun(reason, retryAfter);
+    }
+
     /**
      * Returns the refusal of a request whose endpoints all name limits of requests per second that
      * are used up. If it was not sent to any, its customer gets the tokens back.
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/RequestLogger.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/RequestLogger.java
@@ -15,6 +15,7 @@
 import org.whinhead.gateway.endpoint.EndpointConnection;
 import org.whinhead.gateway.endpoint.MoveOutcome;
 import org.whinhead.gateway.metrics.RequestMetrics;
+import org.whinhead.serving.admission.AdmissionDecision;
 import org.whinhead.serving.balance.Placement;
 import org.whinhead.serving.configuration.ConfigurationProgress;
 import org.whinhead.serving.configuration.CustomerAccount;
@@ -240,6 +241,40 @@
                 .log("no connection left for request");
     }
 
+    /** Logs that a request waited at this daemon for slots. */
+    void held(
+            final AdmittedRequest admission,
+            final String service,
+            final Duration heldFor,
+            final String outcome) {
+        LOG.atInfo()
+                .addKeyValue("request", admission.request().id())
+                .addKeyValue("route", admission.route().name())
+                .addKeyValue("customer", admission.customerName().orElse(""))
+                .addKeyValue("service", service)
+                .addKeyValue("rank", admission.priority())
+                .addKeyValue("millis", heldFor.toMillis())
+                .addKeyValue("outcome", outcome)
+                .log("request waited for slots");
+    }
+
+    /** Logs that a request is refused as its service has no capacity for it. */
+    void notAdmitted(
+            final AdmittedRequest admission,
+            final String service,
+            final AdmissionDecision decision) {
+        mCounts.recordNotAdmitted(service, decision.reason());
+        LOG.atInfo()
+                .addKeyValue("request", admission.request().id())
+                .addKeyValue("route", admission.route().name())
+                .addKeyValue("customer", admission.customerName().orElse(""))
+                .addKeyValue("service", service)
+                .addKeyValue("rank", admission.priority())
+                .addKeyValue("reason", decision.reason())
+                .addKeyValue("comeBackAfter", decision.retryAfter())
+                .log("request not admitted");
+    }
+
     void retryDenied(final String service) {
         mCounts.recordRetryDenied(service);
     }
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/ServingState.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/ServingState.java
@@ -3,6 +3,8 @@
 import java.net.InetSocketAddress;
 import java.time.InstantSource;
 import java.util.Objects;
+import java.util.Random;
+import org.whinhead.serving.admission.ServiceAdmission;
 import org.whinhead.serving.balance.EndpointChooser;
 import org.whinhead.serving.configuration.ConfigurationHolder;
 import org.whinhead.serving.configuration.ConfigurationProgress;
@@ -51,6 +53,7 @@
     private final BrittleEndpoints mBrittle = new BrittleEndpoints();
     private final StatedLimits mRequestLimits = new StatedLimits();
     private final ConnectionLimits mConnectionLimits = new ConnectionLimits();
+    private final ServiceAdmission mAdmission = new ServiceAdmission(new Random());
     private final CrashSuspects mSuspects = new CrashSuspects();
     private final UsualRequests mUsual = new UsualRequests();
     private final KnownStreams mStreams = new KnownStreams();
@@ -174,6 +177,29 @@
                 .orElse("/");
     }
 
+    /**
+     * Returns whether a service's endpoints are model engines.
+     *
+     * @param service the service
+     * @return true if they run language models
+     */
+    boolean isEngine(final String service) {
+        return mConfiguration
+                .current()
+                .flatMap(current -> current.service(service))
+                .filter(ServiceSpec::modelEngine)
+                .isPresent();
+    }
+
+    /**
+     * Returns the admission of requests to services whose endpoints are busy.
+     *
+     * @return the admission
+     */
+    public ServiceAdmission admission() {
+        return mAdmission;
+    }
+
     /**
      * Returns the division of the connections to endpoints between the daemons.
      *
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/StreamTracker.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/StreamTracker.java
@@ -71,6 +71,11 @@
         return mOrigin.isPresent() ? mAdmission.priority() : mAdmission.priority() + 1;
     }
 
+    /** Returns whether the request is for the rest of a stream. */
+    boolean continues() {
+        return mOrigin.isPresent();
+    }
+
     /** Returns whether the request must wait for room at brittle endpoints. */
     boolean isWithoutRoom() {
         return mOrigin.isPresent()
--- a/gateway/src/main/java/org/whinhead/gateway/metrics/CounterKey.java
+++ b/gateway/src/main/java/org/whinhead/gateway/metrics/CounterKey.java
@@ -37,6 +37,8 @@
         RELAY("whinhead.endpoint.relays", "outcome", ""),
         /** Requests that endpoints rejected for want of room. */
         REJECTED("whinhead.endpoint.rejections", "service", ""),
+        /** Requests that were not sent, as their service has no capacity for them. */
+        NOT_ADMITTED("whinhead.requests.not.admitted", "service", "reason"),
         /** Requests refused, or not tried again, as no endpoint may get another connection. */
         WITHOUT_CONNECTION("whinhead.requests.without.connection", "service", ""),
         /** Requests that were sent to endpoints that name a limit of requests per second. */
--- a/gateway/src/main/java/org/whinhead/gateway/metrics/RequestMetrics.java
+++ b/gateway/src/main/java/org/whinhead/gateway/metrics/RequestMetrics.java
@@ -93,6 +93,16 @@
         counter(Metric.REJECTED, service, "").add(1);
     }
 
+    /**
+     * Counts a request that is not sent, as its service has no capacity for it.
+     *
+     * @param service the requested service
+     * @param reason why it is not sent
+     */
+    public void recordNotAdmitted(final String service, final String reason) {
+        counter(Metric.NOT_ADMITTED, service, reason).add(1);
+    }
+
     /**
      * Counts a request for which no connection to any endpoint may be opened.
      *
@@ -203,17 +213,17 @@
     }
 
     /**
-     * Adds values that are read at each scrape, one for each value of a tag.
+     * Adds values that are read at each scrape, one for each combination of tags.
      *
      * @param name the metric's name
-     * @param tag the tag's name
-     * @param values returns the current values by the tag's value
+     * @param tags the names of the tags
+     * @param values returns the current values by the values of the tags, in the same order
      */
     public void addGauges(
             final String name,
-            final String tag,
-            final Supplier<? extends Map<String, ? extends Number>> values) {
-        mTaggedGauges.add(new TaggedGauge(name, tag, values));
+            final List<String> tags,
+            final Supplier<? extends Map<List<String>, ? extends Number>> values) {
+        mTaggedGauges.add(new TaggedGauge(name, List.copyOf(tags), values));
     }
 
     private void refresh(final TaggedGauge gauge) {
@@ -221,8 +231,8 @@
         gauge.mValues
                 .get()
                 .forEach(
-                        (value, number) ->
-                                rows.add(MultiGauge.Row.of(Tags.of(gauge.mTag, value), number)));
+                        (values, number) ->
+                                rows.add(MultiGauge.Row.of(gauge.tags(values), number)));
         if (gauge.mRegistered == null) {
             gauge.mRegistered = MultiGauge.builder(gauge.mName).register(mRegistry);
         }
@@ -254,18 +264,26 @@
 
     private static final class TaggedGauge {
         private final String mName;
-        private final String mTag;
-        private final Supplier<? extends Map<String, ? extends Number>> mValues;
+        private final List<String> mTags;
+        private final Supplier<? extends Map<List<String>, ? extends Number>> mValues;
         private MultiGauge mRegistered;
 
         private TaggedGauge(
                 final String name,
-                final String tag,
-                final Supplier<? extends Map<String, ? extends Number>> values) {
+                final List<String> tags,
+                final Supplier<? extends Map<List<String>, ? extends Number>> values) {
             mName = name;
-            mTag = tag;
+            mTags = tags;
             mValues = values;
         }
+
+        private Tags tags(final List<String> values) {
+            Tags tags = Tags.empty();
+            for (int index = 0; index < mTags.size(); index++) {
+                tags = tags.and(mTags.get(index), values.get(index));
+            }
+            return tags;
+        }
     }
 
     private static final class Counter {
--- a/gateway/src/main/java/org/whinhead/gateway/peers/PeerDatagramChannel.java
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/PeerDatagramChannel.java
@@ -52,6 +52,9 @@
     /** Interval between sends, each to a part of the receivers, so that no link is saturated. */
     private static final int SEND_INTERVAL_MILLIS = 200;
 
+    /** The report intervals after which what a daemon reported of its requests no longer counts. */
+    private static final int COUNTED_INTERVALS = 3;
+
     /**
      * Pause per receiver between datagrams to all: the time of 1,200 bytes on a link of 10 Mbit/s.
      * Without it, the link drops the second and later ones.
@@ -163,6 +166,8 @@
         final Instant now = now();
         mMembers.expire(now);
         mMembers.silentMemberNames(now).forEach(mState.chooser()::forgetPeer);
+        mMembers.silentMemberNames(now).forEach(mState.admission()::forgetDaemon);
+        mState.admission().expire(mMembers.reportInterval().multipliedBy(COUNTED_INTERVALS), now);
         mState.usageClock().syncWithPeers();
         mState.retryBudget().setDaemonCount(mMembers.knownCount(), expectedDaemons());
         mState.brittle()
--- a/gateway/src/main/java/org/whinhead/gateway/peers/PeerReportHandler.java
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/PeerReportHandler.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.time.Instant;
+import java.util.List;
 import java.util.Map;
 import java.util.OptionalInt;
 import java.util.function.Consumer;
@@ -11,7 +12,10 @@
 import org.whinhead.gateway.exchange.ServingState;
 import org.whinhead.gateway.generated.GatewayProto.EndpointShare;
 import org.whinhead.gateway.generated.GatewayProto.PeerReport;
+import org.whinhead.gateway.generated.GatewayProto.ServiceWorkRecord;
 import org.whinhead.gateway.generated.GatewayProto.UsageEntry;
+import org.whinhead.serving.admission.RankCounts;
+import org.whinhead.serving.admission.ServiceWork;
 import org.whinhead.serving.balance.EndpointLoad;
 import org.whinhead.serving.member.Member;
 import org.whinhead.serving.member.MemberStatus;
@@ -91,6 +95,13 @@
                                 .setPromptTokens(load.getValue().ownPromptTokens()));
             }
         }
+        for (final ServiceWork work : mState.admission().ownWork()) {
+            report.addServiceWork(
+                    ServiceWorkRecord.newBuilder()
+                            .setService(work.service())
+                            .addAllRunning(work.running().toList())
+                            .addAllWaiting(work.waiting().toList()));
+        }
         for (final UsageCount count : mState.usage().ownCounts()) {
             report.addUsage(
                     UsageEntry.newBuilder()
@@ -116,6 +127,18 @@
                         : OptionalInt.of(report.getRelayPort()));
     }
 
+    private static List<ServiceWork> serviceWork(final PeerReport report) {
+        return report.getServiceWorkList().stream()
+                .filter(work -> !work.getService().isBlank())
+                .map(
+                        work ->
+                                new ServiceWork(
+                                        work.getService(),
+                                        RankCounts.of(work.getRunningList()),
+                                        RankCounts.of(work.getWaitingList())))
+                .toList();
+    }
+
     /** Applies a report of another daemon; ignores this daemon's own. */
     void applyReport(final PeerReport report) {
         if (report.getName().equals(mMembers.self().name())) {
@@ -157,6 +180,7 @@
                             share.getRunning(),
                             share.getPromptTokens());
         }
+        mState.admission().applyReport(report.getName(), serviceWork(report), now);
         mCrashMessenger.receive(report);
         mLimitMessenger.receive(report);
         for (final UsageEntry entry : report.getUsageList()) {
--- a/gateway/src/test/java/org/whinhead/gateway/endpoint/EndpointConnectionsTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/endpoint/EndpointConnectionsTest.java
@@ -129,7 +129,7 @@
         assertThat(first).succeedsWithin(TIMEOUT_SECONDS, TimeUnit.SECONDS);
         assertThat(second).succeedsWithin(TIMEOUT_SECONDS, TimeUnit.SECONDS);
         assertThat(isWithinLimit()).isFalse();
-        assertThat(onLoop(mConnections::openByService)).isEqualTo(Map.of(SERVICE, 2));
+        assertThat(onLoop(mConnections::openByService)).isEqualTo(Map.of(List.of(SERVICE), 2));
     }
 
     @Test
@@ -163,14 +163,14 @@
         release(first);
         mPart = 1;
         release(second);
-        assertThat(onLoop(mConnections::openByService)).isEqualTo(Map.of(SERVICE, 1));
+        assertThat(onLoop(mConnections::openByService)).isEqualTo(Map.of(List.of(SERVICE), 1));
         mPart = 0;
         onLoop(
                 () -> {
                     mConnections.closeBeyondLimit();
                     return true;
                 });
-        assertThat(onLoop(mConnections::openByService)).isEqualTo(Map.of(SERVICE, 0));
+        assertThat(onLoop(mConnections::openByService)).isEqualTo(Map.of(List.of(SERVICE), 0));
     }
 
     // Guards against a crash that is none: the endpoint resets a connection beyond its limit, and
--- a/gateway/src/test/java/org/whinhead/gateway/metrics/RequestMetricsTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/metrics/RequestMetricsTest.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Test;
@@ -46,13 +47,14 @@
     // Guards against services that are shown with their last number after their endpoints are gone.
     @Test
     void gaugesWithTagAreReadAtEachScrape() {
-        final Map<String, Integer> open = new HashMap<>(Map.of("api", 2, "pool", 3));
-        mMetrics.addGauges("whinhead.endpoint.connections.open", "service", () -> open);
+        final Map<List<String>, Integer> open =
+                new HashMap<>(Map.of(List.of("api"), 2, List.of("pool"), 3));
+        mMetrics.addGauges("whinhead.endpoint.connections.open", List.of("service"), () -> open);
         assertThat(mMetrics.renderPage())
                 .contains("whinhead_endpoint_connections_open{service=\"api\"} 2.0")
                 .contains("whinhead_endpoint_connections_open{service=\"pool\"} 3.0");
-        open.put("api", 5);
-        open.remove("pool");
+        open.put(List.of("api"), 5);
+        open.remove(List.of("pool"));
         assertThat(mMetrics.renderPage())
                 .contains("whinhead_endpoint_connections_open{service=\"api\"} 5.0")
                 .doesNotContain("pool");
--- a/serving/src/main/java/org/whinhead/serving/balance/EndpointChooser.java
+++ b/serving/src/main/java/org/whinhead/serving/balance/EndpointChooser.java
@@ -194,6 +194,17 @@
         return mPrefillRates.computeIfAbsent(service, name -> new PrefillRate());
     }
 
+    /**
+     * Returns the shortest expected wait of a request at endpoints that are compared for it.
+     *
+     * @param candidates the endpoints that may receive the request, at least one
+     * @param work the work of the request
+     * @return the wait, the prefill of its own prompt included
+     */
+    public Duration shortestWait(final List<EndpointEntry> candidates, final Work work) {
+        return Duration.ofMillis(Math.round(findShortestWait(candidates, work).waitMillis()));
+    }
+
     private EndpointEntry findBest(final List<EndpointEntry> candidates, final Work work) {
         final VersionCounts versions = VersionCounts.of(candidates);
         final List<EndpointEntry> replaceable =
