--- a/serving/src/main/java/org/whinhead/serving/balance/EndpointChooser.java
+++ b/serving/src/main/java/org/whinhead/serving/balance/EndpointChooser.java
@@ -289,6 +289,19 @@
         return mPrefillRates.computeIfAbsent(service, name -> new PrefillRate());
     }
 
+    /**
+     * Returns the shortest expected wait of a request at endpoints that are compared for it.
+     *
+     * @param candidates the endpoints that may receive the request, at least one
+     * @param work the work of the request
+     * @param now the current time
+     * @return the wait, the prefill of its own prompt included
+     */
+    public Duration shortestWait(
+            final List<EndpointEntry> candidates, final Work work, final Instant now) {
+        return Duration.ofMillis(Math.round(findShortestWait(candidates, work, now).waitMillis()));
+    }
+
     private EndpointEntry findBest(
             final List<EndpointEntry> candidates, final Work work, final Instant now) {
         final VersionCounts versions = VersionCounts.of(candidates);
