Limit the bytes of an endpoint that are no response

An endpoint could send bytes that are no response until its connection was closed. Parts of heads, interim responses, lines between chunks, trailers, bytes before a head and after a whole response are limited now, buffers of one connection stay under 256 KiB, and an interim response is never taken for the final one.

--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/ConnectionLogger.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/ConnectionLogger.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.whinhead.gateway.http.OverlongPart;
 import org.whinhead.gateway.metrics.RequestMetrics;
 import org.whinhead.gateway.peers.Addresses;
 import org.whinhead.gateway.relay.RelayFailure;
@@ -41,6 +42,15 @@
                 .log("connect failed");
     }
 
+    void overlong(final String endpoint, final String service, final OverlongPart part) {
+        mCounts.recordOverlong(service, part.wireName());
+        LOG.atInfo()
+                .addKeyValue("endpoint", endpoint)
+                .addKeyValue("service", service)
+                .addKeyValue("part", part.wireName())
+                .log("response too long");
+    }
+
     void relayed() {
         mCounts.recordRelay("relayed");
     }
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnection.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnection.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.util.ReferenceCountUtil;
@@ -20,6 +21,9 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.whinhead.gateway.http.ConnectionExceptions;
+import org.whinhead.gateway.http.OverlongPart;
+import org.whinhead.gateway.http.OverlongResponseException;
+import org.whinhead.gateway.http.ResponseProgress;
 import org.whinhead.gateway.relay.RelayDrainEvent;
 import org.whinhead.gateway.relay.RelayLostException;
 import org.whinhead.serving.reach.AccessPath;
@@ -51,6 +55,9 @@
     private EndpointResponse mResponse;
     private Duration mIdleTimeout;
     private boolean mReusable = true;
+    private ResponseProgress mProgress;
+    private boolean mLengthStated;
+    private boolean mOverlong;
 
     EndpointConnection(
             final EndpointProtocol protocol,
@@ -75,6 +82,20 @@
         mPool.add(this);
     }
 
+    /** Sets the state of the handlers that decode the responses. */
+    void setProgress(final ResponseProgress progress) {
+        mProgress = progress;
+    }
+
+    boolean isAwaiting() {
+        return mListener != null;
+    }
+
+    /** Returns whether the connection was closed since its endpoint sent too many bytes. */
+    boolean isOverlong() {
+        return mOverlong;
+    }
+
     AccessPath path() {
         return mPath;
     }
@@ -182,8 +203,7 @@
         mPool.received(this, mLastReadAt);
         try {
             if (mListener == null) {
-                mReusable = false;
-                context.close();
+                failOverlong(OverlongPart.AFTER_RESPONSE);
                 return;
             }
             if (message instanceof HttpResponse response) {
@@ -207,6 +227,7 @@
         }
         mAnswered = true;
         mResponse = mProtocol.decode(response);
+        mLengthStated = HttpUtil.isContentLengthSet(response);
         mIdleTimeout = mResponse.idleTimeout().orElse(EndpointConnections.DEFAULT_IDLE_TIMEOUT);
         if (mResponse.closesConnection()) {
             mReusable = false;
@@ -253,6 +274,53 @@
         }
     }
 
+    /**
+     * Fails the request in progress, if any, and closes the connection, as its endpoint sends too
+     * many bytes that are no response.
+     *
+     * @param part the part that is too long
+     */
+    public void failOverlong(final OverlongPart part) {
+        if (mListener != null) {
+            logOverlong(part);
+        } else if (mReusable) {
+            logOverlong(OverlongPart.AFTER_RESPONSE);
+        }
+        fail(EndpointFailure.OVERLONG);
+    }
+
+    /**
+     * Logs and counts that the endpoint sends too many bytes that are no response.
+     *
+     * @param part the part that is too long
+     */
+    public void logOverlong(final OverlongPart part) {
+        mOverlong = true;
+        mPool.overlong(part);
+    }
+
+    /**
+     * Returns the part of a response without a known end that is being received.
+     *
+     * @return the part; empty if nothing or a body with a length is being received
+     */
+    public Optional<OverlongPart> unfinishedPart() {
+        if (mListener == null) {
+            return Optional.empty();
+        }
+        if (mResponse != null) {
+            return mLengthStated ? Optional.empty() : Optional.of(OverlongPart.UNFINISHED_BODY);
+        }
+        return mProgress != null && mProgress.hasUndecoded()
+                ? Optional.of(OverlongPart.UNFINISHED_HEAD)
+                : Optional.empty();
+    }
+
+    /** Returns whether bytes were received since the last part of the response. */
+    public boolean hasUndecoded() {
+        return mProgress != null && mProgress.hasUndecoded();
+    }
+
     /**
      * Fails the request in progress, as its endpoint has restarted. The connection may be silent
      * instead of reset, and the caller would wait until its deadline.
@@ -281,6 +349,10 @@
 
     @Override
     public void exceptionCaught(final ChannelHandlerContext context, final Throwable cause) {
+        if (cause instanceof OverlongResponseException overlong) {
+            failOverlong(overlong.part());
+            return;
+        }
         ConnectionExceptions.log(LOG, "endpoint", cause);
         fail(
                 cause instanceof RelayLostException
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnections.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnections.java
@@ -2,8 +2,6 @@
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
-import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpDecoderConfig;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
@@ -17,6 +15,8 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.whinhead.gateway.http.OverlongPart;
+import org.whinhead.gateway.http.ResponsePipeline;
 import org.whinhead.serving.endpoint.EndpointEntry;
 import org.whinhead.serving.reach.AccessPath;
 import org.whinhead.serving.reach.EndpointReach;
@@ -119,6 +119,8 @@
         if (connection.isUsable()) {
             connection.release();
             accepted.run();
+        } else if (connection.isOverlong()) {
+            accepted.run();
         } else {
             failed.accept(ConnectFailure.ENDPOINT);
         }
@@ -211,9 +213,10 @@
 
         @Override
         protected void initChannel(final Channel channel) {
-            channel.pipeline()
-                    .addLast(new HttpClientCodec(new HttpDecoderConfig(), false, false))
-                    .addLast(new EndpointConnection(mProtocol, mPool, mClock));
+            final EndpointConnection connection = new EndpointConnection(mProtocol, mPool, mClock);
+            connection.setProgress(
+                    ResponsePipeline.addTo(channel.pipeline(), connection::isAwaiting));
+            channel.pipeline().addLast(connection);
         }
     }
 
@@ -286,6 +289,11 @@
             mReach.recordDirect(mEndpoint, mService, mClock.instant());
         }
 
+        /** Logs and counts bytes that are no response. */
+        void overlong(final OverlongPart part) {
+            mConnector.logger().overlong(mEndpoint, mService, part);
+        }
+
         private void closeIdle() {
             for (final IdleConnection idle : List.copyOf(mIdle)) {
                 idle.mConnection.cancel();
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointFailure.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointFailure.java
@@ -11,7 +11,9 @@
     /** The daemon that relayed the connection was lost before the response was complete. */
     RELAY_LOST(Verdict.MAY_HAVE_RUN),
     /** The received bytes were not a valid HTTP response. */
-    NOT_HTTP(Verdict.MAY_HAVE_RUN);
+    NOT_HTTP(Verdict.MAY_HAVE_RUN),
+    /** More bytes were received that are no response than is allowed. */
+    OVERLONG(Verdict.MAY_HAVE_RUN);
 
     private final Verdict mVerdict;
 
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointHttpClients.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointHttpClients.java
@@ -16,6 +16,9 @@
     /** Endpoints come and go; a client that is dropped costs a connection when used again. */
     private static final int MAX_CLIENTS = 64;
 
+    /** Endpoints answer the daemon's own calls with a few hundred bytes. */
+    private static final int MAX_RESPONSE_BYTES = 128 * 1024;
+
     private final EventLoop mLoop;
     private final EndpointConnector mConnector;
     private final Map<ClientKey, EventLoopHttpClient> mClients = new LinkedHashMap<>();
@@ -47,7 +50,10 @@
                         new ClientKey(endpoint.id(), path),
                         key ->
                                 new EventLoopHttpClient(
-                                        mLoop, endpoint.address(), opener(endpoint)));
+                                        mLoop,
+                                        endpoint.address(),
+                                        opener(endpoint),
+                                        MAX_RESPONSE_BYTES));
         if (mClients.size() > MAX_CLIENTS) {
             mClients.remove(mClients.keySet().iterator().next());
         }
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/HealthProbe.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/HealthProbe.java
@@ -4,11 +4,11 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import org.whinhead.gateway.http.ResponsePipeline;
 
 /** Sends a health check on a new connection and closes it after the response. */
 final class HealthProbe extends ChannelInitializer<Channel> {
@@ -29,7 +29,8 @@
 
     @Override
     protected void initChannel(final Channel channel) {
-        channel.pipeline().addLast(new HttpClientCodec()).addLast(new ResponseHandler());
+        ResponsePipeline.addTo(channel.pipeline(), () -> true);
+        channel.pipeline().addLast(new ResponseHandler());
     }
 
     /** Sends the health check on an open connection. */
@@ -54,7 +55,8 @@
 
         @Override
         public void exceptionCaught(final ChannelHandlerContext context, final Throwable cause) {
-            // A lost connection is no answer, which the timeout of the check shows.
+            // A lost connection or an endless head is no answer, which the timeout of the check
+            // shows.
             context.close();
         }
     }
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/EventSplitter.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/EventSplitter.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.ByteBufUtil;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import org.whinhead.gateway.http.ResponsePipeline;
 
 /**
  * Splits an event stream into whole events.
@@ -17,18 +18,44 @@
     private static final byte LINE_END = '\n';
     private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
 
-    private final ByteBuf mBytes;
+    /**
+     * The longest event, and the bytes beside it that are held: together with what a slow caller
+     * has not read, they stay under 256 KiB.
+     */
+    private static final int MAX_EVENT_BYTES = 144 * 1024;
+
+    private static final int MAX_HELD_BYTES =
+            MAX_EVENT_BYTES + 2 * ResponsePipeline.MAX_CONTENT_BYTES;
+
+    /** Events from this size on are passed on with their buffer instead of being copied. */
+    private static final int MIN_UNCOPIED_BYTES = 16 * 1024;
+
+    private static final int FIRST_BYTES = 256;
+
+    private final ByteBufAllocator mAllocator;
+    private ByteBuf mBytes;
     private int mScanned;
 
     EventSplitter(final ByteBufAllocator allocator) {
-        mBytes = allocator.buffer();
+        mAllocator = allocator;
+        mBytes = newBuffer();
+    }
+
+    private ByteBuf newBuffer() {
+        return mAllocator.buffer(FIRST_BYTES, MAX_HELD_BYTES);
     }
 
+    /** Adds a part of a body of at most {@link ResponsePipeline#MAX_CONTENT_BYTES}. */
     void add(final ByteBuf bytes) {
         mBytes.discardReadBytes();
         mBytes.writeBytes(bytes);
     }
 
+    /** Returns whether the next event is too long, once the whole ones are removed. */
+    boolean isOverlong() {
+        return mBytes.readableBytes() > MAX_EVENT_BYTES;
+    }
+
     int pendingBytes() {
         return mBytes.readableBytes();
     }
@@ -44,13 +71,24 @@
             }
             if (isBlank(from, lineEnd)) {
                 mScanned = 0;
-                return Optional.of(mBytes.readBytes(lineEnd + 1 - start));
+                return Optional.of(remove(lineEnd + 1));
             }
             from = lineEnd + 1;
             mScanned = from - start;
         }
     }
 
+    /** Removes and returns the bytes up to an index. */
+    private ByteBuf remove(final int end) {
+        final int length = end - mBytes.readerIndex();
+        if (length < MIN_UNCOPIED_BYTES) {
+            return mBytes.readBytes(length);
+        }
+        final ByteBuf removed = mBytes;
+        mBytes = newBuffer().writeBytes(removed, end, removed.writerIndex() - end);
+        return removed.writerIndex(end);
+    }
+
     private boolean isBlank(final int from, final int lineEnd) {
         return lineEnd == from || lineEnd == from + 1 && mBytes.getByte(from) == '\r';
     }
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
@@ -18,6 +18,7 @@
 import org.whinhead.gateway.endpoint.EndpointResponseListener;
 import org.whinhead.gateway.endpoint.MovedRun;
 import org.whinhead.gateway.endpoint.ResponseEnd;
+import org.whinhead.gateway.http.OverlongPart;
 import org.whinhead.serving.balance.Placement;
 import org.whinhead.serving.crash.SuspectDecision;
 import org.whinhead.serving.endpoint.EndpointEntry;
@@ -173,6 +174,7 @@
             return;
         }
         mPlacement.load().recordOutcome(true);
+        UnfinishedResponse.log(mConnection, mRelay);
         mTrial.attemptAbandoned();
         mRefusals.markMayHaveRun();
         logUnanswered();
@@ -250,6 +252,11 @@
         }
     }
 
+    @Override
+    public void eventOverlong() {
+        mConnection.failOverlong(OverlongPart.EVENT);
+    }
+
     @Override
     public void completed(final ResponseEnd end) {
         mConnection = null;
@@ -512,6 +519,7 @@
             return;
         }
         logUnanswered();
+        UnfinishedResponse.record(mConnection, mRelay, mPlacement);
         mTrial.attemptAbandoned();
         if (mSender.sends() > 0) {
             mRefusals.markMayHaveRun();
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/ResponseRelay.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/ResponseRelay.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import org.whinhead.gateway.caller.CallerResponse;
 import org.whinhead.gateway.endpoint.EndpointResponse;
+import org.whinhead.gateway.http.ResponsePipeline;
 
 /**
  * Forwards the responses of endpoints to the caller of one request.
@@ -16,14 +17,17 @@
  */
 final class ResponseRelay {
 
-    /** Responses up to this size are buffered until they are complete. */
-    private static final int MAX_BUFFERED_BYTES = 256 * 1024;
+    /**
+     * Responses up to this size are buffered until they are complete. With the reads after it and
+     * what a slow caller has not read, they stay under 256 KiB.
+     */
+    private static final int MAX_BUFFERED_BYTES = 160 * 1024;
 
     private final CallerResponse mResponse;
     private final boolean mStreamRoute;
     private final ProgressListener mProgress;
     private final EventSplitter mEvents = new EventSplitter(ByteBufAllocator.DEFAULT);
-    private final ByteBuf mBuffered = ByteBufAllocator.DEFAULT.buffer(0);
+    private ByteBuf mBuffered = newBuffer();
     private Optional<String> mLastEventId;
     private EndpointResponse mHead;
     private boolean mStarted;
@@ -40,6 +44,11 @@
         mProgress = progress;
     }
 
+    private static ByteBuf newBuffer() {
+        return ByteBufAllocator.DEFAULT.buffer(
+                0, MAX_BUFFERED_BYTES + ResponsePipeline.MAX_CONTENT_BYTES);
+    }
+
     /** Receives the progress of the response. */
     interface ProgressListener {
 
@@ -48,6 +57,9 @@
 
         /** Called when the caller reads more slowly than the endpoint sends. */
         void callerLagging();
+
+        /** Called when an event is too long to be buffered; its attempt must end. */
+        void eventOverlong();
     }
 
     /** Discards the unforwarded part of the previous attempt's response. */
@@ -82,6 +94,9 @@
         if (isStream()) {
             mEvents.add(bytes);
             forwardEvents();
+            if (!mReleased && mEvents.isOverlong()) {
+                mProgress.eventOverlong();
+            }
         } else if (mStarted) {
             forward(bytes.retain());
         } else {
@@ -142,7 +157,10 @@
     private void forwardBuffered() {
         start();
         if (mBuffered.isReadable()) {
-            forward(mBuffered.readRetainedSlice(mBuffered.readableBytes()));
+            final ByteBuf buffered = mBuffered;
+            // The buffer is released once the caller has read it.
+            mBuffered = newBuffer();
+            forward(buffered);
         }
     }
 
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/TrialRecorder.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/TrialRecorder.java
@@ -53,9 +53,11 @@
         }
     }
 
-    /** Records the loss of a connection; only bytes that are not HTTP count against the version. */
+    /**
+     * Records the loss of a connection; only bytes that are no response count against the version.
+     */
     void connectionFailed(final EndpointFailure failure) {
-        if (failure == EndpointFailure.NOT_HTTP) {
+        if (failure == EndpointFailure.NOT_HTTP || failure == EndpointFailure.OVERLONG) {
             mTrial.ifPresent(RolloutAttempt::recordFailure);
         }
     }
--- a/gateway/src/main/java/org/whinhead/gateway/http/EventLoopHttpClient.java
+++ b/gateway/src/main/java/org/whinhead/gateway/http/EventLoopHttpClient.java
@@ -14,7 +14,6 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpUtil;
@@ -45,6 +44,7 @@
     private final EventLoop mLoop;
     private final InetSocketAddress mServer;
     private final ChannelOpener mOpener;
+    private final int mMaxResponseBytes;
     private final Deque<Channel> mIdle = new ArrayDeque<>();
 
     /**
@@ -57,8 +57,8 @@
         this(
                 loop,
                 server,
-                (handlers, opened, failed) ->
-                        connect(loop, server, handlers.get(), opened, failed));
+                (handlers, opened, failed) -> connect(loop, server, handlers.get(), opened, failed),
+                MAX_RESPONSE_BYTES);
     }
 
     /**
@@ -67,12 +67,17 @@
      * @param loop the event loop on which all work runs
      * @param server the server's address, which requests name
      * @param opener opens connections to the server
+     * @param maxResponseBytes the longest body of a response
      */
     public EventLoopHttpClient(
-            final EventLoop loop, final InetSocketAddress server, final ChannelOpener opener) {
+            final EventLoop loop,
+            final InetSocketAddress server,
+            final ChannelOpener opener,
+            final int maxResponseBytes) {
         mLoop = loop;
         mServer = server;
         mOpener = opener;
+        mMaxResponseBytes = maxResponseBytes;
     }
 
     private static void connect(
@@ -159,13 +164,14 @@
         channel.writeAndFlush(pending.request(mServer));
     }
 
-    private static final class PipelineInitializer extends ChannelInitializer<Channel> {
+    private final class PipelineInitializer extends ChannelInitializer<Channel> {
         @Override
         protected void initChannel(final Channel channel) {
+            final ResponseHandler handler = new ResponseHandler();
+            ResponsePipeline.addTo(channel.pipeline(), () -> handler.mPending != null);
             channel.pipeline()
-                    .addLast(new HttpClientCodec())
-                    .addLast(new HttpObjectAggregator(MAX_RESPONSE_BYTES))
-                    .addLast(new ResponseHandler());
+                    .addLast(new HttpObjectAggregator(mMaxResponseBytes))
+                    .addLast(handler);
         }
     }
 
--- /dev/null
+++ b/gateway/src/main/java/org/whinhead/gateway/http/ResponseMessageLimit.java
@@ -0,0 +1,87 @@
+package org.whinhead.gateway.http;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.util.Optional;
+
+/**
+ * Passes on final responses only: drops interim ones up to a limit, and fails if the decoder found
+ * a part too long.
+ *
+ * <p>An interim response that is passed on would count as the final one, which would then be
+ * received by the next request on the connection.
+ */
+final class ResponseMessageLimit extends ChannelInboundHandlerAdapter {
+
+    /** A server sends one or two; each costs some work and no memory. */
+    private static final int MAX_INTERIM_RESPONSES = 16;
+
+    private final ResponseProgress mProgress;
+    private boolean mInInterim;
+
+    ResponseMessageLimit(final ResponseProgress progress) {
+        mProgress = progress;
+    }
+
+    @Override
+    public void channelRead(final ChannelHandlerContext context, final Object message) {
+        if (mProgress.isFailed()) {
+            ReferenceCountUtil.release(message);
+            return;
+        }
+        final Optional<OverlongPart> overlong = check(message);
+        if (overlong.isPresent()) {
+            mProgress.fail();
+            ReferenceCountUtil.release(message);
+            context.fireExceptionCaught(new OverlongResponseException(overlong.get()));
+        } else if (isOfInterim(message)) {
+            ReferenceCountUtil.release(message);
+        } else {
+            context.fireChannelRead(message);
+        }
+    }
+
+    private Optional<OverlongPart> check(final Object message) {
+        mProgress.messageDecoded();
+        final Optional<OverlongPart> overlong = overlongPart(message);
+        if (overlong.isPresent()) {
+            return overlong;
+        }
+        if (message instanceof HttpResponse response) {
+            mInInterim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+            if (mInInterim) {
+                mProgress.interimReceived();
+            } else {
+                mProgress.headReceived();
+            }
+            final boolean switches =
+                    response.status().code() == HttpResponseStatus.SWITCHING_PROTOCOLS.code();
+            if (switches || mProgress.interimResponses() > MAX_INTERIM_RESPONSES) {
+                return Optional.of(OverlongPart.INTERIM_RESPONSES);
+            }
+        }
+        return Optional.empty();
+    }
+
+    private Optional<OverlongPart> overlongPart(final Object message) {
+        return message instanceof HttpObject object && object.decoderResult().isFailure()
+                ? OverlongPart.of(object.decoderResult().cause(), mProgress.isInBody())
+                : Optional.empty();
+    }
+
+    /** Returns whether a message belongs to an interim response; also notes the end of any. */
+    private boolean isOfInterim(final Object message) {
+        final boolean interim = mInInterim;
+        if (message instanceof LastHttpContent) {
+            mInInterim = false;
+            mProgress.ended();
+        }
+        return interim;
+    }
+}
--- a/gateway/src/main/java/org/whinhead/gateway/metrics/CounterKey.java
+++ b/gateway/src/main/java/org/whinhead/gateway/metrics/CounterKey.java
@@ -43,6 +43,8 @@
         CRASHED("whinhead.endpoint.crashes", "service", ""),
         /** Responses that ended when their connection was closed. */
         ENDED_WITH_CONNECTION("whinhead.responses.ended.with.connection", "service", ""),
+        /** Parts of responses, or instead of responses, that endpoints sent beyond a limit. */
+        OVERLONG("whinhead.responses.overlong", "service", "part"),
         /** Further attempts that the retry budget did not allow. */
         RETRY_DENIED("whinhead.retries.denied", "service", ""),
         /** Runs that were moved off leaving endpoints. */
--- a/gateway/src/main/java/org/whinhead/gateway/metrics/RequestMetrics.java
+++ b/gateway/src/main/java/org/whinhead/gateway/metrics/RequestMetrics.java
@@ -114,6 +114,17 @@
         counter(Metric.ENDED_WITH_CONNECTION, service, "").add(1);
     }
 
+    /**
+     * Counts a connection on which an endpoint sent more bytes that are no response than is
+     * allowed, or that were no complete response at the deadline.
+     *
+     * @param service the endpoint's service
+     * @param part the part that was too long
+     */
+    public void recordOverlong(final String service, final String part) {
+        counter(Metric.OVERLONG, service, part).add(1);
+    }
+
     /**
      * Counts a further attempt that the retry budget did not allow.
      *
--- a/gateway/src/main/java/org/whinhead/gateway/relay/RelayServerHandler.java
+++ b/gateway/src/main/java/org/whinhead/gateway/relay/RelayServerHandler.java
@@ -17,6 +17,7 @@
 import org.whinhead.gateway.generated.GatewayProto.RelayMessage;
 import org.whinhead.gateway.generated.GatewayProto.RelayOutcome;
 import org.whinhead.gateway.http.ConnectionExceptions;
+import org.whinhead.gateway.http.ResponsePipeline;
 import org.whinhead.serving.endpoint.EndpointEntry;
 
 /** The relay's side of one relayed connection. */
@@ -91,6 +92,7 @@
                         .channel(NioSocketChannel.class)
                         .option(ChannelOption.TCP_NODELAY, true)
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                        .option(ChannelOption.RCVBUF_ALLOCATOR, ResponsePipeline.readSizes())
                         .handler(new RelayEndpointHandler(this))
                         .connect(endpoint.address(), mServer.localAddress());
         mEndpoint = future.channel();
--- a/gateway/src/test/java/org/whinhead/gateway/endpoint/EndpointConnectionTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/endpoint/EndpointConnectionTest.java
@@ -6,22 +6,30 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Random;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.whinhead.gateway.http.OverlongPart;
+import org.whinhead.gateway.http.ResponsePipeline;
+import org.whinhead.gateway.metrics.RequestMetrics;
+import org.whinhead.serving.member.Member;
+import org.whinhead.serving.member.MemberTable;
 import org.whinhead.serving.reach.AccessPath;
 import org.whinhead.serving.reach.EndpointReach;
+import org.whinhead.serving.reach.RelaySelector;
 
 class EndpointConnectionTest {
 
+    private final RequestMetrics mCounts = new RequestMetrics();
     private final List<String> mReceived = new ArrayList<>();
     private EndpointConnection mConnection;
     private EmbeddedChannel mChannel;
@@ -59,13 +67,14 @@
         final PlainProtocol protocol = new PlainProtocol();
         final EndpointConnections connections =
                 new EndpointConnections(
-                        InstantSource.system(), protocol, null, new EndpointReach());
+                        InstantSource.system(), protocol, connector(), new EndpointReach());
         mConnection =
                 new EndpointConnection(
                         protocol, connections.new Pool("e-1", "api"), InstantSource.system());
-        mChannel =
-                new EmbeddedChannel(
-                        new HttpClientCodec(new HttpDecoderConfig(), false, false), mConnection);
+        mChannel = new EmbeddedChannel();
+        mConnection.setProgress(
+                ResponsePipeline.addTo(mChannel.pipeline(), mConnection::isAwaiting));
+        mChannel.pipeline().addLast(mConnection);
         mConnection.opened(AccessPath.DIRECT);
         mConnection.send(
                 new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/a"),
@@ -73,6 +82,26 @@
                 mListener);
     }
 
+    private EndpointConnector connector() {
+        return new EndpointConnector(
+                new EmbeddedChannel().eventLoop(),
+                InstantSource.system(),
+                InetAddress.getLoopbackAddress(),
+                new EndpointReach(),
+                new RelaySelector(new MemberTable(member()), new Random(1)),
+                new ConnectionLogger(mCounts));
+    }
+
+    private static Member member() {
+        final InetSocketAddress address =
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), 7600);
+        return new Member("a1", "a1-first", "domain-a", address, address);
+    }
+
+    private String counts() {
+        return mCounts.renderPage();
+    }
+
     private void receive(final String text) {
         mChannel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
     }
@@ -146,4 +175,54 @@
         assertThat(mReceived).contains("end");
         assertThat(mConnection.isUsable()).isFalse();
     }
+
+    // Guards against a caller that gets an interim response as the final one, and against the next
+    // request on the connection that gets the final one.
+    @Test
+    void interimResponsesAreNotForwarded() {
+        receive("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n");
+        receive("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        assertThat(mReceived).containsExactly("head 200", "body ok", "end");
+    }
+
+    @Test
+    void endlessStatusLineFailsTheRequestAndIsCounted() {
+        receive("HTTP/1.1 200 " + "a".repeat(5_000));
+        assertThat(mReceived).containsExactly("OVERLONG");
+        assertThat(mChannel.isOpen()).isFalse();
+        assertThat(counts())
+                .contains(
+                        "whinhead_responses_overlong_total"
+                                + "{part=\"status-line\",service=\"api\"} 1.0");
+    }
+
+    // Guards against a response that is received by a request on a connection on which its endpoint
+    // had begun to send something: the bytes came after the response of the request before.
+    @Test
+    void firstByteAfterCompleteResponseClosesTheConnection() {
+        receive("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        mChannel.runPendingTasks();
+        receive("\r");
+        assertThat(mReceived).containsExactly("head 200", "body ok", "end");
+        assertThat(mChannel.isOpen()).isFalse();
+        assertThat(mConnection.isOverlong()).isTrue();
+        assertThat(counts()).contains("part=\"after-response\"");
+    }
+
+    // Guards against an endpoint that isn't found failing: it sends a head so slowly that no limit
+    // is exceeded before the deadline.
+    @Test
+    void begunHeadIsUnfinishedPart() {
+        assertThat(mConnection.unfinishedPart()).isEmpty();
+        receive("HTTP/1.1 2");
+        assertThat(mConnection.unfinishedPart()).contains(OverlongPart.UNFINISHED_HEAD);
+        receive("00 OK\r\nContent-Length: 2\r\n\r\no");
+        assertThat(mConnection.unfinishedPart()).isEmpty();
+    }
+
+    @Test
+    void bodyWithoutLengthIsUnfinishedPart() {
+        receive("HTTP/1.1 200 OK\r\n\r\no");
+        assertThat(mConnection.unfinishedPart()).contains(OverlongPart.UNFINISHED_BODY);
+    }
 }
--- a/gateway/src/test/java/org/whinhead/gateway/exchange/EventSplitterTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/exchange/EventSplitterTest.java
@@ -63,4 +63,30 @@
                 Unpooled.copiedBuffer("data: id: 9\nid: 12\n\n", StandardCharsets.UTF_8);
         assertThat(EventSplitter.id(event)).contains("12");
     }
+
+    // Guards against memory that is used up by an event that never ends.
+    @Test
+    void endlessEventIsOverlongBeforeItTakesMuchMemory() {
+        for (int part = 0; part < 18; part++) {
+            add("a".repeat(8 * 1024));
+            assertThat(events()).isEmpty();
+            assertThat(mSplitter.isOverlong()).isFalse();
+        }
+        add("a");
+        assertThat(mSplitter.isOverlong()).isTrue();
+    }
+
+    // Guards against long events being cut or lost: they are passed on without a copy.
+    @Test
+    void longEventIsWholeAndTheNextOneFollows() {
+        final String event = "data: " + "a".repeat(100 * 1024) + "\n\n";
+        final String stream = event + "data: b\n\nda" + "ta: c\n\n";
+        final List<String> events = new ArrayList<>();
+        for (int from = 0; from < stream.length(); from += 8 * 1024) {
+            add(stream.substring(from, Math.min(from + 8 * 1024, stream.length())));
+            events.addAll(events());
+            assertThat(mSplitter.isOverlong()).isFalse();
+        }
+        assertThat(events).containsExactly(event, "data: b\n\n", "data: c\n\n");
+    }
 }
