--- a/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
@@ -18,6 +18,7 @@
 import org.whinhead.gateway.endpoint.EndpointResponseListener;
 import org.whinhead.gateway.endpoint.MovedRun;
 import org.whinhead.gateway.endpoint.ResponseEnd;
+import org.whinhead.gateway.http.OverlongPart;
 import org.whinhead.serving.admission.AdmissionDecision;
 import org.whinhead.serving.balance.Placement;
 import org.whinhead.serving.crash.SuspectDecision;
@@ -178,6 +179,7 @@
             return;
         }
         mPlacement.load().recordOutcome(true);
+        UnfinishedResponse.log(mConnection, mRelay);
         mTrial.attemptAbandoned();
         mRefusals.markMayHaveRun();
         logUnanswered();
@@ -263,6 +265,11 @@
         }
     }
 
+    @Override
+    public void eventOverlong() {
+        mConnection.failOverlong(OverlongPart.EVENT);
+    }
+
     @Override
     public void completed(final ResponseEnd end) {
         mConnection = null;
@@ -526,6 +533,7 @@
             return;
         }
         logUnanswered();
+        UnfinishedResponse.record(mConnection, mRelay, mPlacement);
         mTrial.attemptAbandoned();
         if (mSender.sends() > 0) {
             mRefusals.markMayHaveRun();
