Keep the digests of the endpoints with each change

A daemon computed the digest of all entries several times for each digest that it received and for each check, and a second one of the contents now as well. Both are sums over the entries, and are kept as these change; they have the same values.

--- a/serving/src/main/java/org/whinhead/serving/endpoint/EndpointRegistry.java
+++ b/serving/src/main/java/org/whinhead/serving/endpoint/EndpointRegistry.java
@@ -42,6 +42,8 @@
     private final Set<String> mLeavingIds = new HashSet<>();
     private final Map<String, Long> mRemovals = new LinkedHashMap<>();
     private Instant mLastOutage = Instant.EPOCH;
+    private long mDigest;
+    private long mContentDigest;
     private long mChangedEnd;
     private long mExactEnd;
     private long mCopyEnd;
@@ -71,7 +73,7 @@
         if (leaving) {
             mLeavingIds.add(entry.id());
         }
-        mRecords.put(entry.id(), new Record(entry, offset, leaving, Doubt.NONE));
+        replace(new Record(entry, offset, leaving, Doubt.NONE));
         final boolean changed =
                 previous == null
                         || previous.mLeaving != leaving
@@ -146,7 +148,7 @@
             return false;
         }
         recordChanged(offset);
-        mRecords.put(id, new Record(previous.mEntry, offset, previous.mLeaving, Doubt.UNREADABLE));
+        replace(new Record(previous.mEntry, offset, previous.mLeaving, Doubt.UNREADABLE));
         return previous.mDoubt != Doubt.UNREADABLE;
     }
 
@@ -186,7 +188,7 @@
         }
         recordChanged(offset);
         rememberRemoval(id, offset);
-        return mRecords.remove(id) != null;
+        return drop(id);
     }
 
     /**
@@ -226,11 +228,11 @@
         final String id = record.mEntry.id();
         final boolean aroundOutage = now.isBefore(mLastOutage.plus(LAPSE_GRACE));
         if (record.mLeaving || !aroundOutage) {
-            mRecords.remove(id);
+            drop(id);
             return;
         }
         if (record.mDoubt == Doubt.NONE) {
-            mRecords.put(id, new Record(record.mEntry, record.mOffset, false, Doubt.MISSING));
+            replace(new Record(record.mEntry, record.mOffset, false, Doubt.MISSING));
         }
     }
 
@@ -278,7 +280,7 @@
                 expired.add(record.mEntry.id());
             }
         }
-        expired.forEach(mRecords::remove);
+        expired.forEach(this::drop);
         return expired;
     }
 
@@ -326,19 +328,7 @@
      * @return the digest, which is equal for daemons with the same view
      */
     public long digest() {
-        long digest = 0;
-        for (final Record record : mRecords.values()) {
-            if (record.mDoubt == Doubt.NONE) {
-                final int leaving = record.mEntry.leaving() ? 1 : 0;
-                final long hash =
-                        31L * record.mEntry.id().hashCode()
-                                + leaving
-                                + record.mEntry.startedAt().hashCode()
-                                + 31L * record.mEntry.version().hashCode();
-                digest += hash * SPREAD_FACTOR;
-            }
-        }
-        return digest;
+        return mDigest;
     }
 
     /**
@@ -348,13 +338,25 @@
      * @return the digest, which is equal for daemons with the same entries
      */
     public long contentDigest() {
-        long digest = 0;
-        for (final Record record : mRecords.values()) {
-            if (record.mDoubt == Doubt.NONE) {
-                digest += record.mContentHash * SPREAD_FACTOR;
-            }
+        return mContentDigest;
+    }
+
+    /** Replaces an endpoint's record, and keeps the digests, which are sums over the records. */
+    private void replace(final Record record) {
+        drop(record.mEntry.id());
+        mRecords.put(record.mEntry.id(), record);
+        mDigest += record.mHash;
+        mContentDigest += record.mContentHash;
+    }
+
+    private boolean drop(final String id) {
+        final Record record = mRecords.remove(id);
+        if (record == null) {
+            return false;
         }
-        return digest;
+        mDigest -= record.mHash;
+        mContentDigest -= record.mContentHash;
+        return true;
     }
 
     /**
@@ -364,8 +366,10 @@
      */
     public void markReplaced(final String id) {
         mLeavingIds.add(id);
-        mRecords.computeIfPresent(
-                id, (key, record) -> new Record(record.mEntry, record.mOffset, true, Doubt.NONE));
+        final Record record = mRecords.get(id);
+        if (record != null) {
+            replace(new Record(record.mEntry, record.mOffset, true, Doubt.NONE));
+        }
     }
 
     /**
@@ -391,6 +395,7 @@
         private final long mOffset;
         private final boolean mLeaving;
         private final Doubt mDoubt;
+        private final long mHash;
         private final long mContentHash;
 
         private Record(
@@ -402,7 +407,17 @@
             mOffset = offset;
             mLeaving = leaving;
             mDoubt = doubt;
-            mContentHash = entry.contentHash();
+            mHash = doubt == Doubt.NONE ? hash(entry) : 0;
+            mContentHash = doubt == Doubt.NONE ? entry.contentHash() * SPREAD_FACTOR : 0;
+        }
+
+        private static long hash(final EndpointEntry entry) {
+            final int leaving = entry.leaving() ? 1 : 0;
+            return (31L * entry.id().hashCode()
+                            + leaving
+                            + entry.startedAt().hashCode()
+                            + 31L * entry.version().hashCode())
+                    * SPREAD_FACTOR;
         }
     }
 }
--- a/serving/src/test/java/org/whinhead/serving/endpoint/EndpointRegistryTest.java
+++ b/serving/src/test/java/org/whinhead/serving/endpoint/EndpointRegistryTest.java
@@ -283,6 +283,34 @@
         assertThat(mRegistry.contentDigest()).isNotEqualTo(content);
     }
 
+    // Guards against reads without end: the digests are kept with each change, and must be those of
+    // a daemon that has the same entries by another way.
+    @Test
+    void digestsDependOnTheEntriesOnly() {
+        mRegistry.put(entry("e1", false), 1);
+        mRegistry.put(entry("e2", false), 2);
+        mRegistry.put(slots("e3", 32), 3);
+        mRegistry.put(slots("e3", 64), 4);
+        mRegistry.markUnreadable("e1", 5);
+        mRegistry.removeConfirmed("e2", 6);
+        mRegistry.put(entry("e4", false), 7);
+        mRegistry.recordOutage(START);
+        mRegistry.remove("e4", 8, START);
+        mRegistry.put(entry("e5", false), 9);
+        mRegistry.markReplaced("e5");
+        mRegistry.put(entry("e6", true), 10);
+        mRegistry.remove("e6", 11, START);
+        final EndpointRegistry other = new EndpointRegistry();
+        other.put(entry("e5", false), 1);
+        other.put(slots("e3", 64), 2);
+        assertThat(mRegistry.digest()).isEqualTo(other.digest());
+        assertThat(mRegistry.contentDigest()).isEqualTo(other.contentDigest());
+        mRegistry.expire(START.plusSeconds(9));
+        mRegistry.retain(Set.of(), 12, START.plusSeconds(9));
+        assertThat(mRegistry.digest()).isZero();
+        assertThat(mRegistry.contentDigest()).isZero();
+    }
+
     private static EndpointEntry slots(final String id, final int slots) {
         return EndpointEntry.builder(
                         id, "pool", new InetSocketAddress("127.0.0.1", 9000), "domain-a")
