--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnections.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnections.java
@@ -94,16 +94,15 @@
         }
         final int part = mPartOfService.applyAsInt(service);
         final Instant now = mClock.instant();
-        return endpoints.stream()
-                .filter(
-                        endpoint -> {
-                            final Pool pool = mPools.get(endpoint.id());
-                            return pool == null
-                                    || pool.held() < part
-                                    || pool.hasIdle(now)
-                                    || pool.held() - pool.mIdle.size() < part;
-                        })
-                .toList();
+        final Set<String> full = new HashSet<>();
+        for (final Pool pool : mPools.values()) {
+            if (pool.held() >= part && pool.mService.equals(service) && !pool.hasRoom(part, now)) {
+                full.add(pool.mEndpoint);
+            }
+        }
+        return full.isEmpty()
+                ? endpoints
+                : endpoints.stream().filter(endpoint -> !full.contains(endpoint.id())).toList();
     }
 
     /**
@@ -373,6 +372,13 @@
             return mOpen.size() + mConnecting;
         }
 
+        /**
+         * Returns whether a connection can be had, once idle ones that are not usable are closed.
+         */
+        private boolean hasRoom(final int part, final Instant now) {
+            return hasIdle(now) || held() - mIdle.size() < part;
+        }
+
         /** Returns whether the connection that is used next is usable. */
         private boolean hasIdle(final Instant now) {
             final IdleConnection next = mIdle.peekFirst();
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/AdmissionPass.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/AdmissionPass.java
@@ -13,7 +13,12 @@
 import org.whinhead.serving.configuration.CustomerAccount;
 import org.whinhead.serving.endpoint.EndpointEntry;
 
-/** Takes one request through the admission of its service, before its first attempt only. */
+/**
+ * Takes one request through the admission of its service, before its first attempt only.
+ *
+ * <p>Its rank is the priority of its route. That of its customer does not count here, as customers
+ * share what there is by what they are granted.
+ */
 final class AdmissionPass {
 
     private final Exchanges mExchanges;
@@ -105,7 +110,7 @@
                                 .pass(
                                         mService,
                                         mAdmission.route().name(),
-                                        mAdmission.priority(),
+                                        mAdmission.route().priority(),
                                         candidates));
     }
 
@@ -125,7 +130,7 @@
         // A caller may send an id again while the request before it still waits.
         final String id = mAdmission.request().id() + '/' + mExchanges.admissionGate().nextNumber();
         return AdmissionRequest.builder(id, mService, mAdmission.route().name())
-                .rank(mAdmission.priority())
+                .rank(mAdmission.route().priority())
                 .customer(
                         mAdmission.customerName().orElse(""),
                         mAdmission.customer().map(AdmissionPass::granted).orElse(0.0),
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/RequestLogger.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/RequestLogger.java
@@ -252,7 +252,7 @@
                 .addKeyValue("route", admission.route().name())
                 .addKeyValue("customer", admission.customerName().orElse(""))
                 .addKeyValue("service", service)
-                .addKeyValue("rank", admission.priority())
+                .addKeyValue("rank", admission.route().priority())
                 .addKeyValue("millis", heldFor.toMillis())
                 .addKeyValue("outcome", outcome)
                 .log("request waited for slots");
@@ -269,7 +269,7 @@
                 .addKeyValue("route", admission.route().name())
                 .addKeyValue("customer", admission.customerName().orElse(""))
                 .addKeyValue("service", service)
-                .addKeyValue("rank", admission.priority())
+                .addKeyValue("rank", admission.route().priority())
                 .addKeyValue("reason", decision.reason())
                 .addKeyValue("comeBackAfter", decision.retryAfter())
                 .log("request not admitted");
--- a/gateway/src/main/java/org/whinhead/gateway/peers/PeerDatagramChannel.java
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/PeerDatagramChannel.java
@@ -165,8 +165,10 @@
     private void updateAndReport() {
         final Instant now = now();
         mMembers.expire(now);
-        mMembers.silentMemberNames(now).forEach(mState.chooser()::forgetPeer);
-        mMembers.silentMemberNames(now).forEach(mState.admission()::forgetDaemon);
+        for (final String daemon : mMembers.silentMemberNames(now)) {
+            mState.chooser().forgetPeer(daemon);
+            mState.admission().forgetDaemon(daemon);
+        }
         mState.admission().expire(mMembers.reportInterval().multipliedBy(COUNTED_INTERVALS), now);
         mState.usageClock().syncWithPeers();
         mState.retryBudget().setDaemonCount(mMembers.knownCount(), expectedDaemons());
--- a/serving/src/test/java/org/whinhead/serving/balance/EndpointChooserTest.java
+++ b/serving/src/test/java/org/whinhead/serving/balance/EndpointChooserTest.java
@@ -282,4 +282,14 @@
         mChooser.updatePeerLoad("peer", "e2", 1, 0);
         assertThat(place(endpoints, Work.PLAIN)).isNotEqualTo("e2");
     }
+
+    @Test
+    void shortestWaitIsThatOfTheEndpointThatWouldBeChosen() {
+        final List<EndpointEntry> endpoints = endpoints(3);
+        mChooser.updatePeerLoad("peer", "e0", 90, 0);
+        mChooser.updatePeerLoad("peer", "e1", 40, 0);
+        mChooser.updatePeerLoad("peer", "e2", 70, 0);
+        // 40 of 96 slots at 60 ms.
+        assertThat(mChooser.shortestWait(endpoints, Work.PLAIN)).hasMillis(25);
+    }
 }
