Check the operator's configuration before it is sent

Cause: operators learned of a rejected configuration, a route that never matches or a removed key only after the configuration was in the store.

--- a/cli/src/main/java/org/whinhead/cli/Main.java
+++ b/cli/src/main/java/org/whinhead/cli/Main.java
@@ -96,5 +96,11 @@
         for (final CommandName name : CommandName.values()) {
             stream.println(CliMessages.text("help.command", name.usage(), name.summary()));
         }
+        // Run by bin/whinhead in another module, which decodes the platform's records.
+        stream.println(
+                CliMessages.text(
+                        "help.command",
+                        "configuration check FILE",
+                        CliMessages.text("command.configuration_check")));
     }
 }
--- a/serving/src/main/java/org/whinhead/serving/limit/ServiceRetryBudget.java
+++ b/serving/src/main/java/org/whinhead/serving/limit/ServiceRetryBudget.java
@@ -51,6 +51,16 @@
         mDaemonCount = expected == 0 ? 0 : Math.max(known, expected);
     }
 
+    /**
+     * Returns how many of the fixed retries are used, all daemons together.
+     *
+     * @param fixed the fixed retries in each window
+     * @return the retries that are used, at most
+     */
+    public static int usableFixedRetries(final int fixed) {
+        return (int) (USED_FRACTION * fixed);
+    }
+
     private double fixedRetriesPerDaemon() {
         return mDaemonCount == 0 ? 0 : (double) mFixedRetries / mDaemonCount;
     }
--- a/serving/src/main/java/org/whinhead/serving/route/Route.java
+++ b/serving/src/main/java/org/whinhead/serving/route/Route.java
@@ -77,6 +77,15 @@
         return mMaxAttempts;
     }
 
+    /**
+     * Returns the services that answer requests of this route.
+     *
+     * @return the services with their weights, in the order of the configuration
+     */
+    public List<WeightedService> services() {
+        return mServices;
+    }
+
     /**
      * Returns whether requests need no customer key.
      *
