--- a/serving/src/main/java/org/whinhead/serving/configuration/check/Findings.java
+++ b/serving/src/main/java/org/whinhead/serving/configuration/check/Findings.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.regex.Pattern;
 import java.util.stream.Stream;
 import org.whinhead.api.message.MessageBundle;
 
@@ -9,6 +10,7 @@
 public final class Findings {
 
     private static final MessageBundle MESSAGES = MessageBundle.forPackageOf(Findings.class);
+    private static final Pattern CONTROL_CHARACTER = Pattern.compile("\\p{Cntrl}");
     private static final int MAX_ARGUMENT_LENGTH = 200;
 
     private final List<Finding> mFindings = new ArrayList<>();
@@ -87,6 +89,6 @@
     }
 
     private static String clean(final String text) {
-        return text.replaceAll("\\p{Cntrl}", "?");
+        return CONTROL_CHARACTER.matcher(text).replaceAll("?");
     }
 }
