--- a/serving/src/test/java/org/whinhead/serving/speed/SpeedFleetTest.java
+++ b/serving/src/test/java/org/whinhead/serving/speed/SpeedFleetTest.java
@@ -33,7 +33,7 @@
     // against daemons that learn too late where reports of all daemons take 7 s.
     @ParameterizedTest
     @CsvSource({"8, 1", "8, 2", "66, 3", "330, 4"})
-    void everyEstimateIsWithinAFifthAfterFiveSeconds(final int daemons, final long seed) {
+    void everyEstimateIsWithinOneFifthAfterFiveSeconds(final int daemons, final long seed) {
         final SpeedFleet fleet = new SpeedFleet(daemons, ENGINES, EPISODES, seed);
         assertThat(fleet.play(0.6 * fleet.capacity(), 5).wrongShare()).isZero();
     }
