Name whose requests lack tokens in log lines, and keep less of each share in reserve

Cause: the reserve for light requests, the overdraft and the restart credit were parts of the tokens beyond the rate, so an allowance with a large burst could issue less than its window. Lines of refusals named neither route nor levels.

Change: the three are parts of the tokens beyond the allowance, and smaller. `customer is over its allowance` and `request refused` name customer, route, tokens asked and the known levels of the shares with their age.

--- a/gateway/src/main/java/org/whinhead/gateway/exchange/Exchanges.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/Exchanges.java
@@ -291,8 +291,18 @@
             final ByteBuf body,
             final CallerResponse response,
             final RefusalResponse refusal) {
+        return refuse(request, Optional.empty(), body, response, refusal);
+    }
+
+    /** Refuses a request, and logs its claim if the tokens for it were not granted. */
+    ActiveRequest refuse(
+            final CallerRequest request,
+            final Optional<UnmetClaim> claim,
+            final ByteBuf body,
+            final CallerResponse response,
+            final RefusalResponse refusal) {
         body.release();
-        mRequestLogger.refused(request, refusal);
+        mRequestLogger.refused(request, claim, refusal);
         response.refuse(refusal);
         return new RefusedRequest();
     }
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/PendingAdmission.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/PendingAdmission.java
@@ -77,19 +77,29 @@
 
     @Override
     public void overAllowance(final Duration retryAfter) {
-        mExchanges
-                .requestLogger()
-                .overAllowance(mCandidate.request(), mCandidate.customer(), mTokens, retryAfter);
-        refuse(RefusalResponse.overAllowance(retryAfter));
+        final UnmetClaim claim = unmetClaim();
+        mExchanges.requestLogger().overAllowance(mCandidate.request(), claim, retryAfter);
+        refuse(claim, RefusalResponse.overAllowance(retryAfter));
     }
 
     @Override
     public void unavailable(final Duration retryAfter) {
-        refuse(RefusalResponse.notRun("allowance not known", retryAfter));
+        refuse(unmetClaim(), RefusalResponse.notRun("allowance not known", retryAfter));
     }
 
-    private void refuse(final RefusalResponse refusal) {
-        decided(mExchanges.refuse(mCandidate.request(), body(), mResponse, refusal));
+    private UnmetClaim unmetClaim() {
+        final ServingState state = mExchanges.state();
+        return new UnmetClaim(
+                mCandidate.customer(),
+                mCandidate.route(),
+                mTokens,
+                state.quotas().knownLevels(mCandidate.customer().name(), state.moment()));
+    }
+
+    private void refuse(final UnmetClaim claim, final RefusalResponse refusal) {
+        decided(
+                mExchanges.refuse(
+                        mCandidate.request(), Optional.of(claim), body(), mResponse, refusal));
     }
 
     @Override
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/RequestLogger.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/RequestLogger.java
@@ -18,6 +18,7 @@
 import org.whinhead.serving.balance.Placement;
 import org.whinhead.serving.configuration.ConfigurationProgress;
 import org.whinhead.serving.configuration.CustomerAccount;
+import org.whinhead.serving.configuration.TokenAllowance;
 import org.whinhead.serving.endpoint.EndpointEntry;
 import org.whinhead.serving.ratelimit.LimitStatement;
 import org.whinhead.serving.ratelimit.RequestRateLimit;
@@ -48,7 +49,10 @@
         mConfiguration = configuration;
     }
 
-    void refused(final CallerRequest request, final RefusalResponse refusal) {
+    void refused(
+            final CallerRequest request,
+            final Optional<UnmetClaim> claim,
+            final RefusalResponse refusal) {
         mCounts.recordRefused(refusal.reason());
         final LoggingEventBuilder line =
                 LOG.atInfo()
@@ -56,6 +60,7 @@
                         .addKeyValue("status", refusal.status().code())
                         .addKeyValue("reason", refusal.reason());
         request.resumedRequest().ifPresent(first -> line.addKeyValue("resumedRequest", first));
+        claim.ifPresent(unmet -> unmet.addTo(line));
         addConfiguration(line).log("request refused");
     }
 
@@ -77,17 +82,12 @@
     }
 
     void overAllowance(
-            final CallerRequest request,
-            final CustomerAccount customer,
-            final long tokens,
-            final Duration retryAfter) {
-        LOG.atInfo()
-                .addKeyValue("request", request.id())
-                .addKeyValue("customer", customer.name())
-                .addKeyValue("tokens", tokens)
+            final CallerRequest request, final UnmetClaim claim, final Duration retryAfter) {
+        final TokenAllowance allowance = claim.customer().allowance();
+        claim.addTo(LOG.atInfo().addKeyValue("request", request.id()))
                 .addKeyValue("comeBackAfter", retryAfter)
-                .addKeyValue("ratePerSecond", customer.allowance().tokensPerSecond())
-                .addKeyValue("burst", customer.allowance().burstTokens())
+                .addKeyValue("ratePerSecond", allowance.tokensPerSecond())
+                .addKeyValue("burst", allowance.burstTokens())
                 .log("customer is over its allowance");
     }
 
--- a/serving/src/main/java/org/whinhead/serving/quota/CustomerQuotas.java
+++ b/serving/src/main/java/org/whinhead/serving/quota/CustomerQuotas.java
@@ -131,6 +131,19 @@
         return () -> cancel(claim, now);
     }
 
+    /**
+     * Returns what this daemon knows of the levels of a customer's shares.
+     *
+     * @param customer the customer's name
+     * @param now the current time
+     * @return the levels; none for shares whose holder has reported nothing
+     */
+    public List<KnownLevel> knownLevels(final String customer, final ClockReading now) {
+        return mHeldShares.table().isEmpty() || mHeldShares.limits(customer).isEmpty()
+                ? List.of()
+                : mEstimates.knownLevels(customer, now);
+    }
+
     private void cancel(final TokenClaim claim, final ClockReading claimedAt) {
         if (!claim.isFinished()) {
             abandon(claim, claimedAt);
--- a/serving/src/main/java/org/whinhead/serving/quota/IssueHistory.java
+++ b/serving/src/main/java/org/whinhead/serving/quota/IssueHistory.java
@@ -83,8 +83,9 @@
                 break;
             }
             issued += step.mTokens * Math.min(step.mScale / mScale, 1);
-            final Duration since = Duration.ofNanos(Math.max(now - step.mLastNanos, 0));
-            level = Math.min(level, limits.capacityTokens() + limits.inflow(since) - issued);
+            final double seconds = Math.max(now - step.mLastNanos, 0) / NANOS_PER_SECOND;
+            final double refilled = seconds * limits.tokensPerSecond();
+            level = Math.min(level, limits.capacityTokens() + refilled - issued);
         }
         return level;
     }
--- a/serving/src/main/java/org/whinhead/serving/quota/ShareEstimate.java
+++ b/serving/src/main/java/org/whinhead/serving/quota/ShareEstimate.java
@@ -25,6 +25,12 @@
         mLevelAt = Optional.of(at);
     }
 
+    /** Returns what the holder has last reported; empty if nothing. */
+    Optional<KnownLevel> known(final int slot, final Instant now) {
+        return mLevelAt.map(
+                at -> new KnownLevel(slot, Math.round(mLevel), Duration.between(at, now)));
+    }
+
     double upperBound(final ShareLimits limits, final Instant now) {
         if (mLevelAt.isEmpty()) {
             return limits.capacityTokens();
--- a/serving/src/main/java/org/whinhead/serving/quota/ShareEstimates.java
+++ b/serving/src/main/java/org/whinhead/serving/quota/ShareEstimates.java
@@ -146,6 +146,22 @@
         return delay.compareTo(MIN_RETRY_DELAY) > 0 ? delay : MIN_RETRY_DELAY;
     }
 
+    /** Returns what is known of the levels of a customer's shares, those held here exactly. */
+    List<KnownLevel> knownLevels(final String customer, final ClockReading now) {
+        final List<KnownLevel> levels = new ArrayList<>();
+        final ShareTable table = mHeldShares.table().orElseThrow();
+        for (int share = 0; share < ShareLimits.SHARES; share++) {
+            final int slot = table.slotOf(customer, share);
+            if (mHeldShares.canIssue(slot, now)) {
+                final long level = Math.round(mHeldShares.level(customer, slot, now));
+                levels.add(new KnownLevel(slot, level, Duration.ZERO));
+            } else {
+                estimate(customer, slot).known(slot, now.steady()).ifPresent(levels::add);
+            }
+        }
+        return levels;
+    }
+
     private InetSocketAddress holder(final int slot) {
         return mHeldShares.table().orElseThrow().slots().get(slot).holder();
     }
--- a/serving/src/main/java/org/whinhead/serving/quota/ShareLimits.java
+++ b/serving/src/main/java/org/whinhead/serving/quota/ShareLimits.java
@@ -41,10 +41,10 @@
      * The capacity, as a multiple of what such a customer may spend at once. Tokens count as issued
      * until they expire, which is longer than the window.
      */
-    private static final double CAPACITY_MARGIN = 1.1;
+    private static final double CAPACITY_MARGIN = 1.09;
 
     /** The capacity beyond that, in tokens: what is left in a share that can't meet a claim. */
-    private static final double REMAINDER_TOKENS = 4_000;
+    private static final double REMAINDER_TOKENS = 3_000;
 
     /**
      * The bounds of the refill rate, as fractions of the allowance's rate. The refill rate is what
@@ -54,14 +54,14 @@
 
     private static final double MAX_REFILL_FRACTION = 0.75;
 
-    /** The least fraction of the accepted tokens that counts as beyond the rate. */
-    private static final double MIN_BURST_FRACTION = 1.0 / 8;
+    /** The least tokens beyond the allowance, as a fraction of the accepted ones. */
+    private static final double MIN_EXCESS_FRACTION = 1.0 / 16;
 
-    /** The overdraft, as a fraction of the tokens accepted beyond the rate. */
-    private static final double DEBT_FRACTION = 1.0 / 15;
+    /** The overdraft, as a fraction of the tokens accepted beyond the allowance. */
+    private static final double DEBT_FRACTION = 1.0 / 12;
 
-    /** The restart credit, as a fraction of the tokens accepted beyond the rate. */
-    private static final double RESTART_FRACTION = 1.0 / 16;
+    /** The restart credit, as a fraction of the tokens accepted beyond the allowance. */
+    private static final double RESTART_FRACTION = 1.0 / 6;
 
     /**
      * The shortest time, in seconds, for which a restart stops a holder from issuing tokens. It
@@ -71,11 +71,11 @@
     private static final double RESTART_PAUSE_SECONDS = 1;
 
     /**
-     * The tokens reserved for light requests, as a fraction of those accepted beyond the rate. A
-     * plain call costs some 200 tokens and a prompt thousands, so a customer that floods with
-     * prompts keeps its plain calls.
+     * The tokens reserved for light requests, as a fraction of those beyond the allowance. A plain
+     * call costs some 200 tokens and a prompt thousands, so a customer that floods with prompts
+     * keeps its plain calls.
      */
-    private static final double LIGHT_FRACTION = 1.0 / 30;
+    private static final double LIGHT_FRACTION = 1.0 / 28;
 
     /** The fraction of the capacity that one claim requests at most, if other shares are left. */
     private static final double MAX_CLAIM_FRACTION = 1.0 / 3;
@@ -85,13 +85,10 @@
     static ShareLimits of(final TokenAllowance allowance, final QuotaTolerance tolerance) {
         final double seconds = tolerance.window().toMillis() / MILLIS_PER_SECOND;
         final double accepted = USED_FRACTION * acceptedTokens(allowance, tolerance);
-        final double beyondRate =
-                Math.max(
-                                accepted - seconds * allowance.tokensPerSecond(),
-                                MIN_BURST_FRACTION * accepted)
-                        / SHARES;
-        final double maxDebt = DEBT_FRACTION * beyondRate;
-        final double maxCredit = RESTART_FRACTION * beyondRate;
+        final double allowed = seconds * allowance.tokensPerSecond() + allowance.burstTokens();
+        final double excess = Math.max(accepted - allowed, MIN_EXCESS_FRACTION * accepted) / SHARES;
+        final double maxDebt = DEBT_FRACTION * excess;
+        final double maxCredit = RESTART_FRACTION * excess;
         final double windowTokens = accepted / SHARES - maxDebt - maxCredit;
         final double rate = refillRate(allowance, windowTokens, seconds);
         return new ShareLimits(
@@ -100,7 +97,7 @@
                 windowTokens - seconds * rate,
                 maxDebt,
                 Math.min(maxCredit, RESTART_PAUSE_SECONDS * rate),
-                LIGHT_FRACTION * beyondRate);
+                LIGHT_FRACTION * excess);
     }
 
     /** Returns the refill rate of a share that leaves the capacity for a burst after calm. */
--- a/serving/src/test/java/org/whinhead/serving/quota/CustomerQuotasHotCustomerTest.java
+++ b/serving/src/test/java/org/whinhead/serving/quota/CustomerQuotasHotCustomerTest.java
@@ -19,11 +19,11 @@
     @ParameterizedTest
     @CsvSource({
         "8, 0.5, 6, 1, 0.04",
-        "66, 0.5, 7.5, 1.7, 0.02",
+        "66, 0.5, 7.5, 1.7, 0.005",
         "66, 0.6, 6, 1.7, 0.005",
         "66, 0.4, 6, 1, 0.06",
         "330, 0.6, 7.5, 1, 0.005",
-        "330, 0.5, 6, 1, 0.02",
+        "330, 0.5, 6, 1, 0.01",
     })
     void requestsWithinAllowanceAreAdmitted(
             final int daemons,
--- a/serving/src/test/java/org/whinhead/serving/quota/CustomerQuotasTest.java
+++ b/serving/src/test/java/org/whinhead/serving/quota/CustomerQuotasTest.java
@@ -141,6 +141,30 @@
         assertThat(mOverAllowance.get(0)).isBetween(Duration.ofMillis(20), Duration.ofSeconds(1));
     }
 
+    // An operator sees refusals of a customer and cannot tell whether its shares were empty or
+    // their
+    // levels were reported long ago.
+    @Test
+    void knownLevelsNameTokensAndAge() {
+        setHolder(OTHER);
+        assertThat(mQuotas.knownLevels("clinic", at(9_999))).isEmpty();
+        claim(REQUEST, 10_000);
+        respond(mRequests.get(0), TokenResponse.Outcome.ISSUED, 5_000, 10_002);
+        final int slot = mRequests.get(0).slot();
+        assertThat(mQuotas.knownLevels("clinic", at(10_042)))
+                .containsExactly(new KnownLevel(slot, 5_000, Duration.ofMillis(40)))
+                .hasToString("[" + slot + ":5000@40ms]");
+        assertThat(mQuotas.knownLevels("nobody", at(10_042))).isEmpty();
+    }
+
+    @Test
+    void knownLevelsOfOwnSharesAreExact() {
+        setHolder(SELF);
+        assertThat(mQuotas.knownLevels("clinic", at(10_000)))
+                .hasSize(ShareLimits.SHARES)
+                .allMatch(level -> level.age().isZero() && level.tokens() > REQUEST);
+    }
+
     @Test
     void customerWithoutLimitIsAdmittedWithoutTable() {
         mQuotas.configure(customers(0), at(0));
--- a/serving/src/test/java/org/whinhead/serving/quota/ShareLimitsTest.java
+++ b/serving/src/test/java/org/whinhead/serving/quota/ShareLimitsTest.java
@@ -47,8 +47,7 @@
     @Property(tries = 1_000, seed = "18")
     void sharesIssueAllowanceInEachWindow(
             @ForAll @IntRange(min = 1, max = 5_000_000) final int rate,
-            @ForAll @IntRange(min = 0, max = 100) final int burstPercent) {
-        final int burst = rate / 100 * burstPercent;
+            @ForAll @IntRange(min = 0, max = 5_000_000) final int burst) {
         final ShareLimits share = ShareLimits.of(new TokenAllowance(rate, burst, 200), TOLERANCE);
         assertThat(ShareLimits.SHARES * share.windowTokens())
                 .isGreaterThan((double) WINDOW_SECONDS * rate + burst);
