Forecast a share's level ten times a second at most, and log only requests that waited

Cause: each answer about a share computed a forecast over all steps of a window eleven times, most of all for a customer that floods; and each request was logged as having waited, for some microseconds. Change: the forecast is kept for 100 ms, a wait below a millisecond is none.

--- a/gateway/src/main/java/org/whinhead/gateway/exchange/AdmissionPass.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/AdmissionPass.java
@@ -115,7 +115,7 @@
     }
 
     private void logHeld(final Duration heldFor, final String outcome) {
-        if (!heldFor.isZero()) {
+        if (heldFor.toMillis() > 0) {
             mExchanges.requestLogger().held(mAdmission, mService, heldFor, outcome);
         }
     }
--- a/serving/src/main/java/org/whinhead/serving/quota/ShareBucket.java
+++ b/serving/src/main/java/org/whinhead/serving/quota/ShareBucket.java
@@ -23,8 +23,13 @@
     /** The largest reservation, as a fraction of the capacity. */
     private static final double MAX_RESERVED_FRACTION = 3.0 / 4;
 
+    /** How long a forecast is used: it walks all steps of a window, and a flood asks for many. */
+    private static final Duration GAIN_VALIDITY = Duration.ofMillis(100);
+
     private final Map<IssueKey, Issue> mIssued = new LinkedHashMap<>();
     private final IssueHistory mHistory;
+    private Instant mGainAt = Instant.EPOCH;
+    private double mGainPerSecond;
     private ShareLimits mLimits;
     private long mReservedClaimTokens;
     private double mReservedTokens;
@@ -64,6 +69,7 @@
 
     void setLimits(final ShareLimits limits, final Instant now) {
         dropExpired(now);
+        mGainAt = Instant.EPOCH;
         mHistory.rescale(limits.windowTokens() / mLimits.windowTokens());
         mLimits = limits;
     }
@@ -160,7 +166,11 @@
 
     /** Returns the fastest rise of the level within the forecast time if nothing is issued. */
     double gainPerSecond(final Instant now) {
-        return mHistory.gainPerSecond(mLimits, now);
+        if (now.isBefore(mGainAt) || !now.isBefore(mGainAt.plus(GAIN_VALIDITY))) {
+            mGainPerSecond = mHistory.gainPerSecond(mLimits, now);
+            mGainAt = now;
+        }
+        return mGainPerSecond;
     }
 
     private void dropExpired(final Instant now) {
