Hold the hot customer's test to the stated aim, and list the rows that miss it

Cause: three rows had the bound that they met. Change: one bound, 0.5%, for all rows; the limit and the other customers are checked in a method of their own, in all rows.

--- a/serving/src/test/java/org/whinhead/serving/quota/CustomerQuotasHotCustomerTest.java
+++ b/serving/src/test/java/org/whinhead/serving/quota/CustomerQuotasHotCustomerTest.java
@@ -11,35 +11,69 @@
 
     private static final long RATE = 533_632;
     private static final long SEED = 100;
+
+    /** The aim for requests that are within the allowance. */
+    private static final double MOST_REFUSED = 0.005;
+
     private static final int KILLED_AT = HotCustomerScenario.HOT_AT + 500;
 
-    // Shares whose capacity was a part of the burst refused 28% of the requests that were within
-    // the allowance by what the customer had sent. Columns: daemons, usual load as a fraction of
-    // the rate, factor of the hot customer, factor of its large requests, largest refused fraction.
+    // Guards against refusals of requests that are within the allowance by what the customer has
+    // sent: shares whose capacity was a part of the burst refused 28% of them. Columns: daemons,
+    // usual load as a fraction of the rate, factor of the hot customer, factor of its large
+    // requests.
+    @ParameterizedTest
+    @CsvSource({"66, 0.5, 7.5, 1.7", "66, 0.6, 6, 1.7", "330, 0.6, 7.5, 1"})
+    void requestsWithinAllowanceAreAdmitted(
+            final int daemons,
+            final double usualFraction,
+            final double hotFactor,
+            final double largeFactor) {
+        final HotCustomerScenario scenario = play(daemons, usualFraction, hotFactor, largeFactor);
+        assertThat(scenario.hot().withinRefusedFraction()).isLessThanOrEqualTo(MOST_REFUSED);
+    }
+
+    // Guards against the same where the customer was calmer before, or few daemons hold the shares.
+    @ParameterizedTest
+    @CsvSource({"8, 0.5, 6, 1", "66, 0.4, 6, 1", "330, 0.5, 6, 1"})
+    void requestsWithinAllowanceAreAdmittedAfterLongCalm(
+            final int daemons,
+            final double usualFraction,
+            final double hotFactor,
+            final double largeFactor) {
+        final HotCustomerScenario scenario = play(daemons, usualFraction, hotFactor, largeFactor);
+        assertThat(scenario.hot().withinRefusedFraction()).isLessThanOrEqualTo(MOST_REFUSED);
+    }
+
+    // Guards against a limit that is exceeded, and against other customers that are refused.
     @ParameterizedTest
     @CsvSource({
-        "8, 0.5, 6, 1, 0.04",
-        "66, 0.5, 7.5, 1.7, 0.005",
-        "66, 0.6, 6, 1.7, 0.005",
-        "66, 0.4, 6, 1, 0.06",
-        "330, 0.6, 7.5, 1, 0.005",
-        "330, 0.5, 6, 1, 0.01",
+        "8, 0.5, 6, 1",
+        "66, 0.5, 7.5, 1.7",
+        "66, 0.6, 6, 1.7",
+        "66, 0.4, 6, 1",
+        "330, 0.6, 7.5, 1",
+        "330, 0.5, 6, 1",
     })
-    void requestsWithinAllowanceAreAdmitted(
+    void hotCustomerKeepsToItsLimitAndHarmsNoOther(
             final int daemons,
             final double usualFraction,
             final double hotFactor,
-            final double largeFactor,
-            final double mostRefused) {
-        final HotCustomerScenario scenario =
-                new HotCustomerScenario(daemons, RATE, usualFraction, hotFactor, SEED)
-                        .largeFactor(largeFactor)
-                        .run();
-        assertThat(scenario.hot().withinRefusedFraction()).isLessThanOrEqualTo(mostRefused);
+            final double largeFactor) {
+        final HotCustomerScenario scenario = play(daemons, usualFraction, hotFactor, largeFactor);
         assertThat(scenario.calm().withinRefusedFraction()).isZero();
         assertThat(scenario.hot().worstWindowFraction()).isLessThanOrEqualTo(1.0);
     }
 
+    private static HotCustomerScenario play(
+            final int daemons,
+            final double usualFraction,
+            final double hotFactor,
+            final double largeFactor) {
+        return new HotCustomerScenario(daemons, RATE, usualFraction, hotFactor, SEED)
+                .largeFactor(largeFactor)
+                .run();
+    }
+
     // The large requests of a hot customer find no share with enough tokens while its small ones
     // take each token. They must be admitted at least half as often.
     @ParameterizedTest
