Log what endpoints say of leaving and of pauses, and the requests that are sent all the same

Cause: nothing told whether a daemon had seen `Server-Leaving` or an endpoint's `Retry-After`, nor which attempts reached an endpoint after it, so the hypotheses of both incidents could not be told apart. What heads of answers say is taken in by one class, EndpointAnswers, taken out of Exchanges. Lines and counters for each statement and for each request that is sent against it, with its kind and the time for which the statement was known. No request is decided about in another way.

--- a/gateway/src/main/java/org/whinhead/gateway/Gateway.java
+++ b/gateway/src/main/java/org/whinhead/gateway/Gateway.java
@@ -214,8 +214,8 @@
         mEndpointWatch.onChange(mDuties.autoscaler()::orderEndpoints);
         addConfigurationGauges();
         mSpeedLogger.ifPresent(logger -> logger.addGauges(mCounts));
-        mExchanges.onRejection(mPeers::sendEndpointRejection);
-        mExchanges.onLimitStatement(mPeers::sendLimitStatement);
+        mExchanges.answers().onRejection(mPeers::sendEndpointRejection);
+        mExchanges.answers().onLimitStatement(mPeers::sendLimitStatement);
         mDuties.autoscaler().onOrdered(mPeers::sendCapacityOrder);
         mPeers.onCapacityOrder(mDuties.autoscaler()::recordPeerOrder);
     }
--- a/gateway/src/main/java/org/whinhead/gateway/crash/CrashDetector.java
+++ b/gateway/src/main/java/org/whinhead/gateway/crash/CrashDetector.java
@@ -17,6 +17,7 @@
 import org.whinhead.serving.crash.FeatureAnswer;
 import org.whinhead.serving.crash.RequestFeature;
 import org.whinhead.serving.endpoint.EndpointEntry;
+import org.whinhead.serving.endpoint.EndpointStart;
 
 /**
  * Finds out whether an endpoint has crashed when a request has lost its connection to it.
--- a/gateway/src/main/java/org/whinhead/gateway/crash/RecentChecks.java
+++ b/gateway/src/main/java/org/whinhead/gateway/crash/RecentChecks.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import org.whinhead.gateway.crash.CrashDetector.LostRequest;
 import org.whinhead.serving.endpoint.EndpointEntry;
+import org.whinhead.serving.endpoint.EndpointStart;
 
 /** The last results of the checks of endpoints, as later checks may show that they were early. */
 final class RecentChecks {
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointResponse.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointResponse.java
@@ -5,8 +5,6 @@
 import java.time.Duration;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.OptionalInt;
-import org.whinhead.serving.ratelimit.RequestRateLimit;
 
 /**
  * The decoded head of an endpoint's response.
@@ -19,10 +17,7 @@
  * @param isAuthentic whether the body is verified to be the endpoint's own: signed and without
  *     content encoding
  * @param idleTimeout the time for which the endpoint keeps an idle connection; empty if not stated
- * @param rejectionLimit the rejections in a second after which the endpoint falls over; empty if it
- *     doesn't say that it is brittle
- * @param rateLimit the requests per second that the endpoint takes from all daemons together; empty
- *     if it names no limit
+ * @param statements what the endpoint says of itself
  * @param closesConnection whether the endpoint closes the connection after this response
  */
 public record EndpointResponse(
@@ -33,8 +28,7 @@
         boolean isFromOtherEndpoint,
         boolean isAuthentic,
         Optional<Duration> idleTimeout,
-        OptionalInt rejectionLimit,
-        Optional<RequestRateLimit> rateLimit,
+        EndpointStatements statements,
         boolean closesConnection) {
 
     private static final int FIRST_SUCCESS = 200;
@@ -45,7 +39,7 @@
     public EndpointResponse {
         Objects.requireNonNull(status, "status");
         Objects.requireNonNull(forwardedHeaders, "forwardedHeaders");
-        Objects.requireNonNull(rateLimit, "rateLimit");
+        Objects.requireNonNull(statements, "statements");
     }
 
     public boolean isSuccess() {
@@ -54,9 +48,20 @@
 
     /** Returns whether the endpoint has rejected the request for want of room. */
     public boolean isRejection() {
-        return statesNotRun
-                && (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)
-                        || status.equals(HttpResponseStatus.TOO_MANY_REQUESTS));
+        return statesNotRun && hasRejectionStatus();
+    }
+
+    private boolean hasRejectionStatus() {
+        return status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)
+                || status.equals(HttpResponseStatus.TOO_MANY_REQUESTS);
+    }
+
+    /**
+     * Returns the pause for which the endpoint asks as it turns the request away. It counts whether
+     * or not the endpoint states as well that the request did not run.
+     */
+    public Optional<Duration> requestedPause() {
+        return hasRejectionStatus() ? statements.retryAfter() : Optional.empty();
     }
 
     /**
@@ -69,6 +74,19 @@
         return !isFromOtherEndpoint && isAuthentic && requestId.equals(Optional.of(expectedId));
     }
 
+    /**
+     * Returns whether the endpoint itself has answered a request, as far as the head shows. Unlike
+     * {@link #isStatementOfEndpoint} this is true of a rejection that doesn't state whether the
+     * request ran: it says nothing reliable of the request, but of its endpoint.
+     *
+     * @param expectedId the id of the request that was sent
+     */
+    public boolean isFromEndpoint(final String expectedId) {
+        return !isFromOtherEndpoint
+                && (isAuthentic || !isSuccess())
+                && requestId.equals(Optional.of(expectedId));
+    }
+
     public boolean isServerError() {
         return status.code() >= FIRST_SERVER_ERROR;
     }
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/AttemptSender.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/AttemptSender.java
@@ -48,8 +48,9 @@
             mSends++;
         }
         mSentAt = mExchanges.state().clock().instant();
-        mExchanges.logSentToLimited(
-                mAdmission, placement.endpoint(), AttemptReason.of(mSends, moved));
+        mExchanges
+                .answers()
+                .logSent(mAdmission, placement.endpoint(), AttemptReason.of(mSends, moved));
         stream.attemptSent(placement.endpoint(), moved);
     }
 
--- /dev/null
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/EndpointAnswers.java
@@ -0,0 +1,176 @@
+package org.whinhead.gateway.exchange;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.whinhead.gateway.endpoint.EndpointResponse;
+import org.whinhead.serving.endpoint.EndpointEntry;
+import org.whinhead.serving.endpoint.EndpointStart;
+import org.whinhead.serving.ratelimit.LimitStatement;
+import org.whinhead.serving.ratelimit.StatedLimits;
+
+/**
+ * Takes in what endpoints say of themselves in the heads of their responses: that they leave, want
+ * a pause, are brittle, or take a number of requests per second.
+ */
+public final class EndpointAnswers {
+
+    private final ServingState mState;
+    private final RequestLogger mLogger;
+    private Consumer<EndpointEntry> mOnRejection = endpoint -> {};
+    private Consumer<LimitStatement> mOnLimitStatement = statement -> {};
+
+    EndpointAnswers(final ServingState state, final RequestLogger logger) {
+        mState = Objects.requireNonNull(state, "state");
+        mLogger = Objects.requireNonNull(logger, "logger");
+    }
+
+    /**
+     * Sets the handler of brittle endpoints that have rejected a request for want of room.
+     *
+     * @param onRejection receives the endpoint, once for each pause that follows
+     */
+    public void onRejection(final Consumer<EndpointEntry> onRejection) {
+        mOnRejection = onRejection;
+    }
+
+    /**
+     * Sets the handler of endpoints that name a limit of requests per second, another one, or none
+     * any more.
+     *
+     * @param onLimitStatement receives what the endpoint says if it is new
+     */
+    public void onLimitStatement(final Consumer<LimitStatement> onLimitStatement) {
+        mOnLimitStatement = onLimitStatement;
+    }
+
+    private Instant now() {
+        return mState.clock().instant();
+    }
+
+    /**
+     * Records what the head of an answer says about its endpoint.
+     *
+     * @param endpoint the endpoint
+     * @param response the head
+     * @param requestId the id of the request
+     * @param sentAt the time at which it was sent
+     */
+    void record(
+            final EndpointEntry endpoint,
+            final EndpointResponse response,
+            final String requestId,
+            final Instant sentAt) {
+        if (response.isFromEndpoint(requestId)) {
+            recordDeparture(endpoint, response, requestId, sentAt);
+            response.requestedPause()
+                    .ifPresent(length -> recordPause(endpoint, response, requestId, length));
+        }
+        if (response.isStatementOfEndpoint(requestId)) {
+            recordLimit(endpoint, response, sentAt);
+        }
+        recordRejection(endpoint, response);
+    }
+
+    private void recordDeparture(
+            final EndpointEntry endpoint,
+            final EndpointResponse response,
+            final String requestId,
+            final Instant sentAt) {
+        if (response.statements().leaving()
+                && mState.departures().add(EndpointStart.of(endpoint), now())) {
+            mLogger.departureStated(
+                    endpoint,
+                    response,
+                    requestId,
+                    sentAt,
+                    mState.endpoints().isLeaving(endpoint.id()));
+        }
+    }
+
+    private void recordPause(
+            final EndpointEntry endpoint,
+            final EndpointResponse response,
+            final String requestId,
+            final Duration length) {
+        mLogger.pauseRequested(endpoint, response, requestId, length);
+        mState.pauses().add(endpoint.id(), length, now());
+    }
+
+    private void recordLimit(
+            final EndpointEntry endpoint, final EndpointResponse response, final Instant sentAt) {
+        mState.requestLimits()
+                .recordAnswer(endpoint, response.statements().rateLimit(), sentAt, now())
+                .ifPresent(
+                        statement -> {
+                            mLogger.limitStated(endpoint, statement, sentAt);
+                            mOnLimitStatement.accept(statement);
+                        });
+    }
+
+    private void recordRejection(final EndpointEntry endpoint, final EndpointResponse response) {
+        final Instant now = now();
+        mState.brittle().recordAnswer(endpoint, response.statements().rejectionLimit(), now);
+        if (!response.isRejection()) {
+            return;
+        }
+        if (mState.pools().admitsByWait()) {
+            mState.admission().recordRejection(endpoint.service(), now);
+        }
+        mLogger.rejected(endpoint, response.statements().rejectionLimit());
+        if (mState.brittle().recordRejection(endpoint, now)) {
+            mOnRejection.accept(endpoint);
+        }
+    }
+
+    /** Logs a request that is about to be sent, as far as the endpoint has said anything on it. */
+    void logSent(
+            final AdmittedRequest admission,
+            final EndpointEntry endpoint,
+            final AttemptReason attempt) {
+        logSentToLimited(admission, endpoint, attempt);
+        final Instant now = now();
+        mState.departures()
+                .knownFor(EndpointStart.of(endpoint), now)
+                .ifPresent(
+                        known ->
+                                mLogger.sentToLeaving(
+                                        admission,
+                                        endpoint,
+                                        attempt,
+                                        known,
+                                        mState.endpoints().isLeaving(endpoint.id())));
+        mState.pauses()
+                .left(endpoint.id(), now)
+                .ifPresent(
+                        left ->
+                                mLogger.sentWithinPause(
+                                        admission,
+                                        endpoint,
+                                        attempt,
+                                        mState.pauses()
+                                                .knownFor(endpoint.id(), now)
+                                                .orElse(Duration.ZERO),
+                                        left));
+    }
+
+    private void logSentToLimited(
+            final AdmittedRequest admission,
+            final EndpointEntry endpoint,
+            final AttemptReason attempt) {
+        final StatedLimits limits = mState.requestLimits();
+        final Optional<LimitStatement> limited =
+                limits.statement(endpoint.id()).filter(statement -> statement.limit().isPresent());
+        limited.ifPresent(
+                statement ->
+                        mLogger.sentToLimited(
+                                admission,
+                                endpoint,
+                                attempt,
+                                statement,
+                                Duration.between(
+                                        limits.knownSince(endpoint.id()).orElseThrow(), now())));
+    }
+}
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
@@ -223,8 +223,13 @@
         if (response.isFromOtherEndpoint()) {
             mExchanges.state().endpoints().markReplaced(mPlacement.endpoint().id());
         } else {
-            mExchanges.recordAnswer(
-                    mPlacement.endpoint(), response, mAdmission.request().id(), mSender.sentAt());
+            mExchanges
+                    .answers()
+                    .record(
+                            mPlacement.endpoint(),
+                            response,
+                            mAdmission.request().id(),
+                            mSender.sentAt());
         }
         final Optional<EndpointResponseFault> fault =
                 EndpointResponseFault.of(response, mAdmission.request().id(), mRelay.isStarted());
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/Exchanges.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/Exchanges.java
@@ -11,7 +11,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import org.whinhead.gateway.caller.CallerRequest;
 import org.whinhead.gateway.caller.CallerRequestHandler;
 import org.whinhead.gateway.caller.CallerResponse;
@@ -19,16 +18,12 @@
 import org.whinhead.gateway.crash.CrashDetector;
 import org.whinhead.gateway.endpoint.EndpointConnections;
 import org.whinhead.gateway.endpoint.EndpointProtocol;
-import org.whinhead.gateway.endpoint.EndpointResponse;
 import org.whinhead.gateway.endpoint.RunMover;
 import org.whinhead.gateway.stream.LocalStreamDirectory;
 import org.whinhead.gateway.stream.StreamDirectory;
 import org.whinhead.gateway.time.LoopLag;
 import org.whinhead.serving.configuration.CustomerAccount;
 import org.whinhead.serving.configuration.ServingConfiguration;
-import org.whinhead.serving.endpoint.EndpointEntry;
-import org.whinhead.serving.ratelimit.LimitStatement;
-import org.whinhead.serving.ratelimit.StatedLimits;
 import org.whinhead.serving.route.Route;
 import org.whinhead.serving.stream.StreamOrigin;
 
@@ -64,8 +59,7 @@
     private final Set<Exchange> mRunning = new HashSet<>();
     private final AdmissionGate mAdmissionGate;
     private final LoopLag mLag;
-    private Consumer<EndpointEntry> mOnRejection = endpoint -> {};
-    private Consumer<LimitStatement> mOnLimitStatement = statement -> {};
+    private final EndpointAnswers mAnswers;
     private StreamDirectory mStreams;
     private boolean mRefusesStreams;
 
@@ -95,6 +89,7 @@
         mRequestLogger = requestLogger;
         mMover = mover;
         mCrashes = crashes;
+        mAnswers = new EndpointAnswers(state, requestLogger);
         mLag = new LoopLag(LAG_MEASUREMENT_INTERVAL, state.clock().instant());
         mAdmissionGate =
                 new AdmissionGate(
@@ -114,80 +109,6 @@
         mStreams = Objects.requireNonNull(streams, "streams");
     }
 
-    /**
-     * Sets the handler of brittle endpoints that have rejected a request for want of room.
-     *
-     * @param onRejection receives the endpoint, once for each pause that follows
-     */
-    public void onRejection(final Consumer<EndpointEntry> onRejection) {
-        mOnRejection = onRejection;
-    }
-
-    /**
-     * Sets the handler of endpoints that name a limit of requests per second, another one, or none
-     * any more.
-     *
-     * @param onLimitStatement receives what the endpoint says if it is new
-     */
-    public void onLimitStatement(final Consumer<LimitStatement> onLimitStatement) {
-        mOnLimitStatement = onLimitStatement;
-    }
-
-    /**
-     * Records what the head of an answer says about its endpoint's room and limit.
-     *
-     * @param endpoint the endpoint
-     * @param response the head
-     * @param requestId the id of the request
-     * @param sentAt the time at which it was sent
-     */
-    void recordAnswer(
-            final EndpointEntry endpoint,
-            final EndpointResponse response,
-            final String requestId,
-            final Instant sentAt) {
-        final Instant now = mState.clock().instant();
-        if (response.isStatementOfEndpoint(requestId)) {
-            mState.requestLimits()
-                    .recordAnswer(endpoint, response.rateLimit(), sentAt, now)
-                    .ifPresent(
-                            statement -> {
-                                mRequestLogger.limitStated(endpoint, statement, sentAt);
-                                mOnLimitStatement.accept(statement);
-                            });
-        }
-        mState.brittle().recordAnswer(endpoint, response.rejectionLimit(), now);
-        if (response.isRejection()) {
-            if (mState.pools().admitsByWait()) {
-                mState.admission().recordRejection(endpoint.service(), now);
-            }
-            mRequestLogger.rejected(endpoint, response.rejectionLimit());
-            if (mState.brittle().recordRejection(endpoint, now)) {
-                mOnRejection.accept(endpoint);
-            }
-        }
-    }
-
-    /** Logs a request that is about to be sent to an endpoint if the endpoint names a limit. */
-    void logSentToLimited(
-            final AdmittedRequest admission,
-            final EndpointEntry endpoint,
-            final AttemptReason attempt) {
-        final StatedLimits limits = mState.requestLimits();
-        limits.statement(endpoint.id())
-                .filter(statement -> statement.limit().isPresent())
-                .ifPresent(
-                        statement ->
-                                mRequestLogger.sentToLimited(
-                                        admission,
-                                        endpoint,
-                                        attempt,
-                                        statement,
-                                        Duration.between(
-                                                limits.knownSince(endpoint.id()).orElseThrow(),
-                                                mState.clock().instant())));
-    }
-
     /** Records that the event loop runs, so that the age of the requests it reads is known. */
     public void measureLag() {
         mLag.taskRan(mState.clock().instant());
@@ -323,6 +244,15 @@
         return new RefusedRequest();
     }
 
+    /**
+     * Returns what takes in what endpoints say of themselves in their responses.
+     *
+     * @return the answers of endpoints
+     */
+    public EndpointAnswers answers() {
+        return mAnswers;
+    }
+
     AdmissionGate admissionGate() {
         return mAdmissionGate;
     }
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/RequestLogger.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/RequestLogger.java
@@ -13,6 +13,7 @@
 import org.whinhead.gateway.caller.CallerRequest;
 import org.whinhead.gateway.caller.RefusalResponse;
 import org.whinhead.gateway.endpoint.EndpointConnection;
+import org.whinhead.gateway.endpoint.EndpointResponse;
 import org.whinhead.gateway.endpoint.MoveOutcome;
 import org.whinhead.gateway.metrics.RequestMetrics;
 import org.whinhead.serving.admission.AdmissionDecision;
@@ -209,6 +210,75 @@
                 .log("request limit of endpoint changed");
     }
 
+    /** Logs that an endpoint has said for the first time that it leaves. */
+    void departureStated(
+            final EndpointEntry endpoint,
+            final EndpointResponse response,
+            final String requestId,
+            final Instant sentAt,
+            final boolean wasLeaving) {
+        mCounts.recordDepartureStated(endpoint.service());
+        LOG.atInfo()
+                .addKeyValue("endpoint", endpoint.id())
+                .addKeyValue("service", endpoint.service())
+                .addKeyValue("request", requestId)
+                .addKeyValue("status", response.status().code())
+                .addKeyValue(
+                        "requestAgeMillis", Duration.between(sentAt, mClock.instant()).toMillis())
+                .addKeyValue("wasLeaving", wasLeaving)
+                .log("endpoint says that it leaves");
+    }
+
+    /** Logs a request to an endpoint that had said that it leaves. */
+    void sentToLeaving(
+            final AdmittedRequest admission,
+            final EndpointEntry endpoint,
+            final AttemptReason attempt,
+            final Duration knownFor,
+            final boolean wasLeaving) {
+        mCounts.recordSentToLeaving(attempt.name());
+        LOG.atInfo()
+                .addKeyValue("request", admission.request().id())
+                .addKeyValue("endpoint", endpoint.id())
+                .addKeyValue("attempt", attempt)
+                .addKeyValue("knownMillis", knownFor.toMillis())
+                .addKeyValue("wasLeaving", wasLeaving)
+                .log("request sent to endpoint that leaves");
+    }
+
+    /** Logs that an endpoint has turned a request away and asked for a pause. */
+    void pauseRequested(
+            final EndpointEntry endpoint,
+            final EndpointResponse response,
+            final String requestId,
+            final Duration length) {
+        mCounts.recordPauseRequested(endpoint.service());
+        LOG.atInfo()
+                .addKeyValue("endpoint", endpoint.id())
+                .addKeyValue("service", endpoint.service())
+                .addKeyValue("request", requestId)
+                .addKeyValue("status", response.status().code())
+                .addKeyValue("pauseMillis", length.toMillis())
+                .log("endpoint asks for pause");
+    }
+
+    /** Logs a request to an endpoint within the pause for which it had asked. */
+    void sentWithinPause(
+            final AdmittedRequest admission,
+            final EndpointEntry endpoint,
+            final AttemptReason attempt,
+            final Duration knownFor,
+            final Duration left) {
+        mCounts.recordSentWithinPause(attempt.name());
+        LOG.atInfo()
+                .addKeyValue("request", admission.request().id())
+                .addKeyValue("endpoint", endpoint.id())
+                .addKeyValue("attempt", attempt)
+                .addKeyValue("knownMillis", knownFor.toMillis())
+                .addKeyValue("leftMillis", left.toMillis())
+                .log("request sent to endpoint within its pause");
+    }
+
     private static String perSecond(final Optional<RequestRateLimit> limit) {
         return limit.map(RequestRateLimit::perSecond).map(String::valueOf).orElse("none");
     }
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/ServingState.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/ServingState.java
@@ -15,7 +15,9 @@
 import org.whinhead.serving.crash.UsualRequests;
 import org.whinhead.serving.endpoint.EndpointRegistry;
 import org.whinhead.serving.endpoint.ReclaimedEndpoints;
+import org.whinhead.serving.endpoint.StatedDepartures;
 import org.whinhead.serving.limit.BrittleEndpoints;
+import org.whinhead.serving.limit.RequestedPauses;
 import org.whinhead.serving.limit.ServiceRetryBudget;
 import org.whinhead.serving.pool.PoolPolicy;
 import org.whinhead.serving.quota.ClockReading;
@@ -51,6 +53,8 @@
     private final ReclaimedEndpoints mLeaving = new ReclaimedEndpoints();
     private final EndpointReach mReach = new EndpointReach();
     private final BrittleEndpoints mBrittle = new BrittleEndpoints();
+    private final StatedDepartures mDepartures = new StatedDepartures();
+    private final RequestedPauses mPauses = new RequestedPauses();
     private final StatedLimits mRequestLimits = new StatedLimits();
     private final ConnectionLimits mConnectionLimits = new ConnectionLimits();
     private final ServiceAdmission mAdmission = new ServiceAdmission(new Random());
@@ -249,6 +253,24 @@
         return mBrittle;
     }
 
+    /**
+     * Returns the endpoints that have said in a response that they leave.
+     *
+     * @return the departures
+     */
+    public StatedDepartures departures() {
+        return mDepartures;
+    }
+
+    /**
+     * Returns the pauses for which endpoints have asked this daemon.
+     *
+     * @return the pauses
+     */
+    public RequestedPauses pauses() {
+        return mPauses;
+    }
+
     /**
      * Returns the limits of requests per second that endpoints name.
      *
--- a/gateway/src/main/java/org/whinhead/gateway/metrics/CounterKey.java
+++ b/gateway/src/main/java/org/whinhead/gateway/metrics/CounterKey.java
@@ -43,6 +43,14 @@
         WITHOUT_CONNECTION("whinhead.requests.without.connection", "service", ""),
         /** Requests that were sent to endpoints that name a limit of requests per second. */
         SENT_TO_LIMITED("whinhead.requests.to.limited.endpoints", "attempt", ""),
+        /** Endpoints that have said in a response that they leave. */
+        DEPARTURE_STATED("whinhead.endpoint.departures.stated", "service", ""),
+        /** Requests that were sent to such endpoints. */
+        SENT_TO_LEAVING("whinhead.requests.to.leaving.endpoints", "attempt", ""),
+        /** Rejections with which endpoints asked for a pause. */
+        PAUSE_REQUESTED("whinhead.endpoint.pauses.requested", "service", ""),
+        /** Requests that were sent within such a pause. */
+        SENT_WITHIN_PAUSE("whinhead.requests.within.pauses", "attempt", ""),
         /** Endpoints that crashed while they had requests of this daemon. */
         CRASHED("whinhead.endpoint.crashes", "service", ""),
         /** Responses that ended when their connection was closed. */
--- a/gateway/src/main/java/org/whinhead/gateway/metrics/RequestMetrics.java
+++ b/gateway/src/main/java/org/whinhead/gateway/metrics/RequestMetrics.java
@@ -121,6 +121,42 @@
         counter(Metric.SENT_TO_LIMITED, attempt, "").add(1);
     }
 
+    /**
+     * Counts an endpoint that has said in a response that it leaves.
+     *
+     * @param service the endpoint's service
+     */
+    public void recordDepartureStated(final String service) {
+        counter(Metric.DEPARTURE_STATED, service, "").add(1);
+    }
+
+    /**
+     * Counts an attempt at an endpoint that had said in a response that it leaves.
+     *
+     * @param attempt why the attempt was made
+     */
+    public void recordSentToLeaving(final String attempt) {
+        counter(Metric.SENT_TO_LEAVING, attempt, "").add(1);
+    }
+
+    /**
+     * Counts a rejection with which an endpoint asked for a pause.
+     *
+     * @param service the endpoint's service
+     */
+    public void recordPauseRequested(final String service) {
+        counter(Metric.PAUSE_REQUESTED, service, "").add(1);
+    }
+
+    /**
+     * Counts an attempt at an endpoint within the pause for which it had asked this daemon.
+     *
+     * @param attempt why the attempt was made
+     */
+    public void recordSentWithinPause(final String attempt) {
+        counter(Metric.SENT_WITHIN_PAUSE, attempt, "").add(1);
+    }
+
     /**
      * Counts an endpoint that has crashed while it had requests of this daemon.
      *
--- a/gateway/src/main/java/org/whinhead/gateway/store/EndpointTopicListener.java
+++ b/gateway/src/main/java/org/whinhead/gateway/store/EndpointTopicListener.java
@@ -212,6 +212,7 @@
             mState.chooser().forgetEndpoint(entry.id());
             mState.brittle().forget(entry.id());
             mState.requestLimits().forget(entry.id());
+            mState.pauses().forget(entry.id());
             mConnections.endpointRestarted(entry.id());
         }
         if (effect.isChange()) {
@@ -264,6 +265,7 @@
         mState.chooser().retain(known);
         mState.brittle().retain(known);
         mState.requestLimits().retain(known);
+        mState.pauses().retain(known);
         mState.permits().retain(known);
         mConnections.retainEndpoints(known);
         mState.rollouts().observeEndpoints(registry().all(), now());
--- a/gateway/src/test/java/org/whinhead/gateway/caller/CallerConnectionTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/caller/CallerConnectionTest.java
@@ -14,10 +14,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalInt;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.whinhead.gateway.endpoint.EndpointResponse;
+import org.whinhead.gateway.endpoint.EndpointStatements;
 import org.whinhead.serving.configuration.CallerLimits;
 
 class CallerConnectionTest {
@@ -97,8 +97,7 @@
                 false,
                 true,
                 Optional.empty(),
-                OptionalInt.empty(),
-                Optional.empty(),
+                EndpointStatements.NONE,
                 false);
     }
 
--- a/gateway/src/test/java/org/whinhead/gateway/crash/RecentChecksTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/crash/RecentChecksTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.Test;
 import org.whinhead.serving.crash.EndpointCrash;
 import org.whinhead.serving.endpoint.EndpointEntry;
+import org.whinhead.serving.endpoint.EndpointStart;
 
 class RecentChecksTest {
 
--- a/gateway/src/test/java/org/whinhead/gateway/endpoint/PlainProtocol.java
+++ b/gateway/src/test/java/org/whinhead/gateway/endpoint/PlainProtocol.java
@@ -7,7 +7,6 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.Optional;
-import java.util.OptionalInt;
 import org.whinhead.gateway.caller.CallerRequest;
 import org.whinhead.serving.endpoint.EndpointEntry;
 
@@ -35,8 +34,7 @@
                 false,
                 true,
                 Optional.empty(),
-                OptionalInt.empty(),
-                Optional.empty(),
+                EndpointStatements.NONE,
                 !HttpUtil.isKeepAlive(response));
     }
 }
--- a/gateway/src/test/java/org/whinhead/gateway/exchange/EndpointResponseFaultTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/exchange/EndpointResponseFaultTest.java
@@ -5,10 +5,10 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.Optional;
-import java.util.OptionalInt;
 import org.junit.jupiter.api.Test;
 import org.whinhead.api.verdict.Verdict;
 import org.whinhead.gateway.endpoint.EndpointResponse;
+import org.whinhead.gateway.endpoint.EndpointStatements;
 
 class EndpointResponseFaultTest {
 
@@ -28,8 +28,7 @@
                 otherEndpoint,
                 genuine,
                 Optional.empty(),
-                OptionalInt.empty(),
-                Optional.empty(),
+                EndpointStatements.NONE,
                 false);
     }
 
--- a/gateway/src/test/java/org/whinhead/gateway/exchange/ResponseRelayTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/exchange/ResponseRelayTest.java
@@ -9,11 +9,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalInt;
 import org.junit.jupiter.api.Test;
 import org.whinhead.gateway.caller.CallerResponse;
 import org.whinhead.gateway.caller.RefusalResponse;
 import org.whinhead.gateway.endpoint.EndpointResponse;
+import org.whinhead.gateway.endpoint.EndpointStatements;
 
 class ResponseRelayTest {
 
@@ -93,8 +93,7 @@
                         false,
                         true,
                         Optional.empty(),
-                        OptionalInt.empty(),
-                        Optional.empty(),
+                        EndpointStatements.NONE,
                         false));
         return relay;
     }
