--- a/gateway/src/main/java/org/whinhead/gateway/EndpointAccess.java
+++ b/gateway/src/main/java/org/whinhead/gateway/EndpointAccess.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 import org.whinhead.gateway.endpoint.BrittleServicesLogger;
 import org.whinhead.gateway.endpoint.ConnectionLogger;
@@ -13,11 +14,13 @@
 import org.whinhead.gateway.endpoint.EndpointConnector;
 import org.whinhead.gateway.endpoint.EndpointHttpClients;
 import org.whinhead.gateway.endpoint.EndpointProtocol;
+import org.whinhead.gateway.endpoint.EndpointResponse;
 import org.whinhead.gateway.endpoint.ReachMonitor;
 import org.whinhead.gateway.exchange.ServingState;
 import org.whinhead.gateway.metrics.RequestMetrics;
 import org.whinhead.gateway.relay.ConfigurationCopy;
 import org.whinhead.gateway.relay.RelayServer;
+import org.whinhead.serving.endpoint.EndpointEntry;
 import org.whinhead.serving.member.MemberTable;
 import org.whinhead.serving.reach.RelaySelector;
 
@@ -67,7 +70,11 @@
                         state.endpoints(),
                         state::healthPath);
         mRelayServer =
-                new RelayServer(loop, localAddress, state.endpoints()::find, members::hasAddress);
+                new RelayServer(
+                        loop,
+                        localAddress,
+                        id -> state.endpoints().find(id).filter(state::mayReceive),
+                        members::hasAddress);
         mBrittle = new BrittleServicesLogger(state.brittle());
         counts.addGauge("whinhead.services.brittle", mBrittle::serviceCount);
         counts.addGauges(
@@ -129,6 +136,20 @@
         mRelayServer.shareConfiguration(configuration);
     }
 
+    /**
+     * Sets the handler of answers to health checks.
+     *
+     * @param onHealthResponse receives the endpoint that has answered, and the head
+     */
+    void onHealthResponse(final BiConsumer<EndpointEntry, EndpointResponse> onHealthResponse) {
+        mMonitor.onHealthResponse(onHealthResponse);
+    }
+
+    /** Lets the relayed connections to an endpoint end with their current request. */
+    void drainRelayed(final String endpoint) {
+        mRelayServer.drain(endpoint);
+    }
+
     /** Lets relayed connections end with their current request. */
     void drain() {
         mRelayServer.drain();
--- a/gateway/src/main/java/org/whinhead/gateway/Gateway.java
+++ b/gateway/src/main/java/org/whinhead/gateway/Gateway.java
@@ -49,6 +49,8 @@
 import org.whinhead.serving.configuration.ServingConfiguration;
 import org.whinhead.serving.duty.DutyLease;
 import org.whinhead.serving.duty.UsageDecider;
+import org.whinhead.serving.endpoint.EndpointEntry;
+import org.whinhead.serving.endpoint.EndpointStart;
 import org.whinhead.serving.limit.ServiceRetryBudget;
 import org.whinhead.serving.member.Member;
 import org.whinhead.serving.member.MemberTable;
@@ -210,7 +212,10 @@
         mRollouts.ifPresent(duty -> mConfigurationWatch.onEarlierOrder(duty::recordEarlierOrder));
         mRollouts.ifPresent(mPeers::onRolloutMessages);
         mPeers.onShareTableVersion(mShareTable::onPeerVersion);
-        mEndpointWatch.onLeaving(entry -> mExchanges.endpointLeaving(entry.id(), entry.leavesIn()));
+        mEndpointWatch.onLeaving(this::endpointLeaving);
+        mExchanges.answers().onDeparture(this::endpointDeparts);
+        mAccess.onHealthResponse(mExchanges.answers()::recordHealth);
+        mPeers.onDepartures(mEndpointWatch::applyDepartures);
         mEndpointWatch.onChange(mDuties.autoscaler()::orderEndpoints);
         addConfigurationGauges();
         mSpeedLogger.ifPresent(logger -> logger.addGauges(mCounts));
@@ -220,6 +225,17 @@
         mPeers.onCapacityOrder(mDuties.autoscaler()::recordPeerOrder);
     }
 
+    private void endpointLeaving(final EndpointEntry endpoint) {
+        mExchanges.endpointLeaving(endpoint.id(), endpoint.leavesIn());
+        mAccess.drainRelayed(endpoint.id());
+    }
+
+    /** Handles an endpoint that has told this daemon that it leaves: the others must know too. */
+    private void endpointDeparts(final EndpointStart departure) {
+        mPeers.sendDeparture(departure);
+        mEndpointWatch.applyDepartures(List.of(departure));
+    }
+
     private ConfigurationCatchUp createCatchUp() {
         final ConfigurationClient client =
                 new ConfigurationClient(
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointProtocol.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointProtocol.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import java.util.Optional;
 import org.whinhead.gateway.caller.CallerRequest;
 import org.whinhead.serving.endpoint.EndpointEntry;
 
@@ -34,4 +35,12 @@
      * @return the decoded head
      */
     EndpointResponse decode(HttpResponse response);
+
+    /**
+     * Returns the endpoint that has answered a health check.
+     *
+     * @param response the head
+     * @return the endpoint's id; empty if the head names none
+     */
+    Optional<String> decodeEndpointId(HttpResponse response);
 }
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/HealthProbe.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/HealthProbe.java
@@ -8,21 +8,22 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.util.function.Consumer;
 import org.whinhead.gateway.http.ResponsePipeline;
 
 /** Sends a health check on a new connection and closes it after the response. */
 final class HealthProbe extends ChannelInitializer<Channel> {
 
     private final HttpRequest mRequest;
-    private final Runnable mOnAnswered;
+    private final Consumer<HttpResponse> mOnAnswered;
 
     /**
      * Creates a probe.
      *
      * @param request the health check
-     * @param onAnswered called if a response is received, whatever its status
+     * @param onAnswered receives the head of the response, whatever its status
      */
-    HealthProbe(final HttpRequest request, final Runnable onAnswered) {
+    HealthProbe(final HttpRequest request, final Consumer<HttpResponse> onAnswered) {
         mRequest = request;
         mOnAnswered = onAnswered;
     }
@@ -46,7 +47,7 @@
                 if (message instanceof HttpResponse response
                         && response.decoderResult().isSuccess()) {
                     context.close();
-                    mOnAnswered.run();
+                    mOnAnswered.accept(response);
                 }
             } finally {
                 ReferenceCountUtil.release(message);
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/ReachMonitor.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/ReachMonitor.java
@@ -1,16 +1,20 @@
 package org.whinhead.gateway.endpoint;
 
 import io.netty.channel.Channel;
+import io.netty.handler.codec.http.HttpResponse;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashSet;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
+import java.util.function.BiConsumer;
 import java.util.function.Function;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.whinhead.serving.endpoint.EndpointEntry;
 import org.whinhead.serving.endpoint.EndpointRegistry;
+import org.whinhead.serving.endpoint.EndpointStart;
 import org.whinhead.serving.reach.AccessPath;
 import org.whinhead.serving.reach.EndpointReach;
 import org.whinhead.serving.reach.ReachLevel;
@@ -33,6 +37,8 @@
     private final Function<String, String> mHealthPath;
     private Set<String> mCutOffServices = Set.of();
     private Runnable mOnCutOffChange = () -> {};
+    private BiConsumer<EndpointEntry, EndpointResponse> mOnHealthResponse =
+            (endpoint, response) -> {};
 
     /**
      * Creates a monitor.
@@ -69,6 +75,16 @@
         mOnCutOffChange = onCutOffChange;
     }
 
+    /**
+     * Sets the handler of answers to health checks.
+     *
+     * @param onHealthResponse receives the endpoint, if it has answered itself, and the head
+     */
+    public void onHealthResponse(
+            final BiConsumer<EndpointEntry, EndpointResponse> onHealthResponse) {
+        mOnHealthResponse = onHealthResponse;
+    }
+
     /**
      * Returns whether this daemon is cut off from the endpoints of some service.
      *
@@ -163,7 +179,25 @@
 
     private HealthProbe probe(final EndpointEntry endpoint, final Runnable onAnswered) {
         final String path = mHealthPath.apply(endpoint.service());
-        return new HealthProbe(mProtocol.encodeHealthCheck(endpoint, path), onAnswered);
+        return new HealthProbe(
+                mProtocol.encodeHealthCheck(endpoint, path),
+                response -> {
+                    recordAnswer(endpoint, response);
+                    onAnswered.run();
+                });
+    }
+
+    private void recordAnswer(final EndpointEntry endpoint, final HttpResponse response) {
+        final Optional<String> answeredBy = mProtocol.decodeEndpointId(response);
+        if (answeredBy.equals(Optional.of(endpoint.id()))) {
+            mOnHealthResponse.accept(endpoint, mProtocol.decode(response));
+        } else if (answeredBy.isPresent()) {
+            LOG.atInfo()
+                    .addKeyValue("endpoint", endpoint.id())
+                    .addKeyValue("answeredBy", answeredBy.get())
+                    .log("another endpoint answers at the address");
+            mEndpoints.markLeaving(EndpointStart.of(endpoint));
+        }
     }
 
     private void recordDirect(final EndpointEntry endpoint) {
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/AttemptSender.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/AttemptSender.java
@@ -17,6 +17,7 @@
     private final AdmittedRequest mAdmission;
     private final ByteBuf mBody;
     private Optional<MovedRun> mContinuedRun = Optional.empty();
+    private String mContinuedAt = "";
     private Instant mSentAt;
     private int mSends;
 
@@ -26,9 +27,15 @@
         mBody = body;
     }
 
-    /** Lets the next attempt continue a run that was moved. */
-    void continueRun(final MovedRun run) {
+    /**
+     * Lets the next attempt continue a run that was moved.
+     *
+     * @param run the run
+     * @param endpoint the id of the endpoint that holds its memory
+     */
+    void continueRun(final MovedRun run, final String endpoint) {
         mContinuedRun = Optional.of(run);
+        mContinuedAt = endpoint;
     }
 
     /** Returns the number of attempts, without those that continue a moved run. */
@@ -43,6 +50,10 @@
 
     /** Records that an attempt is about to be sent to an endpoint. */
     void attemptStarts(final Placement placement, final StreamTracker stream) {
+        final boolean isElsewhere = !placement.endpoint().id().equals(mContinuedAt);
+        if (isElsewhere && mAdmission.route().canRunAgain()) {
+            mContinuedRun = Optional.empty();
+        }
         final boolean moved = mContinuedRun.isPresent();
         if (!moved) {
             mSends++;
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/ConnectionSearch.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/ConnectionSearch.java
@@ -52,6 +52,7 @@
     private final AdmissionPass mPass;
     private final Set<String> mTriedEndpoints = new HashSet<>();
     private Placement mPlacement;
+    private Placement mOnlyPlacement;
     private Optional<Placement> mUnconfirmed = Optional.empty();
     private Instant mConnectStartedAt;
     private int mConnectFailures;
@@ -148,8 +149,13 @@
 
     /**
      * Connects a run that was moved to its endpoint, and searches for another one if that fails.
+     *
+     * @param placement the endpoint that holds the run's memory
+     * @param isOnlyOne whether the run can't begin anew elsewhere, so that it is sent there also if
+     *     the endpoint leaves
      */
-    void connectTo(final Placement placement) {
+    void connectTo(final Placement placement, final boolean isOnlyOne) {
+        mOnlyPlacement = isOnlyOne ? placement : null;
         awaitPermit(placement, MAX_MOVED_WAIT);
     }
 
@@ -271,7 +277,7 @@
     private void connected(final EndpointConnection connection, final int searchId) {
         if (searchId != mSearchId) {
             connection.release();
-        } else if (mGate.isLate()) {
+        } else if (mGate.isLate() || !mayReceive()) {
             connection.release();
             mPlacement.release();
             mTriedEndpoints.remove(mPlacement.endpoint().id());
@@ -282,6 +288,12 @@
         }
     }
 
+    /** Returns whether the endpoint may still get the request, after the waits since its choice. */
+    private boolean mayReceive() {
+        return mPlacement == mOnlyPlacement
+                || mExchanges.state().selection().mayReceive(mPlacement.endpoint());
+    }
+
     private void connectFailed(final ConnectFailure failure, final int searchId) {
         if (searchId != mSearchId) {
             return;
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/EndpointAnswers.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/EndpointAnswers.java
@@ -17,8 +17,12 @@
  */
 public final class EndpointAnswers {
 
+    /** Stands for the id of a request in log lines about the answer to a health check. */
+    private static final String HEALTH_CHECK = "health check";
+
     private final ServingState mState;
     private final RequestLogger mLogger;
+    private Consumer<EndpointStart> mOnDeparture = departure -> {};
     private Consumer<EndpointEntry> mOnRejection = endpoint -> {};
     private Consumer<LimitStatement> mOnLimitStatement = statement -> {};
 
@@ -27,6 +31,15 @@
         mLogger = Objects.requireNonNull(logger, "logger");
     }
 
+    /**
+     * Sets the handler of endpoints that say that they leave.
+     *
+     * @param onDeparture receives the start of an endpoint that did not count as leaving
+     */
+    public void onDeparture(final Consumer<EndpointStart> onDeparture) {
+        mOnDeparture = onDeparture;
+    }
+
     /**
      * Sets the handler of brittle endpoints that have rejected a request for want of room.
      *
@@ -79,15 +92,26 @@
             final EndpointResponse response,
             final String requestId,
             final Instant sentAt) {
-        if (response.statements().leaving()
-                && mState.departures().add(EndpointStart.of(endpoint), now())) {
-            mLogger.departureStated(
-                    endpoint,
-                    response,
-                    requestId,
-                    sentAt,
-                    mState.endpoints().isLeaving(endpoint.id()));
+        final EndpointStart start = EndpointStart.of(endpoint);
+        if (!response.statements().leaving() || !mState.departures().add(start, now())) {
+            return;
         }
+        final boolean wasLeaving = mState.endpoints().isLeaving(endpoint.id());
+        mLogger.departureStated(endpoint, response, requestId, sentAt, wasLeaving);
+        mState.leaving().remove(endpoint.id());
+        if (!wasLeaving) {
+            mOnDeparture.accept(start);
+        }
+    }
+
+    /**
+     * Records what the head of a health check's answer says about its endpoint.
+     *
+     * @param endpoint the endpoint, which has sent the answer itself
+     * @param response the head
+     */
+    public void recordHealth(final EndpointEntry endpoint, final EndpointResponse response) {
+        recordDeparture(endpoint, response, HEALTH_CHECK, now());
     }
 
     private void recordPause(
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/EndpointSelection.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/EndpointSelection.java
@@ -75,6 +75,18 @@
         return usable.isEmpty() ? mState.leaving().lastResort(service, now()) : usable;
     }
 
+    /**
+     * Returns whether a request that was placed at an endpoint may still be sent there: it may have
+     * waited for a permit or a connection since.
+     *
+     * @param endpoint the endpoint
+     * @return false if it has begun to leave, or is gone
+     */
+    boolean mayReceive(final EndpointEntry endpoint) {
+        return mState.endpoints().isUsable(endpoint.id())
+                || mState.leaving().contains(endpoint.id(), now());
+    }
+
     private int ownRunning(final EndpointEntry endpoint) {
         return mState.chooser().load(endpoint.id()).ownRunning();
     }
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
@@ -23,6 +23,7 @@
 import org.whinhead.serving.balance.Placement;
 import org.whinhead.serving.crash.SuspectDecision;
 import org.whinhead.serving.endpoint.EndpointEntry;
+import org.whinhead.serving.endpoint.EndpointStart;
 import org.whinhead.serving.route.Route;
 import org.whinhead.serving.stream.StreamOrigin;
 
@@ -221,7 +222,7 @@
     @Override
     public void headReceived(final EndpointResponse response) {
         if (response.isFromOtherEndpoint()) {
-            mExchanges.state().endpoints().markReplaced(mPlacement.endpoint().id());
+            mExchanges.state().endpoints().markLeaving(EndpointStart.of(mPlacement.endpoint()));
         } else {
             mExchanges
                     .answers()
@@ -476,8 +477,9 @@
         mMove = null;
         endAttempt();
         at.skipPrefill();
-        mSender.continueRun(run);
-        mSearch.connectTo(at);
+        mSender.continueRun(run, at.endpoint().id());
+        final boolean isAtSource = at == mPlacement;
+        mSearch.connectTo(at, isAtSource || !mAdmission.route().canRunAgain());
     }
 
     @Override
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/ServingState.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/ServingState.java
@@ -13,6 +13,7 @@
 import org.whinhead.serving.connection.ConnectionLimits;
 import org.whinhead.serving.crash.CrashSuspects;
 import org.whinhead.serving.crash.UsualRequests;
+import org.whinhead.serving.endpoint.EndpointEntry;
 import org.whinhead.serving.endpoint.EndpointRegistry;
 import org.whinhead.serving.endpoint.ReclaimedEndpoints;
 import org.whinhead.serving.endpoint.StatedDepartures;
@@ -244,6 +245,16 @@
         return mSelection;
     }
 
+    /**
+     * Returns whether a request may be sent to an endpoint now.
+     *
+     * @param endpoint the endpoint
+     * @return false if it leaves or is gone
+     */
+    public boolean mayReceive(final EndpointEntry endpoint) {
+        return mSelection.mayReceive(endpoint);
+    }
+
     /**
      * Returns the limits at brittle endpoints.
      *
--- a/gateway/src/main/java/org/whinhead/gateway/peers/LimitMessenger.java
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/LimitMessenger.java
@@ -3,11 +3,8 @@
 import io.netty.channel.EventLoop;
 import java.time.Instant;
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Objects;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -15,7 +12,6 @@
 import org.whinhead.gateway.generated.GatewayProto.Datagram;
 import org.whinhead.gateway.generated.GatewayProto.LimitStatementRecord;
 import org.whinhead.gateway.generated.GatewayProto.PeerReport;
-import org.whinhead.gateway.time.GuardedTask;
 import org.whinhead.serving.ratelimit.LimitStatement;
 
 /** Tells the other daemons which limits of requests per second endpoints name. */
@@ -23,32 +19,24 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(LimitMessenger.class);
 
-    /** The time for which statements are collected, as many endpoints may make one at once. */
-    private static final int COLLECT_MILLIS = 2;
-
     /** The most statements in a datagram: more would not fit into one packet. */
     static final int MAX_STATEMENTS = 24;
 
     /** The statements in a report; all are told within a few reports. */
     private static final int STATEMENTS_PER_REPORT = 8;
 
-    /** The delays after which a statement is told again that no other daemon has told. */
-    private static final int[] REPEAT_MILLIS = {60, 150};
-
-    /** The time after the last repetition. */
-    private static final int FORGET_MILLIS = 200;
-
-    private final EventLoop mLoop;
     private final ServingState mState;
-    private final Consumer<Datagram> mSendToAll;
-    private final Map<String, LimitStatement> mCollected = new LinkedHashMap<>();
-    private final Map<String, LimitStatement> mUnrepeated = new LinkedHashMap<>();
+    private final RepeatedNews<String, LimitStatement> mNews;
 
     LimitMessenger(
             final EventLoop loop, final ServingState state, final Consumer<Datagram> sendToAll) {
-        mLoop = Objects.requireNonNull(loop, "loop");
         mState = Objects.requireNonNull(state, "state");
-        mSendToAll = Objects.requireNonNull(sendToAll, "sendToAll");
+        mNews =
+                new RepeatedNews<>(
+                        loop,
+                        LimitStatement::endpoint,
+                        MAX_STATEMENTS,
+                        statements -> sendToAll.accept(PermitCodec.encodeNews(statements)));
     }
 
     private Instant now() {
@@ -57,45 +45,7 @@
 
     /** Tells all other daemons of a new statement. */
     void tell(final LimitStatement statement) {
-        if (mCollected.isEmpty()) {
-            schedule(COLLECT_MILLIS, "tell request limits", this::sendCollected);
-        }
-        mCollected.put(statement.endpoint(), statement);
-        mUnrepeated.put(statement.endpoint(), statement);
-    }
-
-    private void sendCollected() {
-        final List<LimitStatement> statements = List.copyOf(mCollected.values());
-        mCollected.clear();
-        send(statements);
-        for (final int millis : REPEAT_MILLIS) {
-            schedule(millis, "repeat request limits", () -> repeat(statements));
-        }
-        schedule(FORGET_MILLIS, "forget request limits", () -> forget(statements));
-    }
-
-    private void schedule(final int millis, final String name, final Runnable task) {
-        mLoop.schedule(() -> GuardedTask.run(LOG, name, task), millis, TimeUnit.MILLISECONDS);
-    }
-
-    private void repeat(final List<LimitStatement> statements) {
-        send(
-                statements.stream()
-                        .filter(
-                                statement ->
-                                        statement.equals(mUnrepeated.get(statement.endpoint())))
-                        .toList());
-    }
-
-    private void forget(final List<LimitStatement> statements) {
-        statements.forEach(statement -> mUnrepeated.remove(statement.endpoint(), statement));
-    }
-
-    private void send(final List<LimitStatement> statements) {
-        for (int from = 0; from < statements.size(); from += MAX_STATEMENTS) {
-            final int to = Math.min(from + MAX_STATEMENTS, statements.size());
-            mSendToAll.accept(PermitCodec.encodeNews(statements.subList(from, to)));
-        }
+        mNews.tell(statement);
     }
 
     /** Applies a datagram if it tells of limits. */
@@ -103,7 +53,7 @@
         if (datagram.hasLimitNews()) {
             final List<LimitStatement> statements =
                     decode(datagram.getLimitNews().getStatementsList());
-            statements.forEach(told -> mUnrepeated.remove(told.endpoint(), told));
+            statements.forEach(mNews::heard);
             apply(statements);
         }
     }
--- a/gateway/src/main/java/org/whinhead/gateway/peers/PeerDatagramChannel.java
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/PeerDatagramChannel.java
@@ -30,6 +30,7 @@
 import org.whinhead.serving.capacity.CapacityOrder;
 import org.whinhead.serving.endpoint.EndpointChange;
 import org.whinhead.serving.endpoint.EndpointEntry;
+import org.whinhead.serving.endpoint.EndpointStart;
 import org.whinhead.serving.member.Member;
 import org.whinhead.serving.member.MemberTable;
 import org.whinhead.serving.quota.ShareTable;
@@ -72,6 +73,7 @@
     private final MemberTable mMembers;
     private final DigestReadCoordinator mReadCoordinator;
     private final CrashMessenger mCrashMessenger;
+    private final DepartureMessenger mDepartureMessenger;
     private final LimitMessenger mLimitMessenger;
     private final SpeedMessenger mSpeedMessenger;
     private final StreamMessenger mStreamMessenger;
@@ -105,6 +107,7 @@
         mReadCoordinator = readCoordinator;
         mReceivers = new PeerReceivers(members);
         mCrashMessenger = new CrashMessenger(loop, state, this::sendToAll, this::send);
+        mDepartureMessenger = new DepartureMessenger(loop, state, this::sendToAll);
         mLimitMessenger = new LimitMessenger(loop, state, this::sendToAll);
         mSpeedMessenger = new SpeedMessenger(loop, state, members.self().name(), this::sendToAll);
         mStreamMessenger =
@@ -118,6 +121,7 @@
                         state,
                         members,
                         mCrashMessenger,
+                        mDepartureMessenger,
                         mLimitMessenger,
                         mSpeedMessenger,
                         mReceivers::addContact);
@@ -221,6 +225,24 @@
                         .build());
     }
 
+    /**
+     * Sets the handler of endpoints of which other daemons tell that they leave.
+     *
+     * @param onDepartures receives the starts of the endpoints
+     */
+    public void onDepartures(final Consumer<List<EndpointStart>> onDepartures) {
+        mDepartureMessenger.onDepartures(onDepartures);
+    }
+
+    /**
+     * Tells all other daemons that an endpoint has said that it leaves.
+     *
+     * @param departure the start of the endpoint
+     */
+    public void sendDeparture(final EndpointStart departure) {
+        mDepartureMessenger.tell(departure);
+    }
+
     /**
      * Returns what tells the other daemons of requests under which endpoints crash.
      *
@@ -468,6 +490,7 @@
                                             mState.brittle().recordPeerRejection(endpoint, now()));
                 }
                 mCrashMessenger.receive(datagram);
+                mDepartureMessenger.receive(datagram);
                 mLimitMessenger.receive(datagram);
                 mSpeedMessenger.receive(datagram);
                 mOnPermitDatagram.accept(datagram, packet.sender());
--- a/gateway/src/main/java/org/whinhead/gateway/peers/PeerReportHandler.java
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/PeerReportHandler.java
@@ -28,6 +28,7 @@
     private final ServingState mState;
     private final MemberTable mMembers;
     private final CrashMessenger mCrashMessenger;
+    private final DepartureMessenger mDepartureMessenger;
     private final LimitMessenger mLimitMessenger;
     private final SpeedMessenger mSpeedMessenger;
     private final Consumer<InetSocketAddress> mOnContact;
@@ -38,12 +39,14 @@
             final ServingState state,
             final MemberTable members,
             final CrashMessenger crashMessenger,
+            final DepartureMessenger departureMessenger,
             final LimitMessenger limitMessenger,
             final SpeedMessenger speedMessenger,
             final Consumer<InetSocketAddress> onContact) {
         mState = state;
         mMembers = members;
         mCrashMessenger = crashMessenger;
+        mDepartureMessenger = departureMessenger;
         mLimitMessenger = limitMessenger;
         mSpeedMessenger = speedMessenger;
         mOnContact = onContact;
@@ -104,6 +107,7 @@
                             .setRequests(count.requests()));
         }
         mCrashMessenger.addTo(report);
+        mDepartureMessenger.addTo(report);
         mLimitMessenger.addTo(report);
         mMembers.peers().stream()
                 .limit(maxContacts)
@@ -179,6 +183,7 @@
         }
         mState.admission().applyReport(report.getName(), serviceWork(report), now);
         mCrashMessenger.receive(report);
+        mDepartureMessenger.receive(report);
         mLimitMessenger.receive(report);
         for (final UsageEntry entry : report.getUsageList()) {
             mState.usage()
--- a/gateway/src/main/java/org/whinhead/gateway/relay/RelayServer.java
+++ b/gateway/src/main/java/org/whinhead/gateway/relay/RelayServer.java
@@ -47,7 +47,7 @@
      *
      * @param loop the event loop on which all work runs
      * @param localAddress the address of this VM, which endpoints see as the sender's
-     * @param findEndpoint finds a listed endpoint by its id
+     * @param findEndpoint finds an endpoint that may get requests by its id
      * @param isMember returns whether a daemon of this deployment has an address; others are denied
      */
     public RelayServer(
@@ -96,6 +96,17 @@
         Set.copyOf(mConnections).forEach(connection -> connection.send(RelayMessageCodec.drain()));
     }
 
+    /**
+     * Lets the connections to an endpoint end with their current request, as it gets no others.
+     *
+     * @param endpoint the endpoint's id
+     */
+    public void drain(final String endpoint) {
+        mConnections.stream()
+                .filter(connection -> connection.leadsTo(endpoint))
+                .forEach(connection -> connection.send(RelayMessageCodec.drain()));
+    }
+
     /**
      * Returns the number of connections that are relayed now.
      *
--- a/gateway/src/main/java/org/whinhead/gateway/relay/RelayServerHandler.java
+++ b/gateway/src/main/java/org/whinhead/gateway/relay/RelayServerHandler.java
@@ -31,6 +31,7 @@
     private final RelayServer mServer;
     private ChannelHandlerContext mContext;
     private Channel mEndpoint;
+    private String mEndpointId = "";
 
     RelayServerHandler(final RelayServer server) {
         mServer = server;
@@ -68,6 +69,7 @@
             end(RelayMessageCodec.outcome(RelayOutcome.ENDPOINT_NOT_REACHED));
             return;
         }
+        mEndpointId = endpoint;
         mServer.opened(this);
         connect(entry.get());
     }
@@ -117,6 +119,10 @@
         }
     }
 
+    boolean leadsTo(final String endpoint) {
+        return mEndpointId.equals(endpoint);
+    }
+
     /** Resumes reading once the endpoint has taken what was read. */
     void endpointWritable() {
         mContext.channel().config().setAutoRead(true);
--- a/gateway/src/main/java/org/whinhead/gateway/store/EndpointTopicListener.java
+++ b/gateway/src/main/java/org/whinhead/gateway/store/EndpointTopicListener.java
@@ -15,6 +15,7 @@
 import org.whinhead.serving.endpoint.EndpointChange;
 import org.whinhead.serving.endpoint.EndpointEntry;
 import org.whinhead.serving.endpoint.EndpointRegistry;
+import org.whinhead.serving.endpoint.EndpointStart;
 import org.whinhead.serving.endpoint.EntryEffect;
 
 /** Updates the endpoint registry from the store and from other daemons' changes. */
@@ -127,6 +128,30 @@
         }
     }
 
+    /**
+     * Applies what endpoints have said in responses, to this daemon or to others: they leave, also
+     * if the store does not say so.
+     *
+     * @param departures the starts of the endpoints that leave
+     */
+    public void applyDepartures(final List<EndpointStart> departures) {
+        boolean changed = false;
+        for (final EndpointStart departure : departures) {
+            mState.departures().add(departure, now());
+            if (registry().markLeaving(departure)) {
+                changed = true;
+                LOG.atInfo()
+                        .addKeyValue("endpoint", departure.endpoint())
+                        .log("endpoint leaves by its own response");
+                mState.leaving().remove(departure.endpoint());
+                registry().find(departure.endpoint()).ifPresent(mOnLeaving);
+            }
+        }
+        if (changed) {
+            mOnChange.run();
+        }
+    }
+
     @Override
     public void onOlderCopy(final long end) {
         registry().recordOlderCopy(end, now());
@@ -228,7 +253,9 @@
                     .addKeyValue("offset", change.offset())
                     .log("endpoint changed");
             if (entry.leaving()) {
-                mState.leaving().addNotice(entry, now());
+                if (!mState.departures().contains(EndpointStart.of(entry))) {
+                    mState.leaving().addNotice(entry, now());
+                }
                 mOnLeaving.accept(entry);
             }
         }
--- a/gateway/src/test/java/org/whinhead/gateway/endpoint/EndlessBytesTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/endpoint/EndlessBytesTest.java
@@ -218,7 +218,7 @@
                 "HTTP/1.1 200 OK\\r\\nX: aaaaaaaaaa"
             })
     void healthCheckIsNotAnsweredAndItsConnectionIsClosed(final String unit) throws Exception {
-        final HealthProbe probe = new HealthProbe(REQUEST, () -> mOutcomes.add("answered"));
+        final HealthProbe probe = new HealthProbe(REQUEST, response -> mOutcomes.add("answered"));
         sendWithoutEnd("", unit);
         final Channel channel =
                 mLoop.submit(
--- a/gateway/src/test/java/org/whinhead/gateway/endpoint/PlainProtocol.java
+++ b/gateway/src/test/java/org/whinhead/gateway/endpoint/PlainProtocol.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.Optional;
+import java.util.OptionalInt;
 import org.whinhead.gateway.caller.CallerRequest;
 import org.whinhead.serving.endpoint.EndpointEntry;
 
@@ -34,7 +35,16 @@
                 false,
                 true,
                 Optional.empty(),
-                EndpointStatements.NONE,
+                new EndpointStatements(
+                        response.headers().contains("Leaving"),
+                        Optional.empty(),
+                        OptionalInt.empty(),
+                        Optional.empty()),
                 !HttpUtil.isKeepAlive(response));
     }
+
+    @Override
+    public Optional<String> decodeEndpointId(final HttpResponse response) {
+        return Optional.ofNullable(response.headers().get("Endpoint"));
+    }
 }
--- a/gateway/src/test/java/org/whinhead/gateway/endpoint/ReachMonitorTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/endpoint/ReachMonitorTest.java
@@ -26,12 +26,15 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.whinhead.gateway.metrics.RequestMetrics;
 import org.whinhead.gateway.relay.RelayServer;
 import org.whinhead.serving.endpoint.EndpointEntry;
@@ -79,6 +82,7 @@
                     mReach,
                     mEndpoints,
                     service -> "/health");
+    private volatile String mHealthHeaders = "";
     private ServerSocket mAnswering;
     private ServerSocket mSilent;
 
@@ -167,7 +171,9 @@
             if (new String(line, StandardCharsets.US_ASCII).equals("GET /health")) {
                 socket.getOutputStream()
                         .write(
-                                "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+                                ("HTTP/1.1 200 OK\r\n"
+                                                + mHealthHeaders
+                                                + "Content-Length: 0\r\n\r\n")
                                         .getBytes(StandardCharsets.US_ASCII));
                 mAnsweredChecks.incrementAndGet();
             }
@@ -280,6 +286,33 @@
         assertThat(mEvents).isEmpty();
     }
 
+    // Guards against requests to an endpoint whose answer to a health check says that it leaves,
+    // and against ending the use of another endpoint than the one that has answered.
+    @ParameterizedTest
+    @CsvSource({"e-1, true", "e-2, true", "e-9, false"})
+    void answerToHealthCheckSpeaksForItsEndpoint(final String answeredBy, final boolean heard)
+            throws Exception {
+        mHealthHeaders = "Leaving: 1\r\nEndpoint: " + answeredBy + "\r\n";
+        final List<String> leaving = new CopyOnWriteArrayList<>();
+        mMonitor.onHealthResponse(
+                (endpoint, response) -> {
+                    if (response.statements().leaving()) {
+                        leaving.add(endpoint.id());
+                    }
+                });
+        listEndpoints(mAnswering);
+        sendRequest();
+        mNow = START.plusMillis(300);
+        tickUntil(() -> mAnsweredChecks.get() == 2);
+        tickUntil(() -> usable().isEmpty() || heard && usable().size() == 1);
+        assertThat(leaving).isEqualTo(heard ? List.of(answeredBy) : List.of());
+    }
+
+    /** Returns the usable endpoints; those at whose address another one has answered are not. */
+    private List<EndpointEntry> usable() {
+        return mEndpoints.usable(SERVICE);
+    }
+
     // Guards against a daemon that stays out of the directory, and connects through others, after
     // its own way is open again.
     @Test
--- a/gateway/src/test/java/org/whinhead/gateway/exchange/EndpointSelectionTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/exchange/EndpointSelectionTest.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.whinhead.serving.endpoint.EndpointEntry;
+import org.whinhead.serving.endpoint.EndpointStart;
 import org.whinhead.serving.ratelimit.Permit;
 import org.whinhead.serving.ratelimit.PermitListener;
 import org.whinhead.serving.ratelimit.RequestRateLimit;
@@ -49,6 +50,32 @@
         assertThat(mSelection.canContinue(new StreamOrigin("pool", "v2"))).isFalse();
     }
 
+    // Guards against sending a request that was placed before its endpoint began to leave.
+    @Test
+    void requestIsNotSentToEndpointThatHasBegunToLeave() {
+        list("e-1", "v1", 1);
+        final EndpointEntry endpoint = mState.endpoints().find("e-1").orElseThrow();
+        assertThat(mSelection.mayReceive(endpoint)).isTrue();
+        mState.endpoints().markLeaving(EndpointStart.of(endpoint));
+        assertThat(mSelection.mayReceive(endpoint)).isFalse();
+    }
+
+    // Guards against refusing all requests in a wave of reclaims, and against going on so once the
+    // endpoint says itself that it leaves.
+    @Test
+    void endpointWithNoticeServesUntilItSaysThatItLeaves() {
+        final EndpointEntry endpoint =
+                EndpointEntry.builder(
+                                "e-1", "pool", new InetSocketAddress("127.0.0.1", 9000), "domain-a")
+                        .leaving(true, Optional.of(Duration.ofSeconds(3)))
+                        .build();
+        mState.endpoints().put(endpoint, 1);
+        mState.leaving().addNotice(endpoint, mNow);
+        assertThat(mSelection.mayReceive(endpoint)).isTrue();
+        mState.leaving().remove("e-1");
+        assertThat(mSelection.mayReceive(endpoint)).isFalse();
+    }
+
     private void name(final String id, final double limit) {
         mState.requestLimits()
                 .recordAnswer(
--- a/gateway/src/test/java/org/whinhead/gateway/relay/RelayServerTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/relay/RelayServerTest.java
@@ -165,6 +165,26 @@
         assertThat(nextEvent()).isEqualTo("NOT_RELAYED");
     }
 
+    // Guards against requests through a relay to an endpoint that has told the relay that it
+    // leaves:
+    // the daemon that asked must not use the connection for a further request.
+    @Test
+    void connectionToEndpointThatLeavesEndsWithItsRequest() throws Exception {
+        open("e-1");
+        try (Socket endpoint = mEndpoint.accept()) {
+            assertThat(nextEvent()).isEqualTo("connected");
+            onLoop(
+                    () -> {
+                        mServer.drain("e-2");
+                        mServer.drain("e-1");
+                        return null;
+                    });
+            assertThat(nextEvent()).isEqualTo("event RelayDrainEvent");
+            endpoint.getOutputStream().write('x');
+            assertThat(nextEvent()).isEqualTo("read x");
+        }
+    }
+
     // Guards against requests that are cut by the planned stop of their relay: the daemon that
     // asked must not use the connection for a further request.
     @Test
--- a/gateway/src/test/java/org/whinhead/gateway/store/EndpointTopicListenerTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/store/EndpointTopicListenerTest.java
@@ -13,6 +13,7 @@
 import org.whinhead.gateway.exchange.TestServing;
 import org.whinhead.serving.endpoint.EndpointChange;
 import org.whinhead.serving.endpoint.EndpointEntry;
+import org.whinhead.serving.endpoint.EndpointStart;
 import org.whinhead.serving.reach.EndpointReach;
 
 class EndpointTopicListenerTest {
@@ -70,6 +71,25 @@
         assertThat(mState.endpoints().usable("pool")).hasSize(2);
     }
 
+    // Guards against work at an endpoint that has told a daemon that it leaves while the store is
+    // away or behind, and against ordering replacements more than once.
+    @Test
+    void departureToldInResponseCountsAsNotice() {
+        final List<String> changes = new ArrayList<>();
+        mListener.onSnapshot(List.of(record("ready", 0)), 1);
+        mListener.onLeaving(entry -> mLeaving.add(entry.id()));
+        mListener.onChange(() -> changes.add("changed"));
+        final EndpointStart start = EndpointStart.of(TestServing.endpoint("e1", false));
+        mListener.applyDepartures(List.of(start, start));
+        mListener.applyDepartures(List.of(start));
+        assertThat(mLeaving).containsExactly("e1");
+        assertThat(changes).hasSize(1);
+        assertThat(mState.endpoints().usable("pool")).isEmpty();
+        mListener.onAppended(List.of(record("ready", 1)));
+        assertThat(mState.endpoints().usable("pool")).isEmpty();
+        assertThat(mState.departures().contains(start)).isTrue();
+    }
+
     @Test
     void leavingEndpointIsReportedOnce() {
         mListener.onLeaving(entry -> mLeaving.add(entry.id()));
--- a/serving/src/main/java/org/whinhead/serving/endpoint/EndpointEntry.java
+++ b/serving/src/main/java/org/whinhead/serving/endpoint/EndpointEntry.java
@@ -114,21 +114,11 @@
         return HASH_FACTOR * hash + startedAt.hashCode();
     }
 
-    /** Returns whether this entry is of a later start of the endpoint than another one. */
-    boolean startedAfter(final EndpointEntry other) {
-        return compareStart(other) > 0;
-    }
-
     /** Returns whether this entry is of an earlier start of the endpoint than another one. */
     boolean startedBefore(final EndpointEntry other) {
-        return compareStart(other) < 0;
-    }
-
-    private int compareStart(final EndpointEntry other) {
-        if (startedAt.isEmpty() || other.startedAt.isEmpty()) {
-            return 0;
-        }
-        return startedAt.get().compareTo(other.startedAt.get());
+        return startedAt.isPresent()
+                && other.startedAt.isPresent()
+                && startedAt.get().isBefore(other.startedAt.get());
     }
 
     /** Builds an entry. */
--- a/serving/src/main/java/org/whinhead/serving/endpoint/EndpointRegistry.java
+++ b/serving/src/main/java/org/whinhead/serving/endpoint/EndpointRegistry.java
@@ -5,7 +5,6 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -32,6 +31,9 @@
      */
     static final Duration LAPSE_GRACE = Duration.ofMillis(2_500);
 
+    /** Twice the endpoints of the largest deployment; the oldest ones have ended by then. */
+    private static final int MAX_LEAVING = 4_000;
+
     /** The number of remembered removals: some minutes' worth in the largest deployment. */
     private static final int MAX_REMOVALS = 2_000;
 
@@ -39,7 +41,7 @@
     private static final long SPREAD_FACTOR = 0x9E3779B97F4A7C15L;
 
     private final Map<String, Record> mRecords = new HashMap<>();
-    private final Set<String> mLeavingIds = new HashSet<>();
+    private final Map<String, EndpointStart> mLeaving = new LinkedHashMap<>();
     private final Map<String, Long> mRemovals = new LinkedHashMap<>();
     private Instant mLastOutage = Instant.EPOCH;
     private long mDigest;
@@ -65,14 +67,13 @@
             recordChanged(offset);
             return EntryEffect.NONE;
         }
-        final boolean restarted = previous != null && isOfOtherStart(entry, previous.mEntry);
-        if (restarted) {
-            mLeavingIds.remove(entry.id());
-        }
-        final boolean leaving = entry.leaving() || mLeavingIds.contains(entry.id());
-        if (leaving) {
-            mLeavingIds.add(entry.id());
+        final boolean restarted =
+                previous != null
+                        && EndpointStart.of(entry).isLaterThan(EndpointStart.of(previous.mEntry));
+        if (entry.leaving()) {
+            rememberLeaving(EndpointStart.of(entry));
         }
+        final boolean leaving = hasLeft(entry);
         replace(new Record(entry, offset, leaving, Doubt.NONE));
         final boolean changed =
                 previous == null
@@ -88,13 +89,21 @@
         return changed ? EntryEffect.CHANGED : EntryEffect.NONE;
     }
 
-    private void recordChanged(final long offset) {
-        mChangedEnd = Math.max(mChangedEnd, offset + 1);
+    /** Returns whether the start that wrote an entry is known to leave; a later start is not. */
+    private boolean hasLeft(final EndpointEntry entry) {
+        final EndpointStart leaving = mLeaving.get(entry.id());
+        return leaving != null && !EndpointStart.of(entry).isLaterThan(leaving);
+    }
+
+    private void rememberLeaving(final EndpointStart start) {
+        mLeaving.put(start.endpoint(), start);
+        if (mLeaving.size() > MAX_LEAVING) {
+            mLeaving.remove(mLeaving.keySet().iterator().next());
+        }
     }
 
-    /** Returns whether an endpoint has started again; its software changes with a start only. */
-    private static boolean isOfOtherStart(final EndpointEntry entry, final EndpointEntry known) {
-        return entry.startedAfter(known) || !entry.version().equals(known.version());
+    private void recordChanged(final long offset) {
+        mChangedEnd = Math.max(mChangedEnd, offset + 1);
     }
 
     /**
@@ -293,14 +302,24 @@
     public List<EndpointEntry> usable(final String service) {
         final List<EndpointEntry> usable = new ArrayList<>();
         for (final Record record : mRecords.values()) {
-            final boolean isUsable = !record.mLeaving && record.mDoubt != Doubt.UNREADABLE;
-            if (isUsable && record.mEntry.service().equals(service)) {
+            if (record.isUsable() && record.mEntry.service().equals(service)) {
                 usable.add(record.mEntry);
             }
         }
         return usable;
     }
 
+    /**
+     * Returns whether an endpoint may get new work.
+     *
+     * @param id the endpoint's id
+     * @return true if it is listed and not leaving
+     */
+    public boolean isUsable(final String id) {
+        final Record record = mRecords.get(id);
+        return record != null && record.isUsable();
+    }
+
     /**
      * Returns whether an endpoint has said that it leaves.
      *
@@ -360,16 +379,24 @@
     }
 
     /**
-     * Marks an endpoint as leaving because another endpoint answered at its address.
+     * Marks an endpoint as leaving for another reason than its entry: it has said so in a response,
+     * or another endpoint answers at its address. Only a later start of the endpoint ends that; it
+     * is remembered also if the endpoint is not listed yet.
      *
-     * @param id the id of the endpoint that is no longer at the address
+     * @param start the start of the endpoint that leaves
+     * @return whether it is listed and did not count as leaving
      */
-    public void markReplaced(final String id) {
-        mLeavingIds.add(id);
-        final Record record = mRecords.get(id);
-        if (record != null) {
-            replace(new Record(record.mEntry, record.mOffset, true, Doubt.NONE));
+    public boolean markLeaving(final EndpointStart start) {
+        final EndpointStart known = mLeaving.get(start.endpoint());
+        if (known == null || start.isLaterThan(known)) {
+            rememberLeaving(start);
         }
+        final Record record = mRecords.get(start.endpoint());
+        if (record == null || record.mLeaving || !hasLeft(record.mEntry)) {
+            return false;
+        }
+        replace(new Record(record.mEntry, record.mOffset, true, record.mDoubt));
+        return true;
     }
 
     /**
@@ -411,6 +438,10 @@
             mContentHash = doubt == Doubt.NONE ? entry.contentHash() * SPREAD_FACTOR : 0;
         }
 
+        private boolean isUsable() {
+            return !mLeaving && mDoubt != Doubt.UNREADABLE;
+        }
+
         private static long hash(final EndpointEntry entry) {
             final int leaving = entry.leaving() ? 1 : 0;
             return (31L * entry.id().hashCode()
--- a/serving/src/main/java/org/whinhead/serving/endpoint/EndpointStart.java
+++ b/serving/src/main/java/org/whinhead/serving/endpoint/EndpointStart.java
@@ -30,4 +30,20 @@
     public static EndpointStart of(final EndpointEntry entry) {
         return new EndpointStart(entry.id(), entry.startedAt(), entry.version());
     }
+
+    /**
+     * Returns whether this is a later start than another one of the same endpoint.
+     *
+     * @param other the other start
+     * @return true if its time is later, or if only its software differs
+     */
+    public boolean isLaterThan(final EndpointStart other) {
+        if (startedAt.isPresent() && other.startedAt.isPresent()) {
+            final int order = startedAt.get().compareTo(other.startedAt.get());
+            if (order != 0) {
+                return order > 0;
+            }
+        }
+        return !version.equals(other.version);
+    }
 }
--- a/serving/src/main/java/org/whinhead/serving/endpoint/ReclaimedEndpoints.java
+++ b/serving/src/main/java/org/whinhead/serving/endpoint/ReclaimedEndpoints.java
@@ -13,7 +13,7 @@
  * seconds after the notices end. If all remaining endpoints are leaving, a request that is refused
  * is lost, while one that is sent to a leaving endpoint is answered, or moved as soon as another
  * endpoint has started. Otherwise leaving endpoints get no new work, and none later than 0.7 s
- * after their notice was read.
+ * after their notice was read. One that says in a response that it leaves gets none at all.
  */
 public final class ReclaimedEndpoints {
 
@@ -58,13 +58,29 @@
      * @return its leaving endpoints that still serve long enough
      */
     public List<EndpointEntry> lastResort(final String service, final Instant now) {
-        mNotices.values().removeIf(notice -> now.isAfter(notice.usableUntil()));
+        expire(now);
         return mNotices.values().stream()
                 .map(Notice::entry)
                 .filter(entry -> entry.service().equals(service))
                 .toList();
     }
 
+    /**
+     * Returns whether an endpoint may still receive a request that no other endpoint can take.
+     *
+     * @param id the endpoint's id
+     * @param now the current time
+     * @return true if it leaves and still serves long enough
+     */
+    public boolean contains(final String id, final Instant now) {
+        expire(now);
+        return mNotices.containsKey(id);
+    }
+
+    private void expire(final Instant now) {
+        mNotices.values().removeIf(notice -> now.isAfter(notice.usableUntil()));
+    }
+
     private record Notice(EndpointEntry entry, Instant at) {
         private Instant usableUntil() {
             final Duration served = entry.leavesIn().orElseThrow().minus(MIN_REMAINING);
--- a/serving/src/main/java/org/whinhead/serving/endpoint/StatedDepartures.java
+++ b/serving/src/main/java/org/whinhead/serving/endpoint/StatedDepartures.java
@@ -2,7 +2,9 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -18,7 +20,14 @@
     /** Twice the endpoints of the largest deployment; the oldest ones have ended by then. */
     private static final int MAX_KNOWN = 4_000;
 
+    /**
+     * The time for which a departure is told in reports: endpoints serve for seconds after it, and
+     * a daemon that was cut off for longer learns it from the next response.
+     */
+    private static final Duration TOLD_TIME = Duration.ofSeconds(60);
+
     private final Map<EndpointStart, Instant> mSince = new LinkedHashMap<>();
+    private int mReported;
 
     /**
      * Records that an endpoint leaves.
@@ -48,6 +57,32 @@
         return mSince.containsKey(start);
     }
 
+    /**
+     * Returns the next departures for a report, in turn.
+     *
+     * @param most the most departures
+     * @param now the current time
+     * @return some of those that became known a short while ago
+     */
+    public List<EndpointStart> nextReported(final int most, final Instant now) {
+        final List<EndpointStart> recent = new ArrayList<>();
+        mSince.forEach(
+                (start, since) -> {
+                    if (now.isBefore(since.plus(TOLD_TIME))) {
+                        recent.add(start);
+                    }
+                });
+        if (recent.size() <= most) {
+            return recent;
+        }
+        final List<EndpointStart> next = new ArrayList<>();
+        for (int index = 0; index < most; index++) {
+            mReported = (mReported + 1) % recent.size();
+            next.add(recent.get(mReported));
+        }
+        return next;
+    }
+
     /**
      * Returns for how long this daemon has known that an endpoint leaves.
      *
--- a/serving/src/test/java/org/whinhead/serving/endpoint/EndpointRegistryTest.java
+++ b/serving/src/test/java/org/whinhead/serving/endpoint/EndpointRegistryTest.java
@@ -297,7 +297,7 @@
         mRegistry.recordOutage(START);
         mRegistry.remove("e4", 8, START);
         mRegistry.put(entry("e5", false), 9);
-        mRegistry.markReplaced("e5");
+        mRegistry.markLeaving(EndpointStart.of(entry("e5", false)));
         mRegistry.put(entry("e6", true), 10);
         mRegistry.remove("e6", 11, START);
         final EndpointRegistry other = new EndpointRegistry();
@@ -321,11 +321,44 @@
     @Test
     void replacedEndpointIsNotUsedAgain() {
         mRegistry.put(entry("e1", false), 1);
-        mRegistry.markReplaced("e1");
+        mRegistry.markLeaving(EndpointStart.of(entry("e1", false)));
         mRegistry.put(entry("e1", false), 2);
         assertThat(mRegistry.usable("pool")).isEmpty();
     }
 
+    // Guards against requests to an endpoint that has said that it leaves: the store does not say
+    // so, lists it as ready again, or lists it here only after another daemon has told of it.
+    @Test
+    void endpointThatHasSaidThatItLeavesIsNotUsedAgain() {
+        mRegistry.put(entry("e1", false), 1);
+        assertThat(mRegistry.isUsable("e1")).isTrue();
+        assertThat(mRegistry.markLeaving(EndpointStart.of(entry("e1", false)))).isTrue();
+        assertThat(mRegistry.markLeaving(EndpointStart.of(entry("e1", false)))).isFalse();
+        mRegistry.put(entry("e1", false), 2);
+        assertThat(mRegistry.isUsable("e1")).isFalse();
+        assertThat(mRegistry.isLeaving("e1")).isTrue();
+
+        assertThat(mRegistry.markLeaving(EndpointStart.of(entry("e2", false)))).isFalse();
+        mRegistry.put(entry("e2", false), 3);
+        assertThat(mRegistry.usable("pool")).isEmpty();
+    }
+
+    // Guards against sparing an endpoint that has started again, also if its entry was gone
+    // between, and against a statement of its earlier start that is told late.
+    @Test
+    void departureEndsWithNextStart() {
+        final EndpointEntry first = entry("e1", false, Optional.of(START));
+        final EndpointEntry second = entry("e1", false, Optional.of(START.plusSeconds(9)));
+        mRegistry.put(first, 1);
+        mRegistry.markLeaving(EndpointStart.of(first));
+        mRegistry.remove("e1", 2, START);
+        mRegistry.put(second, 3);
+        assertThat(mRegistry.isUsable("e1")).isTrue();
+        assertThat(mRegistry.markLeaving(EndpointStart.of(first))).isFalse();
+        mRegistry.put(second, 4);
+        assertThat(mRegistry.isUsable("e1")).isTrue();
+    }
+
     // Guards against sending requests to a removed server. Another daemon reported its removal, but
     // the datagram that had reported the server was lost; then this daemon read the older records.
     @Test
--- a/serving/src/test/java/org/whinhead/serving/endpoint/StatedDeparturesTest.java
+++ b/serving/src/test/java/org/whinhead/serving/endpoint/StatedDeparturesTest.java
@@ -4,7 +4,10 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 class StatedDeparturesTest {
@@ -33,6 +36,22 @@
                 .isFalse();
     }
 
+    // Guards against a daemon that starts, or was cut off, and never hears of some departures.
+    @Test
+    void recentDeparturesAreReportedInTurn() {
+        for (int number = 0; number < 5; number++) {
+            mDepartures.add(new EndpointStart("e" + number, Optional.empty(), "v1"), NOW);
+        }
+        final Set<EndpointStart> reported = new HashSet<>();
+        for (int report = 0; report < 3; report++) {
+            final List<EndpointStart> next = mDepartures.nextReported(2, NOW.plusSeconds(1));
+            assertThat(next).hasSize(2);
+            reported.addAll(next);
+        }
+        assertThat(reported).hasSize(5);
+        assertThat(mDepartures.nextReported(2, NOW.plusSeconds(61))).isEmpty();
+    }
+
     @Test
     void oldestDeparturesAreForgotten() {
         for (int number = 0; number < 5_000; number++) {
