Send nothing to endpoints within the pause for which they ask with Retry-After

Seen: endpoints that had turned a daemon away with 503 and `Retry-After: 3` got three to five requests from it within that time. Cause: nothing read an endpoint's Retry-After; a rejection counted as a failure, which only shifts the preference until the next burst. Change: 429 and 503 that name a time end the use of the endpoint by this daemon for so long, at the choice and again at the sending, for all attempts, relayed exchanges (the relay is told on the connection) and health checks. Then one request, two for each that is answered. Ends of pauses are spread. If all endpoints are paused, requests are refused at once with the end of the first pause, spread by rank and chance. A pause is no failure of the endpoint. Why it holds: each request passes one gate after its last wait, and the gate knows each pause that the daemon has read.

--- a/gateway/src/main/java/org/whinhead/gateway/EndpointAccess.java
+++ b/gateway/src/main/java/org/whinhead/gateway/EndpointAccess.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import java.net.InetAddress;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
@@ -69,6 +70,9 @@
                         state.reach(),
                         state.endpoints(),
                         state::healthPath);
+        mMonitor.exceptPaused(id -> state.pauses().left(id, state.clock().instant()).isPresent());
+        counts.addGauge(
+                "whinhead.endpoints.paused", () -> state.pauses().count(state.clock().instant()));
         mRelayServer =
                 new RelayServer(
                         loop,
@@ -145,6 +149,15 @@
         mMonitor.onHealthResponse(onHealthResponse);
     }
 
+    /**
+     * Sets the handler of pauses for which endpoints have asked in responses that were relayed.
+     *
+     * @param onPause receives the endpoint's id and the length of the pause
+     */
+    void onRelayedPause(final BiConsumer<String, Duration> onPause) {
+        mRelayServer.onPause(onPause);
+    }
+
     /** Lets the relayed connections to an endpoint end with their current request. */
     void drainRelayed(final String endpoint) {
         mRelayServer.drain(endpoint);
--- a/gateway/src/main/java/org/whinhead/gateway/Gateway.java
+++ b/gateway/src/main/java/org/whinhead/gateway/Gateway.java
@@ -215,6 +215,8 @@
         mEndpointWatch.onLeaving(this::endpointLeaving);
         mExchanges.answers().onDeparture(this::endpointDeparts);
         mAccess.onHealthResponse(mExchanges.answers()::recordHealth);
+        mExchanges.answers().onPause(mAccess::drainRelayed);
+        mAccess.onRelayedPause(mExchanges.answers()::pauseRequested);
         mPeers.onDepartures(mEndpointWatch::applyDepartures);
         mEndpointWatch.onChange(mDuties.autoscaler()::orderEndpoints);
         addConfigurationGauges();
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnection.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnection.java
@@ -26,6 +26,7 @@
 import org.whinhead.gateway.http.ResponseProgress;
 import org.whinhead.gateway.relay.RelayDrainEvent;
 import org.whinhead.gateway.relay.RelayLostException;
+import org.whinhead.gateway.relay.RelayPauseNotice;
 import org.whinhead.serving.reach.AccessPath;
 
 /**
@@ -176,6 +177,18 @@
         }
     }
 
+    /**
+     * Tells the daemon that relays this connection, if any, that the endpoint wants nothing from it
+     * for a time: the endpoint takes that daemon for the sender.
+     *
+     * @param length the time
+     */
+    public void pauseRequested(final Duration length) {
+        if (mPath == AccessPath.RELAYED) {
+            mChannel.writeAndFlush(new RelayPauseNotice(length));
+        }
+    }
+
     /** Returns the unused connection to the pool. */
     public void release() {
         mPool.release(this);
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointResponse.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointResponse.java
@@ -51,7 +51,8 @@
         return statesNotRun && hasRejectionStatus();
     }
 
-    private boolean hasRejectionStatus() {
+    /** Returns whether the status is that of a rejection, whatever else the head states. */
+    public boolean hasRejectionStatus() {
         return status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)
                 || status.equals(HttpResponseStatus.TOO_MANY_REQUESTS);
     }
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/ReachMonitor.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/ReachMonitor.java
@@ -5,11 +5,13 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.whinhead.serving.endpoint.EndpointEntry;
@@ -36,6 +38,7 @@
     private final EndpointRegistry mEndpoints;
     private final Function<String, String> mHealthPath;
     private Set<String> mCutOffServices = Set.of();
+    private Predicate<String> mIsPaused = endpoint -> false;
     private Runnable mOnCutOffChange = () -> {};
     private BiConsumer<EndpointEntry, EndpointResponse> mOnHealthResponse =
             (endpoint, response) -> {};
@@ -59,7 +62,7 @@
             final Function<String, String> healthPath) {
         mConnector = Objects.requireNonNull(connector, "connector");
         mConnections = Objects.requireNonNull(connections, "connections");
-        mSilence = new SilenceDetector(connections, endpoints::usable);
+        mSilence = new SilenceDetector(connections, this::checkable);
         mProtocol = Objects.requireNonNull(protocol, "protocol");
         mReach = Objects.requireNonNull(reach, "reach");
         mEndpoints = Objects.requireNonNull(endpoints, "endpoints");
@@ -75,6 +78,21 @@
         mOnCutOffChange = onCutOffChange;
     }
 
+    /**
+     * Excludes endpoints from checks that want no requests now.
+     *
+     * @param isPaused returns whether the endpoint with an id is excluded
+     */
+    public void exceptPaused(final Predicate<String> isPaused) {
+        mIsPaused = isPaused;
+    }
+
+    private List<EndpointEntry> checkable(final String service) {
+        return mEndpoints.usable(service).stream()
+                .filter(endpoint -> !mIsPaused.test(endpoint.id()))
+                .toList();
+    }
+
     /**
      * Sets the handler of answers to health checks.
      *
@@ -109,8 +127,12 @@
      * @param now the current time
      */
     public void tick(final Instant now) {
-        mReach.nextRecheck(now).flatMap(mEndpoints::find).ifPresent(this::recheck);
-        mSilence.suspects(now)
+        mReach.nextRecheck(now)
+                .filter(mIsPaused.negate())
+                .flatMap(mEndpoints::find)
+                .ifPresent(this::recheck);
+        mSilence.suspects(now).stream()
+                .filter(mIsPaused.negate())
                 .forEach(endpoint -> mEndpoints.find(endpoint).ifPresent(this::check));
         mConnections.waitingDirectly().stream()
                 .filter(connection -> isPathLost(connection, now))
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/AttemptSender.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/AttemptSender.java
@@ -61,7 +61,7 @@
         mSentAt = mExchanges.state().clock().instant();
         mExchanges
                 .answers()
-                .logSent(mAdmission, placement.endpoint(), AttemptReason.of(mSends, moved));
+                .recordSent(mAdmission, placement.endpoint(), AttemptReason.of(mSends, moved));
         stream.attemptSent(placement.endpoint(), moved);
     }
 
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/EndpointAnswers.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/EndpointAnswers.java
@@ -23,6 +23,7 @@
     private final ServingState mState;
     private final RequestLogger mLogger;
     private Consumer<EndpointStart> mOnDeparture = departure -> {};
+    private Consumer<String> mOnPause = endpoint -> {};
     private Consumer<EndpointEntry> mOnRejection = endpoint -> {};
     private Consumer<LimitStatement> mOnLimitStatement = statement -> {};
 
@@ -40,6 +41,15 @@
         mOnDeparture = onDeparture;
     }
 
+    /**
+     * Sets the handler of endpoints that ask this daemon for a pause.
+     *
+     * @param onPause receives the endpoint's id
+     */
+    public void onPause(final Consumer<String> onPause) {
+        mOnPause = onPause;
+    }
+
     /**
      * Sets the handler of brittle endpoints that have rejected a request for want of room.
      *
@@ -78,8 +88,10 @@
             final Instant sentAt) {
         if (response.isFromEndpoint(requestId)) {
             recordDeparture(endpoint, response, requestId, sentAt);
-            response.requestedPause()
-                    .ifPresent(length -> recordPause(endpoint, response, requestId, length));
+            recordPause(endpoint, response, requestId);
+            if (!response.hasRejectionStatus()) {
+                mState.pauses().recordAnswered(endpoint, sentAt);
+            }
         }
         if (response.isStatementOfEndpoint(requestId)) {
             recordLimit(endpoint, response, sentAt);
@@ -112,15 +124,28 @@
      */
     public void recordHealth(final EndpointEntry endpoint, final EndpointResponse response) {
         recordDeparture(endpoint, response, HEALTH_CHECK, now());
+        recordPause(endpoint, response, HEALTH_CHECK);
     }
 
     private void recordPause(
-            final EndpointEntry endpoint,
-            final EndpointResponse response,
-            final String requestId,
-            final Duration length) {
-        mLogger.pauseRequested(endpoint, response, requestId, length);
-        mState.pauses().add(endpoint.id(), length, now());
+            final EndpointEntry endpoint, final EndpointResponse response, final String requestId) {
+        response.requestedPause()
+                .ifPresent(
+                        length -> {
+                            mLogger.pauseRequested(endpoint, response, requestId, length);
+                            pauseRequested(endpoint.id(), length);
+                        });
+    }
+
+    /**
+     * Records that an endpoint wants nothing from this daemon for a time.
+     *
+     * @param endpoint the endpoint's id
+     * @param length the time, above zero
+     */
+    public void pauseRequested(final String endpoint, final Duration length) {
+        mState.pauses().add(endpoint, length, now());
+        mOnPause.accept(endpoint);
     }
 
     private void recordLimit(
@@ -149,8 +174,8 @@
         }
     }
 
-    /** Logs a request that is about to be sent, as far as the endpoint has said anything on it. */
-    void logSent(
+    /** Records a request that is about to be sent, and logs what its endpoint has said on it. */
+    void recordSent(
             final AdmittedRequest admission,
             final EndpointEntry endpoint,
             final AttemptReason attempt) {
@@ -178,6 +203,7 @@
                                                 .knownFor(endpoint.id(), now)
                                                 .orElse(Duration.ZERO),
                                         left));
+        mState.pauses().recordSent(endpoint.id(), now);
     }
 
     private void logSentToLimited(
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/EndpointSelection.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/EndpointSelection.java
@@ -67,7 +67,34 @@
     }
 
     private List<EndpointEntry> withRoom(final String service) {
-        return mState.brittle().withRoom(service, listed(service), this::ownRunning, now());
+        return mState.brittle().withRoom(service, unpaused(service), this::ownRunning, now());
+    }
+
+    /** Returns the listed endpoints that have not asked this daemon for a pause. */
+    private List<EndpointEntry> unpaused(final String service) {
+        final List<EndpointEntry> listed = listed(service);
+        if (mState.pauses().isEmpty()) {
+            return listed;
+        }
+        return listed.stream()
+                .filter(endpoint -> mState.pauses().mayReceive(endpoint.id(), now()))
+                .toList();
+    }
+
+    /**
+     * Returns the time until the first of a service's endpoints takes requests again, if all of
+     * them have asked this daemon for a pause.
+     *
+     * @param service the service
+     * @return the time; empty if an endpoint may get a request now, or if there is none
+     */
+    Optional<Duration> untilPauseEnds(final String service) {
+        if (mState.pauses().isEmpty() || !unpaused(service).isEmpty()) {
+            return Optional.empty();
+        }
+        return listed(service).stream()
+                .map(endpoint -> mState.pauses().left(endpoint.id(), now()).orElse(Duration.ZERO))
+                .min(Comparator.naturalOrder());
     }
 
     private List<EndpointEntry> listed(final String service) {
@@ -80,11 +107,13 @@
      * waited for a permit or a connection since.
      *
      * @param endpoint the endpoint
-     * @return false if it has begun to leave, or is gone
+     * @return false if it has begun to leave, is gone, or has asked for a pause
      */
     boolean mayReceive(final EndpointEntry endpoint) {
-        return mState.endpoints().isUsable(endpoint.id())
-                || mState.leaving().contains(endpoint.id(), now());
+        final String id = endpoint.id();
+        final boolean isListed =
+                mState.endpoints().isUsable(id) || mState.leaving().contains(id, now());
+        return isListed && mState.pauses().mayReceive(id, now());
     }
 
     private int ownRunning(final EndpointEntry endpoint) {
@@ -177,7 +206,7 @@
      */
     boolean isWithoutRoom(final String service) {
         return mState.brittle().isBrittle(service, now())
-                && !listed(service).isEmpty()
+                && !unpaused(service).isEmpty()
                 && withRoom(service).isEmpty();
     }
 
@@ -189,7 +218,9 @@
      */
     boolean isWithoutRoom(final StreamOrigin origin) {
         return mState.brittle().isBrittle(origin.service(), now())
-                && canContinue(origin)
+                && !mState.rollouts()
+                        .continuationCandidates(origin, unpaused(origin.service()), now())
+                        .isEmpty()
                 && continuationCandidates(origin).isEmpty();
     }
 
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
@@ -205,9 +205,14 @@
 
     @Override
     public void notAdmitted(final AdmissionDecision decision) {
-        refuse(
-                decision.reason(),
-                mRefusals.notAdmittedRefusal(decision.reason(), decision.retryAfter()));
+        final Optional<Duration> pause = untilPauseEnds();
+        if (pause.isPresent()) {
+            refuse(decision.reason(), mRefusals.pausedRefusal(decision.reason(), pause.get()));
+        } else {
+            refuse(
+                    decision.reason(),
+                    mRefusals.notAdmittedRefusal(decision.reason(), decision.retryAfter()));
+        }
     }
 
     @Override
@@ -234,7 +239,10 @@
         }
         final Optional<EndpointResponseFault> fault =
                 EndpointResponseFault.of(response, mAdmission.request().id(), mRelay.isStarted());
-        if (fault.isPresent()) {
+        if (fault.isPresent() && asksForPause(response)) {
+            mConnection.pauseRequested(response.requestedPause().orElseThrow());
+            retryOrGiveUp(fault.get().verdict(), fault.get().reason());
+        } else if (fault.isPresent()) {
             mTrial.responseRejected(fault.get().verdict());
             attemptFailed(fault.get().verdict(), fault.get().reason());
         } else if (response.isServerError() && mAdmission.route().canRunAgain() && acquireRetry()) {
@@ -249,6 +257,12 @@
         }
     }
 
+    /** Returns whether the endpoint asks for a pause, which is no failure of it. */
+    private boolean asksForPause(final EndpointResponse response) {
+        return response.isFromEndpoint(mAdmission.request().id())
+                && response.requestedPause().isPresent();
+    }
+
     @Override
     public void bodyReceived(final ByteBuf bytes) {
         mRelay.forwardBody(bytes);
@@ -526,10 +540,18 @@
         } else if (mStream.hasNoEndpoint()) {
             refuse(reason, mRefusals.cannotContinueRefusal(reason));
         } else {
-            refuse(reason, mRefusals.givenUpRefusal(reason));
+            refuse(
+                    reason,
+                    untilPauseEnds()
+                            .map(wait -> mRefusals.pausedRefusal(reason, wait))
+                            .orElseGet(() -> mRefusals.givenUpRefusal(reason)));
         }
     }
 
+    private Optional<Duration> untilPauseEnds() {
+        return mExchanges.state().selection().untilPauseEnds(mService);
+    }
+
     private void refuse(final String reason, final RefusalResponse refusal) {
         finish(reason, refusal.status().code());
         mResponse.refuse(refusal);
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/RefusalFactory.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/RefusalFactory.java
@@ -28,6 +28,15 @@
     /** The longest time between two permits that a refusal tells. */
     private static final double MAX_PERMIT_MILLIS = 5_000;
 
+    /** The time after a pause over which callers return, by rank and then by chance. */
+    private static final double MAX_RETURN_MILLIS = 800;
+
+    /** The ranks told apart among them; less urgent ones return with the last of these. */
+    private static final int RETURN_RANKS = 4;
+
+    /** Callers heed a retry delay up to their remaining time divided by this. */
+    private static final int HEEDED_DIVISOR = 3;
+
     private final ServingState mState;
     private final AdmittedRequest mAdmission;
     private boolean mMayHaveRun;
@@ -101,12 +110,44 @@
                 Math.min(
                         MILLIS_PER_SECOND / selection.requestsPerSecond(endpoints),
                         MAX_PERMIT_MILLIS);
-        final double spread =
-                (double) Integer.toUnsignedLong(mAdmission.request().id().hashCode())
-                        / (1L << Integer.SIZE);
         return RefusalResponse.notRun(
                 AT_REQUEST_LIMIT,
-                selection.untilFree(endpoints).plusMillis(Math.round(between * spread)));
+                selection.untilFree(endpoints).plusMillis(Math.round(between * spread())));
+    }
+
+    /**
+     * Returns the refusal of a request whose endpoints have all asked this daemon for a pause. If
+     * it did not run, its customer gets the tokens back.
+     *
+     * <p>Its caller should return once the first pause has ended. The endpoint takes few requests
+     * at first, so callers are told different times after that, the more urgent ones earlier. A
+     * caller heeds no longer delay than a part of its time.
+     *
+     * @param reason the reason for the log and the caller
+     * @param wait the time until the first pause ends
+     */
+    RefusalResponse pausedRefusal(final String reason, final Duration wait) {
+        if (mMayHaveRun) {
+            return RefusalResponse.mayHaveRun(reason);
+        }
+        mAdmission.spend().ifPresent(mState.quotas()::refund);
+        final int rank = Math.min(Math.max(mAdmission.priority(), 0), RETURN_RANKS - 1);
+        final double place = (rank + spread()) / RETURN_RANKS;
+        final Duration returned = wait.plusMillis(Math.round(MAX_RETURN_MILLIS * place));
+        final Duration heeded = timeLeft().dividedBy(HEEDED_DIVISOR);
+        return RefusalResponse.notRun(reason, returned.compareTo(heeded) < 0 ? returned : heeded);
+    }
+
+    /** Returns a part from 0 to 1 that differs between requests. */
+    private double spread() {
+        return (double) Integer.toUnsignedLong(mAdmission.request().id().hashCode())
+                / (1L << Integer.SIZE);
+    }
+
+    /** Returns the time that the caller still waits; zero once it has passed. */
+    private Duration timeLeft() {
+        final Duration left = Duration.between(mState.clock().instant(), mAdmission.deadline());
+        return left.isNegative() ? Duration.ZERO : left;
     }
 
     /**
@@ -133,11 +174,7 @@
     }
 
     private Duration retryAfter() {
-        final Duration left = Duration.between(mState.clock().instant(), mAdmission.deadline());
-        if (left.isNegative()) {
-            return Duration.ZERO;
-        }
-        final Duration part = left.dividedBy(RETRY_AFTER_DIVISOR);
+        final Duration part = timeLeft().dividedBy(RETRY_AFTER_DIVISOR);
         return part.compareTo(MAX_RETRY_AFTER) < 0 ? part : MAX_RETRY_AFTER;
     }
 }
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/ServingState.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/ServingState.java
@@ -55,7 +55,7 @@
     private final EndpointReach mReach = new EndpointReach();
     private final BrittleEndpoints mBrittle = new BrittleEndpoints();
     private final StatedDepartures mDepartures = new StatedDepartures();
-    private final RequestedPauses mPauses = new RequestedPauses();
+    private final RequestedPauses mPauses = new RequestedPauses(new Random());
     private final StatedLimits mRequestLimits = new StatedLimits();
     private final ConnectionLimits mConnectionLimits = new ConnectionLimits();
     private final ServiceAdmission mAdmission = new ServiceAdmission(new Random());
@@ -249,7 +249,7 @@
      * Returns whether a request may be sent to an endpoint now.
      *
      * @param endpoint the endpoint
-     * @return false if it leaves or is gone
+     * @return false if it leaves, is gone, or has asked for a pause
      */
     public boolean mayReceive(final EndpointEntry endpoint) {
         return mSelection.mayReceive(endpoint);
--- a/gateway/src/main/java/org/whinhead/gateway/relay/RelayClientHandler.java
+++ b/gateway/src/main/java/org/whinhead/gateway/relay/RelayClientHandler.java
@@ -96,6 +96,10 @@
             final ChannelHandlerContext context,
             final Object message,
             final ChannelPromise promise) {
+        if (message instanceof RelayPauseNotice notice) {
+            context.write(RelayMessageCodec.pause(notice.length()), promise);
+            return;
+        }
         if (!(message instanceof ByteBuf bytes)) {
             context.write(message, promise);
             return;
--- a/gateway/src/main/java/org/whinhead/gateway/relay/RelayMessageCodec.java
+++ b/gateway/src/main/java/org/whinhead/gateway/relay/RelayMessageCodec.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.LengthFieldPrepender;
 import io.netty.handler.codec.MessageToMessageCodec;
 import java.io.IOException;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -18,6 +19,7 @@
 import org.whinhead.gateway.generated.GatewayProto.RelayEnd;
 import org.whinhead.gateway.generated.GatewayProto.RelayMessage;
 import org.whinhead.gateway.generated.GatewayProto.RelayOutcome;
+import org.whinhead.gateway.generated.GatewayProto.RelayPause;
 import org.whinhead.gateway.generated.GatewayProto.RelayRequest;
 
 /** Encodes and decodes the messages of relayed connections. */
@@ -79,6 +81,12 @@
         return RelayMessage.newBuilder().setDrain(RelayDrain.getDefaultInstance()).build();
     }
 
+    static RelayMessage pause(final Duration length) {
+        return RelayMessage.newBuilder()
+                .setPause(RelayPause.newBuilder().setMillis(length.toMillis()))
+                .build();
+    }
+
     static RelayMessage end(final boolean closed) {
         return RelayMessage.newBuilder().setEnd(RelayEnd.newBuilder().setClosed(closed)).build();
     }
--- a/gateway/src/main/java/org/whinhead/gateway/relay/RelayServer.java
+++ b/gateway/src/main/java/org/whinhead/gateway/relay/RelayServer.java
@@ -15,6 +15,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.function.Function;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
@@ -33,12 +34,16 @@
      */
     private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(30);
 
+    /** Other daemons take no longer pause from an endpoint. */
+    private static final Duration MAX_PAUSE = Duration.ofHours(1);
+
     private final EventLoop mLoop;
     private final InetAddress mLocalAddress;
     private final Function<String, Optional<EndpointEntry>> mFindEndpoint;
     private final Predicate<InetAddress> mIsMember;
     private final Set<RelayServerHandler> mConnections = new HashSet<>();
     private Supplier<Optional<ConfigurationCopy>> mConfiguration = Optional::empty;
+    private BiConsumer<String, Duration> mOnPause = (endpoint, length) -> {};
     private ListeningPort mPort;
     private boolean mStopping;
 
@@ -86,6 +91,21 @@
         mConfiguration = Objects.requireNonNull(configuration, "configuration");
     }
 
+    /**
+     * Sets the handler of pauses for which endpoints have asked in responses that were relayed.
+     *
+     * @param onPause receives the endpoint's id and the length of the pause
+     */
+    public void onPause(final BiConsumer<String, Duration> onPause) {
+        mOnPause = Objects.requireNonNull(onPause, "onPause");
+    }
+
+    void pauseRequested(final String endpoint, final long millis) {
+        if (!endpoint.isEmpty() && millis > 0) {
+            mOnPause.accept(endpoint, Duration.ofMillis(Math.min(millis, MAX_PAUSE.toMillis())));
+        }
+    }
+
     Optional<ConfigurationCopy> configuration() {
         return mConfiguration.get();
     }
--- a/gateway/src/main/java/org/whinhead/gateway/relay/RelayServerHandler.java
+++ b/gateway/src/main/java/org/whinhead/gateway/relay/RelayServerHandler.java
@@ -47,6 +47,7 @@
         switch (message.getContentCase()) {
             case REQUEST -> handleRequest(message.getRequest().getEndpoint());
             case DATA -> forward(message);
+            case PAUSE -> mServer.pauseRequested(mEndpointId, message.getPause().getMillis());
             case CONFIGURATION_REQUEST ->
                     sendConfiguration(message.getConfigurationRequest().getVersion());
             default -> context.close();
--- a/gateway/src/test/java/org/whinhead/gateway/exchange/EndpointSelectionTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/exchange/EndpointSelectionTest.java
@@ -76,6 +76,37 @@
         assertThat(mSelection.mayReceive(endpoint)).isFalse();
     }
 
+    // Guards against work, at its choice or at its sending, for an endpoint that has asked for a
+    // pause while another one has room.
+    @Test
+    void endpointThatHasAskedForPauseGetsNothing() {
+        list("e-1", "v1", 1);
+        list("e-2", "v1", 2);
+        mState.pauses().add("e-1", Duration.ofSeconds(3), mNow);
+        assertThat(mSelection.candidates("pool", "draft", "r-1", false))
+                .extracting(EndpointEntry::id)
+                .containsExactly("e-2");
+        assertThat(mSelection.mayReceive(mState.endpoints().find("e-1").orElseThrow())).isFalse();
+        assertThat(mSelection.untilPauseEnds("pool")).isEmpty();
+    }
+
+    // Guards against a stream that is refused for good, and against requests that wait for room,
+    // while all endpoints have asked for a pause.
+    @Test
+    void pauseOfAllEndpointsHasAnEnd() {
+        list("e-1", "v1", 1);
+        list("e-2", "v1", 2);
+        mState.pauses().add("e-1", Duration.ofSeconds(3), mNow);
+        mState.pauses().add("e-2", Duration.ofSeconds(9), mNow);
+        assertThat(mSelection.candidates("pool", "draft", "r-1", false)).isEmpty();
+        assertThat(mSelection.canContinue(ORIGIN)).isTrue();
+        assertThat(mSelection.continuationCandidates(ORIGIN)).isEmpty();
+        assertThat(mSelection.isWithoutRoom("pool")).isFalse();
+        assertThat(mSelection.isWithoutRoom(ORIGIN)).isFalse();
+        assertThat(mSelection.untilPauseEnds("pool").orElseThrow())
+                .isBetween(Duration.ofSeconds(3), Duration.ofMillis(3_500));
+    }
+
     private void name(final String id, final double limit) {
         mState.requestLimits()
                 .recordAnswer(
--- a/gateway/src/test/java/org/whinhead/gateway/relay/RelayServerTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/relay/RelayServerTest.java
@@ -13,6 +13,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.Callable;
@@ -185,6 +186,24 @@
         }
     }
 
+    // Guards against requests of the relay to an endpoint that has asked it for a pause in a
+    // response to another daemon.
+    @Test
+    void relayHearsOfPauseThatItsEndpointAsksFor() throws Exception {
+        final BlockingQueue<String> pauses = new LinkedBlockingQueue<>();
+        mServer.onPause((endpoint, length) -> pauses.add(endpoint + " " + length.toMillis()));
+        open("e-1");
+        try (Socket endpoint = mEndpoint.accept()) {
+            assertThat(nextEvent()).isEqualTo("connected");
+            mChannel.writeAndFlush(new RelayPauseNotice(Duration.ofSeconds(3)));
+            assertThat(pauses.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isEqualTo("e-1 3000");
+            mChannel.writeAndFlush(new RelayPauseNotice(Duration.ofDays(1)));
+            assertThat(pauses.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isEqualTo("e-1 3600000");
+            write("ask");
+            assertThat(read(endpoint, 3)).isEqualTo("ask");
+        }
+    }
+
     // Guards against requests that are cut by the planned stop of their relay: the daemon that
     // asked must not use the connection for a further request.
     @Test
