Tell a platform that does not handle an order from one without endpoints

Cause: found while looking for what else a counterpart says that nothing reads: every status but 200 counted as "no such endpoints", so a 429 or 503 of the platform moved the plan to dearer endpoints and domains until the next answer.

--- a/gateway/src/main/java/org/whinhead/gateway/duty/EndpointAutoscaler.java
+++ b/gateway/src/main/java/org/whinhead/gateway/duty/EndpointAutoscaler.java
@@ -200,15 +200,9 @@
     private void order(final long fencingToken, final CapacityOrder order) {
         mCloud.order(fencingToken, order)
                 .whenComplete(
-                        (accepted, failure) -> {
+                        (answer, failure) -> {
                             if (failure == null) {
-                                mPlanner.recordAnswer(order, accepted);
-                            }
-                            if (failure == null && accepted) {
-                                mOnOrdered.accept(order);
-                            }
-                            if (failure == null && !accepted) {
-                                scheduleReplacementOrders();
+                                recordAnswer(order, answer);
                             }
                             LOG.atInfo()
                                     .addKeyValue("service", order.service())
@@ -216,9 +210,24 @@
                                     .addKeyValue("reclaimable", order.reclaimable())
                                     .addKeyValue("count", order.count())
                                     .addKeyValue("token", fencingToken)
-                                    .addKeyValue("taken", accepted)
+                                    .addKeyValue("answer", String.valueOf(answer))
                                     .addKeyValue("failure", String.valueOf(failure))
                                     .log("endpoints ordered");
                         });
     }
+
+    private void recordAnswer(final CapacityOrder order, final OrderAnswer answer) {
+        switch (answer) {
+            case ACCEPTED -> {
+                mPlanner.recordAnswer(order, true);
+                mOnOrdered.accept(order);
+            }
+            case NONE_AVAILABLE -> {
+                mPlanner.recordAnswer(order, false);
+                scheduleReplacementOrders();
+            }
+            case NOT_HANDLED -> mPlanner.recordNotHandled(order);
+            default -> throw new IllegalStateException("answer " + answer);
+        }
+    }
 }
--- a/gateway/src/main/java/org/whinhead/gateway/duty/FencedCloudClient.java
+++ b/gateway/src/main/java/org/whinhead/gateway/duty/FencedCloudClient.java
@@ -23,7 +23,7 @@
      *
      * @param token the fencing token
      * @param order the order
-     * @return whether the platform has accepted it
+     * @return what the platform says of it
      */
-    CompletableFuture<Boolean> order(long token, CapacityOrder order);
+    CompletableFuture<OrderAnswer> order(long token, CapacityOrder order);
 }
--- a/gateway/src/test/java/org/whinhead/gateway/duty/DutyLeaseManagerTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/duty/DutyLeaseManagerTest.java
@@ -112,9 +112,9 @@
         }
 
         @Override
-        public CompletableFuture<Boolean> order(final long token, final CapacityOrder order) {
+        public CompletableFuture<OrderAnswer> order(final long token, final CapacityOrder order) {
             mOrders.add(order);
-            return CompletableFuture.completedFuture(true);
+            return CompletableFuture.completedFuture(OrderAnswer.ACCEPTED);
         }
     }
 
--- a/gateway/src/test/java/org/whinhead/gateway/duty/UsageReporterTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/duty/UsageReporterTest.java
@@ -40,7 +40,7 @@
         }
 
         @Override
-        public CompletableFuture<Boolean> order(final long token, final CapacityOrder order) {
+        public CompletableFuture<OrderAnswer> order(final long token, final CapacityOrder order) {
             throw new UnsupportedOperationException("usage only");
         }
     }
--- a/serving/src/main/java/org/whinhead/serving/capacity/CapacityPlanner.java
+++ b/serving/src/main/java/org/whinhead/serving/capacity/CapacityPlanner.java
@@ -385,4 +385,14 @@
             mRefused.add(order);
         }
     }
+
+    /**
+     * Records that the platform did not handle an order, for example because of too many calls. It
+     * is repeated like a refused one, and says nothing of the endpoints that are available.
+     *
+     * @param order the order
+     */
+    public void recordNotHandled(final CapacityOrder order) {
+        mRefused.add(order);
+    }
 }
--- a/serving/src/test/java/org/whinhead/serving/capacity/CapacityPlannerTest.java
+++ b/serving/src/test/java/org/whinhead/serving/capacity/CapacityPlannerTest.java
@@ -370,6 +370,22 @@
         assertThat(onDemand).isGreaterThanOrEqualTo(4);
     }
 
+    // Guards against ordering dear endpoints, as if no reclaimable ones were available, while the
+    // platform handles no orders for a moment, and against repeating the order only much later.
+    @Test
+    void orderThatWasNotHandledIsRepeatedAsItWas() {
+        mEndpoints.clear();
+        set("c", true, 1);
+        final CapacityPlanner.Load load =
+                new CapacityPlanner.Load(OptionalDouble.empty(), 120_000, 25_000);
+        final List<CapacityOrder> first = mPlanner.plan(SERVICE, mEndpoints, load, START);
+        first.forEach(mPlanner::recordNotHandled);
+        assertThat(first).anyMatch(CapacityOrder::reclaimable);
+        assertThat(mPlanner.plan(SERVICE, mEndpoints, load, START.plusMillis(30))).isEmpty();
+        assertThat(mPlanner.plan(SERVICE, mEndpoints, load, START.plusSeconds(3)))
+                .containsExactlyInAnyOrderElementsOf(first);
+    }
+
     // Guards against failing three of four requests for seven seconds: two of three domains are
     // reclaimed within three seconds, and the last one while no daemon can order. No reclaimable
     // endpoints are available for 12 to 15 s, further reclaims follow within about six, and a start
