Log what endpoints say of themselves in a class of its own, and wait for both checks in a test

Change: StatementLogger takes the lines and counters of statements and of requests against them, unchanged but for the logger's name. The test waits until both answers have had their effect, and checks the same.

--- a/gateway/src/main/java/org/whinhead/gateway/exchange/EndpointAnswers.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/EndpointAnswers.java
@@ -21,13 +21,13 @@
     private static final String HEALTH_CHECK = "health check";
 
     private final ServingState mState;
-    private final RequestLogger mLogger;
+    private final StatementLogger mLogger;
     private Consumer<EndpointStart> mOnDeparture = departure -> {};
     private Consumer<String> mOnPause = endpoint -> {};
     private Consumer<EndpointEntry> mOnRejection = endpoint -> {};
     private Consumer<LimitStatement> mOnLimitStatement = statement -> {};
 
-    EndpointAnswers(final ServingState state, final RequestLogger logger) {
+    EndpointAnswers(final ServingState state, final StatementLogger logger) {
         mState = Objects.requireNonNull(state, "state");
         mLogger = Objects.requireNonNull(logger, "logger");
     }
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/Exchanges.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/Exchanges.java
@@ -89,7 +89,7 @@
         mRequestLogger = requestLogger;
         mMover = mover;
         mCrashes = crashes;
-        mAnswers = new EndpointAnswers(state, requestLogger);
+        mAnswers = new EndpointAnswers(state, requestLogger.statements());
         mLag = new LoopLag(LAG_MEASUREMENT_INTERVAL, state.clock().instant());
         mAdmissionGate =
                 new AdmissionGate(
--- a/gateway/src/test/java/org/whinhead/gateway/endpoint/ReachMonitorTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/endpoint/ReachMonitorTest.java
@@ -304,8 +304,9 @@
         sendRequest();
         mNow = START.plusMillis(300);
         tickUntil(() -> mAnsweredChecks.get() == 2);
-        tickUntil(() -> usable().isEmpty() || heard && usable().size() == 1);
-        assertThat(leaving).isEqualTo(heard ? List.of(answeredBy) : List.of());
+        final List<String> expected = heard ? List.of(answeredBy) : List.of();
+        tickUntil(() -> usable().size() == expected.size() && leaving.size() == expected.size());
+        assertThat(leaving).isEqualTo(expected);
     }
 
     /** Returns the usable endpoints; those at whose address another one has answered are not. */
--- a/gateway/src/test/java/org/whinhead/gateway/exchange/EndpointAnswersTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/exchange/EndpointAnswersTest.java
@@ -29,10 +29,7 @@
 
     private final ServingState mState = TestServing.state(() -> NOW);
     private final EndpointAnswers mAnswers =
-            new EndpointAnswers(
-                    mState,
-                    new RequestLogger(
-                            () -> NOW, new RequestMetrics(), mState.configurationProgress()));
+            new EndpointAnswers(mState, new StatementLogger(() -> NOW, new RequestMetrics()));
     private final List<EndpointStart> mDepartures = new ArrayList<>();
     private final List<String> mPaused = new ArrayList<>();
 
