Review case 2: list as many model servers as the plan wants

Cause: with six servers the daemons also ordered fewer servers than there were. The stand-in accepted that and changed nothing, which a sound platform wouldn't do.

Change: three servers, one in each zone, so that the only orders are those of reclaimable servers, which the stand-in answers with 409.

--- a/review/standins/review/StaleCall.java
+++ b/review/standins/review/StaleCall.java
@@ -37,10 +37,10 @@
             site.scale();
             site.putConfiguration(600);
             final List<String> zones = List.of("kg-gasabo", "kg-kicukiro", "kg-nyarugenge");
-            for (int number = 0; number < 6; number++) {
+            for (int number = 0; number < zones.size(); number++) {
                 final PlainServer server =
                         new PlainServer("i-00000b0" + number, 0, (channel, head) -> false);
-                site.putServer(server.id(), "huvo11a", server.address(), zones.get(number % 3), 96);
+                site.putServer(server.id(), "huvo11a", server.address(), zones.get(number), 96);
             }
             final List<Daemon> daemons = new ArrayList<>();
             final List<List<CutLink>> links = new ArrayList<>();
