Review case 3: a window is reported twice after an older copy

Cause: what was decided for a usage window stands in the lease's record only. If the store returns from a copy without it and the lease has lapsed, another daemon that had not read the record takes the lease, and decides and reports the window anew, from a ledger that holds late counts by then.

--- a/review/standins/review/Store.java
+++ b/review/standins/review/Store.java
@@ -22,6 +22,8 @@
 public final class Store implements AutoCloseable {
     private final Map<String, Topic> mTopics = new HashMap<>();
     private final HttpServer mServer;
+    private boolean mDown;
+    private long mEra;
     private final ExecutorService mThreads = Executors.newCachedThreadPool(Store::daemonThread);
 
     public Store() throws IOException {
@@ -50,6 +52,20 @@
         notifyAll();
     }
 
+    /** Answers all calls with 503, and reads that wait too. */
+    public synchronized void setDown(final boolean down) {
+        mDown = down;
+        notifyAll();
+    }
+
+    /** Returns from a copy: what was appended later is gone, and its offsets are given out again. */
+    public synchronized void returnToCopy(final long nanoTime) {
+        mEra++;
+        mTopics.values().forEach(topic -> topic.truncate(nanoTime));
+        mDown = false;
+        notifyAll();
+    }
+
     private Topic topic(final String name) {
         return mTopics.computeIfAbsent(name, added -> new Topic());
     }
@@ -59,7 +75,7 @@
             final byte[] body = exchange.getRequestBody().readAllBytes();
             final Map<String, String> query = query(exchange.getRequestURI().getQuery());
             final Answer answer = answer(exchange.getRequestURI().getPath(), query, body);
-            exchange.getResponseHeaders().set("Store-Era", "0");
+            exchange.getResponseHeaders().set("Store-Era", Long.toString(answer.era()));
             exchange.sendResponseHeaders(
                     answer.status(), answer.body().length == 0 ? -1 : answer.body().length);
             exchange.getResponseBody().write(answer.body());
@@ -70,7 +86,11 @@
         }
     }
 
-    private record Answer(int status, byte[] body) {}
+    private record Answer(int status, byte[] body, long era) {}
+
+    private Answer reply(final int status, final byte[] body) {
+        return new Answer(status, body, mEra);
+    }
 
     private static Map<String, String> query(final String text) {
         final Map<String, String> query = new HashMap<>();
@@ -84,12 +104,15 @@
     private synchronized Answer answer(
             final String path, final Map<String, String> query, final byte[] body)
             throws InterruptedException {
+        if (mDown) {
+            return reply(503, new byte[0]);
+        }
         final Topic topic = topic(query.get("topic"));
         return switch (path) {
-            case "/v1/log-newest" -> new Answer(200, topic.newest(query.getOrDefault("after", "")));
+            case "/v1/log-newest" -> reply(200, topic.newest(query.getOrDefault("after", "")));
             case "/v1/log-read" -> read(topic, query);
             case "/v1/log-append" -> append(topic, query, body);
-            default -> new Answer(404, new byte[0]);
+            default -> reply(404, new byte[0]);
         };
     }
 
@@ -100,19 +123,23 @@
                 System.nanoTime()
                         + Long.parseLong(query.getOrDefault("wait_ms", "0")) * 1_000_000L;
         long left = (end - System.nanoTime()) / 1_000_000;
-        while (from == topic.mRecords.size() && left > 0) {
+        final long era = mEra;
+        while (from == topic.mRecords.size() && left > 0 && !mDown && era == mEra) {
             wait(left);
             left = (end - System.nanoTime()) / 1_000_000;
         }
-        return from > topic.mRecords.size()
-                ? new Answer(410, new byte[0])
-                : new Answer(200, topic.read(from));
+        if (mDown) {
+            return reply(503, new byte[0]);
+        }
+        return from > topic.mRecords.size() || era != mEra
+                ? reply(410, new byte[0])
+                : reply(200, topic.read(from));
     }
 
     private Answer append(final Topic topic, final Map<String, String> query, final byte[] body) {
         final String at = query.get("at");
         if (at != null && Integer.parseInt(at) != topic.mRecords.size()) {
-            return new Answer(412, Http.text("{\"end\":" + topic.mRecords.size() + "}"));
+            return reply(412, Http.text("{\"end\":" + topic.mRecords.size() + "}"));
         }
         final int offset = topic.mRecords.size();
         final ByteBuffer records = ByteBuffer.wrap(body);
@@ -125,7 +152,7 @@
                     Arrays.copyOfRange(record, keyEnd, record.length));
         }
         notifyAll();
-        return new Answer(
+        return reply(
                 200,
                 Http.text("{\"offset\":" + offset + ",\"end\":" + topic.mRecords.size() + "}"));
     }
@@ -138,10 +165,28 @@
 
     private static final class Topic {
         private final List<byte[]> mRecords = new ArrayList<>();
+        private final List<Appended> mHistory = new ArrayList<>();
         private final TreeMap<String, Integer> mOffsets = new TreeMap<>();
         private final Map<String, byte[]> mNewest = new HashMap<>();
 
+        private record Appended(long nanoTime, String key, byte[] value) {}
+
+        private void truncate(final long nanoTime) {
+            final List<Appended> kept =
+                    mHistory.stream().filter(record -> record.nanoTime() < nanoTime).toList();
+            mHistory.clear();
+            mRecords.clear();
+            mOffsets.clear();
+            mNewest.clear();
+            kept.forEach(record -> append(record.nanoTime(), record.key(), record.value()));
+        }
+
         private void append(final String key, final byte[] value) {
+            append(System.nanoTime(), key, value);
+        }
+
+        private void append(final long nanoTime, final String key, final byte[] value) {
+            mHistory.add(new Appended(nanoTime, key, value));
             final byte[] keyBytes = key.getBytes(StandardCharsets.UTF_8);
             final int length = 1 + keyBytes.length + value.length;
             mRecords.add(
