--- a/review/standins/review/EndlessBody.java
+++ b/review/standins/review/EndlessBody.java
@@ -53,7 +53,7 @@
 
     public static void main(final String[] arguments) throws Exception {
         final int result;
-        try (Log log = new Log(Path.of(arguments[0], "record.txt"))) {
+        try (Log log = new Log(Path.of(arguments[0]))) {
             result = new EndlessBody(log).run();
         }
         System.exit(result);
--- a/review/standins/review/LongBodies.java
+++ b/review/standins/review/LongBodies.java
@@ -41,7 +41,7 @@
 
     public static void main(final String[] arguments) throws Exception {
         final int result;
-        try (Log log = new Log(Path.of(arguments[0], "record.txt"))) {
+        try (Log log = new Log(Path.of(arguments[0]))) {
             result = new LongBodies(log).run();
         }
         System.exit(result);
--- a/review/standins/review/ResetAnswer.java
+++ b/review/standins/review/ResetAnswer.java
@@ -24,7 +24,7 @@
 
     public static void main(final String[] arguments) throws Exception {
         final int result;
-        try (Log log = new Log(Path.of(arguments[0], "record.txt"))) {
+        try (Log log = new Log(Path.of(arguments[0]))) {
             result = new ResetAnswer(log).run();
         }
         System.exit(result);
--- a/review/standins/review/StaleCall.java
+++ b/review/standins/review/StaleCall.java
@@ -26,7 +26,7 @@
 
     public static void main(final String[] arguments) throws Exception {
         final int result;
-        try (Log log = new Log(Path.of(arguments[0], "record.txt"))) {
+        try (Log log = new Log(Path.of(arguments[0]))) {
             result = new StaleCall(log).run();
         }
         System.exit(result);
