Log bytes that belong to no response, and heads that hold a status line

Cause: nothing was logged of a response that was taken as good, nor of bytes that are left over in the decoder when a response ends, so that the hypotheses on successes in the place of failures could not be told apart.

Change: the decoder of responses is a class of our own, which knows how many bytes it has not decoded; HttpClientCodec hides its decoder. Four log lines and two counters name the connection, how many responses it has carried, what was left over and where a head holds another status line. What is passed on to callers is the same as before.

EndpointConnectionTest, JoinedHeadTest, the tests of http/ and endpoint/ pass.

--- a/gateway/src/main/java/org/whinhead/gateway/caller/CallerConnection.java
+++ b/gateway/src/main/java/org/whinhead/gateway/caller/CallerConnection.java
@@ -265,7 +265,14 @@
 
     private void readQueued() {
         while (!mServing && !mDiscarding && !mQueued.isEmpty()) {
-            read(mQueued.poll());
+            final Object message = mQueued.poll();
+            read(message);
+            if (message instanceof HttpRequest && mRequest != null) {
+                LOG.atInfo()
+                        .addKeyValue("request", mRequest.id())
+                        .addKeyValue("connection", mContext.channel().id().asShortText())
+                        .log("request was sent before the one before it was answered");
+            }
         }
         if (mQueued.size() <= MAX_QUEUED_MESSAGES) {
             mContext.channel().config().setAutoRead(true);
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/ConnectionLogger.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/ConnectionLogger.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.slf4j.spi.LoggingEventBuilder;
 import org.whinhead.gateway.http.OverlongPart;
 import org.whinhead.gateway.metrics.RequestMetrics;
 import org.whinhead.gateway.peers.Addresses;
@@ -42,13 +43,42 @@
                 .log("connect failed");
     }
 
-    void overlong(final String endpoint, final String service, final OverlongPart part) {
-        mCounts.recordOverlong(service, part.wireName());
-        LOG.atInfo()
-                .addKeyValue("endpoint", endpoint)
-                .addKeyValue("service", service)
-                .addKeyValue("part", part.wireName())
-                .log("response too long");
+    void overlong(final EndpointConnection connection, final OverlongPart part) {
+        mCounts.recordOverlong(connection.pool().service(), part.wireName());
+        lineAbout(connection).addKeyValue("part", part.wireName()).log("response too long");
+    }
+
+    void leftOver(final EndpointConnection connection, final int bytes, final String begin) {
+        mCounts.recordLeftOver(connection.pool().service());
+        lineAbout(connection)
+                .addKeyValue("bytes", bytes)
+                .addKeyValue("begin", begin)
+                .log("bytes left over after response");
+    }
+
+    void headJoined(
+            final EndpointConnection connection, final EndpointResponse head, final String place) {
+        mCounts.recordJoinedHead(connection.pool().service());
+        lineAbout(connection)
+                .addKeyValue("request", head.requestId().orElse(""))
+                .addKeyValue("status", head.status().code())
+                .addKeyValue("place", place)
+                .log("status line within response head");
+    }
+
+    void answeredAgain(final EndpointConnection connection, final EndpointResponse head) {
+        lineAbout(connection)
+                .addKeyValue("request", head.requestId().orElse(""))
+                .addKeyValue("status", head.status().code())
+                .log("request answered again on its connection");
+    }
+
+    private static LoggingEventBuilder lineAbout(final EndpointConnection connection) {
+        return LOG.atInfo()
+                .addKeyValue("endpoint", connection.pool().endpoint())
+                .addKeyValue("service", connection.pool().service())
+                .addKeyValue("connection", connection.channel().id().asShortText())
+                .addKeyValue("responses", connection.responses());
     }
 
     void relayed() {
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnection.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnection.java
@@ -58,6 +58,8 @@
     private boolean mReusable = true;
     private ResponseProgress mProgress;
     private boolean mLengthStated;
+    private int mResponses;
+    private Optional<String> mAnsweredRequest = Optional.empty();
     private boolean mOverlong;
 
     EndpointConnection(
@@ -109,6 +111,11 @@
         return mChannel;
     }
 
+    /** Returns the number of whole responses that were received. */
+    int responses() {
+        return mResponses;
+    }
+
     EndpointConnections.Pool pool() {
         return mPool;
     }
@@ -244,6 +251,7 @@
         }
         mAnswered = true;
         mResponse = mProtocol.decode(response);
+        logHead();
         mLengthStated = HttpUtil.isContentLengthSet(response);
         mIdleTimeout = mResponse.idleTimeout().orElse(EndpointConnections.DEFAULT_IDLE_TIMEOUT);
         if (mResponse.closesConnection()) {
@@ -252,6 +260,16 @@
         mListener.headReceived(mResponse);
     }
 
+    private void logHead() {
+        final Optional<String> place =
+                mProgress == null ? Optional.empty() : mProgress.joinedHead();
+        place.ifPresent(found -> mPool.headJoined(this, mResponse, found));
+        if (mResponse.requestId().isPresent() && mResponse.requestId().equals(mAnsweredRequest)) {
+            mPool.answeredAgain(this, mResponse);
+        }
+        mAnsweredRequest = mResponse.requestId();
+    }
+
     private void readContent(final HttpContent content) {
         if (content.decoderResult().isFailure() || mResponse == null) {
             fail(EndpointFailure.NOT_HTTP);
@@ -271,6 +289,10 @@
         final ResponseEnd end =
                 mChannel.isActive() ? ResponseEnd.DECLARED : ResponseEnd.CONNECTION_CLOSED;
         mListener = null;
+        mResponses++;
+        if (mProgress != null && mProgress.leftOverBytes() > 0) {
+            mPool.leftOver(this, mProgress.leftOverBytes(), mProgress.leftOverBegin());
+        }
         if (mWritten.isDone() && mReusable) {
             mChannel.config().setAutoRead(true);
             mChannel.eventLoop().execute(() -> mPool.release(this));
@@ -313,7 +335,7 @@
      */
     public void logOverlong(final OverlongPart part) {
         mOverlong = true;
-        mPool.overlong(part);
+        mPool.overlong(this, part);
     }
 
     /**
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnections.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnections.java
@@ -451,8 +451,26 @@
         }
 
         /** Logs and counts bytes that are no response. */
-        void overlong(final OverlongPart part) {
-            mConnector.logger().overlong(mEndpoint, mService, part);
+        void overlong(final EndpointConnection connection, final OverlongPart part) {
+            mConnector.logger().overlong(connection, part);
+        }
+
+        /** Logs and counts bytes that came with the end of a response and don't belong to it. */
+        void leftOver(final EndpointConnection connection, final int bytes, final String begin) {
+            mConnector.logger().leftOver(connection, bytes, begin);
+        }
+
+        /** Logs and counts a head that contains another status line. */
+        void headJoined(
+                final EndpointConnection connection,
+                final EndpointResponse head,
+                final String place) {
+            mConnector.logger().headJoined(connection, head, place);
+        }
+
+        /** Logs a second response to one request. */
+        void answeredAgain(final EndpointConnection connection, final EndpointResponse head) {
+            mConnector.logger().answeredAgain(connection, head);
         }
 
         private void closeIdle() {
--- a/gateway/src/main/java/org/whinhead/gateway/http/ResponseMessageLimit.java
+++ b/gateway/src/main/java/org/whinhead/gateway/http/ResponseMessageLimit.java
@@ -22,11 +22,16 @@
     /** A server sends one or two; each costs some work and no memory. */
     private static final int MAX_INTERIM_RESPONSES = 16;
 
+    /** Tells a second response from other bytes in the log. */
+    private static final int MAX_LEFT_OVER_BEGIN = 16;
+
     private final ResponseProgress mProgress;
+    private final ResponseDecoder mDecoder;
     private boolean mInInterim;
 
-    ResponseMessageLimit(final ResponseProgress progress) {
+    ResponseMessageLimit(final ResponseProgress progress, final ResponseDecoder decoder) {
         mProgress = progress;
+        mDecoder = decoder;
     }
 
     @Override
@@ -54,6 +59,7 @@
             return overlong;
         }
         if (message instanceof HttpResponse response) {
+            mProgress.joinedHead(JoinedHead.find(response));
             mInInterim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
             if (mInInterim) {
                 mProgress.interimReceived();
@@ -81,6 +87,10 @@
         if (message instanceof LastHttpContent) {
             mInInterim = false;
             mProgress.ended();
+            if (!interim) {
+                mProgress.leftOver(
+                        mDecoder.unreadBytes(), mDecoder.unreadBegin(MAX_LEFT_OVER_BEGIN));
+            }
         }
         return interim;
     }
--- a/gateway/src/main/java/org/whinhead/gateway/http/ResponsePipeline.java
+++ b/gateway/src/main/java/org/whinhead/gateway/http/ResponsePipeline.java
@@ -3,8 +3,8 @@
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.RecvByteBufAllocator;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.util.function.BooleanSupplier;
 
 /**
@@ -47,16 +47,17 @@
     public static ResponseProgress addTo(
             final ChannelPipeline pipeline, final BooleanSupplier awaited) {
         final ResponseProgress progress = new ResponseProgress();
+        final ResponseDecoder decoder =
+                new ResponseDecoder(
+                        new HttpDecoderConfig()
+                                .setMaxInitialLineLength(MAX_LINE_BYTES)
+                                .setMaxHeaderSize(MAX_HEADER_BYTES)
+                                .setMaxChunkSize(MAX_CONTENT_BYTES));
         pipeline.addLast(new UndecodedByteLimit(progress, awaited))
-                .addLast(
-                        new HttpClientCodec(
-                                new HttpDecoderConfig()
-                                        .setMaxInitialLineLength(MAX_LINE_BYTES)
-                                        .setMaxHeaderSize(MAX_HEADER_BYTES)
-                                        .setMaxChunkSize(MAX_CONTENT_BYTES),
-                                false,
-                                false))
-                .addLast(new ResponseMessageLimit(progress));
+                .addLast(decoder)
+                .addLast(new HttpRequestEncoder())
+                .addLast(new RequestMethodHandler(decoder))
+                .addLast(new ResponseMessageLimit(progress, decoder));
         return progress;
     }
 
--- a/gateway/src/main/java/org/whinhead/gateway/http/ResponseProgress.java
+++ b/gateway/src/main/java/org/whinhead/gateway/http/ResponseProgress.java
@@ -1,5 +1,7 @@
 package org.whinhead.gateway.http;
 
+import java.util.Optional;
+
 /** What was received of the response on one connection. */
 public final class ResponseProgress {
 
@@ -7,6 +9,9 @@
     private int mInterimResponses;
     private boolean mInBody;
     private boolean mFailed;
+    private Optional<String> mJoinedHead = Optional.empty();
+    private int mLeftOverBytes;
+    private String mLeftOverBegin = "";
 
     ResponseProgress() {}
 
@@ -31,6 +36,45 @@
         mInBody = false;
     }
 
+    /** Records where the head contains another status line. */
+    void joinedHead(final Optional<String> place) {
+        mJoinedHead = place;
+    }
+
+    /** Records what was received with the end of the response and doesn't belong to it. */
+    void leftOver(final int bytes, final String begin) {
+        mLeftOverBytes = bytes;
+        mLeftOverBegin = begin;
+    }
+
+    /**
+     * Returns where the head of the response contains another status line.
+     *
+     * @return "reason phrase", or the name of a field; empty if there is none
+     */
+    public Optional<String> joinedHead() {
+        return mJoinedHead;
+    }
+
+    /**
+     * Returns the number of bytes that were received together with the end of the last response and
+     * don't belong to it.
+     *
+     * @return the bytes; 0 if there are none, or no response has ended
+     */
+    public int leftOverBytes() {
+        return mLeftOverBytes;
+    }
+
+    /**
+     * Returns the begin of these bytes.
+     *
+     * @return up to 16 characters; bytes that are not printable are dots
+     */
+    public String leftOverBegin() {
+        return mLeftOverBegin;
+    }
+
     /** Records that a limit was exceeded: nothing more is passed on. */
     void fail() {
         mFailed = true;
--- a/gateway/src/main/java/org/whinhead/gateway/metrics/RequestMetrics.java
+++ b/gateway/src/main/java/org/whinhead/gateway/metrics/RequestMetrics.java
@@ -186,6 +186,24 @@
         counter(Metric.OVERLONG, service, part).add(1);
     }
 
+    /**
+     * Counts a response with whose end bytes were received that don't belong to it.
+     *
+     * @param service the endpoint's service
+     */
+    public void recordLeftOver(final String service) {
+        counter(Metric.LEFT_OVER, service, "").add(1);
+    }
+
+    /**
+     * Counts a head of a response that contains another status line.
+     *
+     * @param service the endpoint's service
+     */
+    public void recordJoinedHead(final String service) {
+        counter(Metric.JOINED_HEAD, service, "").add(1);
+    }
+
     /**
      * Counts a further attempt that the retry budget did not allow.
      *
--- a/gateway/src/test/java/org/whinhead/gateway/endpoint/EndpointConnectionTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/endpoint/EndpointConnectionTest.java
@@ -127,6 +127,33 @@
         assertThat(mConnection.isUsable()).isFalse();
     }
 
+    @Test
+    void bytesThatComeWithTheEndOfResponseAreCounted() {
+        receive("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 2");
+        assertThat(counts()).contains("whinhead_responses_left_over_total{service=\"api\"} 1.0");
+    }
+
+    @Test
+    void statusLineWithinHeadIsCounted() {
+        receive("HTTP/1.1 200 OK\r\nDate: SaHTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n");
+        assertThat(counts()).contains("whinhead_responses_joined_total{service=\"api\"} 1.0");
+    }
+
+    // Guards against waiting for the body of a response to HEAD, which states a length and has
+    // none.
+    @Test
+    void responseToHeadHasNoBody() {
+        receive("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        mChannel.runPendingTasks();
+        mReceived.clear();
+        mConnection.send(
+                new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.HEAD, "/a"),
+                Unpooled.EMPTY_BUFFER,
+                mListener);
+        receive("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n");
+        assertThat(mReceived).containsExactly("head 200", "end");
+    }
+
     @Test
     void unexpectedResponseClosesConnection() {
         receive("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
