Close connections on which bytes are left over, and refuse joined heads

What callers saw: a 2xx with the signature and the id of their own request, which its endpoint had answered with a failure.

Cause: an endpoint begins a second response. Its bytes stay in the decoder when they are read with the end of the first response, or come while the next one is awaited; the next status line becomes the rest of the begun reason phrase or field, and the head has the status of the begun response and the fields of the next one. The class: bytes of an endpoint that are taken for the response to a request that they don't belong to. What was looked at were whole messages, and bytes while nothing is awaited; what the decoder holds was not.

Change: a connection is used again only if the decoder holds nothing when the response ends. A head with a status line in its reason phrase or a field, or with another protocol than HTTP, is not decoded; the attempt fails with JOINED_HEAD, may have run.

EndpointConnectionTest names three ends of a response now where it named two, and asserts the new one where bytes follow a response.

--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/ConnectionLogger.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/ConnectionLogger.java
@@ -56,12 +56,10 @@
                 .log("bytes left over after response");
     }
 
-    void headJoined(
-            final EndpointConnection connection, final EndpointResponse head, final String place) {
+    void headJoined(final EndpointConnection connection, final int status, final String place) {
         mCounts.recordJoinedHead(connection.pool().service());
         lineAbout(connection)
-                .addKeyValue("request", head.requestId().orElse(""))
-                .addKeyValue("status", head.status().code())
+                .addKeyValue("status", status)
                 .addKeyValue("place", place)
                 .log("status line within response head");
     }
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnection.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnection.java
@@ -33,9 +33,9 @@
  * A connection to an endpoint, which carries one request at a time.
  *
  * <p>The connection returns to the pool only after the request is written, the response is
- * complete, and the event loop has read everything that arrived with it: an endpoint may send an
- * extra response right after the first, and the next request on the connection would receive that
- * one.
+ * complete, and the event loop has read everything that arrived with it, of which nothing is left:
+ * an endpoint may send a second response, or the begin of one, right after the first, and the next
+ * request on the connection would receive it.
  */
 public final class EndpointConnection extends ChannelInboundHandlerAdapter {
 
@@ -242,6 +242,12 @@
     }
 
     private void readHead(final HttpResponse response) {
+        final Optional<String> joined = joinedHead();
+        if (joined.isPresent()) {
+            mPool.headJoined(this, response.status().code(), joined.get());
+            fail(EndpointFailure.JOINED_HEAD);
+            return;
+        }
         if (response.decoderResult().isFailure() || mResponse != null) {
             fail(EndpointFailure.NOT_HTTP);
             return;
@@ -251,7 +257,7 @@
         }
         mAnswered = true;
         mResponse = mProtocol.decode(response);
-        logHead();
+        logRepeatedAnswer();
         mLengthStated = HttpUtil.isContentLengthSet(response);
         mIdleTimeout = mResponse.idleTimeout().orElse(EndpointConnections.DEFAULT_IDLE_TIMEOUT);
         if (mResponse.closesConnection()) {
@@ -260,10 +266,11 @@
         mListener.headReceived(mResponse);
     }
 
-    private void logHead() {
-        final Optional<String> place =
-                mProgress == null ? Optional.empty() : mProgress.joinedHead();
-        place.ifPresent(found -> mPool.headJoined(this, mResponse, found));
+    private Optional<String> joinedHead() {
+        return mProgress == null ? Optional.empty() : mProgress.joinedHead();
+    }
+
+    private void logRepeatedAnswer() {
         if (mResponse.requestId().isPresent() && mResponse.requestId().equals(mAnsweredRequest)) {
             mPool.answeredAgain(this, mResponse);
         }
@@ -285,13 +292,12 @@
 
     private void complete() {
         final EndpointResponseListener listener = mListener;
-        // The decoder ends a response without a length only once its connection is closed.
-        final ResponseEnd end =
-                mChannel.isActive() ? ResponseEnd.DECLARED : ResponseEnd.CONNECTION_CLOSED;
+        final ResponseEnd end = responseEnd();
         mListener = null;
         mResponses++;
-        if (mProgress != null && mProgress.leftOverBytes() > 0) {
+        if (end == ResponseEnd.EXCEEDED) {
             mPool.leftOver(this, mProgress.leftOverBytes(), mProgress.leftOverBegin());
+            mReusable = false;
         }
         if (mWritten.isDone() && mReusable) {
             mChannel.config().setAutoRead(true);
@@ -303,6 +309,17 @@
         listener.completed(end);
     }
 
+    private ResponseEnd responseEnd() {
+        // The decoder ends a response without a length only once its connection is closed.
+        if (!mChannel.isActive()) {
+            return ResponseEnd.CONNECTION_CLOSED;
+        }
+        // The decoder would read the next head as the rest of what it holds.
+        return mProgress != null && mProgress.leftOverBytes() > 0
+                ? ResponseEnd.EXCEEDED
+                : ResponseEnd.DECLARED;
+    }
+
     private void fail(final EndpointFailure failure) {
         final EndpointResponseListener listener = mListener;
         mListener = null;
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnections.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnections.java
@@ -461,11 +461,8 @@
         }
 
         /** Logs and counts a head that contains another status line. */
-        void headJoined(
-                final EndpointConnection connection,
-                final EndpointResponse head,
-                final String place) {
-            mConnector.logger().headJoined(connection, head, place);
+        void headJoined(final EndpointConnection connection, final int status, final String place) {
+            mConnector.logger().headJoined(connection, status, place);
         }
 
         /** Logs a second response to one request. */
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointFailure.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointFailure.java
@@ -12,6 +12,8 @@
     RELAY_LOST(Verdict.MAY_HAVE_RUN),
     /** The received bytes were not a valid HTTP response. */
     NOT_HTTP(Verdict.MAY_HAVE_RUN),
+    /** The head of the response was read as the rest of one that had been begun before. */
+    JOINED_HEAD(Verdict.MAY_HAVE_RUN),
     /** More bytes were received that are no response than is allowed. */
     OVERLONG(Verdict.MAY_HAVE_RUN);
 
@@ -21,6 +23,11 @@
         mVerdict = verdict;
     }
 
+    /** Returns whether the endpoint has sent bytes that are not the response. */
+    public boolean isInvalidResponse() {
+        return this == NOT_HTTP || this == JOINED_HEAD || this == OVERLONG;
+    }
+
     public Verdict verdict() {
         return mVerdict;
     }
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
@@ -302,7 +302,7 @@
                     .endedWithConnection(mAdmission, mPlacement.endpoint(), mRelay);
             endedWithConnection();
         } else if (mRelay.isComplete()) {
-            responseCompleted();
+            responseCompleted(end == ResponseEnd.EXCEEDED);
         } else {
             mTrial.responseRejected(Verdict.MAY_HAVE_RUN);
             attemptFailed(Verdict.MAY_HAVE_RUN, STREAM_CUT);
@@ -325,7 +325,7 @@
             checkEndpoint(END_CHECK_TIME, crashed -> endpointChecked(attemptId, crashed));
         } else {
             // An endpoint that leaves accepts no connections once it has answered.
-            responseCompleted();
+            responseCompleted(false);
         }
     }
 
@@ -336,7 +336,7 @@
         if (crashed) {
             attemptFailed(Verdict.MAY_HAVE_RUN, EndpointFailure.CONNECTION_LOST.name());
         } else {
-            responseCompleted();
+            responseCompleted(false);
         }
     }
 
@@ -366,13 +366,14 @@
         }
     }
 
-    private void responseCompleted() {
+    /** Passes on the response; its endpoint has failed if more than the response was received. */
+    private void responseCompleted(final boolean isExceeded) {
         final EndpointResponse head = mRelay.head();
         // The run may have ended before its endpoint received the order to stop it.
         cancelMove();
         mUsage.recordRun(mSender.sentAt());
         mRelay.flush();
-        mPlacement.load().recordOutcome(head.isServerError());
+        mPlacement.load().recordOutcome(head.isServerError() || isExceeded);
         mExchanges.state().brittle().recordServed(mPlacement.endpoint());
         mTrial.answered(head.isServerError());
         if (head.isSuccess()) {
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/TrialRecorder.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/TrialRecorder.java
@@ -57,7 +57,7 @@
      * Records the loss of a connection; only bytes that are no response count against the version.
      */
     void connectionFailed(final EndpointFailure failure) {
-        if (failure == EndpointFailure.NOT_HTTP || failure == EndpointFailure.OVERLONG) {
+        if (failure.isInvalidResponse()) {
             mTrial.ifPresent(RolloutAttempt::recordFailure);
         }
     }
--- a/gateway/src/main/java/org/whinhead/gateway/http/ResponseMessageLimit.java
+++ b/gateway/src/main/java/org/whinhead/gateway/http/ResponseMessageLimit.java
@@ -2,17 +2,20 @@
 
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
 import java.util.Optional;
 
 /**
- * Passes on final responses only: drops interim ones up to a limit, and fails if the decoder found
- * a part too long.
+ * Passes on final responses only: drops interim ones up to a limit, fails if the decoder found a
+ * part too long, and marks heads as not decoded that are not one response's own.
  *
  * <p>An interim response that is passed on would count as the final one, which would then be
  * received by the next request on the connection.
@@ -25,6 +28,8 @@
     /** Tells a second response from other bytes in the log. */
     private static final int MAX_LEFT_OVER_BEGIN = 16;
 
+    private static final String PROTOCOL_NAME = HttpVersion.HTTP_1_1.protocolName();
+
     private final ResponseProgress mProgress;
     private final ResponseDecoder mDecoder;
     private boolean mInInterim;
@@ -59,8 +64,10 @@
             return overlong;
         }
         if (message instanceof HttpResponse response) {
-            mProgress.joinedHead(JoinedHead.find(response));
-            mInInterim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+            checkHead(response);
+            mInInterim =
+                    response.decoderResult().isSuccess()
+                            && response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
             if (mInInterim) {
                 mProgress.interimReceived();
             } else {
@@ -75,6 +82,21 @@
         return Optional.empty();
     }
 
+    /** Marks a head that was read from two, or with bytes before it, as not decoded. */
+    private void checkHead(final HttpResponse response) {
+        final Optional<String> place = JoinedHead.find(response);
+        mProgress.joinedHead(place);
+        if (place.isPresent()) {
+            markNotDecoded(response, "status line within " + place.get());
+        } else if (!response.protocolVersion().protocolName().equals(PROTOCOL_NAME)) {
+            markNotDecoded(response, "protocol " + response.protocolVersion().protocolName());
+        }
+    }
+
+    private static void markNotDecoded(final HttpResponse response, final String reason) {
+        response.setDecoderResult(DecoderResult.failure(new IOException(reason)));
+    }
+
     private Optional<OverlongPart> overlongPart(final Object message) {
         return message instanceof HttpObject object && object.decoderResult().isFailure()
                 ? OverlongPart.of(object.decoderResult().cause(), mProgress.isInBody())
--- a/gateway/src/test/java/org/whinhead/gateway/endpoint/EndpointConnectionTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/endpoint/EndpointConnectionTest.java
@@ -48,7 +48,12 @@
 
                 @Override
                 public void completed(final ResponseEnd end) {
-                    mReceived.add(end == ResponseEnd.DECLARED ? "end" : "closed");
+                    mReceived.add(
+                            switch (end) {
+                                case DECLARED -> "end";
+                                case EXCEEDED -> "end, and more";
+                                case CONNECTION_CLOSED -> "closed";
+                            });
                 }
 
                 @Override
@@ -123,7 +128,7 @@
                 "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
                         + "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno");
         mChannel.runPendingTasks();
-        assertThat(mReceived).containsExactly("head 200", "body ok", "end");
+        assertThat(mReceived).containsExactly("head 200", "body ok", "end, and more");
         assertThat(mConnection.isUsable()).isFalse();
     }
 
--- a/gateway/src/test/java/org/whinhead/gateway/endpoint/PlainProtocol.java
+++ b/gateway/src/test/java/org/whinhead/gateway/endpoint/PlainProtocol.java
@@ -11,7 +11,7 @@
 import org.whinhead.gateway.caller.CallerRequest;
 import org.whinhead.serving.endpoint.EndpointEntry;
 
-/** A protocol for tests whose requests are sent as they are. */
+/** A protocol for tests whose requests are sent as they are; "Request" names their ids. */
 final class PlainProtocol implements EndpointProtocol {
 
     @Override
@@ -30,7 +30,7 @@
         return new EndpointResponse(
                 response.status(),
                 response.headers(),
-                Optional.empty(),
+                Optional.ofNullable(response.headers().get("Request")),
                 false,
                 false,
                 true,
