Compare the id of a response before anything that it states is believed

What callers saw: a request that must run once ran at two endpoints (TWICE).

Cause: EndpointResponseFault took Not-Executed and 421 for statements on the current request before it compared the response's id, and a rejection counted against a brittle endpoint and for admission whatever request it named. A late extra response of the request before on the connection made the current one go to a second endpoint. The class is that of docs/design/response-bytes.md: an endpoint's bytes taken for the response to a request that they don't belong to.

Change: a response that names another request is no statement on this one, nor on its endpoint; the attempt fails, may have run. One that names no request is believed as before: endpoints turn requests away without naming them, a connection on which they did is closed, and late copies of other responses name theirs.

Evidence: EndpointResponseFaultTest#statementOnAnotherRequestIsNotBelieved and EndpointAnswersTest#rejectionOfAnotherRequestIsNotCounted, red before, hold now.

--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointResponse.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointResponse.java
@@ -65,6 +65,16 @@
         return hasRejectionStatus() ? statements.retryAfter() : Optional.empty();
     }
 
+    /**
+     * Returns whether the response is that of another request. One that names no request is not:
+     * endpoints may turn requests away without naming them.
+     *
+     * @param expectedId the id of the request that was sent
+     */
+    public boolean namesOtherRequest(final String expectedId) {
+        return requestId.isPresent() && !requestId.get().equals(expectedId);
+    }
+
     /**
      * Returns whether what the head says of its endpoint is that endpoint's own statement, made
      * while it answered a request.
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/EndpointAnswers.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/EndpointAnswers.java
@@ -74,7 +74,7 @@
     }
 
     /**
-     * Records what the head of an answer says about its endpoint.
+     * Records what the head of an answer says about its endpoint, unless it names another request.
      *
      * @param endpoint the endpoint
      * @param response the head
@@ -86,6 +86,9 @@
             final EndpointResponse response,
             final String requestId,
             final Instant sentAt) {
+        if (response.namesOtherRequest(requestId)) {
+            return;
+        }
         if (response.isFromEndpoint(requestId)) {
             recordDeparture(endpoint, response, requestId, sentAt);
             recordPause(endpoint, response, requestId);
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/EndpointResponseFault.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/EndpointResponseFault.java
@@ -12,6 +12,8 @@
  */
 record EndpointResponseFault(Verdict verdict, String reason) {
 
+    private static final String OTHER_REQUEST = "answer of another request";
+
     /**
      * Checks the head of a response.
      *
@@ -22,14 +24,18 @@
      */
     static Optional<EndpointResponseFault> of(
             final EndpointResponse response, final String requestId, final boolean streamStarted) {
+        // A late extra response may state anything of the request before on its connection.
+        if (response.namesOtherRequest(requestId)) {
+            return fault(Verdict.MAY_HAVE_RUN, OTHER_REQUEST);
+        }
         if (response.isFromOtherEndpoint()) {
             return fault(Verdict.NOT_RUN, "address belongs to another endpoint");
         }
         if (response.statesNotRun()) {
             return fault(Verdict.NOT_RUN, "endpoint refused");
         }
-        if (!response.requestId().equals(Optional.of(requestId))) {
-            return fault(Verdict.MAY_HAVE_RUN, "answer of another request");
+        if (response.requestId().isEmpty()) {
+            return fault(Verdict.MAY_HAVE_RUN, OTHER_REQUEST);
         }
         if (!response.isAuthentic()) {
             return fault(Verdict.MAY_HAVE_RUN, "answer not signed by its endpoint");
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/Exchange.java
@@ -226,19 +226,16 @@
 
     @Override
     public void headReceived(final EndpointResponse response) {
-        if (response.isFromOtherEndpoint()) {
+        final String requestId = mAdmission.request().id();
+        if (response.isFromOtherEndpoint() && !response.namesOtherRequest(requestId)) {
             mExchanges.state().endpoints().markLeaving(EndpointStart.of(mPlacement.endpoint()));
         } else {
             mExchanges
                     .answers()
-                    .record(
-                            mPlacement.endpoint(),
-                            response,
-                            mAdmission.request().id(),
-                            mSender.sentAt());
+                    .record(mPlacement.endpoint(), response, requestId, mSender.sentAt());
         }
         final Optional<EndpointResponseFault> fault =
-                EndpointResponseFault.of(response, mAdmission.request().id(), mRelay.isStarted());
+                EndpointResponseFault.of(response, requestId, mRelay.isStarted());
         if (fault.isPresent() && asksForPause(response)) {
             mConnection.pauseRequested(response.requestedPause().orElseThrow());
             retryOrGiveUp(fault.get().verdict(), fault.get().reason());
--- a/gateway/src/test/java/org/whinhead/gateway/exchange/EndpointAnswersTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/exchange/EndpointAnswersTest.java
@@ -84,6 +84,30 @@
         assertThat(pause()).isEmpty();
     }
 
+    // Guards against a pause of an endpoint that has rejected nothing: a late rejection of the
+    // request before arrives in place of a response.
+    @Test
+    void rejectionOfAnotherRequestIsNotCounted() {
+        final List<EndpointEntry> rejections = new ArrayList<>();
+        mAnswers.onRejection(rejections::add);
+        final EndpointResponse rejection =
+                new EndpointResponse(
+                        HttpResponseStatus.valueOf(FULL),
+                        new DefaultHttpHeaders(),
+                        Optional.of("r-1"),
+                        true,
+                        false,
+                        true,
+                        Optional.empty(),
+                        new EndpointStatements(
+                                false, Optional.empty(), OptionalInt.of(2), Optional.empty()),
+                        false);
+        answer(rejection, "r-2");
+        assertThat(rejections).isEmpty();
+        answer(rejection, "r-1");
+        assertThat(rejections).containsExactly(ENDPOINT);
+    }
+
     // Guards against telling all other daemons what the store has told them.
     @Test
     void departureOfEndpointThatIsListedAsLeavingIsNotTold() {
--- a/gateway/src/test/java/org/whinhead/gateway/exchange/EndpointResponseFaultTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/exchange/EndpointResponseFaultTest.java
@@ -23,7 +23,7 @@
         return new EndpointResponse(
                 status,
                 new DefaultHttpHeaders(),
-                Optional.of(requestId),
+                Optional.ofNullable(requestId),
                 notRun,
                 otherEndpoint,
                 genuine,
@@ -64,6 +64,26 @@
                 .isEqualTo(Verdict.MAY_HAVE_RUN);
     }
 
+    // Guards against a request that runs twice: a late response states that the request before on
+    // its connection did not run, and this request is sent to another endpoint.
+    @Test
+    void statementOnAnotherRequestIsNotBelieved() {
+        final HttpResponseStatus full = HttpResponseStatus.SERVICE_UNAVAILABLE;
+        assertThat(verdict(response(full, "r-0", true, false, false), false))
+                .isEqualTo(Verdict.MAY_HAVE_RUN);
+        assertThat(verdict(response(full, "r-0", false, true, false), false))
+                .isEqualTo(Verdict.MAY_HAVE_RUN);
+    }
+
+    @Test
+    void rejectionThatNamesNoRequestIsBelieved() {
+        final HttpResponseStatus full = HttpResponseStatus.SERVICE_UNAVAILABLE;
+        assertThat(verdict(response(full, null, true, false, false), false))
+                .isEqualTo(Verdict.NOT_RUN);
+        assertThat(verdict(response(full, null, false, false, false), false))
+                .isEqualTo(Verdict.MAY_HAVE_RUN);
+    }
+
     @Test
     void errorAfterTheStartOfStreamIsRejected() {
         final HttpResponseStatus error = HttpResponseStatus.INTERNAL_SERVER_ERROR;
