Keep no bytes, and no connections to endpoints, from one own call to the next

Cause: the client of the daemon's own calls (the store, the cloud, orders to engines to move a run) used a connection again whatever its decoder held, and kept connections to engines, whose responses to these calls name no call: a late second response to a move would be received by the next move at that engine and give it another run's handle.

Change: a connection with bytes left over is closed; clients of endpoints open a connection for each call. A move is rare, so that it costs a connect each.

Evidence: both new rows of EventLoopHttpClientTest fail with the two changes taken back (a call that fails, one connection for three calls) and hold now.

--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointHttpClients.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointHttpClients.java
@@ -10,7 +10,12 @@
 import org.whinhead.serving.endpoint.EndpointEntry;
 import org.whinhead.serving.reach.AccessPath;
 
-/** HTTP clients for the daemon's own calls to endpoints, on the way that works for each. */
+/**
+ * HTTP clients for the daemon's own calls to endpoints, on the way that works for each.
+ *
+ * <p>Responses to these calls don't name their call, and an endpoint may send a second one late: a
+ * later call on the same connection would receive it.
+ */
 public final class EndpointHttpClients {
 
     /** Endpoints come and go; a client that is dropped costs a connection when used again. */
@@ -53,7 +58,8 @@
                                         mLoop,
                                         endpoint.address(),
                                         opener(endpoint),
-                                        MAX_RESPONSE_BYTES));
+                                        MAX_RESPONSE_BYTES,
+                                        EventLoopHttpClient.NO_IDLE_CONNECTIONS));
         if (mClients.size() > MAX_CLIENTS) {
             mClients.remove(mClients.keySet().iterator().next());
         }
--- a/gateway/src/main/java/org/whinhead/gateway/http/EventLoopHttpClient.java
+++ b/gateway/src/main/java/org/whinhead/gateway/http/EventLoopHttpClient.java
@@ -32,12 +32,16 @@
  * An HTTP client for one server, in which each call in progress has its own connection.
  *
  * <p>A late response must not be received by a later call, so a call that fails or times out closes
- * its connection. All work runs on one event loop, which also completes the futures.
+ * its connection, and so do bytes that come with the end of a response and don't belong to it. All
+ * work runs on one event loop, which also completes the futures.
  */
 public final class EventLoopHttpClient {
 
     private static final Logger LOG = LoggerFactory.getLogger(EventLoopHttpClient.class);
 
+    /** Opens a connection for each call. */
+    public static final int NO_IDLE_CONNECTIONS = 0;
+
     private static final int MAX_IDLE_CONNECTIONS = 4;
     private static final int MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
 
@@ -45,6 +49,7 @@
     private final InetSocketAddress mServer;
     private final ChannelOpener mOpener;
     private final int mMaxResponseBytes;
+    private final int mMaxIdleConnections;
     private final Deque<Channel> mIdle = new ArrayDeque<>();
 
     /**
@@ -58,7 +63,8 @@
                 loop,
                 server,
                 (handlers, opened, failed) -> connect(loop, server, handlers.get(), opened, failed),
-                MAX_RESPONSE_BYTES);
+                MAX_RESPONSE_BYTES,
+                MAX_IDLE_CONNECTIONS);
     }
 
     /**
@@ -68,19 +74,23 @@
      * @param server the server's address, which requests name
      * @param opener opens connections to the server
      * @param maxResponseBytes the longest body of a response
+     * @param maxIdleConnections the most connections that are kept for later calls; a server that
+     *     may send a late second response that doesn't name its call must have none
      */
     public EventLoopHttpClient(
             final EventLoop loop,
             final InetSocketAddress server,
             final ChannelOpener opener,
-            final int maxResponseBytes) {
+            final int maxResponseBytes,
+            final int maxIdleConnections) {
         mLoop = loop;
         mServer = server;
         mOpener = opener;
         mMaxResponseBytes = maxResponseBytes;
+        mMaxIdleConnections = maxIdleConnections;
     }
 
-    private static void connect(
+    static void connect(
             final EventLoop loop,
             final InetSocketAddress server,
             final ChannelHandler handler,
@@ -168,7 +178,8 @@
         @Override
         protected void initChannel(final Channel channel) {
             final ResponseHandler handler = new ResponseHandler();
-            ResponsePipeline.addTo(channel.pipeline(), () -> handler.mPending != null);
+            handler.mProgress =
+                    ResponsePipeline.addTo(channel.pipeline(), () -> handler.mPending != null);
             channel.pipeline()
                     .addLast(new HttpObjectAggregator(mMaxResponseBytes))
                     .addLast(handler);
@@ -201,7 +212,7 @@
         }
 
         private void succeed(final HttpReply reply, final boolean keepAlive) {
-            if (keepAlive && mIdle.size() < MAX_IDLE_CONNECTIONS) {
+            if (keepAlive && mIdle.size() < mMaxIdleConnections) {
                 mIdle.addFirst(mChannel);
             } else {
                 mChannel.close();
@@ -223,6 +234,7 @@
     private static final class ResponseHandler
             extends SimpleChannelInboundHandler<FullHttpResponse> {
         private PendingCall mPending;
+        private ResponseProgress mProgress;
 
         @Override
         protected void channelRead0(
@@ -237,7 +249,7 @@
             mPending = null;
             pending.succeed(
                     new HttpReply(response.status().code(), response.headers(), body),
-                    HttpUtil.isKeepAlive(response));
+                    HttpUtil.isKeepAlive(response) && mProgress.leftOverBytes() == 0);
         }
 
         @Override
--- a/gateway/src/test/java/org/whinhead/gateway/http/EventLoopHttpClientTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/http/EventLoopHttpClientTest.java
@@ -37,16 +37,28 @@
     private final AtomicInteger mAccepted = new AtomicInteger();
     private final CountDownLatch mFirstRequests = new CountDownLatch(CONNECTIONS);
     private final ServerSocket mServer;
-    private final EventLoopHttpClient mClient;
+    private EventLoopHttpClient mClient;
     private volatile int mFirstAnsweringConnection;
+    private volatile String mExtra = "";
 
     EventLoopHttpClientTest() throws IOException {
         mServer = new ServerSocket(0, CONNECTIONS, InetAddress.getLoopbackAddress());
-        mClient =
-                new EventLoopHttpClient(
-                        mLoop,
-                        new InetSocketAddress(
-                                InetAddress.getLoopbackAddress(), mServer.getLocalPort()));
+        mClient = new EventLoopHttpClient(mLoop, address());
+    }
+
+    private InetSocketAddress address() {
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), mServer.getLocalPort());
+    }
+
+    private EventLoopHttpClient client(final int maxIdleConnections) {
+        return new EventLoopHttpClient(
+                mLoop,
+                address(),
+                (handlers, opened, failed) ->
+                        EventLoopHttpClient.connect(
+                                mLoop, address(), handlers.get(), opened, failed),
+                1024,
+                maxIdleConnections);
     }
 
     @BeforeEach
@@ -92,7 +104,9 @@
                 awaitFirstRequests();
                 connection
                         .getOutputStream()
-                        .write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".getBytes());
+                        .write(
+                                ("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" + mExtra)
+                                        .getBytes(StandardCharsets.US_ASCII));
             }
         }
     }
@@ -149,4 +163,29 @@
         assertThat(call(Duration.ofSeconds(5)).get().isSuccess()).isTrue();
         assertThat(mAccepted).hasValue(CONNECTIONS + 1);
     }
+
+    // Guards against a call that receives the response to the call before: the begin of a second
+    // response was left over on the connection.
+    @Test
+    void connectionWithBytesLeftOverIsNotUsedAgain() throws Exception {
+        mFirstRequests.countDown();
+        mFirstRequests.countDown();
+        mExtra = "HTTP/1.1 500 Err";
+        assertThat(call(Duration.ofSeconds(20)).get().status()).isEqualTo(200);
+        assertThat(call(Duration.ofSeconds(20)).get().status()).isEqualTo(200);
+        assertThat(mAccepted).hasValue(2);
+    }
+
+    // Guards against a call to an endpoint that receives a late second response to the call before,
+    // as responses don't name their calls.
+    @Test
+    void clientWithoutIdleConnectionsOpensOneForEachCall() throws Exception {
+        mFirstRequests.countDown();
+        mFirstRequests.countDown();
+        mClient = client(EventLoopHttpClient.NO_IDLE_CONNECTIONS);
+        for (int call = 1; call <= CONNECTIONS; call++) {
+            assertThat(call(Duration.ofSeconds(20)).get().isSuccess()).isTrue();
+            assertThat(mAccepted).hasValue(call);
+        }
+    }
 }
