End a response without a length only if its endpoint has ended it

Cause: the decoder ends such a response when its connection is closed, however that comes about. If a write of the request fails first, the connection is closed without an exception, and was taken for one that the endpoint had closed in order. Relays told a close from a reset in the same way. The class is that of docs/design/response-bytes.md: a part taken for a whole response.

Change: connections to endpoints, the store and the cloud allow half closure, so that the end of the input is an event of its own. Without it the end of such a response is a lost connection. A relay says that the endpoint has closed only if it saw that event.

Three tests that closed a channel to play a close by the endpoint send that event now; EndpointConnectionTest#responseWithoutLengthFailsIfConnectionIsClosedByWrite holds the former close to a failure.

--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnection.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnection.java
@@ -297,9 +297,8 @@
         mResponses++;
         if (end == ResponseEnd.EXCEEDED) {
             mPool.leftOver(this, mProgress.leftOverBytes(), mProgress.leftOverBegin());
-            mReusable = false;
         }
-        if (mWritten.isDone() && mReusable) {
+        if (mWritten.isDone() && mReusable && end == ResponseEnd.DECLARED) {
             mChannel.config().setAutoRead(true);
             mChannel.eventLoop().execute(() -> mPool.release(this));
         } else {
@@ -310,8 +309,7 @@
     }
 
     private ResponseEnd responseEnd() {
-        // The decoder ends a response without a length only once its connection is closed.
-        if (!mChannel.isActive()) {
+        if (mProgress != null && mProgress.isInputEnded()) {
             return ResponseEnd.CONNECTION_CLOSED;
         }
         // The decoder would read the next head as the rest of what it holds.
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnector.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnector.java
@@ -99,6 +99,7 @@
                         .option(ChannelOption.TCP_NODELAY, true)
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                         .option(ChannelOption.RCVBUF_ALLOCATOR, ResponsePipeline.readSizes())
+                        .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                         .handler(handler)
                         .connect(endpoint.address(), new InetSocketAddress(mLocalAddress, 0));
         future.addListener(
--- a/gateway/src/main/java/org/whinhead/gateway/http/EventLoopHttpClient.java
+++ b/gateway/src/main/java/org/whinhead/gateway/http/EventLoopHttpClient.java
@@ -101,6 +101,7 @@
                         .group(loop)
                         .channel(NioSocketChannel.class)
                         .option(ChannelOption.TCP_NODELAY, true)
+                        .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                         .handler(handler)
                         .connect(server);
         future.addListener(
--- a/gateway/src/main/java/org/whinhead/gateway/http/ResponseMessageLimit.java
+++ b/gateway/src/main/java/org/whinhead/gateway/http/ResponseMessageLimit.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
@@ -45,6 +46,12 @@
             ReferenceCountUtil.release(message);
             return;
         }
+        if (isCutEnd(context, message)) {
+            mProgress.fail();
+            ReferenceCountUtil.release(message);
+            context.fireExceptionCaught(new IOException("connection lost within response"));
+            return;
+        }
         final Optional<OverlongPart> overlong = check(message);
         if (overlong.isPresent()) {
             mProgress.fail();
@@ -57,6 +64,24 @@
         }
     }
 
+    /**
+     * Returns whether a message is the end of a response without a length that its server has not
+     * ended: the decoder ends it however its connection was closed.
+     */
+    private boolean isCutEnd(final ChannelHandlerContext context, final Object message) {
+        return message instanceof LastHttpContent
+                && !context.channel().isActive()
+                && !mProgress.isInputEnded();
+    }
+
+    @Override
+    public void userEventTriggered(final ChannelHandlerContext context, final Object event) {
+        context.fireUserEventTriggered(event);
+        if (event instanceof ChannelInputShutdownEvent) {
+            context.close();
+        }
+    }
+
     private Optional<OverlongPart> check(final Object message) {
         mProgress.messageDecoded();
         final Optional<OverlongPart> overlong = overlongPart(message);
--- a/gateway/src/main/java/org/whinhead/gateway/http/ResponsePipeline.java
+++ b/gateway/src/main/java/org/whinhead/gateway/http/ResponsePipeline.java
@@ -13,6 +13,9 @@
  * <p>A server may send such bytes until its connection is closed. When a limit is exceeded, the
  * next handler gets an {@link OverlongResponseException} and nothing after it; it has to close the
  * connection. Bodies are not limited.
+ *
+ * <p>The connection must allow half closure: only then is it known that the server has closed it in
+ * order, which ends a response without a length. The handlers close the connection then.
  */
 public final class ResponsePipeline {
 
--- a/gateway/src/main/java/org/whinhead/gateway/http/ResponseProgress.java
+++ b/gateway/src/main/java/org/whinhead/gateway/http/ResponseProgress.java
@@ -9,6 +9,7 @@
     private int mInterimResponses;
     private boolean mInBody;
     private boolean mFailed;
+    private boolean mInputEnded;
     private Optional<String> mJoinedHead = Optional.empty();
     private int mLeftOverBytes;
     private String mLeftOverBegin = "";
@@ -75,6 +76,21 @@
         return mLeftOverBegin;
     }
 
+    /** Records that the server has closed its side of the connection in order. */
+    void inputEnded() {
+        mInputEnded = true;
+    }
+
+    /**
+     * Returns whether the server has closed its side of the connection in order. A connection may
+     * also be closed here, or as a write has failed, which says nothing of the response.
+     *
+     * @return true if all that the server has sent was received
+     */
+    public boolean isInputEnded() {
+        return mInputEnded;
+    }
+
     /** Records that a limit was exceeded: nothing more is passed on. */
     void fail() {
         mFailed = true;
--- a/gateway/src/main/java/org/whinhead/gateway/http/UndecodedByteLimit.java
+++ b/gateway/src/main/java/org/whinhead/gateway/http/UndecodedByteLimit.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.util.ReferenceCountUtil;
 import java.util.function.BooleanSupplier;
 
@@ -46,6 +47,15 @@
         }
     }
 
+    @Override
+    public void userEventTriggered(final ChannelHandlerContext context, final Object event) {
+        if (event instanceof ChannelInputShutdownEvent) {
+            // The decoder behind ends a response without a length as it gets this event.
+            mProgress.inputEnded();
+        }
+        context.fireUserEventTriggered(event);
+    }
+
     private void fail(final ChannelHandlerContext context, final OverlongPart part) {
         mProgress.fail();
         context.fireExceptionCaught(new OverlongResponseException(part));
--- a/gateway/src/main/java/org/whinhead/gateway/relay/RelayClientHandler.java
+++ b/gateway/src/main/java/org/whinhead/gateway/relay/RelayClientHandler.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import org.whinhead.gateway.generated.GatewayProto.RelayEnd;
@@ -85,7 +86,9 @@
 
     private void handleEnd(final ChannelHandlerContext context, final RelayEnd end) {
         mEnded = true;
-        if (!end.getClosed()) {
+        if (end.getClosed()) {
+            context.fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+        } else {
             context.fireExceptionCaught(new IOException("endpoint reset the connection"));
         }
         context.close();
--- a/gateway/src/main/java/org/whinhead/gateway/relay/RelayEndpointHandler.java
+++ b/gateway/src/main/java/org/whinhead/gateway/relay/RelayEndpointHandler.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.whinhead.gateway.http.ConnectionExceptions;
@@ -13,6 +14,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(RelayEndpointHandler.class);
 
     private final RelayServerHandler mAsking;
+    private boolean mInputEnded;
     private boolean mReset;
 
     RelayEndpointHandler(final RelayServerHandler asking) {
@@ -46,6 +48,15 @@
 
     @Override
     public void channelInactive(final ChannelHandlerContext context) {
-        mAsking.end(RelayMessageCodec.end(!mReset));
+        // A write that fails closes the connection without an exception.
+        mAsking.end(RelayMessageCodec.end(mInputEnded && !mReset));
+    }
+
+    @Override
+    public void userEventTriggered(final ChannelHandlerContext context, final Object event) {
+        if (event instanceof ChannelInputShutdownEvent) {
+            mInputEnded = true;
+            context.close();
+        }
     }
 }
--- a/gateway/src/main/java/org/whinhead/gateway/relay/RelayServerHandler.java
+++ b/gateway/src/main/java/org/whinhead/gateway/relay/RelayServerHandler.java
@@ -96,6 +96,7 @@
                         .option(ChannelOption.TCP_NODELAY, true)
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                         .option(ChannelOption.RCVBUF_ALLOCATOR, ResponsePipeline.readSizes())
+                        .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                         .handler(new RelayEndpointHandler(this))
                         .connect(endpoint.address(), mServer.localAddress());
         mEndpoint = future.channel();
--- a/gateway/src/test/java/org/whinhead/gateway/endpoint/EndpointConnectionTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/endpoint/EndpointConnectionTest.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
@@ -172,15 +173,38 @@
     @Test
     void responseShorterThanItsLengthFails() {
         receive("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nok");
-        mChannel.close();
+        endInput();
         assertThat(mReceived).containsExactly("head 200", "body ok", "CONNECTION_LOST");
     }
 
+    /** Ends the input as a connection does whose other side closes it in order. */
+    private void endInput() {
+        mChannel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+    }
+
     @Test
     void responseWithoutLengthEndsWithItsConnection() {
         receive("HTTP/1.1 200 OK\r\n\r\nok");
-        mChannel.close();
+        endInput();
         assertThat(mReceived).containsExactly("head 200", "body ok", "closed");
+        assertThat(mChannel.isOpen()).isFalse();
+    }
+
+    @Test
+    void connectionThatItsEndpointClosesIsClosed() {
+        receive("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        mChannel.runPendingTasks();
+        endInput();
+        assertThat(mChannel.isOpen()).isFalse();
+    }
+
+    // Guards against taking a part of a response without a length for the complete one: a write
+    // of the request fails as the connection is reset, which closes it without an exception.
+    @Test
+    void responseWithoutLengthFailsIfConnectionIsClosedByWrite() {
+        receive("HTTP/1.1 200 OK\r\n\r\nok");
+        mChannel.close();
+        assertThat(mReceived).containsExactly("head 200", "body ok", "CONNECTION_LOST");
     }
 
     // Guards against taking a part of a response without a length for the complete one after the
--- a/gateway/src/test/java/org/whinhead/gateway/endpoint/ResponseOwnershipTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/endpoint/ResponseOwnershipTest.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetAddress;
@@ -205,7 +206,7 @@
             read(extra, step.segment());
         }
         if (step.endsWithConnection()) {
-            mChannel.close();
+            mChannel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
         }
         mChannel.runPendingTasks();
         if (step.moment() == Moment.WHILE_IDLE) {
--- a/gateway/src/test/java/org/whinhead/gateway/relay/RelayClientHandlerTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/relay/RelayClientHandlerTest.java
@@ -92,7 +92,7 @@
     void connectionThatTheEndpointClosedEndsInOrder() {
         connect();
         receive(RelayMessageCodec.end(true));
-        assertThat(mEvents).containsExactly("inactive");
+        assertThat(mEvents).containsExactly("event ChannelInputShutdownEvent", "inactive");
     }
 
     @Test
--- a/gateway/src/test/java/org/whinhead/gateway/relay/RelayServerTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/relay/RelayServerTest.java
@@ -121,6 +121,7 @@
             assertThat(nextEvent()).isEqualTo("read answer");
             assertThat(onLoop(mServer::connectionCount)).isEqualTo(1);
         }
+        assertThat(nextEvent()).isEqualTo("event ChannelInputShutdownEvent");
         assertThat(nextEvent()).isEqualTo("inactive");
     }
 
