Reset connections to the store and the cloud instead of closing them

Cause: a call that got no response in time closed its connection in order. The system keeps what was written and sends it once the cut is over, whenever that is. A fence doesn't help where the platform requires none.

Change: connections of EventLoopHttpClient to the store and the cloud are reset when they are closed, also by the end of the process.

--- a/gateway/src/main/java/org/whinhead/gateway/http/EventLoopHttpClient.java
+++ b/gateway/src/main/java/org/whinhead/gateway/http/EventLoopHttpClient.java
@@ -31,9 +31,10 @@
 /**
  * An HTTP client for one server, in which each call in progress has its own connection.
  *
- * <p>A late response must not be received by a later call, so a call that fails or times out closes
- * its connection, and so do bytes that come with the end of a response and don't belong to it. All
- * work runs on one event loop, which also completes the futures.
+ * <p>A call that gets no response in time must not reach the server later, so its connection is
+ * reset. A late response must not be received by a later call, so a call that fails or times out
+ * closes its connection, and so do bytes that come with the end of a response and don't belong to
+ * it. All work runs on one event loop, which also completes the futures.
  */
 public final class EventLoopHttpClient {
 
@@ -42,6 +43,13 @@
     /** Opens a connection for each call. */
     public static final int NO_IDLE_CONNECTIONS = 0;
 
+    /**
+     * Makes the system reset a connection that is closed. Otherwise it would go on to send a call
+     * that was given up, also after this process has ended: an order could be carried out after
+     * those of the next holder of its lease.
+     */
+    private static final int RESET_ON_CLOSE = 0;
+
     private static final int MAX_IDLE_CONNECTIONS = 4;
     private static final int MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
 
@@ -102,6 +110,7 @@
                         .channel(NioSocketChannel.class)
                         .option(ChannelOption.TCP_NODELAY, true)
                         .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
+                        .option(ChannelOption.SO_LINGER, RESET_ON_CLOSE)
                         .handler(handler)
                         .connect(server);
         future.addListener(
--- a/gateway/src/test/java/org/whinhead/gateway/http/EventLoopHttpClientTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/http/EventLoopHttpClientTest.java
@@ -13,6 +13,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -40,6 +41,7 @@
     private EventLoopHttpClient mClient;
     private volatile int mFirstAnsweringConnection;
     private volatile String mExtra = "";
+    private final CountDownLatch mReset = new CountDownLatch(1);
 
     EventLoopHttpClientTest() throws IOException {
         mServer = new ServerSocket(0, CONNECTIONS, InetAddress.getLoopbackAddress());
@@ -98,7 +100,7 @@
                 new BufferedReader(
                         new InputStreamReader(
                                 connection.getInputStream(), StandardCharsets.US_ASCII));
-        for (String line = reader.readLine(); line != null; line = reader.readLine()) {
+        for (String line = readLine(reader); line != null; line = readLine(reader)) {
             if (line.isEmpty() && number >= mFirstAnsweringConnection) {
                 mFirstRequests.countDown();
                 awaitFirstRequests();
@@ -111,6 +113,15 @@
         }
     }
 
+    private String readLine(final BufferedReader reader) throws IOException {
+        try {
+            return reader.readLine();
+        } catch (SocketException e) {
+            mReset.countDown();
+            throw e;
+        }
+    }
+
     /** Waits until the first calls use a connection each. */
     private void awaitFirstRequests() {
         try {
@@ -188,4 +199,13 @@
             assertThat(mAccepted).hasValue(call);
         }
     }
+
+    // Guards against an order of a former holder of the lease that is carried out after those of
+    // the next one: it was given up during a cut, and the system sent it once the cut was over.
+    @Test
+    void connectionOfCallWithoutResponseIsReset() throws Exception {
+        mFirstAnsweringConnection = 1;
+        assertThat(call(Duration.ofMillis(200))).failsWithin(Duration.ofSeconds(10));
+        assertThat(mReset.await(10, TimeUnit.SECONDS)).isTrue();
+    }
 }
