Accept exact status lines and fields only, in responses of endpoints

Cause: the decoder takes status lines that the check for joined heads did not look for (another case, several blanks, another version), and takes "Date HTTP/1.1 500" for a field "Date" without a value. A begun head and such a line still made one head of the begun status.

Change: a response begins with HTTP/1.0 or HTTP/1.1, one space and three digits; the name of a field is followed by its colon at once; the check is laxer than that. Line ends after a body close the connection and are no failure of the endpoint. The log says what kind of bytes was left over, in place of the bytes.

--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/ConnectionLogger.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/ConnectionLogger.java
@@ -4,6 +4,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.slf4j.spi.LoggingEventBuilder;
+import org.whinhead.gateway.http.LeftOver;
 import org.whinhead.gateway.http.OverlongPart;
 import org.whinhead.gateway.metrics.RequestMetrics;
 import org.whinhead.gateway.peers.Addresses;
@@ -48,11 +49,11 @@
         lineAbout(connection).addKeyValue("part", part.wireName()).log("response too long");
     }
 
-    void leftOver(final EndpointConnection connection, final int bytes, final String begin) {
-        mCounts.recordLeftOver(connection.pool().service());
+    void leftOver(final EndpointConnection connection, final LeftOver leftOver, final int bytes) {
+        mCounts.recordLeftOver(connection.pool().service(), leftOver.wireName());
         lineAbout(connection)
+                .addKeyValue("kind", leftOver.wireName())
                 .addKeyValue("bytes", bytes)
-                .addKeyValue("begin", begin)
                 .log("bytes left over after response");
     }
 
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnection.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnection.java
@@ -21,6 +21,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.whinhead.gateway.http.ConnectionExceptions;
+import org.whinhead.gateway.http.LeftOver;
 import org.whinhead.gateway.http.OverlongPart;
 import org.whinhead.gateway.http.OverlongResponseException;
 import org.whinhead.gateway.http.ResponseProgress;
@@ -34,7 +35,7 @@
  *
  * <p>The connection returns to the pool only after the request is written, the response is
  * complete, and the event loop has read everything that arrived with it, of which nothing is left:
- * an endpoint may send a second response, or the begin of one, right after the first, and the next
+ * an endpoint may send a second response, or the start of one, right after the first, and the next
  * request on the connection would receive it.
  */
 public final class EndpointConnection extends ChannelInboundHandlerAdapter {
@@ -295,8 +296,11 @@
         final ResponseEnd end = responseEnd();
         mListener = null;
         mResponses++;
-        if (end == ResponseEnd.EXCEEDED) {
-            mPool.leftOver(this, mProgress.leftOverBytes(), mProgress.leftOverBegin());
+        final LeftOver leftOver = leftOver();
+        if (leftOver != LeftOver.NOTHING) {
+            mPool.leftOver(this, leftOver, mProgress.leftOverBytes());
+            // The decoder would read the next head as the rest of what it holds.
+            mReusable = false;
         }
         if (mWritten.isDone() && mReusable && end == ResponseEnd.DECLARED) {
             mChannel.config().setAutoRead(true);
@@ -308,14 +312,18 @@
         listener.completed(end);
     }
 
+    private LeftOver leftOver() {
+        return mProgress == null ? LeftOver.NOTHING : mProgress.leftOver();
+    }
+
     private ResponseEnd responseEnd() {
         if (mProgress != null && mProgress.isInputEnded()) {
             return ResponseEnd.CONNECTION_CLOSED;
         }
-        // The decoder would read the next head as the rest of what it holds.
-        return mProgress != null && mProgress.leftOverBytes() > 0
-                ? ResponseEnd.EXCEEDED
-                : ResponseEnd.DECLARED;
+        return switch (leftOver()) {
+            case NOTHING, LINE_ENDS -> ResponseEnd.DECLARED;
+            case RESPONSE, OTHER -> ResponseEnd.EXCEEDED;
+        };
     }
 
     private void fail(final EndpointFailure failure) {
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnections.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnections.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.ToIntFunction;
+import org.whinhead.gateway.http.LeftOver;
 import org.whinhead.gateway.http.OverlongPart;
 import org.whinhead.gateway.http.ResponsePipeline;
 import org.whinhead.serving.endpoint.EndpointEntry;
@@ -456,8 +457,9 @@
         }
 
         /** Logs and counts bytes that came with the end of a response and don't belong to it. */
-        void leftOver(final EndpointConnection connection, final int bytes, final String begin) {
-            mConnector.logger().leftOver(connection, bytes, begin);
+        void leftOver(
+                final EndpointConnection connection, final LeftOver leftOver, final int bytes) {
+            mConnector.logger().leftOver(connection, leftOver, bytes);
         }
 
         /** Logs and counts a head that contains another status line. */
--- a/gateway/src/main/java/org/whinhead/gateway/http/EventLoopHttpClient.java
+++ b/gateway/src/main/java/org/whinhead/gateway/http/EventLoopHttpClient.java
@@ -259,7 +259,7 @@
             mPending = null;
             pending.succeed(
                     new HttpReply(response.status().code(), response.headers(), body),
-                    HttpUtil.isKeepAlive(response) && mProgress.leftOverBytes() == 0);
+                    HttpUtil.isKeepAlive(response) && mProgress.leftOver() == LeftOver.NOTHING);
         }
 
         @Override
--- a/gateway/src/main/java/org/whinhead/gateway/http/JoinedHead.java
+++ b/gateway/src/main/java/org/whinhead/gateway/http/JoinedHead.java
@@ -4,6 +4,7 @@
 import java.util.Iterator;
 import java.util.Map.Entry;
 import java.util.Optional;
+import java.util.regex.Pattern;
 
 /**
  * Finds heads that were read from two: a begun response is left on the connection, and the status
@@ -11,10 +12,11 @@
  */
 final class JoinedHead {
 
-    private static final String STATUS_LINE_BEGIN = "HTTP/1.";
     private static final String REASON_PHRASE = "reason phrase";
 
-    private static final int STATUS_DIGITS = 3;
+    /** Laxer than what the decoder takes for a status line. */
+    private static final Pattern STATUS_LINE =
+            Pattern.compile("HTTP/\\d+\\.\\d+[ \\t]+\\d{3}", Pattern.CASE_INSENSITIVE);
 
     private JoinedHead() {}
 
@@ -39,23 +41,7 @@
         return Optional.empty();
     }
 
-    /** Returns whether a text contains a version, a space and three digits. */
     private static boolean containsStatusLine(final String text) {
-        int begin = text.indexOf(STATUS_LINE_BEGIN);
-        while (begin >= 0) {
-            // Skips the digit of the minor version.
-            if (isStatus(text, begin + STATUS_LINE_BEGIN.length() + 1)) {
-                return true;
-            }
-            begin = text.indexOf(STATUS_LINE_BEGIN, begin + 1);
-        }
-        return false;
-    }
-
-    private static boolean isStatus(final String text, final int space) {
-        final int end = space + 1 + STATUS_DIGITS;
-        return end <= text.length()
-                && text.charAt(space) == ' '
-                && text.substring(space + 1, end).chars().allMatch(Character::isDigit);
+        return text.indexOf('/') >= 0 && STATUS_LINE.matcher(text).find();
     }
 }
--- a/gateway/src/main/java/org/whinhead/gateway/http/ResponseDecoder.java
+++ b/gateway/src/main/java/org/whinhead/gateway/http/ResponseDecoder.java
@@ -1,19 +1,23 @@
 package org.whinhead.gateway.http;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseDecoder;
-import java.nio.charset.StandardCharsets;
+import io.netty.util.AsciiString;
 
-/** Decodes the responses on a connection that carries one request at a time. */
+/**
+ * Decodes the responses on a connection that carries one request at a time.
+ *
+ * <p>It is stricter than its base class, which takes "Date HTTP/1.1 500" for a field "Date": a
+ * status line that follows a begun field would be dropped.
+ */
 final class ResponseDecoder extends HttpResponseDecoder {
 
-    private static final int FIRST_PRINTABLE = 0x20;
-    private static final int LAST_PRINTABLE = 0x7e;
+    private static final int STATUS_DIGITS = 3;
 
     private boolean mAfterHeadRequest;
+    private int mVersionEnd;
 
     ResponseDecoder(final HttpDecoderConfig config) {
         super(config);
@@ -29,25 +33,41 @@
         return mAfterHeadRequest || super.isContentAlwaysEmpty(message);
     }
 
+    @Override
+    protected String splitFirstWordInitialLine(
+            final byte[] line, final int start, final int length) {
+        final String version = super.splitFirstWordInitialLine(line, start, length);
+        if (!version.equals("HTTP/1.1") && !version.equals("HTTP/1.0")) {
+            throw new IllegalArgumentException("status line with version " + version);
+        }
+        mVersionEnd = start + length;
+        return version;
+    }
+
+    @Override
+    protected String splitSecondWordInitialLine(
+            final byte[] line, final int start, final int length) {
+        if (start != mVersionEnd + 1 || line[mVersionEnd] != ' ' || length != STATUS_DIGITS) {
+            throw new IllegalArgumentException("no three digits after the version and a space");
+        }
+        return super.splitSecondWordInitialLine(line, start, length);
+    }
+
+    @Override
+    protected AsciiString splitHeaderName(final byte[] line, final int start, final int length) {
+        if (line[start + length] != ':') {
+            throw new IllegalArgumentException("no colon after the name of a field");
+        }
+        return super.splitHeaderName(line, start, length);
+    }
+
     /** Returns the number of bytes that were received and not decoded yet. */
     int unreadBytes() {
         return actualReadableBytes();
     }
 
-    /**
-     * Returns the begin of the bytes that were received and not decoded yet.
-     *
-     * @param maxBytes the most bytes
-     * @return the bytes as text; those that are not printable are dots
-     */
-    String unreadBegin(final int maxBytes) {
-        final ByteBuf unread = internalBuffer();
-        final int length = Math.min(unread.readableBytes(), maxBytes);
-        final StringBuilder text = new StringBuilder(length);
-        unread.toString(unread.readerIndex(), length, StandardCharsets.ISO_8859_1)
-                .chars()
-                .map(code -> code < FIRST_PRINTABLE || code > LAST_PRINTABLE ? '.' : code)
-                .forEach(code -> text.append((char) code));
-        return text.toString();
+    /** Returns what these bytes are. */
+    LeftOver leftOver() {
+        return unreadBytes() == 0 ? LeftOver.NOTHING : LeftOver.of(internalBuffer());
     }
 }
--- a/gateway/src/main/java/org/whinhead/gateway/http/ResponseMessageLimit.java
+++ b/gateway/src/main/java/org/whinhead/gateway/http/ResponseMessageLimit.java
@@ -8,7 +8,6 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
@@ -26,11 +25,6 @@
     /** A server sends one or two; each costs some work and no memory. */
     private static final int MAX_INTERIM_RESPONSES = 16;
 
-    /** Tells a second response from other bytes in the log. */
-    private static final int MAX_LEFT_OVER_BEGIN = 16;
-
-    private static final String PROTOCOL_NAME = HttpVersion.HTTP_1_1.protocolName();
-
     private final ResponseProgress mProgress;
     private final ResponseDecoder mDecoder;
     private boolean mInInterim;
@@ -107,21 +101,16 @@
         return Optional.empty();
     }
 
-    /** Marks a head that was read from two, or with bytes before it, as not decoded. */
+    /** Marks a head that was read from two as not decoded. */
     private void checkHead(final HttpResponse response) {
         final Optional<String> place = JoinedHead.find(response);
         mProgress.joinedHead(place);
         if (place.isPresent()) {
-            markNotDecoded(response, "status line within " + place.get());
-        } else if (!response.protocolVersion().protocolName().equals(PROTOCOL_NAME)) {
-            markNotDecoded(response, "protocol " + response.protocolVersion().protocolName());
+            response.setDecoderResult(
+                    DecoderResult.failure(new IOException("status line within " + place.get())));
         }
     }
 
-    private static void markNotDecoded(final HttpResponse response, final String reason) {
-        response.setDecoderResult(DecoderResult.failure(new IOException(reason)));
-    }
-
     private Optional<OverlongPart> overlongPart(final Object message) {
         return message instanceof HttpObject object && object.decoderResult().isFailure()
                 ? OverlongPart.of(object.decoderResult().cause(), mProgress.isInBody())
@@ -135,8 +124,7 @@
             mInInterim = false;
             mProgress.ended();
             if (!interim) {
-                mProgress.leftOver(
-                        mDecoder.unreadBytes(), mDecoder.unreadBegin(MAX_LEFT_OVER_BEGIN));
+                mProgress.leftOver(mDecoder.leftOver(), mDecoder.unreadBytes());
             }
         }
         return interim;
--- a/gateway/src/main/java/org/whinhead/gateway/http/ResponseProgress.java
+++ b/gateway/src/main/java/org/whinhead/gateway/http/ResponseProgress.java
@@ -11,8 +11,8 @@
     private boolean mFailed;
     private boolean mInputEnded;
     private Optional<String> mJoinedHead = Optional.empty();
+    private LeftOver mLeftOver = LeftOver.NOTHING;
     private int mLeftOverBytes;
-    private String mLeftOverBegin = "";
 
     ResponseProgress() {}
 
@@ -43,9 +43,9 @@
     }
 
     /** Records what was received with the end of the response and doesn't belong to it. */
-    void leftOver(final int bytes, final String begin) {
+    void leftOver(final LeftOver leftOver, final int bytes) {
+        mLeftOver = leftOver;
         mLeftOverBytes = bytes;
-        mLeftOverBegin = begin;
     }
 
     /**
@@ -58,22 +58,22 @@
     }
 
     /**
-     * Returns the number of bytes that were received together with the end of the last response and
-     * don't belong to it.
+     * Returns what was received together with the end of the last response and doesn't belong to
+     * it.
      *
-     * @return the bytes; 0 if there are none, or no response has ended
+     * @return the kind of the bytes; {@code NOTHING} if no response has ended
      */
-    public int leftOverBytes() {
-        return mLeftOverBytes;
+    public LeftOver leftOver() {
+        return mLeftOver;
     }
 
     /**
-     * Returns the begin of these bytes.
+     * Returns the number of these bytes.
      *
-     * @return up to 16 characters; bytes that are not printable are dots
+     * @return the bytes
      */
-    public String leftOverBegin() {
-        return mLeftOverBegin;
+    public int leftOverBytes() {
+        return mLeftOverBytes;
     }
 
     /** Records that the server has closed its side of the connection in order. */
--- a/gateway/src/main/java/org/whinhead/gateway/http/UndecodedByteLimit.java
+++ b/gateway/src/main/java/org/whinhead/gateway/http/UndecodedByteLimit.java
@@ -12,7 +12,7 @@
  *
  * <p>The decoder skips blank lines before a head without a limit, also while no response is
  * awaited. Bytes that precede the request of a connection that is used again would be taken for the
- * begin of its response.
+ * start of its response.
  */
 final class UndecodedByteLimit extends ChannelInboundHandlerAdapter {
 
--- a/gateway/src/main/java/org/whinhead/gateway/metrics/CounterKey.java
+++ b/gateway/src/main/java/org/whinhead/gateway/metrics/CounterKey.java
@@ -58,7 +58,7 @@
         /** Parts of responses, or instead of responses, that endpoints sent beyond a limit. */
         OVERLONG("whinhead.responses.overlong", "service", "part"),
         /** Responses with whose end bytes were received that don't belong to them. */
-        LEFT_OVER("whinhead.responses.left.over", "service", ""),
+        LEFT_OVER("whinhead.responses.left.over", "service", "kind"),
         /** Heads of responses that contain another status line. */
         JOINED_HEAD("whinhead.responses.joined", "service", ""),
         /** Further attempts that the retry budget did not allow. */
--- a/gateway/src/main/java/org/whinhead/gateway/metrics/RequestMetrics.java
+++ b/gateway/src/main/java/org/whinhead/gateway/metrics/RequestMetrics.java
@@ -190,9 +190,10 @@
      * Counts a response with whose end bytes were received that don't belong to it.
      *
      * @param service the endpoint's service
+     * @param kind what the bytes are
      */
-    public void recordLeftOver(final String service) {
-        counter(Metric.LEFT_OVER, service, "").add(1);
+    public void recordLeftOver(final String service, final String kind) {
+        counter(Metric.LEFT_OVER, service, kind).add(1);
     }
 
     /**
