Let streams of unknown origin go on only if they can't be older than the list

After all daemons were killed nobody knows where a stream began, and it went on once a single version had been listed for the timeout of its route and 3 s. A caller may hold a stream for longer: its own deadline may be longer than the timeout, and it may come back several times, each time with a deadline of its own. Its stream then went on at the version that had replaced the one that began it.

A named stream goes on only if a single version was listed for five minutes, the longest time for which daemons keep streams. A stream that its caller doesn't name goes on after the longest time that any caller has stated on its route, at least the timeout, or two timeouts if the request states none.

ExchangesTest: two new tests were red before (both streams went on after 100 s and 20 s of a timeout of 4 s) and pass. The test that such streams go on at all now passes the longer times first; it demands the same outcomes.

--- a/gateway/src/main/java/org/whinhead/gateway/exchange/Exchanges.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/Exchanges.java
@@ -187,14 +187,29 @@
     /** Starts an admitted request; one that resumes a stream waits for the stream's origin. */
     ActiveRequest start(
             final AdmittedRequest admission, final ByteBuf body, final CallerResponse response) {
-        final boolean resumes =
-                admission.route().kind().isStream()
-                        && admission.request().resumeAfter().isPresent();
+        final boolean stream = admission.route().kind().isStream();
+        if (stream) {
+            recordResumableTime(admission);
+        }
+        final boolean resumes = stream && admission.request().resumeAfter().isPresent();
         return resumes
                 ? new PendingResumption(this, admission, body, response)
                 : startExchange(admission, Optional.empty(), body, response);
     }
 
+    private void recordResumableTime(final AdmittedRequest admission) {
+        admission
+                .request()
+                .deadline()
+                .ifPresent(
+                        deadline ->
+                                mState.resumableTimes()
+                                        .record(
+                                                admission.route().name(),
+                                                deadline,
+                                                mState.clock().instant()));
+    }
+
     /** Starts the exchange of an admitted request, which may continue a stream. */
     ActiveRequest startExchange(
             final AdmittedRequest admission,
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/PendingResumption.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/PendingResumption.java
@@ -7,13 +7,14 @@
 import org.whinhead.gateway.caller.RefusalResponse;
 import org.whinhead.gateway.stream.StreamIdentifier;
 import org.whinhead.serving.route.Route;
+import org.whinhead.serving.stream.ResumableTimes;
 import org.whinhead.serving.stream.StreamLookup;
 import org.whinhead.serving.stream.StreamOrigin;
 
 /**
  * A request that resumes a stream, until it is known where the stream began. Without that, events
  * of two software versions could be joined, so the request is refused and its caller begins anew,
- * unless only one version has served for as long as streams of the route may last.
+ * unless only one version has served since the stream can have begun.
  */
 final class PendingResumption extends PendingRequest {
 
@@ -23,6 +24,9 @@
     private static final String AMBIGUOUS = "id of resumed stream used twice";
     private static final String SERVICE_REPLACED = "service of resumed stream replaced";
 
+    /** The time limit of a caller that states none, in timeouts of its route. */
+    private static final int DEFAULT_TIMEOUTS = 2;
+
     /** The time that a caller takes to notice that its stream has broken off. */
     private static final Duration BREAK_NOTICED = Duration.ofSeconds(3);
 
@@ -54,7 +58,7 @@
     private Runnable find() {
         final Optional<String> firstId = mAdmission.request().resumedRequest();
         if (firstId.isEmpty()) {
-            continueAtOnlyVersion(NOT_NAMED);
+            continueAtOnlyVersion(NOT_NAMED, longestStatedTime().plus(BREAK_NOTICED));
             return () -> {};
         }
         if (firstId.get().equals(mAdmission.request().id())) {
@@ -71,25 +75,37 @@
 
     private void found(final StreamLookup lookup) {
         switch (lookup.knowledge()) {
-            case NONE -> continueAtOnlyVersion(NOT_KNOWN);
+            // Each attempt may have a deadline of its own, so no deadline limits the stream's age.
+            case NONE -> continueAtOnlyVersion(NOT_KNOWN, ResumableTimes.LONGEST);
             case AMBIGUOUS -> refuse(AMBIGUOUS);
             case ORIGIN -> continueAt(lookup.origin().orElseThrow());
             default -> throw new IllegalStateException("knowledge " + lookup.knowledge());
         }
     }
 
-    private void continueAtOnlyVersion(final String reason) {
+    /** Returns the longest time for which callers of the route may still resume a stream. */
+    private Duration longestStatedTime() {
         final Route route = mAdmission.route();
+        final Duration least =
+                mAdmission.request().deadline().isPresent()
+                        ? route.timeout()
+                        : route.timeout().multipliedBy(DEFAULT_TIMEOUTS);
+        final Duration stated =
+                mExchanges
+                        .state()
+                        .resumableTimes()
+                        .longest(route.name(), mExchanges.state().clock().instant());
+        return stated.compareTo(least) > 0 ? stated : least;
+    }
+
+    private void continueAtOnlyVersion(final String reason, final Duration span) {
         final Optional<StreamOrigin> origin =
-                route.onlyService()
+                mAdmission
+                        .route()
+                        .onlyService()
                         .flatMap(
                                 service ->
-                                        mExchanges
-                                                .state()
-                                                .selection()
-                                                .onlyOrigin(
-                                                        service,
-                                                        route.timeout().plus(BREAK_NOTICED)));
+                                        mExchanges.state().selection().onlyOrigin(service, span));
         if (origin.isPresent()) {
             continueAt(origin.get());
         } else {
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/ServingState.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/ServingState.java
@@ -29,6 +29,7 @@
 import org.whinhead.serving.reach.EndpointReach;
 import org.whinhead.serving.rollout.Rollouts;
 import org.whinhead.serving.stream.KnownStreams;
+import org.whinhead.serving.stream.ResumableTimes;
 import org.whinhead.serving.stream.ServedVersions;
 import org.whinhead.serving.usage.FleetClock;
 import org.whinhead.serving.usage.UsageLedger;
@@ -63,6 +64,7 @@
     private final UsualRequests mUsual = new UsualRequests();
     private final KnownStreams mStreams = new KnownStreams();
     private final ServedVersions mVersions = new ServedVersions();
+    private final ResumableTimes mResumableTimes = new ResumableTimes();
     private final EndpointChooser mChooser;
     private final CustomerQuotas mQuotas;
     private final ServiceRetryBudget mRetryBudget;
@@ -336,6 +338,15 @@
         return mVersions;
     }
 
+    /**
+     * Returns the times for which callers may resume streams.
+     *
+     * @return the times
+     */
+    public ResumableTimes resumableTimes() {
+        return mResumableTimes;
+    }
+
     /** Observes the versions of the listed endpoints; to be called several times a second. */
     public void observeVersions() {
         mVersions.observe(mEndpoints.all(), mClock.instant());
--- a/gateway/src/test/java/org/whinhead/gateway/exchange/ExchangesTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/exchange/ExchangesTest.java
@@ -125,6 +125,11 @@
     }
 
     private RefusalResponse refusalOfResumption(final Optional<String> resumedRequest) {
+        return refusalOfResumption(resumedRequest, Optional.empty());
+    }
+
+    private RefusalResponse refusalOfResumption(
+            final Optional<String> resumedRequest, final Optional<Duration> deadline) {
         final RefusalRecorder response = new RefusalRecorder();
         mExchanges.serve(
                 CallerRequest.builder()
@@ -133,6 +138,7 @@
                         .key(Optional.of("key-1"))
                         .resumeAfter(Optional.of("3"))
                         .resumedRequest(resumedRequest)
+                        .deadline(deadline)
                         .forwardedHeaders(new DefaultHttpHeaders())
                         .build(),
                 Unpooled.EMPTY_BUFFER,
@@ -194,20 +200,49 @@
         }
     }
 
+    private void listOnlyVersion() {
+        mState.endpoints().put(TestServing.endpoint("e-1", true), 1);
+        mState.observeVersions();
+        mState.versions().recordConfirmed(NOW);
+    }
+
     // Guards against streams that are given up needlessly: their callers don't name them, or all
     // daemons were killed, while only one version has served.
     @Test
     void resumptionOfUnknownStreamContinuesIfOnlyOneVersionHasServed() {
-        mState.endpoints().put(TestServing.endpoint("e-1", true), 1);
-        mState.observeVersions();
-        mState.versions().recordConfirmed(NOW);
+        listOnlyVersion();
         assertThat(refusalOfResumption(Optional.of("r-1")))
                 .isEqualTo(RefusalResponse.notRunForGood("resumed stream not known"));
-        passTime(Duration.ofSeconds(8));
+        passTime(Duration.ofSeconds(12));
         // The only endpoint is leaving, so nothing is sent.
+        assertThat(refusalOfResumption(Optional.empty()))
+                .isEqualTo(RefusalResponse.notRunForGood("no endpoint left"));
+        passTime(Duration.ofMinutes(5));
         assertThat(refusalOfResumption(Optional.of("r-1")))
                 .isEqualTo(RefusalResponse.notRunForGood("no endpoint left"));
-        assertThat(refusalOfResumption(Optional.empty()))
+    }
+
+    // Guards against joining two versions after all daemons were killed: callers come back several
+    // times, each time with a deadline of its own, so a named stream may be older than any of them.
+    @Test
+    void namedStreamMayBeOlderThanTheTimeoutOfItsRoute() {
+        listOnlyVersion();
+        passTime(Duration.ofSeconds(100));
+        assertThat(refusalOfResumption(Optional.of("r-1")))
+                .isEqualTo(RefusalResponse.notRunForGood("resumed stream not known"));
+    }
+
+    // Guards against joining two versions after all daemons were killed: a caller that doesn't name
+    // its stream waits longer than the timeout of the route.
+    @Test
+    void unnamedStreamMayBeAsOldAsTheLongestDeadline() {
+        listOnlyVersion();
+        refusalOfResumption(Optional.empty(), Optional.of(Duration.ofSeconds(60)));
+        passTime(Duration.ofSeconds(20));
+        assertThat(refusalOfResumption(Optional.empty(), Optional.of(Duration.ofSeconds(1))))
+                .isEqualTo(RefusalResponse.notRunForGood("resumed stream not named"));
+        passTime(Duration.ofSeconds(45));
+        assertThat(refusalOfResumption(Optional.empty(), Optional.of(Duration.ofSeconds(1))))
                 .isEqualTo(RefusalResponse.notRunForGood("no endpoint left"));
     }
 
