Tell no single version from a list that was out of step

A stream of unknown origin goes on if its service was listed with a single version for some time, with a list that was confirmed all the while. Three things were not seen: - A VM that is suspended: its steady clock stops, so after it the list counted as just confirmed. The longer of the steady clock's time and the time of day counts now. - A version whose only entry is added and removed in one read: what was listed was observed after the read only. Each entry that is read counts now. - A store that has returned from an older copy, whose list is confirmed but lacks entries that other daemons have used. What is known starts anew then.

--- a/gateway/src/main/java/org/whinhead/gateway/exchange/EndpointSelection.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/EndpointSelection.java
@@ -249,7 +249,7 @@
     Optional<StreamOrigin> onlyOrigin(final String service, final Duration span) {
         mState.observeVersions();
         return mState.versions()
-                .onlyVersion(service, span, now())
+                .onlyVersion(service, span, mState.moment())
                 .map(version -> new StreamOrigin(service, version));
     }
 }
--- a/gateway/src/main/java/org/whinhead/gateway/peers/DigestReadCoordinator.java
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/DigestReadCoordinator.java
@@ -228,7 +228,7 @@
         mReceivedDigests.put(sender, received);
         mState.configurationProgress().recordAnnounced(digest.getConfigurationVersion(), now());
         if (hasSameSet(digest)) {
-            mState.versions().recordConfirmed(now());
+            mState.versions().recordConfirmed(mState.moment());
         }
         if (hasSameEndpoints(digest)) {
             received.mSameAt = now();
--- a/gateway/src/main/java/org/whinhead/gateway/store/EndpointTopicListener.java
+++ b/gateway/src/main/java/org/whinhead/gateway/store/EndpointTopicListener.java
@@ -155,6 +155,7 @@
     @Override
     public void onOlderCopy(final long end) {
         registry().recordOlderCopy(end, now());
+        mState.versions().recordGap();
     }
 
     @Override
@@ -172,7 +173,7 @@
         mEnd = end;
         mChanges.clear();
         discardStaleState();
-        mState.versions().recordConfirmed(now());
+        mState.versions().recordConfirmed(mState.moment());
         mOnRead.run();
     }
 
@@ -184,7 +185,7 @@
             changed |= apply(record);
         }
         discardStaleState();
-        mState.versions().recordConfirmed(now());
+        mState.versions().recordConfirmed(mState.moment());
         mOnRead.run();
         if (changed) {
             mOnChange.run();
@@ -232,6 +233,8 @@
             return remove(change);
         }
         final EndpointEntry entry = change.entry().get();
+        // The same batch may remove it again, and its endpoint has begun streams in between.
+        mState.versions().observe(List.of(entry), now());
         final EntryEffect effect = registry().put(entry, change.offset());
         if (effect == EntryEffect.RESTARTED) {
             mState.chooser().forgetEndpoint(entry.id());
--- a/gateway/src/test/java/org/whinhead/gateway/exchange/EndpointSelectionTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/exchange/EndpointSelectionTest.java
@@ -195,7 +195,7 @@
     void streamOfUnknownOriginHasNoneWithoutHistory() {
         list("e-1", "v1", 1);
         assertThat(mSelection.onlyOrigin("pool", Duration.ofSeconds(1))).isEmpty();
-        mState.versions().recordConfirmed(NOW);
+        mState.versions().recordConfirmed(mState.moment());
         assertThat(mSelection.onlyOrigin("pool", Duration.ZERO)).contains(ORIGIN);
     }
 }
--- a/gateway/src/test/java/org/whinhead/gateway/exchange/ExchangesTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/exchange/ExchangesTest.java
@@ -196,14 +196,14 @@
         while (mNow.isBefore(end)) {
             mNow = mNow.plus(Exchanges.LAG_MEASUREMENT_INTERVAL);
             mExchanges.measureLag();
-            mState.versions().recordConfirmed(mNow);
+            mState.versions().recordConfirmed(mState.moment());
         }
     }
 
     private void listOnlyVersion() {
         mState.endpoints().put(TestServing.endpoint("e-1", true), 1);
         mState.observeVersions();
-        mState.versions().recordConfirmed(NOW);
+        mState.versions().recordConfirmed(mState.moment());
     }
 
     // Guards against streams that are given up needlessly: their callers don't name them, or all
--- a/gateway/src/test/java/org/whinhead/gateway/store/EndpointTopicListenerTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/store/EndpointTopicListenerTest.java
@@ -2,7 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
@@ -32,8 +34,14 @@
         if (value.length == 0) {
             throw new UnreadableRecordException("empty", new IllegalArgumentException());
         }
-        return TestServing.endpoint(
-                id, new String(value, StandardCharsets.UTF_8).equals("leaving"));
+        final String text = new String(value, StandardCharsets.UTF_8);
+        if (text.startsWith("v")) {
+            return EndpointEntry.builder(
+                            id, "pool", new InetSocketAddress("127.0.0.1", 9000), "domain-a")
+                    .version(text)
+                    .build();
+        }
+        return TestServing.endpoint(id, text.equals("leaving"));
     }
 
     private static StoreRecord record(final String value, final long offset) {
@@ -146,4 +154,42 @@
         assertThat(mState.endpoints().usable("pool")).hasSize(1);
         assertThat(mListener.drainChanges()).isEmpty();
     }
+
+    private Optional<String> onlyVersion() {
+        return mState.versions().onlyVersion("pool", Duration.ofSeconds(5), mState.moment());
+    }
+
+    private void readForSeconds(final int seconds) {
+        for (int step = 0; step < seconds; step++) {
+            mNow = mNow.plusSeconds(1);
+            mListener.onAppended(List.of());
+        }
+    }
+
+    // Guards against joining a stream of a version whose endpoints came and went between two reads.
+    @Test
+    void versionThatHasLeftAgainBetweenReadsIsObserved() {
+        mListener.onSnapshot(List.of(record("ready", 0)), 1);
+        readForSeconds(6);
+        assertThat(onlyVersion()).isPresent();
+        mListener.onAppended(
+                List.of(
+                        new StoreRecord(
+                                "e2", Optional.of("v2".getBytes(StandardCharsets.UTF_8)), 1),
+                        new StoreRecord("e2", Optional.empty(), 2)));
+        assertThat(onlyVersion()).isEmpty();
+        readForSeconds(6);
+        assertThat(onlyVersion()).isPresent();
+    }
+
+    // Guards against a list that is confirmed but older: the store has lost an entry that others
+    // have used, and its endpoint has not written again yet.
+    @Test
+    void listOfOlderCopyTellsNoSingleVersion() {
+        mListener.onSnapshot(List.of(record("ready", 0)), 1);
+        readForSeconds(6);
+        mListener.onOlderCopy(2);
+        mListener.onSnapshot(List.of(record("ready", 1)), 2);
+        assertThat(onlyVersion()).isEmpty();
+    }
 }
--- a/serving/src/main/java/org/whinhead/serving/stream/ServedVersions.java
+++ b/serving/src/main/java/org/whinhead/serving/stream/ServedVersions.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.whinhead.serving.endpoint.EndpointEntry;
+import org.whinhead.serving.quota.ClockReading;
 
 /**
  * The software versions that each service was listed with over time. If it was a single one since a
@@ -15,12 +16,15 @@
  */
 public final class ServedVersions {
 
-    /** The longest time since the list was last confirmed: three reads of those that read it. */
+    /**
+     * The longest time since the list was last confirmed: three reads of those that read it. The
+     * time for which this VM was suspended counts as well, which its steady clock doesn't show.
+     */
     static final Duration MAX_UNCONFIRMED = Duration.ofMillis(1_500);
 
     private final Map<String, Map<String, Instant>> mListedAt = new HashMap<>();
     private Optional<Instant> mKnownSince = Optional.empty();
-    private Instant mConfirmedAt = Instant.MIN;
+    private Optional<ClockReading> mConfirmedAt = Optional.empty();
 
     /**
      * Observes the listed endpoints; to be called at each change and several times a second.
@@ -41,12 +45,24 @@
      *
      * @param now the current time
      */
-    public void recordConfirmed(final Instant now) {
-        if (mConfirmedAt.isBefore(now.minus(MAX_UNCONFIRMED))) {
+    public void recordConfirmed(final ClockReading now) {
+        if (!isConfirmed(now)) {
             // What was listed in between is not known.
-            mKnownSince = Optional.of(now);
+            mKnownSince = Optional.of(now.steady());
         }
-        mConfirmedAt = now;
+        mConfirmedAt = Optional.of(now);
+    }
+
+    private boolean isConfirmed(final ClockReading now) {
+        return mConfirmedAt
+                .filter(at -> now.elapsedSince(at).compareTo(MAX_UNCONFIRMED) <= 0)
+                .isPresent();
+    }
+
+    /** Records that versions may have been listed that this daemon has not observed. */
+    public void recordGap() {
+        mKnownSince = Optional.empty();
+        mConfirmedAt = Optional.empty();
     }
 
     /**
@@ -58,11 +74,10 @@
      * @return the version; empty if there were several or none, or if that is not known
      */
     public Optional<String> onlyVersion(
-            final String service, final Duration span, final Instant now) {
-        final Instant from = now.minus(span);
+            final String service, final Duration span, final ClockReading now) {
+        final Instant from = now.steady().minus(span);
         final boolean known =
-                mKnownSince.filter(since -> !since.isAfter(from)).isPresent()
-                        && !mConfirmedAt.isBefore(now.minus(MAX_UNCONFIRMED));
+                mKnownSince.filter(since -> !since.isAfter(from)).isPresent() && isConfirmed(now);
         if (!known) {
             return Optional.empty();
         }
