Write no body and no last chunk in response to HEAD

What callers saw: after a refused HEAD request, or one whose endpoint stated no length, the first bytes of the next response on a kept connection were not its own: the text of the refusal, or a last chunk.

Cause: the connection of a caller wrote each response as if it might have a body. The class is that of docs/design/response-bytes.md, on the caller's side.

Change: refusals of HEAD have no content, and a response to HEAD without a length is not written in chunks.

Measured: both new tests of CallerConnectionTest fail on the code before (the text, and "0" with its line ends) and hold now.

--- a/gateway/src/main/java/org/whinhead/gateway/caller/CallerConnection.java
+++ b/gateway/src/main/java/org/whinhead/gateway/caller/CallerConnection.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -55,7 +56,7 @@
     private CallerRequestHandler.ActiveRequest mRunning;
     private boolean mServing;
     private boolean mKeepAlive = true;
-    private boolean mChunked;
+    private boolean mHeadRequest;
     private boolean mDiscarding;
     private boolean mSeenRequest;
 
@@ -110,6 +111,7 @@
 
     private void readHead(final HttpRequest head) {
         mSeenRequest = true;
+        mHeadRequest = head.method().equals(HttpMethod.HEAD);
         if (head.decoderResult().isFailure()) {
             refuseUnread(refusalOf(head.decoderResult().cause()));
             return;
@@ -188,8 +190,8 @@
                         HttpVersion.HTTP_1_1,
                         endpointResponse.status(),
                         endpointResponse.forwardedHeaders());
-        mChunked = !HttpUtil.isContentLengthSet(response);
-        if (mChunked) {
+        // The last chunk would be read as the begin of the response after the one to HEAD.
+        if (!mHeadRequest && !HttpUtil.isContentLengthSet(response)) {
             HttpUtil.setTransferEncodingChunked(response, true);
         }
         setConnectionHeader(response);
@@ -227,11 +229,12 @@
 
     @Override
     public void refuse(final RefusalResponse refusal) {
+        final ByteBuf body =
+                mHeadRequest
+                        ? Unpooled.EMPTY_BUFFER
+                        : Unpooled.copiedBuffer(refusal.reason() + "\n", StandardCharsets.UTF_8);
         final FullHttpResponse response =
-                new DefaultFullHttpResponse(
-                        HttpVersion.HTTP_1_1,
-                        refusal.status(),
-                        Unpooled.copiedBuffer(refusal.reason() + "\n", StandardCharsets.UTF_8));
+                new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, refusal.status(), body);
         response.headers().set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8");
         refusal.retryAfter().ifPresent(after -> setRetryAfter(response, after));
         HttpUtil.setContentLength(response, response.content().readableBytes());
--- a/gateway/src/test/java/org/whinhead/gateway/caller/CallerConnectionTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/caller/CallerConnectionTest.java
@@ -236,4 +236,25 @@
         mServer.drain();
         assertThat(mChannel.isOpen()).isFalse();
     }
+
+    // Guards against a caller that takes the body of a refusal for the begin of its next response:
+    // the response to HEAD has no body, whatever its fields state.
+    @Test
+    void refusalOfHeadRequestHasNoBody() {
+        send("HEAD /a HTTP/1.1\r\nHost: h\r\nId: 1\r\n\r\n");
+        mResponses.get(0).refuse(RefusalResponse.notRun("busy", Duration.ofMillis(250)));
+        assertThat(received()).startsWith("HTTP/1.1 503").endsWith("\r\n\r\n");
+        assertThat(mChannel.isOpen()).isTrue();
+    }
+
+    // Guards against a caller that takes the last chunk of a response to HEAD for the begin of its
+    // next response: the endpoint stated no length.
+    @Test
+    void responseToHeadRequestHasNoLastChunk() {
+        send("HEAD /a HTTP/1.1\r\nHost: h\r\nId: 1\r\n\r\n");
+        mResponses.get(0).start(success());
+        mResponses.get(0).finish();
+        assertThat(received()).isEqualTo("HTTP/1.1 200 OK\r\n\r\n");
+        assertThat(mChannel.isOpen()).isTrue();
+    }
 }
