Refuse requests in transfer codings other than chunked

Cause: the decoder refuses other codings in one field, but not in two fields: the body ran at an endpoint without the coding it was in, as the field applies to one connection and is not passed on.

Change: the field must occur once and name the one coding that is read.

Measured: requestWithTwoTransferCodingFieldsIsRefused fails on the code before (the request is served) and holds now. The rows with one field, and the request of HTTP/1.0 in chunks, held before.

--- a/gateway/src/main/java/org/whinhead/gateway/caller/CallerConnection.java
+++ b/gateway/src/main/java/org/whinhead/gateway/caller/CallerConnection.java
@@ -28,6 +28,7 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.whinhead.gateway.endpoint.EndpointResponse;
@@ -116,6 +117,12 @@
             refuseUnread(refusalOf(head.decoderResult().cause()));
             return;
         }
+        if (hasOtherTransferCoding(head)) {
+            refuseUnread(
+                    RefusalResponse.invalid(
+                            HttpResponseStatus.BAD_REQUEST, "unknown transfer coding"));
+            return;
+        }
         mKeepAlive = HttpUtil.isKeepAlive(head);
         try {
             mRequest = mServer.protocol().decode(head);
@@ -134,6 +141,14 @@
         mBody = mContext.alloc().compositeBuffer(1024);
     }
 
+    /** Returns whether a body is in a coding that is not decoded here, nor stated to endpoints. */
+    private static boolean hasOtherTransferCoding(final HttpRequest head) {
+        final List<String> codings = head.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
+        return !codings.isEmpty()
+                && !(codings.size() == 1
+                        && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.get(0)));
+    }
+
     private static RefusalResponse refusalOf(final Throwable cause) {
         if (cause instanceof TooLongFrameException) {
             return RefusalResponse.invalid(
--- a/gateway/src/test/java/org/whinhead/gateway/caller/CallerConnectionTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/caller/CallerConnectionTest.java
@@ -16,6 +16,8 @@
 import java.util.Optional;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.whinhead.gateway.endpoint.EndpointResponse;
 import org.whinhead.gateway.endpoint.EndpointStatements;
 import org.whinhead.serving.configuration.CallerLimits;
@@ -257,4 +259,48 @@
         assertThat(received()).isEqualTo("HTTP/1.1 200 OK\r\n\r\n");
         assertThat(mChannel.isOpen()).isTrue();
     }
+
+    // Guards against a request that runs without its body, whose bytes then run as a request that
+    // no caller sent: its transfer coding tells no end that this daemon knows.
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "gzip",
+                "chunked, gzip",
+                "gzip, chunked",
+                "identity",
+                "xchunked",
+                "\"chunked\""
+            })
+    void requestWithOtherTransferCodingIsRefused(final String coding) {
+        send(
+                "POST /a HTTP/1.1\r\nHost: h\r\nId: 1\r\nTransfer-Encoding: "
+                        + coding
+                        + "\r\n\r\nGET /hidden HTTP/1.1\r\nHost: h\r\nId: 2\r\n\r\n");
+        assertThat(mServed).isEmpty();
+        assertThat(received()).startsWith("HTTP/1.1 400");
+        assertThat(mChannel.isOpen()).isFalse();
+    }
+
+    @Test
+    void chunkedRequestOfOldVersionIsRefused() {
+        send(
+                "POST /a HTTP/1.0\r\nHost: h\r\nId: 1\r\nConnection: keep-alive\r\n"
+                        + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+        assertThat(mServed).isEmpty();
+        assertThat(received()).startsWith("HTTP/1.1 400");
+        assertThat(mChannel.isOpen()).isFalse();
+    }
+
+    // Guards against a request that runs although its body is in a coding which nobody decodes: the
+    // coding is stated in a field of its own.
+    @Test
+    void requestWithTwoTransferCodingFieldsIsRefused() {
+        send(
+                "POST /a HTTP/1.1\r\nHost: h\r\nId: 1\r\nTransfer-Encoding: gzip\r\n"
+                        + "Transfer-Encoding: chunked\r\n\r\n2\r\nxy\r\n0\r\n\r\n");
+        assertThat(mServed).isEmpty();
+        assertThat(received()).startsWith("HTTP/1.1 400");
+        assertThat(mChannel.isOpen()).isFalse();
+    }
 }
