Run nothing that is read after a response was aborted

Cause: closing a connection makes its decoder hand over what it holds. If the response is aborted while its request is being read, the next request in the same read ran for a caller whose connection was closed.

Change: all input after an abort is discarded.

Expect: 100-continue has a test of its own, as the embedded channel runs tasks within a flush.

--- a/gateway/src/main/java/org/whinhead/gateway/caller/CallerConnection.java
+++ b/gateway/src/main/java/org/whinhead/gateway/caller/CallerConnection.java
@@ -237,6 +237,8 @@
 
     @Override
     public void abort() {
+        // The close hands over what the decoder still holds.
+        mDiscarding = true;
         mServing = false;
         mRunning = null;
         mContext.close();
--- a/gateway/src/test/java/org/whinhead/gateway/caller/CallerConnectionTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/caller/CallerConnectionTest.java
@@ -14,6 +14,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -29,6 +30,7 @@
 
     private final List<String> mServed = new ArrayList<>();
     private final List<CallerResponse> mResponses = new ArrayList<>();
+    private Consumer<CallerResponse> mAnswering = response -> {};
     private int mDisconnects;
     private CallerHttpServer mServer;
     private EmbeddedChannel mChannel;
@@ -60,6 +62,7 @@
         mServed.add(request.id() + ":" + body.toString(StandardCharsets.UTF_8));
         body.release();
         mResponses.add(response);
+        mAnswering.accept(response);
         return new CallerRequestHandler.ActiveRequest() {
             @Override
             public void callerDisconnected() {
@@ -303,4 +306,33 @@
         assertThat(received()).startsWith("HTTP/1.1 400");
         assertThat(mChannel.isOpen()).isFalse();
     }
+
+    // Guards against a request that runs although its connection was closed before: the answer to
+    // the one before it was cut while both were being read.
+    @Test
+    void nothingRunsAfterAbortedResponse() {
+        mAnswering = CallerResponse::abort;
+        send(
+                "GET /a HTTP/1.1\r\nHost: h\r\nId: 1\r\n\r\n"
+                        + "GET /b HTTP/1.1\r\nHost: h\r\nId: 2\r\n\r\n");
+        assertThat(mServed).containsExactly("1:");
+        assertThat(mChannel.isOpen()).isFalse();
+    }
+
+    // Guards against an interim response that reaches the request before the one it is meant for.
+    @Test
+    void bodyOfPipelinedRequestIsAskedForInItsTurn() {
+        send("GET /a HTTP/1.1\r\nHost: h\r\nId: 1\r\n\r\n");
+        send(
+                "POST /b HTTP/1.1\r\nHost: h\r\nId: 2\r\n"
+                        + "Expect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+        assertThat(received()).isEmpty();
+        mResponses.get(0).start(success());
+        mResponses.get(0).finish();
+        assertThat(received())
+                .startsWith("HTTP/1.1 200 OK")
+                .endsWith("0\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n");
+        send("xy");
+        assertThat(mServed).containsExactly("1:", "2:xy");
+    }
 }
