Reject responses in transfer codings other than chunked

Cause: a response that states both a coding and a length was taken to end after that length, though the coding overrides it, so that a part could count as whole; and the coding was not passed on to the caller.

Change: the head of such a response can't be decoded. Requests name no coding that endpoints may use.

--- a/gateway/src/main/java/org/whinhead/gateway/http/ResponseMessageLimit.java
+++ b/gateway/src/main/java/org/whinhead/gateway/http/ResponseMessageLimit.java
@@ -4,6 +4,8 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -106,11 +108,22 @@
         final Optional<String> place = JoinedHead.find(response);
         mProgress.joinedHead(place);
         if (place.isPresent()) {
-            response.setDecoderResult(
-                    DecoderResult.failure(new IOException("status line within " + place.get())));
+            markNotDecoded(response, "status line within " + place.get());
+        } else if (hasOtherTransferCoding(response)) {
+            markNotDecoded(response, "unknown transfer coding");
         }
     }
 
+    /** Returns whether the body is in a coding that is not decoded here, nor stated to callers. */
+    private static boolean hasOtherTransferCoding(final HttpResponse response) {
+        return response.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING).stream()
+                .anyMatch(coding -> !HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(coding));
+    }
+
+    private static void markNotDecoded(final HttpResponse response, final String reason) {
+        response.setDecoderResult(DecoderResult.failure(new IOException(reason)));
+    }
+
     private Optional<OverlongPart> overlongPart(final Object message) {
         return message instanceof HttpObject object && object.decoderResult().isFailure()
                 ? OverlongPart.of(object.decoderResult().cause(), mProgress.isInBody())
--- a/gateway/src/test/java/org/whinhead/gateway/http/ResponsePipelineTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/http/ResponsePipelineTest.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
@@ -17,6 +18,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Checks which bytes that are no response are refused, and that sound responses pass. */
 class ResponsePipelineTest {
@@ -45,7 +47,9 @@
     private final class Recorder extends ChannelInboundHandlerAdapter {
         @Override
         public void channelRead(final ChannelHandlerContext context, final Object message) {
-            if (message instanceof HttpResponse response) {
+            if (message instanceof HttpObject object && object.decoderResult().isFailure()) {
+                mReceived.add("not decoded");
+            } else if (message instanceof HttpResponse response) {
                 mReceived.add("head " + response.status().code());
             }
             if (message instanceof HttpContent content && content.content().isReadable()) {
@@ -68,7 +72,10 @@
     }
 
     private static String unescape(final String text) {
-        return text.replace("\\r", "\r").replace("\\n", "\n");
+        return text.replace("\\r", "\r")
+                .replace("\\n", "\n")
+                .replace("\\t", "\t")
+                .replace("\\0", "\0");
     }
 
     // Guards against bytes that are no response and come until the caller closes.
@@ -127,4 +134,25 @@
         receive("0\\r\\n\\r\\n");
         assertThat(mReceived).hasSize(10_002).last().isEqualTo("end");
     }
+
+    // Guards against a body whose end is not where its server meant it, or that reaches a caller
+    // without the coding it is in.
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "Transfer-Encoding: gzip\\r\\nContent-Length: 2\\r\\n",
+                "Transfer-Encoding: gzip\\r\\nTransfer-Encoding: chunked\\r\\n",
+                "Transfer-Encoding: chunked, gzip\\r\\n",
+                "Content-Length: 2\\r\\nContent-Length: 3\\r\\n",
+                "Content-Length: 2, 3\\r\\n",
+                "Content-Length: +2\\r\\n",
+                "Content-Length: -2\\r\\n",
+                "X: a\\0b\\r\\n",
+                "X: a\\rb\\r\\n",
+                "X: a\\nContent-Length: 2\\n",
+            })
+    void headWithAmbiguousFieldsIsNotDecoded(final String fields) {
+        receive("HTTP/1.1 200 OK\\r\\n" + fields + "\\r\\n2\\r\\nok");
+        assertThat(mReceived).startsWith("not decoded");
+    }
 }
