--- a/gateway/src/test/java/org/whinhead/gateway/http/ResponsePipelineTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/http/ResponsePipelineTest.java
@@ -135,6 +135,37 @@
         assertThat(mReceived).hasSize(10_002).last().isEqualTo("end");
     }
 
+    // Guards against a failure that passes for a success: the status line of the next response is
+    // read as the rest of a begun field, and dropped, as no colon follows.
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "X-Begun HTTP/1.1 500 Error\\r\\n",
+                "X-Begun \\r\\n",
+                "X-Begun\\r\\n",
+                "X-Begun : a\\r\\n",
+                "X-Begun HTTP/1.1 500 A:b\\r\\n",
+                "X-Begun\\tHTTP/1.1 500 Error\\r\\n",
+                "X-Begun",
+                "X-Begun: a\\r\\nHTTP/1.1 500 Error\\r\\n"
+            })
+    void lineWithoutColonAfterItsNameIsNotDecoded(final String line) {
+        for (final int size : new int[] {1, 7, 1_000}) {
+            connect();
+            mReceived.clear();
+            final String text =
+                    unescape(
+                            "HTTP/1.1 200 OK\\r\\n"
+                                    + line
+                                    + (line.endsWith("\\n") ? "" : "HTTP/1.1 500 Error\\r\\n")
+                                    + "Content-Length: 0\\r\\n\\r\\n");
+            for (int begin = 0; begin < text.length(); begin += size) {
+                receive(text.substring(begin, Math.min(begin + size, text.length())));
+            }
+            assertThat(mReceived).startsWith("not decoded");
+        }
+    }
+
     // Guards against a body whose end is not where its server meant it, or that reaches a caller
     // without the coding it is in.
     @ParameterizedTest
@@ -155,4 +186,11 @@
         receive("HTTP/1.1 200 OK\\r\\n" + fields + "\\r\\n2\\r\\nok");
         assertThat(mReceived).startsWith("not decoded");
     }
+
+    @Test
+    void fieldsWithBlanksAfterTheirColonsAreDecoded() {
+        receive("HTTP/1.1 200 OK\\r\\nX:  a\\r\\nY:\\r\\nZ:a b:c\\r\\n d e\\r\\n");
+        receive("Content-Length: 0\\r\\n\\r\\n");
+        assertThat(mReceived).containsExactly("head 200", "end");
+    }
 }
