Test a reset of an endpoint while its relay writes

Change: an endpoint resets a relayed connection after a part of its response, amid requests of growing length, so that in some rounds the write of the relay fails before its read. The asking daemon must see a loss.

--- a/gateway/src/test/java/org/whinhead/gateway/relay/RelayServerTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/relay/RelayServerTest.java
@@ -14,6 +14,8 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.Callable;
@@ -29,6 +31,8 @@
 
     private static final InetAddress LOOPBACK = InetAddress.getLoopbackAddress();
     private static final int TIMEOUT_SECONDS = 10;
+    private static final int RESET_ROUNDS = 40;
+    private static final int ASKS_PER_ROUND = 50_000;
 
     private final MultiThreadIoEventLoopGroup mLoops =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -224,4 +228,31 @@
             assertThat(nextEvent()).isEqualTo("NOT_RELAYED");
         }
     }
+
+    // Guards against half of a response that counts as the whole one: the endpoint resets its
+    // connection while the relay still writes the request, and the write fails before the read.
+    @Test
+    void resetWhileTheRequestIsWrittenIsNoEnd() throws Exception {
+        for (int round = 0; round < RESET_ROUNDS; round++) {
+            mEvents.clear();
+            open("e-1");
+            try (Socket endpoint = mEndpoint.accept()) {
+                assertThat(nextEvent()).isEqualTo("connected");
+                write("ask".repeat((round + 1) * ASKS_PER_ROUND));
+                assertThat(read(endpoint, 3)).isEqualTo("ask");
+                endpoint.getOutputStream().write("part".getBytes(StandardCharsets.US_ASCII));
+                endpoint.setSoLinger(true, 0);
+            }
+            String event = nextEvent();
+            final List<String> events = new ArrayList<>();
+            while (!"inactive".equals(event)) {
+                assertThat(event).as("event after " + events).isNotNull();
+                events.add(event);
+                event = nextEvent();
+            }
+            assertThat(events)
+                    .doesNotContain("event ChannelInputShutdownEvent")
+                    .containsAnyOf("IOException", "RelayLostException");
+        }
+    }
 }
