Read on behind a record on which a decoder fails

A decoder that failed in a way it doesn't declare ended the whole batch of records; the topic was listed again and failed at the same record again, so that the daemon followed it no more. All decoders of endpoints, configuration and roll-out orders now run in one place that makes such a record unreadable. No record is known with which the decoders do this.

recordOnWhichDecoderFailsDisablesOnlyItsOwnEndpoint failed before with 'long overflow' out of the listener, and passes now.

--- a/gateway/src/main/java/org/whinhead/gateway/store/ConfigurationTopicListener.java
+++ b/gateway/src/main/java/org/whinhead/gateway/store/ConfigurationTopicListener.java
@@ -84,8 +84,7 @@
 
     private void applyOrder(final StoreRecord record, final Consumer<RolloutOrder> ifNew) {
         try {
-            mRolloutCodec
-                    .decodeOrder(record)
+            RecordDecoding.decode(() -> mRolloutCodec.decodeOrder(record))
                     .filter(mState.rollouts()::addOrder)
                     .ifPresent(
                             order -> {
@@ -135,7 +134,7 @@
     private void applyConfiguration(final byte[] value) {
         final ServingConfiguration configuration;
         try {
-            configuration = mDecoder.decode(value);
+            configuration = RecordDecoding.decode(() -> mDecoder.decode(value));
         } catch (UnreadableRecordException e) {
             mState.configurationProgress().recordUnreadable();
             LOG.error("configuration not readable, the previous one stays in force", e);
--- a/gateway/src/main/java/org/whinhead/gateway/store/EndpointTopicListener.java
+++ b/gateway/src/main/java/org/whinhead/gateway/store/EndpointTopicListener.java
@@ -194,10 +194,7 @@
     private boolean apply(final StoreRecord record) {
         final Optional<EndpointEntry> entry;
         try {
-            entry =
-                    record.value().isEmpty()
-                            ? Optional.empty()
-                            : Optional.of(mDecoder.decode(record.key(), record.value().get()));
+            entry = record.value().isEmpty() ? Optional.empty() : Optional.of(decode(record));
         } catch (UnreadableRecordException e) {
             return applyUnreadable(record, e);
         }
@@ -210,6 +207,11 @@
         return changed;
     }
 
+    private EndpointEntry decode(final StoreRecord record) throws UnreadableRecordException {
+        return RecordDecoding.decode(
+                () -> mDecoder.decode(record.key(), record.value().orElseThrow()));
+    }
+
     private boolean applyUnreadable(
             final StoreRecord record, final UnreadableRecordException cause) {
         final boolean wasUsable = registry().markUnreadable(record.key(), record.offset());
--- a/gateway/src/test/java/org/whinhead/gateway/store/EndpointTopicListenerTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/store/EndpointTopicListenerTest.java
@@ -32,6 +32,12 @@
         if (value.length == 0) {
             throw new UnreadableRecordException("empty", new IllegalArgumentException());
         }
+        if (new String(value, StandardCharsets.UTF_8).equals("overflow")) {
+            throw new ArithmeticException("long overflow");
+        }
+        if (new String(value, StandardCharsets.UTF_8).equals("deep")) {
+            throw new StackOverflowError();
+        }
         return TestServing.endpoint(
                 id, new String(value, StandardCharsets.UTF_8).equals("leaving"));
     }
@@ -71,6 +77,25 @@
         assertThat(mState.endpoints().usable("pool")).hasSize(2);
     }
 
+    // Guards against a daemon that follows the endpoints no more: its decoder failed on one record,
+    // and on the same one again in each later listing.
+    @Test
+    void recordOnWhichDecoderFailsDisablesOnlyItsOwnEndpoint() {
+        mListener.onSnapshot(
+                List.of(
+                        new StoreRecord("x", record("overflow", 0).value(), 0),
+                        new StoreRecord("y", record("deep", 1).value(), 1),
+                        record("ready", 2)),
+                3);
+        mListener.onAppended(
+                List.of(
+                        record("overflow", 3),
+                        new StoreRecord("e2", record("ready", 4).value(), 4)));
+        assertThat(mState.endpoints().usable("pool"))
+                .extracting(EndpointEntry::id)
+                .containsExactly("e2");
+    }
+
     // Guards against work at an endpoint that has told a daemon that it leaves while the store is
     // away or behind, and against ordering replacements more than once.
     @Test
