List a topic again after a read that failed

A read that fails because of the record at its position, such as one longer than the answer to a read, was repeated from there for good: the topic was followed no more. The newest records are listed instead, as they are after an outage anyway, and reading goes on at the end of the listing.

topicIsReadBehindRecordThatCannotBeRead failed before and passes now.

--- a/gateway/src/main/java/org/whinhead/gateway/store/TopicFollower.java
+++ b/gateway/src/main/java/org/whinhead/gateway/store/TopicFollower.java
@@ -249,6 +249,8 @@
     }
 
     private void handleFailure(final Throwable failure) {
+        // A record that can't be read at a position would end each later read from it as well.
+        mNextOffset = -1;
         if (mReachable) {
             mReachable = false;
             LOG.atWarn()
--- a/gateway/src/test/java/org/whinhead/gateway/store/TopicFollowerTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/store/TopicFollowerTest.java
@@ -30,6 +30,7 @@
     private static final class CountingStore implements MetadataStore {
         private boolean mRefuses;
         private boolean mLosesAnswers;
+        private boolean mFailsAtPosition;
         private List<StoreRecord> mAppended = List.of();
         private int mCalls;
 
@@ -48,6 +49,10 @@
                 mCalls++;
                 return new CompletableFuture<>();
             }
+            if (mFailsAtPosition) {
+                mCalls++;
+                return CompletableFuture.failedFuture(new IllegalStateException("damaged"));
+            }
             if (!mAppended.isEmpty() && !mRefuses) {
                 mCalls++;
                 return CompletableFuture.completedFuture(new StorePage(mAppended, 1, false));
@@ -204,6 +209,19 @@
         assertThat(mListener.mSnapshots).isEqualTo(1);
     }
 
+    // Guards against a topic that is never read on: a record is longer than the answer to a read,
+    // and reading again from its position fails each time.
+    @Test
+    void topicIsReadBehindRecordThatCannotBeRead() {
+        mStore.mFailsAtPosition = true;
+        mFollower.readNow();
+        mListener.mSnapshots = 0;
+
+        mChannel.advanceTimeBy(1, TimeUnit.SECONDS);
+        mChannel.runScheduledPendingTasks();
+        assertThat(mListener.mSnapshots).isEqualTo(1);
+    }
+
     // Guards against a billed call for each digest while the store answers late.
     @Test
     void unansweredReadIsRepeatedOnlyOnce() {
