Keep the platform's header name out of a test of the gateway

Cause: a test of the gateway spelled a header of the users' platform, which belongs to platform/ only. A comment said "begin" for "start".

Change: the header of the test has a name of its own; it was never read.

--- a/gateway/src/main/java/org/whinhead/gateway/caller/CallerConnection.java
+++ b/gateway/src/main/java/org/whinhead/gateway/caller/CallerConnection.java
@@ -205,7 +205,7 @@
                         HttpVersion.HTTP_1_1,
                         endpointResponse.status(),
                         endpointResponse.forwardedHeaders());
-        // The last chunk would be read as the begin of the response after the one to HEAD.
+        // The last chunk would be read as the start of the response after the one to HEAD.
         if (!mHeadRequest && !HttpUtil.isContentLengthSet(response)) {
             HttpUtil.setTransferEncodingChunked(response, true);
         }
--- a/gateway/src/test/java/org/whinhead/gateway/endpoint/ResponseOwnershipTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/endpoint/ResponseOwnershipTest.java
@@ -131,7 +131,7 @@
 
         String response(final int number) {
             final String id = "Request: r" + number + "\r\n";
-            final String other = "Date: Sat, 05 Dec 2026\r\nResponse-Stamp: s" + number + "\r\n";
+            final String other = "Date: Sat, 05 Dec 2026\r\nSignature: s" + number + "\r\n";
             final String head =
                     "HTTP/1.1 " + status + " Reason\r\n" + (idFirst ? id + other : other + id);
             return hasBody() ? framing.render(head, body(number)) : head + "\r\n";
