Confirm the lease before a duty's call is sent

Cause: a holder acted for 2.3 s after its last renewal without knowing whether it was still connected, so that its orders went into a link that was cut already. Whatever carries them decides whether a later reset takes them back.

Change: a call to the cloud is sent only after the store has answered a renewal for it. A rejected renewal was answered too, so a holder that the store turns away still orders under its last one; without an answer the renewal is repeated every 100 ms while orders wait.

--- a/gateway/src/main/java/org/whinhead/gateway/duty/DutyLeaseManager.java
+++ b/gateway/src/main/java/org/whinhead/gateway/duty/DutyLeaseManager.java
@@ -4,8 +4,11 @@
 import io.netty.channel.EventLoop;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -13,6 +16,7 @@
 import org.whinhead.gateway.store.MetadataStore;
 import org.whinhead.gateway.store.StorePage;
 import org.whinhead.gateway.store.StoreRecord;
+import org.whinhead.gateway.store.StoreRejectionException;
 import org.whinhead.gateway.store.StoreTopic;
 import org.whinhead.gateway.time.GuardedTask;
 import org.whinhead.serving.capacity.CapacityPlanner;
@@ -36,6 +40,9 @@
     /** Interval of renewals and of a candidate's reads; at most a third of the lease term. */
     private static final int RENEWAL_INTERVAL_MILLIS = 1_000;
 
+    /** Delay before an unanswered renewal is repeated; a reset comes within a millisecond. */
+    private static final int REPETITION_DELAY_MILLIS = 100;
+
     /** Time between two ticks beyond which the second one is logged as late. */
     private static final Duration LATE_TICK = Duration.ofMillis(3L * RENEWAL_INTERVAL_MILLIS);
 
@@ -49,12 +56,14 @@
     private final EndpointAutoscaler mAutoscaler;
     private final DutyLease mLease;
     private final UsageReporter mUsageReporter;
+    private final List<CompletableFuture<Optional<Long>>> mConfirmations = new ArrayList<>();
     private LeaseRecord mClaimedRecord;
     private Instant mClaimedAt;
     private Instant mClaimedAtTimeOfDay;
     private Instant mTickedAt;
     private boolean mCallPending;
     private boolean mClaimUnanswered;
+    private boolean mRepetitionScheduled;
     private boolean mStopped;
 
     /**
@@ -81,7 +90,8 @@
         mLease = duties.lease();
         mUsageReporter = new UsageReporter(state, cloud, duties.usagePlan());
         mAutoscaler =
-                new EndpointAutoscaler(loop, state, cloud, duties.planner(), this::fencingToken);
+                new EndpointAutoscaler(
+                        loop, state, cloud, duties.planner(), this::fencingToken, this::confirm);
     }
 
     /**
@@ -220,10 +230,51 @@
                         });
     }
 
+    /**
+     * Confirms the lease by a renewal. A holder that was cut off may believe for two seconds more
+     * that it holds the lease, and a call that it sends may reach the platform after the calls of
+     * the next holder. A renewal that is being sent already suffices, since its answer arrives
+     * after this call.
+     */
+    private CompletableFuture<Optional<Long>> confirm() {
+        if (mStopped || fencingToken().isEmpty()) {
+            return CompletableFuture.completedFuture(Optional.empty());
+        }
+        final CompletableFuture<Optional<Long>> confirmation = new CompletableFuture<>();
+        mConfirmations.add(confirmation);
+        if (!mCallPending && !mRepetitionScheduled) {
+            claim();
+        }
+        return confirmation;
+    }
+
+    /** Repeats an unanswered renewal for which confirmations wait, while the lease is valid. */
+    private void scheduleRepetition() {
+        if (mRepetitionScheduled || mConfirmations.isEmpty()) {
+            return;
+        }
+        mRepetitionScheduled = true;
+        mLoop.schedule(
+                () -> {
+                    mRepetitionScheduled = false;
+                    if (!mCallPending && !mStopped && mLease.isHeld()) {
+                        GuardedTask.run(LOG, "repeated renewal", this::claim);
+                    }
+                },
+                REPETITION_DELAY_MILLIS,
+                TimeUnit.MILLISECONDS);
+    }
+
+    private void completeConfirmations(final Optional<Long> fencingToken) {
+        final List<CompletableFuture<Optional<Long>>> confirmations = List.copyOf(mConfirmations);
+        mConfirmations.clear();
+        confirmations.forEach(confirmation -> confirmation.complete(fencingToken));
+    }
+
     private void handleClaimResult(
             final boolean renewal, final OptionalLong end, final Throwable failure) {
         if (failure != null) {
-            handleUnansweredClaim(failure);
+            handleFailedClaim(failure);
         } else if (end.isEmpty()) {
             handleRefusedClaim(renewal);
         } else {
@@ -243,6 +294,7 @@
      */
     private void handleRefusedClaim(final boolean renewal) {
         mLease.recordLost();
+        completeConfirmations(Optional.empty());
         if (mClaimUnanswered || renewal) {
             LOG.atInfo()
                     .addKeyValue("renewal", renewal)
@@ -256,31 +308,36 @@
     }
 
     /**
-     * Continues under the last renewal while it is valid: nobody else takes the lease before its
-     * term has passed, and until then nobody else would order replacements of lost endpoints.
+     * Keeps the lease while the last renewal is valid: nobody else takes it before its term has
+     * passed, and until then nobody else would order replacements of lost endpoints. A store that
+     * rejects the claim was reached, so the holder acts; without an answer it only tries again.
      */
-    private void handleUnansweredClaim(final Throwable failure) {
+    private void handleFailedClaim(final Throwable failure) {
         mClaimUnanswered = true;
-        final boolean stillHeld = fencingToken().isPresent();
-        if (!stillHeld) {
-            mLease.recordLost();
-        }
+        final Optional<Long> token = fencingToken();
         LOG.atWarn()
                 .addKeyValue("token", mClaimedRecord.token())
                 .addKeyValue("cause", String.valueOf(failure.getMessage()))
-                .addKeyValue("stillHeld", stillHeld)
+                .addKeyValue("stillHeld", token.isPresent())
                 .log("lease claim not answered");
-        mAutoscaler.orderEndpoints();
+        if (token.isEmpty()) {
+            mLease.recordLost();
+            completeConfirmations(Optional.empty());
+            mAutoscaler.orderEndpoints();
+        } else if (StoreRejectionException.isRejection(failure)) {
+            completeConfirmations(token);
+            mAutoscaler.orderEndpoints(token.get());
+        } else {
+            scheduleRepetition();
+        }
     }
 
     private void handleGranted(final long end) {
         mLease.recordGranted(mClaimedRecord, end, mClaimedAt, mClaimedAtTimeOfDay);
-        performDuties();
-    }
-
-    private void performDuties() {
+        final Optional<Long> token = fencingToken();
+        completeConfirmations(token);
         mUsageReporter.reportUndelivered(mLease.decisions(), this::fencingToken);
-        mAutoscaler.orderEndpoints();
+        token.ifPresent(mAutoscaler::orderEndpoints);
     }
 
     /**
--- a/gateway/src/main/java/org/whinhead/gateway/duty/EndpointAutoscaler.java
+++ b/gateway/src/main/java/org/whinhead/gateway/duty/EndpointAutoscaler.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -10,6 +11,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.whinhead.gateway.exchange.ServingState;
+import org.whinhead.gateway.time.GuardedTask;
 import org.whinhead.serving.capacity.CapacityOrder;
 import org.whinhead.serving.capacity.CapacityPlanner;
 import org.whinhead.serving.capacity.DemandMeter;
@@ -33,21 +35,36 @@
     private final FencedCloudClient mCloud;
     private final CapacityPlanner mPlanner;
     private final Supplier<Optional<Long>> mFencingToken;
+    private final LeaseConfirmation mConfirmation;
     private final DemandMeter mDemand = new DemandMeter();
+    private final List<CapacityOrder> mUnconfirmedOrders = new ArrayList<>();
+    private boolean mConfirmationPending;
     private boolean mReorderScheduled;
     private Consumer<CapacityOrder> mOnOrdered = order -> {};
 
+    /**
+     * Creates an autoscaler that has ordered nothing.
+     *
+     * @param loop the event loop
+     * @param state the endpoints, the demand and the clocks
+     * @param cloud receives the orders
+     * @param planner decides which endpoints to order
+     * @param fencingToken the fencing token while this daemon holds the lease
+     * @param confirmation confirms the lease before orders are sent
+     */
     EndpointAutoscaler(
             final EventLoop loop,
             final ServingState state,
             final FencedCloudClient cloud,
             final CapacityPlanner planner,
-            final Supplier<Optional<Long>> fencingToken) {
+            final Supplier<Optional<Long>> fencingToken,
+            final LeaseConfirmation confirmation) {
         mLoop = loop;
         mState = state;
         mCloud = cloud;
         mPlanner = planner;
         mFencingToken = fencingToken;
+        mConfirmation = confirmation;
     }
 
     /**
@@ -75,32 +92,68 @@
     }
 
     /**
-     * Orders endpoints at once if this daemon holds the lease, as a reclaim leaves only seconds;
-     * otherwise only observes them.
+     * Orders endpoints if this daemon holds the lease, which is confirmed first; otherwise only
+     * observes them. Called at each change of the endpoints, as a reclaim leaves only seconds.
      */
     public void orderEndpoints() {
+        mUnconfirmedOrders.addAll(planOrders());
+        if (!mUnconfirmedOrders.isEmpty() && !mConfirmationPending) {
+            mConfirmationPending = true;
+            mConfirmation
+                    .confirm()
+                    .thenAccept(
+                            token ->
+                                    GuardedTask.run(
+                                            LOG, "lease confirmed", () -> handleConfirmed(token)));
+        }
+    }
+
+    /** Plans again, since the endpoints may have changed while the lease was confirmed. */
+    private void handleConfirmed(final Optional<Long> fencingToken) {
+        mConfirmationPending = false;
+        if (fencingToken.isEmpty()) {
+            LOG.atInfo()
+                    .addKeyValue("orders", mUnconfirmedOrders.size())
+                    .log("orders not sent, lease not confirmed");
+        }
+        mUnconfirmedOrders.forEach(mPlanner::recordNotSent);
+        mUnconfirmedOrders.clear();
+        fencingToken.ifPresent(this::orderEndpoints);
+    }
+
+    /**
+     * Orders endpoints under a lease that was confirmed just now.
+     *
+     * @param fencingToken the fencing token
+     */
+    void orderEndpoints(final long fencingToken) {
+        planOrders().forEach(order -> order(fencingToken, order));
+    }
+
+    /** Returns the orders to send now; empty if this daemon doesn't hold the lease. */
+    private List<CapacityOrder> planOrders() {
         final Optional<ServingConfiguration> configuration = mState.configuration().current();
         if (configuration.isEmpty()) {
-            return;
+            return List.of();
         }
         final Instant now = mState.clock().instant();
         if (mFencingToken.get().isEmpty()) {
             observeEndpoints(configuration.get(), now);
-            return;
+            return List.of();
         }
         recordDemand();
+        final List<CapacityOrder> planned = new ArrayList<>();
         for (final ServiceSpec service : configuration.get().services()) {
             final List<EndpointEntry> endpoints = countedEndpoints(service.name());
-            final List<CapacityOrder> orders =
-                    mPlanner.plan(service, endpoints, load(service, endpoints, now), now);
-            for (final CapacityOrder order : orders) {
-                if (reducesEndpoints(order, endpoints)
-                        && mState.rollouts().isOpen(service.name())) {
-                    continue;
+            for (final CapacityOrder order :
+                    mPlanner.plan(service, endpoints, load(service, endpoints, now), now)) {
+                if (!reducesEndpoints(order, endpoints)
+                        || !mState.rollouts().isOpen(service.name())) {
+                    planned.add(order);
                 }
-                mFencingToken.get().ifPresent(fencingToken -> order(fencingToken, order));
             }
         }
+        return planned;
     }
 
     private List<EndpointEntry> countedEndpoints(final String service) {
--- a/gateway/src/main/java/org/whinhead/gateway/store/MetadataStore.java
+++ b/gateway/src/main/java/org/whinhead/gateway/store/MetadataStore.java
@@ -6,9 +6,9 @@
 
 /**
  * The platform's store of keyed records. Futures complete on the event loop; a call that fails may
- * have been carried out. All offsets and ends are a {@link
- * org.whinhead.serving.store.StorePosition}, so that they remain comparable if the store returns
- * from an older copy.
+ * have been carried out, unless it fails with a {@link StoreRejectionException}. All offsets and
+ * ends are a {@link org.whinhead.serving.store.StorePosition}, so that they remain comparable if
+ * the store returns from an older copy.
  */
 public interface MetadataStore {
 
--- a/gateway/src/test/java/org/whinhead/gateway/duty/DutyLeaseManagerTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/duty/DutyLeaseManagerTest.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -20,6 +21,7 @@
 import org.whinhead.gateway.store.MetadataStore;
 import org.whinhead.gateway.store.StorePage;
 import org.whinhead.gateway.store.StoreRecord;
+import org.whinhead.gateway.store.StoreRejectionException;
 import org.whinhead.gateway.store.StoreTopic;
 import org.whinhead.serving.capacity.CapacityOrder;
 import org.whinhead.serving.capacity.CapacityPlanner;
@@ -63,6 +65,8 @@
         private boolean mRefuses;
         private boolean mWrittenByAnother;
         private boolean mLosesAnswers;
+        private boolean mSilent;
+        private CompletableFuture<OptionalLong> mUnanswered = new CompletableFuture<>();
         private long mEnd;
         private List<StoreRecord> mRecords = List.of();
 
@@ -87,7 +91,11 @@
         public CompletableFuture<OptionalLong> appendAt(
                 final StoreTopic topic, final String key, final byte[] value, final long end) {
             if (mRefuses) {
-                return CompletableFuture.failedFuture(new IllegalStateException("refused"));
+                return CompletableFuture.failedFuture(
+                        new CompletionException(new StoreRejectionException(503)));
+            }
+            if (mSilent) {
+                return mUnanswered;
             }
             final boolean accepted = !mWrittenByAnother && end == mEnd;
             if (accepted) {
@@ -205,6 +213,46 @@
         assertThat(mCloud.mOrders).isNotEmpty();
     }
 
+    // Guards against an order of a cut-off holder that reaches the platform after its successor's.
+    @Test
+    void nothingIsOrderedUntilStoreHasConfirmedLease() {
+        mStore.mSilent = true;
+        removeEndpoint();
+        advanceSeconds(1);
+        assertThat(mCloud.mOrders).isEmpty();
+    }
+
+    @Test
+    void orderIsSentWhenStoreHasConfirmedLease() {
+        mStore.mSilent = true;
+        removeEndpoint();
+        mStore.mUnanswered.complete(OptionalLong.of(++mStore.mEnd));
+        assertThat(mCloud.mOrders).isNotEmpty().doesNotHaveDuplicates();
+    }
+
+    // Guards against an order that is lost because the renewal before it got no answer.
+    @Test
+    void renewalIsRepeatedForOrderAfterFailure() {
+        mStore.mSilent = true;
+        removeEndpoint();
+        mStore.mSilent = false;
+        mStore.mUnanswered.completeExceptionally(new IllegalStateException("connection reset"));
+        assertThat(mCloud.mOrders).isEmpty();
+        mChannel.advanceTimeBy(100, TimeUnit.MILLISECONDS);
+        mChannel.runScheduledPendingTasks();
+        assertThat(mCloud.mOrders).isNotEmpty().doesNotHaveDuplicates();
+    }
+
+    @Test
+    void orderThatWasNotConfirmedIsPlannedAgain() {
+        mStore.mSilent = true;
+        removeEndpoint();
+        mStore.mSilent = false;
+        mStore.mUnanswered.complete(OptionalLong.empty());
+        advanceSeconds(1);
+        assertThat(mCloud.mOrders).isNotEmpty().doesNotHaveDuplicates();
+    }
+
     @Test
     void holderWithoutRenewalStopsBeforeTakeover() {
         mStore.mRefuses = true;
--- a/serving/src/main/java/org/whinhead/serving/capacity/CapacityPlanner.java
+++ b/serving/src/main/java/org/whinhead/serving/capacity/CapacityPlanner.java
@@ -386,6 +386,16 @@
         }
     }
 
+    /**
+     * Records that a planned order was not sent. The next plan contains it again if it is still
+     * needed.
+     *
+     * @param order the order
+     */
+    public void recordNotSent(final CapacityOrder order) {
+        mSent.remove(order);
+    }
+
     /**
      * Records that the platform did not handle an order, for example because of too many calls. It
      * is repeated like a refused one, and says nothing of the endpoints that are available.
