Tell successors of usage decisions, and leave out windows that others may have decided

Cause: the decision on a window's counts stood in the lease's record only, which the copy lacks, and the next holder decided anew from counts that had grown since.

Change: a holder tells the eight daemons that would be next of its decisions before it reports, and with each renewal. After a return it leaves out windows that were due before and may have been decided by others; it precedes others by 0.9 s, as it knows its own decisions.

--- a/gateway/src/main/java/org/whinhead/gateway/Gateway.java
+++ b/gateway/src/main/java/org/whinhead/gateway/Gateway.java
@@ -225,6 +225,9 @@
         mExchanges.answers().onLimitStatement(mPeers::sendLimitStatement);
         mDuties.autoscaler().onOrdered(mPeers::sendCapacityOrder);
         mPeers.onCapacityOrder(mDuties.autoscaler()::recordPeerOrder);
+        mDigests.onPosition(mDuties::recordStorePosition);
+        mDuties.onUsageDecided(mPeers::sendUsageDecisions);
+        mPeers.onUsageDecision(mDuties::recordPeerDecision);
     }
 
     private void endpointLeaving(final EndpointEntry endpoint) {
--- a/gateway/src/main/java/org/whinhead/gateway/duty/DutyLeaseManager.java
+++ b/gateway/src/main/java/org/whinhead/gateway/duty/DutyLeaseManager.java
@@ -10,6 +10,7 @@
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.whinhead.gateway.exchange.ServingState;
@@ -24,6 +25,7 @@
 import org.whinhead.serving.duty.LeaseRecord;
 import org.whinhead.serving.duty.StoredLease;
 import org.whinhead.serving.duty.UsageDecider;
+import org.whinhead.serving.duty.UsageDecision;
 import org.whinhead.serving.member.MemberTable;
 
 /**
@@ -46,6 +48,9 @@
     /** Time between two ticks beyond which the second one is logged as late. */
     private static final Duration LATE_TICK = Duration.ofMillis(3L * RENEWAL_INTERVAL_MILLIS);
 
+    /** Number of decisions that other daemons are told of with each renewal. */
+    private static final int TOLD_DECISIONS = 2;
+
     /** Number of daemons that read the lease without holding it. */
     private static final int CANDIDATE_COUNT = 2;
 
@@ -60,6 +65,7 @@
     private LeaseRecord mClaimedRecord;
     private Instant mClaimedAt;
     private Instant mClaimedAtTimeOfDay;
+    private Consumer<List<UsageDecision>> mOnUsageDecided = decisions -> {};
     private Instant mTickedAt;
     private boolean mCallPending;
     private boolean mClaimUnanswered;
@@ -112,6 +118,35 @@
         return mAutoscaler;
     }
 
+    /**
+     * Sets the handler of usage decisions that the store has accepted. It is called before their
+     * windows are reported, and again with each renewal, since a datagram may be lost.
+     *
+     * @param onUsageDecided receives the newest decisions
+     */
+    public void onUsageDecided(final Consumer<List<UsageDecision>> onUsageDecided) {
+        mOnUsageDecided = onUsageDecided;
+    }
+
+    /**
+     * Records a usage decision that the lease holder tells of.
+     *
+     * @param decision the decision
+     */
+    public void recordPeerDecision(final UsageDecision decision) {
+        mLease.recordPeerDecision(decision);
+    }
+
+    /**
+     * Records a position in the store, which tells whether the store has returned from an older
+     * copy.
+     *
+     * @param position the position
+     */
+    public void recordStorePosition(final long position) {
+        mLease.recordPosition(position, mState.clock().instant(), mState.timeOfDay().instant());
+    }
+
     /** Starts to read, claim and renew the lease. */
     public void start() {
         mLoop.scheduleWithFixedDelay(
@@ -195,6 +230,7 @@
             LOG.error("lease record not readable, lease not claimed", e);
             return;
         }
+        recordStorePosition(page.end());
         mLease.recordRead(new StoredLease(record, page.end()), readAt);
         if (mLease.canClaim(mState.clock().instant()) && !mStopped) {
             claim();
@@ -214,7 +250,9 @@
     private void claim() {
         final boolean renewal = mLease.isHeld();
         final Instant timeOfDay = mState.timeOfDay().instant();
-        mClaimedRecord = mLease.claimRecord(mUsageReporter.decide(mLease.decisions()));
+        mClaimedRecord =
+                mLease.claimRecord(
+                        mUsageReporter.decide(mLease.decisions(), this::isDecisionUnknown));
         mClaimedAt = mState.clock().instant();
         mClaimedAtTimeOfDay = timeOfDay;
         final byte[] encoded = LeaseRecordCodec.encode(mClaimedRecord);
@@ -336,10 +374,21 @@
         mLease.recordGranted(mClaimedRecord, end, mClaimedAt, mClaimedAtTimeOfDay);
         final Optional<Long> token = fencingToken();
         completeConfirmations(token);
+        mOnUsageDecided.accept(newestDecisions());
         mUsageReporter.reportUndelivered(mLease.decisions(), this::fencingToken);
         token.ifPresent(mAutoscaler::orderEndpoints);
     }
 
+    /** Returns whether a window that was due some time ago may have been decided by others. */
+    private boolean isDecisionUnknown(final Duration age) {
+        return mLease.isDecisionUnknown(mState.clock().instant().minus(age));
+    }
+
+    private List<UsageDecision> newestDecisions() {
+        final List<UsageDecision> decisions = mLease.decisions();
+        return decisions.subList(Math.max(decisions.size() - TOLD_DECISIONS, 0), decisions.size());
+    }
+
     /**
      * Returns the fencing token while this daemon may act as the lease holder.
      *
--- a/gateway/src/main/java/org/whinhead/gateway/duty/UsageReporter.java
+++ b/gateway/src/main/java/org/whinhead/gateway/duty/UsageReporter.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -38,10 +39,21 @@
         mDecider = decider;
     }
 
-    /** Returns the previous decisions, with those delivered since, and the ones that are due. */
-    List<UsageDecision> decide(final List<UsageDecision> previous) {
+    /**
+     * Returns the previous decisions, with those delivered since, and the ones that are due.
+     *
+     * @param previous the decisions that are known
+     * @param isUnknown whether a window that was due so long ago may have been decided by another
+     *     daemon without this one's knowledge
+     */
+    List<UsageDecision> decide(
+            final List<UsageDecision> previous, final Predicate<Duration> isUnknown) {
+        final Instant now = mState.usageClock().instant();
         final List<UsageDecision> decisions =
-                mDecider.decide(markDelivered(previous), mState.usageClock().instant());
+                mDecider.decide(
+                        markDelivered(previous),
+                        now,
+                        due -> isUnknown.test(Duration.between(due, now)));
         logSkippedWindows(previous, decisions);
         return decisions;
     }
--- a/gateway/src/main/java/org/whinhead/gateway/peers/DigestReadCoordinator.java
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/DigestReadCoordinator.java
@@ -50,6 +50,7 @@
     private Consumer<StoreTopic> mOnNewRecords = topic -> {};
     private LongConsumer mOnSkippableEndpoints = end -> {};
     private Runnable mOnListing = () -> {};
+    private LongConsumer mOnPosition = position -> {};
     private final ListingSchedule mListings = new ListingSchedule();
     private long mEndpointsEnd;
     private Instant mConfigurationReadAt = Instant.EPOCH;
@@ -92,6 +93,15 @@
         mOnListing = onListing;
     }
 
+    /**
+     * Sets the handler of positions in the store that this daemon or another one has read.
+     *
+     * @param onPosition receives each position; the newest one isn't always the last
+     */
+    public void onPosition(final LongConsumer onPosition) {
+        mOnPosition = onPosition;
+    }
+
     /**
      * Records how far this daemon has read the endpoints.
      *
@@ -99,6 +109,7 @@
      */
     public void recordEndpointsRead(final long end) {
         mEndpointsEnd = Math.max(mEndpointsEnd, end);
+        mOnPosition.accept(end);
         mReceivedDigests.values().stream()
                 .filter(received -> received.mDigest.getEndpointsEnd() <= mEndpointsEnd)
                 .forEach(received -> received.recordReadPast(mState.endpoints()));
@@ -226,6 +237,7 @@
         final ReceivedDigest received =
                 new ReceivedDigest(digest, now(), mReceivedDigests.get(sender));
         mReceivedDigests.put(sender, received);
+        mOnPosition.accept(digest.getEndpointsEnd());
         mState.configurationProgress().recordAnnounced(digest.getConfigurationVersion(), now());
         if (hasSameSet(digest)) {
             mState.versions().recordConfirmed(mState.moment());
--- a/gateway/src/main/java/org/whinhead/gateway/peers/PeerDatagramChannel.java
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/PeerDatagramChannel.java
@@ -10,6 +10,7 @@
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import java.net.InetSocketAddress;
 import java.time.Instant;
+import java.util.Comparator;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
@@ -28,6 +29,7 @@
 import org.whinhead.gateway.stream.StreamDirectory;
 import org.whinhead.gateway.time.GuardedTask;
 import org.whinhead.serving.capacity.CapacityOrder;
+import org.whinhead.serving.duty.UsageDecision;
 import org.whinhead.serving.endpoint.EndpointChange;
 import org.whinhead.serving.endpoint.EndpointEntry;
 import org.whinhead.serving.endpoint.EndpointStart;
@@ -65,6 +67,9 @@
     /** Maximum number of addresses in a report; a new daemon learns all within a few reports. */
     private static final int CONTACTS_PER_REPORT = 12;
 
+    /** The daemons that are told of usage decisions: those that would hold the lease next. */
+    private static final int TOLD_SUCCESSORS = 8;
+
     /** One round of reports in so many contains addresses, which only new daemons need. */
     private static final int REPORTS_PER_CONTACT_LIST = 5;
 
@@ -77,6 +82,7 @@
     private final LimitMessenger mLimitMessenger;
     private final SpeedMessenger mSpeedMessenger;
     private final StreamMessenger mStreamMessenger;
+    private final UsageDecisionMessenger mUsageMessenger;
     private final PeerReportHandler mReportHandler;
     private final PeerReceivers mReceivers;
     private Consumer<List<EndpointChange>> mOnEndpointChanges = changes -> {};
@@ -116,6 +122,8 @@
                         state,
                         members,
                         new StreamMessenger.Transport(mReceivers::all, this::send));
+        mUsageMessenger =
+                new UsageDecisionMessenger(datagram -> send(datagram, successorAddresses()));
         mReportHandler =
                 new PeerReportHandler(
                         state,
@@ -243,6 +251,32 @@
         mDepartureMessenger.tell(departure);
     }
 
+    /**
+     * Tells the daemons that may hold the lease next of usage decisions.
+     *
+     * @param decisions the decisions
+     */
+    public void sendUsageDecisions(final List<UsageDecision> decisions) {
+        decisions.forEach(mUsageMessenger::tell);
+    }
+
+    private List<InetSocketAddress> successorAddresses() {
+        return mMembers.heardPeers(false, now()).stream()
+                .sorted(Comparator.comparing(Member::name))
+                .limit(TOLD_SUCCESSORS)
+                .map(Member::peerAddress)
+                .toList();
+    }
+
+    /**
+     * Sets the handler of usage decisions that the lease holder tells of.
+     *
+     * @param onDecision receives a decision
+     */
+    public void onUsageDecision(final Consumer<UsageDecision> onDecision) {
+        mUsageMessenger.onDecision(onDecision);
+    }
+
     /**
      * Returns what tells the other daemons of requests under which endpoints crash.
      *
@@ -495,6 +529,7 @@
                 mSpeedMessenger.receive(datagram);
                 mOnPermitDatagram.accept(datagram, packet.sender());
                 mStreamMessenger.receive(datagram, packet.sender());
+                mUsageMessenger.receive(datagram);
                 if (datagram.hasCapacityOrder()) {
                     mOnCapacityOrder.accept(decode(datagram.getCapacityOrder()));
                 }
--- a/gateway/src/test/java/org/whinhead/gateway/duty/DutyFleet.java
+++ b/gateway/src/test/java/org/whinhead/gateway/duty/DutyFleet.java
@@ -10,16 +10,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Random;
+import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.whinhead.gateway.exchange.ServingState;
 import org.whinhead.gateway.exchange.TestServing;
-import org.whinhead.gateway.store.MetadataStore;
-import org.whinhead.gateway.store.StorePage;
-import org.whinhead.gateway.store.StoreRecord;
-import org.whinhead.gateway.store.StoreTopic;
 import org.whinhead.serving.capacity.CapacityOrder;
 import org.whinhead.serving.capacity.CapacityPlanner;
 import org.whinhead.serving.capacity.CapacitySettings;
@@ -34,24 +30,28 @@
 import org.whinhead.serving.member.Member;
 import org.whinhead.serving.member.MemberStatus;
 import org.whinhead.serving.member.MemberTable;
+import org.whinhead.serving.usage.UsageCount;
+import org.whinhead.serving.usage.UsageWindows;
 
 /**
  * Daemons that compete for the lease on the duties in simulated time, each with links of its own to
- * the store and the cloud. The holder's links are cut around reclaims of endpoints; the cloud has
- * no reclaimable endpoints left, so that the holder repeats its orders.
+ * the store and the cloud. The cloud has no reclaimable endpoints left, so that the holder repeats
+ * its orders, and requests are counted seconds after their window has ended.
  */
 final class DutyFleet {
 
     private static final String SERVICE = "pool";
     private static final String DOMAIN = "domain-a";
     private static final Duration TERM = Duration.ofSeconds(3);
-    private static final Duration STORE_TIMEOUT = Duration.ofMillis(1_200);
     private static final Duration CLOUD_TIMEOUT = Duration.ofMillis(900);
     private static final Duration REPORT_INTERVAL = Duration.ofMillis(300);
 
     /** The time after the end of a cut in which late calls are allowed. */
     private static final Duration HEALED_SLACK = Duration.ofMillis(300);
 
+    /** Marks a late call that was sent when its link was cut already. */
+    static final String SENT_INTO_CUT = ", sent into the cut";
+
     private static final int CANDIDATES = 2;
     private static final int CUTS = 3;
     private static final int MIN_CALM_MILLIS = 9_000;
@@ -59,6 +59,15 @@
     private static final int MAX_CUT_MILLIS = 12_000;
     private static final int MAX_CUT_OFFSET_MILLIS = 4_000;
     private static final int MAX_NOTICE_MILLIS = 30;
+    private static final Duration COUNT_INTERVAL = Duration.ofMillis(250);
+
+    /** The time after which a request is counted in the window of its start. */
+    private static final Duration COUNT_DELAY = Duration.ofMillis(3_500);
+
+    private static final int DATAGRAM_MILLIS = 2;
+    private static final int MAX_AWAY_MILLIS = 6_000;
+    private static final int MAX_COPY_AGE_MILLIS = 4_000;
+    private static final int MAX_DRILL_PAUSE_MILLIS = 8_000;
 
     /** The links that a cut affects. */
     enum Cut {
@@ -75,15 +84,19 @@
         }
     }
 
+    private Instant mNow = Instant.parse("2026-01-01T00:00:00Z");
     private final EmbeddedChannel mChannel = new EmbeddedChannel();
     private final EventLoop mLoop = mChannel.eventLoop();
     private final Random mRandom;
     private final List<Cut> mCuts;
     private final List<Daemon> mDaemons = new ArrayList<>();
-    private final List<StoreRecord> mLog = new ArrayList<>();
+    private final LeaseStore mStore = new LeaseStore(() -> mNow);
+    private final Map<Long, Map<String, Long>> mReported = new TreeMap<>();
     private final Map<String, Call> mHighest = new HashMap<>();
     private final List<String> mStaleCalls = new ArrayList<>();
-    private Instant mNow = Instant.parse("2026-01-01T00:00:00Z");
+    private final List<String> mChangedReports = new ArrayList<>();
+    private double mLostDatagrams;
+    private long mCounted;
     private Daemon mHolder;
     private int mOrders;
     private int mEntryVersion;
@@ -116,6 +129,7 @@
         mDaemons.forEach(
                 daemon -> schedule(daemon.mManager::start, mRandom.nextInt(MAX_START_MILLIS)));
         schedule(this::reportCandidates, 0);
+        schedule(this::countRequests, 0);
     }
 
     private void schedule(final Runnable task, final long delayMillis) {
@@ -123,9 +137,16 @@
     }
 
     private void reportCandidates() {
-        for (final Daemon candidate : mDaemons.subList(0, CANDIDATES)) {
-            mDaemons.forEach(daemon -> daemon.hear(candidate));
-        }
+        mDaemons.stream()
+                .filter(daemon -> daemon.mAlive)
+                .limit(CANDIDATES)
+                .forEach(candidate -> mDaemons.forEach(daemon -> daemon.hear(candidate)));
+        // Digests of other topics tell all daemons of the store's position.
+        mStore.position()
+                .ifPresent(
+                        position ->
+                                mDaemons.forEach(
+                                        daemon -> daemon.mManager.recordStorePosition(position)));
         schedule(this::reportCandidates, REPORT_INTERVAL.toMillis());
     }
 
@@ -154,6 +175,96 @@
         return mStaleCalls;
     }
 
+    /**
+     * Plays returns of the store from older copies, some of them twice in a row. The holder is
+     * killed around some, and started again after a while.
+     *
+     * @param count the number of drills
+     * @param lostDatagrams the share of the datagrams between daemons that are lost
+     * @return the windows that were reported again with other counts
+     */
+    List<String> playDrills(final int count, final double lostDatagrams) {
+        mLostDatagrams = lostDatagrams;
+        advance(MIN_CALM_MILLIS);
+        for (int drill = 0; drill < count; drill++) {
+            advance(MIN_CALM_MILLIS + mRandom.nextInt(MAX_DRILL_PAUSE_MILLIS));
+            if (mRandom.nextInt(3) == 0) {
+                schedule(this::replaceHolder, mRandom.nextInt(MAX_AWAY_MILLIS));
+            }
+            playDrill();
+            if (mRandom.nextInt(4) == 0) {
+                advance(mRandom.nextInt(MAX_DRILL_PAUSE_MILLIS));
+                playDrill();
+            }
+        }
+        advance(2 * MAX_CUT_MILLIS);
+        return mChangedReports;
+    }
+
+    private void playDrill() {
+        final Instant copy = mNow.minusMillis(mRandom.nextInt(MAX_COPY_AGE_MILLIS));
+        mStore.leave();
+        advance(1 + mRandom.nextInt(MAX_AWAY_MILLIS));
+        mStore.returnToCopy(copy);
+    }
+
+    /** Kills the holder; another process of its name starts some seconds later. */
+    private void replaceHolder() {
+        final Daemon holder = mHolder;
+        holder.kill();
+        schedule(
+                () -> {
+                    final int index = mDaemons.indexOf(holder);
+                    final Daemon next = new Daemon(index, true);
+                    mDaemons.set(index, next);
+                    mDaemons.stream().filter(daemon -> daemon.mAlive).forEach(next::hear);
+                    next.mManager.start();
+                },
+                1_000 + mRandom.nextInt(MAX_DRILL_PAUSE_MILLIS));
+    }
+
+    /** Plays without a disturbance. */
+    void playCalm(final Duration time) {
+        advance(time.toMillis());
+    }
+
+    /** Returns the windows between the first and the last reported one that were not reported. */
+    long unreportedWindows() {
+        final List<Long> windows = List.copyOf(mReported.keySet());
+        return windows.get(windows.size() - 1) - windows.get(0) + 1 - windows.size();
+    }
+
+    int reportedWindows() {
+        return mReported.size();
+    }
+
+    private void countRequests() {
+        mCounted++;
+        final UsageWindows windows = mDaemons.get(0).mState.usageWindows();
+        final UsageCount count =
+                new UsageCount(windows.windowAt(mNow.minus(COUNT_DELAY)), "clinic", mCounted);
+        mDaemons.forEach(daemon -> daemon.mState.usage().mergePeerCount("callers", count));
+        schedule(this::countRequests, COUNT_INTERVAL.toMillis());
+    }
+
+    private void tellOthers(final Daemon sender, final List<UsageDecision> decisions) {
+        for (final Daemon receiver : mDaemons) {
+            for (final UsageDecision decision : decisions) {
+                if (receiver != sender && mRandom.nextDouble() >= mLostDatagrams) {
+                    schedule(() -> receiver.mManager.recordPeerDecision(decision), DATAGRAM_MILLIS);
+                }
+            }
+        }
+    }
+
+    private void receiveReport(final UsageDecision decision) {
+        final Map<String, Long> before =
+                mReported.putIfAbsent(decision.window(), decision.counts());
+        if (before != null && !before.equals(decision.counts())) {
+            mChangedReports.add(decision.window() + ": " + before + ", then " + decision.counts());
+        }
+    }
+
     int orders() {
         return mOrders;
     }
@@ -179,12 +290,23 @@
         }
     }
 
-    private void receive(final Daemon sender, final String subject, final long token) {
+    private void receive(
+            final Daemon sender,
+            final String subject,
+            final long token,
+            final boolean sentIntoCut) {
         mHolder = sender;
         final Call highest = mHighest.get(subject);
         if (highest != null && token < highest.token() && !sender.isJustHealed()) {
             mStaleCalls.add(
-                    subject + " of " + sender.mName + " with token " + token + " after " + highest);
+                    subject
+                            + " of "
+                            + sender.mName
+                            + " with token "
+                            + token
+                            + " after "
+                            + highest
+                            + (sentIntoCut ? SENT_INTO_CUT : ""));
         }
         if (highest == null || token >= highest.token()) {
             mHighest.put(subject, new Call(sender, token));
@@ -192,19 +314,22 @@
     }
 
     private OrderAnswer receiveOrder(
-            final Daemon sender, final long token, final CapacityOrder order) {
+            final Daemon sender,
+            final long token,
+            final CapacityOrder order,
+            final boolean sentIntoCut) {
         mOrders++;
         if (mReclaimedAt != null) {
             final Duration taken = Duration.between(mReclaimedAt, mNow);
             mSlowestOrder = taken.compareTo(mSlowestOrder) > 0 ? taken : mSlowestOrder;
             mReclaimedAt = null;
         }
-        receive(sender, "order", token);
+        receive(sender, "order", token, sentIntoCut);
         return order.reclaimable() ? OrderAnswer.NONE_AVAILABLE : OrderAnswer.ACCEPTED;
     }
 
     /** A daemon with its links. */
-    private final class Daemon implements MetadataStore, FencedCloudClient {
+    private final class Daemon implements FencedCloudClient {
         private final String mName;
         private final HeldUpLink mStoreLink;
         private final HeldUpLink mCloudLink;
@@ -213,6 +338,7 @@
         private final ServingState mState = TestServing.state(() -> mNow);
         private final DutyLeaseManager mManager;
         private Optional<Instant> mHealedAt = Optional.empty();
+        private boolean mAlive = true;
 
         private Daemon(final int index, final boolean resetsHonoured) {
             mName = String.format("daemon-%03d", index);
@@ -235,10 +361,10 @@
                             mLoop,
                             mState,
                             mMembers,
-                            this,
+                            mStore.access(mStoreLink),
                             this,
                             new DutyLeaseManager.Duties(
-                                    new DutyLease(mName, TERM),
+                                    new DutyLease(mName + "@" + mNow, TERM),
                                     new UsageDecider(mState.usageWindows(), mState.usage(), mNow),
                                     new CapacityPlanner(
                                             CapacitySettings.builder()
@@ -246,6 +372,13 @@
                                                     .reserve(2)
                                                     .surviving(0, 0)
                                                     .build())));
+            mManager.onUsageDecided(decisions -> tellOthers(this, decisions));
+        }
+
+        private void kill() {
+            mAlive = false;
+            mStoreLink.close();
+            mCloudLink.close();
         }
 
         private static ServiceSpec service() {
@@ -299,51 +432,14 @@
                     .isPresent();
         }
 
-        @Override
-        public CompletableFuture<StorePage> newest(final StoreTopic topic) {
-            return mStoreLink.call(
-                    () ->
-                            new StorePage(
-                                    mLog.isEmpty()
-                                            ? List.of()
-                                            : mLog.subList(mLog.size() - 1, mLog.size()),
-                                    mLog.size(),
-                                    false),
-                    STORE_TIMEOUT);
-        }
-
-        @Override
-        public CompletableFuture<StorePage> read(
-                final StoreTopic topic, final long from, final Duration wait) {
-            throw new UnsupportedOperationException("read");
-        }
-
-        @Override
-        public CompletableFuture<Long> append(
-                final StoreTopic topic, final String key, final byte[] value) {
-            throw new UnsupportedOperationException("append");
-        }
-
-        @Override
-        public CompletableFuture<OptionalLong> appendAt(
-                final StoreTopic topic, final String key, final byte[] value, final long end) {
-            return mStoreLink.call(
-                    () -> {
-                        if (end != mLog.size()) {
-                            return OptionalLong.empty();
-                        }
-                        mLog.add(new StoreRecord(key, Optional.of(value), end));
-                        return OptionalLong.of(mLog.size());
-                    },
-                    STORE_TIMEOUT);
-        }
-
         @Override
         public CompletableFuture<Boolean> reportUsage(
                 final long token, final UsageDecision decision) {
+            final boolean sentIntoCut = mCloudLink.isCut();
             return mCloudLink.call(
                     () -> {
-                        receive(this, "usage", token);
+                        receive(this, "usage", token, sentIntoCut);
+                        receiveReport(decision);
                         return true;
                     },
                     CLOUD_TIMEOUT);
@@ -351,7 +447,9 @@
 
         @Override
         public CompletableFuture<OrderAnswer> order(final long token, final CapacityOrder order) {
-            return mCloudLink.call(() -> receiveOrder(this, token, order), CLOUD_TIMEOUT);
+            final boolean sentIntoCut = mCloudLink.isCut();
+            return mCloudLink.call(
+                    () -> receiveOrder(this, token, order, sentIntoCut), CLOUD_TIMEOUT);
         }
 
         @Override
--- a/gateway/src/test/java/org/whinhead/gateway/duty/HeldUpLink.java
+++ b/gateway/src/test/java/org/whinhead/gateway/duty/HeldUpLink.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
@@ -19,6 +20,7 @@
     private final EventLoop mLoop;
     private final boolean mResetsHonoured;
     private boolean mCut;
+    private boolean mClosed;
 
     /**
      * Creates a link that is not cut.
@@ -35,6 +37,15 @@
         mCut = cut;
     }
 
+    boolean isCut() {
+        return mCut;
+    }
+
+    /** Loses all messages from now on, as the daemon has been killed. */
+    void close() {
+        mClosed = true;
+    }
+
     /**
      * Calls the server.
      *
@@ -59,10 +70,23 @@
         return answer;
     }
 
+    /** Runs a call at the server; returns what its answer does when it arrives. */
+    private static <T> Runnable reply(final Supplier<T> server, final CompletableFuture<T> answer) {
+        try {
+            final T result = server.get();
+            return () -> answer.complete(result);
+        } catch (CompletionException e) {
+            return () -> answer.completeExceptionally(e);
+        }
+    }
+
     private void send(final Runnable arrival, final Duration pause) {
         final boolean lost = mCut;
         schedule(
                 () -> {
+                    if (mClosed) {
+                        return;
+                    }
                     if (lost || mCut) {
                         schedule(() -> send(arrival, pause.multipliedBy(2)), pause);
                     } else {
--- a/gateway/src/test/java/org/whinhead/gateway/duty/UsageReporterTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/duty/UsageReporterTest.java
@@ -48,7 +48,7 @@
     /** Moves on by windows and reports; returns the decisions. */
     private List<UsageDecision> report(final List<UsageDecision> previous, final int windows) {
         mNow = mNow.plus(mState.usageWindows().length().multipliedBy(windows));
-        final List<UsageDecision> decisions = mReporter.decide(previous);
+        final List<UsageDecision> decisions = mReporter.decide(previous, age -> false);
         mReporter.reportUndelivered(decisions, () -> Optional.of(1L));
         return decisions;
     }
@@ -80,7 +80,7 @@
     @Test
     void nothingIsReportedWithoutLease() {
         mNow = mNow.plus(Duration.ofSeconds(3)).plus(mState.usageWindows().length());
-        mReporter.reportUndelivered(mReporter.decide(List.of()), Optional::empty);
+        mReporter.reportUndelivered(mReporter.decide(List.of(), age -> false), Optional::empty);
         assertThat(mCloud.mReportedWindows).isEmpty();
     }
 }
--- a/serving/src/main/java/org/whinhead/serving/duty/UsageDecider.java
+++ b/serving/src/main/java/org/whinhead/serving/duty/UsageDecider.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Predicate;
 import org.whinhead.serving.usage.UsageLedger;
 import org.whinhead.serving.usage.UsageWindows;
 
@@ -35,13 +36,18 @@
     }
 
     /**
-     * Adds decisions for the windows that are due.
+     * Adds decisions for the windows that are due. A window that may have been decided and reported
+     * without this daemon's knowledge is left out, as its counts may have changed since.
      *
      * @param decided the previous decisions
      * @param timeOfDay the time of day
+     * @param isUnknown whether a window that was due at a time of day may have such a decision
      * @return all decisions; the same list if no window is due
      */
-    public List<UsageDecision> decide(final List<UsageDecision> decided, final Instant timeOfDay) {
+    public List<UsageDecision> decide(
+            final List<UsageDecision> decided,
+            final Instant timeOfDay,
+            final Predicate<Instant> isUnknown) {
         final long newest = mWindows.windowAt(timeOfDay.minus(SETTLING_TIME)) - 1;
         long next = Math.max(newest - MAX_LATE_WINDOWS, mFirstWindow);
         for (final UsageDecision decision : decided) {
@@ -52,8 +58,10 @@
         }
         final List<UsageDecision> all = new ArrayList<>(decided);
         for (long window = next; window <= newest; window++) {
-            all.add(new UsageDecision(window, mLedger.totals(window), false));
+            if (!isUnknown.test(mWindows.endOf(window).plus(SETTLING_TIME))) {
+                all.add(new UsageDecision(window, mLedger.totals(window), false));
+            }
         }
-        return all;
+        return all.size() == decided.size() ? decided : all;
     }
 }
--- a/serving/src/test/java/org/whinhead/serving/duty/DutyLeaseTest.java
+++ b/serving/src/test/java/org/whinhead/serving/duty/DutyLeaseTest.java
@@ -159,4 +159,98 @@
         mLease.recordRead(held("self", 5, 10), START.plusSeconds(1));
         assertThat(mLease.canClaim(START.plusSeconds(1))).isFalse();
     }
+
+    // Guards against a window reported twice with different counts: its decision was lost with the
+    // store's last records, and the next holder decided again.
+    @Test
+    void decisionThatHolderTellsOfIsKept() {
+        final UsageDecision told = new UsageDecision(41, Map.of("clinic", 7L), true);
+        mLease.recordPeerDecision(told);
+        mLease.recordRead(held("other", 5, StorePosition.of(1, 8)), START);
+        assertThat(mLease.decisions()).containsExactly(told);
+    }
+
+    @Test
+    void storedDecisionReplacesOneThatWasTold() {
+        final UsageDecision stored = new UsageDecision(41, Map.of("clinic", 8L), false);
+        mLease.recordPeerDecision(new UsageDecision(41, Map.of("clinic", 7L), true));
+        mLease.recordRead(
+                new StoredLease(Optional.of(new LeaseRecord("other", 5, 9, List.of(stored))), 9),
+                START);
+        assertThat(mLease.decisions()).containsExactly(stored);
+    }
+
+    // Guards against windows that are never reported without a return from an older copy.
+    @Test
+    void withoutOlderCopyAllDecisionsAreKnown() {
+        mLease.recordPosition(7, START, START);
+        assertThat(mLease.isDecisionUnknown(START.minusSeconds(9))).isFalse();
+    }
+
+    @Test
+    void decisionOfAnotherHolderBeforeOlderCopyMayBeUnknown() {
+        mLease.recordRead(held("other", 5, 10), START);
+        mLease.recordPosition(StorePosition.of(1, 8), START, START);
+        mLease.recordPosition(StorePosition.of(1, 9), START.plusSeconds(1), START.plusSeconds(1));
+        assertThat(mLease.isDecisionUnknown(START)).isTrue();
+        assertThat(mLease.isDecisionUnknown(START.plusSeconds(1))).isFalse();
+    }
+
+    @Test
+    void holderKnowsItsDecisionsBeforeOlderCopy() {
+        acquire(START);
+        returnFromOlderCopy(1, START.plusSeconds(6));
+        assertThat(mLease.isDecisionUnknown(START.plusSeconds(3))).isFalse();
+        assertThat(mLease.isDecisionUnknown(START.plusSeconds(5))).isTrue();
+        assertThat(mLease.isDecisionUnknown(START.plusSeconds(7))).isFalse();
+    }
+
+    @Test
+    void holderKnowsItsDecisionsBeforeTwoOlderCopies() {
+        acquire(START);
+        returnFromOlderCopy(1, START.plusSeconds(3));
+        returnFromOlderCopy(2, START.plusSeconds(5));
+        assertThat(mLease.isDecisionUnknown(START.plusSeconds(4))).isFalse();
+    }
+
+    // Guards against a former holder that decides what its successor has reported.
+    @Test
+    void formerHolderMayMissDecisionsBeforeOlderCopy() {
+        acquire(START);
+        mLease.recordRead(held("other", 5, 10), START.plusSeconds(5));
+        returnFromOlderCopy(1, START.plusSeconds(6));
+        assertThat(mLease.isDecisionUnknown(START.plusSeconds(1))).isTrue();
+    }
+
+    // Guards against a holder that was suspended and decides what its successor has reported.
+    @Test
+    void suspendedHolderMayMissDecisionsBeforeOlderCopy() {
+        acquire(START);
+        final Instant returned = START.plusSeconds(3);
+        mLease.recordPosition(StorePosition.of(1, 0), returned, returned.plusSeconds(60));
+        assertThat(mLease.isDecisionUnknown(START.plusSeconds(2))).isTrue();
+    }
+
+    private void returnFromOlderCopy(final long era, final Instant now) {
+        mLease.recordPosition(StorePosition.of(era, 0), now, now);
+    }
+
+    // Guards against windows that are left out because another daemon precedes their holder.
+    @Test
+    void holderPrecedesOthersAfterOlderCopy() {
+        final Instant returned = START.plusSeconds(4);
+        final StoredLease copy =
+                new StoredLease(
+                        Optional.of(new LeaseRecord("self", 1, 1, List.of())),
+                        StorePosition.of(1, 1));
+        acquire(START);
+        mLease.recordLost();
+        mLease.recordRead(copy, returned);
+        final DutyLease other = new DutyLease("other", TERM);
+        other.recordRead(held("self", 1, 2), START);
+        other.recordRead(copy, returned);
+        assertThat(mLease.canClaim(returned.plusMillis(4_100))).isTrue();
+        assertThat(other.canClaim(returned.plusMillis(4_100))).isFalse();
+        assertThat(other.canClaim(returned.plusMillis(5_000))).isTrue();
+    }
 }
--- a/serving/src/test/java/org/whinhead/serving/duty/UsageDeciderTest.java
+++ b/serving/src/test/java/org/whinhead/serving/duty/UsageDeciderTest.java
@@ -21,8 +21,8 @@
     @Test
     void windowIsDecidedOnceItsCountsHaveArrived() {
         mLedger.recordStart(200, "clinic");
-        assertThat(mDecider.decide(List.of(), START.plusMillis(6_000))).isEmpty();
-        assertThat(mDecider.decide(List.of(), START.plusMillis(7_100)))
+        assertThat(mDecider.decide(List.of(), START.plusMillis(6_000), due -> false)).isEmpty();
+        assertThat(mDecider.decide(List.of(), START.plusMillis(7_100), due -> false))
                 .containsExactly(new UsageDecision(200, Map.of("clinic", 1L), false));
     }
 
@@ -32,7 +32,24 @@
                 List.of(new UsageDecision(200, Map.of("clinic", 1L), false));
         mLedger.recordStart(200, "clinic");
         mLedger.recordStart(200, "clinic");
-        final List<UsageDecision> all = mDecider.decide(decided, START.plusSeconds(13));
+        final List<UsageDecision> all =
+                mDecider.decide(decided, START.plusSeconds(13), due -> false);
         assertThat(all).startsWith(decided.get(0)).hasSize(2);
     }
+
+    // Guards against a window reported twice with different counts after an older copy.
+    @Test
+    void windowThatMayHaveBeenDecidedBeforeIsLeftOut() {
+        final Instant returned = START.plusSeconds(9);
+        assertThat(mDecider.decide(List.of(), START.plusSeconds(13), due -> due.isBefore(returned)))
+                .extracting(UsageDecision::window)
+                .containsExactly(201L);
+    }
+
+    @Test
+    void knownDecisionIsKeptThoughOthersMayBeUnknown() {
+        final UsageDecision known = new UsageDecision(200, Map.of("clinic", 1L), false);
+        assertThat(mDecider.decide(List.of(known), START.plusSeconds(8), due -> true))
+                .containsExactly(known);
+    }
 }
