--- a/gateway/src/main/java/org/whinhead/gateway/caller/CallerHttpServer.java
+++ b/gateway/src/main/java/org/whinhead/gateway/caller/CallerHttpServer.java
@@ -7,6 +7,7 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.handler.flush.FlushConsolidationHandler;
 import io.netty.handler.timeout.IdleStateHandler;
 import java.net.InetSocketAddress;
 import java.util.HashSet;
@@ -25,6 +26,9 @@
     private static final Logger LOG = LoggerFactory.getLogger(CallerHttpServer.class);
     private static final int BACKLOG = 1_024;
 
+    /** The writes to a caller that are sent together at the end of a turn of the event loop. */
+    private static final int MAX_WRITES_PER_FLUSH = 256;
+
     private final EventLoop mLoop;
     private final CallerProtocol mProtocol;
     private final CallerRequestHandler mHandler;
@@ -139,6 +143,7 @@
             final CallerLimits limits = limits();
             final long idleMillis = limits.idleTimeout().toMillis();
             channel.pipeline()
+                    .addLast(new FlushConsolidationHandler(MAX_WRITES_PER_FLUSH, true))
                     .addLast(new IdleStateHandler(0, 0, idleMillis, TimeUnit.MILLISECONDS))
                     .addLast(new HeaderTimeoutHandler(limits.headerTimeout()))
                     .addLast(new StrictRequestDecoder(limits.maxHeaderBytes()))
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/ResponseRelay.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/ResponseRelay.java
@@ -107,26 +107,26 @@
         }
     }
 
+    /** Forwards all whole events that were received, with one write unless some are dropped. */
     private void forwardEvents() {
-        Optional<ByteBuf> event = mEvents.next();
-        while (event.isPresent()) {
-            forwardEvent(event.get());
-            event = mReleased ? Optional.empty() : mEvents.next();
+        Optional<ByteBuf> events = mEvents.next(this::acceptEvent);
+        while (events.isPresent()) {
+            start();
+            forward(events.get());
+            events = mReleased ? Optional.empty() : mEvents.next(this::acceptEvent);
         }
     }
 
-    private void forwardEvent(final ByteBuf event) {
-        final Optional<String> id = EventSplitter.id(event);
+    /** Accepts an event unless the caller has it from the endpoint before. */
+    private boolean acceptEvent(final Optional<String> id) {
         if (id.isPresent() && mLastEventId.isPresent() && !isAfter(id.get(), mLastEventId.get())) {
-            event.release();
-            return;
+            return false;
         }
         mProgress.generationStarted();
-        start();
-        forward(event);
         if (id.isPresent()) {
             mLastEventId = id;
         }
+        return true;
     }
 
     /** Returns whether an id follows the last one; if one is no number, it only has to differ. */
@@ -166,7 +166,7 @@
 
     /** Returns whether an ended response is complete: a stream must not end within an event. */
     boolean isComplete() {
-        return !isStream() || mEvents.pendingBytes() == 0;
+        return !isStream() || !mEvents.hasPartialEvent();
     }
 
     /** Returns whether the response is a stream from its first event on that has none. */
@@ -174,9 +174,12 @@
         return isStream() && !mStarted && mLastEventId.isEmpty();
     }
 
-    /** Forwards the buffered rest of a complete response. */
+    /** Forwards the rest of a complete response. */
     void flush() {
         forwardBuffered();
+        if (!mReleased) {
+            mEvents.removeBlankLines().ifPresent(this::forward);
+        }
     }
 
     void release() {
--- a/gateway/src/test/java/org/whinhead/gateway/exchange/ResponseRelayTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/exchange/ResponseRelayTest.java
@@ -138,4 +138,34 @@
         assertThat(mOverlong).isFalse();
         assertThat(heldBytes()).isLessThan(MAX_HELD_BYTES);
     }
+
+    // Guards against a daemon that is busy with an endpoint that sends line ends without end.
+    @Test
+    void lineEndsWithoutEndAreRefusedAndNotForwarded() {
+        final ResponseRelay relay = relay(true);
+        relay.forwardBody(part("data: x\n\n"));
+        assertThat(mUnread).hasSize(1);
+        assertThat(sendUntilPaused(relay, "\n")).isLessThan(MAX_HELD_BYTES);
+        assertThat(mOverlong).isTrue();
+        assertThat(mUnread).hasSize(1);
+    }
+
+    // Guards against a caller that gets less than its endpoint sent.
+    @Test
+    void blankLinesAtTheEndOfStreamAreForwarded() {
+        final ResponseRelay relay = relay(true);
+        relay.forwardBody(
+                Unpooled.copiedBuffer(
+                        "data: x\n\n\n\r\n", java.nio.charset.StandardCharsets.US_ASCII));
+        assertThat(relay.isComplete()).isTrue();
+        relay.flush();
+        assertThat(
+                        mUnread.stream()
+                                .map(
+                                        bytes ->
+                                                bytes.toString(
+                                                        java.nio.charset.StandardCharsets.US_ASCII))
+                                .reduce("", String::concat))
+                .isEqualTo("data: x\n\n\n\r\n");
+    }
 }
