Vary the interval of the lease's renewals

The record: the cut began at 31,690 ms, in the milliseconds after the renewal that confirmed the report (due each 5 s: 21,662, 26,670). The script cuts 2.00 to 2.05 s after an order, which is two intervals, so that its cuts keep step with the renewals.

Change: an interval is 0.9 to 1 s long, by chance. A cut that begins while a call is on its way remains possible and is listed; the reset drops the call where it is honoured.

--- a/gateway/src/main/java/org/whinhead/gateway/Gateway.java
+++ b/gateway/src/main/java/org/whinhead/gateway/Gateway.java
@@ -191,7 +191,8 @@
                                 new DutyLease(settings.self().incarnation(), settings.leaseTerm()),
                                 new UsageDecider(
                                         mState.usageWindows(), mState.usage(), timeOfDay.instant()),
-                                new CapacityPlanner(settings.capacity())));
+                                new CapacityPlanner(settings.capacity()),
+                                new Random()));
         mShareTable =
                 new ShareTableSynchronizer(
                         loop,
--- a/gateway/src/main/java/org/whinhead/gateway/duty/DutyLeaseManager.java
+++ b/gateway/src/main/java/org/whinhead/gateway/duty/DutyLeaseManager.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -39,9 +40,16 @@
     private static final Logger LOG = LoggerFactory.getLogger(DutyLeaseManager.class);
     private static final String LEASE_KEY = "lease";
 
-    /** Interval of renewals and of a candidate's reads; at most a third of the lease term. */
+    /** Longest interval of renewals and of a candidate's reads; at most a third of the term. */
     private static final int RENEWAL_INTERVAL_MILLIS = 1_000;
 
+    /**
+     * The part of the interval that varies. A disturbance that keeps step with the renewals could
+     * otherwise begin again and again right behind one, while the calls that it has confirmed are
+     * on their way.
+     */
+    private static final int RENEWAL_JITTER_MILLIS = 100;
+
     /** Delay before an unanswered renewal is repeated; a reset comes within a millisecond. */
     private static final int REPETITION_DELAY_MILLIS = 100;
 
@@ -60,6 +68,7 @@
     private final MetadataStore mStore;
     private final EndpointAutoscaler mAutoscaler;
     private final DutyLease mLease;
+    private final Random mRandom;
     private final UsageReporter mUsageReporter;
     private final List<CompletableFuture<Optional<Long>>> mConfirmations = new ArrayList<>();
     private LeaseRecord mClaimedRecord;
@@ -94,6 +103,7 @@
         mMembers = members;
         mStore = store;
         mLease = duties.lease();
+        mRandom = duties.random();
         mUsageReporter = new UsageReporter(state, cloud, duties.usagePlan());
         mAutoscaler =
                 new EndpointAutoscaler(
@@ -106,8 +116,10 @@
      * @param lease the state of the lease
      * @param usagePlan decides which usage windows to report
      * @param planner decides which endpoints to order
+     * @param random varies the interval of the renewals
      */
-    public record Duties(DutyLease lease, UsageDecider usagePlan, CapacityPlanner planner) {}
+    public record Duties(
+            DutyLease lease, UsageDecider usagePlan, CapacityPlanner planner, Random random) {}
 
     /**
      * Returns the autoscaler that orders endpoints under the lease.
@@ -149,10 +161,16 @@
 
     /** Starts to read, claim and renew the lease. */
     public void start() {
-        mLoop.scheduleWithFixedDelay(
-                () -> GuardedTask.run(LOG, "duties", this::tick),
-                RENEWAL_INTERVAL_MILLIS,
-                RENEWAL_INTERVAL_MILLIS,
+        scheduleTick();
+    }
+
+    private void scheduleTick() {
+        mLoop.schedule(
+                () -> {
+                    GuardedTask.run(LOG, "duties", this::tick);
+                    scheduleTick();
+                },
+                RENEWAL_INTERVAL_MILLIS - mRandom.nextInt(RENEWAL_JITTER_MILLIS),
                 TimeUnit.MILLISECONDS);
     }
 
--- a/gateway/src/test/java/org/whinhead/gateway/duty/DutyFleet.java
+++ b/gateway/src/test/java/org/whinhead/gateway/duty/DutyFleet.java
@@ -371,7 +371,8 @@
                                                     .loadPart(1)
                                                     .reserve(2)
                                                     .surviving(0, 0)
-                                                    .build())));
+                                                    .build()),
+                                    mRandom));
             mManager.onUsageDecided(decisions -> tellOthers(this, decisions));
         }
 
--- a/gateway/src/test/java/org/whinhead/gateway/duty/DutyLeaseManagerTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/duty/DutyLeaseManagerTest.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
@@ -148,7 +149,8 @@
                                                 .loadPart(1)
                                                 .reserve(1)
                                                 .surviving(0, 0)
-                                                .build())));
+                                                .build()),
+                                new Random(1)));
         mChannel.freezeTime();
         mState.endpoints().put(endpoint(), 1);
         mLeaseManager.start();
