Bound the memory of all request bodies together

Cause: bodies were held whole in direct memory without a bound on their sum. Once it is used up, each read collects garbage and waits on the event loop.

Change: bodies of more than 64 KiB share 48 MiB; one without room is refused at once with 503 and Retry-After. A body is copied into one buffer in place of being kept as the parts in which it was read.

--- a/gateway/src/main/java/org/whinhead/gateway/caller/CallerConnection.java
+++ b/gateway/src/main/java/org/whinhead/gateway/caller/CallerConnection.java
@@ -1,7 +1,6 @@
 package org.whinhead.gateway.caller;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
@@ -46,6 +45,11 @@
 
     private static final int MAX_QUEUED_MESSAGES = 64;
 
+    private static final int FIRST_BODY_BYTES = 16 * 1024;
+
+    /** A body that takes up room is held for as long as its request takes, often some seconds. */
+    private static final Duration NO_ROOM_RETRY_DELAY = Duration.ofSeconds(1);
+
     /** The decimals of the seconds in Retry-After, which state milliseconds. */
     private static final int RETRY_AFTER_DECIMALS = 3;
 
@@ -53,7 +57,8 @@
     private final Deque<Object> mQueued = new ArrayDeque<>();
     private ChannelHandlerContext mContext;
     private CallerRequest mRequest;
-    private CompositeByteBuf mBody;
+    private ByteBuf mBody;
+    private long mReservedBytes;
     private CallerRequestHandler.ActiveRequest mRunning;
     private boolean mServing;
     private boolean mKeepAlive = true;
@@ -130,15 +135,38 @@
             refuseUnread(RefusalResponse.invalid(HttpResponseStatus.BAD_REQUEST, e.getMessage()));
             return;
         }
-        if (HttpUtil.getContentLength(head, 0L) > mServer.limits().maxBodyBytes()) {
+        final long length = HttpUtil.getContentLength(head, 0L);
+        if (length > mServer.limits().maxBodyBytes() || !mServer.bodies().isWithin(length)) {
             refuseUnread(tooLarge());
             return;
         }
+        if (!reserve(length)) {
+            refuseUnread(noRoom());
+            return;
+        }
         if (HttpUtil.is100ContinueExpected(head)) {
             mContext.writeAndFlush(
                     new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
         }
-        mBody = mContext.alloc().compositeBuffer(1024);
+        mBody = mContext.alloc().buffer((int) Math.min(length, FIRST_BODY_BYTES));
+    }
+
+    /** Reserves room for the bytes of a body so far, and returns whether there is room. */
+    private boolean reserve(final long bodyBytes) {
+        final long missing = bodyBytes - mReservedBytes;
+        if (bodyBytes <= RequestBodyBudget.UNCOUNTED_BYTES || missing <= 0) {
+            return true;
+        }
+        if (!mServer.bodies().reserve(missing)) {
+            return false;
+        }
+        mReservedBytes += missing;
+        return true;
+    }
+
+    private void releaseReserved() {
+        mServer.bodies().release(mReservedBytes);
+        mReservedBytes = 0;
     }
 
     /** Returns whether a body is in a coding that is not decoded here, nor stated to endpoints. */
@@ -162,19 +190,26 @@
                 HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body too long");
     }
 
+    private static RefusalResponse noRoom() {
+        return RefusalResponse.notRun("no room for the body", NO_ROOM_RETRY_DELAY);
+    }
+
     private void readContent(final HttpContent content) {
         if (content.decoderResult().isFailure()) {
             refuseUnread(
                     RefusalResponse.invalid(HttpResponseStatus.BAD_REQUEST, "unreadable body"));
             return;
         }
-        if (content.content().isReadable()) {
-            mBody.addComponent(true, content.content().retain());
-        }
-        if (mBody.readableBytes() > mServer.limits().maxBodyBytes()) {
+        final long bytes = mBody.readableBytes() + (long) content.content().readableBytes();
+        if (bytes > mServer.limits().maxBodyBytes() || !mServer.bodies().isWithin(bytes)) {
             refuseUnread(tooLarge());
             return;
         }
+        if (!reserve(bytes)) {
+            refuseUnread(noRoom());
+            return;
+        }
+        mBody.writeBytes(content.content());
         if (content instanceof LastHttpContent) {
             serve();
         }
@@ -192,6 +227,7 @@
     /** Refuses a request that was not read to its end, and discards all further input. */
     private void refuseUnread(final RefusalResponse refusal) {
         mDiscarding = true;
+        releaseBody();
         mKeepAlive = false;
         mServing = true;
         mServer.logUnreadRefusal(refusal);
@@ -235,8 +271,16 @@
         finishRequest();
     }
 
+    private void releaseBody() {
+        if (mBody != null) {
+            mBody.release();
+            mBody = null;
+        }
+    }
+
     @Override
     public void abort() {
+        releaseReserved();
         // The close hands over what the decoder still holds.
         mDiscarding = true;
         mServing = false;
@@ -273,6 +317,7 @@
         mServing = false;
         mRunning = null;
         mRequest = null;
+        releaseReserved();
         if (!mKeepAlive) {
             mDiscarding = true;
             releaseQueued();
@@ -310,16 +355,14 @@
     public void channelInactive(final ChannelHandlerContext context) {
         mServer.connectionClosed(this);
         releaseQueued();
-        if (mBody != null) {
-            mBody.release();
-            mBody = null;
-        }
+        releaseBody();
         final CallerRequestHandler.ActiveRequest running = mRunning;
         mRunning = null;
         mServing = false;
         if (running != null) {
             running.callerDisconnected();
         }
+        releaseReserved();
     }
 
     private void releaseQueued() {
--- a/gateway/src/main/java/org/whinhead/gateway/caller/CallerHttpServer.java
+++ b/gateway/src/main/java/org/whinhead/gateway/caller/CallerHttpServer.java
@@ -26,6 +26,9 @@
     private static final Logger LOG = LoggerFactory.getLogger(CallerHttpServer.class);
     private static final int BACKLOG = 1_024;
 
+    /** Half of the direct memory of a daemon; the rest is for reads and responses. */
+    private static final long MAX_BODY_BYTES = 48L * 1024 * 1024;
+
     /** The writes to a caller that are sent together at the end of a turn of the event loop. */
     private static final int MAX_WRITES_PER_FLUSH = 256;
 
@@ -34,6 +37,7 @@
     private final CallerRequestHandler mHandler;
     private final Supplier<CallerLimits> mLimits;
     private final Set<CallerConnection> mConnections = new HashSet<>();
+    private final RequestBodyBudget mBodies = new RequestBodyBudget(MAX_BODY_BYTES);
     private ListeningPort mPort;
     private boolean mStopping;
 
@@ -122,6 +126,10 @@
         return mLimits.get();
     }
 
+    RequestBodyBudget bodies() {
+        return mBodies;
+    }
+
     void connectionOpened(final CallerConnection connection) {
         mConnections.add(connection);
     }
--- /dev/null
+++ b/gateway/src/test/java/org/whinhead/gateway/caller/LongBodyTest.java
@@ -0,0 +1,148 @@
+package org.whinhead.gateway.caller;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.whinhead.serving.configuration.CallerLimits;
+
+class LongBodyTest {
+
+    private static final int LONG_BYTES = 4 * 1024 * 1024;
+
+    /** The number of the longest bodies that a daemon holds. */
+    private static final int HELD_BODIES = 12;
+
+    private static final CallerLimits LIMITS =
+            new CallerLimits(512, LONG_BYTES, Duration.ofSeconds(3), Duration.ofSeconds(15));
+
+    private final List<Integer> mServedLengths = new ArrayList<>();
+    private final List<CallerResponse> mResponses = new ArrayList<>();
+    private final CallerHttpServer mServer =
+            new CallerHttpServer(null, LongBodyTest::decode, this::serve, () -> LIMITS);
+
+    private static CallerRequest decode(final HttpRequest head) {
+        return CallerRequest.builder()
+                .id(head.headers().get("Id"))
+                .call(head.method(), head.headers().get("Host"), head.uri())
+                .forwardedHeaders(new DefaultHttpHeaders())
+                .build();
+    }
+
+    private CallerRequestHandler.ActiveRequest serve(
+            final CallerRequest request, final ByteBuf body, final CallerResponse response) {
+        mServedLengths.add(body.readableBytes());
+        body.release();
+        mResponses.add(response);
+        return new CallerRequestHandler.ActiveRequest() {
+            @Override
+            public void callerDisconnected() {}
+
+            @Override
+            public void callerCaughtUp() {}
+        };
+    }
+
+    private EmbeddedChannel connect() {
+        return new EmbeddedChannel(
+                new StrictRequestDecoder(LIMITS.maxHeaderBytes()),
+                new HttpResponseEncoder(),
+                new CallerConnection(mServer));
+    }
+
+    private EmbeddedChannel begin(final String framing) {
+        final EmbeddedChannel channel = connect();
+        send(channel, "POST /a HTTP/1.1\r\nHost: h\r\nId: 1\r\n" + framing + "\r\n\r\n");
+        return channel;
+    }
+
+    private static void send(final EmbeddedChannel channel, final String text) {
+        channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII));
+        channel.runPendingTasks();
+    }
+
+    private static String received(final EmbeddedChannel channel) {
+        final StringBuilder text = new StringBuilder();
+        ByteBuf bytes = channel.readOutbound();
+        while (bytes != null) {
+            text.append(bytes.toString(StandardCharsets.US_ASCII));
+            bytes.release();
+            bytes = channel.readOutbound();
+        }
+        return text.toString();
+    }
+
+    private List<EmbeddedChannel> fill() {
+        final List<EmbeddedChannel> channels = new ArrayList<>();
+        for (int index = 0; index < HELD_BODIES; index++) {
+            channels.add(begin("Content-Length: " + LONG_BYTES));
+        }
+        return channels;
+    }
+
+    // Guards against long bodies that use up the direct memory, for which every read then waits.
+    @Test
+    void longBodyWithoutRoomIsRefusedAtOnce() {
+        fill();
+        assertThat(received(begin("Content-Length: " + LONG_BYTES)))
+                .startsWith("HTTP/1.1 503")
+                .contains("retry-after: 1.000");
+    }
+
+    @Test
+    void bodyInChunksWithoutRoomIsRefusedOnceItIsLong() {
+        fill();
+        final EmbeddedChannel channel = begin("Transfer-Encoding: chunked");
+        final String chunk = "8000\r\n" + "a".repeat(32 * 1024) + "\r\n";
+        send(channel, chunk);
+        send(channel, chunk);
+        assertThat(received(channel)).isEmpty();
+        send(channel, chunk);
+        assertThat(received(channel)).startsWith("HTTP/1.1 503");
+    }
+
+    @Test
+    void shortBodyIsServedBesideLongOnes() {
+        fill();
+        send(begin("Content-Length: 5"), "short");
+        assertThat(mServedLengths).containsExactly(5);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"close", "refuse", "finish"})
+    void roomIsGivenBack(final String end) {
+        final List<EmbeddedChannel> channels = fill();
+        final EmbeddedChannel first = channels.get(0);
+        if (end.equals("close")) {
+            first.close();
+        } else {
+            send(first, "a".repeat(LONG_BYTES));
+            assertThat(mServedLengths).containsExactly(LONG_BYTES);
+            if (end.equals("refuse")) {
+                mResponses.get(0).refuse(RefusalResponse.mayHaveRun("failed"));
+            } else {
+                mResponses.get(0).finish();
+            }
+        }
+        assertThat(mServer.bodies().usedBytes()).isEqualTo((HELD_BODIES - 1L) * LONG_BYTES);
+        assertThat(received(begin("Content-Length: " + LONG_BYTES))).isEmpty();
+    }
+
+    @Test
+    void refusedBodyTakesNoRoom() {
+        fill();
+        begin("Content-Length: " + LONG_BYTES);
+        assertThat(mServer.bodies().usedBytes()).isEqualTo((long) HELD_BODIES * LONG_BYTES);
+    }
+}
