--- a/gateway/src/main/java/org/whinhead/gateway/crash/RecentChecks.java
+++ b/gateway/src/main/java/org/whinhead/gateway/crash/RecentChecks.java
@@ -18,9 +18,9 @@
 final class RecentChecks {
 
     /**
-     * The time within which checks of one start of an endpoint concern one crash. A Java process
-     * accepted connections for up to 7 ms after its port was closed, and an event loop of a small
-     * VM is late by some tens of milliseconds. A process takes longer than this to start again.
+     * The time within which checks of one start of an endpoint concern one crash. A process may
+     * accept connections for some milliseconds while it ends, and the event loop of a busy daemon
+     * is late. A process takes longer than this to start again.
      */
     static final Duration MEMORY = Duration.ofMillis(100);
 
--- a/gateway/src/main/java/org/whinhead/gateway/duty/EndpointAutoscaler.java
+++ b/gateway/src/main/java/org/whinhead/gateway/duty/EndpointAutoscaler.java
@@ -234,8 +234,7 @@
 
     /**
      * Orders replacements once for all refusals of a round. In a wave of reclaims several domains
-     * run out of capacity together; a holder that waited for its next round lost one of the two or
-     * three seconds that a notice gives.
+     * run out of capacity together, and a notice gives less time than the holder's next rounds.
      */
     private void scheduleReplacementOrders() {
         if (!mReorderScheduled) {
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/SilenceDetector.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/SilenceDetector.java
@@ -22,7 +22,7 @@
  */
 final class SilenceDetector {
 
-    /** A plain call takes some 20 ms, and the events of streams are 10 to 20 ms apart. */
+    /** Far longer than a usual call, or than the time between two events of a stream. */
     static final Duration SERVICE_SILENCE = Duration.ofMillis(250);
 
     /** First tokens take up to a second on a busy engine. */
--- a/serving/src/main/java/org/whinhead/serving/balance/EndpointChooser.java
+++ b/serving/src/main/java/org/whinhead/serving/balance/EndpointChooser.java
@@ -45,7 +45,7 @@
      */
     private static final double ONLY_ONE_OF_VERSION_MILLIS = 50.0;
 
-    /** The time that a new connection takes: 1 to 3 ms were measured, and each one is billed. */
+    /** The cost of a new connection: its time, and what is billed for it. */
     private static final double NEW_CONNECTION_MILLIS = 2.0;
 
     /** The share of shared tokens assumed to be cached at the home, even if none was sent. */
@@ -54,7 +54,7 @@
     /** The prompt tokens that an engine caches in addition to those of running requests. */
     private static final long PREFIX_CACHE_TOKENS = 200_000;
 
-    /** The shared tokens from which the session's home is preferred: 26 ms of prefill. */
+    /** The shared tokens from which the session's home is preferred. */
     private static final int MIN_SHARED_TOKENS = 1_000;
 
     /**
--- a/serving/src/main/java/org/whinhead/serving/capacity/CapacityPlanner.java
+++ b/serving/src/main/java/org/whinhead/serving/capacity/CapacityPlanner.java
@@ -39,8 +39,7 @@
 
     /**
      * The time that a surplus lasts before on-demand endpoints are removed. Before traffic they are
-     * removed as soon as others have replaced them: a deployment of 25 paid for all of its
-     * on-demand endpoints until second 1 of traffic, a tenth of a calm day's cost.
+     * removed as soon as others have replaced them, since nobody uses them yet.
      */
     private static final Duration SURPLUS_DELAY = Duration.ofSeconds(4);
 
@@ -174,8 +173,7 @@
     /**
      * Records an order of the daemon that orders now. Its endpoints are not listed before they have
      * started. A daemon that takes over meanwhile would order fewer, and the platform would remove
-     * those that were about to start: twenty of them, two seconds before the last domain was
-     * reclaimed.
+     * those that are about to start.
      *
      * @param service the service
      * @param order an order that the platform has accepted
--- a/serving/src/main/java/org/whinhead/serving/capacity/DomainCapacity.java
+++ b/serving/src/main/java/org/whinhead/serving/capacity/DomainCapacity.java
@@ -8,7 +8,7 @@
 /** The current and target numbers of a service's endpoints in one failure domain. */
 final class DomainCapacity {
 
-    /** The time in which another reclaim is expected; those of a wave came 2 to 6 s apart. */
+    /** The time in which another reclaim of the same wave is expected. */
     private static final Duration WAVE_DURATION = Duration.ofSeconds(8);
 
     /** The time within which all notices of one reclaim are read. */
--- a/serving/src/main/java/org/whinhead/serving/capacity/InitialEndpoints.java
+++ b/serving/src/main/java/org/whinhead/serving/capacity/InitialEndpoints.java
@@ -8,8 +8,8 @@
  * The endpoints that a service's list held when its planner started.
  *
  * <p>Entries of a large service arrive one by one over seconds. An order names the total number of
- * endpoints, so an order based on the first few entries removes the others: 44 of 74 were removed,
- * and a third of a calm day's requests were not served. So nothing is ordered while the list grows.
+ * endpoints, so an order based on the first few entries would remove the others. So nothing is
+ * ordered while the list grows.
  */
 final class InitialEndpoints {
 
--- a/serving/src/main/java/org/whinhead/serving/speed/EndpointSpeed.java
+++ b/serving/src/main/java/org/whinhead/serving/speed/EndpointSpeed.java
@@ -47,15 +47,15 @@
     /** The weight of recent samples that show a change: two in a row, or three within a second. */
     private static final double MIN_RECENT_WEIGHT = 1.6;
 
-    /** A change by a smaller factor is left to the mean: engines are 2.5 times slower at times. */
+    /** A change by a smaller factor is left to the mean, as engines are slower for moments. */
     private static final double MIN_CHANGE = Math.log(3);
 
     /** The same for an endpoint that counts as slow, which must get its work back. */
     private static final double MIN_RECOVERY = Math.log(1.8);
 
     /**
-     * How far a sample counts from the estimate at most: a factor of 1.5. Without a bound, the
-     * moments in which an engine is 2.5 times slower make estimates wrong by a fifth.
+     * How far a sample counts from the estimate at most: a factor of 1.5. Without a bound, moments
+     * in which an engine is slower would decide the estimate.
      */
     private static final double MAX_SURPRISE = Math.log(1.5);
 
--- a/serving/src/main/java/org/whinhead/serving/stream/CopyBudget.java
+++ b/serving/src/main/java/org/whinhead/serving/stream/CopyBudget.java
@@ -16,7 +16,7 @@
     /** The fewest daemons that are told of a stream; each is lost with its process. */
     private static final int MIN_COPIES = 3;
 
-    /** The most daemons that are told: of eight daemons, the last two lose one stream in seven. */
+    /** The most daemons that are told. */
     private static final int MAX_COPIES = 6;
 
     private static final Duration WINDOW = Duration.ofSeconds(4);
