--- a/admission/src/main/java/org/whinhead/admission/ServiceTimes.java
+++ b/admission/src/main/java/org/whinhead/admission/SlotThroughput.java
@@ -3,7 +3,7 @@
 import java.time.Duration;
 
 /** Moving averages of the tokens and the duration of requests for one model or service. */
-final class ServiceTimes {
+final class SlotThroughput {
 
     private static final double NEW_SAMPLE_SHARE = 0.1;
     private static final double NANOS_PER_SECOND = 1e9;
--- a/admission/src/main/java/org/whinhead/admission/TargetQueue.java
+++ b/admission/src/main/java/org/whinhead/admission/TargetQueue.java
@@ -17,7 +17,7 @@
 
     private final NavigableMap<Integer, TierQueue> mTiers =
             new TreeMap<>(Comparator.reverseOrder());
-    private final ServiceTimes mServiceTimes = new ServiceTimes();
+    private final SlotThroughput mThroughput = new SlotThroughput();
     private int mSlots;
     private int mRunning;
 
@@ -69,7 +69,7 @@
 
     void requestEnded(final long tokens, final Duration duration) {
         mRunning--;
-        mServiceTimes.observe(tokens, duration);
+        mThroughput.observe(tokens, duration);
     }
 
     /** Returns the expected time that a new request of a customer waits for a slot. */
@@ -84,7 +84,7 @@
         if (position <= 0 || mSlots == 0) {
             return Duration.ZERO;
         }
-        final double seconds = position * mServiceTimes.secondsPerRequest() / mSlots;
+        final double seconds = position * mThroughput.secondsPerRequest() / mSlots;
         return Duration.ofNanos((long) (seconds * NANOS_PER_SECOND));
     }
 
