--- a/gateway/src/main/java/org/whinhead/gateway/duty/EndpointAutoscaler.java
+++ b/gateway/src/main/java/org/whinhead/gateway/duty/EndpointAutoscaler.java
@@ -38,7 +38,6 @@
     private final LeaseConfirmation mConfirmation;
     private final DemandMeter mDemand = new DemandMeter();
     private final List<CapacityOrder> mUnconfirmedOrders = new ArrayList<>();
-    private boolean mConfirmationPending;
     private boolean mReorderScheduled;
     private Consumer<CapacityOrder> mOnOrdered = order -> {};
 
@@ -96,9 +95,9 @@
      * observes them. Called at each change of the endpoints, as a reclaim leaves only seconds.
      */
     public void orderEndpoints() {
+        final boolean confirmationPending = !mUnconfirmedOrders.isEmpty();
         mUnconfirmedOrders.addAll(planOrders());
-        if (!mUnconfirmedOrders.isEmpty() && !mConfirmationPending) {
-            mConfirmationPending = true;
+        if (!mUnconfirmedOrders.isEmpty() && !confirmationPending) {
             mConfirmation
                     .confirm()
                     .thenAccept(
@@ -110,7 +109,6 @@
 
     /** Plans again, since the endpoints may have changed while the lease was confirmed. */
     private void handleConfirmed(final Optional<Long> fencingToken) {
-        mConfirmationPending = false;
         if (fencingToken.isEmpty()) {
             LOG.atInfo()
                     .addKeyValue("orders", mUnconfirmedOrders.size())
