Bound the bytes that any connection gets read in one turn

Only connections to endpoints read four times 16 KiB before others get their turn; callers, relays, the store, the cloud, copies of the configuration and the metrics port had Netty's 16 reads of up to 64 KiB.

ReadSizes holds the bound for all of them. ReadSizesTest reads 4 MiB over a socket, no turn over 64 KiB, and checks the connections of own calls; the other places are one line each, read off the code.

--- a/gateway/src/main/java/org/whinhead/gateway/caller/CallerHttpServer.java
+++ b/gateway/src/main/java/org/whinhead/gateway/caller/CallerHttpServer.java
@@ -3,6 +3,7 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -18,6 +19,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.whinhead.gateway.http.ListeningPort;
+import org.whinhead.gateway.http.ReadSizes;
 import org.whinhead.serving.configuration.CallerLimits;
 
 /** The HTTP server for callers, which tracks their connections. */
@@ -66,15 +68,16 @@
      * @param address the address to listen at
      */
     public void listen(final InetSocketAddress address) {
-        mPort =
-                new ListeningPort(
-                        mLoop,
-                        new ServerBootstrap()
-                                .channel(NioServerSocketChannel.class)
-                                .option(ChannelOption.SO_BACKLOG, BACKLOG)
-                                .childOption(ChannelOption.TCP_NODELAY, true)
-                                .childHandler(new PipelineInitializer()),
-                        address);
+        mPort = new ListeningPort(mLoop, bootstrap(), address);
+    }
+
+    ServerBootstrap bootstrap() {
+        return new ServerBootstrap()
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.RCVBUF_ALLOCATOR, ReadSizes.allocator())
+                .childHandler(new PipelineInitializer());
     }
 
     /**
@@ -148,15 +151,19 @@
     private final class PipelineInitializer extends ChannelInitializer<SocketChannel> {
         @Override
         protected void initChannel(final SocketChannel channel) {
-            final CallerLimits limits = limits();
-            final long idleMillis = limits.idleTimeout().toMillis();
-            channel.pipeline()
-                    .addLast(new FlushConsolidationHandler(MAX_WRITES_PER_FLUSH, true))
-                    .addLast(new IdleStateHandler(0, 0, idleMillis, TimeUnit.MILLISECONDS))
-                    .addLast(new HeaderTimeoutHandler(limits.headerTimeout()))
-                    .addLast(new StrictRequestDecoder(limits.maxHeaderBytes()))
-                    .addLast(new HttpResponseEncoder())
-                    .addLast(new CallerConnection(CallerHttpServer.this));
+            addHandlers(channel.pipeline());
         }
     }
+
+    /** Adds the handlers of a caller's connection. */
+    void addHandlers(final ChannelPipeline pipeline) {
+        final CallerLimits limits = limits();
+        final long idleMillis = limits.idleTimeout().toMillis();
+        pipeline.addLast(new FlushConsolidationHandler(MAX_WRITES_PER_FLUSH, true))
+                .addLast(new IdleStateHandler(0, 0, idleMillis, TimeUnit.MILLISECONDS))
+                .addLast(new HeaderTimeoutHandler(limits.headerTimeout()))
+                .addLast(new StrictRequestDecoder(limits.maxHeaderBytes()))
+                .addLast(new HttpResponseEncoder())
+                .addLast(new CallerConnection(this));
+    }
 }
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnector.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnector.java
@@ -17,7 +17,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
-import org.whinhead.gateway.http.ResponsePipeline;
+import org.whinhead.gateway.http.ReadSizes;
 import org.whinhead.gateway.relay.RelayClient;
 import org.whinhead.serving.endpoint.EndpointEntry;
 import org.whinhead.serving.reach.EndpointReach;
@@ -98,7 +98,7 @@
                         .channel(NioSocketChannel.class)
                         .option(ChannelOption.TCP_NODELAY, true)
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-                        .option(ChannelOption.RCVBUF_ALLOCATOR, ResponsePipeline.readSizes())
+                        .option(ChannelOption.RCVBUF_ALLOCATOR, ReadSizes.allocator())
                         .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                         .handler(handler)
                         .connect(endpoint.address(), new InetSocketAddress(mLocalAddress, 0));
--- a/gateway/src/main/java/org/whinhead/gateway/http/EventLoopHttpClient.java
+++ b/gateway/src/main/java/org/whinhead/gateway/http/EventLoopHttpClient.java
@@ -110,6 +110,7 @@
                         .channel(NioSocketChannel.class)
                         .option(ChannelOption.TCP_NODELAY, true)
                         .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
+                        .option(ChannelOption.RCVBUF_ALLOCATOR, ReadSizes.allocator())
                         .option(ChannelOption.SO_LINGER, RESET_ON_CLOSE)
                         .handler(handler)
                         .connect(server);
--- a/gateway/src/main/java/org/whinhead/gateway/http/ResponsePipeline.java
+++ b/gateway/src/main/java/org/whinhead/gateway/http/ResponsePipeline.java
@@ -1,8 +1,6 @@
 package org.whinhead.gateway.http;
 
-import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.ChannelPipeline;
-import io.netty.channel.RecvByteBufAllocator;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.util.function.BooleanSupplier;
@@ -28,16 +26,6 @@
     /** The largest part of a body that is passed on at once. */
     public static final int MAX_CONTENT_BYTES = 8 * 1024;
 
-    private static final int MIN_READ_BYTES = 64;
-    private static final int FIRST_READ_BYTES = 2 * 1024;
-    private static final int MAX_READ_BYTES = 16 * 1024;
-
-    /**
-     * The reads of one connection before others get their turn. A server that sends as fast as it
-     * can would take 16 reads of 64 KiB by default, which delays the others of the event loop.
-     */
-    private static final int READS_PER_TURN = 4;
-
     private ResponsePipeline() {}
 
     /**
@@ -63,14 +51,4 @@
                 .addLast(new ResponseMessageLimit(progress, decoder));
         return progress;
     }
-
-    /**
-     * Returns the sizes of the reads on a connection to an endpoint.
-     *
-     * @return the allocator of the buffers
-     */
-    public static RecvByteBufAllocator readSizes() {
-        return new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES)
-                .maxMessagesPerRead(READS_PER_TURN);
-    }
 }
--- a/gateway/src/main/java/org/whinhead/gateway/http/SimpleHttpServer.java
+++ b/gateway/src/main/java/org/whinhead/gateway/http/SimpleHttpServer.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
@@ -72,6 +73,7 @@
                 mLoop,
                 new ServerBootstrap()
                         .channel(NioServerSocketChannel.class)
+                        .childOption(ChannelOption.RCVBUF_ALLOCATOR, ReadSizes.allocator())
                         .childHandler(initializer),
                 address);
     }
--- a/gateway/src/main/java/org/whinhead/gateway/relay/ConfigurationClient.java
+++ b/gateway/src/main/java/org/whinhead/gateway/relay/ConfigurationClient.java
@@ -24,6 +24,7 @@
 import org.whinhead.gateway.generated.GatewayProto.ConfigurationPart;
 import org.whinhead.gateway.generated.GatewayProto.RelayMessage;
 import org.whinhead.gateway.http.ConnectionExceptions;
+import org.whinhead.gateway.http.ReadSizes;
 import org.whinhead.serving.member.Relay;
 
 /** Asks other daemons for the configuration's record. */
@@ -68,6 +69,7 @@
                         .group(mLoop)
                         .channel(NioSocketChannel.class)
                         .option(ChannelOption.TCP_NODELAY, true)
+                        .option(ChannelOption.RCVBUF_ALLOCATOR, ReadSizes.allocator())
                         .handler(new PipelineInitializer(handler))
                         .connect(daemon.address(), new InetSocketAddress(mLocalAddress, 0));
         handler.start(future.channel());
--- a/gateway/src/main/java/org/whinhead/gateway/relay/RelayClient.java
+++ b/gateway/src/main/java/org/whinhead/gateway/relay/RelayClient.java
@@ -12,7 +12,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.Objects;
-import org.whinhead.gateway.http.ResponsePipeline;
+import org.whinhead.gateway.http.ReadSizes;
 import org.whinhead.serving.member.Relay;
 
 /** Opens connections to endpoints through other daemons. */
@@ -53,7 +53,7 @@
                         .group(mLoop)
                         .channel(NioSocketChannel.class)
                         .option(ChannelOption.TCP_NODELAY, true)
-                        .option(ChannelOption.RCVBUF_ALLOCATOR, ResponsePipeline.readSizes())
+                        .option(ChannelOption.RCVBUF_ALLOCATOR, ReadSizes.allocator())
                         .handler(new PipelineInitializer(client))
                         .connect(relay.address(), new InetSocketAddress(mLocalAddress, 0));
         future.addListener(
--- a/gateway/src/main/java/org/whinhead/gateway/relay/RelayServer.java
+++ b/gateway/src/main/java/org/whinhead/gateway/relay/RelayServer.java
@@ -20,6 +20,7 @@
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.whinhead.gateway.http.ListeningPort;
+import org.whinhead.gateway.http.ReadSizes;
 import org.whinhead.serving.endpoint.EndpointEntry;
 
 /** Relays connections to endpoints for daemons that don't reach them. */
@@ -78,6 +79,7 @@
                         new ServerBootstrap()
                                 .channel(NioServerSocketChannel.class)
                                 .childOption(ChannelOption.TCP_NODELAY, true)
+                                .childOption(ChannelOption.RCVBUF_ALLOCATOR, ReadSizes.allocator())
                                 .childHandler(new PipelineInitializer()),
                         address);
     }
--- a/gateway/src/main/java/org/whinhead/gateway/relay/RelayServerHandler.java
+++ b/gateway/src/main/java/org/whinhead/gateway/relay/RelayServerHandler.java
@@ -17,7 +17,7 @@
 import org.whinhead.gateway.generated.GatewayProto.RelayMessage;
 import org.whinhead.gateway.generated.GatewayProto.RelayOutcome;
 import org.whinhead.gateway.http.ConnectionExceptions;
-import org.whinhead.gateway.http.ResponsePipeline;
+import org.whinhead.gateway.http.ReadSizes;
 import org.whinhead.serving.endpoint.EndpointEntry;
 
 /** The relay's side of one relayed connection. */
@@ -95,7 +95,7 @@
                         .channel(NioSocketChannel.class)
                         .option(ChannelOption.TCP_NODELAY, true)
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-                        .option(ChannelOption.RCVBUF_ALLOCATOR, ResponsePipeline.readSizes())
+                        .option(ChannelOption.RCVBUF_ALLOCATOR, ReadSizes.allocator())
                         .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                         .handler(new RelayEndpointHandler(this))
                         .connect(endpoint.address(), mServer.localAddress());
