--- a/gateway/src/test/java/org/whinhead/gateway/caller/LongBodyTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/caller/LongBodyTest.java
@@ -4,10 +4,12 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.handler.timeout.IdleStateEvent;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -24,8 +26,12 @@
     /** The number of the longest bodies that a daemon holds. */
     private static final int HELD_BODIES = 12;
 
+    /** More than the room for all bodies. */
+    private static final int TOO_LONG_BYTES = 49 * 1024 * 1024;
+
     private static final CallerLimits LIMITS =
-            new CallerLimits(512, LONG_BYTES, Duration.ofSeconds(3), Duration.ofSeconds(15));
+            new CallerLimits(
+                    512, 2 * TOO_LONG_BYTES, Duration.ofSeconds(3), Duration.ofSeconds(15));
 
     private final List<Integer> mServedLengths = new ArrayList<>();
     private final List<CallerResponse> mResponses = new ArrayList<>();
@@ -120,17 +126,22 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"close", "refuse", "finish"})
+    @ValueSource(strings = {"close", "idle", "refuse", "finish", "abort"})
     void roomIsGivenBack(final String end) {
         final List<EmbeddedChannel> channels = fill();
         final EmbeddedChannel first = channels.get(0);
         if (end.equals("close")) {
             first.close();
+        } else if (end.equals("idle")) {
+            first.pipeline().fireUserEventTriggered(IdleStateEvent.ALL_IDLE_STATE_EVENT);
+            assertThat(received(first)).startsWith("HTTP/1.1 408");
         } else {
             send(first, "a".repeat(LONG_BYTES));
             assertThat(mServedLengths).containsExactly(LONG_BYTES);
             if (end.equals("refuse")) {
                 mResponses.get(0).refuse(RefusalResponse.mayHaveRun("failed"));
+            } else if (end.equals("abort")) {
+                mResponses.get(0).abort();
             } else {
                 mResponses.get(0).finish();
             }
@@ -145,4 +156,18 @@
         begin("Content-Length: " + LONG_BYTES);
         assertThat(mServer.bodies().usedBytes()).isEqualTo((long) HELD_BODIES * LONG_BYTES);
     }
+
+    // Guards against a body that is refused again and again for want of room that never suffices.
+    @Test
+    void bodyLongerThanAllRoomIsTooLong() {
+        assertThat(received(begin("Content-Length: " + TOO_LONG_BYTES))).startsWith("HTTP/1.1 413");
+    }
+
+    @Test
+    void callersAreReadInBoundedTurns() {
+        assertThat(mServer.bootstrap().config().childOptions())
+                .extractingByKey(ChannelOption.RCVBUF_ALLOCATOR)
+                .extracting("maxMessagesPerRead")
+                .isEqualTo(4);
+    }
 }
--- a/gateway/src/test/java/org/whinhead/gateway/duty/DutyLeaseManagerTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/duty/DutyLeaseManagerTest.java
@@ -273,4 +273,28 @@
         removeEndpoint();
         assertThat(mCloud.mOrders).isEmpty();
     }
+
+    // Guards against a disturbance that keeps step with the renewals and meets each of them.
+    @Test
+    void renewalsComeAtVaryingIntervals() {
+        final List<Long> intervals = new ArrayList<>();
+        long end = mStore.mEnd;
+        int since = 0;
+        for (int millis = 0; millis < 20_000; millis++) {
+            mNow = mNow.plusMillis(1);
+            mChannel.advanceTimeBy(1, TimeUnit.MILLISECONDS);
+            mChannel.runScheduledPendingTasks();
+            since++;
+            if (mStore.mEnd > end) {
+                end = mStore.mEnd;
+                intervals.add((long) since);
+                since = 0;
+            }
+        }
+        assertThat(intervals.subList(1, intervals.size()))
+                .hasSizeGreaterThan(18)
+                .allMatch(interval -> interval > 900 && interval <= 1_000)
+                .anyMatch(interval -> interval < 940)
+                .anyMatch(interval -> interval > 960);
+    }
 }
--- a/gateway/src/test/java/org/whinhead/gateway/exchange/EventSplitterTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/exchange/EventSplitterTest.java
@@ -53,6 +53,7 @@
         add("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
         assertThat(events()).containsExactly("id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n");
         assertThat(mSplitter.hasPartialEvent()).isFalse();
+        assertThat(mSplitter.removeBlankLines()).isEmpty();
     }
 
     // Guards against a caller receiving half an event and then the whole event from the endpoint
@@ -120,6 +121,7 @@
         }
         assertThat(events).containsExactly("id: 1\r\ndata: a\r\n\r\n", "data: b\n\n");
         assertThat(mSplitter.hasPartialEvent()).isFalse();
+        assertThat(mSplitter.removeBlankLines()).isEmpty();
     }
 
     // Guards against a write for each of many small events that were received together.
--- a/gateway/src/test/java/org/whinhead/gateway/exchange/ResponseRelayTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/exchange/ResponseRelayTest.java
@@ -26,6 +26,7 @@
     private static final int MAX_HELD_BYTES = 240 * 1024;
 
     private final List<ByteBuf> mUnread = new ArrayList<>();
+    private Runnable mOnWrite = () -> {};
     private boolean mLagging;
     private boolean mOverlong;
     private boolean mFinished;
@@ -40,6 +41,7 @@
                 @Override
                 public boolean write(final ByteBuf bytes) {
                     mUnread.add(bytes);
+                    mOnWrite.run();
                     return heldBytes() <= WRITABLE_BYTES;
                 }
 
@@ -168,4 +170,22 @@
                                 .reduce("", String::concat))
                 .isEqualTo("data: x\n\n\n\r\n");
     }
+
+    // Guards against an error on the event loop when a caller disconnects within the last write.
+    @Test
+    void callerMayLeaveWithinTheLastWrite() {
+        final ResponseRelay relay = relay(false);
+        relay.forwardBody(part("a"));
+        mOnWrite = relay::release;
+        relay.flush();
+        assertThat(mUnread).hasSize(1);
+    }
+
+    @Test
+    void callerMayLeaveWithinAnEvent() {
+        final ResponseRelay relay = relay(true);
+        mOnWrite = relay::release;
+        relay.forwardBody(part("data: x\n\n"));
+        assertThat(mUnread).hasSize(1);
+    }
 }
--- a/gateway/src/test/java/org/whinhead/gateway/peers/DigestReadCoordinatorTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/peers/DigestReadCoordinatorTest.java
@@ -320,4 +320,16 @@
             hearReaders();
         }
     }
+
+    // Guards against a daemon that doesn't learn that the store has returned from an older copy.
+    @Test
+    void positionsOfOwnAndOtherReadsAreTold() {
+        final List<Long> positions = new ArrayList<>();
+        final ServingState readers = state();
+        final DigestReadCoordinator digests = nonReader(state());
+        digests.onPosition(positions::add);
+        digests.recordEndpointsRead(4);
+        digests.receive("a", reader(readers, 5).createDigest());
+        assertThat(positions).containsExactly(4L, 5L);
+    }
 }
--- a/gateway/src/test/java/org/whinhead/gateway/peers/UsageDecisionMessengerTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/peers/UsageDecisionMessengerTest.java
@@ -20,11 +20,15 @@
     private final UsageDecisionMessenger mMessenger = new UsageDecisionMessenger(mSent::add);
 
     private static UsageDecision decision(final int customers) {
+        return decision(359_299_003, customers);
+    }
+
+    private static UsageDecision decision(final long window, final int customers) {
         final Map<String, Long> counts = new HashMap<>();
         for (int index = 0; index < customers; index++) {
             counts.put("customer-" + index, 1_000L + index);
         }
-        return new UsageDecision(359_299_003, counts, false);
+        return new UsageDecision(window, counts, false);
     }
 
     private void receiveAll() {
@@ -67,4 +71,18 @@
         receiveAll();
         assertThat(mReceived).startsWith(decision(260)).containsOnly(decision(260));
     }
+
+    // Guards against memory that is used up by decisions of which parts are lost.
+    @Test
+    void partsOfOldWindowsAreForgotten() {
+        mMessenger.tell(decision(1, 260));
+        final Datagram lastPart = mSent.remove(mSent.size() - 1);
+        for (long window = 2; window < 8; window++) {
+            mMessenger.tell(decision(window, 260));
+            mSent.remove(mSent.size() - 1);
+        }
+        mSent.add(lastPart);
+        receiveAll();
+        assertThat(mReceived).isEmpty();
+    }
 }
