--- a/serving/src/main/java/org/whinhead/serving/capacity/CapacityPlanner.java
+++ b/serving/src/main/java/org/whinhead/serving/capacity/CapacityPlanner.java
@@ -31,8 +31,8 @@
  */
 public final class CapacityPlanner {
 
-    /** The time after which a refused order is repeated. */
-    private static final Duration REFUSED_RETRY_DELAY = Duration.ofSeconds(3);
+    /** The time after which a refused order is repeated: three renewals of the lease at least. */
+    private static final Duration REFUSED_RETRY_DELAY = Duration.ofMillis(2_700);
 
     /** The margin that is added to an endpoint's start time before its order is repeated. */
     private static final Duration BOOT_MARGIN = Duration.ofSeconds(2);
