Read the clocks of the lease in one place

The fencing token and a position of the store were handed to the lease with the same clocks in two classes; its keeper does both now. No change of behaviour; the tests of duties and usage passed once after it.

--- a/gateway/src/main/java/org/whinhead/gateway/duty/DutyLeaseManager.java
+++ b/gateway/src/main/java/org/whinhead/gateway/duty/DutyLeaseManager.java
@@ -134,7 +134,7 @@
      * @param position the position
      */
     public void recordStorePosition(final long position) {
-        mLease.recordPosition(position, mState.clock().instant(), mState.timeOfDay().instant());
+        mKeeper.recordPosition(position);
     }
 
     /** Starts to read, claim and renew the lease. */
@@ -194,7 +194,7 @@
      * @return the fencing token, or empty
      */
     public Optional<Long> fencingToken() {
-        return mLease.fencingToken(mState.clock().instant(), mState.timeOfDay().instant());
+        return mKeeper.fencingToken();
     }
 
     /** What the holder does under the lease, and other daemons in preparation for it. */
--- a/gateway/src/main/java/org/whinhead/gateway/duty/LeaseKeeper.java
+++ b/gateway/src/main/java/org/whinhead/gateway/duty/LeaseKeeper.java
@@ -127,7 +127,7 @@
             LOG.error("lease record not readable, lease not claimed", e);
             return;
         }
-        mLease.recordPosition(page.end(), mState.clock().instant(), mState.timeOfDay().instant());
+        recordPosition(page.end());
         mLease.recordRead(new StoredLease(record, page.end()), readAt);
         if (mLease.canClaim(mState.clock().instant()) && !mStopped) {
             claim();
@@ -276,7 +276,13 @@
         mDuties.leaseRenewed();
     }
 
-    private Optional<Long> fencingToken() {
+    /** Records a position in the store, which may show that it has returned from an older copy. */
+    void recordPosition(final long position) {
+        mLease.recordPosition(position, mState.clock().instant(), mState.timeOfDay().instant());
+    }
+
+    /** Returns the fencing token while this daemon may act as the lease holder. */
+    Optional<Long> fencingToken() {
         return mLease.fencingToken(mState.clock().instant(), mState.timeOfDay().instant());
     }
 }
