Log what a daemon waits for until it is ready

A daemon that isn't ready left no line that says why, so a service that doesn't come back couldn't be told apart from one whose configuration, list of endpoints, table of shares or port is missing. The line of a configuration that isn't readable names the cause, which the JSON lines left out, and whinhead.shares.active counts the shares whose tokens a daemon may issue.

--- a/gateway/src/main/java/org/whinhead/gateway/Gateway.java
+++ b/gateway/src/main/java/org/whinhead/gateway/Gateway.java
@@ -5,11 +5,13 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -112,6 +114,7 @@
     private final Optional<EndpointSpeedLogger> mSpeedLogger;
     private final GatewayPorts mPorts;
     private final RequestMetrics mCounts = new RequestMetrics();
+    private final ReadinessLogger mReadiness = new ReadinessLogger();
     private SimpleHttpServer mStatusServer;
     private boolean mStopping;
 
@@ -249,6 +252,9 @@
                                 .orElse(Duration.ZERO)
                                 .toMillis());
         mCounts.addGauge("whinhead.configuration.unreadable", progress::unreadableCount);
+        mCounts.addGauge(
+                "whinhead.shares.active",
+                () -> mState.quotas().heldShares().activeCount(mState.moment()));
         mCounts.addGauge("whinhead.streams.known", mState.streams()::size);
         mCounts.addGauges(
                 "whinhead.requests.waiting", List.of("service", "rank"), this::waitingRequests);
@@ -325,6 +331,7 @@
 
     /** Starts to listen and to follow the store. Must be called on the event loop. */
     public void start() {
+        mReadiness.start(mState.clock().instant());
         mStatusServer = new SimpleHttpServer(mLoop);
         mStatusServer.listen(mSettings.readinessAddress(), "text/plain", target -> readiness());
         mStatusServer.listen(mSettings.directoryAddress(), "application/json", this::addresses);
@@ -379,6 +386,7 @@
         GuardedTask.run(LOG, "check reach", mAccess::tick);
         GuardedTask.run(LOG, "release checked requests", mCrashes::releaseOutdated);
         GuardedTask.run(LOG, "catch up", mCatchUp::tick);
+        GuardedTask.run(LOG, "log readiness", this::logReadiness);
         GuardedTask.run(LOG, "log lag", () -> mConfigurationLag.tick(mState.clock().instant()));
         GuardedTask.run(LOG, "write table of shares", mShareTable::tick);
         mRollouts.ifPresent(rollouts -> GuardedTask.run(LOG, "roll-outs", rollouts::tick));
@@ -416,16 +424,34 @@
 
     /** Returns whether this daemon can serve, and updates its entry in the member table. */
     private boolean updateReadiness() {
-        final boolean ready =
-                !mStopping
-                        && mState.configuration().current().isPresent()
-                        && mState.quotas().isReady()
-                        && mEndpointWatch.isLoaded()
-                        && mCallerServer.isListening();
+        final boolean ready = !mStopping && missingConditions().isEmpty();
         mMembers.setSelfReady(ready);
         return ready;
     }
 
+    private Set<ReadinessCondition> missingConditions() {
+        final Set<ReadinessCondition> missing = EnumSet.noneOf(ReadinessCondition.class);
+        if (!mCallerServer.isListening()) {
+            missing.add(ReadinessCondition.CALLER_PORT);
+        }
+        if (mState.configuration().current().isEmpty()) {
+            missing.add(ReadinessCondition.CONFIGURATION);
+        }
+        if (!mEndpointWatch.isLoaded()) {
+            missing.add(ReadinessCondition.ENDPOINTS);
+        }
+        if (!mState.quotas().isReady()) {
+            missing.add(ReadinessCondition.SHARE_TABLE);
+        }
+        return missing;
+    }
+
+    private void logReadiness() {
+        if (!mStopping) {
+            mReadiness.tick(missingConditions(), mState.clock().instant());
+        }
+    }
+
     private HttpReply addresses(final String target) {
         updateReadiness();
         return mPorts.directory()
--- a/gateway/src/main/java/org/whinhead/gateway/store/ConfigurationTopicListener.java
+++ b/gateway/src/main/java/org/whinhead/gateway/store/ConfigurationTopicListener.java
@@ -137,7 +137,9 @@
             configuration = RecordDecoding.decode(() -> mDecoder.decode(value));
         } catch (UnreadableRecordException e) {
             mState.configurationProgress().recordUnreadable();
-            LOG.error("configuration not readable, the previous one stays in force", e);
+            LOG.atError()
+                    .addKeyValue("cause", rootMessage(e))
+                    .log("configuration not readable, the previous one stays in force");
             return;
         }
         if (mState.offerConfiguration(configuration)) {
@@ -150,6 +152,14 @@
         }
     }
 
+    private static String rootMessage(final Throwable failure) {
+        Throwable cause = failure;
+        while (cause.getCause() != null) {
+            cause = cause.getCause();
+        }
+        return String.valueOf(cause.getMessage());
+    }
+
     @Override
     public void onUnreachable(final Throwable cause) {
         // The configuration in force stays; the follower logs the outage.
--- a/serving/src/main/java/org/whinhead/serving/quota/HeldShares.java
+++ b/serving/src/main/java/org/whinhead/serving/quota/HeldShares.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.whinhead.serving.configuration.CustomerAccount;
 import org.whinhead.serving.configuration.TokenAllowance;
 
@@ -163,6 +164,19 @@
                 && now.elapsedSince(mTableReadAt.orElseThrow()).compareTo(TABLE_VALIDITY) < 0;
     }
 
+    /**
+     * Returns the number of slots whose tokens this daemon may issue.
+     *
+     * @param now the current time
+     * @return the number of active slots
+     */
+    public long activeCount(final ClockReading now) {
+        return mTable.stream()
+                .flatMapToInt(table -> IntStream.range(0, table.slots().size()))
+                .filter(slot -> canIssue(slot, now))
+                .count();
+    }
+
     /** Returns whether the table lists this daemon as the holder of a slot, active or not. */
     boolean isOwn(final int slot) {
         return mTable.isPresent() && mTable.get().slots().get(slot).holder().equals(mSelf);
