Leave out entries of a configuration that can't be used, and serve the rest

What callers saw: after all daemons were lost, none came back; every request was refused or found nobody, until the operator wrote another version. Cause: ManifestDecoder turned an exception of any route, service, customer or limit into "invalid configuration" as a whole, and the last good version was kept in memory only, so that the fault showed only once no daemon that had it was left.

Each entry is decoded by itself now. One that can't be used is left out, named in the log and counted (whinhead.configuration.entries.rejected), and the version is in force with all others. Requests of a rejected route or customer get 503 with Retry-After, not 404 or 401, and no shorter prefix serves them; keys stay required if the only customer is rejected; a service with an invalid option is served without its options. What is no JSON object is still rejected as a whole.

The table of odd values (ManifestDecoderTest) found a blank health path and the overflow on the way.

ManifestDecoderTest#unknownRouteKindIsRejected expected the rejection of the whole version, which is the fault; it now expects that the route is rejected, named and not served, and that the others are in force. ManifestCheckPropertyTest compares the check with the rejected entries in place of rejected versions.

--- a/gateway/src/main/java/org/whinhead/gateway/Gateway.java
+++ b/gateway/src/main/java/org/whinhead/gateway/Gateway.java
@@ -252,6 +252,7 @@
                                 .orElse(Duration.ZERO)
                                 .toMillis());
         mCounts.addGauge("whinhead.configuration.unreadable", progress::unreadableCount);
+        mCounts.addGauge("whinhead.configuration.entries.rejected", this::rejectedEntries);
         mCounts.addGauge(
                 "whinhead.shares.active",
                 () -> mState.quotas().heldShares().activeCount(mState.moment()));
@@ -262,6 +263,13 @@
         mCounts.addGauge("whinhead.requests.held.back", mState.suspects()::blockedCount);
     }
 
+    private int rejectedEntries() {
+        return mState.configuration()
+                .current()
+                .map(configuration -> configuration.rejected().entries().size())
+                .orElse(0);
+    }
+
     /** Returns the requests that wait for slots, by service and rank. */
     private Map<List<String>, Integer> waitingRequests() {
         final Map<List<String>, Integer> waiting = new HashMap<>();
--- a/gateway/src/main/java/org/whinhead/gateway/exchange/Exchanges.java
+++ b/gateway/src/main/java/org/whinhead/gateway/exchange/Exchanges.java
@@ -47,6 +47,9 @@
     /** The interval at which {@link #measureLag()} must be called. */
     public static final Duration LAG_MEASUREMENT_INTERVAL = Duration.ofMillis(200);
 
+    /** The retry delay of requests for which an entry of the configuration can't be used. */
+    private static final Duration REJECTED_ENTRY_RETRY_AFTER = Duration.ofSeconds(1);
+
     /** A newer configuration is read within this, and other daemons may have it already. */
     private static final Duration BEHIND_RETRY_AFTER = Duration.ofMillis(100);
 
@@ -144,22 +147,14 @@
         final ServingConfiguration configuration = current.get();
         final Optional<Route> route = configuration.routes().find(request.host(), request.path());
         if (route.isEmpty()) {
-            return refuse(
-                    request,
-                    body,
-                    response,
-                    notAllowed(HttpResponseStatus.NOT_FOUND, "no such route"));
+            return refuse(request, body, response, noRoute(configuration, request));
         }
         mRequestLogger.stops().requestRead(request, route.get());
         final Optional<CustomerAccount> customer =
                 request.key().flatMap(configuration::customerOfKey);
         final boolean needsKey = configuration.isKeyRequired() && !route.get().isKeyless();
         if (needsKey && customer.isEmpty()) {
-            return refuse(
-                    request,
-                    body,
-                    response,
-                    notAllowed(HttpResponseStatus.UNAUTHORIZED, "unknown key"));
+            return refuse(request, body, response, noCustomer(configuration, request));
         }
         final AdmittedRequest keyless =
                 new AdmittedRequest(request, route.get(), customer, Optional.empty(), arrivedAt);
@@ -182,6 +177,22 @@
                         response));
     }
 
+    private RefusalResponse noRoute(
+            final ServingConfiguration configuration, final CallerRequest request) {
+        return configuration.routes().isRejected(request.host(), request.path())
+                ? RefusalResponse.notRun(
+                        "route in the configuration can't be used", REJECTED_ENTRY_RETRY_AFTER)
+                : notAllowed(HttpResponseStatus.NOT_FOUND, "no such route");
+    }
+
+    private RefusalResponse noCustomer(
+            final ServingConfiguration configuration, final CallerRequest request) {
+        return request.key().filter(configuration.rejected().keys()::contains).isPresent()
+                ? RefusalResponse.notRun(
+                        "customer in the configuration can't be used", REJECTED_ENTRY_RETRY_AFTER)
+                : notAllowed(HttpResponseStatus.UNAUTHORIZED, "unknown key");
+    }
+
     /**
      * Returns the refusal of a request that the configuration in force does not allow. A newer one
      * that other daemons have may allow it; callers don't repeat what is refused for good.
--- a/gateway/src/main/java/org/whinhead/gateway/store/ConfigurationTopicListener.java
+++ b/gateway/src/main/java/org/whinhead/gateway/store/ConfigurationTopicListener.java
@@ -15,6 +15,9 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(ConfigurationTopicListener.class);
 
+    /** The entries of one version that are named in the log. */
+    private static final int MAX_LOGGED_ENTRIES = 20;
+
     private final ServingState mState;
     private final ConfigurationDecoder mDecoder;
     private final String mConfigurationKey;
@@ -147,11 +150,25 @@
             mState.quotas().configure(configuration.customers(), mState.moment());
             LOG.atInfo()
                     .addKeyValue("version", configuration.version())
+                    .addKeyValue("rejectedEntries", configuration.rejected().entries().size())
                     .log("configuration in force");
+            logRejected(configuration);
             mOnChange.run();
         }
     }
 
+    private static void logRejected(final ServingConfiguration configuration) {
+        configuration.rejected().entries().stream()
+                .limit(MAX_LOGGED_ENTRIES)
+                .forEach(
+                        entry ->
+                                LOG.atError()
+                                        .addKeyValue("version", configuration.version())
+                                        .addKeyValue("entry", entry.path())
+                                        .addKeyValue("reason", entry.reason())
+                                        .log("configuration entry can't be used, left out"));
+    }
+
     private static String rootMessage(final Throwable failure) {
         Throwable cause = failure;
         while (cause.getCause() != null) {
--- a/gateway/src/test/java/org/whinhead/gateway/exchange/ExchangesTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/exchange/ExchangesTest.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.whinhead.gateway.caller.CallerRequest;
@@ -23,11 +24,14 @@
 import org.whinhead.gateway.stream.StreamIdentifier;
 import org.whinhead.serving.configuration.CallerLimits;
 import org.whinhead.serving.configuration.CustomerAccount;
+import org.whinhead.serving.configuration.RejectedEntries;
+import org.whinhead.serving.configuration.RejectedEntry;
 import org.whinhead.serving.configuration.ServingConfiguration;
 import org.whinhead.serving.configuration.TokenAllowance;
 import org.whinhead.serving.quota.ShareTable;
 import org.whinhead.serving.route.Route;
 import org.whinhead.serving.route.RouteKind;
+import org.whinhead.serving.route.RoutePattern;
 import org.whinhead.serving.route.WeightedService;
 import org.whinhead.serving.stop.StopSchedule;
 import org.whinhead.serving.stream.StreamKey;
@@ -114,7 +118,24 @@
                         List.of(route, stream),
                         List.of(),
                         CallerLimits.INITIAL,
-                        List.of(customer, limited)));
+                        List.of(customer, limited),
+                        new RejectedEntries(
+                                List.of(new RejectedEntry("routes[2]", "no service")),
+                                List.of(new RoutePattern("desk.example", "/posts/odd/")),
+                                Set.of("key-odd"),
+                                true)));
+    }
+
+    // Guards against requests being refused for good, or served by another route, as an entry of
+    // the configuration can't be used.
+    @Test
+    void requestsOfRejectedEntriesAreRefusedForNow() {
+        for (final RefusalResponse refusal :
+                List.of(refusalOf("/posts/odd/1", "key-1"), refusalOf("/posts/1", "key-odd"))) {
+            assertThat(refusal.status().code()).isEqualTo(503);
+            assertThat(refusal.retryAfter()).contains(Duration.ofSeconds(1));
+        }
+        assertThat(refusalOf("/posts/1", "key-unknown").status().code()).isEqualTo(401);
     }
 
     private RefusalResponse refusalOf(final String target, final String key) {
--- a/serving/src/main/java/org/whinhead/serving/configuration/ServingConfiguration.java
+++ b/serving/src/main/java/org/whinhead/serving/configuration/ServingConfiguration.java
@@ -18,9 +18,10 @@
     private final CallerLimits mLimits;
     private final Map<String, CustomerAccount> mCustomersByKey = new HashMap<>();
     private final List<CustomerAccount> mCustomers;
+    private final RejectedEntries mRejected;
 
     /**
-     * Creates a configuration.
+     * Creates a configuration of which every entry is used.
      *
      * @param version the version number, which grows with each change
      * @param routes the routes
@@ -34,8 +35,29 @@
             final Collection<ServiceSpec> services,
             final CallerLimits limits,
             final Collection<CustomerAccount> customers) {
+        this(version, routes, services, limits, customers, RejectedEntries.NONE);
+    }
+
+    /**
+     * Creates a configuration.
+     *
+     * @param version the version number, which grows with each change
+     * @param routes the routes
+     * @param services the services
+     * @param limits the limits of callers' requests
+     * @param customers the customers; if there are none, no request needs a key
+     * @param rejected the entries that can't be used
+     */
+    public ServingConfiguration(
+            final long version,
+            final Collection<Route> routes,
+            final Collection<ServiceSpec> services,
+            final CallerLimits limits,
+            final Collection<CustomerAccount> customers,
+            final RejectedEntries rejected) {
         mVersion = version;
-        mRoutes = new RouteTable(routes);
+        mRejected = Objects.requireNonNull(rejected, "rejected");
+        mRoutes = new RouteTable(routes, rejected.routes());
         services.forEach(service -> mServices.put(service.name(), service));
         mLimits = Objects.requireNonNull(limits, "limits");
         mCustomers = List.copyOf(customers);
@@ -87,9 +109,18 @@
     /**
      * Returns whether requests need a customer's key.
      *
-     * @return whether this version has customers
+     * @return whether this version has customers, also such that can't be used
      */
     public boolean isKeyRequired() {
-        return !mCustomers.isEmpty();
+        return !mCustomers.isEmpty() || mRejected.customers();
+    }
+
+    /**
+     * Returns the entries that can't be used.
+     *
+     * @return the entries; requests that they are for are refused, all others are served
+     */
+    public RejectedEntries rejected() {
+        return mRejected;
     }
 }
--- a/serving/src/main/java/org/whinhead/serving/quota/HeldShares.java
+++ b/serving/src/main/java/org/whinhead/serving/quota/HeldShares.java
@@ -60,7 +60,9 @@
                         .filter(customer -> !customer.allowance().isUnlimited())
                         .collect(
                                 Collectors.toMap(
-                                        CustomerAccount::name, CustomerAccount::allowance));
+                                        CustomerAccount::name,
+                                        CustomerAccount::allowance,
+                                        (first, last) -> last));
         mLimits.keySet().retainAll(limited.keySet());
         mBuckets.entrySet().removeIf(entry -> isExpired(entry.getKey(), entry.getValue(), now));
         limited.forEach((customer, allowance) -> setLimits(customer, allowance, now));
