Reassign all shares at once if all their holders are gone

What callers saw: after all daemons were lost and others had started at other addresses, each request of a limited customer was refused with "allowance not known". Cause: the table of shares names its holders by address; whoever takes over the share of a silent holder waits 5 and then 91 minutes, since one that is merely cut off may go on for 90. The design counted the loss of one holder (an eighth of the allowance) and not of all.

A holder of the lease that has heard no holder of shares for 6 s, and hears at least half as many daemons as the table was made for, reassigns all shares, active at once. A single lost holder is waited for as before.

ShareTableSynchronizerTest has the rule, and two cases that it must leave alone: a heard holder, and a small part of the deployment.

--- a/gateway/src/main/java/org/whinhead/gateway/quota/ShareTableSynchronizer.java
+++ b/gateway/src/main/java/org/whinhead/gateway/quota/ShareTableSynchronizer.java
@@ -35,9 +35,9 @@
 /**
  * Reads the table of shares from the store, and writes it while this daemon holds the lease.
  *
- * <p>The table is written once the set of daemons is stable, and again only if a holder is gone for
- * long. So it costs one read at a start, and depends neither on the lease holder nor on the store's
- * availability.
+ * <p>The table is written once the set of daemons is stable, and again if a holder is gone for long
+ * or if all holders are gone. So it costs one read at a start, and depends neither on the lease
+ * holder nor on the store's availability.
  */
 public final class ShareTableSynchronizer {
 
@@ -63,6 +63,15 @@
     /** Time without a report of a holder until its shares are reassigned. */
     private static final Duration HOLDER_TIMEOUT = Duration.ofMinutes(5);
 
+    /**
+     * Time without a report of any holder until all shares are reassigned. The lease takes about as
+     * long to pass to another daemon.
+     */
+    private static final Duration ALL_HOLDERS_TIMEOUT = Duration.ofSeconds(6);
+
+    /** The same in report intervals, which are longer in large deployments. */
+    private static final int ALL_HOLDERS_MISSED_REPORTS = 3;
+
     /** Maximum difference of the daemons' clocks at a change of holders. */
     private static final Duration CLOCK_MARGIN = Duration.ofMinutes(1);
 
@@ -77,6 +86,7 @@
     private long mStoredVersion;
     private long mMembersVersion = -1;
     private Instant mMembersChangedAt;
+    private Instant mAnyHolderHeardAt;
     private boolean mCallPending;
     private ScheduledFuture<?> mNextRead;
 
@@ -105,6 +115,7 @@
     /** Starts to read the table. */
     public void start() {
         mMembersChangedAt = mState.clock().instant();
+        mAnyHolderHeardAt = mMembersChangedAt;
         read();
     }
 
@@ -196,6 +207,9 @@
             mMembersVersion = mMembers.addressChangeCount();
             mMembersChangedAt = now;
         }
+        if (table().stream().anyMatch(this::hasPresentHolder)) {
+            mAnyHolderHeardAt = now;
+        }
         if (mTopicEnd.isEmpty() || mCallPending || !mHoldsDuties.getAsBoolean()) {
             mLastHeardAt.clear();
             return;
@@ -214,7 +228,10 @@
             // The store was restored from an older copy: writes the table in force again.
             return table;
         }
-        final ShareTable next = replaceGoneHolders(table.get(), now);
+        final ShareTable next =
+                areAllHoldersGone(table.get(), now)
+                        ? replaceAllHolders(table.get())
+                        : replaceGoneHolders(table.get(), now);
         return next.version() > table.get().version() ? Optional.of(next) : Optional.empty();
     }
 
@@ -224,6 +241,33 @@
         return members;
     }
 
+    private boolean hasPresentHolder(final ShareTable table) {
+        return members().stream().anyMatch(member -> table.hasHolder(member.peerAddress()));
+    }
+
+    /**
+     * Returns whether all holders are gone rather than cut off: half of a deployment hears none of
+     * them, and the lease, which the holders would have kept, has passed to a daemon of this half.
+     */
+    private boolean areAllHoldersGone(final ShareTable table, final Instant now) {
+        final Duration silence = Duration.between(mAnyHolderHeardAt, now);
+        final Duration reports = mMembers.reportInterval().multipliedBy(ALL_HOLDERS_MISSED_REPORTS);
+        return silence.compareTo(ALL_HOLDERS_TIMEOUT) > 0
+                && silence.compareTo(reports) > 0
+                && 2 * members().size() >= table.daemons();
+    }
+
+    private ShareTable replaceAllHolders(final ShareTable table) {
+        LOG.atWarn()
+                .addKeyValue("version", table.version())
+                .addKeyValue("daemons", members().size())
+                .log("no holder of shares is left, all shares reassigned");
+        return table.reassign(
+                holder -> true,
+                ShareHolders.interleaveDomains(members()),
+                mState.timeOfDay().instant());
+    }
+
     private ShareTable replaceGoneHolders(final ShareTable table, final Instant now) {
         final Set<InetSocketAddress> present = new HashSet<>();
         members().forEach(member -> present.add(member.peerAddress()));
--- a/gateway/src/test/java/org/whinhead/gateway/quota/ShareTableSynchronizerTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/quota/ShareTableSynchronizerTest.java
@@ -205,6 +205,58 @@
                 .isNotEmpty();
     }
 
+    // Guards against customers that are refused for an hour and more as all daemons were replaced.
+    @Test
+    void sharesAreReassignedAtOnceIfAllHoldersAreGone() {
+        writeTable(List.of(member(7), member(8), member(9)));
+        mSynchronizer.start();
+        advance(Duration.ofSeconds(8), 2, 3);
+        final ShareTable table = table().orElseThrow();
+        assertThat(table.slots())
+                .allSatisfy(
+                        slot -> {
+                            assertThat(slot.holder())
+                                    .isIn(
+                                            member(1).peerAddress(),
+                                            member(2).peerAddress(),
+                                            member(3).peerAddress());
+                            assertThat(slot.activeFrom()).isBeforeOrEqualTo(mNow);
+                        });
+    }
+
+    // Guards against shares that two daemons issue: the old holders are cut off, not gone.
+    @Test
+    void oneHeardHolderKeepsTheOthersShares() {
+        writeTable(List.of(member(3), member(8), member(9)));
+        mSynchronizer.start();
+        advance(Duration.ofSeconds(8), 2, 3);
+        advance(Duration.ofSeconds(20), 2);
+        advance(Duration.ofSeconds(1), 2, 3);
+        advance(Duration.ofSeconds(20), 2, 3);
+        assertThat(table().orElseThrow().hasHolder(member(9).peerAddress())).isTrue();
+    }
+
+    // Guards against shares that two daemons issue: a small part of the daemons has lost the rest.
+    @Test
+    void smallPartOfDeploymentTakesNoShares() {
+        writeTable(
+                List.of(
+                        member(3), member(4), member(5), member(6), member(7), member(8),
+                        member(9)));
+        mSynchronizer.start();
+        advance(Duration.ofMinutes(1), 2, 10);
+        assertThat(table().orElseThrow().version()).isEqualTo(1);
+    }
+
+    private void writeTable(final List<Member> holders) {
+        mStore.mValue =
+                Optional.of(
+                        QuotaCodec.encode(
+                                ShareTable.initial(
+                                        holders.stream().map(Member::peerAddress).toList())));
+        mStore.mEnd = 1;
+    }
+
     @Test
     void daemonThatIsSilentForOneMinuteKeepsItsShares() {
         mSynchronizer.start();
