--- a/gateway/src/main/java/org/whinhead/gateway/ReadinessLogger.java
+++ b/gateway/src/main/java/org/whinhead/gateway/ReadinessLogger.java
@@ -42,6 +42,7 @@
      * @param now the current time
      */
     void tick(final Set<ReadinessCondition> missing, final Instant now) {
+        missing.forEach(mMetAfter::remove);
         for (final ReadinessCondition met : EnumSet.complementOf(copy(missing))) {
             mMetAfter.putIfAbsent(met, Duration.between(mStartedAt, now));
         }
@@ -72,10 +73,10 @@
     }
 
     /**
-     * Returns the time from the start until a condition was met first.
+     * Returns the time from the start until a condition was met, for the last time if it was lost.
      *
      * @param condition the condition
-     * @return the time; empty if it was never met
+     * @return the time; empty if it isn't met
      */
     Optional<Duration> metAfter(final ReadinessCondition condition) {
         return Optional.ofNullable(mMetAfter.get(condition));
--- a/gateway/src/main/java/org/whinhead/gateway/http/OutboundRequest.java
+++ b/gateway/src/main/java/org/whinhead/gateway/http/OutboundRequest.java
@@ -13,6 +13,7 @@
     private final Map<String, String> mHeaders;
     private final byte[] mBody;
     private final Duration mTimeout;
+    private final Duration mLongestTransfer;
 
     private OutboundRequest(final Builder builder) {
         mMethod = builder.mMethod;
@@ -20,6 +21,7 @@
         mHeaders = Map.copyOf(builder.mHeaders);
         mBody = builder.mBody;
         mTimeout = Objects.requireNonNull(builder.mTimeout, "timeout");
+        mLongestTransfer = builder.mLongestTransfer;
     }
 
     /**
@@ -53,6 +55,10 @@
         return mTimeout;
     }
 
+    Duration longestTransfer() {
+        return mLongestTransfer;
+    }
+
     /** Builds an {@link OutboundRequest}. */
     public static final class Builder {
 
@@ -61,6 +67,7 @@
         private final Map<String, String> mHeaders = new java.util.HashMap<>();
         private byte[] mBody = new byte[0];
         private Duration mTimeout;
+        private Duration mLongestTransfer = Duration.ZERO;
 
         private Builder(final HttpMethod method, final String target) {
             mMethod = Objects.requireNonNull(method, "method");
@@ -101,6 +108,18 @@
             return this;
         }
 
+        /**
+         * Lets the call last longer than its time limit while its response arrives: the time limit
+         * begins again with each part of it.
+         *
+         * @param longest the time from the call to the complete response
+         * @return this builder
+         */
+        public Builder longestTransfer(final Duration longest) {
+            mLongestTransfer = longest;
+            return this;
+        }
+
         /**
          * Creates the call.
          *
--- a/gateway/src/test/java/org/whinhead/gateway/ReadinessLoggerTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/ReadinessLoggerTest.java
@@ -39,5 +39,8 @@
         mLogger.tick(Set.of(), START);
         mLogger.tick(EnumSet.of(ReadinessCondition.CALLER_PORT), START.plusSeconds(1));
         assertThat(mLogger.isReadyLogged()).isFalse();
+        mLogger.tick(Set.of(), START.plusSeconds(2));
+        assertThat(mLogger.metAfter(ReadinessCondition.CALLER_PORT))
+                .contains(Duration.ofSeconds(2));
     }
 }
