Refuse a head in which a line begins with a blank

What callers saw: an endpoint in trouble sent a line whose name held a blank at its begin, and the caller got the response with that line passed on as a part of the field before it. Cause: the decoder takes such a line for the obsolete fold of a field and joins the two, and no hook of it sees the line. The pipeline is that of all readers of responses: requests, health checks, the store, the cloud and engines.

InvalidHeadTest#fieldName: of all octets that aren't of a token, at five places of a name in three positions, a blank and a tab at the begin of a second field were passed on before; none now. #nameOfFraming held before.

--- a/gateway/src/main/java/org/whinhead/gateway/http/ResponseDecoder.java
+++ b/gateway/src/main/java/org/whinhead/gateway/http/ResponseDecoder.java
@@ -5,11 +5,15 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.DecoderException;
+import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.AsciiString;
+import java.io.IOException;
 import java.util.List;
 
 /**
@@ -30,6 +34,8 @@
     private final ReadControl mReading;
     private final DecodeQueue mQueue;
     private final ContentMerger mMerger = new ContentMerger();
+    private final HeadLineCheck mHeadLines = new HeadLineCheck();
+    private boolean mInHead = true;
     private boolean mAfterHeadRequest;
     private int mVersionEnd;
     private int mMessagesLeft = MAX_MESSAGES_PER_TURN;
@@ -55,7 +61,9 @@
             }
             final int readable = bytes.readableBytes();
             final int count = messages.size();
+            final int start = bytes.readerIndex();
             super.decode(context, bytes, messages);
+            checkHead(bytes, start, messages.subList(count, messages.size()));
             if (messages.size() > count) {
                 if (mMessagesLeft > 0 && !ContentMerger.endsWithLongContent(messages)) {
                     mMessagesLeft--;
@@ -67,6 +75,26 @@
         mMerger.end();
     }
 
+    /** Marks a head as not decoded whose lines begin where none may begin. */
+    private void checkHead(final ByteBuf bytes, final int start, final List<Object> decoded) {
+        if (mInHead) {
+            mHeadLines.read(bytes, start, bytes.readerIndex());
+        }
+        for (final Object message : decoded) {
+            if (message instanceof HttpResponse response) {
+                mInHead = false;
+                mHeadLines
+                        .end()
+                        .map(IOException::new)
+                        .map(DecoderResult::failure)
+                        .ifPresent(response::setDecoderResult);
+            }
+            if (message instanceof LastHttpContent) {
+                mInHead = true;
+            }
+        }
+    }
+
     private void defer(final ChannelHandlerContext context) {
         if (!mReading.isDecoderBehind()) {
             mReading.setDecoderBehind(true);
--- /dev/null
+++ b/gateway/src/test/java/org/whinhead/gateway/endpoint/InvalidHeadTest.java
@@ -0,0 +1,124 @@
+package org.whinhead.gateway.endpoint;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpMethod;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Guards against bytes that are no response and that callers get as the response of an endpoint.
+ */
+class InvalidHeadTest {
+
+    private static final String REST = "Content-Length: 2\r\n\r\nok";
+
+    private final List<String> mReceived = new ArrayList<>();
+
+    private final EndpointResponseListener mListener =
+            new EndpointResponseListener() {
+                @Override
+                public void headReceived(final EndpointResponse response) {
+                    mReceived.add("head " + response.status().code());
+                }
+
+                @Override
+                public void bodyReceived(final ByteBuf bytes) {
+                    mReceived.add("body " + bytes.toString(StandardCharsets.UTF_8));
+                }
+
+                @Override
+                public void completed(final ResponseEnd end) {
+                    mReceived.add("end " + end);
+                }
+
+                @Override
+                public void pathLost() {
+                    mReceived.add("path lost");
+                }
+
+                @Override
+                public void failed(final EndpointFailure failure) {
+                    mReceived.add(failure.name());
+                }
+            };
+
+    /**
+     * The name of a field is a token (RFC 9110, section 5.1), and nothing is between it and the
+     * colon.
+     */
+    @Test
+    void fieldName() {
+        final List<String> passed = new ArrayList<>();
+        for (final int octet :
+                IntStream.range(0, 256)
+                        .filter(value -> !isTokenOctet(value) && value != ':')
+                        .toArray()) {
+            for (int at = 0; at <= 4; at++) {
+                final String name = "X-Ab".substring(0, at) + (char) octet + "X-Ab".substring(at);
+                final String what = "octet " + octet + " at " + at;
+                collect("HTTP/1.1 200 OK\r\n" + name + ": v\r\n" + REST, what + ", first", passed);
+                collect(
+                        "HTTP/1.1 200 OK\r\nDate: a\r\n" + name + ": v\r\n" + REST,
+                        what + ", second",
+                        passed);
+                collect(
+                        "HTTP/1.1 200 OK\r\n"
+                                + REST.replace("\r\n\r\n", "\r\n" + name + ": v\r\n\r\n"),
+                        what + ", last",
+                        passed);
+            }
+        }
+        assertThat(passed).isEmpty();
+    }
+
+    /** The names on which the end of a response depends. */
+    @Test
+    void nameOfFraming() {
+        final List<String> passed = new ArrayList<>();
+        for (final int octet :
+                IntStream.range(0, 256)
+                        .filter(value -> !isTokenOctet(value) && value != ':')
+                        .toArray()) {
+            for (final String name : List.of("Content-Length", "Transfer-Encoding")) {
+                for (final int at : new int[] {0, 7, name.length()}) {
+                    final String wrong = name.substring(0, at) + (char) octet + name.substring(at);
+                    final String value = name.startsWith("C") ? "2" : "chunked";
+                    final String body = name.startsWith("C") ? "ok" : "2\r\nok\r\n0\r\n\r\n";
+                    collect(
+                            "HTTP/1.1 200 OK\r\n" + wrong + ": " + value + "\r\n\r\n" + body,
+                            name + " with octet " + octet + " at " + at,
+                            passed);
+                }
+            }
+        }
+        assertThat(passed).isEmpty();
+    }
+
+    private void collect(final String text, final String what, final List<String> passed) {
+        for (final int segment : new int[] {1, 10_000}) {
+            mReceived.clear();
+            final ConnectionFixture fixture = new ConnectionFixture();
+            fixture.send(HttpMethod.POST, mListener);
+            fixture.read(text, segment);
+            fixture.endTurn();
+            fixture.endInput();
+            fixture.endTurn();
+            if (mReceived.stream()
+                    .anyMatch(part -> part.startsWith("head") || part.startsWith("end"))) {
+                passed.add(what + " by " + segment + ": " + mReceived);
+            }
+        }
+    }
+
+    private static boolean isTokenOctet(final int octet) {
+        return octet >= 'a' && octet <= 'z'
+                || octet >= 'A' && octet <= 'Z'
+                || octet >= '0' && octet <= '9'
+                || "!#$%&'*+-.^_`|~".indexOf(octet) >= 0;
+    }
+}
