Refuse a head whose status isn't one of 100 to 599

What callers saw: an endpoint in trouble answered with status 000, and the caller got that as the answer. Cause: the decoder takes any number for a status, and the check of its three bytes let all digits pass, and signs, as "+20" and "-00" are numbers of three bytes. A status is three digits, the first of them 1 to 5 (RFC 9110, 15); a head with any other one counts as not decoded, for all readers of responses.

InvalidHeadTest#status: 000, 001, 019, 099, 600, 999, +20 and -00 reached the caller before, with and without a reason phrase; none does now.

--- a/gateway/src/main/java/org/whinhead/gateway/http/ResponseDecoder.java
+++ b/gateway/src/main/java/org/whinhead/gateway/http/ResponseDecoder.java
@@ -201,9 +201,24 @@
         if (start != mVersionEnd + 1 || line[mVersionEnd] != ' ' || length != STATUS_DIGITS) {
             throw new IllegalArgumentException("no three digits after the version and a space");
         }
+        if (!isStatus(line, start)) {
+            throw new IllegalArgumentException("status that is not of 100 to 599");
+        }
         return super.splitSecondWordInitialLine(line, start, length);
     }
 
+    /** Returns whether three bytes are digits, the first of them that of a class of statuses. */
+    private static boolean isStatus(final byte[] line, final int start) {
+        return line[start] >= '1'
+                && line[start] <= '5'
+                && isDigit(line[start + 1])
+                && isDigit(line[start + 2]);
+    }
+
+    private static boolean isDigit(final byte octet) {
+        return octet >= '0' && octet <= '9';
+    }
+
     @Override
     protected AsciiString splitHeaderName(final byte[] line, final int start, final int length) {
         if (line[start + length] != ':') {
--- a/gateway/src/test/java/org/whinhead/gateway/endpoint/InvalidHeadTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/endpoint/InvalidHeadTest.java
@@ -47,6 +47,35 @@
                 }
             };
 
+    /** A status code is one of three digits, the first of them 1 to 5 (RFC 9110, section 15). */
+    @Test
+    void status() {
+        final List<String> passed = new ArrayList<>();
+        for (final String status :
+                List.of(
+                        "000",
+                        "001",
+                        "019",
+                        "099",
+                        "600",
+                        "999",
+                        "+20",
+                        "-20",
+                        "-00",
+                        "2 0",
+                        " 20",
+                        "20 ",
+                        "\u0000" + "20",
+                        "20\u0000",
+                        "2e2",
+                        "0x2",
+                        "٢٠٠")) {
+            collect("HTTP/1.1 " + status + " OK\r\n" + REST, "status [" + status + "]", passed);
+            collect("HTTP/1.1 " + status + "\r\n" + REST, "bare status [" + status + "]", passed);
+        }
+        assertThat(passed).isEmpty();
+    }
+
     /**
      * The name of a field is a token (RFC 9110, section 5.1), and nothing is between it and the
      * colon.
