--- a/gateway/src/main/java/org/whinhead/gateway/http/ResponseDecoder.java
+++ b/gateway/src/main/java/org/whinhead/gateway/http/ResponseDecoder.java
@@ -75,7 +75,7 @@
         mMerger.end();
     }
 
-    /** Marks a head as not decoded whose lines begin where none may begin. */
+    /** Marks a head as not decoded whose lines are none. */
     private void checkHead(final ByteBuf bytes, final int start, final List<Object> decoded) {
         if (mInHead) {
             mHeadLines.read(bytes, start, bytes.readerIndex());
--- a/gateway/src/test/java/org/whinhead/gateway/endpoint/InvalidHeadTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/endpoint/InvalidHeadTest.java
@@ -128,15 +128,101 @@
         assertThat(passed).isEmpty();
     }
 
+    /**
+     * NUL, CR and LF make a field invalid (RFC 9110, section 5.5); other controls are no field
+     * text.
+     */
+    @Test
+    void fieldValue() {
+        final List<String> passed = new ArrayList<>();
+        for (int octet = 0; octet < 128; octet++) {
+            if (octet < ' ' && octet != '\t' && octet != '\n' || octet == 127) {
+                collect(
+                        "HTTP/1.1 200 OK\r\nDate: a" + (char) octet + "b\r\n" + REST,
+                        "value with octet " + octet,
+                        passed);
+                collect(
+                        "HTTP/1.1 200 OK\r\nContent-Length: 2" + (char) octet + "\r\n\r\nok",
+                        "length with octet " + octet,
+                        passed);
+                collect(
+                        "HTTP/1.1 200 O" + (char) octet + "K\r\n" + REST,
+                        "reason with octet " + octet,
+                        passed);
+                collect(
+                        (char) octet + "HTTP/1.1 200 OK\r\n" + REST,
+                        "octet " + octet + " before the status line",
+                        passed);
+            }
+        }
+        for (final String line :
+                List.of(
+                        ": v",
+                        " Date: v",
+                        "\tDate: v",
+                        "Date",
+                        "Date v",
+                        "Content-Length: +2",
+                        "Content-Length: 2, 2",
+                        "Content-Length: 2,3",
+                        "Content-Length: -2",
+                        "Content-Length: 0x2",
+                        "Content-Length: ",
+                        "Content-Length: 3",
+                        "Transfer-Encoding: chunked",
+                        "Transfer-Encoding: gzip, chunked",
+                        "Transfer-Encoding : chunked",
+                        "Transfer-Encoding: xchunked")) {
+            collect("HTTP/1.1 200 OK\r\n" + line + "\r\n" + REST, "line [" + line + "]", passed);
+        }
+        assertThat(passed).isEmpty();
+    }
+
+    /** An interim response with such a head is none, also if the final one comes with it. */
+    @Test
+    void interimHead() {
+        final List<String> passed = new ArrayList<>();
+        for (final String head :
+                List.of(
+                        "HTTP/1.1 103 Hin\u0001ts\r\nLink: a\r\n",
+                        "HTTP/1.1 103 Hints\r\nLink: a\r\n X: b\r\n",
+                        "HTTP/1.1 103 Hints\r\nLi nk: a\r\n",
+                        "HTTP/1.1 000 Hints\r\nLink: a\r\n",
+                        "HTTP/1.1 099 Hints\r\nLink: a\r\n")) {
+            collect(head + "\r\nHTTP/1.1 200 OK\r\n" + REST, "interim [" + head + "]", passed);
+        }
+        assertThat(passed).isEmpty();
+    }
+
+    /** What a trailer holds reaches no caller, and the body before it is whole or refused. */
+    @Test
+    void trailers() {
+        for (final String line :
+                List.of(
+                        "X: a\r\n X: b",
+                        " X: a",
+                        "X a: b",
+                        "X\u0001: b",
+                        "X: b\u0001",
+                        ": b",
+                        "X")) {
+            for (final int segment : new int[] {1, 10_000}) {
+                receive(
+                        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"
+                                + line
+                                + "\r\n\r\n",
+                        segment);
+                assertThat(mReceived).as(line).first().isEqualTo("head 200");
+                assertThat(String.join(" ", mReceived).replace("body ", "").replace(" ", ""))
+                        .as(line)
+                        .matches("head200(ok)?(endDECLARED|NOT_HTTP)");
+            }
+        }
+    }
+
     private void collect(final String text, final String what, final List<String> passed) {
         for (final int segment : new int[] {1, 10_000}) {
-            mReceived.clear();
-            final ConnectionFixture fixture = new ConnectionFixture();
-            fixture.send(HttpMethod.POST, mListener);
-            fixture.read(text, segment);
-            fixture.endTurn();
-            fixture.endInput();
-            fixture.endTurn();
+            receive(text, segment);
             if (mReceived.stream()
                     .anyMatch(part -> part.startsWith("head") || part.startsWith("end"))) {
                 passed.add(what + " by " + segment + ": " + mReceived);
@@ -144,6 +230,16 @@
         }
     }
 
+    private void receive(final String text, final int segment) {
+        mReceived.clear();
+        final ConnectionFixture fixture = new ConnectionFixture();
+        fixture.send(HttpMethod.POST, mListener);
+        fixture.read(text, segment);
+        fixture.endTurn();
+        fixture.endInput();
+        fixture.endTurn();
+    }
+
     private static boolean isTokenOctet(final int octet) {
         return octet >= 'a' && octet <= 'z'
                 || octet >= 'A' && octet <= 'Z'
