Refuse requests whose head has lines that are none

The same cause as in heads of responses, at the other reader: a line of a caller's head that begins with a blank was joined to the field before it and passed on so; a request with a blank or a control character around the words of its first line, or of a version other than 1.x, was served as if it were sound.

--- a/gateway/src/main/java/org/whinhead/gateway/caller/StrictRequestDecoder.java
+++ b/gateway/src/main/java/org/whinhead/gateway/caller/StrictRequestDecoder.java
@@ -6,11 +6,15 @@
 import io.netty.channel.ChannelOutboundHandlerAdapter;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.LastHttpContent;
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.whinhead.gateway.http.ContentMerger;
+import org.whinhead.gateway.http.FirstLine;
+import org.whinhead.gateway.http.HeadLineCheck;
 
 /**
  * Decodes requests and rejects those with an ambiguous body length.
@@ -26,6 +30,7 @@
  */
 final class StrictRequestDecoder extends HttpRequestDecoder {
 
+    private static final String VERSION_1 = "HTTP/1.";
     private static final int MAX_REQUEST_LINE_BYTES = 8_192;
 
     /** The messages, among them chunks, that are decoded of a read at once. */
@@ -38,6 +43,8 @@
     private static final Duration TURN_DELAY = Duration.ofMillis(1);
 
     private final ContentMerger mMerger = new ContentMerger();
+    private final HeadLineCheck mHeadLines = new HeadLineCheck(FirstLine.REQUEST_LINE);
+    private boolean mAwaitingHead = true;
     private int mMessagesLeft = MAX_MESSAGES_PER_READ;
     private boolean mWithinHead;
     private boolean mDecoding;
@@ -81,6 +88,9 @@
     @Override
     protected HttpMessage createMessage(final String[] initialLine) throws Exception {
         mWithinHead = true;
+        if (!initialLine[2].startsWith(VERSION_1)) {
+            throw new IllegalArgumentException("request of version " + initialLine[2]);
+        }
         return super.createMessage(initialLine);
     }
 
@@ -112,7 +122,9 @@
             }
             final int readable = bytes.readableBytes();
             final int count = messages.size();
+            final int start = bytes.readerIndex();
             super.decode(context, bytes, messages);
+            checkHead(bytes, start, messages.subList(count, messages.size()));
             if (messages.size() > count) {
                 mWithinHead = false;
                 if (mMessagesLeft > 0 && !ContentMerger.endsWithLongContent(messages)) {
@@ -125,6 +137,22 @@
         mMerger.end();
     }
 
+    /** Marks a head as not decoded whose lines are none; its request is refused. */
+    private void checkHead(final ByteBuf bytes, final int start, final List<Object> decoded) {
+        if (mAwaitingHead) {
+            mHeadLines.read(bytes, start, bytes.readerIndex());
+        }
+        for (final Object message : decoded) {
+            if (message instanceof HttpRequest request) {
+                mAwaitingHead = false;
+                mHeadLines.end(request);
+            }
+            if (message instanceof LastHttpContent) {
+                mAwaitingHead = true;
+            }
+        }
+    }
+
     private boolean mayDecode(final ChannelHandlerContext context) {
         return mMessagesLeft > 0 && context.channel().config().isAutoRead();
     }
--- a/gateway/src/main/java/org/whinhead/gateway/http/HeadLineCheck.java
+++ b/gateway/src/main/java/org/whinhead/gateway/http/HeadLineCheck.java
@@ -1,31 +1,42 @@
 package org.whinhead.gateway.http;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.HttpMessage;
+import java.io.IOException;
+import java.util.Objects;
 import java.util.Optional;
 
 /**
- * Checks the lines of a head as they were sent, which the decoder doesn't: it joins a line that
- * begins with a blank to the field before it, and skips control characters around the words of a
- * status line.
+ * Checks the lines of a head as they were sent, which the decoders don't: they join a line that
+ * begins with a blank to the field before it, and skip control characters around the words of the
+ * first line. What they check themselves (version, status, names of fields) isn't checked here.
  */
-final class HeadLineCheck {
+public final class HeadLineCheck {
 
     private static final char DELETE = 127;
 
-    /** The octets of a version, a space and a status. */
-    private static final int REASON_PHRASE_START = "HTTP/1.1 200".length();
-
-    private static final String BLANK_BEFORE = "blank before the status line";
-    private static final String NO_SPACE = "no space behind the status";
+    private static final String BLANK_BEFORE = "blank before the first line";
+    private static final String FIRST_LINE = "invalid character in the first line";
     private static final String FOLDED_LINE = "line of a field begins with a blank";
     private static final String CARRIAGE_RETURN = "carriage return within a line";
     private static final String CONTROL_CHARACTER = "control character within a line";
 
+    private final FirstLine mFirstLine;
     private Optional<String> mFault = Optional.empty();
     private int mLine;
     private int mColumn;
     private boolean mAfterCarriageReturn;
 
+    /**
+     * Creates a check that awaits the first head of a connection.
+     *
+     * @param firstLine the kind of head
+     */
+    public HeadLineCheck(final FirstLine firstLine) {
+        mFirstLine = Objects.requireNonNull(firstLine, "firstLine");
+    }
+
     /**
      * Reads bytes that the decoder has consumed, in order.
      *
@@ -33,7 +44,7 @@
      * @param from the index of the first byte
      * @param until the index behind the last byte
      */
-    void read(final ByteBuf bytes, final int from, final int until) {
+    public void read(final ByteBuf bytes, final int from, final int until) {
         for (int index = from; index < until && mFault.isEmpty(); index++) {
             read((char) bytes.getUnsignedByte(index));
         }
@@ -48,8 +59,8 @@
             mFault = Optional.of(CONTROL_CHARACTER);
         } else if (mLine == 0 && mColumn == 0 && blank) {
             mFault = Optional.of(BLANK_BEFORE);
-        } else if (mLine == 0 && mColumn == REASON_PHRASE_START && octet != ' ' && !lineEnd) {
-            mFault = Optional.of(NO_SPACE);
+        } else if (mLine == 0 && !lineEnd && !mFirstLine.allows(mColumn, octet)) {
+            mFault = Optional.of(FIRST_LINE);
         } else if (mLine > 0 && mColumn == 0 && blank) {
             mFault = Optional.of(FOLDED_LINE);
         }
@@ -68,11 +79,16 @@
     }
 
     /**
-     * Ends a head; the next byte belongs to another one.
+     * Ends a head, and marks its message as not decoded if a line is none.
      *
-     * @return what is wrong with the head that ends
+     * @param head the message that the decoder has made of it
      */
-    Optional<String> end() {
+    public void end(final HttpMessage head) {
+        end().map(IOException::new).map(DecoderResult::failure).ifPresent(head::setDecoderResult);
+    }
+
+    /** Ends a head; the next byte belongs to another one. Returns what is wrong with it. */
+    private Optional<String> end() {
         final Optional<String> fault = mFault;
         mFault = Optional.empty();
         mLine = 0;
--- a/gateway/src/main/java/org/whinhead/gateway/http/ResponseDecoder.java
+++ b/gateway/src/main/java/org/whinhead/gateway/http/ResponseDecoder.java
@@ -5,7 +5,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.DecoderException;
-import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
@@ -13,7 +12,6 @@
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.AsciiString;
-import java.io.IOException;
 import java.util.List;
 
 /**
@@ -34,7 +32,7 @@
     private final ReadControl mReading;
     private final DecodeQueue mQueue;
     private final ContentMerger mMerger = new ContentMerger();
-    private final HeadLineCheck mHeadLines = new HeadLineCheck();
+    private final HeadLineCheck mHeadLines = new HeadLineCheck(FirstLine.STATUS_LINE);
     private boolean mInHead = true;
     private boolean mAfterHeadRequest;
     private int mVersionEnd;
@@ -83,11 +81,7 @@
         for (final Object message : decoded) {
             if (message instanceof HttpResponse response) {
                 mInHead = false;
-                mHeadLines
-                        .end()
-                        .map(IOException::new)
-                        .map(DecoderResult::failure)
-                        .ifPresent(response::setDecoderResult);
+                mHeadLines.end(response);
             }
             if (message instanceof LastHttpContent) {
                 mInHead = true;
