Take no end of a connection for that of a response while its request is written

What callers saw: an endpoint answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written; the part was passed on as a complete answer. With an end of the endpoint's output before the reset it didn't: the end is read first and counts as that of the response. An endpoint that closes before it has read a request resets the connection, so such an end is none: a response that states neither length nor chunks and ends while its request isn't written fails as may-have-run, and a relay doesn't pass such an end on as an orderly one.

--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnection.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnection.java
@@ -59,6 +59,7 @@
     private boolean mReusable = true;
     private ResponseProgress mProgress;
     private boolean mLengthStated;
+    private boolean mEndStated;
     private int mResponses;
     private Optional<String> mAnsweredRequest = Optional.empty();
     private boolean mOverlong;
@@ -270,6 +271,7 @@
         mResponse = mProtocol.decode(response);
         logRepeatedAnswer();
         mLengthStated = HttpUtil.isContentLengthSet(response);
+        mEndStated = mLengthStated || HttpUtil.isTransferEncodingChunked(response);
         mIdleTimeout = mResponse.idleTimeout().orElse(EndpointConnections.DEFAULT_IDLE_TIMEOUT);
         if (mResponse.closesConnection()) {
             mReusable = false;
@@ -302,8 +304,13 @@
     }
 
     private void complete() {
-        final EndpointResponseListener listener = mListener;
         final ResponseEnd end = responseEnd();
+        if (end == ResponseEnd.CONNECTION_CLOSED && !mEndStated && !mWritten.isSuccess()) {
+            // An endpoint that closes before it has read the request resets the connection.
+            fail(EndpointFailure.CONNECTION_LOST);
+            return;
+        }
+        final EndpointResponseListener listener = mListener;
         mListener = null;
         mResponses++;
         final LeftOver leftOver = leftOver();
--- a/gateway/src/main/java/org/whinhead/gateway/relay/RelayEndpointHandler.java
+++ b/gateway/src/main/java/org/whinhead/gateway/relay/RelayEndpointHandler.java
@@ -55,7 +55,8 @@
     @Override
     public void userEventTriggered(final ChannelHandlerContext context, final Object event) {
         if (event instanceof ChannelInputShutdownEvent) {
-            mInputEnded = true;
+            // An endpoint that closes before it has read the request resets the connection.
+            mInputEnded = context.channel().unsafe().outboundBuffer().isEmpty();
             context.close();
         }
     }
--- a/gateway/src/test/java/org/whinhead/gateway/relay/RelayServerTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/relay/RelayServerTest.java
@@ -23,6 +23,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -35,6 +36,7 @@
     private static final InetAddress LOOPBACK = InetAddress.getLoopbackAddress();
     private static final int TIMEOUT_SECONDS = 10;
     private static final int RESET_ROUNDS = 40;
+    private static final Duration FILL_TIME = Duration.ofMillis(300);
     private static final int ASKS_PER_ROUND = 50_000;
     private static final int SMALL_BUFFER_BYTES = 4_096;
     private static final int RESPONSE_BYTES = 1_000_000;
@@ -278,6 +280,29 @@
         }
     }
 
+    // Guards against half of a response that counts as the whole one: the endpoint ends it, and
+    // resets the connection, while the relay still writes the request.
+    @Test
+    void endWhileTheRequestIsWrittenIsNoEnd() throws Exception {
+        mEndpoint.setReceiveBufferSize(SMALL_BUFFER_BYTES);
+        open("e-1");
+        try (Socket endpoint = mEndpoint.accept()) {
+            assertThat(nextEvent()).isEqualTo("connected");
+            write("ask".repeat(RESET_ROUNDS * ASKS_PER_ROUND));
+            assertThat(read(endpoint, 3)).isEqualTo("ask");
+            // The buffers on the way are full then.
+            LockSupport.parkNanos(FILL_TIME.toNanos());
+            endpoint.getOutputStream().write("part".getBytes(StandardCharsets.US_ASCII));
+            endpoint.shutdownOutput();
+            final List<String> events = new ArrayList<>();
+            for (String event = nextEvent(); !"inactive".equals(event); event = nextEvent()) {
+                assertThat(event).as("event after " + events).isNotNull();
+                events.add(event);
+            }
+            assertThat(events).doesNotContain("event ChannelInputShutdownEvent");
+        }
+    }
+
     // Guards against the end of a response that a reset destroys: the endpoint answers and closes
     // before it has read the request, of which the asking daemon still sends the rest.
     @Test
