Await another daemon's copy of the configuration that keeps arriving

The time limit begins again with each part now, up to 5 s in all.

ConfigurationClientTest#recordThatKeepsArrivingIsAwaited: red before (no record after 500 ms, which it takes 1.2 s to send), green now in two runs.

--- a/gateway/src/main/java/org/whinhead/gateway/relay/ConfigurationClient.java
+++ b/gateway/src/main/java/org/whinhead/gateway/relay/ConfigurationClient.java
@@ -35,6 +35,9 @@
     /** The most bytes of a record that are accepted. */
     private static final int MAX_RECORD_BYTES = 16 * 1024 * 1024;
 
+    /** The longest time for a record that keeps arriving. */
+    private static final Duration LONGEST_TRANSFER = Duration.ofSeconds(5);
+
     private final EventLoop mLoop;
     private final InetAddress mLocalAddress;
     private final Duration mTimeout;
@@ -44,7 +47,8 @@
      *
      * @param loop the event loop on which all work runs
      * @param localAddress the address of this VM, by which daemons know each other
-     * @param timeout the time after which a daemon's answer is not awaited any more
+     * @param timeout the time after which the next part of a daemon's answer is not awaited any
+     *     more
      */
     public ConfigurationClient(
             final EventLoop loop, final InetAddress localAddress, final Duration timeout) {
@@ -106,6 +110,7 @@
         private final ByteArrayOutputStream mValue = new ByteArrayOutputStream();
         private Channel mChannel;
         private Future<?> mTimer;
+        private Future<?> mLongest;
         private boolean mEnded;
 
         private AnswerHandler(
@@ -117,6 +122,15 @@
 
         private void start(final Channel channel) {
             mChannel = channel;
+            awaitPart();
+            mLongest =
+                    mLoop.schedule(
+                            () -> end(Optional.empty(), "record not whole in time"),
+                            LONGEST_TRANSFER.toMillis(),
+                            TimeUnit.MILLISECONDS);
+        }
+
+        private void awaitPart() {
             mTimer =
                     mLoop.schedule(
                             () -> end(Optional.empty(), "no answer in time"),
@@ -136,6 +150,8 @@
                 end(Optional.empty(), "unexpected message " + message.getContentCase());
                 return;
             }
+            mTimer.cancel(false);
+            awaitPart();
             final ConfigurationPart part = message.getConfigurationPart();
             mValue.writeBytes(part.getValue().toByteArray());
             if (mValue.size() > MAX_RECORD_BYTES) {
@@ -153,6 +169,7 @@
             }
             mEnded = true;
             mTimer.cancel(false);
+            mLongest.cancel(false);
             mChannel.close();
             if (answer.isEmpty()) {
                 LOG.atDebug()
