Keep the reason of a head that the decoder has refused itself

A head that is too long, and whose bytes hold a control character as well, counted as no response (NOT_HTTP) and not as overlong, and a caller's request got 400 in place of 431: HeadLineCheck replaced the decoder's own reason, as it also reads what the decoder throws away.

ResponsePipelineTest#endlessPartIsRefusedOnce has a row of a field that is NUL without end: red before, green now.

--- a/gateway/src/main/java/org/whinhead/gateway/http/HeadLineCheck.java
+++ b/gateway/src/main/java/org/whinhead/gateway/http/HeadLineCheck.java
@@ -79,12 +79,16 @@
     }
 
     /**
-     * Ends a head, and marks its message as not decoded if a line is none.
+     * Ends a head, and marks its message as not decoded if a line is none. One that the decoder has
+     * refused itself keeps its reason.
      *
      * @param head the message that the decoder has made of it
      */
     public void end(final HttpMessage head) {
-        end().map(IOException::new).map(DecoderResult::failure).ifPresent(head::setDecoderResult);
+        final Optional<String> fault = end();
+        if (fault.isPresent() && head.decoderResult().isSuccess()) {
+            head.setDecoderResult(DecoderResult.failure(new IOException(fault.get())));
+        }
     }
 
     /** Ends a head; the next byte belongs to another one. Returns what is wrong with it. */
--- a/gateway/src/test/java/org/whinhead/gateway/http/ResponsePipelineTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/http/ResponsePipelineTest.java
@@ -84,6 +84,7 @@
         "'', '\\r\\n', BEFORE_HEAD",
         "'HTTP/1.1 200 ', a, STATUS_LINE",
         "'HTTP/1.1 200 OK\\r\\nX: ', a, HEADER_FIELDS",
+        "'HTTP/1.1 200 OK\\r\\nX: ', '\\0', HEADER_FIELDS",
         "'HTTP/1.1 200 OK\\r\\n', 'X: aaaaaaaa\\r\\n', HEADER_FIELDS",
         "'', 'HTTP/1.1 103 Early Hints\\r\\nX: a\\r\\n\\r\\n', INTERIM_RESPONSES",
         "'HTTP/1.1 101 Switching Protocols\\r\\nUpgrade: x\\r\\n\\r\\n', a, INTERIM_RESPONSES",
