Log connections that end before a response, and which daemon relayed a check

A daemon whose connections to endpoints are accepted and lost logged the failed attempts only: neither on which way they were sent, nor whether the connection had ever carried a response, nor through which daemon a check was made. A line and a counter tell these now.

--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/ConnectAttempt.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/ConnectAttempt.java
@@ -95,7 +95,7 @@
                         mHandlers,
                         new RelayedConnect.Listener() {
                             @Override
-                            public void relayed(final Channel channel) {
+                            public void relayed(final Channel channel, final String relay) {
                                 connected(channel, AccessPath.RELAYED);
                             }
 
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/ConnectionLogger.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/ConnectionLogger.java
@@ -44,6 +44,14 @@
                 .log("connect failed");
     }
 
+    void endedUnanswered(final EndpointConnection connection) {
+        mCounts.recordEndedUnanswered(connection.pool().service(), connection.path());
+        lineAbout(connection)
+                .addKeyValue("path", connection.path())
+                .addKeyValue("ageMillis", connection.age().toMillis())
+                .log("connection ended before response");
+    }
+
     void overlong(final EndpointConnection connection, final OverlongPart part) {
         mCounts.recordOverlong(connection.pool().service(), part.wireName());
         lineAbout(connection).addKeyValue("part", part.wireName()).log("response too long");
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnection.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnection.java
@@ -345,6 +345,9 @@
 
     private void fail(final EndpointFailure failure) {
         final EndpointResponseListener listener = mListener;
+        if (failure == EndpointFailure.CONNECTION_LOST && isUnanswered()) {
+            mPool.endedUnanswered(this);
+        }
         mListener = null;
         mReusable = false;
         mChannel.close();
@@ -353,6 +356,11 @@
         }
     }
 
+    /** Returns whether a request was sent and nothing of its response was received. */
+    private boolean isUnanswered() {
+        return mListener != null && mResponse == null && !hasUndecoded();
+    }
+
     /**
      * Fails the request in progress, if any, and closes the connection, as its endpoint sends too
      * many bytes that are no response.
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnections.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnections.java
@@ -476,6 +476,11 @@
             mReach.recordDirect(mEndpoint, mService, mClock.instant());
         }
 
+        /** Logs and counts a connection that ended before anything of its response was read. */
+        void endedUnanswered(final EndpointConnection connection) {
+            mConnector.logger().endedUnanswered(connection);
+        }
+
         /** Logs and counts bytes that are no response. */
         void overlong(final EndpointConnection connection, final OverlongPart part) {
             mConnector.logger().overlong(connection, part);
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/ReachCheck.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/ReachCheck.java
@@ -36,6 +36,7 @@
     private RelayedConnect mRelayed;
     private HealthProbe mRelayedProbe;
     private Channel mRelayedChannel;
+    private String mRelay = "";
     private Future<?> mRelayTimer;
     private Future<?> mTimeout;
     private boolean mEnded;
@@ -90,6 +91,11 @@
         return mDirectLoss;
     }
 
+    /** Returns the name of the daemon that relayed the connection; empty if none did. */
+    String relay() {
+        return mRelay;
+    }
+
     private void directAnswered() {
         mDirectLevel = ReachLevel.ANSWERED;
         end();
@@ -114,7 +120,8 @@
     }
 
     @Override
-    public void relayed(final Channel channel) {
+    public void relayed(final Channel channel, final String relay) {
+        mRelay = relay;
         mRelayedChannel = channel;
         mRelayedLevel = ReachLevel.CONNECTED;
         mRelayedProbe.send(channel);
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/ReachMonitor.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/ReachMonitor.java
@@ -173,7 +173,8 @@
                 .addKeyValue("service", endpoint.service())
                 .addKeyValue("direct", check.directLevel())
                 .addKeyValue("relayed", check.relayedLevel())
-                .log("silent endpoint checked");
+                .addKeyValue("relay", check.relay())
+                .log("endpoint checked on both ways");
         if (check.directLevel() == ReachLevel.ANSWERED) {
             recordDirect(endpoint);
         } else if (check.relayedLevel().isAbove(check.directLevel())) {
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/RelayedConnect.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/RelayedConnect.java
@@ -45,8 +45,13 @@
     /** Receives the outcome. */
     interface Listener {
 
-        /** Called when a daemon relays the connection. */
-        void relayed(Channel channel);
+        /**
+         * Called when a daemon relays the connection.
+         *
+         * @param channel the connection
+         * @param relay the daemon's name
+         */
+        void relayed(Channel channel, String relay);
 
         /**
          * Called if no daemon does.
@@ -108,7 +113,7 @@
             mEnded = true;
             mTimeout.cancel(false);
             mConnector.logger().relayed();
-            mListener.relayed(channel);
+            mListener.relayed(channel, mRelay.daemon());
         }
 
         @Override
--- a/gateway/src/main/java/org/whinhead/gateway/metrics/CounterKey.java
+++ b/gateway/src/main/java/org/whinhead/gateway/metrics/CounterKey.java
@@ -39,6 +39,8 @@
         CONNECT("whinhead.endpoint.connects", "outcome", ""),
         /** Requests to other daemons to relay a connection to an endpoint. */
         RELAY("whinhead.endpoint.relays", "outcome", ""),
+        /** Connections to endpoints that ended before anything of a response was received. */
+        ENDED_UNANSWERED("whinhead.endpoint.connections.ended.unanswered", "service", "path"),
         /** Requests that endpoints rejected for want of room. */
         REJECTED("whinhead.endpoint.rejections", "service", ""),
         /** Requests that were not sent, as their service has no capacity for them. */
--- a/gateway/src/main/java/org/whinhead/gateway/metrics/RequestMetrics.java
+++ b/gateway/src/main/java/org/whinhead/gateway/metrics/RequestMetrics.java
@@ -14,6 +14,7 @@
 import java.util.function.Supplier;
 import org.whinhead.api.verdict.Verdict;
 import org.whinhead.gateway.metrics.CounterKey.Metric;
+import org.whinhead.serving.reach.AccessPath;
 import org.whinhead.serving.route.RouteKind;
 
 /**
@@ -102,6 +103,17 @@
         counter(Metric.RELAY, outcome, "").add(1);
     }
 
+    /**
+     * Counts a connection that has ended before anything of the response to its request was
+     * received.
+     *
+     * @param service the endpoint's service
+     * @param path the way on which the endpoint was connected
+     */
+    public void recordEndedUnanswered(final String service, final AccessPath path) {
+        counter(Metric.ENDED_UNANSWERED, service, path.name()).add(1);
+    }
+
     /**
      * Counts a request that an endpoint rejected for want of room.
      *
