Check the own way when new connections end before a response

Callers of a daemon whose connections to all endpoints were accepted and then reset or closed got 502 for as long as that lasted, while the other daemons served theirs. Whatever accepts connections on the endpoints' behalf does that: an address translation, a proxy, a sidecar.

Two things led to the question whether the daemon's own way is cut, a connect that fails and an open connection that is silent. A connection that was accepted and ended gave neither, so each request was charged to its endpoint. Now a direct connection that ends before its first response starts the check of two endpoints of its service, on both ways, at most once a second. The check asks another daemon as soon as its direct connection has ended, and such a loss says nothing about connections that were open before. One lost connection to an endpoint that answers on the next one changes nothing.

ReachMonitorTest: three tests red before.

--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnections.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnections.java
@@ -54,6 +54,7 @@
     private final Map<String, Pool> mPools = new HashMap<>();
     private final Map<String, Instant> mReceivedAt = new HashMap<>();
     private ToIntFunction<String> mPartOfService = service -> Integer.MAX_VALUE;
+    private Consumer<Pool> mOnNewConnectionLost = pool -> {};
     private boolean mLimited;
 
     /**
@@ -301,6 +302,15 @@
                 .toList();
     }
 
+    /**
+     * Sets the action after a direct connection was accepted and ended before its first response.
+     *
+     * @param onNewConnectionLost receives the pool of the connection
+     */
+    void onNewConnectionLost(final Consumer<Pool> onNewConnectionLost) {
+        mOnNewConnectionLost = onNewConnectionLost;
+    }
+
     /**
      * Returns when anything was last received on a direct connection to any endpoint of a service.
      *
@@ -476,9 +486,12 @@
             mReach.recordDirect(mEndpoint, mService, mClock.instant());
         }
 
-        /** Logs and counts a connection that ended before anything of its response was read. */
+        /** Records a connection that ended before anything of its response was read. */
         void endedUnanswered(final EndpointConnection connection) {
             mConnector.logger().endedUnanswered(connection);
+            if (connection.path() == AccessPath.DIRECT && connection.responses() == 0) {
+                mOnNewConnectionLost.accept(this);
+            }
         }
 
         /** Logs and counts bytes that are no response. */
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/HealthProbe.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/HealthProbe.java
@@ -46,8 +46,8 @@
             try {
                 if (message instanceof HttpResponse response
                         && response.decoderResult().isSuccess()) {
-                    context.close();
                     mOnAnswered.accept(response);
+                    context.close();
                 }
             } finally {
                 ReferenceCountUtil.release(message);
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/ReachCheck.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/ReachCheck.java
@@ -73,6 +73,7 @@
                             probe.send(channel);
                         },
                         this::directFailed);
+        mDirect.closeFuture().addListener(done -> directEnded());
     }
 
     EndpointEntry endpoint() {
@@ -108,6 +109,13 @@
         }
     }
 
+    private void directEnded() {
+        if (!mEnded && mDirectLevel == ReachLevel.CONNECTED) {
+            mDirectLoss = DirectLoss.REFUSED;
+            connectRelayed();
+        }
+    }
+
     private void connectRelayed() {
         if (!mEnded && mRelayed == null) {
             mRelayed = mConnector.connectRelayed(mEndpoint, this::nextRelayedProbe, this);
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/ReachMonitor.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/ReachMonitor.java
@@ -67,6 +67,11 @@
         mReach = Objects.requireNonNull(reach, "reach");
         mEndpoints = Objects.requireNonNull(endpoints, "endpoints");
         mHealthPath = Objects.requireNonNull(healthPath, "healthPath");
+        mConnections.onNewConnectionLost(this::newConnectionLost);
+    }
+
+    private void newConnectionLost(final EndpointConnections.Pool pool) {
+        checkAll(mSilence.suspectsAfterLoss(pool, mConnector.now()));
     }
 
     /**
@@ -131,9 +136,7 @@
                 .filter(mIsPaused.negate())
                 .flatMap(mEndpoints::find)
                 .ifPresent(this::recheck);
-        mSilence.suspects(now).stream()
-                .filter(mIsPaused.negate())
-                .forEach(endpoint -> mEndpoints.find(endpoint).ifPresent(this::check));
+        checkAll(mSilence.suspects(now));
         mConnections.waitingDirectly().stream()
                 .filter(connection -> isPathLost(connection, now))
                 .forEach(EndpointConnection::pathLost);
@@ -153,6 +156,12 @@
                 && !connection.waitingSince().orElse(now).isAfter(since);
     }
 
+    private void checkAll(final Set<String> endpoints) {
+        endpoints.stream()
+                .filter(mIsPaused.negate())
+                .forEach(endpoint -> mEndpoints.find(endpoint).ifPresent(this::check));
+    }
+
     private void check(final EndpointEntry endpoint) {
         final AccessPath path = mReach.pathTo(endpoint.id(), endpoint.service());
         if (path == AccessPath.DIRECT && mChecked.add(endpoint.id())) {
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/SilenceDetector.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/SilenceDetector.java
@@ -13,7 +13,8 @@
 import org.whinhead.serving.endpoint.EndpointEntry;
 
 /**
- * Finds endpoints that may have become unreachable while connections to them are open.
+ * Finds endpoints that may have become unreachable while connections to them are open, or although
+ * connections to them are accepted.
  *
  * <p>A connection whose packets get lost shows nothing: requests on it wait until their deadline,
  * and more of them follow as long as there are idle connections. An endpoint that is busy is silent
@@ -82,6 +83,21 @@
         return suspects;
     }
 
+    /**
+     * Returns the endpoints to check after a new connection was lost before its first response.
+     *
+     * @param lost the pool of the connection
+     * @param now the current time
+     * @return the endpoints' ids
+     */
+    Set<String> suspectsAfterLoss(final EndpointConnections.Pool lost, final Instant now) {
+        if (!isDue(mServiceSuspectedAt.getOrDefault(lost.service(), Instant.EPOCH), now)) {
+            return Set.of();
+        }
+        mServiceSuspectedAt.put(lost.service(), now);
+        return new LinkedHashSet<>(representatives(lost.service(), Set.of(lost.endpoint())));
+    }
+
     /** Returns the silent endpoints of a service, with others of it if they are too few. */
     private List<String> representatives(final String service, final Set<String> silent) {
         final Set<String> chosen = new LinkedHashSet<>(silent);
--- a/gateway/src/test/java/org/whinhead/gateway/endpoint/ReachMonitorTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/endpoint/ReachMonitorTest.java
@@ -35,6 +35,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.whinhead.gateway.metrics.RequestMetrics;
 import org.whinhead.gateway.relay.RelayServer;
 import org.whinhead.serving.endpoint.EndpointEntry;
@@ -83,6 +84,7 @@
                     mEndpoints,
                     service -> "/health");
     private volatile String mHealthHeaders = "";
+    private volatile boolean mEndsRequests;
     private ServerSocket mAnswering;
     private ServerSocket mSilent;
 
@@ -167,6 +169,22 @@
         }
     }
 
+    private void endAll(final ServerSocket server, final boolean resets) {
+        while (!server.isClosed()) {
+            try (Socket socket = server.accept()) {
+                socket.getInputStream().read();
+                if (resets) {
+                    socket.setSoLinger(true, 0);
+                } else {
+                    socket.getInputStream().skip(socket.getInputStream().available());
+                }
+            } catch (IOException e) {
+                // The test has ended, or the daemon has closed its connection.
+                continue;
+            }
+        }
+    }
+
     private void answerHealthCheck(final Socket socket) {
         try {
             final byte[] line = socket.getInputStream().readNBytes("GET /health".length());
@@ -178,6 +196,8 @@
                                                 + "Content-Length: 0\r\n\r\n")
                                         .getBytes(StandardCharsets.US_ASCII));
                 mAnsweredChecks.incrementAndGet();
+            } else if (mEndsRequests) {
+                socket.close();
             }
         } catch (IOException e) {
             mEvents.add("health check not read: " + e);
@@ -275,6 +295,33 @@
         assertThat(mEvents).hasSize(1);
     }
 
+    // Guards against a daemon that serves nobody as long as something on the way accepts its
+    // connections for the endpoints and ends them.
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void endOfNewConnectionsIsChecked(final boolean resets) throws Exception {
+        try (ServerSocket ending = new ServerSocket(0, 50, LOOPBACK)) {
+            startThread(() -> endAll(ending, resets));
+            listEndpoints(ending);
+            sendRequest();
+            tickUntil(this::isCutOff);
+            assertThat(onLoop(() -> mReach.isSilent("e-1", SERVICE))).isFalse();
+        }
+        assertThat(mEvents).containsExactly("CONNECTION_LOST");
+    }
+
+    // Guards against an endpoint that ends one connection being taken for one that is out of reach.
+    @Test
+    void endOfOneConnectionIsNoCut() throws Exception {
+        mEndsRequests = true;
+        listEndpoints(mAnswering);
+        sendRequest();
+        tickUntil(() -> mAnsweredChecks.get() == 2);
+        tick();
+        assertThat(onLoop(() -> mReach.pathTo("e-1", SERVICE))).isEqualTo(AccessPath.DIRECT);
+        assertThat(mEvents).containsExactly("CONNECTION_LOST");
+    }
+
     // Guards against a busy endpoint being taken for one that is out of reach: it doesn't answer a
     // request for a while, but new connections work.
     @Test
