Ask another daemon before an endpoint that ends a check counts as crashed

A daemon whose connections were accepted and closed took five sound endpoints for crashed, 1,324 times in the logs of nine daemons within 5 s, and told the others.

The check of an endpoint that has ended a connection opened another one, on the direct path if it is accepted there, and its end within 25 ms counted as a crash. Now such an end is confirmed through another daemon: an endpoint that keeps that connection is up. A crash is found as before if another daemon doesn't reach the endpoint either, or none is there to ask.

EndpointConnectorTest#endpointThatOnlyAnotherDaemonReachesHasNotCrashed was red before; two tests hold the other way.

--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnections.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnections.java
@@ -208,7 +208,7 @@
                                     if (connection.hasRelayEnded()) {
                                         probe(endpoint, probesLeft - 1, accepted, failed);
                                     } else {
-                                        settled(connection, startedAt, accepted, failed);
+                                        settled(endpoint, connection, startedAt, accepted, failed);
                                     }
                                 }),
                 failure -> probeFailed(endpoint, startedAt, accepted, failed, failure));
@@ -247,6 +247,7 @@
     }
 
     private void settled(
+            final EndpointEntry endpoint,
             final EndpointConnection connection,
             final Instant startedAt,
             final Runnable accepted,
@@ -257,11 +258,53 @@
         } else if (connection.isOverlong()
                 || mLimited && connection.pool().openedBefore(startedAt).isPresent()) {
             accepted.run();
+        } else if (connection.path() == AccessPath.DIRECT) {
+            probeThroughOther(endpoint, accepted, failed);
         } else {
             failed.accept(ConnectFailure.ENDPOINT);
         }
     }
 
+    /**
+     * Makes a probe through another daemon: something on this daemon's own way may accept
+     * connections for the endpoint and end them.
+     */
+    private void probeThroughOther(
+            final EndpointEntry endpoint,
+            final Runnable accepted,
+            final Consumer<ConnectFailure> failed) {
+        mConnector.connectRelayed(
+                endpoint,
+                () -> new PipelineInitializer(pool(endpoint)),
+                new RelayedConnect.Listener() {
+                    @Override
+                    public void relayed(final Channel channel, final String relay) {
+                        final EndpointConnection connection =
+                                channel.pipeline().get(EndpointConnection.class);
+                        connection.opened(AccessPath.RELAYED);
+                        afterProbe(connection, () -> relayedSettled(connection, accepted, failed));
+                    }
+
+                    @Override
+                    public void notRelayed(final boolean endpointNotReached) {
+                        failed.accept(ConnectFailure.ENDPOINT);
+                    }
+                });
+    }
+
+    private static void relayedSettled(
+            final EndpointConnection connection,
+            final Runnable accepted,
+            final Consumer<ConnectFailure> failed) {
+        if (connection.isUsable()) {
+            connection.release();
+            accepted.run();
+        } else {
+            failed.accept(
+                    connection.hasRelayEnded() ? ConnectFailure.PATH : ConnectFailure.ENDPOINT);
+        }
+    }
+
     private void connect(
             final EndpointEntry endpoint,
             final Consumer<EndpointConnection> opened,
--- a/gateway/src/test/java/org/whinhead/gateway/endpoint/EndpointConnectorTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/endpoint/EndpointConnectorTest.java
@@ -240,17 +240,61 @@
     // the daemon that relays the check of it stops.
     @Test
     void probeThatEndsWithItsRelayIsMadeAgain() throws Exception {
+        mLoop.execute(() -> mDrainsOnce = true);
+        assertThat(probe(entry("e-1", freePort()))).isEqualTo("accepted");
+    }
+
+    // Guards against a sound endpoint that is taken for crashed, and innocent requests that are
+    // held back, since something on the way to it accepts connections and ends them.
+    @Test
+    void endpointThatOnlyAnotherDaemonReachesHasNotCrashed() throws Exception {
+        try (ServerSocket ending = new ServerSocket(0, 50, LOOPBACK)) {
+            startThread(() -> endAll(ending));
+            assertThat(probe(entry("e-1", ending.getLocalPort()))).isEqualTo("accepted");
+        }
+    }
+
+    // Guards against a crash that is not found: the port of the endpoint accepts connections some
+    // milliseconds longer than its process lasts.
+    @Test
+    void endpointThatEndsTheConnectionsOfAllHasCrashed() throws Exception {
+        startThread(() -> endAll(mEndpoint));
+        assertThat(probe(entry("e-1", mEndpoint.getLocalPort()))).isEqualTo("failed: ENDPOINT");
+    }
+
+    @Test
+    void endpointThatNobodyRelaysHasCrashed() throws Exception {
+        mRelayReachesEndpoint = false;
+        startThread(() -> endAll(mEndpoint));
+        assertThat(probe(entry("e-1", mEndpoint.getLocalPort()))).isEqualTo("failed: ENDPOINT");
+    }
+
+    private static void startThread(final Runnable work) {
+        final Thread thread = new Thread(work, "endpoint");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private static void endAll(final ServerSocket server) {
+        while (!server.isClosed()) {
+            try {
+                server.accept().close();
+            } catch (IOException e) {
+                // The test has ended.
+                return;
+            }
+        }
+    }
+
+    private String probe(final EndpointEntry endpoint) throws InterruptedException {
         final EndpointConnections connections =
                 new EndpointConnections(() -> NOW, new PlainProtocol(), mConnector, mReach);
-        final EndpointEntry endpoint = entry("e-1", freePort());
         mLoop.execute(
-                () -> {
-                    mDrainsOnce = true;
-                    connections.probe(
-                            endpoint,
-                            () -> mOutcomes.add("accepted"),
-                            failure -> mOutcomes.add("failed: " + failure));
-                });
-        assertThat(mOutcomes.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isEqualTo("accepted");
+                () ->
+                        connections.probe(
+                                endpoint,
+                                () -> mOutcomes.add("accepted"),
+                                failure -> mOutcomes.add("failed: " + failure)));
+        return mOutcomes.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
     }
 }
