Let no daemon relay that doesn't know whether it is cut off itself

With eight of nine daemons cut off from all endpoints in silence, 15 of 38 calls were served at these and 52 of 52 at the ninth. Daemons that had not found out yet offered to relay: 14 of 16 checks of one of them went through another one that was cut off, where a connection is as silent as at home, and each such way cost up to 150 ms of the check's 400.

Several endpoints of a service that got no answer on new direct connections, without a later one that did, put the own way in doubt for 2 s. In doubt, and for endpoints that it reaches through others only, a daemon denies at once. Denials don't count as tries, so that the one daemon that reaches the endpoints is found among fifteen others. A check whose relayed connection leads nowhere asks the next daemon. A relay that can't connect learns from it. If all that could tell deny, an endpoint counts as out of reach and not as crashed.

RelayServerTest: a denial has a name of its own now, which its two tests of denials name.

--- a/gateway/src/main/java/org/whinhead/gateway/EndpointAccess.java
+++ b/gateway/src/main/java/org/whinhead/gateway/EndpointAccess.java
@@ -79,6 +79,12 @@
                         localAddress,
                         id -> state.endpoints().find(id).filter(state::mayReceive),
                         members::hasAddress);
+        mRelayServer.relayOnly(
+                endpoint ->
+                        state.reach()
+                                .mayRelay(
+                                        endpoint.id(), endpoint.service(), state.clock().instant()),
+                connector::recordUnanswered);
         mBrittle = new BrittleServicesLogger(state.brittle());
         counts.addGauge("whinhead.services.brittle", mBrittle::serviceCount);
         counts.addGauges(
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/ConnectAttempt.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/ConnectAttempt.java
@@ -89,6 +89,9 @@
         if (mEnded || mRelayed != null) {
             return;
         }
+        if (mDirect != null) {
+            mConnector.recordUnanswered(mEndpoint);
+        }
         mRelayed =
                 mConnector.connectRelayed(
                         mEndpoint,
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnections.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnections.java
@@ -287,7 +287,10 @@
 
                     @Override
                     public void notRelayed(final boolean endpointNotReached) {
-                        failed.accept(ConnectFailure.ENDPOINT);
+                        failed.accept(
+                                endpointNotReached || !mConnector.hasRelays()
+                                        ? ConnectFailure.ENDPOINT
+                                        : ConnectFailure.PATH);
                     }
                 });
     }
@@ -533,6 +536,7 @@
         void endedUnanswered(final EndpointConnection connection) {
             mConnector.logger().endedUnanswered(connection);
             if (connection.path() == AccessPath.DIRECT && connection.responses() == 0) {
+                mReach.recordUnanswered(mEndpoint, mService, mClock.instant());
                 mOnNewConnectionLost.accept(this);
             }
         }
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnector.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnector.java
@@ -133,10 +133,24 @@
         return attempt;
     }
 
+    /**
+     * Records that a new direct connection to an endpoint failed or got no response.
+     *
+     * @param endpoint the endpoint
+     */
+    public void recordUnanswered(final EndpointEntry endpoint) {
+        mReach.recordUnanswered(endpoint.id(), endpoint.service(), now());
+    }
+
     EndpointReach reach() {
         return mReach;
     }
 
+    /** Returns whether there are other daemons that relay connections. */
+    boolean hasRelays() {
+        return !mRelays.select(1, now()).isEmpty();
+    }
+
     RelaySelector relays() {
         return mRelays;
     }
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/ReachCheck.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/ReachCheck.java
@@ -23,6 +23,9 @@
     /** A health check takes a few milliseconds, unless the endpoint has no free slot. */
     private static final Duration RELAY_DELAY = Duration.ofMillis(100);
 
+    /** The time after which another daemon is asked that may reach the endpoint. */
+    private static final Duration RELAYED_ANSWER_TIMEOUT = Duration.ofMillis(100);
+
     private static final Duration TIMEOUT = Duration.ofMillis(400);
 
     private final EndpointConnector mConnector;
@@ -39,6 +42,7 @@
     private String mRelay = "";
     private Future<?> mRelayTimer;
     private Future<?> mTimeout;
+    private Future<?> mAnswerTimeout;
     private boolean mEnded;
 
     /**
@@ -118,10 +122,15 @@
 
     private void connectRelayed() {
         if (!mEnded && mRelayed == null) {
-            mRelayed = mConnector.connectRelayed(mEndpoint, this::nextRelayedProbe, this);
+            mConnector.recordUnanswered(mEndpoint);
+            askRelays();
         }
     }
 
+    private void askRelays() {
+        mRelayed = mConnector.connectRelayed(mEndpoint, this::nextRelayedProbe, this);
+    }
+
     private ChannelHandler nextRelayedProbe() {
         mRelayedProbe = mProbes.apply(this::relayedAnswered);
         return mRelayedProbe;
@@ -133,6 +142,21 @@
         mRelayedChannel = channel;
         mRelayedLevel = ReachLevel.CONNECTED;
         mRelayedProbe.send(channel);
+        mAnswerTimeout =
+                mConnector.schedule(() -> relayUnanswered(channel), RELAYED_ANSWER_TIMEOUT);
+        channel.closeFuture().addListener(done -> relayUnanswered(channel));
+    }
+
+    /** Asks other daemons, as the one that has connected may be cut off without knowing it yet. */
+    private void relayUnanswered(final Channel channel) {
+        if (mEnded || channel != mRelayedChannel) {
+            return;
+        }
+        mAnswerTimeout.cancel(false);
+        mRelayedChannel = null;
+        channel.close();
+        mConnector.relays().recordFailure(mRelay, mConnector.now());
+        askRelays();
     }
 
     @Override
@@ -157,6 +181,7 @@
             mRelayed.cancel();
         }
         if (mRelayedChannel != null) {
+            mAnswerTimeout.cancel(false);
             mRelayedChannel.close();
         }
         mDone.accept(this);
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/RelayedConnect.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/RelayedConnect.java
@@ -15,8 +15,11 @@
 /** Asks other daemons, one after the other, to relay a connection to an endpoint. */
 final class RelayedConnect {
 
-    /** The daemons that are asked: the first one may be cut off as well and not know it yet. */
-    private static final int MAX_RELAYS = 2;
+    /** The daemons that are asked, most of which may be cut off as well and deny at once. */
+    private static final int MAX_RELAYS = 16;
+
+    /** The daemons that try: the first one may be cut off as well and not know it yet. */
+    private static final int MAX_TRIES = 2;
 
     /** Two round trips, and the time for which a relay waits for the endpoint. */
     private static final Duration REPLY_TIMEOUT = Duration.ofMillis(150);
@@ -28,6 +31,7 @@
     private final Deque<Relay> mLeft = new ArrayDeque<>();
     private Channel mChannel;
     private Future<?> mTimeout;
+    private int mTries;
     private boolean mEndpointNotReached;
     private boolean mEnded;
 
@@ -67,7 +71,7 @@
     }
 
     private void askNext() {
-        final Relay relay = mLeft.poll();
+        final Relay relay = mTries < MAX_TRIES ? mLeft.poll() : null;
         if (relay == null) {
             mEnded = true;
             mListener.notRelayed(mEndpointNotReached);
@@ -124,6 +128,9 @@
             mDone = true;
             closeRequest();
             mConnector.logger().relayFailed(mEndpoint, mRelay, failure);
+            if (failure != RelayFailure.DENIED) {
+                mTries++;
+            }
             if (failure == RelayFailure.ENDPOINT_NOT_REACHED) {
                 mEndpointNotReached = true;
             } else {
--- a/gateway/src/main/java/org/whinhead/gateway/relay/RelayClientHandler.java
+++ b/gateway/src/main/java/org/whinhead/gateway/relay/RelayClientHandler.java
@@ -89,7 +89,7 @@
         fail(
                 outcome == RelayOutcome.ENDPOINT_NOT_REACHED
                         ? RelayFailure.ENDPOINT_NOT_REACHED
-                        : RelayFailure.NOT_RELAYED);
+                        : RelayFailure.DENIED);
         context.close();
     }
 
--- a/gateway/src/main/java/org/whinhead/gateway/relay/RelayServer.java
+++ b/gateway/src/main/java/org/whinhead/gateway/relay/RelayServer.java
@@ -16,6 +16,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
@@ -53,6 +54,8 @@
     private final LingeringCloser mCloser = new LingeringCloser(LINGER_TIME);
     private Supplier<Optional<ConfigurationCopy>> mConfiguration = Optional::empty;
     private BiConsumer<String, Duration> mOnPause = (endpoint, length) -> {};
+    private Predicate<EndpointEntry> mMayRelay = endpoint -> true;
+    private Consumer<EndpointEntry> mOnNotReached = endpoint -> {};
     private ListeningPort mPort;
     private boolean mStopping;
 
@@ -110,6 +113,26 @@
         mOnPause = Objects.requireNonNull(onPause, "onPause");
     }
 
+    /**
+     * Sets to which endpoints connections are relayed; requests for others are denied.
+     *
+     * @param mayRelay returns whether this daemon reaches an endpoint itself, as far as it knows
+     * @param onNotReached receives an endpoint to which a connection failed
+     */
+    public void relayOnly(
+            final Predicate<EndpointEntry> mayRelay, final Consumer<EndpointEntry> onNotReached) {
+        mMayRelay = Objects.requireNonNull(mayRelay, "mayRelay");
+        mOnNotReached = Objects.requireNonNull(onNotReached, "onNotReached");
+    }
+
+    boolean mayRelay(final EndpointEntry endpoint) {
+        return mMayRelay.test(endpoint);
+    }
+
+    void notReached(final EndpointEntry endpoint) {
+        mOnNotReached.accept(endpoint);
+    }
+
     void pauseRequested(final String endpoint, final long millis) {
         if (!endpoint.isEmpty() && millis > 0) {
             mOnPause.accept(endpoint, Duration.ofMillis(Math.min(millis, MAX_PAUSE.toMillis())));
--- a/gateway/src/main/java/org/whinhead/gateway/relay/RelayServerHandler.java
+++ b/gateway/src/main/java/org/whinhead/gateway/relay/RelayServerHandler.java
@@ -61,12 +61,7 @@
     private void handleRequest(final String endpoint) {
         final InetSocketAddress sender = (InetSocketAddress) mContext.channel().remoteAddress();
         if (mEndpoint != null || !mServer.accepts(sender)) {
-            LOG.atInfo()
-                    .addKeyValue("sender", sender)
-                    .addKeyValue("endpoint", endpoint)
-                    .addKeyValue("relayed", mServer.connectionCount())
-                    .log("relay denied");
-            end(RelayMessageCodec.outcome(RelayOutcome.DENIED));
+            deny(endpoint);
             return;
         }
         final Optional<EndpointEntry> entry = mServer.findEndpoint(endpoint);
@@ -74,11 +69,24 @@
             end(RelayMessageCodec.outcome(RelayOutcome.ENDPOINT_NOT_REACHED));
             return;
         }
+        if (!mServer.mayRelay(entry.get())) {
+            deny(endpoint);
+            return;
+        }
         mEndpointId = endpoint;
         mServer.opened(this);
         connect(entry.get());
     }
 
+    private void deny(final String endpoint) {
+        LOG.atInfo()
+                .addKeyValue("sender", mContext.channel().remoteAddress())
+                .addKeyValue("endpoint", endpoint)
+                .addKeyValue("relayed", mServer.connectionCount())
+                .log("relay denied");
+        end(RelayMessageCodec.outcome(RelayOutcome.DENIED));
+    }
+
     private void handlePause(final long millis) {
         if (mEndpointId.isEmpty()) {
             // Nobody has asked who sends it; it could go on without end.
@@ -119,6 +127,7 @@
                         mConnected = true;
                         send(RelayMessageCodec.outcome(RelayOutcome.CONNECTED));
                     } else {
+                        mServer.notReached(endpoint);
                         end(RelayMessageCodec.outcome(RelayOutcome.ENDPOINT_NOT_REACHED));
                     }
                 });
--- a/gateway/src/test/java/org/whinhead/gateway/endpoint/EndpointConnectorTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/endpoint/EndpointConnectorTest.java
@@ -263,12 +263,56 @@
     }
 
     @Test
-    void endpointThatNobodyRelaysHasCrashed() throws Exception {
+    void endpointThatNobodyReachesHasCrashed() throws Exception {
         mRelayReachesEndpoint = false;
         startThread(() -> endAll(mEndpoint));
         assertThat(probe(entry("e-1", mEndpoint.getLocalPort()))).isEqualTo("failed: ENDPOINT");
     }
 
+    // Guards against a sound endpoint that is taken for crashed as all daemons that could tell are
+    // cut off themselves.
+    @Test
+    void endpointWhoseRelaysDenyIsNotKnownToHaveCrashed() throws Exception {
+        onLoop(() -> denyRelays(mRelay));
+        startThread(() -> endAll(mEndpoint));
+        assertThat(probe(entry("e-1", mEndpoint.getLocalPort()))).isEqualTo("failed: PATH");
+    }
+
+    @Test
+    void endpointOfTheOnlyDaemonHasCrashed() throws Exception {
+        mMembers.recordReport(member("a2"), MemberStatus.READY.asLeaving(), NOW);
+        startThread(() -> endAll(mEndpoint));
+        assertThat(probe(entry("e-1", mEndpoint.getLocalPort()))).isEqualTo("failed: ENDPOINT");
+    }
+
+    // Guards against requests that fail although one daemon reaches the endpoints: most of the
+    // others are cut off, too, and are asked first.
+    @Test
+    void endpointIsReachedThroughTheOnlyDaemonThatDoesNotDeny() throws Exception {
+        for (int index = 3; index < 12; index++) {
+            startDenyingRelay("a" + index);
+        }
+        assertThat(connect(entry("e-1", freePort()))).isEqualTo("RELAYED");
+    }
+
+    private void startDenyingRelay(final String name) throws Exception {
+        final int port = freePort();
+        onLoop(
+                () -> {
+                    final RelayServer server =
+                            new RelayServer(mLoop, LOOPBACK, this::findForRelay, address -> true);
+                    server.listen(new InetSocketAddress(LOOPBACK, port));
+                    return denyRelays(server);
+                });
+        mMembers.recordReport(
+                member(name), new MemberStatus(true, false, false, OptionalInt.of(port)), NOW);
+    }
+
+    private static RelayServer denyRelays(final RelayServer server) {
+        server.relayOnly(endpoint -> false, endpoint -> {});
+        return server;
+    }
+
     private static void startThread(final Runnable work) {
         final Thread thread = new Thread(work, "endpoint");
         thread.setDaemon(true);
--- a/gateway/src/test/java/org/whinhead/gateway/endpoint/ReachMonitorTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/endpoint/ReachMonitorTest.java
@@ -126,25 +126,30 @@
         mSilent = new ServerSocket(0, 50, LOOPBACK);
         startThread(() -> acceptAll(mAnswering, true));
         startThread(() -> acceptAll(mSilent, false));
+        startRelay("a2", mAnswering);
+    }
+
+    /** Starts a daemon that relays connections to a server, whichever endpoint is asked for. */
+    private void startRelay(final String name, final ServerSocket server) throws Exception {
         final int port;
         try (ServerSocket free = new ServerSocket(0, 1, LOOPBACK)) {
             port = free.getLocalPort();
         }
         onLoop(
                 () -> {
-                    final RelayServer server =
+                    final RelayServer relay =
                             new RelayServer(
                                     mLoop,
                                     LOOPBACK,
-                                    id -> Optional.of(entry(id, mAnswering)),
+                                    id -> Optional.of(entry(id, server)),
                                     address -> true);
-                    server.listen(new InetSocketAddress(LOOPBACK, port));
-                    return server;
+                    relay.listen(new InetSocketAddress(LOOPBACK, port));
+                    return relay;
                 });
         // The port is bound by a task of its own.
         onLoop(mEndpoints::all);
         mMembers.recordReport(
-                member("a2"), new MemberStatus(true, false, false, OptionalInt.of(port)), START);
+                member(name), new MemberStatus(true, false, false, OptionalInt.of(port)), START);
     }
 
     private static void startThread(final Runnable work) {
@@ -310,6 +315,21 @@
         assertThat(mEvents).containsExactly("CONNECTION_LOST");
     }
 
+    // Guards against a daemon that doesn't find out that it is cut off, since the daemon that it
+    // asks is cut off as well and doesn't know it yet.
+    @Test
+    void checkGoesOnThroughAnotherDaemon() throws Exception {
+        mMembers.recordReport(member("a2"), MemberStatus.READY.asLeaving(), START);
+        startRelay("a3", mSilent);
+        startRelay("a4", mAnswering);
+        listEndpoints(mSilent);
+        sendRequest();
+        mNow = START.plusMillis(300);
+        tickUntil(this::isCutOff);
+        tick();
+        assertThat(mMonitor.isCutOff()).isTrue();
+    }
+
     // Guards against an endpoint that ends one connection being taken for one that is out of reach.
     @Test
     void endOfOneConnectionIsNoCut() throws Exception {
--- a/gateway/src/test/java/org/whinhead/gateway/relay/RelayServerTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/relay/RelayServerTest.java
@@ -174,12 +174,30 @@
         assertThat(onLoop(mServer::connectionCount)).isZero();
     }
 
+    // Guards against a daemon that is cut off leading others astray, which are cut off as well.
+    @Test
+    void requestIsDeniedIfThisDaemonMayNotReachTheEndpoint() throws Exception {
+        mServer.relayOnly(endpoint -> !endpoint.id().equals("e-1"), endpoint -> {});
+        open("e-1");
+        assertThat(nextEvent()).isEqualTo("DENIED");
+        assertThat(onLoop(mServer::connectionCount)).isZero();
+    }
+
+    @Test
+    void failedConnectionIsReported() throws Exception {
+        mServer.relayOnly(endpoint -> true, endpoint -> mEvents.add("not reached"));
+        mEndpoint.close();
+        open("e-1");
+        assertThat(nextEvent()).isEqualTo("not reached");
+        assertThat(nextEvent()).isEqualTo("ENDPOINT_NOT_REACHED");
+    }
+
     // Guards against strangers that reach the endpoints through a daemon.
     @Test
     void senderThatIsNoDaemonIsDenied() throws Exception {
         mIsMember = false;
         open("e-1");
-        assertThat(nextEvent()).isEqualTo("NOT_RELAYED");
+        assertThat(nextEvent()).isEqualTo("DENIED");
     }
 
     // Guards against a sender that was not asked who it is, and sends messages without end.
@@ -249,7 +267,7 @@
             endpoint.getOutputStream().write('x');
             assertThat(nextEvent()).isEqualTo("read x");
             open("e-1");
-            assertThat(nextEvent()).isEqualTo("NOT_RELAYED");
+            assertThat(nextEvent()).isEqualTo("DENIED");
         }
     }
 
--- a/serving/src/main/java/org/whinhead/serving/reach/EndpointReach.java
+++ b/serving/src/main/java/org/whinhead/serving/reach/EndpointReach.java
@@ -27,10 +27,17 @@
      */
     private static final int MIN_RELAYED_ENDPOINTS = 2;
 
+    /** The endpoints of a service without an answer that put the own way in doubt. */
+    private static final int MIN_UNANSWERED_ENDPOINTS = 2;
+
+    /** The time for which they do; while requests fail, endpoints are checked more often. */
+    private static final Duration DOUBT_TIME = Duration.ofSeconds(2);
+
     /** The interval between checks of whether a relayed endpoint is reached directly again. */
     private static final Duration RECHECK_INTERVAL = Duration.ofMillis(500);
 
     private final Map<String, RelayedEndpoint> mRelayed = new HashMap<>();
+    private final Map<String, UnansweredEndpoint> mUnanswered = new HashMap<>();
     private final Map<String, Instant> mReachedAt = new HashMap<>();
     private Instant mRecheckedAt = Instant.EPOCH;
 
@@ -112,6 +119,43 @@
         }
     }
 
+    /**
+     * Records that a new direct connection to an endpoint failed or got no response.
+     *
+     * @param endpoint the endpoint's id
+     * @param service the endpoint's service
+     * @param now the current time
+     */
+    public void recordUnanswered(final String endpoint, final String service, final Instant now) {
+        mUnanswered.put(endpoint, new UnansweredEndpoint(service, now));
+    }
+
+    /**
+     * Returns whether this daemon may connect to an endpoint for another one, whose way is cut. One
+     * that is about to find out that its own way is cut as well would lead the other astray.
+     *
+     * @param endpoint the endpoint's id
+     * @param service the endpoint's service
+     * @param now the current time
+     * @return false if this daemon is cut off from the endpoint, or doesn't know whether it is
+     */
+    public boolean mayRelay(final String endpoint, final String service, final Instant now) {
+        return pathTo(endpoint, service) == AccessPath.DIRECT && !isInDoubt(now);
+    }
+
+    /** Returns whether several endpoints of a service got no answer, and none a later one. */
+    private boolean isInDoubt(final Instant now) {
+        mUnanswered.values().removeIf(endpoint -> now.isAfter(endpoint.mAt.plus(DOUBT_TIME)));
+        final Map<String, Integer> unanswered = new HashMap<>();
+        for (final UnansweredEndpoint endpoint : mUnanswered.values()) {
+            final Instant reachedAt = mReachedAt.getOrDefault(endpoint.mService, Instant.EPOCH);
+            if (endpoint.mAt.isAfter(reachedAt)) {
+                unanswered.merge(endpoint.mService, 1, Integer::sum);
+            }
+        }
+        return unanswered.values().stream().anyMatch(count -> count >= MIN_UNANSWERED_ENDPOINTS);
+    }
+
     /**
      * Returns whether the direct connections to an endpoint that are still open lead nowhere.
      *
@@ -160,6 +204,7 @@
      */
     public void retain(final Collection<String> known) {
         mRelayed.keySet().removeIf(endpoint -> !known.contains(endpoint));
+        mUnanswered.keySet().removeIf(endpoint -> !known.contains(endpoint));
     }
 
     /**
@@ -171,6 +216,16 @@
         return mRelayed.size();
     }
 
+    private static final class UnansweredEndpoint {
+        private final String mService;
+        private final Instant mAt;
+
+        private UnansweredEndpoint(final String service, final Instant at) {
+            mService = service;
+            mAt = at;
+        }
+    }
+
     private static final class RelayedEndpoint {
         private final String mId;
         private final String mService;
--- a/serving/src/test/java/org/whinhead/serving/reach/EndpointReachTest.java
+++ b/serving/src/test/java/org/whinhead/serving/reach/EndpointReachTest.java
@@ -99,4 +99,46 @@
         mReach.recordRelayed("e-1", SERVICE, DirectLoss.SILENT, START);
         assertThat(mReach.isSilent("e-3", SERVICE)).isTrue();
     }
+
+    // Guards against daemons that are cut off relaying for each other, as none knows it yet.
+    @Test
+    void severalEndpointsWithoutAnswerPutTheOwnWayInDoubt() {
+        mReach.recordUnanswered("e-1", SERVICE, START);
+        assertThat(mReach.mayRelay("e-3", SERVICE, after(1))).isTrue();
+        mReach.recordUnanswered("e-2", SERVICE, after(10));
+        assertThat(mReach.mayRelay("e-3", SERVICE, after(11))).isFalse();
+        assertThat(mReach.mayRelay("a-1", "api", after(11))).isFalse();
+        assertThat(mReach.isCutOff(SERVICE)).isFalse();
+    }
+
+    // Guards against a daemon that relays for nobody since some endpoints have crashed.
+    @Test
+    void directSuccessEndsTheDoubt() {
+        mReach.recordUnanswered("e-1", SERVICE, START);
+        mReach.recordUnanswered("e-2", SERVICE, after(10));
+        mReach.recordDirect("e-3", SERVICE, after(20));
+        assertThat(mReach.mayRelay("e-3", SERVICE, after(21))).isTrue();
+    }
+
+    @Test
+    void doubtEndsWithoutFurtherFailures() {
+        mReach.recordUnanswered("e-1", SERVICE, START);
+        mReach.recordUnanswered("e-2", SERVICE, after(10));
+        assertThat(mReach.mayRelay("e-3", SERVICE, after(2_000))).isFalse();
+        assertThat(mReach.mayRelay("e-3", SERVICE, after(2_001))).isTrue();
+    }
+
+    @Test
+    void failuresOfTwoServicesAreNoDoubt() {
+        mReach.recordUnanswered("e-1", SERVICE, START);
+        mReach.recordUnanswered("a-1", "api", START);
+        assertThat(mReach.mayRelay("e-3", SERVICE, after(1))).isTrue();
+    }
+
+    @Test
+    void relayedEndpointIsRelayedForNobody() {
+        mReach.recordRelayed("e-1", SERVICE, DirectLoss.REFUSED, START);
+        assertThat(mReach.mayRelay("e-1", SERVICE, START)).isFalse();
+        assertThat(mReach.mayRelay("e-2", SERVICE, START)).isTrue();
+    }
 }
