Check the other services once a daemon is cut off from one

A service was found out of reach by its own requests only. With few callers its first request after the beginning of a cut came long after the daemon had found out that it reaches no endpoint of another service, and was lost if it may not be repeated.

ReachMonitorTest#otherServicesAreCheckedOnceOneIsOutOfReach was red before.

--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/ReachMonitor.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/ReachMonitor.java
@@ -142,12 +142,28 @@
                 .forEach(EndpointConnection::pathLost);
         final Set<String> cutOff = mReach.cutOffServices();
         if (!cutOff.equals(mCutOffServices)) {
+            final boolean isNew = mCutOffServices.isEmpty();
             mCutOffServices = cutOff;
             logCutOff();
             mOnCutOffChange.run();
+            if (isNew) {
+                checkOtherServices(now);
+            }
         }
     }
 
+    /**
+     * Checks the services that have not been found out of reach yet: their next requests may be
+     * long in coming, and would be lost.
+     */
+    private void checkOtherServices(final Instant now) {
+        mEndpoints.all().stream()
+                .map(EndpointEntry::service)
+                .distinct()
+                .filter(service -> !mCutOffServices.contains(service))
+                .forEach(service -> checkAll(mSilence.suspectsOf(service, now)));
+    }
+
     /** Returns whether a response is awaited on a connection that leads nowhere. */
     private boolean isPathLost(final EndpointConnection connection, final Instant now) {
         final EndpointConnections.Pool pool = connection.pool();
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/SilenceDetector.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/SilenceDetector.java
@@ -91,11 +91,27 @@
      * @return the endpoints' ids
      */
     Set<String> suspectsAfterLoss(final EndpointConnections.Pool lost, final Instant now) {
-        if (!isDue(mServiceSuspectedAt.getOrDefault(lost.service(), Instant.EPOCH), now)) {
+        return suspectsOf(lost.service(), Set.of(lost.endpoint()), now);
+    }
+
+    /**
+     * Returns the endpoints of a service to check after another one was found out of reach.
+     *
+     * @param service the service
+     * @param now the current time
+     * @return the endpoints' ids
+     */
+    Set<String> suspectsOf(final String service, final Instant now) {
+        return suspectsOf(service, Set.of(), now);
+    }
+
+    private Set<String> suspectsOf(
+            final String service, final Set<String> first, final Instant now) {
+        if (!isDue(mServiceSuspectedAt.getOrDefault(service, Instant.EPOCH), now)) {
             return Set.of();
         }
-        mServiceSuspectedAt.put(lost.service(), now);
-        return new LinkedHashSet<>(representatives(lost.service(), Set.of(lost.endpoint())));
+        mServiceSuspectedAt.put(service, now);
+        return new LinkedHashSet<>(representatives(service, first));
     }
 
     /** Returns the silent endpoints of a service, with others of it if they are too few. */
--- a/gateway/src/test/java/org/whinhead/gateway/endpoint/ReachMonitorTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/endpoint/ReachMonitorTest.java
@@ -54,6 +54,7 @@
     private static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
     private static final int TIMEOUT_SECONDS = 10;
     private static final String SERVICE = "api";
+    private static final String OTHER_SERVICE = "pool";
 
     private final MultiThreadIoEventLoopGroup mLoops =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -226,8 +227,13 @@
     }
 
     private static EndpointEntry entry(final String id, final ServerSocket server) {
+        return entry(id, SERVICE, server);
+    }
+
+    private static EndpointEntry entry(
+            final String id, final String service, final ServerSocket server) {
         final InetSocketAddress address = new InetSocketAddress(LOOPBACK, server.getLocalPort());
-        return EndpointEntry.builder(id, SERVICE, address, "domain-a").build();
+        return EndpointEntry.builder(id, service, address, "domain-a").build();
     }
 
     /** Lists two endpoints of the service at a server of the test. */
@@ -383,6 +389,22 @@
         return mEndpoints.usable(SERVICE);
     }
 
+    // Guards against the first request to a service being lost, long after the daemon has found out
+    // that it is cut off from another one.
+    @Test
+    void otherServicesAreCheckedOnceOneIsOutOfReach() throws Exception {
+        listEndpoints(mSilent);
+        onLoop(
+                () -> {
+                    mEndpoints.put(entry("o-1", OTHER_SERVICE, mSilent), 3);
+                    mEndpoints.put(entry("o-2", OTHER_SERVICE, mSilent), 4);
+                    mReach.recordRelayed("e-1", SERVICE, DirectLoss.SILENT, START);
+                    mReach.recordRelayed("e-2", SERVICE, DirectLoss.SILENT, START);
+                    return null;
+                });
+        tickUntil(() -> mReach.isCutOff(OTHER_SERVICE));
+    }
+
     // Guards against a daemon that stays out of the directory, and connects through others, after
     // its own way is open again.
     @Test
