Spread the checks of a service over its endpoints

Two endpoints stand for a service whose reach is checked: the one that was lost and, for want of another, the first in the list. Checks follow lost connections now, not silence alone, so that many daemons may make one in the same second, each with a health check to the first endpoint, which waits for a slot there: 330 at the two-year size. Read off the code; no run showed it.

The others are drawn at random.

--- a/gateway/src/main/java/org/whinhead/gateway/EndpointAccess.java
+++ b/gateway/src/main/java/org/whinhead/gateway/EndpointAccess.java
@@ -69,7 +69,8 @@
                         protocol,
                         state.reach(),
                         state.endpoints(),
-                        state::healthPath);
+                        state::healthPath,
+                        new Random());
         mMonitor.exceptPaused(id -> state.pauses().left(id, state.clock().instant()).isPresent());
         counts.addGauge(
                 "whinhead.endpoints.paused", () -> state.pauses().count(state.clock().instant()));
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/ReachMonitor.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/ReachMonitor.java
@@ -12,6 +12,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.Function;
 import java.util.function.Predicate;
+import java.util.random.RandomGenerator;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.whinhead.serving.endpoint.EndpointEntry;
@@ -52,6 +53,7 @@
      * @param reach receives the results
      * @param endpoints the listed endpoints
      * @param healthPath returns the path of a service's health check
+     * @param random selects the endpoints that are checked for their service
      */
     public ReachMonitor(
             final EndpointConnector connector,
@@ -59,10 +61,11 @@
             final EndpointProtocol protocol,
             final EndpointReach reach,
             final EndpointRegistry endpoints,
-            final Function<String, String> healthPath) {
+            final Function<String, String> healthPath,
+            final RandomGenerator random) {
         mConnector = Objects.requireNonNull(connector, "connector");
         mConnections = Objects.requireNonNull(connections, "connections");
-        mSilence = new SilenceDetector(connections, this::checkable);
+        mSilence = new SilenceDetector(connections, this::checkable, random);
         mProtocol = Objects.requireNonNull(protocol, "protocol");
         mReach = Objects.requireNonNull(reach, "reach");
         mEndpoints = Objects.requireNonNull(endpoints, "endpoints");
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/SilenceDetector.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/SilenceDetector.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Function;
+import java.util.random.RandomGenerator;
 import org.whinhead.serving.endpoint.EndpointEntry;
 
 /**
@@ -37,6 +38,7 @@
 
     private final EndpointConnections mConnections;
     private final Function<String, List<EndpointEntry>> mListed;
+    private final RandomGenerator mRandom;
     private final Map<String, Instant> mServiceSuspectedAt = new HashMap<>();
     private Instant mEndpointSuspectedAt = Instant.EPOCH;
 
@@ -45,12 +47,15 @@
      *
      * @param connections the connections of requests
      * @param listed returns the endpoints of a service
+     * @param random selects among them
      */
     SilenceDetector(
             final EndpointConnections connections,
-            final Function<String, List<EndpointEntry>> listed) {
+            final Function<String, List<EndpointEntry>> listed,
+            final RandomGenerator random) {
         mConnections = connections;
         mListed = listed;
+        mRandom = random;
     }
 
     /**
@@ -114,10 +119,16 @@
         return new LinkedHashSet<>(representatives(service, first));
     }
 
-    /** Returns the silent endpoints of a service, with others of it if they are too few. */
+    /**
+     * Returns the silent endpoints of a service, with others of it if they are too few: at random,
+     * as many daemons may check a service in the same second.
+     */
     private List<String> representatives(final String service, final Set<String> silent) {
         final Set<String> chosen = new LinkedHashSet<>(silent);
-        mListed.apply(service).forEach(endpoint -> chosen.add(endpoint.id()));
+        final List<EndpointEntry> others = new ArrayList<>(mListed.apply(service));
+        while (chosen.size() < ENDPOINTS_PER_SERVICE && !others.isEmpty()) {
+            chosen.add(others.remove(mRandom.nextInt(others.size())).id());
+        }
         return chosen.stream().limit(ENDPOINTS_PER_SERVICE).toList();
     }
 
--- a/gateway/src/test/java/org/whinhead/gateway/endpoint/ReachMonitorTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/endpoint/ReachMonitorTest.java
@@ -83,7 +83,8 @@
                     new PlainProtocol(),
                     mReach,
                     mEndpoints,
-                    service -> "/health");
+                    service -> "/health",
+                    new Random(1));
     private volatile String mHealthHeaders = "";
     private volatile boolean mEndsRequests;
     private ServerSocket mAnswering;
