Await an answer through one daemon while another one is asked

The check keeps the connection, asks another daemon besides, and takes whichever answers first.

ReachMonitorTest#lateAnswerThroughAnotherDaemonCounts was red before.

--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/ReachCheck.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/ReachCheck.java
@@ -5,6 +5,8 @@
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.util.concurrent.Future;
 import java.time.Duration;
+import java.util.HashSet;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.whinhead.serving.endpoint.EndpointEntry;
@@ -23,8 +25,8 @@
     /** A health check takes a few milliseconds, unless the endpoint has no free slot. */
     private static final Duration RELAY_DELAY = Duration.ofMillis(100);
 
-    /** The time after which another daemon is asked that may reach the endpoint. */
-    private static final Duration RELAYED_ANSWER_TIMEOUT = Duration.ofMillis(100);
+    /** The time after which another daemon is asked besides: the first one may be cut off, too. */
+    private static final Duration RELAYED_ANSWER_TIME = Duration.ofMillis(100);
 
     private static final Duration TIMEOUT = Duration.ofMillis(400);
 
@@ -32,17 +34,16 @@
     private final EndpointEntry mEndpoint;
     private final Function<Runnable, HealthProbe> mProbes;
     private final Consumer<ReachCheck> mDone;
+    private final Set<Channel> mRelayedChannels = new HashSet<>();
     private ReachLevel mDirectLevel = ReachLevel.NOT_CONNECTED;
     private ReachLevel mRelayedLevel = ReachLevel.NOT_CONNECTED;
     private DirectLoss mDirectLoss = DirectLoss.SILENT;
     private Channel mDirect;
     private RelayedConnect mRelayed;
-    private HealthProbe mRelayedProbe;
-    private Channel mRelayedChannel;
+    private RelayedProbe mRelayedProbe;
     private String mRelay = "";
     private Future<?> mRelayTimer;
     private Future<?> mTimeout;
-    private Future<?> mAnswerTimeout;
     private boolean mEnded;
 
     /**
@@ -96,7 +97,7 @@
         return mDirectLoss;
     }
 
-    /** Returns the name of the daemon that relayed the connection; empty if none did. */
+    /** Returns the name of the daemon through which the endpoint came furthest; empty if none. */
     String relay() {
         return mRelay;
     }
@@ -132,41 +133,21 @@
     }
 
     private ChannelHandler nextRelayedProbe() {
-        mRelayedProbe = mProbes.apply(this::relayedAnswered);
-        return mRelayedProbe;
+        mRelayedProbe = new RelayedProbe();
+        return mRelayedProbe.mProbe;
     }
 
     @Override
     public void relayed(final Channel channel, final String relay) {
-        mRelay = relay;
-        mRelayedChannel = channel;
         mRelayedLevel = ReachLevel.CONNECTED;
-        mRelayedProbe.send(channel);
-        mAnswerTimeout =
-                mConnector.schedule(() -> relayUnanswered(channel), RELAYED_ANSWER_TIMEOUT);
-        channel.closeFuture().addListener(done -> relayUnanswered(channel));
-    }
-
-    /** Asks other daemons, as the one that has connected may be cut off without knowing it yet. */
-    private void relayUnanswered(final Channel channel) {
-        if (mEnded || channel != mRelayedChannel) {
-            return;
-        }
-        mAnswerTimeout.cancel(false);
-        mRelayedChannel = null;
-        channel.close();
-        mConnector.relays().recordFailure(mRelay, mConnector.now());
-        askRelays();
+        mRelayedProbe.start(channel, relay);
     }
 
     @Override
     public void notRelayed(final boolean endpointNotReached) {
-        end();
-    }
-
-    private void relayedAnswered() {
-        mRelayedLevel = ReachLevel.ANSWERED;
-        end();
+        if (mRelayedChannels.stream().noneMatch(Channel::isActive)) {
+            end();
+        }
     }
 
     private void end() {
@@ -180,10 +161,38 @@
         if (mRelayed != null) {
             mRelayed.cancel();
         }
-        if (mRelayedChannel != null) {
-            mAnswerTimeout.cancel(false);
-            mRelayedChannel.close();
-        }
+        mRelayedChannels.forEach(Channel::close);
         mDone.accept(this);
     }
+
+    /** A health check through one daemon. */
+    private final class RelayedProbe {
+        private final HealthProbe mProbe = mProbes.apply(this::answered);
+        private String mRelayName;
+        private boolean mIsPassedOver;
+
+        private void start(final Channel channel, final String relay) {
+            mRelay = relay;
+            mRelayName = relay;
+            mRelayedChannels.add(channel);
+            mProbe.send(channel);
+            mConnector.schedule(this::passOver, RELAYED_ANSWER_TIME);
+            channel.closeFuture().addListener(done -> passOver());
+        }
+
+        /** Asks another daemon; an answer through this one still counts. */
+        private void passOver() {
+            if (!mEnded && !mIsPassedOver) {
+                mIsPassedOver = true;
+                mConnector.relays().recordFailure(mRelayName, mConnector.now());
+                askRelays();
+            }
+        }
+
+        private void answered() {
+            mRelay = mRelayName;
+            mRelayedLevel = ReachLevel.ANSWERED;
+            end();
+        }
+    }
 }
--- a/gateway/src/test/java/org/whinhead/gateway/endpoint/ReachMonitorTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/endpoint/ReachMonitorTest.java
@@ -30,6 +30,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -87,6 +88,7 @@
                     new Random(1));
     private volatile String mHealthHeaders = "";
     private volatile boolean mEndsRequests;
+    private volatile int mAnswerDelayMillis;
     private ServerSocket mAnswering;
     private ServerSocket mSilent;
 
@@ -196,6 +198,7 @@
         try {
             final byte[] line = socket.getInputStream().readNBytes("GET /health".length());
             if (new String(line, StandardCharsets.US_ASCII).equals("GET /health")) {
+                LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(mAnswerDelayMillis));
                 socket.getOutputStream()
                         .write(
                                 ("HTTP/1.1 200 OK\r\n"
@@ -337,6 +340,18 @@
         assertThat(mMonitor.isCutOff()).isTrue();
     }
 
+    // Guards against a cut that is not found out while the endpoints are busy: a health check waits
+    // for a slot, longer than it takes until another daemon is asked.
+    @Test
+    void lateAnswerThroughAnotherDaemonCounts() throws Exception {
+        mAnswerDelayMillis = 150;
+        startRelay("a3", mAnswering);
+        listEndpoints(mSilent);
+        sendRequest();
+        mNow = START.plusMillis(300);
+        tickUntil(this::isCutOff);
+    }
+
     // Guards against an endpoint that ends one connection being taken for one that is out of reach.
     @Test
     void endOfOneConnectionIsNoCut() throws Exception {
