End the search for a relay soon if daemons deny slowly

Its daemon asked three others whether they reach the endpoint; all had just lost several, so that two denied after 40 and 79 ms and the third one had not replied 300 ms after the end of the stream, when it counted as whole. The verdict came 9 ms later.

A denial costs no try in the first 20 ms of a search only, so that a search takes no longer than before.

EndpointConnectorTest#slowDenialsEndTheSearch was red before (9 daemons asked, 2 expected).

--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/RelayedConnect.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/RelayedConnect.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelHandler;
 import io.netty.util.concurrent.Future;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.function.Supplier;
@@ -21,6 +22,12 @@
     /** The daemons that try: the first one may be cut off as well and not know it yet. */
     private static final int MAX_TRIES = 2;
 
+    /**
+     * The time after which a denial costs a try as well: whoever waits for the outcome must learn
+     * soon that nobody reaches an endpoint that has crashed.
+     */
+    private static final Duration FREE_DENIAL_TIME = Duration.ofMillis(20);
+
     /** Two round trips, and the time for which a relay waits for the endpoint. */
     private static final Duration REPLY_TIMEOUT = Duration.ofMillis(150);
 
@@ -31,6 +38,7 @@
     private final Deque<Relay> mLeft = new ArrayDeque<>();
     private Channel mChannel;
     private Future<?> mTimeout;
+    private Instant mStartedAt;
     private int mTries;
     private boolean mEndpointNotReached;
     private boolean mEnded;
@@ -66,6 +74,7 @@
     }
 
     void start() {
+        mStartedAt = mConnector.now();
         mLeft.addAll(mConnector.relays().select(MAX_RELAYS, mConnector.now()));
         askNext();
     }
@@ -99,6 +108,10 @@
         }
     }
 
+    private boolean isLate() {
+        return mConnector.now().isAfter(mStartedAt.plus(FREE_DENIAL_TIME));
+    }
+
     private final class RequestListener implements RelayListener {
         private final Relay mRelay;
         private boolean mDone;
@@ -128,7 +141,7 @@
             mDone = true;
             closeRequest();
             mConnector.logger().relayFailed(mEndpoint, mRelay, failure);
-            if (failure != RelayFailure.DENIED) {
+            if (failure != RelayFailure.DENIED || isLate()) {
                 mTries++;
             }
             if (failure == RelayFailure.ENDPOINT_NOT_REACHED) {
--- a/gateway/src/test/java/org/whinhead/gateway/endpoint/EndpointConnectorTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/endpoint/EndpointConnectorTest.java
@@ -26,6 +26,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -60,14 +61,17 @@
     private final EndpointConnector mConnector =
             new EndpointConnector(
                     mLoop,
-                    () -> NOW,
+                    this::now,
                     LOOPBACK,
                     mReach,
                     new RelaySelector(mMembers, new Random(1)),
                     new ConnectionLogger(new RequestMetrics()));
+    private final AtomicInteger mDenials = new AtomicInteger();
     private final List<Socket> mFillers = new ArrayList<>();
     private ServerSocket mEndpoint;
     private RelayServer mRelay;
+    private Instant mNow = NOW;
+    private volatile Duration mClockStep = Duration.ZERO;
     private boolean mDrainsOnce;
     private volatile boolean mRelayReachesEndpoint = true;
 
@@ -92,6 +96,12 @@
                 member("a2"), new MemberStatus(true, false, false, OptionalInt.of(port)), NOW);
     }
 
+    /** Returns the time, which goes on by the same step each time. */
+    private Instant now() {
+        mNow = mNow.plus(mClockStep);
+        return mNow;
+    }
+
     private static int freePort() throws IOException {
         try (ServerSocket free = new ServerSocket(0, 1, LOOPBACK)) {
             return free.getLocalPort();
@@ -295,6 +305,19 @@
         assertThat(connect(entry("e-1", freePort()))).isEqualTo("RELAYED");
     }
 
+    // Guards against a crash that is found too late, so that a cut stream counts as whole: busy
+    // daemons that may be cut off themselves deny one after the other.
+    @Test
+    void slowDenialsEndTheSearch() throws Exception {
+        mMembers.recordReport(member("a2"), MemberStatus.READY.asLeaving(), NOW);
+        for (int index = 3; index < 12; index++) {
+            startDenyingRelay("a" + index);
+        }
+        mClockStep = Duration.ofMillis(25);
+        assertThat(connect(entry("e-1", freePort()))).isEqualTo("failed: ENDPOINT");
+        assertThat(mDenials.get()).isEqualTo(2);
+    }
+
     private void startDenyingRelay(final String name) throws Exception {
         final int port = freePort();
         onLoop(
@@ -308,8 +331,13 @@
                 member(name), new MemberStatus(true, false, false, OptionalInt.of(port)), NOW);
     }
 
-    private static RelayServer denyRelays(final RelayServer server) {
-        server.relayOnly(endpoint -> false, endpoint -> {});
+    private RelayServer denyRelays(final RelayServer server) {
+        server.relayOnly(
+                endpoint -> {
+                    mDenials.incrementAndGet();
+                    return false;
+                },
+                endpoint -> {});
         return server;
     }
 
