Take an endpoint that ends a check for crashed if nobody can tell

The endpoint's port accepted the connection of the check some milliseconds longer, all other daemons had just lost several endpoints and denied to relay, and the verdict was out of reach, not crashed.

If nobody can tell, the endpoint counts as crashed as before: a cut stream must not count as whole.

--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnections.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnections.java
@@ -287,10 +287,7 @@
 
                     @Override
                     public void notRelayed(final boolean endpointNotReached) {
-                        failed.accept(
-                                endpointNotReached || !mConnector.hasRelays()
-                                        ? ConnectFailure.ENDPOINT
-                                        : ConnectFailure.PATH);
+                        failed.accept(ConnectFailure.ENDPOINT);
                     }
                 });
     }
--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnector.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnector.java
@@ -146,11 +146,6 @@
         return mReach;
     }
 
-    /** Returns whether there are other daemons that relay connections. */
-    boolean hasRelays() {
-        return !mRelays.select(1, now()).isEmpty();
-    }
-
     RelaySelector relays() {
         return mRelays;
     }
