Test two guards of the checks of reach that no test provoked

An endpoint that ends a check counts as neither up nor crashed if the daemon that was asked about it stops; endpoints that no longer exist put a daemon's own way in no doubt.

With either guard taken out its test is red; both are green on the code.

--- a/gateway/src/test/java/org/whinhead/gateway/endpoint/EndpointConnectorTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/endpoint/EndpointConnectorTest.java
@@ -264,6 +264,17 @@
         }
     }
 
+    // Guards against a sound endpoint that is taken for crashed, since the daemon that is asked
+    // about it stops.
+    @Test
+    void endOfTheRelayThatWasAskedTellsNothing() throws Exception {
+        mLoop.execute(() -> mDrainsOnce = true);
+        try (ServerSocket ending = new ServerSocket(0, 50, LOOPBACK)) {
+            startThread(() -> endAll(ending));
+            assertThat(probe(entry("e-1", ending.getLocalPort()))).isEqualTo("failed: PATH");
+        }
+    }
+
     // Guards against a crash that is not found: the port of the endpoint accepts connections some
     // milliseconds longer than its process lasts.
     @Test
--- a/serving/src/test/java/org/whinhead/serving/reach/EndpointReachTest.java
+++ b/serving/src/test/java/org/whinhead/serving/reach/EndpointReachTest.java
@@ -141,4 +141,13 @@
         assertThat(mReach.mayRelay("e-1", SERVICE, START)).isFalse();
         assertThat(mReach.mayRelay("e-2", SERVICE, START)).isTrue();
     }
+
+    // Guards against a daemon that relays for nobody since endpoints were replaced.
+    @Test
+    void endpointsThatNoLongerExistPutNothingInDoubt() {
+        mReach.recordUnanswered("e-1", SERVICE, START);
+        mReach.recordUnanswered("e-2", SERVICE, START);
+        mReach.retain(List.of("e-1", "e-3"));
+        assertThat(mReach.mayRelay("e-3", SERVICE, after(1))).isTrue();
+    }
 }
