Give the check of whether an endpoint is up a class of its own

EndpointConnections held the pools and, grown by the confirmation through another daemon, the probes that tell a crash from a lost connection, whose five methods handed on the same four values. EndpointProbe holds them as fields; the pools open connections and know the others. No behaviour changes.

--- a/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnections.java
+++ b/gateway/src/main/java/org/whinhead/gateway/endpoint/EndpointConnections.java
@@ -14,7 +14,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.ToIntFunction;
 import org.whinhead.gateway.http.DecodeQueue;
@@ -34,18 +33,6 @@
     /** The time before the endpoint's idle timeout in which a connection is no longer used. */
     private static final Duration IDLE_MARGIN = Duration.ofMillis(700);
 
-    /**
-     * The time for which a connection must stay open that shows that an endpoint is up. A process
-     * that ends may close its port some milliseconds after its connections.
-     */
-    private static final int PROBE_MILLIS = 25;
-
-    /** The probes of which all but the last may end with their relay, which tells nothing. */
-    private static final int MAX_PROBES = 3;
-
-    /** An endpoint that is up refuses or resets a connection within less; a silent one does not. */
-    private static final Duration QUICK_FAILURE = Duration.ofMillis(100);
-
     private final InstantSource mClock;
     private final EndpointProtocol mProtocol;
     private final EndpointConnector mConnector;
@@ -174,9 +161,7 @@
     }
 
     /**
-     * Finds out whether an endpoint accepts another connection and keeps it open for a moment. The
-     * connection is kept for a later request. It may be one beyond this daemon's part: a crash
-     * would not be found otherwise.
+     * Finds out whether an endpoint accepts another connection and keeps it open for a moment.
      *
      * @param endpoint the endpoint
      * @param accepted runs if it does
@@ -186,126 +171,63 @@
             final EndpointEntry endpoint,
             final Runnable accepted,
             final Consumer<ConnectFailure> failed) {
-        probe(endpoint, MAX_PROBES, accepted, failed);
-    }
-
-    private void probe(
-            final EndpointEntry endpoint,
-            final int probesLeft,
-            final Runnable accepted,
-            final Consumer<ConnectFailure> failed) {
-        if (probesLeft == 0) {
-            failed.accept(ConnectFailure.PATH);
-            return;
-        }
-        final Instant startedAt = mClock.instant();
-        connect(
-                endpoint,
-                connection ->
-                        afterProbe(
-                                connection,
-                                () -> {
-                                    if (connection.hasRelayEnded()) {
-                                        probe(endpoint, probesLeft - 1, accepted, failed);
-                                    } else {
-                                        settled(endpoint, connection, startedAt, accepted, failed);
-                                    }
-                                }),
-                failure -> probeFailed(endpoint, startedAt, accepted, failed, failure));
+        new EndpointProbe(this, endpoint, accepted, failed).start();
     }
 
-    private static void afterProbe(final EndpointConnection connection, final Runnable task) {
-        connection.channel().eventLoop().schedule(task, PROBE_MILLIS, TimeUnit.MILLISECONDS);
+    Instant now() {
+        return mClock.instant();
     }
 
-    /**
-     * Ends a probe that was not accepted. An endpoint resets connections beyond its limit, some of
-     * them before they are established; one that crashes ends its other connections as well.
-     */
-    private void probeFailed(
-            final EndpointEntry endpoint,
-            final Instant startedAt,
-            final Runnable accepted,
-            final Consumer<ConnectFailure> failed,
-            final ConnectFailure failure) {
-        final Pool pool = pool(endpoint);
-        final Duration taken = Duration.between(startedAt, mClock.instant());
-        final Optional<EndpointConnection> other = pool.openedBefore(startedAt);
-        if (mLimited && taken.compareTo(QUICK_FAILURE) < 0 && other.isPresent()) {
-            afterProbe(
-                    other.get(),
-                    () -> {
-                        if (pool.openedBefore(startedAt).isPresent()) {
-                            accepted.run();
-                        } else {
-                            failed.accept(failure);
-                        }
-                    });
-        } else {
-            failed.accept(failure);
-        }
+    boolean isLimited() {
+        return mLimited;
     }
 
-    private void settled(
-            final EndpointEntry endpoint,
-            final EndpointConnection connection,
-            final Instant startedAt,
-            final Runnable accepted,
-            final Consumer<ConnectFailure> failed) {
-        if (connection.isUsable()) {
-            connection.release();
-            accepted.run();
-        } else if (connection.isOverlong()
-                || mLimited && connection.pool().openedBefore(startedAt).isPresent()) {
-            accepted.run();
-        } else if (connection.path() == AccessPath.DIRECT) {
-            probeThroughOther(endpoint, accepted, failed);
-        } else {
-            failed.accept(ConnectFailure.ENDPOINT);
-        }
+    /** Returns a usable connection to an endpoint that was opened before a time. */
+    Optional<EndpointConnection> openedBefore(final EndpointEntry endpoint, final Instant time) {
+        return pool(endpoint).openedBefore(time);
     }
 
     /**
-     * Makes a probe through another daemon: something on this daemon's own way may accept
-     * connections for the endpoint and end them.
+     * Opens a connection through another daemon, whichever way is the usual one.
+     *
+     * @param endpoint the endpoint
+     * @param opened receives the connection
+     * @param notOpened runs if no daemon relays one
      */
-    private void probeThroughOther(
+    void connectThroughAnotherDaemon(
             final EndpointEntry endpoint,
-            final Runnable accepted,
-            final Consumer<ConnectFailure> failed) {
+            final Consumer<EndpointConnection> opened,
+            final Runnable notOpened) {
         mConnector.connectRelayed(
                 endpoint,
                 () -> new PipelineInitializer(pool(endpoint)),
                 new RelayedConnect.Listener() {
                     @Override
                     public void relayed(final Channel channel, final String relay) {
-                        final EndpointConnection connection =
-                                channel.pipeline().get(EndpointConnection.class);
-                        connection.opened(AccessPath.RELAYED);
-                        afterProbe(connection, () -> relayedSettled(connection, accepted, failed));
+                        opened.accept(opened(channel, AccessPath.RELAYED));
                     }
 
                     @Override
                     public void notRelayed(final boolean endpointNotReached) {
-                        failed.accept(ConnectFailure.ENDPOINT);
+                        notOpened.run();
                     }
                 });
     }
 
-    private static void relayedSettled(
-            final EndpointConnection connection,
-            final Runnable accepted,
-            final Consumer<ConnectFailure> failed) {
-        if (connection.isUsable()) {
-            connection.release();
-            accepted.run();
-        } else {
-            failed.accept(
-                    connection.hasRelayEnded() ? ConnectFailure.PATH : ConnectFailure.ENDPOINT);
-        }
+    private static EndpointConnection opened(final Channel channel, final AccessPath path) {
+        final EndpointConnection connection = channel.pipeline().get(EndpointConnection.class);
+        connection.opened(path);
+        return connection;
     }
 
-    private void connect(
+    /**
+     * Opens a connection, also one beyond this daemon's part.
+     *
+     * @param endpoint the endpoint
+     * @param opened receives the connection
+     * @param failed receives the reason if no connection can be made
+     */
+    void connect(
             final EndpointEntry endpoint,
             final Consumer<EndpointConnection> opened,
             final Consumer<ConnectFailure> failed) {
@@ -318,10 +240,7 @@
                     @Override
                     public void connected(final Channel channel, final AccessPath path) {
                         pool.mConnecting--;
-                        final EndpointConnection connection =
-                                channel.pipeline().get(EndpointConnection.class);
-                        connection.opened(path);
-                        opened.accept(connection);
+                        opened.accept(opened(channel, path));
                     }
 
                     @Override
