--- a/review/standins-2/Engine.java
+++ b/review/standins-2/Engine.java
@@ -14,7 +14,8 @@
  *
  * <p>Lines on its standard input change its state: "draining [MILLIS]". Its standard output tells
  * what it runs. Options are NAME=VALUE: "first" is the delay of its first entry, which comes at the
- * start unless given; "framed=false" makes its answers end with their channels.
+ * start unless given; "framed=false" makes its answers end with their channels; with "work" it is
+ * a plain service.
  */
 final class Engine {
 
@@ -165,7 +166,20 @@
             reply(out, 421, "Instance-Id: " + option("id", ""), "");
             return true;
         }
-        return stream(head, socket);
+        return mOptions.containsKey("work") ? plain(head, out) : stream(head, socket);
+    }
+
+    /** Answers a request of a plain service after its work. */
+    private boolean plain(final Wire.Head head, final OutputStream out) throws IOException {
+        final String request = head.field("attempt-id");
+        pause(number(head.target().startsWith("/uploads/") ? "upload" : "work", 20));
+        reply(
+                out,
+                200,
+                "Attempt-Id: " + request + "\r\nResponse-Stamp: s." + option("id", ""),
+                "{\"done\":true}");
+        say("ran " + request + " at " + option("id", ""));
+        return true;
     }
 
     private static void reply(
--- a/review/standins-2/Manifest.java
+++ b/review/standins-2/Manifest.java
@@ -22,4 +22,26 @@
                 "unit":"token_stream","plain_tokens":200,"rate_per_s":1000000,"burst":1000000}]}"""
                 .replace("\n", "");
     }
+
+    /** The same, with two routes to a plain service: short checks and uploads. */
+    static String enginesAndPlain() {
+        return engines()
+                .replace(
+                        "\"routes\":[",
+                        """
+                        "routes":[
+                        {"name":"check","host":"desk.example","path_prefix":"/checks/",
+                        "kind":"idempotent","timeout_ms":1000,"target_latency_ms":120,
+                        "priority":2,"service":"api","max_attempts":2,"public":false},
+                        {"name":"upload","host":"desk.example","path_prefix":"/uploads/",
+                        "kind":"non_idempotent","timeout_ms":15000,"target_latency_ms":2000,
+                        "priority":2,"service":"api","max_attempts":1,"public":false},"""
+                                .replace("\n", ""))
+                .replace(
+                        "\"services\":[",
+                        """
+                        "services":[{"name":"api","health_path":"/health","max_conns":110,
+                        "protocol":"h1","tls":false},"""
+                                .replace("\n", ""));
+    }
 }
