--- a/review/standins-2/Answer.java
+++ b/review/standins-2/Answer.java
@@ -16,6 +16,9 @@
     String stamp = "";
     final StringBuilder body = new StringBuilder();
 
+    private long mSentAt = System.nanoTime();
+    private long mEndedAt;
+
     private Answer(final String id) {
         this.id = id;
     }
@@ -43,10 +46,12 @@
             head.append("Content-Length: ").append(body.length()).append("\r\n\r\n").append(body);
             out.write(Wire.ascii(head.toString()));
             out.flush();
+            answer.mSentAt = System.nanoTime();
             answer.read(new BufferedInputStream(socket.getInputStream()));
         } catch (IOException e) {
             answer.end = e.toString();
         }
+        answer.mEndedAt = System.nanoTime();
         return answer;
     }
 
@@ -70,6 +75,11 @@
         end = "complete";
     }
 
+    /** Returns the time from the last byte of the request to the end of its answer. */
+    long millis() {
+        return (mEndedAt - mSentAt) / 1_000_000;
+    }
+
     /** Returns the data of the events that were received. */
     List<String> events() {
         final List<String> events = new ArrayList<>();
--- a/review/standins-2/Scene.java
+++ b/review/standins-2/Scene.java
@@ -22,6 +22,7 @@
     static final int RULE_BROKEN = 1;
     static final int NOT_RUN = 2;
 
+    private static final int LIMIT_MILLIS = 105_000;
     private static final int FIRST_PORT = 15_000;
     private static final int PORTS = 16_000;
     private static final Random RANDOM = new Random();
@@ -44,6 +45,21 @@
         folder = Files.createTempDirectory("review");
         mPeerPort = freePort();
         Runtime.getRuntime().addShutdownHook(new Thread(this::endProcesses));
+        final Thread limit = new Thread(this::endAfterLimit, "limit");
+        limit.setDaemon(true);
+        limit.start();
+    }
+
+    /** Ends a case that takes too long, with all that it has started, as one that could not run. */
+    private void endAfterLimit() {
+        try {
+            Thread.sleep(LIMIT_MILLIS);
+        } catch (InterruptedException e) {
+            return;
+        }
+        record.add("ended after " + LIMIT_MILLIS + " ms");
+        close();
+        Runtime.getRuntime().halt(NOT_RUN);
     }
 
     /** Returns a port below those that the system gives to outgoing connections. */
