Count the datagrams between daemons by kind

Cause: a daemon of a large deployment costs five times as much beside callers as idle, and nothing shows how many messages between daemons a request costs. Change: two metrics, whinhead.peer.datagrams and whinhead.peer.datagram.bytes, by direction and kind. No logic is changed.

--- a/gateway/src/main/java/org/whinhead/gateway/Gateway.java
+++ b/gateway/src/main/java/org/whinhead/gateway/Gateway.java
@@ -259,6 +259,9 @@
         mCounts.addGauge("whinhead.streams.known", mState.streams()::size);
         mCounts.addGauges(
                 "whinhead.requests.waiting", List.of("service", "rank"), this::waitingRequests);
+        final List<String> datagramTags = List.of("direction", "kind");
+        mCounts.addGauges("whinhead.peer.datagrams", datagramTags, mPeers.traffic()::datagrams);
+        mCounts.addGauges("whinhead.peer.datagram.bytes", datagramTags, mPeers.traffic()::bytes);
         mCounts.addGauge("whinhead.requests.suspected", mState.suspects()::size);
         mCounts.addGauge("whinhead.requests.held.back", mState.suspects()::blockedCount);
     }
--- a/gateway/src/main/java/org/whinhead/gateway/peers/PeerDatagramChannel.java
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/PeerDatagramChannel.java
@@ -90,6 +90,7 @@
     private final UsageDecisionMessenger mUsageMessenger;
     private final PeerReportHandler mReportHandler;
     private final PeerReceivers mReceivers;
+    private final DatagramTraffic mTraffic = new DatagramTraffic();
     private Consumer<List<EndpointChange>> mOnEndpointChanges = changes -> {};
     private Consumer<CapacityOrder> mOnCapacityOrder = order -> {};
     private RolloutMessageListener mRolloutListener = new UnexpectedRolloutListener();
@@ -223,6 +224,15 @@
         return mStreamMessenger;
     }
 
+    /**
+     * Returns the datagrams sent and received since the start.
+     *
+     * @return the counts
+     */
+    public DatagramTraffic traffic() {
+        return mTraffic;
+    }
+
     /** Returns the recorded number of daemons of the deployment; 0 if not known. */
     private int expectedDaemons() {
         return mState.quotas().heldShares().table().map(ShareTable::daemons).orElse(0);
@@ -461,7 +471,9 @@
      * @param datagram the datagram
      */
     public void send(final InetSocketAddress receiver, final Datagram datagram) {
-        write(datagram.toByteArray(), receiver);
+        final byte[] bytes = datagram.toByteArray();
+        mTraffic.recordSent(datagram, bytes.length, 1);
+        write(bytes, receiver);
         mPort.channel().flush();
     }
 
@@ -478,7 +490,12 @@
 
     private void send(final Datagram datagram, final Iterable<InetSocketAddress> receivers) {
         final byte[] bytes = datagram.toByteArray();
-        receivers.forEach(receiver -> write(bytes, receiver));
+        int count = 0;
+        for (final InetSocketAddress receiver : receivers) {
+            write(bytes, receiver);
+            count++;
+        }
+        mTraffic.recordSent(datagram, bytes.length, count);
         mPort.channel().flush();
     }
 
@@ -512,6 +529,7 @@
                 final ChannelHandlerContext context, final DatagramPacket packet) {
             try {
                 final Datagram datagram = Datagram.parseFrom(packet.content().nioBuffer());
+                mTraffic.recordReceived(datagram, packet.content().readableBytes());
                 if (datagram.hasReport()) {
                     mReportHandler.applyReport(datagram.getReport());
                 }
