--- a/gateway/src/main/java/org/whinhead/gateway/peers/PeerDatagramChannel.java
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/PeerDatagramChannel.java
@@ -121,7 +121,7 @@
         mCrashMessenger = new CrashMessenger(loop, state, this::sendToAll, this::send);
         mDepartureMessenger = new DepartureMessenger(loop, state, this::sendToAll);
         mLimitMessenger = new LimitMessenger(loop, state, this::sendToAll);
-        mSpeedMessenger = new SpeedMessenger(loop, state, members.self().name(), this::sendToAll);
+        mSpeedMessenger = new SpeedMessenger(loop, state, members, this::sendToAll);
         mStreamMessenger =
                 new StreamMessenger(
                         loop,
--- a/gateway/src/main/java/org/whinhead/gateway/peers/SpeedMessenger.java
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/SpeedMessenger.java
@@ -13,6 +13,7 @@
 import org.whinhead.gateway.generated.GatewayProto.EndpointShare;
 import org.whinhead.gateway.generated.GatewayProto.EndpointSpeedNews;
 import org.whinhead.gateway.time.GuardedTask;
+import org.whinhead.serving.member.MemberTable;
 import org.whinhead.serving.speed.SpeedReport;
 
 /** Tells the other daemons at once when an endpoint's speed has changed suddenly. */
@@ -25,18 +26,18 @@
 
     private final EventLoop mLoop;
     private final ServingState mState;
-    private final String mDaemon;
+    private final MemberTable mMembers;
     private final Consumer<Datagram> mSendToAll;
     private boolean mScheduled;
 
     SpeedMessenger(
             final EventLoop loop,
             final ServingState state,
-            final String daemon,
+            final MemberTable members,
             final Consumer<Datagram> sendToAll) {
         mLoop = Objects.requireNonNull(loop, "loop");
         mState = Objects.requireNonNull(state, "state");
-        mDaemon = Objects.requireNonNull(daemon, "daemon");
+        mMembers = Objects.requireNonNull(members, "members");
         mSendToAll = Objects.requireNonNull(sendToAll, "sendToAll");
         state.chooser().speeds().ifPresent(speeds -> speeds.onChange(this::schedule));
     }
@@ -58,7 +59,8 @@
         if (changes.isEmpty()) {
             return;
         }
-        final EndpointSpeedNews.Builder news = EndpointSpeedNews.newBuilder().setDaemon(mDaemon);
+        final EndpointSpeedNews.Builder news =
+                EndpointSpeedNews.newBuilder().setDaemon(mMembers.self().name());
         changes.forEach(change -> news.addShares(EndpointShareCodec.createShare(change)));
         mSendToAll.accept(Datagram.newBuilder().setSpeedNews(news).build());
         schedule();
@@ -76,7 +78,7 @@
     void apply(final String daemon, final EndpointShare share) {
         if (share.getSpeedWeight() == 0
                 || mState.chooser().speeds().isEmpty()
-                || daemon.equals(mDaemon)) {
+                || daemon.equals(mMembers.self().name())) {
             return;
         }
         final Instant now = mState.clock().instant();
--- a/gateway/src/test/java/org/whinhead/gateway/exchange/TestServing.java
+++ b/gateway/src/test/java/org/whinhead/gateway/exchange/TestServing.java
@@ -15,6 +15,7 @@
 import org.whinhead.serving.quota.CustomerQuotas;
 import org.whinhead.serving.quota.HeldShares;
 import org.whinhead.serving.quota.QuotaTolerance;
+import org.whinhead.serving.speed.EndpointSpeeds;
 import org.whinhead.serving.usage.UsageLedger;
 import org.whinhead.serving.usage.UsageWindows;
 
@@ -33,9 +34,22 @@
 
     /** Creates such a state of a deployment with or without roll-outs. */
     public static ServingState state(final InstantSource clock, final boolean rollouts) {
+        return state(clock, rollouts, new EndpointChooser("domain-a", new Random(1)));
+    }
+
+    /** Creates such a state that learns the speeds of endpoints. */
+    public static ServingState learningState(final InstantSource clock) {
+        return state(
+                clock,
+                false,
+                new EndpointChooser("domain-a", new Random(1), Optional.of(new EndpointSpeeds())));
+    }
+
+    private static ServingState state(
+            final InstantSource clock, final boolean rollouts, final EndpointChooser chooser) {
         return ServingState.builder()
                 .clocks(clock, clock)
-                .chooser(new EndpointChooser("domain-a", new Random(1)))
+                .chooser(chooser)
                 .limits(quotas(clock), new ServiceRetryBudget(0.2, 10, WINDOW))
                 .usage(new UsageLedger("self"), new UsageWindows(WINDOW))
                 .rollouts(rollouts)
