Revert "Bound the news of endpoints' speeds for the whole deployment"

News of speeds are many, but not most of the cost, and without them daemons send on to endpoints that have slowed down. Change: this reverts. Conclusion: not kept. Fewer messages must carry the same changes, for example all changes of a time in one, instead of fewer changes.

--- a/gateway/src/main/java/org/whinhead/gateway/peers/SpeedMessenger.java
+++ b/gateway/src/main/java/org/whinhead/gateway/peers/SpeedMessenger.java
@@ -14,13 +14,9 @@
 import org.whinhead.gateway.generated.GatewayProto.EndpointSpeedNews;
 import org.whinhead.gateway.time.GuardedTask;
 import org.whinhead.serving.member.MemberTable;
-import org.whinhead.serving.speed.SpeedNewsBudget;
 import org.whinhead.serving.speed.SpeedReport;
 
-/**
- * Tells the other daemons at once when an endpoint's speed has changed suddenly, within a budget of
- * the whole deployment.
- */
+/** Tells the other daemons at once when an endpoint's speed has changed suddenly. */
 final class SpeedMessenger {
 
     private static final Logger LOG = LoggerFactory.getLogger(SpeedMessenger.class);
@@ -32,7 +28,6 @@
     private final ServingState mState;
     private final MemberTable mMembers;
     private final Consumer<Datagram> mSendToAll;
-    private final SpeedNewsBudget mBudget = new SpeedNewsBudget();
     private boolean mScheduled;
 
     SpeedMessenger(
@@ -59,22 +54,16 @@
 
     private void send() {
         mScheduled = false;
-        final Instant now = mState.clock().instant();
-        final List<SpeedReport> changes = mState.chooser().speeds().orElseThrow().changes(now);
+        final List<SpeedReport> changes =
+                mState.chooser().speeds().orElseThrow().changes(mState.clock().instant());
         if (changes.isEmpty()) {
             return;
         }
-        if (mBudget.take(mMembers.knownCount(), now)) {
-            tell(changes);
-        }
-        schedule();
-    }
-
-    private void tell(final List<SpeedReport> changes) {
         final EndpointSpeedNews.Builder news =
                 EndpointSpeedNews.newBuilder().setDaemon(mMembers.self().name());
         changes.forEach(change -> news.addShares(EndpointShareCodec.createShare(change)));
         mSendToAll.accept(Datagram.newBuilder().setSpeedNews(news).build());
+        schedule();
     }
 
     /** Applies a datagram if it tells of changes. */
--- a/serving/src/test/java/org/whinhead/serving/speed/SpeedFleet.java
+++ b/serving/src/test/java/org/whinhead/serving/speed/SpeedFleet.java
@@ -203,7 +203,6 @@
         private final String mName;
         private final EndpointSpeeds mSpeeds = new EndpointSpeeds();
         private final EndpointChooser mChooser;
-        private final SpeedNewsBudget mBudget = new SpeedNewsBudget();
         private boolean mAlive = true;
         private boolean mMuted;
         private boolean mNewsScheduled;
@@ -228,14 +227,11 @@
         private void sendChanges() {
             mNewsScheduled = false;
             final List<SpeedReport> changes = mSpeeds.changes(now());
-            if (changes.isEmpty()) {
-                return;
-            }
-            if (mBudget.take(mDaemons.size(), now())) {
+            if (!changes.isEmpty()) {
                 mNews++;
                 mDaemons.forEach(other -> send(other, () -> other.learn(this, changes)));
+                tellChange();
             }
-            tellChange();
         }
 
         private void send(final Daemon other, final Runnable receive) {
