Test that the datagram channel counts what it sends and receives

Cause: DatagramTrafficTest tests the counts alone; nothing failed if the channel didn't use them. Change: PeerDatagramChannelTest sends a report and reads the counts of the channel.

--- a/gateway/src/test/java/org/whinhead/gateway/peers/PeerDatagramChannelTest.java
+++ b/gateway/src/test/java/org/whinhead/gateway/peers/PeerDatagramChannelTest.java
@@ -14,9 +14,11 @@
 import java.net.SocketException;
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -40,6 +42,7 @@
     private final MemberTable mMembers =
             new MemberTable(member("a", new InetSocketAddress("127.0.0.1", 0)));
     private final DatagramSocket mPeer;
+    private PeerDatagramChannel mTested;
 
     PeerDatagramChannelTest() throws SocketException {
         mPeer = new DatagramSocket(0, InetAddress.getLoopbackAddress());
@@ -55,6 +58,7 @@
         final PeerDatagramChannel channel =
                 new PeerDatagramChannel(
                         mLoop, state, mMembers, new DigestReadCoordinator(state, mMembers));
+        mTested = channel;
         mLoop.submit(
                         () -> {
                             channel.addContact((InetSocketAddress) mPeer.getLocalSocketAddress());
@@ -113,4 +117,23 @@
     private int heardPeers() throws Exception {
         return mLoop.submit(() -> mMembers.peers().size()).get();
     }
+
+    // Guards against messages between daemons that grow with the deployment and that nobody sees.
+    @Test
+    void datagramsAreCountedInBothDirections() throws Exception {
+        final SocketAddress receiver = testedAddress();
+        final byte[] report = report(1);
+        mPeer.send(new DatagramPacket(report, report.length, receiver));
+        final long end = System.nanoTime() + REPORTING_TIME.toNanos();
+        while (System.nanoTime() < end && heardPeers() == 0) {
+            TimeUnit.MILLISECONDS.sleep(REPORT_INTERVAL_MILLIS);
+        }
+        final DatagramTraffic traffic = mTested.traffic();
+        final List<String> received = List.of("received", "report");
+        assertThat(mLoop.submit(traffic::datagrams).get()).containsEntry(received, 1L);
+        assertThat(mLoop.submit(traffic::bytes).get())
+                .containsEntry(received, (long) report.length);
+        assertThat(mLoop.submit(traffic::datagrams).get().get(List.of("sent", "report")))
+                .isPositive();
+    }
 }
